--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/peers.py
@@ -0,0 +1,36 @@
+"""Messages between entry hosts. A message of a later version is refused, not guessed at."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from lentilpath_core.ids import HostId, Incarnation, ZoneId
+
+PROTOCOL_VERSION = 1
+
+
+class PeerRequest(msgspec.Struct, frozen=True):
+    """One request from an entry host to another."""
+
+    version: int
+    sender: HostId
+    incarnation: Incarnation
+    zone: ZoneId
+    topic: str
+    """Names the handler; each subsystem owns its topics."""
+    body: Any
+    """A message of the topic, already turned into builtins."""
+
+
+class PeerReply(msgspec.Struct, frozen=True):
+    """The answer to a `PeerRequest`."""
+
+    version: int
+    sender: HostId
+    incarnation: Incarnation
+    code: str
+    """`ok`, or the `code` of an error."""
+    body: Any
+    """The answer's message, or the error's text."""
--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/__init__.py
@@ -0,0 +1,54 @@
+"""Which task starts on which worker, and why: pure decisions for one zone.
+
+The caller feeds events with `apply_event` and takes decisions with `decide_placements`. The state
+is changed in place, since a zone holds tens of thousands of tasks, but the same events at the same
+times always give the same decisions: there is no clock, no I/O and no hidden randomness.
+"""
+
+from lentilpath_core.placement._engine import (
+    PlacementState,
+    apply_event,
+    create_placement,
+    decide_placements,
+    explain_task,
+)
+from lentilpath_core.placement._messages import (
+    AttemptFinished,
+    Decision,
+    Explanation,
+    JobWithdrawn,
+    PlacementEvent,
+    RefuseJob,
+    StartTask,
+    StopMode,
+    StopTask,
+    TaskFound,
+    TasksReady,
+    UsageReported,
+    WaitRule,
+    WorkerOffered,
+    WorkerRemoved,
+)
+
+__all__ = [
+    "AttemptFinished",
+    "Decision",
+    "Explanation",
+    "JobWithdrawn",
+    "PlacementEvent",
+    "PlacementState",
+    "RefuseJob",
+    "StartTask",
+    "StopMode",
+    "StopTask",
+    "TaskFound",
+    "TasksReady",
+    "UsageReported",
+    "WaitRule",
+    "WorkerOffered",
+    "WorkerRemoved",
+    "apply_event",
+    "create_placement",
+    "decide_placements",
+    "explain_task",
+]
--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/inbox.py
@@ -0,0 +1,75 @@
+"""Commands to a zone, each a row of the table until the zone's leader has taken it over.
+
+Any entry host may accept a command: it writes `inbox/ZONE/COMMAND` if that row is absent, and only
+then acknowledges. The leader deletes the row in the transaction that adds the command's events to
+the journal, so an accepted command is taken over exactly once, whoever leads.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from lentilpath_core.ids import HostId, JobId, WallTime, WorkerId, ZoneId
+from lentilpath_core.workloads import JobSpec
+
+
+class SubmitJob(msgspec.Struct, frozen=True, tag=True):
+    """Run this job."""
+
+    spec: JobSpec
+
+
+class StopJob(msgspec.Struct, frozen=True, tag=True):
+    """End the job and start none of its tasks again."""
+
+    job: JobId
+
+
+class DrainWorker(msgspec.Struct, frozen=True, tag=True):
+    """Keep new tasks off the worker."""
+
+    worker: WorkerId
+
+
+class UndrainWorker(msgspec.Struct, frozen=True, tag=True):
+    """Let the worker have new tasks again."""
+
+    worker: WorkerId
+
+
+ZoneCommand = SubmitJob | StopJob | DrainWorker | UndrainWorker
+
+
+class InboxEntry(msgspec.Struct, frozen=True):
+    """One accepted command."""
+
+    command: str
+    """Id given by the caller or the accepting host; a repetition has no second effect."""
+    accepted_at: WallTime
+    accepted_by: HostId
+    operator: str
+    body: ZoneCommand
+
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(InboxEntry)
+
+
+def encode_entry(entry: InboxEntry) -> str:
+    """Return the row value of `entry`."""
+    return _encoder.encode(entry).decode()
+
+
+def decode_entry(value: str) -> InboxEntry:
+    """Return the entry stored as `value`; raises `msgspec.DecodeError` if it is none."""
+    return _decoder.decode(value)
+
+
+def get_inbox_prefix(zone: ZoneId) -> str:
+    """Return what the keys of all commands to `zone` begin with."""
+    return f"inbox/{zone}/"
+
+
+def get_inbox_key(zone: ZoneId, command: str) -> str:
+    """Return the table key of one command to `zone`."""
+    return f"{get_inbox_prefix(zone)}{command}"
--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/journal.py
@@ -0,0 +1,154 @@
+"""The events of a zone's journal and the batches that the table stores.
+
+The journal is the only durable account of a zone: its state is the fold of a snapshot and the
+batches after it. A batch is one row, `journal/ZONE/SEQUENCE`, written only if that row is absent
+and the zone's epoch row is unchanged, so a deposed leader cannot add to it.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from lentilpath_core.ids import (
+    Epoch,
+    HostId,
+    JobId,
+    JournalSequence,
+    TaskId,
+    WallTime,
+    WorkerId,
+    ZoneId,
+)
+from lentilpath_core.states import AttemptOutcome
+from lentilpath_core.workloads import JobSpec
+
+MAX_EVENTS_PER_BATCH = 2_000
+SEQUENCE_DIGITS = 12
+
+
+class JobAccepted(msgspec.Struct, frozen=True, tag=True):
+    """The zone took over a job."""
+
+    spec: JobSpec
+    accepted_at: WallTime
+    accepted_by: HostId
+
+
+class JobCancelled(msgspec.Struct, frozen=True, tag=True):
+    """An operator stopped a job; its tasks end and none starts again."""
+
+    job: JobId
+    cancelled_at: WallTime
+    cancelled_by: str
+
+
+class AttemptStarting(msgspec.Struct, frozen=True, tag=True):
+    """Written before a start command leaves, so that a lost start is never taken for no start."""
+
+    task: TaskId
+    attempt: int
+    worker: WorkerId
+    decided_at: WallTime
+    reason: str
+
+
+class AttemptEnded(msgspec.Struct, frozen=True, tag=True):
+    """One attempt is over. The times are the worker's own account of when the task ran."""
+
+    task: TaskId
+    attempt: int
+    worker: WorkerId
+    outcome: AttemptOutcome
+    started_at: WallTime
+    ended_at: WallTime
+    millicore_ms: int = 0
+    """Processor time used, in thousandths of a processor times milliseconds."""
+    peak_memory_mib: int = 0
+
+
+class WorkerJoined(msgspec.Struct, frozen=True, tag=True):
+    """The worker may be given tasks from here on."""
+
+    worker: WorkerId
+    joined_at: WallTime
+
+
+class WorkerLost(msgspec.Struct, frozen=True, tag=True):
+    """Every lease on the worker has run out unanswered; it holds no task of this zone."""
+
+    worker: WorkerId
+    lost_at: WallTime
+
+
+class WorkerDrained(msgspec.Struct, frozen=True, tag=True):
+    """An operator keeps new tasks off the worker."""
+
+    worker: WorkerId
+    drained_at: WallTime
+    drained_by: str
+
+
+class WorkerUndrained(msgspec.Struct, frozen=True, tag=True):
+    """An operator lets the worker have new tasks again."""
+
+    worker: WorkerId
+    undrained_at: WallTime
+    undrained_by: str
+
+
+class CommandAnswered(msgspec.Struct, frozen=True, tag=True):
+    """The outcome of a command, kept so that its repetition is answered without a second effect."""
+
+    command: str
+    answered_at: WallTime
+    code: str
+    """`ok`, or the `code` of an error."""
+    text: str
+
+
+JournalEvent = (
+    JobAccepted
+    | JobCancelled
+    | AttemptStarting
+    | AttemptEnded
+    | WorkerJoined
+    | WorkerLost
+    | WorkerDrained
+    | WorkerUndrained
+    | CommandAnswered
+)
+
+
+class JournalBatch(msgspec.Struct, frozen=True):
+    """One row of the journal: events that become durable together."""
+
+    zone: ZoneId
+    sequence: JournalSequence
+    epoch: Epoch
+    writer: str
+    """The write id of the transaction, by which its writer recognises it."""
+    events: tuple[JournalEvent, ...]
+
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(JournalBatch)
+
+
+def encode_batch(batch: JournalBatch) -> str:
+    """Return the row value of `batch`."""
+    return _encoder.encode(batch).decode()
+
+
+def decode_batch(value: str) -> JournalBatch:
+    """Return the batch stored as `value`; raises `msgspec.DecodeError` if it is none."""
+    return _decoder.decode(value)
+
+
+def get_batch_key(zone: ZoneId, sequence: JournalSequence) -> str:
+    """Return the table key of one batch; keys sort in the order of their sequence."""
+    return f"{get_journal_prefix(zone)}{sequence:0{SEQUENCE_DIGITS}d}"
+
+
+def get_journal_prefix(zone: ZoneId) -> str:
+    """Return what the keys of all batches of `zone` begin with."""
+    return f"journal/{zone}/"
--- /dev/null
+++ b/packages/lentilpath-http/src/lentilpath_http/__init__.py
@@ -0,0 +1,31 @@
+"""Small asyncio HTTP/1.1 client and server over h11."""
+
+from lentilpath_http._client import HttpClient, create_client
+from lentilpath_http._messages import (
+    HttpError,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    MalformedMessage,
+    MessageTooLarge,
+    RequestNotSent,
+    ResponseLost,
+    json_response,
+)
+from lentilpath_http._server import HttpServer, serve_http
+
+__all__ = [
+    "HttpClient",
+    "HttpError",
+    "HttpLimits",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+    "MalformedMessage",
+    "MessageTooLarge",
+    "RequestNotSent",
+    "ResponseLost",
+    "create_client",
+    "json_response",
+    "serve_http",
+]
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/__init__.py
@@ -0,0 +1,1 @@
+"""The entry host daemon: a tree of supervised parts on one asyncio loop."""
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -0,0 +1,54 @@
+"""Numbered events of the log. Each is explained in docs/EVENTS.md."""
+
+from __future__ import annotations
+
+import json
+from enum import Enum
+
+from absl import logging
+
+
+class Event(Enum):
+    """Number and short text of each event; numbers are never used again.
+
+    1-99: the process, 100-199: leadership and peers, 200-299: zone and workers, 300-399: callers'
+    requests, 400-499: operators and configuration.
+    """
+
+    PROCESS_STARTED = (1, "process started")
+    PROCESS_DRAINING = (2, "planned stop begins")
+    PROCESS_STOPPED = (3, "process stopped")
+    PART_FAILED = (4, "a supervised part failed and is started again")
+    PART_GIVEN_UP = (5, "a supervised part failed too often; the process stops")
+    PEER_SILENT = (100, "a peer did not answer; its connection is replaced")
+    PEER_REQUEST_REFUSED = (101, "a peer's request was refused")
+    HOST_LIST_UNAVAILABLE = (200, "the platform's host list could not be read")
+    ZONE_RECOVERED = (201, "the zone's state was rebuilt")
+    ZONE_RELEASED = (202, "this process decides for the zone no more")
+    JOB_ACCEPTED = (203, "a job was taken over")
+    BATCH_REJECTED = (204, "a journal batch was not applied")
+    WORKER_SILENT = (205, "a worker does not answer")
+    WORKER_LOST = (206, "all leases on a silent worker have run out")
+    COMMAND_REFUSED = (207, "a command in the inbox could not be carried out")
+
+    @property
+    def number(self) -> int:
+        """The event's number."""
+        return self.value[0]
+
+    @property
+    def text(self) -> str:
+        """The event's short text."""
+        return self.value[1]
+
+
+def log_event(event: Event, **fields: object) -> None:
+    """Write `event` with its fields to the log as one line. Never pass secrets or bodies."""
+    details = json.dumps(fields, default=str, separators=(",", ":"), sort_keys=True)
+    logging.info("LP%03d %s %s", event.number, event.text, details)
+
+
+def log_warning_event(event: Event, **fields: object) -> None:
+    """Write `event` like `log_event`, as a warning."""
+    details = json.dumps(fields, default=str, separators=(",", ":"), sort_keys=True)
+    logging.warning("LP%03d %s %s", event.number, event.text, details)
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_peers.py
@@ -0,0 +1,161 @@
+"""Requests between entry hosts over pynng, one topic for each subsystem."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import msgspec
+import pynng
+
+from lentilpath_core.errors import LentilpathError, PeerUnavailable
+from lentilpath_core.ids import HostId, Incarnation, ZoneId
+from lentilpath_core.peers import PROTOCOL_VERSION, PeerReply, PeerRequest
+from lentilpath_core.settings import Address, PeerSettings
+from lentilpathd._events import Event, log_event, log_warning_event
+
+T = TypeVar("T")
+
+HANDLER_COUNT = 32
+"""Requests of peers that are handled at once; further ones wait in the sockets' buffers."""
+RECEIVE_BUFFER_MESSAGES = 64
+MAX_MESSAGE_BYTES = 16_777_216
+MS_PER_SECOND = 1_000
+
+PeerHandler = Callable[[PeerRequest], Awaitable[Any]]
+"""Takes a request whose `body` is builtins and returns a message or builtins."""
+
+
+class PeerBus:
+    """Sends requests to other entry hosts and answers theirs.
+
+    A request is repeated by its sender only, and only if its topic allows it. A peer that does not
+    answer in time gets a new connection, since its old one may have gone silent for good.
+    """
+
+    def __init__(self, host: HostId, incarnation: Incarnation, zone: ZoneId) -> None:
+        self.host = host
+        self.incarnation = incarnation
+        self.zone = zone
+        self._handlers: dict[str, PeerHandler] = {}
+        self._addresses: dict[HostId, Address] = {}
+        self._sockets: dict[HostId, pynng.Req0] = {}
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    def set_peers(self, peers: tuple[PeerSettings, ...]) -> None:
+        """Replace the list of peers that can be reached."""
+        addresses = {peer.host: peer.address for peer in peers if peer.host != self.host}
+        for host, address in self._addresses.items():
+            if addresses.get(host) != address:
+                self._drop_socket(host)
+        self._addresses = addresses
+
+    def handle(self, topic: str, handler: PeerHandler) -> None:
+        """Let `handler` answer the requests of `topic`."""
+        self._handlers[topic] = handler
+
+    async def ask(
+        self, host: HostId, topic: str, message: object, answer: type[T], timeout: float
+    ) -> T:
+        """Send `message` to `host` and return its answer as an `answer`.
+
+        Raises `PeerUnavailable` if no answer came within `timeout` seconds (the peer may have
+        acted all the same), and `LentilpathError` with the peer's code if it refused.
+        """
+        request = PeerRequest(
+            PROTOCOL_VERSION,
+            self.host,
+            self.incarnation,
+            self.zone,
+            topic,
+            msgspec.to_builtins(message),
+        )
+        data = msgspec.msgpack.encode(request)
+        context = self._get_socket(host).new_context()
+        try:
+            async with asyncio.timeout(timeout):
+                await context.asend(data)
+                self.bytes_sent += len(data)
+                received = await context.arecv()
+        except (TimeoutError, pynng.NNGException) as error:
+            log_event(Event.PEER_SILENT, peer=host, topic=topic)
+            self._drop_socket(host)
+            raise PeerUnavailable(f"{host} did not answer {topic}: {error!r}") from error
+        finally:
+            context.close()
+        self.bytes_received += len(received)
+        reply = msgspec.msgpack.decode(received, type=PeerReply)
+        if reply.code != "ok":
+            failure = LentilpathError(f"{host} refused {topic}: {reply.code}: {reply.body}")
+            failure.code = reply.code
+            raise failure
+        return msgspec.convert(reply.body, answer)
+
+    async def serve(self, address: Address) -> None:
+        """Answer peers' requests on `address` until cancelled."""
+        with pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES) as socket:
+            socket.listen(f"tcp://{address.host}:{address.port}")
+            async with asyncio.TaskGroup() as group:
+                for _ in range(HANDLER_COUNT):
+                    group.create_task(self._answer_requests(socket))
+
+    def close(self) -> None:
+        """Close the connections to all peers."""
+        for host in tuple(self._sockets):
+            self._drop_socket(host)
+
+    async def _answer_requests(self, socket: pynng.Rep0) -> None:
+        context = socket.new_context()
+        try:
+            while True:
+                data = await context.arecv()
+                self.bytes_received += len(data)
+                reply = msgspec.msgpack.encode(await self._answer(data))
+                self.bytes_sent += len(reply)
+                await context.asend(reply)
+        finally:
+            context.close()
+
+    async def _answer(self, data: bytes) -> PeerReply:
+        try:
+            request = msgspec.msgpack.decode(data, type=PeerRequest)
+        except msgspec.DecodeError as error:
+            return self._make_reply("malformed", str(error))
+        if request.version != PROTOCOL_VERSION:
+            return self._make_reply(
+                "version", f"got version {request.version}, speak {PROTOCOL_VERSION}"
+            )
+        handler = self._handlers.get(request.topic)
+        if handler is None:
+            return self._make_reply("unknown-topic", request.topic)
+        try:
+            return self._make_reply("ok", msgspec.to_builtins(await handler(request)))
+        except LentilpathError as error:
+            return self._make_reply(error.code, str(error))
+        except (msgspec.ValidationError, TypeError, KeyError, ValueError) as error:
+            log_warning_event(
+                Event.PEER_REQUEST_REFUSED, peer=request.sender, topic=request.topic, error=error
+            )
+            return self._make_reply("malformed", repr(error))
+
+    def _make_reply(self, code: str, body: Any) -> PeerReply:
+        return PeerReply(PROTOCOL_VERSION, self.host, self.incarnation, code, body)
+
+    def _get_socket(self, host: HostId) -> pynng.Req0:
+        socket = self._sockets.get(host)
+        if socket is None:
+            address = self._addresses.get(host)
+            if address is None:
+                raise PeerUnavailable(f"{host} is not a known entry host")
+            # nng would repeat a request by itself after a minute; only the sender may repeat it.
+            socket = pynng.Req0(resend_time=-1, recv_max_size=MAX_MESSAGE_BYTES)
+            socket.dial(f"tcp://{address.host}:{address.port}", block=False)
+            self._sockets[host] = socket
+        return socket
+
+    def _drop_socket(self, host: HostId) -> None:
+        socket = self._sockets.pop(host, None)
+        if socket is not None:
+            socket.close()
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_supervisor.py
@@ -0,0 +1,60 @@
+"""A tree of supervised parts: one that fails is started again, one that keeps failing ends all."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from lentilpath_core.errors import LentilpathError
+from lentilpathd._clock import read_instant
+from lentilpathd._events import Event, log_warning_event
+
+FIRST_RESTART_DELAY_MS = 100
+MAX_RESTART_DELAY_MS = 5_000
+STABLE_AFTER_MS = 30_000
+MAX_RESTARTS = 20
+MS_PER_SECOND = 1_000
+
+
+class PartGivenUp(LentilpathError):
+    """A supervised part failed `MAX_RESTARTS` times without running stably in between."""
+
+    code = "part-given-up"
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """One supervised part. `run` ends only by failure or by cancellation."""
+
+    name: str
+    run: Callable[[], Awaitable[None]]
+
+
+async def supervise_parts(parts: tuple[Part, ...]) -> None:
+    """Run all parts until cancelled, or until one is given up (raised in an exception group)."""
+    async with asyncio.TaskGroup() as group:
+        for part in parts:
+            group.create_task(supervise_part(part), name=part.name)
+
+
+async def supervise_part(part: Part) -> None:
+    """Run one part again whenever it fails, with growing delays."""
+    restarts = 0
+    while True:
+        started = read_instant()
+        try:
+            await part.run()
+            return
+        except Exception as error:
+            if read_instant() - started > STABLE_AFTER_MS:
+                restarts = 0
+            restarts += 1
+            log_warning_event(Event.PART_FAILED, part=part.name, error=repr(error))
+            if restarts > MAX_RESTARTS:
+                log_warning_event(Event.PART_GIVEN_UP, part=part.name)
+                raise PartGivenUp(
+                    f"{part.name} failed {restarts} times; last: {error!r}"
+                ) from error
+        delay_ms = min(FIRST_RESTART_DELAY_MS * 2 ** (restarts - 1), MAX_RESTART_DELAY_MS)
+        await asyncio.sleep(delay_ms / MS_PER_SECOND)
