--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/state.py
@@ -0,0 +1,266 @@
+"""The fold of a zone's journal: its jobs, tasks and workers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from functools import singledispatch
+
+from lentilpath_core.ids import (
+    Epoch,
+    HostId,
+    JobId,
+    JournalSequence,
+    TaskId,
+    WallTime,
+    WorkerId,
+    ZoneId,
+    get_job_of_task,
+)
+from lentilpath_core.states import ENDED_TASK_STATES, AttemptOutcome, TaskState
+from lentilpath_core.workloads import JobSpec, WorkloadKind
+from lentilpath_core.zone.journal import (
+    AttemptEnded,
+    AttemptStarting,
+    CommandAnswered,
+    JobAccepted,
+    JobCancelled,
+    JournalBatch,
+    WorkerDrained,
+    WorkerJoined,
+    WorkerLost,
+    WorkerUndrained,
+)
+
+MAX_ENDED_JOBS = 2_000
+"""Ended jobs kept in memory; older ones are found in the history objects."""
+MAX_ANSWERED_COMMANDS = 10_000
+RERUN_OUTCOMES = frozenset({AttemptOutcome.LEASE_EXPIRED, AttemptOutcome.LOST})
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptRecord:
+    """One attempt to run a task."""
+
+    attempt: int
+    worker: WorkerId
+    decided_at: WallTime
+    reason: str
+    outcome: AttemptOutcome | None = None
+    """`None` while it may run."""
+    started_at: WallTime = WallTime(0)
+    """When the worker started it; 0 if that is not known."""
+    ended_at: WallTime = WallTime(0)
+    millicore_ms: int = 0
+    peak_memory_mib: int = 0
+
+
+@dataclass(slots=True)
+class TaskRecord:
+    """A task and all its attempts."""
+
+    task: TaskId
+    state: TaskState = TaskState.WAITING
+    attempts: list[AttemptRecord] = field(default_factory=list)
+    failures: int = 0
+
+
+@dataclass(slots=True)
+class JobRecord:
+    """A job and its tasks."""
+
+    spec: JobSpec
+    accepted_at: WallTime
+    accepted_by: HostId
+    tasks: dict[TaskId, TaskRecord]
+    open_tasks: int
+    """Tasks that have not ended."""
+    cancelled_by: str | None = None
+    cancelled_at: WallTime = WallTime(0)
+    ended_at: WallTime = WallTime(0)
+
+
+@dataclass(slots=True)
+class WorkerRecord:
+    """A worker that the zone may have given tasks to."""
+
+    worker: WorkerId
+    drained_by: str | None = None
+
+
+@dataclass(slots=True)
+class ZoneState:
+    """Everything durable about a zone. Changed in place by `apply_batch` only."""
+
+    zone: ZoneId
+    sequence: JournalSequence = JournalSequence(0)
+    """The last batch that is part of this state."""
+    epoch: Epoch = Epoch(0)
+    jobs: dict[JobId, JobRecord] = field(default_factory=dict)
+    workers: dict[WorkerId, WorkerRecord] = field(default_factory=dict)
+    answers: dict[str, CommandAnswered] = field(default_factory=dict)
+    ended_jobs: dict[JobId, None] = field(default_factory=dict)
+    """Ids of the ended jobs that are still in `jobs`, oldest first."""
+
+    def find_task(self, task: TaskId) -> TaskRecord | None:
+        """Return the record of `task`, or `None`."""
+        job = self.jobs.get(get_job_of_task(task))
+        return job.tasks.get(task) if job is not None else None
+
+
+def create_zone_state(zone: ZoneId) -> ZoneState:
+    """Return the state of a zone whose journal is empty."""
+    return ZoneState(zone)
+
+
+def apply_batch(state: ZoneState, batch: JournalBatch) -> None:
+    """Take the events of `batch` into `state`; a batch that is part of it changes nothing."""
+    if batch.sequence <= state.sequence:
+        return
+    for event in batch.events:
+        apply_journal_event(event, state)
+    state.sequence = batch.sequence
+    state.epoch = batch.epoch
+
+
+@singledispatch
+def apply_journal_event(event: object, state: ZoneState) -> None:
+    """Take one event into `state`. Events that are already part of it change nothing."""
+    raise TypeError(f"not a journal event: {event!r}")
+
+
+@apply_journal_event.register
+def _(event: JobAccepted, state: ZoneState) -> None:
+    if event.spec.job in state.jobs:
+        return
+    tasks = {task: TaskRecord(task) for task in event.spec.list_tasks()}
+    state.jobs[event.spec.job] = JobRecord(
+        event.spec, event.accepted_at, event.accepted_by, tasks, len(tasks)
+    )
+
+
+@apply_journal_event.register
+def _(event: JobCancelled, state: ZoneState) -> None:
+    job = state.jobs.get(event.job)
+    if job is None or job.cancelled_by is not None:
+        return
+    job.cancelled_by = event.cancelled_by
+    job.cancelled_at = event.cancelled_at
+    for task in job.tasks.values():
+        if task.state is TaskState.WAITING:
+            _end_task(state, job, task, TaskState.STOPPED, event.cancelled_at)
+
+
+@apply_journal_event.register
+def _(event: AttemptStarting, state: ZoneState) -> None:
+    task = state.find_task(event.task)
+    if task is None or task.state in ENDED_TASK_STATES:
+        return
+    if any(attempt.attempt == event.attempt for attempt in task.attempts):
+        return
+    task.attempts.append(AttemptRecord(event.attempt, event.worker, event.decided_at, event.reason))
+    task.state = TaskState.STARTING
+
+
+@apply_journal_event.register
+def _(event: AttemptEnded, state: ZoneState) -> None:
+    job = state.jobs.get(get_job_of_task(event.task))
+    task = state.find_task(event.task)
+    if job is None or task is None:
+        return
+    place = next((i for i, a in enumerate(task.attempts) if a.attempt == event.attempt), None)
+    if place is None:
+        # A start that was made while the table was away has no journal event of its own.
+        known = AttemptRecord(
+            event.attempt, event.worker, event.started_at, "started while the table was away"
+        )
+        task.attempts.append(known)
+        place = len(task.attempts) - 1
+    attempt = task.attempts[place]
+    if attempt.outcome is not None:
+        return
+    task.attempts[place] = AttemptRecord(
+        attempt.attempt,
+        attempt.worker,
+        attempt.decided_at,
+        attempt.reason,
+        event.outcome,
+        event.started_at,
+        event.ended_at,
+        event.millicore_ms,
+        event.peak_memory_mib,
+    )
+    if task.state in ENDED_TASK_STATES:
+        return
+    if event.outcome is AttemptOutcome.FAILED:
+        task.failures += 1
+    following = decide_next_task_state(job, task, event.outcome)
+    if following in ENDED_TASK_STATES:
+        _end_task(state, job, task, following, event.ended_at)
+    else:
+        task.state = following
+
+
+@apply_journal_event.register
+def _(event: WorkerJoined, state: ZoneState) -> None:
+    state.workers.setdefault(event.worker, WorkerRecord(event.worker))
+
+
+@apply_journal_event.register
+def _(event: WorkerLost, state: ZoneState) -> None:
+    state.workers.pop(event.worker, None)
+
+
+@apply_journal_event.register
+def _(event: WorkerDrained, state: ZoneState) -> None:
+    record = state.workers.setdefault(event.worker, WorkerRecord(event.worker))
+    record.drained_by = event.drained_by
+
+
+@apply_journal_event.register
+def _(event: WorkerUndrained, state: ZoneState) -> None:
+    record = state.workers.get(event.worker)
+    if record is not None:
+        record.drained_by = None
+
+
+@apply_journal_event.register
+def _(event: CommandAnswered, state: ZoneState) -> None:
+    state.answers.setdefault(event.command, event)
+    while len(state.answers) > MAX_ANSWERED_COMMANDS:
+        del state.answers[next(iter(state.answers))]
+
+
+def decide_next_task_state(job: JobRecord, task: TaskRecord, outcome: AttemptOutcome) -> TaskState:
+    """Return the state of `task` after one of its attempts ended with `outcome`.
+
+    A task of unknown outcome runs again only if its policy says that it is idempotent; services
+    always run again, since a replica has no outcome of its own.
+    """
+    if job.cancelled_by is not None:
+        return TaskState.STOPPED if outcome is not AttemptOutcome.SUCCEEDED else TaskState.SUCCEEDED
+    if outcome in (AttemptOutcome.NOT_STARTED, AttemptOutcome.STOPPED):
+        return TaskState.WAITING
+    if job.spec.kind is WorkloadKind.SERVICE:
+        return TaskState.WAITING
+    if outcome is AttemptOutcome.SUCCEEDED:
+        return TaskState.SUCCEEDED
+    if outcome in RERUN_OUTCOMES:
+        return TaskState.WAITING if job.spec.policy.idempotent else TaskState.UNKNOWN
+    if task.failures > job.spec.policy.retry_limit:
+        return TaskState.FAILED
+    return TaskState.WAITING
+
+
+def _end_task(
+    state: ZoneState, job: JobRecord, task: TaskRecord, ended: TaskState, at: WallTime
+) -> None:
+    task.state = ended
+    job.open_tasks -= 1
+    if job.open_tasks > 0:
+        return
+    job.ended_at = at
+    state.ended_jobs[job.spec.job] = None
+    while len(state.ended_jobs) > MAX_ENDED_JOBS:
+        oldest = next(iter(state.ended_jobs))
+        del state.ended_jobs[oldest]
+        del state.jobs[oldest]
