--- a/packages/lentilpathd/src/lentilpathd/_authority.py
+++ b/packages/lentilpathd/src/lentilpathd/_authority.py
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Authority:
-    """This process may decide for its zone until `until`."""
+    """The permission of this process to decide for its zone until `until`."""
 
     epoch: Epoch
     until: Instant
