--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 SOURCES := packages tests conftest.py
 
-.PHONY: setup check test demo up model model-mutants measure slopes format clean
+.PHONY: setup check test demo up format clean
 
 $(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -35,3 +35,4 @@
 
 clean:
 	rm -rf $(VENV) .pytest_cache .mypy_cache .ruff_cache .hypothesis
+include $(wildcard make/*.mk)
