--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/language/_queries.py
@@ -0,0 +1,168 @@
+"""Answers of one zone, read off its state."""
+
+from __future__ import annotations
+
+from lentilpath_core.ids import JobId, WallTime
+from lentilpath_core.language._commands import ListRows, ShowHistory
+from lentilpath_core.language._filters import filter_table
+from lentilpath_core.language._tables import TABLE_COLUMNS, Cell, Table
+from lentilpath_core.language._units import format_time
+from lentilpath_core.states import TaskState
+from lentilpath_core.zone.state import AttemptRecord, JobRecord, TaskRecord, ZoneState
+
+HISTORY_COLUMNS = ("at", "subject", "event", "worker", "detail")
+
+
+def list_zone_rows(state: ZoneState, command: ListRows) -> Table:
+    """Return this zone's rows of the tables `tasks`, `jobs`, `workers` and `zones`."""
+    columns = TABLE_COLUMNS[command.table]
+    lists = {
+        "tasks": _list_tasks,
+        "jobs": _list_jobs,
+        "workers": _list_workers,
+        "zones": _list_zone,
+    }
+    rows = lists[command.table](state, command.since or WallTime(0))
+    return filter_table(Table(columns, rows), command.conditions, command.limit)
+
+
+def list_history(state: ZoneState, command: ShowHistory) -> Table:
+    """Return what happened to a job, oldest first; no rows if the zone does not know it."""
+    job = state.jobs.get(command.job)
+    if job is None:
+        return Table(HISTORY_COLUMNS)
+    moments = sorted(_list_moments(job), key=lambda moment: moment[0])
+    since = command.since or 0
+    rows = tuple((format_time(at), *rest) for at, *rest in moments if at >= since)
+    return Table(HISTORY_COLUMNS, rows)
+
+
+def count_open_tasks(state: ZoneState, job: JobId) -> int | None:
+    """Return how many tasks a stop of `job` would end, or `None` if it is not known here."""
+    record = state.jobs.get(job)
+    return None if record is None else record.open_tasks
+
+
+def describe_job_state(job: JobRecord) -> str:
+    """Return where the job stands, in one word."""
+    if job.open_tasks == 0:
+        return "stopped" if job.cancelled_by else "ended"
+    if job.cancelled_by:
+        return "stopping"
+    running = any(task.state is TaskState.RUNNING for task in job.tasks.values())
+    starting = any(task.state is TaskState.STARTING for task in job.tasks.values())
+    return "running" if running or starting else "waiting"
+
+
+def _list_tasks(state: ZoneState, since: WallTime) -> tuple[tuple[Cell, ...], ...]:
+    return tuple(
+        _make_task_row(state, job, task)
+        for job in state.jobs.values()
+        for task in job.tasks.values()
+        if get_last_change(job, task) >= since
+    )
+
+
+def _make_task_row(state: ZoneState, job: JobRecord, task: TaskRecord) -> tuple[Cell, ...]:
+    last = task.attempts[-1] if task.attempts else None
+    outcome = last.outcome.value if last is not None and last.outcome is not None else "-"
+    return (
+        task.task,
+        job.spec.kind.value,
+        task.state.value,
+        last.worker if last is not None else "-",
+        len(task.attempts),
+        format_time(get_last_change(job, task)),
+        job.spec.team,
+        job.spec.customer,
+        state.zone,
+        outcome,
+    )
+
+
+def get_last_change(job: JobRecord, task: TaskRecord) -> WallTime:
+    """Return when the task last changed, as far as the journal tells."""
+    if not task.attempts:
+        return max(job.accepted_at, job.cancelled_at)
+    last = task.attempts[-1]
+    return max(last.decided_at, last.started_at, last.ended_at)
+
+
+def _list_jobs(state: ZoneState, since: WallTime) -> tuple[tuple[Cell, ...], ...]:
+    return tuple(
+        (
+            job.spec.job,
+            job.spec.kind.value,
+            job.spec.team,
+            job.spec.customer,
+            job.spec.policy.priority.value,
+            describe_job_state(job),
+            job.spec.tasks,
+            job.open_tasks,
+            format_time(job.accepted_at),
+            format_time(job.ended_at),
+            state.zone,
+        )
+        for job in state.jobs.values()
+        if max(job.accepted_at, job.ended_at) >= since
+    )
+
+
+def _list_workers(state: ZoneState, since: WallTime) -> tuple[tuple[Cell, ...], ...]:
+    held: dict[str, int] = {}
+    for job in state.jobs.values():
+        for task in job.tasks.values():
+            if task.state in (TaskState.STARTING, TaskState.RUNNING) and task.attempts:
+                worker = task.attempts[-1].worker
+                held[worker] = held.get(worker, 0) + 1
+    return tuple(
+        (
+            record.worker,
+            state.zone,
+            "-",
+            "draining" if record.drained_by else "active",
+            held.get(record.worker, 0),
+            0,
+            0,
+            record.drained_by or "-",
+        )
+        for record in state.workers.values()
+    )
+
+
+def _list_zone(state: ZoneState, since: WallTime) -> tuple[tuple[Cell, ...], ...]:
+    open_tasks = sum(job.open_tasks for job in state.jobs.values())
+    workers = len(state.workers)
+    return ((state.zone, "-", state.epoch, len(state.jobs), open_tasks, workers, state.sequence),)
+
+
+def _list_moments(job: JobRecord) -> list[tuple[int, str, str, str, str]]:
+    spec = job.spec
+    detail = f"{spec.kind.value} of {spec.tasks} tasks, recorded by {job.accepted_by}"
+    moments: list[tuple[int, str, str, str, str]] = [
+        (job.accepted_at, spec.job, "accepted", "-", detail)
+    ]
+    if job.cancelled_by is not None:
+        moments.append((job.cancelled_at, spec.job, "stop", "-", f"by {job.cancelled_by}"))
+    if job.ended_at:
+        moments.append((job.ended_at, spec.job, "ended", "-", describe_job_state(job)))
+    for task in job.tasks.values():
+        for attempt in task.attempts:
+            moments.extend(_list_attempt_moments(task, attempt))
+    return moments
+
+
+def _list_attempt_moments(
+    task: TaskRecord, attempt: AttemptRecord
+) -> list[tuple[int, str, str, str, str]]:
+    number = f"attempt {attempt.attempt}"
+    moments = [
+        (int(attempt.decided_at), str(task.task), "placed", str(attempt.worker), attempt.reason)
+    ]
+    if attempt.started_at:
+        moments.append((attempt.started_at, task.task, "started", attempt.worker, number))
+    if attempt.outcome is not None:
+        at = attempt.ended_at or attempt.decided_at
+        event = attempt.outcome.value
+        moments.append((at, task.task, event, attempt.worker, number))
+    return moments
--- /dev/null
+++ b/packages/lentilpath/src/lentilpath/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command."""
--- /dev/null
+++ b/packages/lentilpath/src/lentilpath/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m lentilpath` is the same as `lentilpath`."""
+
+from lentilpath.main import run
+
+run()
--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -30,6 +30,8 @@
     WORKER_SILENT = (205, "a worker does not answer")
     WORKER_LOST = (206, "all leases on a silent worker have run out")
     COMMAND_REFUSED = (207, "a command in the inbox could not be carried out")
+    COMMAND_ACCEPTED = (400, "an operator's command was accepted")
+    API_FAILED = (401, "the administration API failed on a request")
 
     @property
     def number(self) -> int:
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_messages.py
@@ -0,0 +1,114 @@
+"""Messages of the administration API and between the entry hosts that answer it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from lentilpath_core.ids import HostId, WallTime, ZoneId
+from lentilpath_core.language import Table
+
+MAX_ID_LENGTH = 64
+
+
+class CommandRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of `POST /v1/commands`."""
+
+    command: str
+    id: str = ""
+    """Chosen by the caller; the same id again has no second effect. Empty: the host makes one."""
+    dry_run: bool = False
+    expect_version: int | None = None
+    """The version that the caller saw; another version by now is a conflict."""
+    wait_ms: int = 1_000
+    """How long to wait for the zone's answer to an accepted command."""
+
+
+class CommandResponse(msgspec.Struct, frozen=True):
+    """Answer to a command that was carried out or accepted."""
+
+    outcome: str
+    """`done`, `accepted` (durable, its zone has not answered yet) or `dry-run`."""
+    message: str = ""
+    table: Table | None = None
+    partial: tuple[ZoneId, ...] = ()
+    """Zones that did not answer, so that rows of theirs may be missing."""
+    id: str = ""
+    version: int | None = None
+    """Version of what was changed, to be expected by the next change."""
+
+
+class CommandRecord(msgspec.Struct, frozen=True):
+    """Row `command/ID`: who asked for what, when, with which outcome. Never holds a key."""
+
+    id: str
+    operator: str
+    role: str
+    at: WallTime
+    host: HostId
+    command: str
+    outcome: str
+    """`accepted`, or the code of an error."""
+    message: str
+    zone: ZoneId = ZoneId("")
+    version: int = 0
+
+
+class JobPlace(msgspec.Struct, frozen=True):
+    """Row `job/JOB`: the zone that a job was given to, by which command."""
+
+    zone: ZoneId
+    command: str
+    operator: str
+    accepted_at: WallTime
+
+
+class ZoneQuery(msgspec.Struct, frozen=True):
+    """Topic `operators.query`: one read command for the leader of a zone."""
+
+    zone: ZoneId
+    kind: str
+    """Name of the command's class, or of one of the further questions."""
+    command: Any
+
+
+class ZoneReply(msgspec.Struct, frozen=True):
+    """Rows of one zone, and whether the zone knows what was asked about."""
+
+    table: Table
+    found: bool = True
+
+
+class ZoneWake(msgspec.Struct, frozen=True):
+    """Topic `operators.wake`: the zone's inbox has a new command."""
+
+    zone: ZoneId
+    command: str
+    wait_ms: int
+
+
+class ZoneWakeReply(msgspec.Struct, frozen=True):
+    """The zone's answer to the command, if it came in time."""
+
+    code: str | None = None
+    text: str = ""
+
+
+_record_decoder = msgspec.json.Decoder(CommandRecord)
+_place_decoder = msgspec.json.Decoder(JobPlace)
+
+
+def decode_record(value: str) -> CommandRecord:
+    """Return the command record stored as `value`."""
+    return _record_decoder.decode(value)
+
+
+def decode_place(value: str) -> JobPlace:
+    """Return the job's place stored as `value`."""
+    return _place_decoder.decode(value)
+
+
+def encode_row(message: msgspec.Struct) -> str:
+    """Return the row value of `message`."""
+    return msgspec.json.encode(message).decode()
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_part.py
@@ -0,0 +1,64 @@
+"""The supervised part that serves operators."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+
+from lentilpath_core.settings import TlsSettings
+from lentilpath_http import HttpServer, serve_http
+from lentilpathd._authority import Leadership
+from lentilpathd._context import DaemonContext
+from lentilpathd._operators._api import Api
+from lentilpathd._operators._changes import Changes
+from lentilpathd._operators._reads import Reads
+from lentilpathd._operators._zone import ZoneAccess
+from lentilpathd._operators._zones import Zones
+
+
+class Operators:
+    """Serves the administration API."""
+
+    def __init__(self, context: DaemonContext, api: Api) -> None:
+        self._context = context
+        self.api = api
+        self._server: HttpServer | None = None
+
+    def get_port(self) -> int:
+        """Return the port that the API listens on."""
+        assert self._server is not None
+        return self._server.get_port()
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        address = self._context.settings.operators
+        tls = create_server_tls(self._context.settings.tls)
+        self._server = await serve_http(self.api.handle, address.host, address.port, tls=tls)
+        try:
+            await asyncio.get_running_loop().create_future()
+        finally:
+            await self._server.close(0)
+
+    async def drain(self) -> None:
+        """Take no new connection and let commands in progress end."""
+        if self._server is not None:
+            await self._server.close(self._context.settings.drain_seconds)
+
+
+def create_operators(
+    context: DaemonContext, leadership: Leadership, zone: ZoneAccess | None
+) -> Operators:
+    """Return the operators' part; `zone` is the zone's driver in this process."""
+    zones = Zones(context, leadership, zone)
+    reads = Reads(context, leadership, zones)
+    return Operators(context, Api(reads, Changes(context, zones)))
+
+
+def create_server_tls(settings: TlsSettings | None) -> ssl.SSLContext | None:
+    """Return the server side of TLS from the PEM files of `settings`, or `None` without any."""
+    if settings is None:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.load_cert_chain(settings.certificate, settings.key)
+    return context
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_reads.py
@@ -0,0 +1,152 @@
+"""Commands that only read, answered from all zones."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import singledispatch
+
+from lentilpath_core.errors import NoLeader, UnknownName
+from lentilpath_core.ids import ServiceId, ZoneId
+from lentilpath_core.language import (
+    TABLE_COLUMNS,
+    Cell,
+    ExplainLine,
+    ExplainTask,
+    ListRows,
+    ShowHelp,
+    ShowHistory,
+    ShowUsage,
+    Table,
+    filter_table,
+    make_help,
+)
+from lentilpathd._authority import Leadership
+from lentilpathd._context import DaemonContext
+from lentilpathd._operators._messages import CommandResponse, ZoneReply
+from lentilpathd._operators._zones import Zones
+from lentilpathd._ports import HostKind
+
+ZONE_TABLES = ("tasks", "jobs", "workers", "zones")
+
+
+@dataclass(frozen=True, slots=True)
+class Reads:
+    """What the read commands need."""
+
+    context: DaemonContext
+    leadership: Leadership
+    zones: Zones
+
+
+@singledispatch
+async def answer_read(command: object, reads: Reads) -> CommandResponse:
+    """Return the answer to a read command."""
+    raise TypeError(f"not a read command: {command!r}")
+
+
+@answer_read.register
+async def _(command: ShowHelp, reads: Reads) -> CommandResponse:
+    return CommandResponse("done", table=make_help(command.topic))
+
+
+@answer_read.register
+async def _(command: ListRows, reads: Reads) -> CommandResponse:
+    if command.table == "services":
+        rows = filter_table(_list_services(reads), command.conditions, command.limit)
+        return CommandResponse("done", table=rows)
+    if command.table not in ZONE_TABLES:
+        return CommandResponse("done", table=Table(TABLE_COLUMNS[command.table]))
+    # Columns that only this host can fill in (the leader, the worker's room) are compared here.
+    local = command.table in ("workers", "zones")
+    sent = ListRows(command.table, since=command.since) if local else command
+    answered, silent = await reads.zones.ask_all("ListRows", sent)
+    table = _join(TABLE_COLUMNS[command.table], answered)
+    if command.table == "zones":
+        table = _add_leaders(table, reads, silent)
+    if command.table == "workers":
+        table = _add_capacities(table, reads)
+    table = filter_table(table, command.conditions if local else (), command.limit)
+    return CommandResponse("done", table=table, partial=silent)
+
+
+@answer_read.register
+async def _(command: ExplainTask, reads: Reads) -> CommandResponse:
+    return await _answer_found(reads, "ExplainTask", command, f"task {command.task!r}")
+
+
+@answer_read.register
+async def _(command: ShowHistory, reads: Reads) -> CommandResponse:
+    return await _answer_found(reads, "ShowHistory", command, f"job {command.job!r}")
+
+
+@answer_read.register
+async def _(command: ShowUsage, reads: Reads) -> CommandResponse:
+    answered, silent = await reads.zones.ask_all("ShowUsage", command)
+    columns = next(iter(answered.values())).table.columns if answered else ()
+    return CommandResponse("done", table=_join(columns, answered), partial=silent)
+
+
+@answer_read.register
+async def _(command: ExplainLine, reads: Reads) -> CommandResponse:
+    return await _answer_found(reads, "ExplainLine", command, f"usage line {command.line!r}")
+
+
+async def _answer_found(reads: Reads, kind: str, command: object, subject: str) -> CommandResponse:
+    answered, silent = await reads.zones.ask_all(kind, command)
+    for reply in answered.values():
+        if reply.found:
+            return CommandResponse("done", table=reply.table)
+    if silent:
+        zones = ", ".join(silent)
+        raise NoLeader(f"{subject} is in no zone that answers; {zones} did not answer, try again")
+    raise UnknownName(f"no {subject} is known")
+
+
+def _join(columns: tuple[str, ...], answered: dict[ZoneId, ZoneReply]) -> Table:
+    rows = tuple(row for reply in answered.values() for row in reply.table.rows)
+    return Table(columns, rows)
+
+
+def _add_leaders(table: Table, reads: Reads, silent: tuple[ZoneId, ...]) -> Table:
+    rows: list[tuple[Cell, ...]] = []
+    for zone, _, *rest in table.rows:
+        rows.append((zone, reads.leadership.get_leader(ZoneId(str(zone))) or "-", *rest))
+    missing = len(table.columns) - 2
+    rows.extend((zone, "no answer", *([None] * missing)) for zone in silent)
+    return Table(table.columns, tuple(sorted(rows, key=lambda row: str(row[0]))))
+
+
+def _add_capacities(table: Table, reads: Reads) -> Table:
+    listed = {host.name: host for host in reads.context.directory.list_hosts()}
+    rows: list[tuple[Cell, ...]] = []
+    for worker, zone, rack, state, tasks, _, _, drained_by in table.rows:
+        host = listed.get(str(worker))
+        capacity = host.capacity if host is not None else None
+        rows.append(
+            (
+                worker,
+                zone,
+                host.rack if host is not None else rack,
+                state,
+                tasks,
+                capacity.millicores // 1_000 if capacity is not None else None,
+                capacity.memory_mib if capacity is not None else None,
+                drained_by,
+            )
+        )
+    return Table(table.columns, tuple(rows))
+
+
+def _list_services(reads: Reads) -> Table:
+    counts: dict[tuple[ServiceId, ZoneId], list[int]] = {}
+    for host in reads.context.directory.list_hosts():
+        if host.kind is not HostKind.UPSTREAM or host.service is None:
+            continue
+        totals = counts.setdefault((host.service, host.zone), [0, 0, 0])
+        totals[0] += 1
+        totals[1] += host.leaving
+        totals[2] += host.slots
+    rows: list[tuple[Cell, ...]] = []
+    for (service, zone), totals in sorted(counts.items()):
+        rows.append((service, zone, *totals))
+    return Table(TABLE_COLUMNS["services"], tuple(rows))
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_zones.py
@@ -0,0 +1,226 @@
+"""Questions to the leaders of zones, and this host's answers if it is one."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import msgspec
+
+from lentilpath_core.errors import LentilpathError, NoLeader, PeerUnavailable
+from lentilpath_core.ids import HostId, WallTime, ZoneId
+from lentilpath_core.language import (
+    Cell,
+    ExplainLine,
+    ExplainTask,
+    ListRows,
+    ShowHistory,
+    ShowUsage,
+    Table,
+    count_open_tasks,
+    list_history,
+    list_zone_rows,
+)
+from lentilpath_core.peers import PeerRequest
+from lentilpath_core.placement import explain_task
+from lentilpath_core.usage import find_usage_line, list_usage_lines
+from lentilpath_core.zone.state import ZoneState
+from lentilpathd._authority import Leadership
+from lentilpathd._clock import read_instant
+from lentilpathd._context import DaemonContext
+from lentilpathd._operators._messages import ZoneQuery, ZoneReply, ZoneWake, ZoneWakeReply
+from lentilpathd._operators._tables import USAGE_COLUMNS, make_line_table, make_usage_row
+from lentilpathd._operators._zone import ZoneAccess
+
+QUERY_TOPIC = "operators.query"
+WAKE_TOPIC = "operators.wake"
+QUERY_SECONDS = 2.0
+ANSWER_POLL_SECONDS = 0.02
+MAX_WAIT_MS = 30_000
+MS_PER_DAY = 86_400_000
+COUNT_JOB_TASKS = "count_job_tasks"
+COUNT_WORKER_TASKS = "count_worker_tasks"
+EXPLAIN_COLUMNS = ("task", "state", "rule", "reason", "worker", "attempt", "zone")
+
+T = TypeVar("T")
+Answer = Callable[[ZoneState, Any], ZoneReply]
+
+
+class Zones:
+    """Reaches the state of every zone through the host that leads it."""
+
+    def __init__(
+        self, context: DaemonContext, leadership: Leadership, zone: ZoneAccess | None
+    ) -> None:
+        self._context = context
+        self._leadership = leadership
+        self._zone = zone
+        self._answers: dict[str, Answer] = {
+            "ListRows": _answer_list,
+            "ShowHistory": _answer_history,
+            "ShowUsage": _answer_usage,
+            "ExplainLine": _answer_line,
+            "ExplainTask": self._answer_explain,
+            COUNT_JOB_TASKS: _answer_job_count,
+            COUNT_WORKER_TASKS: _answer_worker_count,
+        }
+        context.bus.handle(QUERY_TOPIC, self._handle_query)
+        context.bus.handle(WAKE_TOPIC, self._handle_wake)
+
+    def list_zones(self) -> tuple[ZoneId, ...]:
+        """Return all zones, sorted."""
+        return self._context.directory.list_zones()
+
+    async def ask(self, zone: ZoneId, kind: str, command: Any) -> ZoneReply:
+        """Ask the leader of `zone`; raises `NoLeader` if none answers."""
+        query = ZoneQuery(zone, kind, msgspec.to_builtins(command))
+        return await self._reach(zone, QUERY_TOPIC, query, ZoneReply, QUERY_SECONDS)
+
+    async def ask_all(
+        self, kind: str, command: Any
+    ) -> tuple[dict[ZoneId, ZoneReply], tuple[ZoneId, ...]]:
+        """Ask all zones at once; return the answers, and the zones that gave none."""
+        zones = self.list_zones()
+        replies = await asyncio.gather(
+            *(self.ask(zone, kind, command) for zone in zones), return_exceptions=True
+        )
+        answered: dict[ZoneId, ZoneReply] = {}
+        silent: list[ZoneId] = []
+        for zone, reply in zip(zones, replies, strict=True):
+            if isinstance(reply, ZoneReply):
+                answered[zone] = reply
+            elif isinstance(reply, NoLeader):
+                silent.append(zone)
+            else:
+                raise reply
+        return answered, tuple(silent)
+
+    async def wake(self, zone: ZoneId, command: str, wait_ms: int) -> ZoneWakeReply:
+        """Let the leader look at its inbox; return its answer if it comes within `wait_ms`."""
+        wait_ms = max(0, min(wait_ms, MAX_WAIT_MS))
+        message = ZoneWake(zone, command, wait_ms)
+        timeout = QUERY_SECONDS + wait_ms / 1_000
+        try:
+            return await self._reach(zone, WAKE_TOPIC, message, ZoneWakeReply, timeout)
+        except NoLeader:
+            # The command is durable: whoever leads the zone next finds it in the inbox.
+            return ZoneWakeReply()
+
+    async def _reach(
+        self, zone: ZoneId, topic: str, message: object, answer: type[T], timeout: float
+    ) -> T:
+        for host in self._list_candidates(zone):
+            try:
+                if host == self._context.settings.host:
+                    handlers = {QUERY_TOPIC: self._answer_query, WAKE_TOPIC: self._answer_wake}
+                    return await handlers[topic](message)  # type: ignore[operator, no-any-return]
+                return await self._context.bus.ask(host, topic, message, answer, timeout)
+            except (NoLeader, PeerUnavailable):
+                continue
+            except LentilpathError as error:
+                if error.code in (NoLeader.code, "unknown-topic"):
+                    continue
+                raise
+        raise NoLeader(f"no entry host leads zone {zone} now; its rows are missing, try again")
+
+    def _list_candidates(self, zone: ZoneId) -> tuple[HostId, ...]:
+        # The leader last seen goes first; it may have changed, so the zone's others follow.
+        settings = self._context.settings
+        leader = self._leadership.get_leader(zone)
+        others = [HostId(peer.host) for peer in self._context.directory.list_entry_hosts(zone)]
+        if zone == settings.zone:
+            others.insert(0, settings.host)
+        first = [leader] if leader is not None else []
+        return tuple(dict.fromkeys([*first, *others]))
+
+    async def _handle_query(self, request: PeerRequest) -> ZoneReply:
+        return await self._answer_query(msgspec.convert(request.body, ZoneQuery))
+
+    async def _answer_query(self, query: ZoneQuery) -> ZoneReply:
+        return self._answers[query.kind](self._get_state(query.zone), query.command)
+
+    async def _handle_wake(self, request: PeerRequest) -> ZoneWakeReply:
+        return await self._answer_wake(msgspec.convert(request.body, ZoneWake))
+
+    async def _answer_wake(self, message: ZoneWake) -> ZoneWakeReply:
+        self._get_state(message.zone)
+        assert self._zone is not None
+        self._zone.wake()
+        deadline = read_instant() + message.wait_ms
+        while True:
+            known = self._get_state(message.zone).answers.get(message.command)
+            if known is not None:
+                return ZoneWakeReply(known.code, known.text)
+            if read_instant() >= deadline:
+                return ZoneWakeReply()
+            await asyncio.sleep(ANSWER_POLL_SECONDS)
+
+    def _get_state(self, zone: ZoneId) -> ZoneState:
+        state = self._zone.get_state() if self._zone is not None else None
+        if state is None or state.zone != zone:
+            raise NoLeader(f"{self._context.settings.host} does not lead zone {zone}")
+        return state
+
+    def _answer_explain(self, state: ZoneState, body: Any) -> ZoneReply:
+        command = msgspec.convert(body, ExplainTask)
+        record = state.find_task(command.task)
+        if record is None:
+            return ZoneReply(Table(EXPLAIN_COLUMNS), found=False)
+        last = record.attempts[-1] if record.attempts else None
+        rule = "-"
+        reason = last.reason if last is not None else "accepted; no attempt was made yet"
+        placement = self._zone.get_placement() if self._zone is not None else None
+        if placement is not None:
+            explanation = explain_task(placement, command.task, read_instant())
+            if explanation is not None:
+                rule = explanation.rule.value
+                reason = explanation.text
+        row: tuple[Cell, ...] = (
+            record.task,
+            record.state.value,
+            rule,
+            reason,
+            last.worker if last is not None else "-",
+            last.attempt if last is not None else 0,
+            state.zone,
+        )
+        return ZoneReply(Table(EXPLAIN_COLUMNS, (row,)))
+
+
+def _answer_list(state: ZoneState, body: Any) -> ZoneReply:
+    return ZoneReply(list_zone_rows(state, msgspec.convert(body, ListRows)))
+
+
+def _answer_history(state: ZoneState, body: Any) -> ZoneReply:
+    command = msgspec.convert(body, ShowHistory)
+    return ZoneReply(list_history(state, command), command.job in state.jobs)
+
+
+def _answer_usage(state: ZoneState, body: Any) -> ZoneReply:
+    command = msgspec.convert(body, ShowUsage)
+    end = WallTime(command.day_start + MS_PER_DAY)
+    lines = list_usage_lines(state, command.customer, command.day_start, end)
+    known = any(job.spec.customer == command.customer for job in state.jobs.values())
+    rows = tuple(make_usage_row(line) for line in lines)
+    return ZoneReply(Table(USAGE_COLUMNS, rows), known)
+
+
+def _answer_line(state: ZoneState, body: Any) -> ZoneReply:
+    command = msgspec.convert(body, ExplainLine)
+    line = find_usage_line(state, command.line)
+    if line is None:
+        return ZoneReply(make_line_table(None, None), found=False)
+    return ZoneReply(make_line_table(line, state))
+
+
+def _answer_job_count(state: ZoneState, body: Any) -> ZoneReply:
+    count = count_open_tasks(state, body)
+    return ZoneReply(Table(("tasks",), ((count or 0,),)), found=count is not None)
+
+
+def _answer_worker_count(state: ZoneState, body: Any) -> ZoneReply:
+    table = list_zone_rows(state, ListRows("workers"))
+    place = table.columns.index("tasks")
+    counts = [row[place] for row in table.rows if row[0] == body]
+    return ZoneReply(Table(("tasks",), ((counts[0] if counts else 0,),)), found=bool(counts))
--- /dev/null
+++ b/tests/common/operators.py
@@ -0,0 +1,267 @@
+# mypy: no-check-untyped-defs
+"""A cell of entry hosts in one process: in-memory table, zones that obey at once, direct peers."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+import msgspec
+
+from lentilpath_core.errors import (
+    LentilpathError,
+    OutcomeUnknown,
+    PeerUnavailable,
+    TableUnavailable,
+)
+from lentilpath_core.ids import HostId, Incarnation, WallTime, ZoneId
+from lentilpath_core.peers import PeerRequest
+from lentilpath_core.placement import create_placement
+from lentilpath_core.resources import Resources
+from lentilpath_core.settings import Address, HostSettings, PeerSettings
+from lentilpath_core.states import AttemptOutcome
+from lentilpath_core.zone.inbox import StopJob, SubmitJob, decode_entry, get_inbox_prefix
+from lentilpath_core.zone.journal import (
+    AttemptEnded,
+    AttemptStarting,
+    CommandAnswered,
+    JobAccepted,
+    JobCancelled,
+    JournalBatch,
+    WorkerJoined,
+    encode_batch,
+    get_batch_key,
+)
+from lentilpath_core.zone.state import apply_batch, create_zone_state
+from lentilpath_http import HttpRequest
+from lentilpathd._context import DaemonContext
+from lentilpathd._directory import Directory
+from lentilpathd._operators import create_operators
+from lentilpathd._ports import CommitResult, HostKind, ListedHost, Row
+
+NOW = WallTime(1_796_100_000_000)
+
+
+class MemoryTable:
+    """A transactional table. `lose_answers` commits apply and then look unclear."""
+
+    def __init__(self):
+        self.rows = {}
+        self.versions = {}
+        self.down = False
+        self.lose_answers = 0
+        self.commits = 0
+        self.bytes_read = 0
+        self.bytes_written = 0
+
+    def get(self, key):
+        return Row(
+            key, self.versions.get(key, 0) if key in self.rows else 0, self.rows.get(key, "")
+        )
+
+    async def commit(self, transaction, timeout):
+        self._check_up()
+        self.commits += 1
+        conflicts = tuple(
+            self.get(key) for key, version in transaction.checks if self.get(key).version != version
+        )
+        if not conflicts:
+            for key, value in transaction.puts:
+                self.rows[key] = value
+                self.versions[key] = self.versions.get(key, 0) + 1
+                self.bytes_written += len(key) + len(value)
+            for key in transaction.deletes:
+                self.rows.pop(key, None)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise OutcomeUnknown("the answer was lost")
+        return CommitResult(not conflicts, conflicts)
+
+    async def read(self, keys, timeout):
+        self._check_up()
+        rows = tuple(self.get(key) for key in keys)
+        self.bytes_read += sum(len(row.key) + len(row.value) for row in rows)
+        return rows
+
+    async def scan(self, prefix, after, limit, timeout):
+        self._check_up()
+        keys = sorted(key for key in self.rows if key.startswith(prefix) and key > after)
+        return tuple(self.get(key) for key in keys[:limit])
+
+    def _check_up(self):
+        if self.down:
+            raise TableUnavailable("the table is down")
+
+
+class MemoryObjects:
+    def __init__(self):
+        self.objects = {}
+
+    async def put_object(self, key, data, timeout):
+        self.objects[key] = data
+
+    async def get_object(self, key, timeout):
+        return self.objects.get(key)
+
+    async def list_objects(self, prefix, timeout):
+        return tuple(sorted(key for key in self.objects if key.startswith(prefix)))
+
+    async def delete_object(self, key, timeout):
+        self.objects.pop(key, None)
+
+
+class DirectBus:
+    """Hands requests straight to the other host's handler, through the codec."""
+
+    def __init__(self, cell, host, zone):
+        self.cell = cell
+        self.host = host
+        self.zone = zone
+        self.incarnation = Incarnation(f"{host}-1")
+        self.handlers = {}
+        self.bytes_sent = 0
+
+    def set_peers(self, peers):
+        pass
+
+    def handle(self, topic, handler):
+        self.handlers[topic] = handler
+
+    async def ask(self, host, topic, message, answer, timeout):
+        if host in self.cell.cut or self.host in self.cell.cut or host not in self.cell.buses:
+            raise PeerUnavailable(f"{host} did not answer")
+        body = msgspec.msgpack.decode(msgspec.msgpack.encode(msgspec.to_builtins(message)))
+        self.bytes_sent += len(msgspec.msgpack.encode(body))
+        request = PeerRequest(1, self.host, self.incarnation, self.zone, topic, body)
+        handler = self.cell.buses[host].handlers.get(topic)
+        if handler is None:
+            failure = LentilpathError(f"no topic {topic}")
+            failure.code = "unknown-topic"
+            raise failure
+        try:
+            reply = msgspec.to_builtins(await handler(request))
+        except LentilpathError as error:
+            failure = LentilpathError(str(error))
+            failure.code = error.code
+            raise failure from error
+        return msgspec.convert(msgspec.msgpack.decode(msgspec.msgpack.encode(reply)), answer)
+
+
+class ObedientZone:
+    """A zone's driver that takes its inbox over when woken and runs nothing by itself."""
+
+    def __init__(self, cell, zone):
+        self.cell = cell
+        self.state = create_zone_state(ZoneId(zone))
+        self.leading = True
+
+    def get_state(self):
+        return self.state if self.leading else None
+
+    def get_placement(self):
+        return create_placement() if self.leading else None
+
+    def wake(self):
+        rows = self.cell.table.rows
+        prefix = get_inbox_prefix(self.state.zone)
+        for key in sorted(key for key in rows if key.startswith(prefix)):
+            entry = decode_entry(rows.pop(key))
+            self.journal(*self._obey(entry))
+
+    def journal(self, *events):
+        batch = JournalBatch(self.state.zone, self.state.sequence + 1, 1, "w", tuple(events))
+        self.cell.table.rows[get_batch_key(batch.zone, batch.sequence)] = encode_batch(batch)
+        apply_batch(self.state, batch)
+
+    def run_attempt(self, task, attempt, started_at, ended_at, outcome=AttemptOutcome.SUCCEEDED):
+        self.journal(AttemptStarting(task, attempt, "w-1", started_at - 5, "first fit"))
+        self.journal(AttemptEnded(task, attempt, "w-1", outcome, started_at, ended_at, 10, 20))
+
+    def _obey(self, entry):
+        if isinstance(entry.body, SubmitJob):
+            yield JobAccepted(entry.body.spec, entry.accepted_at, entry.accepted_by)
+        if isinstance(entry.body, StopJob):
+            yield JobCancelled(entry.body.job, entry.accepted_at, entry.operator)
+        yield CommandAnswered(entry.command, entry.accepted_at, "ok", "")
+
+
+@dataclass
+class Host:
+    context: DaemonContext
+    operators: object
+    zone: ObedientZone
+
+    async def post(self, path, value, headers=(), method="POST"):
+        body = value if isinstance(value, bytes) else json.dumps(value).encode()
+        request = HttpRequest(method, path, tuple(headers), body)
+        response = await self.operators.api.handle(request)
+        return response.status, json.loads(response.body)
+
+    async def run(self, command, **fields):
+        return await self.post("/v1/commands", {"command": command, **fields})
+
+
+@dataclass
+class Cell:
+    table: MemoryTable = field(default_factory=MemoryTable)
+    objects: MemoryObjects = field(default_factory=MemoryObjects)
+    buses: dict = field(default_factory=dict)
+    cut: set = field(default_factory=set)
+    hosts: dict = field(default_factory=dict)
+
+    async def list_hosts(self, timeout):
+        address = Address("127.0.0.1", 1)
+        return tuple(
+            ListedHost(
+                f"w-{number}",
+                HostKind.WORKER,
+                f"region-{zone}",
+                zone,
+                "rack-1",
+                address,
+                False,
+                capacity=Resources(32_000, 131_072, 1),
+            )
+            for number, zone in enumerate(self.list_zones(), 1)
+        )
+
+    def list_zones(self):
+        return sorted({host.context.settings.zone for host in self.hosts.values()})
+
+
+async def create_cell(zones=("za", "zb"), hosts_per_zone=1):
+    """Return a cell whose first host in each zone leads it."""
+    cell = Cell()
+    address = Address("127.0.0.1", 1)
+    peers = tuple(
+        PeerSettings(HostId(f"{zone}-{number}"), f"region-{zone}", ZoneId(zone), address)
+        for zone in zones
+        for number in range(hosts_per_zone)
+    )
+    leaders = {peer.zone: peer.host for peer in reversed(peers)}
+    leadership = SimpleNamespace(get_leader=leaders.get, get_authority=lambda: None)
+    for peer in peers:
+        settings = HostSettings(
+            peer.host,
+            peer.region,
+            peer.zone,
+            address,
+            address,
+            address,
+            address,
+            tuple(other for other in peers if other != peer),
+        )
+        bus = DirectBus(cell, peer.host, peer.zone)
+        cell.buses[peer.host] = bus
+        directory = Directory(settings, bus, cell)
+        context = DaemonContext(settings, bus.incarnation, bus, cell.table, cell.objects, directory)
+        zone = ObedientZone(cell, peer.zone)
+        zone.leading = leaders[peer.zone] == peer.host
+        operators = create_operators(context, leadership, zone)
+        cell.hosts[peer.host] = Host(context, operators, zone)
+    for number, host in enumerate(cell.hosts.values(), 1):
+        await host.context.directory._refresh()
+        if host.zone.leading:
+            host.zone.journal(WorkerJoined(f"w-{number}", NOW))
+    return cell
