--- a/packages/lentilpath-core/src/lentilpath_core/states.py
+++ b/packages/lentilpath-core/src/lentilpath_core/states.py
@@ -17,12 +17,14 @@
     """Ended by a failure, with no retry left."""
     STOPPED = "stopped"
     """Ended because an operator stopped or cancelled it."""
+    REFUSED = "refused"
+    """It can never run; the reason is kept with its job."""
     UNKNOWN = "unknown"
     """Its worker was lost and its policy does not allow another run."""
 
 
 ENDED_TASK_STATES = frozenset(
-    {TaskState.SUCCEEDED, TaskState.FAILED, TaskState.STOPPED, TaskState.UNKNOWN}
+    {TaskState.SUCCEEDED, TaskState.FAILED, TaskState.STOPPED, TaskState.REFUSED, TaskState.UNKNOWN}
 )
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/zone/journal.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/journal.py
@@ -42,6 +42,14 @@
     cancelled_by: str
 
 
+class JobRefused(msgspec.Struct, frozen=True, tag=True):
+    """The job can never run here; none of its tasks starts."""
+
+    job: JobId
+    refused_at: WallTime
+    reason: str
+
+
 class AttemptStarting(msgspec.Struct, frozen=True, tag=True):
     """Written before a start command leaves, so that a lost start is never taken for no start."""
 
@@ -67,9 +75,10 @@
 
 
 class WorkerJoined(msgspec.Struct, frozen=True, tag=True):
-    """The worker may be given tasks from here on."""
+    """The worker, as started under the name `boot`, may be given tasks from here on."""
 
     worker: WorkerId
+    boot: str
     joined_at: WallTime
 
 
@@ -109,6 +118,7 @@
 JournalEvent = (
     JobAccepted
     | JobCancelled
+    | JobRefused
     | AttemptStarting
     | AttemptEnded
     | WorkerJoined
--- a/packages/lentilpath-core/src/lentilpath_core/zone/state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/state.py
@@ -24,6 +24,7 @@
     CommandAnswered,
     JobAccepted,
     JobCancelled,
+    JobRefused,
     JournalBatch,
     WorkerDrained,
     WorkerJoined,
@@ -63,6 +64,19 @@
     attempts: list[AttemptRecord] = field(default_factory=list)
     failures: int = 0
 
+    def find_attempt(self, attempt: int, worker: WorkerId) -> int | None:
+        """Return the place in `attempts` of this attempt on this worker, or `None`."""
+        for place, record in enumerate(self.attempts):
+            if record.attempt == attempt and record.worker == worker:
+                return place
+        return None
+
+    def get_open_attempt(self) -> AttemptRecord | None:
+        """Return the attempt that may run now, or `None`."""
+        if self.attempts and self.attempts[-1].outcome is None:
+            return self.attempts[-1]
+        return None
+
 
 @dataclass(slots=True)
 class JobRecord:
@@ -76,6 +90,7 @@
     """Tasks that have not ended."""
     cancelled_by: str | None = None
     cancelled_at: WallTime = WallTime(0)
+    refused_because: str | None = None
     ended_at: WallTime = WallTime(0)
 
 
@@ -84,7 +99,8 @@
     """A worker that the zone may have given tasks to."""
 
     worker: WorkerId
-    drained_by: str | None = None
+    boot: str
+    """The worker's start that the record speaks of."""
 
 
 @dataclass(slots=True)
@@ -97,6 +113,8 @@
     epoch: Epoch = Epoch(0)
     jobs: dict[JobId, JobRecord] = field(default_factory=dict)
     workers: dict[WorkerId, WorkerRecord] = field(default_factory=dict)
+    drained: dict[WorkerId, str] = field(default_factory=dict)
+    """Workers that get nothing new, each with the operator who said so."""
     answers: dict[str, CommandAnswered] = field(default_factory=dict)
     ended_jobs: dict[JobId, None] = field(default_factory=dict)
     """Ids of the ended jobs that are still in `jobs`, oldest first."""
@@ -150,6 +168,17 @@
             _end_task(state, job, task, TaskState.STOPPED, event.cancelled_at)
 
 
+@apply_journal_event.register
+def _(event: JobRefused, state: ZoneState) -> None:
+    job = state.jobs.get(event.job)
+    if job is None:
+        return
+    job.refused_because = event.reason
+    for task in job.tasks.values():
+        if task.state is TaskState.WAITING:
+            _end_task(state, job, task, TaskState.REFUSED, event.refused_at)
+
+
 @apply_journal_event.register
 def _(event: AttemptStarting, state: ZoneState) -> None:
     task = state.find_task(event.task)
@@ -167,7 +196,7 @@
     task = state.find_task(event.task)
     if job is None or task is None:
         return
-    place = next((i for i, a in enumerate(task.attempts) if a.attempt == event.attempt), None)
+    place = task.find_attempt(event.attempt, event.worker)
     if place is None:
         # A start that was made while the table was away has no journal event of its own.
         known = AttemptRecord(
@@ -176,19 +205,12 @@
         task.attempts.append(known)
         place = len(task.attempts) - 1
     attempt = task.attempts[place]
+    if attempt.outcome is AttemptOutcome.LOST and event.outcome is not AttemptOutcome.LOST:
+        _correct_lost_attempt(task, place, event)
+        return
     if attempt.outcome is not None:
         return
-    task.attempts[place] = AttemptRecord(
-        attempt.attempt,
-        attempt.worker,
-        attempt.decided_at,
-        attempt.reason,
-        event.outcome,
-        event.started_at,
-        event.ended_at,
-        event.millicore_ms,
-        event.peak_memory_mib,
-    )
+    task.attempts[place] = _close_attempt(attempt, event)
     if task.state in ENDED_TASK_STATES:
         return
     if event.outcome is AttemptOutcome.FAILED:
@@ -202,7 +224,11 @@
 
 @apply_journal_event.register
 def _(event: WorkerJoined, state: ZoneState) -> None:
-    state.workers.setdefault(event.worker, WorkerRecord(event.worker))
+    known = state.workers.get(event.worker)
+    if known is None:
+        state.workers[event.worker] = WorkerRecord(event.worker, event.boot)
+    else:
+        known.boot = event.boot
 
 
 @apply_journal_event.register
@@ -212,15 +238,12 @@
 
 @apply_journal_event.register
 def _(event: WorkerDrained, state: ZoneState) -> None:
-    record = state.workers.setdefault(event.worker, WorkerRecord(event.worker))
-    record.drained_by = event.drained_by
+    state.drained[event.worker] = event.drained_by
 
 
 @apply_journal_event.register
 def _(event: WorkerUndrained, state: ZoneState) -> None:
-    record = state.workers.get(event.worker)
-    if record is not None:
-        record.drained_by = None
+    state.drained.pop(event.worker, None)
 
 
 @apply_journal_event.register
@@ -251,6 +274,32 @@
     return TaskState.WAITING
 
 
+def _close_attempt(attempt: AttemptRecord, event: AttemptEnded) -> AttemptRecord:
+    return AttemptRecord(
+        attempt.attempt,
+        attempt.worker,
+        attempt.decided_at,
+        attempt.reason,
+        event.outcome,
+        event.started_at,
+        event.ended_at,
+        event.millicore_ms,
+        event.peak_memory_mib,
+    )
+
+
+def _correct_lost_attempt(task: TaskRecord, place: int, event: AttemptEnded) -> None:
+    # A worker that was given up may come back with a certain account of what it ran. The task is
+    # not run again for it, but "unknown" gives way to what is now known.
+    task.attempts[place] = _close_attempt(task.attempts[place], event)
+    if task.state is not TaskState.UNKNOWN:
+        return
+    if event.outcome is AttemptOutcome.SUCCEEDED:
+        task.state = TaskState.SUCCEEDED
+    elif event.outcome is AttemptOutcome.FAILED:
+        task.state = TaskState.FAILED
+
+
 def _end_task(
     state: ZoneState, job: JobRecord, task: TaskRecord, ended: TaskState, at: WallTime
 ) -> None:
--- a/packages/lentilpathd/src/lentilpathd/_adapters/worker.py
+++ b/packages/lentilpathd/src/lentilpathd/_adapters/worker.py
@@ -9,6 +9,12 @@
 from lentilpath_core.ids import TaskId, WallTime, WorkerTime
 from lentilpath_core.resources import Resources
 from lentilpath_core.settings import Address
+from lentilpath_core.zone.reports import (
+    StartAnswer,
+    WorkerReport,
+    WorkerTask,
+    WorkerTaskState,
+)
 from lentilpath_http import (
     HttpClient,
     HttpError,
@@ -17,15 +23,7 @@
     RequestNotSent,
     create_client,
 )
-from lentilpathd._ports import (
-    StartAnswer,
-    StartCommand,
-    SyncCommand,
-    Worker,
-    WorkerReport,
-    WorkerTask,
-    WorkerTaskState,
-)
+from lentilpathd._ports import StartCommand, SyncCommand, Worker
 
 HTTP_OK = 200
 HTTP_CONFLICT = 409
--- a/packages/lentilpathd/src/lentilpathd/_ports.py
+++ b/packages/lentilpathd/src/lentilpathd/_ports.py
@@ -13,7 +13,6 @@
     ServiceId,
     TaskId,
     UpstreamId,
-    WallTime,
     WorkerId,
     WorkerTime,
     WriteId,
@@ -21,6 +20,7 @@
 )
 from lentilpath_core.resources import Resources
 from lentilpath_core.settings import Address
+from lentilpath_core.zone.reports import StartAnswer, WorkerReport
 
 ABSENT = RowVersion(0)
 
@@ -138,47 +138,6 @@
         ...
 
 
-class WorkerTaskState(Enum):
-    """How a worker reports a task."""
-
-    RUNNING = "running"
-    SUCCEEDED = "succeeded"
-    FAILED = "failed"
-    STOPPED = "stopped"
-    CHECKPOINTED = "checkpointed"
-    LEASE_EXPIRED = "lease_expired"
-
-
-@dataclass(frozen=True, slots=True)
-class WorkerTask:
-    """One attempt as its worker reports it. Ended ones are reported until forgotten."""
-
-    task: TaskId
-    attempt: int
-    state: WorkerTaskState
-    resources: Resources
-    started_at: WallTime
-    ended_at: WallTime
-    """0 while it runs."""
-    millicore_ms: int
-    peak_memory_mib: int
-
-
-@dataclass(frozen=True, slots=True)
-class WorkerReport:
-    """A worker's answer to a sync."""
-
-    boot: str
-    """Changes whenever the worker starts anew and has forgotten its tasks."""
-    clock: WorkerTime
-    """The worker's own clock when it wrote the report."""
-    sequence: int
-    """Pass it as `since` in the next sync."""
-    complete: bool
-    """Whether `tasks` holds every task, or only those changed after `since`."""
-    tasks: tuple[WorkerTask, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class StartCommand:
     """Start one attempt of a task."""
@@ -208,15 +167,6 @@
     forget: tuple[tuple[TaskId, int], ...]
 
 
-class StartAnswer(Enum):
-    """A worker's certain answer to a start."""
-
-    STARTED = "started"
-    """It runs, or this very attempt ran already."""
-    REFUSED = "refused"
-    """It did not start, and this command will not start it."""
-
-
 class Worker(Protocol):
     """One worker.
 
