--- /dev/null
+++ b/packages/lentilpath-standins/src/lentilpath_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Development stand-ins for the outside systems that lentilpath meets. Not shipped."""
