--- a/packages/lentilpath-core/src/lentilpath_core/language/_help.py
+++ b/packages/lentilpath-core/src/lentilpath_core/language/_help.py
@@ -60,7 +60,7 @@
     "explain": HelpTopic(
         "explain line LINE",
         "show the chain behind a usage line: task, worker, interval, decision, price",
-        "explain line portland-dock:nightly/3:1",
+        "explain line portland-dock:nightly/3:1@w-07",
     ),
     "submit": HelpTopic(
         "submit service|batch|gang JOB KEY=VALUE ...",
--- a/packages/lentilpath-core/src/lentilpath_core/language/_queries.py
+++ b/packages/lentilpath-core/src/lentilpath_core/language/_queries.py
@@ -45,6 +45,8 @@
 
 def describe_job_state(job: JobRecord) -> str:
     """Return where the job stands, in one word."""
+    if job.refused_because is not None:
+        return "refused"
     if job.open_tasks == 0:
         return "stopped" if job.cancelled_by else "ended"
     if job.cancelled_by:
@@ -120,11 +122,11 @@
             record.worker,
             state.zone,
             "-",
-            "draining" if record.drained_by else "active",
+            "draining" if record.worker in state.drained else "active",
             held.get(record.worker, 0),
             0,
             0,
-            record.drained_by or "-",
+            state.drained.get(record.worker, "-"),
         )
         for record in state.workers.values()
     )
@@ -144,7 +146,9 @@
     ]
     if job.cancelled_by is not None:
         moments.append((job.cancelled_at, spec.job, "stop", "-", f"by {job.cancelled_by}"))
-    if job.ended_at:
+    if job.refused_because is not None:
+        moments.append((job.ended_at, spec.job, "refused", "-", job.refused_because))
+    elif job.ended_at:
         moments.append((job.ended_at, spec.job, "ended", "-", describe_job_state(job)))
     for task in job.tasks.values():
         for attempt in task.attempts:
--- a/packages/lentilpath-core/src/lentilpath_core/usage/_lines.py
+++ b/packages/lentilpath-core/src/lentilpath_core/usage/_lines.py
@@ -14,7 +14,7 @@
     """What one attempt held, from when to when, and the decision behind it."""
 
     line: str
-    """Id of the line: `ZONE:TASK:ATTEMPT`."""
+    """Id of the line: `ZONE:TASK:ATTEMPT@WORKER`."""
     customer: CustomerId
     task: TaskId
     attempt: int
@@ -71,9 +71,9 @@
     return None
 
 
-def make_line_id(zone: ZoneId, task: TaskId, attempt: int) -> str:
+def make_line_id(zone: ZoneId, task: TaskId, attempt: int, worker: WorkerId) -> str:
     """Return the id of the line of one attempt."""
-    return f"{zone}:{task}:{attempt}"
+    return f"{zone}:{task}:{attempt}@{worker}"
 
 
 def _list_task_lines(zone: ZoneId, job: JobRecord, task: TaskRecord) -> list[UsageLine]:
@@ -87,7 +87,7 @@
 def _make_line(zone: ZoneId, job: JobRecord, task: TaskRecord, attempt: AttemptRecord) -> UsageLine:
     assert attempt.outcome is not None
     return UsageLine(
-        make_line_id(zone, task.task, attempt.attempt),
+        make_line_id(zone, task.task, attempt.attempt, attempt.worker),
         job.spec.customer,
         task.task,
         attempt.attempt,
--- a/tests/common/operators.py
+++ b/tests/common/operators.py
@@ -6,6 +6,7 @@
 import json
 from dataclasses import dataclass, field
 from types import SimpleNamespace
+from typing import Any
 
 import msgspec
 
@@ -206,9 +207,9 @@
 class Cell:
     table: MemoryTable = field(default_factory=MemoryTable)
     objects: MemoryObjects = field(default_factory=MemoryObjects)
-    buses: dict = field(default_factory=dict)
-    cut: set = field(default_factory=set)
-    hosts: dict = field(default_factory=dict)
+    buses: dict[str, Any] = field(default_factory=dict)
+    cut: set[str] = field(default_factory=set)
+    hosts: dict[str, Any] = field(default_factory=dict)
 
     async def list_hosts(self, timeout):
         address = Address("127.0.0.1", 1)
@@ -263,5 +264,5 @@
     for number, host in enumerate(cell.hosts.values(), 1):
         await host.context.directory._refresh()
         if host.zone.leading:
-            host.zone.journal(WorkerJoined(f"w-{number}", NOW))
+            host.zone.journal(WorkerJoined(f"w-{number}", "boot-1", NOW))
     return cell
