Complete commands, record all of them in the trail, and refuse stale versions

Cause: two operators could overwrite each other unseen, and questions and refusals left no record. Every job and worker has a subject row whose version a command may expect; the loser is told by whom, when and with which text.

Ruled out: one row for each question (a write for every look at the cell).

--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/audit/__init__.py
@@ -0,0 +1,33 @@
+"""The trail of commands, and objects chained by digest so that a later change is seen."""
+
+from lentilpath_core.audit._chain import (
+    FIRST_DIGEST,
+    BrokenChain,
+    SealedObject,
+    find_broken_link,
+    read_sealed,
+    seal_lines,
+)
+from lentilpath_core.audit._trail import (
+    CommandRecord,
+    decode_records,
+    encode_records,
+    get_audit_key,
+    get_audit_prefix,
+    get_command_key,
+)
+
+__all__ = [
+    "FIRST_DIGEST",
+    "BrokenChain",
+    "CommandRecord",
+    "SealedObject",
+    "decode_records",
+    "encode_records",
+    "find_broken_link",
+    "get_audit_key",
+    "get_audit_prefix",
+    "get_command_key",
+    "read_sealed",
+    "seal_lines",
+]
--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/audit/_trail.py
@@ -0,0 +1,60 @@
+"""Records of commands as the table stores them.
+
+An accepted command is one row, `command/ID`, by which a repetition is recognised, and one row of
+the trail, `audit/TIME-ID`. Questions and refused commands stand in the trail only.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from lentilpath_core.ids import HostId, WallTime, ZoneId
+
+TIME_DIGITS = 15
+
+
+class CommandRecord(msgspec.Struct, frozen=True):
+    """Who asked for what, when, with which outcome. Never holds a key."""
+
+    id: str
+    operator: str
+    role: str
+    at: WallTime
+    host: HostId
+    """The entry host that took the command."""
+    command: str
+    outcome: str
+    """`accepted`, `answered` for a question, or the code of an error."""
+    message: str
+    zone: ZoneId = ZoneId("")
+    version: int = 0
+    """Version that the changed subject has after the command; 0 if it has none."""
+
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(tuple[CommandRecord, ...])
+
+
+def encode_records(records: tuple[CommandRecord, ...]) -> str:
+    """Return the row value of `records`."""
+    return _encoder.encode(records).decode()
+
+
+def decode_records(value: str) -> tuple[CommandRecord, ...]:
+    """Return the records stored as `value`; raises `msgspec.DecodeError` if they are none."""
+    return _decoder.decode(value)
+
+
+def get_command_key(command: str) -> str:
+    """Return the table key by which a repetition of the command is recognised."""
+    return f"command/{command}"
+
+
+def get_audit_prefix(at: WallTime) -> str:
+    """Return what the keys of the trail at `at` begin with; keys sort by time."""
+    return f"audit/{at:0{TIME_DIGITS}d}"
+
+
+def get_audit_key(at: WallTime, name: str) -> str:
+    """Return the table key of one row of the trail."""
+    return f"{get_audit_prefix(at)}-{name}"
--- a/packages/lentilpath-core/src/lentilpath_core/language/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/language/__init__.py
@@ -20,6 +20,7 @@
     Submit,
     Undrain,
 )
+from lentilpath_core.language._completion import complete_command
 from lentilpath_core.language._filters import filter_table
 from lentilpath_core.language._help import HELP_TOPICS, make_help
 from lentilpath_core.language._parser import UnreadableCommand, list_next_words, parse_command
@@ -53,6 +54,7 @@
     "Table",
     "Undrain",
     "UnreadableCommand",
+    "complete_command",
     "count_open_tasks",
     "filter_table",
     "format_time",
--- a/packages/lentilpath/src/lentilpath/main.py
+++ b/packages/lentilpath/src/lentilpath/main.py
@@ -12,6 +12,7 @@
 from lentilpath._exits import ExitCode
 from lentilpath._output import format_answer
 from lentilpath._settings import read_client_settings
+from lentilpath._shell import run_shell
 from lentilpath_core.errors import InvalidSettings
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, help=__doc__)
@@ -56,6 +57,12 @@
     raise typer.Exit(choose_answer_code(answer))
 
 
+@app.command("shell")
+def open_shell(host: HostOption = None) -> None:
+    """Read commands line by line, with history and completion."""
+    run_shell(connect(host))
+
+
 def connect(host: str | None) -> Client:
     """Return the client of the chosen entry host; ends the program if none is named."""
     try:
--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -32,6 +32,9 @@
     COMMAND_REFUSED = (207, "a command in the inbox could not be carried out")
     COMMAND_ACCEPTED = (400, "an operator's command was accepted")
     API_FAILED = (401, "the administration API failed on a request")
+    AUDIT_DROPPED = (402, "records of the audit trail were dropped, the table being away too long")
+    AUDIT_ARCHIVED = (403, "old rows of the audit trail were moved to an object")
+    ARCHIVE_FAILED = (404, "old rows of the audit trail could not be moved")
 
     @property
     def number(self) -> int:
--- a/packages/lentilpathd/src/lentilpathd/_operators/_acceptance.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_acceptance.py
@@ -10,11 +10,17 @@
 import secrets
 from dataclasses import dataclass
 
+from lentilpath_core.audit import (
+    CommandRecord,
+    decode_records,
+    encode_records,
+    get_audit_key,
+    get_command_key,
+)
 from lentilpath_core.errors import Conflict, OutcomeUnknown, TableUnavailable
 from lentilpath_core.ids import RowVersion, WriteId
 from lentilpath_core.language import format_time
 from lentilpathd._clock import read_instant
-from lentilpathd._operators._messages import CommandRecord, decode_record, encode_row
 from lentilpathd._ports import ABSENT, Row, Table, Transaction
 
 COMMIT_SECONDS = 2.0
@@ -47,16 +53,6 @@
         self.rows = rows
 
 
-def get_command_key(command: str) -> str:
-    """Return the table key of a command's record."""
-    return f"command/{command}"
-
-
-def get_audit_key(record: CommandRecord) -> str:
-    """Return the table key of a command's line in the audit trail; keys sort by time."""
-    return f"audit/{record.at:015d}-{record.id}"
-
-
 async def accept_command(table: Table, record: CommandRecord, effect: Effect) -> Accepted:
     """Write `record` and `effect` together, unless a command of this id is recorded already.
 
@@ -91,8 +87,8 @@
 def _make_transaction(record: CommandRecord, effect: Effect) -> Transaction:
     checks = ((get_command_key(record.id), ABSENT), *effect.checks)
     puts = (
-        (get_command_key(record.id), encode_row(record)),
-        (get_audit_key(record), record.id),
+        (get_command_key(record.id), encode_records((record,))),
+        (get_audit_key(record.at, record.id), encode_records((record,))),
         *effect.puts,
     )
     write_id = WriteId(secrets.token_hex(WRITE_ID_BYTES))
@@ -104,7 +100,7 @@
     earlier = next((row for row in rows if row.key == own_key and row.version != ABSENT), None)
     if earlier is None:
         raise RowsChanged(rows)
-    known = decode_record(earlier.value)
+    (known,) = decode_records(earlier.value)
     if known == record and sent_before:
         return Accepted(record, repeated=False)
     check_same_command(known, record.command, record.operator)
--- a/packages/lentilpathd/src/lentilpathd/_operators/_api.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_api.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from lentilpath_core.audit import CommandRecord
 from lentilpath_core.errors import (
     Conflict,
     InvalidCommand,
@@ -21,12 +22,15 @@
 from lentilpathd._clock import read_wall_time
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._operators._caller import Caller
-from lentilpathd._operators._changes import Changes
+from lentilpathd._operators._changes import Call, Changes
 from lentilpathd._operators._messages import MAX_ID_LENGTH, CommandRequest, CommandResponse
 from lentilpathd._operators._reads import Reads, answer_read
 
 API_VERSION = 1
 ID_BYTES = 8
+MAX_RECORDED_COMMAND = 2_000
+TRAIL_OUTCOMES = {"done": "answered", "dry-run": "dry-run"}
+"""Outcomes of commands that are not in the trail through their own transaction."""
 ERROR_STATUSES: tuple[tuple[type[LentilpathError], int], ...] = (
     (UnknownName, 404),
     (InvalidInput, 400),
@@ -68,18 +72,25 @@
 
     async def _run_command(self, request: HttpRequest) -> HttpResponse:
         message = parse_request(request.body)
+        if not message.id:
+            message = msgspec.structs.replace(message, id=secrets.token_hex(ID_BYTES))
         caller = Caller(request.get_header("x-lentilpath-operator") or "anonymous", "administrator")
-        response = await self._carry_out(message, caller)
+        call = Call(message, caller, read_wall_time())
+        try:
+            response = await self._carry_out(call)
+        except LentilpathError as error:
+            self._record(call, error.code, str(error).partition("\n")[0])
+            raise
+        if response.outcome in TRAIL_OUTCOMES and not response.id:
+            self._record(call, TRAIL_OUTCOMES[response.outcome], response.message)
         return json_response(200, msgspec.to_builtins(response))
 
-    async def _carry_out(self, message: CommandRequest, caller: Caller) -> CommandResponse:
-        now = read_wall_time()
-        command = parse_command(message.command, now)
+    async def _carry_out(self, call: Call) -> CommandResponse:
+        command = parse_command(call.request.command, call.now)
+        caller = call.caller
         if not isinstance(command, CHANGES):
             return await answer_read(command, self._reads)
-        if not message.id:
-            message = msgspec.structs.replace(message, id=secrets.token_hex(ID_BYTES))
-        response = await self._changes.carry_out(command, message, caller, now)
+        response = await self._changes.carry_out(command, call)
         log_event(
             Event.COMMAND_ACCEPTED,
             id=response.id,
@@ -89,6 +100,17 @@
         )
         return response
 
+    def _record(self, call: Call, outcome: str, text: str) -> None:
+        request = call.request
+        host = self._reads.context.settings.host
+        caller = call.caller
+        command = request.command[:MAX_RECORDED_COMMAND]
+        self._reads.trail.add(
+            CommandRecord(
+                request.id, caller.operator, caller.role, call.now, host, command, outcome, text
+            )
+        )
+
     async def _show_health(self, request: HttpRequest) -> HttpResponse:
         settings = self._reads.context.settings
         value = {"api": API_VERSION, "host": settings.host, "zone": settings.zone}
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_audit.py
@@ -0,0 +1,201 @@
+"""The durable trail of commands: what was asked, refused and done, kept and archived.
+
+Accepted commands are in the trail through the transaction of their effect. The others are
+gathered for a second and written together, so that many questions cost one write. Old rows move
+to chained objects, so that the table stays small and a later change is seen.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import secrets
+from collections import deque
+
+import msgspec
+
+from lentilpath_core.audit import (
+    FIRST_DIGEST,
+    CommandRecord,
+    decode_records,
+    encode_records,
+    get_audit_key,
+    get_audit_prefix,
+    read_sealed,
+    seal_lines,
+)
+from lentilpath_core.errors import LentilpathError, OutcomeUnknown, Unavailable
+from lentilpath_core.ids import RowVersion, WallTime, WriteId
+from lentilpath_core.language import TABLE_COLUMNS, Table, format_time
+from lentilpathd._authority import Leadership
+from lentilpathd._clock import read_wall_time
+from lentilpathd._context import DaemonContext
+from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._ports import Row, Transaction
+
+FLUSH_SECONDS = 1.0
+TABLE_SECONDS = 2.0
+OBJECT_SECONDS = 10.0
+MAX_BUFFERED_RECORDS = 10_000
+RECORDS_PER_ROW = 200
+ROWS_PER_SCAN = 500
+MAX_LISTED_ROWS = 5_000
+KEEP_ROWS_MS = 2 * 86_400_000
+ARCHIVE_EVERY_FLUSHES = 60
+ARCHIVE_ROW = "audit-archive"
+ARCHIVE_PREFIX = "audit/"
+WRITE_ID_BYTES = 12
+
+
+class ArchiveState(msgspec.Struct, frozen=True):
+    """Row `audit-archive`: the end of the chain of archived objects."""
+
+    objects: int = 0
+    digest: str = FIRST_DIGEST
+
+
+class AuditTrail:
+    """Writes, lists and archives the trail."""
+
+    def __init__(self, context: DaemonContext, leadership: Leadership) -> None:
+        self._context = context
+        self._leadership = leadership
+        self._buffer: deque[CommandRecord] = deque()
+        self._dropped = 0
+
+    def add(self, record: CommandRecord) -> None:
+        """Take up a question or a refused command; it becomes durable within about a second."""
+        if len(self._buffer) >= MAX_BUFFERED_RECORDS:
+            self._buffer.popleft()
+            self._dropped += 1
+        self._buffer.append(record)
+
+    async def run(self) -> None:
+        """Write and archive until cancelled."""
+        flushes = 0
+        while True:
+            await asyncio.sleep(FLUSH_SECONDS)
+            await self.flush()
+            flushes += 1
+            if flushes % ARCHIVE_EVERY_FLUSHES == 0 and self._is_archivist():
+                await self._archive_quietly()
+
+    async def flush(self) -> None:
+        """Write what was taken up; what the table does not take stays for the next time."""
+        if self._dropped:
+            log_warning_event(Event.AUDIT_DROPPED, records=self._dropped)
+            self._dropped = 0
+        while self._buffer:
+            records = tuple(self._buffer)[:RECORDS_PER_ROW]
+            name = f"{self._context.settings.host}-{records[0].id}"
+            row = (get_audit_key(records[0].at, name), encode_records(records))
+            transaction = Transaction(_make_write_id(), puts=(row,))
+            try:
+                await self._context.table.commit(transaction, TABLE_SECONDS)
+            except (Unavailable, OutcomeUnknown):
+                # The row's key depends on its records only, so writing it again is harmless.
+                return
+            for _ in records:
+                self._buffer.popleft()
+
+    async def list_records(self, since: WallTime) -> Table:
+        """Return the records at or after `since`, oldest first, archived ones included."""
+        records = await self._list_archived(since)
+        after = get_audit_prefix(since)
+        scanned = 0
+        while scanned < MAX_LISTED_ROWS:
+            rows = await self._context.table.scan("audit/", after, ROWS_PER_SCAN, TABLE_SECONDS)
+            scanned += len(rows)
+            records.extend(record for row in rows for record in decode_records(row.value))
+            if len(rows) < ROWS_PER_SCAN:
+                break
+            after = rows[-1].key
+        ordered = sorted({record for record in records if record.at >= since}, key=_get_order)
+        rows_of_records = tuple(
+            (
+                format_time(record.at),
+                record.operator,
+                record.host,
+                record.command,
+                f"{record.outcome}: {record.message}" if record.message else record.outcome,
+                record.id,
+            )
+            for record in ordered
+        )
+        return Table(TABLE_COLUMNS["audit"], rows_of_records)
+
+    async def archive(self, now: WallTime) -> int:
+        """Move rows older than `KEEP_ROWS_MS` into one object of the chain; return how many."""
+        rows = await self._context.table.scan("audit/", "", ROWS_PER_SCAN, TABLE_SECONDS)
+        limit = get_audit_prefix(WallTime(now - KEEP_ROWS_MS))
+        old = tuple(row for row in rows if row.key < limit)
+        if not old:
+            return 0
+        (state_row,) = await self._context.table.read((ARCHIVE_ROW,), TABLE_SECONDS)
+        state = _read_archive_state(state_row)
+        sealed = seal_lines((json.dumps([row.key, row.value]) for row in old), state.digest)
+        key = _make_object_key(state.objects + 1, old, sealed.digest)
+        await self._context.objects.put_object(key, sealed.data, OBJECT_SECONDS)
+        following = ArchiveState(state.objects + 1, sealed.digest)
+        commands = {
+            record.id
+            for row in old
+            for record in decode_records(row.value)
+            if record.outcome == "accepted"
+        }
+        transaction = Transaction(
+            _make_write_id(),
+            checks=((ARCHIVE_ROW, RowVersion(state_row.version)),),
+            puts=((ARCHIVE_ROW, msgspec.json.encode(following).decode()),),
+            deletes=(*(row.key for row in old), *(f"command/{name}" for name in sorted(commands))),
+        )
+        result = await self._context.table.commit(transaction, TABLE_SECONDS)
+        if not result.applied:
+            return 0
+        log_event(Event.AUDIT_ARCHIVED, rows=len(old), object=key)
+        return len(old)
+
+    def _is_archivist(self) -> bool:
+        # One host is enough; two would only make each other's transaction fail.
+        first = self._context.directory.list_zones()[0]
+        settings = self._context.settings
+        return settings.zone == first and self._leadership.get_authority() is not None
+
+    async def _archive_quietly(self) -> None:
+        try:
+            await self.archive(read_wall_time())
+        except LentilpathError as error:
+            log_warning_event(Event.ARCHIVE_FAILED, error=str(error))
+
+    async def _list_archived(self, since: WallTime) -> list[CommandRecord]:
+        if since >= read_wall_time() - KEEP_ROWS_MS or since == 0:
+            return []
+        keys = await self._context.objects.list_objects(ARCHIVE_PREFIX, OBJECT_SECONDS)
+        records: list[CommandRecord] = []
+        for key in keys:
+            _, last, digest = key.rsplit("-", 2)
+            if int(last) < since:
+                continue
+            data = await self._context.objects.get_object(key, OBJECT_SECONDS)
+            if data is None:
+                continue
+            for line in read_sealed(data, digest).lines:
+                records.extend(decode_records(json.loads(line)[1]))
+        return records
+
+
+def _read_archive_state(row: Row) -> ArchiveState:
+    return msgspec.json.decode(row.value, type=ArchiveState) if row.value else ArchiveState()
+
+
+def _make_object_key(number: int, rows: tuple[Row, ...], digest: str) -> str:
+    times = [record.at for row in rows for record in decode_records(row.value)]
+    return f"{ARCHIVE_PREFIX}{number:08d}-{min(times)}-{max(times)}-{digest}"
+
+
+def _make_write_id() -> WriteId:
+    return WriteId(secrets.token_hex(WRITE_ID_BYTES))
+
+
+def _get_order(record: CommandRecord) -> tuple[int, str]:
+    return (record.at, record.id)
--- a/packages/lentilpathd/src/lentilpathd/_operators/_changes.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_changes.py
@@ -1,4 +1,4 @@
-"""Commands that change something: submit, stop, drain, undrain."""
+"""Commands that change a zone: submit, stop, drain, undrain."""
 
 from __future__ import annotations
 
@@ -6,8 +6,9 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
-from lentilpath_core.errors import Conflict, InvalidJob, NoLeader, UnknownName
-from lentilpath_core.ids import JobId, WallTime, WorkerId, ZoneId
+from lentilpath_core.audit import CommandRecord
+from lentilpath_core.errors import Conflict, InvalidJob, NoLeader, Unavailable, UnknownName
+from lentilpath_core.ids import WallTime, WorkerId, ZoneId
 from lentilpath_core.language import Command, Drain, Stop, Submit, Undrain, format_time
 from lentilpath_core.workloads import JobSpec, check_job
 from lentilpath_core.zone.inbox import (
@@ -21,35 +22,46 @@
     get_inbox_key,
 )
 from lentilpathd._context import DaemonContext
-from lentilpathd._operators._acceptance import (
-    Accepted,
-    Effect,
-    RowsChanged,
-    accept_command,
-)
+from lentilpathd._operators._acceptance import Accepted, Effect, RowsChanged, accept_command
 from lentilpathd._operators._caller import Caller
 from lentilpathd._operators._messages import (
-    CommandRecord,
     CommandRequest,
     CommandResponse,
-    JobPlace,
-    decode_place,
-    encode_row,
+    Subject,
+    decode_subject,
+)
+from lentilpathd._operators._subjects import (
+    check_expected_version,
+    explain_taken_name,
+    get_job_key,
+    get_worker_key,
+    make_subject_effect,
 )
 from lentilpathd._operators._zones import COUNT_JOB_TASKS, COUNT_WORKER_TASKS, Zones
-from lentilpathd._ports import ABSENT
+from lentilpathd._ports import ABSENT, Row
 
 READ_SECONDS = 2.0
+MAX_RACES = 5
+"""How often a command without an expected version is planned again after a race."""
 
 
 @dataclass(frozen=True, slots=True)
 class Change:
-    """What a command would do: the zone and rows it touches, and a line for people."""
+    """What a command would do, and the subject row as it was seen."""
 
     zone: ZoneId
     body: ZoneCommand
     message: str
-    effect: Effect = Effect()
+    subject: Row
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One command on its way: who sent it, when, and its request."""
+
+    request: CommandRequest
+    caller: Caller
+    now: WallTime
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,59 +71,80 @@
     context: DaemonContext
     zones: Zones
 
-    async def carry_out(
-        self, command: Command, request: CommandRequest, caller: Caller, now: WallTime
-    ) -> CommandResponse:
+    async def carry_out(self, command: Command, call: Call) -> CommandResponse:
         """Make `command` durable and return what its zone answered, if it did in time."""
-        change = await plan_change(command, self, request, caller, now)
-        if request.dry_run:
-            return CommandResponse("dry-run", f"would {change.message}", id=request.id)
-        record = self._make_record(request, caller, now, change)
-        entry = InboxEntry(
-            request.id, now, self.context.settings.host, caller.operator, change.body
+        for _ in range(MAX_RACES):
+            change = await plan_change(command, self)
+            check_expected_version(change.subject, call.request.expect_version)
+            if call.request.dry_run:
+                message = f"would {change.message}"
+                return CommandResponse("dry-run", message, version=change.subject.version)
+            try:
+                accepted = await self._accept(change, call)
+            except RowsChanged as error:
+                self._explain_race(command, call, error)
+                continue
+            return await self._wait_for_zone(accepted, change.subject.key, call.request.wait_ms)
+        raise Conflict(
+            f"{change.subject.key} was changed by others {MAX_RACES} times in a row; try again"
         )
+
+    async def _accept(self, change: Change, call: Call) -> Accepted:
+        request = call.request
+        operator = call.caller.operator
+        host = self.context.settings.host
+        subject = Subject(change.zone, request.id, operator, call.now, request.command)
+        effect = make_subject_effect(change.subject.key, change.subject.version, subject)
+        entry = InboxEntry(request.id, call.now, host, operator, change.body)
         inbox_key = get_inbox_key(change.zone, request.id)
         effect = Effect(
-            (*change.effect.checks, (inbox_key, ABSENT)),
-            (*change.effect.puts, (inbox_key, encode_entry(entry))),
+            (*effect.checks, (inbox_key, ABSENT)),
+            (*effect.puts, (inbox_key, encode_entry(entry))),
         )
-        try:
-            accepted = await accept_command(self.context.table, record, effect)
-        except RowsChanged as error:
-            raise _explain_conflict(command, error) from error
-        return await self._wait_for_zone(accepted, request.wait_ms)
-
-    async def _wait_for_zone(self, accepted: Accepted, wait_ms: int) -> CommandResponse:
-        record = accepted.record
-        reply = await self.zones.wake(record.zone, record.id, wait_ms)
-        message = record.message + (" (repeated: no second effect)" if accepted.repeated else "")
-        if reply.code is None:
-            return CommandResponse("accepted", message, id=record.id)
-        if reply.code != "ok":
-            return CommandResponse("refused", f"{reply.code}: {reply.text}", id=record.id)
-        return CommandResponse("done", reply.text or message, id=record.id)
-
-    def _make_record(
-        self, request: CommandRequest, caller: Caller, now: WallTime, change: Change
-    ) -> CommandRecord:
-        return CommandRecord(
+        record = CommandRecord(
             request.id,
-            caller.operator,
-            caller.role,
-            now,
-            self.context.settings.host,
+            operator,
+            call.caller.role,
+            call.now,
+            host,
             request.command,
             "accepted",
             change.message,
             change.zone,
         )
+        return await accept_command(self.context.table, record, effect)
+
+    def _explain_race(self, command: Command, call: Call, error: RowsChanged) -> None:
+        for row in error.rows:
+            if isinstance(command, Submit) and row.key == get_job_key(command.spec.job):
+                raise explain_taken_name(row) from error
+            check_expected_version(row, call.request.expect_version)
+
+    async def _wait_for_zone(self, accepted: Accepted, key: str, wait_ms: int) -> CommandResponse:
+        record = accepted.record
+        reply = await self.zones.wake(record.zone, record.id, wait_ms)
+        version = await self._read_version(key, record.id)
+        message = record.message + (" (repeated: no second effect)" if accepted.repeated else "")
+        if reply.code is None:
+            return CommandResponse("accepted", message, id=record.id, version=version)
+        if reply.code != "ok":
+            text = f"{reply.code}: {reply.text}"
+            return CommandResponse("refused", text, id=record.id, version=version)
+        return CommandResponse("done", reply.text or message, id=record.id, version=version)
 
-    async def find_zone_of_job(self, job: JobId) -> ZoneId:
-        """Return the zone that `job` was given to; raises `UnknownName`."""
-        (row,) = await self.context.table.read((get_job_key(job),), READ_SECONDS)
-        if row.version == ABSENT:
-            raise UnknownName(f"no job {job!r}; `jobs` lists the names")
-        return decode_place(row.value).zone
+    async def _read_version(self, key: str, command: str) -> int | None:
+        try:
+            row = await self.read_row(key)
+        except Unavailable:
+            return None
+        if row.version == ABSENT or decode_subject(row.value).command != command:
+            return None
+        return row.version
+
+    async def read_row(self, key: str) -> Row:
+        """Return one row of the table."""
+        (row,) = await self.context.table.read((key,), READ_SECONDS)
+        return row
 
     def find_zone_of_worker(self, worker: WorkerId) -> ZoneId:
         """Return the zone of `worker`; raises `UnknownName`."""
@@ -122,18 +155,20 @@
 
     def choose_zone(self, spec: JobSpec) -> ZoneId:
         """Return a zone that the job's policy allows; raises `InvalidJob` if there is none."""
-        regions = {peer.zone: peer.region for peer in self.context.settings.entry_hosts}
-        regions[self.context.settings.zone] = self.context.settings.region
+        settings = self.context.settings
+        regions = {peer.zone: peer.region for peer in settings.entry_hosts}
+        regions[settings.zone] = settings.region
+        zones = self.zones.list_zones()
         allowed = [
             zone
-            for zone in self.zones.list_zones()
+            for zone in zones
             if (not spec.policy.zones or zone in spec.policy.zones)
             and (not spec.policy.regions or regions[zone] in spec.policy.regions)
         ]
         if not allowed:
             raise InvalidJob(
-                f"job {spec.job}: no zone is allowed by zones={spec.policy.zones} and "
-                f"regions={spec.policy.regions}; the zones are {', '.join(self.zones.list_zones())}"
+                f"job {spec.job}: no zone is allowed by zones={','.join(spec.policy.zones)} "
+                f"regions={','.join(spec.policy.regions)}; the zones are {', '.join(zones)}"
             )
         return allowed[zlib.crc32(spec.job.encode()) % len(allowed)]
 
@@ -147,70 +182,45 @@
         return f"{count} task" if count == 1 else f"{count} tasks"
 
 
-def get_job_key(job: JobId) -> str:
-    """Return the table key of a job's place."""
-    return f"job/{job}"
-
-
 @singledispatch
-async def plan_change(
-    command: object, changes: Changes, request: CommandRequest, caller: Caller, now: WallTime
-) -> Change:
+async def plan_change(command: object, changes: Changes) -> Change:
     """Return what `command` would do; nothing is written yet."""
     raise TypeError(f"not a change of a zone: {command!r}")
 
 
 @plan_change.register
-async def _(
-    command: Submit, changes: Changes, request: CommandRequest, caller: Caller, now: WallTime
-) -> Change:
+async def _(command: Submit, changes: Changes) -> Change:
     spec = command.spec
     check_job(spec)
     zone = changes.choose_zone(spec)
-    key = get_job_key(spec.job)
-    place = JobPlace(zone, request.id, caller.operator, now)
-    effect = Effect(checks=((key, ABSENT),), puts=((key, encode_row(place)),))
     message = f"submit {spec.kind.value} {spec.job} of {spec.tasks} tasks to zone {zone}"
-    return Change(zone, SubmitJob(spec), message, effect)
+    return Change(zone, SubmitJob(spec), message, Row(get_job_key(spec.job), ABSENT, ""))
 
 
 @plan_change.register
-async def _(
-    command: Stop, changes: Changes, request: CommandRequest, caller: Caller, now: WallTime
-) -> Change:
-    zone = await changes.find_zone_of_job(command.job)
+async def _(command: Stop, changes: Changes) -> Change:
+    row = await changes.read_row(get_job_key(command.job))
+    if row.version == ABSENT:
+        raise UnknownName(f"no job {command.job!r}; `jobs` lists the names")
+    zone = decode_subject(row.value).zone
     touched = await changes.count_tasks(zone, COUNT_JOB_TASKS, command.job)
     message = f"stop job {command.job} in zone {zone}, ending {touched}"
-    return Change(zone, StopJob(command.job), message)
+    return Change(zone, StopJob(command.job), message, row)
 
 
 @plan_change.register
-async def _(
-    command: Drain, changes: Changes, request: CommandRequest, caller: Caller, now: WallTime
-) -> Change:
+async def _(command: Drain, changes: Changes) -> Change:
     zone = changes.find_zone_of_worker(command.worker)
+    row = await changes.read_row(get_worker_key(command.worker))
     touched = await changes.count_tasks(zone, COUNT_WORKER_TASKS, command.worker)
     by = f" by {format_time(command.by)}" if command.by is not None else ""
     message = f"drain worker {command.worker} in zone {zone}{by}; it runs {touched}"
-    return Change(zone, DrainWorker(command.worker), message)
+    return Change(zone, DrainWorker(command.worker), message, row)
 
 
 @plan_change.register
-async def _(
-    command: Undrain, changes: Changes, request: CommandRequest, caller: Caller, now: WallTime
-) -> Change:
+async def _(command: Undrain, changes: Changes) -> Change:
     zone = changes.find_zone_of_worker(command.worker)
+    row = await changes.read_row(get_worker_key(command.worker))
     message = f"undrain worker {command.worker} in zone {zone}"
-    return Change(zone, UndrainWorker(command.worker), message)
-
-
-def _explain_conflict(command: Command, error: RowsChanged) -> Conflict:
-    for row in error.rows:
-        if isinstance(command, Submit) and row.key == get_job_key(command.spec.job):
-            place = decode_place(row.value)
-            return Conflict(
-                f"job {command.spec.job!r} exists: submitted by {place.operator} at "
-                f"{format_time(place.accepted_at)} (command {place.command}, zone {place.zone}); "
-                "choose another name"
-            )
-    return error
+    return Change(zone, UndrainWorker(command.worker), message, row)
--- a/packages/lentilpathd/src/lentilpathd/_operators/_messages.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from lentilpath_core.ids import HostId, WallTime, ZoneId
+from lentilpath_core.ids import WallTime, ZoneId
 from lentilpath_core.language import Table
 
 MAX_ID_LENGTH = 64
@@ -39,29 +39,15 @@
     """Version of what was changed, to be expected by the next change."""
 
 
-class CommandRecord(msgspec.Struct, frozen=True):
-    """Row `command/ID`: who asked for what, when, with which outcome. Never holds a key."""
-
-    id: str
-    operator: str
-    role: str
-    at: WallTime
-    host: HostId
-    command: str
-    outcome: str
-    """`accepted`, or the code of an error."""
-    message: str
-    zone: ZoneId = ZoneId("")
-    version: int = 0
-
-
-class JobPlace(msgspec.Struct, frozen=True):
-    """Row `job/JOB`: the zone that a job was given to, by which command."""
+class Subject(msgspec.Struct, frozen=True):
+    """Row `job/JOB` or `worker/WORKER`: the zone of what commands change, and the last of them."""
 
     zone: ZoneId
     command: str
+    """Id of the last command that changed it."""
     operator: str
-    accepted_at: WallTime
+    at: WallTime
+    text: str
 
 
 class ZoneQuery(msgspec.Struct, frozen=True):
@@ -95,20 +81,14 @@
     text: str = ""
 
 
-_record_decoder = msgspec.json.Decoder(CommandRecord)
-_place_decoder = msgspec.json.Decoder(JobPlace)
-
-
-def decode_record(value: str) -> CommandRecord:
-    """Return the command record stored as `value`."""
-    return _record_decoder.decode(value)
+_subject_decoder = msgspec.json.Decoder(Subject)
 
 
-def decode_place(value: str) -> JobPlace:
-    """Return the job's place stored as `value`."""
-    return _place_decoder.decode(value)
+def decode_subject(value: str) -> Subject:
+    """Return the subject stored as `value`; raises `msgspec.DecodeError` if it is none."""
+    return _subject_decoder.decode(value)
 
 
-def encode_row(message: msgspec.Struct) -> str:
-    """Return the row value of `message`."""
-    return msgspec.json.encode(message).decode()
+def encode_subject(subject: Subject) -> str:
+    """Return the row value of `subject`."""
+    return msgspec.json.encode(subject).decode()
--- a/packages/lentilpathd/src/lentilpathd/_operators/_part.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_part.py
@@ -10,6 +10,7 @@
 from lentilpathd._authority import Leadership
 from lentilpathd._context import DaemonContext
 from lentilpathd._operators._api import Api
+from lentilpathd._operators._audit import AuditTrail
 from lentilpathd._operators._changes import Changes
 from lentilpathd._operators._reads import Reads
 from lentilpathd._operators._zone import ZoneAccess
@@ -19,8 +20,9 @@
 class Operators:
     """Serves the administration API."""
 
-    def __init__(self, context: DaemonContext, api: Api) -> None:
+    def __init__(self, context: DaemonContext, api: Api, trail: AuditTrail) -> None:
         self._context = context
+        self.trail = trail
         self.api = api
         self._server: HttpServer | None = None
 
@@ -35,7 +37,8 @@
         tls = create_server_tls(self._context.settings.tls)
         self._server = await serve_http(self.api.handle, address.host, address.port, tls=tls)
         try:
-            await asyncio.get_running_loop().create_future()
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.trail.run(), name="audit trail")
         finally:
             await self._server.close(0)
 
@@ -43,6 +46,7 @@
         """Take no new connection and let commands in progress end."""
         if self._server is not None:
             await self._server.close(self._context.settings.drain_seconds)
+        await self.trail.flush()
 
 
 def create_operators(
@@ -50,8 +54,9 @@
 ) -> Operators:
     """Return the operators' part; `zone` is the zone's driver in this process."""
     zones = Zones(context, leadership, zone)
-    reads = Reads(context, leadership, zones)
-    return Operators(context, Api(reads, Changes(context, zones)))
+    trail = AuditTrail(context, leadership)
+    reads = Reads(context, leadership, zones, trail)
+    return Operators(context, Api(reads, Changes(context, zones)), trail)
 
 
 def create_server_tls(settings: TlsSettings | None) -> ssl.SSLContext | None:
--- a/packages/lentilpathd/src/lentilpathd/_operators/_reads.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_reads.py
@@ -6,7 +6,7 @@
 from functools import singledispatch
 
 from lentilpath_core.errors import NoLeader, UnknownName
-from lentilpath_core.ids import ServiceId, ZoneId
+from lentilpath_core.ids import ServiceId, WallTime, ZoneId
 from lentilpath_core.language import (
     TABLE_COLUMNS,
     Cell,
@@ -21,11 +21,14 @@
     make_help,
 )
 from lentilpathd._authority import Leadership
+from lentilpathd._clock import read_wall_time
 from lentilpathd._context import DaemonContext
+from lentilpathd._operators._audit import AuditTrail
 from lentilpathd._operators._messages import CommandResponse, ZoneReply
 from lentilpathd._operators._zones import Zones
 from lentilpathd._ports import HostKind
 
+MS_PER_DAY = 86_400_000
 ZONE_TABLES = ("tasks", "jobs", "workers", "zones")
 
 
@@ -36,6 +39,7 @@
     context: DaemonContext
     leadership: Leadership
     zones: Zones
+    trail: AuditTrail
 
 
 @singledispatch
@@ -54,6 +58,10 @@
     if command.table == "services":
         rows = filter_table(_list_services(reads), command.conditions, command.limit)
         return CommandResponse("done", table=rows)
+    if command.table == "audit":
+        since = command.since if command.since is not None else read_wall_time() - MS_PER_DAY
+        records = await reads.trail.list_records(WallTime(since))
+        return CommandResponse("done", table=_take_last(records, command))
     if command.table not in ZONE_TABLES:
         return CommandResponse("done", table=Table(TABLE_COLUMNS[command.table]))
     # Columns that only this host can fill in (the leader, the worker's room) are compared here.
@@ -102,6 +110,11 @@
     raise UnknownName(f"no {subject} is known")
 
 
+def _take_last(table: Table, command: ListRows) -> Table:
+    matching = filter_table(table, command.conditions, None)
+    return Table(table.columns, matching.rows[-(command.limit or len(matching.rows) or 1) :])
+
+
 def _join(columns: tuple[str, ...], answered: dict[ZoneId, ZoneReply]) -> Table:
     rows = tuple(row for reply in answered.values() for row in reply.table.rows)
     return Table(columns, rows)
--- /dev/null
+++ b/tests/cover/test_audit.py
@@ -0,0 +1,112 @@
+# mypy: no-check-untyped-defs
+import asyncio
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lentilpath_core.audit import (
+    FIRST_DIGEST,
+    BrokenChain,
+    find_broken_link,
+    read_sealed,
+    seal_lines,
+)
+from tests.common.operators import create_cell
+
+SUBMIT = "submit batch nightly tasks=2 team=packing customer=spoon zones=za"
+DAY_MS = 86_400_000
+
+
+def make_chain(texts):
+    objects = []
+    previous = FIRST_DIGEST
+    for lines in texts:
+        sealed = seal_lines(lines, previous)
+        objects.append((sealed.data, sealed.digest))
+        previous = sealed.digest
+    return objects, previous
+
+
+LINE = st.text(alphabet=st.characters(exclude_characters="\n", exclude_categories=["Cs"]))
+
+
+@given(st.lists(st.lists(LINE, max_size=4), min_size=1, max_size=4))
+def test_a_whole_chain_is_accepted_and_read_back(texts):
+    objects, last = make_chain(texts)
+    assert find_broken_link(objects, last) is None
+    assert [list(read_sealed(*item).lines) for item in objects] == texts
+
+
+def test_a_changed_or_missing_object_breaks_the_chain():
+    objects, last = make_chain([["a"], ["b"], ["c"]])
+    changed = [objects[0], (objects[1][0].replace(b"b", b"x"), objects[1][1]), objects[2]]
+    assert "object 2" in find_broken_link(changed, last)
+    assert "object 2" in find_broken_link([objects[0], objects[2]], last)
+    assert "ends with" in find_broken_link(objects[:2], last)
+    forged = seal_lines(["x"], objects[0][1])
+    replaced = [objects[0], (forged.data, forged.digest), objects[2]]
+    assert "object 3" in find_broken_link(replaced, last)
+    with pytest.raises(BrokenChain):
+        read_sealed(objects[0][0] + b"!", objects[0][1])
+
+
+def test_every_command_is_in_the_trail_with_its_outcome():
+    async def scenario():
+        cell = await create_cell()
+        host = cell.hosts["zb-0"]
+        await host.run(SUBMIT)
+        await host.run("stop job other")
+        await host.run("stop job nightly", dry_run=True)
+        await host.run("jobs")
+        await host.run("jbos")
+        await host.operators.trail.flush()
+        _, answer = await cell.hosts["za-0"].run("audit")
+        return [(row[3], row[4].partition(":")[0]) for row in answer["table"]["rows"]]
+
+    assert sorted(asyncio.run(scenario())) == [
+        ("jbos", "invalid-command"),
+        ("jobs", "answered"),
+        ("stop job nightly", "dry-run"),
+        ("stop job other", "unknown-name"),
+        (SUBMIT, "accepted"),
+    ]
+
+
+def test_records_wait_for_the_table_to_come_back():
+    async def scenario():
+        cell = await create_cell()
+        host = cell.hosts["zb-0"]
+        cell.table.down = True
+        await host.run("jobs")
+        await host.operators.trail.flush()
+        cell.table.down = False
+        cell.table.lose_answers = 1
+        await host.operators.trail.flush()
+        await host.operators.trail.flush()
+        _, answer = await host.run("audit")
+        return answer["table"]["rows"]
+
+    assert [row[3] for row in asyncio.run(scenario())] == ["jobs"]
+
+
+def test_old_rows_move_to_chained_objects_and_stay_listed():
+    async def scenario():
+        cell = await create_cell()
+        host = cell.hosts["za-0"]
+        await host.run(SUBMIT, id="c1")
+        trail = host.operators.trail
+        records = [json.loads(v)[0] for k, v in cell.table.rows.items() if k.startswith("audit/")]
+        at = records[0]["at"]
+        assert await trail.archive(at) == 0
+        assert await trail.archive(at + 3 * DAY_MS) == 1
+        assert not [key for key in cell.table.rows if key.startswith(("audit/", "command/"))]
+        listed = await trail.list_records(at - 5 * DAY_MS)
+        (key,) = cell.objects.objects
+        cell.objects.objects[key] = cell.objects.objects[key].replace(b"nightly", b"morning")
+        with pytest.raises(BrokenChain):
+            await trail.list_records(at - 5 * DAY_MS)
+        return listed
+
+    assert asyncio.run(scenario()).rows[0][3] == SUBMIT
--- a/tests/cover/test_operators.py
+++ b/tests/cover/test_operators.py
@@ -131,3 +131,32 @@
     assert (status, answer["error"]) == (404, "unknown-name")
     status, answer = await host.run("submit batch j team=t customer=c zones=moon")
     assert (status, answer["error"]) == (400, "invalid-job")
+
+
+@in_loop
+async def test_of_two_racing_operators_one_is_told_by_whom_and_how():
+    cell = await create_cell()
+    first, second = cell.hosts["za-0"], cell.hosts["zb-0"]
+    _, seen = await first.run("drain worker w-1", dry_run=True)
+    version = seen["version"]
+    mira = [("x-lentilpath-operator", "mira")]
+    body = {"command": "drain worker w-1", "expect_version": version}
+    status, answer = await first.post("/v1/commands", body, mira)
+    assert status == 200
+    assert answer["version"] > version
+    status, refused = await second.run("undrain worker w-1", expect_version=version)
+    assert (status, refused["error"]) == (409, "conflict")
+    assert "mira" in refused["message"]
+    assert "drain worker w-1" in refused["message"]
+    status, _ = await second.run("undrain worker w-1", expect_version=answer["version"])
+    assert status == 200
+
+
+@in_loop
+async def test_racing_stops_without_expectation_both_get_through():
+    cell = await create_cell()
+    await cell.hosts["za-0"].run(SUBMIT)
+    answers = await asyncio.gather(
+        *(host.run("stop job nightly") for host in cell.hosts.values() for _ in range(2))
+    )
+    assert [status for status, _ in answers] == [200] * 4
