Seal usage by periods, with corrections as new lines and a digest chain

Cause: lines were read off the leader's memory, so they vanished with old jobs and could change. A running task is billed provisionally and corrected by its worker's report.

Ruled out: taking events from the zone's driver in memory (a change of leader would lose or double some); sealing by hour (a zone's peak hour would not fit a daemon's memory); a correction for each earlier period (unbounded for services).

--- a/packages/lentilpath-core/src/lentilpath_core/usage/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/usage/__init__.py
@@ -1,10 +1,63 @@
-"""Customers' usage: lines that trace to task, worker, interval, resources and decision."""
+"""Customers' usage: lines that trace to task, worker, interval, resources, decision and price."""
 
-from lentilpath_core.usage._lines import (
-    UsageLine,
-    find_usage_line,
-    list_usage_lines,
-    make_line_id,
+from lentilpath_core.usage._intervals import Gap, Interval, list_gaps, list_intervals, merge_facts
+from lentilpath_core.usage._ledger import (
+    HORIZON_MS,
+    LATENESS_MS,
+    PERIOD_MS,
+    Ledger,
+    create_ledger,
+    forget_settled,
+    get_period_start,
+    take_batch,
+    take_event,
+)
+from lentilpath_core.usage._messages import AttemptFact, Basis, JobTerms, LineKind, UsageLine
+from lentilpath_core.usage._prices import (
+    FREE,
+    UNITS_PER_MICRO,
+    Holding,
+    PriceRule,
+    compute_charge_units,
+    format_charge,
+)
+from lentilpath_core.usage._sealing import (
+    FindRule,
+    is_period_over,
+    list_open_lines,
+    name_period,
+    seal_period,
 )
 
-__all__ = ["UsageLine", "find_usage_line", "list_usage_lines", "make_line_id"]
+__all__ = [
+    "FREE",
+    "HORIZON_MS",
+    "LATENESS_MS",
+    "PERIOD_MS",
+    "UNITS_PER_MICRO",
+    "AttemptFact",
+    "Basis",
+    "FindRule",
+    "Gap",
+    "Holding",
+    "Interval",
+    "JobTerms",
+    "Ledger",
+    "LineKind",
+    "PriceRule",
+    "UsageLine",
+    "compute_charge_units",
+    "create_ledger",
+    "forget_settled",
+    "format_charge",
+    "get_period_start",
+    "is_period_over",
+    "list_gaps",
+    "list_intervals",
+    "list_open_lines",
+    "merge_facts",
+    "name_period",
+    "seal_period",
+    "take_batch",
+    "take_event",
+]
--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/usage/_ledger.py
@@ -0,0 +1,138 @@
+"""The ledger of one zone: what the journal says of attempts, until their lines are sealed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import singledispatch
+
+import msgspec
+
+from lentilpath_core.ids import JobId, JournalSequence, TaskId, WallTime, ZoneId, get_job_of_task
+from lentilpath_core.usage._intervals import get_fact_key, merge_facts
+from lentilpath_core.usage._messages import AttemptFact, JobTerms, TaskAccount
+from lentilpath_core.zone.journal import AttemptEnded, AttemptStarting, JobAccepted, JournalBatch
+
+PERIOD_MS = 600_000
+"""Usage is sealed by periods of this length, counted from 1970-01-01 UTC."""
+LATENESS_MS = 120_000
+"""How long after its end a period is sealed, so that late reports need no correction."""
+HORIZON_MS = 6 * PERIOD_MS
+"""How long a task whose attempts have all been sealed is remembered for late reports."""
+UNREPORTED_HORIZON_MS = 48 * 3_600_000
+"""The same for attempts that no worker reported: a lost worker may come back."""
+
+
+class Ledger(msgspec.Struct):
+    """Usage of one zone that is not sealed yet, and what is needed to correct sealed lines."""
+
+    zone: ZoneId
+    period: WallTime
+    """Start of the oldest period that is not sealed."""
+    sequence: JournalSequence = JournalSequence(0)
+    """The last journal batch that is part of it."""
+    missing_batches: int = 0
+    """Journal batches that were gone before they could be read."""
+    jobs: dict[JobId, JobTerms] = {}
+    tasks: dict[TaskId, TaskAccount] = {}
+    settled: dict[TaskId, int] = {}
+    """Highest attempt of tasks that were sealed and are no longer in `tasks`."""
+
+
+def create_ledger(zone: ZoneId, now: WallTime) -> Ledger:
+    """Return an empty ledger whose first period is the one of `now`."""
+    return Ledger(zone, get_period_start(now))
+
+
+def get_period_start(at: WallTime) -> WallTime:
+    """Return the start of the period that `at` lies in."""
+    return WallTime(at - at % PERIOD_MS)
+
+
+def take_batch(ledger: Ledger, batch: JournalBatch) -> None:
+    """Take the events of `batch` into the ledger; a batch that is part of it changes nothing."""
+    if batch.sequence <= ledger.sequence:
+        return
+    ledger.missing_batches += batch.sequence - ledger.sequence - 1
+    for event in batch.events:
+        take_event(event, ledger)
+    ledger.sequence = batch.sequence
+
+
+@singledispatch
+def take_event(event: object, ledger: Ledger) -> None:
+    """Take one journal event into the ledger; events that say nothing of usage change nothing."""
+
+
+@take_event.register
+def _(event: JobAccepted, ledger: Ledger) -> None:
+    spec = event.spec
+    held = spec.resources
+    ledger.jobs[spec.job] = JobTerms(
+        spec.job, spec.customer, spec.team, held.millicores, held.memory_mib, held.accelerators
+    )
+
+
+@take_event.register
+def _(event: AttemptStarting, ledger: Ledger) -> None:
+    fact = AttemptFact(event.attempt, event.worker, event.decided_at, event.reason)
+    _take_fact(ledger, event.task, fact)
+
+
+@take_event.register
+def _(event: AttemptEnded, ledger: Ledger) -> None:
+    fact = AttemptFact(
+        event.attempt,
+        event.worker,
+        outcome=event.outcome.value,
+        started_at=event.started_at,
+        ended_at=event.ended_at,
+    )
+    _take_fact(ledger, event.task, fact)
+
+
+def _take_fact(ledger: Ledger, task: TaskId, fact: AttemptFact) -> None:
+    if fact.attempt <= ledger.settled.get(task, 0):
+        return
+    account = ledger.tasks.get(task)
+    if account is None:
+        account = TaskAccount(task, {}, {})
+        ledger.tasks[task] = account
+    key = get_fact_key(fact.attempt, fact.worker)
+    known = account.facts.get(key)
+    account.facts[key] = fact if known is None else merge_facts(known, fact)
+
+
+def forget_settled(ledger: Ledger, is_open: Callable[[JobId], bool]) -> None:
+    """Drop attempts that were sealed long ago, and the terms of jobs that `is_open` denies."""
+    for task, account in tuple(ledger.tasks.items()):
+        _drop_old_attempts(ledger, account, is_open(get_job_of_task(task)))
+        if not account.facts:
+            del ledger.tasks[task]
+    used = {get_job_of_task(task) for task in ledger.tasks}
+    for job in tuple(ledger.jobs):
+        if job not in used and not is_open(job):
+            del ledger.jobs[job]
+    for task in tuple(ledger.settled):
+        if get_job_of_task(task) not in ledger.jobs:
+            del ledger.settled[task]
+
+
+def _drop_old_attempts(ledger: Ledger, account: TaskAccount, job_is_open: bool) -> None:
+    # Attempts go in the order of their numbers, so that one number tells all that are gone. The
+    # last one of a job that goes on stays, since a gap after it has to name it.
+    ordered = sorted(account.facts.items(), key=lambda item: item[1].attempt)
+    for key, fact in ordered[:-1] if job_is_open else ordered:
+        if key not in account.billed or not _is_old(ledger, fact):
+            return
+        del account.facts[key]
+        del account.billed[key]
+        account.gaps.pop(key, None)
+        account.floor_at = max(account.floor_at, fact.ended_at)
+        ledger.settled[account.task] = max(ledger.settled.get(account.task, 0), fact.attempt)
+
+
+def _is_old(ledger: Ledger, fact: AttemptFact) -> bool:
+    if not fact.outcome:
+        return False
+    horizon = HORIZON_MS if fact.started_at > 0 else UNREPORTED_HORIZON_MS
+    return max(fact.ended_at, fact.decided_at) + horizon < ledger.period
--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/usage/_sealing.py
@@ -0,0 +1,293 @@
+"""Lines of a period, with corrections of earlier ones."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lentilpath_core.ids import CustomerId, WallTime, get_job_of_task
+from lentilpath_core.language import format_time
+from lentilpath_core.usage._intervals import (
+    Gap,
+    Interval,
+    get_fact_key,
+    list_gaps,
+    list_intervals,
+)
+from lentilpath_core.usage._ledger import LATENESS_MS, PERIOD_MS, Ledger
+from lentilpath_core.usage._messages import (
+    BilledSpan,
+    JobTerms,
+    LineKind,
+    TaskAccount,
+    UsageLine,
+)
+from lentilpath_core.usage._prices import Holding, PriceRule, compute_charge_units
+
+FindRule = Callable[[CustomerId], PriceRule]
+"""Returns the price rule of a customer."""
+PERIOD_NAME_LENGTH = len("2026-12-01T05:00")
+
+
+@dataclass(frozen=True, slots=True)
+class _Task:
+    """What all lines of one task share."""
+
+    ledger: Ledger
+    account: TaskAccount
+    terms: JobTerms
+    rule: PriceRule
+
+
+def is_period_over(ledger: Ledger, now: WallTime) -> bool:
+    """Return whether the oldest unsealed period can be sealed at `now`."""
+    return now >= ledger.period + PERIOD_MS + LATENESS_MS
+
+
+def name_period(period: WallTime) -> str:
+    """Return the name of the period that starts at `period`, such as `2026-12-01T0510`."""
+    return format_time(period)[:PERIOD_NAME_LENGTH].replace(":", "")
+
+
+def list_open_lines(ledger: Ledger, find_rule: FindRule, now: WallTime) -> tuple[UsageLine, ...]:
+    """Return the lines that are not sealed yet, as they stand at `now`; nothing changes."""
+    lines: list[UsageLine] = []
+    for task in _list_tasks(ledger, find_rule):
+        start = ledger.period
+        while start < now:
+            end = WallTime(min(start + PERIOD_MS, now))
+            lines.extend(_list_period_lines(task, start, end, now))
+            start = WallTime(start + PERIOD_MS)
+        lines.extend(_list_corrections(task, now))
+    return tuple(lines)
+
+
+def seal_period(ledger: Ledger, find_rule: FindRule) -> tuple[UsageLine, ...]:
+    """Close the oldest unsealed period: return its lines and note them as billed."""
+    start = ledger.period
+    end = WallTime(start + PERIOD_MS)
+    lines: list[UsageLine] = []
+    for task in _list_tasks(ledger, find_rule):
+        found = [*_list_period_lines(task, start, end, end), *_list_corrections(task, end)]
+        _note_billed(task, start, end)
+        if found:
+            task.account.settled_at = start
+        lines.extend(found)
+    ledger.period = end
+    return tuple(lines)
+
+
+def _list_tasks(ledger: Ledger, find_rule: FindRule) -> list[_Task]:
+    tasks: list[_Task] = []
+    for account in ledger.tasks.values():
+        terms = ledger.jobs.get(get_job_of_task(account.task))
+        if terms is not None:
+            tasks.append(_Task(ledger, account, terms, find_rule(terms.customer)))
+    return tasks
+
+
+def _list_task_intervals(task: _Task, now: WallTime) -> tuple[Interval, ...]:
+    return list_intervals(task.account.facts.values(), now, task.account.floor_at)
+
+
+def _list_period_lines(
+    task: _Task, start: WallTime, end: WallTime, now: WallTime
+) -> list[UsageLine]:
+    intervals = _list_task_intervals(task, now)
+    lines: list[UsageLine] = []
+    for interval in intervals:
+        started_at = max(interval.started_at, start)
+        ended_at = min(interval.ended_at, end)
+        if started_at < ended_at:
+            held_ms = ended_at - started_at
+            lines.append(
+                _make_line(task, start, interval, LineKind.HELD, started_at, ended_at, held_ms)
+            )
+        elif _belongs_here(task, interval, start, end):
+            at = interval.started_at
+            kind = LineKind.HELD if interval.fact.started_at > 0 else LineKind.UNREPORTED
+            lines.append(_make_line(task, start, interval, kind, at, at, 0))
+    for gap in list_gaps(intervals):
+        if _is_gap_due(task, gap, start, end):
+            lines.append(_make_gap_line(task, start, gap))
+    return lines
+
+
+def _belongs_here(task: _Task, interval: Interval, start: WallTime, end: WallTime) -> bool:
+    # An attempt that holds nothing has its line in the period of its decision, or in the first
+    # one that is still open.
+    if interval.ended_at > interval.started_at or not interval.fact.outcome:
+        return False
+    if _get_name(interval) in task.account.billed:
+        return False
+    at = max(interval.started_at, task.ledger.period)
+    return start <= at < end
+
+
+def _is_gap_due(task: _Task, gap: Gap, start: WallTime, end: WallTime) -> bool:
+    shown = task.account.gaps.get(_get_name(gap.after))
+    at = max(gap.after.started_at, task.ledger.period)
+    return start <= at < end and shown != (gap.before.ended_at, gap.after.started_at)
+
+
+def _list_corrections(task: _Task, now: WallTime) -> list[UsageLine]:
+    """Return the differences between what was billed before and what is known now."""
+    lines: list[UsageLine] = []
+    for interval in _list_task_intervals(task, now):
+        spans = _get_spans(task, interval)
+        held = _measure_spans(interval, spans, task.ledger.period)
+        for number, (span, held_ms) in enumerate(zip(spans, held, strict=True), 1):
+            if held_ms != span.held_ms:
+                lines.append(_make_correction(task, interval, span, held_ms, number))
+    return lines
+
+
+def _get_spans(task: _Task, interval: Interval) -> list[BilledSpan]:
+    spans = task.account.billed.get(_get_name(interval))
+    if spans:
+        return spans
+    period = task.ledger.period
+    return [BilledSpan(task.rule, period, period, 0)]
+
+
+def _measure_spans(
+    interval: Interval, spans: list[BilledSpan], period: WallTime
+) -> tuple[int, ...]:
+    # Each span stands for the time up to the next one, the first one also for all time before.
+    held: list[int] = []
+    start = WallTime(0)
+    for place, span in enumerate(spans):
+        last = place == len(spans) - 1
+        end = period if last else span.ended_at
+        overlap = min(interval.ended_at, end) - max(interval.started_at, start)
+        held.append(max(0, overlap))
+        start = end
+    return tuple(held)
+
+
+def _note_billed(task: _Task, start: WallTime, end: WallTime) -> None:
+    intervals = _list_task_intervals(task, end)
+    for interval in intervals:
+        name = _get_name(interval)
+        known = task.account.billed.get(name, [])
+        holds_nothing = interval.ended_at <= interval.started_at
+        if holds_nothing and not interval.fact.outcome and not known:
+            continue
+        if interval.started_at >= end and not known:
+            continue
+        held = _measure_spans(interval, known, start)
+        spans = [
+            BilledSpan(span.rule, span.started_at, span.ended_at, held_ms)
+            for span, held_ms in zip(known, held, strict=True)
+        ]
+        before_ms = max(0, min(interval.ended_at, start) - interval.started_at)
+        missing_ms = before_ms - sum(held)
+        here_ms = max(0, min(interval.ended_at, end) - max(interval.started_at, start))
+        task.account.billed[name] = _extend_spans(
+            spans, task.rule, start, end, here_ms + missing_ms
+        )
+    for gap in list_gaps(intervals):
+        if gap.after.started_at < end:
+            shown = (gap.before.ended_at, gap.after.started_at)
+            task.account.gaps[_get_name(gap.after)] = shown
+
+
+def _extend_spans(
+    spans: list[BilledSpan], rule: PriceRule, start: WallTime, end: WallTime, held_ms: int
+) -> list[BilledSpan]:
+    if held_ms == 0:
+        return spans
+    if spans and spans[-1].rule == rule:
+        last = spans[-1]
+        joined = BilledSpan(rule, last.started_at, end, last.held_ms + held_ms)
+        return [*spans[:-1], joined]
+    return [*spans, BilledSpan(rule, start, end, held_ms)]
+
+
+def _make_line(
+    task: _Task,
+    period: WallTime,
+    interval: Interval,
+    kind: LineKind,
+    started_at: WallTime,
+    ended_at: WallTime,
+    held_ms: int,
+    *,
+    suffix: str = "",
+    cause: str | None = None,
+    rule: PriceRule | None = None,
+    corrects: str = "",
+) -> UsageLine:
+    terms = task.terms
+    fact = interval.fact
+    rule = rule or task.rule
+    name = f"{task.account.task}:{_get_name(interval)}"
+    holding = Holding(
+        held_ms * terms.millicores, held_ms * terms.memory_mib, held_ms * terms.accelerators
+    )
+    return UsageLine(
+        line=f"{task.ledger.zone}:{name_period(period)}:{name}{suffix}",
+        kind=kind,
+        zone=task.ledger.zone,
+        period=period,
+        customer=terms.customer,
+        team=terms.team,
+        job=terms.job,
+        task=task.account.task,
+        attempt=fact.attempt,
+        worker=fact.worker,
+        started_at=started_at,
+        ended_at=ended_at,
+        held_ms=held_ms,
+        millicores=terms.millicores,
+        memory_mib=terms.memory_mib,
+        accelerators=terms.accelerators,
+        decided_at=fact.decided_at,
+        decision=fact.decision or "started while the table was away",
+        cause=interval.cause if cause is None else cause,
+        basis=interval.basis,
+        price_rule=rule.name,
+        charge_units=compute_charge_units(rule, holding),
+        corrects=corrects,
+    )
+
+
+def _make_gap_line(task: _Task, period: WallTime, gap: Gap) -> UsageLine:
+    return _make_line(
+        task,
+        period,
+        gap.after,
+        LineKind.GAP,
+        gap.before.ended_at,
+        gap.after.started_at,
+        0,
+        suffix=":gap",
+        cause=gap.cause,
+    )
+
+
+def _make_correction(
+    task: _Task, interval: Interval, span: BilledSpan, held_ms: int, number: int
+) -> UsageLine:
+    earlier = f"up to {format_time(task.ledger.period)}"
+    if span.held_ms == 0:
+        cause = f"reported after its period was sealed, {earlier}: {interval.cause}"
+    else:
+        cause = f"{earlier} was {span.held_ms} ms, is {held_ms} ms: {interval.cause}"
+    return _make_line(
+        task,
+        task.ledger.period,
+        interval,
+        LineKind.CORRECTION,
+        interval.started_at,
+        min(interval.ended_at, task.ledger.period),
+        held_ms - span.held_ms,
+        suffix=":correction" if number == 1 else f":correction{number}",
+        cause=cause,
+        rule=span.rule,
+        corrects=f"{task.account.task}:{_get_name(interval)}",
+    )
+
+
+def _get_name(interval: Interval) -> str:
+    return get_fact_key(interval.fact.attempt, interval.fact.worker)
--- a/packages/lentilpathd/src/lentilpathd/_operators/_messages.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_messages.py
@@ -6,8 +6,9 @@
 
 import msgspec
 
-from lentilpath_core.ids import WallTime, ZoneId
+from lentilpath_core.ids import CustomerId, WallTime, ZoneId
 from lentilpath_core.language import Table
+from lentilpath_core.usage import UsageLine
 
 MAX_ID_LENGTH = 64
 
@@ -81,6 +82,19 @@
     text: str = ""
 
 
+class OpenLinesQuery(msgspec.Struct, frozen=True):
+    """Topic `operators.usage`: usage lines of the zone that are not sealed yet."""
+
+    zone: ZoneId
+    customer: CustomerId | None
+
+
+class OpenLinesReply(msgspec.Struct, frozen=True):
+    """The lines as they stand now."""
+
+    lines: tuple[UsageLine, ...]
+
+
 _subject_decoder = msgspec.json.Decoder(Subject)
 
 
--- a/packages/lentilpathd/src/lentilpathd/_operators/_part.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_part.py
@@ -6,9 +6,12 @@
 import ssl
 
 from lentilpath_core.settings import TlsSettings
+from lentilpath_core.usage import FREE
 from lentilpath_http import HttpServer, serve_http
 from lentilpathd._authority import Leadership
 from lentilpathd._context import DaemonContext
+from lentilpathd._operators._accountant import Accountant
+from lentilpathd._operators._accounts import SealedUsage
 from lentilpathd._operators._api import Api
 from lentilpathd._operators._audit import AuditTrail
 from lentilpathd._operators._changes import Changes
@@ -20,9 +23,12 @@
 class Operators:
     """Serves the administration API."""
 
-    def __init__(self, context: DaemonContext, api: Api, trail: AuditTrail) -> None:
+    def __init__(
+        self, context: DaemonContext, api: Api, trail: AuditTrail, accountant: Accountant
+    ) -> None:
         self._context = context
         self.trail = trail
+        self.accountant = accountant
         self.api = api
         self._server: HttpServer | None = None
 
@@ -39,6 +45,7 @@
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.trail.run(), name="audit trail")
+                group.create_task(self.accountant.run(), name="usage")
         finally:
             await self._server.close(0)
 
@@ -53,10 +60,11 @@
     context: DaemonContext, leadership: Leadership, zone: ZoneAccess | None
 ) -> Operators:
     """Return the operators' part; `zone` is the zone's driver in this process."""
-    zones = Zones(context, leadership, zone)
+    accountant = Accountant(context, zone, lambda customer: FREE)
+    zones = Zones(context, leadership, zone, accountant)
     trail = AuditTrail(context, leadership)
-    reads = Reads(context, leadership, zones, trail)
-    return Operators(context, Api(reads, Changes(context, zones)), trail)
+    reads = Reads(context, leadership, zones, trail, SealedUsage(context))
+    return Operators(context, Api(reads, Changes(context, zones)), trail, accountant)
 
 
 def create_server_tls(settings: TlsSettings | None) -> ssl.SSLContext | None:
--- a/packages/lentilpathd/src/lentilpathd/_operators/_reads.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_reads.py
@@ -18,13 +18,16 @@
     ShowUsage,
     Table,
     filter_table,
+    format_time,
     make_help,
 )
 from lentilpathd._authority import Leadership
 from lentilpathd._clock import read_wall_time
 from lentilpathd._context import DaemonContext
+from lentilpathd._operators._accounts import DAY_NAME_LENGTH, SealedUsage
 from lentilpathd._operators._audit import AuditTrail
 from lentilpathd._operators._messages import CommandResponse, ZoneReply
+from lentilpathd._operators._tables import make_line_table, make_usage_table
 from lentilpathd._operators._zones import Zones
 from lentilpathd._ports import HostKind
 
@@ -40,6 +43,7 @@
     leadership: Leadership
     zones: Zones
     trail: AuditTrail
+    sealed: SealedUsage
 
 
 @singledispatch
@@ -89,14 +93,30 @@
 
 @answer_read.register
 async def _(command: ShowUsage, reads: Reads) -> CommandResponse:
-    answered, silent = await reads.zones.ask_all("ShowUsage", command)
-    columns = next(iter(answered.values())).table.columns if answered else ()
-    return CommandResponse("done", table=_join(columns, answered), partial=silent)
+    # The open lines first: a period that is sealed in between is then seen twice, not missed.
+    open_lines, silent = await reads.zones.list_open_lines(command.customer)
+    zones = reads.zones.list_zones()
+    day_name = format_time(command.day_start)[:DAY_NAME_LENGTH]
+    lines = await reads.sealed.list_lines(zones, command.customer, day_name)
+    day_end = command.day_start + MS_PER_DAY
+    lines.extend(line for line in open_lines if command.day_start <= line.period < day_end)
+    return CommandResponse("done", table=make_usage_table(lines), partial=silent)
 
 
 @answer_read.register
 async def _(command: ExplainLine, reads: Reads) -> CommandResponse:
-    return await _answer_found(reads, "ExplainLine", command, f"usage line {command.line!r}")
+    open_lines, silent = await reads.zones.list_open_lines(None)
+    found = await reads.sealed.find_line(command.line)
+    if found is not None:
+        return CommandResponse("done", table=make_line_table(*found))
+    for line in open_lines:
+        if line.line == command.line:
+            return CommandResponse("done", table=make_line_table(line, None))
+    if silent:
+        raise NoLeader(
+            f"usage line {command.line!r} is not sealed, and {', '.join(silent)} did not answer"
+        )
+    raise UnknownName(f"no usage line {command.line!r}; `usage customer C on DAY` lists them")
 
 
 async def _answer_found(reads: Reads, kind: str, command: object, subject: str) -> CommandResponse:
--- a/packages/lentilpathd/src/lentilpathd/_operators/_tables.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_tables.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-from lentilpath_core.ids import get_job_of_task
+from lentilpath_core.audit import SealedObject
 from lentilpath_core.language import Cell, Table, format_time
-from lentilpath_core.usage import UsageLine
-from lentilpath_core.zone.state import ZoneState
+from lentilpath_core.usage import UsageLine, format_charge
 
 USAGE_COLUMNS = (
     "line",
+    "kind",
     "task",
-    "attempt",
     "worker",
     "from",
     "to",
@@ -18,49 +17,67 @@
     "millicore_ms",
     "memory_mib_ms",
     "accelerator_ms",
+    "price_rule",
+    "micros",
     "cause",
 )
 LINE_COLUMNS = ("what", "value", "source")
 
 
-def make_usage_row(line: UsageLine) -> tuple[Cell, ...]:
-    """Return the row of one usage line."""
+def make_usage_table(lines: list[UsageLine]) -> Table:
+    """Return the lines in the order of time, without repetitions."""
+    unique = {line.line: line for line in lines}
+    ordered = sorted(unique.values(), key=lambda line: (line.period, line.started_at, line.line))
+    return Table(USAGE_COLUMNS, tuple(_make_usage_row(line) for line in ordered))
+
+
+def make_line_table(line: UsageLine, manifest: SealedObject | None) -> Table:
+    """Return the chain behind `line`, one fact a row, with where each fact comes from."""
+    holding = line.get_holding()
+    held = f"{line.millicores} millicores, {line.memory_mib} MiB, {line.accelerators} accelerators"
+    interval = f"{format_time(line.started_at)} to {format_time(line.ended_at)}"
+    rows: list[tuple[Cell, ...]] = [
+        ("line", f"{line.line} ({line.kind.value})", "usage"),
+        ("customer and team", f"{line.customer}, {line.team}", "the job as submitted"),
+        ("job", line.job, "journal: JobAccepted"),
+        ("task and attempt", f"{line.task} attempt {line.attempt}", "journal: AttemptStarting"),
+        ("decision", line.decision, "journal: AttemptStarting"),
+        ("decided at", format_time(line.decided_at), "journal: AttemptStarting"),
+        ("worker", line.worker, "journal: AttemptStarting"),
+        ("interval", interval, line.basis.value),
+        ("held", f"{line.held_ms} ms", "interval, less what earlier lines billed"),
+        ("cause", line.cause, "journal: AttemptEnded"),
+        ("resources", held, "the job as submitted"),
+        ("processor", f"{holding.millicore_ms} millicore ms", "resources times held"),
+        ("memory", f"{holding.memory_mib_ms} MiB ms", "resources times held"),
+        ("accelerators", f"{holding.accelerator_ms} ms", "resources times held"),
+        ("price rule", line.price_rule, "configuration"),
+        ("charge", f"{format_charge(line.charge_units)} micros", "price rule times resources"),
+    ]
+    if line.corrects:
+        rows.append(("corrects", f"earlier lines that end with {line.corrects}", "usage"))
+    if manifest is None:
+        rows.append(("sealed", "not yet; the line may still change", "open period"))
+    else:
+        rows.append(("sealed in", manifest.digest, "object store, checked now"))
+        rows.append(("follows", manifest.previous, "object store"))
+    return Table(LINE_COLUMNS, tuple(rows))
+
+
+def _make_usage_row(line: UsageLine) -> tuple[Cell, ...]:
+    holding = line.get_holding()
     return (
         line.line,
+        line.kind.value,
         line.task,
-        line.attempt,
         line.worker,
         format_time(line.started_at),
         format_time(line.ended_at),
-        line.get_held_ms(),
-        line.get_millicore_ms(),
-        line.get_memory_mib_ms(),
-        line.get_accelerator_ms(),
+        line.held_ms,
+        holding.millicore_ms,
+        holding.memory_mib_ms,
+        holding.accelerator_ms,
+        line.price_rule,
+        format_charge(line.charge_units),
         line.cause,
     )
-
-
-def make_line_table(line: UsageLine | None, state: ZoneState | None) -> Table:
-    """Return the chain behind `line`, one fact a row."""
-    if line is None or state is None:
-        return Table(LINE_COLUMNS)
-    job = state.jobs[get_job_of_task(line.task)]
-    held = line.resources
-    amounts = f"{held.millicores} millicores, {held.memory_mib} MiB, {held.accelerators} accel."
-    accepted = f"{format_time(job.accepted_at)} by {job.accepted_by}"
-    interval = f"{format_time(line.started_at)} to {format_time(line.ended_at)}"
-    rows: tuple[tuple[Cell, ...], ...] = (
-        ("line", line.line, "usage"),
-        ("customer", line.customer, "job as submitted"),
-        ("job accepted", accepted, "journal: JobAccepted"),
-        ("task and attempt", f"{line.task} attempt {line.attempt}", "journal: AttemptStarting"),
-        ("decision", line.decision, "journal: AttemptStarting"),
-        ("worker", line.worker, "journal: AttemptStarting"),
-        ("interval", interval, "worker's report in AttemptEnded"),
-        ("ended by", line.cause, "journal: AttemptEnded"),
-        ("resources held", amounts, "job as submitted"),
-        ("processor", f"{line.get_millicore_ms()} millicore ms", "resources times interval"),
-        ("memory", f"{line.get_memory_mib_ms()} MiB ms", "resources times interval"),
-        ("accelerators", f"{line.get_accelerator_ms()} ms", "resources times interval"),
-    )
-    return Table(LINE_COLUMNS, rows)
--- a/packages/lentilpathd/src/lentilpathd/_operators/_zones.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_zones.py
@@ -9,14 +9,12 @@
 import msgspec
 
 from lentilpath_core.errors import LentilpathError, NoLeader, PeerUnavailable
-from lentilpath_core.ids import HostId, WallTime, ZoneId
+from lentilpath_core.ids import CustomerId, HostId, ZoneId
 from lentilpath_core.language import (
     Cell,
-    ExplainLine,
     ExplainTask,
     ListRows,
     ShowHistory,
-    ShowUsage,
     Table,
     count_open_tasks,
     list_history,
@@ -24,21 +22,28 @@
 )
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.placement import explain_task
-from lentilpath_core.usage import find_usage_line, list_usage_lines
+from lentilpath_core.usage import UsageLine
 from lentilpath_core.zone.state import ZoneState
 from lentilpathd._authority import Leadership
 from lentilpathd._clock import read_instant
 from lentilpathd._context import DaemonContext
-from lentilpathd._operators._messages import ZoneQuery, ZoneReply, ZoneWake, ZoneWakeReply
-from lentilpathd._operators._tables import USAGE_COLUMNS, make_line_table, make_usage_row
+from lentilpathd._operators._accountant import Accountant
+from lentilpathd._operators._messages import (
+    OpenLinesQuery,
+    OpenLinesReply,
+    ZoneQuery,
+    ZoneReply,
+    ZoneWake,
+    ZoneWakeReply,
+)
 from lentilpathd._operators._zone import ZoneAccess
 
 QUERY_TOPIC = "operators.query"
 WAKE_TOPIC = "operators.wake"
+USAGE_TOPIC = "operators.usage"
 QUERY_SECONDS = 2.0
 ANSWER_POLL_SECONDS = 0.02
 MAX_WAIT_MS = 30_000
-MS_PER_DAY = 86_400_000
 COUNT_JOB_TASKS = "count_job_tasks"
 COUNT_WORKER_TASKS = "count_worker_tasks"
 EXPLAIN_COLUMNS = ("task", "state", "rule", "reason", "worker", "attempt", "zone")
@@ -51,7 +56,11 @@
     """Reaches the state of every zone through the host that leads it."""
 
     def __init__(
-        self, context: DaemonContext, leadership: Leadership, zone: ZoneAccess | None
+        self,
+        context: DaemonContext,
+        leadership: Leadership,
+        zone: ZoneAccess | None,
+        accountant: Accountant,
     ) -> None:
         self._context = context
         self._leadership = leadership
@@ -59,13 +68,13 @@
         self._answers: dict[str, Answer] = {
             "ListRows": _answer_list,
             "ShowHistory": _answer_history,
-            "ShowUsage": _answer_usage,
-            "ExplainLine": _answer_line,
             "ExplainTask": self._answer_explain,
             COUNT_JOB_TASKS: _answer_job_count,
             COUNT_WORKER_TASKS: _answer_worker_count,
         }
+        self._accountant = accountant
         context.bus.handle(QUERY_TOPIC, self._handle_query)
+        context.bus.handle(USAGE_TOPIC, self._handle_usage)
         context.bus.handle(WAKE_TOPIC, self._handle_wake)
 
     def list_zones(self) -> tuple[ZoneId, ...]:
@@ -113,8 +122,7 @@
         for host in self._list_candidates(zone):
             try:
                 if host == self._context.settings.host:
-                    handlers = {QUERY_TOPIC: self._answer_query, WAKE_TOPIC: self._answer_wake}
-                    return await handlers[topic](message)  # type: ignore[operator, no-any-return]
+                    return await self._answer_here(topic, message)  # type: ignore[return-value]
                 return await self._context.bus.ask(host, topic, message, answer, timeout)
             except (NoLeader, PeerUnavailable):
                 continue
@@ -134,6 +142,46 @@
         first = [leader] if leader is not None else []
         return tuple(dict.fromkeys([*first, *others]))
 
+    async def list_open_lines(
+        self, customer: CustomerId | None
+    ) -> tuple[list[UsageLine], tuple[ZoneId, ...]]:
+        """Return the usage lines that are not sealed yet, and the zones that gave no answer."""
+        zones = self.list_zones()
+        replies = await asyncio.gather(
+            *(
+                self._reach(
+                    zone, USAGE_TOPIC, OpenLinesQuery(zone, customer), OpenLinesReply, QUERY_SECONDS
+                )
+                for zone in zones
+            ),
+            return_exceptions=True,
+        )
+        lines: list[UsageLine] = []
+        silent: list[ZoneId] = []
+        for zone, reply in zip(zones, replies, strict=True):
+            if isinstance(reply, OpenLinesReply):
+                lines.extend(reply.lines)
+            elif isinstance(reply, LentilpathError):
+                silent.append(zone)
+            else:
+                raise reply
+        return lines, tuple(silent)
+
+    async def _answer_here(self, topic: str, message: object) -> object:
+        if isinstance(message, ZoneQuery):
+            return await self._answer_query(message)
+        if isinstance(message, OpenLinesQuery):
+            return await self._answer_usage(message)
+        assert isinstance(message, ZoneWake)
+        return await self._answer_wake(message)
+
+    async def _handle_usage(self, request: PeerRequest) -> OpenLinesReply:
+        return await self._answer_usage(msgspec.convert(request.body, OpenLinesQuery))
+
+    async def _answer_usage(self, query: OpenLinesQuery) -> OpenLinesReply:
+        self._get_state(query.zone)
+        return OpenLinesReply(await self._accountant.list_open_lines(query.customer))
+
     async def _handle_query(self, request: PeerRequest) -> ZoneReply:
         return await self._answer_query(msgspec.convert(request.body, ZoneQuery))
 
@@ -197,23 +245,6 @@
     return ZoneReply(list_history(state, command), command.job in state.jobs)
 
 
-def _answer_usage(state: ZoneState, body: Any) -> ZoneReply:
-    command = msgspec.convert(body, ShowUsage)
-    end = WallTime(command.day_start + MS_PER_DAY)
-    lines = list_usage_lines(state, command.customer, command.day_start, end)
-    known = any(job.spec.customer == command.customer for job in state.jobs.values())
-    rows = tuple(make_usage_row(line) for line in lines)
-    return ZoneReply(Table(USAGE_COLUMNS, rows), known)
-
-
-def _answer_line(state: ZoneState, body: Any) -> ZoneReply:
-    command = msgspec.convert(body, ExplainLine)
-    line = find_usage_line(state, command.line)
-    if line is None:
-        return ZoneReply(make_line_table(None, None), found=False)
-    return ZoneReply(make_line_table(line, state))
-
-
 def _answer_job_count(state: ZoneState, body: Any) -> ZoneReply:
     count = count_open_tasks(state, body)
     return ZoneReply(Table(("tasks",), ((count or 0,),)), found=count is not None)
--- /dev/null
+++ b/tests/cover/test_operators_usage.py
@@ -0,0 +1,123 @@
+# mypy: no-check-untyped-defs
+
+import pytest
+
+from lentilpath_core.audit import BrokenChain
+from lentilpath_core.states import AttemptOutcome
+from lentilpath_core.usage import LATENESS_MS, PERIOD_MS, get_period_start
+from lentilpath_core.zone.journal import AttemptEnded, AttemptStarting, JobAccepted
+from lentilpathd._clock import read_wall_time
+from lentilpathd._operators._accounts import SealedUsage
+from tests.common.operators import NOW, create_cell
+from tests.cover.test_operators import SUBMIT, in_loop
+from tests.cover.test_usage import SPEC
+
+START = get_period_start(NOW)
+OVER = PERIOD_MS + LATENESS_MS
+
+
+async def create_cell_with_job():
+    cell = await create_cell()
+    cell.hosts["za-0"].zone.journal(JobAccepted(SPEC, START, "za-0"))
+    return cell, cell.hosts["za-0"].zone, cell.hosts["za-0"].operators.accountant
+
+
+async def list_totals(cell, day="2026-12-01"):
+    _, answer = await cell.hosts["zb-0"].run(f"usage customer spoon on {day}")
+    table = answer["table"]
+    place = table["columns"].index("held_ms")
+    return sum(row[place] for row in table["rows"]), [row[0] for row in table["rows"]]
+
+
+@in_loop
+async def test_a_sealed_line_is_explained_with_its_seal():
+    cell, zone, accountant = await create_cell_with_job()
+    zone.run_attempt("j/0", 1, START + 10, START + 2_010)
+    await accountant.step(START + OVER)
+    total, (line,) = await list_totals(cell)
+    assert total == 2_000
+    _, answer = await cell.hosts["zb-0"].run(f"explain line {line}")
+    facts = {row[0]: row[1] for row in answer["table"]["rows"]}
+    assert facts["sealed in"] in next(key for key in cell.objects.objects if "manifest" in key)
+    assert facts["worker"] == "w-1"
+    assert facts["decision"] == "first fit"
+    assert facts["processor"] == "3000000 millicore ms"
+
+
+@in_loop
+async def test_an_open_line_is_listed_and_says_that_it_may_change():
+    cell = await create_cell()
+    await cell.hosts["za-0"].run(SUBMIT)
+    now = read_wall_time()
+    cell.hosts["za-0"].zone.run_attempt("nightly/0", 1, now - 500, now)
+    _, answer = await cell.hosts["zb-0"].run("usage customer spoon")
+    line = answer["table"]["rows"][-1][0]
+    _, answer = await cell.hosts["zb-0"].run(f"explain line {line}")
+    assert answer["table"]["rows"][-1][0] == "sealed"
+    status, answer = await cell.hosts["zb-0"].run("explain line za:2026-12-01T0000:x/0:1@w")
+    assert (status, answer["error"]) == (404, "unknown-name")
+
+
+@in_loop
+async def test_a_changed_sealed_object_is_detected():
+    cell, zone, accountant = await create_cell_with_job()
+    zone.run_attempt("j/0", 1, START + 10, START + 2_010)
+    zone.run_attempt("j/1", 1, START + PERIOD_MS, START + PERIOD_MS + 5)
+    await accountant.step(START + PERIOD_MS + OVER)
+    sealed = SealedUsage(cell.hosts["zb-0"].context)
+    assert await sealed.check_chain("za") == (2, "2 lines")
+    key = next(key for key in cell.objects.objects if "/lines-" in key)
+    whole = cell.objects.objects[key]
+    cell.objects.objects[key] = whole.replace(b'"held_ms":', b'"held_ms":1')
+    with pytest.raises(BrokenChain):
+        await sealed.check_chain("za")
+    status, answer = await cell.hosts["zb-0"].run("usage customer spoon on 2026-12-01")
+    assert (status, answer["error"]) == (500, "broken-chain")
+    del cell.objects.objects[key]
+    with pytest.raises(BrokenChain):
+        await sealed.check_chain("za")
+
+
+@in_loop
+async def test_a_change_of_leader_neither_loses_nor_doubles_a_line():
+    cell = await create_cell(hosts_per_zone=2)
+    old, new = cell.hosts["za-0"], cell.hosts["za-1"]
+    old.zone.journal(JobAccepted(SPEC, START, "za-0"))
+    old.zone.run_attempt("j/0", 1, START + 10, START + 110)
+    old.zone.journal(AttemptStarting("j/1", 1, "w-1", START + 50, "first fit"))
+    await old.operators.accountant.step(START + OVER)
+    new.zone.state = old.zone.state
+    new.zone.leading = True
+    new.zone.journal(
+        AttemptEnded("j/1", 1, "w-1", AttemptOutcome.SUCCEEDED, START + 60, START + 260)
+    )
+    await new.operators.accountant.step(START + PERIOD_MS + OVER)
+    # The old leader has not noticed yet and tries to seal the same period.
+    with pytest.raises(Exception, match="another host"):
+        await old.operators.accountant.step(START + PERIOD_MS + OVER)
+    await old.operators.accountant.step(START + PERIOD_MS + OVER)
+    total, lines = await list_totals(cell)
+    assert total == 300
+    assert len(set(lines)) == len(lines)
+
+
+@in_loop
+async def test_a_seal_whose_answer_was_lost_is_made_once():
+    cell, zone, accountant = await create_cell_with_job()
+    zone.run_attempt("j/0", 1, START + 10, START + 110)
+    cell.table.lose_answers = 1
+    with pytest.raises(Exception, match="lost"):
+        await accountant.step(START + OVER)
+    await accountant.step(START + OVER)
+    await accountant.step(START + PERIOD_MS + OVER)
+    assert (await list_totals(cell))[0] == 100
+    assert (await SealedUsage(cell.hosts["zb-0"].context).check_chain("za"))[0] == 1
+
+
+@in_loop
+async def test_batches_that_are_gone_are_counted_not_passed_over():
+    cell, zone, accountant = await create_cell_with_job()
+    zone.run_attempt("j/0", 1, START + 10, START + 110)
+    del cell.table.rows["journal/za/000000000002"]
+    await accountant.step(START + 1)
+    assert accountant._ledger.missing_batches == 1
