--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_controller.py
@@ -0,0 +1,200 @@
+"""One step of a zone's leader: an event and the time in, effects out."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+
+from lentilpath_core.ids import Epoch, Instant, JournalSequence, WallTime
+from lentilpath_core.settings import WorkerLeaseSettings
+from lentilpath_core.states import AttemptOutcome
+from lentilpath_core.zone._commands import take_inbox_entry
+from lentilpath_core.zone._control_messages import (
+    AuthorityBasis,
+    BatchApplied,
+    ConfirmWorker,
+    ControlEffect,
+    ControlEvent,
+    InboxRead,
+    JournalWrite,
+    RenewalSending,
+    SendStart,
+    StartAnswered,
+    TimePassed,
+    WorkersListed,
+    WorkerSynced,
+)
+from lentilpath_core.zone._control_state import ControllerState, get_lease_bound
+from lentilpath_core.zone._decisions import place_tasks, release_start
+from lentilpath_core.zone._readiness import offer_recovered_tasks, set_table_backing
+from lentilpath_core.zone._workers import (
+    confirm_worker,
+    end_attempt,
+    list_workers,
+    take_report,
+    watch_silence,
+)
+from lentilpath_core.zone.journal import JournalBatch
+from lentilpath_core.zone.reports import StartAnswer
+from lentilpath_core.zone.state import ZoneState
+
+
+def create_controller(
+    zone: ZoneState,
+    epoch: Epoch,
+    leases: WorkerLeaseSettings,
+    workers: WorkersListed,
+    now: Instant,
+) -> ControllerState:
+    """Return the controller of a leader whose authority began before `now`.
+
+    `zone` is the fold of the whole journal and belongs to the controller from here on.
+    """
+    zone.epoch = epoch
+    state = ControllerState(zone, epoch, leases, now, by_table=True)
+    list_workers(state, workers.workers, now)
+    watch_silence(state, now, WallTime(0))
+    offer_recovered_tasks(state, now)
+    return state
+
+
+def decide_zone(
+    state: ControllerState, event: ControlEvent, now: Instant, wall: WallTime
+) -> tuple[ControlEffect, ...]:
+    """Take `event` into `state` and return what has to be sent, in order.
+
+    `wall` goes into records only. Effects that need the table wait until `BatchApplied`.
+    """
+    effects = _decide(event, state, now, wall)
+    while state.gated and not (state.writing or state.pending or state.absorbed):
+        # Everything that these effects wait for is durable already.
+        state.writing_gated = state.gated
+        state.gated = []
+        effects.extend(_decide(BatchApplied(), state, now, wall))
+    return tuple(effects)
+
+
+def take_batch(state: ControllerState, writer: str) -> JournalWrite | None:
+    """Return the next transaction of the journal, or `None` if there is nothing to write.
+
+    Only one may be under way; `BatchApplied` ends it. `writer` names the transaction.
+    """
+    if state.writing or not (state.pending or state.absorbed):
+        return None
+    state.writing = True
+    state.writing_commands = state.absorbed
+    state.writing_gated = state.gated
+    events = tuple(state.pending)
+    state.pending = []
+    state.absorbed = {}
+    state.gated = []
+    sequence = JournalSequence(state.zone.sequence + 1)
+    state.zone.sequence = sequence
+    batch = JournalBatch(state.zone.zone, sequence, state.epoch, writer, events)
+    return JournalWrite(batch, tuple(state.writing_commands.values()))
+
+
+def is_command_durable(state: ControllerState, command: str) -> bool:
+    """Return whether the answer to `command` is in the journal for good."""
+    undurable = command in state.absorbed or command in state.writing_commands
+    return command in state.zone.answers and not undurable
+
+
+@singledispatch
+def _decide(
+    event: object, state: ControllerState, now: Instant, wall: WallTime
+) -> list[ControlEffect]:
+    raise TypeError(f"not a zone event: {event!r}")
+
+
+@_decide.register
+def _(
+    event: WorkersListed, state: ControllerState, now: Instant, wall: WallTime
+) -> list[ControlEffect]:
+    list_workers(state, event.workers, now)
+    return []
+
+
+@_decide.register
+def _(
+    event: InboxRead, state: ControllerState, now: Instant, wall: WallTime
+) -> list[ControlEffect]:
+    effects: list[ControlEffect] = []
+    for key, entry in event.entries:
+        effects.extend(take_inbox_entry(state, key, entry, now, wall))
+    effects.extend(place_tasks(state, now, wall))
+    return effects
+
+
+@_decide.register
+def _(
+    event: WorkerSynced, state: ControllerState, now: Instant, wall: WallTime
+) -> list[ControlEffect]:
+    effects = take_report(state, event, now, wall)
+    effects.extend(place_tasks(state, now, wall))
+    return effects
+
+
+@_decide.register
+def _(
+    event: RenewalSending, state: ControllerState, now: Instant, wall: WallTime
+) -> list[ControlEffect]:
+    view = state.workers.get(event.worker)
+    if view is not None:
+        bound = get_lease_bound(state, event.deadline)
+        view.lease_bound = max(view.lease_bound, bound)
+    return []
+
+
+@_decide.register
+def _(
+    event: StartAnswered, state: ControllerState, now: Instant, wall: WallTime
+) -> list[ControlEffect]:
+    view = state.workers.get(event.worker)
+    if view is None:
+        return []
+    key = (event.task, event.attempt)
+    if event.answer is StartAnswer.REFUSED:
+        view.unsettled.pop(key, None)
+        outcome = AttemptOutcome.NOT_STARTED
+        end_attempt(state, event.worker, event.task, event.attempt, outcome, now, wall)
+    elif key in view.unsettled:
+        view.unsettled[key] = now if event.answer is StartAnswer.STARTED else event.deadline
+        if event.answer is StartAnswer.UNCLEAR:
+            view.doubtful.add(key)
+    return place_tasks(state, now, wall)
+
+
+@_decide.register
+def _(
+    event: BatchApplied, state: ControllerState, now: Instant, wall: WallTime
+) -> list[ControlEffect]:
+    gated = state.writing_gated
+    state.writing = False
+    state.writing_commands = {}
+    state.writing_gated = []
+    effects: list[ControlEffect] = []
+    for effect in gated:
+        if isinstance(effect, ConfirmWorker):
+            confirm_worker(state, effect.worker, effect.boot, now)
+        elif isinstance(effect, SendStart):
+            effects.extend(release_start(state, effect, now, wall))
+        else:
+            effects.append(effect)
+    effects.extend(place_tasks(state, now, wall))
+    return effects
+
+
+@_decide.register
+def _(
+    event: AuthorityBasis, state: ControllerState, now: Instant, wall: WallTime
+) -> list[ControlEffect]:
+    set_table_backing(state, event.by_table, now)
+    return []
+
+
+@_decide.register
+def _(
+    event: TimePassed, state: ControllerState, now: Instant, wall: WallTime
+) -> list[ControlEffect]:
+    watch_silence(state, now, wall)
+    return place_tasks(state, now, wall)
--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/control.py
@@ -0,0 +1,60 @@
+"""The decisions of a zone's leader: recovery, inbox, workers and journal in one state machine.
+
+`create_controller` takes the fold of the journal; `decide_zone` takes one event at a time and
+returns effects; `take_batch` gives the next transaction to write. Nothing here does I/O.
+"""
+
+from lentilpath_core.zone._control_messages import (
+    AskForAllTasks,
+    AuthorityBasis,
+    BatchApplied,
+    ConfirmWorker,
+    ControlEffect,
+    ControlEvent,
+    ForgetAttempt,
+    InboxRead,
+    JournalWrite,
+    ListedWorker,
+    RenewalSending,
+    SendStart,
+    SendStop,
+    StartAnswered,
+    TimePassed,
+    WorkerPhase,
+    WorkersListed,
+    WorkerSynced,
+)
+from lentilpath_core.zone._control_state import ControllerState, WorkerView
+from lentilpath_core.zone._controller import (
+    create_controller,
+    decide_zone,
+    is_command_durable,
+    take_batch,
+)
+
+__all__ = [
+    "AskForAllTasks",
+    "AuthorityBasis",
+    "BatchApplied",
+    "ConfirmWorker",
+    "ControlEffect",
+    "ControlEvent",
+    "ControllerState",
+    "ForgetAttempt",
+    "InboxRead",
+    "JournalWrite",
+    "ListedWorker",
+    "RenewalSending",
+    "SendStart",
+    "SendStop",
+    "StartAnswered",
+    "TimePassed",
+    "WorkerPhase",
+    "WorkerSynced",
+    "WorkerView",
+    "WorkersListed",
+    "create_controller",
+    "decide_zone",
+    "is_command_durable",
+    "take_batch",
+]
--- a/packages/lentilpath-core/src/lentilpath_core/zone/journal.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/journal.py
@@ -22,7 +22,6 @@
 from lentilpath_core.states import AttemptOutcome
 from lentilpath_core.workloads import JobSpec
 
-MAX_EVENTS_PER_BATCH = 2_000
 SEQUENCE_DIGITS = 12
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/zone/state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/state.py
@@ -35,6 +35,8 @@
 MAX_ENDED_JOBS = 2_000
 """Ended jobs kept in memory; older ones are found in the history objects."""
 MAX_ANSWERED_COMMANDS = 10_000
+MAX_KEPT_ATTEMPTS = 16
+"""Attempts of one task kept in memory; a service that fails for weeks would fill it otherwise."""
 RERUN_OUTCOMES = frozenset({AttemptOutcome.LEASE_EXPIRED, AttemptOutcome.LOST})
 
 
@@ -62,6 +64,9 @@
     task: TaskId
     state: TaskState = TaskState.WAITING
     attempts: list[AttemptRecord] = field(default_factory=list)
+    """The latest attempts, oldest first."""
+    attempts_made: int = 0
+    """Number of the latest attempt."""
     failures: int = 0
 
     def find_attempt(self, attempt: int, worker: WorkerId) -> int | None:
@@ -116,6 +121,8 @@
     drained: dict[WorkerId, str] = field(default_factory=dict)
     """Workers that get nothing new, each with the operator who said so."""
     answers: dict[str, CommandAnswered] = field(default_factory=dict)
+    open_attempts: dict[WorkerId, dict[TaskId, int]] = field(default_factory=dict)
+    """For each worker the attempts placed on it whose end is not known."""
     ended_jobs: dict[JobId, None] = field(default_factory=dict)
     """Ids of the ended jobs that are still in `jobs`, oldest first."""
 
@@ -186,7 +193,8 @@
         return
     if any(attempt.attempt == event.attempt for attempt in task.attempts):
         return
-    task.attempts.append(AttemptRecord(event.attempt, event.worker, event.decided_at, event.reason))
+    attempt = AttemptRecord(event.attempt, event.worker, event.decided_at, event.reason)
+    _open_attempt(state, task, attempt)
     task.state = TaskState.STARTING
 
 
@@ -202,7 +210,7 @@
         known = AttemptRecord(
             event.attempt, event.worker, event.started_at, "started while the table was away"
         )
-        task.attempts.append(known)
+        _open_attempt(state, task, known)
         place = len(task.attempts) - 1
     attempt = task.attempts[place]
     if attempt.outcome is AttemptOutcome.LOST and event.outcome is not AttemptOutcome.LOST:
@@ -211,6 +219,7 @@
     if attempt.outcome is not None:
         return
     task.attempts[place] = _close_attempt(attempt, event)
+    _forget_open_attempt(state, event.worker, event.task, event.attempt)
     if task.state in ENDED_TASK_STATES:
         return
     if event.outcome is AttemptOutcome.FAILED:
@@ -274,6 +283,21 @@
     return TaskState.WAITING
 
 
+def _open_attempt(state: ZoneState, task: TaskRecord, attempt: AttemptRecord) -> None:
+    task.attempts.append(attempt)
+    task.attempts_made = max(task.attempts_made, attempt.attempt)
+    del task.attempts[:-MAX_KEPT_ATTEMPTS]
+    state.open_attempts.setdefault(attempt.worker, {})[task.task] = attempt.attempt
+
+
+def _forget_open_attempt(state: ZoneState, worker: WorkerId, task: TaskId, attempt: int) -> None:
+    on_worker = state.open_attempts.get(worker, {})
+    if on_worker.get(task) == attempt:
+        del on_worker[task]
+    if not on_worker:
+        state.open_attempts.pop(worker, None)
+
+
 def _close_attempt(attempt: AttemptRecord, event: AttemptEnded) -> AttemptRecord:
     return AttemptRecord(
         attempt.attempt,
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_daemon.py
@@ -0,0 +1,88 @@
+"""Builds the parts of an entry host, runs them under supervision and stops them in order."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import uuid
+
+from lentilpath_core.ids import Incarnation
+from lentilpath_core.settings import HostSettings
+from lentilpathd._adapters.platform import create_platform
+from lentilpathd._context import DaemonContext
+from lentilpathd._directory import Directory
+from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._leadership import create_leadership
+from lentilpathd._peers import PeerBus
+from lentilpathd._supervisor import Part, supervise_parts
+from lentilpathd._zone import create_zone_service
+
+INCARNATION_DIGITS = 8
+RELEASE_SECONDS = 2.0
+
+
+async def run_daemon(settings: HostSettings) -> bool:
+    """Run an entry host until SIGTERM or SIGINT; return whether it stopped as planned."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    daemon = Daemon(settings)
+    log_event(
+        Event.PROCESS_STARTED,
+        host=settings.host,
+        zone=settings.zone,
+        run=daemon.context.incarnation,
+    )
+    running = asyncio.create_task(daemon.run())
+    stopping = asyncio.create_task(stop.wait())
+    await asyncio.wait((running, stopping), return_when=asyncio.FIRST_COMPLETED)
+    planned = stop.is_set()
+    if planned:
+        await daemon.drain()
+    running.cancel()
+    stopping.cancel()
+    await asyncio.wait((running,))
+    if not running.cancelled() and running.exception() is not None:
+        log_warning_event(Event.PART_GIVEN_UP, error=repr(running.exception()))
+        planned = False
+    log_event(Event.PROCESS_STOPPED, host=settings.host, planned=planned)
+    return planned
+
+
+class Daemon:
+    """All parts of one entry host."""
+
+    def __init__(self, settings: HostSettings) -> None:
+        incarnation = Incarnation(f"{settings.host}.{uuid.uuid4().hex[:INCARNATION_DIGITS]}")
+        platform = create_platform(settings.platform)
+        self.bus = PeerBus(settings.host, incarnation, settings.zone)
+        self.directory = Directory(settings, self.bus, platform)
+        self.context = DaemonContext(
+            settings, incarnation, self.bus, platform, platform, self.directory
+        )
+        self.platform = platform
+        self.leadership = create_leadership(self.context)
+        self.zone = create_zone_service(self.context, self.leadership)
+
+    async def run(self) -> None:
+        """Run all parts until cancelled; raises `PartGivenUp` in an exception group."""
+        try:
+            await supervise_parts(
+                (
+                    Part("peers", lambda: self.bus.serve(self.context.settings.peers)),
+                    Part("directory", self.directory.run),
+                    Part("leadership", self.leadership.run),
+                    Part("zone", self.zone.run),
+                )
+            )
+        finally:
+            self.bus.close()
+            self.platform.close()
+
+    async def drain(self) -> None:
+        """Finish what was begun: callers' requests first, the zone last."""
+        log_event(Event.PROCESS_DRAINING, host=self.context.settings.host)
+        await self.zone.drain()
+        async with asyncio.timeout(RELEASE_SECONDS):
+            await self.leadership.release()
--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -29,6 +29,8 @@
     BATCH_REJECTED = (204, "a journal batch was not applied")
     WORKER_SILENT = (205, "a worker does not answer")
     WORKER_LOST = (206, "all leases on a silent worker have run out")
+    SNAPSHOT_FAILED = (208, "a snapshot of the zone could not be stored; the next one will be")
+    ZONE_RECOVERY_FAILED = (209, "the zone's state could not be rebuilt; it is tried again")
     COMMAND_REFUSED = (207, "a command in the inbox could not be carried out")
 
     @property
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_leading.py
@@ -0,0 +1,248 @@
+"""The work of one term: feeds the controller and carries out its effects."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import uuid
+from functools import singledispatchmethod
+
+import msgspec
+
+from lentilpath_core.errors import OutcomeUnknown, Unavailable
+from lentilpath_core.ids import WorkerId, get_job_of_task
+from lentilpath_core.zone.control import (
+    AskForAllTasks,
+    AuthorityBasis,
+    BatchApplied,
+    ControlEffect,
+    ControlEvent,
+    ControllerState,
+    ForgetAttempt,
+    InboxRead,
+    ListedWorker,
+    SendStart,
+    SendStop,
+    StartAnswered,
+    TimePassed,
+    WorkersListed,
+    create_controller,
+    decide_zone,
+    take_batch,
+)
+from lentilpath_core.zone.inbox import InboxEntry, decode_entry, get_inbox_prefix
+from lentilpath_core.zone.journal import JournalBatch
+from lentilpath_core.zone.reports import StartAnswer
+from lentilpath_core.zone.state import ZoneState
+from lentilpathd._adapters.worker import create_worker
+from lentilpathd._clock import read_instant, read_wall_time
+from lentilpathd._context import DaemonContext
+from lentilpathd._events import Event, log_warning_event
+from lentilpathd._ports import ListedHost
+from lentilpathd._zone._errors import TermEnded
+from lentilpathd._zone._snapshots import encode_snapshot, store_snapshot
+from lentilpathd._zone._term import Term
+from lentilpathd._zone._worker_link import WorkerLink
+from lentilpathd._zone._writer import write_batch
+
+TICK_SECONDS = 0.05
+GROUP_COMMIT_SECONDS = 0.02
+"""How long events gather before they are written together."""
+INBOX_EVERY_SECONDS = 1.0
+INBOX_ROWS = 200
+INBOX_TIMEOUT_SECONDS = 2.0
+BATCHES_PER_SNAPSHOT = 200
+SETTLE_SECONDS = 2.0
+
+
+class Leading:
+    """Leads the zone for one term."""
+
+    def __init__(self, context: DaemonContext, term: Term, zone: ZoneState) -> None:
+        self._context = context
+        self._term = term
+        self._links: dict[WorkerId, WorkerLink] = {}
+        self._link_tasks: dict[WorkerId, asyncio.Task[None]] = {}
+        self._link_hosts: dict[WorkerId, ListedHost] = {}
+        self._written = asyncio.Event()
+        self._applied = asyncio.Event()
+        self._inbox_wanted = asyncio.Event()
+        self._unarchived: list[JournalBatch] = []
+        self._listed: tuple[ListedHost, ...] = ()
+        self._draining = False
+        self.controller = self._create_controller(zone)
+
+    async def run(self) -> None:
+        """Lead until the term ends; raises `TermEnded` or `Deposed` in an exception group."""
+        async with asyncio.TaskGroup() as group:
+            self._group = group
+            self._open_links()
+            group.create_task(self._tick())
+            group.create_task(self._write_journal())
+            group.create_task(self._read_inbox())
+
+    def wake(self) -> None:
+        """Look at the inbox now."""
+        self._inbox_wanted.set()
+
+    async def settle(self) -> None:
+        """Stop deciding, wait for commands under way and write what is left of the journal."""
+        self._draining = True
+        async with asyncio.timeout(SETTLE_SECONDS):
+            await asyncio.gather(*(link.settle() for link in self._links.values()))
+            while self.controller.writing or self.controller.pending:
+                self._applied.clear()
+                await self._applied.wait()
+
+    def _create_controller(self, zone: ZoneState) -> ControllerState:
+        return create_controller(
+            zone,
+            self._term.epoch,
+            self._context.settings.worker_leases,
+            self._list_workers(),
+            read_instant(),
+        )
+
+    def _list_workers(self) -> WorkersListed:
+        hosts = self._context.directory.list_workers(self._context.settings.zone)
+        return WorkersListed(
+            tuple(
+                ListedWorker(host.get_worker(), host.rack, host.capacity, host.leaving)
+                for host in hosts
+            )
+        )
+
+    def _open_links(self) -> None:
+        for host in self._context.directory.list_workers(self._context.settings.zone):
+            worker = host.get_worker()
+            known = self._link_hosts.get(worker)
+            if known is not None and known.address == host.address:
+                continue
+            if known is not None:
+                self._link_tasks[worker].cancel()
+            link = WorkerLink(
+                worker,
+                create_worker(host.address),
+                self._term,
+                self._context.settings.worker_leases,
+                self._take_event,
+            )
+            self._links[worker] = link
+            self._link_hosts[worker] = host
+            self._link_tasks[worker] = self._group.create_task(link.run())
+
+    def _take_event(self, event: ControlEvent) -> None:
+        now = read_instant()
+        for effect in decide_zone(self.controller, event, now, read_wall_time()):
+            self._carry_out(effect)
+        if self.controller.pending:
+            self._written.set()
+
+    @singledispatchmethod
+    def _carry_out(self, effect: ControlEffect) -> None:
+        raise TypeError(f"not an effect: {effect!r}")
+
+    @_carry_out.register
+    def _(self, effect: SendStart) -> None:
+        job = self.controller.zone.jobs[get_job_of_task(effect.task)]
+        link = self._links.get(effect.worker)
+        if link is not None:
+            link.send_start(effect, job.spec)
+            return
+        now = read_instant()
+        refused = StartAnswer.REFUSED
+        self._take_event(StartAnswered(effect.worker, effect.task, effect.attempt, refused, now))
+
+    @_carry_out.register
+    def _(self, effect: SendStop) -> None:
+        link = self._links.get(effect.worker)
+        if link is not None:
+            link.send_stop(effect)
+
+    @_carry_out.register
+    def _(self, effect: ForgetAttempt) -> None:
+        link = self._links.get(effect.worker)
+        if link is not None:
+            link.forget(effect.task, effect.attempt)
+
+    @_carry_out.register
+    def _(self, effect: AskForAllTasks) -> None:
+        link = self._links.get(effect.worker)
+        if link is not None:
+            link.ask_for_all_tasks()
+
+    async def _tick(self) -> None:
+        while True:
+            if not self._term.is_current():
+                raise TermEnded(f"epoch {self._term.epoch} is over")
+            self._take_event(AuthorityBasis(self._term.is_backed_by_table()))
+            hosts = self._context.directory.list_workers(self._context.settings.zone)
+            if hosts != self._listed:
+                self._listed = hosts
+                self._take_event(self._list_workers())
+                self._open_links()
+            if self._term.get_command_deadline(read_instant()) is not None and not self._draining:
+                self._take_event(TimePassed())
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def _write_journal(self) -> None:
+        while True:
+            await self._written.wait()
+            self._written.clear()
+            await asyncio.sleep(GROUP_COMMIT_SECONDS)
+            write = take_batch(self.controller, uuid.uuid4().hex)
+            if write is None:
+                continue
+            snapshot = None
+            if write.batch.sequence % BATCHES_PER_SNAPSHOT == 0:
+                # The state is the fold through this very batch only until the next event.
+                snapshot = encode_snapshot(self.controller.zone)
+            await write_batch(self._context.table, self._term, write)
+            self._unarchived.append(write.batch)
+            self._take_event(BatchApplied())
+            self._applied.set()
+            if snapshot is not None:
+                await self._store_snapshot(write.batch, snapshot)
+            if self.controller.pending or self.controller.absorbed:
+                self._written.set()
+
+    async def _store_snapshot(self, batch: JournalBatch, snapshot: bytes) -> None:
+        try:
+            await store_snapshot(
+                self._context.table,
+                self._context.objects,
+                self._term,
+                batch.sequence,
+                snapshot,
+                self._unarchived,
+            )
+        except (Unavailable, OutcomeUnknown) as error:
+            log_warning_event(Event.SNAPSHOT_FAILED, zone=self._term.zone, error=str(error))
+            return
+        self._unarchived = []
+
+    async def _read_inbox(self) -> None:
+        while True:
+            with contextlib.suppress(Unavailable):
+                await self._absorb_inbox()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(INBOX_EVERY_SECONDS):
+                    await self._inbox_wanted.wait()
+            self._inbox_wanted.clear()
+
+    async def _absorb_inbox(self) -> None:
+        prefix = get_inbox_prefix(self._term.zone)
+        rows = await self._context.table.scan(prefix, "", INBOX_ROWS, INBOX_TIMEOUT_SECONDS)
+        entries: list[tuple[str, InboxEntry]] = []
+        for row in rows:
+            try:
+                entries.append((row.key, decode_entry(row.value)))
+            except msgspec.DecodeError as error:
+                log_warning_event(Event.COMMAND_REFUSED, key=row.key, error=str(error))
+        if not entries or self._draining:
+            return
+        entries.sort(key=lambda item: (item[1].accepted_at, item[0]))
+        self._take_event(InboxRead(tuple(entries)))
+        self._written.set()
+        if len(rows) == INBOX_ROWS:
+            self._inbox_wanted.set()
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_recovery.py
@@ -0,0 +1,84 @@
+"""Rebuilding a zone's state from its last snapshot and the journal after it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from lentilpath_core.errors import Unavailable
+from lentilpath_core.ids import Epoch, JournalSequence, RowVersion, ZoneId
+from lentilpath_core.zone.journal import decode_batch, get_batch_key, get_journal_prefix
+from lentilpath_core.zone.state import ZoneState, apply_batch, create_zone_state
+from lentilpathd._ports import ObjectStore, Table
+from lentilpathd._zone._errors import Deposed
+from lentilpathd._zone._term import get_epoch_key
+
+READ_TIMEOUT_SECONDS = 3.0
+SCAN_ROWS = 100
+
+_decoder = msgspec.msgpack.Decoder(ZoneState)
+
+
+class BrokenJournal(Unavailable):
+    """The journal or its snapshot cannot be read; the zone is not led until it can."""
+
+    code = "broken-journal"
+
+
+def get_snapshot_row_key(zone: ZoneId) -> str:
+    """Return the key of the row that names the zone's last snapshot."""
+    return f"snapshot/{zone}"
+
+
+def get_snapshot_object_key(zone: ZoneId, sequence: JournalSequence) -> str:
+    """Return the key of the snapshot object after batch `sequence`."""
+    return f"snapshots/{zone}/{sequence:012d}"
+
+
+async def read_epoch_version(table: Table, zone: ZoneId, epoch: Epoch) -> RowVersion:
+    """Return the version of the epoch row; raises `Deposed` if it names another epoch."""
+    row = (await table.read((get_epoch_key(zone),), READ_TIMEOUT_SECONDS))[0]
+    if row.value != str(epoch):
+        raise Deposed(f"zone {zone} is at epoch {row.value!r}, not {epoch}")
+    return row.version
+
+
+async def recover_zone_state(table: Table, objects: ObjectStore, zone: ZoneId) -> ZoneState:
+    """Return the fold of the whole journal of `zone`.
+
+    Call it only after `read_epoch_version`: from then on no other process can add to the journal.
+    Raises `Unavailable` if the platform is out of reach and `BrokenJournal` if a batch is missing
+    or cannot be read.
+    """
+    state = await _load_snapshot(table, objects, zone)
+    after = get_batch_key(zone, state.sequence)
+    while True:
+        rows = await table.scan(get_journal_prefix(zone), after, SCAN_ROWS, READ_TIMEOUT_SECONDS)
+        for row in rows:
+            _apply_row(state, row.key, row.value)
+            after = row.key
+        if len(rows) < SCAN_ROWS:
+            return state
+
+
+async def _load_snapshot(table: Table, objects: ObjectStore, zone: ZoneId) -> ZoneState:
+    row = (await table.read((get_snapshot_row_key(zone),), READ_TIMEOUT_SECONDS))[0]
+    if not row.value:
+        return create_zone_state(zone)
+    sequence = JournalSequence(int(row.value))
+    data = await objects.get_object(get_snapshot_object_key(zone, sequence), READ_TIMEOUT_SECONDS)
+    if data is None:
+        raise BrokenJournal(f"zone {zone}: snapshot {sequence} is named but not stored")
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError as error:
+        raise BrokenJournal(f"zone {zone}: snapshot {sequence} is unreadable: {error}") from error
+
+
+def _apply_row(state: ZoneState, key: str, value: str) -> None:
+    try:
+        batch = decode_batch(value)
+    except msgspec.DecodeError as error:
+        raise BrokenJournal(f"{key} is unreadable: {error}") from error
+    if batch.sequence != state.sequence + 1:
+        raise BrokenJournal(f"{key} follows batch {state.sequence}; one between is missing")
+    apply_batch(state, batch)
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_service.py
@@ -0,0 +1,108 @@
+"""Leads the zone whenever this process has the authority, term after term."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from lentilpath_core.errors import OutcomeUnknown, Unavailable
+from lentilpath_core.ids import Epoch
+from lentilpath_core.peers import PeerRequest
+from lentilpath_core.placement import PlacementState
+from lentilpath_core.zone.control import is_command_durable
+from lentilpath_core.zone.journal import CommandAnswered
+from lentilpath_core.zone.state import ZoneState
+from lentilpathd._authority import Leadership
+from lentilpathd._clock import read_instant
+from lentilpathd._context import DaemonContext
+from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._zone._errors import Deposed, TermEnded
+from lentilpathd._zone._leading import Leading
+from lentilpathd._zone._recovery import read_epoch_version, recover_zone_state
+from lentilpathd._zone._term import Term
+
+LOOK_SECONDS = 0.05
+RETRY_SECONDS = 0.3
+TOPIC_WAKE = "zone.wake"
+
+
+class ZoneService:
+    """The availability zone's leader, while this process has the authority."""
+
+    def __init__(self, context: DaemonContext, leadership: Leadership) -> None:
+        self._context = context
+        self._leadership = leadership
+        self._leading: Leading | None = None
+        self._stopped = False
+        context.bus.handle(TOPIC_WAKE, self._answer_wake)
+
+    def get_state(self) -> ZoneState | None:
+        """Return the zone's state if this process leads it and has rebuilt it, else `None`."""
+        return self._leading.controller.zone if self._leading is not None else None
+
+    def get_placement(self) -> PlacementState | None:
+        """Return the zone's placement if this process leads it, else `None`."""
+        return self._leading.controller.placement if self._leading is not None else None
+
+    def get_answer(self, command: str) -> CommandAnswered | None:
+        """Return the durable answer to a command, or `None` if there is none here yet."""
+        if self._leading is None or not is_command_durable(self._leading.controller, command):
+            return None
+        return self._leading.controller.zone.answers[command]
+
+    def wake(self) -> None:
+        """Look at the zone's inbox now instead of with the next regular look."""
+        if self._leading is not None:
+            self._leading.wake()
+
+    async def run(self) -> None:
+        """Lead whenever the authority is here, until cancelled."""
+        while True:
+            authority = self._leadership.get_authority()
+            if authority is not None and authority.until > read_instant() and not self._stopped:
+                await self._lead(authority.epoch)
+            await asyncio.sleep(LOOK_SECONDS)
+
+    async def drain(self) -> None:
+        """End the term: decide nothing more and make all decisions durable, within seconds."""
+        self._stopped = True
+        if self._leading is not None:
+            # What is not settled in time the next leader finds on the workers, as after any other
+            # end of a term.
+            with contextlib.suppress(TimeoutError):
+                await self._leading.settle()
+
+    async def _lead(self, epoch: Epoch) -> None:
+        zone = self._context.settings.zone
+        started = read_instant()
+        try:
+            version = await read_epoch_version(self._context.table, zone, epoch)
+            state = await recover_zone_state(self._context.table, self._context.objects, zone)
+        except (Unavailable, Deposed, OutcomeUnknown) as error:
+            log_warning_event(Event.ZONE_RECOVERY_FAILED, zone=zone, error=str(error))
+            await asyncio.sleep(RETRY_SECONDS)
+            return
+        term = Term(zone, epoch, version, self._leadership)
+        self._leading = Leading(self._context, term, state)
+        log_event(
+            Event.ZONE_RECOVERED,
+            zone=zone,
+            epoch=epoch,
+            jobs=len(state.jobs),
+            ms=read_instant() - started,
+        )
+        try:
+            await self._leading.run()
+        except* (TermEnded, Deposed) as ended:
+            reasons = [str(error) for error in ended.exceptions]
+            log_event(Event.ZONE_RELEASED, zone=zone, epoch=epoch, reasons=reasons)
+        finally:
+            self._leading = None
+
+    async def _answer_wake(self, request: PeerRequest) -> None:
+        self.wake()
+
+
+def create_zone_service(context: DaemonContext, leadership: Leadership) -> ZoneService:
+    """Return the part that leads the zone of `context` under the authority of `leadership`."""
+    return ZoneService(context, leadership)
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_snapshots.py
@@ -0,0 +1,93 @@
+"""Snapshots of a zone and the truncation of its journal.
+
+The batches that a snapshot replaces are kept as one archive object, from which the history of
+ended work and the customers' usage are told.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from lentilpath_core.ids import JournalSequence, WriteId, ZoneId
+from lentilpath_core.zone.journal import JournalBatch, get_batch_key, get_journal_prefix
+from lentilpath_core.zone.state import ZoneState
+from lentilpathd._ports import ObjectStore, Table, Transaction
+from lentilpathd._zone._recovery import get_snapshot_object_key, get_snapshot_row_key
+from lentilpathd._zone._term import Term, get_epoch_key
+
+TIMEOUT_SECONDS = 5.0
+DELETE_ROWS = 100
+
+_encoder = msgspec.msgpack.Encoder()
+_archive_decoder = msgspec.msgpack.Decoder(list[JournalBatch])
+
+
+def encode_snapshot(state: ZoneState) -> bytes:
+    """Return `state` as the bytes of a snapshot object."""
+    return _encoder.encode(state)
+
+
+def get_archive_prefix(zone: ZoneId) -> str:
+    """Return what the keys of the archived batches of `zone` begin with."""
+    return f"archive/{zone}/"
+
+
+def decode_archive(data: bytes) -> list[JournalBatch]:
+    """Return the batches of one archive object."""
+    return _archive_decoder.decode(data)
+
+
+async def store_snapshot(
+    table: Table,
+    objects: ObjectStore,
+    term: Term,
+    sequence: JournalSequence,
+    snapshot: bytes,
+    batches: list[JournalBatch],
+) -> None:
+    """Store a snapshot, archive the batches before it, point to it and drop their rows.
+
+    Raises `Unavailable` or `OutcomeUnknown`; every step may be repeated, and until the pointer
+    has moved the old snapshot and its journal are whole.
+    """
+    zone = term.zone
+    if batches:
+        first = batches[0].sequence
+        archive_key = f"{get_archive_prefix(zone)}{first:012d}-{sequence:012d}"
+        await objects.put_object(archive_key, _encoder.encode(batches), TIMEOUT_SECONDS)
+    await objects.put_object(get_snapshot_object_key(zone, sequence), snapshot, TIMEOUT_SECONDS)
+    old = (await table.read((get_snapshot_row_key(zone),), TIMEOUT_SECONDS))[0]
+    moved = await table.commit(
+        Transaction(
+            write_id=WriteId(f"snapshot-{zone}-{sequence}"),
+            checks=(
+                (get_epoch_key(zone), term.epoch_version),
+                (get_snapshot_row_key(zone), old.version),
+            ),
+            puts=((get_snapshot_row_key(zone), str(sequence)),),
+        ),
+        TIMEOUT_SECONDS,
+    )
+    if not moved.applied:
+        return
+    await _drop_rows(table, term, sequence)
+    if old.value and old.value != str(sequence):
+        old_key = get_snapshot_object_key(zone, JournalSequence(int(old.value)))
+        await objects.delete_object(old_key, TIMEOUT_SECONDS)
+
+
+async def _drop_rows(table: Table, term: Term, sequence: JournalSequence) -> None:
+    last = get_batch_key(term.zone, sequence)
+    while True:
+        rows = await table.scan(get_journal_prefix(term.zone), "", DELETE_ROWS, TIMEOUT_SECONDS)
+        keys = tuple(row.key for row in rows if row.key <= last)
+        if not keys:
+            return
+        await table.commit(
+            Transaction(
+                write_id=WriteId(f"truncate-{term.zone}-{sequence}"),
+                checks=((get_epoch_key(term.zone), term.epoch_version),),
+                deletes=keys,
+            ),
+            TIMEOUT_SECONDS,
+        )
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_worker_link.py
@@ -0,0 +1,190 @@
+"""The leader's connection to one worker: leases, reports and commands."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from lentilpath_core.errors import LentilpathError, OutcomeUnknown, WorkerUnavailable
+from lentilpath_core.ids import Instant, TaskId, WorkerId, WorkerTime
+from lentilpath_core.placement import StopMode
+from lentilpath_core.settings import WorkerLeaseSettings
+from lentilpath_core.workloads import JobSpec, WorkloadKind
+from lentilpath_core.zone.control import (
+    ControlEvent,
+    RenewalSending,
+    SendStart,
+    SendStop,
+    StartAnswered,
+    WorkerSynced,
+)
+from lentilpath_core.zone.reports import StartAnswer, WorkerReport
+from lentilpathd._clock import MS_PER_SECOND, read_instant
+from lentilpathd._ports import StartCommand, SyncCommand, Worker
+from lentilpathd._zone._term import Term
+
+ANSWER_SECONDS = 1.5
+"""How long a worker may take to answer beyond the time that it was allowed to hold the answer."""
+RETRY_SECONDS = 0.3
+FULL_REPORT_EVERY_MS = 10_000
+STOP_GRACE_MS = 5_000
+CLOCK_RATE_PERCENT = 98
+"""The slowest that a worker's clock may run against this process's."""
+
+Report = Callable[[ControlEvent], None]
+
+
+class WorkerLink:
+    """Keeps one worker's leases renewed and carries commands to it."""
+
+    def __init__(
+        self,
+        worker_id: WorkerId,
+        worker: Worker,
+        term: Term,
+        leases: WorkerLeaseSettings,
+        report: Report,
+    ) -> None:
+        self.worker_id = worker_id
+        self._worker = worker
+        self._term = term
+        self._leases = leases
+        self._report = report
+        self._sequence = 0
+        self._full_at = Instant(0)
+        self._clock: tuple[WorkerTime, Instant] | None = None
+        self._forget: set[tuple[TaskId, int]] = set()
+        self._commands: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Sync with the worker until cancelled."""
+        try:
+            while True:
+                try:
+                    await self._sync()
+                except LentilpathError:
+                    self._sequence = 0
+                    await asyncio.sleep(RETRY_SECONDS)
+        finally:
+            for command in tuple(self._commands):
+                command.cancel()
+            self._worker.close()
+
+    def forget(self, task: TaskId, attempt: int) -> None:
+        """Tell the worker with the next sync that it may forget an ended attempt."""
+        self._forget.add((task, attempt))
+
+    def ask_for_all_tasks(self) -> None:
+        """Ask for a complete report with the next sync."""
+        self._sequence = 0
+
+    def send_start(self, start: SendStart, spec: JobSpec) -> None:
+        """Send a start command; what comes of it is reported as `StartAnswered`."""
+        self._spawn(self._start(start, spec))
+
+    def send_stop(self, stop: SendStop) -> None:
+        """Send a stop; the worker's next report tells what came of it."""
+        self._spawn(self._stop(stop))
+
+    async def settle(self) -> None:
+        """Wait until the commands under way are answered."""
+        if self._commands:
+            await asyncio.wait(tuple(self._commands))
+
+    async def _sync(self) -> None:
+        now = read_instant()
+        deadline = self._term.get_command_deadline(now)
+        if deadline is None:
+            await asyncio.sleep(RETRY_SECONDS)
+            return
+        not_after = self._get_not_after(deadline)
+        if not_after is not None:
+            self._report(RenewalSending(self.worker_id, deadline))
+        if now >= self._full_at:
+            self._sequence = 0
+            self._full_at = Instant(now + FULL_REPORT_EVERY_MS)
+        forgetting = tuple(sorted(self._forget))
+        # A first sync is answered at once, since nothing is renewed before its clock is known.
+        wait_ms = self._leases.sync_wait_ms if not_after is not None else 0
+        command = SyncCommand(
+            since=self._sequence,
+            wait_ms=0 if self._sequence == 0 else wait_ms,
+            renew_ms=self._leases.lease_ms if not_after is not None else 0,
+            not_after=not_after or WorkerTime(0),
+            forget=forgetting,
+        )
+        asked_for_all = self._sequence == 0
+        timeout = wait_ms / MS_PER_SECOND + ANSWER_SECONDS
+        report = await self._worker.sync(command, timeout)
+        self._take_report(report, now, asked_for_all)
+        self._forget.difference_update(forgetting)
+
+    def _take_report(self, report: WorkerReport, sent_at: Instant, asked_for_all: bool) -> None:
+        self._clock = (report.clock, read_instant())
+        was_asked_again = not asked_for_all and self._sequence == 0
+        if not was_asked_again:
+            self._sequence = report.sequence
+        self._report(WorkerSynced(self.worker_id, sent_at, report))
+
+    def _get_not_after(self, deadline: Instant) -> WorkerTime | None:
+        # The worker read its clock before the report arrived here, so counting from the arrival
+        # can only make the bound earlier than `deadline`, never later.
+        if self._clock is None:
+            return None
+        clock, read_at = self._clock
+        return WorkerTime(clock + (deadline - read_at) * CLOCK_RATE_PERCENT // 100)
+
+    def _spawn(self, command: object) -> None:
+        assert asyncio.iscoroutine(command)
+        task = asyncio.get_running_loop().create_task(command)
+        self._commands.add(task)
+        task.add_done_callback(self._commands.discard)
+
+    async def _start(self, start: SendStart, spec: JobSpec) -> None:
+        now = read_instant()
+        deadline = self._term.get_command_deadline(now)
+        not_after = self._get_not_after(deadline) if deadline is not None else None
+        if deadline is None or not_after is None:
+            self._answer_start(start, StartAnswer.REFUSED, now)
+            return
+        self._report(RenewalSending(self.worker_id, deadline))
+        command = StartCommand(
+            task=start.task,
+            attempt=start.attempt,
+            resources=spec.resources,
+            run_ms=0 if spec.kind is WorkloadKind.SERVICE else spec.run_ms,
+            parameters=(("kind", spec.kind.value), *spec.parameters),
+            lease_ms=self._leases.lease_ms,
+            not_after=not_after,
+        )
+        try:
+            answer = await self._worker.start(command, ANSWER_SECONDS)
+        except WorkerUnavailable:
+            answer = StartAnswer.REFUSED
+        except OutcomeUnknown:
+            answer = StartAnswer.UNCLEAR
+        self._answer_start(start, answer, deadline)
+
+    def _answer_start(self, start: SendStart, answer: StartAnswer, deadline: Instant) -> None:
+        self._report(StartAnswered(self.worker_id, start.task, start.attempt, answer, deadline))
+
+    async def _stop(self, stop: SendStop) -> None:
+        deadline = self._term.get_command_deadline(read_instant())
+        not_after = self._get_not_after(deadline) if deadline is not None else None
+        if not_after is None:
+            return
+        try:
+            await self._send_stop(stop, not_after)
+        except LentilpathError:
+            # The next complete report shows that the attempt still runs, and it is stopped again.
+            self._sequence = 0
+
+    async def _send_stop(self, stop: SendStop, not_after: WorkerTime) -> None:
+        if stop.mode is StopMode.CHECKPOINT:
+            await self._worker.checkpoint(stop.task, stop.attempt, not_after, ANSWER_SECONDS)
+        elif stop.mode is StopMode.THROTTLE:
+            await self._worker.throttle(stop.task, stop.attempt, 0, not_after, ANSWER_SECONDS)
+        else:
+            await self._worker.stop(
+                stop.task, stop.attempt, STOP_GRACE_MS, not_after, ANSWER_SECONDS
+            )
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/main.py
@@ -0,0 +1,60 @@
+"""The command `lentilpathd`: run an entry host, or check its settings."""
+
+from __future__ import annotations
+
+import asyncio
+import logging as python_logging
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from absl import logging
+
+from lentilpath_core.errors import InvalidSettings
+from lentilpath_core.settings import HostSettings, parse_settings
+from lentilpathd._daemon import run_daemon
+
+EXIT_BAD_SETTINGS = 2
+EXIT_FAILED = 1
+
+app = typer.Typer(add_completion=False, no_args_is_help=True, help="The entry host daemon.")
+
+
+@app.command("run")
+def run_entry_host(settings: Annotated[Path, typer.Argument(help="Settings file.")]) -> None:
+    """Run an entry host until SIGTERM, then stop it without cutting off a request."""
+    checked = _load_settings(settings)
+    _set_up_log(checked.log_level)
+    if not asyncio.run(run_daemon(checked)):
+        raise typer.Exit(EXIT_FAILED)
+
+
+@app.command("check")
+def check_settings(settings: Annotated[Path, typer.Argument(help="Settings file.")]) -> None:
+    """Check a settings file and say what is wrong with it."""
+    checked = _load_settings(settings)
+    typer.echo(f"{settings}: settings of entry host {checked.host} in zone {checked.zone} are fine")
+
+
+def run() -> None:
+    """Run the command."""
+    app()
+
+
+def _load_settings(path: Path) -> HostSettings:
+    try:
+        return parse_settings(path.read_text(), str(path))
+    except OSError as error:
+        typer.echo(f"{path}: cannot be read: {error.strerror}", err=True)
+    except (UnicodeDecodeError, InvalidSettings) as error:
+        typer.echo(str(error), err=True)
+    raise typer.Exit(EXIT_BAD_SETTINGS)
+
+
+def _set_up_log(level: str) -> None:
+    handler = python_logging.StreamHandler(sys.stderr)
+    logging.get_absl_logger().propagate = False
+    logging.get_absl_logger().handlers = [handler]
+    handler.setFormatter(python_logging.Formatter("%(asctime)s %(levelname)s %(message)s"))
+    logging.set_verbosity(level)
--- /dev/null
+++ b/tests/cover/test_zone_control.py
@@ -0,0 +1,258 @@
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from lentilpath_core.ids import TaskId, WorkerId
+from lentilpath_core.states import TaskState
+from lentilpath_core.workloads import WorkloadKind
+from lentilpath_core.zone.control import TimePassed
+from lentilpath_core.zone.inbox import SubmitJob
+from tests.common.zone import FakeZone, make_spec, stop_job, submit_and_read
+
+WORKERS = [WorkerId(f"w{i}") for i in range(3)]
+
+
+def make_ready_zone() -> FakeZone:
+    zone = FakeZone()
+    zone.run_quietly(2)
+    return zone
+
+
+def test_runs_every_task_of_a_job_once():
+    zone = make_ready_zone()
+    submit_and_read(zone, make_spec("rebuild", tasks=20))
+    zone.run_quietly(12)
+    assert zone.list_open_tasks() == []
+    assert [zone.count_runs(TaskId(f"rebuild/{i}")) for i in range(20)] == [1] * 20
+
+
+def test_sends_no_start_of_a_nonidempotent_task_before_its_record_is_durable():
+    zone = make_ready_zone()
+    submit_and_read(zone, make_spec("notice"))
+    assert zone.commands == []
+    zone.begin_batch()
+    assert zone.commands == []
+    zone.finish_batch()
+    assert len(zone.commands) == 1
+
+
+def test_starts_idempotent_tasks_at_once():
+    zone = make_ready_zone()
+    submit_and_read(zone, make_spec("check", idempotent=True))
+    assert len(zone.commands) == 1
+
+
+def test_starts_only_idempotent_tasks_while_the_table_is_away():
+    zone = make_ready_zone()
+    zone.submit(SubmitJob(make_spec("notice")))
+    zone.submit(SubmitJob(make_spec("check", idempotent=True)))
+    zone.set_table_backing(False)
+    zone.read_inbox()
+    assert [command.spec.job for command in zone.commands] == ["check"]
+    zone.run_quietly(6)
+    assert zone.list_open_tasks() == []
+
+
+def test_holds_recovered_idempotent_tasks_until_every_worker_has_answered():
+    zone = make_ready_zone()
+    zone.submit(SubmitJob(make_spec("check", idempotent=True, run_ms=60_000)))
+    zone.read_inbox()
+    zone.begin_batch()
+    zone.finish_batch()
+    zone.set_table_backing(False)
+    zone.deliver_start(0, answer_lost=False)
+    zone.change_leader(batch_applied=False)
+    zone.begin_sync(WORKERS[1])
+    zone.answer_sync(WORKERS[1])
+    zone.finish_sync(WORKERS[1])
+    zone.take(TimePassed())
+    assert zone.commands == []
+
+
+def test_reports_a_lost_nonidempotent_task_as_of_unknown_outcome():
+    zone = make_ready_zone()
+    submit_and_read(zone, make_spec("notice", run_ms=60_000))
+    zone.run_quietly(3)
+    for worker in zone.workers.values():
+        worker.restart(zone.now)
+        worker.ask_all = True
+    zone.run_quietly(3)
+    record = zone.controller.zone.find_task(TaskId("notice/0"))
+    assert record is not None
+    assert record.state is TaskState.UNKNOWN
+    assert zone.count_runs(TaskId("notice/0")) == 1
+
+
+def test_starts_a_task_again_whose_start_never_arrived():
+    zone = make_ready_zone()
+    submit_and_read(zone, make_spec("notice"))
+    zone.begin_batch()
+    zone.finish_batch()
+    zone.lose_start(0)
+    zone.commands.clear()
+    zone.advance(1_100)
+    zone.run_quietly(6)
+    assert zone.list_open_tasks() == []
+    assert zone.count_runs(TaskId("notice/0")) == 1
+
+
+def test_does_not_take_a_report_older_than_the_start_for_a_missing_start():
+    zone = make_ready_zone()
+    for name in WORKERS:
+        zone.workers[name].ask_all = True
+        zone.begin_sync(name)
+        zone.answer_sync(name)
+    submit_and_read(zone, make_spec("notice"))
+    zone.begin_batch()
+    zone.finish_batch()
+    zone.deliver_start(0, answer_lost=False)
+    for name in WORKERS:
+        zone.finish_sync(name)
+    zone.run_quietly(6)
+    assert zone.count_runs(TaskId("notice/0")) == 1
+
+
+def test_answers_a_repeated_command_without_a_second_effect():
+    zone = make_ready_zone()
+    submit_and_read(zone, make_spec("rebuild"))
+    zone.read_inbox()
+    zone.run_quietly(4)
+    zone.inbox["c1"] = zone.inbox.get("c1") or _repeat(zone)
+    zone.run_quietly(4)
+    assert zone.count_runs(TaskId("rebuild/0")) == 1
+
+
+def _repeat(zone: FakeZone):
+    command = zone.submit(SubmitJob(make_spec("rebuild")))
+    return zone.inbox.pop(command)
+
+
+def test_a_stopped_job_starts_nothing_more():
+    zone = make_ready_zone()
+    submit_and_read(zone, make_spec("rebuild", tasks=40, run_ms=60_000))
+    zone.run_quietly(2)
+    stop_job(zone, "rebuild")
+    zone.run_quietly(4)
+    assert zone.list_open_tasks() == []
+    assert all(worker.get_used().millicores == 0 for worker in zone.workers.values())
+
+
+class LeadersAndWorkers(RuleBasedStateMachine):
+    """Any mix of faults: nothing doubled, nothing overcommitted, and in the end nothing lost."""
+
+    def __init__(self):
+        super().__init__()
+        self.zone = FakeZone()
+        self.jobs = 0
+        self.restarted = False
+
+    @rule(
+        tasks=st.integers(1, 6),
+        millicores=st.sampled_from([500, 1_000, 2_000, 4_000]),
+        gang=st.booleans(),
+        idempotent=st.booleans(),
+        run_ms=st.sampled_from([200, 2_000, 20_000]),
+    )
+    def submit(self, tasks, millicores, gang, idempotent, run_ms):
+        self.jobs += 1
+        kind = WorkloadKind.GANG if gang else WorkloadKind.BATCH
+        count = min(tasks, 3) if gang else tasks
+        spec = make_spec(f"j{self.jobs}", count, millicores, kind, idempotent, run_ms)
+        self.zone.submit(SubmitJob(spec))
+
+    @precondition(lambda self: self.jobs > 0)
+    @rule(data=st.data())
+    def stop(self, data):
+        stop_job(self.zone, f"j{data.draw(st.integers(1, self.jobs))}")
+
+    @rule(ms=st.sampled_from([50, 300, 1_200, 4_000, 11_000]))
+    def pass_time(self, ms):
+        self.zone.advance(ms)
+        self.zone.take(TimePassed())
+
+    @rule()
+    def read_inbox(self):
+        self.zone.read_inbox()
+
+    @rule()
+    def begin_batch(self):
+        self.zone.begin_batch()
+
+    @rule()
+    def finish_batch(self):
+        self.zone.finish_batch()
+
+    @precondition(lambda self: self.zone.commands)
+    @rule(data=st.data(), lost=st.booleans())
+    def deliver_start(self, data, lost):
+        index = data.draw(st.integers(0, len(self.zone.commands) - 1))
+        self.zone.deliver_start(index, lost)
+
+    @precondition(lambda self: self.zone.commands)
+    @rule(data=st.data())
+    def lose_start(self, data):
+        self.zone.lose_start(data.draw(st.integers(0, len(self.zone.commands) - 1)))
+
+    @rule(name=st.sampled_from(WORKERS))
+    def begin_sync(self, name):
+        self.zone.begin_sync(name)
+
+    @rule(name=st.sampled_from(WORKERS))
+    def answer_sync(self, name):
+        self.zone.answer_sync(name)
+
+    @rule(name=st.sampled_from(WORKERS))
+    def finish_sync(self, name):
+        self.zone.finish_sync(name)
+
+    @rule(name=st.sampled_from(WORKERS))
+    def sync_whole(self, name):
+        self.zone.begin_sync(name)
+        self.zone.answer_sync(name)
+        self.zone.finish_sync(name)
+
+    @rule()
+    def deliver_stops(self):
+        self.zone.deliver_stops()
+
+    @rule(name=st.sampled_from(WORKERS))
+    def restart_worker(self, name):
+        self.zone.workers[name].restart(self.zone.now)
+        self.zone.workers[name].ask_all = True
+
+    @rule(applied=st.booleans())
+    def change_leader(self, applied):
+        self.zone.change_leader(applied)
+
+    @rule(by_table=st.booleans())
+    def change_table(self, by_table):
+        self.zone.set_table_backing(by_table)
+
+    @rule()
+    def work_quietly(self):
+        self.zone.run_quietly(1)
+
+    @invariant()
+    def runs_nonidempotent_tasks_at_most_once(self):
+        for job in self.zone.controller.zone.jobs.values():
+            if job.spec.policy.idempotent:
+                continue
+            for task in job.tasks:
+                runs = [
+                    run
+                    for worker in self.zone.workers.values()
+                    for run in worker.history
+                    if run.task == task
+                ]
+                # A run that its worker provably cut short may be followed by another one.
+                unproven = [run for run in runs if run.state.value in ("running", "succeeded")]
+                assert len(unproven) <= 1, f"{task} ran {len(unproven)} times"
+
+    def teardown(self):
+        self.zone.run_quietly(rounds=400)
+        assert self.zone.inbox == {}
+        assert self.zone.list_open_tasks() == []
+
+
+LeadersAndWorkers.TestCase.settings = settings(max_examples=60, stateful_step_count=60)
+test_survives_any_mix_of_faults = LeadersAndWorkers.TestCase
