Decide who leads a zone: lease by table, take-over, promises, hand-over

Pure decisions (lentilpath_core.leadership) and their driver over the table and the peer bus. An unclear write is repeated unchanged and counts from its first sending, so at most one roster besides the one read back may have been written. A restarted member waits for its earlier process's longest promise instead of the newcomer's horizon, since it holds the address that the promise would have to come from; so a zone whose hosts all restart is led again after seconds while the horizon can be long enough (15 min) for a long outage of the table.

The margin now grows with the duration (1/200): 100 ms over a horizon of minutes allowed for less drift than clocks have.

Defaults: lease 2 s, renewal every 0.8 s, so that lease, margin and one read fit into 3 s. Also mends PeerBus.ask, whose clean-up raised pynng.Closed when two requests to a dead peer failed together and so ended the asking part: test_another_host_leads_after_a_kill failed by it.

--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/leadership/__init__.py
@@ -0,0 +1,89 @@
+"""Who decides for a zone: pure decisions of one process, driven by events.
+
+`decide` takes an event, the state and the present time and returns the new state and effects.
+docs/design/leadership.md gives the rules; `spec/` holds the model that was searched.
+"""
+
+from lentilpath_core.leadership._decisions import (
+    POLL_EVERY_MS,
+    decide,
+    is_released,
+    list_release_effects,
+)
+from lentilpath_core.leadership._messages import (
+    AnnounceRelease,
+    AnswerPromise,
+    AskPromises,
+    ClockAdvanced,
+    Effects,
+    HelloReceived,
+    LeadershipEffect,
+    LeadershipEvent,
+    ListenerBound,
+    PromiseAsked,
+    PromiseGiven,
+    ReadFailed,
+    ReadRows,
+    ReleaseNoticed,
+    ReleaseRequested,
+    WriteAnswered,
+    WriteOutcome,
+    WriteRows,
+    ZoneWasRead,
+)
+from lentilpath_core.leadership._rows import (
+    EpochRow,
+    Member,
+    ReadZone,
+    ZoneRow,
+    decode_zone_row,
+    encode_row,
+    get_epoch_key,
+    get_zone_key,
+)
+from lentilpath_core.leadership._state import (
+    Lead,
+    LeadershipState,
+    PendingWrite,
+    WriteKind,
+    create_state,
+)
+
+__all__ = [
+    "POLL_EVERY_MS",
+    "AnnounceRelease",
+    "AnswerPromise",
+    "AskPromises",
+    "ClockAdvanced",
+    "Effects",
+    "EpochRow",
+    "HelloReceived",
+    "Lead",
+    "LeadershipEffect",
+    "LeadershipEvent",
+    "LeadershipState",
+    "ListenerBound",
+    "Member",
+    "PendingWrite",
+    "PromiseAsked",
+    "PromiseGiven",
+    "ReadFailed",
+    "ReadRows",
+    "ReadZone",
+    "ReleaseNoticed",
+    "ReleaseRequested",
+    "WriteAnswered",
+    "WriteKind",
+    "WriteOutcome",
+    "WriteRows",
+    "ZoneRow",
+    "ZoneWasRead",
+    "create_state",
+    "decide",
+    "decode_zone_row",
+    "encode_row",
+    "get_epoch_key",
+    "get_zone_key",
+    "is_released",
+    "list_release_effects",
+]
--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/leadership/_rules.py
@@ -0,0 +1,131 @@
+"""The conditions on which the safety of the protocol rests, one function for each."""
+
+from __future__ import annotations
+
+from lentilpath_core.ids import Instant
+from lentilpath_core.leadership._messages import PromiseAsked
+from lentilpath_core.leadership._rows import Member, ZoneRow
+from lentilpath_core.leadership._state import Lead, LeadershipState, PendingWrite, WriteKind
+from lentilpath_core.settings import LeadershipSettings
+
+MEMBER_FRESH_MS = 5_000
+"""A process that has not spoken to the holder for this long leaves the roster."""
+
+DRIFT_PARTS = 200
+"""Over long times the margin is the duration divided by this: clocks differ in rate, not in a
+fixed amount. It covers two clocks that each run up to 0.5% too fast or too slow."""
+
+
+def get_margin_ms(duration_ms: int, settings: LeadershipSettings) -> int:
+    """Return how much a holder takes off, and a waiter adds to, a wait of `duration_ms`."""
+    return max(settings.drift_margin_ms, duration_ms // DRIFT_PARTS)
+
+
+def get_table_deadline(sent_at: Instant, settings: LeadershipSettings) -> Instant:
+    """Return when the authority of a write that was sent at `sent_at` ends."""
+    margin_ms = get_margin_ms(settings.lease_ms, settings)
+    return Instant(sent_at + settings.lease_ms - margin_ms)
+
+
+def get_promise_deadline(asked_at: Instant, lead: Lead, settings: LeadershipSettings) -> Instant:
+    """Return when the authority of promises asked for at `asked_at` ends.
+
+    However many rounds succeed, it ends before a newcomer may take over.
+    """
+    promise_ms = settings.promise_ms
+    horizon_ms = settings.newcomer_horizon_ms
+    by_promise = asked_at + promise_ms - get_margin_ms(promise_ms, settings)
+    by_horizon = lead.table_sent_at + horizon_ms - get_margin_ms(horizon_ms, settings)
+    return Instant(min(by_promise, by_horizon))
+
+
+def get_own_promise_end(now: Instant, duration_ms: int, settings: LeadershipSettings) -> Instant:
+    """Return until when a promise made `now` binds the one who makes it."""
+    return Instant(now + duration_ms + get_margin_ms(duration_ms, settings))
+
+
+def list_promisers(state: LeadershipState) -> frozenset[Member]:
+    """Return every other member of every roster that the holder may have written.
+
+    An unclear renewal may have applied, so its roster counts besides the one that was read back.
+    """
+    rosters: set[Member] = set()
+    if state.seen is not None and state.seen.row is not None:
+        rosters.update(state.seen.row.roster)
+    if state.pending is not None:
+        rosters.update(state.pending.write.row.roster)
+    return frozenset(rosters - {state.member})
+
+
+def find_promise_refusal(state: LeadershipState, event: PromiseAsked) -> str | None:
+    """Return why this process must not promise, or `None` if it may."""
+    if event.asked != state.member:
+        return f"{event.asked.incarnation} has ended; {state.member.incarnation} answers"
+    if is_take_over_open(state.pending):
+        return "a take-over of this process may still apply"
+    if state.lead is not None and state.lead.epoch >= event.epoch:
+        return f"this process leads epoch {state.lead.epoch}"
+    row = state.seen.row if state.seen is not None else None
+    if row is not None and row.epoch > event.epoch:
+        return f"epoch {row.epoch} has begun"
+    return None
+
+
+def is_take_over_open(pending: PendingWrite | None) -> bool:
+    """Return whether a take-over was sent whose outcome is not known for certain."""
+    return pending is not None and pending.kind is WriteKind.TAKE_OVER
+
+
+def may_take_over(state: LeadershipState, now: Instant) -> bool:
+    """Return whether no other process can hold authority, provided the row is still unchanged."""
+    if state.stopping or state.seen is None or state.pending is not None:
+        return False
+    row = state.seen.row
+    if row is None or row.released:
+        return True
+    if now < state.promised_until:
+        return False
+    watched_ms = now - state.seen_since
+    settings = state.settings
+    if watched_ms < get_watch_ms(settings):
+        return False
+    if state.member in row.roster:
+        return True
+    if is_successor_of_member(state, row):
+        return is_earlier_promise_over(state, now)
+    return watched_ms >= get_newcomer_wait_ms(settings)
+
+
+def get_watch_ms(settings: LeadershipSettings) -> int:
+    """Return how long a member has to see one unchanged version before it takes over."""
+    return settings.lease_ms + get_margin_ms(settings.lease_ms, settings)
+
+
+def get_newcomer_wait_ms(settings: LeadershipSettings) -> int:
+    """Return how long a host outside the roster has to see one unchanged version."""
+    horizon_ms = settings.newcomer_horizon_ms
+    return horizon_ms + get_margin_ms(horizon_ms, settings)
+
+
+def is_successor_of_member(state: LeadershipState, row: ZoneRow) -> bool:
+    """Return whether an earlier process of this host is in the roster.
+
+    Its address now belongs to this process, so it can promise nothing more, and without its
+    promise the holder cannot extend its authority.
+    """
+    return any(member.host == state.member.host for member in row.roster)
+
+
+def is_earlier_promise_over(state: LeadershipState, now: Instant) -> bool:
+    """Return whether every promise of this host's earlier process has run out."""
+    if state.listening_since is None:
+        return False
+    settings = state.settings
+    end = get_own_promise_end(state.listening_since, settings.promise_ms, settings)
+    return now >= end
+
+
+def list_roster(state: LeadershipState, now: Instant) -> tuple[Member, ...]:
+    """Return the roster for the next write: this process and all that spoke to it lately."""
+    fresh = {member for member, heard_at in state.heard if now - heard_at <= MEMBER_FRESH_MS}
+    return tuple(sorted(fresh | {state.member}))
--- a/packages/lentilpath-core/src/lentilpath_core/settings.py
+++ b/packages/lentilpath-core/src/lentilpath_core/settings.py
@@ -39,12 +39,12 @@
 class LeadershipSettings:
     """Times that bound the authority over a zone, in milliseconds."""
 
-    lease_ms: int = 3_000
+    lease_ms: int = 2_000
     """How long one renewal of the zone row grants authority."""
-    renew_every_ms: int = 1_000
-    drift_margin_ms: int = 150
-    """Taken off each authority to allow for clocks that run at unlike rates."""
-    newcomer_horizon_ms: int = 60_000
+    renew_every_ms: int = 800
+    drift_margin_ms: int = 100
+    """Least time taken off each authority to allow for clocks that run at unlike rates."""
+    newcomer_horizon_ms: int = 900_000
     """How long a host outside the roster waits, and the most an outage may extend authority."""
     promise_ms: int = 3_000
     """How long a promise not to take over lasts."""
--- a/packages/lentilpathd/src/lentilpathd/_authority.py
+++ b/packages/lentilpathd/src/lentilpathd/_authority.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from lentilpath_core.ids import Epoch, HostId, Instant, ZoneId
+from lentilpath_core.ids import Epoch, HostId, Instant, RowVersion, ZoneId
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,6 +16,8 @@
     until: Instant
     by_table: bool
     """False while the authority rests on peers' promises, because the table is out of reach."""
+    epoch_version: RowVersion = RowVersion(0)
+    """Version of `epoch/ZONE` that each journal write has to check."""
 
 
 class Leadership(Protocol):
--- a/packages/lentilpathd/src/lentilpathd/_peers.py
+++ b/packages/lentilpathd/src/lentilpathd/_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
@@ -43,6 +44,8 @@
         self._sockets: dict[HostId, pynng.Req0] = {}
         self.bytes_sent = 0
         self.bytes_received = 0
+        self.listening = False
+        """Whether this process holds its host's address, which one process can do at a time."""
 
     def set_peers(self, peers: tuple[PeerSettings, ...]) -> None:
         """Replace the list of peers that can be reached."""
@@ -84,7 +87,9 @@
             self._drop_socket(host)
             raise PeerUnavailable(f"{host} did not answer {topic}: {error!r}") from error
         finally:
-            context.close()
+            # The socket may be closed already, by this request or by another one to this peer.
+            with contextlib.suppress(pynng.Closed):
+                context.close()
         self.bytes_received += len(received)
         reply = msgspec.msgpack.decode(received, type=PeerReply)
         if reply.code != "ok":
@@ -97,6 +102,7 @@
         """Answer peers' requests on `address` until cancelled."""
         with pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES) as socket:
             socket.listen(f"tcp://{address.host}:{address.port}")
+            self.listening = True
             async with asyncio.TaskGroup() as group:
                 for _ in range(HANDLER_COUNT):
                     group.create_task(self._answer_requests(socket))
--- /dev/null
+++ b/tests/common/leadership_hosts.py
@@ -0,0 +1,163 @@
+"""Real leadership drivers of one zone on one loop: an in-memory table, real peer connections."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Any, cast
+
+from lentilpath_core.errors import OutcomeUnknown, TableUnavailable
+from lentilpath_core.ids import HostId, Incarnation, RegionId, RowVersion, ZoneId
+from lentilpath_core.leadership import ZoneRow, decode_zone_row, get_zone_key
+from lentilpath_core.settings import Address, HostSettings, LeadershipSettings, PeerSettings
+from lentilpathd._authority import Authority
+from lentilpathd._clock import read_instant
+from lentilpathd._context import DaemonContext
+from lentilpathd._directory import Directory
+from lentilpathd._leadership import create_leadership
+from lentilpathd._peers import PeerBus
+from lentilpathd._ports import CommitResult, HostList, ObjectStore, Row, Transaction
+
+ZONE = ZoneId("z")
+REGION = RegionId("r")
+POLL_SECONDS = 0.005
+WAIT_SECONDS = 15.0
+
+
+class FakeTable:
+    def __init__(self) -> None:
+        self.rows: dict[str, tuple[int, str]] = {}
+        self.up = True
+        self.lose_answers = False
+        self.commits = 0
+        self.reads = 0
+
+    async def commit(self, transaction: Transaction, timeout: float) -> CommitResult:
+        if not self.up:
+            raise TableUnavailable("down")
+        self.commits += 1
+        conflicts = [
+            self._get(key)
+            for key, version in transaction.checks
+            if self._get(key).version != version
+        ]
+        if not conflicts:
+            for key, value in transaction.puts:
+                self.rows[key] = (self._get(key).version + 1, value)
+        if self.lose_answers:
+            raise OutcomeUnknown("answer lost")
+        return CommitResult(not conflicts, tuple(conflicts))
+
+    async def read(self, keys: tuple[str, ...], timeout: float) -> tuple[Row, ...]:
+        if not self.up:
+            raise TableUnavailable("down")
+        self.reads += 1
+        return tuple(self._get(key) for key in keys)
+
+    async def scan(self, prefix: str, after: str, limit: int, timeout: float) -> tuple[Row, ...]:
+        raise NotImplementedError
+
+    def _get(self, key: str) -> Row:
+        version, value = self.rows.get(key, (0, ""))
+        return Row(key, RowVersion(version), value)
+
+
+class ZoneHost:
+    """One entry host with only its leadership part."""
+
+    def __init__(self, settings: HostSettings, incarnation: str, table: Any) -> None:
+        self.bus = PeerBus(settings.host, Incarnation(incarnation), settings.zone)
+        directory = Directory(settings, self.bus, cast(HostList, None))
+        context = DaemonContext(
+            settings,
+            Incarnation(incarnation),
+            self.bus,
+            table,
+            cast(ObjectStore, None),
+            directory,
+        )
+        self.settings = settings
+        self.table = table
+        self.leadership = create_leadership(context)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        serve = asyncio.create_task(self.bus.serve(self.settings.peers))
+        self._tasks = [serve, asyncio.create_task(self.leadership.run())]
+
+    async def kill(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.bus.close()
+
+    def decides(self) -> bool:
+        authority = self.get_authority()
+        return authority is not None and read_instant() < authority.until
+
+    def expect_authority(self) -> Authority:
+        authority = self.get_authority()
+        assert authority is not None
+        return authority
+
+    def read_row(self) -> ZoneRow | None:
+        value = self.table.rows.get(get_zone_key(self.settings.zone), (0, ""))[1]
+        return decode_zone_row(value)
+
+    def get_authority(self) -> Authority | None:
+        return self.leadership.get_authority()
+
+
+def create_zone(
+    count: int, first_port: int, table: Any, leadership: LeadershipSettings
+) -> list[ZoneHost]:
+    peers = tuple(
+        PeerSettings(HostId(f"h{i}"), REGION, ZONE, Address("127.0.0.1", first_port + i))
+        for i in range(count)
+    )
+    unused = Address("127.0.0.1", 1)
+    return [
+        ZoneHost(
+            HostSettings(
+                host=peer.host,
+                region=REGION,
+                zone=ZONE,
+                callers=unused,
+                operators=unused,
+                peers=peer.address,
+                platform=unused,
+                entry_hosts=tuple(other for other in peers if other != peer),
+                leadership=leadership,
+            ),
+            f"{peer.host}#1",
+            table,
+        )
+        for peer in peers
+    ]
+
+
+def restart_host(host: ZoneHost, table: Any) -> ZoneHost:
+    number = int(host.bus.incarnation.rpartition("#")[2]) + 1
+    return ZoneHost(host.settings, f"{host.settings.host}#{number}", table)
+
+
+@asynccontextmanager
+async def run_zone(hosts: list[ZoneHost]) -> AsyncIterator[list[ZoneHost]]:
+    for host in hosts:
+        host.start()
+    try:
+        yield hosts
+    finally:
+        for host in hosts:
+            await host.kill()
+
+
+async def wait_for(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(POLL_SECONDS)
+
+
+async def wait_for_leader(hosts: list[ZoneHost]) -> ZoneHost:
+    await wait_for(lambda: any(host.decides() for host in hosts))
+    (leader,) = [host for host in hosts if host.decides()]
+    return leader
--- /dev/null
+++ b/tests/nocover/test_leadership_hosts.py
@@ -0,0 +1,134 @@
+import asyncio
+
+from lentilpath_core.settings import LeadershipSettings
+from tests.common.leadership_hosts import (
+    ZONE,
+    FakeTable,
+    ZoneHost,
+    create_zone,
+    restart_host,
+    run_zone,
+    wait_for,
+    wait_for_leader,
+)
+
+SETTINGS = LeadershipSettings()
+FAST = LeadershipSettings(
+    lease_ms=1_000, renew_every_ms=200, newcomer_horizon_ms=3_000, promise_ms=1_000
+)
+
+
+def count_deciders(hosts: list[ZoneHost]) -> int:
+    return sum(host.decides() for host in hosts)
+
+
+def knows_all(host: ZoneHost, count: int) -> bool:
+    row = host.read_row()
+    return row is not None and len(row.roster) == count
+
+
+def test_one_host_leads_and_all_know_it():
+    async def scenario() -> None:
+        table = FakeTable()
+        async with run_zone(create_zone(3, 21_000, table, SETTINGS)) as hosts:
+            leader = await wait_for_leader(hosts)
+            name = leader.settings.host
+            await wait_for(lambda: all(h.leadership.get_leader(ZONE) == name for h in hosts))
+            await wait_for(lambda: knows_all(leader, 3))
+            assert count_deciders(hosts) == 1
+
+    asyncio.run(scenario())
+
+
+def test_another_host_leads_after_a_kill():
+    async def scenario() -> None:
+        table = FakeTable()
+        async with run_zone(create_zone(3, 21_010, table, FAST)) as hosts:
+            leader = await wait_for_leader(hosts)
+            await wait_for(lambda: knows_all(leader, 3))
+            epoch = leader.expect_authority().epoch
+            await leader.kill()
+            others = [host for host in hosts if host is not leader]
+            successor = await wait_for_leader(others)
+            assert successor.expect_authority().epoch == epoch + 1
+
+    asyncio.run(scenario())
+
+
+def test_planned_stop_hands_over_at_once():
+    async def scenario() -> None:
+        table = FakeTable()
+        # With this lease a take-over by watching would outlast the limit of `wait_for`.
+        slow = LeadershipSettings(lease_ms=100_000)
+        async with run_zone(create_zone(3, 21_020, table, slow)) as hosts:
+            leader = await wait_for_leader(hosts)
+            await wait_for(lambda: knows_all(leader, 3))
+            await leader.leadership.release()
+            assert leader.get_authority() is None
+            successor = await wait_for_leader([host for host in hosts if host is not leader])
+            assert successor is not leader
+
+    asyncio.run(scenario())
+
+
+def test_outage_leaves_the_leader_in_place():
+    async def scenario() -> None:
+        table = FakeTable()
+        async with run_zone(create_zone(3, 21_030, table, SETTINGS)) as hosts:
+            leader = await wait_for_leader(hosts)
+            await wait_for(lambda: knows_all(leader, 3))
+            table.up = False
+            await wait_for(lambda: leader.expect_authority().by_table is False)
+            await asyncio.sleep(3 * SETTINGS.lease_ms / 1_000)
+            assert [host.decides() for host in hosts] == [host is leader for host in hosts]
+            table.up = True
+            await wait_for(lambda: leader.expect_authority().by_table)
+
+    asyncio.run(scenario())
+
+
+def test_outage_with_a_missing_member_leaves_nobody_in_charge_until_the_table_is_back():
+    async def scenario() -> None:
+        table = FakeTable()
+        async with run_zone(create_zone(3, 21_040, table, FAST)) as hosts:
+            leader = await wait_for_leader(hosts)
+            await wait_for(lambda: knows_all(leader, 3))
+            table.up = False
+            missing = next(host for host in hosts if host is not leader)
+            await missing.kill()
+            await wait_for(lambda: count_deciders(hosts) == 0)
+            await asyncio.sleep(FAST.lease_ms / 1_000)
+            assert count_deciders(hosts) == 0
+            table.up = True
+            await wait_for(lambda: count_deciders(hosts) == 1)
+
+    asyncio.run(scenario())
+
+
+def test_restart_of_every_host_at_once_does_not_wait_for_the_horizon():
+    async def scenario() -> None:
+        table = FakeTable()
+        async with run_zone(create_zone(3, 21_050, table, SETTINGS)) as hosts:
+            leader = await wait_for_leader(hosts)
+            await wait_for(lambda: knows_all(leader, 3))
+            for host in hosts:
+                await host.kill()
+        async with run_zone([restart_host(host, table) for host in hosts]) as restarted:
+            successor = await wait_for_leader(restarted)
+            assert successor.expect_authority().epoch == 2
+
+    asyncio.run(scenario())
+
+
+def test_lost_answers_do_not_end_the_lead():
+    async def scenario() -> None:
+        table = FakeTable()
+        async with run_zone(create_zone(2, 21_060, table, SETTINGS)) as hosts:
+            leader = await wait_for_leader(hosts)
+            await wait_for(lambda: knows_all(leader, 2))
+            table.lose_answers = True
+            commits = table.commits
+            await wait_for(lambda: table.commits >= commits + 10)
+            assert leader.decides()
+
+    asyncio.run(scenario())
