--- a/packages/lentilpath-standins/src/lentilpath_standins/cell.py
+++ b/packages/lentilpath-standins/src/lentilpath_standins/cell.py
@@ -115,6 +115,21 @@
     return _give_each_its_platform_address(cell)
 
 
+def keep_zones(cell: Cell, count: int) -> Cell:
+    """Return `cell` with its first `count` zones only."""
+    zones = tuple(dict.fromkeys(host.zone for host in cell.entry_hosts))[:count]
+    return replace(
+        cell,
+        entry_hosts=tuple(
+            replace(host, entry_hosts=tuple(p for p in host.entry_hosts if p.zone in zones))
+            for host in cell.entry_hosts
+            if host.zone in zones
+        ),
+        workers=tuple(worker for worker in cell.workers if worker.zone in zones),
+        runners=tuple(runner for runner in cell.runners if runner.zone in zones),
+    )
+
+
 def reduce_cell(cell: Cell, entry_hosts: int, workers: int, runners: int) -> Cell:
     """Return `cell` with at most this many hosts of each kind in each zone."""
     kept_hosts = tuple(
--- a/packages/lentilpath-standins/src/lentilpath_standins/deployment.py
+++ b/packages/lentilpath-standins/src/lentilpath_standins/deployment.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Mapping
 from http.client import HTTPException
 from pathlib import Path
 from typing import Any
@@ -26,7 +27,9 @@
 class Deployment:
     """The processes of one cell. Ends only what it started itself, by its process id."""
 
-    def __init__(self, cell: Cell, directory: Path, lag_ms: int) -> None:
+    def __init__(
+        self, cell: Cell, directory: Path, lag_ms: int, seen_by: Mapping[str, Mapping[str, Address]]
+    ) -> None:
         self.cell = cell
         self.directory = directory
         self.exit_codes: dict[str, int] = {}
@@ -34,6 +37,7 @@
         self.killed_at: dict[str, list[int]] = {}
         """Wall time in ms at which a process of this name was killed."""
         self._lag_ms = lag_ms
+        self._seen_by = seen_by
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
 
     def start(self) -> None:
@@ -50,7 +54,8 @@
     def start_platform(self) -> None:
         """Start the platform and wait until it answers."""
         hosts_file = self.directory / "hosts.json"
-        hosts_file.write_text(json.dumps({"hosts": list_hosts(self.cell)}))
+        listed = {"hosts": list_hosts(self.cell), "seen_by": msgspec.to_builtins(self._seen_by)}
+        hosts_file.write_text(json.dumps(listed))
         caller_ports = [
             f"--caller-port={host.host}={host.platform.port}" for host in self.cell.entry_hosts
         ]
@@ -105,7 +110,7 @@
         """Start the daemon of one entry host."""
         settings_file = self.directory / f"{host.host}.json"
         settings_file.write_bytes(msgspec.json.encode(host))
-        command = [sys.executable, "-m", "lentilpathd", "--settings", str(settings_file)]
+        command = [sys.executable, "-m", "lentilpathd", "run", str(settings_file)]
         self._start_process(host.host, command)
 
     def wait_until_ready(self) -> None:
@@ -209,10 +214,20 @@
         return code
 
 
-def create_deployment(cell: Cell, directory: Path, *, lag_ms: int = 500) -> Deployment:
-    """Return a deployment of `cell` that keeps its files in `directory`; nothing runs yet."""
+def create_deployment(
+    cell: Cell,
+    directory: Path,
+    *,
+    lag_ms: int = 500,
+    seen_by: Mapping[str, Mapping[str, Address]] | None = None,
+) -> Deployment:
+    """Return a deployment of `cell` that keeps its files in `directory`; nothing runs yet.
+
+    `seen_by` gives other addresses of hosts than the cell's, by entry host and host: the platform
+    lists these to that entry host, so that a relay can stand in between.
+    """
     directory.mkdir(parents=True, exist_ok=True)
-    return Deployment(cell, directory, lag_ms)
+    return Deployment(cell, directory, lag_ms, seen_by or {})
 
 
 def list_hosts(cell: Cell) -> list[dict[str, Any]]:
--- a/packages/lentilpath-standins/src/lentilpath_standins/platform.py
+++ b/packages/lentilpath-standins/src/lentilpath_standins/platform.py
@@ -35,6 +35,8 @@
 
 LIMITS = HttpLimits(body_bytes=67_108_864)
 DEFAULT_LAG_MS = 1_000
+SeenAddresses = dict[str, dict[str, dict[str, Any]]]
+"""Host and port of a listed host as one caller sees them: by caller, then by host."""
 CHANGING_PATHS = frozenset({"/table/commit"})
 
 
@@ -51,11 +53,14 @@
 class PlatformStandin:
     """The state of the platform and its routes."""
 
-    def __init__(self, hosts: list[dict[str, Any]], lag_ms: int) -> None:
+    def __init__(
+        self, hosts: list[dict[str, Any]], lag_ms: int, seen_by: SeenAddresses | None = None
+    ) -> None:
         self.gate = FaultGate(PlatformFaults(), self._answer, CHANGING_PATHS)
         self._table = MemoryTable()
         self._objects: dict[str, bytes] = {}
         self._hosts = hosts
+        self._seen_by = seen_by or {}
         self._lag_ms = lag_ms
         self._counts: Counter[str] = Counter()
         self._late: set[asyncio.Task[None]] = set()
@@ -72,6 +77,8 @@
         response = await self.gate.pass_request(request)
         if caller in self.gate.faults.cut:
             await fall_silent()
+        if path == "/hosts" and caller is not None and caller in self._seen_by:
+            return respond(HTTP_OK, {"hosts": self._list_hosts_for(caller)})
         return response
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
@@ -137,6 +144,15 @@
             loop.call_later(self._lag_ms / MS_PER_SECOND, self._set_hosts, hosts)
         return respond(HTTP_OK, {"hosts": self._hosts})
 
+    def _list_hosts_for(self, caller: str) -> list[dict[str, Any]]:
+        seen = self._seen_by[caller]
+        listed = []
+        for host in self._hosts:
+            address = seen.get(host["name"])
+            other = {"address": address["host"], "port": address["port"]} if address else {}
+            listed.append(host | other)
+        return listed
+
     def _set_hosts(self, hosts: list[dict[str, Any]]) -> None:
         self._hosts = hosts
 
@@ -164,7 +180,8 @@
     lag_ms: Annotated[int, typer.Option(help="delay of changes of the host list")] = DEFAULT_LAG_MS,
 ) -> None:
     """Run the platform until SIGTERM."""
-    platform = PlatformStandin(json.loads(hosts.read_text())["hosts"], lag_ms)
+    listed = json.loads(hosts.read_text())
+    platform = PlatformStandin(listed["hosts"], lag_ms, listed.get("seen_by"))
     pairs = (pair.rpartition("=") for pair in caller_port or [])
     callers = {name: int(number) for name, _, number in pairs}
     run_until_terminated(lambda: start_platform(platform, address, port, callers))
