Place by priority, quota, reservation and evidence behind the same interface

Cause: first fit tries every waiting job on each pass, lets small work starve gangs, knows no quota, and retries failing work for ever. The engine keeps workers in an index of open room, waiting jobs in groups by team, urgency and shape (a shape without room is parked until room for it is freed), makes room by checkpoint or stop where policy allows, reserves room for gangs and deadlines with short work filling in, quarantines workers and holds back work on evidence, and refuses stale inputs.

--- a/packages/lentilpath-core/src/lentilpath_core/placement/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/__init__.py
@@ -6,18 +6,19 @@
 """
 
 from lentilpath_core.placement._engine import (
-    PlacementState,
     apply_event,
     create_placement,
     decide_placements,
-    explain_task,
 )
+from lentilpath_core.placement._explanations import explain_task
+from lentilpath_core.placement._feasibility import find_refusal
 from lentilpath_core.placement._messages import (
     AttemptFinished,
     Decision,
     Explanation,
     JobWithdrawn,
     PlacementEvent,
+    QuotaSet,
     RefuseJob,
     StartTask,
     StopMode,
@@ -29,6 +30,7 @@
     WorkerOffered,
     WorkerRemoved,
 )
+from lentilpath_core.placement._records import PlacementState
 
 __all__ = [
     "AttemptFinished",
@@ -37,6 +39,7 @@
     "JobWithdrawn",
     "PlacementEvent",
     "PlacementState",
+    "QuotaSet",
     "RefuseJob",
     "StartTask",
     "StopMode",
@@ -51,4 +54,5 @@
     "create_placement",
     "decide_placements",
     "explain_task",
+    "find_refusal",
 ]
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_messages.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_messages.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from lentilpath_core.ids import JobId, RackId, TaskId, WallTime, WorkerId
+from lentilpath_core.ids import JobId, RackId, TaskId, TeamId, WallTime, WorkerId
 from lentilpath_core.resources import Resources
 from lentilpath_core.states import AttemptOutcome, WorkerState
 from lentilpath_core.workloads import JobSpec
@@ -76,6 +76,14 @@
     used: Resources
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaSet:
+    """What a team is guaranteed in this zone. What it does not use, others may borrow."""
+
+    team: TeamId
+    guaranteed: Resources
+
+
 PlacementEvent = (
     WorkerOffered
     | WorkerRemoved
@@ -84,6 +92,7 @@
     | JobWithdrawn
     | AttemptFinished
     | UsageReported
+    | QuotaSet
 )
 
 
@@ -104,6 +113,8 @@
     worker: WorkerId
     reason: str
     """One short line that an operator and a bill can quote."""
+    room: Resources | None = None
+    """What the attempt holds: its declared size, or more if its workload was seen to use more."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +126,8 @@
     worker: WorkerId
     mode: StopMode
     reason: str
+    millicores: int = 0
+    """For `THROTTLE` only: what the attempt may use from now on."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,6 +153,7 @@
     HELD_BACK = "held_back"
     STALE_INPUT = "stale_input"
     UNKNOWN_PLACE = "unknown_place"
+    TOO_LARGE = "too_large"
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,3 +163,7 @@
     task: TaskId
     rule: WaitRule
     text: str
+    considered: int = 0
+    """Workers that were looked at as alternatives."""
+    waits_for: str = ""
+    """What has to happen before the task can start; empty if it is placed."""
--- a/packages/lentilpath-core/src/lentilpath_core/workloads.py
+++ b/packages/lentilpath-core/src/lentilpath_core/workloads.py
@@ -57,6 +57,8 @@
     """How often a failed task is started again."""
     checkpointable: bool = False
     """Whether a task may be checkpointed and stopped to make room for urgent work."""
+    stoppable: bool = False
+    """Whether a task may be stopped, and run again from its start, to make room for other work."""
     min_replicas: int = 0
     """A planned stop never leaves a service with fewer running tasks."""
     input_written_at_ms: int | None = None
@@ -107,6 +109,20 @@
         raise InvalidJob(f"job {spec.job}: accelerators is negative; give 0 or more")
     if spec.run_ms <= 0:
         raise InvalidJob(f"job {spec.job}: run_ms is {spec.run_ms}; give milliseconds above 0")
+    if not 0 <= spec.policy.min_replicas <= spec.tasks:
+        raise InvalidJob(
+            f"job {spec.job}: min_replicas is {spec.policy.min_replicas}; "
+            f"give 0 to the number of tasks, {spec.tasks}"
+        )
+    if spec.policy.deadline_ms is not None and spec.policy.deadline_ms <= 0:
+        raise InvalidJob(
+            f"job {spec.job}: deadline_ms is {spec.policy.deadline_ms}; give milliseconds above 0"
+        )
+    if spec.policy.input_max_age_ms is not None and spec.policy.input_written_at_ms is None:
+        raise InvalidJob(
+            f"job {spec.job}: input_max_age_ms is given without input_written_at_ms; "
+            "give the time at which the input was written"
+        )
     if spec.policy.retry_limit < 0:
         raise InvalidJob(f"job {spec.job}: retry_limit is negative; give 0 or more")
 
