--- a/benches/__init__.py
+++ b/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of lentilpath that are not shipped."""
--- a/benches/measure/first_fit.py
+++ b/benches/measure/first_fit.py
@@ -1,4 +1,4 @@
-"""The baseline. First fit: each waiting task goes to the first worker with room, in order of acceptance."""
+"""The baseline: each waiting task goes to the first worker with room, in order of acceptance."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/benches/measure/previous/_drains.py
@@ -0,0 +1,40 @@
+"""Moving work off draining workers, without a service falling below its minimum."""
+
+from __future__ import annotations
+
+from benches.measure.previous._preemption import can_spare_replica
+from benches.measure.previous._queues import find_needed
+from benches.measure.previous._records import HeldRoom, PlacementState
+from benches.measure.previous._rooms import find_worker, mark_stopping
+from lentilpath_core.placement._messages import Decision, StopMode, StopTask
+from lentilpath_core.workloads import WorkloadKind
+
+
+def move_from_draining(state: PlacementState, decisions: list[Decision], limit: int) -> None:
+    """Stop what can run elsewhere now; batch tasks that cannot be checkpointed run to their end."""
+    for name in state.draining:
+        worker = state.workers[name]
+        for held in tuple(worker.tasks.values()):
+            if len(decisions) >= limit:
+                return
+            if _may_move(state, held):
+                mark_stopping(state, held)
+                decisions.append(_make_stop(held))
+
+
+def _may_move(state: PlacementState, held: HeldRoom) -> bool:
+    if held.stopping:
+        return False
+    if held.job.spec.kind is WorkloadKind.SERVICE:
+        if not held.seen_running or not can_spare_replica(held):
+            return False
+    elif held.job.spec.kind is WorkloadKind.GANG or not held.job.spec.policy.checkpointable:
+        return False
+    return find_worker(state, held.job, find_needed(held.job), {held.worker}) is not None
+
+
+def _make_stop(held: HeldRoom) -> StopTask:
+    checkpoint = held.job.spec.policy.checkpointable
+    mode = StopMode.CHECKPOINT if checkpoint else StopMode.STOP
+    reason = f"moves off {held.worker}, which is draining"
+    return StopTask(held.task, held.attempt, held.worker, mode, reason)
--- a/packages/lentilpath-core/src/lentilpath_core/placement/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/__init__.py
@@ -31,6 +31,7 @@
     WorkerRemoved,
 )
 from lentilpath_core.placement._records import PlacementState
+from lentilpath_core.placement._summary import PlacementSummary, summarize_placement
 
 __all__ = [
     "AttemptFinished",
@@ -39,6 +40,7 @@
     "JobWithdrawn",
     "PlacementEvent",
     "PlacementState",
+    "PlacementSummary",
     "QuotaSet",
     "RefuseJob",
     "StartTask",
@@ -55,4 +57,5 @@
     "decide_placements",
     "explain_task",
     "find_refusal",
+    "summarize_placement",
 ]
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
@@ -37,6 +37,7 @@
 from lentilpath_core.placement._queues import (
     block_by_quota,
     block_shape,
+    clear_waiting,
     count_unreserved,
     enqueue_job,
     find_head,
@@ -46,6 +47,7 @@
     pop_group,
     requeue_group,
     take_number,
+    take_waiting,
 )
 from lentilpath_core.placement._records import (
     Group,
@@ -239,6 +241,7 @@
     job.refused = True
     job.rule = rule
     job.refusal = reason
+    clear_waiting(state, job)
     state.pending.append(RefuseJob(job.spec.job, reason))
 
 
@@ -348,7 +351,7 @@
     now: Instant,
     decisions: list[Decision],
 ) -> None:
-    attempt = job.waiting.pop(task)
+    attempt = take_waiting(state, job, task)
     held = make_held(job, task, attempt, worker.worker, now, reason)
     if worker.probe_due:
         start_worker_probe(state, worker, held)
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
@@ -26,11 +26,14 @@
     WorkerRemoved,
 )
 from lentilpath_core.placement._queues import (
+    add_waiting,
+    clear_waiting,
     enqueue_job,
     find_due_time,
     find_needed,
     find_team,
     take_number,
+    take_waiting,
     unblock_quotas,
     unblock_shapes,
 )
@@ -123,7 +126,7 @@
     if event.task in state.placed:
         return
     job = _find_job(state, event.spec)
-    job.waiting.pop(event.task, None)
+    take_waiting(state, job, event.task)
     job.delayed.pop(event.task, None)
     held = make_held(job, event.task, event.attempt, event.worker, now, "found running")
     hold_room(state, held)
@@ -135,8 +138,7 @@
     if job is None:
         return
     job.withdrawn = True
-    job.waiting.clear()
-    job.delayed.clear()
+    clear_waiting(state, job)
     drop_all_reservations(state, job)
     job.workload.held_jobs.pop(event.job, None)
     if job.workload.trial == event.job:
@@ -194,7 +196,7 @@
         job = state.jobs.get(get_job_of_task(task))
         if job is None or task not in job.delayed or job.delayed[task][0] > now:
             continue
-        job.waiting[task] = job.delayed.pop(task)[1]
+        add_waiting(state, job, task, job.delayed.pop(task)[1])
         enqueue_job(state, job)
 
 
@@ -209,7 +211,7 @@
     if attempts and not planned_stop and not urgent:
         start_at = max(start_at, book_retry(state, now))
     if start_at <= now:
-        job.waiting[task] = attempts + 1
+        add_waiting(state, job, task, attempts + 1)
         return
     job.delayed[task] = (start_at, attempts + 1)
     heapq.heappush(state.backoffs, (start_at, task))
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_evidence.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_evidence.py
@@ -12,7 +12,12 @@
 
 from lentilpath_core.ids import Instant
 from lentilpath_core.placement._messages import RefuseJob, WaitRule
-from lentilpath_core.placement._queues import enqueue_job, is_startable, unblock_shapes
+from lentilpath_core.placement._queues import (
+    clear_waiting,
+    enqueue_job,
+    is_startable,
+    unblock_shapes,
+)
 from lentilpath_core.placement._records import HeldRoom, Job, PlacementState, Worker, Workload
 from lentilpath_core.placement._rooms import reindex_worker
 from lentilpath_core.workloads import PriorityClass, WorkloadKind
@@ -228,6 +233,7 @@
             f"and in {MAX_HOLDS} later trials; mend the work and submit it again"
         )
         job.refusal = reason
+        clear_waiting(state, job)
         state.pending.append(RefuseJob(job.spec.job, reason))
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_queues.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_queues.py
@@ -9,7 +9,7 @@
 
 import heapq
 
-from lentilpath_core.ids import TeamId, WallTime
+from lentilpath_core.ids import TaskId, TeamId, WallTime
 from lentilpath_core.placement._records import (
     Group,
     Job,
@@ -79,6 +79,27 @@
     )
 
 
+def add_waiting(state: PlacementState, job: Job, task: TaskId, attempt: int) -> None:
+    """Let the task wait for room."""
+    job.waiting[task] = attempt
+    state.waiting += job.spec.resources
+
+
+def take_waiting(state: PlacementState, job: Job, task: TaskId) -> int:
+    """Let the task wait no longer; returns the number of its next attempt, 0 if it did not wait."""
+    attempt = job.waiting.pop(task, 0)
+    if attempt:
+        state.waiting -= job.spec.resources
+    return attempt
+
+
+def clear_waiting(state: PlacementState, job: Job) -> None:
+    """Let no task of the job wait any longer."""
+    state.waiting -= job.spec.resources.multiply(len(job.waiting))
+    job.waiting.clear()
+    job.delayed.clear()
+
+
 def enqueue_job(state: PlacementState, job: Job) -> None:
     """Put a job with waiting tasks into its group; one that stands in it already stays."""
     if not is_startable(job):
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
@@ -204,6 +204,8 @@
     draining: dict[WorkerId, None] = field(default_factory=dict)
     pending: list[Decision] = field(default_factory=list)
     """Decisions that events gave rise to."""
+    waiting: Resources = NO_RESOURCES
+    """What all waiting tasks declared together; those in backoff are not counted."""
     undated: dict[JobId, Job] = field(default_factory=dict)
     """Jobs with a bound on the age of their input that were tried without a wall time."""
     total: Resources = NO_RESOURCES
