Carry callers' requests through an entry host to a runner

Cause: the request path did not exist. The first whole piece: callers' edge, queue with limits, home shares of slots, runner connections, typed failures, and the runner stand-in.

Both transfer-encoding and content-length in one head are refused.

--- a/packages/lentilpath-http/src/lentilpath_http/__init__.py
+++ b/packages/lentilpath-http/src/lentilpath_http/__init__.py
@@ -1,6 +1,7 @@
 """Small asyncio HTTP/1.1 client and server over h11."""
 
 from lentilpath_http._client import HttpClient, create_client
+from lentilpath_http._connection import ClientConnection, open_connection
 from lentilpath_http._messages import (
     HttpError,
     HttpLimits,
@@ -15,6 +16,7 @@
 from lentilpath_http._server import HttpServer, serve_http
 
 __all__ = [
+    "ClientConnection",
     "HttpClient",
     "HttpError",
     "HttpLimits",
@@ -27,5 +29,6 @@
     "ResponseLost",
     "create_client",
     "json_response",
+    "open_connection",
     "serve_http",
 ]
--- a/packages/lentilpath-http/src/lentilpath_http/_messages.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_messages.py
@@ -39,6 +39,12 @@
     """How long a connection may stand without a request."""
     receive_seconds: float = 10.0
     """How long one request may take to arrive once its first byte is here."""
+    send_seconds: float = 10.0
+    """How long a caller may take to read one answer."""
+    connections: int = 4_096
+    """Connections that are open at once; further ones are closed unanswered."""
+    linger_seconds: float = 0.5
+    """How long a planned stop still takes requests on connections that stand idle."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lentilpath-http/src/lentilpath_http/_server.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_server.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from lentilpath_http._connection import STATUS_WITHOUT_BODY, set_keepalive
 from lentilpath_http._messages import (
     HttpLimits,
     HttpRequest,
@@ -51,10 +52,15 @@
         self._closing = True
         if self._server is not None:
             self._server.close()
+        # A request may be on its way on a connection that looks idle here. It is still answered,
+        # with word that the connection ends.
+        linger_seconds = min(self._limits.linger_seconds, grace_seconds) if self._idle else 0.0
+        await asyncio.sleep(linger_seconds)
         for task in tuple(self._idle):
             task.cancel()
+        remaining_seconds = max(0.0, grace_seconds - linger_seconds)
         if self._connections:
-            await asyncio.wait(tuple(self._connections), timeout=grace_seconds)
+            await asyncio.wait(tuple(self._connections), timeout=remaining_seconds)
         for task in tuple(self._connections):
             task.cancel()
 
@@ -63,10 +69,16 @@
     ) -> None:
         task = asyncio.current_task()
         assert task is not None
+        if len(self._connections) >= self._limits.connections:
+            writer.transport.abort()
+            return
         self._connections.add(task)
+        set_keepalive(writer.get_extra_info("socket"))
         try:
             await self._serve_requests(reader, writer, task)
-        except (OSError, asyncio.CancelledError, TimeoutError):
+        except TimeoutError:
+            writer.transport.abort()
+        except (OSError, asyncio.CancelledError):
             pass
         finally:
             self._connections.discard(task)
@@ -88,12 +100,49 @@
                 return
             if request is None:
                 return
-            response = await self._handler(request)
-            await self._send_response(writer, state, response)
+            response = await self._run_handler(request, reader, state)
+            if response is None:
+                return
+            await self._send_response(writer, state, request, response)
             if self._closing or state.our_state is not h11.DONE:
                 return
             state.start_next_cycle()
 
+    async def _run_handler(
+        self, request: HttpRequest, reader: asyncio.StreamReader, state: h11.Connection
+    ) -> HttpResponse | None:
+        """Return the handler's response, or `None` if the caller has gone meanwhile."""
+        work = asyncio.ensure_future(self._handler(request))
+        watch = asyncio.ensure_future(self._watch_for_end(reader, state))
+        try:
+            await asyncio.wait((work, watch), return_when=asyncio.FIRST_COMPLETED)
+            if not work.done():
+                return None
+            return work.result()
+        except Exception as error:
+            # The handler answers every failure it knows. Whether anything ran is not known here.
+            message = f"internal failure: {type(error).__name__}"
+            return json_response(
+                500, {"error": "internal", "message": message, "outcome": "unknown"}
+            )
+        finally:
+            watch.cancel()
+            if not work.done():
+                work.cancel()
+            await asyncio.gather(work, watch, return_exceptions=True)
+
+    async def _watch_for_end(self, reader: asyncio.StreamReader, state: h11.Connection) -> None:
+        # Bytes of a next request are kept for it; too many of them wait in the kernel.
+        pending_bytes = len(state.trailing_data[0])
+        while True:
+            if pending_bytes > self._limits.head_bytes:
+                await asyncio.Event().wait()
+            data = await reader.read(READ_CHUNK_BYTES)
+            if not data:
+                return
+            pending_bytes += len(data)
+            state.receive_data(data)
+
     async def _receive_request(
         self,
         reader: asyncio.StreamReader,
@@ -126,8 +175,7 @@
                 state.receive_data(data)
             elif isinstance(event, h11.Request):
                 head = event
-                if len(event.headers) > self._limits.header_count:
-                    raise MessageTooLarge(f"more than {self._limits.header_count} headers")
+                self._check_head(event)
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > self._limits.body_bytes:
@@ -145,19 +193,38 @@
             else:
                 return None
 
+    def _check_head(self, head: h11.Request) -> None:
+        if len(head.headers) > self._limits.header_count:
+            raise MessageTooLarge(f"more than {self._limits.header_count} headers")
+        names = [name for name, _ in head.headers]
+        # Two ways of saying where a body ends are how one request is smuggled inside another.
+        if b"transfer-encoding" in names and b"content-length" in names:
+            raise MalformedMessage("both transfer-encoding and content-length are given")
+        if names.count(b"host") > 1 or head.method == b"CONNECT":
+            raise MalformedMessage("more than one host, or a method that is not served")
+
     async def _send_response(
-        self, writer: asyncio.StreamWriter, state: h11.Connection, response: HttpResponse
+        self,
+        writer: asyncio.StreamWriter,
+        state: h11.Connection,
+        request: HttpRequest,
+        response: HttpResponse,
     ) -> None:
-        headers = list(response.headers)
-        headers.append(("content-length", str(len(response.body))))
+        headers = [
+            (key.encode("latin-1"), value.encode("latin-1")) for key, value in response.headers
+        ]
+        bodiless = request.method == "HEAD" or response.status in STATUS_WITHOUT_BODY
+        if not bodiless:
+            headers.append((b"content-length", str(len(response.body)).encode()))
         if self._closing:
-            headers.append(("connection", "close"))
+            headers.append((b"connection", b"close"))
         data = state.send(h11.Response(status_code=response.status, headers=headers)) or b""
-        if response.body:
+        if response.body and not bodiless:
             data += state.send(h11.Data(data=response.body)) or b""
         data += state.send(h11.EndOfMessage()) or b""
         writer.write(data)
-        await writer.drain()
+        async with asyncio.timeout(self._limits.send_seconds):
+            await writer.drain()
 
     async def _refuse(
         self, writer: asyncio.StreamWriter, state: h11.Connection, error: Exception
@@ -169,7 +236,9 @@
             code = "request-too-large"
         elif isinstance(error, h11.RemoteProtocolError):
             status = error.error_status_hint
-        response = json_response(status, {"error": code, "message": str(error)})
+        response = json_response(
+            status, {"error": code, "message": str(error), "outcome": "not-run"}
+        )
         with contextlib.suppress(h11.LocalProtocolError):
             headers = [*response.headers, ("content-length", str(len(response.body)))]
             headers.append(("connection", "close"))
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_adapters/upstream.py
@@ -0,0 +1,126 @@
+"""Runners of services over HTTP: one request at a time on each connection.
+
+A runner that refuses a request before it began says so by status 503 with the header
+`x-outcome: not-run`, and adds `x-leaving: 1` if it leaves. `OPTIONS *` takes no slot and proves
+that a connection is alive. A runner may echo `x-request-id`; another id than the one sent shows
+that the answer belongs to another request.
+"""
+
+from __future__ import annotations
+
+from lentilpath_core.errors import LentilpathError, OutcomeUnknown
+from lentilpath_core.ids import Instant
+from lentilpath_core.requests.messages import CallerRequest, ServiceAnswer
+from lentilpath_core.settings import Address
+from lentilpath_http import (
+    ClientConnection,
+    HttpError,
+    HttpRequest,
+    MalformedMessage,
+    MessageTooLarge,
+    RequestNotSent,
+    open_connection,
+)
+
+HTTP_UNAVAILABLE = 503
+MS_PER_SECOND = 1_000
+MAX_ANSWER_BYTES = 4_194_304
+PROBE = HttpRequest("OPTIONS", "*")
+
+
+class RunnerRefused(LentilpathError):
+    """The runner did not begin the request, or it was never sent."""
+
+    code = "runner-refused"
+
+    def __init__(self, message: str, *, reached: bool, leaving: bool = False) -> None:
+        super().__init__(message)
+        self.reached = reached
+        """Whether the runner itself refused."""
+        self.leaving = leaving
+
+
+class AnswerNotWhole(OutcomeUnknown):
+    """The runner's answer was cut, longer than declared, too large, or another request's."""
+
+    code = "answer-not-whole"
+
+
+class RunnerConnection:
+    """One connection to a runner."""
+
+    def __init__(self, connection: ClientConnection, now: Instant) -> None:
+        self._connection = connection
+        self.proved_at = now
+        """When the connection last carried a whole answer."""
+
+    @property
+    def bytes_carried(self) -> int:
+        """Bytes sent and received so far."""
+        return self._connection.bytes_sent + self._connection.bytes_received
+
+    def is_usable(self) -> bool:
+        """Return whether the connection can carry a request now."""
+        return self._connection.is_usable()
+
+    async def send(
+        self, request: CallerRequest, remaining_ms: int, timeout: float
+    ) -> ServiceAnswer:
+        """Send `request` and return its whole answer.
+
+        Raises `RunnerRefused` if it surely did not run, and `OutcomeUnknown` otherwise. `timeout`
+        is in seconds; `remaining_ms` is what the caller still has.
+        """
+        headers = (
+            *request.headers,
+            ("x-request-id", request.request),
+            ("x-customer", request.customer),
+            ("x-priority", request.priority.value),
+            ("x-deadline-ms", str(max(1, remaining_ms))),
+        )
+        message = HttpRequest(request.method, request.target, headers, request.body)
+        try:
+            response = await self._connection.exchange(message, timeout)
+        except RequestNotSent as error:
+            raise RunnerRefused(str(error), reached=False) from error
+        except (MalformedMessage, MessageTooLarge) as error:
+            raise AnswerNotWhole(str(error)) from error
+        except HttpError as error:
+            raise OutcomeUnknown(str(error)) from error
+        echoed = response.get_header("x-request-id")
+        if echoed is not None and echoed != request.request:
+            self.close()
+            raise AnswerNotWhole(f"{self._connection.name} answered request {echoed[:80]!r}")
+        not_run = response.get_header("x-outcome") == "not-run"
+        if response.status == HTTP_UNAVAILABLE and not_run:
+            leaving = response.get_header("x-leaving") is not None
+            raise RunnerRefused(
+                f"{self._connection.name} refused the request", reached=True, leaving=leaving
+            )
+        return ServiceAnswer(response.status, response.headers, response.body)
+
+    async def probe(self, timeout: float) -> bool:
+        """Return whether the connection still carries an answer."""
+        try:
+            await self._connection.exchange(PROBE, timeout)
+        except HttpError:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._connection.close()
+
+
+async def connect_runner(address: Address, timeout: float, now: Instant) -> RunnerConnection:
+    """Return a new connection; raises `RunnerRefused` if there is none in `timeout` seconds."""
+    try:
+        connection = await open_connection(
+            address.host,
+            address.port,
+            max_response_bytes=MAX_ANSWER_BYTES,
+            connect_seconds=timeout,
+        )
+    except RequestNotSent as error:
+        raise RunnerRefused(str(error), reached=False) from error
+    return RunnerConnection(connection, now)
--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -31,6 +31,20 @@
     WORKER_LOST = (206, "all leases on a silent worker have run out")
     COMMAND_REFUSED = (207, "a command in the inbox could not be carried out")
 
+    RUNNER_JOINED = (300, "a runner was listed")
+    RUNNER_LEAVING = (301, "a runner leaves and gets no new requests")
+    RUNNER_EJECTED = (302, "a runner failed too often and gets no requests for a while")
+    RUNNER_CONNECTION_DEAD = (303, "a connection to a runner went silent and is replaced")
+    REQUEST_OUTCOME_UNKNOWN = (304, "a request may have run and its answer is lost")
+    ANSWER_NOT_WHOLE = (305, "a runner's answer was cut, overlong or another request's")
+    KEYS_REFUSED = (306, "requests with idempotency keys are refused: the table is out of reach")
+    KEYS_TAKEN_AGAIN = (307, "requests with idempotency keys are taken again")
+    KEY_RECORD_FAILED = (308, "the record of an idempotency key could not be written")
+    DEFERRED_DELIVERED = (309, "a deferred request was delivered")
+    DEFERRED_UNKNOWN = (310, "a deferred request has an unknown outcome")
+    REQUESTS_DRAINING = (311, "callers' requests are finished before the stop")
+    REQUESTS_DRAINED = (312, "all callers' requests were finished")
+
     @property
     def number(self) -> int:
         """The event's number."""
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_metrics.py
@@ -0,0 +1,57 @@
+"""Counters and gauges for statsd; nothing is sent if the settings name no statsd address."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import statsd
+
+from lentilpath_core.settings import Address
+
+PREFIX = "lentilpath"
+
+
+class Metric(Enum):
+    """Every metric, explained in docs/operators/requests.md. Times are in ms."""
+
+    REQUEST_ANSWERED = "requests.answered"
+    REQUEST_REFUSED = "requests.refused"
+    REQUEST_UNKNOWN = "requests.unknown"
+    REQUEST_RETRIED = "requests.retried"
+    REQUEST_TIME = "requests.time"
+    QUEUE_WAIT_TIME = "requests.queue_wait"
+    RUNNER_REFUSED = "requests.runner_refused"
+    RUNNER_EJECTED = "requests.runner_ejected"
+    CONNECTION_OPENED = "requests.connection_opened"
+    CONNECTION_DEAD = "requests.connection_dead"
+    SLOTS_BORROWED = "requests.slots_borrowed"
+    REGION_BYTES = "requests.other_region_bytes"
+
+
+class Metrics:
+    """Sends metrics over UDP; a lost one is not sent again."""
+
+    def __init__(self, client: statsd.StatsClient | None) -> None:
+        self._client = client
+
+    def count(self, metric: Metric, amount: int = 1) -> None:
+        """Add `amount` to a counter."""
+        if self._client is not None:
+            self._client.incr(metric.value, amount)
+
+    def set_gauge(self, metric: Metric, value: float) -> None:
+        """Set a gauge."""
+        if self._client is not None:
+            self._client.gauge(metric.value, value)
+
+    def record_time(self, metric: Metric, ms: float) -> None:
+        """Add one time to a timer."""
+        if self._client is not None:
+            self._client.timing(metric.value, ms)
+
+
+def create_metrics(address: Address | None) -> Metrics:
+    """Return metrics that are sent to `address`, or nowhere."""
+    if address is None:
+        return Metrics(None)
+    return Metrics(statsd.StatsClient(address.host, address.port, prefix=PREFIX))
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_requests/part.py
@@ -0,0 +1,145 @@
+"""The supervised part that serves callers' requests."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+import uuid
+
+from lentilpath_core.ids import RequestId, ServiceId
+from lentilpath_core.requests.messages import (
+    CallerRequest,
+    FailureReason,
+    Outcome,
+    RequestFailed,
+    ServiceAnswer,
+)
+from lentilpath_core.requests.policy import RequestPolicy
+from lentilpath_core.settings import TlsSettings
+from lentilpath_http import HttpLimits, HttpRequest, HttpResponse, HttpServer, serve_http
+from lentilpathd._adapters.callers import read_request, write_answer, write_failure
+from lentilpathd._authority import Leadership
+from lentilpathd._clock import read_instant
+from lentilpathd._context import DaemonContext
+from lentilpathd._events import Event, log_event
+from lentilpathd._metrics import Metric, create_metrics
+from lentilpathd._requests.connections import ConnectionKeeper
+from lentilpathd._requests.roster import Roster
+from lentilpathd._requests.service import Service
+
+TICK_SECONDS = 0.1
+STOPPING_RETRY_MS = 1_000
+MS_PER_SECOND = 1_000
+
+
+class Requests:
+    """Serves callers on `settings.callers`."""
+
+    def __init__(
+        self, context: DaemonContext, leadership: Leadership, policy: RequestPolicy
+    ) -> None:
+        self._context = context
+        self._leadership = leadership
+        self._policy = policy
+        self._metrics = create_metrics(context.settings.statsd)
+        self._server: HttpServer | None = None
+        self._draining = False
+        self.roster = Roster(
+            context.settings, policy, context.directory, self._create_service, read_instant()
+        )
+        self._keeper = ConnectionKeeper(self.roster, policy, self._metrics)
+        context.directory.watch(self.roster.refresh)
+
+    async def run(self) -> None:
+        """Serve callers until cancelled."""
+        settings = self._context.settings
+        self.roster.refresh()
+        self._server = await serve_http(
+            self._answer_caller,
+            settings.callers.host,
+            settings.callers.port,
+            limits=HttpLimits(),
+            tls=_create_tls_context(settings.tls),
+        )
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._keeper.run())
+                group.create_task(self._tick())
+        finally:
+            await self._server.close(0.0)
+            for runner in self.roster.list_runners():
+                runner.close()
+
+    async def drain(self, grace_seconds: float) -> None:
+        """Finish all requests for at most `grace_seconds` and take no new connections."""
+        log_event(Event.REQUESTS_DRAINING)
+        self._draining = True
+        deadline = read_instant() + grace_seconds * MS_PER_SECOND
+        if self._server is not None:
+            await self._server.close(grace_seconds)
+        remaining_ms = max(0, deadline - read_instant())
+        for service in self.roster.services.values():
+            await service.wait_until_idle(remaining_ms / MS_PER_SECOND)
+        log_event(Event.REQUESTS_DRAINED, left=self._count_sendings())
+
+    def is_listening(self) -> bool:
+        """Return whether callers can connect."""
+        return self._server is not None
+
+    def get_port(self) -> int:
+        """Return the port that callers reach."""
+        assert self._server is not None
+        return self._server.get_port()
+
+    def _count_sendings(self) -> int:
+        return sum(service.count_sendings() for service in self.roster.services.values())
+
+    def _create_service(self, service: ServiceId) -> Service:
+        return Service(service, self._policy, self._metrics, lambda: None)
+
+    async def _tick(self) -> None:
+        # Slots also become free by the mere passing of time: ejections and slow starts end.
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            for service in self.roster.services.values():
+                service.pump()
+
+    async def _answer_caller(self, message: HttpRequest) -> HttpResponse:
+        request_id = RequestId(uuid.uuid4().hex)
+        started = read_instant()
+        try:
+            request = read_request(message, request_id, self._policy, started)
+            answer = await self._handle(request)
+        except RequestFailed as failure:
+            unknown = failure.reason.outcome is Outcome.UNKNOWN
+            self._metrics.count(Metric.REQUEST_UNKNOWN if unknown else Metric.REQUEST_REFUSED)
+            return write_failure(request_id, failure)
+        self._metrics.count(Metric.REQUEST_ANSWERED)
+        self._metrics.record_time(Metric.REQUEST_TIME, read_instant() - started)
+        return write_answer(request_id, answer)
+
+    async def _handle(self, request: CallerRequest) -> ServiceAnswer:
+        service = self.roster.services.get(request.service)
+        if service is None:
+            raise RequestFailed(
+                FailureReason.UNKNOWN_SERVICE,
+                f"no runner of a service {request.service!r} is listed",
+                STOPPING_RETRY_MS,
+            )
+        return await service.handle(request)
+
+
+def create_requests(
+    context: DaemonContext, leadership: Leadership, policy: RequestPolicy | None = None
+) -> Requests:
+    """Return the part that serves callers' requests."""
+    return Requests(context, leadership, policy or RequestPolicy())
+
+
+def _create_tls_context(settings: TlsSettings | None) -> ssl.SSLContext | None:
+    if settings is None:
+        return None
+    tls = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    tls.minimum_version = ssl.TLSVersion.TLSv1_2
+    tls.load_cert_chain(settings.certificate, settings.key)
+    return tls
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_requests/service.py
@@ -0,0 +1,294 @@
+"""The requests of one service on this host: waiting, sending, and sending again."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lentilpath_core.errors import OutcomeUnknown
+from lentilpath_core.ids import Instant, RequestId, ServiceId, UpstreamId
+from lentilpath_core.requests.admission import (
+    ServiceQueue,
+    admit_request,
+    enqueue_request,
+    estimate_wait,
+    peek_next_request,
+    record_run_time,
+    release_request,
+    take_next_request,
+    withdraw_request,
+)
+from lentilpath_core.requests.messages import (
+    CallerRequest,
+    FailureReason,
+    Outcome,
+    RequestFailed,
+    ServiceAnswer,
+)
+from lentilpath_core.requests.policy import RequestPolicy
+from lentilpath_core.requests.retries import create_retry_budget, earn_retry, take_retry
+from lentilpath_core.requests.routing import (
+    Candidate,
+    Distance,
+    RunnerHealth,
+    choose_runner,
+    is_in_pool,
+    may_leave_region,
+    record_failure,
+    record_success,
+)
+from lentilpathd._adapters.upstream import AnswerNotWhole, RunnerRefused
+from lentilpathd._clock import read_instant
+from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._metrics import Metric, Metrics
+from lentilpathd._requests.runner import Runner, SlotHold
+
+MS_PER_SECOND = 1_000
+NO_RUNNER_RETRY_MS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class _Attempt:
+    """How one sending ended: with an answer, or with what is known of the outcome."""
+
+    answer: ServiceAnswer | None
+    outcome: Outcome
+    message: str
+
+
+class Service:
+    """Sends the requests of one service to its runners."""
+
+    def __init__(
+        self,
+        service: ServiceId,
+        policy: RequestPolicy,
+        metrics: Metrics,
+        on_waiting: Callable[[], None],
+    ) -> None:
+        self.service = service
+        self.runners: dict[UpstreamId, Runner] = {}
+        self.queue = ServiceQueue()
+        self._policy = policy
+        self._metrics = metrics
+        self._on_waiting = on_waiting
+        self._budget = create_retry_budget(policy)
+        self._waiters: dict[RequestId, asyncio.Future[SlotHold]] = {}
+        self._sendings: set[asyncio.Task[_Attempt]] = set()
+
+    async def handle(self, request: CallerRequest) -> ServiceAnswer:
+        """Return the whole answer to `request`; raises `RequestFailed`.
+
+        Cancellation withdraws a request that waits. One that was sent is left to end by itself,
+        since the runner goes on with it.
+        """
+        admit_request(self.queue, request, self._policy, read_instant())
+        earn_retry(self._budget, self._policy)
+        try:
+            return await self._send_until_answered(request)
+        finally:
+            release_request(self.queue, request)
+
+    def count_slots(self, now: Instant) -> int:
+        """Return the slots of usable runners that this host may use."""
+        return sum(
+            runner.count_slots(now)
+            for runner in self.runners.values()
+            if is_in_pool(runner.health, now)
+        )
+
+    def count_sendings(self) -> int:
+        """Return the requests that runners may be working on."""
+        return len(self._sendings)
+
+    async def wait_until_idle(self, timeout: float) -> None:
+        """Wait until no runner works on a request any more, for at most `timeout` seconds."""
+        if self._sendings:
+            await asyncio.wait(tuple(self._sendings), timeout=timeout)
+
+    def estimate_next_wait(self, now: Instant) -> float:
+        """Return how many ms the last of the waiting requests will still wait."""
+        return estimate_wait(self.queue, self.queue.count_waiting(), self.count_slots(now))
+
+    def pump(self) -> None:
+        """Give free slots to waiting requests."""
+        now = read_instant()
+        while (request := peek_next_request(self.queue)) is not None:
+            runner = self._choose_runner(request, now)
+            if runner is None:
+                return
+            take_next_request(self.queue)
+            self._waiters.pop(request.request).set_result(runner.take_slot(now))
+
+    async def _send_until_answered(self, request: CallerRequest) -> ServiceAnswer:
+        while True:
+            hold = await self._acquire_slot(request)
+            attempt = await self._send_attempt(hold, request)
+            if attempt.answer is not None:
+                return attempt.answer
+            if read_instant() >= request.deadline or not take_retry(
+                self._budget, request, attempt.outcome
+            ):
+                raise self._describe_failure(request, attempt)
+            self._metrics.count(Metric.REQUEST_RETRIED)
+
+    def _describe_failure(self, request: CallerRequest, attempt: _Attempt) -> RequestFailed:
+        if attempt.outcome is Outcome.UNKNOWN:
+            log_event(Event.REQUEST_OUTCOME_UNKNOWN, request=request.request, error=attempt.message)
+            return RequestFailed(FailureReason.OUTCOME_UNKNOWN, attempt.message)
+        return RequestFailed(FailureReason.NO_RUNNER, attempt.message, NO_RUNNER_RETRY_MS)
+
+    async def _acquire_slot(self, request: CallerRequest) -> SlotHold:
+        now = read_instant()
+        if now >= request.deadline:
+            raise RequestFailed(FailureReason.DEADLINE_PASSED, "its deadline passed before it ran")
+        if not any(not runner.health.leaving for runner in self.runners.values()):
+            raise RequestFailed(
+                FailureReason.NO_RUNNER, f"{self.service} has no runner", NO_RUNNER_RETRY_MS
+            )
+        displaced = enqueue_request(self.queue, request, self.count_slots(now), self._policy, now)
+        for waiting in displaced:
+            self._waiters.pop(waiting.request).set_exception(
+                RequestFailed(
+                    FailureReason.OVERLOADED,
+                    "urgent requests took its place",
+                    max(1, int(self.queue.run_ms)),
+                )
+            )
+        waiter: asyncio.Future[SlotHold] = asyncio.get_running_loop().create_future()
+        self._waiters[request.request] = waiter
+        self.pump()
+        if not waiter.done():
+            self._on_waiting()
+        return await self._await_slot(request, waiter)
+
+    async def _await_slot(
+        self, request: CallerRequest, waiter: asyncio.Future[SlotHold]
+    ) -> SlotHold:
+        queued_at = read_instant()
+        wait_ms = min(self._policy.queue_wait_ms, request.deadline - queued_at)
+        try:
+            async with asyncio.timeout(wait_ms / MS_PER_SECOND):
+                hold = await asyncio.shield(waiter)
+        except BaseException as error:
+            self._stop_waiting(request, waiter)
+            if not isinstance(error, TimeoutError):
+                raise
+            if read_instant() >= request.deadline:
+                raise RequestFailed(
+                    FailureReason.DEADLINE_PASSED, "its deadline passed while it waited"
+                ) from error
+            raise RequestFailed(
+                FailureReason.OVERLOADED,
+                f"no runner of {self.service} was free for {wait_ms} ms",
+                max(1, int(self.estimate_next_wait(read_instant()))),
+            ) from error
+        self._metrics.record_time(Metric.QUEUE_WAIT_TIME, read_instant() - queued_at)
+        return hold
+
+    def _stop_waiting(self, request: CallerRequest, waiter: asyncio.Future[SlotHold]) -> None:
+        if withdraw_request(self.queue, request):
+            del self._waiters[request.request]
+        elif waiter.done() and not waiter.cancelled() and waiter.exception() is None:
+            hold = waiter.result()
+            hold.runner.return_slot(hold)
+            self.pump()
+
+    async def _send_attempt(self, hold: SlotHold, request: CallerRequest) -> _Attempt:
+        # The sending outlives its caller: the slot is in use until the runner is done with it.
+        sending = asyncio.create_task(self._send(hold, request))
+        self._sendings.add(sending)
+        sending.add_done_callback(self._sendings.discard)
+        remaining_ms = max(0, request.deadline - read_instant())
+        try:
+            async with asyncio.timeout(remaining_ms / MS_PER_SECOND):
+                return await asyncio.shield(sending)
+        except TimeoutError:
+            record_failure(self._list_health(), hold.runner.health, self._policy, read_instant())
+            return _Attempt(None, Outcome.UNKNOWN, "no answer came before its deadline")
+
+    async def _send(self, hold: SlotHold, request: CallerRequest) -> _Attempt:
+        runner = hold.runner
+        try:
+            connection = await runner.take_connection()
+        except RunnerRefused as error:
+            self._note_failure(runner)
+            self._finish(hold)
+            return _Attempt(None, Outcome.NOT_RUN, str(error))
+        except BaseException:
+            self._finish(hold)
+            raise
+        started = read_instant()
+        carried = connection.bytes_carried
+        whole = False
+        try:
+            if started >= request.deadline:
+                whole = True
+                return _Attempt(None, Outcome.NOT_RUN, "its deadline passed before it was sent")
+            answer = await connection.send(
+                request, request.deadline - started, self._policy.max_run_ms / MS_PER_SECOND
+            )
+            whole = True
+            run_ms = read_instant() - started
+            record_success(runner.health, run_ms)
+            record_run_time(self.queue, run_ms)
+            return _Attempt(answer, Outcome.UNKNOWN, "")
+        except RunnerRefused as error:
+            whole = error.reached
+            self._note_refusal(runner, error)
+            return _Attempt(None, Outcome.NOT_RUN, str(error))
+        except OutcomeUnknown as error:
+            if isinstance(error, AnswerNotWhole):
+                log_warning_event(
+                    Event.ANSWER_NOT_WHOLE, runner=runner.listed.name, error=str(error)
+                )
+            self._note_failure(runner)
+            return _Attempt(None, Outcome.UNKNOWN, str(error))
+        finally:
+            if runner.health.distance is Distance.OTHER_REGION:
+                self._metrics.count(Metric.REGION_BYTES, connection.bytes_carried - carried)
+            if whole:
+                runner.return_connection(connection, read_instant())
+            else:
+                runner.drop_connection(connection, lingers=True)
+            self._finish(hold)
+
+    def _finish(self, hold: SlotHold) -> None:
+        hold.runner.return_slot(hold)
+        self.pump()
+
+    def _note_refusal(self, runner: Runner, refusal: RunnerRefused) -> None:
+        self._metrics.count(Metric.RUNNER_REFUSED)
+        if refusal.leaving and not runner.health.leaving:
+            runner.health.leaving = True
+            log_event(Event.RUNNER_LEAVING, runner=runner.listed.name)
+        self._note_failure(runner)
+
+    def _note_failure(self, runner: Runner) -> None:
+        now = read_instant()
+        if record_failure(self._list_health(), runner.health, self._policy, now):
+            self._metrics.count(Metric.RUNNER_EJECTED)
+            log_warning_event(
+                Event.RUNNER_EJECTED,
+                runner=runner.listed.name,
+                until_ms=runner.health.ejected_until - now,
+            )
+
+    def _list_health(self) -> tuple[RunnerHealth, ...]:
+        return tuple(runner.health for runner in self.runners.values())
+
+    def _choose_runner(self, request: CallerRequest, now: Instant) -> Runner | None:
+        free = [runner for runner in self.runners.values() if runner.has_free_slot(now)]
+        if not free:
+            return None
+        waited_ms = now - self.queue.queued_at.get(request.request, now)
+        expected_ms = waited_ms + self.estimate_next_wait(now)
+        far_allowed = may_leave_region(self._policy, request.count_bytes(), expected_ms)
+        candidates = tuple(
+            Candidate(runner.health, runner.count_in_use(), runner.count_slots(now))
+            for runner in free
+            if far_allowed or runner.health.distance is not Distance.OTHER_REGION
+        )
+        chosen = choose_runner(candidates)
+        return None if chosen is None else self.runners[chosen.health.runner]
--- /dev/null
+++ b/tests/common/requests.py
@@ -0,0 +1,254 @@
+"""A small cell for tests of the request path: runners, a list of hosts, a table and entry hosts."""
+
+import asyncio
+import json
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field, replace
+
+from lentilpath_core.errors import OutcomeUnknown, TableUnavailable
+from lentilpath_core.ids import (
+    Epoch,
+    HostId,
+    Incarnation,
+    Instant,
+    RackId,
+    RegionId,
+    RowVersion,
+    ServiceId,
+    ZoneId,
+)
+from lentilpath_core.requests.policy import RequestPolicy
+from lentilpath_core.settings import Address, HostSettings, PeerSettings
+from lentilpath_http import HttpRequest, create_client
+from lentilpath_standins.runner import RunnerState, start_runner
+from lentilpathd._authority import Authority
+from lentilpathd._context import DaemonContext
+from lentilpathd._peers import PeerBus
+from lentilpathd._ports import CommitResult, HostKind, ListedHost, Row
+from lentilpathd._requests import create_requests
+
+SERVICE = ServiceId("boxplanner")
+LOOPBACK = "127.0.0.1"
+TEST_POLICY = RequestPolicy(restart_quarantine_ms=0)
+
+
+class MemoryTable:
+    """The platform's table in memory, with its faults as attributes."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.down = False
+        self.lose_answers = 0
+        self.commits = 0
+
+    async def commit(self, transaction, timeout):
+        await asyncio.sleep(0)
+        if self.down:
+            raise TableUnavailable("the table is down")
+        self.commits += 1
+        absent = Row("", RowVersion(0), "")
+        conflicts = [
+            replace(self.rows.get(key, absent), key=key)
+            for key, version in transaction.checks
+            if self.rows.get(key, absent).version != version
+        ]
+        if conflicts:
+            return CommitResult(False, tuple(conflicts))
+        for key, value in transaction.puts:
+            self.version += 1
+            self.rows[key] = Row(key, RowVersion(self.version), value)
+        for key in transaction.deletes:
+            self.rows.pop(key, None)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise OutcomeUnknown("the answer was lost")
+        return CommitResult(True)
+
+    async def read(self, keys, timeout):
+        await asyncio.sleep(0)
+        if self.down:
+            raise TableUnavailable("the table is down")
+        return tuple(self.rows.get(key, Row(key, RowVersion(0), "")) for key in keys)
+
+    async def scan(self, prefix, after, limit, timeout):
+        await asyncio.sleep(0)
+        if self.down:
+            raise TableUnavailable("the table is down")
+        keys = sorted(key for key in self.rows if key.startswith(prefix) and key > after)
+        return tuple(self.rows[key] for key in keys[:limit])
+
+
+class FixedDirectory:
+    """A list of hosts that changes only when a test says so."""
+
+    def __init__(self, settings):
+        self._settings = settings
+        self.hosts = ()
+        self.watchers = []
+
+    def watch(self, callback):
+        self.watchers.append(callback)
+
+    def list_hosts(self):
+        return self.hosts
+
+    def list_entry_hosts(self, zone=None):
+        return tuple(p for p in self._settings.entry_hosts if zone is None or p.zone == zone)
+
+    def change(self, hosts):
+        self.hosts = tuple(hosts)
+        for callback in self.watchers:
+            callback()
+
+
+class FixedLeadership:
+    """Says that its host leads, or that nobody does."""
+
+    def __init__(self, leads=True):
+        self.leads = leads
+
+    def get_authority(self):
+        return Authority(Epoch(1), Instant(2**60), True) if self.leads else None
+
+    def get_leader(self, zone):
+        return None
+
+
+@dataclass
+class Cell:
+    """Runners and entry hosts in one loop."""
+
+    runners: dict[str, RunnerState] = field(default_factory=dict)
+    listed: dict[str, ListedHost] = field(default_factory=dict)
+    servers: list = field(default_factory=list)
+    hosts: dict = field(default_factory=dict)
+    directories: dict = field(default_factory=dict)
+    buses: dict = field(default_factory=dict)
+    tasks: dict = field(default_factory=dict)
+    table: MemoryTable = field(default_factory=MemoryTable)
+
+    async def add_runner(self, name, zone="a", region="r", slots=8, service_ms=5.0):
+        state = RunnerState(name, SERVICE, slots, slots * 8, service_ms)
+        server = await start_runner(state, LOOPBACK, 0)
+        address = Address(LOOPBACK, server.sockets[0].getsockname()[1])
+        self.servers.append(server)
+        self.runners[name] = state
+        self.listed[name] = ListedHost(
+            name,
+            HostKind.UPSTREAM,
+            RegionId(region),
+            ZoneId(zone),
+            RackId(""),
+            address,
+            False,
+            SERVICE,
+            slots,
+            slots * 8,
+        )
+        self.publish()
+        return state
+
+    def publish(self):
+        for directory in self.directories.values():
+            directory.change(self.listed.values())
+
+    async def add_hosts(self, places, policy=TEST_POLICY):
+        """Start an entry host for each name in `places`, which maps to zone or (zone, region)."""
+        peers = []
+        for name, place in places.items():
+            zone, region = place if isinstance(place, tuple) else (place, "r")
+            address = Address(LOOPBACK, await find_free_port())
+            peers.append(PeerSettings(HostId(name), RegionId(region), ZoneId(zone), address))
+        for peer in peers:
+            await self.start_host(peer, tuple(peers), policy)
+
+    async def start_host(self, peer, peers, policy=TEST_POLICY, incarnation="1"):
+        nowhere = Address(LOOPBACK, 0)
+        others = tuple(other for other in peers if other.host != peer.host)
+        settings = HostSettings(
+            peer.host, peer.region, peer.zone, nowhere, nowhere, peer.address, nowhere, others
+        )
+        bus = PeerBus(peer.host, Incarnation(f"{peer.host}-{incarnation}"), peer.zone)
+        bus.set_peers(others)
+        directory = FixedDirectory(settings)
+        directory.hosts = tuple(self.listed.values())
+        context = DaemonContext(settings, bus.incarnation, bus, self.table, None, directory)
+        part = create_requests(context, FixedLeadership(), policy)
+        self.hosts[peer.host] = part
+        self.directories[peer.host] = directory
+        self.buses[peer.host] = bus
+        self.tasks[peer.host] = [
+            asyncio.create_task(part.run()),
+            asyncio.create_task(bus.serve(peer.address)),
+        ]
+        await wait_until(part.is_listening)
+        return part
+
+    async def kill_host(self, name):
+        for task in self.tasks.pop(name):
+            task.cancel()
+            with suppress(asyncio.CancelledError):
+                await task
+        self.buses.pop(name).close()
+        del self.hosts[name], self.directories[name]
+
+    async def call(self, host, target="/x", method="POST", body=b"", timeout=20.0, **headers):
+        """Send one request through `host`; header names are written with underscores."""
+        port = self.hosts[host].get_port()
+        client = create_client(LOOPBACK, port)
+        lines = {"x-customer": "harbor", **{k.replace("_", "-"): v for k, v in headers.items()}}
+        request = HttpRequest(method, f"/services/{SERVICE}{target}", tuple(lines.items()), body)
+        try:
+            return await client.send(request, timeout)
+        finally:
+            client.close()
+
+    def list_runs(self):
+        return [run for runner in self.runners.values() for run in runner.log]
+
+    def count_excess(self):
+        return sum(r.slot_excess + r.connection_excess for r in self.runners.values())
+
+    async def close(self):
+        for name in tuple(self.hosts):
+            await self.kill_host(name)
+        for server in self.servers:
+            server.close()
+        for runner in self.runners.values():
+            for connection in tuple(runner.open):
+                connection.abort()
+
+
+@asynccontextmanager
+async def open_cell(runners=1, hosts=None, policy=TEST_POLICY, **options):
+    """Yield a cell with `runners` in zone a and the entry hosts in `hosts`."""
+    cell = Cell()
+    try:
+        for number in range(runners):
+            await cell.add_runner(f"runner-{number}", **options)
+        await cell.add_hosts(hosts or {"host-1": "a"}, policy)
+        yield cell
+    finally:
+        await cell.close()
+
+
+async def find_free_port():
+    server = await asyncio.start_server(lambda reader, writer: None, LOOPBACK, 0)
+    port = server.sockets[0].getsockname()[1]
+    server.close()
+    await server.wait_closed()
+    return port
+
+
+async def wait_until(condition, seconds=20.0):
+    async with asyncio.timeout(seconds):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.005)
+
+
+def read_failure(response):
+    body = json.loads(response.body)
+    return body["error"], body["outcome"]
