--- a/tests/common/requests.py
+++ b/tests/common/requests.py
@@ -4,6 +4,7 @@
 import json
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field, replace
+from typing import Any
 
 from lentilpath_core.errors import OutcomeUnknown, TableUnavailable
 from lentilpath_core.ids import (
@@ -121,11 +122,11 @@
 
     runners: dict[str, RunnerState] = field(default_factory=dict)
     listed: dict[str, ListedHost] = field(default_factory=dict)
-    servers: list = field(default_factory=list)
-    hosts: dict = field(default_factory=dict)
-    directories: dict = field(default_factory=dict)
-    buses: dict = field(default_factory=dict)
-    tasks: dict = field(default_factory=dict)
+    servers: list[Any] = field(default_factory=list)
+    hosts: dict[str, Any] = field(default_factory=dict)
+    directories: dict[str, Any] = field(default_factory=dict)
+    buses: dict[str, Any] = field(default_factory=dict)
+    tasks: dict[str, Any] = field(default_factory=dict)
     table: MemoryTable = field(default_factory=MemoryTable)
 
     async def add_runner(self, name, zone="a", region="r", slots=8, service_ms=5.0):
@@ -171,10 +172,12 @@
         )
         bus = PeerBus(peer.host, Incarnation(f"{peer.host}-{incarnation}"), peer.zone)
         bus.set_peers(others)
-        directory = FixedDirectory(settings)
+        directory: Any = FixedDirectory(settings)
+        nothing: Any = None
+        leadership: Any = FixedLeadership()
         directory.hosts = tuple(self.listed.values())
-        context = DaemonContext(settings, bus.incarnation, bus, self.table, None, directory)
-        part = create_requests(context, FixedLeadership(), policy)
+        context = DaemonContext(settings, bus.incarnation, bus, self.table, nothing, directory)
+        part = create_requests(context, leadership, policy)
         self.hosts[peer.host] = part
         self.directories[peer.host] = directory
         self.buses[peer.host] = bus
