--- a/packages/lentilpathd/src/lentilpathd/_requests/part.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/part.py
@@ -24,6 +24,7 @@
 from lentilpathd._events import Event, log_event
 from lentilpathd._metrics import Metric, create_metrics
 from lentilpathd._requests.connections import ConnectionKeeper
+from lentilpathd._requests.loans import LoanKeeper
 from lentilpathd._requests.roster import Roster
 from lentilpathd._requests.service import Service
 
@@ -47,6 +48,7 @@
         self.roster = Roster(
             context.settings, policy, context.directory, self._create_service, read_instant()
         )
+        self._loans = LoanKeeper(self.roster, policy, context.bus, self._metrics)
         self._keeper = ConnectionKeeper(self.roster, policy, self._metrics)
         context.directory.watch(self.roster.refresh)
 
@@ -64,6 +66,7 @@
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._keeper.run())
+                group.create_task(self._loans.run())
                 group.create_task(self._tick())
         finally:
             await self._server.close(0.0)
@@ -80,6 +83,7 @@
         remaining_ms = max(0, deadline - read_instant())
         for service in self.roster.services.values():
             await service.wait_until_idle(remaining_ms / MS_PER_SECOND)
+        await self._loans.give_back()
         log_event(Event.REQUESTS_DRAINED, left=self._count_sendings())
 
     def is_listening(self) -> bool:
@@ -95,7 +99,10 @@
         return sum(service.count_sendings() for service in self.roster.services.values())
 
     def _create_service(self, service: ServiceId) -> Service:
-        return Service(service, self._policy, self._metrics, lambda: None)
+        return Service(service, self._policy, self._metrics, self._wake_loans)
+
+    def _wake_loans(self) -> None:
+        self._loans.wake()
 
     async def _tick(self) -> None:
         # Slots also become free by the mere passing of time: ejections and slow starts end.
