--- a/packages/lentilpath-core/src/lentilpath_core/requests/messages.py
+++ b/packages/lentilpath-core/src/lentilpath_core/requests/messages.py
@@ -32,12 +32,12 @@
 
     INVALID = ("invalid-request", 400, Outcome.NOT_RUN)
     UNKNOWN_SERVICE = ("unknown-service", 404, Outcome.NOT_RUN)
+    UNKNOWN_REQUEST = ("unknown-request", 404, Outcome.NOT_RUN)
     KEY_REUSED = ("key-reused", 422, Outcome.NOT_RUN)
     LIMIT_REACHED = ("limit-reached", 429, Outcome.NOT_RUN)
     OVERLOADED = ("overloaded", 503, Outcome.NOT_RUN)
     NO_RUNNER = ("no-runner", 503, Outcome.NOT_RUN)
     TABLE_UNAVAILABLE = ("table-unavailable", 503, Outcome.NOT_RUN)
-    STOPPING = ("stopping", 503, Outcome.NOT_RUN)
     DEADLINE_PASSED = ("deadline-passed", 504, Outcome.NOT_RUN)
     KEY_IN_PROGRESS = ("key-in-progress", 504, Outcome.UNKNOWN)
     OUTCOME_UNKNOWN = ("outcome-unknown", 502, Outcome.UNKNOWN)
--- a/packages/lentilpathd/src/lentilpathd/_adapters/callers.py
+++ b/packages/lentilpathd/src/lentilpathd/_adapters/callers.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import base64
 import math
+from dataclasses import dataclass
 from urllib.parse import unquote
 
 from lentilpath_core.ids import CustomerId, Instant, RequestId, ServiceId
+from lentilpath_core.requests.deferred import DeferredRecord
 from lentilpath_core.requests.messages import (
     CallerRequest,
     FailureReason,
@@ -17,6 +20,9 @@
 from lentilpath_http import HttpRequest, HttpResponse, json_response
 
 SERVICES_PREFIX = "/services/"
+DEFERRED_PREFIX = "/deferred/"
+HTTP_ACCEPTED = 202
+HTTP_OK = 200
 MAX_NAME_LENGTH = 120
 MAX_KEY_LENGTH = 200
 MS_PER_SECOND = 1_000
@@ -60,6 +66,53 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class DeferredQuery:
+    """A customer asks what became of a deferred request."""
+
+    deferred: str
+    customer: CustomerId
+
+
+def read_deferred_query(message: HttpRequest) -> DeferredQuery | None:
+    """Return the query that `message` is, or `None` if it is none; raises `RequestFailed`."""
+    path = message.get_path()
+    if not path.startswith(DEFERRED_PREFIX) or message.method != "GET":
+        return None
+    customer = CustomerId(_read_name(message, "x-customer"))
+    return DeferredQuery(path.removeprefix(DEFERRED_PREFIX), customer)
+
+
+def write_acceptance(request: RequestId, deferred: str) -> HttpResponse:
+    """Return the response that says that a request will be delivered."""
+    location = DEFERRED_PREFIX + deferred
+    headers = (("x-request-id", request), ("location", location))
+    return json_response(HTTP_ACCEPTED, {"state": "accepted", "location": location}, headers)
+
+
+def write_deferred(
+    request: RequestId, query: DeferredQuery, record: DeferredRecord | None
+) -> HttpResponse:
+    """Return the response that tells what became of a deferred request."""
+    if record is None or record.customer != query.customer:
+        raise RequestFailed(
+            FailureReason.UNKNOWN_REQUEST, f"no deferred request {query.deferred[:200]!r} is known"
+        )
+    body: dict[str, object] = {
+        "state": record.state.value,
+        "accepted_at": record.accepted_at,
+        "attempts": record.attempts,
+    }
+    if record.answer is not None:
+        body["answer"] = {
+            "status": record.answer.status,
+            "headers": record.answer.headers,
+            "body_base64": base64.b64encode(record.answer.body).decode(),
+            "body_object": record.answer.body_object,
+        }
+    return json_response(HTTP_OK, body, (("x-request-id", request),))
+
+
 def strip_headers(headers: tuple[tuple[str, str], ...]) -> tuple[tuple[str, str], ...]:
     """Return the headers that belong to the message itself, not to its connection or to us."""
     dropped = HOP_BY_HOP_HEADERS | OWN_HEADERS
--- a/packages/lentilpathd/src/lentilpathd/_peers.py
+++ b/packages/lentilpathd/src/lentilpathd/_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
@@ -84,7 +85,9 @@
             self._drop_socket(host)
             raise PeerUnavailable(f"{host} did not answer {topic}: {error!r}") from error
         finally:
-            context.close()
+            # Another request may have dropped the socket, and its contexts with it, meanwhile.
+            with contextlib.suppress(pynng.Closed):
+                context.close()
         self.bytes_received += len(received)
         reply = msgspec.msgpack.decode(received, type=PeerReply)
         if reply.code != "ok":
--- a/packages/lentilpathd/src/lentilpathd/_requests/part.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/part.py
@@ -6,7 +6,7 @@
 import ssl
 import uuid
 
-from lentilpath_core.ids import RequestId, ServiceId
+from lentilpath_core.ids import Instant, RequestId, ServiceId
 from lentilpath_core.requests.messages import (
     CallerRequest,
     FailureReason,
@@ -17,19 +17,29 @@
 from lentilpath_core.requests.policy import RequestPolicy
 from lentilpath_core.settings import TlsSettings
 from lentilpath_http import HttpLimits, HttpRequest, HttpResponse, HttpServer, serve_http
-from lentilpathd._adapters.callers import read_request, write_answer, write_failure
+from lentilpathd._adapters.callers import (
+    read_deferred_query,
+    read_request,
+    write_acceptance,
+    write_answer,
+    write_deferred,
+    write_failure,
+)
 from lentilpathd._authority import Leadership
 from lentilpathd._clock import read_instant
 from lentilpathd._context import DaemonContext
 from lentilpathd._events import Event, log_event
 from lentilpathd._metrics import Metric, create_metrics
 from lentilpathd._requests.connections import ConnectionKeeper
+from lentilpathd._requests.deferred import DeferredKeeper
+from lentilpathd._requests.keys import KeyKeeper
 from lentilpathd._requests.loans import LoanKeeper
 from lentilpathd._requests.roster import Roster
+from lentilpathd._requests.rows import TableGate
 from lentilpathd._requests.service import Service
 
 TICK_SECONDS = 0.1
-STOPPING_RETRY_MS = 1_000
+UNKNOWN_SERVICE_RETRY_MS = 1_000
 MS_PER_SECOND = 1_000
 
 
@@ -40,14 +50,24 @@
         self, context: DaemonContext, leadership: Leadership, policy: RequestPolicy
     ) -> None:
         self._context = context
-        self._leadership = leadership
         self._policy = policy
         self._metrics = create_metrics(context.settings.statsd)
         self._server: HttpServer | None = None
-        self._draining = False
         self.roster = Roster(
             context.settings, policy, context.directory, self._create_service, read_instant()
         )
+        gate = TableGate()
+        self._keys = KeyKeeper(context.table, context.objects, gate, context.incarnation, policy)
+        self._deferred = DeferredKeeper(
+            context.table,
+            context.objects,
+            gate,
+            context.settings.zone,
+            context.incarnation,
+            leadership,
+            policy,
+            self._send,
+        )
         self._loans = LoanKeeper(self.roster, policy, context.bus, self._metrics)
         self._keeper = ConnectionKeeper(self.roster, policy, self._metrics)
         context.directory.watch(self.roster.refresh)
@@ -67,8 +87,10 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._keeper.run())
                 group.create_task(self._loans.run())
+                group.create_task(self._deferred.run())
                 group.create_task(self._tick())
         finally:
+            self._abort()
             await self._server.close(0.0)
             for runner in self.roster.list_runners():
                 runner.close()
@@ -76,11 +98,12 @@
     async def drain(self, grace_seconds: float) -> None:
         """Finish all requests for at most `grace_seconds` and take no new connections."""
         log_event(Event.REQUESTS_DRAINING)
-        self._draining = True
         deadline = read_instant() + grace_seconds * MS_PER_SECOND
         if self._server is not None:
             await self._server.close(grace_seconds)
         remaining_ms = max(0, deadline - read_instant())
+        await self._deferred.stop(remaining_ms / MS_PER_SECOND)
+        await self._keys.wait_until_idle(remaining_ms / MS_PER_SECOND)
         for service in self.roster.services.values():
             await service.wait_until_idle(remaining_ms / MS_PER_SECOND)
         await self._loans.give_back()
@@ -95,6 +118,12 @@
         assert self._server is not None
         return self._server.get_port()
 
+    def _abort(self) -> None:
+        self._deferred.abort()
+        self._keys.abort()
+        for service in self.roster.services.values():
+            service.abort()
+
     def _count_sendings(self) -> int:
         return sum(service.count_sendings() for service in self.roster.services.values())
 
@@ -115,25 +144,41 @@
         request_id = RequestId(uuid.uuid4().hex)
         started = read_instant()
         try:
-            request = read_request(message, request_id, self._policy, started)
-            answer = await self._handle(request)
+            response = await self._answer(message, request_id, started)
         except RequestFailed as failure:
             unknown = failure.reason.outcome is Outcome.UNKNOWN
             self._metrics.count(Metric.REQUEST_UNKNOWN if unknown else Metric.REQUEST_REFUSED)
             return write_failure(request_id, failure)
         self._metrics.count(Metric.REQUEST_ANSWERED)
         self._metrics.record_time(Metric.REQUEST_TIME, read_instant() - started)
-        return write_answer(request_id, answer)
-
-    async def _handle(self, request: CallerRequest) -> ServiceAnswer:
+        return response
+
+    async def _answer(
+        self, message: HttpRequest, request_id: RequestId, now: Instant
+    ) -> HttpResponse:
+        query = read_deferred_query(message)
+        if query is not None:
+            return write_deferred(request_id, query, await self._deferred.find(query.deferred))
+        request = read_request(message, request_id, self._policy, now)
+        self._find_service(request)
+        if request.deferred:
+            return write_acceptance(request_id, await self._deferred.accept(request))
+        if request.key is not None:
+            return write_answer(request_id, await self._keys.handle(request, self._send))
+        return write_answer(request_id, await self._send(request))
+
+    async def _send(self, request: CallerRequest) -> ServiceAnswer:
+        return await self._find_service(request).handle(request)
+
+    def _find_service(self, request: CallerRequest) -> Service:
         service = self.roster.services.get(request.service)
         if service is None:
             raise RequestFailed(
                 FailureReason.UNKNOWN_SERVICE,
                 f"no runner of a service {request.service!r} is listed",
-                STOPPING_RETRY_MS,
+                UNKNOWN_SERVICE_RETRY_MS,
             )
-        return await service.handle(request)
+        return service
 
 
 def create_requests(
--- a/packages/lentilpathd/src/lentilpathd/_requests/service.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/service.py
@@ -75,6 +75,7 @@
         self._on_waiting = on_waiting
         self._budget = create_retry_budget(policy)
         self._waiters: dict[RequestId, asyncio.Future[SlotHold]] = {}
+        self._aborted = False
         self._sendings: set[asyncio.Task[_Attempt]] = set()
 
     async def handle(self, request: CallerRequest) -> ServiceAnswer:
@@ -107,12 +108,20 @@
         if self._sendings:
             await asyncio.wait(tuple(self._sendings), timeout=timeout)
 
+    def abort(self) -> None:
+        """Give up all sendings under way and begin no more; part of the end of the process."""
+        self._aborted = True
+        for sending in self._sendings:
+            sending.cancel()
+
     def estimate_next_wait(self, now: Instant) -> float:
         """Return how many ms the last of the waiting requests will still wait."""
         return estimate_wait(self.queue, self.queue.count_waiting(), self.count_slots(now))
 
     def pump(self) -> None:
         """Give free slots to waiting requests."""
+        if self._aborted:
+            return
         now = read_instant()
         while (request := peek_next_request(self.queue)) is not None:
             runner = self._choose_runner(request, now)
--- a/tests/common/requests.py
+++ b/tests/common/requests.py
@@ -201,7 +201,8 @@
         port = self.hosts[host].get_port()
         client = create_client(LOOPBACK, port)
         lines = {"x-customer": "harbor", **{k.replace("_", "-"): v for k, v in headers.items()}}
-        request = HttpRequest(method, f"/services/{SERVICE}{target}", tuple(lines.items()), body)
+        path = target if target.startswith("/deferred/") else f"/services/{SERVICE}{target}"
+        request = HttpRequest(method, path, tuple(lines.items()), body)
         try:
             return await client.send(request, timeout)
         finally:
