--- a/packages/lentilpath-http/src/lentilpath_http/_server.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_server.py
@@ -20,6 +20,7 @@
 )
 
 READ_CHUNK_BYTES = 65_536
+HEAD_TOO_LARGE = 431
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -194,6 +195,10 @@
                 return None
 
     def _check_head(self, head: h11.Request) -> None:
+        # h11 bounds only heads that come in parts; this one may have come at once.
+        size = len(head.target) + sum(len(key) + len(value) for key, value in head.headers)
+        if size > self._limits.head_bytes:
+            raise h11.RemoteProtocolError("head too large", error_status_hint=HEAD_TOO_LARGE)
         if len(head.headers) > self._limits.header_count:
             raise MessageTooLarge(f"more than {self._limits.header_count} headers")
         names = [name for name, _ in head.headers]
