--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -37,6 +37,11 @@
     SNAPSHOT_FAILED = (208, "a snapshot of the zone could not be stored; the next one will be")
     ZONE_RECOVERY_FAILED = (209, "the zone's state could not be rebuilt; it is tried again")
     COMMAND_REFUSED = (207, "a command in the inbox could not be carried out")
+    COMMAND_ACCEPTED = (400, "an operator's command was accepted")
+    API_FAILED = (401, "the administration API failed on a request")
+    AUDIT_DROPPED = (402, "records of the audit trail were dropped, the table being away too long")
+    AUDIT_ARCHIVED = (403, "old rows of the audit trail were moved to an object")
+    ARCHIVE_FAILED = (404, "old rows of the audit trail could not be moved")
 
     RUNNER_JOINED = (300, "a runner was listed")
     RUNNER_LEAVING = (301, "a runner leaves and gets no new requests")
