--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -22,6 +22,11 @@
     PART_GIVEN_UP = (5, "a supervised part failed too often; the process stops")
     PEER_SILENT = (100, "a peer did not answer; its connection is replaced")
     PEER_REQUEST_REFUSED = (101, "a peer's request was refused")
+    LEADERSHIP_GAINED = (110, "this process leads its zone")
+    LEADERSHIP_LOST = (111, "this process leads its zone no more")
+    LEADERSHIP_ON_PROMISES = (112, "the table is out of reach; the lead rests on promises")
+    LEADERSHIP_EXPIRED = (113, "the authority has run out and could not be renewed")
+    LEADERSHIP_RELEASED = (114, "the zone was handed over")
     HOST_LIST_UNAVAILABLE = (200, "the platform's host list could not be read")
     ZONE_RECOVERED = (201, "the zone's state was rebuilt")
     ZONE_RELEASED = (202, "this process decides for the zone no more")
@@ -29,6 +34,8 @@
     BATCH_REJECTED = (204, "a journal batch was not applied")
     WORKER_SILENT = (205, "a worker does not answer")
     WORKER_LOST = (206, "all leases on a silent worker have run out")
+    SNAPSHOT_FAILED = (208, "a snapshot of the zone could not be stored; the next one will be")
+    ZONE_RECOVERY_FAILED = (209, "the zone's state could not be rebuilt; it is tried again")
     COMMAND_REFUSED = (207, "a command in the inbox could not be carried out")
     COMMAND_ACCEPTED = (400, "an operator's command was accepted")
     API_FAILED = (401, "the administration API failed on a request")
@@ -39,6 +46,20 @@
     USAGE_FAILED = (411, "usage could not be brought up to date; it is tried again")
     USAGE_BATCHES_MISSING = (412, "journal batches were gone before usage had read them")
 
+    RUNNER_JOINED = (300, "a runner was listed")
+    RUNNER_LEAVING = (301, "a runner leaves and gets no new requests")
+    RUNNER_EJECTED = (302, "a runner failed too often and gets no requests for a while")
+    RUNNER_CONNECTION_DEAD = (303, "a connection to a runner went silent and is replaced")
+    REQUEST_OUTCOME_UNKNOWN = (304, "a request may have run and its answer is lost")
+    ANSWER_NOT_WHOLE = (305, "a runner's answer was cut, overlong or another request's")
+    KEYS_REFUSED = (306, "requests with idempotency keys are refused: the table is out of reach")
+    KEYS_TAKEN_AGAIN = (307, "requests with idempotency keys are taken again")
+    KEY_RECORD_FAILED = (308, "the record of an idempotency key could not be written")
+    DEFERRED_DELIVERED = (309, "a deferred request was delivered")
+    DEFERRED_UNKNOWN = (310, "a deferred request has an unknown outcome")
+    REQUESTS_DRAINING = (311, "callers' requests are finished before the stop")
+    REQUESTS_DRAINED = (312, "all callers' requests were finished")
+
     @property
     def number(self) -> int:
         """The event's number."""
