--- a/packages/lentilpath-http/src/lentilpath_http/_client.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 
 from lentilpath_http._connection import ClientConnection, open_connection
 from lentilpath_http._messages import HttpRequest, HttpResponse
@@ -18,12 +19,18 @@
     """
 
     def __init__(
-        self, address: str, port: int, max_response_bytes: int, connect_seconds: float
+        self,
+        address: str,
+        port: int,
+        max_response_bytes: int,
+        connect_seconds: float,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         self.address = address
         self.port = port
         self._max_response_bytes = max_response_bytes
         self._connect_seconds = connect_seconds
+        self._tls = tls
         self._idle: list[ClientConnection] = []
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -68,6 +75,7 @@
             self.port,
             max_response_bytes=self._max_response_bytes,
             connect_seconds=min(timeout, self._connect_seconds),
+            tls=self._tls,
         )
 
 
@@ -77,6 +85,7 @@
     *,
     max_response_bytes: int = 16_777_216,
     connect_seconds: float = 1.0,
+    tls: ssl.SSLContext | None = None,
 ) -> HttpClient:
     """Return a client of the server at `address` and `port`; it connects at the first request."""
-    return HttpClient(address, port, max_response_bytes, connect_seconds)
+    return HttpClient(address, port, max_response_bytes, connect_seconds, tls)
--- a/packages/lentilpath-http/src/lentilpath_http/_connection.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import ssl
 
 import h11
 
@@ -211,7 +212,12 @@
 
 
 async def open_connection(
-    address: str, port: int, *, max_response_bytes: int = 16_777_216, connect_seconds: float = 1.0
+    address: str,
+    port: int,
+    *,
+    max_response_bytes: int = 16_777_216,
+    connect_seconds: float = 1.0,
+    tls: ssl.SSLContext | None = None,
 ) -> ClientConnection:
     """Return a new connection; raises `RequestNotSent` if there is none in `connect_seconds`."""
     name = f"{address}:{port}"
@@ -219,7 +225,7 @@
     try:
         async with asyncio.timeout(connect_seconds):
             _, connection = await loop.create_connection(
-                lambda: ClientConnection(name, max_response_bytes), address, port
+                lambda: ClientConnection(name, max_response_bytes), address, port, ssl=tls
             )
     except (TimeoutError, OSError) as error:
         raise RequestNotSent(f"no connection to {name}: {error!r}") from error
--- a/packages/lentilpath/src/lentilpath/_client.py
+++ b/packages/lentilpath/src/lentilpath/_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import ssl
 from dataclasses import dataclass
 from typing import Any
 
@@ -47,8 +48,10 @@
 
     async def _call(self, method: str, path: str, body: bytes) -> dict[str, Any]:
         address = self.settings.address
-        client = create_client(address.host, address.port)
+        client = create_client(address.host, address.port, tls=self._create_tls())
         headers = [("content-type", "application/json")]
+        if self.settings.key:
+            headers.append(("authorization", f"Bearer {self.settings.key}"))
         if self.settings.operator:
             headers.append(("x-lentilpath-operator", self.settings.operator))
         request = HttpRequest(method, path, tuple(headers), body)
@@ -65,6 +68,15 @@
             client.close()
         return _read_answer(response, where)
 
+    def _create_tls(self) -> ssl.SSLContext | None:
+        if not self.settings.ca:
+            return None
+        try:
+            return ssl.create_default_context(cafile=self.settings.ca)
+        except (OSError, ssl.SSLError) as error:
+            message = f"certificates of {self.settings.ca} cannot be read: {error}"
+            raise CallFailed(ExitCode.INVALID, message, {"error": "invalid-settings"}) from error
+
 
 def _read_answer(response: HttpResponse, where: str) -> dict[str, Any]:
     try:
--- a/packages/lentilpath/src/lentilpath/_settings.py
+++ b/packages/lentilpath/src/lentilpath/_settings.py
@@ -11,6 +11,7 @@
 
 HOST_VARIABLE = "LENTILPATH_HOST"
 KEY_VARIABLE = "LENTILPATH_KEY"
+CA_VARIABLE = "LENTILPATH_CA"
 FILE_VARIABLE = "LENTILPATH_SETTINGS"
 DEFAULT_FILE = "~/.config/lentilpath.json5"
 
@@ -49,7 +50,8 @@
         )
     operator = stored.operator or os.environ.get("USER", "")
     key = os.environ.get(KEY_VARIABLE) or stored.key
-    return ClientSettings(parse_address(chosen), operator, key, stored.ca)
+    ca = os.environ.get(CA_VARIABLE) or stored.ca
+    return ClientSettings(parse_address(chosen), operator, key, ca)
 
 
 def parse_address(text: str) -> Address:
--- a/tests/nocover/test_cli_run.py
+++ b/tests/nocover/test_cli_run.py
@@ -12,12 +12,12 @@
 
 
 @contextmanager
-def serving_cell():
+def serving_cell(tls=None):
     """Serve the first host of an in-memory cell and give its address."""
     loop = asyncio.new_event_loop()
     cell = loop.run_until_complete(create_cell())
     server = loop.run_until_complete(
-        serve_http(cell.hosts["za-0"].operators.api.handle, "127.0.0.1", 0)
+        serve_http(cell.hosts["za-0"].operators.api.handle, "127.0.0.1", 0, tls=tls)
     )
     thread = threading.Thread(target=loop.run_forever)
     thread.start()
@@ -30,8 +30,9 @@
         loop.close()
 
 
-def run_lentilpath(*arguments, host=""):
+def run_lentilpath(*arguments, host="", **variables):
     environment = {**os.environ, "LENTILPATH_HOST": host, "LENTILPATH_SETTINGS": "/nonexistent"}
+    environment.update(variables)
     return subprocess.run(
         [sys.executable, "-m", "lentilpath", *arguments],
         capture_output=True,
