Choose the zone of a job by digests, own region first

Cause: jobs were spread by a hash of their name, whatever room there was. A host asks the zones of its region, and others only if none has room at once. A zone whose leader has not found its workers yet refuses nothing: only the listed capacities may.

--- a/packages/lentilpathd/src/lentilpathd/_operators/_changes.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_changes.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-import zlib
 from dataclasses import dataclass
 from functools import singledispatch
 
 from lentilpath_core.access import check_permission
 from lentilpath_core.audit import CommandRecord
-from lentilpath_core.errors import Conflict, InvalidJob, NoLeader, Unavailable, UnknownName
+from lentilpath_core.errors import Conflict, NoLeader, Unavailable, UnknownName
 from lentilpath_core.ids import TeamId, WorkerId, ZoneId
 from lentilpath_core.language import Command, Drain, Stop, Submit, Undrain, format_time
-from lentilpath_core.workloads import JobSpec, check_job
+from lentilpath_core.workloads import check_job
 from lentilpath_core.zone.inbox import (
     DrainWorker,
     InboxEntry,
@@ -30,6 +29,7 @@
     Subject,
     decode_subject,
 )
+from lentilpathd._operators._placing import Placing
 from lentilpathd._operators._subjects import (
     check_expected_version,
     explain_taken_name,
@@ -63,6 +63,7 @@
 
     context: DaemonContext
     zones: Zones
+    placing: Placing
 
     async def carry_out(self, command: Command, call: Call) -> CommandResponse:
         """Make `command` durable and return what its zone answered, if it did in time."""
@@ -148,25 +149,6 @@
                 return host.zone
         raise UnknownName(f"no worker {worker!r} is listed; `workers` lists the names")
 
-    def choose_zone(self, spec: JobSpec) -> ZoneId:
-        """Return a zone that the job's policy allows; raises `InvalidJob` if there is none."""
-        settings = self.context.settings
-        regions = {peer.zone: peer.region for peer in settings.entry_hosts}
-        regions[settings.zone] = settings.region
-        zones = self.zones.list_zones()
-        allowed = [
-            zone
-            for zone in zones
-            if (not spec.policy.zones or zone in spec.policy.zones)
-            and (not spec.policy.regions or regions[zone] in spec.policy.regions)
-        ]
-        if not allowed:
-            raise InvalidJob(
-                f"job {spec.job}: no zone is allowed by zones={','.join(spec.policy.zones)} "
-                f"regions={','.join(spec.policy.regions)}; the zones are {', '.join(zones)}"
-            )
-        return allowed[zlib.crc32(spec.job.encode()) % len(allowed)]
-
     async def count_tasks(self, zone: ZoneId, kind: str, name: str) -> str:
         """Return how many tasks are touched, in words."""
         try:
@@ -187,8 +169,8 @@
 async def _(command: Submit, changes: Changes) -> Change:
     spec = command.spec
     check_job(spec)
-    zone = changes.choose_zone(spec)
-    message = f"submit {spec.kind.value} {spec.job} of {spec.tasks} tasks to zone {zone}"
+    zone, reason = await changes.placing.choose(spec)
+    message = f"submit {spec.kind.value} {spec.job} of {spec.tasks} tasks to zone {zone} ({reason})"
     absent = Row(get_job_key(spec.job), ABSENT, "")
     return Change(zone, SubmitJob(spec), message, absent, spec.team)
 
--- a/packages/lentilpathd/src/lentilpathd/_operators/_messages.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_messages.py
@@ -91,6 +91,12 @@
     customer: CustomerId | None
 
 
+class DigestQuery(msgspec.Struct, frozen=True):
+    """Topic `operators.digest`: the room and the queue of the zone."""
+
+    zone: ZoneId
+
+
 class OpenLinesReply(msgspec.Struct, frozen=True):
     """The lines as they stand now."""
 
--- a/packages/lentilpathd/src/lentilpathd/_operators/_part.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_part.py
@@ -18,6 +18,7 @@
 from lentilpathd._operators._config_api import ConfigApi
 from lentilpathd._operators._config_store import ConfigStore
 from lentilpathd._operators._configuration import ConfigurationKeeper, create_configuration
+from lentilpathd._operators._placing import Placing
 from lentilpathd._operators._reads import Reads
 from lentilpathd._operators._zone import ZoneAccess
 from lentilpathd._operators._zones import Zones
@@ -84,7 +85,7 @@
     trail = AuditTrail(context, leadership)
     reads = Reads(context, leadership, zones, trail, SealedUsage(context))
     config = ConfigApi(ConfigStore(context, keeper))
-    api = Api(reads, Changes(context, zones), config)
+    api = Api(reads, Changes(context, zones, Placing(context, zones)), config)
     return Operators(context, api, trail, accountant, keeper)
 
 
--- a/packages/lentilpathd/src/lentilpathd/_operators/_zones.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_zones.py
@@ -24,11 +24,13 @@
 from lentilpath_core.placement import explain_task
 from lentilpath_core.usage import UsageLine
 from lentilpath_core.zone.state import ZoneState
+from lentilpath_core.zone_choice import ZoneDigest, digest_zone
 from lentilpathd._authority import Leadership
 from lentilpathd._clock import read_instant
 from lentilpathd._context import DaemonContext
 from lentilpathd._operators._accountant import Accountant
 from lentilpathd._operators._messages import (
+    DigestQuery,
     OpenLinesQuery,
     OpenLinesReply,
     ZoneQuery,
@@ -41,6 +43,7 @@
 QUERY_TOPIC = "operators.query"
 WAKE_TOPIC = "operators.wake"
 USAGE_TOPIC = "operators.usage"
+DIGEST_TOPIC = "operators.digest"
 QUERY_SECONDS = 2.0
 ANSWER_POLL_SECONDS = 0.02
 MAX_WAIT_MS = 30_000
@@ -75,6 +78,7 @@
         self._accountant = accountant
         context.bus.handle(QUERY_TOPIC, self._handle_query)
         context.bus.handle(USAGE_TOPIC, self._handle_usage)
+        context.bus.handle(DIGEST_TOPIC, self._handle_digest)
         context.bus.handle(WAKE_TOPIC, self._handle_wake)
 
     def list_zones(self) -> tuple[ZoneId, ...]:
@@ -167,7 +171,25 @@
                 raise reply
         return lines, tuple(silent)
 
+    async def ask_digest(self, zone: ZoneId) -> ZoneDigest:
+        """Return the room and queue of `zone`; raises `NoLeader` if it has no leader now."""
+        query = DigestQuery(zone)
+        return await self._reach(zone, DIGEST_TOPIC, query, ZoneDigest, QUERY_SECONDS)
+
+    async def _handle_digest(self, request: PeerRequest) -> ZoneDigest:
+        return self._answer_digest(msgspec.convert(request.body, DigestQuery))
+
+    def _answer_digest(self, query: DigestQuery) -> ZoneDigest:
+        self._get_state(query.zone)
+        placement = self._zone.get_placement() if self._zone is not None else None
+        if placement is None:
+            raise NoLeader(f"{self._context.settings.host} has not rebuilt zone {query.zone} yet")
+        region = self._context.settings.region
+        return digest_zone(placement, query.zone, region, read_instant())
+
     async def _answer_here(self, topic: str, message: object) -> object:
+        if isinstance(message, DigestQuery):
+            return self._answer_digest(message)
         if isinstance(message, ZoneQuery):
             return await self._answer_query(message)
         if isinstance(message, OpenLinesQuery):
--- a/tests/common/operators.py
+++ b/tests/common/operators.py
@@ -18,10 +18,11 @@
 )
 from lentilpath_core.ids import HostId, Incarnation, WallTime, ZoneId
 from lentilpath_core.peers import PeerRequest
-from lentilpath_core.placement import create_placement
+from lentilpath_core.placement import TaskFound, WorkerOffered, apply_event, create_placement
 from lentilpath_core.resources import Resources
 from lentilpath_core.settings import Address, HostSettings, PeerSettings
-from lentilpath_core.states import AttemptOutcome
+from lentilpath_core.states import AttemptOutcome, WorkerState
+from lentilpath_core.workloads import JobSpec, WorkloadKind
 from lentilpath_core.zone.inbox import StopJob, SubmitJob, decode_entry, get_inbox_prefix
 from lentilpath_core.zone.journal import (
     AttemptEnded,
@@ -156,12 +157,23 @@
         self.cell = cell
         self.state = create_zone_state(ZoneId(zone))
         self.leading = True
+        self.placement = create_placement()
+
+    def offer_worker(self, millicores):
+        room = Resources(millicores, 65_536)
+        worker = WorkerOffered(f"{self.state.zone}-w", "rack", room, WorkerState.ACTIVE)
+        apply_event(self.placement, worker, 0)
+
+    def hold_room(self, job):
+        spec = JobSpec(job, "t", "c", WorkloadKind.BATCH, 1, Resources(3_000, 1_024))
+        found = TaskFound(spec, f"{job}/0", 1, f"{self.state.zone}-w")
+        apply_event(self.placement, found, 0)
 
     def get_state(self):
         return self.state if self.leading else None
 
     def get_placement(self):
-        return create_placement() if self.leading else None
+        return self.placement if self.leading else None
 
     def get_answer(self, command):
         return self.state.answers.get(command)
--- a/tests/cover/test_operators.py
+++ b/tests/cover/test_operators.py
@@ -145,3 +145,38 @@
         *(host.run("stop job nightly") for host in cell.hosts.values() for _ in range(2))
     )
     assert [status for status, _ in answers] == [200] * 4
+
+
+@in_loop
+async def test_a_job_goes_to_the_own_region_while_it_has_room_there():
+    cell = await create_cell()
+    for host in cell.hosts.values():
+        host.zone.offer_worker(millicores=4_000)
+    command = "submit batch {} cpu=3 memory=1GiB team=t customer=c"
+    _, first = await cell.hosts["zb-0"].run(command.format("first"), dry_run=True)
+    assert "zone zb" in first["message"]
+    cell.hosts["zb-0"].zone.hold_room("zb-busy")
+    cell.hosts["zb-0"].operators.api._changes.placing._digests.clear()
+    _, second = await cell.hosts["zb-0"].run(command.format("second"), dry_run=True)
+    assert "zone za" in second["message"]
+    status, answer = await cell.hosts["zb-0"].run(
+        "submit batch huge cpu=64 memory=1GiB team=t customer=c"
+    )
+    assert (status, answer["error"]) == (400, "invalid-job")
+
+
+@in_loop
+async def test_a_zone_that_has_not_found_its_workers_yet_refuses_no_job():
+    cell = await create_cell()
+    _, answer = await cell.hosts["za-0"].run("submit batch j team=t customer=c", dry_run=True)
+    assert answer["outcome"] == "dry-run"
+
+
+@in_loop
+async def test_a_submission_is_durable_though_no_zone_answers():
+    cell = await create_cell()
+    for host in cell.hosts.values():
+        host.zone.leading = False
+    status, answer = await cell.hosts["za-0"].run("submit batch j team=t customer=c", id="c1")
+    assert (status, answer["outcome"]) == (200, "accepted")
+    assert [key for key in cell.table.rows if key.startswith("inbox/")]
