--- a/packages/lentilpathd/src/lentilpathd/_operators/_placing.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_placing.py
@@ -58,7 +58,7 @@
         holding = [zone for zone in allowed if self._may_hold(spec, zone)]
         if not holding:
             raise InvalidJob(
-                f"job {spec.job}: no worker in {', '.join(allowed)} is large enough for one task of "
+                f"job {spec.job}: no worker in {', '.join(allowed)} is large enough for a task of "
                 f"{spec.resources.millicores} millicores, {spec.resources.memory_mib} MiB and "
                 f"{spec.resources.accelerators} accelerators; make the tasks smaller"
             )
