--- /dev/null
+++ b/benches/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Costs of what operators see."""
--- a/packages/lentilpath-core/src/lentilpath_core/configuration/_structure.py
+++ b/packages/lentilpath-core/src/lentilpath_core/configuration/_structure.py
@@ -6,6 +6,7 @@
 import difflib
 import types
 import typing
+from functools import cache
 from typing import Any
 
 import msgspec
@@ -32,7 +33,7 @@
 def _check_dataclass(value: Any, kind: type, path: str) -> list[str]:
     if not isinstance(value, dict):
         return [f"{path}: give an object in braces, got {_shorten(value)}"]
-    hints = typing.get_type_hints(kind)
+    hints = _get_hints(kind)
     errors: list[str] = []
     for key, item in value.items():
         if key in hints:
@@ -48,6 +49,12 @@
     return errors
 
 
+@cache
+def _get_hints(kind: type) -> dict[str, Any]:
+    # Evaluating annotations anew for each of some hundred entries took most of the time of a check.
+    return typing.get_type_hints(kind)
+
+
 def _describe_unknown_key(path: str, key: str, known: tuple[str, ...]) -> str:
     near = difflib.get_close_matches(str(key), known, n=1)
     hint = f"; did you mean {near[0]}?" if near else f"; the keys here are {', '.join(known)}"
--- a/tests/common/operators.py
+++ b/tests/common/operators.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 from typing import Any
@@ -17,7 +18,7 @@
     TableUnavailable,
 )
 from lentilpath_core.ids import HostId, Incarnation, WallTime, ZoneId
-from lentilpath_core.peers import PeerRequest
+from lentilpath_core.peers import PeerReply, PeerRequest
 from lentilpath_core.placement import TaskFound, WorkerOffered, apply_event, create_placement
 from lentilpath_core.resources import Resources
 from lentilpath_core.settings import Address, HostSettings, PeerSettings
@@ -122,7 +123,6 @@
         self.zone = zone
         self.incarnation = Incarnation(f"{host}-1")
         self.handlers = {}
-        self.bytes_sent = 0
 
     def set_peers(self, peers):
         pass
@@ -134,8 +134,8 @@
         if host in self.cell.cut or self.host in self.cell.cut or host not in self.cell.buses:
             raise PeerUnavailable(f"{host} did not answer")
         body = msgspec.msgpack.decode(msgspec.msgpack.encode(msgspec.to_builtins(message)))
-        self.bytes_sent += len(msgspec.msgpack.encode(body))
         request = PeerRequest(1, self.host, self.incarnation, self.zone, topic, body)
+        self.count_bytes(host, request)
         handler = self.cell.buses[host].handlers.get(topic)
         if handler is None:
             failure = LentilpathError(f"no topic {topic}")
@@ -147,8 +147,13 @@
             failure = LentilpathError(str(error))
             failure.code = error.code
             raise failure from error
+        self.count_bytes(host, PeerReply(1, host, self.incarnation, "ok", reply))
         return msgspec.convert(msgspec.msgpack.decode(msgspec.msgpack.encode(reply)), answer)
 
+    def count_bytes(self, host, message):
+        link = (self.zone, self.cell.buses[host].zone)
+        self.cell.traffic[link] += len(msgspec.msgpack.encode(message))
+
 
 class ObedientZone:
     """A zone's driver that takes its inbox over when woken and runs nothing by itself."""
@@ -224,6 +229,7 @@
     objects: MemoryObjects = field(default_factory=MemoryObjects)
     buses: dict[str, Any] = field(default_factory=dict)
     cut: set[str] = field(default_factory=set)
+    traffic: Counter[tuple[str, str]] = field(default_factory=Counter)
     hosts: dict[str, Any] = field(default_factory=dict)
 
     async def list_hosts(self, timeout):
