--- a/packages/lentilpathd/src/lentilpathd/_daemon.py
+++ b/packages/lentilpathd/src/lentilpathd/_daemon.py
@@ -13,7 +13,9 @@
 from lentilpathd._directory import Directory
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._leadership import create_leadership
+from lentilpathd._operators import create_operators
 from lentilpathd._peers import PeerBus
+from lentilpathd._requests import create_requests
 from lentilpathd._supervisor import Part, supervise_parts
 from lentilpathd._zone import create_zone_service
 
@@ -64,6 +66,8 @@
         self.platform = platform
         self.leadership = create_leadership(self.context)
         self.zone = create_zone_service(self.context, self.leadership)
+        self.requests = create_requests(self.context, self.leadership)
+        self.operators = create_operators(self.context, self.leadership, self.zone)
 
     async def run(self) -> None:
         """Run all parts until cancelled; raises `PartGivenUp` in an exception group."""
@@ -74,6 +78,8 @@
                     Part("directory", self.directory.run),
                     Part("leadership", self.leadership.run),
                     Part("zone", self.zone.run),
+                    Part("requests", self.requests.run),
+                    Part("operators", self.operators.run),
                 )
             )
         finally:
@@ -83,6 +89,8 @@
     async def drain(self) -> None:
         """Finish what was begun: callers' requests first, the zone last."""
         log_event(Event.PROCESS_DRAINING, host=self.context.settings.host)
+        await self.requests.drain(self.context.settings.drain_seconds)
+        await self.operators.drain()
         await self.zone.drain()
         async with asyncio.timeout(RELEASE_SECONDS):
             await self.leadership.release()
--- a/packages/lentilpathd/src/lentilpathd/_zone/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_recovery.py
@@ -5,12 +5,13 @@
 import msgspec
 
 from lentilpath_core.errors import Unavailable
-from lentilpath_core.ids import Epoch, JournalSequence, RowVersion, ZoneId
+from lentilpath_core.ids import JournalSequence, ZoneId
+from lentilpath_core.leadership import get_epoch_key
 from lentilpath_core.zone.journal import decode_batch, get_batch_key, get_journal_prefix
 from lentilpath_core.zone.state import ZoneState, apply_batch, create_zone_state
+from lentilpathd._authority import Authority
 from lentilpathd._ports import ObjectStore, Table
 from lentilpathd._zone._errors import Deposed
-from lentilpathd._zone._term import get_epoch_key
 
 READ_TIMEOUT_SECONDS = 3.0
 SCAN_ROWS = 100
@@ -34,18 +35,17 @@
     return f"snapshots/{zone}/{sequence:012d}"
 
 
-async def read_epoch_version(table: Table, zone: ZoneId, epoch: Epoch) -> RowVersion:
-    """Return the version of the epoch row; raises `Deposed` if it names another epoch."""
+async def check_epoch(table: Table, zone: ZoneId, authority: Authority) -> None:
+    """Raise `Deposed` if the zone has been taken over since `authority` was gained."""
     row = (await table.read((get_epoch_key(zone),), READ_TIMEOUT_SECONDS))[0]
-    if row.value != str(epoch):
-        raise Deposed(f"zone {zone} is at epoch {row.value!r}, not {epoch}")
-    return row.version
+    if row.version != authority.epoch_version:
+        raise Deposed(f"zone {zone} was taken over after epoch {authority.epoch}")
 
 
 async def recover_zone_state(table: Table, objects: ObjectStore, zone: ZoneId) -> ZoneState:
     """Return the fold of the whole journal of `zone`.
 
-    Call it only after `read_epoch_version`: from then on no other process can add to the journal.
+    Call it only after `check_epoch`: from then on no other process can add to the journal.
     Raises `Unavailable` if the platform is out of reach and `BrokenJournal` if a batch is missing
     or cannot be read.
     """
--- a/packages/lentilpathd/src/lentilpathd/_zone/_service.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_service.py
@@ -6,19 +6,18 @@
 import contextlib
 
 from lentilpath_core.errors import OutcomeUnknown, Unavailable
-from lentilpath_core.ids import Epoch
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.placement import PlacementState
 from lentilpath_core.zone.control import is_command_durable
 from lentilpath_core.zone.journal import CommandAnswered
 from lentilpath_core.zone.state import ZoneState
-from lentilpathd._authority import Leadership
+from lentilpathd._authority import Authority, Leadership
 from lentilpathd._clock import read_instant
 from lentilpathd._context import DaemonContext
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._zone._errors import Deposed, TermEnded
 from lentilpathd._zone._leading import Leading
-from lentilpathd._zone._recovery import read_epoch_version, recover_zone_state
+from lentilpathd._zone._recovery import check_epoch, recover_zone_state
 from lentilpathd._zone._term import Term
 
 LOOK_SECONDS = 0.05
@@ -60,7 +59,7 @@
         while True:
             authority = self._leadership.get_authority()
             if authority is not None and authority.until > read_instant() and not self._stopped:
-                await self._lead(authority.epoch)
+                await self._lead(authority)
             await asyncio.sleep(LOOK_SECONDS)
 
     async def drain(self) -> None:
@@ -72,17 +71,18 @@
             with contextlib.suppress(TimeoutError):
                 await self._leading.settle()
 
-    async def _lead(self, epoch: Epoch) -> None:
+    async def _lead(self, authority: Authority) -> None:
         zone = self._context.settings.zone
+        epoch = authority.epoch
         started = read_instant()
         try:
-            version = await read_epoch_version(self._context.table, zone, epoch)
+            await check_epoch(self._context.table, zone, authority)
             state = await recover_zone_state(self._context.table, self._context.objects, zone)
         except (Unavailable, Deposed, OutcomeUnknown) as error:
             log_warning_event(Event.ZONE_RECOVERY_FAILED, zone=zone, error=str(error))
             await asyncio.sleep(RETRY_SECONDS)
             return
-        term = Term(zone, epoch, version, self._leadership)
+        term = Term(zone, epoch, authority.epoch_version, self._leadership)
         self._leading = Leading(self._context, term, state)
         log_event(
             Event.ZONE_RECOVERED,
--- a/packages/lentilpathd/src/lentilpathd/_zone/_snapshots.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_snapshots.py
@@ -9,11 +9,12 @@
 import msgspec
 
 from lentilpath_core.ids import JournalSequence, WriteId, ZoneId
+from lentilpath_core.leadership import get_epoch_key
 from lentilpath_core.zone.journal import JournalBatch, get_batch_key, get_journal_prefix
 from lentilpath_core.zone.state import ZoneState
 from lentilpathd._ports import ObjectStore, Table, Transaction
 from lentilpathd._zone._recovery import get_snapshot_object_key, get_snapshot_row_key
-from lentilpathd._zone._term import Term, get_epoch_key
+from lentilpathd._zone._term import Term
 
 TIMEOUT_SECONDS = 5.0
 DELETE_ROWS = 100
--- a/packages/lentilpathd/src/lentilpathd/_zone/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_term.py
@@ -37,8 +37,3 @@
         if authority is None or authority.epoch != self.epoch or authority.until <= now:
             return None
         return Instant(min(authority.until, now + MAX_COMMAND_MS))
-
-
-def get_epoch_key(zone: ZoneId) -> str:
-    """Return the key of the row that changes with every take-over of `zone`."""
-    return f"epoch/{zone}"
--- a/packages/lentilpathd/src/lentilpathd/_zone/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_writer.py
@@ -8,12 +8,13 @@
 
 from lentilpath_core.errors import OutcomeUnknown, TableUnavailable
 from lentilpath_core.ids import WriteId
+from lentilpath_core.leadership import get_epoch_key
 from lentilpath_core.zone.control import JournalWrite
 from lentilpath_core.zone.journal import decode_batch, encode_batch, get_batch_key
 from lentilpathd._events import Event, log_warning_event
 from lentilpathd._ports import ABSENT, CommitResult, Table, Transaction
 from lentilpathd._zone._errors import Deposed
-from lentilpathd._zone._term import Term, get_epoch_key
+from lentilpathd._zone._term import Term
 
 COMMIT_TIMEOUT_SECONDS = 2.0
 FIRST_RETRY_SECONDS = 0.05
--- a/tests/cover/test_standins.py
+++ b/tests/cover/test_standins.py
@@ -8,6 +8,7 @@
 from lentilpath_core.ids import RowVersion, TaskId, WorkerTime, WriteId
 from lentilpath_core.resources import Resources
 from lentilpath_core.settings import Address
+from lentilpath_core.zone.reports import StartAnswer, WorkerTaskState
 from lentilpath_http import serve_http
 from lentilpath_standins._commands import Forget, Start, Sync
 from lentilpath_standins._table import Check, Commit, MemoryTable, Put
@@ -16,7 +17,7 @@
 from lentilpath_standins.worker import WorkerStandin
 from lentilpathd._adapters.platform import create_platform
 from lentilpathd._adapters.worker import create_worker
-from lentilpathd._ports import StartAnswer, StartCommand, SyncCommand, Transaction, WorkerTaskState
+from lentilpathd._ports import StartCommand, SyncCommand, Transaction
 
 ROOM = Resources(2_000, 1_000, 0)
 SECOND = 1_000
--- a/tests/cover/test_standins_faults.py
+++ b/tests/cover/test_standins_faults.py
@@ -9,12 +9,13 @@
 from lentilpath_core.ids import RowVersion, TaskId, WorkerTime, WriteId
 from lentilpath_core.resources import Resources
 from lentilpath_core.settings import Address
+from lentilpath_core.zone.reports import WorkerTaskState
 from lentilpath_http import serve_http
 from lentilpath_standins.platform import PlatformStandin, start_platform
 from lentilpath_standins.worker import WorkerStandin
 from lentilpathd._adapters.platform import create_platform
 from lentilpathd._adapters.worker import create_worker
-from lentilpathd._ports import StartCommand, SyncCommand, Transaction, WorkerTaskState
+from lentilpathd._ports import StartCommand, SyncCommand, Transaction
 
 HOST = {
     "name": "w1",
