--- a/packages/lentilpath-core/src/lentilpath_core/zone/state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/state.py
@@ -24,6 +24,7 @@
     CommandAnswered,
     JobAccepted,
     JobCancelled,
+    JobRefused,
     JournalBatch,
     WorkerDrained,
     WorkerJoined,
@@ -34,6 +35,8 @@
 MAX_ENDED_JOBS = 2_000
 """Ended jobs kept in memory; older ones are found in the history objects."""
 MAX_ANSWERED_COMMANDS = 10_000
+MAX_KEPT_ATTEMPTS = 16
+"""Attempts of one task kept in memory; a service that fails for weeks would fill it otherwise."""
 RERUN_OUTCOMES = frozenset({AttemptOutcome.LEASE_EXPIRED, AttemptOutcome.LOST})
 
 
@@ -61,8 +64,24 @@
     task: TaskId
     state: TaskState = TaskState.WAITING
     attempts: list[AttemptRecord] = field(default_factory=list)
+    """The latest attempts, oldest first."""
+    attempts_made: int = 0
+    """Number of the latest attempt."""
     failures: int = 0
 
+    def find_attempt(self, attempt: int, worker: WorkerId) -> int | None:
+        """Return the place in `attempts` of this attempt on this worker, or `None`."""
+        for place, record in enumerate(self.attempts):
+            if record.attempt == attempt and record.worker == worker:
+                return place
+        return None
+
+    def get_open_attempt(self) -> AttemptRecord | None:
+        """Return the attempt that may run now, or `None`."""
+        if self.attempts and self.attempts[-1].outcome is None:
+            return self.attempts[-1]
+        return None
+
 
 @dataclass(slots=True)
 class JobRecord:
@@ -76,6 +95,7 @@
     """Tasks that have not ended."""
     cancelled_by: str | None = None
     cancelled_at: WallTime = WallTime(0)
+    refused_because: str | None = None
     ended_at: WallTime = WallTime(0)
 
 
@@ -84,7 +104,8 @@
     """A worker that the zone may have given tasks to."""
 
     worker: WorkerId
-    drained_by: str | None = None
+    boot: str
+    """The worker's start that the record speaks of."""
 
 
 @dataclass(slots=True)
@@ -97,7 +118,11 @@
     epoch: Epoch = Epoch(0)
     jobs: dict[JobId, JobRecord] = field(default_factory=dict)
     workers: dict[WorkerId, WorkerRecord] = field(default_factory=dict)
+    drained: dict[WorkerId, str] = field(default_factory=dict)
+    """Workers that get nothing new, each with the operator who said so."""
     answers: dict[str, CommandAnswered] = field(default_factory=dict)
+    open_attempts: dict[WorkerId, dict[TaskId, int]] = field(default_factory=dict)
+    """For each worker the attempts placed on it whose end is not known."""
     ended_jobs: dict[JobId, None] = field(default_factory=dict)
     """Ids of the ended jobs that are still in `jobs`, oldest first."""
 
@@ -150,6 +175,17 @@
             _end_task(state, job, task, TaskState.STOPPED, event.cancelled_at)
 
 
+@apply_journal_event.register
+def _(event: JobRefused, state: ZoneState) -> None:
+    job = state.jobs.get(event.job)
+    if job is None:
+        return
+    job.refused_because = event.reason
+    for task in job.tasks.values():
+        if task.state is TaskState.WAITING:
+            _end_task(state, job, task, TaskState.REFUSED, event.refused_at)
+
+
 @apply_journal_event.register
 def _(event: AttemptStarting, state: ZoneState) -> None:
     task = state.find_task(event.task)
@@ -157,7 +193,8 @@
         return
     if any(attempt.attempt == event.attempt for attempt in task.attempts):
         return
-    task.attempts.append(AttemptRecord(event.attempt, event.worker, event.decided_at, event.reason))
+    attempt = AttemptRecord(event.attempt, event.worker, event.decided_at, event.reason)
+    _open_attempt(state, task, attempt)
     task.state = TaskState.STARTING
 
 
@@ -167,28 +204,22 @@
     task = state.find_task(event.task)
     if job is None or task is None:
         return
-    place = next((i for i, a in enumerate(task.attempts) if a.attempt == event.attempt), None)
+    place = task.find_attempt(event.attempt, event.worker)
     if place is None:
         # A start that was made while the table was away has no journal event of its own.
         known = AttemptRecord(
             event.attempt, event.worker, event.started_at, "started while the table was away"
         )
-        task.attempts.append(known)
+        _open_attempt(state, task, known)
         place = len(task.attempts) - 1
     attempt = task.attempts[place]
+    if attempt.outcome is AttemptOutcome.LOST and event.outcome is not AttemptOutcome.LOST:
+        _correct_lost_attempt(task, place, event)
+        return
     if attempt.outcome is not None:
         return
-    task.attempts[place] = AttemptRecord(
-        attempt.attempt,
-        attempt.worker,
-        attempt.decided_at,
-        attempt.reason,
-        event.outcome,
-        event.started_at,
-        event.ended_at,
-        event.millicore_ms,
-        event.peak_memory_mib,
-    )
+    task.attempts[place] = _close_attempt(attempt, event)
+    _forget_open_attempt(state, event.worker, event.task, event.attempt)
     if task.state in ENDED_TASK_STATES:
         return
     if event.outcome is AttemptOutcome.FAILED:
@@ -202,7 +233,11 @@
 
 @apply_journal_event.register
 def _(event: WorkerJoined, state: ZoneState) -> None:
-    state.workers.setdefault(event.worker, WorkerRecord(event.worker))
+    known = state.workers.get(event.worker)
+    if known is None:
+        state.workers[event.worker] = WorkerRecord(event.worker, event.boot)
+    else:
+        known.boot = event.boot
 
 
 @apply_journal_event.register
@@ -212,15 +247,12 @@
 
 @apply_journal_event.register
 def _(event: WorkerDrained, state: ZoneState) -> None:
-    record = state.workers.setdefault(event.worker, WorkerRecord(event.worker))
-    record.drained_by = event.drained_by
+    state.drained[event.worker] = event.drained_by
 
 
 @apply_journal_event.register
 def _(event: WorkerUndrained, state: ZoneState) -> None:
-    record = state.workers.get(event.worker)
-    if record is not None:
-        record.drained_by = None
+    state.drained.pop(event.worker, None)
 
 
 @apply_journal_event.register
@@ -251,6 +283,47 @@
     return TaskState.WAITING
 
 
+def _open_attempt(state: ZoneState, task: TaskRecord, attempt: AttemptRecord) -> None:
+    task.attempts.append(attempt)
+    task.attempts_made = max(task.attempts_made, attempt.attempt)
+    del task.attempts[:-MAX_KEPT_ATTEMPTS]
+    state.open_attempts.setdefault(attempt.worker, {})[task.task] = attempt.attempt
+
+
+def _forget_open_attempt(state: ZoneState, worker: WorkerId, task: TaskId, attempt: int) -> None:
+    on_worker = state.open_attempts.get(worker, {})
+    if on_worker.get(task) == attempt:
+        del on_worker[task]
+    if not on_worker:
+        state.open_attempts.pop(worker, None)
+
+
+def _close_attempt(attempt: AttemptRecord, event: AttemptEnded) -> AttemptRecord:
+    return AttemptRecord(
+        attempt.attempt,
+        attempt.worker,
+        attempt.decided_at,
+        attempt.reason,
+        event.outcome,
+        event.started_at,
+        event.ended_at,
+        event.millicore_ms,
+        event.peak_memory_mib,
+    )
+
+
+def _correct_lost_attempt(task: TaskRecord, place: int, event: AttemptEnded) -> None:
+    # A worker that was given up may come back with a certain account of what it ran. The task is
+    # not run again for it, but "unknown" gives way to what is now known.
+    task.attempts[place] = _close_attempt(task.attempts[place], event)
+    if task.state is not TaskState.UNKNOWN:
+        return
+    if event.outcome is AttemptOutcome.SUCCEEDED:
+        task.state = TaskState.SUCCEEDED
+    elif event.outcome is AttemptOutcome.FAILED:
+        task.state = TaskState.FAILED
+
+
 def _end_task(
     state: ZoneState, job: JobRecord, task: TaskRecord, ended: TaskState, at: WallTime
 ) -> None:
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_api.py
@@ -0,0 +1,148 @@
+"""The administration API over HTTP with JSON bodies; see docs/API.md."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from lentilpath_core.audit import CommandRecord
+from lentilpath_core.errors import (
+    Conflict,
+    InvalidCommand,
+    InvalidInput,
+    LentilpathError,
+    OutcomeUnknown,
+    Unavailable,
+    UnknownName,
+)
+from lentilpath_core.language import CHANGES, UnreadableCommand, parse_command
+from lentilpath_http import HttpRequest, HttpResponse, json_response
+from lentilpathd._clock import read_wall_time
+from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._operators._caller import Caller
+from lentilpathd._operators._changes import Call, Changes
+from lentilpathd._operators._messages import MAX_ID_LENGTH, CommandRequest, CommandResponse
+from lentilpathd._operators._reads import Reads, answer_read
+
+API_VERSION = 1
+ID_BYTES = 8
+MAX_RECORDED_COMMAND = 2_000
+TRAIL_OUTCOMES = {"done": "answered", "dry-run": "dry-run"}
+"""Outcomes of commands that are not in the trail through their own transaction."""
+ERROR_STATUSES: tuple[tuple[type[LentilpathError], int], ...] = (
+    (UnknownName, 404),
+    (InvalidInput, 400),
+    (Conflict, 409),
+    (Unavailable, 503),
+    (OutcomeUnknown, 504),
+)
+INTERNAL_ERROR_STATUS = 500
+
+Route = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+class Api:
+    """Turns HTTP requests into commands, and failures into typed answers."""
+
+    def __init__(self, reads: Reads, changes: Changes) -> None:
+        self._reads = reads
+        self._changes = changes
+        self._routes: dict[tuple[str, str], Route] = {
+            ("POST", "/v1/commands"): self._run_command,
+            ("GET", "/v1/health"): self._show_health,
+        }
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        route = self._routes.get((request.method, request.get_path()))
+        if route is None:
+            known = ", ".join(f"{method} {path}" for method, path in self._routes)
+            message = f"no {request.method} {request.get_path()}; there are {known}"
+            return json_response(404, {"error": "unknown-route", "message": message})
+        try:
+            return await route(request)
+        except LentilpathError as error:
+            return make_error_response(error)
+        except Exception as error:
+            log_warning_event(Event.API_FAILED, path=request.get_path(), error=repr(error))
+            message = "the host failed on this request; its log has the reason"
+            return json_response(INTERNAL_ERROR_STATUS, {"error": "internal", "message": message})
+
+    async def _run_command(self, request: HttpRequest) -> HttpResponse:
+        message = parse_request(request.body)
+        if not message.id:
+            message = msgspec.structs.replace(message, id=secrets.token_hex(ID_BYTES))
+        caller = Caller(request.get_header("x-lentilpath-operator") or "anonymous", "administrator")
+        call = Call(message, caller, read_wall_time())
+        try:
+            response = await self._carry_out(call)
+        except LentilpathError as error:
+            self._record(call, error.code, str(error).partition("\n")[0])
+            raise
+        if response.outcome in TRAIL_OUTCOMES and not response.id:
+            self._record(call, TRAIL_OUTCOMES[response.outcome], response.message)
+        return json_response(200, msgspec.to_builtins(response))
+
+    async def _carry_out(self, call: Call) -> CommandResponse:
+        command = parse_command(call.request.command, call.now)
+        caller = call.caller
+        if not isinstance(command, CHANGES):
+            return await answer_read(command, self._reads)
+        response = await self._changes.carry_out(command, call)
+        log_event(
+            Event.COMMAND_ACCEPTED,
+            id=response.id,
+            operator=caller.operator,
+            kind=type(command).__name__,
+            outcome=response.outcome,
+        )
+        return response
+
+    def _record(self, call: Call, outcome: str, text: str) -> None:
+        request = call.request
+        host = self._reads.context.settings.host
+        caller = call.caller
+        command = request.command[:MAX_RECORDED_COMMAND]
+        self._reads.trail.add(
+            CommandRecord(
+                request.id, caller.operator, caller.role, call.now, host, command, outcome, text
+            )
+        )
+
+    async def _show_health(self, request: HttpRequest) -> HttpResponse:
+        settings = self._reads.context.settings
+        value = {"api": API_VERSION, "host": settings.host, "zone": settings.zone}
+        return json_response(200, value)
+
+
+def parse_request(body: bytes) -> CommandRequest:
+    """Return the command request in `body`; raises `InvalidCommand`."""
+    try:
+        message = msgspec.json.decode(body, type=CommandRequest)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise InvalidCommand(
+            f'the body is not a command: {error}; send {{"command": "jobs"}}, with id, dry_run, '
+            "expect_version and wait_ms if wanted"
+        ) from error
+    usable = all(c.isalnum() or c in "-_." for c in message.id)
+    if len(message.id) > MAX_ID_LENGTH or not usable:
+        raise InvalidCommand(
+            f"id {message.id[:80]!r} is unusable; give at most {MAX_ID_LENGTH} letters, digits or "
+            "any of '-_.'"
+        )
+    return message
+
+
+def make_error_response(error: LentilpathError) -> HttpResponse:
+    """Return the typed answer for `error`."""
+    status = next(
+        (status for kind, status in ERROR_STATUSES if isinstance(error, kind)),
+        INTERNAL_ERROR_STATUS,
+    )
+    value: dict[str, object] = {"error": error.code, "message": str(error)}
+    if isinstance(error, UnreadableCommand):
+        value["column"] = error.column
+        value["suggestions"] = list(error.suggestions)
+    return json_response(status, value)
