--- a/packages/lentilpath-standins/src/lentilpath_standins/_faults.py
+++ b/packages/lentilpath-standins/src/lentilpath_standins/_faults.py
@@ -40,6 +40,8 @@
 
 F = TypeVar("F", bound=Faults)
 Route = Callable[[HttpRequest], Awaitable[HttpResponse]]
+Connection = asyncio.Task[Any]
+"""The server's task of one connection; the connection lasts as long as the task."""
 
 
 class FaultGate(Generic[F]):
@@ -49,13 +51,11 @@
         self.faults = faults
         self._answer = answer
         self._changing_paths = changing_paths
-        self._connections: WeakSet[asyncio.Task[Any]] = WeakSet()
-        self._silenced: WeakSet[asyncio.Task[Any]] = WeakSet()
+        self._connections: WeakSet[Connection] = WeakSet()
+        self._silenced: WeakSet[Connection] = WeakSet()
 
-    async def pass_request(self, request: HttpRequest) -> HttpResponse:
+    async def pass_request(self, request: HttpRequest, connection: Connection) -> HttpResponse:
         """Answer `request`, or fail to, as the faults say."""
-        connection = asyncio.current_task()
-        assert connection is not None
         self._connections.add(connection)
         if self.faults.delay_ms:
             await asyncio.sleep(self.faults.delay_ms / MS_PER_SECOND)
@@ -85,11 +85,38 @@
             return json_response(HTTP_BAD_REQUEST, {"error": "faults", "message": str(error)})
         return json_response(HTTP_OK, msgspec.to_builtins(self.faults))
 
-    async def _fall_silent_if_told(self, connection: asyncio.Task[Any]) -> None:
+    async def _fall_silent_if_told(self, connection: Connection) -> None:
         if self.faults.silent or connection in self._silenced:
             await fall_silent()
 
 
+def serve_connections(
+    answer: Callable[[HttpRequest, Connection], Awaitable[HttpResponse]],
+) -> Route:
+    """Return a handler for `serve_http` that knows connections and can break them off."""
+
+    def handle(request: HttpRequest) -> Awaitable[HttpResponse]:
+        # The server calls this in the connection's own task, and awaits the result in another.
+        connection = asyncio.current_task()
+        assert connection is not None
+        return _answer_or_break_off(answer, request, connection)
+
+    return handle
+
+
+async def _answer_or_break_off(
+    answer: Callable[[HttpRequest, Connection], Awaitable[HttpResponse]],
+    request: HttpRequest,
+    connection: Connection,
+) -> HttpResponse:
+    try:
+        return await answer(request, connection)
+    except BrokenOff:
+        connection.cancel()
+        await fall_silent()
+        raise
+
+
 async def fall_silent() -> None:
     """Never return; the connection's end cancels it."""
     await asyncio.Event().wait()
--- a/packages/lentilpath-standins/src/lentilpath_standins/platform.py
+++ b/packages/lentilpath-standins/src/lentilpath_standins/platform.py
@@ -26,9 +26,11 @@
     HTTP_OK,
     MS_PER_SECOND,
     BrokenOff,
+    Connection,
     FaultGate,
     Faults,
     fall_silent,
+    serve_connections,
 )
 from lentilpath_standins._process import run_until_terminated
 from lentilpath_standins._table import Commit, MemoryTable
@@ -65,7 +67,9 @@
         self._counts: Counter[str] = Counter()
         self._late: set[asyncio.Task[None]] = set()
 
-    async def handle(self, request: HttpRequest, caller: str | None) -> HttpResponse:
+    async def handle(
+        self, request: HttpRequest, connection: Connection, caller: str | None
+    ) -> HttpResponse:
         """Answer one request that came in on the port of `caller` (`None`: the main port)."""
         path = request.get_path()
         if path == "/faults":
@@ -74,7 +78,7 @@
             return respond(HTTP_OK, {"operations": dict(self._counts)})
         if caller in self.gate.faults.cut:
             await fall_silent()
-        response = await self.gate.pass_request(request)
+        response = await self.gate.pass_request(request, connection)
         if caller in self.gate.faults.cut:
             await fall_silent()
         if path == "/hosts" and caller is not None and caller in self._seen_by:
@@ -165,10 +169,13 @@
     servers = []
     for name, number in names:
 
-        async def answer(request: HttpRequest, caller: str | None = name) -> HttpResponse:
-            return await platform.handle(request, caller)
+        async def answer(
+            request: HttpRequest, connection: Connection, caller: str | None = name
+        ) -> HttpResponse:
+            return await platform.handle(request, connection, caller)
 
-        servers.append(await serve_http(answer, address, number, limits=LIMITS))
+        handler = serve_connections(answer)
+        servers.append(await serve_http(handler, address, number, limits=LIMITS))
     return tuple(servers)
 
 
--- a/packages/lentilpath-standins/src/lentilpath_standins/worker.py
+++ b/packages/lentilpath-standins/src/lentilpath_standins/worker.py
@@ -29,8 +29,10 @@
     HTTP_NOT_FOUND,
     HTTP_OK,
     MS_PER_SECOND,
+    Connection,
     FaultGate,
     Faults,
+    serve_connections,
 )
 from lentilpath_standins._process import run_until_terminated
 from lentilpath_standins._tasks import RUNNING, Fact, RunningTask, WorkerTasks
@@ -62,7 +64,7 @@
         self._facts_written = 0
         self._changed = asyncio.Event()
 
-    async def handle(self, request: HttpRequest) -> HttpResponse:
+    async def handle(self, request: HttpRequest, connection: Connection) -> HttpResponse:
         """Answer one request."""
         self._advance()
         path = request.get_path()
@@ -70,7 +72,7 @@
             return self.gate.switch(request)
         if path == "/log":
             return respond(HTTP_OK, self._describe())
-        return await self.gate.pass_request(request)
+        return await self.gate.pass_request(request, connection)
 
     async def run_timers(self) -> None:
         """End tasks when their time or their lease is over, until cancelled."""
@@ -220,7 +222,7 @@
         nonlocal worker, timers
         worker = WorkerStandin(name, Resources(millicores, memory_mib, accelerators), log)
         timers = asyncio.create_task(worker.run_timers())
-        return (await serve_http(worker.handle, address, port),)
+        return (await serve_http(serve_connections(worker.handle), address, port),)
 
     run_until_terminated(start)
 
--- a/tests/cover/test_standins.py
+++ b/tests/cover/test_standins.py
@@ -8,15 +8,17 @@
 from lentilpath_core.ids import RowVersion, TaskId, WorkerTime, WriteId
 from lentilpath_core.resources import Resources
 from lentilpath_core.settings import Address
+from lentilpath_core.zone.reports import StartAnswer, WorkerTaskState
 from lentilpath_http import serve_http
 from lentilpath_standins._commands import Forget, Start, Sync
+from lentilpath_standins._faults import serve_connections
 from lentilpath_standins._table import Check, Commit, MemoryTable, Put
 from lentilpath_standins._tasks import WorkerTasks
 from lentilpath_standins.platform import PlatformStandin, start_platform
 from lentilpath_standins.worker import WorkerStandin
 from lentilpathd._adapters.platform import create_platform
 from lentilpathd._adapters.worker import create_worker
-from lentilpathd._ports import StartAnswer, StartCommand, SyncCommand, Transaction, WorkerTaskState
+from lentilpathd._ports import StartCommand, SyncCommand, Transaction
 
 ROOM = Resources(2_000, 1_000, 0)
 SECOND = 1_000
@@ -133,7 +135,7 @@
     async def exchange():
         standin = WorkerStandin("w1", ROOM, None)
         timers = asyncio.create_task(standin.run_timers())
-        server = await serve_http(standin.handle, "127.0.0.1", 0)
+        server = await serve_http(serve_connections(standin.handle), "127.0.0.1", 0)
         worker = create_worker(Address("127.0.0.1", server.get_port()))
         first = await worker.sync(SyncCommand(0, 0, 0, WorkerTime(0), ()), 1.0)
         assert first.complete
--- a/tests/cover/test_standins_faults.py
+++ b/tests/cover/test_standins_faults.py
@@ -9,12 +9,14 @@
 from lentilpath_core.ids import RowVersion, TaskId, WorkerTime, WriteId
 from lentilpath_core.resources import Resources
 from lentilpath_core.settings import Address
+from lentilpath_core.zone.reports import WorkerTaskState
 from lentilpath_http import serve_http
+from lentilpath_standins._faults import serve_connections
 from lentilpath_standins.platform import PlatformStandin, start_platform
 from lentilpath_standins.worker import WorkerStandin
 from lentilpathd._adapters.platform import create_platform
 from lentilpathd._adapters.worker import create_worker
-from lentilpathd._ports import StartCommand, SyncCommand, Transaction, WorkerTaskState
+from lentilpathd._ports import StartCommand, SyncCommand, Transaction
 
 HOST = {
     "name": "w1",
@@ -47,7 +49,7 @@
         async with run_platform() as (standin, (platform, *_)):
             standin.gate.replace_faults(lose_answers=1)
             assert (await platform.read(("k",), 1.0))[0].value == ""
-            with pytest.raises(OutcomeUnknown):
+            with pytest.raises(OutcomeUnknown, match="ConnectionClosed"):
                 await platform.commit(PUT, 1.0)
             assert (await platform.read(("k",), 1.0))[0].value == "v"
 
@@ -116,7 +118,7 @@
 def test_a_worker_that_fails_all_starts_each_task_and_reports_its_failure():
     async def check():
         standin = WorkerStandin("w1", Resources(1_000, 1_000, 0), None)
-        server = await serve_http(standin.handle, "127.0.0.1", 0)
+        server = await serve_http(serve_connections(standin.handle), "127.0.0.1", 0)
         worker = create_worker(Address("127.0.0.1", server.get_port()))
         standin.gate.replace_faults(fail_all=True)
         not_after = WorkerTime((await read_report(worker)).clock + 60_000)
