--- a/benches/measure/cell.py
+++ b/benches/measure/cell.py
@@ -44,6 +44,7 @@
 STOP_MS = 500
 FAILING_RUN_MS = 300
 SAMPLE_MS = 15_000
+DIGEST_PERIOD_MS = 2_000
 DECISIONS_PER_CALL = 500
 
 
@@ -118,6 +119,8 @@
         self.held: dict[WorkerId, Resources] = {}
         self.holds: dict[TaskId, Resources] = {}
         self.waiting: dict[ZoneId, dict[TaskId, Task]] = {zone: {} for zone in self.states}
+        self.digests: list[ZoneDigest] = []
+        self.digests_at = -DIGEST_PERIOD_MS
         self.lost_zone: ZoneId | None = None
         self.cancelled: set[JobId] = set()
         self.scheduled: set[ZoneId] = set()
@@ -178,7 +181,10 @@
     def on_arrive(self, arrival: Arrival) -> None:
         """Take in a job: choose its zone by the digests and make its tasks ready."""
         home = self.regions[self.load.size.zones[arrival.at_ms % len(self.regions)][0]]
-        choice = choose_zone(arrival.spec, self.make_digests(), home, 1 << 20)
+        if self.now >= self.digests_at + DIGEST_PERIOD_MS:
+            self.digests_at = self.now
+            self.digests = self.make_digests()
+        choice = choose_zone(arrival.spec, self.digests, home, 1 << 20)
         self.outcome.counts["digest_reads"] += 1
         if choice.zone is None:
             self.outcome.refused["on submission"] += 1
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
@@ -51,6 +51,8 @@
 from lentilpath_core.states import AttemptOutcome, WorkerState
 from lentilpath_core.workloads import JobSpec, PriorityClass, WorkloadKind
 
+AGING_MS = 3_600_000
+"""Background work that waited so long counts as normal."""
 MAX_IDLE_JOBS = 2_000
 """Jobs without a waiting or running task that are remembered for their failures."""
 
@@ -108,7 +110,7 @@
 
 @take_event.register
 def _(event: TasksReady, state: PlacementState, now: Instant) -> None:
-    job = _find_job(state, event.spec)
+    job = _find_job(state, event.spec, now)
     job.accepted_at = event.accepted_at
     job.due = find_due_time(event.spec, event.accepted_at)
     if job.withdrawn or job.refused:
@@ -125,7 +127,7 @@
 def _(event: TaskFound, state: PlacementState, now: Instant) -> None:
     if event.task in state.placed:
         return
-    job = _find_job(state, event.spec)
+    job = _find_job(state, event.spec, now)
     take_waiting(state, job, event.task)
     job.delayed.pop(event.task, None)
     held = make_held(job, event.task, event.attempt, event.worker, now, "found running")
@@ -234,7 +236,7 @@
     return worker
 
 
-def _find_job(state: PlacementState, spec: JobSpec) -> Job:
+def _find_job(state: PlacementState, spec: JobSpec, now: Instant) -> Job:
     job = state.jobs.get(spec.job)
     if job is not None:
         state.idle_jobs.pop(spec.job, None)
@@ -247,6 +249,8 @@
     number = take_number(state)
     job = Job(spec, number, WallTime(0), WallTime(0), team, workload)
     state.jobs[spec.job] = job
+    if spec.policy.priority is PriorityClass.BACKGROUND:
+        heapq.heappush(state.aging, (Instant(now + AGING_MS), spec.job))
     return job
 
 
