Keep headroom for urgent work, and let urgent reservations go first

Causes found on the way: work that cannot be stopped filled zones; a single task was tied to one worker by its reservation; a shape without room stayed parked when tasks that could make room had started; made room stood behind a gang's earlier reservation.

--- a/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
@@ -20,6 +20,7 @@
     find_size_refusal,
     is_input_stale,
 )
+from lentilpath_core.placement._headroom import keeps_headroom
 from lentilpath_core.placement._learning import estimate_run_ms
 from lentilpath_core.placement._messages import (
     Decision,
@@ -49,6 +50,7 @@
     requeue_group,
     take_number,
     take_waiting,
+    unblock_shape,
 )
 from lentilpath_core.placement._records import (
     Group,
@@ -59,10 +61,12 @@
     Worker,
 )
 from lentilpath_core.placement._reservations import (
+    count_reserved,
     is_deadline_near,
     is_overdue,
     may_reserve,
     plan_reservation,
+    trim_reservations,
 )
 from lentilpath_core.placement._rooms import (
     add_reservation,
@@ -82,6 +86,8 @@
 """A team without its guaranteed room gets it back from borrowers after this wait."""
 LENDABLE_RUN_MS = 900_000
 """Tasks no longer than this may borrow room that is guaranteed to others."""
+RETRY_URGENT_MS = 250
+"""Blocked urgent work is tried again this often, if tasks started that could make room."""
 MIN_WEIGHT = 0.02
 """Weight of a team with no guarantee, as a share of the zone."""
 
@@ -120,6 +126,7 @@
         _queue_undated(state)
     _fulfil_reservations(state, now, wall_now, decisions)
     move_from_draining(state, decisions, limit)
+    _retry_urgent(state, now)
     _run_pass(state, now, wall_now, (Tier.URGENT,), limit, decisions)
     _run_pass(state, now, wall_now, (Tier.NORMAL, Tier.BACKGROUND), limit, decisions)
     decisions.extend(state.pending)
@@ -127,6 +134,17 @@
     return tuple(decisions)
 
 
+def _retry_urgent(state: PlacementState, now: Instant) -> None:
+    """Try blocked urgent work again if there are new tasks that could make room for it."""
+    if not state.room_to_make or now < state.urgent_retried_at + RETRY_URGENT_MS:
+        return
+    state.room_to_make = False
+    state.urgent_retried_at = now
+    for shape in tuple(state.blocked_shapes.values()):
+        if any(group.tier is Tier.URGENT for group in shape.parked):
+            unblock_shape(state, shape)
+
+
 def _run_pass(
     state: PlacementState,
     now: Instant,
@@ -221,8 +239,12 @@
     if not _is_within_quota(state, job, needed.multiply(count)):
         job.rule = WaitRule.TEAM_QUOTA
         return _Result.NO_QUOTA
+    if not keeps_headroom(state, job, needed.multiply(count)):
+        job.rule = WaitRule.RESERVED
+        return _Result.NO_QUOTA
     if _place(state, job, needed, count, now, decisions):
         job.blocked_since = None
+        trim_reservations(state, job)
         return _Result.PLACED
     if job.blocked_since is None:
         job.blocked_since = now
@@ -399,7 +421,7 @@
         return _Result.PLACED
     if may_reserve(state, job, now, wall_now) and plan_reservation(state, job, now) is not None:
         job.rule = WaitRule.RESERVED
-        return _Result.PLACED
+        return _Result.PLACED if gang else _Result.NO_ROOM
     return _Result.NO_ROOM
 
 
@@ -411,21 +433,30 @@
     now: Instant,
     decisions: list[Decision],
 ) -> bool:
+    if count_reserved(job) >= len(job.waiting):
+        return False
     urgent = job.spec.policy.priority is PriorityClass.URGENT
     within = (job.team.used + needed).fits_in(job.team.guaranteed)
     waited = now - (job.blocked_since if job.blocked_since is not None else now)
     plan = None
     if urgent or pressing:
-        plan = find_room_to_make(state, needed, is_less_urgent(job), now)
+        plan = find_room_to_make(state, job, needed, is_less_urgent(job), now)
     if plan is None and within and (urgent or waited >= RECLAIM_AFTER_MS):
-        plan = find_room_to_make(state, needed, is_borrowed(job), now)
+        plan = find_room_to_make(state, job, needed, is_borrowed(job), now)
     if plan is None:
         return False
     for held in plan.victims:
         reason = f"makes room for {job.spec.job} ({job.spec.policy.priority.value})"
         decisions.append(stop_for_room(held, state, reason))
     reservation = Reservation(
-        job, take_number(state), {plan.worker.worker: 1}, needed, plan.ready_at, now, True
+        job,
+        (False, take_number(state)),
+        {plan.worker.worker: 1},
+        needed,
+        plan.ready_at,
+        now,
+        makes_room=True,
+        exclusive=False,
     )
     add_reservation(state, reservation)
     job.rule = WaitRule.RESERVED
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
@@ -14,6 +14,7 @@
     note_success,
     release_trial,
 )
+from lentilpath_core.placement._headroom import note_urgent_need
 from lentilpath_core.placement._learning import estimate_run_ms, learn_run, take_usage
 from lentilpath_core.placement._messages import (
     AttemptFinished,
@@ -120,6 +121,7 @@
         if task in state.placed or task in job.waiting or task in job.delayed:
             continue
         _make_ready(state, job, task, attempts.get(task, 0), now)
+    note_urgent_need(state, now)
     enqueue_job(state, job)
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_preemption.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_preemption.py
@@ -58,7 +58,7 @@
 
 
 def find_room_to_make(
-    state: PlacementState, needed: Resources, test: VictimTest, now: Instant
+    state: PlacementState, job: Job, needed: Resources, test: VictimTest, now: Instant
 ) -> MakeRoom | None:
     """Return the cheapest way to make room for `needed`, or `None`.
 
@@ -66,8 +66,8 @@
     """
     best: MakeRoom | None = None
     best_cost = 0
-    for worker in _list_candidates(state, needed):
-        plan = _plan_on_worker(worker, needed, test, now)
+    for worker in _list_candidates(state, job, needed):
+        plan = _plan_on_worker(worker, job, needed, test, now)
         if plan is None:
             continue
         cost = sum(_count_cost(held, now) for held in plan.victims)
@@ -100,12 +100,12 @@
     return StopTask(held.task, held.attempt, held.worker, mode, reason)
 
 
-def _list_candidates(state: PlacementState, needed: Resources) -> list[Worker]:
+def _list_candidates(state: PlacementState, job: Job, needed: Resources) -> list[Worker]:
     found: list[tuple[int, int, Worker]] = []
     for worker in state.workers.values():
         if not is_usable(worker):
             continue
-        room = worker.open + worker.leaving
+        room = _find_room_for(worker, job) + worker.leaving
         for amount in worker.preemptible.values():
             room += amount
         if needed.fits_in(room):
@@ -116,12 +116,12 @@
 
 
 def _plan_on_worker(
-    worker: Worker, needed: Resources, test: VictimTest, now: Instant
+    worker: Worker, job: Job, needed: Resources, test: VictimTest, now: Instant
 ) -> MakeRoom | None:
-    room = worker.open + worker.leaving
+    room = _find_room_for(worker, job) + worker.leaving
     if needed.fits_in(room):
         return MakeRoom(worker, (), Instant(now + CHECKPOINT_COST_MS))
-    soon = _find_natural_room(worker, needed, now)
+    soon = _find_natural_room(worker, room, needed, now)
     if soon is not None and soon <= now + PATIENCE_MS:
         return MakeRoom(worker, (), soon)
     usable = [held for held in worker.tasks.values() if can_stop(held) and test(held)]
@@ -141,13 +141,25 @@
     return MakeRoom(worker, tuple(chosen), Instant(now + CHECKPOINT_COST_MS))
 
 
-def _find_natural_room(worker: Worker, needed: Resources, now: Instant) -> Instant | None:
-    ends = [(estimate_end(held, now), held) for held in worker.tasks.values()]
+def _find_room_for(worker: Worker, job: Job) -> Resources:
+    """Return the free room that is not reserved for work as urgent as the job."""
+    if not worker.claims or job.spec.policy.priority is not PriorityClass.URGENT:
+        return worker.open
+    room = worker.free
+    for claim in worker.claims:
+        if claim.makes_room or claim.job.spec.policy.priority is PriorityClass.URGENT:
+            room -= claim.room.multiply(claim.claims[worker.worker])
+    return room
+
+
+def _find_natural_room(
+    worker: Worker, room: Resources, needed: Resources, now: Instant
+) -> Instant | None:
+    ends = [(estimate_end(held, now), held) for held in worker.tasks.values() if not held.stopping]
     known = sorted(
         ((end, held) for end, held in ends if end is not None),
         key=lambda each: (each[0], each[1].task),
     )
-    room = worker.open
     for end, held in known:
         room += held.room
         if needed.fits_in(room):
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_queues.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_queues.py
@@ -19,7 +19,7 @@
     Team,
     Tier,
 )
-from lentilpath_core.resources import Resources
+from lentilpath_core.resources import NO_RESOURCES, Resources
 from lentilpath_core.workloads import JobSpec, PriorityClass, WorkloadKind
 
 SIGNIFICANT_BITS = 4
@@ -83,24 +83,30 @@
 def add_waiting(state: PlacementState, job: Job, task: TaskId, attempt: int) -> None:
     """Let the task wait for room."""
     job.waiting[task] = attempt
-    state.waiting += job.spec.resources
+    _count_waiting(state, job, job.spec.resources)
 
 
 def take_waiting(state: PlacementState, job: Job, task: TaskId) -> int:
     """Let the task wait no longer; returns the number of its next attempt, 0 if it did not wait."""
     attempt = job.waiting.pop(task, 0)
     if attempt:
-        state.waiting -= job.spec.resources
+        _count_waiting(state, job, NO_RESOURCES - job.spec.resources)
     return attempt
 
 
 def clear_waiting(state: PlacementState, job: Job) -> None:
     """Let no task of the job wait any longer."""
-    state.waiting -= job.spec.resources.multiply(len(job.waiting))
+    _count_waiting(state, job, NO_RESOURCES - job.spec.resources.multiply(len(job.waiting)))
     job.waiting.clear()
     job.delayed.clear()
 
 
+def _count_waiting(state: PlacementState, job: Job, change: Resources) -> None:
+    state.waiting += change
+    if job.spec.policy.priority is PriorityClass.URGENT:
+        state.urgent_waiting += change
+
+
 def enqueue_job(state: PlacementState, job: Job) -> None:
     """Put a job with waiting tasks into its group; one that stands in it already stays."""
     if not is_startable(job):
@@ -121,7 +127,7 @@
 
 def count_unreserved(job: Job) -> int:
     """Return how many waiting tasks of the job have no room reserved."""
-    reserved = sum(sum(each.claims.values()) for each in job.reservations)
+    reserved = sum(sum(each.claims.values()) for each in job.reservations if each.exclusive)
     return len(job.waiting) - reserved
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
@@ -16,6 +16,10 @@
 """Finished runs by which a workload's run time and size are learned."""
 
 
+ReservationOrder = tuple[bool, int]
+"""Room that was made, or is for urgent work, before other room; then by age."""
+
+
 class Tier(IntEnum):
     """The order of priority classes, after background work has aged."""
 
@@ -52,7 +56,7 @@
     """Room promised to tasks of one job. Tasks that end in time may use it until then."""
 
     job: Job
-    order: int
+    order: ReservationOrder
     claims: dict[WorkerId, int]
     """Number of tasks promised room on each worker."""
     room: Resources
@@ -62,6 +66,8 @@
     planned_at: Instant
     makes_room: bool = False
     """Whether running tasks were stopped for it."""
+    exclusive: bool = True
+    """Whether its tasks start in this room only."""
 
 
 @dataclass(slots=True, eq=False)
@@ -206,8 +212,8 @@
     """Open processors and ordinal of workers without accelerators, sorted."""
     accelerated_index: list[tuple[int, int]] = field(default_factory=list)
     ordinals: list[WorkerId] = field(default_factory=list)
-    reservations: dict[int, Reservation] = field(default_factory=dict)
-    touched: dict[int, Reservation] = field(default_factory=dict)
+    reservations: dict[ReservationOrder, Reservation] = field(default_factory=dict)
+    touched: dict[ReservationOrder, Reservation] = field(default_factory=dict)
     """Reservations whose workers changed since they were last tried."""
     backoffs: list[tuple[Instant, TaskId]] = field(default_factory=list)
     """A heap of tasks in backoff."""
@@ -220,6 +226,17 @@
     """Decisions that events gave rise to."""
     waiting: Resources = NO_RESOURCES
     """What all waiting tasks declared together; those in backoff are not counted."""
+    urgent_retried_at: Instant = Instant(0)
+    room_to_make: bool = False
+    """Whether a task started that could be stopped for urgent work that found no room before."""
+    urgent_waiting: Resources = NO_RESOURCES
+    urgent_held: Resources = NO_RESOURCES
+    urgent_peak: Resources = NO_RESOURCES
+    """The most that urgent work needed at one time in this window."""
+    urgent_peak_before: Resources = NO_RESOURCES
+    urgent_window_at: Instant = Instant(0)
+    firm: Resources = NO_RESOURCES
+    """Room of tasks, other than urgent ones, that policy does not let lentilpath stop."""
     aging: list[tuple[Instant, JobId]] = field(default_factory=list)
     """A heap of background jobs and when they count as normal."""
     undated: dict[JobId, Job] = field(default_factory=dict)
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_reservations.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_reservations.py
@@ -13,14 +13,15 @@
 from lentilpath_core.placement._records import Job, PlacementState, Reservation, Worker
 from lentilpath_core.placement._rooms import add_reservation, drop_reservation, is_usable
 from lentilpath_core.resources import Resources
-from lentilpath_core.workloads import WorkloadKind
+from lentilpath_core.workloads import PriorityClass, WorkloadKind
 
 MAX_RESERVATIONS = 2
-"""Reservations for waiting work at one time, apart from those made by stopping tasks."""
+"""Planned reservations for one class at one time; those made by stopping tasks do not count."""
 RESERVE_AFTER_MS = 30_000
 """A single task without a deadline is reserved room after it found none for so long."""
 REPLAN_AFTER_MS = 10_000
 """A reservation that was not fulfilled is planned anew after so long past its time."""
+REPLAN_MADE_ROOM_MS = 1_000
 WORKERS_EXAMINED = 64
 DEADLINE_MARGIN_MS = 60_000
 """A deadline is near if less than this, or one run, is left before the last start in time."""
@@ -35,8 +36,15 @@
 
 def may_reserve(state: PlacementState, job: Job, now: Instant, wall_now: WallTime | None) -> bool:
     """Return whether room is to be reserved now for a job that found none."""
-    planned = sum(1 for each in state.reservations.values() if not each.makes_room)
-    if planned >= MAX_RESERVATIONS or job.reservations:
+    if job.reservations:
+        return False
+    priority = job.spec.policy.priority
+    like = sum(
+        1
+        for each in state.reservations.values()
+        if not each.makes_room and each.job.spec.policy.priority is priority
+    )
+    if like >= MAX_RESERVATIONS:
         return False
     if job.spec.kind is WorkloadKind.GANG or is_deadline_near(job, wall_now):
         return True
@@ -54,14 +62,18 @@
         starts_at = max(starts_at, free_at)
     if sum(chosen.values()) < count:
         return None
-    reservation = Reservation(job, take_number(state), chosen, needed, starts_at, now)
+    urgent = job.spec.policy.priority is PriorityClass.URGENT
+    reservation = Reservation(
+        job, (not urgent, take_number(state)), chosen, needed, starts_at, now, exclusive=count > 1
+    )
     add_reservation(state, reservation)
     return reservation
 
 
 def is_overdue(reservation: Reservation, now: Instant) -> bool:
     """Return whether the reservation should be planned anew."""
-    return now >= max(reservation.starts_at, reservation.planned_at) + REPLAN_AFTER_MS
+    patience_ms = REPLAN_MADE_ROOM_MS if reservation.makes_room else REPLAN_AFTER_MS
+    return now >= reservation.starts_at + patience_ms
 
 
 def drop_all_reservations(state: PlacementState, job: Job) -> None:
@@ -70,6 +82,17 @@
         drop_reservation(state, reservation)
 
 
+def trim_reservations(state: PlacementState, job: Job) -> None:
+    """Give back room that the job does not need any more, since a task of it started elsewhere."""
+    while job.reservations and count_reserved(job) > len(job.waiting):
+        drop_reservation(state, job.reservations[-1])
+
+
+def count_reserved(job: Job) -> int:
+    """Return how many tasks of the job have room reserved."""
+    return sum(sum(each.claims.values()) for each in job.reservations)
+
+
 def _list_places(
     state: PlacementState, needed: Resources, count: int, now: Instant
 ) -> list[tuple[Instant, WorkerId]]:
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_rooms.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_rooms.py
@@ -16,7 +16,7 @@
 )
 from lentilpath_core.resources import NO_RESOURCES, Resources
 from lentilpath_core.states import WorkerState
-from lentilpath_core.workloads import Strategy, WorkloadKind
+from lentilpath_core.workloads import PriorityClass, Strategy, WorkloadKind
 
 FITTING_WORKERS_COMPARED = 16
 """Workers with room that are compared to find the tightest fit."""
@@ -60,7 +60,7 @@
     state.placed[held.task] = held
     job.placed[held.task] = held
     job.on_worker[held.worker] = job.on_worker.get(held.worker, 0) + 1
-    _count_team(state, job.team, held.room)
+    _count_held(state, held, held.room)
     worker = state.workers.get(held.worker)
     if worker is None:
         before = state.held_elsewhere.get(held.worker, NO_RESOURCES)
@@ -68,7 +68,7 @@
         return
     job.on_rack[worker.rack] = job.on_rack.get(worker.rack, 0) + 1
     worker.tasks[held.task] = held
-    _change_preemptible(worker, held, held.room)
+    _change_preemptible(state, worker, held, held.room)
     change_free_room(state, worker, NO_RESOURCES - held.room)
 
 
@@ -80,7 +80,7 @@
     if held.seen_running and not held.stopping:
         job.seen_running -= 1
     _count_down(job.on_worker, held.worker)
-    _count_team(state, job.team, NO_RESOURCES - held.room)
+    _count_held(state, held, NO_RESOURCES - held.room)
     worker = state.workers.get(held.worker)
     if worker is None:
         if held.worker in state.held_elsewhere:
@@ -89,7 +89,7 @@
     _count_down(job.on_rack, worker.rack)
     if worker.tasks.pop(held.task, None) is None:
         return
-    _change_preemptible(worker, held, NO_RESOURCES - held.room)
+    _change_preemptible(state, worker, held, NO_RESOURCES - held.room)
     if held.stopping:
         worker.leaving -= held.room
     change_free_room(state, worker, held.room)
@@ -99,9 +99,9 @@
     """Let the attempt hold `room` from now on; the caller has seen that it is there."""
     growth = room - held.room
     worker = state.workers[held.worker]
-    _change_preemptible(worker, held, growth)
+    _change_preemptible(state, worker, held, growth)
     held.room = room
-    _count_team(state, held.job.team, growth)
+    _count_held(state, held, growth)
     change_free_room(state, worker, NO_RESOURCES - growth)
 
 
@@ -109,7 +109,7 @@
     """Count the attempt as ending, so that it is not stopped twice."""
     worker = state.workers.get(held.worker)
     if worker is not None and not held.stopping:
-        _change_preemptible(worker, held, NO_RESOURCES - held.room)
+        _change_preemptible(state, worker, held, NO_RESOURCES - held.room)
     if worker is not None and not held.stopping:
         worker.leaving += held.room
     if held.seen_running and not held.stopping:
@@ -274,15 +274,24 @@
     return best
 
 
-def _change_preemptible(worker: Worker, held: HeldRoom, change: Resources) -> None:
+def _change_preemptible(
+    state: PlacementState, worker: Worker, held: HeldRoom, change: Resources
+) -> None:
     policy = held.job.spec.policy
     if held.stopping or not (policy.checkpointable or policy.stoppable):
         return
+    state.room_to_make = True
     before = worker.preemptible.get(policy.priority, NO_RESOURCES)
     worker.preemptible[policy.priority] = before + change
 
 
-def _count_team(state: PlacementState, team: Team, change: Resources) -> None:
+def _count_held(state: PlacementState, held: HeldRoom, change: Resources) -> None:
+    team = held.job.team
+    policy = held.job.spec.policy
+    if policy.priority is PriorityClass.URGENT:
+        state.urgent_held += change
+    elif not (policy.checkpointable or policy.stoppable):
+        state.firm += change
     state.unused_guarantees -= take_unused(team)
     team.used += change
     state.used += change
