--- a/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
@@ -37,26 +37,29 @@
 )
 from lentilpath_core.placement._queues import (
     block_by_quota,
-    block_shape,
+    can_make_room,
     clear_waiting,
+    close_shape,
     count_unreserved,
     enqueue_job,
     find_head,
     find_needed,
+    find_ready_group,
     find_shape_key,
+    find_tier,
     fire_aging,
     is_held_back,
-    pop_group,
-    requeue_group,
+    list_reviewed_groups,
+    open_shape,
     take_number,
     take_waiting,
-    unblock_shape,
 )
 from lentilpath_core.placement._records import (
     Group,
     Job,
     PlacementState,
     Reservation,
+    Shape,
     Tier,
     Worker,
 )
@@ -86,6 +89,8 @@
 """A team without its guaranteed room gets it back from borrowers after this wait."""
 LENDABLE_RUN_MS = 900_000
 """Tasks no longer than this may borrow room that is guaranteed to others."""
+REVIEWS_PER_DECISION = 2
+"""Groups of waiting jobs that are tried in turn whether or not room was freed."""
 RETRY_URGENT_MS = 250
 """Blocked urgent work is tried again this often, if tasks started that could make room."""
 MIN_WEIGHT = 0.02
@@ -126,6 +131,7 @@
         _queue_undated(state)
     _fulfil_reservations(state, now, wall_now, decisions)
     move_from_draining(state, decisions, limit)
+    _review(state, now, wall_now, decisions)
     _retry_urgent(state, now)
     _run_pass(state, now, wall_now, (Tier.URGENT,), limit, decisions)
     _run_pass(state, now, wall_now, (Tier.NORMAL, Tier.BACKGROUND), limit, decisions)
@@ -134,15 +140,25 @@
     return tuple(decisions)
 
 
+def _review(
+    state: PlacementState, now: Instant, wall_now: WallTime | None, decisions: list[Decision]
+) -> None:
+    """Try a few groups in turn on all workers, also those whose shape found no room before."""
+    for group in list_reviewed_groups(state, REVIEWS_PER_DECISION):
+        if not group.quota_blocked:
+            group.shape.candidates = None
+            _try_group(state, group, now, wall_now, decisions)
+
+
 def _retry_urgent(state: PlacementState, now: Instant) -> None:
     """Try blocked urgent work again if there are new tasks that could make room for it."""
     if not state.room_to_make or now < state.urgent_retried_at + RETRY_URGENT_MS:
         return
     state.room_to_make = False
     state.urgent_retried_at = now
-    for shape in tuple(state.blocked_shapes.values()):
-        if any(group.tier is Tier.URGENT for group in shape.parked):
-            unblock_shape(state, shape)
+    for groups in state.groups[Tier.URGENT].values():
+        for group in groups.values():
+            open_shape(state, group.shape)
 
 
 def _run_pass(
@@ -153,18 +169,19 @@
     limit: int,
     decisions: list[Decision],
 ) -> None:
+    if not state.open_shapes:
+        return
     order = [
-        (_rank_team(state, name, tier), name, tier) for tier in tiers for name in state.queues[tier]
+        (_rank_team(state, name, tier), name, tier) for tier in tiers for name in state.groups[tier]
     ]
     heapq.heapify(order)
-    while order and len(decisions) < limit:
+    while order and state.open_shapes and len(decisions) < limit:
         _, name, tier = heapq.heappop(order)
-        group = pop_group(state, tier, name)
+        group = find_ready_group(state, tier, name)
         if group is None:
             continue
         _try_group(state, group, now, wall_now, decisions)
-        if name in state.queues[tier]:
-            heapq.heappush(order, (_rank_team(state, name, tier), name, tier))
+        heapq.heappush(order, (_rank_team(state, name, tier), name, tier))
 
 
 def _rank_team(state: PlacementState, name: TeamId, tier: Tier) -> tuple[bool, Tier, float]:
@@ -200,17 +217,33 @@
         # What is known of its size has changed since the job was queued.
         _set_aside(group, job)
         enqueue_job(state, job)
-        requeue_group(state, group)
+        return
+    if _has_lost_its_room(group.shape, find_tier(job)):
+        close_shape(state, group.shape)
         return
     result = _try_job(state, group, job, now, wall_now, decisions)
     if result is _Result.NO_ROOM:
-        block_shape(state, group)
+        close_shape(state, group.shape)
     elif result is _Result.NO_QUOTA:
         block_by_quota(state, group)
-    else:
-        if result is _Result.SET_ASIDE:
-            _set_aside(group, job)
-        requeue_group(state, group)
+    elif result is _Result.SET_ASIDE:
+        _set_aside(group, job)
+
+
+def _has_lost_its_room(shape: Shape, tier: Tier) -> bool:
+    """Return whether the workers that opened the shape have no room for it any more."""
+    if shape.candidates is None or tier is Tier.URGENT:
+        return False
+    millicores, memory_mib, accelerators, _, _ = shape.key
+    for name, worker in tuple(shape.candidates.items()):
+        room = worker.free
+        if (
+            millicores > room.millicores
+            or memory_mib > room.memory_mib
+            or accelerators > room.accelerators
+        ):
+            del shape.candidates[name]
+    return not shape.candidates
 
 
 def _set_aside(group: Group, job: Job) -> None:
@@ -282,8 +315,7 @@
     team = job.team
     if state.unused_guarantees == NO_RESOURCES or (team.used + needed).fits_in(team.guaranteed):
         return True
-    policy = job.spec.policy
-    if policy.checkpointable or policy.stoppable:
+    if can_make_room(job):
         return True
     if job.spec.kind is not WorkloadKind.SERVICE and estimate_run_ms(job) <= LENDABLE_RUN_MS:
         return True
@@ -302,7 +334,8 @@
     if job.spec.kind is WorkloadKind.GANG:
         return _place_gang(state, job, needed, count, now, decisions)
     task = next(iter(job.waiting))
-    worker = _find_place(state, job, needed, job.avoided.get(task), now)
+    candidates = job.group.shape.candidates if job.group is not None else None
+    worker = _find_place(state, job, needed, job.avoided.get(task), candidates, now)
     if worker is None:
         return False
     _start(state, job, task, worker, _describe_place(worker, needed), now, decisions)
@@ -314,15 +347,16 @@
     job: Job,
     needed: Resources,
     avoided: set[WorkerId] | None,
+    candidates: dict[WorkerId, Worker] | None,
     now: Instant,
 ) -> Worker | None:
     if state.probing_workers and is_probe_for_workers(job):
         for probed in state.probing_workers.values():
             if needed.fits_in(probed.open):
                 return probed
-    worker = find_worker(state, job, needed, avoided)
+    worker = find_worker(state, job, needed, avoided, candidates)
     if worker is None and avoided:
-        worker = find_worker(state, job, needed, None)
+        worker = find_worker(state, job, needed, None, candidates)
     if worker is None and state.reservations and job.spec.kind is not WorkloadKind.SERVICE:
         ends_at = Instant(now + estimate_run_ms(job))
         if job.spec.policy.priority is PriorityClass.URGENT:
@@ -352,7 +386,7 @@
     places = _find_gang_places(state, job, needed, count)
     if places is None:
         return False
-    tasks = tuple(job.waiting)
+    tasks = tuple(job.waiting)[:count]
     for task, worker in zip(tasks, places, strict=True):
         reason = f"placed on {worker.worker}: all {count} tasks start together"
         _start(state, job, task, worker, reason, now, decisions)
@@ -406,8 +440,7 @@
     wall_now: WallTime | None,
     decisions: list[Decision],
 ) -> _Result:
-    capacities = [worker.capacity for worker in state.workers.values()]
-    refusal = find_size_refusal(job.spec, needed, capacities)
+    refusal = find_size_refusal(job.spec, needed, state.capacities)
     if refusal is not None:
         job.rule = WaitRule.TOO_LARGE
         if now - state.last_joined_at >= REFUSE_TOO_LARGE_AFTER_MS:
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
@@ -33,10 +33,10 @@
     find_due_time,
     find_needed,
     find_team,
+    offer_room,
     take_number,
     take_waiting,
     unblock_quotas,
-    unblock_shapes,
 )
 from lentilpath_core.placement._records import HeldRoom, Job, PlacementState, Worker, Workload
 from lentilpath_core.placement._reservations import drop_all_reservations
@@ -48,7 +48,7 @@
     release_room,
     take_unused,
 )
-from lentilpath_core.resources import NO_RESOURCES
+from lentilpath_core.resources import NO_RESOURCES, Resources
 from lentilpath_core.states import AttemptOutcome, WorkerState
 from lentilpath_core.workloads import JobSpec, PriorityClass, WorkloadKind
 
@@ -71,6 +71,8 @@
         worker = _add_worker(state, event)
         state.last_joined_at = now
     change = event.capacity - worker.capacity
+    _count_capacity(state, worker.capacity, -1)
+    _count_capacity(state, event.capacity, 1)
     worker.capacity = event.capacity
     worker.rack = event.rack
     worker.state = event.state
@@ -84,7 +86,7 @@
     for reservation in worker.claims:
         state.touched[reservation.order] = reservation
     if is_usable(worker):
-        unblock_shapes(state, worker.free)
+        offer_room(state, worker, worker.free)
         unblock_quotas(state)
 
 
@@ -99,6 +101,7 @@
     worker.state = WorkerState.LOST
     reindex_worker(state, worker)
     state.total -= worker.capacity
+    _count_capacity(state, worker.capacity, -1)
     state.draining.pop(event.worker, None)
     state.probing_workers.pop(event.worker, None)
     left = NO_RESOURCES
@@ -221,6 +224,12 @@
     heapq.heappush(state.backoffs, (start_at, task))
 
 
+def _count_capacity(state: PlacementState, capacity: Resources, change: int) -> None:
+    state.capacities[capacity] += change
+    if state.capacities[capacity] <= 0:
+        del state.capacities[capacity]
+
+
 def _add_worker(state: PlacementState, event: WorkerOffered) -> Worker:
     held_room = state.held_elsewhere.pop(event.worker, NO_RESOURCES)
     free = NO_RESOURCES - held_room
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_evidence.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_evidence.py
@@ -12,12 +12,7 @@
 
 from lentilpath_core.ids import Instant
 from lentilpath_core.placement._messages import RefuseJob, WaitRule
-from lentilpath_core.placement._queues import (
-    clear_waiting,
-    enqueue_job,
-    is_startable,
-    unblock_shapes,
-)
+from lentilpath_core.placement._queues import clear_waiting, enqueue_job, is_startable, offer_room
 from lentilpath_core.placement._records import HeldRoom, Job, PlacementState, Worker, Workload
 from lentilpath_core.placement._rooms import reindex_worker
 from lentilpath_core.workloads import PriorityClass, WorkloadKind
@@ -203,7 +198,7 @@
     worker.probe_due = False
     state.probing_workers.pop(worker.worker, None)
     reindex_worker(state, worker)
-    unblock_shapes(state, worker.free)
+    offer_room(state, worker, worker.free)
 
 
 def _hold_workload(state: PlacementState, workload: Workload, now: Instant) -> None:
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_explanations.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_explanations.py
@@ -45,7 +45,7 @@
         text = "waits: the wall time is unknown, so the age of its input is"
         return Explanation(task, job.rule, text, waits_for="a known wall time")
     group = job.group
-    if group is not None and not group.shape.blocked and group.parked:
+    if group is not None and group.quota_blocked and job.rule is WaitRule.TEAM_QUOTA:
         text = f"waits: team quota; {job.team.team} holds {describe_room(job.team.used)} of its "
         text += f"{describe_room(job.team.guaranteed)}, and the rest is guaranteed to others"
         return Explanation(task, WaitRule.TEAM_QUOTA, text, waits_for="room that may be borrowed")
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_feasibility.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_feasibility.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 
 from lentilpath_core.ids import RegionId, WallTime, ZoneId
@@ -28,13 +29,13 @@
         return f"refused: its policy allows the regions {', '.join(policy.regions)}, not {region}"
     if is_input_stale(spec, wall_now):
         return describe_stale_input(spec, wall_now)
-    return find_size_refusal(spec, spec.resources, capacities)
+    return find_size_refusal(spec, spec.resources, Counter(capacities))
 
 
 def find_size_refusal(
-    spec: JobSpec, needed: Resources, capacities: Iterable[Resources]
+    spec: JobSpec, needed: Resources, capacities: Counter[Resources]
 ) -> str | None:
-    """Return why tasks of the size `needed` can never run on empty workers, or `None`."""
+    """Return why tasks of the size `needed` can never run on so many empty workers, or `None`."""
     fitting = [capacity for capacity in capacities if needed.fits_in(capacity)]
     if not fitting:
         return f"refused: a task needs {describe_room(needed)} and no worker is so large"
@@ -42,7 +43,7 @@
         return None
     together = 0
     for capacity in fitting:
-        together += count_tasks_in(needed, capacity)
+        together += count_tasks_in(needed, capacity) * capacities[capacity]
         if together >= spec.tasks:
             return None
     return (
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_headroom.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_headroom.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from lentilpath_core.ids import Instant
+from lentilpath_core.placement._queues import can_make_room
 from lentilpath_core.placement._records import Job, PlacementState
 from lentilpath_core.placement._rooms import take_larger
 from lentilpath_core.resources import NO_RESOURCES, Resources
@@ -30,7 +31,7 @@
 def keeps_headroom(state: PlacementState, job: Job, needed: Resources) -> bool:
     """Return whether the zone could still make room for urgent work if `needed` were held."""
     policy = job.spec.policy
-    if policy.priority is PriorityClass.URGENT or policy.checkpointable or policy.stoppable:
+    if policy.priority is PriorityClass.URGENT or can_make_room(job):
         return True
     if job.spec.kind is not WorkloadKind.BATCH:
         return True
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_preemption.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_preemption.py
@@ -8,6 +8,7 @@
 from lentilpath_core.ids import Instant
 from lentilpath_core.placement._learning import estimate_end
 from lentilpath_core.placement._messages import StopMode, StopTask
+from lentilpath_core.placement._queues import can_make_room
 from lentilpath_core.placement._records import HeldRoom, Job, PlacementState, Worker
 from lentilpath_core.placement._rooms import is_usable, mark_stopping
 from lentilpath_core.resources import Resources
@@ -79,8 +80,7 @@
 
 def can_stop(held: HeldRoom) -> bool:
     """Return whether policy lets lentilpath end the attempt to make room."""
-    policy = held.job.spec.policy
-    if held.stopping or not (policy.checkpointable or policy.stoppable):
+    if held.stopping or not can_make_room(held.job):
         return False
     if held.job.spec.kind is not WorkloadKind.SERVICE:
         return True
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_queues.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_queues.py
@@ -1,8 +1,9 @@
 """The waiting jobs of a zone, in the order in which they are tried.
 
-Jobs stand in groups by team, tier and shape. A group whose shape found no room is parked, and
-returns to its team's queue when a worker has room for that shape. So a pass looks only at work
-that may start, however much waits.
+Jobs stand in groups by team, tier and shape. A shape that found no room is closed, and opened again
+by a worker that has room for it; only the workers that gave it room since are looked at then. So a
+pass looks only at work that may start, however much waits. Besides, each decision reviews a few
+groups in turn, for what changes by time alone: deadlines that draw near, and room for gangs.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
     ShapeKey,
     Team,
     Tier,
+    Worker,
 )
 from lentilpath_core.resources import NO_RESOURCES, Resources
 from lentilpath_core.workloads import JobSpec, PriorityClass, WorkloadKind
@@ -101,12 +103,6 @@
     job.delayed.clear()
 
 
-def _count_waiting(state: PlacementState, job: Job, change: Resources) -> None:
-    state.waiting += change
-    if job.spec.policy.priority is PriorityClass.URGENT:
-        state.urgent_waiting += change
-
-
 def enqueue_job(state: PlacementState, job: Job) -> None:
     """Put a job with waiting tasks into its group; one that stands in it already stays."""
     if not is_startable(job):
@@ -116,17 +112,27 @@
         job.group = None
         job.workload.held_jobs[job.spec.job] = job
         return
-    key = find_shape_key(job)
-    group = _find_group(state, job.team, find_tier(job), key)
+    group = _find_group(state, job, find_tier(job), find_shape_key(job))
     if job.group is group:
         return
     job.group = group
     heapq.heappush(group.jobs, (job.due, job.sequence, job))
-    _queue_group(state, group)
+
+
+def can_make_room(job: Job) -> bool:
+    """Return whether policy lets tasks of the job be ended to make room.
+
+    One task of a gang is not ended, since the others would hold room without it.
+    """
+    policy = job.spec.policy
+    whole = job.spec.kind is WorkloadKind.GANG
+    return not whole and (policy.checkpointable or policy.stoppable)
 
 
 def count_unreserved(job: Job) -> int:
-    """Return how many waiting tasks of the job have no room reserved."""
+    """Return how many waiting tasks of the job have no room of their own reserved."""
+    if not job.reservations:
+        return len(job.waiting)
     reserved = sum(sum(each.claims.values()) for each in job.reservations if each.exclusive)
     return len(job.waiting) - reserved
 
@@ -153,12 +159,6 @@
     return None
 
 
-def requeue_group(state: PlacementState, group: Group) -> None:
-    """Let the group be tried again in its turn."""
-    group.queued = False
-    _queue_group(state, group)
-
-
 def find_tier(job: Job) -> Tier:
     """Return the tier of the job: background work that has aged counts as normal."""
     if job.spec.policy.priority is PriorityClass.URGENT:
@@ -177,105 +177,111 @@
             enqueue_job(state, job)
 
 
-def pop_group(state: PlacementState, tier: Tier, team: TeamId) -> Group | None:
-    """Take the group with the earliest due head out of the team's queue."""
-    queue = state.queues[tier].get(team)
-    while queue:
-        group = heapq.heappop(queue)[2]
-        if not group.queued:
+def find_ready_group(state: PlacementState, tier: Tier, team: TeamId) -> Group | None:
+    """Return the team's group with the earliest due head among those that may find room."""
+    groups = state.groups[tier].get(team, {})
+    found: Group | None = None
+    earliest: Job | None = None
+    for key in tuple(state.open_shapes):
+        group = groups.get(key)
+        if group is None or group.quota_blocked:
             continue
-        group.queued = False
-        if find_head(group) is None:
-            _forget_group(group)
+        head = find_head(group)
+        if head is None:
+            forget_group(state, group)
+        elif earliest is None or (head.due, head.sequence) < (earliest.due, earliest.sequence):
+            found = group
+            earliest = head
+    return found
+
+
+def list_reviewed_groups(state: PlacementState, count: int) -> list[Group]:
+    """Return the next `count` groups in turn, whether they may find room or not."""
+    found: list[Group] = []
+    for _ in range(min(count, len(state.reviews))):
+        group = state.reviews.popleft()
+        if group.forgotten:
             continue
-        if group.shape.blocked:
-            _park_group(group)
+        if find_head(group) is None:
+            forget_group(state, group)
             continue
-        return group
-    state.queues[tier].pop(team, None)
-    return None
+        state.reviews.append(group)
+        found.append(group)
+    return found
 
 
-def block_shape(state: PlacementState, group: Group) -> None:
-    """Keep all groups of this shape out of the queues until there is new room for it."""
-    shape = group.shape
+def close_shape(state: PlacementState, shape: Shape) -> None:
+    """Let no group of this shape be tried until there is new room for it."""
+    shape.candidates = {}
     shape.blocked = True
-    _park_group(group)
-    state.blocked_shapes[shape.key] = shape
+    state.open_shapes.pop(shape.key, None)
 
 
-def unblock_shapes(state: PlacementState, room: Resources) -> None:
-    """Let the shapes be tried again of which one task may fit into `room`."""
-    freed = [
-        shape
-        for key, shape in state.blocked_shapes.items()
-        if key[0] <= room.millicores and key[1] <= room.memory_mib and key[2] <= room.accelerators
-    ]
-    for shape in freed:
-        unblock_shape(state, shape)
+def offer_room(state: PlacementState, worker: Worker, room: Resources) -> None:
+    """Let the shapes be tried on `worker` of which one task may fit into its new room."""
+    for key, shape in state.shapes.items():
+        if shape.candidates is None or key[3] > 1:
+            continue
+        if key[0] > room.millicores or key[1] > room.memory_mib or key[2] > room.accelerators:
+            continue
+        shape.candidates[worker.worker] = worker
+        if shape.blocked:
+            open_shape(state, shape)
 
 
-def unblock_shape(state: PlacementState, shape: Shape) -> None:
-    """Let the groups of this shape be tried again."""
+def open_shape(state: PlacementState, shape: Shape) -> None:
+    """Let the groups of this shape be tried."""
     shape.blocked = False
-    state.blocked_shapes.pop(shape.key, None)
-    parked, shape.parked = shape.parked, []
-    for group in parked:
-        group.parked = False
-        _queue_group(state, group)
+    state.open_shapes[shape.key] = shape
 
 
 def block_by_quota(state: PlacementState, group: Group) -> None:
     """Keep the group out until some room is released or a quota changes."""
-    group.parked = True
-    group.team.quota_blocked.append(group)
-    state.quota_blocked_teams[group.team.team] = group.team
+    group.quota_blocked = True
+    state.quota_blocked.append(group)
 
 
 def unblock_quotas(state: PlacementState) -> None:
     """Let the groups be tried again that waited for a quota."""
-    teams, state.quota_blocked_teams = state.quota_blocked_teams, {}
-    for team in teams.values():
-        blocked, team.quota_blocked = team.quota_blocked, []
-        for group in blocked:
-            group.parked = False
-            _queue_group(state, group)
-
-
-def _queue_group(state: PlacementState, group: Group) -> None:
-    head = find_head(group)
-    if head is None:
-        _forget_group(group)
-        return
-    if group.parked:
-        return
-    if group.shape.blocked:
-        _park_group(group)
-        return
-    queue = state.queues[group.tier].setdefault(group.team.team, [])
-    group.queued = True
-    heapq.heappush(queue, (head.due, take_number(state), group))
+    blocked, state.quota_blocked = state.quota_blocked, []
+    for group in blocked:
+        group.quota_blocked = False
 
 
-def _park_group(group: Group) -> None:
-    if not group.parked:
-        group.parked = True
-        group.shape.parked.append(group)
+def forget_group(state: PlacementState, group: Group) -> None:
+    """Forget a group without jobs, and its shape with its last group."""
+    if group.forgotten:
+        return
+    group.forgotten = True
+    teams = state.groups[group.tier]
+    groups = teams[group.team.team]
+    del groups[group.shape.key]
+    if not groups:
+        del teams[group.team.team]
+    group.shape.groups -= 1
+    if not group.shape.groups:
+        state.shapes.pop(group.shape.key, None)
+        state.open_shapes.pop(group.shape.key, None)
 
 
-def _forget_group(group: Group) -> None:
-    key = (group.tier, group.shape.key)
-    if group.team.groups.get(key) is group:
-        del group.team.groups[key]
+def _count_waiting(state: PlacementState, job: Job, change: Resources) -> None:
+    state.waiting += change
+    if job.spec.policy.priority is PriorityClass.URGENT:
+        state.urgent_waiting += change
 
 
-def _find_group(state: PlacementState, team: Team, tier: Tier, key: ShapeKey) -> Group:
-    group = team.groups.get((tier, key))
-    if group is None:
-        shape = state.shapes.get(key)
-        if shape is None:
-            shape = state.shapes[key] = Shape(key)
-        group = team.groups[(tier, key)] = Group(team, tier, shape)
+def _find_group(state: PlacementState, job: Job, tier: Tier, key: ShapeKey) -> Group:
+    groups = state.groups[tier].setdefault(job.spec.team, {})
+    group = groups.get(key)
+    if group is not None:
+        return group
+    shape = state.shapes.get(key)
+    if shape is None:
+        shape = state.shapes[key] = Shape(key)
+        open_shape(state, shape)
+    shape.groups += 1
+    group = groups[key] = Group(job.team, tier, shape)
+    state.reviews.append(group)
     return group
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -121,13 +121,11 @@
 
 @dataclass(slots=True, eq=False)
 class Team:
-    """A team's guaranteed room, what it holds, and its waiting groups."""
+    """A team's guaranteed room and what it holds."""
 
     team: TeamId
     guaranteed: Resources = NO_RESOURCES
     used: Resources = NO_RESOURCES
-    groups: dict[tuple[Tier, ShapeKey], Group] = field(default_factory=dict)
-    quota_blocked: list[Group] = field(default_factory=list)
 
 
 @dataclass(slots=True, eq=False)
@@ -136,7 +134,9 @@
 
     key: ShapeKey
     blocked: bool = False
-    parked: list[Group] = field(default_factory=list)
+    groups: int = 0
+    candidates: dict[WorkerId, Worker] | None = None
+    """Workers with new room since the shape found none; `None` if all are to be looked at."""
 
 
 @dataclass(slots=True, eq=False)
@@ -148,10 +148,8 @@
     shape: Shape
     jobs: list[tuple[WallTime, int, Job]] = field(default_factory=list)
     """A heap."""
-    queued: bool = False
-    """Whether the group stands in the queue of its team."""
-    parked: bool = False
-    """Whether the group waits for room or quota outside the queue."""
+    quota_blocked: bool = False
+    forgotten: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -202,12 +200,16 @@
     held_elsewhere: dict[WorkerId, Resources] = field(default_factory=dict)
     """Room of tasks on workers that were not offered yet."""
     shapes: dict[ShapeKey, Shape] = field(default_factory=dict)
-    blocked_shapes: dict[ShapeKey, Shape] = field(default_factory=dict)
-    quota_blocked_teams: dict[TeamId, Team] = field(default_factory=dict)
-    queues: dict[Tier, dict[TeamId, list[tuple[WallTime, int, Group]]]] = field(
+    open_shapes: dict[ShapeKey, Shape] = field(default_factory=dict)
+    """Shapes that may find room."""
+    groups: dict[Tier, dict[TeamId, dict[ShapeKey, Group]]] = field(
         default_factory=lambda: {tier: {} for tier in Tier}
     )
-    """By tier and team, a heap of the heads of groups that may find room."""
+    quota_blocked: list[Group] = field(default_factory=list)
+    reviews: deque[Group] = field(default_factory=deque)
+    """All groups, the one to be reviewed next first."""
+    capacities: Counter[Resources] = field(default_factory=Counter)
+    """Number of workers of each capacity."""
     plain_index: list[tuple[int, int]] = field(default_factory=list)
     """Open processors and ordinal of workers without accelerators, sorted."""
     accelerated_index: list[tuple[int, int]] = field(default_factory=list)
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_rooms.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_rooms.py
@@ -5,7 +5,7 @@
 from bisect import bisect_left, insort
 
 from lentilpath_core.ids import Instant, RackId, WorkerId
-from lentilpath_core.placement._queues import unblock_shapes
+from lentilpath_core.placement._queues import can_make_room, offer_room
 from lentilpath_core.placement._records import (
     HeldRoom,
     Job,
@@ -127,7 +127,7 @@
     for reservation in worker.claims:
         state.touched[reservation.order] = reservation
     if is_usable(worker):
-        unblock_shapes(state, worker.free)
+        offer_room(state, worker, worker.free)
 
 
 def add_reservation(state: PlacementState, reservation: Reservation) -> None:
@@ -159,7 +159,7 @@
         for other in worker.claims:
             state.touched[other.order] = other
         if is_usable(worker):
-            unblock_shapes(state, worker.open)
+            offer_room(state, worker, worker.open)
 
 
 def is_reservation_satisfied(state: PlacementState, reservation: Reservation) -> bool:
@@ -179,11 +179,20 @@
 
 
 def find_worker(
-    state: PlacementState, job: Job, needed: Resources, avoided: set[WorkerId] | None
+    state: PlacementState,
+    job: Job,
+    needed: Resources,
+    avoided: set[WorkerId] | None,
+    candidates: dict[WorkerId, Worker] | None = None,
 ) -> Worker | None:
-    """Return the best worker with open room for `needed`, or `None`."""
+    """Return the best worker with open room for `needed`, or `None`.
+
+    Only `candidates` are looked at, if they are given.
+    """
     if job.spec.kind is WorkloadKind.SERVICE or job.spec.policy.strategy is Strategy.SPREAD:
         return _find_spread(state, job, needed, avoided)
+    if candidates is not None:
+        return _find_among(candidates, needed, avoided)
     if not needed.accelerators:
         found = _find_tightest(state, state.plain_index, needed, avoided)
         if found is not None:
@@ -243,6 +252,25 @@
     return best
 
 
+def _find_among(
+    candidates: dict[WorkerId, Worker], needed: Resources, avoided: set[WorkerId] | None
+) -> Worker | None:
+    best: Worker | None = None
+    best_score = 0.0
+    for worker in candidates.values():
+        if not needed.fits_in(worker.open) or not is_usable(worker):
+            continue
+        if avoided is not None and worker.worker in avoided:
+            continue
+        score = _score_tightness(worker, needed)
+        if worker.capacity.accelerators and not needed.accelerators:
+            score += 2
+        if best is None or score < best_score:
+            best = worker
+            best_score = score
+    return best
+
+
 def _score_tightness(worker: Worker, needed: Resources) -> float:
     capacity = worker.capacity
     processors = (worker.open.millicores - needed.millicores) / capacity.millicores
@@ -278,7 +306,7 @@
     state: PlacementState, worker: Worker, held: HeldRoom, change: Resources
 ) -> None:
     policy = held.job.spec.policy
-    if held.stopping or not (policy.checkpointable or policy.stoppable):
+    if held.stopping or not can_make_room(held.job):
         return
     state.room_to_make = True
     before = worker.preemptible.get(policy.priority, NO_RESOURCES)
@@ -290,7 +318,7 @@
     policy = held.job.spec.policy
     if policy.priority is PriorityClass.URGENT:
         state.urgent_held += change
-    elif not (policy.checkpointable or policy.stoppable):
+    elif not can_make_room(held.job):
         state.firm += change
     state.unused_guarantees -= take_unused(team)
     team.used += change
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_summary.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_summary.py
@@ -35,9 +35,8 @@
             free += take_larger(worker.open, NO_RESOURCES)
             largest = take_larger(largest, worker.capacity)
     oldest_wait_ms = 0
-    for shape in state.blocked_shapes.values():
-        for group in shape.parked:
-            head = find_head(group)
-            if head is not None and head.blocked_since is not None:
-                oldest_wait_ms = max(oldest_wait_ms, now - head.blocked_since)
+    for group in state.reviews:
+        head = find_head(group)
+        if head is not None and head.blocked_since is not None:
+            oldest_wait_ms = max(oldest_wait_ms, now - head.blocked_since)
     return PlacementSummary(total, free, largest, state.waiting, oldest_wait_ms)
