--- /dev/null
+++ b/benches/requests/baselines.py
@@ -0,0 +1,114 @@
+"""Two plain ways to reach runners, to compare with: no shares, no limits, no queue."""
+
+from __future__ import annotations
+
+import itertools
+import uuid
+from typing import Any
+
+from lentilpath_core.ids import Instant, RequestId
+from lentilpath_core.requests.messages import CallerRequest, FailureReason, RequestFailed
+from lentilpath_core.requests.policy import RequestPolicy
+from lentilpath_core.settings import Address
+from lentilpath_http import HttpRequest, HttpResponse, serve_http
+from lentilpathd._adapters.callers import read_request, write_answer, write_failure
+from lentilpathd._adapters.upstream import RunnerConnection, RunnerRefused, connect_runner
+from lentilpathd._clock import read_instant
+from lentilpathd._directory import Directory
+from lentilpath_core.errors import OutcomeUnknown
+
+CONNECT_SECONDS = 1.0
+ATTEMPTS = 3
+MS_PER_SECOND = 1_000
+
+
+class _Pool:
+    def __init__(self, address: Address, region: str) -> None:
+        self.address = address
+        self.region = region
+        self.in_use = 0
+        self.idle: list[RunnerConnection] = []
+
+    async def send(self, request: CallerRequest, timeout: float) -> tuple[Any, int]:
+        self.in_use += 1
+        try:
+            while self.idle and not self.idle[-1].is_usable():
+                self.idle.pop().close()
+            if self.idle:
+                connection = self.idle.pop()
+            else:
+                connection = await connect_runner(self.address, CONNECT_SECONDS, read_instant())
+            before = connection.bytes_carried
+            try:
+                answer = await connection.send(request, int(timeout * MS_PER_SECOND), timeout)
+            finally:
+                if connection.is_usable():
+                    self.idle.append(connection)
+            return answer, connection.bytes_carried - before
+        finally:
+            self.in_use -= 1
+
+
+class Baseline:
+    """An entry host that follows one of the two ways."""
+
+    def __init__(self, subject: str, directory: Directory, region: str) -> None:
+        self._least = subject == "least-connections"
+        self._directory = directory
+        self._region = region
+        self._pools: dict[str, _Pool] = {}
+        self._turn = itertools.count()
+        self._policy = RequestPolicy()
+        self.bytes_here = 0
+        self.bytes_far = 0
+
+    async def answer(self, message: HttpRequest) -> HttpResponse:
+        request_id = RequestId(uuid.uuid4().hex)
+        try:
+            request = read_request(message, request_id, self._policy, read_instant())
+            return write_answer(request_id, await self._send(request))
+        except RequestFailed as failure:
+            return write_failure(request_id, failure)
+
+    async def _send(self, request: CallerRequest) -> Any:
+        refusal = "no runner"
+        for _ in range(ATTEMPTS):
+            pool = self._choose(request)
+            try:
+                timeout = max(0.001, (request.deadline - Instant(read_instant())) / MS_PER_SECOND)
+                answer, carried = await pool.send(request, timeout)
+            except RunnerRefused as error:
+                refusal = str(error)
+                continue
+            except OutcomeUnknown as error:
+                raise RequestFailed(FailureReason.OUTCOME_UNKNOWN, str(error)) from error
+            if pool.region == self._region:
+                self.bytes_here += carried
+            else:
+                self.bytes_far += carried
+            return answer
+        raise RequestFailed(FailureReason.OVERLOADED, refusal, 1_000)
+
+    def _choose(self, request: CallerRequest) -> _Pool:
+        listed = [h for h in self._directory.list_upstreams(request.service) if not h.leaving]
+        if not listed:
+            raise RequestFailed(FailureReason.NO_RUNNER, "no runner is listed", 1_000)
+        for host in listed:
+            if host.name not in self._pools:
+                self._pools[host.name] = _Pool(host.address, host.region)
+        pools = [self._pools[host.name] for host in listed]
+        turn = next(self._turn)
+        if self._least:
+            return min(
+                (pools[(turn + i) % len(pools)] for i in range(len(pools))),
+                key=lambda pool: pool.in_use,
+            )
+        return pools[turn % len(pools)]
+
+
+async def serve_baseline(
+    subject: str, directory: Directory, region: str, address: Address
+) -> tuple[Any, Baseline]:
+    """Start a baseline and return its server and itself."""
+    baseline = Baseline(subject, directory, region)
+    return await serve_http(baseline.answer, address.host, address.port), baseline
--- /dev/null
+++ b/benches/requests/cell.py
@@ -0,0 +1,83 @@
+"""The outside of the bench in one process: 24 runners, a table and the list of hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from typing import Any
+
+from lentilpath_http import HttpRequest, HttpResponse, json_response, serve_http
+from lentilpath_standins.platform import PlatformStandin, start_platform
+from lentilpath_standins.runner import RunnerState, report, set_faults, start_runner
+
+SLOTS = 8
+CONNECTIONS = 64
+LIST_LAG_MS = 500
+
+
+class Control:
+    """Faults and reports of all runners at once, for the load generator."""
+
+    def __init__(self, runners: list[RunnerState], platform: PlatformStandin) -> None:
+        self._runners = {runner.name: runner for runner in runners}
+        self._platform = platform
+
+    async def answer(self, request: HttpRequest) -> HttpResponse:
+        message = json.loads(request.body or b"{}")
+        if request.target == "/faults":
+            for name in message["runners"]:
+                set_faults(self._runners[name], message["faults"])
+            return json_response(200, {})
+        if request.target == "/table":
+            self._platform.gate.replace_faults(**message)
+            return json_response(200, {})
+        if request.target == "/reset":
+            for runner in self._runners.values():
+                self._reset(runner)
+            return json_response(200, {})
+        return json_response(200, {name: report(runner) for name, runner in self._runners.items()})
+
+    def _reset(self, runner: RunnerState) -> None:
+        runner.log.clear()
+        runner.most_running = runner.running
+        runner.most_open = len(runner.open)
+        for name in ("slot_excess", "connection_excess", "refused", "malformed", "answered"):
+            setattr(runner, name, 0)
+        calm = {"down": False, "slow_factor": 1.0, "delay_ms": 0, "leaving": False}
+        set_faults(runner, calm)
+
+
+async def run_cell(plan: dict[str, Any]) -> None:
+    """Serve `plan`: zones, ports and the run time of each request."""
+    hosts: list[dict[str, Any]] = []
+    runners = []
+    for number, port in enumerate(plan["runner_ports"]):
+        zone = plan["zones"][number % len(plan["zones"])]
+        state = RunnerState(f"runner-{number}", "boxplanner", SLOTS, CONNECTIONS, plan["run_ms"])
+        await start_runner(state, "127.0.0.1", port)
+        runners.append(state)
+        hosts.append(
+            {
+                "name": state.name,
+                "kind": "upstream",
+                "region": f"region-{zone}",
+                "zone": zone,
+                "rack": "",
+                "address": "127.0.0.1",
+                "port": port,
+                "leaving": False,
+                "service": "boxplanner",
+                "slots": SLOTS,
+                "connections": CONNECTIONS,
+            }
+        )
+    platform = PlatformStandin(hosts, LIST_LAG_MS)
+    await start_platform(platform, "127.0.0.1", plan["platform_port"], {})
+    await serve_http(Control(runners, platform).answer, "127.0.0.1", plan["control_port"])
+    print("ready", flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(run_cell(json.loads(sys.argv[1])))
--- /dev/null
+++ b/benches/requests/entry.py
@@ -0,0 +1,144 @@
+"""One entry host of the bench: lentilpath's request path, or a baseline, in its own process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+from typing import Any
+
+import lentilpathd._requests.runner as runner_module
+from baselines import serve_baseline
+from lentilpath_core.errors import PeerUnavailable
+from lentilpath_core.ids import HostId, Incarnation
+from lentilpath_core.settings import HostSettings, parse_settings
+from lentilpath_http import HttpRequest, HttpResponse, json_response, serve_http
+from lentilpathd._adapters.platform import create_platform
+from lentilpathd._adapters.upstream import RunnerRefused
+from lentilpathd._authority import Authority
+from lentilpathd._context import DaemonContext
+from lentilpathd._directory import Directory
+from lentilpathd._peers import PeerBus
+from lentilpathd._requests import create_requests
+
+DRAIN_SECONDS = 10.0
+
+
+class NoLeadership:
+    """Nobody leads; the bench has no zone work."""
+
+    def get_authority(self) -> Authority | None:
+        return None
+
+    def get_leader(self, zone: str) -> HostId | None:
+        return HostId("nobody")
+
+    async def run(self) -> None:
+        await asyncio.Event().wait()
+
+    async def release(self) -> None:
+        return
+
+
+class Cut:
+    """Makes everything outside the own zone unreachable, as a partition would."""
+
+    def __init__(self, settings: HostSettings, bus: PeerBus, directory: Directory) -> None:
+        self._zone = settings.zone
+        self._bus = bus
+        self._directory = directory
+        self._zones = {peer.host: peer.zone for peer in settings.entry_hosts}
+        self._ask = bus.ask
+        self._connect = runner_module.connect_runner
+        self.active = False
+        bus.ask = self._ask_if_reachable  # type: ignore[method-assign]
+        runner_module.connect_runner = self._connect_if_reachable
+
+    def switch(self, active: bool, cut_zone: str) -> None:
+        self.active = active
+        self._cut_zone = cut_zone
+
+    def is_cut(self, zone: str | None) -> bool:
+        return self.active and (self._zone == self._cut_zone) != (zone == self._cut_zone)
+
+    async def _ask_if_reachable(self, host: Any, topic: str, *rest: Any) -> Any:
+        if self.is_cut(self._zones.get(host)):
+            await asyncio.sleep(rest[-1])
+            raise PeerUnavailable(f"{host} is cut off")
+        return await self._ask(host, topic, *rest)
+
+    async def _connect_if_reachable(self, address: Any, timeout: float, now: Any) -> Any:
+        zone = next(
+            (h.zone for h in self._directory.list_hosts() if h.address == address), None
+        )
+        if self.is_cut(zone):
+            await asyncio.sleep(timeout)
+            raise RunnerRefused("cut off", reached=False)
+        return await self._connect(address, timeout, now)
+
+
+def drop_far_connections(part: Any, cut: Cut) -> None:
+    """Close the connections that a partition has severed."""
+    for runner in part.roster.list_runners():
+        if cut.is_cut(runner.zone):
+            runner.close()
+
+
+async def run_entry(subject: str, settings: HostSettings, control_port: int, boot: str) -> None:
+    """Serve callers until SIGTERM, then drain."""
+    platform = create_platform(settings.platform)
+    bus = PeerBus(settings.host, Incarnation(f"{settings.host}-{boot}"), settings.zone)
+    directory = Directory(settings, bus, platform)
+    cut = Cut(settings, bus, directory)
+    work = [asyncio.create_task(directory.run())]
+    counters: dict[str, Any] = {}
+    part: Any = None
+    if subject == "lentilpath":
+        context = DaemonContext(
+            settings, bus.incarnation, bus, platform, platform, directory
+        )
+        part = create_requests(context, NoLeadership())
+        work += [asyncio.create_task(part.run()), asyncio.create_task(bus.serve(settings.peers))]
+    else:
+        server, baseline = await serve_baseline(
+            subject, directory, settings.region, settings.callers
+        )
+
+    async def answer(request: HttpRequest) -> HttpResponse:
+        if request.target == "/cut":
+            message = json.loads(request.body)
+            cut.switch(message["active"], message["zone"])
+            if part is not None:
+                drop_far_connections(part, cut)
+            return json_response(200, {})
+        if part is None:
+            counters.update(here=baseline.bytes_here, far=baseline.bytes_far, peers=0)
+        else:
+            totals = [0, 0, 0]
+            for service in part.roster.services.values():
+                for distance, amount in service.bytes_by_distance.items():
+                    totals[distance] += amount
+            counters.update(here=totals[0], far=totals[2], peers=bus.bytes_sent)
+        return json_response(200, counters)
+
+    await serve_http(answer, "127.0.0.1", control_port)
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    print("ready", flush=True)
+    await stop.wait()
+    if part is not None:
+        await part.drain(DRAIN_SECONDS)
+    else:
+        await server.close(DRAIN_SECONDS)
+    for task in work:
+        task.cancel()
+    await asyncio.gather(*work, return_exceptions=True)
+
+
+if __name__ == "__main__":
+    asyncio.run(
+        run_entry(
+            sys.argv[1], parse_settings(sys.argv[2], "bench"), int(sys.argv[3]), sys.argv[4]
+        )
+    )
--- /dev/null
+++ b/benches/requests/measure.py
@@ -0,0 +1,270 @@
+"""Measures the request path against two baselines and writes the report."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import statistics
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from callers import Callers, Result
+from processes import FIRST_PORT, LOOPBACK, RUN_MS, RUNNERS, ZONES, BenchCell
+from report import write_report
+
+from lentilpath_http import HttpRequest, open_connection
+
+SUBJECTS = ("lentilpath", "round-robin", "least-connections")
+SLOTS = 8
+CAPACITY = RUNNERS * SLOTS / RUN_MS * 1_000
+FAULT_AFTER_SECONDS = 2.0
+SETTLE_SECONDS = 3.0
+LEAVING_BOUND_SECONDS = 2.0
+HOP_REQUESTS = 400
+RUNNER_GROUP = 4
+
+Fault = Callable[[BenchCell], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """One load: its rate as a part of the slots, and what goes wrong meanwhile."""
+
+    name: str
+    fraction: float
+    fault: Fault | None = None
+    stretch: float = 1.0
+    """How many times the common duration it lasts."""
+    keyed_fraction: float = 0.0
+
+
+@dataclass(slots=True)
+class Figures:
+    """What one subject did under one load."""
+
+    subject: str
+    load: str
+    offered: int
+    goodput: float
+    waits: dict[str, float]
+    urgent_p99: float
+    refused: int
+    unknown: int
+    lost: int
+    doubled: int
+    mixed: int
+    falsely_refused: int
+    slot_excess: int
+    connection_excess: int
+    late_work: int
+    bytes: dict[str, int]
+    cpu_ms: float
+    keyed: Counter[str] = field(default_factory=Counter)
+
+
+async def slow_one(cell: BenchCell) -> None:
+    await cell.control("/faults", {"runners": ["runner-0"], "faults": {"slow_factor": 5.0}})
+
+
+async def silence_one(cell: BenchCell) -> None:
+    await asyncio.sleep(FAULT_AFTER_SECONDS)
+    await cell.control("/faults", {"runners": ["runner-0"], "faults": {"silent": True}})
+
+
+async def leave_one(cell: BenchCell) -> None:
+    await asyncio.sleep(FAULT_AFTER_SECONDS)
+    await cell.set_leaving({"runner-0"})
+
+
+async def cut_zone(cell: BenchCell) -> None:
+    await asyncio.sleep(FAULT_AFTER_SECONDS)
+    await cell.cut_zone(ZONES[2], True)
+
+
+async def table_down(cell: BenchCell) -> None:
+    await cell.control("/table", {"down": True})
+
+
+async def restart_all(cell: BenchCell) -> None:
+    for entry in cell.entries:
+        entry.open_to_callers = False
+        await asyncio.sleep(0.2)
+        await cell.stop_entry(entry)
+        await cell.start_entry(entry)
+        await asyncio.sleep(2.0)
+        entry.open_to_callers = True
+    names = [f"runner-{i}" for i in range(RUNNERS)]
+    for start in range(0, RUNNERS, RUNNER_GROUP):
+        group = names[start : start + RUNNER_GROUP]
+        await cell.set_leaving(set(group))
+        await asyncio.sleep(LEAVING_BOUND_SECONDS + RUN_MS / 1_000)
+        await cell.control("/faults", {"runners": group, "faults": {"down": True}})
+        await asyncio.sleep(0.3)
+        await cell.control("/faults", {"runners": group, "faults": {"down": False}})
+        await cell.set_leaving(set())
+
+
+LOADS = (
+    Load("60% of the slots", 0.6),
+    Load("90% of the slots", 0.9),
+    Load("3 times overload", 3.0, stretch=2.0),
+    Load("one slow runner, 60%", 0.6, slow_one),
+    Load("one leaving runner, 60%", 0.6, leave_one),
+    Load("one runner's connections silent, 60%", 0.6, silence_one),
+    Load("a zone cut off, 60%", 0.6, cut_zone),
+    Load("table down, 60%, a tenth with keys", 0.6, table_down, keyed_fraction=0.1),
+    Load("rolling restart of all, 60%", 0.6, restart_all, stretch=5.0),
+)
+
+
+async def measure_load(cell: BenchCell, load: Load, seconds: float, seed: int) -> Figures:
+    """Run one load and return its figures."""
+    await cell.control("/reset", {})
+    callers = Callers(cell, seed, load.keyed_fraction)
+    cpu = cell.read_entry_cpu()
+    carried = await cell.read_bytes()
+    started = time.time()
+    duration = seconds * load.stretch
+    running = asyncio.create_task(callers.run(load.fraction * CAPACITY, duration))
+    if load.fault is not None:
+        await load.fault(cell)
+    fault_at = time.time()
+    await running
+    cpu = cell.read_entry_cpu() - cpu
+    after = await cell.read_bytes()
+    await asyncio.sleep(SETTLE_SECONDS)
+    log = await cell.control("/log", {})
+    await undo_faults(cell)
+    callers.close()
+    carried = {name: max(0, after[name] - carried.get(name, 0)) for name in after}
+    figures = summarize(cell.subject, load, duration, callers.results, log, carried, cpu)
+    if load.fault is leave_one:
+        limit = fault_at + LEAVING_BOUND_SECONDS
+        begun = [run["at"] for run in log["runner-0"]["requests"]]
+        figures.late_work = sum(at > limit for at in begun)
+    assert started < fault_at
+    return figures
+
+
+async def undo_faults(cell: BenchCell) -> None:
+    await cell.control("/reset", {})
+    await cell.control("/table", {"down": False})
+    await cell.set_leaving(set())
+    await cell.cut_zone(ZONES[2], False)
+    await asyncio.sleep(SETTLE_SECONDS)
+
+
+def summarize(
+    subject: str,
+    load: Load,
+    seconds: float,
+    results: list[Result],
+    log: dict[str, Any],
+    carried: dict[str, int],
+    cpu: float,
+) -> Figures:
+    """Compare what the callers got with what the runners truly ran."""
+    runs = Counter(
+        run["target"].removeprefix("/") for runner in log.values() for run in runner["requests"]
+    )
+    answered = [result for result in results if result.status == 200]
+    waits = sorted(result.latency_ms - RUN_MS for result in answered)
+    urgent = sorted(result.latency_ms - RUN_MS for result in answered if result.urgent)
+    not_run = [result for result in results if result.outcome == "not-run"]
+    return Figures(
+        subject=subject,
+        load=load.name,
+        offered=len(results),
+        goodput=len(answered) / seconds,
+        waits={name: pick(waits, part) for name, part in QUANTILES.items()},
+        urgent_p99=pick(urgent, 0.99),
+        refused=len(not_run),
+        unknown=sum(result.outcome == "unknown" for result in results),
+        lost=sum(result.status == 0 for result in results),
+        doubled=sum(count > 1 for count in runs.values()),
+        mixed=sum(result.mixed for result in results),
+        falsely_refused=sum(runs[result.nonce] > 0 for result in not_run),
+        slot_excess=sum(runner["slot_excess"] for runner in log.values()),
+        connection_excess=sum(runner["connection_excess"] for runner in log.values()),
+        late_work=0,
+        bytes=carried,
+        cpu_ms=cpu * 1_000 / max(1, len(results)),
+        keyed=Counter(
+            str(result.status) + (f" {result.outcome}" if result.outcome else "")
+            for result in results
+            if result.keyed
+        ),
+    )
+
+
+QUANTILES = {"median": 0.5, "p99": 0.99, "p99.9": 0.999}
+
+
+def pick(values: list[float], part: float) -> float:
+    """Return a quantile of sorted values, or NaN if there are none."""
+    return values[min(len(values) - 1, int(len(values) * part))] if values else float("nan")
+
+
+async def measure_hop(cell: BenchCell) -> tuple[float, float]:
+    """Return the median ms of a request to a runner directly, and through an entry host."""
+    names = [f"runner-{i}" for i in range(RUNNERS)]
+    await cell.control("/faults", {"runners": names, "faults": {"service_ms": 0.0}})
+    direct = await time_requests(FIRST_PORT, "/x")
+    through = await time_requests(cell.entries[0].callers_port, "/services/boxplanner/x")
+    await cell.control("/faults", {"runners": names, "faults": {"service_ms": RUN_MS}})
+    return direct, through
+
+
+async def time_requests(port: int, target: str) -> float:
+    connection = await open_connection(LOOPBACK, port)
+    times = []
+    for _ in range(HOP_REQUESTS):
+        started = time.perf_counter()
+        request = HttpRequest("POST", target, (("x-customer", "harbor"),), b"x" * 200)
+        await connection.exchange(request, 5.0)
+        times.append((time.perf_counter() - started) * 1_000)
+    connection.close()
+    return statistics.median(times)
+
+
+async def measure(seconds: float, subjects: list[str], chosen: str) -> tuple[list[Figures], Any]:
+    """Measure all subjects one after the other."""
+    figures = []
+    hop = (float("nan"), float("nan"))
+    for subject in subjects:
+        cell = BenchCell(subject)
+        try:
+            await cell.start()
+            if subject == "lentilpath":
+                hop = await measure_hop(cell)
+                print("hop", hop, flush=True)
+            for seed, load in enumerate(LOADS):
+                if chosen in load.name:
+                    figures.append(await measure_load(cell, load, seconds, seed))
+                    print(figures[-1], flush=True)
+        finally:
+            await cell.close()
+    return figures, hop
+
+
+def main() -> None:
+    """Measure and write the report."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--report", type=Path)
+    parser.add_argument("--subjects", default=",".join(SUBJECTS))
+    parser.add_argument("--load", default="", help="only loads whose name holds this")
+    options = parser.parse_args()
+    figures, hop = asyncio.run(
+        measure(options.seconds, options.subjects.split(","), options.load)
+    )
+    if options.report is not None:
+        options.report.write_text(write_report(figures, hop, options.seconds, CAPACITY))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benches/requests/processes.py
@@ -0,0 +1,186 @@
+"""Starts and ends the bench's processes and asks them for their counters."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from lentilpath_http import HttpRequest, create_client
+
+FOLDER = Path(__file__).parent
+LOOPBACK = "127.0.0.1"
+FIRST_PORT = 23_100
+RUNNERS = 24
+RUN_MS = 400.0
+ZONES = ("portland-dock", "holyoke-mill", "pawtucket-yard")
+ENTRY_HOSTS_BY_ZONE = (3, 2, 2)
+START_SECONDS = 20.0
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+
+
+@dataclass(slots=True)
+class Entry:
+    """One entry host and its process."""
+
+    name: str
+    zone: str
+    number: int
+    boot: int = 0
+    process: Any = None
+    open_to_callers: bool = True
+
+    @property
+    def callers_port(self) -> int:
+        return FIRST_PORT + 100 + self.number
+
+    @property
+    def peers_port(self) -> int:
+        return FIRST_PORT + 120 + self.number
+
+    @property
+    def control_port(self) -> int:
+        return FIRST_PORT + 140 + self.number
+
+
+@dataclass(slots=True)
+class BenchCell:
+    """All processes of one subject."""
+
+    subject: str
+    entries: list[Entry] = field(default_factory=list)
+    outside: Any = None
+    ended_cpu_seconds: float = 0.0
+    platform_port: int = FIRST_PORT + 50
+    control_port: int = FIRST_PORT + 51
+
+    async def start(self) -> None:
+        plan = {
+            "zones": ZONES,
+            "runner_ports": [FIRST_PORT + i for i in range(RUNNERS)],
+            "run_ms": RUN_MS,
+            "platform_port": self.platform_port,
+            "control_port": self.control_port,
+        }
+        self.outside = await start_process("cell.py", json.dumps(plan))
+        for zone, count in zip(ZONES, ENTRY_HOSTS_BY_ZONE, strict=True):
+            for _ in range(count):
+                number = len(self.entries)
+                self.entries.append(Entry(f"entry-{number}", zone, number))
+        for entry in self.entries:
+            await self.start_entry(entry)
+        # Beyond the quarantine of a new process and the first reading of the host list.
+        await asyncio.sleep(3.0)
+
+    async def start_entry(self, entry: Entry) -> None:
+        entry.boot += 1
+        settings = self._make_settings(entry)
+        entry.process = await start_process(
+            "entry.py", self.subject, settings, str(entry.control_port), str(entry.boot)
+        )
+
+    async def stop_entry(self, entry: Entry) -> None:
+        self.ended_cpu_seconds += read_cpu_seconds(entry.process.pid)
+        entry.process.send_signal(signal.SIGTERM)
+        await entry.process.wait()
+
+    async def close(self) -> None:
+        for entry in self.entries:
+            entry.process.terminate()
+        await asyncio.gather(*(entry.process.wait() for entry in self.entries))
+        self.outside.terminate()
+        await self.outside.wait()
+
+    def read_entry_cpu(self) -> float:
+        """Return the processor seconds of all entry hosts so far."""
+        running = sum(read_cpu_seconds(entry.process.pid) for entry in self.entries)
+        return self.ended_cpu_seconds + running
+
+    async def read_bytes(self) -> dict[str, int]:
+        """Return bytes by class of link, summed over the entry hosts."""
+        totals: dict[str, int] = {}
+        for entry in self.entries:
+            for name, amount in (await ask(entry.control_port, "/counters", {})).items():
+                totals[name] = totals.get(name, 0) + amount
+        return totals
+
+    async def control(self, target: str, message: dict[str, Any]) -> Any:
+        """Ask the process of the runners and the table."""
+        return await ask(self.control_port, target, message)
+
+    async def set_leaving(self, names: set[str]) -> None:
+        """Let the platform list exactly these runners as leaving, after its lag."""
+        client = create_client(LOOPBACK, self.platform_port)
+        listed = (await client.send(HttpRequest("GET", "/hosts"), 5.0)).parse_json()["hosts"]
+        for host in listed:
+            host["leaving"] = host["name"] in names
+        body = json.dumps({"hosts": listed}).encode()
+        await client.send(HttpRequest("POST", "/hosts", body=body), 5.0)
+        client.close()
+
+    async def cut_zone(self, zone: str, active: bool) -> None:
+        for entry in self.entries:
+            await ask(entry.control_port, "/cut", {"active": active, "zone": zone})
+
+    def _make_settings(self, entry: Entry) -> str:
+        def address(port: int) -> dict[str, Any]:
+            return {"host": LOOPBACK, "port": port}
+
+        peers = [
+            {
+                "host": other.name,
+                "region": f"region-{other.zone}",
+                "zone": other.zone,
+                "address": address(other.peers_port),
+            }
+            for other in self.entries
+            if other is not entry
+        ]
+        settings = {
+            "host": entry.name,
+            "region": f"region-{entry.zone}",
+            "zone": entry.zone,
+            "callers": address(entry.callers_port),
+            "operators": address(1),
+            "peers": address(entry.peers_port),
+            "platform": address(self.platform_port),
+            "entry_hosts": peers,
+        }
+        return json.dumps(settings)
+
+
+async def start_process(script: str, *arguments: str) -> Any:
+    """Start one of the bench's scripts and wait until it says that it is ready."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(FOLDER / script),
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.DEVNULL,
+    )
+    assert process.stdout is not None
+    async with asyncio.timeout(START_SECONDS):
+        line = await process.stdout.readline()
+    if line.strip() != b"ready":
+        raise RuntimeError(f"{script} did not start")
+    return process
+
+
+async def ask(port: int, target: str, message: dict[str, Any]) -> Any:
+    """Send one control request and return its JSON answer."""
+    client = create_client(LOOPBACK, port, max_response_bytes=1 << 28)
+    body = json.dumps(message).encode()
+    response = await client.send(HttpRequest("POST", target, body=body), 30.0)
+    client.close()
+    return response.parse_json()
+
+
+def read_cpu_seconds(pid: int) -> float:
+    """Return the processor time of a process so far."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
--- a/packages/lentilpathd/src/lentilpathd/_requests/service.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/service.py
@@ -70,6 +70,8 @@
         self.service = service
         self.runners: dict[UpstreamId, Runner] = {}
         self.queue = ServiceQueue()
+        self.bytes_by_distance = dict.fromkeys(Distance, 0)
+        """Bytes exchanged with runners, by how far they are."""
         self._policy = policy
         self._metrics = metrics
         self._on_waiting = on_waiting
@@ -255,14 +257,19 @@
             self._note_failure(runner)
             return _Attempt(None, Outcome.UNKNOWN, str(error))
         finally:
-            if runner.health.distance is Distance.OTHER_REGION:
-                self._metrics.count(Metric.REGION_BYTES, connection.bytes_carried - carried)
+            self._count_bytes(runner, connection.bytes_carried - carried)
             if whole:
                 runner.return_connection(connection, read_instant())
             else:
                 runner.drop_connection(connection, lingers=True)
             self._finish(hold)
 
+    def _count_bytes(self, runner: Runner, amount: int) -> None:
+        distance = runner.health.distance
+        self.bytes_by_distance[distance] += amount
+        if distance is Distance.OTHER_REGION:
+            self._metrics.count(Metric.REGION_BYTES, amount)
+
     def _finish(self, hold: SlotHold) -> None:
         hold.runner.return_slot(hold)
         self.pump()
