--- a/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
@@ -117,8 +117,10 @@
     job = _find_job(state, event.spec, now)
     job.accepted_at = event.accepted_at
     job.due = find_due_time(event.spec, event.accepted_at)
-    if job.withdrawn or job.refused:
+    if job.refused:
         return
+    # A job is also withdrawn for a while, when its starts need the table and the table is away.
+    job.withdrawn = False
     attempts = dict(event.attempts)
     for task in event.tasks:
         if task in state.placed or task in job.waiting or task in job.delayed:
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_messages.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_messages.py
@@ -51,7 +51,10 @@
 
 @dataclass(frozen=True, slots=True)
 class JobWithdrawn:
-    """No waiting task of the job may start any more. Running ones are ended by their own events."""
+    """No waiting task of the job may start, unless it becomes ready again.
+
+    Running ones are ended by their own events.
+    """
 
     job: JobId
 
--- a/tests/common/zone.py
+++ b/tests/common/zone.py
@@ -19,6 +19,7 @@
     ZoneId,
     get_job_of_task,
 )
+from lentilpath_core.placement import explain_task
 from lentilpath_core.resources import Resources
 from lentilpath_core.settings import WorkerLeaseSettings
 from lentilpath_core.states import ENDED_TASK_STATES
@@ -335,6 +336,23 @@
             self.advance(step_ms)
             self.take(TimePassed())
 
+    def run_until_ended(self, max_rounds: int) -> None:
+        """Let everything work until no accepted task is open."""
+        for _ in range(max_rounds):
+            self.run_quietly(1)
+            if not self.inbox and not self.list_open_tasks():
+                return
+
+    def explain_open_tasks(self) -> list[object]:
+        return [
+            (
+                task,
+                self.controller.zone.find_task(task),
+                explain_task(self.controller.placement, task, Instant(self.now)),
+            )
+            for task in self.list_open_tasks()
+        ]
+
     def list_open_tasks(self) -> list[TaskId]:
         return [
             task.task
