--- a/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
@@ -46,7 +46,6 @@
     find_needed,
     find_ready_group,
     find_shape_key,
-    find_tier,
     fire_aging,
     is_held_back,
     list_reviewed_groups,
@@ -54,15 +53,7 @@
     take_number,
     take_waiting,
 )
-from lentilpath_core.placement._records import (
-    Group,
-    Job,
-    PlacementState,
-    Reservation,
-    Shape,
-    Tier,
-    Worker,
-)
+from lentilpath_core.placement._records import Group, Job, PlacementState, Reservation, Tier, Worker
 from lentilpath_core.placement._reservations import (
     count_reserved,
     is_deadline_near,
@@ -187,9 +178,18 @@
 def _rank_team(state: PlacementState, name: TeamId, tier: Tier) -> tuple[bool, Tier, float]:
     """Return the order of a team's work: what is guaranteed first, then class, then share."""
     team = state.teams[name]
-    weight = max(MIN_WEIGHT, _find_share(team.guaranteed, state.total))
-    within = team.used.fits_in(team.guaranteed) and team.guaranteed != NO_RESOURCES
-    return (not within, tier, _find_share(team.used, state.total) / weight)
+    known = team.share_of
+    if (
+        known is None
+        or known[0] is not team.used
+        or known[1] is not team.guaranteed
+        or known[2] is not state.total
+    ):
+        weight = max(MIN_WEIGHT, _find_share(team.guaranteed, state.total))
+        team.share = _find_share(team.used, state.total) / weight
+        team.share_of = (team.used, team.guaranteed, state.total)
+    # A team that holds more than its guarantee has a weighted share above 1.
+    return (team.share > 1, tier, team.share)
 
 
 def _find_share(amount: Resources, total: Resources) -> float:
@@ -218,9 +218,6 @@
         _set_aside(group, job)
         enqueue_job(state, job)
         return
-    if _has_lost_its_room(group.shape, find_tier(job)):
-        close_shape(state, group.shape)
-        return
     result = _try_job(state, group, job, now, wall_now, decisions)
     if result is _Result.NO_ROOM:
         close_shape(state, group.shape)
@@ -230,22 +227,6 @@
         _set_aside(group, job)
 
 
-def _has_lost_its_room(shape: Shape, tier: Tier) -> bool:
-    """Return whether the workers that opened the shape have no room for it any more."""
-    if shape.candidates is None or tier is Tier.URGENT:
-        return False
-    millicores, memory_mib, accelerators, _, _ = shape.key
-    for name, worker in tuple(shape.candidates.items()):
-        room = worker.free
-        if (
-            millicores > room.millicores
-            or memory_mib > room.memory_mib
-            or accelerators > room.accelerators
-        ):
-            del shape.candidates[name]
-    return not shape.candidates
-
-
 def _set_aside(group: Group, job: Job) -> None:
     if job.group is group:
         job.group = None
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_preemption.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_preemption.py
@@ -10,7 +10,7 @@
 from lentilpath_core.placement._messages import StopMode, StopTask
 from lentilpath_core.placement._queues import can_make_room
 from lentilpath_core.placement._records import HeldRoom, Job, PlacementState, Worker
-from lentilpath_core.placement._rooms import is_usable, mark_stopping
+from lentilpath_core.placement._rooms import mark_stopping
 from lentilpath_core.resources import Resources
 from lentilpath_core.workloads import PriorityClass, WorkloadKind
 
@@ -101,18 +101,25 @@
 
 
 def _list_candidates(state: PlacementState, job: Job, needed: Resources) -> list[Worker]:
-    found: list[tuple[int, int, Worker]] = []
-    for worker in state.workers.values():
-        if not is_usable(worker):
+    """Return some workers where tasks could make room, beginning where the last search ended."""
+    found: list[Worker] = []
+    count = len(state.ordinals)
+    begin = state.room_search_at
+    for step in range(count):
+        at = (begin + step) % count
+        worker = state.workers.get(state.ordinals[at])
+        if worker is None or worker.indexed is None or not _may_have_room(worker, needed):
             continue
         room = _find_room_for(worker, job) + worker.leaving
         for amount in worker.preemptible.values():
             room += amount
-        if needed.fits_in(room):
-            accelerators = worker.capacity.accelerators if not needed.accelerators else 0
-            found.append((accelerators, -room.millicores, worker))
-    found.sort(key=lambda each: each[:2])
-    return [each[2] for each in found[:WORKERS_COMPARED]]
+        if not needed.fits_in(room):
+            continue
+        found.append(worker)
+        if len(found) >= WORKERS_COMPARED:
+            state.room_search_at = at + 1
+            break
+    return found
 
 
 def _plan_on_worker(
@@ -141,6 +148,15 @@
     return MakeRoom(worker, tuple(chosen), Instant(now + CHECKPOINT_COST_MS))
 
 
+def _may_have_room(worker: Worker, needed: Resources) -> bool:
+    if worker.claims:
+        return True
+    millicores = worker.open.millicores + worker.leaving.millicores
+    for amount in worker.preemptible.values():
+        millicores += amount.millicores
+    return millicores >= needed.millicores
+
+
 def _find_room_for(worker: Worker, job: Job) -> Resources:
     """Return the free room that is not reserved for work as urgent as the job."""
     if not worker.claims or job.spec.policy.priority is not PriorityClass.URGENT:
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_queues.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_queues.py
@@ -182,10 +182,13 @@
     groups = state.groups[tier].get(team, {})
     found: Group | None = None
     earliest: Job | None = None
-    for key in tuple(state.open_shapes):
+    for key, shape in tuple(state.open_shapes.items()):
         group = groups.get(key)
         if group is None or group.quota_blocked:
             continue
+        if tier is not Tier.URGENT and _has_lost_its_room(shape):
+            close_shape(state, shape)
+            continue
         head = find_head(group)
         if head is None:
             forget_group(state, group)
@@ -195,6 +198,22 @@
     return found
 
 
+def _has_lost_its_room(shape: Shape) -> bool:
+    """Return whether the workers that opened the shape have no room for it any more."""
+    if shape.candidates is None:
+        return False
+    millicores, memory_mib, accelerators, _, _ = shape.key
+    for name, worker in tuple(shape.candidates.items()):
+        room = worker.free
+        if (
+            millicores > room.millicores
+            or memory_mib > room.memory_mib
+            or accelerators > room.accelerators
+        ):
+            del shape.candidates[name]
+    return not shape.candidates
+
+
 def list_reviewed_groups(state: PlacementState, count: int) -> list[Group]:
     """Return the next `count` groups in turn, whether they may find room or not."""
     found: list[Group] = []
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
@@ -126,6 +126,9 @@
     team: TeamId
     guaranteed: Resources = NO_RESOURCES
     used: Resources = NO_RESOURCES
+    share: float = 0.0
+    """Weighted share of the zone, as of the amounts in `share_of`."""
+    share_of: tuple[Resources, Resources, Resources] | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -229,6 +232,8 @@
     waiting: Resources = NO_RESOURCES
     """What all waiting tasks declared together; those in backoff are not counted."""
     urgent_retried_at: Instant = Instant(0)
+    room_search_at: int = 0
+    """Ordinal of the worker at which the next search for room to make begins."""
     room_to_make: bool = False
     """Whether a task started that could be stopped for urgent work that found no room before."""
     urgent_waiting: Resources = NO_RESOURCES
