Mend an overcommit by a reservation older than what was learned

The room is now compared again when the reservation is fulfilled. Sizes are learned as an excess over the declared size, since jobs of one workload differ.

--- a/benches/measure/bounds.py
+++ b/benches/measure/bounds.py
@@ -53,6 +53,8 @@
 
 
 def _solve(shapes: list[tuple[Resources, int]], free: list[Resources], by_memory: bool) -> float:
+    if not shapes:
+        return 0.0
     workers = len(free)
     count = len(shapes)
     cost = np.zeros(count * workers)
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
@@ -470,7 +470,6 @@
         plan.ready_at,
         now,
         makes_room=True,
-        exclusive=False,
     )
     add_reservation(state, reservation)
     job.rule = WaitRule.RESERVED
@@ -502,6 +501,10 @@
     drop_reservation(state, reservation)
     if not _is_allowed_to_start(state, job, wall_now):
         return
+    if not find_needed(job).fits_in(reservation.room):
+        # The workload was seen to use more since the room was reserved.
+        enqueue_job(state, job)
+        return
     tasks = iter(tuple(job.waiting))
     for name, count in reservation.claims.items():
         worker = state.workers[name]
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_learning.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_learning.py
@@ -9,7 +9,14 @@
 
 from lentilpath_core.ids import Instant
 from lentilpath_core.placement._messages import StopMode, StopTask, UsageReported
-from lentilpath_core.placement._records import HeldRoom, Job, PlacementState, Workload
+from lentilpath_core.placement._records import (
+    KEPT_SAMPLES,
+    Excess,
+    HeldRoom,
+    Job,
+    PlacementState,
+    Workload,
+)
 from lentilpath_core.placement._rooms import grow_room, mark_stopping, take_larger
 from lentilpath_core.resources import NO_RESOURCES, Resources
 from lentilpath_core.workloads import WorkloadKind
@@ -44,7 +51,7 @@
     if held.job.spec.kind is not WorkloadKind.SERVICE:
         workload.run_times.append(ran_ms)
         workload.longest_run_ms = max(workload.run_times)
-    _keep_peak(workload, held.peak)
+    _keep_excess(workload, held)
 
 
 def take_usage(state: PlacementState, event: UsageReported) -> None:
@@ -59,24 +66,33 @@
         return
     held.peak = take_larger(held.peak, event.used)
     workload = held.job.workload
-    if not held.peak.fits_in(workload.largest_peak):
-        workload.largest_peak = take_larger(workload.largest_peak, held.peak)
+    workload.largest_excess = _take_larger_excess(workload.largest_excess, _find_excess(held))
     if not event.used.fits_in(held.room):
         _answer_outgrowth(state, held, event.used)
 
 
-def _keep_peak(workload: Workload, peak: Resources) -> None:
-    if peak == NO_RESOURCES:
+def _find_excess(held: HeldRoom) -> Excess:
+    declared = held.job.spec.resources
+    return (
+        max(1.0, held.peak.millicores / declared.millicores),
+        max(1.0, held.peak.memory_mib / declared.memory_mib),
+    )
+
+
+def _take_larger_excess(one: Excess, other: Excess) -> Excess:
+    return (max(one[0], other[0]), max(one[1], other[1]))
+
+
+def _keep_excess(workload: Workload, held: HeldRoom) -> None:
+    if held.peak == NO_RESOURCES:
         return
-    forgotten = workload.peaks[0] if len(workload.peaks) == workload.peaks.maxlen else None
-    workload.peaks.append(peak)
-    if forgotten is None:
-        workload.largest_peak = take_larger(workload.largest_peak, peak)
+    workload.excesses.append(_find_excess(held))
+    if len(workload.excesses) < KEPT_SAMPLES:
         return
-    largest = NO_RESOURCES
-    for each in workload.peaks:
-        largest = take_larger(largest, each)
-    workload.largest_peak = largest
+    largest = (1.0, 1.0)
+    for each in workload.excesses:
+        largest = _take_larger_excess(largest, each)
+    workload.largest_excess = largest
 
 
 def _answer_outgrowth(state: PlacementState, held: HeldRoom, used: Resources) -> None:
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_queues.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_queues.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 
 from lentilpath_core.ids import Instant, TaskId, TeamId, WallTime
 from lentilpath_core.placement._records import (
@@ -59,13 +60,13 @@
 def find_needed(job: Job) -> Resources:
     """Return the room of one task: as declared, or more if the workload was seen to use more."""
     declared = job.spec.resources
-    seen = job.workload.largest_peak
-    if seen.fits_in(declared):
+    processors, memory = job.workload.largest_excess
+    if processors <= 1 and memory <= 1:
         return declared
     return Resources(
-        max(declared.millicores, seen.millicores),
-        max(declared.memory_mib, seen.memory_mib),
-        max(declared.accelerators, seen.accelerators),
+        math.ceil(declared.millicores * processors),
+        math.ceil(declared.memory_mib * memory),
+        declared.accelerators,
     )
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
@@ -16,6 +16,8 @@
 """Finished runs by which a workload's run time and size are learned."""
 
 
+Excess = tuple[float, float]
+"""Seen use over declared size, of processors and of memory; at least 1."""
 ReservationOrder = tuple[bool, int]
 """Room that was made, or is for urgent work, before other room; then by age."""
 
@@ -104,9 +106,10 @@
 
     name: str
     run_times: deque[int] = field(default_factory=lambda: deque(maxlen=KEPT_SAMPLES))
-    peaks: deque[Resources] = field(default_factory=lambda: deque(maxlen=KEPT_SAMPLES))
+    excesses: deque[Excess] = field(default_factory=lambda: deque(maxlen=KEPT_SAMPLES))
     longest_run_ms: int = 0
-    largest_peak: Resources = NO_RESOURCES
+    largest_excess: Excess = (1.0, 1.0)
+    """By how much its tasks exceeded their declared size at most; 1 if they kept to it."""
     succeeded: bool = False
     failed_workers: set[WorkerId] = field(default_factory=set)
     """Workers on which it failed since its last success anywhere."""
