Count workers that have not answered when a job's size is judged

Cause: after a take-over the placement knew no worker until one had answered, so it refused accepted jobs as too large: 2 of 3 jobs of 60 tasks were lost (found by test_a_killed_leader_loses_and_doubles_nothing). A rack that was lost for a while had the same effect on gangs. Now every listed worker is offered as silent at once, and stays so when it is lost. Ruled out: refusing only at submission, since the learned size grows later. Also a regression test without processes: test_refuses_no_job_for_its_size_before_the_workers_have_answered.

--- a/packages/lentilpath-core/src/lentilpath_core/language/_queries.py
+++ b/packages/lentilpath-core/src/lentilpath_core/language/_queries.py
@@ -73,12 +73,13 @@
         job.spec.kind.value,
         task.state.value,
         last.worker if last is not None else "-",
-        len(task.attempts),
+        task.attempts_made,
         format_time(get_last_change(job, task)),
         job.spec.team,
         job.spec.customer,
         state.zone,
         outcome,
+        job.spec.job,
     )
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/language/_tables.py
+++ b/packages/lentilpath-core/src/lentilpath_core/language/_tables.py
@@ -26,6 +26,7 @@
         "customer",
         "zone",
         "outcome",
+        "job",
     ),
     "jobs": (
         "job",
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_workers.py
@@ -71,6 +71,7 @@
     names = {worker.worker for worker in listed}
     for gone in [w for w in state.workers if w not in names and w not in state.zone.workers]:
         del state.workers[gone]
+        apply_event(state.placement, WorkerRemoved(gone), now)
     for worker in listed:
         view = state.workers.get(worker.worker)
         if view is None:
@@ -78,6 +79,7 @@
             # was before this leader's began.
             bound = get_lease_bound(state, state.started_at)
             state.workers[worker.worker] = WorkerView(worker, WorkerPhase.UNHEARD, now, bound)
+            _offer_as_silent(state, worker, now)
         elif view.listed != worker:
             view.listed = worker
             offer_worker(state, worker.worker, now)
@@ -325,14 +327,18 @@
     if record is not None and record.boot == view.boot and not _is_joining_pending(state, view):
         confirm_worker(state, worker, view.boot, now)
         return
-    offer_as_silent = WorkerOffered(
-        worker, view.listed.rack, view.listed.capacity, WorkerState.SILENT
-    )
-    apply_event(state.placement, offer_as_silent, now)
+    _offer_as_silent(state, view.listed, now)
     record_event(state, WorkerJoined(worker, view.boot, wall))
     state.gated.append(ConfirmWorker(worker, view.boot))
 
 
+def _offer_as_silent(state: ControllerState, listed: ListedWorker, now: Instant) -> None:
+    # The placement gives a silent worker nothing, but counts its size: a job is too large only if
+    # it would not fit on the whole fleet, heard or not.
+    event = WorkerOffered(listed.worker, listed.rack, listed.capacity, WorkerState.SILENT)
+    apply_event(state.placement, event, now)
+
+
 def _is_joining_pending(state: ControllerState, view: WorkerView) -> bool:
     confirmation = ConfirmWorker(view.listed.worker, view.boot)
     return confirmation in state.gated or confirmation in state.writing_gated
@@ -344,6 +350,7 @@
     record_event(state, WorkerLost(worker, wall))
     apply_event(state.placement, WorkerRemoved(worker), now)
     listed = state.workers[worker].listed
+    _offer_as_silent(state, listed, now)
     # The next answer is taken as the first one of a worker that joins.
     state.workers[worker] = WorkerView(
         listed, WorkerPhase.SILENT, state.workers[worker].answered_at, Instant(now)
--- a/packages/lentilpath-standins/src/lentilpath_standins/runner.py
+++ b/packages/lentilpath-standins/src/lentilpath_standins/runner.py
@@ -16,6 +16,7 @@
 import asyncio
 import hashlib
 import json
+import signal
 import time
 from dataclasses import dataclass, field
 from typing import Any
@@ -23,6 +24,7 @@
 import h11
 import typer
 
+STOP_POLL_SECONDS = 0.05
 READ_CHUNK_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 MS_PER_SECOND = 1_000
@@ -284,12 +286,20 @@
     connections: int = 64,
     service_ms: float = 20.0,
 ) -> None:
-    """Run one runner until it is killed."""
+    """Run one runner until SIGTERM; a stop cuts off no request that it has begun."""
     state = RunnerState(name, service, slots, connections, service_ms)
 
     async def serve() -> None:
+        terminated = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, terminated.set)
         server = await start_runner(state, address, port)
-        await server.serve_forever()
+        await terminated.wait()
+        server.close()
+        # Polled, since only the stop ever asks for it.
+        while state.running:  # noqa: ASYNC110
+            await asyncio.sleep(STOP_POLL_SECONDS)
 
     asyncio.run(serve())
 
--- a/tests/cover/test_zone_control.py
+++ b/tests/cover/test_zone_control.py
@@ -64,6 +64,16 @@
     assert zone.explain_open_tasks() == []
 
 
+def test_refuses_no_job_for_its_size_before_the_workers_have_answered():
+    zone = FakeZone()
+    submit_and_read(zone, make_spec("rebuild", 3, 4_000, WorkloadKind.GANG))
+    for _ in range(100):
+        zone.advance(100)
+        zone.take(TimePassed())
+    zone.run_until_ended(max_rounds=40)
+    assert [zone.count_runs(TaskId(f"rebuild/{i}")) for i in range(3)] == [1, 1, 1]
+
+
 def test_holds_recovered_idempotent_tasks_until_every_worker_has_answered():
     zone = make_ready_zone()
     zone.submit(SubmitJob(make_spec("check", idempotent=True, run_ms=60_000)))
