--- a/packages/lentilpath-standins/src/lentilpath_standins/_demo_steps.py
+++ b/packages/lentilpath-standins/src/lentilpath_standins/_demo_steps.py
@@ -95,7 +95,7 @@
     for command in (
         "zones",
         "jobs",
-        f"tasks where job = {gang.job}",
+        f"tasks where task ~ {gang.job}",
         f"why task {gang.job}/0",
         f"usage customer {gang.customer} on today",
     ):
--- a/packages/lentilpath-standins/src/lentilpath_standins/demo.py
+++ b/packages/lentilpath-standins/src/lentilpath_standins/demo.py
@@ -54,7 +54,7 @@
                 signal.sigwait({signal.SIGINT, signal.SIGTERM})
         except (DemoFailed, TimeoutError) as error:
             typer.echo(f"FAILED: {error}", err=True)
-            claims = [Claim("the demo ran to its end", str(error), False)]
+            claims = [Claim("the demo ran to its end", str(error).splitlines()[0], False)]
             print_log_ends(Path(directory))
         finally:
             typer.echo("\nstopping all processes with SIGTERM ...")
@@ -104,7 +104,7 @@
     callers = f"{first.callers.host}:{first.callers.port}"
     job = submitted[-1].job
     typer.echo("\nTry")
-    typer.echo(f"  .venv/bin/lentilpath run --host {where} tasks where job = {job}")
+    typer.echo(f"  .venv/bin/lentilpath run --host {where} tasks where task ~ {job}")
     typer.echo(f"  .venv/bin/lentilpath run --host {where} why task {job}/0")
     typer.echo(f"  curl -H 'x-customer: me' http://{callers}/services/{cell.service}/plan")
 
--- a/packages/lentilpath-standins/src/lentilpath_standins/deployment.py
+++ b/packages/lentilpath-standins/src/lentilpath_standins/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import signal
 import subprocess
 import sys
@@ -185,7 +186,10 @@
 
     def _start_process(self, name: str, command: list[str]) -> None:
         with (self.directory / f"{name}.log").open("ab") as log:
-            self._processes[name] = subprocess.Popen(command, stdout=log, stderr=log)
+            environment = os.environ | {"PYTHONFAULTHANDLER": "1"}
+            self._processes[name] = subprocess.Popen(
+                command, stdout=log, stderr=log, env=environment
+            )
 
     def _wait_for(self, address: Address, target: str) -> None:
         deadline = time.monotonic() + READY_SECONDS
@@ -208,7 +212,8 @@
         try:
             code = process.wait(STOP_SECONDS)
         except subprocess.TimeoutExpired:
-            process.kill()
+            # The fault handler writes to the log where the process hangs.
+            process.send_signal(signal.SIGABRT)
             code = process.wait()
         self.exit_codes[name] = code
         return code
