--- a/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
+from enum import IntEnum
 
 from lentilpath_core.ids import Instant, JobId, RackId, TaskId, TeamId, WallTime, WorkerId
 from lentilpath_core.placement._messages import Decision, WaitRule
@@ -14,6 +15,19 @@
 KEPT_SAMPLES = 32
 """Finished runs by which a workload's run time and size are learned."""
 
+
+ReservationOrder = tuple[bool, int]
+"""Room that was made, or is for urgent work, before other room; then by age."""
+
+
+class Tier(IntEnum):
+    """The order of priority classes, after background work has aged."""
+
+    URGENT = 0
+    NORMAL = 1
+    BACKGROUND = 2
+
+
 ShapeKey = tuple[int, int, int, int, int]
 """Rounded processors, memory and accelerators, tasks that must fit at once, rounded run time."""
 
@@ -42,7 +56,7 @@
     """Room promised to tasks of one job. Tasks that end in time may use it until then."""
 
     job: Job
-    order: int
+    order: ReservationOrder
     claims: dict[WorkerId, int]
     """Number of tasks promised room on each worker."""
     room: Resources
@@ -52,6 +66,8 @@
     planned_at: Instant
     makes_room: bool = False
     """Whether running tasks were stopped for it."""
+    exclusive: bool = True
+    """Whether its tasks start in this room only."""
 
 
 @dataclass(slots=True, eq=False)
@@ -68,6 +84,8 @@
     """Free room that is not reserved."""
     tasks: dict[TaskId, HeldRoom] = field(default_factory=dict)
     claims: list[Reservation] = field(default_factory=list)
+    leaving: Resources = NO_RESOURCES
+    """Room of tasks that are being stopped."""
     preemptible: dict[PriorityClass, Resources] = field(default_factory=dict)
     """Room of tasks that policy lets lentilpath stop, by their class."""
     indexed: tuple[int, int] | None = None
@@ -103,13 +121,11 @@
 
 @dataclass(slots=True, eq=False)
 class Team:
-    """A team's guaranteed room, what it holds, and its waiting groups."""
+    """A team's guaranteed room and what it holds."""
 
     team: TeamId
     guaranteed: Resources = NO_RESOURCES
     used: Resources = NO_RESOURCES
-    groups: dict[tuple[bool, ShapeKey], Group] = field(default_factory=dict)
-    quota_blocked: list[Group] = field(default_factory=list)
 
 
 @dataclass(slots=True, eq=False)
@@ -118,22 +134,22 @@
 
     key: ShapeKey
     blocked: bool = False
-    parked: list[Group] = field(default_factory=list)
+    groups: int = 0
+    candidates: dict[WorkerId, Worker] | None = None
+    """Workers with new room since the shape found none; `None` if all are to be looked at."""
 
 
 @dataclass(slots=True, eq=False)
 class Group:
-    """Waiting jobs of one team, urgency and shape, in order of their due times."""
+    """Waiting jobs of one team, tier and shape, in order of their due times."""
 
     team: Team
-    urgent: bool
+    tier: Tier
     shape: Shape
     jobs: list[tuple[WallTime, int, Job]] = field(default_factory=list)
     """A heap."""
-    queued: bool = False
-    """Whether the group stands in the queue of its team."""
-    parked: bool = False
-    """Whether the group waits for room or quota outside the queue."""
+    quota_blocked: bool = False
+    forgotten: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -162,6 +178,8 @@
     on_worker: dict[WorkerId, int] = field(default_factory=dict)
     on_rack: dict[RackId, int] = field(default_factory=dict)
     group: Group | None = None
+    aged: bool = False
+    """Whether a background job has waited so long that it counts as normal."""
     reservations: list[Reservation] = field(default_factory=list)
     blocked_since: Instant | None = None
     rule: WaitRule = WaitRule.NO_ROOM
@@ -182,18 +200,22 @@
     held_elsewhere: dict[WorkerId, Resources] = field(default_factory=dict)
     """Room of tasks on workers that were not offered yet."""
     shapes: dict[ShapeKey, Shape] = field(default_factory=dict)
-    blocked_shapes: dict[ShapeKey, Shape] = field(default_factory=dict)
-    quota_blocked_teams: dict[TeamId, Team] = field(default_factory=dict)
-    queues: dict[bool, dict[TeamId, list[tuple[WallTime, int, Group]]]] = field(
-        default_factory=lambda: {True: {}, False: {}}
+    open_shapes: dict[ShapeKey, Shape] = field(default_factory=dict)
+    """Shapes that may find room."""
+    groups: dict[Tier, dict[TeamId, dict[ShapeKey, Group]]] = field(
+        default_factory=lambda: {tier: {} for tier in Tier}
     )
-    """By urgency and team, a heap of the heads of groups that may find room."""
+    quota_blocked: list[Group] = field(default_factory=list)
+    reviews: deque[Group] = field(default_factory=deque)
+    """All groups, the one to be reviewed next first."""
+    capacities: Counter[Resources] = field(default_factory=Counter)
+    """Number of workers of each capacity."""
     plain_index: list[tuple[int, int]] = field(default_factory=list)
     """Open processors and ordinal of workers without accelerators, sorted."""
     accelerated_index: list[tuple[int, int]] = field(default_factory=list)
     ordinals: list[WorkerId] = field(default_factory=list)
-    reservations: dict[int, Reservation] = field(default_factory=dict)
-    touched: dict[int, Reservation] = field(default_factory=dict)
+    reservations: dict[ReservationOrder, Reservation] = field(default_factory=dict)
+    touched: dict[ReservationOrder, Reservation] = field(default_factory=dict)
     """Reservations whose workers changed since they were last tried."""
     backoffs: list[tuple[Instant, TaskId]] = field(default_factory=list)
     """A heap of tasks in backoff."""
@@ -206,6 +228,19 @@
     """Decisions that events gave rise to."""
     waiting: Resources = NO_RESOURCES
     """What all waiting tasks declared together; those in backoff are not counted."""
+    urgent_retried_at: Instant = Instant(0)
+    room_to_make: bool = False
+    """Whether a task started that could be stopped for urgent work that found no room before."""
+    urgent_waiting: Resources = NO_RESOURCES
+    urgent_held: Resources = NO_RESOURCES
+    urgent_peak: Resources = NO_RESOURCES
+    """The most that urgent work needed at one time in this window."""
+    urgent_peak_before: Resources = NO_RESOURCES
+    urgent_window_at: Instant = Instant(0)
+    firm: Resources = NO_RESOURCES
+    """Room of tasks, other than urgent ones, that policy does not let lentilpath stop."""
+    aging: list[tuple[Instant, JobId]] = field(default_factory=list)
+    """A heap of background jobs and when they count as normal."""
     undated: dict[JobId, Job] = field(default_factory=dict)
     """Jobs with a bound on the age of their input that were tried without a wall time."""
     total: Resources = NO_RESOURCES
--- a/packages/lentilpathd/src/lentilpathd/_operators/_messages.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_messages.py
@@ -6,8 +6,9 @@
 
 import msgspec
 
-from lentilpath_core.ids import WallTime, ZoneId
+from lentilpath_core.ids import CustomerId, TeamId, WallTime, ZoneId
 from lentilpath_core.language import Table
+from lentilpath_core.usage import UsageLine
 
 MAX_ID_LENGTH = 64
 
@@ -48,6 +49,8 @@
     operator: str
     at: WallTime
     text: str
+    team: TeamId = TeamId("")
+    """Of a job."""
 
 
 class ZoneQuery(msgspec.Struct, frozen=True):
@@ -81,6 +84,25 @@
     text: str = ""
 
 
+class OpenLinesQuery(msgspec.Struct, frozen=True):
+    """Topic `operators.usage`: usage lines of the zone that are not sealed yet."""
+
+    zone: ZoneId
+    customer: CustomerId | None
+
+
+class DigestQuery(msgspec.Struct, frozen=True):
+    """Topic `operators.digest`: the room and the queue of the zone."""
+
+    zone: ZoneId
+
+
+class OpenLinesReply(msgspec.Struct, frozen=True):
+    """The lines as they stand now."""
+
+    lines: tuple[UsageLine, ...]
+
+
 _subject_decoder = msgspec.json.Decoder(Subject)
 
 
