End peers' tasks that pynng kept from being cancelled

The stack of the hanging task stood at arecv with its task 'cancelling'. Ruled out: a hang in the drain (its last event is logged before), a thread (the loop was idle).

--- a/packages/lentilpathd/src/lentilpathd/_peers.py
+++ b/packages/lentilpathd/src/lentilpathd/_peers.py
@@ -90,6 +90,7 @@
             # The socket may be closed already, by this request or by another one to this peer.
             with contextlib.suppress(pynng.Closed):
                 context.close()
+        _raise_swallowed_cancellation()
         self.bytes_received += len(received)
         reply = msgspec.msgpack.decode(received, type=PeerReply)
         if reply.code != "ok":
@@ -117,10 +118,12 @@
         try:
             while True:
                 data = await context.arecv()
+                _raise_swallowed_cancellation()
                 self.bytes_received += len(data)
                 reply = msgspec.msgpack.encode(await self._answer(data))
                 self.bytes_sent += len(reply)
                 await context.asend(reply)
+                _raise_swallowed_cancellation()
         finally:
             context.close()
 
@@ -165,3 +168,10 @@
         socket = self._sockets.pop(host, None)
         if socket is not None:
             socket.close()
+
+
+def _raise_swallowed_cancellation() -> None:
+    # pynng drops a cancellation that meets the end of its operation; the task would never end.
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
--- /dev/null
+++ b/tests/cover/test_peer_cancellation.py
@@ -0,0 +1,78 @@
+"""Peers' requests end when they are cancelled, whatever pynng makes of the cancellation."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from lentilpath_core.ids import HostId, Incarnation, ZoneId
+from lentilpath_core.peers import PROTOCOL_VERSION, PeerReply
+from lentilpath_core.settings import Address, PeerSettings
+from lentilpathd._peers import PeerBus
+
+LIMIT_SECONDS = 5.0
+
+
+class SwallowingSocket:
+    """A socket whose operations end in the moment of their cancellation, as pynng's may."""
+
+    def __init__(self):
+        self.received = 0
+
+    def new_context(self):
+        return self
+
+    async def arecv(self):
+        self.received += 1
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            if self.received > 1:
+                raise
+        return msgspec.msgpack.encode(PeerReply(PROTOCOL_VERSION, "b", "b.1", "ok", None))
+
+    async def asend(self, data):
+        pass
+
+    def close(self):
+        pass
+
+
+async def cancel(coroutine):
+    task = asyncio.create_task(coroutine)
+    await asyncio.sleep(0)
+    task.cancel()
+    done, _ = await asyncio.wait((task,), timeout=LIMIT_SECONDS)
+    task.cancel()
+    assert done, "the task went on after its cancellation"
+    assert task.cancelled()
+
+
+def make_bus():
+    return PeerBus(HostId("a"), Incarnation("a.1"), ZoneId("z"))
+
+
+def test_answering_ends_when_a_request_arrives_with_the_cancellation():
+    asyncio.run(cancel(make_bus()._answer_requests(SwallowingSocket())))
+
+
+def test_asking_ends_when_the_answer_arrives_with_the_cancellation():
+    bus = make_bus()
+    bus._sockets[HostId("b")] = SwallowingSocket()
+    asyncio.run(cancel(bus.ask(HostId("b"), "topic", None, type(None), 60.0)))
+
+
+def test_an_answer_that_arrives_with_its_time_limit_is_taken():
+    bus = make_bus()
+    bus.set_peers((PeerSettings(HostId("b"), "r", ZoneId("z"), Address("127.0.0.1", 1)),))
+    bus._sockets[HostId("b")] = SwallowingSocket()
+    assert asyncio.run(bus.ask(HostId("b"), "topic", None, type(None), 0.01)) is None
+
+
+def test_a_silent_peer_is_reported_as_unavailable():
+    bus = make_bus()
+    silent = SwallowingSocket()
+    silent.received = 1
+    bus._sockets[HostId("b")] = silent
+    with pytest.raises(Exception, match="did not answer"):
+        asyncio.run(bus.ask(HostId("b"), "topic", None, type(None), 0.01))
