--- a/packages/lentilpath-core/src/lentilpath_core/placement/_queues.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_queues.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 
 from lentilpath_core.ids import Instant, TaskId, TeamId, WallTime
 from lentilpath_core.placement._records import (
@@ -59,13 +60,13 @@
 def find_needed(job: Job) -> Resources:
     """Return the room of one task: as declared, or more if the workload was seen to use more."""
     declared = job.spec.resources
-    seen = job.workload.largest_peak
-    if seen.fits_in(declared):
+    processors, memory = job.workload.largest_excess
+    if processors <= 1 and memory <= 1:
         return declared
     return Resources(
-        max(declared.millicores, seen.millicores),
-        max(declared.memory_mib, seen.memory_mib),
-        max(declared.accelerators, seen.accelerators),
+        math.ceil(declared.millicores * processors),
+        math.ceil(declared.memory_mib * memory),
+        declared.accelerators,
     )
 
 
@@ -182,10 +183,13 @@
     groups = state.groups[tier].get(team, {})
     found: Group | None = None
     earliest: Job | None = None
-    for key in tuple(state.open_shapes):
+    for key, shape in tuple(state.open_shapes.items()):
         group = groups.get(key)
         if group is None or group.quota_blocked:
             continue
+        if tier is not Tier.URGENT and _has_lost_its_room(shape):
+            close_shape(state, shape)
+            continue
         head = find_head(group)
         if head is None:
             forget_group(state, group)
@@ -195,6 +199,22 @@
     return found
 
 
+def _has_lost_its_room(shape: Shape) -> bool:
+    """Return whether the workers that opened the shape have no room for it any more."""
+    if shape.candidates is None:
+        return False
+    millicores, memory_mib, accelerators, _, _ = shape.key
+    for name, worker in tuple(shape.candidates.items()):
+        room = worker.free
+        if (
+            millicores > room.millicores
+            or memory_mib > room.memory_mib
+            or accelerators > room.accelerators
+        ):
+            del shape.candidates[name]
+    return not shape.candidates
+
+
 def list_reviewed_groups(state: PlacementState, count: int) -> list[Group]:
     """Return the next `count` groups in turn, whether they may find room or not."""
     found: list[Group] = []
