--- a/packages/lentilpath-core/src/lentilpath_core/zone_choice/_choice.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone_choice/_choice.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from lentilpath_core.ids import Instant, RegionId, ZoneId
+from lentilpath_core.ids import Instant, JobId, RegionId, ZoneId
 from lentilpath_core.placement import PlacementState, summarize_placement
 from lentilpath_core.resources import Resources
 from lentilpath_core.workloads import JobSpec, WorkloadKind
@@ -13,6 +14,8 @@
 
 MILLISECONDS_PER_PRICED_MIB = 1_000
 """A MiB across regions is worth this much waiting."""
+ALIKE_MS = 500
+"""Zones whose costs differ by less share the jobs, so that a lagging digest draws no herd."""
 MAX_QUEUE_MS = 3_600_000
 
 
@@ -43,8 +46,10 @@
         return ZoneChoice(None, _describe_too_large(spec, allowed), len(known))
     accepting = [each for each in fitting if each.accepting] or fitting
     scored = sorted((_score(spec, each, home, input_bytes), each.zone) for each in accepting)
-    (cost_ms, zone), *others = scored
+    alike = [(cost, zone) for cost, zone in scored if cost <= scored[0][0] + ALIKE_MS]
+    cost_ms, zone = max(alike, key=lambda each: _hash_pair(spec.job, each[1]))
     reason = f"{zone}: expected cost {cost_ms} ms of waiting"
+    others = [each for each in scored if each[1] != zone]
     if others:
         reason += f", next {others[0][1]} with {others[0][0]} ms"
     return ZoneChoice(zone, reason, len(known))
@@ -75,6 +80,11 @@
     )
 
 
+def _hash_pair(job: JobId, zone: ZoneId) -> int:
+    """Return a number that puts the zones into another order for each job."""
+    return zlib.crc32(f"{job}|{zone}".encode())
+
+
 def _is_allowed(spec: JobSpec, digest: ZoneDigest) -> bool:
     policy = spec.policy
     if policy.zones and digest.zone not in policy.zones:
