--- a/packages/lentilpath-core/src/lentilpath_core/placement/_headroom.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_headroom.py
@@ -15,7 +15,7 @@
 
 WINDOW_MS = 1_800_000
 """Needs are remembered for one to two windows."""
-MAX_HEADROOM_DIVISOR = 8
+MAX_HEADROOM_DIVISOR = 5
 """At most this part of a zone is kept."""
 
 
