--- /dev/null
+++ b/packages/lentilpath/src/lentilpath/main.py
@@ -0,0 +1,77 @@
+"""The command line: `lentilpath "COMMAND"`, `lentilpath run`, `lentilpath shell` and others."""
+
+from __future__ import annotations
+
+import sys
+from typing import Annotated
+
+import typer
+
+from lentilpath import _config, _keys
+from lentilpath._options import (
+    DryRunOption,
+    ExpectOption,
+    HostOption,
+    IdOption,
+    JsonOption,
+    connect,
+    run_call,
+)
+from lentilpath._shell import run_shell
+
+app = typer.Typer(no_args_is_help=True, add_completion=False)
+app.add_typer(_config.app, name="config")
+app.add_typer(_keys.app, name="key")
+
+
+@app.callback()
+def describe() -> None:
+    """Ask and change a lentilpath cell. `lentilpath help` lists the commands of the language.
+
+    Exit codes: 0 done, 1 the cell failed, 2 unusable command, 3 another operator was first,
+    4 something cannot be reached (nothing changed), 5 it may have taken effect (repeat it with
+    the same --id), 6 key refused, 7 refused by the zone, 8 some zones did not answer.
+    """
+
+
+@app.command("run")
+def run_command(
+    words: Annotated[list[str], typer.Argument(help="a command of the language")],
+    host: HostOption = None,
+    as_json: JsonOption = False,
+    id: IdOption = "",
+    dry_run: DryRunOption = False,
+    expect_version: ExpectOption = None,
+    wait_ms: Annotated[int, typer.Option("--wait-ms", help="wait for the zone's answer")] = 1_000,
+) -> None:
+    """Send one command, such as `tasks where state = waiting`, and print its answer."""
+    fields = {
+        "command": " ".join(words),
+        "id": id,
+        "dry_run": dry_run,
+        "expect_version": expect_version,
+        "wait_ms": wait_ms,
+    }
+    run_call(host, as_json, "POST", "/v1/commands", fields)
+
+
+@app.command("shell")
+def open_shell(host: HostOption = None) -> None:
+    """Read commands line by line, with history and completion."""
+    run_shell(connect(host))
+
+
+def insert_default_command(arguments: list[str]) -> list[str]:
+    """Return `arguments` with `run` in front, unless they name a subcommand or ask for help."""
+    names = {command.name for command in app.registered_commands}
+    names |= {group.name for group in app.registered_groups}
+    names |= {"--help"}
+    if not arguments or arguments[0] in names:
+        return arguments
+    return ["run", *arguments]
+
+
+def run() -> None:
+    """Entry point of the `lentilpath` binary."""
+    sys.argv[1:] = insert_default_command(sys.argv[1:])
+    app()
--- /dev/null
+++ b/tests/cover/test_requests_shares.py
@@ -0,0 +1,199 @@
+"""Hosts share each runner's slots and connections without exceeding either."""
+
+import asyncio
+from collections import Counter
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lentilpath_core.ids import HostId, Incarnation, Instant, UpstreamId
+from lentilpath_core.requests.shares import (
+    BorrowedShare,
+    HomeLedger,
+    LoanReply,
+    begin_loan_request,
+    compute_home_share,
+    end_loan_request,
+    lend_slots,
+)
+from tests.common.requests import open_cell, wait_until
+
+LEASE_MS = 100
+MAX_RUN_MS = 300
+HOME_SLOTS = 4
+RUNNER = UpstreamId("r")
+
+
+@given(st.integers(1, 40), st.integers(1, 9), st.integers(0, 5), st.text(min_size=1))
+def test_the_home_shares_of_all_hosts_add_up_to_the_runner(slots, hosts, spare, runner):
+    names = tuple(HostId(f"h{i}") for i in range(hosts))
+    connections = slots * 8 + spare
+    shares = [
+        compute_home_share(UpstreamId(runner), slots, connections, names, name) for name in names
+    ]
+    assert sum(share.slots for share in shares) == slots
+    assert sum(share.connections for share in shares) <= connections
+
+
+class LoanModel:
+    """One home, two borrowers, and messages that are lost, late or out of order."""
+
+    def __init__(self):
+        self.now = Instant(0)
+        self.ledger = HomeLedger()
+        self.shares = [BorrowedShare(), BorrowedShare()]
+        self.boots = [0, 0]
+        self.running: list[Any] = [[], []]
+        self.orphans: list[Any] = []
+        """When the requests end whose host died."""
+        self.home_in_use = 0
+        self.unhandled: list[Any] = []
+        self.replies: list[Any] = []
+
+    def pass_time(self, ms):
+        self.now = Instant(self.now + ms)
+        ended = [[b for b in began if self.now <= b + MAX_RUN_MS] for began in self.running]
+        self.running = ended
+        for share, began in zip(self.shares, ended, strict=True):
+            share.in_use = len(began)
+        self.orphans = [until for until in self.orphans if self.now <= until]
+
+    def ask(self, who, extra):
+        share = self.shares[who]
+        request = begin_loan_request(share, RUNNER, share.in_use + extra)
+        borrower = Incarnation(f"{who}/{self.boots[who]}")
+        self.unhandled.append((borrower, share, request, self.now))
+
+    def handle(self, which, pressure):
+        if not self.unhandled:
+            return
+        borrower, share, request, asked_at = self.unhandled.pop(-which)
+        lent = self.ledger.count_lent(self.now, MAX_RUN_MS)
+        idle = -pressure if pressure else HOME_SLOTS - lent - self.home_in_use
+        granted = lend_slots(
+            self.ledger, borrower, request, idle, HOME_SLOTS, self.now, LEASE_MS, MAX_RUN_MS
+        )
+        self.replies.append((share, request, LoanReply(granted, LEASE_MS), asked_at))
+
+    def reply(self, which):
+        if self.replies:
+            end_loan_request(*self.replies.pop(-which))
+
+    def begin(self, who):
+        if self.shares[who].count_free(self.now):
+            self.running[who].append(self.now)
+            self.shares[who].in_use += 1
+
+    def end(self, who):
+        if self.running[who]:
+            self.running[who].pop()
+            self.shares[who].in_use -= 1
+
+    def die(self, who):
+        self.orphans.extend(began + MAX_RUN_MS for began in self.running[who])
+        self.boots[who] += 1
+        self.shares[who], self.running[who] = BorrowedShare(), []
+
+    def use_home(self):
+        free = HOME_SLOTS - self.ledger.count_lent(self.now, MAX_RUN_MS) - self.home_in_use
+        self.home_in_use += max(0, free)
+
+    def free_home(self):
+        self.home_in_use = max(0, self.home_in_use - 1)
+
+    def count_used(self):
+        return self.home_in_use + sum(map(len, self.running)) + len(self.orphans)
+
+
+WHO = st.integers(0, 1)
+SMALL = st.integers(0, 2)
+STEPS = st.one_of(
+    st.tuples(st.just("pass_time"), st.sampled_from((1, 40, LEASE_MS, MAX_RUN_MS))),
+    st.tuples(st.just("ask"), WHO, SMALL),
+    st.tuples(st.just("handle"), WHO, SMALL),
+    st.tuples(st.just("reply"), WHO),
+    st.tuples(st.sampled_from(("begin", "end", "die")), WHO),
+    st.tuples(st.sampled_from(("use_home", "free_home"))),
+)
+
+
+def check_loans(steps):
+    model = LoanModel()
+    for name, *arguments in steps:
+        getattr(model, name)(*arguments)
+        assert model.count_used() <= HOME_SLOTS
+
+
+@settings(max_examples=400)
+@given(st.lists(STEPS, max_size=30))
+def test_loans_never_exceed_the_home_however_messages_are_lost_late_or_reordered(steps):
+    check_loans(steps)
+
+
+LOAN = [("ask", 0, 2), ("handle", 0, 0), ("reply", 0)]
+
+
+def test_a_borrower_begins_nothing_on_what_it_has_just_offered_back():
+    check_loans([*LOAN, ("ask", 0, 0), ("handle", 0, 2), ("begin", 0), ("use_home",)])
+
+
+def test_an_old_loan_request_that_arrives_late_takes_nothing_back():
+    late_ask = ("ask", 0, 0)
+    ask_again = [("ask", 0, 2), ("handle", 1, 0), ("reply", 1)]
+    check_loans([*LOAN, late_ask, *ask_again, ("handle", 0, 2), ("begin", 0), ("use_home",)])
+
+
+def test_a_home_counts_the_slots_of_a_dead_borrower_until_its_last_request_is_over():
+    check_loans([*LOAN, ("begin", 0), ("die", 0), ("pass_time", LEASE_MS + 1), ("use_home",)])
+
+
+def test_a_borrower_begins_nothing_after_its_lease():
+    check_loans([*LOAN, ("pass_time", MAX_RUN_MS + LEASE_MS + 1), ("use_home",), ("begin", 0)])
+
+
+def test_a_busy_host_borrows_idle_slots_of_its_region_and_exceeds_nothing():
+    async def scenario():
+        hosts = {"a-1": "a", "a-2": "a", "b-1": "b"}
+        async with open_cell(runners=1, hosts=hosts, service_ms=20.0) as cell:
+            await cell.add_runner("far", zone="b", service_ms=20.0)
+            calls = [cell.call("a-1", x_deadline_ms="5000") for _ in range(120)]
+            statuses = Counter(r.status for r in await asyncio.gather(*calls))
+            assert statuses[200] == 120
+            assert cell.runners["runner-0"].most_running > 4
+            assert cell.runners["far"].most_running > 0
+            assert cell.count_excess() == 0
+
+    asyncio.run(scenario())
+
+
+def test_nothing_is_exceeded_when_a_host_dies_with_a_loan_in_use():
+    async def scenario():
+        hosts = {"a-1": "a", "a-2": "a"}
+        async with open_cell(runners=1, hosts=hosts, service_ms=300.0) as cell:
+            runner = cell.runners["runner-0"]
+            calls = [asyncio.create_task(cell.call("a-1")) for _ in range(12)]
+            await wait_until(lambda: runner.running > 4)
+            borrowed = runner.running - 4
+            await cell.kill_host("a-1")
+            await asyncio.gather(*calls, return_exceptions=True)
+            await asyncio.gather(*(cell.call("a-2") for _ in range(12)))
+            assert borrowed > 0
+            assert cell.count_excess() == 0
+
+    asyncio.run(scenario())
+
+
+def test_a_zone_that_is_cut_off_serves_its_callers_from_its_own_runners():
+    async def scenario():
+        hosts = {"a-1": "a", "b-1": "b"}
+        async with open_cell(runners=1, hosts=hosts) as cell:
+            await cell.add_runner("far", zone="b")
+            cell.table.down = True
+            await cell.kill_host("b-1")
+            cell.runners["far"].down = True
+            calls = [cell.call("a-1", x_deadline_ms="5000") for _ in range(50)]
+            assert {r.status for r in await asyncio.gather(*calls)} == {200}
+            assert cell.count_excess() == 0
+
+    asyncio.run(scenario())
