--- a/benches/requests/baselines.py
+++ b/benches/requests/baselines.py
@@ -6,6 +6,7 @@
 import uuid
 from typing import Any
 
+from lentilpath_core.errors import OutcomeUnknown
 from lentilpath_core.ids import Instant, RequestId
 from lentilpath_core.requests.messages import CallerRequest, FailureReason, RequestFailed
 from lentilpath_core.requests.policy import RequestPolicy
@@ -15,7 +16,6 @@
 from lentilpathd._adapters.upstream import RunnerConnection, RunnerRefused, connect_runner
 from lentilpathd._clock import read_instant
 from lentilpathd._directory import Directory
-from lentilpath_core.errors import OutcomeUnknown
 
 CONNECT_SECONDS = 1.0
 ATTEMPTS = 3
--- a/benches/requests/entry.py
+++ b/benches/requests/entry.py
@@ -8,8 +8,9 @@
 import sys
 from typing import Any
 
-import lentilpathd._requests.runner as runner_module
 from baselines import serve_baseline
+
+import lentilpathd._requests.runner as runner_module
 from lentilpath_core.errors import PeerUnavailable
 from lentilpath_core.ids import HostId, Incarnation
 from lentilpath_core.settings import HostSettings, parse_settings
@@ -69,9 +70,7 @@
         return await self._ask(host, topic, *rest)
 
     async def _connect_if_reachable(self, address: Any, timeout: float, now: Any) -> Any:
-        zone = next(
-            (h.zone for h in self._directory.list_hosts() if h.address == address), None
-        )
+        zone = next((h.zone for h in self._directory.list_hosts() if h.address == address), None)
         if self.is_cut(zone):
             await asyncio.sleep(timeout)
             raise RunnerRefused("cut off", reached=False)
@@ -95,9 +94,7 @@
     counters: dict[str, Any] = {}
     part: Any = None
     if subject == "lentilpath":
-        context = DaemonContext(
-            settings, bus.incarnation, bus, platform, platform, directory
-        )
+        context = DaemonContext(settings, bus.incarnation, bus, platform, platform, directory)
         part = create_requests(context, NoLeadership())
         work += [asyncio.create_task(part.run()), asyncio.create_task(bus.serve(settings.peers))]
     else:
@@ -138,7 +135,5 @@
 
 if __name__ == "__main__":
     asyncio.run(
-        run_entry(
-            sys.argv[1], parse_settings(sys.argv[2], "bench"), int(sys.argv[3]), sys.argv[4]
-        )
+        run_entry(sys.argv[1], parse_settings(sys.argv[2], "bench"), int(sys.argv[3]), sys.argv[4])
     )
--- a/benches/requests/measure.py
+++ b/benches/requests/measure.py
@@ -259,9 +259,7 @@
     parser.add_argument("--subjects", default=",".join(SUBJECTS))
     parser.add_argument("--load", default="", help="only loads whose name holds this")
     options = parser.parse_args()
-    figures, hop = asyncio.run(
-        measure(options.seconds, options.subjects.split(","), options.load)
-    )
+    figures, hop = asyncio.run(measure(options.seconds, options.subjects.split(","), options.load))
     if options.report is not None:
         options.report.write_text(write_report(figures, hop, options.seconds, CAPACITY))
 
--- a/benches/requests/processes.py
+++ b/benches/requests/processes.py
@@ -87,12 +87,13 @@
     async def stop_entry(self, entry: Entry) -> None:
         self.ended_cpu_seconds += read_cpu_seconds(entry.process.pid)
         entry.process.send_signal(signal.SIGTERM)
-        await entry.process.wait()
+        await wait_for_end(entry.process)
 
     async def close(self) -> None:
+        self.entries = [entry for entry in self.entries if entry.process is not None]
         for entry in self.entries:
             entry.process.terminate()
-        await asyncio.gather(*(entry.process.wait() for entry in self.entries))
+        await asyncio.gather(*(wait_for_end(entry.process) for entry in self.entries))
         self.outside.terminate()
         await self.outside.wait()
 
@@ -171,6 +172,16 @@
     return process
 
 
+async def wait_for_end(process: Any) -> None:
+    """Wait until a process that was told to stop has ended; kill one that does not."""
+    try:
+        async with asyncio.timeout(START_SECONDS):
+            await process.wait()
+    except TimeoutError:
+        print(f"process {process.pid} did not stop by itself", flush=True)
+        process.kill()
+
+
 async def ask(port: int, target: str, message: dict[str, Any]) -> Any:
     """Send one control request and return its JSON answer."""
     client = create_client(LOOPBACK, port, max_response_bytes=1 << 28)
--- a/benches/requests/report.py
+++ b/benches/requests/report.py
@@ -6,12 +6,12 @@
 
 HEAD = """# Measures of the request path
 
-Written by `make measure-requests`; do not edit. One machine, real processes on loopback: 7 entry hosts
-(3, 2 and 2 in three zones, each zone in a region of its own), 24 runners of 8 slots and 64
-connections, {run_ms:.0f} ms a request, so {capacity:.0f} requests a second fill all slots. Callers are
-spread evenly over the zones. Each load lasts {seconds:g} s (overload twice, rolling restart five times
-that) instead of the minutes that the issue names. Link latencies are not imitated. A waiting time is
-the time from planned arrival to answer, less the run time, of answered requests.
+Written by `make measure-requests`; do not edit. One machine, real processes on loopback: 7 entry
+hosts (3, 2 and 2 in three zones, each zone in a region of its own), 24 runners of 8 slots and 64
+connections, {run_ms:.0f} ms a request, so {capacity:.0f} requests a second fill all slots. Callers
+are spread evenly over the zones. Each load lasts {seconds:g} s (overload twice, rolling restart
+five times that) instead of the minutes that the issue names. Link latencies are not imitated. A
+waiting time is the time from planned arrival to answer, less the run time, of answered requests.
 
 The baselines use the same HTTP code: `round-robin` takes each runner in turn without limits,
 `least-connections` the runner with the fewest requests of its own host; both send again, up to 3
@@ -30,8 +30,11 @@
     for load in dict.fromkeys(figure.load for figure in figures):
         lines += [f"\n## {load}\n", TABLE_HEAD]
         lines += [write_row(figure) for figure in figures if figure.load == load]
-        lines += [f"\nKeyed requests of {f.subject}: {dict(f.keyed)}" for f in figures
-                  if f.load == load and f.keyed]
+        lines += [
+            f"\nKeyed requests of {f.subject}: {dict(f.keyed)}"
+            for f in figures
+            if f.load == load and f.keyed
+        ]
     lines += ["\n## Targets\n", *judge_targets(figures, hop, full)]
     return "\n".join(lines) + "\n"
 
@@ -70,21 +73,28 @@
     calm = own.get("60% of the slots")
     if overload and calm:
         part = overload.goodput / full
-        lines.append(judge("goodput under 3 times overload, of capacity", part >= 0.95, f"{part:.1%}"))
+        lines.append(
+            judge("goodput under 3 times overload, of capacity", part >= 0.95, f"{part:.1%}")
+        )
         text = f"{overload.urgent_p99:.1f} ms against {calm.urgent_p99:.1f} ms at 60%"
         reached = overload.urgent_p99 <= 2 * calm.urgent_p99
         lines.append(judge("urgent p99 wait in overload at most twice that at 60%", reached, text))
         run_ms = 192 / full * 1_000
         whole = (overload.urgent_p99 + run_ms) / (calm.urgent_p99 + run_ms)
         lines.append(
-            judge("urgent p99 response time in overload at most twice that at 60%", whole <= 2,
-                  f"{whole:.2f} times")
+            judge(
+                "urgent p99 response time in overload at most twice that at 60%",
+                whole <= 2,
+                f"{whole:.2f} times",
+            )
         )
     wrong = {
         name: sum(getattr(figure, name) for figure in own.values())
         for name in ("lost", "doubled", "mixed", "falsely_refused")
     }
-    lines.append(judge("none lost, doubled, mixed or falsely refused", not any(wrong.values()), str(wrong)))
+    lines.append(
+        judge("none lost, doubled, mixed or falsely refused", not any(wrong.values()), str(wrong))
+    )
     excess = sum(figure.slot_excess + figure.connection_excess for figure in own.values())
     lines.append(judge("no slot or connection exceeded", excess == 0, str(excess)))
     late = sum(figure.late_work for figure in own.values())
--- a/packages/lentilpath-core/src/lentilpath_core/requests/shares.py
+++ b/packages/lentilpath-core/src/lentilpath_core/requests/shares.py
@@ -91,6 +91,8 @@
 
     def count_lent(self, now: Instant, max_run_ms: int) -> int:
         """Return the slots that borrowers may be using at `now`."""
+        if not self.loans:
+            return 0
         for borrower, loan in tuple(self.loans.items()):
             if now > loan.begin_until + max_run_ms:
                 del self.loans[borrower]
--- a/packages/lentilpathd/src/lentilpathd/_requests/runner.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/runner.py
@@ -51,7 +51,10 @@
 
     def count_in_use(self) -> int:
         """Return the slots that requests of this host hold."""
-        return self.home_in_use + sum(share.in_use for share in self.borrowed.values())
+        in_use = self.home_in_use
+        for share in self.borrowed.values():
+            in_use += share.in_use
+        return in_use
 
     def count_home_slots(self, now: Instant) -> int:
         """Return the home slots that are not lent."""
@@ -61,11 +64,10 @@
 
     def count_slots(self, now: Instant) -> int:
         """Return the slots that this host may use at `now`, used or free."""
-        borrowed = sum(
-            max(share.in_use, share.slots if now < share.begin_until else 0)
-            for share in self.borrowed.values()
-        )
-        return max(0, self.count_home_slots(now)) + borrowed
+        slots = max(0, self.count_home_slots(now))
+        for share in self.borrowed.values():
+            slots += max(share.in_use, share.slots if now < share.begin_until else 0)
+        return slots
 
     def has_free_slot(self, now: Instant) -> bool:
         """Return whether a request may begin here at `now`."""
--- a/packages/lentilpathd/src/lentilpathd/_requests/service.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/service.py
@@ -118,7 +118,8 @@
 
     def estimate_next_wait(self, now: Instant) -> float:
         """Return how many ms the last of the waiting requests will still wait."""
-        return estimate_wait(self.queue, self.queue.count_waiting(), self.count_slots(now))
+        waiting = self.queue.count_waiting()
+        return estimate_wait(self.queue, waiting, self.count_slots(now)) if waiting else 0.0
 
     def pump(self) -> None:
         """Give free slots to waiting requests."""
@@ -158,7 +159,8 @@
             raise RequestFailed(
                 FailureReason.NO_RUNNER, f"{self.service} has no runner", NO_RUNNER_RETRY_MS
             )
-        displaced = enqueue_request(self.queue, request, self.count_slots(now), self._policy, now)
+        slots = self.count_slots(now) if self.queue.count_waiting() else 0
+        displaced = enqueue_request(self.queue, request, slots, self._policy, now)
         for waiting in displaced:
             self._waiters.pop(waiting.request).set_exception(
                 RequestFailed(
@@ -295,16 +297,22 @@
         return tuple(runner.health for runner in self.runners.values())
 
     def _choose_runner(self, request: CallerRequest, now: Instant) -> Runner | None:
-        free = [runner for runner in self.runners.values() if runner.has_free_slot(now)]
-        if not free:
-            return None
+        # Nearer runners go first whatever their load, so farther ones are looked at only if no
+        # nearer one is free.
+        for distance in Distance:
+            if distance is Distance.OTHER_REGION and not self._may_leave_region(request, now):
+                return None
+            candidates = tuple(
+                Candidate(runner.health, runner.count_in_use(), runner.count_slots(now))
+                for runner in self.runners.values()
+                if runner.health.distance is distance and runner.has_free_slot(now)
+            )
+            chosen = choose_runner(candidates)
+            if chosen is not None:
+                return self.runners[chosen.health.runner]
+        return None
+
+    def _may_leave_region(self, request: CallerRequest, now: Instant) -> bool:
         waited_ms = now - self.queue.queued_at.get(request.request, now)
         expected_ms = waited_ms + self.estimate_next_wait(now)
-        far_allowed = may_leave_region(self._policy, request.count_bytes(), expected_ms)
-        candidates = tuple(
-            Candidate(runner.health, runner.count_in_use(), runner.count_slots(now))
-            for runner in free
-            if far_allowed or runner.health.distance is not Distance.OTHER_REGION
-        )
-        chosen = choose_runner(candidates)
-        return None if chosen is None else self.runners[chosen.health.runner]
+        return may_leave_region(self._policy, request.count_bytes(), expected_ms)
