--- a/packages/lentilpathd/src/lentilpathd/_requests/part.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/part.py
@@ -37,6 +37,7 @@
 from lentilpathd._requests.roster import Roster
 from lentilpathd._requests.rows import TableGate
 from lentilpathd._requests.service import Service
+from lentilpathd._requests.sweep import Sweeper
 
 TICK_SECONDS = 0.1
 UNKNOWN_SERVICE_RETRY_MS = 1_000
@@ -68,6 +69,7 @@
             policy,
             self._send,
         )
+        self._sweeper = Sweeper(context.table, context.directory, context.settings.zone, leadership)
         self._loans = LoanKeeper(self.roster, policy, context.bus, self._metrics)
         self._keeper = ConnectionKeeper(self.roster, policy, self._metrics)
         context.directory.watch(self.roster.refresh)
@@ -88,6 +90,7 @@
                 group.create_task(self._keeper.run())
                 group.create_task(self._loans.run())
                 group.create_task(self._deferred.run())
+                group.create_task(self._sweeper.run())
                 group.create_task(self._tick())
         finally:
             self._abort()
--- a/tests/common/requests.py
+++ b/tests/common/requests.py
@@ -97,6 +97,9 @@
     def list_entry_hosts(self, zone=None):
         return tuple(p for p in self._settings.entry_hosts if zone is None or p.zone == zone)
 
+    def list_zones(self):
+        return tuple(sorted({self._settings.zone, *(p.zone for p in self._settings.entry_hosts)}))
+
     def change(self, hosts):
         self.hosts = tuple(hosts)
         for callback in self.watchers:
--- a/tests/cover/test_requests_durable.py
+++ b/tests/cover/test_requests_durable.py
@@ -4,6 +4,8 @@
 import json
 from dataclasses import replace
 
+from lentilpath_core.requests.keys import KEPT_MS, KEY_PREFIX
+from lentilpathd._clock import read_wall_time
 from tests.common.requests import TEST_POLICY, open_cell, read_failure, wait_until
 
 HOSTS = {"host-1": "a", "host-2": "a"}
@@ -108,6 +110,21 @@
     asyncio.run(scenario())
 
 
+def test_old_records_are_swept_and_young_ones_are_kept():
+    async def scenario():
+        async with open_cell() as cell:
+            await cell.call("host-1", idempotency_key="k")
+            await wait_until(lambda: "answered" in str(cell.table.rows))
+            sweeper = cell.hosts["host-1"]._sweeper
+            now = read_wall_time()
+            await sweeper.sweep_page(KEY_PREFIX, now)
+            assert len(cell.table.rows) == 1
+            await sweeper.sweep_page(KEY_PREFIX, now + KEPT_MS + 1_000)
+            assert not cell.table.rows
+
+    asyncio.run(scenario())
+
+
 async def read_state(cell, host, accepted):
     client_target = accepted.get_header("location")
     response = await cell.call(host, client_target, method="GET", timeout=20.0)
