Bound what is kept of customers, refuse odd targets, and describe the request path

A target such as //[x made the reading of the path raise, and the caller was told that the outcome is unknown; it is refused as invalid now.

--- a/packages/lentilpath-core/src/lentilpath_core/requests/admission.py
+++ b/packages/lentilpath-core/src/lentilpath_core/requests/admission.py
@@ -15,6 +15,8 @@
 from lentilpath_core.requests.policy import RequestPolicy
 
 MS_PER_SECOND = 1_000
+MAX_KNOWN_CUSTOMERS = 10_000
+"""Names of customers come from callers, so what is kept of them is bounded."""
 RUN_TIME_WEIGHT = 0.1
 """Weight of the newest run time in the moving average."""
 FIRST_RUN_MS = 20.0
@@ -195,11 +197,28 @@
     return tuple(displaced)
 
 
+def _forget_idle_customers(queue: ServiceQueue, policy: RequestPolicy, now: Instant) -> None:
+    """Make room for a customer: one whose bucket is full again needs no memory."""
+    if len(queue.customers) < MAX_KNOWN_CUSTOMERS:
+        return
+    full_after_ms = policy.customer_burst / policy.customer_requests_per_second * MS_PER_SECOND
+    for customer, usage in tuple(queue.customers.items()):
+        if usage.in_flight == 0 and now - usage.refilled_at >= full_after_ms:
+            del queue.customers[customer]
+    if len(queue.customers) >= MAX_KNOWN_CUSTOMERS:
+        raise RequestFailed(
+            FailureReason.LIMIT_REACHED,
+            f"{MAX_KNOWN_CUSTOMERS} customers are known here; come back later",
+            max(1, int(full_after_ms)),
+        )
+
+
 def _refill_tokens(
     queue: ServiceQueue, customer: CustomerId, policy: RequestPolicy, now: Instant
 ) -> CustomerUsage:
     usage = queue.customers.get(customer)
     if usage is None:
+        _forget_idle_customers(queue, policy, now)
         usage = CustomerUsage(policy.customer_burst, now)
         queue.customers[customer] = usage
     seconds = (now - usage.refilled_at) / MS_PER_SECOND
--- a/packages/lentilpath-http/src/lentilpath_http/_messages.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_messages.py
@@ -5,7 +5,7 @@
 import json
 from dataclasses import dataclass, field
 from typing import Any
-from urllib.parse import parse_qsl, urlsplit
+from urllib.parse import parse_qsl
 
 
 class HttpError(Exception):
@@ -62,11 +62,11 @@
 
     def get_path(self) -> str:
         """Return the path of the target, without its query."""
-        return urlsplit(self.target).path
+        return self.target.partition("?")[0]
 
     def parse_query(self) -> dict[str, str]:
         """Return the query of the target; of a repeated key the last value counts."""
-        return dict(parse_qsl(urlsplit(self.target).query))
+        return dict(parse_qsl(self.target.partition("?")[2]))
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lentilpathd/src/lentilpathd/_adapters/callers.py
+++ b/packages/lentilpathd/src/lentilpathd/_adapters/callers.py
@@ -44,6 +44,7 @@
     }
 )
 OWN_HEADERS = frozenset({"x-request-id", "x-deadline-ms", "x-customer", "x-priority", "prefer"})
+DROPPED_HEADERS = HOP_BY_HOP_HEADERS | OWN_HEADERS
 
 
 def read_request(
@@ -76,7 +77,7 @@
 
 def read_deferred_query(message: HttpRequest) -> DeferredQuery | None:
     """Return the query that `message` is, or `None` if it is none; raises `RequestFailed`."""
-    path = message.get_path()
+    path = message.target.partition("?")[0]
     if not path.startswith(DEFERRED_PREFIX) or message.method != "GET":
         return None
     customer = CustomerId(_read_name(message, "x-customer"))
@@ -115,7 +116,7 @@
 
 def strip_headers(headers: tuple[tuple[str, str], ...]) -> tuple[tuple[str, str], ...]:
     """Return the headers that belong to the message itself, not to its connection or to us."""
-    dropped = HOP_BY_HOP_HEADERS | OWN_HEADERS
+    dropped = DROPPED_HEADERS
     for name, value in headers:
         if name == "connection":
             dropped |= {token.strip().lower() for token in value.split(",")}
--- a/packages/lentilpathd/src/lentilpathd/_requests/connections.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/connections.py
@@ -14,12 +14,15 @@
 from lentilpathd._requests.runner import Runner
 
 MS_PER_SECOND = 1_000
+ROUNDS = 2
+"""How often, in each `probe_every_ms`, connections are looked at."""
 
 
 class ConnectionKeeper:
     """Proves idle connections alive every `probe_every_ms` and keeps one open to each near runner.
 
-    A connection that went silent is found within `probe_every_ms` + `probe_timeout_ms`.
+    An idle connection that went silent is found within 1.5 times `probe_every_ms` and 2 times
+    `probe_timeout_ms`.
     """
 
     def __init__(self, roster: Roster, policy: RequestPolicy, metrics: Metrics) -> None:
@@ -33,7 +36,7 @@
             async with asyncio.TaskGroup() as group:
                 for runner in self._roster.list_runners():
                     group.create_task(self._look_after(runner))
-            await asyncio.sleep(self._policy.probe_every_ms / MS_PER_SECOND)
+            await asyncio.sleep(self._policy.probe_every_ms / ROUNDS / MS_PER_SECOND)
 
     async def _look_after(self, runner: Runner) -> None:
         now = read_instant()
--- a/tests/cover/test_requests_edge.py
+++ b/tests/cover/test_requests_edge.py
@@ -123,6 +123,16 @@
     asyncio.run(scenario())
 
 
+def test_an_odd_target_is_refused_as_invalid():
+    async def scenario():
+        async with open_cell() as cell:
+            data = b"GET //[x HTTP/1.1\r\nhost: a\r\nx-customer: c\r\n\r\n"
+            answer = await send_raw(cell.hosts["host-1"].get_port(), data)
+            assert answer.startswith(b"HTTP/1.1 400")
+
+    asyncio.run(scenario())
+
+
 async def answer_nothing(request):
     return HttpResponse(200)
 
--- a/tests/cover/test_requests_limits.py
+++ b/tests/cover/test_requests_limits.py
@@ -8,6 +8,7 @@
 
 from lentilpath_core.ids import CustomerId, Instant, RequestId, ServiceId, UpstreamId
 from lentilpath_core.requests.admission import (
+    MAX_KNOWN_CUSTOMERS,
     ServiceQueue,
     admit_request,
     enqueue_request,
@@ -34,6 +35,7 @@
     record_failure,
     record_success,
 )
+from lentilpathd._requests.rows import RETRY_AFTER_MS, TableGate
 from tests.common.requests import TEST_POLICY, open_cell, read_failure, wait_until
 
 START = Instant(1_000)
@@ -81,6 +83,32 @@
     admit_request(queue, make_request(4), policy, START)
 
 
+def test_names_of_customers_fill_no_memory():
+    policy = RequestPolicy(customer_burst=1.0, customer_requests_per_second=1.0)
+    queue = ServiceQueue()
+    for number in range(MAX_KNOWN_CUSTOMERS):
+        request = make_request(number, customer=CustomerId(str(number)))
+        admit_request(queue, request, policy, START)
+        release_request(queue, request)
+    newcomer = make_request(0, customer=CustomerId("newcomer"))
+    with pytest.raises(RequestFailed):
+        admit_request(queue, newcomer, policy, START)
+    admit_request(queue, newcomer, policy, Instant(START + 1_000))
+    assert len(queue.customers) == 1
+
+
+def test_one_request_at_a_time_tries_a_table_that_was_away():
+    gate = TableGate()
+    assert gate.enter(START)
+    assert gate.enter(START)
+    gate.record(False, START)
+    assert not gate.enter(START)
+    later = Instant(START + RETRY_AFTER_MS)
+    assert [gate.enter(later) for _ in range(3)] == [True, False, False]
+    gate.record(True, later)
+    assert gate.enter(later)
+
+
 def test_urgent_requests_go_first_and_displace_waiting_ones_when_the_queue_is_full():
     policy = RequestPolicy(queue_bytes=10)
     queue = ServiceQueue()
