--- a/benches/requests/report.py
+++ b/benches/requests/report.py
@@ -43,7 +43,8 @@
 
 TABLE_HEAD = (
     "| subject | offered | goodput /s | wait median ms | p99 | p99.9 | urgent p99 |"
-    " refused as not run | unknown | wrong | excess slots | excess connections | zone KB | other region KB | peer KB |"
+    " refused as not run | unknown | wrong | excess slots | excess connections |"
+    " zone KB | other region KB | peer KB |"
     " processor ms a request |\n" + "|---" * 16 + "|"
 )
 
