--- a/benches/requests/report.py
+++ b/benches/requests/report.py
@@ -50,6 +50,7 @@
 
 
 def write_row(figure: Any) -> str:
+    """Return one row of the report's table."""
     wrong = figure.lost + figure.doubled + figure.mixed + figure.falsely_refused
     cells = [
         figure.subject,
@@ -109,4 +110,5 @@
 
 
 def judge(target: str, reached: bool, text: str) -> str:
+    """Return one line that says whether a target was reached, with the figures."""
     return f"- {target}: **{'reached' if reached else 'not reached'}** ({text})"
