--- a/packages/lentilpath-core/src/lentilpath_core/zone/_control_messages.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_control_messages.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 from lentilpath_core.ids import Instant, RackId, TaskId, WorkerId
-from lentilpath_core.placement import StopMode
+from lentilpath_core.placement import QuotaSet, StopMode
 from lentilpath_core.resources import Resources
 from lentilpath_core.zone.inbox import InboxEntry
 from lentilpath_core.zone.journal import JournalBatch
@@ -77,6 +77,13 @@
     by_table: bool
 
 
+@dataclass(frozen=True, slots=True)
+class QuotasSet:
+    """What each team is guaranteed in the zone now; teams that are not named get nothing."""
+
+    quotas: tuple[QuotaSet, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class TimePassed:
     """Nothing happened; look for what is due."""
@@ -90,6 +97,7 @@
     | StartAnswered
     | BatchApplied
     | AuthorityBasis
+    | QuotasSet
     | TimePassed
 )
 
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_control_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_control_state.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from lentilpath_core.ids import Epoch, Instant, JobId, TaskId, WorkerId, WorkerTime
+from lentilpath_core.ids import Epoch, Instant, JobId, TaskId, TeamId, WorkerId, WorkerTime
 from lentilpath_core.placement import PlacementState, create_placement
 from lentilpath_core.settings import WorkerLeaseSettings
 from lentilpath_core.zone._control_messages import ControlEffect, ListedWorker, WorkerPhase
@@ -61,6 +61,7 @@
     writing_gated: list[ControlEffect] = field(default_factory=list)
     held: dict[JobId, list[TaskId]] = field(default_factory=dict)
     """Waiting idempotent tasks that may run on a worker that has not answered yet."""
+    guaranteed_teams: set[TeamId] = field(default_factory=set)
     waiting_for_table: dict[JobId, list[TaskId]] = field(default_factory=dict)
     """Waiting tasks that may not start without a durable record, while the table is away."""
 
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_controller.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_controller.py
@@ -5,6 +5,8 @@
 from functools import singledispatch
 
 from lentilpath_core.ids import Epoch, Instant, JournalSequence, WallTime
+from lentilpath_core.placement import QuotaSet, apply_event
+from lentilpath_core.resources import NO_RESOURCES
 from lentilpath_core.settings import WorkerLeaseSettings
 from lentilpath_core.states import AttemptOutcome
 from lentilpath_core.zone._commands import take_inbox_entry
@@ -16,6 +18,7 @@
     ControlEvent,
     InboxRead,
     JournalWrite,
+    QuotasSet,
     RenewalSending,
     SendStart,
     StartAnswered,
@@ -192,6 +195,19 @@
     return []
 
 
+@_decide.register
+def _(
+    event: QuotasSet, state: ControllerState, now: Instant, wall: WallTime
+) -> list[ControlEffect]:
+    named = {quota.team for quota in event.quotas}
+    for team in sorted(state.guaranteed_teams - named):
+        apply_event(state.placement, QuotaSet(team, NO_RESOURCES), now)
+    for quota in event.quotas:
+        apply_event(state.placement, quota, now)
+    state.guaranteed_teams = named
+    return []
+
+
 @_decide.register
 def _(
     event: TimePassed, state: ControllerState, now: Instant, wall: WallTime
--- a/packages/lentilpathd/src/lentilpathd/_daemon.py
+++ b/packages/lentilpathd/src/lentilpathd/_daemon.py
@@ -13,7 +13,7 @@
 from lentilpathd._directory import Directory
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._leadership import create_leadership
-from lentilpathd._operators import create_operators
+from lentilpathd._operators import create_configuration, create_operators
 from lentilpathd._peers import PeerBus
 from lentilpathd._requests import create_requests
 from lentilpathd._supervisor import Part, supervise_parts
@@ -65,9 +65,12 @@
         )
         self.platform = platform
         self.leadership = create_leadership(self.context)
-        self.zone = create_zone_service(self.context, self.leadership)
+        self.configuration = create_configuration(self.context)
+        self.zone = create_zone_service(self.context, self.leadership, self.configuration)
         self.requests = create_requests(self.context, self.leadership)
-        self.operators = create_operators(self.context, self.leadership, self.zone)
+        self.operators = create_operators(
+            self.context, self.leadership, self.zone, self.configuration
+        )
 
     async def run(self) -> None:
         """Run all parts until cancelled; raises `PartGivenUp` in an exception group."""
--- a/packages/lentilpathd/src/lentilpathd/_zone/_leading.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_leading.py
@@ -5,12 +5,14 @@
 import asyncio
 import contextlib
 import uuid
+from collections.abc import Callable
 from functools import singledispatchmethod
 
 import msgspec
 
 from lentilpath_core.errors import OutcomeUnknown, Unavailable
 from lentilpath_core.ids import WorkerId, get_job_of_task
+from lentilpath_core.placement import QuotaSet
 from lentilpath_core.zone.control import (
     AskForAllTasks,
     AuthorityBasis,
@@ -21,6 +23,7 @@
     ForgetAttempt,
     InboxRead,
     ListedWorker,
+    QuotasSet,
     SendStart,
     SendStop,
     StartAnswered,
@@ -55,11 +58,17 @@
 SETTLE_SECONDS = 2.0
 
 
+QuotaSource = Callable[[], tuple[QuotaSet, ...]]
+
+
 class Leading:
     """Leads the zone for one term."""
 
-    def __init__(self, context: DaemonContext, term: Term, zone: ZoneState) -> None:
+    def __init__(
+        self, context: DaemonContext, term: Term, zone: ZoneState, quotas: QuotaSource
+    ) -> None:
         self._context = context
+        self._quotas = quotas
         self._term = term
         self._links: dict[WorkerId, WorkerLink] = {}
         self._link_tasks: dict[WorkerId, asyncio.Task[None]] = {}
@@ -74,6 +83,7 @@
 
     async def run(self) -> None:
         """Lead until the term ends; raises `TermEnded` or `Deposed` in an exception group."""
+        self.take_quotas()
         async with asyncio.TaskGroup() as group:
             self._group = group
             self._open_links()
@@ -85,6 +95,10 @@
         """Look at the inbox now."""
         self._inbox_wanted.set()
 
+    def take_quotas(self) -> None:
+        """Take over the quotas that the configuration has now."""
+        self._take_event(QuotasSet(self._quotas()))
+
     async def settle(self) -> None:
         """Stop deciding, wait for commands under way and write what is left of the journal."""
         self._draining = True
--- a/packages/lentilpathd/src/lentilpathd/_zone/_service.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_service.py
@@ -5,9 +5,10 @@
 import asyncio
 import contextlib
 
+from lentilpath_core.configuration import get_zone_quota
 from lentilpath_core.errors import OutcomeUnknown, Unavailable
 from lentilpath_core.peers import PeerRequest
-from lentilpath_core.placement import PlacementState
+from lentilpath_core.placement import PlacementState, QuotaSet
 from lentilpath_core.zone.control import is_command_durable
 from lentilpath_core.zone.journal import CommandAnswered
 from lentilpath_core.zone.state import ZoneState
@@ -15,6 +16,7 @@
 from lentilpathd._clock import read_instant
 from lentilpathd._context import DaemonContext
 from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._operators import ConfigurationKeeper
 from lentilpathd._zone._errors import Deposed, TermEnded
 from lentilpathd._zone._leading import Leading
 from lentilpathd._zone._recovery import check_epoch, recover_zone_state
@@ -28,8 +30,12 @@
 class ZoneService:
     """The availability zone's leader, while this process has the authority."""
 
-    def __init__(self, context: DaemonContext, leadership: Leadership) -> None:
+    def __init__(
+        self, context: DaemonContext, leadership: Leadership, configuration: ConfigurationKeeper
+    ) -> None:
         self._context = context
+        self._configuration = configuration
+        configuration.watch(self._take_quotas)
         self._leadership = leadership
         self._leading: Leading | None = None
         self._stopped = False
@@ -83,7 +89,7 @@
             await asyncio.sleep(RETRY_SECONDS)
             return
         term = Term(zone, epoch, authority.epoch_version, self._leadership)
-        self._leading = Leading(self._context, term, state)
+        self._leading = Leading(self._context, term, state, self._list_quotas)
         log_event(
             Event.ZONE_RECOVERED,
             zone=zone,
@@ -99,10 +105,26 @@
         finally:
             self._leading = None
 
+    def _list_quotas(self) -> tuple[QuotaSet, ...]:
+        current = self._configuration.get_current()
+        zone = self._context.settings.zone
+        return tuple(
+            QuotaSet(team, get_zone_quota(current, team, zone)) for team in sorted(current.teams)
+        )
+
+    def _take_quotas(self) -> None:
+        if self._leading is not None:
+            self._leading.take_quotas()
+
     async def _answer_wake(self, request: PeerRequest) -> None:
         self.wake()
 
 
-def create_zone_service(context: DaemonContext, leadership: Leadership) -> ZoneService:
-    """Return the part that leads the zone of `context` under the authority of `leadership`."""
-    return ZoneService(context, leadership)
+def create_zone_service(
+    context: DaemonContext, leadership: Leadership, configuration: ConfigurationKeeper
+) -> ZoneService:
+    """Return the part that leads the zone of `context` under the authority of `leadership`.
+
+    `configuration` names the teams' quotas; changes of it are in force at once.
+    """
+    return ZoneService(context, leadership, configuration)
--- a/tests/cover/test_peer_cancellation.py
+++ b/tests/cover/test_peer_cancellation.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from lentilpath_core.ids import HostId, Incarnation, ZoneId
+from lentilpath_core.ids import HostId, Incarnation, RegionId, ZoneId
 from lentilpath_core.peers import PROTOCOL_VERSION, PeerReply
 from lentilpath_core.settings import Address, PeerSettings
 from lentilpathd._peers import PeerBus
@@ -29,7 +29,9 @@
         except asyncio.CancelledError:
             if self.received > 1:
                 raise
-        return msgspec.msgpack.encode(PeerReply(PROTOCOL_VERSION, "b", "b.1", "ok", None))
+        return msgspec.msgpack.encode(
+            PeerReply(PROTOCOL_VERSION, HostId("b"), Incarnation("b.1"), "ok", None)
+        )
 
     async def asend(self, data):
         pass
@@ -64,7 +66,7 @@
 
 def test_an_answer_that_arrives_with_its_time_limit_is_taken():
     bus = make_bus()
-    bus.set_peers((PeerSettings(HostId("b"), "r", ZoneId("z"), Address("127.0.0.1", 1)),))
+    bus.set_peers((PeerSettings(HostId("b"), RegionId("r"), ZoneId("z"), Address("127.0.0.1", 1)),))
     bus._sockets[HostId("b")] = SwallowingSocket()
     assert asyncio.run(bus.ask(HostId("b"), "topic", None, type(None), 0.01)) is None
 
