--- a/packages/lentilpath-core/src/lentilpath_core/zone/_control_messages.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_control_messages.py
@@ -119,6 +119,8 @@
     task: TaskId
     attempt: int
     mode: StopMode
+    millicores: int = 0
+    """For `THROTTLE` only: what the attempt may use from now on."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lentilpathd/src/lentilpathd/_zone/_worker_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_worker_link.py
@@ -183,7 +183,9 @@
         if stop.mode is StopMode.CHECKPOINT:
             await self._worker.checkpoint(stop.task, stop.attempt, not_after, ANSWER_SECONDS)
         elif stop.mode is StopMode.THROTTLE:
-            await self._worker.throttle(stop.task, stop.attempt, 0, not_after, ANSWER_SECONDS)
+            await self._worker.throttle(
+                stop.task, stop.attempt, stop.millicores, not_after, ANSWER_SECONDS
+            )
         else:
             await self._worker.stop(
                 stop.task, stop.attempt, STOP_GRACE_MS, not_after, ANSWER_SECONDS
--- a/tests/cover/test_zone_control.py
+++ b/tests/cover/test_zone_control.py
@@ -1,10 +1,12 @@
+from dataclasses import replace
+
 import hypothesis.strategies as st
 from hypothesis import Phase, settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from lentilpath_core.ids import TaskId, WorkerId
+from lentilpath_core.ids import JobId, TaskId, WorkerId
 from lentilpath_core.states import TaskState
-from lentilpath_core.workloads import WorkloadKind
+from lentilpath_core.workloads import Policy, WorkloadKind
 from lentilpath_core.zone.control import TimePassed
 from lentilpath_core.zone.inbox import SubmitJob
 from tests.common.zone import FakeZone, make_spec, stop_job, submit_and_read
@@ -74,6 +76,18 @@
     assert [zone.count_runs(TaskId(f"rebuild/{i}")) for i in range(3)] == [1, 1, 1]
 
 
+def test_refuses_to_start_a_job_whose_input_has_become_stale():
+    zone = make_ready_zone()
+    policy = Policy(input_written_at_ms=zone.now, input_max_age_ms=5_000)
+    submit_and_read(zone, make_spec("blocker", 3, 4_000, run_ms=8_000))
+    submit_and_read(zone, replace(make_spec("rebuild", 1, 4_000), policy=policy))
+    zone.run_until_ended(max_rounds=100)
+    assert zone.count_runs(TaskId("rebuild/0")) == 0
+    job = zone.controller.zone.jobs[JobId("rebuild")]
+    assert job.refused_because is not None
+    assert "input" in job.refused_because
+
+
 def test_holds_recovered_idempotent_tasks_until_every_worker_has_answered():
     zone = make_ready_zone()
     zone.submit(SubmitJob(make_spec("check", idempotent=True, run_ms=60_000)))
