--- a/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
@@ -20,6 +20,7 @@
     find_size_refusal,
     is_input_stale,
 )
+from lentilpath_core.placement._headroom import keeps_headroom
 from lentilpath_core.placement._learning import estimate_run_ms
 from lentilpath_core.placement._messages import (
     Decision,
@@ -36,27 +37,31 @@
 )
 from lentilpath_core.placement._queues import (
     block_by_quota,
-    block_shape,
+    can_make_room,
     clear_waiting,
+    close_shape,
     count_unreserved,
     enqueue_job,
     find_head,
     find_needed,
+    find_ready_group,
     find_shape_key,
+    fire_aging,
     is_held_back,
-    pop_group,
-    requeue_group,
+    list_reviewed_groups,
+    open_shape,
     take_number,
     take_waiting,
 )
-from lentilpath_core.placement._records import (
-    Group,
-    Job,
-    PlacementState,
-    Reservation,
-    Worker,
+from lentilpath_core.placement._records import Group, Job, PlacementState, Reservation, Tier, Worker
+from lentilpath_core.placement._reservations import (
+    count_reserved,
+    is_deadline_near,
+    is_overdue,
+    may_reserve,
+    plan_reservation,
+    trim_reservations,
 )
-from lentilpath_core.placement._reservations import is_overdue, may_reserve, plan_reservation
 from lentilpath_core.placement._rooms import (
     add_reservation,
     drop_reservation,
@@ -73,8 +78,12 @@
 """A job larger than every worker is refused if no worker has joined for so long."""
 RECLAIM_AFTER_MS = 10_000
 """A team without its guaranteed room gets it back from borrowers after this wait."""
-LENDABLE_RUN_MS = 60_000
+LENDABLE_RUN_MS = 900_000
 """Tasks no longer than this may borrow room that is guaranteed to others."""
+REVIEWS_PER_DECISION = 2
+"""Groups of waiting jobs that are tried in turn whether or not room was freed."""
+RETRY_URGENT_MS = 250
+"""Blocked urgent work is tried again this often, if tasks started that could make room."""
 MIN_WEIGHT = 0.02
 """Weight of a team with no guarantee, as a share of the zone."""
 
@@ -108,42 +117,79 @@
     fire_holds(state, now)
     fire_quarantines(state, now)
     fire_backoffs(state, now)
+    fire_aging(state, now)
     if wall_now is not None:
         _queue_undated(state)
     _fulfil_reservations(state, now, wall_now, decisions)
     move_from_draining(state, decisions, limit)
-    for urgent in (True, False):
-        _run_pass(state, now, wall_now, urgent, limit, decisions)
+    _review(state, now, wall_now, decisions)
+    _retry_urgent(state, now)
+    _run_pass(state, now, wall_now, (Tier.URGENT,), limit, decisions)
+    _run_pass(state, now, wall_now, (Tier.NORMAL, Tier.BACKGROUND), limit, decisions)
     decisions.extend(state.pending)
     state.pending.clear()
     return tuple(decisions)
 
 
+def _review(
+    state: PlacementState, now: Instant, wall_now: WallTime | None, decisions: list[Decision]
+) -> None:
+    """Try a few groups in turn on all workers, also those whose shape found no room before."""
+    for group in list_reviewed_groups(state, REVIEWS_PER_DECISION):
+        if not group.quota_blocked:
+            group.shape.candidates = None
+            _try_group(state, group, now, wall_now, decisions)
+
+
+def _retry_urgent(state: PlacementState, now: Instant) -> None:
+    """Try blocked urgent work again if there are new tasks that could make room for it."""
+    if not state.room_to_make or now < state.urgent_retried_at + RETRY_URGENT_MS:
+        return
+    state.room_to_make = False
+    state.urgent_retried_at = now
+    for groups in state.groups[Tier.URGENT].values():
+        for group in groups.values():
+            open_shape(state, group.shape)
+
+
 def _run_pass(
     state: PlacementState,
     now: Instant,
     wall_now: WallTime | None,
-    urgent: bool,
+    tiers: tuple[Tier, ...],
     limit: int,
     decisions: list[Decision],
 ) -> None:
-    order = [(_rank_team(state, name), name) for name in state.queues[urgent]]
+    if not state.open_shapes:
+        return
+    order = [
+        (_rank_team(state, name, tier), name, tier) for tier in tiers for name in state.groups[tier]
+    ]
     heapq.heapify(order)
-    while order and len(decisions) < limit:
-        name = heapq.heappop(order)[1]
-        group = pop_group(state, urgent, name)
+    while order and state.open_shapes and len(decisions) < limit:
+        _, name, tier = heapq.heappop(order)
+        group = find_ready_group(state, tier, name)
         if group is None:
             continue
         _try_group(state, group, now, wall_now, decisions)
-        if name in state.queues[urgent]:
-            heapq.heappush(order, (_rank_team(state, name), name))
+        heapq.heappush(order, (_rank_team(state, name, tier), name, tier))
 
 
-def _rank_team(state: PlacementState, name: TeamId) -> tuple[bool, float]:
+def _rank_team(state: PlacementState, name: TeamId, tier: Tier) -> tuple[bool, Tier, float]:
+    """Return the order of a team's work: what is guaranteed first, then class, then share."""
     team = state.teams[name]
-    weight = max(MIN_WEIGHT, _find_share(team.guaranteed, state.total))
-    within = team.used.fits_in(team.guaranteed) and team.guaranteed != NO_RESOURCES
-    return (not within, _find_share(team.used, state.total) / weight)
+    known = team.share_of
+    if (
+        known is None
+        or known[0] is not team.used
+        or known[1] is not team.guaranteed
+        or known[2] is not state.total
+    ):
+        weight = max(MIN_WEIGHT, _find_share(team.guaranteed, state.total))
+        team.share = _find_share(team.used, state.total) / weight
+        team.share_of = (team.used, team.guaranteed, state.total)
+    # A team that holds more than its guarantee has a weighted share above 1.
+    return (team.share > 1, tier, team.share)
 
 
 def _find_share(amount: Resources, total: Resources) -> float:
@@ -171,17 +217,14 @@
         # What is known of its size has changed since the job was queued.
         _set_aside(group, job)
         enqueue_job(state, job)
-        requeue_group(state, group)
         return
     result = _try_job(state, group, job, now, wall_now, decisions)
     if result is _Result.NO_ROOM:
-        block_shape(state, group)
+        close_shape(state, group.shape)
     elif result is _Result.NO_QUOTA:
         block_by_quota(state, group)
-    else:
-        if result is _Result.SET_ASIDE:
-            _set_aside(group, job)
-        requeue_group(state, group)
+    elif result is _Result.SET_ASIDE:
+        _set_aside(group, job)
 
 
 def _set_aside(group: Group, job: Job) -> None:
@@ -210,12 +253,16 @@
     if not _is_within_quota(state, job, needed.multiply(count)):
         job.rule = WaitRule.TEAM_QUOTA
         return _Result.NO_QUOTA
+    if not keeps_headroom(state, job, needed.multiply(count)):
+        job.rule = WaitRule.RESERVED
+        return _Result.NO_QUOTA
     if _place(state, job, needed, count, now, decisions):
         job.blocked_since = None
+        trim_reservations(state, job)
         return _Result.PLACED
     if job.blocked_since is None:
         job.blocked_since = now
-    return _answer_no_room(state, job, needed, now, decisions)
+    return _answer_no_room(state, job, needed, now, wall_now, decisions)
 
 
 def _is_allowed_to_start(state: PlacementState, job: Job, wall_now: WallTime | None) -> bool:
@@ -249,8 +296,7 @@
     team = job.team
     if state.unused_guarantees == NO_RESOURCES or (team.used + needed).fits_in(team.guaranteed):
         return True
-    policy = job.spec.policy
-    if policy.checkpointable or policy.stoppable:
+    if can_make_room(job):
         return True
     if job.spec.kind is not WorkloadKind.SERVICE and estimate_run_ms(job) <= LENDABLE_RUN_MS:
         return True
@@ -269,7 +315,8 @@
     if job.spec.kind is WorkloadKind.GANG:
         return _place_gang(state, job, needed, count, now, decisions)
     task = next(iter(job.waiting))
-    worker = _find_place(state, job, needed, job.avoided.get(task), now)
+    candidates = job.group.shape.candidates if job.group is not None else None
+    worker = _find_place(state, job, needed, job.avoided.get(task), candidates, now)
     if worker is None:
         return False
     _start(state, job, task, worker, _describe_place(worker, needed), now, decisions)
@@ -281,17 +328,20 @@
     job: Job,
     needed: Resources,
     avoided: set[WorkerId] | None,
+    candidates: dict[WorkerId, Worker] | None,
     now: Instant,
 ) -> Worker | None:
     if state.probing_workers and is_probe_for_workers(job):
         for probed in state.probing_workers.values():
             if needed.fits_in(probed.open):
                 return probed
-    worker = find_worker(state, job, needed, avoided)
+    worker = find_worker(state, job, needed, avoided, candidates)
     if worker is None and avoided:
-        worker = find_worker(state, job, needed, None)
+        worker = find_worker(state, job, needed, None, candidates)
     if worker is None and state.reservations and job.spec.kind is not WorkloadKind.SERVICE:
         ends_at = Instant(now + estimate_run_ms(job))
+        if job.spec.policy.priority is PriorityClass.URGENT:
+            ends_at = now
         worker = find_backfill_worker(state, needed, ends_at, avoided)
     return worker
 
@@ -317,7 +367,7 @@
     places = _find_gang_places(state, job, needed, count)
     if places is None:
         return False
-    tasks = tuple(job.waiting)
+    tasks = tuple(job.waiting)[:count]
     for task, worker in zip(tasks, places, strict=True):
         reason = f"placed on {worker.worker}: all {count} tasks start together"
         _start(state, job, task, worker, reason, now, decisions)
@@ -364,10 +414,14 @@
 
 
 def _answer_no_room(
-    state: PlacementState, job: Job, needed: Resources, now: Instant, decisions: list[Decision]
+    state: PlacementState,
+    job: Job,
+    needed: Resources,
+    now: Instant,
+    wall_now: WallTime | None,
+    decisions: list[Decision],
 ) -> _Result:
-    capacities = [worker.capacity for worker in state.workers.values()]
-    refusal = find_size_refusal(job.spec, needed, capacities)
+    refusal = find_size_refusal(job.spec, needed, state.capacities)
     if refusal is not None:
         job.rule = WaitRule.TOO_LARGE
         if now - state.last_joined_at >= REFUSE_TOO_LARGE_AFTER_MS:
@@ -376,32 +430,46 @@
         return _Result.NO_ROOM
     gang = job.spec.kind is WorkloadKind.GANG
     job.rule = WaitRule.GANG_INCOMPLETE if gang else WaitRule.NO_ROOM
-    if not gang and _make_room(state, job, needed, now, decisions):
+    pressing = is_deadline_near(job, wall_now)
+    if not gang and _make_room(state, job, needed, pressing, now, decisions):
         return _Result.PLACED
-    if may_reserve(state, job, now) and plan_reservation(state, job, now) is not None:
+    if may_reserve(state, job, now, wall_now) and plan_reservation(state, job, now) is not None:
         job.rule = WaitRule.RESERVED
-        return _Result.PLACED
+        return _Result.PLACED if gang else _Result.NO_ROOM
     return _Result.NO_ROOM
 
 
 def _make_room(
-    state: PlacementState, job: Job, needed: Resources, now: Instant, decisions: list[Decision]
+    state: PlacementState,
+    job: Job,
+    needed: Resources,
+    pressing: bool,
+    now: Instant,
+    decisions: list[Decision],
 ) -> bool:
+    if count_reserved(job) >= len(job.waiting):
+        return False
     urgent = job.spec.policy.priority is PriorityClass.URGENT
     within = (job.team.used + needed).fits_in(job.team.guaranteed)
     waited = now - (job.blocked_since if job.blocked_since is not None else now)
     plan = None
-    if urgent or job.spec.policy.deadline_ms is not None:
-        plan = find_room_to_make(state, needed, is_less_urgent(job), now)
+    if urgent or pressing:
+        plan = find_room_to_make(state, job, needed, is_less_urgent(job), now)
     if plan is None and within and (urgent or waited >= RECLAIM_AFTER_MS):
-        plan = find_room_to_make(state, needed, is_borrowed(job), now)
+        plan = find_room_to_make(state, job, needed, is_borrowed(job), now)
     if plan is None:
         return False
     for held in plan.victims:
         reason = f"makes room for {job.spec.job} ({job.spec.policy.priority.value})"
         decisions.append(stop_for_room(held, state, reason))
     reservation = Reservation(
-        job, take_number(state), {plan.worker.worker: 1}, needed, plan.ready_at, now, True
+        job,
+        (False, take_number(state)),
+        {plan.worker.worker: 1},
+        needed,
+        plan.ready_at,
+        now,
+        makes_room=True,
     )
     add_reservation(state, reservation)
     job.rule = WaitRule.RESERVED
@@ -433,6 +501,10 @@
     drop_reservation(state, reservation)
     if not _is_allowed_to_start(state, job, wall_now):
         return
+    if not find_needed(job).fits_in(reservation.room):
+        # The workload was seen to use more since the room was reserved.
+        enqueue_job(state, job)
+        return
     tasks = iter(tuple(job.waiting))
     for name, count in reservation.claims.items():
         worker = state.workers[name]
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
@@ -14,6 +14,7 @@
     note_success,
     release_trial,
 )
+from lentilpath_core.placement._headroom import note_urgent_need
 from lentilpath_core.placement._learning import estimate_run_ms, learn_run, take_usage
 from lentilpath_core.placement._messages import (
     AttemptFinished,
@@ -32,10 +33,10 @@
     find_due_time,
     find_needed,
     find_team,
+    offer_room,
     take_number,
     take_waiting,
     unblock_quotas,
-    unblock_shapes,
 )
 from lentilpath_core.placement._records import HeldRoom, Job, PlacementState, Worker, Workload
 from lentilpath_core.placement._reservations import drop_all_reservations
@@ -47,10 +48,12 @@
     release_room,
     take_unused,
 )
-from lentilpath_core.resources import NO_RESOURCES
+from lentilpath_core.resources import NO_RESOURCES, Resources
 from lentilpath_core.states import AttemptOutcome, WorkerState
 from lentilpath_core.workloads import JobSpec, PriorityClass, WorkloadKind
 
+AGING_MS = 3_600_000
+"""Background work that waited so long counts as normal."""
 MAX_IDLE_JOBS = 2_000
 """Jobs without a waiting or running task that are remembered for their failures."""
 
@@ -68,6 +71,8 @@
         worker = _add_worker(state, event)
         state.last_joined_at = now
     change = event.capacity - worker.capacity
+    _count_capacity(state, worker.capacity, -1)
+    _count_capacity(state, event.capacity, 1)
     worker.capacity = event.capacity
     worker.rack = event.rack
     worker.state = event.state
@@ -81,7 +86,7 @@
     for reservation in worker.claims:
         state.touched[reservation.order] = reservation
     if is_usable(worker):
-        unblock_shapes(state, worker.free)
+        offer_room(state, worker, worker.free)
         unblock_quotas(state)
 
 
@@ -96,6 +101,7 @@
     worker.state = WorkerState.LOST
     reindex_worker(state, worker)
     state.total -= worker.capacity
+    _count_capacity(state, worker.capacity, -1)
     state.draining.pop(event.worker, None)
     state.probing_workers.pop(event.worker, None)
     left = NO_RESOURCES
@@ -108,16 +114,19 @@
 
 @take_event.register
 def _(event: TasksReady, state: PlacementState, now: Instant) -> None:
-    job = _find_job(state, event.spec)
+    job = _find_job(state, event.spec, now)
     job.accepted_at = event.accepted_at
     job.due = find_due_time(event.spec, event.accepted_at)
-    if job.withdrawn or job.refused:
+    if job.refused:
         return
+    # A job is also withdrawn for a while, when its starts need the table and the table is away.
+    job.withdrawn = False
     attempts = dict(event.attempts)
     for task in event.tasks:
         if task in state.placed or task in job.waiting or task in job.delayed:
             continue
         _make_ready(state, job, task, attempts.get(task, 0), now)
+    note_urgent_need(state, now)
     enqueue_job(state, job)
 
 
@@ -125,7 +134,7 @@
 def _(event: TaskFound, state: PlacementState, now: Instant) -> None:
     if event.task in state.placed:
         return
-    job = _find_job(state, event.spec)
+    job = _find_job(state, event.spec, now)
     take_waiting(state, job, event.task)
     job.delayed.pop(event.task, None)
     held = make_held(job, event.task, event.attempt, event.worker, now, "found running")
@@ -217,6 +226,12 @@
     heapq.heappush(state.backoffs, (start_at, task))
 
 
+def _count_capacity(state: PlacementState, capacity: Resources, change: int) -> None:
+    state.capacities[capacity] += change
+    if state.capacities[capacity] <= 0:
+        del state.capacities[capacity]
+
+
 def _add_worker(state: PlacementState, event: WorkerOffered) -> Worker:
     held_room = state.held_elsewhere.pop(event.worker, NO_RESOURCES)
     free = NO_RESOURCES - held_room
@@ -234,7 +249,7 @@
     return worker
 
 
-def _find_job(state: PlacementState, spec: JobSpec) -> Job:
+def _find_job(state: PlacementState, spec: JobSpec, now: Instant) -> Job:
     job = state.jobs.get(spec.job)
     if job is not None:
         state.idle_jobs.pop(spec.job, None)
@@ -247,6 +262,8 @@
     number = take_number(state)
     job = Job(spec, number, WallTime(0), WallTime(0), team, workload)
     state.jobs[spec.job] = job
+    if spec.policy.priority is PriorityClass.BACKGROUND:
+        heapq.heappush(state.aging, (Instant(now + AGING_MS), spec.job))
     return job
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_queues.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_queues.py
@@ -1,15 +1,17 @@
 """The waiting jobs of a zone, in the order in which they are tried.
 
-Jobs stand in groups by team, urgency and shape. A group whose shape found no room is parked, and
-returns to its team's queue when a worker has room for that shape. So a pass looks only at work
-that may start, however much waits.
+Jobs stand in groups by team, tier and shape. A shape that found no room is closed, and opened again
+by a worker that has room for it; only the workers that gave it room since are looked at then. So a
+pass looks only at work that may start, however much waits. Besides, each decision reviews a few
+groups in turn, for what changes by time alone: deadlines that draw near, and room for gangs.
 """
 
 from __future__ import annotations
 
 import heapq
+import math
 
-from lentilpath_core.ids import TaskId, TeamId, WallTime
+from lentilpath_core.ids import Instant, TaskId, TeamId, WallTime
 from lentilpath_core.placement._records import (
     Group,
     Job,
@@ -17,8 +19,10 @@
     Shape,
     ShapeKey,
     Team,
+    Tier,
+    Worker,
 )
-from lentilpath_core.resources import Resources
+from lentilpath_core.resources import NO_RESOURCES, Resources
 from lentilpath_core.workloads import JobSpec, PriorityClass, WorkloadKind
 
 SIGNIFICANT_BITS = 4
@@ -56,13 +60,13 @@
 def find_needed(job: Job) -> Resources:
     """Return the room of one task: as declared, or more if the workload was seen to use more."""
     declared = job.spec.resources
-    seen = job.workload.largest_peak
-    if seen.fits_in(declared):
+    processors, memory = job.workload.largest_excess
+    if processors <= 1 and memory <= 1:
         return declared
     return Resources(
-        max(declared.millicores, seen.millicores),
-        max(declared.memory_mib, seen.memory_mib),
-        max(declared.accelerators, seen.accelerators),
+        math.ceil(declared.millicores * processors),
+        math.ceil(declared.memory_mib * memory),
+        declared.accelerators,
     )
 
 
@@ -82,20 +86,20 @@
 def add_waiting(state: PlacementState, job: Job, task: TaskId, attempt: int) -> None:
     """Let the task wait for room."""
     job.waiting[task] = attempt
-    state.waiting += job.spec.resources
+    _count_waiting(state, job, job.spec.resources)
 
 
 def take_waiting(state: PlacementState, job: Job, task: TaskId) -> int:
     """Let the task wait no longer; returns the number of its next attempt, 0 if it did not wait."""
     attempt = job.waiting.pop(task, 0)
     if attempt:
-        state.waiting -= job.spec.resources
+        _count_waiting(state, job, NO_RESOURCES - job.spec.resources)
     return attempt
 
 
 def clear_waiting(state: PlacementState, job: Job) -> None:
     """Let no task of the job wait any longer."""
-    state.waiting -= job.spec.resources.multiply(len(job.waiting))
+    _count_waiting(state, job, NO_RESOURCES - job.spec.resources.multiply(len(job.waiting)))
     job.waiting.clear()
     job.delayed.clear()
 
@@ -109,19 +113,28 @@
         job.group = None
         job.workload.held_jobs[job.spec.job] = job
         return
-    key = find_shape_key(job)
-    urgent = job.spec.policy.priority is PriorityClass.URGENT
-    group = _find_group(state, job.team, urgent, key)
+    group = _find_group(state, job, find_tier(job), find_shape_key(job))
     if job.group is group:
         return
     job.group = group
     heapq.heappush(group.jobs, (job.due, job.sequence, job))
-    _queue_group(state, group)
+
+
+def can_make_room(job: Job) -> bool:
+    """Return whether policy lets tasks of the job be ended to make room.
+
+    One task of a gang is not ended, since the others would hold room without it.
+    """
+    policy = job.spec.policy
+    whole = job.spec.kind is WorkloadKind.GANG
+    return not whole and (policy.checkpointable or policy.stoppable)
 
 
 def count_unreserved(job: Job) -> int:
-    """Return how many waiting tasks of the job have no room reserved."""
-    reserved = sum(sum(each.claims.values()) for each in job.reservations)
+    """Return how many waiting tasks of the job have no room of their own reserved."""
+    if not job.reservations:
+        return len(job.waiting)
+    reserved = sum(sum(each.claims.values()) for each in job.reservations if each.exclusive)
     return len(job.waiting) - reserved
 
 
@@ -147,111 +160,148 @@
     return None
 
 
-def requeue_group(state: PlacementState, group: Group) -> None:
-    """Let the group be tried again in its turn."""
-    group.queued = False
-    _queue_group(state, group)
-
-
-def pop_group(state: PlacementState, urgent: bool, team: TeamId) -> Group | None:
-    """Take the group with the earliest due head out of the team's queue."""
-    queue = state.queues[urgent].get(team)
-    while queue:
-        group = heapq.heappop(queue)[2]
-        if not group.queued:
+def find_tier(job: Job) -> Tier:
+    """Return the tier of the job: background work that has aged counts as normal."""
+    if job.spec.policy.priority is PriorityClass.URGENT:
+        return Tier.URGENT
+    if job.spec.policy.priority is PriorityClass.NORMAL or job.aged:
+        return Tier.NORMAL
+    return Tier.BACKGROUND
+
+
+def fire_aging(state: PlacementState, now: Instant) -> None:
+    """Let background jobs count as normal that have waited long."""
+    while state.aging and state.aging[0][0] <= now:
+        job = state.jobs.get(heapq.heappop(state.aging)[1])
+        if job is not None:
+            job.aged = True
+            enqueue_job(state, job)
+
+
+def find_ready_group(state: PlacementState, tier: Tier, team: TeamId) -> Group | None:
+    """Return the team's group with the earliest due head among those that may find room."""
+    groups = state.groups[tier].get(team, {})
+    found: Group | None = None
+    earliest: Job | None = None
+    for key, shape in tuple(state.open_shapes.items()):
+        group = groups.get(key)
+        if group is None or group.quota_blocked:
             continue
-        group.queued = False
-        if find_head(group) is None:
-            _forget_group(group)
+        if tier is not Tier.URGENT and _has_lost_its_room(shape):
+            close_shape(state, shape)
             continue
-        if group.shape.blocked:
-            _park_group(group)
+        head = find_head(group)
+        if head is None:
+            forget_group(state, group)
+        elif earliest is None or (head.due, head.sequence) < (earliest.due, earliest.sequence):
+            found = group
+            earliest = head
+    return found
+
+
+def _has_lost_its_room(shape: Shape) -> bool:
+    """Return whether the workers that opened the shape have no room for it any more."""
+    if shape.candidates is None:
+        return False
+    millicores, memory_mib, accelerators, _, _ = shape.key
+    for name, worker in tuple(shape.candidates.items()):
+        room = worker.free
+        if (
+            millicores > room.millicores
+            or memory_mib > room.memory_mib
+            or accelerators > room.accelerators
+        ):
+            del shape.candidates[name]
+    return not shape.candidates
+
+
+def list_reviewed_groups(state: PlacementState, count: int) -> list[Group]:
+    """Return the next `count` groups in turn, whether they may find room or not."""
+    found: list[Group] = []
+    for _ in range(min(count, len(state.reviews))):
+        group = state.reviews.popleft()
+        if group.forgotten:
             continue
-        return group
-    state.queues[urgent].pop(team, None)
-    return None
+        if find_head(group) is None:
+            forget_group(state, group)
+            continue
+        state.reviews.append(group)
+        found.append(group)
+    return found
 
 
-def block_shape(state: PlacementState, group: Group) -> None:
-    """Keep all groups of this shape out of the queues until there is new room for it."""
-    shape = group.shape
+def close_shape(state: PlacementState, shape: Shape) -> None:
+    """Let no group of this shape be tried until there is new room for it."""
+    shape.candidates = {}
     shape.blocked = True
-    _park_group(group)
-    state.blocked_shapes[shape.key] = shape
+    state.open_shapes.pop(shape.key, None)
 
 
-def unblock_shapes(state: PlacementState, room: Resources) -> None:
-    """Let the shapes be tried again of which one task may fit into `room`."""
-    freed = [
-        shape
-        for key, shape in state.blocked_shapes.items()
-        if key[0] <= room.millicores and key[1] <= room.memory_mib and key[2] <= room.accelerators
-    ]
-    for shape in freed:
-        unblock_shape(state, shape)
+def offer_room(state: PlacementState, worker: Worker, room: Resources) -> None:
+    """Let the shapes be tried on `worker` of which one task may fit into its new room."""
+    for key, shape in state.shapes.items():
+        if shape.candidates is None or key[3] > 1:
+            continue
+        if key[0] > room.millicores or key[1] > room.memory_mib or key[2] > room.accelerators:
+            continue
+        shape.candidates[worker.worker] = worker
+        if shape.blocked:
+            open_shape(state, shape)
 
 
-def unblock_shape(state: PlacementState, shape: Shape) -> None:
-    """Let the groups of this shape be tried again."""
+def open_shape(state: PlacementState, shape: Shape) -> None:
+    """Let the groups of this shape be tried."""
     shape.blocked = False
-    state.blocked_shapes.pop(shape.key, None)
-    parked, shape.parked = shape.parked, []
-    for group in parked:
-        group.parked = False
-        _queue_group(state, group)
+    state.open_shapes[shape.key] = shape
 
 
 def block_by_quota(state: PlacementState, group: Group) -> None:
     """Keep the group out until some room is released or a quota changes."""
-    group.parked = True
-    group.team.quota_blocked.append(group)
-    state.quota_blocked_teams[group.team.team] = group.team
+    group.quota_blocked = True
+    state.quota_blocked.append(group)
 
 
 def unblock_quotas(state: PlacementState) -> None:
     """Let the groups be tried again that waited for a quota."""
-    teams, state.quota_blocked_teams = state.quota_blocked_teams, {}
-    for team in teams.values():
-        blocked, team.quota_blocked = team.quota_blocked, []
-        for group in blocked:
-            group.parked = False
-            _queue_group(state, group)
-
-
-def _queue_group(state: PlacementState, group: Group) -> None:
-    head = find_head(group)
-    if head is None:
-        _forget_group(group)
-        return
-    if group.parked:
-        return
-    if group.shape.blocked:
-        _park_group(group)
-        return
-    queue = state.queues[group.urgent].setdefault(group.team.team, [])
-    group.queued = True
-    heapq.heappush(queue, (head.due, take_number(state), group))
-
+    blocked, state.quota_blocked = state.quota_blocked, []
+    for group in blocked:
+        group.quota_blocked = False
 
-def _park_group(group: Group) -> None:
-    if not group.parked:
-        group.parked = True
-        group.shape.parked.append(group)
 
-
-def _forget_group(group: Group) -> None:
-    key = (group.urgent, group.shape.key)
-    if group.team.groups.get(key) is group:
-        del group.team.groups[key]
-
-
-def _find_group(state: PlacementState, team: Team, urgent: bool, key: ShapeKey) -> Group:
-    group = team.groups.get((urgent, key))
-    if group is None:
-        shape = state.shapes.get(key)
-        if shape is None:
-            shape = state.shapes[key] = Shape(key)
-        group = team.groups[(urgent, key)] = Group(team, urgent, shape)
+def forget_group(state: PlacementState, group: Group) -> None:
+    """Forget a group without jobs, and its shape with its last group."""
+    if group.forgotten:
+        return
+    group.forgotten = True
+    teams = state.groups[group.tier]
+    groups = teams[group.team.team]
+    del groups[group.shape.key]
+    if not groups:
+        del teams[group.team.team]
+    group.shape.groups -= 1
+    if not group.shape.groups:
+        state.shapes.pop(group.shape.key, None)
+        state.open_shapes.pop(group.shape.key, None)
+
+
+def _count_waiting(state: PlacementState, job: Job, change: Resources) -> None:
+    state.waiting += change
+    if job.spec.policy.priority is PriorityClass.URGENT:
+        state.urgent_waiting += change
+
+
+def _find_group(state: PlacementState, job: Job, tier: Tier, key: ShapeKey) -> Group:
+    groups = state.groups[tier].setdefault(job.spec.team, {})
+    group = groups.get(key)
+    if group is not None:
+        return group
+    shape = state.shapes.get(key)
+    if shape is None:
+        shape = state.shapes[key] = Shape(key)
+        open_shape(state, shape)
+    shape.groups += 1
+    group = groups[key] = Group(job.team, tier, shape)
+    state.reviews.append(group)
     return group
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_rooms.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_rooms.py
@@ -5,7 +5,7 @@
 from bisect import bisect_left, insort
 
 from lentilpath_core.ids import Instant, RackId, WorkerId
-from lentilpath_core.placement._queues import unblock_shapes
+from lentilpath_core.placement._queues import can_make_room, offer_room
 from lentilpath_core.placement._records import (
     HeldRoom,
     Job,
@@ -16,7 +16,7 @@
 )
 from lentilpath_core.resources import NO_RESOURCES, Resources
 from lentilpath_core.states import WorkerState
-from lentilpath_core.workloads import Strategy, WorkloadKind
+from lentilpath_core.workloads import PriorityClass, Strategy, WorkloadKind
 
 FITTING_WORKERS_COMPARED = 16
 """Workers with room that are compared to find the tightest fit."""
@@ -60,7 +60,7 @@
     state.placed[held.task] = held
     job.placed[held.task] = held
     job.on_worker[held.worker] = job.on_worker.get(held.worker, 0) + 1
-    _count_team(state, job.team, held.room)
+    _count_held(state, held, held.room)
     worker = state.workers.get(held.worker)
     if worker is None:
         before = state.held_elsewhere.get(held.worker, NO_RESOURCES)
@@ -68,7 +68,7 @@
         return
     job.on_rack[worker.rack] = job.on_rack.get(worker.rack, 0) + 1
     worker.tasks[held.task] = held
-    _change_preemptible(worker, held, held.room)
+    _change_preemptible(state, worker, held, held.room)
     change_free_room(state, worker, NO_RESOURCES - held.room)
 
 
@@ -80,7 +80,7 @@
     if held.seen_running and not held.stopping:
         job.seen_running -= 1
     _count_down(job.on_worker, held.worker)
-    _count_team(state, job.team, NO_RESOURCES - held.room)
+    _count_held(state, held, NO_RESOURCES - held.room)
     worker = state.workers.get(held.worker)
     if worker is None:
         if held.worker in state.held_elsewhere:
@@ -89,7 +89,9 @@
     _count_down(job.on_rack, worker.rack)
     if worker.tasks.pop(held.task, None) is None:
         return
-    _change_preemptible(worker, held, NO_RESOURCES - held.room)
+    _change_preemptible(state, worker, held, NO_RESOURCES - held.room)
+    if held.stopping:
+        worker.leaving -= held.room
     change_free_room(state, worker, held.room)
 
 
@@ -97,9 +99,9 @@
     """Let the attempt hold `room` from now on; the caller has seen that it is there."""
     growth = room - held.room
     worker = state.workers[held.worker]
-    _change_preemptible(worker, held, growth)
+    _change_preemptible(state, worker, held, growth)
     held.room = room
-    _count_team(state, held.job.team, growth)
+    _count_held(state, held, growth)
     change_free_room(state, worker, NO_RESOURCES - growth)
 
 
@@ -107,7 +109,9 @@
     """Count the attempt as ending, so that it is not stopped twice."""
     worker = state.workers.get(held.worker)
     if worker is not None and not held.stopping:
-        _change_preemptible(worker, held, NO_RESOURCES - held.room)
+        _change_preemptible(state, worker, held, NO_RESOURCES - held.room)
+    if worker is not None and not held.stopping:
+        worker.leaving += held.room
     if held.seen_running and not held.stopping:
         held.job.seen_running -= 1
     held.stopping = True
@@ -123,7 +127,7 @@
     for reservation in worker.claims:
         state.touched[reservation.order] = reservation
     if is_usable(worker):
-        unblock_shapes(state, worker.free)
+        offer_room(state, worker, worker.free)
 
 
 def add_reservation(state: PlacementState, reservation: Reservation) -> None:
@@ -155,7 +159,7 @@
         for other in worker.claims:
             state.touched[other.order] = other
         if is_usable(worker):
-            unblock_shapes(state, worker.open)
+            offer_room(state, worker, worker.open)
 
 
 def is_reservation_satisfied(state: PlacementState, reservation: Reservation) -> bool:
@@ -175,11 +179,20 @@
 
 
 def find_worker(
-    state: PlacementState, job: Job, needed: Resources, avoided: set[WorkerId] | None
+    state: PlacementState,
+    job: Job,
+    needed: Resources,
+    avoided: set[WorkerId] | None,
+    candidates: dict[WorkerId, Worker] | None = None,
 ) -> Worker | None:
-    """Return the best worker with open room for `needed`, or `None`."""
+    """Return the best worker with open room for `needed`, or `None`.
+
+    Only `candidates` are looked at, if they are given.
+    """
     if job.spec.kind is WorkloadKind.SERVICE or job.spec.policy.strategy is Strategy.SPREAD:
         return _find_spread(state, job, needed, avoided)
+    if candidates is not None:
+        return _find_among(candidates, needed, avoided)
     if not needed.accelerators:
         found = _find_tightest(state, state.plain_index, needed, avoided)
         if found is not None:
@@ -192,7 +205,7 @@
 ) -> Worker | None:
     """Return a worker whose reserved room is free until `ends_at`, or `None`."""
     for reservation in state.reservations.values():
-        if reservation.makes_room or reservation.starts_at < ends_at:
+        if reservation.makes_room:
             continue
         for name in reservation.claims:
             worker = state.workers.get(name)
@@ -200,11 +213,20 @@
                 continue
             if avoided is not None and name in avoided:
                 continue
-            if all(claim.starts_at >= ends_at and not claim.makes_room for claim in worker.claims):
+            if _is_lendable(worker, needed, ends_at):
                 return worker
     return None
 
 
+def _is_lendable(worker: Worker, needed: Resources, ends_at: Instant) -> bool:
+    """Return whether the room is back by the time that each reservation on it needs it."""
+    left = worker.free
+    for claim in worker.claims:
+        if claim.makes_room or claim.starts_at < ends_at:
+            left -= claim.room.multiply(claim.claims[worker.worker])
+    return needed.fits_in(left)
+
+
 def _find_tightest(
     state: PlacementState,
     index: list[tuple[int, int]],
@@ -230,6 +252,25 @@
     return best
 
 
+def _find_among(
+    candidates: dict[WorkerId, Worker], needed: Resources, avoided: set[WorkerId] | None
+) -> Worker | None:
+    best: Worker | None = None
+    best_score = 0.0
+    for worker in candidates.values():
+        if not needed.fits_in(worker.open) or not is_usable(worker):
+            continue
+        if avoided is not None and worker.worker in avoided:
+            continue
+        score = _score_tightness(worker, needed)
+        if worker.capacity.accelerators and not needed.accelerators:
+            score += 2
+        if best is None or score < best_score:
+            best = worker
+            best_score = score
+    return best
+
+
 def _score_tightness(worker: Worker, needed: Resources) -> float:
     capacity = worker.capacity
     processors = (worker.open.millicores - needed.millicores) / capacity.millicores
@@ -261,15 +302,24 @@
     return best
 
 
-def _change_preemptible(worker: Worker, held: HeldRoom, change: Resources) -> None:
+def _change_preemptible(
+    state: PlacementState, worker: Worker, held: HeldRoom, change: Resources
+) -> None:
     policy = held.job.spec.policy
-    if held.stopping or not (policy.checkpointable or policy.stoppable):
+    if held.stopping or not can_make_room(held.job):
         return
+    state.room_to_make = True
     before = worker.preemptible.get(policy.priority, NO_RESOURCES)
     worker.preemptible[policy.priority] = before + change
 
 
-def _count_team(state: PlacementState, team: Team, change: Resources) -> None:
+def _count_held(state: PlacementState, held: HeldRoom, change: Resources) -> None:
+    team = held.job.team
+    policy = held.job.spec.policy
+    if policy.priority is PriorityClass.URGENT:
+        state.urgent_held += change
+    elif not can_make_room(held.job):
+        state.firm += change
     state.unused_guarantees -= take_unused(team)
     team.used += change
     state.used += change
