--- a/packages/lentilpathd/src/lentilpathd/_zone/_leading.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_leading.py
@@ -43,6 +43,7 @@
 from lentilpathd._events import Event, log_warning_event
 from lentilpathd._ports import ListedHost
 from lentilpathd._zone._errors import TermEnded
+from lentilpathd._zone._recovery import RecoveredZone
 from lentilpathd._zone._snapshots import encode_snapshot, store_snapshot
 from lentilpathd._zone._term import Term
 from lentilpathd._zone._worker_link import WorkerLink
@@ -65,7 +66,7 @@
     """Leads the zone for one term."""
 
     def __init__(
-        self, context: DaemonContext, term: Term, zone: ZoneState, quotas: QuotaSource
+        self, context: DaemonContext, term: Term, zone: RecoveredZone, quotas: QuotaSource
     ) -> None:
         self._context = context
         self._quotas = quotas
@@ -76,10 +77,10 @@
         self._written = asyncio.Event()
         self._applied = asyncio.Event()
         self._inbox_wanted = asyncio.Event()
-        self._unarchived: list[JournalBatch] = []
+        self._unarchived = list(zone.batches)
         self._listed: tuple[ListedHost, ...] = ()
         self._draining = False
-        self.controller = self._create_controller(zone)
+        self.controller = self._create_controller(zone.state)
 
     async def run(self) -> None:
         """Lead until the term ends; raises `TermEnded` or `Deposed` in an exception group."""
--- a/packages/lentilpathd/src/lentilpathd/_zone/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_recovery.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 import msgspec
 
 from lentilpath_core.errors import Unavailable
 from lentilpath_core.ids import JournalSequence, ZoneId
 from lentilpath_core.leadership import get_epoch_key
-from lentilpath_core.zone.journal import decode_batch, get_batch_key, get_journal_prefix
+from lentilpath_core.zone.journal import (
+    JournalBatch,
+    decode_batch,
+    get_batch_key,
+    get_journal_prefix,
+)
 from lentilpath_core.zone.state import ZoneState, apply_batch, create_zone_state
 from lentilpathd._authority import Authority
 from lentilpathd._ports import ObjectStore, Table
@@ -42,22 +49,33 @@
         raise Deposed(f"zone {zone} was taken over after epoch {authority.epoch}")
 
 
-async def recover_zone_state(table: Table, objects: ObjectStore, zone: ZoneId) -> ZoneState:
-    """Return the fold of the whole journal of `zone`.
+@dataclass(frozen=True, slots=True)
+class RecoveredZone:
+    """What the platform keeps of a zone."""
+
+    state: ZoneState
+    """The fold of the whole journal."""
+    batches: list[JournalBatch]
+    """The batches after the last snapshot, which no archive holds yet."""
+
+
+async def recover_zone(table: Table, objects: ObjectStore, zone: ZoneId) -> RecoveredZone:
+    """Return the state of `zone` and the part of its journal that is not archived.
 
     Call it only after `check_epoch`: from then on no other process can add to the journal.
     Raises `Unavailable` if the platform is out of reach and `BrokenJournal` if a batch is missing
     or cannot be read.
     """
     state = await _load_snapshot(table, objects, zone)
+    batches: list[JournalBatch] = []
     after = get_batch_key(zone, state.sequence)
     while True:
         rows = await table.scan(get_journal_prefix(zone), after, SCAN_ROWS, READ_TIMEOUT_SECONDS)
         for row in rows:
-            _apply_row(state, row.key, row.value)
+            batches.append(_apply_row(state, row.key, row.value))
             after = row.key
         if len(rows) < SCAN_ROWS:
-            return state
+            return RecoveredZone(state, batches)
 
 
 async def _load_snapshot(table: Table, objects: ObjectStore, zone: ZoneId) -> ZoneState:
@@ -74,7 +92,7 @@
         raise BrokenJournal(f"zone {zone}: snapshot {sequence} is unreadable: {error}") from error
 
 
-def _apply_row(state: ZoneState, key: str, value: str) -> None:
+def _apply_row(state: ZoneState, key: str, value: str) -> JournalBatch:
     try:
         batch = decode_batch(value)
     except msgspec.DecodeError as error:
@@ -82,3 +100,4 @@
     if batch.sequence != state.sequence + 1:
         raise BrokenJournal(f"{key} follows batch {state.sequence}; one between is missing")
     apply_batch(state, batch)
+    return batch
--- a/packages/lentilpathd/src/lentilpathd/_zone/_service.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_service.py
@@ -19,7 +19,7 @@
 from lentilpathd._operators import ConfigurationKeeper
 from lentilpathd._zone._errors import Deposed, TermEnded
 from lentilpathd._zone._leading import Leading
-from lentilpathd._zone._recovery import check_epoch, recover_zone_state
+from lentilpathd._zone._recovery import check_epoch, recover_zone
 from lentilpathd._zone._term import Term
 
 LOOK_SECONDS = 0.05
@@ -83,18 +83,18 @@
         started = read_instant()
         try:
             await check_epoch(self._context.table, zone, authority)
-            state = await recover_zone_state(self._context.table, self._context.objects, zone)
+            recovered = await recover_zone(self._context.table, self._context.objects, zone)
         except (Unavailable, Deposed, OutcomeUnknown) as error:
             log_warning_event(Event.ZONE_RECOVERY_FAILED, zone=zone, error=str(error))
             await asyncio.sleep(RETRY_SECONDS)
             return
         term = Term(zone, epoch, authority.epoch_version, self._leadership)
-        self._leading = Leading(self._context, term, state, self._list_quotas)
+        self._leading = Leading(self._context, term, recovered, self._list_quotas)
         log_event(
             Event.ZONE_RECOVERED,
             zone=zone,
             epoch=epoch,
-            jobs=len(state.jobs),
+            jobs=len(recovered.state.jobs),
             ms=read_instant() - started,
         )
         try:
