--- a/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
@@ -122,10 +122,11 @@
         _queue_undated(state)
     _fulfil_reservations(state, now, wall_now, decisions)
     move_from_draining(state, decisions, limit)
-    _review(state, now, wall_now, decisions)
     _retry_urgent(state, now)
     _run_pass(state, now, wall_now, (Tier.URGENT,), limit, decisions)
     _run_pass(state, now, wall_now, (Tier.NORMAL, Tier.BACKGROUND), limit, decisions)
+    # Reviews come last, so that nobody takes room out of turn.
+    _review(state, now, wall_now, decisions)
     decisions.extend(state.pending)
     state.pending.clear()
     return tuple(decisions)
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_queues.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_queues.py
@@ -175,6 +175,8 @@
         job = state.jobs.get(heapq.heappop(state.aging)[1])
         if job is not None:
             job.aged = True
+            normal_due = job.accepted_at + DUE_AFTER_MS[PriorityClass.NORMAL]
+            job.due = min(job.due, WallTime(normal_due))
             enqueue_job(state, job)
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_decisions.py
@@ -26,7 +26,7 @@
 def place_tasks(state: ControllerState, now: Instant, wall: WallTime) -> list[ControlEffect]:
     """Ask the placement what to start and stop now, and record it."""
     effects: list[ControlEffect] = []
-    for decision in decide_placements(state.placement, now, MAX_DECISIONS_PER_STEP):
+    for decision in decide_placements(state.placement, now, MAX_DECISIONS_PER_STEP, wall):
         effects.extend(_take_decision(decision, state, now, wall))
     return effects
 
