--- a/packages/lentilpath-core/src/lentilpath_core/zone/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_decisions.py
@@ -76,7 +76,10 @@
 def _(
     decision: StopTask, state: ControllerState, now: Instant, wall: WallTime
 ) -> list[ControlEffect]:
-    return [SendStop(decision.worker, decision.task, decision.attempt, decision.mode)]
+    stop = SendStop(
+        decision.worker, decision.task, decision.attempt, decision.mode, decision.millicores
+    )
+    return [stop]
 
 
 @_take_decision.register
