Start nothing of a job whose acceptance is not durable

Cause: an idempotent task started at once although its job's acceptance was still in the batch being written. If the leader died before that batch applied, the command was still in the inbox; the next leader took it for a new job and started its tasks beside the running ones ("j3/0 runs twice", found by the stateful test). Ruled out: a stale report, attempt numbers. Now such a start waits for the batch. The test that claimed the old rule (test_starts_idempotent_tasks_at_once) was wrong and is replaced by two: test_sends_no_start_of_a_job_whose_acceptance_is_not_durable and test_starts_waiting_idempotent_tasks_before_their_start_is_durable. Also: request limits follow the configuration.

--- a/packages/lentilpath-core/src/lentilpath_core/zone/_commands.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_commands.py
@@ -64,6 +64,7 @@
     except InvalidJob as error:
         return error.code, str(error), []
     record_event(state, JobAccepted(spec, entry.accepted_at, entry.accepted_by))
+    state.undurable_jobs.add(spec.job)
     offer_tasks(state, spec.job, spec.list_tasks(), now)
     return OK, f"job {spec.job} accepted with {spec.tasks} tasks", []
 
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_control_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_control_state.py
@@ -56,9 +56,12 @@
     absorbed: dict[str, str] = field(default_factory=dict)
     """Keys of inbox rows whose events are in `pending`, by command."""
     gated: list[ControlEffect] = field(default_factory=list)
+    undurable_jobs: set[JobId] = field(default_factory=set)
+    """Jobs whose acceptance is in `pending`."""
     writing: bool = False
     writing_commands: dict[str, str] = field(default_factory=dict)
     writing_gated: list[ControlEffect] = field(default_factory=list)
+    writing_jobs: set[JobId] = field(default_factory=set)
     held: dict[JobId, list[TaskId]] = field(default_factory=dict)
     """Waiting idempotent tasks that may run on a worker that has not answered yet."""
     guaranteed_teams: set[TeamId] = field(default_factory=set)
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_controller.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_controller.py
@@ -86,10 +86,12 @@
     state.writing = True
     state.writing_commands = state.absorbed
     state.writing_gated = state.gated
+    state.writing_jobs = state.undurable_jobs
     events = tuple(state.pending)
     state.pending = []
     state.absorbed = {}
     state.gated = []
+    state.undurable_jobs = set()
     sequence = JournalSequence(state.zone.sequence + 1)
     state.zone.sequence = sequence
     batch = JournalBatch(state.zone.zone, sequence, state.epoch, writer, events)
@@ -175,6 +177,7 @@
     state.writing = False
     state.writing_commands = {}
     state.writing_gated = []
+    state.writing_jobs = set()
     effects: list[ControlEffect] = []
     for effect in gated:
         if isinstance(effect, ConfirmWorker):
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_decisions.py
@@ -4,7 +4,7 @@
 
 from functools import singledispatch
 
-from lentilpath_core.ids import Instant, TaskId, WallTime, WorkerId, get_job_of_task
+from lentilpath_core.ids import Instant, JobId, TaskId, WallTime, WorkerId, get_job_of_task
 from lentilpath_core.placement import (
     RefuseJob,
     StartTask,
@@ -66,12 +66,20 @@
     record_event(state, event)
     state.workers[decision.worker].unsettled[(task, decision.attempt)] = NEVER
     start = SendStart(decision.worker, task, decision.attempt)
-    if may_start_unrecorded(state.zone.jobs[get_job_of_task(task)]):
+    if _may_leave_at_once(state, get_job_of_task(task)):
         return [start]
     state.gated.append(start)
     return []
 
 
+def _may_leave_at_once(state: ControllerState, job: JobId) -> bool:
+    # While the job's acceptance is not durable, its command is still in the inbox, and the next
+    # leader would take it for a job of which nothing can have started.
+    if job in state.undurable_jobs or job in state.writing_jobs:
+        return False
+    return may_start_unrecorded(state.zone.jobs[job])
+
+
 @_take_decision.register
 def _(
     decision: StopTask, state: ControllerState, now: Instant, wall: WallTime
--- a/packages/lentilpathd/src/lentilpathd/_daemon.py
+++ b/packages/lentilpathd/src/lentilpathd/_daemon.py
@@ -6,7 +6,9 @@
 import signal
 import uuid
 
-from lentilpath_core.ids import Incarnation
+from lentilpath_core.configuration import make_request_policy
+from lentilpath_core.ids import CustomerId, Incarnation, ServiceId
+from lentilpath_core.requests.policy import RequestPolicy
 from lentilpath_core.settings import HostSettings
 from lentilpathd._adapters.platform import create_platform
 from lentilpathd._context import DaemonContext
@@ -67,11 +69,18 @@
         self.leadership = create_leadership(self.context)
         self.configuration = create_configuration(self.context)
         self.zone = create_zone_service(self.context, self.leadership, self.configuration)
-        self.requests = create_requests(self.context, self.leadership)
+        self.requests = create_requests(
+            self.context, self.leadership, find_policy=self._find_request_policy
+        )
         self.operators = create_operators(
             self.context, self.leadership, self.zone, self.configuration
         )
 
+    def _find_request_policy(
+        self, service: ServiceId, customer: CustomerId | None
+    ) -> RequestPolicy:
+        return make_request_policy(self.configuration.get_current(), service, customer)
+
     async def run(self) -> None:
         """Run all parts until cancelled; raises `PartGivenUp` in an exception group."""
         try:
--- a/packages/lentilpathd/src/lentilpathd/_requests/part.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/part.py
@@ -36,7 +36,7 @@
 from lentilpathd._requests.loans import LoanKeeper
 from lentilpathd._requests.roster import Roster
 from lentilpathd._requests.rows import TableGate
-from lentilpathd._requests.service import Service
+from lentilpathd._requests.service import PolicySource, Service
 from lentilpathd._requests.sweep import Sweeper
 
 TICK_SECONDS = 0.1
@@ -48,10 +48,15 @@
     """Serves callers on `settings.callers`."""
 
     def __init__(
-        self, context: DaemonContext, leadership: Leadership, policy: RequestPolicy
+        self,
+        context: DaemonContext,
+        leadership: Leadership,
+        policy: RequestPolicy,
+        find_policy: PolicySource,
     ) -> None:
         self._context = context
         self._policy = policy
+        self._find_policy = find_policy
         self._metrics = create_metrics(context.settings.statsd)
         self._server: HttpServer | None = None
         self.roster = Roster(
@@ -131,7 +136,7 @@
         return sum(service.count_sendings() for service in self.roster.services.values())
 
     def _create_service(self, service: ServiceId) -> Service:
-        return Service(service, self._policy, self._metrics, self._wake_loans)
+        return Service(service, self._find_policy, self._metrics, self._wake_loans)
 
     def _wake_loans(self) -> None:
         self._loans.wake()
@@ -185,10 +190,18 @@
 
 
 def create_requests(
-    context: DaemonContext, leadership: Leadership, policy: RequestPolicy | None = None
+    context: DaemonContext,
+    leadership: Leadership,
+    policy: RequestPolicy | None = None,
+    find_policy: PolicySource | None = None,
 ) -> Requests:
-    """Return the part that serves callers' requests."""
-    return Requests(context, leadership, policy or RequestPolicy())
+    """Return the part that serves callers' requests.
+
+    `policy` holds for the whole process. `find_policy` gives the limits of one service and
+    customer as the configuration has them now; without it they are those of `policy`.
+    """
+    whole = policy or RequestPolicy()
+    return Requests(context, leadership, whole, find_policy or (lambda service, customer: whole))
 
 
 def _create_tls_context(settings: TlsSettings | None) -> ssl.SSLContext | None:
--- a/packages/lentilpathd/src/lentilpathd/_requests/service.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/service.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from lentilpath_core.errors import OutcomeUnknown
-from lentilpath_core.ids import Instant, RequestId, ServiceId, UpstreamId
+from lentilpath_core.ids import CustomerId, Instant, RequestId, ServiceId, UpstreamId
 from lentilpath_core.requests.admission import (
     ServiceQueue,
     admit_request,
@@ -59,13 +59,17 @@
     message: str
 
 
+PolicySource = Callable[[ServiceId, CustomerId | None], RequestPolicy]
+"""Returns the policy of a service as it is now, with the limits of a customer if one is named."""
+
+
 class Service:
     """Sends the requests of one service to its runners."""
 
     def __init__(
         self,
         service: ServiceId,
-        policy: RequestPolicy,
+        find_policy: PolicySource,
         metrics: Metrics,
         on_waiting: Callable[[], None],
     ) -> None:
@@ -74,21 +78,26 @@
         self.queue = ServiceQueue()
         self.bytes_by_distance = dict.fromkeys(Distance, 0)
         """Bytes exchanged with runners, by how far they are."""
-        self._policy = policy
+        self._find_policy = find_policy
         self._metrics = metrics
         self._on_waiting = on_waiting
-        self._budget = create_retry_budget(policy)
+        self._budget = create_retry_budget(self._policy)
         self._waiters: dict[RequestId, asyncio.Future[SlotHold]] = {}
         self._aborted = False
         self._sendings: set[asyncio.Task[_Attempt]] = set()
 
+    @property
+    def _policy(self) -> RequestPolicy:
+        return self._find_policy(self.service, None)
+
     async def handle(self, request: CallerRequest) -> ServiceAnswer:
         """Return the whole answer to `request`; raises `RequestFailed`.
 
         Cancellation withdraws a request that waits. One that was sent is left to end by itself,
         since the runner goes on with it.
         """
-        admit_request(self.queue, request, self._policy, read_instant())
+        policy = self._find_policy(self.service, request.customer)
+        admit_request(self.queue, request, policy, read_instant())
         earn_retry(self._budget, self._policy)
         try:
             return await self._send_until_answered(request)
