Hold tasks of a job that was taken over again until every worker has answered

Found by test_survives_any_mix_of_faults after the placement changed its order: a leader took over a submission, started an idempotent task without a record, and lost the batch; the next leader read the same command from the inbox and started the task again on another worker before the first worker had answered (j3/0 ran twice). Ruled out: the placement, which got TasksReady once. The hold that recovered jobs have now covers newly taken over ones. This is the smallest change in zone/_commands and zone/_readiness.

--- a/packages/lentilpath-core/src/lentilpath_core/zone/_commands.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_commands.py
@@ -11,7 +11,7 @@
 from lentilpath_core.workloads import check_job
 from lentilpath_core.zone._control_messages import ControlEffect, SendStop
 from lentilpath_core.zone._control_state import ControllerState, record_event
-from lentilpath_core.zone._readiness import offer_tasks
+from lentilpath_core.zone._readiness import offer_accepted_tasks
 from lentilpath_core.zone._workers import offer_worker
 from lentilpath_core.zone.inbox import (
     DrainWorker,
@@ -64,7 +64,7 @@
     except InvalidJob as error:
         return error.code, str(error), []
     record_event(state, JobAccepted(spec, entry.accepted_at, entry.accepted_by))
-    offer_tasks(state, spec.job, spec.list_tasks(), now)
+    offer_accepted_tasks(state, spec.job, now)
     return OK, f"job {spec.job} accepted with {spec.tasks} tasks", []
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_readiness.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_readiness.py
@@ -22,6 +22,21 @@
     apply_event(state.placement, TasksReady(record.spec, tasks, record.accepted_at, attempts), now)
 
 
+def offer_accepted_tasks(state: ControllerState, job: JobId, now: Instant) -> None:
+    """Offer the tasks of a job that was just taken over from the inbox.
+
+    A leader before may have taken over the same command, started a task and lost the record of
+    both, so a task that may start without a record is held until every worker has answered.
+    """
+    record = state.zone.jobs[job]
+    tasks = record.spec.list_tasks()
+    if not may_start_unrecorded(record):
+        offer_tasks(state, job, tasks, now)
+        return
+    state.held[job] = list(tasks)
+    release_held_tasks(state, now)
+
+
 def offer_recovered_tasks(state: ControllerState, now: Instant) -> None:
     """Offer the waiting tasks that a new leader found in the journal.
 
