--- a/benches/measure/previous/__init__.py
+++ b/benches/measure/previous/__init__.py
@@ -11,8 +11,9 @@
     decide_placements,
 )
 from benches.measure.previous._explanations import explain_task
+from benches.measure.previous._feasibility import find_refusal
 from benches.measure.previous._records import PlacementState
-from lentilpath_core.placement._feasibility import find_refusal
+from benches.measure.previous._summary import PlacementSummary, summarize_placement
 from lentilpath_core.placement._messages import (
     AttemptFinished,
     Decision,
@@ -39,6 +40,7 @@
     "JobWithdrawn",
     "PlacementEvent",
     "PlacementState",
+    "PlacementSummary",
     "QuotaSet",
     "RefuseJob",
     "StartTask",
@@ -55,4 +57,5 @@
     "decide_placements",
     "explain_task",
     "find_refusal",
+    "summarize_placement",
 ]
--- a/benches/measure/previous/_engine.py
+++ b/benches/measure/previous/_engine.py
@@ -13,6 +13,12 @@
     is_probe_for_workers,
     start_worker_probe,
 )
+from benches.measure.previous._feasibility import (
+    count_tasks_in,
+    describe_stale_input,
+    find_size_refusal,
+    is_input_stale,
+)
 from benches.measure.previous._learning import estimate_run_ms
 from benches.measure.previous._preemption import (
     find_room_to_make,
@@ -23,24 +29,33 @@
 from benches.measure.previous._queues import (
     block_by_quota,
     block_shape,
+    clear_waiting,
     count_unreserved,
     enqueue_job,
     find_head,
     find_needed,
     find_shape_key,
+    fire_aging,
     is_held_back,
     pop_group,
     requeue_group,
     take_number,
+    take_waiting,
 )
 from benches.measure.previous._records import (
     Group,
     Job,
     PlacementState,
     Reservation,
+    Tier,
     Worker,
 )
-from benches.measure.previous._reservations import is_overdue, may_reserve, plan_reservation
+from benches.measure.previous._reservations import (
+    is_deadline_near,
+    is_overdue,
+    may_reserve,
+    plan_reservation,
+)
 from benches.measure.previous._rooms import (
     add_reservation,
     drop_reservation,
@@ -51,12 +66,6 @@
     take_unused,
 )
 from lentilpath_core.ids import Instant, TaskId, TeamId, WallTime, WorkerId
-from lentilpath_core.placement._feasibility import (
-    count_tasks_in,
-    describe_stale_input,
-    find_size_refusal,
-    is_input_stale,
-)
 from lentilpath_core.placement._messages import (
     Decision,
     PlacementEvent,
@@ -71,7 +80,7 @@
 """A job larger than every worker is refused if no worker has joined for so long."""
 RECLAIM_AFTER_MS = 10_000
 """A team without its guaranteed room gets it back from borrowers after this wait."""
-LENDABLE_RUN_MS = 60_000
+LENDABLE_RUN_MS = 900_000
 """Tasks no longer than this may borrow room that is guaranteed to others."""
 MIN_WEIGHT = 0.02
 """Weight of a team with no guarantee, as a share of the zone."""
@@ -106,12 +115,13 @@
     fire_holds(state, now)
     fire_quarantines(state, now)
     fire_backoffs(state, now)
+    fire_aging(state, now)
     if wall_now is not None:
         _queue_undated(state)
     _fulfil_reservations(state, now, wall_now, decisions)
     move_from_draining(state, decisions, limit)
-    for urgent in (True, False):
-        _run_pass(state, now, wall_now, urgent, limit, decisions)
+    _run_pass(state, now, wall_now, (Tier.URGENT,), limit, decisions)
+    _run_pass(state, now, wall_now, (Tier.NORMAL, Tier.BACKGROUND), limit, decisions)
     decisions.extend(state.pending)
     state.pending.clear()
     return tuple(decisions)
@@ -121,27 +131,30 @@
     state: PlacementState,
     now: Instant,
     wall_now: WallTime | None,
-    urgent: bool,
+    tiers: tuple[Tier, ...],
     limit: int,
     decisions: list[Decision],
 ) -> None:
-    order = [(_rank_team(state, name), name) for name in state.queues[urgent]]
+    order = [
+        (_rank_team(state, name, tier), name, tier) for tier in tiers for name in state.queues[tier]
+    ]
     heapq.heapify(order)
     while order and len(decisions) < limit:
-        name = heapq.heappop(order)[1]
-        group = pop_group(state, urgent, name)
+        _, name, tier = heapq.heappop(order)
+        group = pop_group(state, tier, name)
         if group is None:
             continue
         _try_group(state, group, now, wall_now, decisions)
-        if name in state.queues[urgent]:
-            heapq.heappush(order, (_rank_team(state, name), name))
+        if name in state.queues[tier]:
+            heapq.heappush(order, (_rank_team(state, name, tier), name, tier))
 
 
-def _rank_team(state: PlacementState, name: TeamId) -> tuple[bool, float]:
+def _rank_team(state: PlacementState, name: TeamId, tier: Tier) -> tuple[bool, Tier, float]:
+    """Return the order of a team's work: what is guaranteed first, then class, then share."""
     team = state.teams[name]
     weight = max(MIN_WEIGHT, _find_share(team.guaranteed, state.total))
     within = team.used.fits_in(team.guaranteed) and team.guaranteed != NO_RESOURCES
-    return (not within, _find_share(team.used, state.total) / weight)
+    return (not within, tier, _find_share(team.used, state.total) / weight)
 
 
 def _find_share(amount: Resources, total: Resources) -> float:
@@ -213,7 +226,7 @@
         return _Result.PLACED
     if job.blocked_since is None:
         job.blocked_since = now
-    return _answer_no_room(state, job, needed, now, decisions)
+    return _answer_no_room(state, job, needed, now, wall_now, decisions)
 
 
 def _is_allowed_to_start(state: PlacementState, job: Job, wall_now: WallTime | None) -> bool:
@@ -239,6 +252,7 @@
     job.refused = True
     job.rule = rule
     job.refusal = reason
+    clear_waiting(state, job)
     state.pending.append(RefuseJob(job.spec.job, reason))
 
 
@@ -289,6 +303,8 @@
         worker = find_worker(state, job, needed, None)
     if worker is None and state.reservations and job.spec.kind is not WorkloadKind.SERVICE:
         ends_at = Instant(now + estimate_run_ms(job))
+        if job.spec.policy.priority is PriorityClass.URGENT:
+            ends_at = now
         worker = find_backfill_worker(state, needed, ends_at, avoided)
     return worker
 
@@ -348,7 +364,7 @@
     now: Instant,
     decisions: list[Decision],
 ) -> None:
-    attempt = job.waiting.pop(task)
+    attempt = take_waiting(state, job, task)
     held = make_held(job, task, attempt, worker.worker, now, reason)
     if worker.probe_due:
         start_worker_probe(state, worker, held)
@@ -361,7 +377,12 @@
 
 
 def _answer_no_room(
-    state: PlacementState, job: Job, needed: Resources, now: Instant, decisions: list[Decision]
+    state: PlacementState,
+    job: Job,
+    needed: Resources,
+    now: Instant,
+    wall_now: WallTime | None,
+    decisions: list[Decision],
 ) -> _Result:
     capacities = [worker.capacity for worker in state.workers.values()]
     refusal = find_size_refusal(job.spec, needed, capacities)
@@ -373,22 +394,28 @@
         return _Result.NO_ROOM
     gang = job.spec.kind is WorkloadKind.GANG
     job.rule = WaitRule.GANG_INCOMPLETE if gang else WaitRule.NO_ROOM
-    if not gang and _make_room(state, job, needed, now, decisions):
+    pressing = is_deadline_near(job, wall_now)
+    if not gang and _make_room(state, job, needed, pressing, now, decisions):
         return _Result.PLACED
-    if may_reserve(state, job, now) and plan_reservation(state, job, now) is not None:
+    if may_reserve(state, job, now, wall_now) and plan_reservation(state, job, now) is not None:
         job.rule = WaitRule.RESERVED
         return _Result.PLACED
     return _Result.NO_ROOM
 
 
 def _make_room(
-    state: PlacementState, job: Job, needed: Resources, now: Instant, decisions: list[Decision]
+    state: PlacementState,
+    job: Job,
+    needed: Resources,
+    pressing: bool,
+    now: Instant,
+    decisions: list[Decision],
 ) -> bool:
     urgent = job.spec.policy.priority is PriorityClass.URGENT
     within = (job.team.used + needed).fits_in(job.team.guaranteed)
     waited = now - (job.blocked_since if job.blocked_since is not None else now)
     plan = None
-    if urgent or job.spec.policy.deadline_ms is not None:
+    if urgent or pressing:
         plan = find_room_to_make(state, needed, is_less_urgent(job), now)
     if plan is None and within and (urgent or waited >= RECLAIM_AFTER_MS):
         plan = find_room_to_make(state, needed, is_borrowed(job), now)
--- a/benches/measure/previous/_events.py
+++ b/benches/measure/previous/_events.py
@@ -15,11 +15,14 @@
 )
 from benches.measure.previous._learning import estimate_run_ms, learn_run, take_usage
 from benches.measure.previous._queues import (
+    add_waiting,
+    clear_waiting,
     enqueue_job,
     find_due_time,
     find_needed,
     find_team,
     take_number,
+    take_waiting,
     unblock_quotas,
     unblock_shapes,
 )
@@ -48,6 +51,8 @@
 from lentilpath_core.states import AttemptOutcome, WorkerState
 from lentilpath_core.workloads import JobSpec, PriorityClass, WorkloadKind
 
+AGING_MS = 3_600_000
+"""Background work that waited so long counts as normal."""
 MAX_IDLE_JOBS = 2_000
 """Jobs without a waiting or running task that are remembered for their failures."""
 
@@ -105,7 +110,7 @@
 
 @take_event.register
 def _(event: TasksReady, state: PlacementState, now: Instant) -> None:
-    job = _find_job(state, event.spec)
+    job = _find_job(state, event.spec, now)
     job.accepted_at = event.accepted_at
     job.due = find_due_time(event.spec, event.accepted_at)
     if job.withdrawn or job.refused:
@@ -122,8 +127,8 @@
 def _(event: TaskFound, state: PlacementState, now: Instant) -> None:
     if event.task in state.placed:
         return
-    job = _find_job(state, event.spec)
-    job.waiting.pop(event.task, None)
+    job = _find_job(state, event.spec, now)
+    take_waiting(state, job, event.task)
     job.delayed.pop(event.task, None)
     held = make_held(job, event.task, event.attempt, event.worker, now, "found running")
     hold_room(state, held)
@@ -135,8 +140,7 @@
     if job is None:
         return
     job.withdrawn = True
-    job.waiting.clear()
-    job.delayed.clear()
+    clear_waiting(state, job)
     drop_all_reservations(state, job)
     job.workload.held_jobs.pop(event.job, None)
     if job.workload.trial == event.job:
@@ -194,7 +198,7 @@
         job = state.jobs.get(get_job_of_task(task))
         if job is None or task not in job.delayed or job.delayed[task][0] > now:
             continue
-        job.waiting[task] = job.delayed.pop(task)[1]
+        add_waiting(state, job, task, job.delayed.pop(task)[1])
         enqueue_job(state, job)
 
 
@@ -209,7 +213,7 @@
     if attempts and not planned_stop and not urgent:
         start_at = max(start_at, book_retry(state, now))
     if start_at <= now:
-        job.waiting[task] = attempts + 1
+        add_waiting(state, job, task, attempts + 1)
         return
     job.delayed[task] = (start_at, attempts + 1)
     heapq.heappush(state.backoffs, (start_at, task))
@@ -232,7 +236,7 @@
     return worker
 
 
-def _find_job(state: PlacementState, spec: JobSpec) -> Job:
+def _find_job(state: PlacementState, spec: JobSpec, now: Instant) -> Job:
     job = state.jobs.get(spec.job)
     if job is not None:
         state.idle_jobs.pop(spec.job, None)
@@ -245,6 +249,8 @@
     number = take_number(state)
     job = Job(spec, number, WallTime(0), WallTime(0), team, workload)
     state.jobs[spec.job] = job
+    if spec.policy.priority is PriorityClass.BACKGROUND:
+        heapq.heappush(state.aging, (Instant(now + AGING_MS), spec.job))
     return job
 
 
--- a/benches/measure/previous/_evidence.py
+++ b/benches/measure/previous/_evidence.py
@@ -10,7 +10,12 @@
 import heapq
 import zlib
 
-from benches.measure.previous._queues import enqueue_job, is_startable, unblock_shapes
+from benches.measure.previous._queues import (
+    clear_waiting,
+    enqueue_job,
+    is_startable,
+    unblock_shapes,
+)
 from benches.measure.previous._records import HeldRoom, Job, PlacementState, Worker, Workload
 from benches.measure.previous._rooms import reindex_worker
 from lentilpath_core.ids import Instant
@@ -228,6 +233,7 @@
             f"and in {MAX_HOLDS} later trials; mend the work and submit it again"
         )
         job.refusal = reason
+        clear_waiting(state, job)
         state.pending.append(RefuseJob(job.spec.job, reason))
 
 
--- a/benches/measure/previous/_explanations.py
+++ b/benches/measure/previous/_explanations.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+from benches.measure.previous._feasibility import describe_room
 from benches.measure.previous._queues import find_needed, is_held_back
 from benches.measure.previous._records import Job, PlacementState
 from benches.measure.previous._rooms import is_usable
 from lentilpath_core.ids import Instant, TaskId, get_job_of_task
-from lentilpath_core.placement._feasibility import describe_room
 from lentilpath_core.placement._messages import Explanation, WaitRule
 from lentilpath_core.workloads import WorkloadKind
 
--- a/benches/measure/previous/_preemption.py
+++ b/benches/measure/previous/_preemption.py
@@ -35,9 +35,14 @@
     """Return the test for tasks that a job may push aside by its priority alone."""
     if job.spec.policy.priority is PriorityClass.URGENT:
         return lambda held: held.job.spec.policy.priority is not PriorityClass.URGENT
-    if job.spec.policy.priority is PriorityClass.NORMAL:
-        return lambda held: held.job.spec.policy.priority is PriorityClass.BACKGROUND
-    return lambda held: False
+
+    def test(held: HeldRoom) -> bool:
+        if held.job.spec.policy.priority is not PriorityClass.BACKGROUND:
+            return False
+        team = held.job.team
+        return team is job.team or not team.used.fits_in(team.guaranteed)
+
+    return test
 
 
 def is_borrowed(job: Job) -> VictimTest:
@@ -98,9 +103,9 @@
 def _list_candidates(state: PlacementState, needed: Resources) -> list[Worker]:
     found: list[tuple[int, int, Worker]] = []
     for worker in state.workers.values():
-        if not is_usable(worker) or worker.claims:
+        if not is_usable(worker):
             continue
-        room = worker.open
+        room = worker.open + worker.leaving
         for amount in worker.preemptible.values():
             room += amount
         if needed.fits_in(room):
@@ -113,13 +118,15 @@
 def _plan_on_worker(
     worker: Worker, needed: Resources, test: VictimTest, now: Instant
 ) -> MakeRoom | None:
+    room = worker.open + worker.leaving
+    if needed.fits_in(room):
+        return MakeRoom(worker, (), Instant(now + CHECKPOINT_COST_MS))
     soon = _find_natural_room(worker, needed, now)
     if soon is not None and soon <= now + PATIENCE_MS:
         return MakeRoom(worker, (), soon)
     usable = [held for held in worker.tasks.values() if can_stop(held) and test(held)]
     usable.sort(key=lambda held: (_count_cost(held, now), -held.room.millicores, held.task))
     chosen: list[HeldRoom] = []
-    room = worker.open
     for held in usable:
         if needed.fits_in(room):
             break
--- a/benches/measure/previous/_queues.py
+++ b/benches/measure/previous/_queues.py
@@ -1,6 +1,6 @@
 """The waiting jobs of a zone, in the order in which they are tried.
 
-Jobs stand in groups by team, urgency and shape. A group whose shape found no room is parked, and
+Jobs stand in groups by team, tier and shape. A group whose shape found no room is parked, and
 returns to its team's queue when a worker has room for that shape. So a pass looks only at work
 that may start, however much waits.
 """
@@ -16,8 +16,9 @@
     Shape,
     ShapeKey,
     Team,
+    Tier,
 )
-from lentilpath_core.ids import TeamId, WallTime
+from lentilpath_core.ids import Instant, TaskId, TeamId, WallTime
 from lentilpath_core.resources import Resources
 from lentilpath_core.workloads import JobSpec, PriorityClass, WorkloadKind
 
@@ -79,6 +80,27 @@
     )
 
 
+def add_waiting(state: PlacementState, job: Job, task: TaskId, attempt: int) -> None:
+    """Let the task wait for room."""
+    job.waiting[task] = attempt
+    state.waiting += job.spec.resources
+
+
+def take_waiting(state: PlacementState, job: Job, task: TaskId) -> int:
+    """Let the task wait no longer; returns the number of its next attempt, 0 if it did not wait."""
+    attempt = job.waiting.pop(task, 0)
+    if attempt:
+        state.waiting -= job.spec.resources
+    return attempt
+
+
+def clear_waiting(state: PlacementState, job: Job) -> None:
+    """Let no task of the job wait any longer."""
+    state.waiting -= job.spec.resources.multiply(len(job.waiting))
+    job.waiting.clear()
+    job.delayed.clear()
+
+
 def enqueue_job(state: PlacementState, job: Job) -> None:
     """Put a job with waiting tasks into its group; one that stands in it already stays."""
     if not is_startable(job):
@@ -89,8 +111,7 @@
         job.workload.held_jobs[job.spec.job] = job
         return
     key = find_shape_key(job)
-    urgent = job.spec.policy.priority is PriorityClass.URGENT
-    group = _find_group(state, job.team, urgent, key)
+    group = _find_group(state, job.team, find_tier(job), key)
     if job.group is group:
         return
     job.group = group
@@ -132,9 +153,27 @@
     _queue_group(state, group)
 
 
-def pop_group(state: PlacementState, urgent: bool, team: TeamId) -> Group | None:
+def find_tier(job: Job) -> Tier:
+    """Return the tier of the job: background work that has aged counts as normal."""
+    if job.spec.policy.priority is PriorityClass.URGENT:
+        return Tier.URGENT
+    if job.spec.policy.priority is PriorityClass.NORMAL or job.aged:
+        return Tier.NORMAL
+    return Tier.BACKGROUND
+
+
+def fire_aging(state: PlacementState, now: Instant) -> None:
+    """Let background jobs count as normal that have waited long."""
+    while state.aging and state.aging[0][0] <= now:
+        job = state.jobs.get(heapq.heappop(state.aging)[1])
+        if job is not None:
+            job.aged = True
+            enqueue_job(state, job)
+
+
+def pop_group(state: PlacementState, tier: Tier, team: TeamId) -> Group | None:
     """Take the group with the earliest due head out of the team's queue."""
-    queue = state.queues[urgent].get(team)
+    queue = state.queues[tier].get(team)
     while queue:
         group = heapq.heappop(queue)[2]
         if not group.queued:
@@ -147,7 +186,7 @@
             _park_group(group)
             continue
         return group
-    state.queues[urgent].pop(team, None)
+    state.queues[tier].pop(team, None)
     return None
 
 
@@ -207,7 +246,7 @@
     if group.shape.blocked:
         _park_group(group)
         return
-    queue = state.queues[group.urgent].setdefault(group.team.team, [])
+    queue = state.queues[group.tier].setdefault(group.team.team, [])
     group.queued = True
     heapq.heappush(queue, (head.due, take_number(state), group))
 
@@ -219,18 +258,18 @@
 
 
 def _forget_group(group: Group) -> None:
-    key = (group.urgent, group.shape.key)
+    key = (group.tier, group.shape.key)
     if group.team.groups.get(key) is group:
         del group.team.groups[key]
 
 
-def _find_group(state: PlacementState, team: Team, urgent: bool, key: ShapeKey) -> Group:
-    group = team.groups.get((urgent, key))
+def _find_group(state: PlacementState, team: Team, tier: Tier, key: ShapeKey) -> Group:
+    group = team.groups.get((tier, key))
     if group is None:
         shape = state.shapes.get(key)
         if shape is None:
             shape = state.shapes[key] = Shape(key)
-        group = team.groups[(urgent, key)] = Group(team, urgent, shape)
+        group = team.groups[(tier, key)] = Group(team, tier, shape)
     return group
 
 
--- a/benches/measure/previous/_records.py
+++ b/benches/measure/previous/_records.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from enum import IntEnum
 
 from lentilpath_core.ids import Instant, JobId, RackId, TaskId, TeamId, WallTime, WorkerId
 from lentilpath_core.placement._messages import Decision, WaitRule
@@ -14,6 +15,15 @@
 KEPT_SAMPLES = 32
 """Finished runs by which a workload's run time and size are learned."""
 
+
+class Tier(IntEnum):
+    """The order of priority classes, after background work has aged."""
+
+    URGENT = 0
+    NORMAL = 1
+    BACKGROUND = 2
+
+
 ShapeKey = tuple[int, int, int, int, int]
 """Rounded processors, memory and accelerators, tasks that must fit at once, rounded run time."""
 
@@ -68,6 +78,8 @@
     """Free room that is not reserved."""
     tasks: dict[TaskId, HeldRoom] = field(default_factory=dict)
     claims: list[Reservation] = field(default_factory=list)
+    leaving: Resources = NO_RESOURCES
+    """Room of tasks that are being stopped."""
     preemptible: dict[PriorityClass, Resources] = field(default_factory=dict)
     """Room of tasks that policy lets lentilpath stop, by their class."""
     indexed: tuple[int, int] | None = None
@@ -108,7 +120,7 @@
     team: TeamId
     guaranteed: Resources = NO_RESOURCES
     used: Resources = NO_RESOURCES
-    groups: dict[tuple[bool, ShapeKey], Group] = field(default_factory=dict)
+    groups: dict[tuple[Tier, ShapeKey], Group] = field(default_factory=dict)
     quota_blocked: list[Group] = field(default_factory=list)
 
 
@@ -123,10 +135,10 @@
 
 @dataclass(slots=True, eq=False)
 class Group:
-    """Waiting jobs of one team, urgency and shape, in order of their due times."""
+    """Waiting jobs of one team, tier and shape, in order of their due times."""
 
     team: Team
-    urgent: bool
+    tier: Tier
     shape: Shape
     jobs: list[tuple[WallTime, int, Job]] = field(default_factory=list)
     """A heap."""
@@ -162,6 +174,8 @@
     on_worker: dict[WorkerId, int] = field(default_factory=dict)
     on_rack: dict[RackId, int] = field(default_factory=dict)
     group: Group | None = None
+    aged: bool = False
+    """Whether a background job has waited so long that it counts as normal."""
     reservations: list[Reservation] = field(default_factory=list)
     blocked_since: Instant | None = None
     rule: WaitRule = WaitRule.NO_ROOM
@@ -184,10 +198,10 @@
     shapes: dict[ShapeKey, Shape] = field(default_factory=dict)
     blocked_shapes: dict[ShapeKey, Shape] = field(default_factory=dict)
     quota_blocked_teams: dict[TeamId, Team] = field(default_factory=dict)
-    queues: dict[bool, dict[TeamId, list[tuple[WallTime, int, Group]]]] = field(
-        default_factory=lambda: {True: {}, False: {}}
+    queues: dict[Tier, dict[TeamId, list[tuple[WallTime, int, Group]]]] = field(
+        default_factory=lambda: {tier: {} for tier in Tier}
     )
-    """By urgency and team, a heap of the heads of groups that may find room."""
+    """By tier and team, a heap of the heads of groups that may find room."""
     plain_index: list[tuple[int, int]] = field(default_factory=list)
     """Open processors and ordinal of workers without accelerators, sorted."""
     accelerated_index: list[tuple[int, int]] = field(default_factory=list)
@@ -204,6 +218,10 @@
     draining: dict[WorkerId, None] = field(default_factory=dict)
     pending: list[Decision] = field(default_factory=list)
     """Decisions that events gave rise to."""
+    waiting: Resources = NO_RESOURCES
+    """What all waiting tasks declared together; those in backoff are not counted."""
+    aging: list[tuple[Instant, JobId]] = field(default_factory=list)
+    """A heap of background jobs and when they count as normal."""
     undated: dict[JobId, Job] = field(default_factory=dict)
     """Jobs with a bound on the age of their input that were tried without a wall time."""
     total: Resources = NO_RESOURCES
--- a/benches/measure/previous/_reservations.py
+++ b/benches/measure/previous/_reservations.py
@@ -7,29 +7,38 @@
 
 from __future__ import annotations
 
-from benches.measure.previous._learning import estimate_end
+from benches.measure.previous._learning import estimate_end, estimate_run_ms
 from benches.measure.previous._queues import count_unreserved, find_needed, take_number
 from benches.measure.previous._records import Job, PlacementState, Reservation, Worker
 from benches.measure.previous._rooms import add_reservation, drop_reservation, is_usable
-from lentilpath_core.ids import Instant, WorkerId
+from lentilpath_core.ids import Instant, WallTime, WorkerId
 from lentilpath_core.resources import Resources
 from lentilpath_core.workloads import WorkloadKind
 
-MAX_RESERVATIONS = 8
+MAX_RESERVATIONS = 2
 """Reservations for waiting work at one time, apart from those made by stopping tasks."""
 RESERVE_AFTER_MS = 30_000
 """A single task without a deadline is reserved room after it found none for so long."""
 REPLAN_AFTER_MS = 10_000
 """A reservation that was not fulfilled is planned anew after so long past its time."""
 WORKERS_EXAMINED = 64
+DEADLINE_MARGIN_MS = 60_000
+"""A deadline is near if less than this, or one run, is left before the last start in time."""
 
 
-def may_reserve(state: PlacementState, job: Job, now: Instant) -> bool:
+def is_deadline_near(job: Job, wall_now: WallTime | None) -> bool:
+    """Return whether the job misses its deadline unless it starts soon."""
+    if job.spec.policy.deadline_ms is None or wall_now is None:
+        return False
+    return wall_now >= job.due - max(DEADLINE_MARGIN_MS, estimate_run_ms(job))
+
+
+def may_reserve(state: PlacementState, job: Job, now: Instant, wall_now: WallTime | None) -> bool:
     """Return whether room is to be reserved now for a job that found none."""
     planned = sum(1 for each in state.reservations.values() if not each.makes_room)
     if planned >= MAX_RESERVATIONS or job.reservations:
         return False
-    if job.spec.kind is WorkloadKind.GANG or job.spec.policy.deadline_ms is not None:
+    if job.spec.kind is WorkloadKind.GANG or is_deadline_near(job, wall_now):
         return True
     return job.blocked_since is not None and now - job.blocked_since >= RESERVE_AFTER_MS
 
--- a/benches/measure/previous/_rooms.py
+++ b/benches/measure/previous/_rooms.py
@@ -90,6 +90,8 @@
     if worker.tasks.pop(held.task, None) is None:
         return
     _change_preemptible(worker, held, NO_RESOURCES - held.room)
+    if held.stopping:
+        worker.leaving -= held.room
     change_free_room(state, worker, held.room)
 
 
@@ -108,6 +110,8 @@
     worker = state.workers.get(held.worker)
     if worker is not None and not held.stopping:
         _change_preemptible(worker, held, NO_RESOURCES - held.room)
+    if worker is not None and not held.stopping:
+        worker.leaving += held.room
     if held.seen_running and not held.stopping:
         held.job.seen_running -= 1
     held.stopping = True
@@ -192,7 +196,7 @@
 ) -> Worker | None:
     """Return a worker whose reserved room is free until `ends_at`, or `None`."""
     for reservation in state.reservations.values():
-        if reservation.makes_room or reservation.starts_at < ends_at:
+        if reservation.makes_room:
             continue
         for name in reservation.claims:
             worker = state.workers.get(name)
@@ -200,11 +204,20 @@
                 continue
             if avoided is not None and name in avoided:
                 continue
-            if all(claim.starts_at >= ends_at and not claim.makes_room for claim in worker.claims):
+            if _is_lendable(worker, needed, ends_at):
                 return worker
     return None
 
 
+def _is_lendable(worker: Worker, needed: Resources, ends_at: Instant) -> bool:
+    """Return whether the room is back by the time that each reservation on it needs it."""
+    left = worker.free
+    for claim in worker.claims:
+        if claim.makes_room or claim.starts_at < ends_at:
+            left -= claim.room.multiply(claim.claims[worker.worker])
+    return needed.fits_in(left)
+
+
 def _find_tightest(
     state: PlacementState,
     index: list[tuple[int, int]],
