--- a/packages/lentilpathd/src/lentilpathd/_requests/part.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/part.py
@@ -37,7 +37,7 @@
 from lentilpathd._requests.loans import LoanKeeper
 from lentilpathd._requests.roster import Roster
 from lentilpathd._requests.rows import TableGate
-from lentilpathd._requests.service import Service
+from lentilpathd._requests.service import PolicySource, Service
 from lentilpathd._requests.sweep import Sweeper
 
 TICK_SECONDS = 0.1
@@ -56,11 +56,13 @@
         context: DaemonContext,
         leadership: Leadership,
         policy: RequestPolicy,
+        find_policy: PolicySource,
         observe: RequestObserver,
     ) -> None:
         self._context = context
         self._observe = observe
         self._policy = policy
+        self._find_policy = find_policy
         self._metrics = create_metrics(context.settings.statsd)
         self._server: HttpServer | None = None
         self.roster = Roster(
@@ -140,7 +142,7 @@
         return sum(service.count_sendings() for service in self.roster.services.values())
 
     def _create_service(self, service: ServiceId) -> Service:
-        return Service(service, self._policy, self._metrics, self._wake_loans)
+        return Service(service, self._find_policy, self._metrics, self._wake_loans)
 
     def _wake_loans(self) -> None:
         self._loans.wake()
@@ -205,10 +207,18 @@
     context: DaemonContext,
     leadership: Leadership,
     policy: RequestPolicy | None = None,
+    find_policy: PolicySource | None = None,
     observe: RequestObserver | None = None,
 ) -> Requests:
-    """Return the part that serves callers' requests; `observe` hears how each of them ended."""
-    return Requests(context, leadership, policy or RequestPolicy(), observe or _ignore)
+    """Return the part that serves callers' requests.
+
+    `policy` holds for the whole process. `find_policy` gives the limits of one service and
+    customer as the configuration has them now; without it they are those of `policy`. `observe`
+    hears how each request ended.
+    """
+    whole = policy or RequestPolicy()
+    find = find_policy or (lambda service, customer: whole)
+    return Requests(context, leadership, whole, find, observe or _ignore)
 
 
 def _ignore(service: ServiceId, answered: bool, ms: int, cause: str) -> None:
--- a/packages/lentilpathd/src/lentilpathd/_requests/service.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/service.py
@@ -7,10 +7,11 @@
 from dataclasses import dataclass
 
 from lentilpath_core.errors import OutcomeUnknown
-from lentilpath_core.ids import Instant, RequestId, ServiceId, UpstreamId
+from lentilpath_core.ids import CustomerId, Instant, RequestId, ServiceId, UpstreamId
 from lentilpath_core.requests.admission import (
     ServiceQueue,
     admit_request,
+    count_reserved_slots,
     enqueue_request,
     estimate_wait,
     peek_next_request,
@@ -23,6 +24,7 @@
     CallerRequest,
     FailureReason,
     Outcome,
+    Priority,
     RequestFailed,
     ServiceAnswer,
 )
@@ -57,13 +59,17 @@
     message: str
 
 
+PolicySource = Callable[[ServiceId, CustomerId | None], RequestPolicy]
+"""Returns the policy of a service as it is now, with the limits of a customer if one is named."""
+
+
 class Service:
     """Sends the requests of one service to its runners."""
 
     def __init__(
         self,
         service: ServiceId,
-        policy: RequestPolicy,
+        find_policy: PolicySource,
         metrics: Metrics,
         on_waiting: Callable[[], None],
     ) -> None:
@@ -72,21 +78,26 @@
         self.queue = ServiceQueue()
         self.bytes_by_distance = dict.fromkeys(Distance, 0)
         """Bytes exchanged with runners, by how far they are."""
-        self._policy = policy
+        self._find_policy = find_policy
         self._metrics = metrics
         self._on_waiting = on_waiting
-        self._budget = create_retry_budget(policy)
+        self._budget = create_retry_budget(self._policy)
         self._waiters: dict[RequestId, asyncio.Future[SlotHold]] = {}
         self._aborted = False
         self._sendings: set[asyncio.Task[_Attempt]] = set()
 
+    @property
+    def _policy(self) -> RequestPolicy:
+        return self._find_policy(self.service, None)
+
     async def handle(self, request: CallerRequest) -> ServiceAnswer:
         """Return the whole answer to `request`; raises `RequestFailed`.
 
         Cancellation withdraws a request that waits. One that was sent is left to end by itself,
         since the runner goes on with it.
         """
-        admit_request(self.queue, request, self._policy, read_instant())
+        policy = self._find_policy(self.service, request.customer)
+        admit_request(self.queue, request, policy, read_instant())
         earn_retry(self._budget, self._policy)
         try:
             return await self._send_until_answered(request)
@@ -127,6 +138,8 @@
             return
         now = read_instant()
         while (request := peek_next_request(self.queue)) is not None:
+            if request.priority is Priority.NORMAL and not self._has_room_for_normal(now):
+                return
             runner = self._choose_runner(request, now)
             if runner is None:
                 return
@@ -312,6 +325,14 @@
                 return self.runners[chosen.health.runner]
         return None
 
+    def _has_room_for_normal(self, now: Instant) -> bool:
+        if self.queue.urgent_at is None:
+            return True
+        slots = self.count_slots(now)
+        reserved = count_reserved_slots(self.queue, slots, self._policy, now)
+        in_use = sum(runner.count_in_use() for runner in self.runners.values())
+        return reserved == 0 or slots - in_use > reserved
+
     def _may_leave_region(self, request: CallerRequest, now: Instant) -> bool:
         waited_ms = now - self.queue.queued_at.get(request.request, now)
         expected_ms = waited_ms + self.estimate_next_wait(now)
