Compare usage with the workers' logs through a killed leader, and versions through restarts

The first run failed in the test itself: a host that had just started refuses everybody until it knows the keys.

--- /dev/null
+++ b/tests/nocover/test_operators_processes.py
@@ -0,0 +1,107 @@
+"""What operators and customers see, with real processes, compared with the workers' own logs."""
+
+import json
+from collections import defaultdict
+
+from lentilpath_standins import truth
+from lentilpath_standins._control import ask
+from tests.common.cells import (
+    run_cell,
+    send_command,
+    submit,
+    wait_for_leader,
+    wait_until,
+    wait_until_ran,
+    wait_until_recorded,
+    wait_until_settled,
+)
+
+ZONE = "portland-dock"
+MANY_TASKS = "tasks=40 cpu=1 memory=1GiB run=700ms"
+KINDS_WITH_TIME = ("held", "correction")
+
+
+def call(host, path, fields=None):
+    method = "GET" if fields is None else "POST"
+    body = b"" if fields is None else json.dumps(fields).encode()
+    answer = ask(host.operators, method, path, body, {}, timeout=10.0)
+    return answer.status, answer.parse_json()
+
+
+def list_held_ms(deployment):
+    """Return the milliseconds that usage lines bill, by task and worker."""
+    answer = send_command(deployment, "usage customer harbor-spoon")
+    assert not answer["partial"]
+    held: dict[tuple[str, str], int] = defaultdict(int)
+    for row in answer["table"]["rows"]:
+        line = dict(zip(answer["table"]["columns"], row, strict=True))
+        assert line["kind"] in KINDS_WITH_TIME or line["held_ms"] == 0
+        held[line["task"], line["worker"]] += line["held_ms"]
+    return {key: ms for key, ms in held.items() if ms}
+
+
+def list_true_ms(deployment):
+    """Return the milliseconds that each task ran on each worker, by the workers' logs."""
+    held: dict[tuple[str, str], int] = defaultdict(int)
+    for run in truth.list_runs(deployment.read_facts(), deployment.killed_at):
+        held[run.task, run.worker] += run.ended_at - run.started_at
+    return {key: ms for key, ms in held.items() if ms}
+
+
+def test_usage_is_what_the_workers_logged_though_leaders_are_killed(tmp_path):
+    with run_cell(tmp_path, entry_hosts=3) as deployment:
+        leader = wait_until_settled(deployment, ZONE)
+        jobs = {"rebuild-0": 40, "rebuild-1": 40}
+        for job in jobs:
+            submit(deployment, job, MANY_TASKS)
+        deployment.kill(leader)
+        wait_for_leader(deployment, ZONE, other_than=leader)
+        wait_until_ran(deployment, jobs)
+        wait_until_recorded(deployment, jobs)
+        wait_until(lambda: list_held_ms(deployment) == list_true_ms(deployment), "usage is whole")
+
+
+def test_an_accepted_version_reaches_a_restarted_host_and_survives_all_of_them(tmp_path):
+    with run_cell(tmp_path, entry_hosts=3) as deployment:
+        first, second, third = deployment.cell.entry_hosts
+        text = "{teams: {packing: {quota: {millicores: 1000}}}}"
+
+        def apply():
+            status, answer = call(first, "/v1/config/apply", {"text": text, "id": "c1"})
+            assert status in (200, 503)
+            return status == 200 and answer
+
+        wait_until(apply, "version 1 is accepted")
+
+        def list_versions(host):
+            status, answer = call(host, "/v1/config/status")
+            # A host that has just started and knows no configuration yet lets nobody in.
+            assert status == 200 or answer["error"] == "configuration-unknown"
+            return [row[2] for row in answer["table"]["rows"]] if status == 200 else []
+
+        wait_until(lambda: list_versions(second) == [1, 1, 1], "version 1 is in force everywhere")
+        assert deployment.terminate(third.host) == 0
+        answer = send_command(deployment, "set quota team packing cpu=2", hosts=[first])
+        assert answer["version"] == 2
+        deployment.start_entry_host(third)
+        wait_until(lambda: list_versions(third) == [2, 2, 2], "the restarted host has version 2")
+        for host in (first, second, third):
+            deployment.kill(host.host)
+        for host in (first, second, third):
+            deployment.start_entry_host(host)
+        wait_until(lambda: list_versions(first) == [2, 2, 2], "version 2 outlives all processes")
+
+
+def test_the_trail_names_who_did_what_after_the_host_is_gone(tmp_path):
+    with run_cell(tmp_path, entry_hosts=2) as deployment:
+        wait_until_settled(deployment, ZONE)
+        first, second = deployment.cell.entry_hosts
+        submit(deployment, "rebuild", "tasks=2 run=100ms", hosts=[first])
+        deployment.kill(first.host)
+
+        def find_record():
+            rows = send_command(deployment, "audit", hosts=[second])["table"]["rows"]
+            return [row for row in rows if row[5] == "submit-rebuild"]
+
+        (row,) = wait_until(find_record, "the submission is in the trail")
+        assert row[1:3] == ["mira", first.host]
