--- a/packages/lentilpathd/src/lentilpathd/_operators/_audit.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_audit.py
@@ -21,16 +21,19 @@
     encode_records,
     get_audit_key,
     get_audit_prefix,
+    get_command_key,
     read_sealed,
     seal_lines,
 )
 from lentilpath_core.errors import LentilpathError, OutcomeUnknown, Unavailable
-from lentilpath_core.ids import RowVersion, WallTime, WriteId
-from lentilpath_core.language import TABLE_COLUMNS, Table, format_time
+from lentilpath_core.ids import JobId, RowVersion, WallTime, WriteId
+from lentilpath_core.language import TABLE_COLUMNS, Submit, Table, format_time, parse_command
 from lentilpathd._authority import Leadership
 from lentilpathd._clock import read_wall_time
 from lentilpathd._context import DaemonContext
 from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._operators._subjects import get_job_key
+from lentilpathd._operators._zones import COUNT_JOB_TASKS, Zones
 from lentilpathd._ports import Row, Transaction
 
 FLUSH_SECONDS = 1.0
@@ -57,8 +60,9 @@
 class AuditTrail:
     """Writes, lists and archives the trail."""
 
-    def __init__(self, context: DaemonContext, leadership: Leadership) -> None:
+    def __init__(self, context: DaemonContext, leadership: Leadership, zones: Zones) -> None:
         self._context = context
+        self._zones = zones
         self._leadership = leadership
         self._buffer: deque[CommandRecord] = deque()
         self._dropped = 0
@@ -143,11 +147,16 @@
             for record in decode_records(row.value)
             if record.outcome == "accepted"
         }
+        jobs = await self._list_ended_jobs(old)
         transaction = Transaction(
             _make_write_id(),
             checks=((ARCHIVE_ROW, RowVersion(state_row.version)),),
             puts=((ARCHIVE_ROW, msgspec.json.encode(following).decode()),),
-            deletes=(*(row.key for row in old), *(f"command/{name}" for name in sorted(commands))),
+            deletes=(
+                *(row.key for row in old),
+                *(get_command_key(name) for name in sorted(commands)),
+                *(get_job_key(job) for job in jobs),
+            ),
         )
         result = await self._context.table.commit(transaction, TABLE_SECONDS)
         if not result.applied:
@@ -155,6 +164,23 @@
         log_event(Event.AUDIT_ARCHIVED, rows=len(old), object=key)
         return len(old)
 
+    async def _list_ended_jobs(self, rows: tuple[Row, ...]) -> tuple[JobId, ...]:
+        """Return the jobs submitted by `rows` that have ended, so that their names are free.
+
+        Raises `NoLeader` if a zone does not answer; the rows are then archived another time.
+        """
+        ended: list[JobId] = []
+        for record in (record for row in rows for record in decode_records(row.value)):
+            if record.outcome != "accepted" or not record.zone:
+                continue
+            command = parse_command(record.command, record.at)
+            if not isinstance(command, Submit):
+                continue
+            reply = await self._zones.ask(record.zone, COUNT_JOB_TASKS, command.spec.job)
+            if reply.table.rows[0][0] == 0:
+                ended.append(command.spec.job)
+        return tuple(ended)
+
     def _is_archivist(self) -> bool:
         # One host is enough; two would only make each other's transaction fail.
         first = self._context.directory.list_zones()[0]
--- a/packages/lentilpathd/src/lentilpathd/_operators/_part.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_part.py
@@ -89,8 +89,8 @@
         context, zone, lambda customer: find_price_rule(keeper.get_current(), customer), recorder
     )
     zones = Zones(context, leadership, zone, accountant)
-    trail = AuditTrail(context, leadership)
-    reads = Reads(context, leadership, zones, trail, SealedUsage(context))
+    trail = AuditTrail(context, leadership, zones)
+    reads = Reads(context, leadership, zones, trail, SealedUsage(context), keeper)
     config = ConfigApi(ConfigStore(context, keeper))
     api = Api(reads, Changes(context, zones, Placing(context, zones)), config, recorder)
     return Operators(context, api, trail, accountant, keeper, recorder)
--- a/packages/lentilpathd/src/lentilpathd/_operators/_reads.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_reads.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
+from lentilpath_core.configuration import TeamSettings
 from lentilpath_core.errors import NoLeader, UnknownName
-from lentilpath_core.ids import ServiceId, WallTime, ZoneId
+from lentilpath_core.ids import ServiceId, TeamId, WallTime, ZoneId
 from lentilpath_core.language import (
     TABLE_COLUMNS,
     Cell,
@@ -26,13 +27,13 @@
 from lentilpathd._context import DaemonContext
 from lentilpathd._operators._accounts import DAY_NAME_LENGTH, SealedUsage
 from lentilpathd._operators._audit import AuditTrail
+from lentilpathd._operators._configuration import ConfigurationKeeper
 from lentilpathd._operators._messages import CommandResponse, ZoneReply
 from lentilpathd._operators._tables import make_line_table, make_usage_table
 from lentilpathd._operators._zones import Zones
 from lentilpathd._ports import HostKind
 
 MS_PER_DAY = 86_400_000
-ZONE_TABLES = ("tasks", "jobs", "workers", "zones")
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +45,7 @@
     zones: Zones
     trail: AuditTrail
     sealed: SealedUsage
+    configuration: ConfigurationKeeper
 
 
 @singledispatch
@@ -66,8 +68,8 @@
         since = command.since if command.since is not None else read_wall_time() - MS_PER_DAY
         records = await reads.trail.list_records(WallTime(since))
         return CommandResponse("done", table=_take_last(records, command))
-    if command.table not in ZONE_TABLES:
-        return CommandResponse("done", table=Table(TABLE_COLUMNS[command.table]))
+    if command.table == "teams":
+        return await _list_teams(command, reads)
     # Columns that only this host can fill in (the leader, the worker's room) are compared here.
     local = command.table in ("workers", "zones")
     sent = ListRows(command.table, since=command.since) if local else command
@@ -170,6 +172,28 @@
     return Table(table.columns, tuple(rows))
 
 
+async def _list_teams(command: ListRows, reads: Reads) -> CommandResponse:
+    answered, silent = await reads.zones.ask_all("ListRows", ListRows("jobs"))
+    jobs = _join(TABLE_COLUMNS["jobs"], answered)
+    team_place, open_place = (jobs.columns.index(name) for name in ("team", "open"))
+    counts: dict[str, list[int]] = {}
+    for row in jobs.rows:
+        totals = counts.setdefault(str(row[team_place]), [0, 0])
+        totals[0] += 1
+        totals[1] += int(row[open_place] or 0)
+    teams = reads.configuration.get_current().teams
+    rows: list[tuple[Cell, ...]] = []
+    for team in sorted({*teams, *counts}):
+        settings = teams.get(TeamId(team), TeamSettings())
+        quota = settings.quota
+        amounts = (quota.millicores, quota.memory_mib, quota.accelerators)
+        rows.append((team, *amounts, *counts.get(team, [0, 0])))
+    table = filter_table(
+        Table(TABLE_COLUMNS["teams"], tuple(rows)), command.conditions, command.limit
+    )
+    return CommandResponse("done", table=table, partial=silent)
+
+
 def _list_services(reads: Reads) -> Table:
     counts: dict[tuple[ServiceId, ZoneId], list[int]] = {}
     for host in reads.context.directory.list_hosts():
--- a/tests/cover/test_audit.py
+++ b/tests/cover/test_audit.py
@@ -13,6 +13,7 @@
     read_sealed,
     seal_lines,
 )
+from lentilpath_core.errors import NoLeader
 from tests.common.operators import create_cell
 
 SUBMIT = "submit batch nightly tasks=2 team=packing customer=spoon zones=za"
@@ -91,6 +92,24 @@
     assert [row[3] for row in asyncio.run(scenario())] == ["jobs"]
 
 
+def test_the_name_of_an_ended_job_is_free_again_with_its_record_archived():
+    async def scenario():
+        cell = await create_cell()
+        host = cell.hosts["za-0"]
+        await host.run(SUBMIT)
+        await host.run("submit service desk team=packing customer=spoon zones=za")
+        await host.run("stop job nightly")
+        record = json.loads(next(v for k, v in cell.table.rows.items() if "audit/" in k))[0]
+        host.zone.leading = False
+        with pytest.raises(NoLeader):
+            await host.operators.trail.archive(record["at"] + 3 * DAY_MS)
+        host.zone.leading = True
+        assert await host.operators.trail.archive(record["at"] + 3 * DAY_MS) == 3
+        return [key for key in cell.table.rows if key.startswith("job/")]
+
+    assert asyncio.run(scenario()) == ["job/desk"]
+
+
 def test_old_rows_move_to_chained_objects_and_stay_listed():
     async def scenario():
         cell = await create_cell()
--- a/tests/cover/test_operators_configuration.py
+++ b/tests/cover/test_operators_configuration.py
@@ -4,7 +4,7 @@
 
 from lentilpathd._operators import create_configuration
 from tests.common.operators import create_cell
-from tests.cover.test_operators import in_loop
+from tests.cover.test_operators import SUBMIT, in_loop
 
 FIRST = {"teams": {"packing": {"quota": {"millicores": 1_000}}}}
 
@@ -184,6 +184,16 @@
     assert "cut off" in rows["zb-0"][6]
 
 
+@in_loop
+async def test_teams_show_their_quota_and_their_work():
+    cell = await create_cell()
+    await apply(cell.hosts["za-0"], FIRST)
+    await cell.hosts["za-0"].run(SUBMIT)
+    await cell.hosts["za-0"].run("submit batch j team=menus customer=spoon zones=zb")
+    _, answer = await cell.hosts["zb-0"].run("teams")
+    assert answer["table"]["rows"] == [["menus", 0, 0, 0, 1, 1], ["packing", 1_000, 0, 0, 1, 2]]
+
+
 @in_loop
 async def test_watchers_hear_of_each_version_once():
     cell = await create_cell()
