Make the test of a stale peer hold a peer that is truly stale

Cause: a mutation that asked only one peer at the start passed; the test's stale peer still had the later change in its list.

--- a/tests/cover/test_operators_configuration.py
+++ b/tests/cover/test_operators_configuration.py
@@ -76,12 +76,21 @@
     keeper.take_whole(old_whole, "stale peer")
     assert keeper.take_change(old_change, "stale peer")
     assert keeper.get_version() == 2
-    # A new process of the host, while the table is away and one peer is behind.
-    cell.hosts["za-2"].operators.configuration._whole = old_whole
-    cell.table.down = True
-    restarted = create_configuration(cell.hosts["za-1"].context)
-    await restarted.look()
-    assert restarted.get_version() == 2
+
+
+@in_loop
+async def test_a_host_that_starts_in_an_outage_is_not_set_back_by_a_stale_peer():
+    for stale in ("za-0", "za-2"):
+        cell = await create_cell(("za",), hosts_per_zone=3)
+        await apply(cell.hosts["za-1"], FIRST)
+        behind = cell.hosts[stale].operators.configuration
+        old_whole, old_changes = behind.get_whole(), behind._changes.copy()
+        await cell.hosts["za-1"].run("set quota team packing cpu=2")
+        behind._whole, behind._changes = old_whole, old_changes
+        cell.table.down = True
+        restarted = create_configuration(cell.hosts["za-1"].context)
+        await restarted.look()
+        assert restarted.get_version() == 2
 
 
 @in_loop
