--- a/packages/lentilpath/src/lentilpath/_report.py
+++ b/packages/lentilpath/src/lentilpath/_report.py
@@ -11,7 +11,7 @@
 from lentilpath._burn import format_burn_text, make_burn_page
 from lentilpath._client import CallFailed
 from lentilpath._exits import ExitCode
-from lentilpath._options import HostOption, JsonOption, call, connect, fail
+from lentilpath._options import HostOption, JsonOption, call, connect, fail, run_call
 
 app = typer.Typer(no_args_is_help=True, help="Reports.")
 
@@ -21,6 +21,12 @@
     """Print reports about the cell."""
 
 
+@app.command("seals")
+def report_seals(host: HostOption = None, as_json: JsonOption = False) -> None:
+    """Check every sealed object of usage against the digests; exit code 7 if one was changed."""
+    run_call(host, as_json, "GET", "/v1/report/seals")
+
+
 @app.command("burn")
 def report_burn(
     host: HostOption = None,
--- a/packages/lentilpathd/src/lentilpathd/_operators/_accounts.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_accounts.py
@@ -122,7 +122,7 @@
                     return found, manifest
         return None
 
-    async def check_chain(self, zone: ZoneId) -> tuple[int, str]:
+    async def check_chain(self, zone: ZoneId) -> tuple[int, int]:
         """Read the zone's whole chain backwards; return how many manifests and lines are whole.
 
         Raises `BrokenChain` at the first object that is missing or was changed.
@@ -142,7 +142,7 @@
             raise BrokenChain(
                 f"zone {zone}: {manifests} manifests are chained, {state.manifests} were sealed"
             )
-        return manifests, f"{lines} lines"
+        return manifests, lines
 
     async def _list_zone_lines(
         self, zone: ZoneId, customer: CustomerId, day_name: str
--- a/packages/lentilpathd/src/lentilpathd/_operators/_api.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_api.py
@@ -48,7 +48,7 @@
 )
 from lentilpathd._operators._config_store import Edit, make_policy_edit, make_quota_edit
 from lentilpathd._operators._messages import MAX_ID_LENGTH, CommandRequest, CommandResponse
-from lentilpathd._operators._reads import Reads, answer_read
+from lentilpathd._operators._reads import Reads, answer_read, check_seals
 
 API_VERSION = 1
 ID_BYTES = 8
@@ -88,6 +88,7 @@
             ("POST", "/v1/commands"): self._run_command,
             ("GET", "/v1/health"): self._show_health,
             ("GET", "/v1/report/burn"): self._report_burn,
+            ("GET", "/v1/report/seals"): self._report_seals,
             ("GET", "/v1/config"): self._show_config,
             ("GET", "/v1/config/status"): self._show_config_status,
             ("GET", "/v1/config/history"): self._show_config_history,
@@ -179,6 +180,10 @@
         reports = await self._burn.report(int(text))
         return json_response(200, {"hours": int(text), "objectives": msgspec.to_builtins(reports)})
 
+    async def _report_seals(self, request: HttpRequest) -> HttpResponse:
+        self._identify(request)
+        return _answer(await check_seals(self._reads))
+
     async def _show_config(self, request: HttpRequest) -> HttpResponse:
         check_permission(NEEDS_ADMINISTRATOR, self._identify(request))
         return _answer(self._config.show())
--- a/packages/lentilpathd/src/lentilpathd/_operators/_reads.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_reads.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
+from lentilpath_core.audit import BrokenChain
 from lentilpath_core.configuration import TeamSettings
 from lentilpath_core.errors import NoLeader, UnknownName
 from lentilpath_core.ids import ServiceId, TeamId, WallTime, ZoneId
@@ -33,6 +34,7 @@
 from lentilpathd._operators._zones import Zones
 from lentilpathd._ports import HostKind
 
+SEAL_COLUMNS = ("zone", "chain", "manifests", "lines", "problem")
 MS_PER_DAY = 86_400_000
 
 
@@ -137,6 +139,22 @@
     return Table(table.columns, matching.rows[-(command.limit or len(matching.rows) or 1) :])
 
 
+async def check_seals(reads: Reads) -> CommandResponse:
+    """Read every sealed object of every zone, and say which chain is whole and which is broken."""
+    rows: list[tuple[Cell, ...]] = []
+    for zone in reads.zones.list_zones():
+        try:
+            manifests, lines = await reads.sealed.check_chain(zone)
+        except BrokenChain as error:
+            rows.append((zone, "broken", None, None, str(error)))
+            continue
+        rows.append((zone, "whole", manifests, lines, ""))
+    broken = sum(row[1] == "broken" for row in rows)
+    outcome = "refused" if broken else "done"
+    message = f"{broken} of {len(rows)} chains are broken" if broken else "all chains are whole"
+    return CommandResponse(outcome, message, Table(SEAL_COLUMNS, tuple(rows)))
+
+
 def _join(columns: tuple[str, ...], answered: dict[ZoneId, ZoneReply]) -> Table:
     rows = tuple(row for reply in answered.values() for row in reply.table.rows)
     return Table(columns, rows)
--- a/tests/cover/test_operators_usage.py
+++ b/tests/cover/test_operators_usage.py
@@ -65,7 +65,7 @@
     zone.run_attempt("j/1", 1, START + PERIOD_MS, START + PERIOD_MS + 5)
     await accountant.step(START + PERIOD_MS + OVER)
     sealed = SealedUsage(cell.hosts["zb-0"].context)
-    assert await sealed.check_chain("za") == (2, "2 lines")
+    assert await sealed.check_chain("za") == (2, 2)
     key = next(key for key in cell.objects.objects if "/lines-" in key)
     whole = cell.objects.objects[key]
     cell.objects.objects[key] = whole.replace(b'"held_ms":', b'"held_ms":1')
@@ -73,9 +73,15 @@
         await sealed.check_chain("za")
     status, answer = await cell.hosts["zb-0"].run("usage customer spoon on 2026-12-01")
     assert (status, answer["error"]) == (500, "broken-chain")
+    _, answer = await cell.hosts["zb-0"].post("/v1/report/seals", b"", method="GET")
+    assert [row[:2] for row in answer["table"]["rows"]] == [["za", "broken"], ["zb", "whole"]]
+    assert answer["outcome"] == "refused"
     del cell.objects.objects[key]
     with pytest.raises(BrokenChain):
         await sealed.check_chain("za")
+    cell.objects.objects[key] = whole
+    _, answer = await cell.hosts["zb-0"].post("/v1/report/seals", b"", method="GET")
+    assert [row[1:4] for row in answer["table"]["rows"]] == [["whole", 2, 2], ["whole", 0, 0]]
 
 
 @in_loop
