Bill batches that the zone has archived before usage read them

The accountant reads the archives at the start and at a gap. Late starts are counted by team in the burn report, since a placement's reason differs each time.

--- a/packages/lentilpath-core/src/lentilpath_core/burn/_observations.py
+++ b/packages/lentilpath-core/src/lentilpath_core/burn/_observations.py
@@ -53,7 +53,8 @@
             return None
         wait_ms = event.decided_at - job.accepted_at
         good = wait_ms <= (objective.threshold_ms or 0)
-        return Observation(name, good, event.reason, event.decided_at)
+        cause = f"late starts of team {job.spec.team}"
+        return Observation(name, good, cause, event.decided_at)
     if objective.kind is not ObjectiveKind.TASK_SUCCESS or event.outcome in UNCOUNTED_OUTCOMES:
         return None
     good = event.outcome is AttemptOutcome.SUCCEEDED
--- a/packages/lentilpathd/src/lentilpathd/_operators/_accountant.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_accountant.py
@@ -54,6 +54,7 @@
 from lentilpathd._operators._burn import BurnRecorder
 from lentilpathd._operators._zone import ZoneAccess
 from lentilpathd._ports import Transaction
+from lentilpathd._zone._snapshots import decode_archive, get_archive_prefix
 
 STEP_SECONDS = 5.0
 BATCHES_PER_SCAN = 500
@@ -117,22 +118,40 @@
     async def _follow_journal(self, now: WallTime) -> None:
         if self._ledger is None:
             self._ledger = await self._load(now)
+            await self._take_archived(self._ledger)
         ledger = self._ledger
         prefix = get_journal_prefix(ledger.zone)
         while True:
             after = get_batch_key(ledger.zone, ledger.sequence)
             rows = await self._context.table.scan(prefix, after, BATCHES_PER_SCAN, TABLE_SECONDS)
+            batches = [decode_batch(row.value) for row in rows]
+            if batches and batches[0].sequence > ledger.sequence + 1:
+                await self._take_archived(ledger)
             missing = ledger.missing_batches
-            for row in rows:
-                batch = decode_batch(row.value)
-                take_batch(ledger, batch)
-                self._count_for_burn(batch)
+            for batch in batches:
+                self._take(ledger, batch)
             if ledger.missing_batches > missing:
                 count = ledger.missing_batches - missing
                 log_warning_event(Event.USAGE_BATCHES_MISSING, zone=ledger.zone, batches=count)
             if len(rows) < BATCHES_PER_SCAN:
                 return
 
+    async def _take_archived(self, ledger: Ledger) -> None:
+        # The zone moves old rows of its journal into objects, perhaps before they were read here.
+        keys = await self._context.objects.list_objects(
+            get_archive_prefix(ledger.zone), OBJECT_SECONDS
+        )
+        for key in sorted(keys):
+            if int(key.rpartition("-")[2]) <= ledger.sequence:
+                continue
+            data = await self._context.objects.get_object(key, OBJECT_SECONDS)
+            for batch in decode_archive(data) if data is not None else ():
+                self._take(ledger, batch)
+
+    def _take(self, ledger: Ledger, batch: JournalBatch) -> None:
+        take_batch(ledger, batch)
+        self._count_for_burn(batch)
+
     def _count_for_burn(self, batch: JournalBatch) -> None:
         # A ledger that is read again brings batches again, which are counted once.
         state = self._zone.get_state() if self._zone is not None else None
--- a/tests/common/operators.py
+++ b/tests/common/operators.py
@@ -33,8 +33,10 @@
     JobCancelled,
     JournalBatch,
     WorkerJoined,
+    decode_batch,
     encode_batch,
     get_batch_key,
+    get_journal_prefix,
 )
 from lentilpath_core.zone.state import apply_batch, create_zone_state
 from lentilpath_http import HttpRequest
@@ -42,6 +44,7 @@
 from lentilpathd._directory import Directory
 from lentilpathd._operators import create_operators
 from lentilpathd._ports import CommitResult, HostKind, ListedHost, Row
+from lentilpathd._zone._snapshots import get_archive_prefix
 
 NOW = WallTime(1_796_100_000_000)
 
@@ -195,6 +198,15 @@
         self.cell.table.rows[get_batch_key(batch.zone, batch.sequence)] = encode_batch(batch)
         apply_batch(self.state, batch)
 
+    def archive(self, last):
+        """Move all batches up to `last` into one archive object, as the zone's leader does."""
+        prefix = get_journal_prefix(self.state.zone)
+        keys = sorted(key for key in self.cell.table.rows if key.startswith(prefix))
+        moved = [key for key in keys if key <= get_batch_key(self.state.zone, last)]
+        batches = [decode_batch(self.cell.table.rows.pop(key)) for key in moved]
+        key = f"{get_archive_prefix(self.state.zone)}{batches[0].sequence:012d}-{last:012d}"
+        self.cell.objects.objects[key] = msgspec.msgpack.encode(batches)
+
     def run_attempt(self, task, attempt, started_at, ended_at, outcome=AttemptOutcome.SUCCEEDED):
         self.journal(AttemptStarting(task, attempt, "w-1", started_at - 5, "first fit"))
         self.journal(AttemptEnded(task, attempt, "w-1", outcome, started_at, ended_at, 10, 20))
--- a/tests/cover/test_operators_usage.py
+++ b/tests/cover/test_operators_usage.py
@@ -120,6 +120,23 @@
     assert (await SealedUsage(cell.hosts["zb-0"].context).check_chain("za"))[0] == 1
 
 
+@in_loop
+async def test_batches_that_the_zone_archived_before_they_were_read_are_billed():
+    cell, zone, accountant = await create_cell_with_job()
+    await accountant.step(START + 1)
+    zone.run_attempt("j/0", 1, START + 10, START + 110)
+    zone.archive(4)
+    zone.run_attempt("j/1", 1, START + 10, START + 210)
+    await accountant.step(START + 2)
+    assert accountant._ledger.missing_batches == 0
+    zone.archive(6)
+    # A new leader starts from a ledger that is older than the journal's rows.
+    accountant._ledger = None
+    await accountant.step(START + OVER)
+    assert (await list_totals(cell))[0] == 300
+    assert accountant._ledger.missing_batches == 0
+
+
 @in_loop
 async def test_batches_that_are_gone_are_counted_not_passed_over():
     cell, zone, accountant = await create_cell_with_job()
