Start again at once what a change of leader left unstarted

Cause: a start that never happened took its turn in the retry budget (one a second for each worker), so after a kill of the leader 60 unstarted tasks took half a minute. The new leader did not tell the placement of them either, so quotas missed their room. Now the placement holds the room of every open attempt from the start, and the first two starts that did not happen are free of the budget. Ruled out: freeing lost attempts too; that fails test_a_recovering_zone_is_not_buried_by_retries, rightly.

--- a/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
@@ -57,6 +57,8 @@
 MAX_IDLE_JOBS = 2_000
 """Jobs without a waiting or running task that are remembered for their failures."""
 
+FREE_UNSTARTED_ATTEMPTS = 2
+
 
 @singledispatch
 def take_event(event: object, state: PlacementState, now: Instant) -> None:
@@ -169,8 +171,8 @@
         note_failure(state, held, now)
     else:
         end_probe(state, held)
-    if event.outcome is AttemptOutcome.STOPPED:
-        held.job.stopped.add(event.task)
+    if _is_blameless(event):
+        held.job.blameless.add(event.task)
     _forget_if_idle(state, held.job)
 
 
@@ -188,6 +190,14 @@
     unblock_quotas(state)
 
 
+def _is_blameless(event: AttemptFinished) -> bool:
+    # A change of leader leaves many starts that never happened, and delaying them would only add
+    # to their wait. A worker may also refuse every start, so only the first ones are free.
+    if event.outcome is AttemptOutcome.NOT_STARTED:
+        return event.attempt <= FREE_UNSTARTED_ATTEMPTS
+    return event.outcome is AttemptOutcome.STOPPED
+
+
 def make_held(
     job: Job, task: TaskId, attempt: int, worker: WorkerId, now: Instant, reason: str
 ) -> HeldRoom:
@@ -214,10 +224,10 @@
     failures = job.failures.get(task, 0)
     if failures:
         start_at = Instant(now + find_backoff(task, failures))
-    planned_stop = task in job.stopped
-    job.stopped.discard(task)
+    blameless = task in job.blameless
+    job.blameless.discard(task)
     urgent = job.spec.policy.priority is PriorityClass.URGENT
-    if attempts and not planned_stop and not urgent:
+    if attempts and not blameless and not urgent:
         start_at = max(start_at, book_retry(state, now))
     if start_at <= now:
         add_waiting(state, job, task, attempts + 1)
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
@@ -176,8 +176,8 @@
     """Workers on which the task failed."""
     failures: dict[TaskId, int] = field(default_factory=dict)
     """Failures in a row."""
-    stopped: set[TaskId] = field(default_factory=set)
-    """Tasks whose last attempt lentilpath stopped itself."""
+    blameless: set[TaskId] = field(default_factory=set)
+    """Tasks whose last attempt ended through no fault of their own; they start again at once."""
     placed: dict[TaskId, HeldRoom] = field(default_factory=dict)
     seen_running: int = 0
     """Placed tasks that were reported as running and are not being stopped."""
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_readiness.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_readiness.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from lentilpath_core.ids import Instant, JobId, TaskId
-from lentilpath_core.placement import JobWithdrawn, TasksReady, apply_event
+from lentilpath_core.ids import Instant, JobId, TaskId, get_job_of_task
+from lentilpath_core.placement import JobWithdrawn, TaskFound, TasksReady, apply_event
 from lentilpath_core.states import TaskState
 from lentilpath_core.zone._control_messages import WorkerPhase
 from lentilpath_core.zone._control_state import ControllerState
@@ -29,6 +29,7 @@
     so it is held until every worker has answered or its leases have run out. Any other waiting
     task has no journaled start, so it runs nowhere.
     """
+    _hold_room_of_open_attempts(state, now)
     for job, record in state.zone.jobs.items():
         waiting = tuple(
             task.task for task in record.tasks.values() if task.state is TaskState.WAITING
@@ -42,6 +43,13 @@
     release_held_tasks(state, now)
 
 
+def _hold_room_of_open_attempts(state: ControllerState, now: Instant) -> None:
+    for worker, attempts in state.zone.open_attempts.items():
+        for task, attempt in attempts.items():
+            spec = state.zone.jobs[get_job_of_task(task)].spec
+            apply_event(state.placement, TaskFound(spec, task, attempt, worker), now)
+
+
 def release_held_tasks(state: ControllerState, now: Instant) -> None:
     """Offer the held tasks once no worker is left that might run one of them unseen."""
     if not state.held:
--- a/tests/common/zone.py
+++ b/tests/common/zone.py
@@ -172,6 +172,8 @@
         self.inbox: dict[str, InboxEntry] = {}
         self.commands: list[Command] = []
         self.stops: list[SendStop] = []
+        self.dead: set[WorkerId] = set()
+        """Workers that answer nothing in quiet times either."""
         self.epoch = 0
         self.commands_given = 0
         self.batch: JournalBatch | None = None
@@ -327,11 +329,15 @@
             self.begin_batch()
             self.finish_batch()
             for name in self.workers:
-                self.begin_sync(name)
-                self.answer_sync(name)
-                self.finish_sync(name)
+                if name not in self.dead:
+                    self.begin_sync(name)
+                    self.answer_sync(name)
+                    self.finish_sync(name)
             while self.commands:
-                self.deliver_start(0, answer_lost=False)
+                if self.commands[0].effect.worker in self.dead:
+                    self._answer(self.commands.pop(0), StartAnswer.REFUSED)
+                else:
+                    self.deliver_start(0, answer_lost=False)
             self.deliver_stops()
             self.advance(step_ms)
             self.take(TimePassed())
--- a/tests/cover/test_zone_control.py
+++ b/tests/cover/test_zone_control.py
@@ -138,6 +138,26 @@
     assert zone.count_runs(TaskId("check/0")) == 1
 
 
+def test_starts_at_once_again_what_a_change_of_leader_left_unstarted():
+    zone = make_ready_zone()
+    submit_and_read(zone, make_spec("rebuild", 12, run_ms=60_000))
+    zone.begin_batch()
+    zone.finish_batch()
+    zone.commands.clear()
+    zone.change_leader(batch_applied=True)
+    zone.run_quietly(4)
+    assert [zone.count_runs(TaskId(f"rebuild/{i}")) for i in range(12)] == [1] * 12
+
+
+def test_gives_up_a_worker_that_never_answers_again():
+    zone = make_ready_zone()
+    submit_and_read(zone, make_spec("check", 12, idempotent=True, run_ms=3_000))
+    zone.run_quietly(2)
+    zone.dead.add(WORKERS[0])
+    zone.run_until_ended(max_rounds=200)
+    assert zone.explain_open_tasks() == []
+
+
 def test_reports_a_lost_nonidempotent_task_as_of_unknown_outcome():
     zone = make_ready_zone()
     submit_and_read(zone, make_spec("notice", run_ms=60_000))
