Give up a worker that never answers again

Cause: each failed sync counted as a renewal that might have arrived, so the bound of a dead worker's leases moved on for ever: its 12 tasks stayed 'running' (44 s watched). Now a worker that does not answer is asked without renewing.

--- a/packages/lentilpathd/src/lentilpathd/_zone/_worker_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_worker_link.py
@@ -63,6 +63,9 @@
                 try:
                     await self._sync()
                 except LentilpathError:
+                    # A worker that may be gone is asked without renewing anything: each renewal
+                    # that it might have received would put off the time when it can be given up.
+                    self._clock = None
                     self._sequence = 0
                     await asyncio.sleep(RETRY_SECONDS)
         finally:
