--- a/packages/lentilpath-core/src/lentilpath_core/placement/_messages.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_messages.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from lentilpath_core.ids import JobId, RackId, TaskId, WallTime, WorkerId
+from lentilpath_core.ids import JobId, RackId, TaskId, TeamId, WallTime, WorkerId
 from lentilpath_core.resources import Resources
 from lentilpath_core.states import AttemptOutcome, WorkerState
 from lentilpath_core.workloads import JobSpec
@@ -51,7 +51,10 @@
 
 @dataclass(frozen=True, slots=True)
 class JobWithdrawn:
-    """No waiting task of the job may start any more. Running ones are ended by their own events."""
+    """No waiting task of the job may start, unless it becomes ready again.
+
+    Running ones are ended by their own events.
+    """
 
     job: JobId
 
@@ -76,6 +79,14 @@
     used: Resources
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaSet:
+    """What a team is guaranteed in this zone. What it does not use, others may borrow."""
+
+    team: TeamId
+    guaranteed: Resources
+
+
 PlacementEvent = (
     WorkerOffered
     | WorkerRemoved
@@ -84,6 +95,7 @@
     | JobWithdrawn
     | AttemptFinished
     | UsageReported
+    | QuotaSet
 )
 
 
@@ -104,6 +116,8 @@
     worker: WorkerId
     reason: str
     """One short line that an operator and a bill can quote."""
+    room: Resources | None = None
+    """What the attempt holds: its declared size, or more if its workload was seen to use more."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +129,8 @@
     worker: WorkerId
     mode: StopMode
     reason: str
+    millicores: int = 0
+    """For `THROTTLE` only: what the attempt may use from now on."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,6 +156,7 @@
     HELD_BACK = "held_back"
     STALE_INPUT = "stale_input"
     UNKNOWN_PLACE = "unknown_place"
+    TOO_LARGE = "too_large"
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,3 +166,7 @@
     task: TaskId
     rule: WaitRule
     text: str
+    considered: int = 0
+    """Workers that were looked at as alternatives."""
+    waits_for: str = ""
+    """What has to happen before the task can start; empty if it is placed."""
--- a/packages/lentilpath-http/src/lentilpath_http/_messages.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_messages.py
@@ -5,7 +5,7 @@
 import json
 from dataclasses import dataclass, field
 from typing import Any
-from urllib.parse import parse_qsl, urlsplit
+from urllib.parse import parse_qsl
 
 
 class HttpError(Exception):
@@ -39,6 +39,12 @@
     """How long a connection may stand without a request."""
     receive_seconds: float = 10.0
     """How long one request may take to arrive once its first byte is here."""
+    send_seconds: float = 10.0
+    """How long a caller may take to read one answer."""
+    connections: int = 4_096
+    """Connections that are open at once; further ones are closed unanswered."""
+    linger_seconds: float = 0.5
+    """How long a planned stop still takes requests on connections that stand idle."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,11 +62,11 @@
 
     def get_path(self) -> str:
         """Return the path of the target, without its query."""
-        return urlsplit(self.target).path
+        return self.target.partition("?")[0]
 
     def parse_query(self) -> dict[str, str]:
         """Return the query of the target; of a repeated key the last value counts."""
-        return dict(parse_qsl(urlsplit(self.target).query))
+        return dict(parse_qsl(self.target.partition("?")[2]))
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lentilpath-standins/src/lentilpath_standins/platform.py
+++ b/packages/lentilpath-standins/src/lentilpath_standins/platform.py
@@ -26,15 +26,19 @@
     HTTP_OK,
     MS_PER_SECOND,
     BrokenOff,
+    Connection,
     FaultGate,
     Faults,
     fall_silent,
+    serve_connections,
 )
 from lentilpath_standins._process import run_until_terminated
 from lentilpath_standins._table import Commit, MemoryTable
 
 LIMITS = HttpLimits(body_bytes=67_108_864)
 DEFAULT_LAG_MS = 1_000
+SeenAddresses = dict[str, dict[str, dict[str, Any]]]
+"""Host and port of a listed host as one caller sees them: by caller, then by host."""
 CHANGING_PATHS = frozenset({"/table/commit"})
 
 
@@ -51,16 +55,21 @@
 class PlatformStandin:
     """The state of the platform and its routes."""
 
-    def __init__(self, hosts: list[dict[str, Any]], lag_ms: int) -> None:
+    def __init__(
+        self, hosts: list[dict[str, Any]], lag_ms: int, seen_by: SeenAddresses | None = None
+    ) -> None:
         self.gate = FaultGate(PlatformFaults(), self._answer, CHANGING_PATHS)
         self._table = MemoryTable()
         self._objects: dict[str, bytes] = {}
         self._hosts = hosts
+        self._seen_by = seen_by or {}
         self._lag_ms = lag_ms
         self._counts: Counter[str] = Counter()
         self._late: set[asyncio.Task[None]] = set()
 
-    async def handle(self, request: HttpRequest, caller: str | None) -> HttpResponse:
+    async def handle(
+        self, request: HttpRequest, connection: Connection, caller: str | None
+    ) -> HttpResponse:
         """Answer one request that came in on the port of `caller` (`None`: the main port)."""
         path = request.get_path()
         if path == "/faults":
@@ -69,9 +78,11 @@
             return respond(HTTP_OK, {"operations": dict(self._counts)})
         if caller in self.gate.faults.cut:
             await fall_silent()
-        response = await self.gate.pass_request(request)
+        response = await self.gate.pass_request(request, connection)
         if caller in self.gate.faults.cut:
             await fall_silent()
+        if path == "/hosts" and caller is not None and caller in self._seen_by:
+            return respond(HTTP_OK, {"hosts": self._list_hosts_for(caller)})
         return response
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
@@ -137,6 +148,15 @@
             loop.call_later(self._lag_ms / MS_PER_SECOND, self._set_hosts, hosts)
         return respond(HTTP_OK, {"hosts": self._hosts})
 
+    def _list_hosts_for(self, caller: str) -> list[dict[str, Any]]:
+        seen = self._seen_by[caller]
+        listed = []
+        for host in self._hosts:
+            address = seen.get(host["name"])
+            other = {"address": address["host"], "port": address["port"]} if address else {}
+            listed.append(host | other)
+        return listed
+
     def _set_hosts(self, hosts: list[dict[str, Any]]) -> None:
         self._hosts = hosts
 
@@ -149,10 +169,13 @@
     servers = []
     for name, number in names:
 
-        async def answer(request: HttpRequest, caller: str | None = name) -> HttpResponse:
-            return await platform.handle(request, caller)
+        async def answer(
+            request: HttpRequest, connection: Connection, caller: str | None = name
+        ) -> HttpResponse:
+            return await platform.handle(request, connection, caller)
 
-        servers.append(await serve_http(answer, address, number, limits=LIMITS))
+        handler = serve_connections(answer)
+        servers.append(await serve_http(handler, address, number, limits=LIMITS))
     return tuple(servers)
 
 
@@ -164,7 +187,8 @@
     lag_ms: Annotated[int, typer.Option(help="delay of changes of the host list")] = DEFAULT_LAG_MS,
 ) -> None:
     """Run the platform until SIGTERM."""
-    platform = PlatformStandin(json.loads(hosts.read_text())["hosts"], lag_ms)
+    listed = json.loads(hosts.read_text())
+    platform = PlatformStandin(listed["hosts"], lag_ms, listed.get("seen_by"))
     pairs = (pair.rpartition("=") for pair in caller_port or [])
     callers = {name: int(number) for name, _, number in pairs}
     run_until_terminated(lambda: start_platform(platform, address, port, callers))
