--- a/make/model.mk
+++ b/make/model.mk
@@ -6,3 +6,8 @@
 
 model-mutants:
 	$(PYTHON) spec/check.py mutants
+
+.PHONY: bench-leadership
+
+bench-leadership: setup
+	$(BIN)/python -m benches.leadership
--- a/packages/lentilpathd/src/lentilpathd/_authority.py
+++ b/packages/lentilpathd/src/lentilpathd/_authority.py
@@ -7,6 +7,8 @@
 
 from lentilpath_core.ids import Epoch, HostId, Instant, RowVersion, ZoneId
 
+NOTHING_UNSETTLED = Instant(0)
+
 
 @dataclass(frozen=True, slots=True)
 class Authority:
@@ -35,6 +37,11 @@
         """Seek and renew the authority until cancelled."""
         ...
 
-    async def release(self) -> None:
-        """Hand the zone over at once; used in a planned stop, after the zone's work is settled."""
+    async def release(self, commands_end: Instant = NOTHING_UNSETTLED) -> None:
+        """Hand the zone over; used in a planned stop, after the zone's work is settled.
+
+        `commands_end` is the last not-after of the commands whose outcome is not known. The zone
+        is not free before: a start that lands after the next leader has asked its worker would
+        run a task twice.
+        """
         ...
--- a/packages/lentilpathd/src/lentilpathd/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_leadership.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from lentilpath_core.errors import LentilpathError, OutcomeUnknown, Unavailable
-from lentilpath_core.ids import Epoch, HostId, Incarnation, ZoneId
+from lentilpath_core.ids import Epoch, HostId, Incarnation, Instant, ZoneId
 from lentilpath_core.leadership import (
     AnswerPromise,
     AskPromises,
@@ -40,8 +40,8 @@
     list_release_effects,
 )
 from lentilpath_core.peers import PeerRequest
-from lentilpathd._authority import Authority, Leadership
-from lentilpathd._clock import read_instant
+from lentilpathd._authority import NOTHING_UNSETTLED, Authority, Leadership
+from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._context import DaemonContext
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._ports import Transaction
@@ -130,12 +130,13 @@
             group.create_task(self._say_hello())
             group.create_task(self._watch_other_zones())
 
-    async def release(self) -> None:
-        """Hand the zone over at once; `run` has to be running.
+    async def release(self, commands_end: Instant = NOTHING_UNSETTLED) -> None:
+        """Hand the zone over once `commands_end` has passed; `run` has to be running.
 
         Gives up after some seconds if the table does not answer; peers then wait for the lease to
         run out.
         """
+        await asyncio.sleep(max(0, commands_end - read_instant()) / MS_PER_SECOND)
         self._apply(ReleaseRequested())
         if is_released(self._state):
             return
--- a/tests/cover/test_leadership.py
+++ b/tests/cover/test_leadership.py
@@ -1,7 +1,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from lentilpath_core.ids import Epoch
+from lentilpath_core.ids import Epoch, Instant
 from lentilpath_core.leadership import (
     POLL_EVERY_MS,
     AnswerPromise,
@@ -11,9 +11,11 @@
     PromiseAsked,
     ReleaseNoticed,
     ReleaseRequested,
+    ZoneWasRead,
+    decide,
     is_released,
 )
-from lentilpath_core.leadership._rules import get_margin_ms
+from lentilpath_core.leadership._rules import get_margin_ms, get_table_deadline
 from lentilpath_core.settings import LeadershipSettings
 from tests.common.leadership import SETTINGS, FakeHost, FakeRows, create_host, make_member
 
@@ -90,6 +92,18 @@
     assert host.get_lead().until == until
 
 
+def test_authority_of_a_late_answer_runs_from_the_moment_of_sending():
+    rows = FakeRows()
+    host = create_leader(rows, [make_member("b")])
+    host.lose_answers = True
+    host.run(SETTINGS.renew_every_ms)
+    pending = host.state.pending
+    assert pending is not None
+    state, _ = decide(ZoneWasRead(rows.read()), host.state, Instant(host.now + 500))
+    assert state.lead is not None
+    assert state.lead.until == get_table_deadline(pending.sent_at, SETTINGS)
+
+
 def test_repeats_an_unclear_write_unchanged():
     rows = FakeRows()
     host = create_leader(rows)
--- a/tests/nocover/test_leadership_hosts.py
+++ b/tests/nocover/test_leadership_hosts.py
@@ -1,6 +1,8 @@
 import asyncio
 
+from lentilpath_core.ids import Instant
 from lentilpath_core.settings import LeadershipSettings
+from lentilpathd._clock import read_instant
 from tests.common.leadership_hosts import (
     ZONE,
     FakeTable,
@@ -71,6 +73,22 @@
     asyncio.run(scenario())
 
 
+def test_hand_over_waits_for_commands_of_unknown_outcome():
+    async def scenario() -> None:
+        table = FakeTable()
+        async with run_zone(create_zone(3, 21_070, table, SETTINGS)) as hosts:
+            leader = await wait_for_leader(hosts)
+            await wait_for(lambda: knows_all(leader, 3))
+            commands_end = Instant(read_instant() + 700)
+            release = asyncio.create_task(leader.leadership.release(commands_end))
+            others = [host for host in hosts if host is not leader]
+            await wait_for_leader(others)
+            assert read_instant() >= commands_end
+            await release
+
+    asyncio.run(scenario())
+
+
 def test_outage_leaves_the_leader_in_place():
     async def scenario() -> None:
         table = FakeTable()
