Hand a zone over only with settled starts; lead on a slow table

A planned stop handed over after two seconds whatever had become of the starts under way, and the next leader counted leases from its own beginning although a renewal of the earlier one may act for MAX_COMMAND_MS more. Now WorkerLink remembers until when starts of unknown outcome may act, the drain returns it, release waits for it, and the controller counts leases from the end of the earlier commands. Smallest changes in _zone, _daemon and zone/_controller for that.

Cause 2: with answers slower than the fixed timeout of 0.5 s no read or write ever came to an end, so a slow table left a zone without a leader. The timeout now follows the table, up to 4 s, and promises are asked for also when a renewal is late. test_table_slower_than_the_lease_still_leaves_a_leader fails with either left out.

Cause 3: a host with a shorter lease in its settings would have watched too short a time. The row now carries the holder's times and the longer ones count.

--- a/packages/lentilpath-core/src/lentilpath_core/leadership/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/leadership/_decisions.py
@@ -37,6 +37,7 @@
     list_promisers,
     list_roster,
     may_take_over,
+    needs_promises,
 )
 from lentilpath_core.leadership._state import (
     Lead,
@@ -236,6 +237,9 @@
         roster=list_roster(state, now),
         write_id=WriteId(f"{state.member.incarnation}/leadership/{state.writes + 1}"),
         released=kind is WriteKind.RELEASE,
+        lease_ms=state.settings.lease_ms,
+        promise_ms=state.settings.promise_ms,
+        newcomer_horizon_ms=state.settings.newcomer_horizon_ms,
     )
     return WriteRows(next_row, state.seen.version, state.seen.epoch_version, takes_over)
 
@@ -278,8 +282,11 @@
 
 def _get_next_poll(state: LeadershipState, now: Instant) -> Instant:
     # A take-over does not wait for the next poll, since its write checks the version anyway.
-    watch_end = state.seen_since + get_watch_ms(state.settings)
     next_poll = now + POLL_EVERY_MS
+    row = state.seen.row if state.seen is not None else None
+    if row is None:
+        return Instant(next_poll)
+    watch_end = state.seen_since + get_watch_ms(state.settings, row)
     return Instant(min(next_poll, watch_end) if watch_end > now else next_poll)
 
 
@@ -292,9 +299,9 @@
 
 
 def _ask_promises(state: LeadershipState, now: Instant) -> Decision:
-    """Begin a round of promises if the table fails and the last round is old enough."""
+    """Begin a round of promises if they are needed and the last round is old enough."""
     lead = state.lead
-    if lead is None or not state.table_failing:
+    if lead is None or not needs_promises(state, lead, now):
         return state, ()
     last = state.round
     if last is not None and now < last.asked_at + state.settings.renew_every_ms:
--- a/packages/lentilpath-core/src/lentilpath_core/leadership/_rows.py
+++ b/packages/lentilpath-core/src/lentilpath_core/leadership/_rows.py
@@ -25,6 +25,10 @@
     """Names the write that made the row, so that its writer recognises it."""
     released: bool = False
     """The holder has given the zone up; anyone may take it at once."""
+    lease_ms: int = 0
+    promise_ms: int = 0
+    newcomer_horizon_ms: int = 0
+    """The holder's own settings: whoever waits for it to end must not count by shorter ones."""
 
 
 class EpochRow(msgspec.Struct, frozen=True):
--- a/packages/lentilpath-core/src/lentilpath_core/leadership/_rules.py
+++ b/packages/lentilpath-core/src/lentilpath_core/leadership/_rules.py
@@ -86,24 +86,24 @@
     if now < state.promised_until:
         return False
     watched_ms = now - state.seen_since
-    settings = state.settings
-    if watched_ms < get_watch_ms(settings):
+    if watched_ms < get_watch_ms(state.settings, row):
         return False
     if state.member in row.roster:
         return True
     if is_successor_of_member(state, row):
-        return is_earlier_promise_over(state, now)
-    return watched_ms >= get_newcomer_wait_ms(settings)
+        return is_earlier_promise_over(state, row, now)
+    return watched_ms >= get_newcomer_wait_ms(state.settings, row)
 
 
-def get_watch_ms(settings: LeadershipSettings) -> int:
+def get_watch_ms(settings: LeadershipSettings, row: ZoneRow) -> int:
     """Return how long a member has to see one unchanged version before it takes over."""
-    return settings.lease_ms + get_margin_ms(settings.lease_ms, settings)
+    lease_ms = max(settings.lease_ms, row.lease_ms)
+    return lease_ms + get_margin_ms(lease_ms, settings)
 
 
-def get_newcomer_wait_ms(settings: LeadershipSettings) -> int:
+def get_newcomer_wait_ms(settings: LeadershipSettings, row: ZoneRow) -> int:
     """Return how long a host outside the roster has to see one unchanged version."""
-    horizon_ms = settings.newcomer_horizon_ms
+    horizon_ms = max(settings.newcomer_horizon_ms, row.newcomer_horizon_ms)
     return horizon_ms + get_margin_ms(horizon_ms, settings)
 
 
@@ -116,13 +116,18 @@
     return any(member.host == state.member.host for member in row.roster)
 
 
-def is_earlier_promise_over(state: LeadershipState, now: Instant) -> bool:
+def is_earlier_promise_over(state: LeadershipState, row: ZoneRow, now: Instant) -> bool:
     """Return whether every promise of this host's earlier process has run out."""
     if state.listening_since is None:
         return False
-    settings = state.settings
-    end = get_own_promise_end(state.listening_since, settings.promise_ms, settings)
-    return now >= end
+    promise_ms = max(state.settings.promise_ms, row.promise_ms)
+    return now >= get_own_promise_end(state.listening_since, promise_ms, state.settings)
+
+
+def needs_promises(state: LeadershipState, lead: Lead, now: Instant) -> bool:
+    """Return whether the table fails or may answer only after the lease has run out."""
+    late_ms = state.settings.renew_every_ms * 3 // 2
+    return state.table_failing or now >= lead.table_sent_at + late_ms
 
 
 def list_roster(state: LeadershipState, now: Instant) -> tuple[Member, ...]:
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_control_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_control_state.py
@@ -48,7 +48,8 @@
     zone: ZoneState
     epoch: Epoch
     leases: WorkerLeaseSettings
-    started_at: Instant
+    earlier_commands_end: Instant
+    """Until when commands of earlier leaders may still act."""
     by_table: bool
     placement: PlacementState = field(default_factory=create_placement)
     workers: dict[WorkerId, WorkerView] = field(default_factory=dict)
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_controller.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_controller.py
@@ -47,13 +47,16 @@
     leases: WorkerLeaseSettings,
     workers: WorkersListed,
     now: Instant,
+    max_command_ms: int = 0,
 ) -> ControllerState:
     """Return the controller of a leader whose authority began before `now`.
 
+    After a planned hand-over a renewal of the earlier leader may act for `max_command_ms` more.
+
     `zone` is the fold of the whole journal and belongs to the controller from here on.
     """
     zone.epoch = epoch
-    state = ControllerState(zone, epoch, leases, now, by_table=True)
+    state = ControllerState(zone, epoch, leases, Instant(now + max_command_ms), by_table=True)
     list_workers(state, workers.workers, now)
     watch_silence(state, now, WallTime(0))
     offer_recovered_tasks(state, now)
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_workers.py
@@ -75,9 +75,8 @@
     for worker in listed:
         view = state.workers.get(worker.worker)
         if view is None:
-            # A leader before this one may have granted a lease until its authority ended, which
-            # was before this leader's began.
-            bound = get_lease_bound(state, state.started_at)
+            # A leader before this one may have granted a lease by its last command.
+            bound = get_lease_bound(state, state.earlier_commands_end)
             state.workers[worker.worker] = WorkerView(worker, WorkerPhase.UNHEARD, now, bound)
             _offer_as_silent(state, worker, now)
         elif view.listed != worker:
@@ -362,5 +361,5 @@
     for worker in state.zone.workers:
         if worker not in state.workers:
             listed = ListedWorker(worker, rack=RackId(""), capacity=Resources(), leaving=True)
-            bound = get_lease_bound(state, state.started_at)
+            bound = get_lease_bound(state, state.earlier_commands_end)
             state.workers[worker] = WorkerView(listed, WorkerPhase.UNHEARD, now, bound)
--- a/packages/lentilpathd/src/lentilpathd/_daemon.py
+++ b/packages/lentilpathd/src/lentilpathd/_daemon.py
@@ -103,6 +103,6 @@
         log_event(Event.PROCESS_DRAINING, host=self.context.settings.host)
         await self.requests.drain(self.context.settings.drain_seconds)
         await self.operators.drain()
-        await self.zone.drain()
+        commands_end = await self.zone.drain()
         async with asyncio.timeout(RELEASE_SECONDS):
-            await self.leadership.release()
+            await self.leadership.release(commands_end)
--- a/packages/lentilpathd/src/lentilpathd/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_leadership.py
@@ -50,6 +50,8 @@
 HELLO_EVERY_SECONDS = 1.0
 OTHER_ZONES_EVERY_SECONDS = 5.0
 TABLE_TIMEOUT_SECONDS = 0.5
+MAX_TABLE_TIMEOUT_SECONDS = 4.0
+"""How long a request may take after earlier ones got no answer: a slow table is not a dead one."""
 PEER_TIMEOUT_SECONDS = 0.5
 RELEASE_TIMEOUT_SECONDS = 5.0
 HELLO_TOPIC = "leadership.hello"
@@ -96,6 +98,7 @@
         self._promise_effects: asyncio.Queue[AskPromises] = asyncio.Queue()
         self._released = asyncio.Event()
         self._expiry_logged = False
+        self._table_timeout = TABLE_TIMEOUT_SECONDS
         self._told_leader: HostId | None = None
         self._other_leaders: dict[ZoneId, HostId] = {}
         context.bus.handle(HELLO_TOPIC, self._answer_hello)
@@ -200,12 +203,22 @@
                 outcome = await self._write_rows(effect)
                 self._apply(WriteAnswered(effect.row.write_id, outcome))
 
+    def _be_patient(self) -> None:
+        self._table_timeout = min(2 * self._table_timeout, MAX_TABLE_TIMEOUT_SECONDS)
+
+    def _note_answer_time(self, asked_at: Instant) -> None:
+        seconds = 2 * (read_instant() - asked_at) / MS_PER_SECOND
+        self._table_timeout = min(max(seconds, TABLE_TIMEOUT_SECONDS), MAX_TABLE_TIMEOUT_SECONDS)
+
     async def _read_rows(self) -> ZoneWasRead | ReadFailed:
         keys = (get_zone_key(self._zone), get_epoch_key(self._zone))
+        asked_at = read_instant()
         try:
-            zone_row, epoch_row = await self._context.table.read(keys, TABLE_TIMEOUT_SECONDS)
+            zone_row, epoch_row = await self._context.table.read(keys, self._table_timeout)
         except (Unavailable, OutcomeUnknown):
+            self._be_patient()
             return ReadFailed()
+        self._note_answer_time(asked_at)
         row = decode_zone_row(zone_row.value)
         return ZoneWasRead(ReadZone(row, zone_row.version, epoch_row.version))
 
@@ -215,13 +228,16 @@
         if effect.takes_over:
             checks.append((get_epoch_key(self._zone), effect.epoch_version))
             puts.append((get_epoch_key(self._zone), encode_row(EpochRow(effect.row.epoch))))
+        asked_at = read_instant()
         transaction = Transaction(effect.row.write_id, tuple(checks), tuple(puts))
         try:
-            result = await self._context.table.commit(transaction, TABLE_TIMEOUT_SECONDS)
+            result = await self._context.table.commit(transaction, self._table_timeout)
         except OutcomeUnknown:
+            self._be_patient()
             return WriteOutcome.UNKNOWN
         except Unavailable:
             return WriteOutcome.NOT_REACHED
+        self._note_answer_time(asked_at)
         return WriteOutcome.APPLIED if result.applied else WriteOutcome.REJECTED
 
     async def _serve_promises(self) -> None:
--- a/packages/lentilpathd/src/lentilpathd/_zone/_leading.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_leading.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from lentilpath_core.errors import OutcomeUnknown, Unavailable
-from lentilpath_core.ids import WorkerId, get_job_of_task
+from lentilpath_core.ids import Instant, WorkerId, get_job_of_task
 from lentilpath_core.placement import QuotaSet
 from lentilpath_core.zone.control import (
     AskForAllTasks,
@@ -38,6 +38,7 @@
 from lentilpath_core.zone.reports import StartAnswer
 from lentilpath_core.zone.state import ZoneState
 from lentilpathd._adapters.worker import create_worker
+from lentilpathd._authority import NOTHING_UNSETTLED
 from lentilpathd._clock import read_instant, read_wall_time
 from lentilpathd._context import DaemonContext
 from lentilpathd._events import Event, log_warning_event
@@ -45,7 +46,7 @@
 from lentilpathd._zone._errors import TermEnded
 from lentilpathd._zone._recovery import RecoveredZone
 from lentilpathd._zone._snapshots import encode_snapshot, store_snapshot
-from lentilpathd._zone._term import Term
+from lentilpathd._zone._term import MAX_COMMAND_MS, Term
 from lentilpathd._zone._worker_link import WorkerLink
 from lentilpathd._zone._writer import write_batch
 
@@ -109,6 +110,11 @@
                 self._applied.clear()
                 await self._applied.wait()
 
+    def get_commands_end(self) -> Instant:
+        """Return until when a start whose outcome is not known may still act; 0 for none."""
+        ends = (link.get_commands_end() for link in self._links.values())
+        return max(ends, default=NOTHING_UNSETTLED)
+
     def _create_controller(self, zone: ZoneState) -> ControllerState:
         return create_controller(
             zone,
@@ -116,6 +122,7 @@
             self._context.settings.worker_leases,
             self._list_workers(),
             read_instant(),
+            MAX_COMMAND_MS,
         )
 
     def _list_workers(self) -> WorkersListed:
--- a/packages/lentilpathd/src/lentilpathd/_zone/_service.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_service.py
@@ -7,12 +7,13 @@
 
 from lentilpath_core.configuration import get_zone_quota
 from lentilpath_core.errors import OutcomeUnknown, Unavailable
+from lentilpath_core.ids import Instant
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.placement import PlacementState, QuotaSet
 from lentilpath_core.zone.control import is_command_durable
 from lentilpath_core.zone.journal import CommandAnswered
 from lentilpath_core.zone.state import ZoneState
-from lentilpathd._authority import Authority, Leadership
+from lentilpathd._authority import NOTHING_UNSETTLED, Authority, Leadership
 from lentilpathd._clock import read_instant
 from lentilpathd._context import DaemonContext
 from lentilpathd._events import Event, log_event, log_warning_event
@@ -68,14 +69,20 @@
                 await self._lead(authority)
             await asyncio.sleep(LOOK_SECONDS)
 
-    async def drain(self) -> None:
-        """End the term: decide nothing more and make all decisions durable, within seconds."""
+    async def drain(self) -> Instant:
+        """End the term: decide nothing more and make all decisions durable, within seconds.
+
+        Returns until when a start whose outcome is not known may still act, or `NOTHING_UNSETTLED`.
+        The zone must not be handed over before.
+        """
         self._stopped = True
-        if self._leading is not None:
-            # What is not settled in time the next leader finds on the workers, as after any other
-            # end of a term.
-            with contextlib.suppress(TimeoutError):
-                await self._leading.settle()
+        if self._leading is None:
+            return NOTHING_UNSETTLED
+        # What is not written in time the next leader finds on the workers, as after any other end
+        # of a term.
+        with contextlib.suppress(TimeoutError):
+            await self._leading.settle()
+        return self._leading.get_commands_end()
 
     async def _lead(self, authority: Authority) -> None:
         zone = self._context.settings.zone
--- a/packages/lentilpathd/src/lentilpathd/_zone/_worker_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_worker_link.py
@@ -19,6 +19,7 @@
     WorkerSynced,
 )
 from lentilpath_core.zone.reports import StartAnswer, WorkerReport
+from lentilpathd._authority import NOTHING_UNSETTLED
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._ports import StartCommand, SyncCommand, Worker
 from lentilpathd._zone._term import Term
@@ -55,6 +56,7 @@
         self._clock: tuple[WorkerTime, Instant] | None = None
         self._forget: set[tuple[TaskId, int]] = set()
         self._commands: set[asyncio.Task[None]] = set()
+        self._unsettled: dict[tuple[TaskId, int], Instant] = {}
 
     async def run(self) -> None:
         """Sync with the worker until cancelled."""
@@ -91,6 +93,10 @@
         if self._commands:
             await asyncio.wait(tuple(self._commands))
 
+    def get_commands_end(self) -> Instant:
+        """Return until when a start whose outcome is not known may still act; 0 for none."""
+        return max(self._unsettled.values(), default=NOTHING_UNSETTLED)
+
     async def _sync(self) -> None:
         now = read_instant()
         deadline = self._term.get_command_deadline(now)
@@ -148,6 +154,7 @@
             self._answer_start(start, StartAnswer.REFUSED, now)
             return
         self._report(RenewalSending(self.worker_id, deadline))
+        self._note_unsettled(start, now, deadline)
         command = StartCommand(
             task=start.task,
             attempt=start.attempt,
@@ -163,8 +170,14 @@
             answer = StartAnswer.REFUSED
         except OutcomeUnknown:
             answer = StartAnswer.UNCLEAR
+        if answer is not StartAnswer.UNCLEAR:
+            self._unsettled.pop((start.task, start.attempt), None)
         self._answer_start(start, answer, deadline)
 
+    def _note_unsettled(self, start: SendStart, now: Instant, deadline: Instant) -> None:
+        self._unsettled = {key: end for key, end in self._unsettled.items() if end > now}
+        self._unsettled[(start.task, start.attempt)] = deadline
+
     def _answer_start(self, start: SendStart, answer: StartAnswer, deadline: Instant) -> None:
         self._report(StartAnswered(self.worker_id, start.task, start.attempt, answer, deadline))
 
--- a/tests/common/leadership_hosts.py
+++ b/tests/common/leadership_hosts.py
@@ -28,6 +28,7 @@
         self.rows: dict[str, tuple[int, str]] = {}
         self.up = True
         self.lose_answers = False
+        self.answer_seconds = 0.0
         self.commits = 0
         self.reads = 0
 
@@ -45,17 +46,25 @@
                 self.rows[key] = (self._get(key).version + 1, value)
         if self.lose_answers:
             raise OutcomeUnknown("answer lost")
+        if not await self._answer_in_time(timeout):
+            raise OutcomeUnknown("answer too late")
         return CommitResult(not conflicts, tuple(conflicts))
 
     async def read(self, keys: tuple[str, ...], timeout: float) -> tuple[Row, ...]:
         if not self.up:
             raise TableUnavailable("down")
         self.reads += 1
+        if not await self._answer_in_time(timeout):
+            raise TableUnavailable("answer too late")
         return tuple(self._get(key) for key in keys)
 
     async def scan(self, prefix: str, after: str, limit: int, timeout: float) -> tuple[Row, ...]:
         raise NotImplementedError
 
+    async def _answer_in_time(self, timeout: float) -> bool:
+        await asyncio.sleep(min(self.answer_seconds, timeout))
+        return self.answer_seconds <= timeout
+
     def _get(self, key: str) -> Row:
         version, value = self.rows.get(key, (0, ""))
         return Row(key, RowVersion(version), value)
--- a/tests/cover/test_leadership.py
+++ b/tests/cover/test_leadership.py
@@ -1,10 +1,14 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
+from msgspec.structs import replace as replace_struct
+
 from lentilpath_core.ids import Epoch, Instant
 from lentilpath_core.leadership import (
     POLL_EVERY_MS,
     AnswerPromise,
+    AskPromises,
+    ClockAdvanced,
     HelloReceived,
     ListenerBound,
     Member,
@@ -221,6 +225,25 @@
     assert host.promise_rounds[-1].members == (make_member("b"), make_member("c"))
 
 
+def test_asks_for_promises_when_answers_are_late():
+    host = create_leader(FakeRows(), [make_member("b")])
+    state = replace(host.state, table_busy=True)
+    now = Instant(host.now + 2 * SETTINGS.renew_every_ms)
+    _, effects = decide(ClockAdvanced(), state, now)
+    assert [type(effect) for effect in effects] == [AskPromises]
+
+
+def test_waits_by_the_holders_settings_if_they_are_longer():
+    rows = FakeRows()
+    member = create_host("b", rows)
+    create_leader(rows, [member.state.member])
+    rows.row = replace_struct(rows.get_row(), lease_ms=2 * SETTINGS.lease_ms)
+    member.run(2 * WATCH_MS - 4 * STEP_MS)
+    assert not member.has_authority()
+    member.run(10 * STEP_MS)
+    assert member.has_authority()
+
+
 def test_keeps_its_promise_not_to_take_over():
     rows = FakeRows()
     member = create_host("b", rows)
--- a/tests/nocover/test_leadership_hosts.py
+++ b/tests/nocover/test_leadership_hosts.py
@@ -138,6 +138,24 @@
     asyncio.run(scenario())
 
 
+def test_table_slower_than_the_lease_still_leaves_a_leader():
+    async def scenario() -> None:
+        table = FakeTable()
+        async with run_zone(create_zone(3, 21_080, table, SETTINGS)) as hosts:
+            leader = await wait_for_leader(hosts)
+            await wait_for(lambda: knows_all(leader, 3))
+            table.answer_seconds = 1.2
+            commits = table.commits
+            while table.commits < commits + 4:
+                assert leader.decides()
+                await asyncio.sleep(0.02)
+            await leader.kill()
+            others = [host for host in hosts if host is not leader]
+            await wait_for_leader(others)
+
+    asyncio.run(scenario())
+
+
 def test_lost_answers_do_not_end_the_lead():
     async def scenario() -> None:
         table = FakeTable()
