--- a/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
@@ -27,6 +27,7 @@
     PlacementEvent,
     RefuseJob,
     StartTask,
+    StopTask,
     WaitRule,
 )
 from lentilpath_core.placement._preemption import (
@@ -127,11 +128,19 @@
     _run_pass(state, now, wall_now, (Tier.NORMAL, Tier.BACKGROUND), limit, decisions)
     # Reviews come last, so that nobody takes room out of turn.
     _review(state, now, wall_now, decisions)
-    decisions.extend(state.pending)
+    decisions.extend(each for each in state.pending if _is_wanted(state, each))
     state.pending.clear()
     return tuple(decisions)
 
 
+def _is_wanted(state: PlacementState, decision: Decision) -> bool:
+    """Return whether a decision that an event gave rise to still has something to act on."""
+    if not isinstance(decision, StopTask):
+        return True
+    held = state.placed.get(decision.task)
+    return held is not None and held.attempt == decision.attempt
+
+
 def _review(
     state: PlacementState, now: Instant, wall_now: WallTime | None, decisions: list[Decision]
 ) -> None:
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_preemption.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_preemption.py
@@ -38,6 +38,8 @@
         return lambda held: held.job.spec.policy.priority is not PriorityClass.URGENT
 
     def test(held: HeldRoom) -> bool:
+        if job.spec.policy.priority is PriorityClass.BACKGROUND:
+            return False
         if held.job.spec.policy.priority is not PriorityClass.BACKGROUND:
             return False
         team = held.job.team
@@ -131,7 +133,11 @@
     soon = _find_natural_room(worker, room, needed, now)
     if soon is not None and soon <= now + PATIENCE_MS:
         return MakeRoom(worker, (), soon)
-    usable = [held for held in worker.tasks.values() if can_stop(held) and test(held)]
+    usable = [
+        held
+        for held in worker.tasks.values()
+        if can_stop(held) and held.started_at < now and test(held)
+    ]
     usable.sort(key=lambda held: (_count_cost(held, now), -held.room.millicores, held.task))
     chosen: list[HeldRoom] = []
     for held in usable:
--- a/tests/cover/test_placement_fairness.py
+++ b/tests/cover/test_placement_fairness.py
@@ -101,3 +101,20 @@
     zone.finish(next(iter(zone.running)), again=False)
     assert [start.task for start in zone.starts()] == ["job299/0"]
     assert zone.state.waiting == Resources(9_000, 9 * 1_024)
+
+
+def test_a_job_never_stops_its_own_tasks_to_make_room_for_itself():
+    zone = Zone(workers=1, cores=2)
+    survey = make_spec(
+        "survey",
+        tasks=4,
+        priority=PriorityClass.BACKGROUND,
+        stoppable=True,
+        deadline_ms=60_000,
+        run_ms=50_000,
+    )
+    zone.submit(survey)
+    assert len(zone.starts()) == 2
+    for _ in range(20):
+        zone.pass_time(500)
+        assert zone.stops() == []
