--- a/benches/measure/figures.py
+++ b/benches/measure/figures.py
@@ -38,7 +38,7 @@
 def list_rows(load: Load, outcomes: list[Outcome]) -> list[Row]:
     """Return all lines for one load."""
     rows: list[Row] = []
-    per_engine = [_list_figures(outcome) for outcome in outcomes]
+    per_engine = [list_figures(outcome) for outcome in outcomes]
     waits, misses = bound_urgent_waits(load)
     bound = {
         "urgent wait p50 s": _show_quantile(waits, 50),
@@ -63,7 +63,8 @@
         print(f"| {row.name} | " + " | ".join(row.values) + " |", flush=True)
 
 
-def _list_figures(outcome: Outcome) -> dict[str, str]:
+def list_figures(outcome: Outcome) -> dict[str, str]:
+    """Return all figures of one run by name."""
     figures: dict[str, str] = {}
     waits = _collect_waits(outcome)
     for kind in KINDS:
