Keep the counts of a worker whose tasks were found before it was offered

Such tasks were not counted as able to make room, and were subtracted when they ended; a removed and returned worker counted its racks twice and walked all running tasks; a worker that came back took a new place in the list each time. Found by reading; each has a named test.

--- a/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
@@ -41,6 +41,8 @@
 from lentilpath_core.placement._records import HeldRoom, Job, PlacementState, Worker, Workload
 from lentilpath_core.placement._reservations import drop_all_reservations
 from lentilpath_core.placement._rooms import (
+    attach_task,
+    detach_task,
     drop_reservation,
     hold_room,
     is_usable,
@@ -99,16 +101,15 @@
         drop_reservation(state, reservation)
         enqueue_job(state, reservation.job)
     worker.state = WorkerState.LOST
+    for held in tuple(worker.tasks.values()):
+        detach_task(state, worker, held)
+        state.held_elsewhere.setdefault(event.worker, {})[held.task] = held
     reindex_worker(state, worker)
     state.total -= worker.capacity
     _count_capacity(state, worker.capacity, -1)
     state.draining.pop(event.worker, None)
     state.probing_workers.pop(event.worker, None)
-    left = NO_RESOURCES
-    for held in worker.tasks.values():
-        left += held.room
-    if worker.tasks:
-        state.held_elsewhere[event.worker] = left
+    state.free_ordinals.append(worker.ordinal)
     del state.workers[event.worker]
 
 
@@ -235,19 +236,18 @@
 
 
 def _add_worker(state: PlacementState, event: WorkerOffered) -> Worker:
-    held_room = state.held_elsewhere.pop(event.worker, NO_RESOURCES)
-    free = NO_RESOURCES - held_room
-    ordinal = len(state.ordinals)
-    state.ordinals.append(event.worker)
-    worker = Worker(event.worker, ordinal, event.rack, NO_RESOURCES, event.state, free, free)
+    if state.free_ordinals:
+        ordinal = state.free_ordinals.pop()
+        state.ordinals[ordinal] = event.worker
+    else:
+        ordinal = len(state.ordinals)
+        state.ordinals.append(event.worker)
+    worker = Worker(
+        event.worker, ordinal, event.rack, NO_RESOURCES, event.state, NO_RESOURCES, NO_RESOURCES
+    )
     state.workers[event.worker] = worker
-    if held_room == NO_RESOURCES:
-        return worker
-    for held in state.placed.values():
-        if held.worker == event.worker:
-            worker.tasks[held.task] = held
-            on_rack = held.job.on_rack
-            on_rack[event.rack] = on_rack.get(event.rack, 0) + 1
+    for held in state.held_elsewhere.pop(event.worker, {}).values():
+        attach_task(state, worker, held)
     return worker
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
@@ -209,8 +209,8 @@
     teams: dict[TeamId, Team] = field(default_factory=dict)
     workloads: dict[str, Workload] = field(default_factory=dict)
     placed: dict[TaskId, HeldRoom] = field(default_factory=dict)
-    held_elsewhere: dict[WorkerId, Resources] = field(default_factory=dict)
-    """Room of tasks on workers that were not offered yet."""
+    held_elsewhere: dict[WorkerId, dict[TaskId, HeldRoom]] = field(default_factory=dict)
+    """Attempts on workers that were not offered yet, or were removed."""
     shapes: dict[ShapeKey, Shape] = field(default_factory=dict)
     open_shapes: dict[ShapeKey, Shape] = field(default_factory=dict)
     """Shapes that may find room."""
@@ -226,6 +226,8 @@
     """Open processors and ordinal of workers without accelerators, sorted."""
     accelerated_index: list[tuple[int, int]] = field(default_factory=list)
     ordinals: list[WorkerId] = field(default_factory=list)
+    free_ordinals: list[int] = field(default_factory=list)
+    """Places in `ordinals` of removed workers, to be used again."""
     reservations: dict[ReservationOrder, Reservation] = field(default_factory=dict)
     touched: dict[ReservationOrder, Reservation] = field(default_factory=dict)
     """Reservations whose workers changed since they were last tried."""
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_rooms.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_rooms.py
@@ -63,15 +63,32 @@
     _count_held(state, held, held.room)
     worker = state.workers.get(held.worker)
     if worker is None:
-        before = state.held_elsewhere.get(held.worker, NO_RESOURCES)
-        state.held_elsewhere[held.worker] = before + held.room
+        state.held_elsewhere.setdefault(held.worker, {})[held.task] = held
         return
-    job.on_rack[worker.rack] = job.on_rack.get(worker.rack, 0) + 1
+    attach_task(state, worker, held)
+
+
+def attach_task(state: PlacementState, worker: Worker, held: HeldRoom) -> None:
+    """Take the attempt's room from its worker."""
+    on_rack = held.job.on_rack
+    on_rack[worker.rack] = on_rack.get(worker.rack, 0) + 1
     worker.tasks[held.task] = held
     _change_preemptible(state, worker, held, held.room)
+    if held.stopping:
+        worker.leaving += held.room
     change_free_room(state, worker, NO_RESOURCES - held.room)
 
 
+def detach_task(state: PlacementState, worker: Worker, held: HeldRoom) -> None:
+    """Give the attempt's room back to its worker."""
+    del worker.tasks[held.task]
+    _count_down(held.job.on_rack, worker.rack)
+    _change_preemptible(state, worker, held, NO_RESOURCES - held.room)
+    if held.stopping:
+        worker.leaving -= held.room
+    change_free_room(state, worker, held.room)
+
+
 def release_room(state: PlacementState, held: HeldRoom) -> None:
     """Let the attempt hold no room any more."""
     job = held.job
@@ -82,17 +99,13 @@
     _count_down(job.on_worker, held.worker)
     _count_held(state, held, NO_RESOURCES - held.room)
     worker = state.workers.get(held.worker)
-    if worker is None:
-        if held.worker in state.held_elsewhere:
-            state.held_elsewhere[held.worker] -= held.room
-        return
-    _count_down(job.on_rack, worker.rack)
-    if worker.tasks.pop(held.task, None) is None:
+    if worker is not None:
+        detach_task(state, worker, held)
         return
-    _change_preemptible(state, worker, held, NO_RESOURCES - held.room)
-    if held.stopping:
-        worker.leaving -= held.room
-    change_free_room(state, worker, held.room)
+    elsewhere = state.held_elsewhere.get(held.worker, {})
+    elsewhere.pop(held.task, None)
+    if not elsewhere:
+        state.held_elsewhere.pop(held.worker, None)
 
 
 def grow_room(state: PlacementState, held: HeldRoom, room: Resources) -> None:
--- a/tests/cover/test_placement_evidence.py
+++ b/tests/cover/test_placement_evidence.py
@@ -1,7 +1,8 @@
-from lentilpath_core.ids import WorkerId
-from lentilpath_core.placement import WaitRule
+from lentilpath_core.ids import JobId, WorkerId
+from lentilpath_core.placement import AttemptFinished, TaskFound, WaitRule, WorkerRemoved
+from lentilpath_core.resources import Resources
 from lentilpath_core.states import AttemptOutcome, WorkerState
-from lentilpath_core.workloads import WorkloadKind
+from lentilpath_core.workloads import PriorityClass, WorkloadKind
 from tests.common.placements import Zone, make_spec
 
 
@@ -120,3 +121,40 @@
         zone.report(task)
     worker = zone.state.workers[name]
     zone.offer(name, worker.rack, worker.capacity, WorkerState.DRAINING)
+
+
+def test_a_worker_that_is_offered_after_its_tasks_were_found_has_the_room_they_leave():
+    """Tasks found before their worker once left its room for making room below zero."""
+    zone = Zone(workers=0)
+    spec = make_spec("found", tasks=3, checkpointable=True)
+    for task in spec.list_tasks():
+        zone.tell(TaskFound(spec, task, 1, WorkerId("late")))
+    zone.offer("late", "r0", Resources(4_000, 8_192))
+    worker = zone.state.workers[WorkerId("late")]
+    assert worker.free == Resources(1_000, 5_120)
+    assert worker.preemptible[PriorityClass.NORMAL] == Resources(3_000, 3_072)
+    for task in spec.list_tasks():
+        outcome = AttemptOutcome.SUCCEEDED
+        zone.tell(AttemptFinished(task, 1, WorkerId("late"), outcome, 1_000))
+    assert worker.free == worker.capacity
+    assert worker.preemptible[PriorityClass.NORMAL] == Resources()
+
+
+def test_a_task_keeps_its_room_while_its_worker_is_away():
+    zone = Zone(workers=1, cores=4)
+    zone.submit(make_spec("work", tasks=3))
+    zone.starts()
+    zone.tell(WorkerRemoved(WorkerId("w0")))
+    zone.offer("w0", "r0", Resources(4_000, 8_192))
+    assert zone.state.workers[WorkerId("w0")].free == Resources(1_000, 5_120)
+    assert zone.state.jobs[JobId("work")].on_rack == {"r0": 3}
+
+
+def test_workers_that_come_and_go_leave_nothing_behind():
+    zone = Zone(workers=2)
+    for number in range(50):
+        zone.offer(f"x{number}", "r0", Resources(4_000, 8_192))
+        zone.tell(WorkerRemoved(WorkerId(f"x{number}")))
+    state = zone.state
+    assert len(state.ordinals) == 3
+    assert (len(state.workers), sum(state.capacities.values()), len(state.plain_index)) == (2, 2, 2)
