Ask again for stops that had no effect

A stop whose command was lost left its attempt counted as ending for good, so a drain never ended. One function makes all stops now (three places before).

--- a/packages/lentilpath-core/src/lentilpath_core/placement/_drains.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_drains.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
-from lentilpath_core.placement._messages import Decision, StopMode, StopTask
+from lentilpath_core.ids import Instant
+from lentilpath_core.placement._messages import Decision
 from lentilpath_core.placement._preemption import can_spare_replica
 from lentilpath_core.placement._queues import find_needed
 from lentilpath_core.placement._records import HeldRoom, PlacementState
-from lentilpath_core.placement._rooms import find_worker, mark_stopping
+from lentilpath_core.placement._rooms import find_worker
+from lentilpath_core.placement._stops import request_stop
 from lentilpath_core.workloads import WorkloadKind
 
 
-def move_from_draining(state: PlacementState, decisions: list[Decision], limit: int) -> None:
+def move_from_draining(
+    state: PlacementState, decisions: list[Decision], limit: int, now: Instant
+) -> None:
     """Stop what can run elsewhere now; batch tasks that cannot be checkpointed run to their end."""
     for name in state.draining:
         worker = state.workers[name]
@@ -18,8 +22,8 @@
             if len(decisions) >= limit:
                 return
             if _may_move(state, held):
-                mark_stopping(state, held)
-                decisions.append(_make_stop(held))
+                reason = f"moves off {held.worker}, which is draining"
+                decisions.append(request_stop(state, held, reason, now))
 
 
 def _may_move(state: PlacementState, held: HeldRoom) -> bool:
@@ -31,10 +35,3 @@
     elif held.job.spec.kind is WorkloadKind.GANG or not held.job.spec.policy.checkpointable:
         return False
     return find_worker(state, held.job, find_needed(held.job), {held.worker}) is not None
-
-
-def _make_stop(held: HeldRoom) -> StopTask:
-    checkpoint = held.job.spec.policy.checkpointable
-    mode = StopMode.CHECKPOINT if checkpoint else StopMode.STOP
-    reason = f"moves off {held.worker}, which is draining"
-    return StopTask(held.task, held.attempt, held.worker, mode, reason)
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
@@ -30,12 +30,7 @@
     StopTask,
     WaitRule,
 )
-from lentilpath_core.placement._preemption import (
-    find_room_to_make,
-    is_borrowed,
-    is_less_urgent,
-    stop_for_room,
-)
+from lentilpath_core.placement._preemption import find_room_to_make, is_borrowed, is_less_urgent
 from lentilpath_core.placement._queues import (
     block_by_quota,
     can_make_room,
@@ -72,6 +67,7 @@
     is_reservation_satisfied,
     take_unused,
 )
+from lentilpath_core.placement._stops import repeat_stops, request_stop
 from lentilpath_core.resources import NO_RESOURCES, Resources
 from lentilpath_core.workloads import PriorityClass, WorkloadKind
 
@@ -124,7 +120,8 @@
         state.wall_ahead_ms = wall_now - now
         _queue_undated(state)
     _fulfil_reservations(state, now, wall_now, decisions)
-    move_from_draining(state, decisions, limit)
+    move_from_draining(state, decisions, limit, now)
+    repeat_stops(state, now, decisions)
     _retry_urgent(state, now)
     _run_pass(state, now, wall_now, (Tier.URGENT,), limit, decisions)
     tiers = (Tier.PRESSING, Tier.NORMAL, Tier.BACKGROUND)
@@ -475,7 +472,7 @@
         return False
     for held in plan.victims:
         reason = f"makes room for {job.spec.job} ({job.spec.policy.priority.value})"
-        decisions.append(stop_for_room(held, state, reason))
+        decisions.append(request_stop(state, held, reason, now))
     reservation = Reservation(
         job,
         (False, take_number(state)),
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
@@ -179,7 +179,7 @@
 
 @take_event.register
 def _(event: UsageReported, state: PlacementState, now: Instant) -> None:
-    take_usage(state, event)
+    take_usage(state, event, now)
 
 
 @take_event.register
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_learning.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_learning.py
@@ -17,7 +17,8 @@
     PlacementState,
     Workload,
 )
-from lentilpath_core.placement._rooms import grow_room, mark_stopping, take_larger
+from lentilpath_core.placement._rooms import grow_room, take_larger
+from lentilpath_core.placement._stops import request_stop
 from lentilpath_core.resources import NO_RESOURCES, Resources
 from lentilpath_core.workloads import WorkloadKind
 
@@ -54,7 +55,7 @@
     _keep_excess(workload, held)
 
 
-def take_usage(state: PlacementState, event: UsageReported) -> None:
+def take_usage(state: PlacementState, event: UsageReported, now: Instant) -> None:
     """Learn from a report, and see to it that the task keeps to its room."""
     held = state.placed.get(event.task)
     if held is None or held.attempt != event.attempt:
@@ -68,7 +69,7 @@
     workload = held.job.workload
     workload.largest_excess = _take_larger_excess(workload.largest_excess, _find_excess(held))
     if not event.used.fits_in(held.room):
-        _answer_outgrowth(state, held, event.used)
+        _answer_outgrowth(state, held, event.used, now)
 
 
 def _find_excess(held: HeldRoom) -> Excess:
@@ -95,7 +96,7 @@
     workload.largest_excess = largest
 
 
-def _answer_outgrowth(state: PlacementState, held: HeldRoom, used: Resources) -> None:
+def _answer_outgrowth(state: PlacementState, held: HeldRoom, used: Resources, now: Instant) -> None:
     worker = state.workers.get(held.worker)
     if worker is None or held.stopping:
         return
@@ -104,7 +105,7 @@
         grow_room(state, held, wanted)
         return
     if wanted.memory_mib - held.room.memory_mib > worker.free.memory_mib:
-        _end_outgrown(state, held, used)
+        _end_outgrown(state, held, used, now)
     elif not held.throttled:
         _throttle(state, held, used)
 
@@ -122,12 +123,9 @@
     )
 
 
-def _end_outgrown(state: PlacementState, held: HeldRoom, used: Resources) -> None:
-    policy = held.job.spec.policy
-    mode = StopMode.CHECKPOINT if policy.checkpointable else StopMode.STOP
+def _end_outgrown(state: PlacementState, held: HeldRoom, used: Resources, now: Instant) -> None:
     reason = (
         f"stopped: it used {used.memory_mib} MiB of memory, it holds {held.room.memory_mib} "
         f"and {held.worker} has no more; its next attempt holds what it used"
     )
-    mark_stopping(state, held)
-    state.pending.append(StopTask(held.task, held.attempt, held.worker, mode, reason))
+    state.pending.append(request_stop(state, held, reason, now))
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_preemption.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_preemption.py
@@ -7,10 +7,8 @@
 
 from lentilpath_core.ids import Instant
 from lentilpath_core.placement._learning import estimate_end
-from lentilpath_core.placement._messages import StopMode, StopTask
 from lentilpath_core.placement._queues import can_make_room
 from lentilpath_core.placement._records import HeldRoom, Job, PlacementState, Worker
-from lentilpath_core.placement._rooms import mark_stopping
 from lentilpath_core.resources import Resources
 from lentilpath_core.workloads import PriorityClass, WorkloadKind
 
@@ -95,13 +93,6 @@
     return left >= held.job.spec.policy.min_replicas
 
 
-def stop_for_room(held: HeldRoom, state: PlacementState, reason: str) -> StopTask:
-    """Return the command that ends the attempt in the gentlest way its policy knows."""
-    mode = StopMode.CHECKPOINT if held.job.spec.policy.checkpointable else StopMode.STOP
-    mark_stopping(state, held)
-    return StopTask(held.task, held.attempt, held.worker, mode, reason)
-
-
 def _list_candidates(state: PlacementState, job: Job, needed: Resources) -> list[Worker]:
     """Return some workers where tasks could make room, beginning where the last search ended."""
     found: list[Worker] = []
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
@@ -7,7 +7,7 @@
 from enum import IntEnum
 
 from lentilpath_core.ids import Instant, JobId, RackId, TaskId, TeamId, WallTime, WorkerId
-from lentilpath_core.placement._messages import Decision, WaitRule
+from lentilpath_core.placement._messages import Decision, StopTask, WaitRule
 from lentilpath_core.resources import NO_RESOURCES, Resources
 from lentilpath_core.states import WorkerState
 from lentilpath_core.workloads import JobSpec, PriorityClass
@@ -257,6 +257,8 @@
     """Room of tasks, other than urgent ones, that policy does not let lentilpath stop."""
     aging: list[tuple[Instant, JobId]] = field(default_factory=list)
     """A heap of jobs and when they move to the tier above their class."""
+    stops: list[tuple[Instant, int, StopTask]] = field(default_factory=list)
+    """A heap of stops and when to ask for them again."""
     undated: dict[JobId, Job] = field(default_factory=dict)
     """Jobs with a bound on the age of their input that were tried without a wall time."""
     total: Resources = NO_RESOURCES
--- a/tests/cover/test_placement_evidence.py
+++ b/tests/cover/test_placement_evidence.py
@@ -158,3 +158,15 @@
     state = zone.state
     assert len(state.ordinals) == 3
     assert (len(state.workers), sum(state.capacities.values()), len(state.plain_index)) == (2, 2, 2)
+
+
+def test_asks_again_for_a_stop_that_had_no_effect():
+    zone = Zone(workers=4, cores=4)
+    zone.submit(make_spec("web", tasks=2, kind=WorkloadKind.SERVICE))
+    zone.starts()
+    drain(zone, zone.running["web/0"].worker)
+    (stop,) = zone.stops()
+    zone.pass_time(29_000)
+    assert zone.stops() == []
+    zone.pass_time(1_000)
+    assert zone.stops() == [stop]
