--- a/benches/measure/knobs.py
+++ b/benches/measure/knobs.py
@@ -15,6 +15,7 @@
     _evidence,
     _headroom,
     _preemption,
+    _quotas,
     _reservations,
     _rooms,
 )
@@ -51,7 +52,7 @@
     Knob("making room by checkpoint or stop", _preemption, "WORKERS_COMPARED", 0, "day"),
     Knob("waiting for room that is free soon", _preemption, "PATIENCE_MS", -NEVER, "storm"),
     Knob("reservations", _reservations, "MAX_RESERVATIONS", 0, "day"),
-    Knob("lending a guarantee to short runs", _engine, "LENDABLE_RUN_MS", 0, "day"),
+    Knob("lending a guarantee to short runs", _quotas, "LENDABLE_RUN_MS", 0, "day"),
     Knob("reclaim of a guarantee", _engine, "RECLAIM_AFTER_MS", NEVER, "day"),
     Knob("review of groups in turn", _engine, "REVIEWS_PER_DECISION", 0, "day"),
     Knob("quarantine", _evidence, "QUARANTINE_FAILURES", NEVER, "bad-workers"),
--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_starts.py
@@ -0,0 +1,173 @@
+"""Starting tasks: where each goes, and the fulfilment of reservations."""
+
+from __future__ import annotations
+
+from lentilpath_core.ids import Instant, TaskId, WallTime, WorkerId
+from lentilpath_core.placement._events import make_held
+from lentilpath_core.placement._evidence import is_probe_for_workers, start_worker_probe
+from lentilpath_core.placement._feasibility import count_tasks_in
+from lentilpath_core.placement._learning import estimate_run_ms
+from lentilpath_core.placement._messages import Decision, StartTask
+from lentilpath_core.placement._permissions import is_allowed_to_start
+from lentilpath_core.placement._queues import enqueue_job, find_needed, take_waiting
+from lentilpath_core.placement._records import Job, PlacementState, Reservation, Worker
+from lentilpath_core.placement._reservations import is_overdue
+from lentilpath_core.placement._rooms import (
+    drop_reservation,
+    find_backfill_worker,
+    find_worker,
+    hold_room,
+    is_reservation_satisfied,
+)
+from lentilpath_core.resources import Resources
+from lentilpath_core.workloads import PriorityClass, WorkloadKind
+
+
+def place_tasks(
+    state: PlacementState,
+    job: Job,
+    needed: Resources,
+    count: int,
+    now: Instant,
+    decisions: list[Decision],
+) -> bool:
+    """Start the next task of the job, or all `count` of a gang; returns whether there was room."""
+    if job.spec.kind is WorkloadKind.GANG:
+        return _place_gang(state, job, needed, count, now, decisions)
+    task = next(iter(job.waiting))
+    candidates = job.group.shape.candidates if job.group is not None else None
+    worker = _find_place(state, job, needed, job.avoided.get(task), candidates, now)
+    if worker is None:
+        return False
+    _start(state, job, task, worker, _describe_place(worker, needed), now, decisions)
+    return True
+
+
+def _find_place(
+    state: PlacementState,
+    job: Job,
+    needed: Resources,
+    avoided: set[WorkerId] | None,
+    candidates: dict[WorkerId, Worker] | None,
+    now: Instant,
+) -> Worker | None:
+    if state.probing_workers and is_probe_for_workers(job):
+        for probed in state.probing_workers.values():
+            if needed.fits_in(probed.open):
+                return probed
+    worker = find_worker(state, job, needed, avoided, candidates)
+    if worker is None and avoided:
+        worker = find_worker(state, job, needed, None, candidates)
+    if worker is None and state.reservations and job.spec.kind is not WorkloadKind.SERVICE:
+        ends_at = Instant(now + estimate_run_ms(job))
+        if job.spec.policy.priority is PriorityClass.URGENT:
+            ends_at = now
+        worker = find_backfill_worker(state, needed, ends_at, avoided)
+    return worker
+
+
+def _describe_place(worker: Worker, needed: Resources) -> str:
+    left = worker.open - needed
+    return (
+        f"placed on {worker.worker}: tightest room, "
+        f"{left.millicores} millicores and {left.memory_mib} MiB left"
+    )
+
+
+def _place_gang(
+    state: PlacementState,
+    job: Job,
+    needed: Resources,
+    count: int,
+    now: Instant,
+    decisions: list[Decision],
+) -> bool:
+    if not needed.multiply(count).fits_in(state.total - state.used):
+        return False
+    places = _find_gang_places(state, job, needed, count)
+    if places is None:
+        return False
+    tasks = tuple(job.waiting)[:count]
+    for task, worker in zip(tasks, places, strict=True):
+        reason = f"placed on {worker.worker}: all {count} tasks start together"
+        _start(state, job, task, worker, reason, now, decisions)
+    return True
+
+
+def _find_gang_places(
+    state: PlacementState, job: Job, needed: Resources, count: int
+) -> list[Worker] | None:
+    places: list[Worker] = []
+    for index in (state.plain_index, state.accelerated_index):
+        if needed.accelerators and index is state.plain_index:
+            continue
+        for open_millicores, ordinal in reversed(index):
+            if open_millicores < needed.millicores:
+                break
+            worker = state.workers[state.ordinals[ordinal]]
+            fitting = count_tasks_in(needed, worker.open)
+            places.extend([worker] * min(fitting, count - len(places)))
+            if len(places) == count:
+                return places
+    return None
+
+
+def _start(
+    state: PlacementState,
+    job: Job,
+    task: TaskId,
+    worker: Worker,
+    reason: str,
+    now: Instant,
+    decisions: list[Decision],
+) -> None:
+    attempt = take_waiting(state, job, task)
+    held = make_held(job, task, attempt, worker.worker, now, reason)
+    held.decided_in = state.decision_calls
+    if worker.probe_due:
+        start_worker_probe(state, worker, held)
+    if job.workload.held_until is not None:
+        job.workload.probe = task
+        job.workload.trial = None
+        job.workload.held_jobs[job.spec.job] = job
+    hold_room(state, held)
+    decisions.append(StartTask(task, attempt, worker.worker, reason, held.room))
+
+
+def fulfil_reservations(
+    state: PlacementState, now: Instant, wall_now: WallTime | None, decisions: list[Decision]
+) -> None:
+    """Start the tasks whose reserved room is free; plan late reservations anew."""
+    touched, state.touched = state.touched, {}
+    for order in sorted(touched):
+        reservation = state.reservations.get(order)
+        if reservation is not None and is_reservation_satisfied(state, reservation):
+            _fulfil(state, reservation, now, wall_now, decisions)
+    for reservation in tuple(state.reservations.values()):
+        if is_overdue(reservation, now):
+            drop_reservation(state, reservation)
+            enqueue_job(state, reservation.job)
+
+
+def _fulfil(
+    state: PlacementState,
+    reservation: Reservation,
+    now: Instant,
+    wall_now: WallTime | None,
+    decisions: list[Decision],
+) -> None:
+    job = reservation.job
+    drop_reservation(state, reservation)
+    if not is_allowed_to_start(state, job, wall_now):
+        return
+    if not find_needed(job).fits_in(reservation.room):
+        # The workload was seen to use more since the room was reserved.
+        enqueue_job(state, job)
+        return
+    tasks = iter(tuple(job.waiting))
+    for name, count in reservation.claims.items():
+        worker = state.workers[name]
+        for task in [task for _, task in zip(range(count), tasks, strict=False)]:
+            _start(state, job, task, worker, f"placed on {name}: its reserved room", now, decisions)
+    job.blocked_since = None
+    enqueue_job(state, job)
--- a/tests/cover/test_zone_control.py
+++ b/tests/cover/test_zone_control.py
@@ -134,7 +134,7 @@
             zone.finish_sync(name)
     zone.take(TimePassed())
     assert "check" not in [command.spec.job for command in zone.commands]
-    zone.run_until_ended(max_rounds=4_000)
+    zone.run_until_ended(max_rounds=400)
     assert zone.count_runs(TaskId("check/0")) == 1
 
 
