--- a/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
@@ -7,7 +7,7 @@
 from enum import IntEnum
 
 from lentilpath_core.ids import Instant, JobId, RackId, TaskId, TeamId, WallTime, WorkerId
-from lentilpath_core.placement._messages import Decision, WaitRule
+from lentilpath_core.placement._messages import Decision, StopTask, WaitRule
 from lentilpath_core.resources import NO_RESOURCES, Resources
 from lentilpath_core.states import WorkerState
 from lentilpath_core.workloads import JobSpec, PriorityClass
@@ -23,11 +23,13 @@
 
 
 class Tier(IntEnum):
-    """The order of priority classes, after background work has aged."""
+    """The order of priority classes, and of what has waited long in them."""
 
     URGENT = 0
-    NORMAL = 1
-    BACKGROUND = 2
+    PRESSING = 1
+    """Normal work that has waited for half of the time that its deadline leaves."""
+    NORMAL = 2
+    BACKGROUND = 3
 
 
 ShapeKey = tuple[int, int, int, int, int]
@@ -47,6 +49,8 @@
     expected_end: Instant | None
     """`None` for a service."""
     reason: str
+    decided_in: int = 0
+    """The call for decisions that started it; it is not stopped by the same call."""
     seen_running: bool = False
     stopping: bool = False
     throttled: bool = False
@@ -184,8 +188,10 @@
     on_worker: dict[WorkerId, int] = field(default_factory=dict)
     on_rack: dict[RackId, int] = field(default_factory=dict)
     group: Group | None = None
+    ages: bool = False
+    """Whether it was noted when the job moves up."""
     aged: bool = False
-    """Whether a background job has waited so long that it counts as normal."""
+    """Whether the job has waited so long that it belongs to the tier above its class."""
     reservations: list[Reservation] = field(default_factory=list)
     blocked_since: Instant | None = None
     rule: WaitRule = WaitRule.NO_ROOM
@@ -203,8 +209,8 @@
     teams: dict[TeamId, Team] = field(default_factory=dict)
     workloads: dict[str, Workload] = field(default_factory=dict)
     placed: dict[TaskId, HeldRoom] = field(default_factory=dict)
-    held_elsewhere: dict[WorkerId, Resources] = field(default_factory=dict)
-    """Room of tasks on workers that were not offered yet."""
+    held_elsewhere: dict[WorkerId, dict[TaskId, HeldRoom]] = field(default_factory=dict)
+    """Attempts on workers that were not offered yet, or were removed."""
     shapes: dict[ShapeKey, Shape] = field(default_factory=dict)
     open_shapes: dict[ShapeKey, Shape] = field(default_factory=dict)
     """Shapes that may find room."""
@@ -220,6 +226,8 @@
     """Open processors and ordinal of workers without accelerators, sorted."""
     accelerated_index: list[tuple[int, int]] = field(default_factory=list)
     ordinals: list[WorkerId] = field(default_factory=list)
+    free_ordinals: list[int] = field(default_factory=list)
+    """Places in `ordinals` of removed workers, to be used again."""
     reservations: dict[ReservationOrder, Reservation] = field(default_factory=dict)
     touched: dict[ReservationOrder, Reservation] = field(default_factory=dict)
     """Reservations whose workers changed since they were last tried."""
@@ -248,13 +256,19 @@
     firm: Resources = NO_RESOURCES
     """Room of tasks, other than urgent ones, that policy does not let lentilpath stop."""
     aging: list[tuple[Instant, JobId]] = field(default_factory=list)
-    """A heap of background jobs and when they count as normal."""
+    """A heap of jobs and when they move to the tier above their class."""
+    stops: list[tuple[Instant, int, StopTask]] = field(default_factory=list)
+    """A heap of stops and when to ask for them again."""
     undated: dict[JobId, Job] = field(default_factory=dict)
     """Jobs with a bound on the age of their input that were tried without a wall time."""
     total: Resources = NO_RESOURCES
     used: Resources = NO_RESOURCES
     unused_guarantees: Resources = NO_RESOURCES
     next_number: int = 0
+    decision_calls: int = 0
+    """How often decisions were asked for."""
+    wall_ahead_ms: int = 0
+    """Wall time less the leader's own clock, as of the last decision; 0 if unknown."""
     last_joined_at: Instant = Instant(0)
     """When a worker was offered for the first time."""
     next_retry_at: float = 0.0
