--- a/packages/lentilpath-core/src/lentilpath_core/zone/_controller.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_controller.py
@@ -5,6 +5,8 @@
 from functools import singledispatch
 
 from lentilpath_core.ids import Epoch, Instant, JournalSequence, WallTime
+from lentilpath_core.placement import QuotaSet, apply_event
+from lentilpath_core.resources import NO_RESOURCES
 from lentilpath_core.settings import WorkerLeaseSettings
 from lentilpath_core.states import AttemptOutcome
 from lentilpath_core.zone._commands import take_inbox_entry
@@ -16,6 +18,7 @@
     ControlEvent,
     InboxRead,
     JournalWrite,
+    QuotasSet,
     RenewalSending,
     SendStart,
     StartAnswered,
@@ -83,10 +86,12 @@
     state.writing = True
     state.writing_commands = state.absorbed
     state.writing_gated = state.gated
+    state.writing_jobs = state.undurable_jobs
     events = tuple(state.pending)
     state.pending = []
     state.absorbed = {}
     state.gated = []
+    state.undurable_jobs = set()
     sequence = JournalSequence(state.zone.sequence + 1)
     state.zone.sequence = sequence
     batch = JournalBatch(state.zone.zone, sequence, state.epoch, writer, events)
@@ -172,6 +177,7 @@
     state.writing = False
     state.writing_commands = {}
     state.writing_gated = []
+    state.writing_jobs = set()
     effects: list[ControlEffect] = []
     for effect in gated:
         if isinstance(effect, ConfirmWorker):
@@ -192,6 +198,19 @@
     return []
 
 
+@_decide.register
+def _(
+    event: QuotasSet, state: ControllerState, now: Instant, wall: WallTime
+) -> list[ControlEffect]:
+    named = {quota.team for quota in event.quotas}
+    for team in sorted(state.guaranteed_teams - named):
+        apply_event(state.placement, QuotaSet(team, NO_RESOURCES), now)
+    for quota in event.quotas:
+        apply_event(state.placement, quota, now)
+    state.guaranteed_teams = named
+    return []
+
+
 @_decide.register
 def _(
     event: TimePassed, state: ControllerState, now: Instant, wall: WallTime
--- a/packages/lentilpathd/src/lentilpathd/_daemon.py
+++ b/packages/lentilpathd/src/lentilpathd/_daemon.py
@@ -6,14 +6,16 @@
 import signal
 import uuid
 
-from lentilpath_core.ids import Incarnation
+from lentilpath_core.configuration import make_request_policy
+from lentilpath_core.ids import CustomerId, Incarnation, ServiceId
+from lentilpath_core.requests.policy import RequestPolicy
 from lentilpath_core.settings import HostSettings
 from lentilpathd._adapters.platform import create_platform
 from lentilpathd._context import DaemonContext
 from lentilpathd._directory import Directory
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._leadership import create_leadership
-from lentilpathd._operators import create_operators
+from lentilpathd._operators import create_configuration, create_operators
 from lentilpathd._peers import PeerBus
 from lentilpathd._requests import create_requests
 from lentilpathd._supervisor import Part, supervise_parts
@@ -65,9 +67,19 @@
         )
         self.platform = platform
         self.leadership = create_leadership(self.context)
-        self.zone = create_zone_service(self.context, self.leadership)
-        self.requests = create_requests(self.context, self.leadership)
-        self.operators = create_operators(self.context, self.leadership, self.zone)
+        self.configuration = create_configuration(self.context)
+        self.zone = create_zone_service(self.context, self.leadership, self.configuration)
+        self.requests = create_requests(
+            self.context, self.leadership, find_policy=self._find_request_policy
+        )
+        self.operators = create_operators(
+            self.context, self.leadership, self.zone, self.configuration
+        )
+
+    def _find_request_policy(
+        self, service: ServiceId, customer: CustomerId | None
+    ) -> RequestPolicy:
+        return make_request_policy(self.configuration.get_current(), service, customer)
 
     async def run(self) -> None:
         """Run all parts until cancelled; raises `PartGivenUp` in an exception group."""
