--- a/packages/lentilpathd/src/lentilpathd/_requests/loans.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/loans.py
@@ -34,6 +34,8 @@
 MS_PER_SECOND = 1_000
 SILENT_PEER_MS = 2_000
 """How long a host that did not answer is not asked for new slots."""
+DECLINED_MS = 1_000
+"""How long a host that had none to lend is not asked for new slots."""
 
 
 class LoanRequests(msgspec.Struct, frozen=True):
@@ -161,12 +163,24 @@
                 replies = answer.replies
         except LentilpathError:
             self._silent_until[home] = Instant(read_instant() + SILENT_PEER_MS)
+        else:
+            self._note_declined(home, wishes, replies)
         for wish, request, reply in zip(wishes, requests, replies, strict=True):
             end_loan_request(wish.share, request, reply, asked_at)
             self._metrics.count(Metric.SLOTS_BORROWED, reply.slots if reply else 0)
         for service in self._roster.services.values():
             service.pump()
 
+    def _note_declined(
+        self, home: HostId, wishes: list[_Wish], replies: tuple[LoanReply | None, ...]
+    ) -> None:
+        # In overload nobody has slots to lend, and asking on and on would be paid by volume.
+        wanted = sum(wish.wanted for wish in wishes)
+        held = sum(wish.share.in_use for wish in wishes)
+        granted = sum(reply.slots for reply in replies if reply is not None)
+        if wanted > held >= granted:
+            self._silent_until[home] = Instant(read_instant() + DECLINED_MS)
+
     async def _answer_peer(self, request: PeerRequest) -> LoanReplies:
         asked = msgspec.convert(request.body, LoanRequests)
         now = read_instant()
--- a/tests/cover/test_requests_shares.py
+++ b/tests/cover/test_requests_shares.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from collections import Counter
+from dataclasses import replace
 from typing import Any
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from lentilpath_core.ids import HostId, Incarnation, Instant, UpstreamId
+from lentilpath_core.requests.policy import RegionPolicy
 from lentilpath_core.requests.shares import (
     BorrowedShare,
     HomeLedger,
@@ -17,7 +19,7 @@
     end_loan_request,
     lend_slots,
 )
-from tests.common.requests import open_cell, wait_until
+from tests.common.requests import TEST_POLICY, open_cell, wait_until
 
 LEASE_MS = 100
 MAX_RUN_MS = 300
@@ -167,6 +169,24 @@
     asyncio.run(scenario())
 
 
+def test_another_region_helps_only_if_policy_allows_it_and_the_wait_is_long():
+    async def scenario(policy):
+        hosts = {"a-1": ("a", "r1"), "b-1": ("b", "r2")}
+        async with open_cell(runners=1, hosts=hosts, region="r1", policy=policy) as cell:
+            await cell.add_runner("far", zone="b", region="r2", service_ms=100.0)
+            cell.runners["runner-0"].service_ms = 100.0
+            calls = [cell.call("a-1", x_deadline_ms="5000") for _ in range(60)]
+            assert {r.status for r in await asyncio.gather(*calls)} == {200}
+            assert cell.count_excess() == 0
+            return len(cell.runners["far"].log)
+
+    assert asyncio.run(scenario(TEST_POLICY)) > 0
+    own = replace(TEST_POLICY, region_policy=RegionPolicy.OWN_REGION)
+    assert asyncio.run(scenario(own)) == 0
+    patient = replace(TEST_POLICY, cross_region_wait_ms=4_000)
+    assert asyncio.run(scenario(patient)) == 0
+
+
 def test_nothing_is_exceeded_when_a_host_dies_with_a_loan_in_use():
     async def scenario():
         hosts = {"a-1": "a", "a-2": "a"}
