Keep the whole planned stop of the request path within its grace

Each of its waits had the whole remaining time to itself, so together they could take several times the grace.

--- a/packages/lentilpathd/src/lentilpathd/_requests/part.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/part.py
@@ -106,14 +106,13 @@
     async def drain(self, grace_seconds: float) -> None:
         """Finish all requests for at most `grace_seconds` and take no new connections."""
         log_event(Event.REQUESTS_DRAINING)
-        deadline = read_instant() + grace_seconds * MS_PER_SECOND
+        deadline = Instant(read_instant() + int(grace_seconds * MS_PER_SECOND))
         if self._server is not None:
             await self._server.close(grace_seconds)
-        remaining_ms = max(0, deadline - read_instant())
-        await self._deferred.stop(remaining_ms / MS_PER_SECOND)
-        await self._keys.wait_until_idle(remaining_ms / MS_PER_SECOND)
+        await self._deferred.stop(_compute_remaining_seconds(deadline))
+        await self._keys.wait_until_idle(_compute_remaining_seconds(deadline))
         for service in self.roster.services.values():
-            await service.wait_until_idle(remaining_ms / MS_PER_SECOND)
+            await service.wait_until_idle(_compute_remaining_seconds(deadline))
         await self._loans.give_back()
         log_event(Event.REQUESTS_DRAINED, left=self._count_sendings())
 
@@ -204,6 +203,10 @@
     return Requests(context, leadership, whole, find_policy or (lambda service, customer: whole))
 
 
+def _compute_remaining_seconds(deadline: Instant) -> float:
+    return max(0, deadline - read_instant()) / MS_PER_SECOND
+
+
 def _create_tls_context(settings: TlsSettings | None) -> ssl.SSLContext | None:
     if settings is None:
         return None
