--- a/packages/lentilpathd/src/lentilpathd/_requests/part.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/part.py
@@ -82,6 +82,8 @@
     async def run(self) -> None:
         """Serve callers until cancelled."""
         settings = self._context.settings
+        for service in self.roster.services.values():
+            service.resume()
         self.roster.refresh()
         self._server = await serve_http(
             self._answer_caller,
@@ -99,7 +101,8 @@
                 group.create_task(self._tick())
         finally:
             self._abort()
-            await self._server.close(0.0)
+            server, self._server = self._server, None
+            await server.close(0.0)
             for runner in self.roster.list_runners():
                 runner.close()
 
--- a/packages/lentilpathd/src/lentilpathd/_requests/service.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/service.py
@@ -121,6 +121,10 @@
         if self._sendings:
             await asyncio.wait(tuple(self._sendings), timeout=timeout)
 
+    def resume(self) -> None:
+        """Begin sendings again after `abort`."""
+        self._aborted = False
+
     def abort(self) -> None:
         """Give up all sendings under way and begin no more; part of the end of the process."""
         self._aborted = True
--- a/tests/cover/test_requests_path.py
+++ b/tests/cover/test_requests_path.py
@@ -92,6 +92,22 @@
     asyncio.run(scenario())
 
 
+def test_a_part_that_failed_and_is_run_again_serves_callers():
+    async def scenario():
+        async with open_cell() as cell:
+            part = cell.hosts["host-1"]
+            await cell.call("host-1")
+            run = cell.tasks["host-1"][0]
+            run.cancel()
+            await asyncio.gather(run, return_exceptions=True)
+            assert not part.is_listening()
+            cell.tasks["host-1"][0] = asyncio.create_task(part.run())
+            await wait_until(part.is_listening)
+            assert (await cell.call("host-1")).status == 200
+
+    asyncio.run(scenario())
+
+
 def test_a_non_idempotent_request_is_never_sent_twice():
     async def scenario():
         async with open_cell(runners=2) as cell:
