--- a/packages/lentilpathd/src/lentilpathd/_requests/part.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/part.py
@@ -5,6 +5,7 @@
 import asyncio
 import ssl
 import uuid
+from collections.abc import Callable
 
 from lentilpath_core.ids import Instant, RequestId, ServiceId
 from lentilpath_core.requests.messages import (
@@ -43,6 +44,9 @@
 UNKNOWN_SERVICE_RETRY_MS = 1_000
 MS_PER_SECOND = 1_000
 
+RequestObserver = Callable[[ServiceId, bool, int, str], None]
+"""Takes the service, whether the request was answered, its time in ms, and why it was not."""
+
 
 class Requests:
     """Serves callers on `settings.callers`."""
@@ -53,8 +57,10 @@
         leadership: Leadership,
         policy: RequestPolicy,
         find_policy: PolicySource,
+        observe: RequestObserver,
     ) -> None:
         self._context = context
+        self._observe = observe
         self._policy = policy
         self._find_policy = find_policy
         self._metrics = create_metrics(context.settings.statsd)
@@ -178,7 +184,15 @@
         return write_answer(request_id, await self._send(request))
 
     async def _send(self, request: CallerRequest) -> ServiceAnswer:
-        return await self._find_service(request).handle(request)
+        started = read_instant()
+        try:
+            answer = await self._find_service(request).handle(request)
+        except RequestFailed as failure:
+            waited_ms = read_instant() - started
+            self._observe(request.service, False, waited_ms, failure.reason.code)
+            raise
+        self._observe(request.service, True, read_instant() - started, "")
+        return answer
 
     def _find_service(self, request: CallerRequest) -> Service:
         service = self.roster.services.get(request.service)
@@ -196,14 +210,21 @@
     leadership: Leadership,
     policy: RequestPolicy | None = None,
     find_policy: PolicySource | None = None,
+    observe: RequestObserver | None = None,
 ) -> Requests:
     """Return the part that serves callers' requests.
 
     `policy` holds for the whole process. `find_policy` gives the limits of one service and
-    customer as the configuration has them now; without it they are those of `policy`.
+    customer as the configuration has them now; without it they are those of `policy`. `observe`
+    hears how each request ended.
     """
     whole = policy or RequestPolicy()
-    return Requests(context, leadership, whole, find_policy or (lambda service, customer: whole))
+    find = find_policy or (lambda service, customer: whole)
+    return Requests(context, leadership, whole, find, observe or _ignore)
+
+
+def _ignore(service: ServiceId, answered: bool, ms: int, cause: str) -> None:
+    return
 
 
 def _compute_remaining_seconds(deadline: Instant) -> float:
