Raise cancellations again that a task group or pynng swallowed

Cause: a task group whose member fails in the moment of its cancellation raises the failure and drops the cancellation, so the zone's loop and a supervised part started again and the daemon never ended (stack of a hanging daemon: only supervise_part and ZoneService.run were left, both 'cancelling').

--- a/packages/lentilpathd/src/lentilpathd/_peers.py
+++ b/packages/lentilpathd/src/lentilpathd/_peers.py
@@ -14,6 +14,7 @@
 from lentilpath_core.ids import HostId, Incarnation, ZoneId
 from lentilpath_core.peers import PROTOCOL_VERSION, PeerReply, PeerRequest
 from lentilpath_core.settings import Address, PeerSettings
+from lentilpathd._cancellation import raise_swallowed_cancellation
 from lentilpathd._events import Event, log_event, log_warning_event
 
 T = TypeVar("T")
@@ -90,7 +91,7 @@
             # The socket may be closed already, by this request or by another one to this peer.
             with contextlib.suppress(pynng.Closed):
                 context.close()
-        _raise_swallowed_cancellation()
+        raise_swallowed_cancellation()
         self.bytes_received += len(received)
         reply = msgspec.msgpack.decode(received, type=PeerReply)
         if reply.code != "ok":
@@ -118,12 +119,12 @@
         try:
             while True:
                 data = await context.arecv()
-                _raise_swallowed_cancellation()
+                raise_swallowed_cancellation()
                 self.bytes_received += len(data)
                 reply = msgspec.msgpack.encode(await self._answer(data))
                 self.bytes_sent += len(reply)
                 await context.asend(reply)
-                _raise_swallowed_cancellation()
+                raise_swallowed_cancellation()
         finally:
             context.close()
 
@@ -168,10 +169,3 @@
         socket = self._sockets.pop(host, None)
         if socket is not None:
             socket.close()
-
-
-def _raise_swallowed_cancellation() -> None:
-    # pynng drops a cancellation that meets the end of its operation; the task would never end.
-    task = asyncio.current_task()
-    if task is not None and task.cancelling():
-        raise asyncio.CancelledError
--- a/packages/lentilpathd/src/lentilpathd/_supervisor.py
+++ b/packages/lentilpathd/src/lentilpathd/_supervisor.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from lentilpath_core.errors import LentilpathError
+from lentilpathd._cancellation import raise_swallowed_cancellation
 from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_warning_event
 
@@ -47,6 +48,7 @@
             await part.run()
             return
         except Exception as error:
+            raise_swallowed_cancellation()
             if read_instant() - started > STABLE_AFTER_MS:
                 restarts = 0
             restarts += 1
--- a/packages/lentilpathd/src/lentilpathd/_zone/_service.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_service.py
@@ -12,6 +12,7 @@
 from lentilpath_core.zone.journal import CommandAnswered
 from lentilpath_core.zone.state import ZoneState
 from lentilpathd._authority import Authority, Leadership
+from lentilpathd._cancellation import raise_swallowed_cancellation
 from lentilpathd._clock import read_instant
 from lentilpathd._context import DaemonContext
 from lentilpathd._events import Event, log_event, log_warning_event
@@ -60,6 +61,7 @@
             authority = self._leadership.get_authority()
             if authority is not None and authority.until > read_instant() and not self._stopped:
                 await self._lead(authority)
+                raise_swallowed_cancellation()
             await asyncio.sleep(LOOK_SECONDS)
 
     async def drain(self) -> None:
--- a/tests/cover/test_peer_cancellation.py
+++ b/tests/cover/test_peer_cancellation.py
@@ -5,12 +5,14 @@
 import msgspec
 import pytest
 
-from lentilpath_core.ids import HostId, Incarnation, ZoneId
+from lentilpath_core.ids import HostId, Incarnation, RegionId, ZoneId
 from lentilpath_core.peers import PROTOCOL_VERSION, PeerReply
 from lentilpath_core.settings import Address, PeerSettings
 from lentilpathd._peers import PeerBus
+from lentilpathd._supervisor import Part, supervise_part
 
 LIMIT_SECONDS = 5.0
+PEER = PeerSettings(HostId("b"), RegionId("r"), ZoneId("z"), Address("127.0.0.1", 1))
 
 
 class SwallowingSocket:
@@ -29,7 +31,9 @@
         except asyncio.CancelledError:
             if self.received > 1:
                 raise
-        return msgspec.msgpack.encode(PeerReply(PROTOCOL_VERSION, "b", "b.1", "ok", None))
+        return msgspec.msgpack.encode(
+            PeerReply(PROTOCOL_VERSION, PEER.host, Incarnation("b.1"), "ok", None)
+        )
 
     async def asend(self, data):
         pass
@@ -40,7 +44,8 @@
 
 async def cancel(coroutine):
     task = asyncio.create_task(coroutine)
-    await asyncio.sleep(0)
+    for _ in range(3):
+        await asyncio.sleep(0)
     task.cancel()
     done, _ = await asyncio.wait((task,), timeout=LIMIT_SECONDS)
     task.cancel()
@@ -48,6 +53,25 @@
     assert task.cancelled()
 
 
+class FailsOnce:
+    """A part whose member fails in the moment of its first cancellation."""
+
+    def __init__(self):
+        self.runs = 0
+
+    async def run(self):
+        self.runs += 1
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._wait())
+
+    async def _wait(self):
+        try:
+            await asyncio.Event().wait()
+        finally:
+            if self.runs == 1:
+                raise ValueError("fails with its cancellation")
+
+
 def make_bus():
     return PeerBus(HostId("a"), Incarnation("a.1"), ZoneId("z"))
 
@@ -64,7 +88,7 @@
 
 def test_an_answer_that_arrives_with_its_time_limit_is_taken():
     bus = make_bus()
-    bus.set_peers((PeerSettings(HostId("b"), "r", ZoneId("z"), Address("127.0.0.1", 1)),))
+    bus.set_peers((PEER,))
     bus._sockets[HostId("b")] = SwallowingSocket()
     assert asyncio.run(bus.ask(HostId("b"), "topic", None, type(None), 0.01)) is None
 
@@ -76,3 +100,7 @@
     bus._sockets[HostId("b")] = silent
     with pytest.raises(Exception, match="did not answer"):
         asyncio.run(bus.ask(HostId("b"), "topic", None, type(None), 0.01))
+
+
+def test_a_part_whose_member_fails_with_the_cancellation_is_not_started_again():
+    asyncio.run(cancel(supervise_part(Part("part", FailsOnce().run))))
