--- a/packages/lentilpath-core/src/lentilpath_core/requests/admission.py
+++ b/packages/lentilpath-core/src/lentilpath_core/requests/admission.py
@@ -15,6 +15,8 @@
 from lentilpath_core.requests.policy import RequestPolicy
 
 MS_PER_SECOND = 1_000
+MAX_KNOWN_CUSTOMERS = 10_000
+"""Names of customers come from callers, so what is kept of them is bounded."""
 RUN_TIME_WEIGHT = 0.1
 """Weight of the newest run time in the moving average."""
 FIRST_RUN_MS = 20.0
@@ -42,6 +44,8 @@
     customers: dict[CustomerId, CustomerUsage] = field(default_factory=dict)
     run_ms: float = FIRST_RUN_MS
     """Moving average of run times."""
+    urgent_at: Instant | None = None
+    """When the last urgent request came."""
 
     def count_waiting(self) -> int:
         """Return the number of waiting requests."""
@@ -99,6 +103,8 @@
             f"{max(0.0, limit_ms):.0f} ms",
             max(1, int(wait_ms)),
         )
+    if request.priority is Priority.URGENT:
+        queue.urgent_at = now
     displaced = _make_room(queue, request, policy)
     line = queue.urgent if request.priority is Priority.URGENT else queue.normal
     line.append(request)
@@ -157,6 +163,18 @@
     return tuple(expired)
 
 
+def count_reserved_slots(
+    queue: ServiceQueue, slots: int, policy: RequestPolicy, now: Instant
+) -> int:
+    """Return how many of `slots` are kept free of normal requests at `now`.
+
+    In overload each freed slot is taken at once, so an urgent request would wait for the next one.
+    """
+    if queue.urgent_at is None or now - queue.urgent_at > policy.urgent_reserve_ms:
+        return 0
+    return int(slots * policy.urgent_reserve_fraction)
+
+
 def record_run_time(queue: ServiceQueue, run_ms: float) -> None:
     """Take the run time of an answered request into the average."""
     queue.run_ms += (run_ms - queue.run_ms) * RUN_TIME_WEIGHT
@@ -195,11 +213,28 @@
     return tuple(displaced)
 
 
+def _forget_idle_customers(queue: ServiceQueue, policy: RequestPolicy, now: Instant) -> None:
+    """Make room for a customer: one whose bucket is full again needs no memory."""
+    if len(queue.customers) < MAX_KNOWN_CUSTOMERS:
+        return
+    full_after_ms = policy.customer_burst / policy.customer_requests_per_second * MS_PER_SECOND
+    for customer, usage in tuple(queue.customers.items()):
+        if usage.in_flight == 0 and now - usage.refilled_at >= full_after_ms:
+            del queue.customers[customer]
+    if len(queue.customers) >= MAX_KNOWN_CUSTOMERS:
+        raise RequestFailed(
+            FailureReason.LIMIT_REACHED,
+            f"{MAX_KNOWN_CUSTOMERS} customers are known here; come back later",
+            max(1, int(full_after_ms)),
+        )
+
+
 def _refill_tokens(
     queue: ServiceQueue, customer: CustomerId, policy: RequestPolicy, now: Instant
 ) -> CustomerUsage:
     usage = queue.customers.get(customer)
     if usage is None:
+        _forget_idle_customers(queue, policy, now)
         usage = CustomerUsage(policy.customer_burst, now)
         queue.customers[customer] = usage
     seconds = (now - usage.refilled_at) / MS_PER_SECOND
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_decisions.py
@@ -4,7 +4,7 @@
 
 from functools import singledispatch
 
-from lentilpath_core.ids import Instant, TaskId, WallTime, WorkerId, get_job_of_task
+from lentilpath_core.ids import Instant, JobId, TaskId, WallTime, WorkerId, get_job_of_task
 from lentilpath_core.placement import (
     RefuseJob,
     StartTask,
@@ -26,7 +26,7 @@
 def place_tasks(state: ControllerState, now: Instant, wall: WallTime) -> list[ControlEffect]:
     """Ask the placement what to start and stop now, and record it."""
     effects: list[ControlEffect] = []
-    for decision in decide_placements(state.placement, now, MAX_DECISIONS_PER_STEP):
+    for decision in decide_placements(state.placement, now, MAX_DECISIONS_PER_STEP, wall):
         effects.extend(_take_decision(decision, state, now, wall))
     return effects
 
@@ -66,17 +66,28 @@
     record_event(state, event)
     state.workers[decision.worker].unsettled[(task, decision.attempt)] = NEVER
     start = SendStart(decision.worker, task, decision.attempt)
-    if may_start_unrecorded(state.zone.jobs[get_job_of_task(task)]):
+    if _may_leave_at_once(state, get_job_of_task(task)):
         return [start]
     state.gated.append(start)
     return []
 
 
+def _may_leave_at_once(state: ControllerState, job: JobId) -> bool:
+    # While the job's acceptance is not durable, its command is still in the inbox, and the next
+    # leader would take it for a job of which nothing can have started.
+    if job in state.undurable_jobs or job in state.writing_jobs:
+        return False
+    return may_start_unrecorded(state.zone.jobs[job])
+
+
 @_take_decision.register
 def _(
     decision: StopTask, state: ControllerState, now: Instant, wall: WallTime
 ) -> list[ControlEffect]:
-    return [SendStop(decision.worker, decision.task, decision.attempt, decision.mode)]
+    stop = SendStop(
+        decision.worker, decision.task, decision.attempt, decision.mode, decision.millicores
+    )
+    return [stop]
 
 
 @_take_decision.register
--- a/packages/lentilpath-standins/src/lentilpath_standins/runner.py
+++ b/packages/lentilpath-standins/src/lentilpath_standins/runner.py
@@ -16,6 +16,8 @@
 import asyncio
 import hashlib
 import json
+import random
+import signal
 import time
 from dataclasses import dataclass, field
 from typing import Any
@@ -23,6 +25,7 @@
 import h11
 import typer
 
+STOP_POLL_SECONDS = 0.05
 READ_CHUNK_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 MS_PER_SECOND = 1_000
@@ -47,6 +50,9 @@
     slots: int
     connections: int
     service_ms: float
+    jitter: float = 0.0
+    """Run times are spread evenly by this part of `service_ms` to both sides."""
+    chance: random.Random = field(default_factory=lambda: random.Random(0))
     down: bool = False
     slow_factor: float = 1.0
     delay_ms: float = 0.0
@@ -174,8 +180,10 @@
                 "ended": None,
             }
         )
+        spread = 1.0 + state.jitter * state.chance.uniform(-1.0, 1.0)
+        run_ms = state.service_ms * state.slow_factor * spread
         try:
-            await asyncio.sleep(state.service_ms * state.slow_factor / MS_PER_SECOND)
+            await asyncio.sleep(run_ms / MS_PER_SECOND)
         finally:
             state.running -= 1
             state.log[number]["ended"] = time.time()
@@ -187,6 +195,7 @@
             "method": method,
             "target": target,
             "number": number,
+            "run_ms": run_ms,
             "body": body.decode("latin-1"),
         }
         state.answered += 1
@@ -284,12 +293,20 @@
     connections: int = 64,
     service_ms: float = 20.0,
 ) -> None:
-    """Run one runner until it is killed."""
+    """Run one runner until SIGTERM; a stop cuts off no request that it has begun."""
     state = RunnerState(name, service, slots, connections, service_ms)
 
     async def serve() -> None:
+        terminated = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, terminated.set)
         server = await start_runner(state, address, port)
-        await server.serve_forever()
+        await terminated.wait()
+        server.close()
+        # Polled, since only the stop ever asks for it.
+        while state.running:  # noqa: ASYNC110
+            await asyncio.sleep(STOP_POLL_SECONDS)
 
     asyncio.run(serve())
 
--- a/packages/lentilpathd/src/lentilpathd/_requests/service.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/service.py
@@ -7,10 +7,11 @@
 from dataclasses import dataclass
 
 from lentilpath_core.errors import OutcomeUnknown
-from lentilpath_core.ids import Instant, RequestId, ServiceId, UpstreamId
+from lentilpath_core.ids import CustomerId, Instant, RequestId, ServiceId, UpstreamId
 from lentilpath_core.requests.admission import (
     ServiceQueue,
     admit_request,
+    count_reserved_slots,
     enqueue_request,
     estimate_wait,
     peek_next_request,
@@ -23,6 +24,7 @@
     CallerRequest,
     FailureReason,
     Outcome,
+    Priority,
     RequestFailed,
     ServiceAnswer,
 )
@@ -57,13 +59,17 @@
     message: str
 
 
+PolicySource = Callable[[ServiceId, CustomerId | None], RequestPolicy]
+"""Returns the policy of a service as it is now, with the limits of a customer if one is named."""
+
+
 class Service:
     """Sends the requests of one service to its runners."""
 
     def __init__(
         self,
         service: ServiceId,
-        policy: RequestPolicy,
+        find_policy: PolicySource,
         metrics: Metrics,
         on_waiting: Callable[[], None],
     ) -> None:
@@ -72,21 +78,26 @@
         self.queue = ServiceQueue()
         self.bytes_by_distance = dict.fromkeys(Distance, 0)
         """Bytes exchanged with runners, by how far they are."""
-        self._policy = policy
+        self._find_policy = find_policy
         self._metrics = metrics
         self._on_waiting = on_waiting
-        self._budget = create_retry_budget(policy)
+        self._budget = create_retry_budget(self._policy)
         self._waiters: dict[RequestId, asyncio.Future[SlotHold]] = {}
         self._aborted = False
         self._sendings: set[asyncio.Task[_Attempt]] = set()
 
+    @property
+    def _policy(self) -> RequestPolicy:
+        return self._find_policy(self.service, None)
+
     async def handle(self, request: CallerRequest) -> ServiceAnswer:
         """Return the whole answer to `request`; raises `RequestFailed`.
 
         Cancellation withdraws a request that waits. One that was sent is left to end by itself,
         since the runner goes on with it.
         """
-        admit_request(self.queue, request, self._policy, read_instant())
+        policy = self._find_policy(self.service, request.customer)
+        admit_request(self.queue, request, policy, read_instant())
         earn_retry(self._budget, self._policy)
         try:
             return await self._send_until_answered(request)
@@ -118,7 +129,8 @@
 
     def estimate_next_wait(self, now: Instant) -> float:
         """Return how many ms the last of the waiting requests will still wait."""
-        return estimate_wait(self.queue, self.queue.count_waiting(), self.count_slots(now))
+        waiting = self.queue.count_waiting()
+        return estimate_wait(self.queue, waiting, self.count_slots(now)) if waiting else 0.0
 
     def pump(self) -> None:
         """Give free slots to waiting requests."""
@@ -126,6 +138,8 @@
             return
         now = read_instant()
         while (request := peek_next_request(self.queue)) is not None:
+            if request.priority is Priority.NORMAL and not self._has_room_for_normal(now):
+                return
             runner = self._choose_runner(request, now)
             if runner is None:
                 return
@@ -158,7 +172,8 @@
             raise RequestFailed(
                 FailureReason.NO_RUNNER, f"{self.service} has no runner", NO_RUNNER_RETRY_MS
             )
-        displaced = enqueue_request(self.queue, request, self.count_slots(now), self._policy, now)
+        slots = self.count_slots(now) if self.queue.count_waiting() else 0
+        displaced = enqueue_request(self.queue, request, slots, self._policy, now)
         for waiting in displaced:
             self._waiters.pop(waiting.request).set_exception(
                 RequestFailed(
@@ -295,16 +310,30 @@
         return tuple(runner.health for runner in self.runners.values())
 
     def _choose_runner(self, request: CallerRequest, now: Instant) -> Runner | None:
-        free = [runner for runner in self.runners.values() if runner.has_free_slot(now)]
-        if not free:
-            return None
+        # Nearer runners go first whatever their load, so farther ones are looked at only if no
+        # nearer one is free.
+        for distance in Distance:
+            if distance is Distance.OTHER_REGION and not self._may_leave_region(request, now):
+                return None
+            candidates = tuple(
+                Candidate(runner.health, runner.count_in_use(), runner.count_slots(now))
+                for runner in self.runners.values()
+                if runner.health.distance is distance and runner.has_free_slot(now)
+            )
+            chosen = choose_runner(candidates)
+            if chosen is not None:
+                return self.runners[chosen.health.runner]
+        return None
+
+    def _has_room_for_normal(self, now: Instant) -> bool:
+        if self.queue.urgent_at is None:
+            return True
+        slots = self.count_slots(now)
+        reserved = count_reserved_slots(self.queue, slots, self._policy, now)
+        in_use = sum(runner.count_in_use() for runner in self.runners.values())
+        return reserved == 0 or slots - in_use > reserved
+
+    def _may_leave_region(self, request: CallerRequest, now: Instant) -> bool:
         waited_ms = now - self.queue.queued_at.get(request.request, now)
         expected_ms = waited_ms + self.estimate_next_wait(now)
-        far_allowed = may_leave_region(self._policy, request.count_bytes(), expected_ms)
-        candidates = tuple(
-            Candidate(runner.health, runner.count_in_use(), runner.count_slots(now))
-            for runner in free
-            if far_allowed or runner.health.distance is not Distance.OTHER_REGION
-        )
-        chosen = choose_runner(candidates)
-        return None if chosen is None else self.runners[chosen.health.runner]
+        return may_leave_region(self._policy, request.count_bytes(), expected_ms)
--- a/tests/cover/test_requests_limits.py
+++ b/tests/cover/test_requests_limits.py
@@ -8,6 +8,7 @@
 
 from lentilpath_core.ids import CustomerId, Instant, RequestId, ServiceId, UpstreamId
 from lentilpath_core.requests.admission import (
+    MAX_KNOWN_CUSTOMERS,
     ServiceQueue,
     admit_request,
     enqueue_request,
@@ -34,6 +35,7 @@
     record_failure,
     record_success,
 )
+from lentilpathd._requests.rows import RETRY_AFTER_MS, TableGate
 from tests.common.requests import TEST_POLICY, open_cell, read_failure, wait_until
 
 START = Instant(1_000)
@@ -81,6 +83,32 @@
     admit_request(queue, make_request(4), policy, START)
 
 
+def test_names_of_customers_fill_no_memory():
+    policy = RequestPolicy(customer_burst=1.0, customer_requests_per_second=1.0)
+    queue = ServiceQueue()
+    for number in range(MAX_KNOWN_CUSTOMERS):
+        request = make_request(number, customer=CustomerId(str(number)))
+        admit_request(queue, request, policy, START)
+        release_request(queue, request)
+    newcomer = make_request(0, customer=CustomerId("newcomer"))
+    with pytest.raises(RequestFailed):
+        admit_request(queue, newcomer, policy, START)
+    admit_request(queue, newcomer, policy, Instant(START + 1_000))
+    assert len(queue.customers) == 1
+
+
+def test_one_request_at_a_time_tries_a_table_that_was_away():
+    gate = TableGate()
+    assert gate.enter(START)
+    assert gate.enter(START)
+    gate.record(False, START)
+    assert not gate.enter(START)
+    later = Instant(START + RETRY_AFTER_MS)
+    assert [gate.enter(later) for _ in range(3)] == [True, False, False]
+    gate.record(True, later)
+    assert gate.enter(later)
+
+
 def test_urgent_requests_go_first_and_displace_waiting_ones_when_the_queue_is_full():
     policy = RequestPolicy(queue_bytes=10)
     queue = ServiceQueue()
@@ -181,6 +209,21 @@
     asyncio.run(scenario())
 
 
+def test_an_urgent_request_finds_a_slot_that_waiting_normal_ones_left_free():
+    async def scenario():
+        async with open_cell(runners=5, service_ms=300.0) as cell:
+            await cell.call("host-1", "/wakes", x_priority="urgent")
+            calls = [asyncio.create_task(cell.call("host-1", "/normal")) for _ in range(60)]
+            await wait_until(lambda: len(cell.list_runs()) == 39)
+            urgent = asyncio.create_task(cell.call("host-1", "/urgent", x_priority="urgent"))
+            await wait_until(lambda: len(cell.list_runs()) >= 40)
+            assert cell.hosts["host-1"].roster.services["boxplanner"].count_sendings() == 39
+            await asyncio.gather(urgent, *calls)
+            assert cell.count_excess() == 0
+
+    asyncio.run(scenario())
+
+
 def test_overload_is_shed_at_once_and_what_is_shed_did_not_run():
     async def scenario():
         policy = replace(TEST_POLICY, queue_wait_ms=200)
