--- a/tests/cover/test_worker_link.py
+++ b/tests/cover/test_worker_link.py
@@ -52,7 +52,7 @@
     async def run(self):
         pass
 
-    async def release(self):
+    async def release(self, commands_end=None):
         pass
 
 
