--- /dev/null
+++ b/benches/slopes/__main__.py
@@ -0,0 +1,16 @@
+"""Prints every slope that docs/CAPACITY.md is worked out from."""
+
+import asyncio
+import platform
+
+from benches.slopes.idle import print_idle_slopes
+from benches.slopes.links import print_link_slopes
+from benches.slopes.zone import print_zone_slopes
+
+print(f"machine: {platform.machine()}, Python {platform.python_version()}")
+print("\n## The leader of a zone, in process\n")
+print_zone_slopes()
+print("\n## Exchanges, on loopback\n")
+asyncio.run(print_link_slopes())
+print("\n## Daemons of an idle zone, as processes\n")
+print_idle_slopes()
--- a/packages/lentilpath-standins/src/lentilpath_standins/deployment.py
+++ b/packages/lentilpath-standins/src/lentilpath_standins/deployment.py
@@ -132,6 +132,10 @@
         """Return the settings of an entry host."""
         return next(host for host in self.cell.entry_hosts if host.host == name)
 
+    def get_process_id(self, name: str) -> int:
+        """Return the id of a running process."""
+        return self._processes[name].pid
+
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process of this deployment."""
         self._processes[name].send_signal(number)
