Refuse no accepted job for its size

Ruled out as a remedy: a longer grace, since a worker may be cut off for longer. Size is refused on submission only (find_refusal); after that the job waits as too_large and starts when such a worker is heard.

--- a/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
@@ -12,7 +12,7 @@
 from lentilpath_core.placement._feasibility import find_size_refusal
 from lentilpath_core.placement._headroom import keeps_headroom
 from lentilpath_core.placement._messages import Decision, PlacementEvent, StopTask, WaitRule
-from lentilpath_core.placement._permissions import is_allowed_to_start, queue_undated, refuse_job
+from lentilpath_core.placement._permissions import is_allowed_to_start, queue_undated
 from lentilpath_core.placement._preemption import find_room_to_make, is_borrowed, is_less_urgent
 from lentilpath_core.placement._queues import (
     block_by_quota,
@@ -44,8 +44,6 @@
 from lentilpath_core.resources import Resources
 from lentilpath_core.workloads import PriorityClass, WorkloadKind
 
-REFUSE_TOO_LARGE_AFTER_MS = 60_000
-"""A job larger than every worker is refused if no worker has joined for so long."""
 RECLAIM_AFTER_MS = 10_000
 """A team without its guaranteed room gets it back from borrowers after this wait."""
 REVIEWS_PER_DECISION = 2
@@ -224,12 +222,10 @@
     wall_now: WallTime | None,
     decisions: list[Decision],
 ) -> _Result:
-    refusal = find_size_refusal(job.spec, needed, state.capacities)
-    if refusal is not None:
+    if find_size_refusal(job.spec, needed, state.capacities) is not None:
+        # An accepted job is not refused for its size: a new leader may not have heard from the
+        # worker that holds it. That it fits somewhere was checked on submission.
         job.rule = WaitRule.TOO_LARGE
-        if now - state.last_joined_at >= REFUSE_TOO_LARGE_AFTER_MS:
-            refuse_job(state, job, WaitRule.TOO_LARGE, refusal)
-            return _Result.SET_ASIDE
         return _Result.NO_ROOM
     gang = job.spec.kind is WorkloadKind.GANG
     job.rule = WaitRule.GANG_INCOMPLETE if gang else WaitRule.NO_ROOM
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
@@ -73,7 +73,6 @@
     worker = state.workers.get(event.worker)
     if worker is None:
         worker = _add_worker(state, event)
-        state.last_joined_at = now
     change = event.capacity - worker.capacity
     _count_capacity(state, worker.capacity, -1)
     _count_capacity(state, event.capacity, 1)
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_explanations.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_explanations.py
@@ -91,4 +91,7 @@
         rule = WaitRule.RESERVED
     elif rule is WaitRule.NO_ROOM and gang:
         rule = WaitRule.GANG_INCOMPLETE
-    return Explanation(task, rule, text, len(state.workers), "room on a worker")
+    waits_for = "room on a worker"
+    if rule is WaitRule.TOO_LARGE:
+        waits_for = "a worker, or enough workers, of that size to join"
+    return Explanation(task, rule, text, len(state.workers), waits_for)
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
@@ -269,8 +269,6 @@
     """How often decisions were asked for."""
     wall_ahead_ms: int = 0
     """Wall time less the leader's own clock, as of the last decision; 0 if unknown."""
-    last_joined_at: Instant = Instant(0)
-    """When a worker was offered for the first time."""
     next_retry_at: float = 0.0
     """When the next retry may start, by the zone's retry budget."""
     probing_workers: dict[WorkerId, Worker] = field(default_factory=dict)
