--- a/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_engine.py
@@ -226,6 +226,8 @@
         # An accepted job is not refused for its size: a new leader may not have heard from the
         # worker that holds it. That it fits somewhere was checked on submission.
         job.rule = WaitRule.TOO_LARGE
+        if job.size_limit is None and job.spec.kind is not WorkloadKind.GANG:
+            job.size_limit = _find_whole_worker(state, job)
         return _Result.NO_ROOM
     gang = job.spec.kind is WorkloadKind.GANG
     job.rule = WaitRule.GANG_INCOMPLETE if gang else WaitRule.NO_ROOM
@@ -238,6 +240,13 @@
     return _Result.NO_ROOM
 
 
+def _find_whole_worker(state: PlacementState, job: Job) -> Resources | None:
+    """Return the largest worker that holds the declared size, or `None`."""
+    declared = job.spec.resources
+    fitting = [capacity for capacity in state.capacities if declared.fits_in(capacity)]
+    return max(fitting, default=None)
+
+
 def _make_room(
     state: PlacementState,
     job: Job,
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_queues.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_queues.py
@@ -63,11 +63,19 @@
     processors, memory = job.workload.largest_excess
     if processors <= 1 and memory <= 1:
         return declared
-    return Resources(
+    needed = Resources(
         math.ceil(declared.millicores * processors),
         math.ceil(declared.memory_mib * memory),
         declared.accelerators,
     )
+    limit = job.size_limit
+    if limit is None or needed.fits_in(limit):
+        return needed
+    return Resources(
+        min(needed.millicores, limit.millicores),
+        min(needed.memory_mib, limit.memory_mib),
+        needed.accelerators,
+    )
 
 
 def find_shape_key(job: Job) -> ShapeKey:
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
@@ -194,6 +194,8 @@
     """Whether the job has waited so long that it belongs to the tier above its class."""
     reservations: list[Reservation] = field(default_factory=list)
     blocked_since: Instant | None = None
+    size_limit: Resources | None = None
+    """A whole worker, if more was learned than any worker has but the declared size fits."""
     rule: WaitRule = WaitRule.NO_ROOM
     refusal: str = ""
     withdrawn: bool = False
--- a/tests/cover/test_placement_sizes.py
+++ b/tests/cover/test_placement_sizes.py
@@ -124,3 +124,15 @@
     assert decide_placements(zone.state, zone.now, 10) == ()
     assert zone.explain("recall/0").rule is WaitRule.STALE_INPUT
     assert len(zone.starts()) == 1
+
+
+def test_work_that_was_seen_to_use_more_than_any_worker_has_gets_a_whole_worker():
+    zone = Zone(workers=1, cores=4, memory_mib=8_192)
+    zone.submit(make_spec("seen", cores=2, workload="w"))
+    zone.starts()
+    zone.report("seen/0", cores=4)
+    zone.finish("seen/0")
+    zone.submit(make_spec("next", cores=3, workload="w"))
+    starts = zone.starts()
+    starts += zone.starts()
+    assert [start.room for start in starts] == [Resources(4_000, 1_024)]
