--- a/packages/lentilpathd/src/lentilpathd/_requests/part.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/part.py
@@ -5,6 +5,7 @@
 import asyncio
 import ssl
 import uuid
+from collections.abc import Callable
 
 from lentilpath_core.ids import Instant, RequestId, ServiceId
 from lentilpath_core.requests.messages import (
@@ -43,6 +44,9 @@
 UNKNOWN_SERVICE_RETRY_MS = 1_000
 MS_PER_SECOND = 1_000
 
+RequestObserver = Callable[[ServiceId, bool, int, str], None]
+"""Takes the service, whether the request was answered, its time in ms, and why it was not."""
+
 
 class Requests:
     """Serves callers on `settings.callers`."""
@@ -53,8 +57,10 @@
         leadership: Leadership,
         policy: RequestPolicy,
         find_policy: PolicySource,
+        observe: RequestObserver,
     ) -> None:
         self._context = context
+        self._observe = observe
         self._policy = policy
         self._find_policy = find_policy
         self._metrics = create_metrics(context.settings.statsd)
@@ -82,6 +88,8 @@
     async def run(self) -> None:
         """Serve callers until cancelled."""
         settings = self._context.settings
+        for service in self.roster.services.values():
+            service.resume()
         self.roster.refresh()
         self._server = await serve_http(
             self._answer_caller,
@@ -99,21 +107,21 @@
                 group.create_task(self._tick())
         finally:
             self._abort()
-            await self._server.close(0.0)
+            server, self._server = self._server, None
+            await server.close(0.0)
             for runner in self.roster.list_runners():
                 runner.close()
 
     async def drain(self, grace_seconds: float) -> None:
         """Finish all requests for at most `grace_seconds` and take no new connections."""
         log_event(Event.REQUESTS_DRAINING)
-        deadline = read_instant() + grace_seconds * MS_PER_SECOND
+        deadline = Instant(read_instant() + int(grace_seconds * MS_PER_SECOND))
         if self._server is not None:
             await self._server.close(grace_seconds)
-        remaining_ms = max(0, deadline - read_instant())
-        await self._deferred.stop(remaining_ms / MS_PER_SECOND)
-        await self._keys.wait_until_idle(remaining_ms / MS_PER_SECOND)
+        await self._deferred.stop(_compute_remaining_seconds(deadline))
+        await self._keys.wait_until_idle(_compute_remaining_seconds(deadline))
         for service in self.roster.services.values():
-            await service.wait_until_idle(remaining_ms / MS_PER_SECOND)
+            await service.wait_until_idle(_compute_remaining_seconds(deadline))
         await self._loans.give_back()
         log_event(Event.REQUESTS_DRAINED, left=self._count_sendings())
 
@@ -176,7 +184,15 @@
         return write_answer(request_id, await self._send(request))
 
     async def _send(self, request: CallerRequest) -> ServiceAnswer:
-        return await self._find_service(request).handle(request)
+        started = read_instant()
+        try:
+            answer = await self._find_service(request).handle(request)
+        except RequestFailed as failure:
+            waited_ms = read_instant() - started
+            self._observe(request.service, False, waited_ms, failure.reason.code)
+            raise
+        self._observe(request.service, True, read_instant() - started, "")
+        return answer
 
     def _find_service(self, request: CallerRequest) -> Service:
         service = self.roster.services.get(request.service)
@@ -194,14 +210,25 @@
     leadership: Leadership,
     policy: RequestPolicy | None = None,
     find_policy: PolicySource | None = None,
+    observe: RequestObserver | None = None,
 ) -> Requests:
     """Return the part that serves callers' requests.
 
     `policy` holds for the whole process. `find_policy` gives the limits of one service and
-    customer as the configuration has them now; without it they are those of `policy`.
+    customer as the configuration has them now; without it they are those of `policy`. `observe`
+    hears how each request ended.
     """
     whole = policy or RequestPolicy()
-    return Requests(context, leadership, whole, find_policy or (lambda service, customer: whole))
+    find = find_policy or (lambda service, customer: whole)
+    return Requests(context, leadership, whole, find, observe or _ignore)
+
+
+def _ignore(service: ServiceId, answered: bool, ms: int, cause: str) -> None:
+    return
+
+
+def _compute_remaining_seconds(deadline: Instant) -> float:
+    return max(0, deadline - read_instant()) / MS_PER_SECOND
 
 
 def _create_tls_context(settings: TlsSettings | None) -> ssl.SSLContext | None:
