--- a/benches/measure/knobs.py
+++ b/benches/measure/knobs.py
@@ -14,6 +14,7 @@
     _events,
     _evidence,
     _headroom,
+    _preemption,
     _quotas,
     _reservations,
     _rooms,
@@ -53,6 +54,7 @@
 KNOBS = (
     Knob("room kept for urgent work", _headroom, "MAX_HEADROOM_DIVISOR", NEVER, "storm"),
     Knob("making room by checkpoint or stop", _engine, "find_room_to_make", _make_none, "day"),
+    Knob("waiting for room that is free soon", _preemption, "PATIENCE_MS", -NEVER, "day"),
     Knob("reservations", _reservations, "MAX_RESERVATIONS", 0, "day"),
     Knob("lending a guarantee to short runs", _quotas, "LENDABLE_RUN_MS", 0, "day"),
     Knob("reclaim of a guarantee", _engine, "RECLAIM_AFTER_MS", NEVER, "day"),
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_preemption.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_preemption.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from lentilpath_core.ids import Instant
+from lentilpath_core.placement._learning import estimate_end
 from lentilpath_core.placement._queues import can_make_room
 from lentilpath_core.placement._records import HeldRoom, Job, PlacementState, Worker
 from lentilpath_core.resources import Resources
@@ -13,6 +14,8 @@
 
 CHECKPOINT_COST_MS = 2_000
 """What a checkpoint and the later resumption cost a task, in milliseconds of its run."""
+PATIENCE_MS = 1_000
+"""Room that becomes free within this time is waited for."""
 WORKERS_COMPARED = 8
 
 VictimTest = Callable[[HeldRoom], bool]
@@ -60,7 +63,7 @@
 ) -> MakeRoom | None:
     """Return the cheapest way to make room for `needed`, or `None`.
 
-    If enough tasks are being stopped there already, there is no victim to end.
+    If the room becomes free by itself soon enough, there is no victim to end.
     """
     best: MakeRoom | None = None
     best_cost = 0
@@ -123,6 +126,9 @@
     room = _find_room_for(worker, job) + worker.leaving
     if needed.fits_in(room):
         return MakeRoom(worker, (), Instant(now + CHECKPOINT_COST_MS))
+    soon = _find_natural_room(worker, room, needed, now)
+    if soon is not None and soon <= now + PATIENCE_MS:
+        return MakeRoom(worker, (), soon)
     usable = [
         held
         for held in worker.tasks.values()
@@ -164,6 +170,21 @@
     return room
 
 
+def _find_natural_room(
+    worker: Worker, room: Resources, needed: Resources, now: Instant
+) -> Instant | None:
+    ends = [(estimate_end(held, now), held) for held in worker.tasks.values() if not held.stopping]
+    known = sorted(
+        ((end, held) for end, held in ends if end is not None),
+        key=lambda each: (each[0], each[1].task),
+    )
+    for end, held in known:
+        room += held.room
+        if needed.fits_in(room):
+            return end
+    return None
+
+
 def _count_cost(held: HeldRoom, now: Instant) -> int:
     if held.job.spec.policy.checkpointable:
         return CHECKPOINT_COST_MS
