--- a/packages/lentilpathd/src/lentilpathd/_operators/_accountant.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_accountant.py
@@ -11,6 +11,7 @@
 import json
 import secrets
 from collections import defaultdict
+from collections.abc import Iterator
 
 import msgspec
 
@@ -24,9 +25,9 @@
     create_ledger,
     forget_settled,
     is_period_over,
-    list_open_lines,
+    iterate_open_lines,
+    iterate_seal,
     name_period,
-    seal_period,
     take_batch,
 )
 from lentilpath_core.zone.journal import (
@@ -54,9 +55,12 @@
 from lentilpathd._operators._burn import BurnRecorder
 from lentilpathd._operators._zone import ZoneAccess
 from lentilpathd._ports import Transaction
+from lentilpathd._zone._snapshots import decode_archive, get_archive_prefix
 
 STEP_SECONDS = 5.0
 BATCHES_PER_SCAN = 500
+TASKS_PER_TURN = 100
+"""Tasks that are billed before other work of the process gets its turn."""
 WRITE_ID_BYTES = 12
 
 
@@ -109,30 +113,48 @@
         """Return the lines that are not sealed yet, of one customer or of all."""
         now = read_wall_time()
         await self.step(now)
-        if self._ledger is None:
-            return ()
-        lines = list_open_lines(self._ledger, self._find_rule, now)
-        return tuple(line for line in lines if customer is None or line.customer == customer)
+        async with self._busy:
+            if self._ledger is None:
+                return ()
+            return await _collect(iterate_open_lines(self._ledger, self._find_rule, now, customer))
 
     async def _follow_journal(self, now: WallTime) -> None:
         if self._ledger is None:
             self._ledger = await self._load(now)
+            await self._take_archived(self._ledger)
         ledger = self._ledger
         prefix = get_journal_prefix(ledger.zone)
         while True:
             after = get_batch_key(ledger.zone, ledger.sequence)
             rows = await self._context.table.scan(prefix, after, BATCHES_PER_SCAN, TABLE_SECONDS)
+            batches = [decode_batch(row.value) for row in rows]
+            if batches and batches[0].sequence > ledger.sequence + 1:
+                await self._take_archived(ledger)
             missing = ledger.missing_batches
-            for row in rows:
-                batch = decode_batch(row.value)
-                take_batch(ledger, batch)
-                self._count_for_burn(batch)
+            for batch in batches:
+                self._take(ledger, batch)
             if ledger.missing_batches > missing:
                 count = ledger.missing_batches - missing
                 log_warning_event(Event.USAGE_BATCHES_MISSING, zone=ledger.zone, batches=count)
             if len(rows) < BATCHES_PER_SCAN:
                 return
 
+    async def _take_archived(self, ledger: Ledger) -> None:
+        # The zone moves old rows of its journal into objects, perhaps before they were read here.
+        keys = await self._context.objects.list_objects(
+            get_archive_prefix(ledger.zone), OBJECT_SECONDS
+        )
+        for key in sorted(keys):
+            if int(key.rpartition("-")[2]) <= ledger.sequence:
+                continue
+            data = await self._context.objects.get_object(key, OBJECT_SECONDS)
+            for batch in decode_archive(data) if data is not None else ():
+                self._take(ledger, batch)
+
+    def _take(self, ledger: Ledger, batch: JournalBatch) -> None:
+        take_batch(ledger, batch)
+        self._count_for_burn(batch)
+
     def _count_for_burn(self, batch: JournalBatch) -> None:
         # A ledger that is read again brings batches again, which are counted once.
         state = self._zone.get_state() if self._zone is not None else None
@@ -172,7 +194,7 @@
         ledger = self._ledger
         assert ledger is not None
         period_name = name_period(ledger.period)
-        lines = seal_period(ledger, self._find_rule)
+        lines = await _collect(iterate_seal(ledger, self._find_rule))
         forget_settled(ledger, self._is_open)
         known = self._state
         if not lines and known is not None and known.sequence == ledger.sequence:
@@ -236,3 +258,12 @@
         state = self._zone.get_state() if self._zone is not None else None
         record = state.jobs.get(job) if state is not None else None
         return record is not None and record.open_tasks > 0
+
+
+async def _collect(parts: Iterator[list[UsageLine]]) -> tuple[UsageLine, ...]:
+    lines: list[UsageLine] = []
+    for number, part in enumerate(parts, 1):
+        lines.extend(part)
+        if number % TASKS_PER_TURN == 0:
+            await asyncio.sleep(0)
+    return tuple(lines)
