--- a/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_records.py
@@ -194,6 +194,8 @@
     """Whether the job has waited so long that it belongs to the tier above its class."""
     reservations: list[Reservation] = field(default_factory=list)
     blocked_since: Instant | None = None
+    size_limit: Resources | None = None
+    """A whole worker, if more was learned than any worker has but the declared size fits."""
     rule: WaitRule = WaitRule.NO_ROOM
     refusal: str = ""
     withdrawn: bool = False
@@ -269,8 +271,6 @@
     """How often decisions were asked for."""
     wall_ahead_ms: int = 0
     """Wall time less the leader's own clock, as of the last decision; 0 if unknown."""
-    last_joined_at: Instant = Instant(0)
-    """When a worker was offered for the first time."""
     next_retry_at: float = 0.0
     """When the next retry may start, by the zone's retry budget."""
     probing_workers: dict[WorkerId, Worker] = field(default_factory=dict)
