Give workers the room that was learned, and do not run again what was stopped half-way

A non-idempotent task that was stopped although its policy allows no stop ends as of unknown outcome instead of running again (test_does_not_run_again_what_was_stopped_halfway_against_its_policy).

--- a/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
@@ -142,6 +142,7 @@
     take_waiting(state, job, event.task)
     job.delayed.pop(event.task, None)
     held = make_held(job, event.task, event.attempt, event.worker, now, "found running")
+    held.room = event.room or held.room
     hold_room(state, held)
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_messages.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_messages.py
@@ -47,6 +47,8 @@
     task: TaskId
     attempt: int
     worker: WorkerId
+    room: Resources | None = None
+    """What it holds, if that is more than its job declares."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_control_messages.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_control_messages.py
@@ -109,6 +109,8 @@
     worker: WorkerId
     task: TaskId
     attempt: int
+    room: Resources | None = None
+    """What the attempt may use, if that is more than its job declares."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_decisions.py
@@ -62,10 +62,12 @@
     decision: StartTask, state: ControllerState, now: Instant, wall: WallTime
 ) -> list[ControlEffect]:
     task = decision.task
-    event = AttemptStarting(task, decision.attempt, decision.worker, wall, decision.reason)
+    event = AttemptStarting(
+        task, decision.attempt, decision.worker, wall, decision.reason, decision.room
+    )
     record_event(state, event)
     state.workers[decision.worker].unsettled[(task, decision.attempt)] = NEVER
-    start = SendStart(decision.worker, task, decision.attempt)
+    start = SendStart(decision.worker, task, decision.attempt, decision.room)
     if _may_leave_at_once(state, get_job_of_task(task)):
         return [start]
     state.gated.append(start)
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_readiness.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_readiness.py
@@ -47,7 +47,11 @@
     for worker, attempts in state.zone.open_attempts.items():
         for task, attempt in attempts.items():
             spec = state.zone.jobs[get_job_of_task(task)].spec
-            apply_event(state.placement, TaskFound(spec, task, attempt, worker), now)
+            record = state.zone.find_task(task)
+            held = record.get_open_attempt() if record is not None else None
+            room = held.room if held is not None else None
+            found = TaskFound(spec, task, attempt, worker, room)
+            apply_event(state.placement, found, now)
 
 
 def release_held_tasks(state: ControllerState, now: Instant) -> None:
--- a/packages/lentilpath-core/src/lentilpath_core/zone/journal.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/journal.py
@@ -19,6 +19,7 @@
     WorkerId,
     ZoneId,
 )
+from lentilpath_core.resources import Resources
 from lentilpath_core.states import AttemptOutcome
 from lentilpath_core.workloads import JobSpec
 
@@ -57,6 +58,8 @@
     worker: WorkerId
     decided_at: WallTime
     reason: str
+    room: Resources | None = None
+    """What the attempt holds, if that is more than its job declares."""
 
 
 class AttemptEnded(msgspec.Struct, frozen=True, tag=True):
--- a/packages/lentilpath-core/src/lentilpath_core/zone/state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/state.py
@@ -16,6 +16,7 @@
     ZoneId,
     get_job_of_task,
 )
+from lentilpath_core.resources import Resources
 from lentilpath_core.states import ENDED_TASK_STATES, AttemptOutcome, TaskState
 from lentilpath_core.workloads import JobSpec, WorkloadKind
 from lentilpath_core.zone.journal import (
@@ -55,6 +56,8 @@
     ended_at: WallTime = WallTime(0)
     millicore_ms: int = 0
     peak_memory_mib: int = 0
+    room: Resources | None = None
+    """What it held, if that was more than its job declares."""
 
 
 @dataclass(slots=True)
@@ -193,7 +196,9 @@
         return
     if any(attempt.attempt == event.attempt for attempt in task.attempts):
         return
-    attempt = AttemptRecord(event.attempt, event.worker, event.decided_at, event.reason)
+    attempt = AttemptRecord(
+        event.attempt, event.worker, event.decided_at, event.reason, room=event.room
+    )
     _open_attempt(state, task, attempt)
     task.state = TaskState.STARTING
 
@@ -265,15 +270,18 @@
 def decide_next_task_state(job: JobRecord, task: TaskRecord, outcome: AttemptOutcome) -> TaskState:
     """Return the state of `task` after one of its attempts ended with `outcome`.
 
-    A task of unknown outcome runs again only if its policy says that it is idempotent; services
-    always run again, since a replica has no outcome of its own.
+    A task of unknown outcome runs again only if its policy says that it is idempotent, and one that
+    was stopped half-way only if its policy allows that. Services always run again, since a replica
+    has no outcome of its own.
     """
     if job.cancelled_by is not None:
         return TaskState.STOPPED if outcome is not AttemptOutcome.SUCCEEDED else TaskState.SUCCEEDED
-    if outcome in (AttemptOutcome.NOT_STARTED, AttemptOutcome.STOPPED):
-        return TaskState.WAITING
-    if job.spec.kind is WorkloadKind.SERVICE:
+    if outcome is AttemptOutcome.NOT_STARTED or job.spec.kind is WorkloadKind.SERVICE:
         return TaskState.WAITING
+    if outcome is AttemptOutcome.STOPPED:
+        policy = job.spec.policy
+        repeatable = policy.idempotent or policy.checkpointable or policy.stoppable
+        return TaskState.WAITING if repeatable else TaskState.UNKNOWN
     if outcome is AttemptOutcome.SUCCEEDED:
         return TaskState.SUCCEEDED
     if outcome in RERUN_OUTCOMES:
@@ -309,6 +317,7 @@
         event.ended_at,
         event.millicore_ms,
         event.peak_memory_mib,
+        attempt.room,
     )
 
 
--- a/packages/lentilpathd/src/lentilpathd/_zone/_worker_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_worker_link.py
@@ -161,7 +161,7 @@
         command = StartCommand(
             task=start.task,
             attempt=start.attempt,
-            resources=spec.resources,
+            resources=start.room or spec.resources,
             run_ms=0 if spec.kind is WorkloadKind.SERVICE else spec.run_ms,
             parameters=(("kind", spec.kind.value), *spec.parameters),
             lease_ms=self._leases.lease_ms,
--- a/tests/cover/test_zone_control.py
+++ b/tests/cover/test_zone_control.py
@@ -5,9 +5,10 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from lentilpath_core.ids import JobId, TaskId, WorkerId
+from lentilpath_core.placement import StopMode
 from lentilpath_core.states import TaskState
 from lentilpath_core.workloads import Policy, WorkloadKind
-from lentilpath_core.zone.control import TimePassed
+from lentilpath_core.zone.control import SendStop, TimePassed
 from lentilpath_core.zone.inbox import SubmitJob
 from tests.common.zone import FakeZone, make_spec, stop_job, submit_and_read
 
@@ -158,6 +159,19 @@
     assert zone.explain_open_tasks() == []
 
 
+def test_does_not_run_again_what_was_stopped_halfway_against_its_policy():
+    zone = make_ready_zone()
+    submit_and_read(zone, make_spec("notice", run_ms=60_000))
+    zone.run_quietly(2)
+    worker = next(w for w in zone.workers.values() if w.runs)
+    zone.stops.append(SendStop(worker.name, TaskId("notice/0"), 1, StopMode.STOP))
+    zone.run_quietly(20)
+    record = zone.controller.zone.find_task(TaskId("notice/0"))
+    assert record is not None
+    assert record.state is TaskState.UNKNOWN
+    assert zone.count_runs(TaskId("notice/0")) == 1
+
+
 def test_reports_a_lost_nonidempotent_task_as_of_unknown_outcome():
     zone = make_ready_zone()
     submit_and_read(zone, make_spec("notice", run_ms=60_000))
