--- a/packages/lentilpath-core/src/lentilpath_core/leadership/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/leadership/__init__.py
@@ -5,7 +5,6 @@
 """
 
 from lentilpath_core.leadership._decisions import (
-    POLL_EVERY_MS,
     decide,
     is_released,
     list_release_effects,
@@ -48,6 +47,7 @@
     WriteKind,
     create_state,
 )
+from lentilpath_core.leadership._table import POLL_EVERY_MS
 
 __all__ = [
     "POLL_EVERY_MS",
--- a/packages/lentilpath-core/src/lentilpath_core/leadership/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/leadership/_decisions.py
@@ -5,37 +5,32 @@
 from dataclasses import replace
 from functools import singledispatch
 
-from lentilpath_core.ids import Epoch, Instant, WriteId
+from lentilpath_core.ids import Instant
 from lentilpath_core.leadership._messages import (
     AnnounceRelease,
     AnswerPromise,
     AskPromises,
     ClockAdvanced,
-    Effects,
     HelloReceived,
     LeadershipEvent,
     ListenerBound,
     PromiseAsked,
     PromiseGiven,
     ReadFailed,
-    ReadRows,
     ReleaseNoticed,
     ReleaseRequested,
     WriteAnswered,
     WriteOutcome,
-    WriteRows,
     ZoneWasRead,
 )
-from lentilpath_core.leadership._rows import Member, ZoneRow
+from lentilpath_core.leadership._rows import Member
 from lentilpath_core.leadership._rules import (
     MEMBER_FRESH_MS,
     find_promise_refusal,
     get_own_promise_end,
     get_promise_deadline,
     get_table_deadline,
-    get_watch_ms,
     list_promisers,
-    list_roster,
     may_take_over,
     needs_promises,
 )
@@ -46,13 +41,13 @@
     PromiseRound,
     WriteKind,
 )
-
-Decision = tuple[LeadershipState, Effects]
-
-POLL_EVERY_MS = 400
-"""How often a process that does not lead reads the zone row."""
-RETRY_AFTER_MS = 200
-"""How long a process waits before it asks a failing table again."""
+from lentilpath_core.leadership._table import (
+    RETRY_AFTER_MS,
+    Decision,
+    ask_table,
+    get_next_poll,
+    note_failure,
+)
 
 
 def decide(event: LeadershipEvent, state: LeadershipState, now: Instant) -> Decision:
@@ -72,7 +67,7 @@
 
 @_decide.register
 def _(event: ClockAdvanced, state: LeadershipState, now: Instant) -> Decision:
-    state, table_effects = _ask_table(state, now)
+    state, table_effects = ask_table(state, now)
     state, promise_effects = _ask_promises(state, now)
     return state, table_effects + promise_effects
 
@@ -93,15 +88,15 @@
     state = _settle_pending(state)
     state = _notice_other_holder(state)
     if state.lead is None and not may_take_over(state, now):
-        state = replace(state, table_due_at=_get_next_poll(state, now))
+        state = replace(state, table_due_at=get_next_poll(state, now))
     if state.pending is not None:
         state = replace(state, table_due_at=Instant(now + RETRY_AFTER_MS))
-    return _ask_table(state, now)
+    return ask_table(state, now)
 
 
 @_decide.register
 def _(event: ReadFailed, state: LeadershipState, now: Instant) -> Decision:
-    return _note_failure(state, now), ()
+    return note_failure(state, now), ()
 
 
 @_decide.register
@@ -114,12 +109,12 @@
         # Only a read tells the row's new version, and whether a rejected copy came second to
         # an earlier copy of the same write.
         state = replace(state, read_due=True, table_due_at=now)
-        return _ask_table(state, now)
+        return ask_table(state, now)
     if event.outcome is WriteOutcome.UNKNOWN:
         state = replace(state, pending=replace(pending, unclear=True))
     elif not pending.unclear:
         state = replace(state, pending=None)
-    return _note_failure(state, now), ()
+    return note_failure(state, now), ()
 
 
 @_decide.register
@@ -166,13 +161,13 @@
     state = replace(state, stopping=True, lead=None, round=None)
     if not held and (state.pending is None or state.pending.kind is not WriteKind.TAKE_OVER):
         return replace(state, pending=None), ()
-    return _ask_table(replace(state, table_due_at=now), now)
+    return ask_table(replace(state, table_due_at=now), now)
 
 
 @_decide.register
 def _(event: ReleaseNoticed, state: LeadershipState, now: Instant) -> Decision:
     state = replace(state, read_due=True, table_due_at=now)
-    return _ask_table(state, now)
+    return ask_table(state, now)
 
 
 def is_released(state: LeadershipState) -> bool:
@@ -182,68 +177,6 @@
     return state.stopping and state.pending is None and not holds_row
 
 
-def _ask_table(state: LeadershipState, now: Instant) -> Decision:
-    """Send the next read or write to the table if one is due."""
-    if state.table_busy or now < state.table_due_at:
-        return state, ()
-    if state.read_due or state.seen is None:
-        return _read(state)
-    if state.stopping:
-        return _ask_table_while_stopping(state, now)
-    if state.pending is not None:
-        return _send(state, state.pending)
-    if state.lead is not None:
-        if now < state.lead.table_sent_at + state.settings.renew_every_ms:
-            return state, ()
-        return _start_write(state, now, WriteKind.RENEW)
-    if may_take_over(state, now):
-        return _start_write(state, now, WriteKind.TAKE_OVER)
-    return _read(state)
-
-
-def _ask_table_while_stopping(state: LeadershipState, now: Instant) -> Decision:
-    row = state.seen.row if state.seen is not None else None
-    pending = state.pending
-    if pending is not None and pending.kind is not WriteKind.RENEW:
-        return _send(state, pending)
-    if row is not None and row.holder == state.member and not row.released:
-        # An unclear renewal is given up: authority is over, and the release checks its version.
-        return _start_write(state, now, WriteKind.RELEASE)
-    return replace(state, pending=None), ()
-
-
-def _read(state: LeadershipState) -> Decision:
-    return replace(state, table_busy=True), (ReadRows(),)
-
-
-def _start_write(state: LeadershipState, now: Instant, kind: WriteKind) -> Decision:
-    pending = PendingWrite(kind, _make_write(state, now, kind), now)
-    state = replace(state, writes=state.writes + 1, pending=pending)
-    return _send(state, pending)
-
-
-def _send(state: LeadershipState, pending: PendingWrite) -> Decision:
-    return replace(state, table_busy=True), (pending.write,)
-
-
-def _make_write(state: LeadershipState, now: Instant, kind: WriteKind) -> WriteRows:
-    assert state.seen is not None
-    row = state.seen.row
-    epoch = Epoch(0) if row is None else row.epoch
-    takes_over = kind is WriteKind.TAKE_OVER
-    next_row = ZoneRow(
-        epoch=Epoch(epoch + 1) if takes_over else epoch,
-        holder=state.member,
-        roster=list_roster(state, now),
-        write_id=WriteId(f"{state.member.incarnation}/leadership/{state.writes + 1}"),
-        released=kind is WriteKind.RELEASE,
-        lease_ms=state.settings.lease_ms,
-        promise_ms=state.settings.promise_ms,
-        newcomer_horizon_ms=state.settings.newcomer_horizon_ms,
-    )
-    return WriteRows(next_row, state.seen.version, state.seen.epoch_version, takes_over)
-
-
 def _settle_pending(state: LeadershipState) -> LeadershipState:
     """Compare the row that was just read with the write whose outcome is not known."""
     pending = state.pending
@@ -280,24 +213,6 @@
     return replace(state, lead=None, round=None)
 
 
-def _get_next_poll(state: LeadershipState, now: Instant) -> Instant:
-    # A take-over does not wait for the next poll, since its write checks the version anyway.
-    next_poll = now + POLL_EVERY_MS
-    row = state.seen.row if state.seen is not None else None
-    if row is None:
-        return Instant(next_poll)
-    watch_end = state.seen_since + get_watch_ms(state.settings, row)
-    return Instant(min(next_poll, watch_end) if watch_end > now else next_poll)
-
-
-def _note_failure(state: LeadershipState, now: Instant) -> LeadershipState:
-    idle = state.lead is None and state.pending is None
-    delay_ms = POLL_EVERY_MS if idle else RETRY_AFTER_MS
-    return replace(
-        state, table_busy=False, table_failing=True, table_due_at=Instant(now + delay_ms)
-    )
-
-
 def _ask_promises(state: LeadershipState, now: Instant) -> Decision:
     """Begin a round of promises if they are needed and the last round is old enough."""
     lead = state.lead
--- a/packages/lentilpathd/src/lentilpathd/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_leadership.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from lentilpath_core.errors import LentilpathError, OutcomeUnknown, Unavailable
-from lentilpath_core.ids import Epoch, HostId, Incarnation, Instant, ZoneId
+from lentilpath_core.ids import HostId, Instant, ZoneId
 from lentilpath_core.leadership import (
     AnswerPromise,
     AskPromises,
@@ -44,6 +44,15 @@
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._context import DaemonContext
 from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._leadership_messages import (
+    HELLO_TOPIC,
+    PROMISE_TOPIC,
+    RELEASED_TOPIC,
+    Empty,
+    HelloAnswer,
+    PromiseReply,
+    PromiseRequest,
+)
 from lentilpathd._ports import Transaction
 
 TICK_SECONDS = 0.05
@@ -54,35 +63,6 @@
 """How long a request may take after earlier ones got no answer: a slow table is not a dead one."""
 PEER_TIMEOUT_SECONDS = 0.5
 RELEASE_TIMEOUT_SECONDS = 5.0
-HELLO_TOPIC = "leadership.hello"
-PROMISE_TOPIC = "leadership.promise"
-RELEASED_TOPIC = "leadership.released"
-
-
-class HelloAnswer(msgspec.Struct, frozen=True):
-    """Whom the answering host takes for the leader of its zone."""
-
-    leader: HostId | None
-
-
-class PromiseRequest(msgspec.Struct, frozen=True):
-    """A holder's request not to take over; its sender is the holder."""
-
-    epoch: Epoch
-    asked: Incarnation
-    round: int
-    duration_ms: int
-
-
-class PromiseReply(msgspec.Struct, frozen=True):
-    """Whether the promise was given, and if not, why."""
-
-    given: bool
-    reason: str
-
-
-class Empty(msgspec.Struct, frozen=True):
-    """A message without content."""
 
 
 class TableLeadership:
