--- a/packages/lentilpath-core/src/lentilpath_core/placement/_preemption.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_preemption.py
@@ -7,10 +7,8 @@
 
 from lentilpath_core.ids import Instant
 from lentilpath_core.placement._learning import estimate_end
-from lentilpath_core.placement._messages import StopMode, StopTask
 from lentilpath_core.placement._queues import can_make_room
 from lentilpath_core.placement._records import HeldRoom, Job, PlacementState, Worker
-from lentilpath_core.placement._rooms import mark_stopping
 from lentilpath_core.resources import Resources
 from lentilpath_core.workloads import PriorityClass, WorkloadKind
 
@@ -38,6 +36,8 @@
         return lambda held: held.job.spec.policy.priority is not PriorityClass.URGENT
 
     def test(held: HeldRoom) -> bool:
+        if job.spec.policy.priority is PriorityClass.BACKGROUND:
+            return False
         if held.job.spec.policy.priority is not PriorityClass.BACKGROUND:
             return False
         team = held.job.team
@@ -68,7 +68,7 @@
     best: MakeRoom | None = None
     best_cost = 0
     for worker in _list_candidates(state, job, needed):
-        plan = _plan_on_worker(worker, job, needed, test, now)
+        plan = _plan_on_worker(worker, job, needed, test, state.decision_calls, now)
         if plan is None:
             continue
         cost = sum(_count_cost(held, now) for held in plan.victims)
@@ -93,13 +93,6 @@
     return left >= held.job.spec.policy.min_replicas
 
 
-def stop_for_room(held: HeldRoom, state: PlacementState, reason: str) -> StopTask:
-    """Return the command that ends the attempt in the gentlest way its policy knows."""
-    mode = StopMode.CHECKPOINT if held.job.spec.policy.checkpointable else StopMode.STOP
-    mark_stopping(state, held)
-    return StopTask(held.task, held.attempt, held.worker, mode, reason)
-
-
 def _list_candidates(state: PlacementState, job: Job, needed: Resources) -> list[Worker]:
     """Return some workers where tasks could make room, beginning where the last search ended."""
     found: list[Worker] = []
@@ -123,7 +116,12 @@
 
 
 def _plan_on_worker(
-    worker: Worker, job: Job, needed: Resources, test: VictimTest, now: Instant
+    worker: Worker,
+    job: Job,
+    needed: Resources,
+    test: VictimTest,
+    decision_call: int,
+    now: Instant,
 ) -> MakeRoom | None:
     room = _find_room_for(worker, job) + worker.leaving
     if needed.fits_in(room):
@@ -131,7 +129,11 @@
     soon = _find_natural_room(worker, room, needed, now)
     if soon is not None and soon <= now + PATIENCE_MS:
         return MakeRoom(worker, (), soon)
-    usable = [held for held in worker.tasks.values() if can_stop(held) and test(held)]
+    usable = [
+        held
+        for held in worker.tasks.values()
+        if can_stop(held) and held.decided_in < decision_call and test(held)
+    ]
     usable.sort(key=lambda held: (_count_cost(held, now), -held.room.millicores, held.task))
     chosen: list[HeldRoom] = []
     for held in usable:
