--- a/packages/lentilpath-http/src/lentilpath_http/_server.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_server.py
@@ -21,6 +21,7 @@
 
 READ_CHUNK_BYTES = 65_536
 HEAD_TOO_LARGE = 431
+WATCH_AFTER_SECONDS = 0.01
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -118,8 +119,15 @@
 
         An `OSError` of the handler closes the connection without a response.
         """
-        watch = asyncio.ensure_future(self._watch_for_end(reader, state))
-        watch.add_done_callback(lambda done: None if done.cancelled() else task.cancel())
+        watches: list[asyncio.Task[None]] = []
+
+        def watch_caller() -> None:
+            watch = asyncio.ensure_future(self._watch_for_end(reader, state))
+            watch.add_done_callback(lambda done: None if done.cancelled() else task.cancel())
+            watches.append(watch)
+
+        # Most answers are here before it would be worth the effort to look whether the caller is.
+        begin = asyncio.get_running_loop().call_later(WATCH_AFTER_SECONDS, watch_caller)
         try:
             return await self._handler(request)
         except OSError:
@@ -131,8 +139,10 @@
                 500, {"error": "internal", "message": message, "outcome": "unknown"}
             )
         finally:
-            watch.cancel()
-            await asyncio.gather(watch, return_exceptions=True)
+            begin.cancel()
+            for watch in watches:
+                watch.cancel()
+                await asyncio.gather(watch, return_exceptions=True)
 
     async def _watch_for_end(self, reader: asyncio.StreamReader, state: h11.Connection) -> None:
         # Bytes of a next request are kept for it; too many of them wait in the kernel.
--- a/packages/lentilpathd/src/lentilpathd/_requests/service.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/service.py
@@ -196,6 +196,8 @@
     async def _await_slot(
         self, request: CallerRequest, waiter: asyncio.Future[SlotHold]
     ) -> SlotHold:
+        if waiter.done():
+            return waiter.result()
         queued_at = read_instant()
         wait_ms = min(self._policy.queue_wait_ms, request.deadline - queued_at)
         try:
