Take the capacity of the bench from the run times that truly were

All runners drew their run times from one seed; the mean of its first 120 draws is 1.069, so the trials that looked like 93% of capacity were full (179 of 179.6 a second).

--- a/benches/requests/cell.py
+++ b/benches/requests/cell.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 import sys
 from typing import Any
 
@@ -58,6 +59,7 @@
         state = RunnerState(
             f"runner-{number}", "boxplanner", SLOTS, CONNECTIONS, plan["run_ms"], JITTER
         )
+        state.chance = random.Random(number)
         await start_runner(state, "127.0.0.1", port)
         runners.append(state)
         hosts.append(
--- a/benches/requests/measure.py
+++ b/benches/requests/measure.py
@@ -50,6 +50,8 @@
     load: str
     offered: int
     goodput: float
+    capacity: float
+    """Answers a second if all slots were always full, by the run times that truly were."""
     waits: dict[str, float]
     urgent_p99: float
     refused: int
@@ -183,6 +185,7 @@
         load=load.name,
         offered=len(results),
         goodput=in_time / (seconds - first),
+        capacity=RUNNERS * SLOTS / statistics.fmean(r.run_ms for r in answered) * 1_000,
         waits={name: pick(waits, part) for name, part in QUANTILES.items()},
         urgent_p99=pick(urgent, 0.99),
         refused=len(not_run),
