--- a/benches/measure/figures.py
+++ b/benches/measure/figures.py
@@ -38,7 +38,7 @@
 def list_rows(load: Load, outcomes: list[Outcome]) -> list[Row]:
     """Return all lines for one load."""
     rows: list[Row] = []
-    per_engine = [_list_figures(outcome) for outcome in outcomes]
+    per_engine = [list_figures(outcome) for outcome in outcomes]
     waits, misses = bound_urgent_waits(load)
     bound = {
         "urgent wait p50 s": _show_quantile(waits, 50),
@@ -63,7 +63,8 @@
         print(f"| {row.name} | " + " | ".join(row.values) + " |", flush=True)
 
 
-def _list_figures(outcome: Outcome) -> dict[str, str]:
+def list_figures(outcome: Outcome) -> dict[str, str]:
+    """Return all figures of one run by name."""
     figures: dict[str, str] = {}
     waits = _collect_waits(outcome)
     for kind in KINDS:
@@ -88,7 +89,10 @@
     figures["refused on submission / by zone"] = (
         f"{outcome.refused['on submission']} / {outcome.refused['by the zone']}"
     )
-    figures["journal MB / batches"] = (
+    commands = outcome.counts["starts"] + sum(stops)
+    figures["commands to workers, in the zone"] = str(commands)
+    figures["KB between regions, digests and jobs"] = f"{outcome.counts['region_bytes'] / 1e3:.0f}"
+    figures["table writes: journal MB / batches"] = (
         f"{outcome.journal_bytes / 1e6:.1f} / {outcome.counts['batches']}"
     )
     figures["decide call p99 ms"] = f"{np.percentile(outcome.decide_ns, 99) / 1e6:.2f}"
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
@@ -41,6 +41,8 @@
 from lentilpath_core.placement._records import HeldRoom, Job, PlacementState, Worker, Workload
 from lentilpath_core.placement._reservations import drop_all_reservations
 from lentilpath_core.placement._rooms import (
+    attach_task,
+    detach_task,
     drop_reservation,
     hold_room,
     is_usable,
@@ -57,6 +59,8 @@
 MAX_IDLE_JOBS = 2_000
 """Jobs without a waiting or running task that are remembered for their failures."""
 
+FREE_UNSTARTED_ATTEMPTS = 2
+
 
 @singledispatch
 def take_event(event: object, state: PlacementState, now: Instant) -> None:
@@ -99,16 +103,15 @@
         drop_reservation(state, reservation)
         enqueue_job(state, reservation.job)
     worker.state = WorkerState.LOST
+    for held in tuple(worker.tasks.values()):
+        detach_task(state, worker, held)
+        state.held_elsewhere.setdefault(event.worker, {})[held.task] = held
     reindex_worker(state, worker)
     state.total -= worker.capacity
     _count_capacity(state, worker.capacity, -1)
     state.draining.pop(event.worker, None)
     state.probing_workers.pop(event.worker, None)
-    left = NO_RESOURCES
-    for held in worker.tasks.values():
-        left += held.room
-    if worker.tasks:
-        state.held_elsewhere[event.worker] = left
+    state.free_ordinals.append(worker.ordinal)
     del state.workers[event.worker]
 
 
@@ -117,6 +120,8 @@
     job = _find_job(state, event.spec, now)
     job.accepted_at = event.accepted_at
     job.due = find_due_time(event.spec, event.accepted_at)
+    if not job.ages:
+        _let_age(state, job, now)
     if job.refused:
         return
     # A job is also withdrawn for a while, when its starts need the table and the table is away.
@@ -169,14 +174,14 @@
         note_failure(state, held, now)
     else:
         end_probe(state, held)
-    if event.outcome is AttemptOutcome.STOPPED:
-        held.job.stopped.add(event.task)
+    if _is_blameless(event):
+        held.job.blameless.add(event.task)
     _forget_if_idle(state, held.job)
 
 
 @take_event.register
 def _(event: UsageReported, state: PlacementState, now: Instant) -> None:
-    take_usage(state, event)
+    take_usage(state, event, now)
 
 
 @take_event.register
@@ -188,6 +193,14 @@
     unblock_quotas(state)
 
 
+def _is_blameless(event: AttemptFinished) -> bool:
+    # A change of leader leaves many starts that never happened, and delaying them would only add
+    # to their wait. A worker may also refuse every start, so only the first ones are free.
+    if event.outcome is AttemptOutcome.NOT_STARTED:
+        return event.attempt <= FREE_UNSTARTED_ATTEMPTS
+    return event.outcome is AttemptOutcome.STOPPED
+
+
 def make_held(
     job: Job, task: TaskId, attempt: int, worker: WorkerId, now: Instant, reason: str
 ) -> HeldRoom:
@@ -214,10 +227,10 @@
     failures = job.failures.get(task, 0)
     if failures:
         start_at = Instant(now + find_backoff(task, failures))
-    planned_stop = task in job.stopped
-    job.stopped.discard(task)
+    blameless = task in job.blameless
+    job.blameless.discard(task)
     urgent = job.spec.policy.priority is PriorityClass.URGENT
-    if attempts and not planned_stop and not urgent:
+    if attempts and not blameless and not urgent:
         start_at = max(start_at, book_retry(state, now))
     if start_at <= now:
         add_waiting(state, job, task, attempts + 1)
@@ -233,19 +246,18 @@
 
 
 def _add_worker(state: PlacementState, event: WorkerOffered) -> Worker:
-    held_room = state.held_elsewhere.pop(event.worker, NO_RESOURCES)
-    free = NO_RESOURCES - held_room
-    ordinal = len(state.ordinals)
-    state.ordinals.append(event.worker)
-    worker = Worker(event.worker, ordinal, event.rack, NO_RESOURCES, event.state, free, free)
+    if state.free_ordinals:
+        ordinal = state.free_ordinals.pop()
+        state.ordinals[ordinal] = event.worker
+    else:
+        ordinal = len(state.ordinals)
+        state.ordinals.append(event.worker)
+    worker = Worker(
+        event.worker, ordinal, event.rack, NO_RESOURCES, event.state, NO_RESOURCES, NO_RESOURCES
+    )
     state.workers[event.worker] = worker
-    if held_room == NO_RESOURCES:
-        return worker
-    for held in state.placed.values():
-        if held.worker == event.worker:
-            worker.tasks[held.task] = held
-            on_rack = held.job.on_rack
-            on_rack[event.rack] = on_rack.get(event.rack, 0) + 1
+    for held in state.held_elsewhere.pop(event.worker, {}).values():
+        attach_task(state, worker, held)
     return worker
 
 
@@ -262,11 +274,23 @@
     number = take_number(state)
     job = Job(spec, number, WallTime(0), WallTime(0), team, workload)
     state.jobs[spec.job] = job
-    if spec.policy.priority is PriorityClass.BACKGROUND:
-        heapq.heappush(state.aging, (Instant(now + AGING_MS), spec.job))
     return job
 
 
+def _let_age(state: PlacementState, job: Job, now: Instant) -> None:
+    """Note when the job moves up a tier; what it waited under earlier leaders counts too."""
+    job.ages = True
+    policy = job.spec.policy
+    waited_ms = max(0, state.wall_ahead_ms + now - job.accepted_at) if state.wall_ahead_ms else 0
+    if policy.priority is PriorityClass.BACKGROUND:
+        ages_at = now + AGING_MS - waited_ms
+    elif policy.priority is PriorityClass.NORMAL and policy.deadline_ms is not None:
+        ages_at = now + (job.due - job.accepted_at) // 2 - waited_ms
+    else:
+        return
+    heapq.heappush(state.aging, (Instant(ages_at), job.spec.job))
+
+
 def _forget_if_idle(state: PlacementState, job: Job) -> None:
     if job.waiting or job.delayed or job.placed:
         return
--- a/packages/lentilpathd/src/lentilpathd/_daemon.py
+++ b/packages/lentilpathd/src/lentilpathd/_daemon.py
@@ -15,7 +15,7 @@
 from lentilpathd._directory import Directory
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._leadership import create_leadership
-from lentilpathd._operators import create_configuration, create_operators
+from lentilpathd._operators import create_burn_recorder, create_configuration, create_operators
 from lentilpathd._peers import PeerBus
 from lentilpathd._requests import create_requests
 from lentilpathd._supervisor import Part, supervise_parts
@@ -69,11 +69,15 @@
         self.leadership = create_leadership(self.context)
         self.configuration = create_configuration(self.context)
         self.zone = create_zone_service(self.context, self.leadership, self.configuration)
+        self.burn = create_burn_recorder(self.context, self.configuration)
         self.requests = create_requests(
-            self.context, self.leadership, find_policy=self._find_request_policy
+            self.context,
+            self.leadership,
+            find_policy=self._find_request_policy,
+            observe=self.burn.record_request,
         )
         self.operators = create_operators(
-            self.context, self.leadership, self.zone, self.configuration
+            self.context, self.leadership, self.zone, self.configuration, self.burn
         )
 
     def _find_request_policy(
@@ -103,6 +107,6 @@
         log_event(Event.PROCESS_DRAINING, host=self.context.settings.host)
         await self.requests.drain(self.context.settings.drain_seconds)
         await self.operators.drain()
-        await self.zone.drain()
+        commands_end = await self.zone.drain()
         async with asyncio.timeout(RELEASE_SECONDS):
-            await self.leadership.release()
+            await self.leadership.release(commands_end)
--- a/packages/lentilpathd/src/lentilpathd/_zone/_worker_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_worker_link.py
@@ -19,6 +19,7 @@
     WorkerSynced,
 )
 from lentilpath_core.zone.reports import StartAnswer, WorkerReport
+from lentilpathd._authority import NOTHING_UNSETTLED
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._ports import StartCommand, SyncCommand, Worker
 from lentilpathd._zone._term import Term
@@ -55,6 +56,7 @@
         self._clock: tuple[WorkerTime, Instant] | None = None
         self._forget: set[tuple[TaskId, int]] = set()
         self._commands: set[asyncio.Task[None]] = set()
+        self._unsettled: dict[tuple[TaskId, int], Instant] = {}
 
     async def run(self) -> None:
         """Sync with the worker until cancelled."""
@@ -63,6 +65,9 @@
                 try:
                     await self._sync()
                 except LentilpathError:
+                    # A worker that may be gone is asked without renewing anything: each renewal
+                    # that it might have received would put off the time when it can be given up.
+                    self._clock = None
                     self._sequence = 0
                     await asyncio.sleep(RETRY_SECONDS)
         finally:
@@ -91,13 +96,17 @@
         if self._commands:
             await asyncio.wait(tuple(self._commands))
 
+    def get_commands_end(self) -> Instant:
+        """Return until when a start whose outcome is not known may still act; 0 for none."""
+        return max(self._unsettled.values(), default=NOTHING_UNSETTLED)
+
     async def _sync(self) -> None:
         now = read_instant()
         deadline = self._term.get_command_deadline(now)
         if deadline is None:
             await asyncio.sleep(RETRY_SECONDS)
             return
-        not_after = self._get_not_after(deadline)
+        not_after = self._get_not_after(deadline) if self._has_answered_lately(now) else None
         if not_after is not None:
             self._report(RenewalSending(self.worker_id, deadline))
         if now >= self._full_at:
@@ -126,6 +135,13 @@
             self._sequence = report.sequence
         self._report(WorkerSynced(self.worker_id, sent_at, report))
 
+    def _has_answered_lately(self, now: Instant) -> bool:
+        # Each renewal that is sent may arrive, so each puts off the time at which the worker's
+        # leases have surely run out. A dead worker would never be given up.
+        if self._clock is None:
+            return False
+        return now - self._clock[1] <= self._leases.silent_after_ms
+
     def _get_not_after(self, deadline: Instant) -> WorkerTime | None:
         # The worker read its clock before the report arrived here, so counting from the arrival
         # can only make the bound earlier than `deadline`, never later.
@@ -148,6 +164,7 @@
             self._answer_start(start, StartAnswer.REFUSED, now)
             return
         self._report(RenewalSending(self.worker_id, deadline))
+        self._note_unsettled(start, now, deadline)
         command = StartCommand(
             task=start.task,
             attempt=start.attempt,
@@ -163,8 +180,14 @@
             answer = StartAnswer.REFUSED
         except OutcomeUnknown:
             answer = StartAnswer.UNCLEAR
+        if answer is not StartAnswer.UNCLEAR:
+            self._unsettled.pop((start.task, start.attempt), None)
         self._answer_start(start, answer, deadline)
 
+    def _note_unsettled(self, start: SendStart, now: Instant, deadline: Instant) -> None:
+        self._unsettled = {key: end for key, end in self._unsettled.items() if end > now}
+        self._unsettled[(start.task, start.attempt)] = deadline
+
     def _answer_start(self, start: SendStart, answer: StartAnswer, deadline: Instant) -> None:
         self._report(StartAnswered(self.worker_id, start.task, start.attempt, answer, deadline))
 
--- a/tests/cover/test_leadership.py
+++ b/tests/cover/test_leadership.py
@@ -1,19 +1,25 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from lentilpath_core.ids import Epoch
+from msgspec.structs import replace as replace_struct
+
+from lentilpath_core.ids import Epoch, Instant
 from lentilpath_core.leadership import (
     POLL_EVERY_MS,
     AnswerPromise,
+    AskPromises,
+    ClockAdvanced,
     HelloReceived,
     ListenerBound,
     Member,
     PromiseAsked,
     ReleaseNoticed,
     ReleaseRequested,
+    ZoneWasRead,
+    decide,
     is_released,
 )
-from lentilpath_core.leadership._rules import get_margin_ms
+from lentilpath_core.leadership._rules import get_margin_ms, get_table_deadline
 from lentilpath_core.settings import LeadershipSettings
 from tests.common.leadership import SETTINGS, FakeHost, FakeRows, create_host, make_member
 
@@ -90,6 +96,18 @@
     assert host.get_lead().until == until
 
 
+def test_authority_of_a_late_answer_runs_from_the_moment_of_sending():
+    rows = FakeRows()
+    host = create_leader(rows, [make_member("b")])
+    host.lose_answers = True
+    host.run(SETTINGS.renew_every_ms)
+    pending = host.state.pending
+    assert pending is not None
+    state, _ = decide(ZoneWasRead(rows.read()), host.state, Instant(host.now + 500))
+    assert state.lead is not None
+    assert state.lead.until == get_table_deadline(pending.sent_at, SETTINGS)
+
+
 def test_repeats_an_unclear_write_unchanged():
     rows = FakeRows()
     host = create_leader(rows)
@@ -207,6 +225,25 @@
     assert host.promise_rounds[-1].members == (make_member("b"), make_member("c"))
 
 
+def test_asks_for_promises_when_answers_are_late():
+    host = create_leader(FakeRows(), [make_member("b")])
+    state = replace(host.state, table_busy=True)
+    now = Instant(host.now + 2 * SETTINGS.renew_every_ms)
+    _, effects = decide(ClockAdvanced(), state, now)
+    assert [type(effect) for effect in effects] == [AskPromises]
+
+
+def test_waits_by_the_holders_settings_if_they_are_longer():
+    rows = FakeRows()
+    member = create_host("b", rows)
+    create_leader(rows, [member.state.member])
+    rows.row = replace_struct(rows.get_row(), lease_ms=2 * SETTINGS.lease_ms)
+    member.run(2 * WATCH_MS - 4 * STEP_MS)
+    assert not member.has_authority()
+    member.run(10 * STEP_MS)
+    assert member.has_authority()
+
+
 def test_keeps_its_promise_not_to_take_over():
     rows = FakeRows()
     member = create_host("b", rows)
