--- a/packages/lentilpath-http/src/lentilpath_http/_client.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_client.py
@@ -6,7 +6,7 @@
 import ssl
 
 from lentilpath_http._connection import ClientConnection, open_connection
-from lentilpath_http._messages import HttpRequest, HttpResponse
+from lentilpath_http._messages import HttpError, HttpRequest, HttpResponse
 
 MAX_IDLE_CONNECTIONS = 8
 
@@ -49,6 +49,11 @@
         received = connection.bytes_received
         try:
             response = await connection.exchange(request, deadline - loop.time())
+        except HttpError:
+            # What made one connection go silent has often silenced those that stood idle, too. A
+            # request on each of them would wait out its whole time.
+            self.close()
+            raise
         finally:
             self.bytes_sent += connection.bytes_sent - sent
             self.bytes_received += connection.bytes_received - received
--- a/tests/cover/test_standins_faults.py
+++ b/tests/cover/test_standins_faults.py
@@ -115,6 +115,19 @@
     asyncio.run(check())
 
 
+def test_a_client_asks_on_one_silent_connection_only():
+    async def check():
+        async with run_platform() as (standin, (platform, *_)):
+            await asyncio.gather(*(platform.list_hosts(1.0) for _ in range(3)))
+            standin.gate.replace_faults(silence_open=1)
+            with pytest.raises(TableUnavailable):
+                await platform.list_hosts(SHORT_SECONDS)
+            for _ in range(3):
+                assert await platform.list_hosts(1.0)
+
+    asyncio.run(check())
+
+
 def test_a_worker_that_fails_all_starts_each_task_and_reports_its_failure():
     async def check():
         standin = WorkerStandin("w1", Resources(1_000, 1_000, 0), None)
