--- a/packages/lentilpathd/src/lentilpathd/_zone/_worker_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_worker_link.py
@@ -106,7 +106,7 @@
         if deadline is None:
             await asyncio.sleep(RETRY_SECONDS)
             return
-        not_after = self._get_not_after(deadline)
+        not_after = self._get_not_after(deadline) if self._has_answered_lately(now) else None
         if not_after is not None:
             self._report(RenewalSending(self.worker_id, deadline))
         if now >= self._full_at:
@@ -135,6 +135,13 @@
             self._sequence = report.sequence
         self._report(WorkerSynced(self.worker_id, sent_at, report))
 
+    def _has_answered_lately(self, now: Instant) -> bool:
+        # Each renewal that is sent may arrive, so each puts off the time at which the worker's
+        # leases have surely run out. A dead worker would never be given up.
+        if self._clock is None:
+            return False
+        return now - self._clock[1] <= self._leases.silent_after_ms
+
     def _get_not_after(self, deadline: Instant) -> WorkerTime | None:
         # The worker read its clock before the report arrived here, so counting from the arrival
         # can only make the bound earlier than `deadline`, never later.
