Give nothing to a worker that a start did not reach

Now the worker counts as silent until it answers. Benches and the specification's script are formatted and linted too.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-SOURCES := packages tests benches/measure conftest.py
+SOURCES := packages tests benches spec conftest.py
 
 .PHONY: setup check test demo up format clean
 
--- a/benches/requests/baselines.py
+++ b/benches/requests/baselines.py
@@ -63,6 +63,7 @@
         self.bytes_far = 0
 
     async def answer(self, message: HttpRequest) -> HttpResponse:
+        """Answer one caller through the runner that the baseline picks."""
         request_id = RequestId(uuid.uuid4().hex)
         try:
             request = read_request(message, request_id, self._policy, read_instant())
--- a/benches/requests/callers.py
+++ b/benches/requests/callers.py
@@ -75,6 +75,7 @@
         await asyncio.gather(*tasks)
 
     def close(self) -> None:
+        """Close the connections."""
         for connections in self.idle.values():
             for connection in connections:
                 connection.close()
--- a/benches/requests/cell.py
+++ b/benches/requests/cell.py
@@ -26,6 +26,7 @@
         self._platform = platform
 
     async def answer(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request of an entry host to the platform."""
         message = json.loads(request.body or b"{}")
         if request.target == "/faults":
             for name in message["runners"]:
--- a/benches/requests/entry.py
+++ b/benches/requests/entry.py
@@ -30,15 +30,19 @@
     """Nobody leads; the bench has no zone work."""
 
     def get_authority(self) -> Authority | None:
+        """Return no authority: the bench places no task."""
         return None
 
     def get_leader(self, zone: str) -> HostId | None:
+        """Return nobody: no zone is led in the bench."""
         return HostId("nobody")
 
     async def run(self) -> None:
+        """Wait until cancelled."""
         await asyncio.Event().wait()
 
-    async def release(self) -> None:
+    async def release(self, commands_end: Instant | None = None) -> None:
+        """Give nothing up, since nothing is held."""
         return
 
 
@@ -57,10 +61,12 @@
         runner_module.connect_runner = self._connect_if_reachable
 
     def switch(self, active: bool, cut_zone: str) -> None:
+        """Begin or end a cut of `cut_zone` from the others."""
         self.active = active
         self._cut_zone = cut_zone
 
     def is_cut(self, zone: str | None) -> bool:
+        """Return whether `zone` is beyond the cut."""
         return self.active and (self._zone == self._cut_zone) != (zone == self._cut_zone)
 
     async def _ask_if_reachable(self, host: Any, topic: str, *rest: Any) -> Any:
--- a/benches/requests/measure.py
+++ b/benches/requests/measure.py
@@ -69,29 +69,35 @@
 
 
 async def slow_one(cell: BenchCell) -> None:
+    """Make one runner slow."""
     await cell.control("/faults", {"runners": ["runner-0"], "faults": {"slow_factor": 5.0}})
 
 
 async def silence_one(cell: BenchCell) -> None:
+    """Make the connections of one runner silent."""
     await asyncio.sleep(FAULT_AFTER_SECONDS)
     await cell.control("/faults", {"runners": ["runner-0"], "faults": {"silent": True}})
 
 
 async def leave_one(cell: BenchCell) -> None:
+    """Let one runner leave."""
     await asyncio.sleep(FAULT_AFTER_SECONDS)
     await cell.set_leaving({"runner-0"})
 
 
 async def cut_zone(cell: BenchCell) -> None:
+    """Cut one zone off."""
     await asyncio.sleep(FAULT_AFTER_SECONDS)
     await cell.cut_zone(ZONES[2], True)
 
 
 async def table_down(cell: BenchCell) -> None:
+    """Take the table down."""
     await cell.control("/table", {"down": True})
 
 
 async def restart_all(cell: BenchCell) -> None:
+    """Replace every entry host and every runner, one after another."""
     for entry in cell.entries:
         entry.open_to_callers = False
         await asyncio.sleep(0.2)
@@ -153,6 +159,7 @@
 
 
 async def undo_faults(cell: BenchCell) -> None:
+    """End every fault."""
     await cell.control("/reset", {})
     await cell.control("/table", {"down": False})
     await cell.set_leaving(set())
@@ -226,6 +233,7 @@
 
 
 async def time_requests(port: int, target: str) -> float:
+    """Return the median time of an uncontended request in milliseconds."""
     connection = await open_connection(LOOPBACK, port)
     times = []
     for _ in range(HOP_REQUESTS):
--- a/benches/requests/processes.py
+++ b/benches/requests/processes.py
@@ -37,14 +37,17 @@
 
     @property
     def callers_port(self) -> int:
+        """Where callers reach the entry host."""
         return FIRST_PORT + 100 + self.number
 
     @property
     def peers_port(self) -> int:
+        """Where its peers reach it."""
         return FIRST_PORT + 120 + self.number
 
     @property
     def control_port(self) -> int:
+        """Where the bench switches it."""
         return FIRST_PORT + 140 + self.number
 
 
@@ -60,6 +63,7 @@
     control_port: int = FIRST_PORT + 51
 
     async def start(self) -> None:
+        """Start all processes and wait until they answer."""
         plan = {
             "zones": ZONES,
             "runner_ports": [FIRST_PORT + i for i in range(RUNNERS)],
@@ -78,6 +82,7 @@
         await asyncio.sleep(3.0)
 
     async def start_entry(self, entry: Entry) -> None:
+        """Start one entry host."""
         entry.boot += 1
         settings = self._make_settings(entry)
         entry.process = await start_process(
@@ -85,11 +90,13 @@
         )
 
     async def stop_entry(self, entry: Entry) -> None:
+        """Stop one entry host as planned and wait for its end."""
         self.ended_cpu_seconds += read_cpu_seconds(entry.process.pid)
         entry.process.send_signal(signal.SIGTERM)
         await wait_for_end(entry.process)
 
     async def close(self) -> None:
+        """Stop all processes."""
         self.entries = [entry for entry in self.entries if entry.process is not None]
         for entry in self.entries:
             entry.process.terminate()
@@ -125,6 +132,7 @@
         client.close()
 
     async def cut_zone(self, zone: str, active: bool) -> None:
+        """Begin or end a cut of `zone` at every entry host."""
         for entry in self.entries:
             await ask(entry.control_port, "/cut", {"active": active, "zone": zone})
 
--- a/benches/slopes/links.py
+++ b/benches/slopes/links.py
@@ -5,7 +5,6 @@
 import asyncio
 import time
 
-
 from lentilpath_core.errors import LentilpathError
 from lentilpath_core.ids import HostId, Incarnation, RegionId, TaskId, WorkerTime, ZoneId
 from lentilpath_core.peers import PeerRequest
@@ -98,10 +97,14 @@
         return None
 
     address = Address(LOOPBACK, PEER_PORT)
-    server = PeerBus(HostId("portland-dock-1"), Incarnation("portland-dock-1.0123abcd"), ZoneId("z"))
+    server = PeerBus(
+        HostId("portland-dock-1"), Incarnation("portland-dock-1.0123abcd"), ZoneId("z")
+    )
     server.handle("leadership.hello", answer)
     serving = asyncio.create_task(server.serve(address))
-    client = PeerBus(HostId("portland-dock-2"), Incarnation("portland-dock-2.0123abcd"), ZoneId("z"))
+    client = PeerBus(
+        HostId("portland-dock-2"), Incarnation("portland-dock-2.0123abcd"), ZoneId("z")
+    )
     peer = PeerSettings(server.host, RegionId("r"), ZoneId("z"), address)
     client.set_peers((peer,))
     for _ in range(20):
@@ -135,5 +138,3 @@
     )
     print(f"- a start command: {start_bytes:.0f} bytes, {start_ms:.2f} ms")
     print(f"- a request between peers: {peer_bytes:.0f} bytes, {peer_ms:.2f} ms for both sides")
-
-
--- a/benches/slopes/zone.py
+++ b/benches/slopes/zone.py
@@ -233,5 +233,3 @@
     controller = lead(state, workers)
     take_reports(controller, workers, 2_000)
     return controller
-
-
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_controller.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_controller.py
@@ -33,6 +33,7 @@
     confirm_worker,
     end_attempt,
     list_workers,
+    mark_silent,
     take_report,
     watch_silence,
 )
@@ -161,7 +162,9 @@
     if view is None:
         return []
     key = (event.task, event.attempt)
-    if event.answer is StartAnswer.REFUSED:
+    if event.answer is StartAnswer.UNREACHED:
+        mark_silent(state, event.worker, now)
+    if event.answer in (StartAnswer.REFUSED, StartAnswer.UNREACHED):
         view.unsettled.pop(key, None)
         outcome = AttemptOutcome.NOT_STARTED
         end_attempt(state, event.worker, event.task, event.attempt, outcome, now, wall)
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_workers.py
@@ -139,15 +139,22 @@
     """Give nothing new to silent workers, and give up those whose leases have run out."""
     for worker, view in tuple(state.workers.items()):
         silent = now - view.answered_at > state.leases.silent_after_ms
-        if silent and view.phase is WorkerPhase.SERVING:
-            view.phase = WorkerPhase.SILENT
-            offer_worker(state, worker, now)
+        if silent:
+            mark_silent(state, worker, now)
         if silent and now > view.lease_bound and worker in state.zone.workers:
             _lose_worker(state, worker, now, wall)
     _follow_unlisted_workers(state, now)
     release_held_tasks(state, now)
 
 
+def mark_silent(state: ControllerState, worker: WorkerId, now: Instant) -> None:
+    """Give a worker that does not answer nothing new until it does."""
+    view = state.workers[worker]
+    if view.phase is WorkerPhase.SERVING:
+        view.phase = WorkerPhase.SILENT
+        offer_worker(state, worker, now)
+
+
 def end_attempt(
     state: ControllerState,
     worker: WorkerId,
--- a/packages/lentilpath-core/src/lentilpath_core/zone/reports.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/reports.py
@@ -57,5 +57,7 @@
     """It runs, or this very attempt ran already."""
     REFUSED = "refused"
     """It did not start, and this command will not start it."""
+    UNREACHED = "unreached"
+    """The command surely did not reach the worker, so it did not start."""
     UNCLEAR = "unclear"
     """It may have started, or may still start until the command's deadline."""
--- a/packages/lentilpathd/src/lentilpathd/_zone/_worker_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_worker_link.py
@@ -161,7 +161,7 @@
         deadline = self._term.get_command_deadline(now)
         not_after = self._get_not_after(deadline) if deadline is not None else None
         if deadline is None or not_after is None:
-            self._answer_start(start, StartAnswer.REFUSED, now)
+            self._answer_start(start, StartAnswer.UNREACHED, now)
             return
         self._report(RenewalSending(self.worker_id, deadline))
         self._note_unsettled(start, now, deadline)
@@ -177,7 +177,7 @@
         try:
             answer = await self._worker.start(command, ANSWER_SECONDS)
         except WorkerUnavailable:
-            answer = StartAnswer.REFUSED
+            answer = StartAnswer.UNREACHED
         except OutcomeUnknown:
             answer = StartAnswer.UNCLEAR
         if answer is not StartAnswer.UNCLEAR:
--- a/tests/common/zone.py
+++ b/tests/common/zone.py
@@ -250,14 +250,14 @@
         if in_time:
             worker.start(command.spec, command.effect.task, command.effect.attempt, self.now)
         answer = StartAnswer.STARTED if in_time else StartAnswer.REFUSED
-        self._answer(command, StartAnswer.UNCLEAR if answer_lost else answer)
+        self.answer_start(command, StartAnswer.UNCLEAR if answer_lost else answer)
 
     def lose_start(self, index: int) -> None:
         """The command gives no answer now; it may still arrive, until its deadline."""
         command = self.commands[index]
-        self._answer(command, StartAnswer.UNCLEAR)
+        self.answer_start(command, StartAnswer.UNCLEAR)
 
-    def _answer(self, command: Command, answer: StartAnswer) -> None:
+    def answer_start(self, command: Command, answer: StartAnswer) -> None:
         if command.epoch != self.epoch:
             return
         effect = command.effect
@@ -335,7 +335,7 @@
                     self.finish_sync(name)
             while self.commands:
                 if self.commands[0].effect.worker in self.dead:
-                    self._answer(self.commands.pop(0), StartAnswer.REFUSED)
+                    self.answer_start(self.commands.pop(0), StartAnswer.REFUSED)
                 else:
                     self.deliver_start(0, answer_lost=False)
             self.deliver_stops()
--- a/tests/cover/test_worker_link.py
+++ b/tests/cover/test_worker_link.py
@@ -93,7 +93,7 @@
 
     asyncio.run(run())
     assert worker.starts == []
-    assert [event.answer for event in events] == [StartAnswer.REFUSED]
+    assert [event.answer for event in events] == [StartAnswer.UNREACHED]
 
 
 def test_a_command_has_no_effect_after_the_authority_by_the_workers_own_clock():
--- a/tests/cover/test_zone_control.py
+++ b/tests/cover/test_zone_control.py
@@ -10,6 +10,7 @@
 from lentilpath_core.workloads import Policy, WorkloadKind
 from lentilpath_core.zone.control import SendStop, TimePassed
 from lentilpath_core.zone.inbox import SubmitJob
+from lentilpath_core.zone.reports import StartAnswer
 from tests.common.zone import FakeZone, make_spec, stop_job, submit_and_read
 
 WORKERS = [WorkerId(f"w{i}") for i in range(3)]
@@ -159,6 +160,21 @@
     assert zone.explain_open_tasks() == []
 
 
+def test_tries_no_second_start_on_a_worker_that_was_not_reached():
+    zone = make_ready_zone()
+    submit_and_read(zone, make_spec("notice"))
+    zone.begin_batch()
+    zone.finish_batch()
+    command = zone.commands.pop()
+    unreached = command.effect.worker
+    zone.answer_start(command, StartAnswer.UNREACHED)
+    zone.begin_batch()
+    zone.finish_batch()
+    assert [command.effect.worker != unreached for command in zone.commands] == [True]
+    zone.run_until_ended(max_rounds=20)
+    assert zone.list_open_tasks() == []
+
+
 def test_does_not_run_again_what_was_stopped_halfway_against_its_policy():
     zone = make_ready_zone()
     submit_and_read(zone, make_spec("notice", run_ms=60_000))
