--- a/benches/requests/entry.py
+++ b/benches/requests/entry.py
@@ -12,7 +12,7 @@
 
 import lentilpathd._requests.runner as runner_module
 from lentilpath_core.errors import PeerUnavailable
-from lentilpath_core.ids import HostId, Incarnation
+from lentilpath_core.ids import HostId, Incarnation, Instant
 from lentilpath_core.settings import HostSettings, parse_settings
 from lentilpath_http import HttpRequest, HttpResponse, json_response, serve_http
 from lentilpathd._adapters.platform import create_platform
