--- a/packages/lentilpath-standins/src/lentilpath_standins/deployment.py
+++ b/packages/lentilpath-standins/src/lentilpath_standins/deployment.py
@@ -191,8 +191,10 @@
     def _start_process(self, name: str, command: list[str]) -> None:
         with (self.directory / f"{name}.log").open("ab") as log:
             environment = os.environ | {"PYTHONFAULTHANDLER": "1"}
+            # In a session of its own a process gets no Ctrl-C of the terminal; the platform would
+            # end before the daemons have handed over.
             self._processes[name] = subprocess.Popen(
-                command, stdout=log, stderr=log, env=environment
+                command, stdout=log, stderr=log, env=environment, start_new_session=True
             )
 
     def _wait_for(self, address: Address, target: str) -> None:
