Transfer only a changed host list, and only the own zone's workers

Cause: each of 112 daemons read the whole list once a second, which at the target's size is some 1.5 MB each time. Now the list is asked for by kind and zone with an entity tag. Tests: test_an_unchanged_host_list_is_not_transferred_again, test_only_the_own_zone_s_workers_are_transferred.

--- a/packages/lentilpath-standins/src/lentilpath_standins/_faults.py
+++ b/packages/lentilpath-standins/src/lentilpath_standins/_faults.py
@@ -12,6 +12,7 @@
 from lentilpath_http import HttpRequest, HttpResponse, json_response
 
 HTTP_OK = 200
+HTTP_NOT_MODIFIED = 304
 HTTP_BAD_REQUEST = 400
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
--- a/packages/lentilpath-standins/src/lentilpath_standins/platform.py
+++ b/packages/lentilpath-standins/src/lentilpath_standins/platform.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import json
+import zlib
 from collections import Counter
 from pathlib import Path
 from typing import Annotated, Any
@@ -23,6 +24,7 @@
     HTTP_BAD_REQUEST,
     HTTP_CONFLICT,
     HTTP_NOT_FOUND,
+    HTTP_NOT_MODIFIED,
     HTTP_OK,
     MS_PER_SECOND,
     BrokenOff,
@@ -82,7 +84,7 @@
         if caller in self.gate.faults.cut:
             await fall_silent()
         if path == "/hosts" and caller is not None and caller in self._seen_by:
-            return respond(HTTP_OK, {"hosts": self._list_hosts_for(caller)})
+            return _answer_list(request, self._list_hosts_for(caller))
         return response
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
@@ -146,7 +148,8 @@
             hosts = json.loads(request.body)["hosts"]
             loop = asyncio.get_running_loop()
             loop.call_later(self._lag_ms / MS_PER_SECOND, self._set_hosts, hosts)
-        return respond(HTTP_OK, {"hosts": self._hosts})
+            return respond(HTTP_OK, {"hosts": self._hosts})
+        return _answer_list(request, self._hosts)
 
     def _list_hosts_for(self, caller: str) -> list[dict[str, Any]]:
         seen = self._seen_by[caller]
@@ -179,6 +182,21 @@
     return tuple(servers)
 
 
+def _answer_list(request: HttpRequest, hosts: list[dict[str, Any]]) -> HttpResponse:
+    """Answer with the hosts that the query asks for, or 304 if the caller has them already."""
+    query = request.parse_query()
+    wanted = [
+        host
+        for host in hosts
+        if all(str(host.get(key)) == query[key] for key in ("kind", "zone") if key in query)
+    ]
+    response = respond(HTTP_OK, {"hosts": wanted})
+    tag = f'"{zlib.crc32(response.body):08x}"'
+    if request.get_header("if-none-match") == tag:
+        return HttpResponse(HTTP_NOT_MODIFIED, (("etag", tag),))
+    return HttpResponse(HTTP_OK, (*response.headers, ("etag", tag)), response.body)
+
+
 def main(
     address: Annotated[str, typer.Option(help="IP number to listen on")],
     port: Annotated[int, typer.Option(help="main port")],
--- a/packages/lentilpathd/src/lentilpathd/_adapters/platform.py
+++ b/packages/lentilpathd/src/lentilpathd/_adapters/platform.py
@@ -21,6 +21,7 @@
 from lentilpathd._ports import CommitResult, HostKind, ListedHost, Row, Transaction
 
 HTTP_OK = 200
+HTTP_NOT_MODIFIED = 304
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
 
@@ -28,8 +29,11 @@
 class Platform:
     """Implements `Table`, `ObjectStore` and `HostList` against one address."""
 
-    def __init__(self, client: HttpClient) -> None:
+    def __init__(self, client: HttpClient, zone: ZoneId | None) -> None:
         self._client = client
+        self._host_queries = _list_host_queries(zone)
+        self._known_hosts: dict[str, tuple[str, tuple[ListedHost, ...]]] = {}
+        """What each query of the host list last returned, with its entity tag."""
 
     async def commit(self, transaction: Transaction, timeout: float) -> CommitResult:
         """Apply `transaction` as a whole or not at all; see `Table`."""
@@ -90,9 +94,22 @@
         await self._ask(HttpRequest("DELETE", f"/objects/{quote(key)}"), timeout)
 
     async def list_hosts(self, timeout: float) -> tuple[ListedHost, ...]:
-        """Return all hosts as the platform lists them."""
-        response = await self._ask(HttpRequest("GET", "/hosts"), timeout)
-        return tuple(_read_host(host) for host in response.parse_json()["hosts"])
+        """Return the zone's workers and all upstreams, as the platform lists them."""
+        lists = [await self._query_hosts(query, timeout) for query in self._host_queries]
+        return tuple(host for hosts in lists for host in hosts)
+
+    async def _query_hosts(self, query: str, timeout: float) -> tuple[ListedHost, ...]:
+        # The list is long and seldom changes, so only a changed one is transferred.
+        tag, known = self._known_hosts.get(query, ("", ()))
+        headers = (("if-none-match", tag),) if tag else ()
+        request = HttpRequest("GET", f"/hosts{query}", headers)
+        response = await self._send(request, timeout)
+        if response.status == HTTP_NOT_MODIFIED:
+            return known
+        _check_status(response, request)
+        hosts = tuple(_read_host(host) for host in response.parse_json()["hosts"])
+        self._known_hosts[query] = (response.get_header("etag") or "", hosts)
+        return hosts
 
     def close(self) -> None:
         """Close the connections."""
@@ -110,9 +127,15 @@
             raise TableUnavailable(f"{request.method} {request.target}: {error!r}") from error
 
 
-def create_platform(address: Address) -> Platform:
-    """Return the platform at `address`."""
-    return Platform(create_client(address.host, address.port))
+def create_platform(address: Address, zone: ZoneId | None = None) -> Platform:
+    """Return the platform at `address`, of whose workers only those of `zone` are of interest."""
+    return Platform(create_client(address.host, address.port), zone)
+
+
+def _list_host_queries(zone: ZoneId | None) -> tuple[str, ...]:
+    if zone is None:
+        return ("",)
+    return (f"?kind=worker&zone={quote(zone)}", "?kind=upstream")
 
 
 def _make_post(target: str, message: object) -> HttpRequest:
--- a/packages/lentilpathd/src/lentilpathd/_daemon.py
+++ b/packages/lentilpathd/src/lentilpathd/_daemon.py
@@ -59,7 +59,7 @@
 
     def __init__(self, settings: HostSettings) -> None:
         incarnation = Incarnation(f"{settings.host}.{uuid.uuid4().hex[:INCARNATION_DIGITS]}")
-        platform = create_platform(settings.platform)
+        platform = create_platform(settings.platform, settings.zone)
         self.bus = PeerBus(settings.host, incarnation, settings.zone)
         self.directory = Directory(settings, self.bus, platform)
         self.context = DaemonContext(
--- a/tests/cover/test_standins_faults.py
+++ b/tests/cover/test_standins_faults.py
@@ -6,7 +6,7 @@
 import pytest
 
 from lentilpath_core.errors import OutcomeUnknown, TableUnavailable, Unavailable
-from lentilpath_core.ids import RowVersion, TaskId, WorkerTime, WriteId
+from lentilpath_core.ids import RowVersion, TaskId, WorkerTime, WriteId, ZoneId
 from lentilpath_core.resources import Resources
 from lentilpath_core.settings import Address
 from lentilpath_core.zone.reports import WorkerTaskState
@@ -103,6 +103,29 @@
     asyncio.run(check())
 
 
+def test_an_unchanged_host_list_is_not_transferred_again():
+    async def check():
+        async with run_platform() as (_, (platform, *_)):
+            first = await platform.list_hosts(1.0)
+            client = platform._client
+            whole = client.bytes_received
+            assert await platform.list_hosts(1.0) == first
+            assert client.bytes_received - whole < whole / 2
+
+    asyncio.run(check())
+
+
+def test_only_the_own_zone_s_workers_are_transferred():
+    async def check():
+        async with run_platform() as (_, (platform, *_)):
+            address = Address(platform._client.address, platform._client.port)
+            assert len(await platform.list_hosts(1.0)) == 1
+            assert len(await create_platform(address, ZoneId("z")).list_hosts(1.0)) == 1
+            assert await create_platform(address, ZoneId("elsewhere")).list_hosts(1.0) == ()
+
+    asyncio.run(check())
+
+
 def test_silenced_connections_stay_silent_while_new_ones_work():
     async def check():
         async with run_platform() as (standin, (platform, *_)):
