--- a/packages/lentilpath-core/src/lentilpath_core/settings.py
+++ b/packages/lentilpath-core/src/lentilpath_core/settings.py
@@ -60,6 +60,8 @@
     """How long a worker may hold a sync request when it has nothing to report."""
     silent_after_ms: int = 3_000
     """A worker that has not answered for this long is given nothing new."""
+    full_report_every_ms: int = 10_000
+    """How often a worker is asked for all its tasks and their usage, not only for what changed."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lentilpathd/src/lentilpathd/_zone/_leading.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_leading.py
@@ -51,7 +51,7 @@
 from lentilpathd._zone._writer import write_batch
 
 TICK_SECONDS = 0.05
-GROUP_COMMIT_SECONDS = 0.02
+GROUP_COMMIT_SECONDS = 0.05
 """How long events gather before they are written together."""
 INBOX_EVERY_SECONDS = 1.0
 INBOX_ROWS = 200
--- a/packages/lentilpathd/src/lentilpathd/_zone/_worker_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_worker_link.py
@@ -27,7 +27,6 @@
 ANSWER_SECONDS = 1.5
 """How long a worker may take to answer beyond the time that it was allowed to hold the answer."""
 RETRY_SECONDS = 0.3
-FULL_REPORT_EVERY_MS = 10_000
 STOP_GRACE_MS = 5_000
 CLOCK_RATE_PERCENT = 98
 """The slowest that a worker's clock may run against this process's."""
@@ -111,7 +110,7 @@
             self._report(RenewalSending(self.worker_id, deadline))
         if now >= self._full_at:
             self._sequence = 0
-            self._full_at = Instant(now + FULL_REPORT_EVERY_MS)
+            self._full_at = Instant(now + self._leases.full_report_every_ms)
         forgetting = tuple(sorted(self._forget))
         # A first sync is answered at once, since nothing is renewed before its clock is known.
         wait_ms = self._leases.sync_wait_ms if not_after is not None else 0
