--- a/packages/lentilpathd/src/lentilpathd/_daemon.py
+++ b/packages/lentilpathd/src/lentilpathd/_daemon.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import faulthandler
 import signal
 import uuid
 
@@ -23,6 +25,8 @@
 
 INCARNATION_DIGITS = 8
 RELEASE_SECONDS = 2.0
+STOP_MARGIN_SECONDS = 8.0
+"""How long a planned stop may take beyond the time that it gives to requests."""
 
 
 async def run_daemon(settings: HostSettings) -> bool:
@@ -43,6 +47,10 @@
     await asyncio.wait((running, stopping), return_when=asyncio.FIRST_COMPLETED)
     planned = stop.is_set()
     if planned:
+        # A stop that hangs tells where and ends all the same: the balancer has long taken the host
+        # out, and its successor needs the address.
+        limit_seconds = settings.drain_seconds + STOP_MARGIN_SECONDS
+        faulthandler.dump_traceback_later(limit_seconds, exit=True)
         await daemon.drain()
     running.cancel()
     stopping.cancel()
@@ -108,5 +116,7 @@
         await self.requests.drain(self.context.settings.drain_seconds)
         await self.operators.drain()
         commands_end = await self.zone.drain()
-        async with asyncio.timeout(RELEASE_SECONDS):
-            await self.leadership.release(commands_end)
+        # Without the table nothing is handed over; another host takes it when the lease ends.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RELEASE_SECONDS):
+                await self.leadership.release(commands_end)
--- a/packages/lentilpathd/src/lentilpathd/main.py
+++ b/packages/lentilpathd/src/lentilpathd/main.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging as python_logging
+import os
 import sys
 from pathlib import Path
 from typing import Annotated
@@ -17,6 +18,7 @@
 
 EXIT_BAD_SETTINGS = 2
 EXIT_FAILED = 1
+EXIT_STOPPED = 0
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, help="The entry host daemon.")
 
@@ -26,8 +28,12 @@
     """Run an entry host until SIGTERM, then stop it without cutting off a request."""
     checked = _load_settings(settings)
     _set_up_log(checked.log_level)
-    if not asyncio.run(run_daemon(checked)):
-        raise typer.Exit(EXIT_FAILED)
+    planned = asyncio.run(run_daemon(checked))
+    # All is answered and handed over, and the host keeps nothing. What the interpreter would still
+    # do is to wait for the threads of libraries, and some daemons were seen never to end there.
+    python_logging.shutdown()
+    sys.stderr.flush()
+    os._exit(EXIT_STOPPED if planned else EXIT_FAILED)
 
 
 @app.command("check")
