--- a/benches/leadership.py
+++ b/benches/leadership.py
@@ -16,13 +16,13 @@
 
 from lentilpath_core.settings import LeadershipSettings
 from tests.common.leadership_hosts import (
-    FakeTable,
     ZoneHost,
     create_zone,
     run_zone,
     wait_for,
     wait_for_leader,
 )
+from tests.common.platform import MemoryTable
 
 HOST_COUNT = 3
 FIRST_PORT = 21_500
@@ -39,7 +39,7 @@
 
 async def measure_kill(port: int, delay_seconds: float) -> float:
     """Return the seconds from a leader's sudden end to another host's authority."""
-    async with run_zone(create_zone(HOST_COUNT, port, FakeTable(), SETTINGS)) as hosts:
+    async with run_zone(create_zone(HOST_COUNT, port, MemoryTable(), SETTINGS)) as hosts:
         leader = await wait_for_leader(hosts)
         await wait_for_full_roster(leader)
         await asyncio.sleep(delay_seconds)
@@ -51,7 +51,7 @@
 
 async def measure_handover(port: int) -> float:
     """Return the seconds from the end of a leader's authority to another host's."""
-    async with run_zone(create_zone(HOST_COUNT, port, FakeTable(), SETTINGS)) as hosts:
+    async with run_zone(create_zone(HOST_COUNT, port, MemoryTable(), SETTINGS)) as hosts:
         leader = await wait_for_leader(hosts)
         await wait_for_full_roster(leader)
         others = [host for host in hosts if host is not leader]
@@ -65,7 +65,7 @@
 
 async def measure_idle(port: int) -> tuple[float, float, float, float]:
     """Return table writes, table reads, peer bytes sent and processor seconds, each a second."""
-    table = FakeTable()
+    table = MemoryTable()
     async with run_zone(create_zone(HOST_COUNT, port, table, SETTINGS)) as hosts:
         leader = await wait_for_leader(hosts)
         await wait_for_full_roster(leader)
--- a/benches/measure/engines.py
+++ b/benches/measure/engines.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 import lentilpath_core.placement as present
-from benches.measure import first_fit, previous
+from benches.measure import first_fit
+from benches.measure.earlier import load_earlier_placement
 from lentilpath_core.ids import Instant, TaskId, WallTime
 from lentilpath_core.placement import Decision, PlacementEvent, QuotaSet
 
@@ -42,6 +43,6 @@
 
 ENGINES = (
     Engine("first fit", first_fit, knows_quotas=False),
-    Engine("previous", previous),
+    Engine("previous", load_earlier_placement()),
     Engine("present", present),
 )
--- a/tests/common/callers.py
+++ b/tests/common/callers.py
@@ -75,7 +75,7 @@
 
 def count_runs(deployment):
     """Return how often each caller's request ran, by the runners' own logs."""
-    runs = Counter()
+    runs: Counter[str] = Counter()
     for runner in deployment.cell.runners:
         for entry in read_log(runner.address)["requests"]:
             runs[entry["target"].rpartition("for=")[2]] += 1
--- a/tests/common/leadership_hosts.py
+++ b/tests/common/leadership_hosts.py
@@ -5,8 +5,7 @@
 from contextlib import asynccontextmanager
 from typing import Any, cast
 
-from lentilpath_core.errors import OutcomeUnknown, TableUnavailable
-from lentilpath_core.ids import HostId, Incarnation, RegionId, RowVersion, ZoneId
+from lentilpath_core.ids import HostId, Incarnation, RegionId, ZoneId
 from lentilpath_core.leadership import ZoneRow, decode_zone_row, get_zone_key
 from lentilpath_core.settings import Address, HostSettings, LeadershipSettings, PeerSettings
 from lentilpathd._authority import Authority
@@ -15,7 +14,7 @@
 from lentilpathd._directory import Directory
 from lentilpathd._leadership import create_leadership
 from lentilpathd._peers import PeerBus
-from lentilpathd._ports import CommitResult, HostList, ObjectStore, Row, Transaction
+from lentilpathd._ports import HostList, ObjectStore
 
 ZONE = ZoneId("z")
 REGION = RegionId("r")
@@ -23,53 +22,6 @@
 WAIT_SECONDS = 15.0
 
 
-class FakeTable:
-    def __init__(self) -> None:
-        self.rows: dict[str, tuple[int, str]] = {}
-        self.up = True
-        self.lose_answers = False
-        self.answer_seconds = 0.0
-        self.commits = 0
-        self.reads = 0
-
-    async def commit(self, transaction: Transaction, timeout: float) -> CommitResult:
-        if not self.up:
-            raise TableUnavailable("down")
-        self.commits += 1
-        conflicts = [
-            self._get(key)
-            for key, version in transaction.checks
-            if self._get(key).version != version
-        ]
-        if not conflicts:
-            for key, value in transaction.puts:
-                self.rows[key] = (self._get(key).version + 1, value)
-        if self.lose_answers:
-            raise OutcomeUnknown("answer lost")
-        if not await self._answer_in_time(timeout):
-            raise OutcomeUnknown("answer too late")
-        return CommitResult(not conflicts, tuple(conflicts))
-
-    async def read(self, keys: tuple[str, ...], timeout: float) -> tuple[Row, ...]:
-        if not self.up:
-            raise TableUnavailable("down")
-        self.reads += 1
-        if not await self._answer_in_time(timeout):
-            raise TableUnavailable("answer too late")
-        return tuple(self._get(key) for key in keys)
-
-    async def scan(self, prefix: str, after: str, limit: int, timeout: float) -> tuple[Row, ...]:
-        raise NotImplementedError
-
-    async def _answer_in_time(self, timeout: float) -> bool:
-        await asyncio.sleep(min(self.answer_seconds, timeout))
-        return self.answer_seconds <= timeout
-
-    def _get(self, key: str) -> Row:
-        version, value = self.rows.get(key, (0, ""))
-        return Row(key, RowVersion(version), value)
-
-
 class ZoneHost:
     """One entry host with only its leadership part."""
 
@@ -109,7 +61,7 @@
         return authority
 
     def read_row(self) -> ZoneRow | None:
-        value = self.table.rows.get(get_zone_key(self.settings.zone), (0, ""))[1]
+        value = self.table.get(get_zone_key(self.settings.zone)).value
         return decode_zone_row(value)
 
     def get_authority(self) -> Authority | None:
--- a/tests/common/operators.py
+++ b/tests/common/operators.py
@@ -13,9 +13,7 @@
 
 from lentilpath_core.errors import (
     LentilpathError,
-    OutcomeUnknown,
     PeerUnavailable,
-    TableUnavailable,
 )
 from lentilpath_core.ids import HostId, Incarnation, WallTime, ZoneId
 from lentilpath_core.peers import PeerReply, PeerRequest
@@ -43,80 +41,13 @@
 from lentilpathd._context import DaemonContext
 from lentilpathd._directory import Directory
 from lentilpathd._operators import create_operators
-from lentilpathd._ports import CommitResult, HostKind, ListedHost, Row
+from lentilpathd._ports import HostKind, ListedHost
 from lentilpathd._zone._snapshots import get_archive_prefix
+from tests.common.platform import MemoryObjects, MemoryTable
 
 NOW = WallTime(1_796_100_000_000)
 
 
-class MemoryTable:
-    """A transactional table. `lose_answers` commits apply and then look unclear."""
-
-    def __init__(self):
-        self.rows = {}
-        self.versions = {}
-        self.down = False
-        self.lose_answers = 0
-        self.commits = 0
-        self.bytes_read = 0
-        self.bytes_written = 0
-
-    def get(self, key):
-        return Row(
-            key, self.versions.get(key, 0) if key in self.rows else 0, self.rows.get(key, "")
-        )
-
-    async def commit(self, transaction, timeout):
-        self._check_up()
-        self.commits += 1
-        conflicts = tuple(
-            self.get(key) for key, version in transaction.checks if self.get(key).version != version
-        )
-        if not conflicts:
-            for key, value in transaction.puts:
-                self.rows[key] = value
-                self.versions[key] = self.versions.get(key, 0) + 1
-                self.bytes_written += len(key) + len(value)
-            for key in transaction.deletes:
-                self.rows.pop(key, None)
-        if self.lose_answers:
-            self.lose_answers -= 1
-            raise OutcomeUnknown("the answer was lost")
-        return CommitResult(not conflicts, conflicts)
-
-    async def read(self, keys, timeout):
-        self._check_up()
-        rows = tuple(self.get(key) for key in keys)
-        self.bytes_read += sum(len(row.key) + len(row.value) for row in rows)
-        return rows
-
-    async def scan(self, prefix, after, limit, timeout):
-        self._check_up()
-        keys = sorted(key for key in self.rows if key.startswith(prefix) and key > after)
-        return tuple(self.get(key) for key in keys[:limit])
-
-    def _check_up(self):
-        if self.down:
-            raise TableUnavailable("the table is down")
-
-
-class MemoryObjects:
-    def __init__(self):
-        self.objects = {}
-
-    async def put_object(self, key, data, timeout):
-        self.objects[key] = data
-
-    async def get_object(self, key, timeout):
-        return self.objects.get(key)
-
-    async def list_objects(self, prefix, timeout):
-        return tuple(sorted(key for key in self.objects if key.startswith(prefix)))
-
-    async def delete_object(self, key, timeout):
-        self.objects.pop(key, None)
-
-
 class DirectBus:
     """Hands requests straight to the other host's handler, through the codec."""
 
@@ -190,12 +121,12 @@
         rows = self.cell.table.rows
         prefix = get_inbox_prefix(self.state.zone)
         for key in sorted(key for key in rows if key.startswith(prefix)):
-            entry = decode_entry(rows.pop(key))
+            entry = decode_entry(rows.pop(key).value)
             self.journal(*self._obey(entry))
 
     def journal(self, *events):
         batch = JournalBatch(self.state.zone, self.state.sequence + 1, 1, "w", tuple(events))
-        self.cell.table.rows[get_batch_key(batch.zone, batch.sequence)] = encode_batch(batch)
+        self.cell.table.put(get_batch_key(batch.zone, batch.sequence), encode_batch(batch))
         apply_batch(self.state, batch)
 
     def archive(self, last):
@@ -203,7 +134,7 @@
         prefix = get_journal_prefix(self.state.zone)
         keys = sorted(key for key in self.cell.table.rows if key.startswith(prefix))
         moved = [key for key in keys if key <= get_batch_key(self.state.zone, last)]
-        batches = [decode_batch(self.cell.table.rows.pop(key)) for key in moved]
+        batches = [decode_batch(self.cell.table.rows.pop(key).value) for key in moved]
         key = f"{get_archive_prefix(self.state.zone)}{batches[0].sequence:012d}-{last:012d}"
         self.cell.objects.objects[key] = msgspec.msgpack.encode(batches)
 
--- a/tests/common/platform.py
+++ b/tests/common/platform.py
@@ -16,6 +16,8 @@
         self.down = False
         self.lose_answers = 0
         """So many commits apply and then look unclear."""
+        self.answer_seconds = 0.0
+        """How long each answer takes; one that takes longer than its caller waits is lost."""
         self.commits = 0
         self.reads = 0
         self.bytes_read = 0
@@ -32,17 +34,21 @@
         )
         if not conflicts:
             for key, value in transaction.puts:
-                self._put(key, value)
+                self.put(key, value)
             for key in transaction.deletes:
                 self.rows.pop(key, None)
         if self.lose_answers:
             self.lose_answers -= 1
             raise OutcomeUnknown("the answer was lost")
+        if not await self._answer_in_time(timeout):
+            raise OutcomeUnknown("the answer came too late")
         return CommitResult(not conflicts, conflicts)
 
     async def read(self, keys, timeout):
         await self._reach()
         self.reads += 1
+        if not await self._answer_in_time(timeout):
+            raise TableUnavailable("the answer came too late")
         return self._count(tuple(self.get(key) for key in keys))
 
     async def scan(self, prefix, after, limit, timeout):
@@ -56,7 +62,11 @@
         if self.down:
             raise TableUnavailable("the table is down")
 
-    def _put(self, key, value):
+    async def _answer_in_time(self, timeout):
+        await asyncio.sleep(min(self.answer_seconds, timeout))
+        return self.answer_seconds <= timeout
+
+    def put(self, key, value):
         self.version += 1
         self.rows[key] = Row(key, RowVersion(self.version), value)
         self.bytes_written += len(key) + len(value)
--- a/tests/common/requests.py
+++ b/tests/common/requests.py
@@ -3,10 +3,9 @@
 import asyncio
 import json
 from contextlib import asynccontextmanager, suppress
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any
 
-from lentilpath_core.errors import OutcomeUnknown, TableUnavailable
 from lentilpath_core.ids import (
     Epoch,
     HostId,
@@ -14,7 +13,6 @@
     Instant,
     RackId,
     RegionId,
-    RowVersion,
     ServiceId,
     ZoneId,
 )
@@ -25,61 +23,15 @@
 from lentilpathd._authority import Authority
 from lentilpathd._context import DaemonContext
 from lentilpathd._peers import PeerBus
-from lentilpathd._ports import CommitResult, HostKind, ListedHost, Row
+from lentilpathd._ports import HostKind, ListedHost
 from lentilpathd._requests import create_requests
+from tests.common.platform import MemoryTable
 
 SERVICE = ServiceId("boxplanner")
 LOOPBACK = "127.0.0.1"
 TEST_POLICY = RequestPolicy(restart_quarantine_ms=0)
 
 
-class MemoryTable:
-    """The platform's table in memory, with its faults as attributes."""
-
-    def __init__(self):
-        self.rows = {}
-        self.version = 0
-        self.down = False
-        self.lose_answers = 0
-        self.commits = 0
-
-    async def commit(self, transaction, timeout):
-        await asyncio.sleep(0)
-        if self.down:
-            raise TableUnavailable("the table is down")
-        self.commits += 1
-        absent = Row("", RowVersion(0), "")
-        conflicts = [
-            replace(self.rows.get(key, absent), key=key)
-            for key, version in transaction.checks
-            if self.rows.get(key, absent).version != version
-        ]
-        if conflicts:
-            return CommitResult(False, tuple(conflicts))
-        for key, value in transaction.puts:
-            self.version += 1
-            self.rows[key] = Row(key, RowVersion(self.version), value)
-        for key in transaction.deletes:
-            self.rows.pop(key, None)
-        if self.lose_answers:
-            self.lose_answers -= 1
-            raise OutcomeUnknown("the answer was lost")
-        return CommitResult(True)
-
-    async def read(self, keys, timeout):
-        await asyncio.sleep(0)
-        if self.down:
-            raise TableUnavailable("the table is down")
-        return tuple(self.rows.get(key, Row(key, RowVersion(0), "")) for key in keys)
-
-    async def scan(self, prefix, after, limit, timeout):
-        await asyncio.sleep(0)
-        if self.down:
-            raise TableUnavailable("the table is down")
-        keys = sorted(key for key in self.rows if key.startswith(prefix) and key > after)
-        return tuple(self.rows[key] for key in keys[:limit])
-
-
 class FixedDirectory:
     """A list of hosts that changes only when a test says so."""
 
--- a/tests/cover/test_access.py
+++ b/tests/cover/test_access.py
@@ -137,6 +137,6 @@
     await host.post("/v1/commands", {"command": "jobs"}, bearer("wrong-key"))
     await host.post("/v1/commands", {"command": "jbos"}, bearer("admin-key"))
     await host.operators.trail.flush()
-    stored = json.dumps(cell.table.rows) + str(cell.objects.objects)
+    stored = str(cell.table.rows) + str(cell.objects.objects)
     assert "admin-key" not in stored
     assert "wrong-key" not in stored
--- a/tests/cover/test_audit.py
+++ b/tests/cover/test_audit.py
@@ -99,7 +99,7 @@
         await host.run(SUBMIT)
         await host.run("submit service desk team=packing customer=spoon zones=za")
         await host.run("stop job nightly")
-        record = json.loads(next(v for k, v in cell.table.rows.items() if "audit/" in k))[0]
+        record = json.loads(next(v.value for k, v in cell.table.rows.items() if "audit/" in k))[0]
         host.zone.leading = False
         with pytest.raises(NoLeader):
             await host.operators.trail.archive(record["at"] + 3 * DAY_MS)
@@ -116,7 +116,9 @@
         host = cell.hosts["za-0"]
         await host.run(SUBMIT, id="c1")
         trail = host.operators.trail
-        records = [json.loads(v)[0] for k, v in cell.table.rows.items() if k.startswith("audit/")]
+        records = [
+            json.loads(v.value)[0] for k, v in cell.table.rows.items() if k.startswith("audit/")
+        ]
         at = records[0]["at"]
         assert await trail.archive(at) == 0
         assert await trail.archive(at + 3 * DAY_MS) == 1
--- a/tests/nocover/test_leadership_hosts.py
+++ b/tests/nocover/test_leadership_hosts.py
@@ -5,7 +5,6 @@
 from lentilpathd._clock import read_instant
 from tests.common.leadership_hosts import (
     ZONE,
-    FakeTable,
     ZoneHost,
     create_zone,
     restart_host,
@@ -13,6 +12,9 @@
     wait_for,
     wait_for_leader,
 )
+from tests.common.platform import MemoryTable
+
+EVERY_ANSWER = 10**9
 
 SETTINGS = LeadershipSettings()
 FAST = LeadershipSettings(
@@ -31,7 +33,7 @@
 
 def test_one_host_leads_and_all_know_it():
     async def scenario() -> None:
-        table = FakeTable()
+        table = MemoryTable()
         async with run_zone(create_zone(3, 21_000, table, SETTINGS)) as hosts:
             leader = await wait_for_leader(hosts)
             name = leader.settings.host
@@ -44,7 +46,7 @@
 
 def test_another_host_leads_after_a_kill():
     async def scenario() -> None:
-        table = FakeTable()
+        table = MemoryTable()
         async with run_zone(create_zone(3, 21_010, table, FAST)) as hosts:
             leader = await wait_for_leader(hosts)
             await wait_for(lambda: knows_all(leader, 3))
@@ -59,7 +61,7 @@
 
 def test_planned_stop_hands_over_at_once():
     async def scenario() -> None:
-        table = FakeTable()
+        table = MemoryTable()
         # With this lease a take-over by watching would outlast the limit of `wait_for`.
         slow = LeadershipSettings(lease_ms=100_000)
         async with run_zone(create_zone(3, 21_020, table, slow)) as hosts:
@@ -75,7 +77,7 @@
 
 def test_hand_over_waits_for_commands_of_unknown_outcome():
     async def scenario() -> None:
-        table = FakeTable()
+        table = MemoryTable()
         async with run_zone(create_zone(3, 21_070, table, SETTINGS)) as hosts:
             leader = await wait_for_leader(hosts)
             await wait_for(lambda: knows_all(leader, 3))
@@ -91,15 +93,15 @@
 
 def test_outage_leaves_the_leader_in_place():
     async def scenario() -> None:
-        table = FakeTable()
+        table = MemoryTable()
         async with run_zone(create_zone(3, 21_030, table, SETTINGS)) as hosts:
             leader = await wait_for_leader(hosts)
             await wait_for(lambda: knows_all(leader, 3))
-            table.up = False
+            table.down = True
             await wait_for(lambda: leader.expect_authority().by_table is False)
             await asyncio.sleep(3 * SETTINGS.lease_ms / 1_000)
             assert [host.decides() for host in hosts] == [host is leader for host in hosts]
-            table.up = True
+            table.down = False
             await wait_for(lambda: leader.expect_authority().by_table)
 
     asyncio.run(scenario())
@@ -107,17 +109,17 @@
 
 def test_outage_with_a_missing_member_leaves_nobody_in_charge_until_the_table_is_back():
     async def scenario() -> None:
-        table = FakeTable()
+        table = MemoryTable()
         async with run_zone(create_zone(3, 21_040, table, FAST)) as hosts:
             leader = await wait_for_leader(hosts)
             await wait_for(lambda: knows_all(leader, 3))
-            table.up = False
+            table.down = True
             missing = next(host for host in hosts if host is not leader)
             await missing.kill()
             await wait_for(lambda: count_deciders(hosts) == 0)
             await asyncio.sleep(FAST.lease_ms / 1_000)
             assert count_deciders(hosts) == 0
-            table.up = True
+            table.down = False
             await wait_for(lambda: count_deciders(hosts) == 1)
 
     asyncio.run(scenario())
@@ -125,7 +127,7 @@
 
 def test_restart_of_every_host_at_once_does_not_wait_for_the_horizon():
     async def scenario() -> None:
-        table = FakeTable()
+        table = MemoryTable()
         async with run_zone(create_zone(3, 21_050, table, SETTINGS)) as hosts:
             leader = await wait_for_leader(hosts)
             await wait_for(lambda: knows_all(leader, 3))
@@ -140,7 +142,7 @@
 
 def test_table_slower_than_the_lease_still_leaves_a_leader():
     async def scenario() -> None:
-        table = FakeTable()
+        table = MemoryTable()
         async with run_zone(create_zone(3, 21_080, table, SETTINGS)) as hosts:
             leader = await wait_for_leader(hosts)
             await wait_for(lambda: knows_all(leader, 3))
@@ -158,11 +160,11 @@
 
 def test_lost_answers_do_not_end_the_lead():
     async def scenario() -> None:
-        table = FakeTable()
+        table = MemoryTable()
         async with run_zone(create_zone(2, 21_060, table, SETTINGS)) as hosts:
             leader = await wait_for_leader(hosts)
             await wait_for(lambda: knows_all(leader, 2))
-            table.lose_answers = True
+            table.lose_answers = EVERY_ANSWER
             commits = table.commits
             await wait_for(lambda: table.commits >= commits + 10)
             assert leader.decides()
