--- a/packages/lentilpath-core/src/lentilpath_core/burn/_observations.py
+++ b/packages/lentilpath-core/src/lentilpath_core/burn/_observations.py
@@ -9,7 +9,7 @@
 from lentilpath_core.ids import JobId, WallTime, get_job_of_task
 from lentilpath_core.states import AttemptOutcome
 from lentilpath_core.zone.journal import AttemptEnded, AttemptStarting, JournalEvent
-from lentilpath_core.zone.state import JobRecord
+from lentilpath_core.zone.records import JobRecord
 
 UNCOUNTED_OUTCOMES = frozenset({AttemptOutcome.STOPPED, AttemptOutcome.NOT_STARTED})
 """An operator's stop and a start that never was are neither good nor bad."""
--- a/packages/lentilpath-core/src/lentilpath_core/language/_queries.py
+++ b/packages/lentilpath-core/src/lentilpath_core/language/_queries.py
@@ -8,7 +8,8 @@
 from lentilpath_core.language._tables import TABLE_COLUMNS, Cell, Table
 from lentilpath_core.language._units import format_time
 from lentilpath_core.states import TaskState
-from lentilpath_core.zone.state import AttemptRecord, JobRecord, TaskRecord, ZoneState
+from lentilpath_core.zone.records import AttemptRecord, JobRecord, TaskRecord
+from lentilpath_core.zone.state import ZoneState
 
 HISTORY_COLUMNS = ("at", "subject", "event", "worker", "detail")
 
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_controller.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_controller.py
@@ -9,6 +9,7 @@
 from lentilpath_core.resources import NO_RESOURCES
 from lentilpath_core.settings import WorkerLeaseSettings
 from lentilpath_core.states import AttemptOutcome
+from lentilpath_core.zone._attempts import end_attempt
 from lentilpath_core.zone._commands import take_inbox_entry
 from lentilpath_core.zone._control_messages import (
     AuthorityBasis,
@@ -29,12 +30,11 @@
 from lentilpath_core.zone._control_state import ControllerState, get_lease_bound
 from lentilpath_core.zone._decisions import place_tasks, release_start
 from lentilpath_core.zone._readiness import offer_recovered_tasks, set_table_backing
+from lentilpath_core.zone._reconciliation import take_report
 from lentilpath_core.zone._workers import (
     confirm_worker,
-    end_attempt,
     list_workers,
     mark_silent,
-    take_report,
     watch_silence,
 )
 from lentilpath_core.zone.journal import JournalBatch
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_decisions.py
@@ -12,11 +12,11 @@
     decide_placements,
 )
 from lentilpath_core.states import AttemptOutcome
+from lentilpath_core.zone._attempts import end_attempt
 from lentilpath_core.zone._commands import withdraw_job
 from lentilpath_core.zone._control_messages import ControlEffect, SendStart, SendStop
 from lentilpath_core.zone._control_state import NEVER, ControllerState, record_event
 from lentilpath_core.zone._readiness import may_start_unrecorded
-from lentilpath_core.zone._workers import end_attempt
 from lentilpath_core.zone.journal import AttemptStarting, JobRefused
 
 MAX_DECISIONS_PER_STEP = 256
--- a/packages/lentilpath-core/src/lentilpath_core/zone/_readiness.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/_readiness.py
@@ -7,7 +7,7 @@
 from lentilpath_core.states import TaskState
 from lentilpath_core.zone._control_messages import WorkerPhase
 from lentilpath_core.zone._control_state import ControllerState
-from lentilpath_core.zone.state import JobRecord
+from lentilpath_core.zone.records import JobRecord
 
 
 def offer_tasks(
--- a/packages/lentilpath-core/src/lentilpath_core/zone/state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/zone/state.py
@@ -7,7 +7,6 @@
 
 from lentilpath_core.ids import (
     Epoch,
-    HostId,
     JobId,
     JournalSequence,
     TaskId,
@@ -16,9 +15,8 @@
     ZoneId,
     get_job_of_task,
 )
-from lentilpath_core.resources import Resources
 from lentilpath_core.states import ENDED_TASK_STATES, AttemptOutcome, TaskState
-from lentilpath_core.workloads import JobSpec, WorkloadKind
+from lentilpath_core.workloads import WorkloadKind
 from lentilpath_core.zone.journal import (
     AttemptEnded,
     AttemptStarting,
@@ -32,6 +30,7 @@
     WorkerLost,
     WorkerUndrained,
 )
+from lentilpath_core.zone.records import AttemptRecord, JobRecord, TaskRecord, WorkerRecord
 
 MAX_ENDED_JOBS = 2_000
 """Ended jobs kept in memory; older ones are found in the history objects."""
@@ -41,76 +40,6 @@
 RERUN_OUTCOMES = frozenset({AttemptOutcome.LEASE_EXPIRED, AttemptOutcome.LOST})
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptRecord:
-    """One attempt to run a task."""
-
-    attempt: int
-    worker: WorkerId
-    decided_at: WallTime
-    reason: str
-    outcome: AttemptOutcome | None = None
-    """`None` while it may run."""
-    started_at: WallTime = WallTime(0)
-    """When the worker started it; 0 if that is not known."""
-    ended_at: WallTime = WallTime(0)
-    millicore_ms: int = 0
-    peak_memory_mib: int = 0
-    room: Resources | None = None
-    """What it held, if that was more than its job declares."""
-
-
-@dataclass(slots=True)
-class TaskRecord:
-    """A task and all its attempts."""
-
-    task: TaskId
-    state: TaskState = TaskState.WAITING
-    attempts: list[AttemptRecord] = field(default_factory=list)
-    """The latest attempts, oldest first."""
-    attempts_made: int = 0
-    """Number of the latest attempt."""
-    failures: int = 0
-
-    def find_attempt(self, attempt: int, worker: WorkerId) -> int | None:
-        """Return the place in `attempts` of this attempt on this worker, or `None`."""
-        for place, record in enumerate(self.attempts):
-            if record.attempt == attempt and record.worker == worker:
-                return place
-        return None
-
-    def get_open_attempt(self) -> AttemptRecord | None:
-        """Return the attempt that may run now, or `None`."""
-        if self.attempts and self.attempts[-1].outcome is None:
-            return self.attempts[-1]
-        return None
-
-
-@dataclass(slots=True)
-class JobRecord:
-    """A job and its tasks."""
-
-    spec: JobSpec
-    accepted_at: WallTime
-    accepted_by: HostId
-    tasks: dict[TaskId, TaskRecord]
-    open_tasks: int
-    """Tasks that have not ended."""
-    cancelled_by: str | None = None
-    cancelled_at: WallTime = WallTime(0)
-    refused_because: str | None = None
-    ended_at: WallTime = WallTime(0)
-
-
-@dataclass(slots=True)
-class WorkerRecord:
-    """A worker that the zone may have given tasks to."""
-
-    worker: WorkerId
-    boot: str
-    """The worker's start that the record speaks of."""
-
-
 @dataclass(slots=True)
 class ZoneState:
     """Everything durable about a zone. Changed in place by `apply_batch` only."""
