--- a/packages/lentilpathd/src/lentilpathd/_operators/_part.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_part.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import ssl
 
 from lentilpath_core.configuration import find_price_rule
-from lentilpath_core.settings import TlsSettings
 from lentilpath_http import HttpServer, serve_http
 from lentilpathd._authority import Leadership
 from lentilpathd._context import DaemonContext
@@ -23,6 +21,7 @@
 from lentilpathd._operators._reads import Reads
 from lentilpathd._operators._zone import ZoneAccess
 from lentilpathd._operators._zones import Zones
+from lentilpathd._tls import create_server_tls
 
 
 class Operators:
@@ -94,13 +93,3 @@
     config = ConfigApi(ConfigStore(context, keeper))
     api = Api(reads, Changes(context, zones, Placing(context, zones)), config, recorder)
     return Operators(context, api, trail, accountant, keeper, recorder)
-
-
-def create_server_tls(settings: TlsSettings | None) -> ssl.SSLContext | None:
-    """Return the server side of TLS from the PEM files of `settings`, or `None` without any."""
-    if settings is None:
-        return None
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-    context.minimum_version = ssl.TLSVersion.TLSv1_2
-    context.load_cert_chain(settings.certificate, settings.key)
-    return context
--- a/packages/lentilpathd/src/lentilpathd/_requests/part.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/part.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import ssl
 import uuid
 from collections.abc import Callable
 
@@ -16,7 +15,6 @@
     ServiceAnswer,
 )
 from lentilpath_core.requests.policy import RequestPolicy
-from lentilpath_core.settings import TlsSettings
 from lentilpath_http import HttpLimits, HttpRequest, HttpResponse, HttpServer, serve_http
 from lentilpathd._adapters.callers import (
     read_deferred_query,
@@ -39,6 +37,7 @@
 from lentilpathd._requests.rows import TableGate
 from lentilpathd._requests.service import PolicySource, Service
 from lentilpathd._requests.sweep import Sweeper
+from lentilpathd._tls import create_server_tls
 
 TICK_SECONDS = 0.1
 UNKNOWN_SERVICE_RETRY_MS = 1_000
@@ -96,7 +95,7 @@
             settings.callers.host,
             settings.callers.port,
             limits=HttpLimits(),
-            tls=_create_tls_context(settings.tls),
+            tls=create_server_tls(settings.tls),
         )
         try:
             async with asyncio.TaskGroup() as group:
@@ -229,12 +228,3 @@
 
 def _compute_remaining_seconds(deadline: Instant) -> float:
     return max(0, deadline - read_instant()) / MS_PER_SECOND
-
-
-def _create_tls_context(settings: TlsSettings | None) -> ssl.SSLContext | None:
-    if settings is None:
-        return None
-    tls = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-    tls.minimum_version = ssl.TLSVersion.TLSv1_2
-    tls.load_cert_chain(settings.certificate, settings.key)
-    return tls
--- a/packages/lentilpathd/src/lentilpathd/main.py
+++ b/packages/lentilpathd/src/lentilpathd/main.py
@@ -15,6 +15,7 @@
 from lentilpath_core.errors import InvalidSettings
 from lentilpath_core.settings import HostSettings, parse_settings
 from lentilpathd._daemon import run_daemon
+from lentilpathd._tls import create_server_tls
 
 EXIT_BAD_SETTINGS = 2
 EXIT_FAILED = 1
@@ -50,7 +51,9 @@
 
 def _load_settings(path: Path) -> HostSettings:
     try:
-        return parse_settings(path.read_text(), str(path))
+        settings = parse_settings(path.read_text(), str(path))
+        create_server_tls(settings.tls)
+        return settings
     except OSError as error:
         typer.echo(f"{path}: cannot be read: {error.strerror}", err=True)
     except (UnicodeDecodeError, InvalidSettings) as error:
--- a/tests/nocover/test_cli_config.py
+++ b/tests/nocover/test_cli_config.py
@@ -9,7 +9,7 @@
 from cryptography.x509.oid import NameOID
 
 from lentilpath_core.settings import TlsSettings
-from lentilpathd._operators._part import create_server_tls
+from lentilpathd._tls import create_server_tls
 from tests.nocover.test_cli_run import run_lentilpath, serving_cell
 
 
