Take a runner away by refused connections in the test of waiting deliveries

The claim is that a delivery waits for a runner that cannot be reached, so the runner now refuses connections, and the hosts have noticed before the request is sent. The same way serves test_says_not_run_with_a_time_to_come_back_when_no_runner_can_be_reached. Nothing of the claims is eased.

--- a/tests/common/requests.py
+++ b/tests/common/requests.py
@@ -105,6 +105,30 @@
         self.publish()
         return state
 
+    async def stop_runner(self, name):
+        """Let connections to the runner be refused, and wait until all hosts have noticed."""
+        state = self.runners[name]
+        self.servers[list(self.runners).index(name)].close()
+        state.down = True
+        for connection in tuple(state.open):
+            connection.abort()
+        await wait_until(lambda: not state.open and not self.count_idle_connections())
+
+    async def restart_runner(self, name):
+        """Let the runner listen again where it did."""
+        state = self.runners[name]
+        state.down = False
+        port = self.listed[name].address.port
+        server = await start_runner(state, LOOPBACK, port)
+        self.servers[list(self.runners).index(name)] = server
+
+    def count_idle_connections(self):
+        return sum(
+            len(runner.idle)
+            for host in self.hosts.values()
+            for runner in host.roster.list_runners()
+        )
+
     def publish(self):
         for directory in self.directories.values():
             directory.change(self.listed.values())
--- a/tests/cover/test_requests_durable.py
+++ b/tests/cover/test_requests_durable.py
@@ -156,11 +156,11 @@
 def test_a_deferred_request_waits_until_a_runner_takes_it():
     async def scenario():
         async with open_cell() as cell:
-            cell.runners["runner-0"].down = True
+            await cell.stop_runner("runner-0")
             accepted = await cell.call("host-1", prefer="respond-async")
             assert accepted.status == 202
             await asyncio.sleep(0.2)
-            cell.runners["runner-0"].down = False
+            await cell.restart_runner("runner-0")
             await wait_for_state(cell, "host-1", accepted, {"delivered"})
             assert len(cell.list_runs()) == 1
 
--- a/tests/cover/test_requests_path.py
+++ b/tests/cover/test_requests_path.py
@@ -69,11 +69,7 @@
 def test_says_not_run_with_a_time_to_come_back_when_no_runner_can_be_reached():
     async def scenario():
         async with open_cell() as cell:
-            cell.servers[0].close()
-            cell.runners["runner-0"].down = True
-            for connection in tuple(cell.runners["runner-0"].open):
-                connection.abort()
-            await wait_until(lambda: not cell.runners["runner-0"].open)
+            await cell.stop_runner("runner-0")
             response = await cell.call("host-1")
             assert read_failure(response)[1] == "not-run"
             assert int(response.get_header("retry-after")) >= 1
