--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -0,0 +1,402 @@
+"""What workers report, and what becomes of runs on workers that fall silent, restart or leave."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from lentilpath_core.ids import Instant, WorkerId
+from lentilpath_core.pool._events import (
+    PoolEffect,
+    RecordRun,
+    RecordWorkers,
+    ReleaseWorker,
+    StartAnswered,
+    WorkerReported,
+    WorkersListed,
+    WorkersRecorded,
+)
+from lentilpath_core.pool._evidence import note_done, note_failure, note_progress
+from lentilpath_core.pool._model import (
+    EndedRun,
+    ListedWorker,
+    Run,
+    RunEnd,
+    RunningRun,
+    RunRecord,
+    StartAnswer,
+    StepKey,
+    TaskKey,
+)
+from lentilpath_core.pool._state import Attempt, Phase, PoolState, Step, Worker
+from lentilpath_core.pool._steps import (
+    break_gang,
+    note_run_number,
+    stop_attempt,
+    take_done,
+    take_failure,
+    wait_again,
+)
+from lentilpath_core.resources import Resources
+
+STOP_AGAIN_MS = 1_000
+"""A stop whose run is still listed is sent again after this; it is over twice the longest stop."""
+
+
+def take_listed(state: PoolState, event: WorkersListed, now: Instant) -> tuple[PoolEffect, ...]:
+    """Take in which workers are registered."""
+    effects: list[PoolEffect] = []
+    listed = {each.worker: each for each in event.workers}
+    for worker in list(state.workers.values()):
+        worker.is_listed = worker.worker in listed
+    for entry in event.workers:
+        known = state.workers.get(entry.worker)
+        if known is not None and entry.life < known.life:
+            known.is_listed = True
+        elif known is not None and known.life == entry.life:
+            if entry.sequence < known.listed.sequence:
+                continue
+            if known.listed.capacity != entry.capacity:
+                known.free = known.free + entry.capacity - known.listed.capacity
+            known.listed = entry
+        else:
+            if known is not None:
+                effects.extend(_end_life(state, known, now))
+            state.workers[entry.worker] = Worker(entry, entry.capacity)
+    effects.extend(_record_workers(state))
+    state.needs_placing = True
+    return tuple(effects)
+
+
+def _record_workers(state: PoolState) -> tuple[PoolEffect, ...]:
+    lives = frozenset((each.worker, each.life) for each in state.workers.values())
+    if lives == state.recorded_workers:
+        return ()
+    state.recorded_workers = lives
+    return (RecordWorkers(tuple(each.listed for each in state.workers.values())),)
+
+
+def take_recorded_workers(state: PoolState, event: WorkersRecorded) -> None:
+    """Let these lives of workers take tasks."""
+    for worker_id, life in event.lives:
+        worker = state.workers.get(worker_id)
+        if worker is not None and worker.life == life:
+            worker.is_recorded = True
+    state.needs_placing = True
+
+
+def take_report(state: PoolState, event: WorkerReported, now: Instant) -> tuple[PoolEffect, ...]:
+    """Take in what a worker lists as running and as ended."""
+    worker = state.workers.get(event.worker)
+    if worker is None or worker.life != event.life:
+        return ()
+    is_first = worker.reported_at is None
+    worker.reported_at = event.sent_at
+    state.unsettled.discard(worker.worker)
+    effects: list[PoolEffect] = []
+    for ended in event.report.ended:
+        if ended.number > worker.taken_number:
+            worker.taken_number = ended.number
+            effects.extend(_take_end(state, worker, ended, now))
+    listed = {(each.task, each.run) for each in event.report.running}
+    for running in event.report.running:
+        effects.extend(_take_running(state, worker, running, now))
+    for attempt in list(worker.attempts.values()):
+        if (attempt.task, attempt.run) not in listed:
+            effects.extend(_check_missing(state, attempt, event.sent_at, now))
+    if is_first:
+        state.needs_placing = True
+    return tuple(effects)
+
+
+def _take_running(
+    state: PoolState, worker: Worker, running: RunningRun, now: Instant
+) -> tuple[PoolEffect, ...]:
+    attempt = worker.attempts.get((running.task, running.run))
+    if attempt is None:
+        attempt = _adopt(state, worker, running, now)
+    if attempt.step is None:
+        return _stop_unwanted(attempt, now)
+    if attempt.phase is Phase.STARTING:
+        attempt.phase = Phase.RUNNING
+        attempt.answered_at = attempt.answered_at or now
+    if running.checkpoint:
+        shared = 0 if attempt.step.spec.gang else running.task.number
+        attempt.step.checkpoints[shared] = running.checkpoint
+    note_progress(attempt, running.percent, now)
+    if attempt.phase is Phase.STOPPING:
+        return _stop_unwanted(attempt, now)
+    return ()
+
+
+def _stop_unwanted(attempt: Attempt, now: Instant) -> tuple[PoolEffect, ...]:
+    if now < attempt.stop_sent_at + STOP_AGAIN_MS and attempt.phase is Phase.STOPPING:
+        return ()
+    return stop_attempt(attempt, now)
+
+
+def _adopt(state: PoolState, worker: Worker, running: RunningRun, now: Instant) -> Attempt:
+    """Take over a run that an earlier leader has started, or mark it as unwanted."""
+    step = _find_step(state, running.task)
+    index = running.task.number
+    wanted = (
+        step is not None
+        and step.job.final is None
+        and index < step.spec.count
+        and index not in step.attempts
+        and index not in step.done
+        and index not in step.recording
+        and not _is_other_run_of_gang(step, running.run)
+    )
+    room = step.spec.counted_room if step is not None else Resources()
+    attempt = Attempt(
+        running.task,
+        running.run,
+        worker,
+        step if wanted else None,
+        room,
+        Phase.RUNNING,
+        now,
+        answered_at=now,
+        percent=running.percent,
+        percent_at=now,
+    )
+    _hold_room(worker, attempt)
+    if step is not None and wanted:
+        note_run_number(step, index, running.run)
+        step.attempts[index] = attempt
+        step.job.has_started = True
+        if step.spec.gang:
+            step.waiting = []
+        elif index in step.waiting:
+            step.waiting.remove(index)
+        if not step.waiting:
+            state.open_steps.pop(step.key, None)
+    return attempt
+
+
+def _is_other_run_of_gang(step: Step, run: Run) -> bool:
+    return step.spec.gang and any(each.run != run for each in step.attempts.values())
+
+
+def _hold_room(worker: Worker, attempt: Attempt) -> None:
+    worker.attempts[(attempt.task, attempt.run)] = attempt
+    worker.free = worker.free - attempt.room
+
+
+def hold_attempt(state: PoolState, attempt: Attempt) -> None:
+    """Hold room for a run that is about to be started."""
+    _hold_room(attempt.worker, attempt)
+    step = attempt.step
+    assert step is not None
+    step.attempts[attempt.task.number] = attempt
+    step.waiting.remove(attempt.task.number)
+    step.job.has_started = True
+
+
+def _release_attempt(state: PoolState, attempt: Attempt) -> None:
+    worker = attempt.worker
+    if worker.attempts.pop((attempt.task, attempt.run), None) is None:
+        return
+    worker.free = worker.free + attempt.room
+    state.needs_placing = True
+    step = attempt.step
+    if step is not None and step.attempts.get(attempt.task.number) is attempt:
+        del step.attempts[attempt.task.number]
+        _forget_if_over(state, step)
+
+
+def _forget_if_over(state: PoolState, step: Step) -> None:
+    job = step.job
+    if job.record.job in state.finals and not any(each.attempts for each in job.steps.values()):
+        state.jobs.pop(job.record.job, None)
+
+
+def _take_end(
+    state: PoolState, worker: Worker, ended: EndedRun, now: Instant
+) -> tuple[PoolEffect, ...]:
+    attempt = worker.attempts.get((ended.task, ended.run))
+    step = _find_step(state, ended.task)
+    if attempt is not None:
+        _release_attempt(state, attempt)
+    if step is None or ended.task.number >= step.spec.count:
+        return ()
+    note_run_number(step, ended.task.number, ended.run)
+    if ended.checkpoint:
+        shared = 0 if step.spec.gang else ended.task.number
+        step.checkpoints[shared] = ended.checkpoint
+    if ended.end is RunEnd.DONE:
+        note_done(state, worker, step, attempt, now)
+        return _take_run_done(state, step, ended)
+    if ended.end is RunEnd.FAILED:
+        note_failure(worker, step.key.job, now)
+        step.avoided.setdefault(ended.task.number, set()).add(worker.worker)
+        return _take_run_failed(state, step, ended, now)
+    return _take_run_cut(state, step, ended.task.number, attempt, now)
+
+
+def _take_run_done(state: PoolState, step: Step, ended: EndedRun) -> tuple[PoolEffect, ...]:
+    index = ended.task.number
+    if step.spec.lasting:
+        wait_again(state, step, index)
+        return ()
+    if index in step.done or index in step.recording:
+        return ()
+    if step.spec.gang and (step.done or step.recording):
+        return ()
+    step.recording.add(index)
+    if index in step.waiting:
+        step.waiting.remove(index)
+    if step.spec.gang:
+        step.waiting = []
+    if not step.waiting:
+        state.open_steps.pop(step.key, None)
+    return (RecordRun(ended.task, RunRecord(ended.run, RunEnd.DONE)),)
+
+
+def _take_run_failed(
+    state: PoolState, step: Step, ended: EndedRun, now: Instant
+) -> tuple[PoolEffect, ...]:
+    index = ended.task.number
+    if step.spec.lasting:
+        wait_again(state, step, index)
+        return ()
+    effects: list[PoolEffect] = []
+    if index not in step.done and index not in step.recording:
+        step.failing.add(index)
+        if index in step.waiting:
+            step.waiting.remove(index)
+        if step.spec.gang:
+            step.waiting = []
+        if not step.waiting:
+            state.open_steps.pop(step.key, None)
+    effects.append(RecordRun(ended.task, RunRecord(ended.run, RunEnd.FAILED)))
+    if step.spec.gang:
+        effects.extend(break_gang(step, now))
+    return tuple(effects)
+
+
+def _take_run_cut(
+    state: PoolState, step: Step, index: int, attempt: Attempt | None, now: Instant
+) -> tuple[PoolEffect, ...]:
+    """Let a task wait again whose run was neither done nor failed."""
+    if attempt is None or attempt.step is None:
+        return ()
+    if step.spec.gang and not step.is_done() and not step.recording:
+        effects = break_gang(step, now)
+        wait_again(state, step, index)
+        return effects
+    wait_again(state, step, index)
+    return ()
+
+
+def _check_missing(
+    state: PoolState, attempt: Attempt, sent_at: Instant, now: Instant
+) -> tuple[PoolEffect, ...]:
+    """Give up a run that was started before the report was asked for and is not in it."""
+    if attempt.answered_at is None or attempt.answered_at >= sent_at:
+        return ()
+    return lose_attempt(state, attempt, now)
+
+
+def lose_attempt(state: PoolState, attempt: Attempt, now: Instant) -> tuple[PoolEffect, ...]:
+    """Take in that a run surely does not run any more, without a word on how it ended."""
+    _release_attempt(state, attempt)
+    if attempt.step is None:
+        return ()
+    return _take_run_cut(state, attempt.step, attempt.task.number, attempt, now)
+
+
+def take_start_answer(
+    state: PoolState, event: StartAnswered, now: Instant
+) -> tuple[PoolEffect, ...]:
+    """Take in a worker's answer to a start."""
+    worker = state.workers.get(event.worker)
+    if worker is None or worker.life != event.life:
+        return ()
+    attempt = worker.attempts.get((event.task, event.run))
+    if attempt is None:
+        return ()
+    if event.answer is StartAnswer.STARTED:
+        attempt.answered_at = now
+        if attempt.phase is Phase.STARTING:
+            attempt.phase = Phase.RUNNING
+            attempt.percent_at = now
+        return ()
+    if event.answer is StartAnswer.NO_PERMISSION and attempt.step is not None:
+        tickets = attempt.step.tickets
+        if tickets is not None:
+            ticket = tickets.get(worker.worker)
+            if ticket is not None:
+                tickets[worker.worker] = replace(ticket, valid_until=Instant(0))
+    if event.answer is StartAnswer.UNHEALTHY:
+        worker.closed_until = Instant(now + UNHEALTHY_PAUSE_MS)
+    return lose_attempt(state, attempt, now)
+
+
+UNHEALTHY_PAUSE_MS = 1_000
+"""No starts on a worker that has refused one as unhealthy; about the spacing of its reports."""
+
+
+def _end_life(state: PoolState, worker: Worker, now: Instant) -> tuple[PoolEffect, ...]:
+    """Take in that a worker's process is gone, with all that ran there."""
+    effects: list[PoolEffect] = []
+    for attempt in list(worker.attempts.values()):
+        effects.extend(lose_attempt(state, attempt, now))
+    effects.append(ReleaseWorker(worker.worker, worker.life))
+    state.workers.pop(worker.worker, None)
+    state.unsettled.discard(worker.worker)
+    return tuple(effects)
+
+
+def expire_leases(state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
+    """Give up runs on workers whose leases have lapsed, and forget workers that left."""
+    effects: list[PoolEffect] = []
+    if state.unsettled and now >= state.settle_by:
+        state.unsettled.clear()
+        state.needs_placing = True
+    for worker in list(state.workers.values()):
+        if worker.worker in state.unsettled:
+            continue
+        if now < worker.lease_ends_at and (worker.is_listed or worker.attempts):
+            continue
+        for attempt in list(worker.attempts.values()):
+            effects.extend(lose_attempt(state, attempt, now))
+        if not worker.is_listed:
+            effects.extend(_end_life(state, worker, now))
+            effects.extend(_record_workers(state))
+    return tuple(effects)
+
+
+def note_former_workers(state: PoolState, workers: tuple[ListedWorker, ...], now: Instant) -> None:
+    """Wait for the word of workers that an earlier leader used."""
+    for entry in workers:
+        if entry.worker not in state.workers:
+            state.workers[entry.worker] = Worker(entry, entry.capacity, is_listed=False)
+        state.workers[entry.worker].is_recorded = True
+        state.workers[entry.worker].lease_ends_at = state.settle_by
+        state.unsettled.add(entry.worker)
+    state.recorded_workers = frozenset((each.worker, each.life) for each in state.workers.values())
+
+
+def take_recorded_end(
+    state: PoolState, task: TaskKey, record: RunRecord, now: Instant
+) -> tuple[PoolEffect, ...]:
+    """Take in a run's end that is durable."""
+    step = _find_step(state, task)
+    if step is not None:
+        note_run_number(step, task.number, record.run)
+    if record.end is RunEnd.DONE:
+        return take_done(state, task, now)
+    return take_failure(state, task, record.run, now)
+
+
+def _find_step(state: PoolState, task: TaskKey) -> Step | None:
+    job = state.jobs.get(task.job)
+    if job is None:
+        return None
+    return job.steps.get(StepKey(task.job, task.occurrence, task.step))
+
+
+def find_worker(state: PoolState, worker: WorkerId) -> Worker | None:
+    """Return the present life of a worker, if the pool knows it."""
+    return state.workers.get(worker)
--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -63,6 +63,29 @@
     REQUESTS_DRAINING = (311, "callers' requests are finished before the stop")
     REQUESTS_DRAINED = (312, "all callers' requests were finished")
 
+    POOL_LEADERSHIP_GAINED = (500, "this process leads the pools")
+    POOL_LEADERSHIP_LOST = (501, "this process leads the pools no more")
+    LEASE_NOT_RENEWED = (502, "the leader's lease could not be renewed; it is tried again")
+    LEADER_NOT_READ = (503, "the leadership could not be read or taken; it is tried again")
+    LEADER_SILENT = (504, "the leader did not answer; the table is asked instead")
+    POOL_RECOVERED = (505, "the pools' state was read")
+    POOL_RECOVERY_FAILED = (506, "the pools' state could not be read; it is tried again")
+    RECORDS_NOT_STORED = (507, "records could not be stored; they are stored again")
+    RECORDS_STORED_AGAIN = (508, "records are stored again")
+    WORKER_BACK = (509, "a worker answers again")
+    WORKER_REBORN = (510, "another life of the worker answers")
+    START_UNANSWERED = (511, "a start was not answered; it is asked again")
+    STOP_UNANSWERED = (512, "a stop was not answered; it is asked again")
+    ADVICE_MISSING = (513, "the advice service did not answer")
+    JOBS_NOT_FOLLOWED = (514, "new jobs could not be read; it is tried again")
+    CONFIG_NOT_FOLLOWED = (515, "the configuration could not be read; it is tried again")
+    JOB_REFUSED = (516, "a job was refused before it was stored")
+    JOB_NOT_STORED = (517, "a job was refused because the table did not take it")
+    JOB_UNCLEAR = (518, "it is not known whether a job was stored; it is stored again")
+    JOB_CANCELLED = (519, "a job's cancellation was stored")
+    SETTINGS_CHANGED = (520, "the settings file has changed")
+    ENTRY_UNREADABLE = (521, "an entry of the registry names no worker to use")
+
     @property
     def number(self) -> int:
         """The event's number."""
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/__init__.py
@@ -0,0 +1,1 @@
+"""The parts of a pool's host."""
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_advice.py
@@ -0,0 +1,146 @@
+"""Spreads calls to the advice service over all entry hosts, urgent steps first.
+
+The service handles one call at a time for each calling host, so one host that asked for all would
+fall behind. The leader hands each question to a host that has none under way.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+from collections.abc import Callable
+
+import msgspec
+
+from lentilpath_core.errors import LentilpathError
+from lentilpath_core.ids import HostId, Instant, JobId, WorkerId
+from lentilpath_core.peers import PeerRequest
+from lentilpath_core.pool import AdviceAnswered, AskAdvice, Permission, PoolEvent, StepKey
+from lentilpathd._clock import MS_PER_SECOND, read_instant
+from lentilpathd._events import Event, log_event
+from lentilpathd._peers import PeerBus
+from lentilpathd._pool._members import Members
+from lentilpathd._pool._ports import Advice, AdviceService
+
+ADVICE_TOPIC = "pool.advice"
+CALL_MARGIN_SECONDS = 1.0
+"""Beyond the expected time of a call, for the ways and a call before it."""
+SHORT_CALL_MS = 60.0
+"""While a shorter call is under way a host gets a second one, to cover the way to it."""
+
+
+class AdviceQuestion(msgspec.Struct, frozen=True):
+    """Asks another host to call the advice service."""
+
+    step: tuple[str, int, int]
+    workers: tuple[WorkerId, ...]
+    timeout_ms: int
+
+
+class AdviceReply(msgspec.Struct, frozen=True):
+    """What the advice service answered."""
+
+    allowed: tuple[tuple[WorkerId, str], ...]
+    valid_ms: int
+
+
+class AdviceAgent:
+    """Calls the advice service for the leader."""
+
+    def __init__(self, service: AdviceService, bus: PeerBus) -> None:
+        self._service = service
+        bus.handle(ADVICE_TOPIC, self._answer)
+
+    async def ask(self, step: StepKey, workers: tuple[WorkerId, ...], timeout: float) -> Advice:
+        """Call the service from this host."""
+        return await self._service.ask(step, workers, timeout)
+
+    async def _answer(self, request: PeerRequest) -> AdviceReply:
+        body = msgspec.convert(request.body, AdviceQuestion)
+        job, occurrence, number = body.step
+        advice = await self.ask(
+            StepKey(JobId(job), occurrence, number),
+            body.workers,
+            body.timeout_ms / MS_PER_SECOND,
+        )
+        allowed = tuple((each.worker, each.ticket) for each in advice.allowed)
+        return AdviceReply(allowed, advice.valid_ms)
+
+
+class AdviceDispatcher:
+    """The leader's queue of questions."""
+
+    def __init__(
+        self,
+        agent: AdviceAgent,
+        bus: PeerBus,
+        members: Members,
+        take_event: Callable[[PoolEvent], None],
+    ) -> None:
+        self._agent = agent
+        self._bus = bus
+        self._members = members
+        self._take_event = take_event
+        self._queue: list[tuple[tuple[int, int, float], int, AskAdvice]] = []
+        self._numbers = itertools.count()
+        self._busy: dict[HostId, list[float]] = {}
+        self._changed = asyncio.Event()
+
+    def queue(self, effect: AskAdvice) -> None:
+        """Ask as soon as a host is free."""
+        heapq.heappush(self._queue, (effect.rank, next(self._numbers), effect))
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Hand out questions until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                await self._changed.wait()
+                self._changed.clear()
+                while self._queue:
+                    host = self._choose_host(self._queue[0][2].cost_ms)
+                    if host is None:
+                        break
+                    _, _, effect = heapq.heappop(self._queue)
+                    self._busy.setdefault(host, []).append(effect.cost_ms)
+                    group.create_task(self._ask(host, effect))
+
+    def _choose_host(self, cost_ms: float) -> HostId | None:
+        """Return the host with the least under way that may take a call of this length."""
+        best: tuple[float, int, HostId] | None = None
+        for position, host in enumerate(self._members.list_hosts(read_instant())):
+            under_way = self._busy.get(host, [])
+            if under_way and (len(under_way) > 1 or max(*under_way, cost_ms) > SHORT_CALL_MS):
+                continue
+            candidate = (sum(under_way), position, host)
+            if best is None or candidate < best:
+                best = candidate
+        return best[2] if best is not None else None
+
+    async def _ask(self, host: HostId, effect: AskAdvice) -> None:
+        sent_at = read_instant()
+        timeout = effect.cost_ms / MS_PER_SECOND + CALL_MARGIN_SECONDS
+        try:
+            reply = await self._call(host, effect, timeout)
+        except LentilpathError as error:
+            log_event(Event.ADVICE_MISSING, step=effect.step, host=host, error=str(error))
+            self._take_event(AdviceAnswered(effect.step, effect.workers, None, sent_at))
+            return
+        finally:
+            self._busy[host].remove(effect.cost_ms)
+            self._changed.set()
+        # The service cannot have answered before the call's expected time had passed.
+        valid_until = Instant(int(sent_at + effect.cost_ms + reply.valid_ms))
+        self._take_event(AdviceAnswered(effect.step, effect.workers, reply.allowed, valid_until))
+
+    async def _call(self, host: HostId, effect: AskAdvice, timeout: float) -> Advice:
+        if host == self._bus.host:
+            return await self._agent.ask(effect.step, effect.workers, timeout)
+        question = AdviceQuestion(
+            (effect.step.job, effect.step.occurrence, effect.step.step),
+            effect.workers,
+            int(timeout * MS_PER_SECOND),
+        )
+        reply = await self._bus.ask(host, ADVICE_TOPIC, question, AdviceReply, timeout)
+        return Advice(tuple(Permission(*each) for each in reply.allowed), reply.valid_ms)
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
@@ -0,0 +1,62 @@
+"""Follows the configuration. A version that was seen is never followed by an older one."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from lentilpath_core.errors import OutcomeUnknown, Unavailable
+from lentilpath_core.ids import RowVersion
+from lentilpath_core.pool import PoolConfiguration
+from lentilpathd._events import Event, log_event
+from lentilpathd._pool._ports import HistoryLost, Registry
+
+WAIT_SECONDS = 1.2
+"""A change is in force in 2.5 s also if the feed's connection went silent just before it."""
+TIMEOUT_SECONDS = 0.8
+RETRY_SECONDS = 0.15
+
+
+class ConfigurationFollower:
+    """Holds the configuration in force on this host."""
+
+    def __init__(self, registry: Registry, announce: Callable[[PoolConfiguration], None]) -> None:
+        self._registry = registry
+        self._announce = announce
+        self._current: PoolConfiguration | None = None
+
+    def get_current(self) -> PoolConfiguration | None:
+        """Return the configuration in force, or `None` before the first."""
+        return self._current
+
+    async def run(self) -> None:
+        """Follow changes until cancelled."""
+        version: RowVersion | None = None
+        while True:
+            try:
+                if version is None:
+                    found, version = await self._registry.read_configuration(TIMEOUT_SECONDS)
+                else:
+                    found, version = await self._registry.follow_configuration(
+                        version, WAIT_SECONDS, WAIT_SECONDS + TIMEOUT_SECONDS
+                    )
+            except HistoryLost:
+                version = None
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            except (Unavailable, OutcomeUnknown) as error:
+                log_event(Event.CONFIG_NOT_FOLLOWED, error=str(error))
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            if found is not None:
+                self._take(found)
+            elif self._current is None:
+                version = None
+                await asyncio.sleep(RETRY_SECONDS)
+
+    def _take(self, found: PoolConfiguration) -> None:
+        if self._current is not None and found.version <= self._current.version:
+            return
+        self._current = found
+        log_event(Event.CONFIG_IN_FORCE, version=found.version, queues=len(found.queues))
+        self._announce(found)
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -0,0 +1,224 @@
+"""Builds the parts of a pool's host, runs them under supervision and stops them in order."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import uuid
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from lentilpath_core.errors import LentilpathError
+from lentilpath_core.ids import Epoch, Incarnation, JobId
+from lentilpath_core.peers import PeerRequest
+from lentilpath_core.pool import JobState, PoolConfiguration
+from lentilpath_http import HttpLimits, HttpRequest, HttpResponse, HttpServer, serve_http
+from lentilpathd._clock import MS_PER_SECOND, read_instant
+from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._peers import PeerBus
+from lentilpathd._pool._advice import AdviceAgent
+from lentilpathd._pool._configuration import ConfigurationFollower
+from lentilpathd._pool._context import PoolContext
+from lentilpathd._pool._jobs import Jobs
+from lentilpathd._pool._leadership import WATCH_EVERY_MS, PoolLeadership
+from lentilpathd._pool._members import (
+    HELLO_TOPIC,
+    STATE_TOPIC,
+    Digest,
+    Greeter,
+    Members,
+    StateQuestion,
+    StateReply,
+)
+from lentilpathd._pool._ports import (
+    AdviceService,
+    Deposed,
+    PartitionedTable,
+    Registry,
+    WorkerFactory,
+)
+from lentilpathd._pool._settings import PoolHostSettings
+from lentilpathd._pool._term import Term
+from lentilpathd._supervisor import Part, supervise_parts
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+INCARNATION_DIGITS = 8
+UNREADY_SECONDS = 2.4
+"""How long a stopping host still takes connections: the balancer notices after two questions a
+second apart."""
+STOP_MARGIN_SECONDS = 0.8
+DIGEST_SECONDS = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformPorts:
+    """The platform's services, as adapters have opened them."""
+
+    table: PartitionedTable
+    registry: Registry
+    create_worker: WorkerFactory
+    advice: AdviceService
+
+
+class NotLeading(LentilpathError):
+    """This process does not lead."""
+
+    code = "not-leading"
+
+
+class PoolHost:
+    """All parts of one entry host on a platform that keeps all state."""
+
+    def __init__(self, settings: PoolHostSettings, ports: PlatformPorts) -> None:
+        self.settings = settings
+        incarnation = Incarnation(f"{settings.host}.{uuid.uuid4().hex[:INCARNATION_DIGITS]}")
+        self.bus = PeerBus(settings.host, incarnation, settings.zone)
+        self.members = Members(settings, self.bus)
+        self.greeter = Greeter(settings, self.bus)
+        self.configuration = ConfigurationFollower(ports.registry, self._take_configuration)
+        self.leadership = PoolLeadership(ports.table, settings.host, incarnation, settings.peers)
+        self.context = PoolContext(
+            settings,
+            incarnation,
+            self.bus,
+            ports.table,
+            ports.registry,
+            ports.create_worker,
+            AdviceAgent(ports.advice, self.bus),
+            self.members,
+            self.greeter,
+            self.configuration.get_current,
+            self._get_own_state,
+        )
+        self.jobs = Jobs(self.context)
+        self.stopping = False
+        self._term: Term | None = None
+        self.bus.handle(HELLO_TOPIC, self._answer_hello)
+        self.bus.handle(STATE_TOPIC, self._answer_state)
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send callers here."""
+        return self.configuration.get_current() is not None and not self.stopping
+
+    async def run(self) -> None:
+        """Run all parts until cancelled."""
+        await supervise_parts(
+            (
+                Part("peers", lambda: self.bus.serve(self.settings.peers)),
+                Part("configuration", self.configuration.run),
+                Part("greeter", self.greeter.run),
+                Part("leadership", self._lead_in_turn),
+                Part("leader watch", self._watch_leader),
+            )
+        )
+
+    def _take_configuration(self, configuration: PoolConfiguration) -> None:
+        if self._term is not None:
+            self._term.take_configuration(configuration)
+
+    def _get_own_state(self, job: JobId) -> JobState | None:
+        return self._term.get_state(job) if self._term is not None else None
+
+    async def _answer_hello(self, request: PeerRequest) -> Digest:
+        if self._term is None:
+            raise NotLeading(f"{self.settings.host} does not lead")
+        return self._term.answer_hello(request)
+
+    async def _answer_state(self, request: PeerRequest) -> StateReply:
+        if self._term is None:
+            raise NotLeading(f"{self.settings.host} does not lead")
+        question = msgspec.convert(request.body, StateQuestion)
+        state = self._term.get_state(question.job)
+        return StateReply(state.value if state is not None else "")
+
+    async def _watch_leader(self) -> None:
+        while True:
+            seen = self.leadership.seen
+            if seen is not None and seen.lease is not None:
+                self.members.set_leader(seen.lease.host, seen.lease.address)
+                self.greeter.set_leader(seen.lease.host)
+            if self._term is not None:
+                self.greeter.set_leader(self.settings.host)
+                self.greeter.set_digest(self._term.make_digest(), read_instant())
+            await asyncio.sleep(DIGEST_SECONDS)
+
+    async def _lead_in_turn(self) -> None:
+        while not self.stopping:
+            while self.configuration.get_current() is None:
+                await asyncio.sleep(WATCH_EVERY_MS / MS_PER_SECOND)
+            epoch = await self.leadership.wait_for_turn()
+            await self._lead(epoch)
+        await asyncio.Event().wait()
+
+    async def _lead(self, epoch: Epoch) -> None:
+        log_event(Event.POOL_LEADERSHIP_GAINED, epoch=epoch, host=self.settings.host)
+        term = Term(self.context, epoch, self.leadership.epoch_version)
+        self._term = term
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.leadership.renew_forever(epoch))
+                group.create_task(term.run())
+                group.create_task(self._end_term_at_stop())
+        except* (Deposed, NotLeading) as errors:
+            log_event(Event.POOL_LEADERSHIP_LOST, epoch=epoch, error=str(errors.exceptions[0]))
+        finally:
+            self._term = None
+        if self.stopping:
+            await self.leadership.release(epoch)
+
+    async def _end_term_at_stop(self) -> None:
+        while not self.stopping:
+            await asyncio.sleep(0.1)
+        raise NotLeading("this host stops")
+
+
+async def run_pool_host(
+    settings: PoolHostSettings,
+    ports: PlatformPorts,
+    make_handler: Callable[[PoolHost], Handler],
+) -> bool:
+    """Run an entry host until SIGTERM or SIGINT; return whether it stopped as planned.
+
+    `make_handler` takes the host and returns the handler of callers' requests.
+    """
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: log_event(Event.SETTINGS_CHANGED))
+    host = PoolHost(settings, ports)
+    log_event(Event.PROCESS_STARTED, host=settings.host, zone=settings.zone)
+    callers = await serve_http(
+        make_handler(host), settings.callers.host, settings.callers.port, limits=HttpLimits()
+    )
+
+    async def answer_readiness(_: HttpRequest) -> HttpResponse:
+        return HttpResponse(200 if host.is_ready() else 503, (), b"")
+
+    readiness = await serve_http(answer_readiness, settings.readiness.host, settings.readiness.port)
+    running = asyncio.create_task(host.run())
+    stopping = asyncio.create_task(stop.wait())
+    await asyncio.wait((running, stopping), return_when=asyncio.FIRST_COMPLETED)
+    planned = stop.is_set()
+    if planned:
+        await _drain(host, callers, settings)
+    else:
+        log_warning_event(Event.PART_GIVEN_UP, error=repr(running.exception()))
+    running.cancel()
+    stopping.cancel()
+    await asyncio.wait((running,), timeout=STOP_MARGIN_SECONDS)
+    await readiness.close(0.0)
+    log_event(Event.PROCESS_STOPPED, host=settings.host, planned=planned)
+    return planned
+
+
+async def _drain(host: PoolHost, callers: HttpServer, settings: PoolHostSettings) -> None:
+    log_event(Event.PROCESS_DRAINING, host=settings.host)
+    host.stopping = True
+    begun = read_instant()
+    await asyncio.sleep(UNREADY_SECONDS)
+    left_ms = settings.stop_grace_ms - (read_instant() - begun)
+    await callers.close(max(0.0, left_ms / MS_PER_SECOND - STOP_MARGIN_SECONDS))
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -0,0 +1,171 @@
+"""What callers ask of a host: submit a job, ask for its state, cancel it, count what waits."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+
+from lentilpath_core.errors import (
+    LentilpathError,
+    OutcomeUnknown,
+    TableUnavailable,
+    Unavailable,
+)
+from lentilpath_core.ids import Instant, JobId
+from lentilpath_core.pool import JobRecord, JobState, QueuePolicy, decide_admission
+from lentilpathd._clock import read_instant
+from lentilpathd._events import Event, log_event
+from lentilpathd._pool._context import PoolContext
+from lentilpathd._pool._members import STATE_TOPIC, StateQuestion, StateReply
+from lentilpathd._pool._ports import PartTransaction
+from lentilpathd._pool._records import (
+    JOBS_TABLE,
+    POOL_PART,
+    POOL_TABLE,
+    decode_final,
+    encode_record,
+    get_cancel_key,
+    get_job_part,
+    make_final_key,
+)
+from lentilpathd._ports import ABSENT
+
+WRITE_TIMEOUT_SECONDS = 0.8
+READ_TIMEOUT_SECONDS = 0.8
+STATE_TIMEOUT_SECONDS = 0.4
+RETRY_SECONDS = 0.05
+STORE_AWAY_RETRY_MS = 1_000
+"""When to come back while the table does not take writes."""
+DEADLINE_SHARE = 0.8
+"""Part of a caller's time that is spent on settling an unclear write."""
+
+
+class SubmissionResult(Enum):
+    """What became of a submission."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    """Not stored; the job never runs unless it is submitted again."""
+    UNCLEAR = "unclear"
+    """The job may be stored; the same submission again will settle it."""
+
+
+@dataclass(frozen=True, slots=True)
+class SubmissionAnswer:
+    """The answer to a submission."""
+
+    result: SubmissionResult
+    retry_after_ms: int = 0
+
+
+class Jobs:
+    """Serves callers from the table and from what the leader says."""
+
+    def __init__(self, context: PoolContext) -> None:
+        self._context = context
+
+    async def submit(
+        self, record: JobRecord, policy: QueuePolicy, deadline_ms: int
+    ) -> SubmissionAnswer:
+        """Store a job; it is accepted once it is stored, and the same job again is the same."""
+        now = read_instant()
+        load = self._context.greeter.get_load(record.queue)
+        refusal_ms = decide_admission(record, policy, load)
+        if refusal_ms is not None:
+            log_event(Event.JOB_REFUSED, job=record.job, queue=record.queue, load=load)
+            return SubmissionAnswer(SubmissionResult.REFUSED, refusal_ms)
+        return await self._store(record, Instant(int(now + deadline_ms * DEADLINE_SHARE)))
+
+    async def _store(self, record: JobRecord, give_up_at: Instant) -> SubmissionAnswer:
+        transaction = PartTransaction(
+            JOBS_TABLE,
+            get_job_part(record.job),
+            checks=((record.job, ABSENT),),
+            puts=((record.job, encode_record(record)),),
+        )
+        is_unclear = False
+        while True:
+            try:
+                # A row that is there already is this job's, by this submission or an earlier one.
+                await self._context.table.commit(transaction, WRITE_TIMEOUT_SECONDS)
+                return SubmissionAnswer(SubmissionResult.ACCEPTED)
+            except TableUnavailable as error:
+                if not is_unclear:
+                    log_event(Event.JOB_NOT_STORED, job=record.job, error=str(error))
+                    return SubmissionAnswer(SubmissionResult.REFUSED, STORE_AWAY_RETRY_MS)
+            except OutcomeUnknown as error:
+                is_unclear = True
+                log_event(Event.JOB_UNCLEAR, job=record.job, error=str(error))
+            if read_instant() >= give_up_at:
+                return SubmissionAnswer(SubmissionResult.UNCLEAR)
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def get_state(self, job: JobId) -> JobState | None:
+        """Return a job's state, or `None` if there is no such job.
+
+        Raises `Unavailable` or `OutcomeUnknown` if that cannot be told now.
+        """
+        state = await self._ask_leader(job)
+        if state is not None:
+            return state
+        return await self._read_state(job)
+
+    async def _ask_leader(self, job: JobId) -> JobState | None:
+        own = self._context.get_own_state(job)
+        if own is not None:
+            return own
+        leader = self._context.greeter.get_leader()
+        if leader is None or leader == self._context.settings.host:
+            return None
+        try:
+            reply = await self._context.bus.ask(
+                leader, STATE_TOPIC, StateQuestion(job), StateReply, STATE_TIMEOUT_SECONDS
+            )
+        except LentilpathError as error:
+            log_event(Event.LEADER_SILENT, leader=leader, error=str(error))
+            return None
+        return JobState(reply.state) if reply.state else None
+
+    async def _read_state(self, job: JobId) -> JobState | None:
+        table = self._context.table
+        key = make_final_key(job)
+        read = await table.read_part(POOL_TABLE, POOL_PART, key, key + "0", READ_TIMEOUT_SECONDS)
+        for row in read.rows:
+            if row.key == key:
+                return decode_final(row.value).state
+        return JobState.QUEUED if await self._is_stored(job) else None
+
+    async def _is_stored(self, job: JobId) -> bool:
+        read = await self._context.table.read_part(
+            JOBS_TABLE, get_job_part(job), job, job + "0", READ_TIMEOUT_SECONDS
+        )
+        return any(row.key == job for row in read.rows)
+
+    async def cancel(self, job: JobId, deadline_ms: int) -> bool:
+        """Cancel a job; return whether there is such a job.
+
+        Raises `Unavailable` or `OutcomeUnknown` if the cancellation is not surely stored.
+        """
+        give_up_at = read_instant() + deadline_ms * DEADLINE_SHARE
+        state = await self.get_state(job)
+        if state is None:
+            return False
+        transaction = PartTransaction(
+            JOBS_TABLE, get_job_part(job), puts=((get_cancel_key(job), b"1"),)
+        )
+        while True:
+            try:
+                await self._context.table.commit(transaction, WRITE_TIMEOUT_SECONDS)
+            except (Unavailable, OutcomeUnknown):
+                if read_instant() >= give_up_at:
+                    raise
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            log_event(Event.JOB_CANCELLED, job=job)
+            return True
+
+    def count_pending(self, queue: str) -> int:
+        """Return how many accepted jobs of a queue have not begun, as last known."""
+        load = self._context.greeter.get_load(queue)
+        return load.pending if load is not None else 0
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -0,0 +1,200 @@
+"""Who leads: one row of the platform's table, taken over when its time has run out.
+
+Decisions are `decide_takeover` and `get_renewal`; the rest reads and writes rows.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+import msgspec
+
+from lentilpath_core.errors import OutcomeUnknown, Unavailable
+from lentilpath_core.ids import Epoch, HostId, Incarnation, Instant, RowVersion
+from lentilpath_core.settings import Address
+from lentilpathd._clock import MS_PER_SECOND, read_instant
+from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._pool._ports import Deposed, PartitionedTable, PartRows, PartTransaction
+from lentilpathd._pool._records import (
+    EPOCH_KEY,
+    LEADER_KEYS_END,
+    LEASE_KEY,
+    POOL_PART,
+    POOL_TABLE,
+    EpochRow,
+    LeaseRow,
+    encode_record,
+)
+
+LEASE_MS = 2_000
+"""A leader that is silent for this long may be replaced; three renewals fit."""
+RENEW_EVERY_MS = 600
+WATCH_EVERY_MS = 500
+TAKEOVER_MARGIN_MS = 200
+"""Beyond the lease, for the way from the leader to the table."""
+ROW_TIMEOUT_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class SeenLeader:
+    """The leadership rows as they were read."""
+
+    epoch: Epoch
+    epoch_version: RowVersion
+    lease: LeaseRow | None
+    clock_ms: int
+
+
+def decode_leader(read: PartRows) -> SeenLeader:
+    """Return what the rows say; raises `msgspec.DecodeError`."""
+    rows = {row.key: row for row in read.rows}
+    epoch_row = rows.get(EPOCH_KEY)
+    lease_row = rows.get(LEASE_KEY)
+    epoch = Epoch(0)
+    if epoch_row is not None:
+        epoch = msgspec.msgpack.decode(epoch_row.value, type=EpochRow).epoch
+    lease = None
+    if lease_row is not None:
+        lease = msgspec.msgpack.decode(lease_row.value, type=LeaseRow)
+    version = epoch_row.version if epoch_row is not None else RowVersion(0)
+    return SeenLeader(epoch, version, lease, read.clock_ms)
+
+
+def may_take_over(seen: SeenLeader) -> bool:
+    """Return whether the leadership is free by the table service's own clock."""
+    lease = seen.lease
+    if lease is None or lease.epoch < seen.epoch:
+        # A leader that took over writes its lease in the same transaction.
+        return lease is None
+    return seen.clock_ms > lease.until_ms + TAKEOVER_MARGIN_MS
+
+
+class TableClock:
+    """A lower bound of the table service's clock, from its answers."""
+
+    def __init__(self) -> None:
+        self._ahead_ms: int | None = None
+
+    def note(self, clock_ms: int, now: Instant) -> None:
+        """Take in an answer that arrived at `now`."""
+        ahead_ms = clock_ms - now
+        if self._ahead_ms is None or ahead_ms > self._ahead_ms:
+            self._ahead_ms = ahead_ms
+
+    def estimate(self, now: Instant) -> int:
+        """Return a time that the table service's clock has reached."""
+        return now + (self._ahead_ms or 0)
+
+
+class PoolLeadership:
+    """Watches the leadership and takes it over when it is free."""
+
+    def __init__(
+        self, table: PartitionedTable, host: HostId, incarnation: Incarnation, address: Address
+    ) -> None:
+        self._table = table
+        self._host = host
+        self._incarnation = incarnation
+        self._address = address
+        self._clock = TableClock()
+        self.epoch_version = RowVersion(0)
+        self.seen: SeenLeader | None = None
+
+    async def wait_for_turn(self) -> Epoch:
+        """Return the epoch of this process once it leads."""
+        while True:
+            seen = await self._watch()
+            if seen is not None and may_take_over(seen):
+                epoch = await self._take_over(seen)
+                if epoch is not None:
+                    return epoch
+            await asyncio.sleep(WATCH_EVERY_MS / MS_PER_SECOND)
+
+    async def _watch(self) -> SeenLeader | None:
+        try:
+            read = await self._table.read_part(
+                POOL_TABLE, POOL_PART, EPOCH_KEY[0], LEADER_KEYS_END, ROW_TIMEOUT_SECONDS
+            )
+        except (Unavailable, OutcomeUnknown) as error:
+            log_event(Event.LEADER_NOT_READ, error=str(error))
+            return None
+        self._clock.note(read.clock_ms, read_instant())
+        self.seen = decode_leader(read)
+        return self.seen
+
+    async def _take_over(self, seen: SeenLeader) -> Epoch | None:
+        epoch = Epoch(seen.epoch + 1)
+        row = EpochRow(epoch, self._host, self._incarnation)
+        transaction = PartTransaction(
+            POOL_TABLE,
+            POOL_PART,
+            checks=((EPOCH_KEY, seen.epoch_version),),
+            puts=(
+                (EPOCH_KEY, encode_record(row)),
+                (LEASE_KEY, encode_record(self._make_lease(epoch, read_instant()))),
+            ),
+        )
+        try:
+            commit = await self._table.commit(transaction, ROW_TIMEOUT_SECONDS)
+        except Unavailable as error:
+            log_event(Event.LEADER_NOT_READ, error=str(error))
+            return None
+        except OutcomeUnknown:
+            return await self._settle_takeover(epoch)
+        if not commit.applied:
+            return None
+        self.epoch_version = commit.version
+        self._clock.note(commit.clock_ms, read_instant())
+        return epoch
+
+    async def _settle_takeover(self, epoch: Epoch) -> Epoch | None:
+        """Find out whether an unanswered takeover was applied; one that applies late is seen as
+        another leader's, which never renews and so is followed by the next takeover.
+        """
+        try:
+            read = await self._table.read_part(
+                POOL_TABLE, POOL_PART, EPOCH_KEY[0], LEADER_KEYS_END, ROW_TIMEOUT_SECONDS
+            )
+        except (Unavailable, OutcomeUnknown):
+            return None
+        for row in read.rows:
+            if row.key == EPOCH_KEY:
+                found = msgspec.msgpack.decode(row.value, type=EpochRow)
+                if found.epoch == epoch and found.incarnation == self._incarnation:
+                    self.epoch_version = row.version
+                    return epoch
+        return None
+
+    def _make_lease(self, epoch: Epoch, now: Instant) -> LeaseRow:
+        return LeaseRow(epoch, self._host, self._address, self._clock.estimate(now) + LEASE_MS)
+
+    async def renew_forever(self, epoch: Epoch) -> None:
+        """Renew the lease until another leader is found; raises `Deposed`.
+
+        While the table is out of reach the process goes on leading: nobody can take over without
+        the table, and whoever does is obeyed by the workers from its first word on.
+        """
+        while True:
+            await asyncio.sleep(RENEW_EVERY_MS / MS_PER_SECOND)
+            await self._write_lease(epoch, self._make_lease(epoch, read_instant()))
+
+    async def release(self, epoch: Epoch) -> None:
+        """Let another process take over at once."""
+        await self._write_lease(epoch, LeaseRow(epoch, self._host, self._address, 0))
+
+    async def _write_lease(self, epoch: Epoch, lease: LeaseRow) -> None:
+        transaction = PartTransaction(
+            POOL_TABLE,
+            POOL_PART,
+            checks=((EPOCH_KEY, self.epoch_version),),
+            puts=((LEASE_KEY, encode_record(lease)),),
+        )
+        try:
+            commit = await self._table.commit(transaction, ROW_TIMEOUT_SECONDS)
+        except (Unavailable, OutcomeUnknown) as error:
+            log_warning_event(Event.LEASE_NOT_RENEWED, epoch=epoch, error=str(error))
+            return
+        self._clock.note(commit.clock_ms, read_instant())
+        if not commit.applied:
+            raise Deposed(f"epoch {epoch} was followed by another leader")
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -0,0 +1,237 @@
+"""The leader's conversation with one life of a worker: renewals, starts and stops."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+from lentilpath_core.errors import LentilpathError, OutcomeUnknown, Unavailable
+from lentilpath_core.ids import Epoch, Instant, WorkerTime
+from lentilpath_core.pool import (
+    LeaseSent,
+    ListedWorker,
+    PoolEvent,
+    Run,
+    StartAnswer,
+    StartAnswered,
+    StartRun,
+    StopAnswered,
+    StopRun,
+    TaskKey,
+    WorkerReported,
+)
+from lentilpathd._clock import MS_PER_SECOND, read_instant
+from lentilpathd._events import Event, log_event
+from lentilpathd._pool._ports import Deposed, OtherLife, PoolWorker, RefusedByFence
+from lentilpathd._pool._writer import RecordWriter
+
+RENEWAL_WAIT_MS = 1_000
+"""How long a worker may hold its answer while nothing ends."""
+RENEWAL_TIMEOUT_SECONDS = 0.7
+"""Beyond the wait; several times the longest way there and back."""
+GATHER_SECONDS = 0.02
+"""Pause after ends were listed, so that several share one answer."""
+DURABLE_WAIT_SECONDS = 0.4
+"""Renewals go on after this also if ends are not durable yet, to keep the leases."""
+RETRY_SECONDS = 0.1
+COMMAND_TIMEOUT_SECONDS = 0.8
+COMMANDS_AT_ONCE = 3
+"""Starts and stops under way to one worker, each on a connection of its own."""
+CLOCK_DRIFT = 0.02
+"""A worker's clock may run this share slow."""
+LEASE_MARGIN_MS = 150
+
+
+class WorkerClock:
+    """What is known of a worker's own clock."""
+
+    def __init__(self) -> None:
+        self._reading: WorkerTime | None = None
+        self._read_at = Instant(0)
+
+    def note(self, reading: WorkerTime, now: Instant) -> None:
+        """Take in a reading that arrived at `now`."""
+        self._reading = reading
+        self._read_at = now
+
+    def make_lease(self, now: Instant, lease_ms: int) -> tuple[WorkerTime, Instant] | None:
+        """Return the end of a lease on the worker's clock, and by when it is over on ours.
+
+        `None` while nothing is known of the worker's clock.
+        """
+        if self._reading is None:
+            return None
+        until = WorkerTime(self._reading + (now - self._read_at) + lease_ms)
+        longest_ms = (until - self._reading) / (1 - CLOCK_DRIFT) + LEASE_MARGIN_MS
+        return until, Instant(int(self._read_at + longest_ms) + 1)
+
+
+class WorkerLink:
+    """Speaks with one life of a worker until it is cancelled."""
+
+    def __init__(
+        self,
+        listed: ListedWorker,
+        client: PoolWorker,
+        epoch: Epoch,
+        lease_ms: int,
+        writer: RecordWriter,
+        take_event: Callable[[PoolEvent], None],
+    ) -> None:
+        self._listed = listed
+        self._client = client
+        self._epoch = epoch
+        self._lease_ms = lease_ms
+        self._writer = writer
+        self._take_event = take_event
+        self._clock = WorkerClock()
+        self._taken_number = 0
+        self._slots = asyncio.Semaphore(COMMANDS_AT_ONCE)
+        self._commands: dict[tuple[TaskKey, Run], asyncio.Task[None]] = {}
+        self._group: asyncio.TaskGroup | None = None
+        self._silent = False
+
+    async def run(self) -> None:
+        """Renew leases and take reports until cancelled; raises `Deposed`."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                self._group = group
+                while await self._renew():
+                    pass
+        finally:
+            self._group = None
+            self._client.close()
+
+    async def _renew(self) -> bool:
+        """Renew once; return whether the worker's life goes on."""
+        wait_ms = RENEWAL_WAIT_MS
+        sent_at = read_instant()
+        lease = self._grant(sent_at)
+        if lease is None:
+            wait_ms = 0
+        timeout = wait_ms / MS_PER_SECOND + RENEWAL_TIMEOUT_SECONDS
+        try:
+            report = await self._client.renew(self._taken_number, lease, wait_ms, timeout)
+        except OtherLife:
+            log_event(Event.WORKER_REBORN, worker=self._listed.worker, life=self._listed.life)
+            await asyncio.sleep(RETRY_SECONDS)
+            return True
+        except RefusedByFence as error:
+            raise Deposed(str(error)) from error
+        except (Unavailable, OutcomeUnknown) as error:
+            if not self._silent:
+                self._silent = True
+                log_event(Event.WORKER_SILENT, worker=self._listed.worker, error=str(error))
+            await asyncio.sleep(RETRY_SECONDS)
+            return True
+        if self._silent:
+            self._silent = False
+            log_event(Event.WORKER_BACK, worker=self._listed.worker)
+        self._clock.note(report.clock, read_instant())
+        self._take_event(WorkerReported(self._listed.worker, self._listed.life, report, sent_at))
+        if report.ended:
+            # An end is acknowledged only when all that follows from it is durable.
+            highest = max(each.number for each in report.ended)
+            queued = self._writer.queued_count
+            await asyncio.sleep(GATHER_SECONDS)
+            if not await self._writer.wait_durable(queued, DURABLE_WAIT_SECONDS):
+                return True
+            self._taken_number = max(self._taken_number, highest)
+        return True
+
+    def _grant(self, now: Instant) -> WorkerTime | None:
+        lease = self._clock.make_lease(now, self._lease_ms)
+        if lease is None:
+            return None
+        self._take_event(LeaseSent(self._listed.worker, self._listed.life, lease[1]))
+        return lease[0]
+
+    def send_start(self, effect: StartRun) -> None:
+        """Start a run, and go on asking until the worker's answer is known."""
+        self._spawn((effect.task, effect.run), self._start(effect))
+
+    def send_stop(self, effect: StopRun) -> None:
+        """Stop a run; a start of it that is under way is given up first."""
+        key = (effect.task, effect.run)
+        known = self._commands.get(key)
+        if known is not None:
+            known.cancel()
+        self._spawn(key, self._stop(effect))
+
+    def _spawn(self, key: tuple[TaskKey, Run], command: Coroutine[None, None, None]) -> None:
+        if self._group is None:
+            command.close()
+            return
+        task = self._group.create_task(command)
+        self._commands[key] = task
+        task.add_done_callback(lambda done: self._forget(key, done))
+
+    def _forget(self, key: tuple[TaskKey, Run], done: asyncio.Task[None]) -> None:
+        if self._commands.get(key) is done:
+            del self._commands[key]
+
+    async def _start(self, effect: StartRun) -> None:
+        is_unclear = False
+        while True:
+            async with self._slots:
+                answer = await self._try_start(effect)
+            if answer is None:
+                is_unclear = True
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            break
+        if is_unclear and answer is not StartAnswer.STARTED:
+            # An earlier command may still be carried out; a stop keeps it from that.
+            await self._stop(StopRun(effect.worker, effect.life, effect.task, effect.run))
+        self._take_event(StartAnswered(effect.worker, effect.life, effect.task, effect.run, answer))
+
+    async def _try_start(self, effect: StartRun) -> StartAnswer | None:
+        """Return the worker's answer, or `None` if the command may have been carried out."""
+        lease = self._grant(read_instant())
+        if lease is None:
+            return StartAnswer.UNHEALTHY
+        try:
+            answer = await self._client.start(
+                effect.task,
+                effect.run,
+                effect.text,
+                effect.checkpoint,
+                effect.ticket,
+                lease,
+                COMMAND_TIMEOUT_SECONDS,
+            )
+        except OtherLife:
+            return StartAnswer.OTHER_LIFE
+        except RefusedByFence as error:
+            raise Deposed(str(error)) from error
+        except LentilpathError as error:
+            log_event(
+                Event.START_UNANSWERED,
+                worker=effect.worker,
+                task=effect.task,
+                run=effect.run,
+                error=str(error),
+            )
+            return None
+        return answer
+
+    async def _stop(self, effect: StopRun) -> None:
+        while True:
+            try:
+                async with self._slots:
+                    await self._client.stop(effect.task, effect.run, COMMAND_TIMEOUT_SECONDS)
+                break
+            except OtherLife:
+                break
+            except RefusedByFence as error:
+                raise Deposed(str(error)) from error
+            except LentilpathError as error:
+                log_event(
+                    Event.STOP_UNANSWERED,
+                    worker=effect.worker,
+                    task=effect.task,
+                    run=effect.run,
+                    error=str(error),
+                )
+                await asyncio.sleep(RETRY_SECONDS)
+        self._take_event(StopAnswered(effect.worker, effect.life, effect.task, effect.run))
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_members.py
@@ -0,0 +1,140 @@
+"""Which entry hosts are alive, by what they say to the leader, and what the leader tells them."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from lentilpath_core.errors import LentilpathError
+from lentilpath_core.ids import Epoch, HostId, Instant, JobId, RegionId, ZoneId
+from lentilpath_core.peers import PeerRequest
+from lentilpath_core.pool import QueueLoad
+from lentilpath_core.settings import Address, PeerSettings
+from lentilpathd._clock import MS_PER_SECOND, read_instant
+from lentilpathd._events import Event, log_event
+from lentilpathd._peers import PeerBus
+from lentilpathd._pool._settings import PoolHostSettings
+
+HELLO_TOPIC = "pool.hello"
+HELLO_EVERY_MS = 500
+HELLO_TIMEOUT_SECONDS = 0.5
+MEMBER_SILENT_MS = 1_600
+"""A host that has not spoken for three greetings gets no more questions."""
+
+
+class Hello(msgspec.Struct, frozen=True):
+    """A host's greeting to the leader."""
+
+    address: Address
+    zone: ZoneId
+    region: RegionId
+
+
+class Digest(msgspec.Struct, frozen=True):
+    """What the leader tells the hosts about the load."""
+
+    epoch: Epoch
+    queues: dict[str, QueueLoad]
+
+
+class Members:
+    """The hosts that have spoken to this process lately."""
+
+    def __init__(self, settings: PoolHostSettings, bus: PeerBus) -> None:
+        self._settings = settings
+        self._bus = bus
+        self._heard: dict[HostId, tuple[Instant, PeerSettings]] = {}
+        self._leader: PeerSettings | None = None
+
+    def list_hosts(self, now: Instant) -> tuple[HostId, ...]:
+        """Return this host and the others that have spoken to it lately."""
+        heard = (host for host, (at, _) in self._heard.items() if now <= at + MEMBER_SILENT_MS)
+        return (self._settings.host, *sorted(heard))
+
+    def note_hello(self, host: HostId, hello: Hello, now: Instant) -> None:
+        """Take in a greeting."""
+        if host == self._settings.host:
+            return
+        peer = PeerSettings(host, hello.region, hello.zone, hello.address)
+        known = self._heard.get(host)
+        self._heard[host] = (now, peer)
+        if known is None or known[1] != peer:
+            self._update_bus()
+
+    def set_leader(self, host: HostId, address: Address) -> None:
+        """Make the leader reachable through the bus."""
+        peer = PeerSettings(host, self._settings.region, self._settings.zone, address)
+        if peer != self._leader:
+            self._leader = peer
+            self._update_bus()
+
+    def _update_bus(self) -> None:
+        peers = {peer.host: peer for _, peer in self._heard.values()}
+        if self._leader is not None:
+            peers[self._leader.host] = self._leader
+        self._bus.set_peers(tuple(peers.values()))
+
+
+class Greeter:
+    """Greets the leader and keeps its last digest."""
+
+    def __init__(self, settings: PoolHostSettings, bus: PeerBus) -> None:
+        self._settings = settings
+        self._bus = bus
+        self._leader: HostId | None = None
+        self._digest: Digest | None = None
+        self._digest_at = Instant(0)
+
+    def set_leader(self, leader: HostId | None) -> None:
+        """Greet this host from now on."""
+        self._leader = leader
+
+    def get_leader(self) -> HostId | None:
+        """Return the host that was last seen to lead."""
+        return self._leader
+
+    def set_digest(self, digest: Digest, now: Instant) -> None:
+        """Take a digest that was made on this host."""
+        self._digest, self._digest_at = digest, now
+
+    def get_load(self, queue: str) -> QueueLoad | None:
+        """Return the last known load of a queue, or `None`."""
+        return self._digest.queues.get(queue) if self._digest is not None else None
+
+    async def run(self) -> None:
+        """Greet until cancelled."""
+        while True:
+            leader = self._leader
+            if leader is not None and leader != self._settings.host:
+                await self._greet(leader)
+            await asyncio.sleep(HELLO_EVERY_MS / MS_PER_SECOND)
+
+    async def _greet(self, leader: HostId) -> None:
+        hello = Hello(self._settings.peers, self._settings.zone, self._settings.region)
+        try:
+            digest = await self._bus.ask(leader, HELLO_TOPIC, hello, Digest, HELLO_TIMEOUT_SECONDS)
+        except LentilpathError as error:
+            log_event(Event.LEADER_SILENT, leader=leader, error=str(error))
+            return
+        self.set_digest(digest, read_instant())
+
+
+def read_hello(request: PeerRequest) -> Hello:
+    """Return the greeting in a request; raises `msgspec.ValidationError`."""
+    return msgspec.convert(request.body, Hello)
+
+
+STATE_TOPIC = "pool.state"
+
+
+class StateQuestion(msgspec.Struct, frozen=True):
+    """Asks the leader where a job stands."""
+
+    job: JobId
+
+
+class StateReply(msgspec.Struct, frozen=True):
+    """A job's state, or an empty text if the leader does not know the job."""
+
+    state: str
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -0,0 +1,97 @@
+"""Reads what earlier leaders and all hosts have stored, when a process begins to lead."""
+
+from __future__ import annotations
+
+from collections.abc import Container
+from dataclasses import dataclass
+
+import msgspec
+
+from lentilpath_core.ids import JobId, RowVersion
+from lentilpath_core.pool import (
+    FinalRecord,
+    JobAccepted,
+    JobCancelled,
+    JobEnded,
+    ListedWorker,
+    PoolEvent,
+    RunRecord,
+    RunsRecovered,
+    TaskKey,
+)
+from lentilpathd._events import Event, log_warning_event
+from lentilpathd._pool._ports import PartitionedTable, PartRow
+from lentilpathd._pool._records import (
+    CANCEL_SUFFIX,
+    END_PREFIX,
+    FINAL_PREFIX,
+    JOBS_TABLE,
+    POOL_PART,
+    POOL_TABLE,
+    WORKERS_KEY,
+    decode_end,
+    decode_final,
+    decode_job,
+    decode_workers,
+    list_job_parts,
+    parse_end_key,
+)
+
+READ_TIMEOUT_SECONDS = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class RecoveredPool:
+    """All that is stored."""
+
+    events: tuple[PoolEvent, ...]
+    """To be taken in this order."""
+    former_workers: tuple[ListedWorker, ...]
+    jobs_version: RowVersion
+    """Changes of the table of jobs are followed from here."""
+
+
+async def read_pool(table: PartitionedTable) -> RecoveredPool:
+    """Read all rows; raises `Unavailable` or `OutcomeUnknown`."""
+    jobs_version: RowVersion | None = None
+    job_rows: list[PartRow] = []
+    for part in list_job_parts():
+        read = await table.read_part(JOBS_TABLE, part, "", "", READ_TIMEOUT_SECONDS)
+        job_rows.extend(read.rows)
+        jobs_version = read.version if jobs_version is None else min(jobs_version, read.version)
+    pool = await table.read_part(POOL_TABLE, POOL_PART, "", "", READ_TIMEOUT_SECONDS)
+    finals: dict[JobId, FinalRecord] = {}
+    ends: list[tuple[TaskKey, RunRecord]] = []
+    workers: tuple[ListedWorker, ...] = ()
+    for row in pool.rows:
+        if row.key.startswith(FINAL_PREFIX):
+            finals[JobId(row.key.removeprefix(FINAL_PREFIX))] = decode_final(row.value)
+        elif row.key.startswith(END_PREFIX):
+            ends.append((parse_end_key(row.key), decode_end(row.value)))
+        elif row.key == WORKERS_KEY:
+            workers = decode_workers(row.value)
+    events: list[PoolEvent] = [JobEnded(job, final) for job, final in finals.items()]
+    events.extend(make_job_events(tuple(job_rows), finals.keys(), recovered=True))
+    open_ends = tuple((task, record) for task, record in ends if task.job not in finals)
+    events.append(RunsRecovered(open_ends))
+    return RecoveredPool(tuple(events), workers, jobs_version or RowVersion(0))
+
+
+def make_job_events(
+    rows: tuple[PartRow, ...], ended: Container[JobId], recovered: bool
+) -> tuple[PoolEvent, ...]:
+    """Return the events of rows of the table of jobs, but for jobs that have ended."""
+    accepted: list[PoolEvent] = []
+    cancelled: list[PoolEvent] = []
+    for row in rows:
+        job = JobId(row.key.removesuffix(CANCEL_SUFFIX))
+        if row.is_dropped or job in ended:
+            continue
+        if row.key.endswith(CANCEL_SUFFIX):
+            cancelled.append(JobCancelled(job))
+            continue
+        try:
+            accepted.append(JobAccepted(decode_job(row.value), recovered))
+        except msgspec.DecodeError as error:
+            log_warning_event(Event.COMMAND_REFUSED, key=row.key, error=str(error))
+    return (*accepted, *cancelled)
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
@@ -0,0 +1,40 @@
+"""What a pool's host is told when it starts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from lentilpath_core.ids import HostId, RegionId, ZoneId
+from lentilpath_core.settings import Address
+
+MAX_LEASE_MS = 5_000
+"""A change of leader takes up to about 4 s with its first renewals; runs outlive it with this."""
+
+
+@dataclass(frozen=True, slots=True)
+class PoolHostSettings:
+    """Settings of one entry host on a platform that keeps all state."""
+
+    host: HostId
+    zone: ZoneId
+    region: RegionId
+    callers: Address
+    """Where callers connect."""
+    readiness: Address
+    """Where the balancer asks whether the host takes connections."""
+    peers: Address
+    """Where other entry hosts connect."""
+    metrics: Address
+    """Where metrics are served."""
+    longest_lease_ms: int
+    """Workers shorten longer leases to this."""
+    stop_grace_ms: int
+    """From SIGTERM to SIGKILL."""
+    expected_callers_deadline_ms: int = 3_000
+    job_memory_ms: int = 120_000
+    """How long the state of a finished job can be asked for."""
+
+    @property
+    def lease_ms(self) -> int:
+        """The lease that the leader grants to what runs on a worker."""
+        return min(self.longest_lease_ms, MAX_LEASE_MS)
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -0,0 +1,273 @@
+"""One term of a leader: feeds the pool's decisions and carries out what they ask for."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import singledispatchmethod
+
+from lentilpath_core.errors import LentilpathError, OutcomeUnknown, Unavailable
+from lentilpath_core.ids import Epoch, Instant, JobId, RowVersion, WorkerId
+from lentilpath_core.peers import PeerRequest
+from lentilpath_core.pool import (
+    AskAdvice,
+    ConfigurationSet,
+    JobState,
+    ListedWorker,
+    PoolConfiguration,
+    PoolEffect,
+    PoolEvent,
+    PoolState,
+    RecordFinal,
+    RecordRun,
+    RecordWorkers,
+    ReleaseWorker,
+    StartRun,
+    StopRun,
+    TimePassed,
+    WorkersListed,
+    create_pool,
+    decide_pool,
+    get_job_state,
+    is_placing_due,
+    measure_loads,
+    note_former_workers,
+    place_pool,
+)
+from lentilpathd._clock import read_instant, read_wall_time
+from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._pool._advice import AdviceDispatcher
+from lentilpathd._pool._context import PoolContext
+from lentilpathd._pool._link import CLOCK_DRIFT, LEASE_MARGIN_MS, WorkerLink
+from lentilpathd._pool._members import Digest, read_hello
+from lentilpathd._pool._ports import HistoryLost, LifeKey
+from lentilpathd._pool._records import JOBS_TABLE, list_job_parts
+from lentilpathd._pool._recovery import READ_TIMEOUT_SECONDS, make_job_events, read_pool
+from lentilpathd._pool._writer import RecordWriter
+
+TICK_SECONDS = 0.25
+PLACE_SECONDS = 0.01
+"""Events that arrive within this share one pass over what waits."""
+WORKERS_EVERY_SECONDS = 0.7
+"""Half of the spacing of workers' own reports."""
+GONE_AFTER_MS = 2_500
+"""A worker whose entry is missing this long is gone: entries that lapsed while the platform's
+table was away are back within 2 s of its return."""
+JOBS_WAIT_SECONDS = 1.5
+JOBS_GATHER_SECONDS = 0.02
+FOLLOW_TIMEOUT_SECONDS = 1.0
+"""Beyond the wait, after which the connection counts as silent."""
+RETRY_SECONDS = 0.2
+
+
+class Term:
+    """Leads from the moment that the epoch was won until it is lost or given up."""
+
+    def __init__(self, context: PoolContext, epoch: Epoch, epoch_version: RowVersion) -> None:
+        self._context = context
+        self._epoch = epoch
+        now = read_instant()
+        lease_ms = context.settings.lease_ms / (1 - CLOCK_DRIFT) + LEASE_MARGIN_MS
+        self._state = create_pool(epoch, Instant(int(now + lease_ms) + 1))
+        self._writer = RecordWriter(context.table, epoch, epoch_version, self.take_event)
+        self._advice = AdviceDispatcher(
+            context.advice_agent, context.bus, context.members, self.take_event
+        )
+        self._links: dict[LifeKey, tuple[WorkerLink, asyncio.Task[None]]] = {}
+        self._missing_since: dict[WorkerId, Instant] = {}
+        self._placing = asyncio.Event()
+        self._group: asyncio.TaskGroup | None = None
+        self._ready = False
+        self._jobs_version = RowVersion(0)
+
+    @property
+    def state(self) -> PoolState:
+        """What the leader knows."""
+        return self._state
+
+    async def run(self) -> None:
+        """Recover and lead until cancelled; raises `Deposed` in an exception group."""
+        await self._recover()
+        async with asyncio.TaskGroup() as group:
+            self._group = group
+            self._ready = True
+            self._open_links()
+            group.create_task(self._writer.run())
+            group.create_task(self._advice.run())
+            group.create_task(self._pass_time())
+            group.create_task(self._place())
+            group.create_task(self._watch_workers())
+            group.create_task(self._watch_jobs())
+
+    async def _recover(self) -> None:
+        while True:
+            try:
+                recovered = await read_pool(self._context.table)
+                listed = await self._context.registry.read_workers(READ_TIMEOUT_SECONDS)
+                break
+            except (Unavailable, OutcomeUnknown) as error:
+                log_warning_event(Event.POOL_RECOVERY_FAILED, epoch=self._epoch, error=str(error))
+                await asyncio.sleep(RETRY_SECONDS)
+        self._jobs_version = recovered.jobs_version
+        configuration = self._context.get_configuration()
+        if configuration is not None:
+            self.take_event(ConfigurationSet(configuration))
+        now = read_instant()
+        self._state.wall_now = read_wall_time()
+        note_former_workers(self._state, recovered.former_workers, now)
+        self.take_event(WorkersListed(listed))
+        for event in recovered.events:
+            self.take_event(event)
+        log_event(
+            Event.POOL_RECOVERED,
+            epoch=self._epoch,
+            jobs=len(self._state.jobs),
+            ended=len(self._state.finals),
+            workers=len(listed),
+            unsettled=sorted(self._state.unsettled),
+        )
+
+    def take_configuration(self, configuration: PoolConfiguration) -> None:
+        """Decide by this configuration from now on."""
+        self.take_event(ConfigurationSet(configuration))
+
+    def take_event(self, event: PoolEvent) -> None:
+        """Decide about an event and carry out the effects."""
+        for effect in decide_pool(self._state, event, read_instant()):
+            self._carry_out(effect)
+        if is_placing_due(self._state):
+            self._placing.set()
+
+    def get_state(self, job: JobId) -> JobState | None:
+        """Return what may be shown of a job."""
+        return get_job_state(self._state, job)
+
+    def make_digest(self) -> Digest:
+        """Return what the hosts need to know of the load."""
+        return Digest(self._epoch, measure_loads(self._state, read_instant()))
+
+    def answer_hello(self, request: PeerRequest) -> Digest:
+        """Answer a host's greeting."""
+        self._context.members.note_hello(request.sender, read_hello(request), read_instant())
+        return self.make_digest()
+
+    @singledispatchmethod
+    def _carry_out(self, effect: PoolEffect) -> None:
+        raise TypeError(f"not an effect of a pool: {effect!r}")
+
+    @_carry_out.register
+    def _(self, effect: StartRun) -> None:
+        link = self._links.get((effect.worker, effect.life))
+        if link is not None:
+            link[0].send_start(effect)
+
+    @_carry_out.register
+    def _(self, effect: StopRun) -> None:
+        link = self._links.get((effect.worker, effect.life))
+        if link is not None:
+            link[0].send_stop(effect)
+
+    @_carry_out.register
+    def _(self, effect: AskAdvice) -> None:
+        self._advice.queue(effect)
+
+    @_carry_out.register
+    def _(self, effect: RecordRun | RecordFinal | RecordWorkers) -> None:
+        self._writer.queue(effect)
+
+    @_carry_out.register
+    def _(self, effect: ReleaseWorker) -> None:
+        link = self._links.pop((effect.worker, effect.life), None)
+        if link is not None:
+            link[1].cancel()
+
+    def _open_links(self) -> None:
+        if self._group is None:
+            return
+        for worker in self._state.workers.values():
+            key = (worker.worker, worker.life)
+            if key in self._links:
+                continue
+            client = self._context.create_worker(worker.listed, self._epoch)
+            link = WorkerLink(
+                worker.listed,
+                client,
+                self._epoch,
+                self._context.settings.lease_ms,
+                self._writer,
+                self.take_event,
+            )
+            self._links[key] = (link, self._group.create_task(link.run()))
+
+    async def _pass_time(self) -> None:
+        while True:
+            self.take_event(TimePassed(read_wall_time()))
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def _place(self) -> None:
+        while True:
+            await self._placing.wait()
+            await asyncio.sleep(PLACE_SECONDS)
+            self._placing.clear()
+            for effect in place_pool(self._state, read_instant()):
+                self._carry_out(effect)
+
+    async def _watch_workers(self) -> None:
+        while True:
+            try:
+                listed = await self._context.registry.read_workers(FOLLOW_TIMEOUT_SECONDS)
+            except (Unavailable, OutcomeUnknown) as error:
+                log_event(Event.HOST_LIST_UNAVAILABLE, error=str(error))
+            else:
+                self._take_listed(listed)
+            await asyncio.sleep(WORKERS_EVERY_SECONDS)
+
+    def _take_listed(self, listed: tuple[ListedWorker, ...]) -> None:
+        now = read_instant()
+        present = {each.worker for each in listed}
+        kept = list(listed)
+        for worker in self._state.workers.values():
+            if worker.worker in present or not worker.is_listed:
+                self._missing_since.pop(worker.worker, None)
+            elif now < self._missing_since.setdefault(worker.worker, now) + GONE_AFTER_MS:
+                kept.append(worker.listed)
+        self.take_event(WorkersListed(tuple(kept)))
+        self._open_links()
+
+    async def _watch_jobs(self) -> None:
+        while True:
+            try:
+                changes = await self._context.table.follow(
+                    JOBS_TABLE,
+                    self._jobs_version,
+                    JOBS_WAIT_SECONDS,
+                    JOBS_WAIT_SECONDS + FOLLOW_TIMEOUT_SECONDS,
+                )
+            except HistoryLost:
+                await self._read_all_jobs()
+                continue
+            except LentilpathError as error:
+                log_event(Event.JOBS_NOT_FOLLOWED, error=str(error))
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            self._jobs_version = max(self._jobs_version, changes.version)
+            for event in make_job_events(changes.rows, self._state.finals, recovered=False):
+                self.take_event(event)
+            if changes.rows:
+                await asyncio.sleep(JOBS_GATHER_SECONDS)
+
+    async def _read_all_jobs(self) -> None:
+        versions = []
+        for part in list_job_parts():
+            try:
+                read = await self._context.table.read_part(
+                    JOBS_TABLE, part, "", "", READ_TIMEOUT_SECONDS
+                )
+            except (Unavailable, OutcomeUnknown) as error:
+                log_event(Event.JOBS_NOT_FOLLOWED, error=str(error))
+                await asyncio.sleep(RETRY_SECONDS)
+                return
+            versions.append(read.version)
+            for event in make_job_events(read.rows, self._state.finals, recovered=False):
+                self.take_event(event)
+        self._jobs_version = max(self._jobs_version, min(versions))
+        await asyncio.sleep(RETRY_SECONDS)
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -0,0 +1,146 @@
+"""Writes what the leader decides into the table, many records in one transaction."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from lentilpath_core.errors import OutcomeUnknown, Unavailable
+from lentilpath_core.ids import Epoch, RowVersion
+from lentilpath_core.pool import (
+    FinalsRecorded,
+    PoolEffect,
+    PoolEvent,
+    RecordFinal,
+    RecordRun,
+    RecordWorkers,
+    RunsRecorded,
+    WorkersRecorded,
+)
+from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._pool._ports import Deposed, PartitionedTable, PartTransaction
+from lentilpathd._pool._records import (
+    EPOCH_KEY,
+    POOL_PART,
+    POOL_TABLE,
+    WORKERS_KEY,
+    encode_record,
+    make_end_key,
+    make_final_key,
+    make_worker_rows,
+)
+
+MAX_PUTS = 90
+"""Rows in one transaction; the platform takes 100 entries with the condition."""
+GATHER_SECONDS = 0.008
+"""How long records gather: a part takes 200 transactions a second, so two gathers fit its time."""
+COMMIT_TIMEOUT_SECONDS = 1.0
+RETRY_SECONDS = 0.15
+MAX_RETRY_SECONDS = 1.0
+
+Record = RecordRun | RecordFinal | RecordWorkers
+
+
+class RecordWriter:
+    """Stores records in order; each counts as durable only when its transaction was answered."""
+
+    def __init__(
+        self,
+        table: PartitionedTable,
+        epoch: Epoch,
+        epoch_version: RowVersion,
+        take_event: Callable[[PoolEvent], None],
+    ) -> None:
+        self._table = table
+        self._epoch = epoch
+        self._epoch_version = epoch_version
+        self._take_event = take_event
+        self._queue: deque[Record] = deque()
+        self._queued = asyncio.Event()
+        self._durable = asyncio.Condition()
+        self.queued_count = 0
+        """Records that were ever queued."""
+        self.durable_count = 0
+        """Records that are durable, from the first queued on."""
+
+    def queue(self, record: Record) -> None:
+        """Store a record soon."""
+        self._queue.append(record)
+        self.queued_count += 1
+        self._queued.set()
+
+    async def wait_durable(self, count: int, timeout: float) -> bool:
+        """Wait until the first `count` records are durable; return whether they are."""
+        try:
+            async with asyncio.timeout(timeout), self._durable:
+                await self._durable.wait_for(lambda: self.durable_count >= count)
+        except TimeoutError:
+            return False
+        return True
+
+    async def run(self) -> None:
+        """Write until cancelled; raises `Deposed`."""
+        while True:
+            await self._queued.wait()
+            await asyncio.sleep(GATHER_SECONDS)
+            batch = [self._queue.popleft() for _ in range(min(MAX_PUTS, len(self._queue)))]
+            if not self._queue:
+                self._queued.clear()
+            await self._store(batch)
+            self._announce(batch)
+            async with self._durable:
+                self.durable_count += len(batch)
+                self._durable.notify_all()
+
+    async def _store(self, batch: list[Record]) -> None:
+        puts: dict[str, bytes] = {}
+        for record in batch:
+            key, value = _make_row(record)
+            puts[key] = value
+        transaction = PartTransaction(
+            POOL_TABLE,
+            POOL_PART,
+            checks=((EPOCH_KEY, self._epoch_version),),
+            puts=tuple(puts.items()),
+        )
+        delay_seconds = RETRY_SECONDS
+        while True:
+            try:
+                commit = await self._table.commit(transaction, COMMIT_TIMEOUT_SECONDS)
+            except (Unavailable, OutcomeUnknown) as error:
+                # Equal rows may be written twice, so an unclear outcome is settled by writing again.
+                log_warning_event(Event.RECORDS_NOT_STORED, count=len(batch), error=str(error))
+                await asyncio.sleep(delay_seconds)
+                delay_seconds = min(2 * delay_seconds, MAX_RETRY_SECONDS)
+                continue
+            if not commit.applied:
+                raise Deposed(f"epoch {self._epoch} was followed by another leader")
+            if delay_seconds != RETRY_SECONDS:
+                log_event(Event.RECORDS_STORED_AGAIN, count=len(batch))
+            return
+
+    def _announce(self, batch: list[Record]) -> None:
+        runs = tuple((each.task, each.record) for each in batch if isinstance(each, RecordRun))
+        finals = tuple((each.job, each.final) for each in batch if isinstance(each, RecordFinal))
+        if runs:
+            self._take_event(RunsRecorded(runs))
+        if finals:
+            self._take_event(FinalsRecorded(finals))
+        for record in batch:
+            if isinstance(record, RecordWorkers):
+                lives = tuple((each.worker, each.life) for each in record.workers)
+                self._take_event(WorkersRecorded(lives))
+
+
+def is_record(effect: PoolEffect) -> bool:
+    """Return whether an effect asks for a row to be stored."""
+    return isinstance(effect, RecordRun | RecordFinal | RecordWorkers)
+
+
+def _make_row(record: Record) -> tuple[str, bytes]:
+    if isinstance(record, RecordRun):
+        return make_end_key(record.task, record.record), encode_record(record.record)
+    if isinstance(record, RecordFinal):
+        return make_final_key(record.job), encode_record(record.final)
+    return WORKERS_KEY, encode_record(make_worker_rows(record.workers))
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/pool.py
@@ -0,0 +1,48 @@
+"""An entry host on a platform that keeps all state and whose workers obey fencing tokens."""
+
+from lentilpathd._clock import read_wall_time
+from lentilpathd._pool._host import Handler, PlatformPorts, PoolHost, run_pool_host
+from lentilpathd._pool._jobs import Jobs, SubmissionAnswer, SubmissionResult
+from lentilpathd._pool._ports import (
+    Advice,
+    AdviceService,
+    HistoryLost,
+    OtherLife,
+    PartCommit,
+    PartitionedTable,
+    PartRow,
+    PartRows,
+    PartTransaction,
+    PoolWorker,
+    RefusedByFence,
+    Registry,
+    WorkerFactory,
+)
+from lentilpathd._pool._registry_log import log_unreadable_entry
+from lentilpathd._pool._settings import PoolHostSettings
+
+__all__ = [
+    "Advice",
+    "AdviceService",
+    "Handler",
+    "HistoryLost",
+    "Jobs",
+    "OtherLife",
+    "PartCommit",
+    "PartRow",
+    "PartRows",
+    "PartTransaction",
+    "PartitionedTable",
+    "PlatformPorts",
+    "PoolHost",
+    "PoolHostSettings",
+    "PoolWorker",
+    "RefusedByFence",
+    "Registry",
+    "SubmissionAnswer",
+    "SubmissionResult",
+    "WorkerFactory",
+    "log_unreadable_entry",
+    "read_wall_time",
+    "run_pool_host",
+]
