Let the next report decide after an outdated or unclear start

Cause: a start whose answer was lost had run and ended; its repetition was answered as outdated, and the task was started elsewhere at once, before the report that listed the end as done.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -31,6 +31,7 @@
 from lentilpath_core.pool._steps import begin_occurrence, estimate_tails, finish_job
 from lentilpath_core.pool._workers import (
     expire_leases,
+    note_answered,
     take_listed,
     take_recorded_end,
     take_recorded_workers,
@@ -158,11 +159,7 @@
 
 @_take.register
 def _(event: StopAnswered, state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
-    worker = state.workers.get(event.worker)
-    if worker is not None and worker.life == event.life:
-        attempt = worker.attempts.get((event.task, event.run))
-        if attempt is not None and attempt.answered_at is None:
-            attempt.answered_at = now
+    note_answered(state, event.worker, event.life, event.task, event.run, now)
     return ()
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
@@ -239,11 +239,9 @@
 
 
 class StartAnswer(Enum):
-    """A worker's answer to a start. All but the first mean that nothing was started."""
+    """A worker's answer to a start. All but the first two mean that nothing was started."""
 
     STARTED = "started"
-    FENCED = "fenced"
-    """A later leader has spoken to the worker."""
     OUTDATED = "outdated"
     """This run, or a later one, has ended there or was stopped."""
     LATE = "late"
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -18,6 +18,7 @@
 from lentilpath_core.pool._evidence import note_done, note_failure, note_progress
 from lentilpath_core.pool._model import (
     EndedRun,
+    Life,
     ListedWorker,
     Run,
     RunEnd,
@@ -322,6 +323,11 @@
             attempt.phase = Phase.RUNNING
             attempt.percent_at = now
         return ()
+    if event.answer is StartAnswer.OUTDATED:
+        # The run has begun by an earlier copy of the command and has ended, or never will begin.
+        # The next report says which.
+        note_answered(state, event.worker, event.life, event.task, event.run, now)
+        return ()
     if event.answer is StartAnswer.NO_PERMISSION and attempt.step is not None:
         tickets = attempt.step.tickets
         if tickets is not None:
@@ -333,6 +339,18 @@
     return lose_attempt(state, attempt, now)
 
 
+def note_answered(
+    state: PoolState, worker_id: WorkerId, life: Life, task: TaskKey, run: Run, now: Instant
+) -> None:
+    """Let the next report decide what has become of a run: no command of it is under way."""
+    worker = state.workers.get(worker_id)
+    if worker is None or worker.life != life:
+        return
+    attempt = worker.attempts.get((task, run))
+    if attempt is not None and attempt.answered_at is None:
+        attempt.answered_at = now
+
+
 UNHEALTHY_PAUSE_MS = 1_000
 """No starts on a worker that has refused one as unhealthy; about the spacing of its reports."""
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -181,8 +181,10 @@
                 continue
             break
         if is_unclear and answer is not StartAnswer.STARTED:
-            # An earlier command may still be carried out; a stop keeps it from that.
+            # An earlier command may have been carried out, or may still be. A stop ends both, and
+            # the report after it says how.
             await self._stop(StopRun(effect.worker, effect.life, effect.task, effect.run))
+            return
         self._take_event(StartAnswered(effect.worker, effect.life, effect.task, effect.run, answer))
 
     async def _try_start(self, effect: StartRun) -> StartAnswer | None:
--- /dev/null
+++ b/tests/common/pools.py
@@ -0,0 +1,211 @@
+"""Builds the events of a small pool and keeps what its leader asked for."""
+
+from __future__ import annotations
+
+from lentilpath_core.ids import (
+    ConfigVersion,
+    Epoch,
+    Instant,
+    JobId,
+    RackId,
+    ServiceId,
+    WallTime,
+    WorkerId,
+    WorkerTime,
+    ZoneId,
+)
+from lentilpath_core.pool import (
+    AdviceAnswered,
+    AdvicePolicy,
+    AskAdvice,
+    ConfigurationSet,
+    EndedRun,
+    FinalsRecorded,
+    JobAccepted,
+    JobRecord,
+    LeaseSent,
+    Life,
+    ListedWorker,
+    Permission,
+    PoolConfiguration,
+    PoolEffect,
+    PoolEvent,
+    QueueId,
+    QueuePolicy,
+    RecordFinal,
+    RecordRun,
+    RecordWorkers,
+    Run,
+    RunEnd,
+    RunningRun,
+    RunsRecorded,
+    StartAnswer,
+    StartAnswered,
+    StartRun,
+    StepSpec,
+    StopRun,
+    TaskKey,
+    TimePassed,
+    WorkerCondition,
+    WorkerReport,
+    WorkerReported,
+    WorkersListed,
+    WorkersRecorded,
+    create_pool,
+    decide_pool,
+    place_pool,
+)
+from lentilpath_core.resources import Resources
+from lentilpath_core.settings import Address
+
+SERVICE = ServiceId("planner")
+QUEUE = QueueId("checks")
+LIFE = Life(1)
+SETTLE_MS = 5_000
+WORKER_ROOM = Resources(8_000, 8_192, 0)
+TASK_ROOM = Resources(1_000, 512, 0)
+
+
+def make_job_id(number: int) -> JobId:
+    return JobId(f"{number:016x}")
+
+
+def make_task(job: int, number: int = 0, step: int = 0) -> TaskKey:
+    return TaskKey(make_job_id(job), 0, step, number)
+
+
+def make_queue(
+    queue: QueueId = QUEUE, priority: int = 0, advice: AdvicePolicy | None = None, **rest: int
+) -> QueuePolicy:
+    return QueuePolicy(
+        queue,
+        "shop.example",
+        "/checks/",
+        SERVICE,
+        priority,
+        rest.get("max_attempts", 3),
+        2.0,
+        rest.get("target_ms", 1_000),
+        3_000,
+        advice,
+    )
+
+
+def make_worker(
+    name: str, room: Resources = WORKER_ROOM, life: Life = LIFE, rack: str = "r1", **rest: int
+) -> ListedWorker:
+    return ListedWorker(
+        WorkerId(name),
+        life,
+        SERVICE,
+        Address("127.0.0.1", 8_080),
+        ZoneId("z1"),
+        RackId(rack),
+        frozenset({"a", rack}),
+        room,
+        WorkerCondition.READY,
+        rest.get("leaves_in_ms"),
+        rest.get("sequence", 0),
+    )
+
+
+class PoolBench:
+    """A leader's state with a clock that the test moves; records become durable when told."""
+
+    def __init__(self, *queues: QueuePolicy, epoch: int = 1) -> None:
+        self.now = Instant(1_000_000)
+        self.state = create_pool(Epoch(epoch), Instant(self.now + SETTLE_MS))
+        self.effects: list[PoolEffect] = []
+        self.listed: dict[str, ListedWorker] = {}
+        chosen = queues or (make_queue(),)
+        self.give(
+            ConfigurationSet(
+                PoolConfiguration(ConfigVersion(1), {each.queue: each for each in chosen})
+            )
+        )
+
+    def give(self, event: PoolEvent) -> list[PoolEffect]:
+        effects = list(decide_pool(self.state, event, self.now))
+        self.effects.extend(effects)
+        return effects
+
+    def place(self) -> list[PoolEffect]:
+        effects = list(place_pool(self.state, self.now))
+        self.effects.extend(effects)
+        return effects
+
+    def pass_time(self, ms: int) -> list[PoolEffect]:
+        self.now = Instant(self.now + ms)
+        return self.give(TimePassed(WallTime(self.now)))
+
+    def list_workers(self, *workers: ListedWorker) -> None:
+        self.listed = {each.worker: each for each in workers}
+        self.give(WorkersListed(tuple(workers)))
+        self.give(WorkersRecorded(tuple((each.worker, each.life) for each in workers)))
+
+    def add_workers(self, *workers: ListedWorker) -> None:
+        self.list_workers(*workers)
+        for each in workers:
+            self.report(each.worker)
+
+    def report(
+        self,
+        worker: str,
+        running: tuple[tuple[TaskKey, int, int], ...] = (),
+        ended: tuple[tuple[int, TaskKey, int, RunEnd], ...] = (),
+        checkpoint: str = "",
+    ) -> list[PoolEffect]:
+        listed = self.listed[worker]
+        self.now = Instant(self.now + 1)
+        report = WorkerReport(
+            WorkerTime(self.now),
+            tuple(RunningRun(task, Run(run), checkpoint, part) for task, run, part in running),
+            tuple(
+                EndedRun(number, task, Run(run), end, checkpoint)
+                for number, task, run, end in ended
+            ),
+        )
+        self.give(LeaseSent(listed.worker, listed.life, Instant(self.now + SETTLE_MS)))
+        return self.give(WorkerReported(listed.worker, listed.life, report, self.now))
+
+    def submit(self, job: int, *steps: StepSpec, queue: QueueId = QUEUE) -> None:
+        record = JobRecord(make_job_id(job), queue, "run", steps or (StepSpec(1, TASK_ROOM, 500),))
+        self.give(JobAccepted(record))
+
+    def answer_start(self, start: StartRun, answer: StartAnswer) -> list[PoolEffect]:
+        return self.give(StartAnswered(start.worker, start.life, start.task, start.run, answer))
+
+    def store_all(self) -> list[PoolEffect]:
+        """Let all records that were asked for become durable."""
+        follow: list[PoolEffect] = []
+        wanted = [each for each in self.effects if isinstance(each, RecordRun | RecordFinal)]
+        self.effects = [
+            each for each in self.effects if not isinstance(each, RecordRun | RecordFinal)
+        ]
+        for each in wanted:
+            if isinstance(each, RecordRun):
+                follow.extend(self.give(RunsRecorded(((each.task, each.record),))))
+            else:
+                follow.extend(self.give(FinalsRecorded(((each.job, each.final),))))
+        return follow
+
+    def allow(self, ask: AskAdvice, *workers: str, valid_ms: int = 2_000) -> list[PoolEffect]:
+        allowed = tuple(Permission(WorkerId(each), f"ticket-{each}") for each in workers)
+        until = Instant(self.now + valid_ms)
+        return self.give(AdviceAnswered(ask.step, ask.workers, allowed, until))
+
+
+def list_starts(effects: list[PoolEffect]) -> list[StartRun]:
+    return [each for each in effects if isinstance(each, StartRun)]
+
+
+def list_stops(effects: list[PoolEffect]) -> list[StopRun]:
+    return [each for each in effects if isinstance(each, StopRun)]
+
+
+def list_asks(effects: list[PoolEffect]) -> list[AskAdvice]:
+    return [each for each in effects if isinstance(each, AskAdvice)]
+
+
+def list_records(effects: list[PoolEffect]) -> list[RecordRun | RecordFinal | RecordWorkers]:
+    return [each for each in effects if isinstance(each, RecordRun | RecordFinal | RecordWorkers)]
--- /dev/null
+++ b/tests/cover/test_pool_runs.py
@@ -0,0 +1,104 @@
+"""A task runs once and in one place, whatever its worker answers or fails to answer."""
+
+from __future__ import annotations
+
+from lentilpath_core.pool import JobState, Life, RunEnd, StartAnswer, StepSpec, get_job_state
+from tests.common.pools import (
+    TASK_ROOM,
+    PoolBench,
+    list_records,
+    list_starts,
+    make_job_id,
+    make_task,
+    make_worker,
+)
+
+
+def make_bench_with_start():
+    bench = PoolBench()
+    bench.add_workers(make_worker("w1"), make_worker("w2"))
+    bench.submit(1)
+    (start,) = list_starts(bench.place())
+    return bench, start
+
+
+def test_an_outdated_start_waits_for_the_report_that_tells_how_the_run_ended():
+    bench, start = make_bench_with_start()
+    bench.answer_start(start, StartAnswer.OUTDATED)
+    assert list_starts(bench.place()) == []
+    bench.report(start.worker, ended=((1, start.task, start.run, RunEnd.DONE),))
+    bench.store_all()
+    bench.store_all()
+    assert list_starts(bench.place()) == []
+    assert get_job_state(bench.state, make_job_id(1)) is JobState.COMPLETED
+
+
+def test_an_outdated_start_that_no_later_report_lists_is_started_again():
+    bench, start = make_bench_with_start()
+    bench.answer_start(start, StartAnswer.OUTDATED)
+    bench.report(start.worker)
+    bench.report(start.worker)
+    (again,) = list_starts(bench.place())
+    assert again.task == start.task
+    assert again.run > start.run
+
+
+def test_a_done_task_is_shown_only_when_it_is_stored():
+    bench, start = make_bench_with_start()
+    bench.answer_start(start, StartAnswer.STARTED)
+    effects = bench.report(start.worker, ended=((1, start.task, start.run, RunEnd.DONE),))
+    assert len(list_records(effects)) == 1
+    assert get_job_state(bench.state, make_job_id(1)) is JobState.RUNNING
+
+
+def test_a_step_starts_only_after_the_steps_before_it_are_stored_as_done():
+    bench = PoolBench()
+    bench.add_workers(make_worker("w1"))
+    bench.submit(1, StepSpec(1, TASK_ROOM), StepSpec(1, TASK_ROOM, after=(0,)))
+    (start,) = list_starts(bench.place())
+    bench.answer_start(start, StartAnswer.STARTED)
+    bench.report("w1", ended=((1, start.task, start.run, RunEnd.DONE),))
+    assert list_starts(bench.place()) == []
+    bench.store_all()
+    (second,) = list_starts(bench.place())
+    assert second.task == make_task(1, step=1)
+
+
+def test_a_run_on_a_silent_worker_starts_elsewhere_only_after_its_lease():
+    bench, start = make_bench_with_start()
+    bench.answer_start(start, StartAnswer.STARTED)
+    bench.report(start.worker, running=((start.task, start.run, 10),))
+    other = "w2" if start.worker == "w1" else "w1"
+    bench.pass_time(4_000)
+    bench.report(other)
+    assert list_starts(bench.place()) == []
+    bench.pass_time(1_500)
+    bench.report(other)
+    (again,) = list_starts(bench.place())
+    assert again.worker == other
+
+
+def test_a_run_of_a_worker_that_was_restarted_starts_again_at_once():
+    bench, start = make_bench_with_start()
+    bench.answer_start(start, StartAnswer.STARTED)
+    bench.report(start.worker, running=((start.task, start.run, 10),))
+    bench.add_workers(*(make_worker(name, life=Life(2)) for name in ("w1", "w2")))
+    (again,) = list_starts(bench.place())
+    assert again.run > start.run
+
+
+def test_failures_are_counted_only_when_stored_and_end_the_job_at_the_limit():
+    bench = PoolBench()
+    bench.add_workers(make_worker("w1"))
+    bench.submit(1)
+    for number in range(1, 4):
+        bench.pass_time(3_500)
+        bench.report("w1")
+        (start,) = list_starts(bench.place())
+        bench.answer_start(start, StartAnswer.STARTED)
+        bench.report("w1", ended=((number, start.task, start.run, RunEnd.FAILED),))
+        assert list_starts(bench.place()) == []
+        bench.store_all()
+    bench.store_all()
+    assert get_job_state(bench.state, make_job_id(1)) is JobState.FAILED
+    assert list_starts(bench.place()) == []
