Grant no lease to a silent worker, and log decisions as structured lines

A start to such a worker was repeated for ever, also after its run had been given up. Ruled out: placement (room was there), a lost job row. The log is now JSON lines with one event for each decision, bounded by event and never blocking.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-SOURCES := packages tests benches spec conftest.py
+SOURCES := packages platform tests benches spec conftest.py
 
 .PHONY: setup check test demo up format clean
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 from lentilpath_core.ids import Instant, JobId, WallTime, WorkerId
 from lentilpath_core.pool._model import (
@@ -163,6 +164,33 @@
 )
 
 
+class StopReason(Enum):
+    """Why a run is stopped."""
+
+    JOB_OVER = "job-over"
+    """The job was cancelled, or has failed for good."""
+    GANG_BROKEN = "gang-broken"
+    """Another member of the gang's run has ended."""
+    FROZEN = "frozen"
+    """It made no progress for too long."""
+    UNWANTED = "unwanted"
+    """The task is done, or runs elsewhere, or its job is not known."""
+    MAKES_ROOM = "makes-room"
+    """More urgent work needs its room."""
+
+
+class LossReason(Enum):
+    """How it is known that a run runs no more, though its end was not listed."""
+
+    LEASE_LAPSED = "lease-lapsed"
+    NEW_LIFE = "new-life"
+    """The worker's process was started anew."""
+    NOT_LISTED = "not-listed"
+    """The worker answers and does not list it."""
+    REFUSED = "refused"
+    """The worker refused the start."""
+
+
 @dataclass(frozen=True, slots=True)
 class StartRun:
     """Start this run of a task on a worker."""
@@ -174,6 +202,10 @@
     text: str
     checkpoint: str
     ticket: str
+    waited_ms: int
+    """Time since the job was accepted."""
+    tier: int
+    """0 if the job could still complete in time, 1 if late, 2 if its worth was gone."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,6 +216,18 @@
     life: Life
     task: TaskKey
     run: Run
+    reason: StopReason
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUpRun:
+    """A run is taken to be over: send no further command for it."""
+
+    worker: WorkerId
+    life: Life
+    task: TaskKey
+    run: Run
+    reason: LossReason
 
 
 @dataclass(frozen=True, slots=True)
@@ -230,5 +274,12 @@
 
 
 PoolEffect = (
-    StartRun | StopRun | AskAdvice | RecordRun | RecordFinal | RecordWorkers | ReleaseWorker
+    StartRun
+    | StopRun
+    | GiveUpRun
+    | AskAdvice
+    | RecordRun
+    | RecordFinal
+    | RecordWorkers
+    | ReleaseWorker
 )
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_evidence.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_evidence.py
@@ -9,7 +9,7 @@
 import math
 
 from lentilpath_core.ids import Instant, JobId, WorkerId
-from lentilpath_core.pool._events import PoolEffect
+from lentilpath_core.pool._events import PoolEffect, StopReason
 from lentilpath_core.pool._state import Attempt, Phase, PoolState, Step, Worker
 from lentilpath_core.pool._steps import stop_attempt
 
@@ -64,7 +64,7 @@
         for attempt in worker.attempts.values():
             if _is_frozen(attempt, now):
                 worker.closed_until = Instant(now + CLOSED_MS)
-                effects.extend(stop_attempt(attempt, now))
+                effects.extend(stop_attempt(attempt, StopReason.FROZEN, now))
     return tuple(effects)
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -380,6 +380,8 @@
                 step.job.record.text,
                 checkpoint,
                 ticket.value if ticket is not None else "",
+                now - step.job.accepted_at,
+                rank_step(step, now)[0],
             )
         )
     note_waiting(state, step)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from lentilpath_core.ids import Instant, WallTime
-from lentilpath_core.pool._events import PoolEffect, RecordFinal, StopRun
+from lentilpath_core.pool._events import PoolEffect, RecordFinal, StopReason, StopRun
 from lentilpath_core.pool._model import (
     FinalRecord,
     JobState,
@@ -104,12 +104,12 @@
     note_waiting(state, step)
 
 
-def stop_attempt(attempt: Attempt, now: Instant) -> tuple[PoolEffect, ...]:
+def stop_attempt(attempt: Attempt, reason: StopReason, now: Instant) -> tuple[PoolEffect, ...]:
     """Ask for the end of a run that holds room."""
     attempt.phase = Phase.STOPPING
     attempt.stop_sent_at = now
     worker = attempt.worker
-    return (StopRun(worker.worker, worker.life, attempt.task, attempt.run),)
+    return (StopRun(worker.worker, worker.life, attempt.task, attempt.run, reason),)
 
 
 def break_gang(step: Step, now: Instant) -> tuple[PoolEffect, ...]:
@@ -118,7 +118,7 @@
     effects: list[PoolEffect] = []
     for attempt in step.attempts.values():
         if attempt.phase is not Phase.STOPPING:
-            effects.extend(stop_attempt(attempt, now))
+            effects.extend(stop_attempt(attempt, StopReason.GANG_BROKEN, now))
     return tuple(effects)
 
 
@@ -136,7 +136,7 @@
         step.waiting.clear()
         for attempt in step.attempts.values():
             if attempt.phase is not Phase.STOPPING:
-                effects.extend(stop_attempt(attempt, now))
+                effects.extend(stop_attempt(attempt, StopReason.JOB_OVER, now))
     state.needs_placing = True
     return tuple(effects)
 
@@ -158,7 +158,7 @@
         attempt = step.attempts.get(index)
         # A gang's other members end by themselves; a second copy of a task does not.
         if attempt is not None and not step.spec.gang and attempt.phase is not Phase.STOPPING:
-            effects.extend(stop_attempt(attempt, now))
+            effects.extend(stop_attempt(attempt, StopReason.UNWANTED, now))
     note_waiting(state, step)
     if step.is_done():
         effects.extend(_take_step_done(state, step, now))
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -6,11 +6,14 @@
 
 from lentilpath_core.ids import Instant, WorkerId
 from lentilpath_core.pool._events import (
+    GiveUpRun,
+    LossReason,
     PoolEffect,
     RecordRun,
     RecordWorkers,
     ReleaseWorker,
     StartAnswered,
+    StopReason,
     WorkerReported,
     WorkersListed,
     WorkersRecorded,
@@ -132,7 +135,7 @@
 def _stop_unwanted(attempt: Attempt, now: Instant) -> tuple[PoolEffect, ...]:
     if now < attempt.stop_sent_at + STOP_AGAIN_MS and attempt.phase is Phase.STOPPING:
         return ()
-    return stop_attempt(attempt, now)
+    return stop_attempt(attempt, StopReason.UNWANTED, now)
 
 
 def _adopt(state: PoolState, worker: Worker, running: RunningRun, now: Instant) -> Attempt:
@@ -296,15 +299,19 @@
     """Give up a run that was started before the report was asked for and is not in it."""
     if attempt.answered_at is None or attempt.answered_at >= sent_at:
         return ()
-    return lose_attempt(state, attempt, now)
+    return lose_attempt(state, attempt, LossReason.NOT_LISTED, now)
 
 
-def lose_attempt(state: PoolState, attempt: Attempt, now: Instant) -> tuple[PoolEffect, ...]:
+def lose_attempt(
+    state: PoolState, attempt: Attempt, reason: LossReason, now: Instant
+) -> tuple[PoolEffect, ...]:
     """Take in that a run surely does not run any more, without a word on how it ended."""
     _release_attempt(state, attempt)
+    worker = attempt.worker
+    given_up = GiveUpRun(worker.worker, worker.life, attempt.task, attempt.run, reason)
     if attempt.step is None:
-        return ()
-    return _take_run_cut(state, attempt.step, attempt.task.number, attempt, now)
+        return (given_up,)
+    return (given_up, *_take_run_cut(state, attempt.step, attempt.task.number, attempt, now))
 
 
 def take_start_answer(
@@ -336,7 +343,7 @@
                 tickets[worker.worker] = replace(ticket, valid_until=Instant(0))
     if event.answer is StartAnswer.UNHEALTHY:
         worker.closed_until = Instant(now + UNHEALTHY_PAUSE_MS)
-    return lose_attempt(state, attempt, now)
+    return lose_attempt(state, attempt, LossReason.REFUSED, now)
 
 
 def note_answered(
@@ -359,7 +366,7 @@
     """Take in that a worker's process is gone, with all that ran there."""
     effects: list[PoolEffect] = []
     for attempt in list(worker.attempts.values()):
-        effects.extend(lose_attempt(state, attempt, now))
+        effects.extend(lose_attempt(state, attempt, LossReason.NEW_LIFE, now))
     effects.append(ReleaseWorker(worker.worker, worker.life))
     state.workers.pop(worker.worker, None)
     state.unsettled.discard(worker.worker)
@@ -378,7 +385,7 @@
         if now < worker.lease_ends_at and (worker.is_listed or worker.attempts):
             continue
         for attempt in list(worker.attempts.values()):
-            effects.extend(lose_attempt(state, attempt, now))
+            effects.extend(lose_attempt(state, attempt, LossReason.LEASE_LAPSED, now))
         if not worker.is_listed:
             effects.extend(_end_life(state, worker, now))
             effects.extend(_record_workers(state))
--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -85,6 +85,19 @@
     JOB_CANCELLED = (519, "a job's cancellation was stored")
     SETTINGS_CHANGED = (520, "the settings file has changed")
     ENTRY_UNREADABLE = (521, "an entry of the registry names no worker to use")
+    JOB_STORED = (522, "a job was stored and is accepted")
+    JOB_TAKEN = (523, "the leader has seen a job")
+    JOB_ENDED = (524, "a job has a final state")
+    RUN_STARTED = (525, "a run is started")
+    RUN_ANSWERED = (526, "a worker refused a start")
+    RUN_ENDED = (527, "a run has ended and its end is stored")
+    RUN_STOPPED = (528, "a run is stopped")
+    RUN_GIVEN_UP = (529, "a run surely runs no more, and its end is not known")
+    ADVICE_ANSWERED = (530, "the advice service has answered")
+    WORKER_LISTED = (531, "a worker is registered, or has changed")
+    WORKER_RELEASED = (532, "a worker holds nothing of ours any more")
+    LINES_LEFT_OUT = (533, "lines were left out of the log to keep its volume bounded")
+    STATE_SHOWN = (534, "a caller was told where its job stands")
 
     @property
     def number(self) -> int:
@@ -97,13 +110,25 @@
         return self.value[1]
 
 
+class EventLine:
+    """An event with its fields. The text is made only if a line is written."""
+
+    __slots__ = ("event", "fields")
+
+    def __init__(self, event: Event, fields: dict[str, object]) -> None:
+        self.event = event
+        self.fields = fields
+
+    def __str__(self) -> str:
+        details = json.dumps(self.fields, default=str, separators=(",", ":"), sort_keys=True)
+        return f"LP{self.event.number:03d} {self.event.text} {details}"
+
+
 def log_event(event: Event, **fields: object) -> None:
     """Write `event` with its fields to the log as one line. Never pass secrets or bodies."""
-    details = json.dumps(fields, default=str, separators=(",", ":"), sort_keys=True)
-    logging.info("LP%03d %s %s", event.number, event.text, details)
+    logging.info("%s", EventLine(event, fields))
 
 
 def log_warning_event(event: Event, **fields: object) -> None:
     """Write `event` like `log_event`, as a warning."""
-    details = json.dumps(fields, default=str, separators=(",", ":"), sort_keys=True)
-    logging.warning("LP%03d %s %s", event.number, event.text, details)
+    logging.warning("%s", EventLine(event, fields))
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_logs.py
@@ -0,0 +1,148 @@
+"""Structured logs: JSON lines on standard output, bounded in volume and never blocking."""
+
+from __future__ import annotations
+
+import logging as python_logging
+import os
+import sys
+import threading
+from collections import Counter, deque
+from typing import IO
+
+from absl import logging
+from pythonjsonlogger.json import JsonFormatter
+
+from lentilpathd._events import Event, EventLine
+
+MAX_LINES_WAITING = 20_000
+"""Lines kept for a reader that does not read; about 5 MB, a sixtieth of a host's memory."""
+WRITE_EVERY_SECONDS = 0.1
+INFO_LINES_PER_SECOND = 200
+"""Of one event; twice the task starts that a leader makes on a full fleet."""
+WARNING_LINES_PER_SECOND = 400
+"""Of one event; refusals and faults are kept longer than successes."""
+
+
+class EventFormatter(JsonFormatter):
+    """Formats a record as one JSON line with the event's number, text and fields."""
+
+    def add_fields(
+        self,
+        log_data: dict[str, object],
+        record: python_logging.LogRecord,
+        message_dict: dict[str, object],
+    ) -> None:
+        """Fill in the line's fields; called by the library."""
+        log_data["at"] = round(record.created, 4)
+        log_data["level"] = record.levelname
+        line = record.args[0] if isinstance(record.args, tuple) and record.args else None
+        if not isinstance(line, EventLine):
+            log_data["text"] = record.getMessage()
+            return
+        log_data["event"] = line.event.number
+        log_data["text"] = line.event.text
+        log_data.update(line.fields)
+
+
+class VolumeBound:
+    """Counts the lines of each event in each second, and those that were left out."""
+
+    def __init__(self) -> None:
+        self._second = 0
+        self._written: Counter[int] = Counter()
+        self._left_out: Counter[int] = Counter()
+
+    def take(self, event: int, is_warning: bool, second: int) -> bool:
+        """Return whether a line of this event may be written in this second."""
+        if second != self._second:
+            self._second = second
+            self._written.clear()
+        limit = WARNING_LINES_PER_SECOND if is_warning else INFO_LINES_PER_SECOND
+        self._written[event] += 1
+        if self._written[event] > limit:
+            self._left_out[event] += 1
+            return False
+        return True
+
+    def note_dropped(self, event: int) -> None:
+        """Count a line that found no room."""
+        self._left_out[event] += 1
+
+    def take_left_out(self, second: int) -> dict[str, int]:
+        """Return what earlier seconds left out, once."""
+        if not self._left_out or second == self._second:
+            return {}
+        counts = {f"LP{event:03d}": count for event, count in self._left_out.items()}
+        self._left_out.clear()
+        return counts
+
+
+class BoundedHandler(python_logging.Handler):
+    """Hands lines to a thread, so that a reader that stops reading stops nothing else."""
+
+    def __init__(self, stream: IO[str]) -> None:
+        super().__init__()
+        self._descriptor = stream.fileno()
+        self._lines: deque[str] = deque()
+        self._bound = VolumeBound()
+        self._waiting = threading.Event()
+        self._thread = threading.Thread(target=self._write_forever, daemon=True, name="log")
+        self._thread.start()
+
+    def emit(self, record: python_logging.LogRecord) -> None:
+        """Take one record; called by the logging library."""
+        second = int(record.created)
+        event = _get_number(record)
+        left_out = self._bound.take_left_out(second)
+        if left_out:
+            self._append(self._make_summary(left_out), Event.LINES_LEFT_OUT.number)
+        if self._bound.take(event, record.levelno >= python_logging.WARNING, second):
+            self._append(self.format(record), event)
+
+    def _append(self, line: str, event: int) -> None:
+        if len(self._lines) >= MAX_LINES_WAITING:
+            self._bound.note_dropped(event)
+            return
+        self._lines.append(line)
+        self._waiting.set()
+
+    def _make_summary(self, left_out: dict[str, int]) -> str:
+        line = EventLine(Event.LINES_LEFT_OUT, {"counts": left_out})
+        record = python_logging.LogRecord(
+            "absl", python_logging.WARNING, "", 0, "%s", (line,), None
+        )
+        return self.format(record)
+
+    def _write_forever(self) -> None:
+        while True:
+            self._waiting.wait()
+            self._waiting.clear()
+            self.write_waiting()
+            threading.Event().wait(WRITE_EVERY_SECONDS)
+
+    def write_waiting(self) -> None:
+        """Write all lines that wait, and wait for the reader if need be."""
+        count = len(self._lines)
+        data = "".join(self._lines.popleft() + "\n" for _ in range(count)).encode()
+        while data:
+            try:
+                data = data[os.write(self._descriptor, data) :]
+            except OSError:
+                # Nobody reads any more; there is no other place to say so.
+                return
+
+
+def _get_number(record: python_logging.LogRecord) -> int:
+    line = record.args[0] if isinstance(record.args, tuple) and record.args else None
+    return line.event.number if isinstance(line, EventLine) else 0
+
+
+def set_up_structured_log(stream: IO[str] | None = None, level: str = "info") -> BoundedHandler:
+    """Send all events to `stream`, or to standard output, as JSON lines."""
+    handler = BoundedHandler(stream or sys.stdout)
+    handler.setFormatter(EventFormatter())
+    logger = logging.get_absl_logger()
+    logger.propagate = False
+    logger.handlers = [handler]
+    logging.set_verbosity(level)
+    return handler
--- a/packages/lentilpathd/src/lentilpathd/_pool/_advice.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_advice.py
@@ -130,6 +130,15 @@
         finally:
             self._busy[host].remove(effect.cost_ms)
             self._changed.set()
+        log_event(
+            Event.ADVICE_ANSWERED,
+            job=effect.step.job,
+            step=effect.step.step,
+            asked=len(effect.workers),
+            allowed=len(reply.allowed),
+            host=host,
+            ms=read_instant() - sent_at,
+        )
         # The service cannot have answered before the call's expected time had passed.
         valid_until = Instant(int(sent_at + effect.cost_ms + reply.valid_ms))
         self._take_event(AdviceAnswered(effect.step, effect.workers, reply.allowed, valid_until))
--- a/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
@@ -24,11 +24,16 @@
         self._registry = registry
         self._announce = announce
         self._current: PoolConfiguration | None = None
+        self._found = asyncio.Event()
 
     def get_current(self) -> PoolConfiguration | None:
         """Return the configuration in force, or `None` before the first."""
         return self._current
 
+    async def wait_for_first(self) -> None:
+        """Wait until there is a configuration."""
+        await self._found.wait()
+
     async def run(self) -> None:
         """Follow changes until cancelled."""
         version: RowVersion | None = None
@@ -58,5 +63,6 @@
         if self._current is not None and found.version <= self._current.version:
             return
         self._current = found
+        self._found.set()
         log_event(Event.CONFIG_IN_FORCE, version=found.version, queues=len(found.queues))
         self._announce(found)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -22,7 +22,7 @@
 from lentilpathd._pool._configuration import ConfigurationFollower
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._jobs import Jobs
-from lentilpathd._pool._leadership import WATCH_EVERY_MS, PoolLeadership
+from lentilpathd._pool._leadership import PoolLeadership
 from lentilpathd._pool._members import (
     HELLO_TOPIC,
     STATE_TOPIC,
@@ -64,7 +64,7 @@
 
 
 class NotLeading(LentilpathError):
-    """This process does not lead."""
+    """The process that was asked does not lead."""
 
     code = "not-leading"
 
@@ -94,14 +94,14 @@
             self._get_own_state,
         )
         self.jobs = Jobs(self.context)
-        self.stopping = False
+        self.stopping = asyncio.Event()
         self._term: Term | None = None
         self.bus.handle(HELLO_TOPIC, self._answer_hello)
         self.bus.handle(STATE_TOPIC, self._answer_state)
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send callers here."""
-        return self.configuration.get_current() is not None and not self.stopping
+        return self.configuration.get_current() is not None and not self.stopping.is_set()
 
     async def run(self) -> None:
         """Run all parts until cancelled."""
@@ -146,9 +146,8 @@
             await asyncio.sleep(DIGEST_SECONDS)
 
     async def _lead_in_turn(self) -> None:
-        while not self.stopping:
-            while self.configuration.get_current() is None:
-                await asyncio.sleep(WATCH_EVERY_MS / MS_PER_SECOND)
+        await self.configuration.wait_for_first()
+        while not self.stopping.is_set():
             epoch = await self.leadership.wait_for_turn()
             await self._lead(epoch)
         await asyncio.Event().wait()
@@ -166,12 +165,11 @@
             log_event(Event.POOL_LEADERSHIP_LOST, epoch=epoch, error=str(errors.exceptions[0]))
         finally:
             self._term = None
-        if self.stopping:
+        if self.stopping.is_set():
             await self.leadership.release(epoch)
 
     async def _end_term_at_stop(self) -> None:
-        while not self.stopping:
-            await asyncio.sleep(0.1)
+        await self.stopping.wait()
         raise NotLeading("this host stops")
 
 
@@ -217,7 +215,7 @@
 
 async def _drain(host: PoolHost, callers: HttpServer, settings: PoolHostSettings) -> None:
     log_event(Event.PROCESS_DRAINING, host=settings.host)
-    host.stopping = True
+    host.stopping.set()
     begun = read_instant()
     await asyncio.sleep(UNREADY_SECONDS)
     left_ms = settings.stop_grace_ms - (read_instant() - begun)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -88,7 +88,14 @@
         while True:
             try:
                 # A row that is there already is this job's, by this submission or an earlier one.
-                await self._context.table.commit(transaction, WRITE_TIMEOUT_SECONDS)
+                commit = await self._context.table.commit(transaction, WRITE_TIMEOUT_SECONDS)
+                log_event(
+                    Event.JOB_STORED,
+                    job=record.job,
+                    queue=record.queue,
+                    repeated=not commit.applied,
+                    version=commit.version,
+                )
                 return SubmissionAnswer(SubmissionResult.ACCEPTED)
             except TableUnavailable as error:
                 if not is_unclear:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -64,10 +64,7 @@
 def may_take_over(seen: SeenLeader) -> bool:
     """Return whether the leadership is free by the table service's own clock."""
     lease = seen.lease
-    if lease is None or lease.epoch < seen.epoch:
-        # A leader that took over writes its lease in the same transaction.
-        return lease is None
-    return seen.clock_ms > lease.until_ms + TAKEOVER_MARGIN_MS
+    return lease is None or seen.clock_ms > lease.until_ms + TAKEOVER_MARGIN_MS
 
 
 class TableClock:
@@ -149,8 +146,9 @@
         return epoch
 
     async def _settle_takeover(self, epoch: Epoch) -> Epoch | None:
-        """Find out whether an unanswered takeover was applied; one that applies late is seen as
-        another leader's, which never renews and so is followed by the next takeover.
+        """Find out whether an unanswered takeover was applied.
+
+        One that applies later looks like a leader that never renews, and is followed by another.
         """
         try:
             read = await self._table.read_part(
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -106,7 +106,9 @@
         """Renew once; return whether the worker's life goes on."""
         wait_ms = RENEWAL_WAIT_MS
         sent_at = read_instant()
-        lease = self._grant(sent_at)
+        # A silent worker may receive what is sent, so each grant would put off the time from which
+        # its runs are surely over. It is only looked at until it answers.
+        lease = None if self._silent else self._grant(sent_at)
         if lease is None:
             wait_ms = 0
         timeout = wait_ms / MS_PER_SECOND + RENEWAL_TIMEOUT_SECONDS
@@ -158,6 +160,12 @@
             known.cancel()
         self._spawn(key, self._stop(effect))
 
+    def give_up(self, task: TaskKey, run: Run) -> None:
+        """Send no further start of a run that is taken to be over."""
+        known = self._commands.get((task, run))
+        if known is not None:
+            known.cancel()
+
     def _spawn(self, key: tuple[TaskKey, Run], command: Coroutine[None, None, None]) -> None:
         if self._group is None:
             command.close()
@@ -173,6 +181,10 @@
     async def _start(self, effect: StartRun) -> None:
         is_unclear = False
         while True:
+            if is_unclear and self._silent:
+                # A start to a silent worker would extend a lease that is to lapse.
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
             async with self._slots:
                 answer = await self._try_start(effect)
             if answer is None:
@@ -183,7 +195,7 @@
         if is_unclear and answer is not StartAnswer.STARTED:
             # An earlier command may have been carried out, or may still be. A stop ends both, and
             # the report after it says how.
-            await self._stop(StopRun(effect.worker, effect.life, effect.task, effect.run))
+            await self._stop(effect)
             return
         self._take_event(StartAnswered(effect.worker, effect.life, effect.task, effect.run, answer))
 
@@ -217,7 +229,7 @@
             return None
         return answer
 
-    async def _stop(self, effect: StopRun) -> None:
+    async def _stop(self, effect: StopRun | StartRun) -> None:
         while True:
             try:
                 async with self._slots:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_ports.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -172,12 +173,8 @@
         ...
 
 
-class WorkerFactory(Protocol):
-    """Creates the client of a worker's life for a leader's epoch."""
-
-    def __call__(self, worker: ListedWorker, epoch: Epoch) -> PoolWorker:
-        """Return the client; it connects at its first command."""
-        ...
+WorkerFactory = Callable[[ListedWorker, Epoch], PoolWorker]
+"""Creates the client of a worker's life for a leader's epoch; it connects at its first command."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_records.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_records.py
@@ -105,9 +105,14 @@
     return job + CANCEL_SUFFIX
 
 
+def format_task(task: TaskKey) -> str:
+    """Return a task's name in rows and logs."""
+    return f"{task.job}/{task.occurrence}/{task.step}/{task.number}"
+
+
 def make_end_key(task: TaskKey, record: RunRecord) -> str:
     """Return the key of a run's end."""
-    return f"{END_PREFIX}{task.job}/{task.occurrence}/{task.step}/{task.number}/{record.run}"
+    return f"{END_PREFIX}{format_task(task)}/{record.run}"
 
 
 def parse_end_key(key: str) -> TaskKey:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -11,6 +11,8 @@
 from lentilpath_core.pool import (
     AskAdvice,
     ConfigurationSet,
+    GiveUpRun,
+    JobAccepted,
     JobState,
     ListedWorker,
     PoolConfiguration,
@@ -40,7 +42,7 @@
 from lentilpathd._pool._link import CLOCK_DRIFT, LEASE_MARGIN_MS, WorkerLink
 from lentilpathd._pool._members import Digest, read_hello
 from lentilpathd._pool._ports import HistoryLost, LifeKey
-from lentilpathd._pool._records import JOBS_TABLE, list_job_parts
+from lentilpathd._pool._records import JOBS_TABLE, format_task, list_job_parts
 from lentilpathd._pool._recovery import READ_TIMEOUT_SECONDS, make_job_events, read_pool
 from lentilpathd._pool._writer import RecordWriter
 
@@ -156,16 +158,50 @@
 
     @_carry_out.register
     def _(self, effect: StartRun) -> None:
+        log_event(
+            Event.RUN_STARTED,
+            task=format_task(effect.task),
+            run=effect.run,
+            worker=effect.worker,
+            life=effect.life,
+            waited_ms=effect.waited_ms,
+            tier=effect.tier,
+            resumed=bool(effect.checkpoint),
+            epoch=self._epoch,
+            config=self._state.configuration.version,
+        )
         link = self._links.get((effect.worker, effect.life))
         if link is not None:
             link[0].send_start(effect)
 
     @_carry_out.register
     def _(self, effect: StopRun) -> None:
+        log_event(
+            Event.RUN_STOPPED,
+            task=format_task(effect.task),
+            run=effect.run,
+            worker=effect.worker,
+            reason=effect.reason.value,
+            epoch=self._epoch,
+        )
         link = self._links.get((effect.worker, effect.life))
         if link is not None:
             link[0].send_stop(effect)
 
+    @_carry_out.register
+    def _(self, effect: GiveUpRun) -> None:
+        log_event(
+            Event.RUN_GIVEN_UP,
+            task=format_task(effect.task),
+            run=effect.run,
+            worker=effect.worker,
+            reason=effect.reason.value,
+            epoch=self._epoch,
+        )
+        link = self._links.get((effect.worker, effect.life))
+        if link is not None:
+            link[0].give_up(effect.task, effect.run)
+
     @_carry_out.register
     def _(self, effect: AskAdvice) -> None:
         self._advice.queue(effect)
@@ -176,6 +212,7 @@
 
     @_carry_out.register
     def _(self, effect: ReleaseWorker) -> None:
+        log_event(Event.WORKER_RELEASED, worker=effect.worker, life=effect.life)
         link = self._links.pop((effect.worker, effect.life), None)
         if link is not None:
             link[1].cancel()
@@ -197,6 +234,7 @@
                 self.take_event,
             )
             self._links[key] = (link, self._group.create_task(link.run()))
+            log_event(Event.WORKER_LISTED, worker=worker.worker, life=worker.life)
 
     async def _pass_time(self) -> None:
         while True:
@@ -251,10 +289,22 @@
                 continue
             self._jobs_version = max(self._jobs_version, changes.version)
             for event in make_job_events(changes.rows, self._state.finals, recovered=False):
+                self._note_job(event, changes.version)
                 self.take_event(event)
             if changes.rows:
                 await asyncio.sleep(JOBS_GATHER_SECONDS)
 
+    def _note_job(self, event: PoolEvent, version: RowVersion) -> None:
+        if isinstance(event, JobAccepted) and event.record.job not in self._state.jobs:
+            log_event(
+                Event.JOB_TAKEN,
+                job=event.record.job,
+                queue=event.record.queue,
+                steps=len(event.record.steps),
+                epoch=self._epoch,
+                version=version,
+            )
+
     async def _read_all_jobs(self) -> None:
         versions = []
         for part in list_job_parts():
--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -10,7 +10,6 @@
 from lentilpath_core.ids import Epoch, RowVersion
 from lentilpath_core.pool import (
     FinalsRecorded,
-    PoolEffect,
     PoolEvent,
     RecordFinal,
     RecordRun,
@@ -26,6 +25,7 @@
     POOL_TABLE,
     WORKERS_KEY,
     encode_record,
+    format_task,
     make_end_key,
     make_final_key,
     make_worker_rows,
@@ -109,7 +109,7 @@
             try:
                 commit = await self._table.commit(transaction, COMMIT_TIMEOUT_SECONDS)
             except (Unavailable, OutcomeUnknown) as error:
-                # Equal rows may be written twice, so an unclear outcome is settled by writing again.
+                # Equal rows may be written twice, so an unclear write is simply made again.
                 log_warning_event(Event.RECORDS_NOT_STORED, count=len(batch), error=str(error))
                 await asyncio.sleep(delay_seconds)
                 delay_seconds = min(2 * delay_seconds, MAX_RETRY_SECONDS)
@@ -120,7 +120,26 @@
                 log_event(Event.RECORDS_STORED_AGAIN, count=len(batch))
             return
 
+    def _log(self, record: Record) -> None:
+        if isinstance(record, RecordRun):
+            log_event(
+                Event.RUN_ENDED,
+                task=format_task(record.task),
+                run=record.record.run,
+                end=record.record.end.value,
+                epoch=self._epoch,
+            )
+        elif isinstance(record, RecordFinal):
+            log_event(
+                Event.JOB_ENDED,
+                job=record.job,
+                state=record.final.state.value,
+                epoch=self._epoch,
+            )
+
     def _announce(self, batch: list[Record]) -> None:
+        for record in batch:
+            self._log(record)
         runs = tuple((each.task, each.record) for each in batch if isinstance(each, RecordRun))
         finals = tuple((each.job, each.final) for each in batch if isinstance(each, RecordFinal))
         if runs:
@@ -133,11 +152,6 @@
                 self._take_event(WorkersRecorded(lives))
 
 
-def is_record(effect: PoolEffect) -> bool:
-    """Return whether an effect asks for a row to be stored."""
-    return isinstance(effect, RecordRun | RecordFinal | RecordWorkers)
-
-
 def _make_row(record: Record) -> tuple[str, bytes]:
     if isinstance(record, RecordRun):
         return make_end_key(record.task, record.record), encode_record(record.record)
--- a/packages/lentilpathd/src/lentilpathd/pool.py
+++ b/packages/lentilpathd/src/lentilpathd/pool.py
@@ -1,6 +1,7 @@
 """An entry host on a platform that keeps all state and whose workers obey fencing tokens."""
 
 from lentilpathd._clock import read_wall_time
+from lentilpathd._logs import set_up_structured_log
 from lentilpathd._pool._host import Handler, PlatformPorts, PoolHost, run_pool_host
 from lentilpathd._pool._jobs import Jobs, SubmissionAnswer, SubmissionResult
 from lentilpathd._pool._ports import (
@@ -45,4 +46,5 @@
     "log_unreadable_entry",
     "read_wall_time",
     "run_pool_host",
+    "set_up_structured_log",
 ]
--- /dev/null
+++ b/tests/cover/test_pool_link.py
@@ -0,0 +1,104 @@
+"""The leader's link to a worker grants no lease that it could not bound."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from lentilpath_core.errors import OutcomeUnknown
+from lentilpath_core.ids import Epoch, RowVersion, WorkerId, WorkerTime
+from lentilpath_core.pool import LeaseSent, Run, StartRun, WorkerReport
+from lentilpathd._pool import _link
+from lentilpathd._pool._link import WorkerLink
+from lentilpathd._pool._ports import PartitionedTable
+from lentilpathd._pool._writer import RecordWriter
+from tests.common.pools import LIFE, make_task, make_worker
+
+LEASE_MS = 5_000
+UNUSED_TABLE = typing.cast(PartitionedTable, None)
+
+
+class SilencedWorker:
+    """Answers some renewals and then no more."""
+
+    def __init__(self, answers: int) -> None:
+        self.answers = answers
+        self.leases: list[WorkerTime | None] = []
+        self.silent_renewals = 0
+        self.starts = 0
+
+    async def start(self, task, run, text, checkpoint, ticket, lease_until, timeout):
+        self.starts += 1
+        raise OutcomeUnknown("no answer")
+
+    async def renew(self, taken_number, lease_until, wait_ms, timeout):
+        self.leases.append(lease_until)
+        if self.answers == 0:
+            self.silent_renewals += 1
+            raise OutcomeUnknown("no answer")
+        self.answers -= 1
+        return WorkerReport(WorkerTime(1_000), (), ())
+
+    async def stop(self, task, run, timeout):
+        raise OutcomeUnknown("no answer")
+
+    def close(self) -> None:
+        pass
+
+
+def make_start() -> StartRun:
+    return StartRun(WorkerId("w1"), LIFE, make_task(1), Run(1), "run", "", "", 0, 0)
+
+
+def run_link(client: SilencedWorker, renewals: int, monkeypatch, act=None) -> list[object]:
+    events: list[object] = []
+    monkeypatch.setattr(_link, "RETRY_SECONDS", 0.001)
+
+    async def play() -> None:
+        writer = RecordWriter(UNUSED_TABLE, Epoch(1), RowVersion(1), events.append)
+        link = WorkerLink(make_worker("w1"), client, Epoch(1), LEASE_MS, writer, events.append)
+        task = asyncio.create_task(link.run())
+        while client.silent_renewals < renewals:
+            await asyncio.sleep(0.001)
+            if act is not None:
+                act(link)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(play())
+    return events
+
+
+def test_a_silent_worker_is_granted_no_further_leases(monkeypatch):
+    client = SilencedWorker(answers=2)
+    events = run_link(client, 10, monkeypatch)
+    granted = [each for each in events if isinstance(each, LeaseSent)]
+    assert client.leases[0] is None
+    assert len([lease for lease in client.leases if lease is not None]) == len(granted)
+    assert client.leases[-5:] == [None] * 5
+
+
+def test_a_start_that_was_given_up_is_not_sent_again(monkeypatch):
+    client = SilencedWorker(answers=3)
+    sent: list[None] = []
+
+    def act(link):
+        if not sent:
+            sent.append(link.send_start(make_start()))
+        elif client.starts == 1:
+            link.give_up(make_task(1), Run(1))
+
+    run_link(client, 10, monkeypatch, act)
+    assert client.starts == 1
+
+
+def test_a_start_to_a_worker_that_fell_silent_is_not_repeated(monkeypatch):
+    client = SilencedWorker(answers=3)
+    sent: list[None] = []
+
+    def act(link):
+        if not sent and client.silent_renewals:
+            sent.append(link.send_start(make_start()))
+
+    run_link(client, 10, monkeypatch, act)
+    assert client.starts == 1
