Take jobs only while the lease is confirmed

A job accepted in between was started by both, as the new one had not yet spoken to the worker that the earlier one used. Ruled out: the recovered jobs, which wait until every worker has answered.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -154,7 +154,7 @@
 
     async def _lead(self, epoch: Epoch) -> None:
         log_event(Event.POOL_LEADERSHIP_GAINED, epoch=epoch, host=self.settings.host)
-        term = Term(self.context, epoch, self.leadership.epoch_version)
+        term = Term(self.context, epoch, self.leadership)
         self._term = term
         try:
             async with asyncio.TaskGroup() as group:
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_job_feed.py
@@ -0,0 +1,94 @@
+"""Brings accepted and cancelled jobs to the leader's notice."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Container
+
+from lentilpath_core.errors import LentilpathError, OutcomeUnknown, Unavailable
+from lentilpath_core.ids import Instant, JobId, RowVersion
+from lentilpath_core.pool import JobAccepted, JobCancelled
+from lentilpathd._clock import read_instant
+from lentilpathd._events import Event, log_event
+from lentilpathd._pool._ports import HistoryLost, PartitionedTable, PartRow
+from lentilpathd._pool._records import JOBS_TABLE, list_job_parts
+from lentilpathd._pool._recovery import READ_TIMEOUT_SECONDS, make_job_events
+
+WAIT_SECONDS = 1.5
+GATHER_SECONDS = 0.02
+"""Pause after jobs were seen, so that several share one call."""
+FOLLOW_TIMEOUT_SECONDS = 1.0
+"""Beyond the wait, after which the connection counts as silent."""
+RETRY_SECONDS = 0.2
+UNCONFIRMED_RETRY_SECONDS = 0.1
+
+TakeJob = Callable[[JobAccepted | JobCancelled, RowVersion], None]
+
+
+class JobFeed:
+    """Follows the table of jobs.
+
+    Jobs are handed on only while the lease is known to hold. So whatever a leader has seen was
+    stored before the next leader's takeover, and the next one reads it as a job that may have
+    been started.
+    """
+
+    def __init__(
+        self,
+        table: PartitionedTable,
+        is_confirmed: Callable[[Instant], bool],
+        take: TakeJob,
+    ) -> None:
+        self._table = table
+        self._is_confirmed = is_confirmed
+        self._take = take
+        self._version = RowVersion(0)
+
+    async def run(self, version: RowVersion, ended: Container[JobId]) -> None:
+        """Follow changes after `version` until cancelled, but for jobs in `ended`."""
+        self._version = version
+        while True:
+            try:
+                await self._follow(ended)
+            except HistoryLost:
+                await self._read_all(ended)
+            except LentilpathError as error:
+                log_event(Event.JOBS_NOT_FOLLOWED, error=str(error))
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _follow(self, ended: Container[JobId]) -> None:
+        changes = await self._table.follow(
+            JOBS_TABLE, self._version, WAIT_SECONDS, WAIT_SECONDS + FOLLOW_TIMEOUT_SECONDS
+        )
+        if not self._hand_on(changes.rows, changes.version, ended):
+            await asyncio.sleep(UNCONFIRMED_RETRY_SECONDS)
+            return
+        self._version = max(self._version, changes.version)
+        if changes.rows:
+            await asyncio.sleep(GATHER_SECONDS)
+
+    def _hand_on(
+        self, rows: tuple[PartRow, ...], version: RowVersion, ended: Container[JobId]
+    ) -> bool:
+        """Hand on what the rows say; return whether the lease allowed it."""
+        if not self._is_confirmed(read_instant()):
+            return False
+        for event in make_job_events(rows, ended, recovered=False):
+            self._take(event, version)
+        return True
+
+    async def _read_all(self, ended: Container[JobId]) -> None:
+        versions = []
+        for part in list_job_parts():
+            try:
+                read = await self._table.read_part(JOBS_TABLE, part, "", "", READ_TIMEOUT_SECONDS)
+            except (Unavailable, OutcomeUnknown) as error:
+                log_event(Event.JOBS_NOT_FOLLOWED, error=str(error))
+                await asyncio.sleep(RETRY_SECONDS)
+                return
+            if not self._hand_on(read.rows, read.version, ended):
+                await asyncio.sleep(UNCONFIRMED_RETRY_SECONDS)
+                return
+            versions.append(read.version)
+        self._version = max(self._version, min(versions))
+        await asyncio.sleep(RETRY_SECONDS)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -97,6 +97,14 @@
         self._clock = TableClock()
         self.epoch_version = RowVersion(0)
         self.seen: SeenLeader | None = None
+        self._confirmed_until = Instant(0)
+
+    def is_confirmed(self, now: Instant) -> bool:
+        """Return whether nobody else can have taken over yet."""
+        return now < self._confirmed_until
+
+    def _confirm(self, sent_at: Instant) -> None:
+        self._confirmed_until = Instant(sent_at + LEASE_MS)
 
     async def wait_for_turn(self) -> Epoch:
         """Return the epoch of this process once it leads."""
@@ -122,6 +130,7 @@
 
     async def _take_over(self, seen: SeenLeader) -> Epoch | None:
         epoch = Epoch(seen.epoch + 1)
+        sent_at = read_instant()
         row = EpochRow(epoch, self._host, self._incarnation)
         transaction = PartTransaction(
             POOL_TABLE,
@@ -142,6 +151,7 @@
         if not commit.applied:
             return None
         self.epoch_version = commit.version
+        self._confirm(sent_at)
         self._clock.note(commit.clock_ms, read_instant())
         return epoch
 
@@ -188,6 +198,7 @@
             checks=((EPOCH_KEY, self.epoch_version),),
             puts=((LEASE_KEY, encode_record(lease)),),
         )
+        sent_at = read_instant()
         try:
             commit = await self._table.commit(transaction, ROW_TIMEOUT_SECONDS)
         except (Unavailable, OutcomeUnknown) as error:
@@ -196,3 +207,4 @@
         self._clock.note(commit.clock_ms, read_instant())
         if not commit.applied:
             raise Deposed(f"epoch {epoch} was followed by another leader")
+        self._confirm(sent_at)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -79,10 +79,10 @@
 
 def make_job_events(
     rows: tuple[PartRow, ...], ended: Container[JobId], recovered: bool
-) -> tuple[PoolEvent, ...]:
+) -> tuple[JobAccepted | JobCancelled, ...]:
     """Return the events of rows of the table of jobs, but for jobs that have ended."""
-    accepted: list[PoolEvent] = []
-    cancelled: list[PoolEvent] = []
+    accepted: list[JobAccepted] = []
+    cancelled: list[JobCancelled] = []
     for row in rows:
         job = JobId(row.key.removesuffix(CANCEL_SUFFIX))
         if row.is_dropped or job in ended:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -5,7 +5,7 @@
 import asyncio
 from functools import singledispatchmethod
 
-from lentilpath_core.errors import LentilpathError, OutcomeUnknown, Unavailable
+from lentilpath_core.errors import OutcomeUnknown, Unavailable
 from lentilpath_core.ids import Epoch, Instant, JobId, RowVersion, WorkerId
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.pool import (
@@ -13,6 +13,7 @@
     ConfigurationSet,
     GiveUpRun,
     JobAccepted,
+    JobCancelled,
     JobState,
     ListedWorker,
     PoolConfiguration,
@@ -39,11 +40,13 @@
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._pool._advice import AdviceDispatcher
 from lentilpathd._pool._context import PoolContext
+from lentilpathd._pool._job_feed import JobFeed
+from lentilpathd._pool._leadership import PoolLeadership
 from lentilpathd._pool._link import CLOCK_DRIFT, LEASE_MARGIN_MS, WorkerLink
 from lentilpathd._pool._members import Digest, read_hello
-from lentilpathd._pool._ports import HistoryLost, LifeKey
-from lentilpathd._pool._records import JOBS_TABLE, format_task, list_job_parts
-from lentilpathd._pool._recovery import READ_TIMEOUT_SECONDS, make_job_events, read_pool
+from lentilpathd._pool._ports import LifeKey
+from lentilpathd._pool._records import format_task
+from lentilpathd._pool._recovery import READ_TIMEOUT_SECONDS, read_pool
 from lentilpathd._pool._writer import RecordWriter
 
 TICK_SECONDS = 0.25
@@ -54,23 +57,20 @@
 GONE_AFTER_MS = 2_500
 """A worker whose entry is missing this long is gone: entries that lapsed while the platform's
 table was away are back within 2 s of its return."""
-JOBS_WAIT_SECONDS = 1.5
-JOBS_GATHER_SECONDS = 0.02
-FOLLOW_TIMEOUT_SECONDS = 1.0
-"""Beyond the wait, after which the connection counts as silent."""
+LIST_TIMEOUT_SECONDS = 1.0
 RETRY_SECONDS = 0.2
 
 
 class Term:
     """Leads from the moment that the epoch was won until it is lost or given up."""
 
-    def __init__(self, context: PoolContext, epoch: Epoch, epoch_version: RowVersion) -> None:
+    def __init__(self, context: PoolContext, epoch: Epoch, leadership: PoolLeadership) -> None:
         self._context = context
         self._epoch = epoch
         now = read_instant()
         lease_ms = context.settings.lease_ms / (1 - CLOCK_DRIFT) + LEASE_MARGIN_MS
         self._state = create_pool(epoch, Instant(int(now + lease_ms) + 1))
-        self._writer = RecordWriter(context.table, epoch, epoch_version, self.take_event)
+        self._writer = RecordWriter(context.table, epoch, leadership.epoch_version, self.take_event)
         self._advice = AdviceDispatcher(
             context.advice_agent, context.bus, context.members, self.take_event
         )
@@ -80,6 +80,7 @@
         self._group: asyncio.TaskGroup | None = None
         self._ready = False
         self._jobs_version = RowVersion(0)
+        self._feed = JobFeed(context.table, leadership.is_confirmed, self._take_job)
 
     @property
     def state(self) -> PoolState:
@@ -98,7 +99,7 @@
             group.create_task(self._pass_time())
             group.create_task(self._place())
             group.create_task(self._watch_workers())
-            group.create_task(self._watch_jobs())
+            group.create_task(self._feed.run(self._jobs_version, self._state.finals))
 
     async def _recover(self) -> None:
         while True:
@@ -139,6 +140,18 @@
         if is_placing_due(self._state):
             self._placing.set()
 
+    def _take_job(self, event: JobAccepted | JobCancelled, version: RowVersion) -> None:
+        if isinstance(event, JobAccepted) and event.record.job not in self._state.jobs:
+            log_event(
+                Event.JOB_TAKEN,
+                job=event.record.job,
+                queue=event.record.queue,
+                steps=len(event.record.steps),
+                epoch=self._epoch,
+                version=version,
+            )
+        self.take_event(event)
+
     def get_state(self, job: JobId) -> JobState | None:
         """Return what may be shown of a job."""
         return get_job_state(self._state, job)
@@ -252,7 +265,7 @@
     async def _watch_workers(self) -> None:
         while True:
             try:
-                listed = await self._context.registry.read_workers(FOLLOW_TIMEOUT_SECONDS)
+                listed = await self._context.registry.read_workers(LIST_TIMEOUT_SECONDS)
             except (Unavailable, OutcomeUnknown) as error:
                 log_event(Event.HOST_LIST_UNAVAILABLE, error=str(error))
             else:
@@ -270,54 +283,3 @@
                 kept.append(worker.listed)
         self.take_event(WorkersListed(tuple(kept)))
         self._open_links()
-
-    async def _watch_jobs(self) -> None:
-        while True:
-            try:
-                changes = await self._context.table.follow(
-                    JOBS_TABLE,
-                    self._jobs_version,
-                    JOBS_WAIT_SECONDS,
-                    JOBS_WAIT_SECONDS + FOLLOW_TIMEOUT_SECONDS,
-                )
-            except HistoryLost:
-                await self._read_all_jobs()
-                continue
-            except LentilpathError as error:
-                log_event(Event.JOBS_NOT_FOLLOWED, error=str(error))
-                await asyncio.sleep(RETRY_SECONDS)
-                continue
-            self._jobs_version = max(self._jobs_version, changes.version)
-            for event in make_job_events(changes.rows, self._state.finals, recovered=False):
-                self._note_job(event, changes.version)
-                self.take_event(event)
-            if changes.rows:
-                await asyncio.sleep(JOBS_GATHER_SECONDS)
-
-    def _note_job(self, event: PoolEvent, version: RowVersion) -> None:
-        if isinstance(event, JobAccepted) and event.record.job not in self._state.jobs:
-            log_event(
-                Event.JOB_TAKEN,
-                job=event.record.job,
-                queue=event.record.queue,
-                steps=len(event.record.steps),
-                epoch=self._epoch,
-                version=version,
-            )
-
-    async def _read_all_jobs(self) -> None:
-        versions = []
-        for part in list_job_parts():
-            try:
-                read = await self._context.table.read_part(
-                    JOBS_TABLE, part, "", "", READ_TIMEOUT_SECONDS
-                )
-            except (Unavailable, OutcomeUnknown) as error:
-                log_event(Event.JOBS_NOT_FOLLOWED, error=str(error))
-                await asyncio.sleep(RETRY_SECONDS)
-                return
-            versions.append(read.version)
-            for event in make_job_events(read.rows, self._state.finals, recovered=False):
-                self.take_event(event)
-        self._jobs_version = max(self._jobs_version, min(versions))
-        await asyncio.sleep(RETRY_SECONDS)
--- a/tests/common/pools.py
+++ b/tests/common/pools.py
@@ -109,6 +109,10 @@
     )
 
 
+def make_record(job: int, *steps: StepSpec, queue: QueueId = QUEUE) -> JobRecord:
+    return JobRecord(make_job_id(job), queue, "run", steps or (StepSpec(1, TASK_ROOM, 500),))
+
+
 class PoolBench:
     """A leader's state with a clock that the test moves; records become durable when told."""
 
@@ -169,8 +173,7 @@
         return self.give(WorkerReported(listed.worker, listed.life, report, self.now))
 
     def submit(self, job: int, *steps: StepSpec, queue: QueueId = QUEUE) -> None:
-        record = JobRecord(make_job_id(job), queue, "run", steps or (StepSpec(1, TASK_ROOM, 500),))
-        self.give(JobAccepted(record))
+        self.give(JobAccepted(make_record(job, *steps, queue=queue)))
 
     def answer_start(self, start: StartRun, answer: StartAnswer) -> list[PoolEffect]:
         return self.give(StartAnswered(start.worker, start.life, start.task, start.run, answer))
