Count a worker with a run of an unknown job as full, and lose no planned room

Beside it: room that was held for a ticket was not given back when the job was cancelled. Ruled out: the order of answers on different connections, which the time of sending settles.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -14,7 +14,12 @@
 from lentilpath_core.pool._model import Permission, Run, TaskKey
 from lentilpath_core.pool._order import Rank, rank_step
 from lentilpath_core.pool._state import Attempt, Phase, Plan, PoolState, Step, Ticket, Worker
-from lentilpath_core.pool._steps import get_shared_index, note_waiting, take_run_number
+from lentilpath_core.pool._steps import (
+    drop_plan,
+    get_shared_index,
+    note_waiting,
+    take_run_number,
+)
 from lentilpath_core.pool._workers import hold_attempt
 from lentilpath_core.resources import Resources
 
@@ -180,15 +185,6 @@
     return _start_all(state, step, places, now)
 
 
-def drop_plan(step: Step) -> None:
-    """Give back the room that is held while a step's permissions are renewed."""
-    if step.plan is None:
-        return
-    for worker in step.plan.places.values():
-        worker.free = worker.free + step.spec.counted_room
-    step.plan = None
-
-
 def _has_fresh_ticket(step: Step, worker: Worker, now: Instant) -> bool:
     if not _needs_advice(step):
         return True
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
@@ -66,7 +66,16 @@
         state.needs_placing = True
     else:
         state.open_steps.pop(step.key, None)
-        step.plan = None
+        drop_plan(step)
+
+
+def drop_plan(step: Step) -> None:
+    """Give back the room that is held while a step's permissions are renewed."""
+    if step.plan is None:
+        return
+    for worker in step.plan.places.values():
+        worker.free = worker.free + step.spec.counted_room
+    step.plan = None
 
 
 def take_run_number(state: PoolState, step: Step, index: int) -> Run:
@@ -132,7 +141,7 @@
     effects: list[PoolEffect] = [RecordFinal(job.record.job, job.final)]
     for step in job.steps.values():
         state.open_steps.pop(step.key, None)
-        step.plan = None
+        drop_plan(step)
         step.waiting.clear()
         for attempt in step.attempts.values():
             if attempt.phase is not Phase.STOPPING:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -35,12 +35,12 @@
 from lentilpath_core.pool._steps import (
     break_gang,
     note_run_number,
+    note_waiting,
     stop_attempt,
     take_done,
     take_failure,
     wait_again,
 )
-from lentilpath_core.resources import Resources
 
 STOP_AGAIN_MS = 1_000
 """A stop whose run is still listed is sent again after this; it is over twice the longest stop."""
@@ -151,7 +151,8 @@
         and index not in step.recording
         and not _is_other_run_of_gang(step, running.run)
     )
-    room = step.spec.counted_room if step is not None else Resources()
+    # What a run of an unknown job holds is not known, so its worker counts as full.
+    room = step.spec.counted_room if step is not None else worker.listed.capacity
     attempt = Attempt(
         running.task,
         running.run,
@@ -173,8 +174,7 @@
             step.waiting = []
         elif index in step.waiting:
             step.waiting.remove(index)
-        if not step.waiting:
-            state.open_steps.pop(step.key, None)
+        note_waiting(state, step)
     return attempt
 
 
@@ -252,8 +252,7 @@
         step.waiting.remove(index)
     if step.spec.gang:
         step.waiting = []
-    if not step.waiting:
-        state.open_steps.pop(step.key, None)
+    note_waiting(state, step)
     return (RecordRun(ended.task, RunRecord(ended.run, RunEnd.DONE)),)
 
 
@@ -271,8 +270,7 @@
             step.waiting.remove(index)
         if step.spec.gang:
             step.waiting = []
-        if not step.waiting:
-            state.open_steps.pop(step.key, None)
+        note_waiting(state, step)
     effects.append(RecordRun(ended.task, RunRecord(ended.run, RunEnd.FAILED)))
     if step.spec.gang:
         effects.extend(break_gang(step, now))
