Reach the table through other hosts, tell the leader of jobs at once, and recover sooner

Ruled out: placement and advice, whose waits were under 0.3 s on calm seconds. Change: calls go through a host whose own way works and are refused at once if there is none; hosts tell the leader of what they stored; a process takes over at once from its host's earlier process; leases of 1.5 s.

--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -97,6 +97,8 @@
     WORKER_LISTED = (531, "a worker is registered, or has changed")
     WORKER_RELEASED = (532, "a worker holds nothing of ours any more")
     LINES_LEFT_OUT = (533, "lines were left out of the log to keep its volume bounded")
+    TABLE_LOST = (535, "the table does not answer this host; other hosts are asked")
+    TABLE_BACK = (536, "the table answers this host again")
     STATE_SHOWN = (534, "a caller was told where its job stands")
 
     @property
--- a/packages/lentilpathd/src/lentilpathd/_pool/_context.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_context.py
@@ -9,9 +9,10 @@
 from lentilpath_core.pool import JobState, PoolConfiguration
 from lentilpathd._peers import PeerBus
 from lentilpathd._pool._advice import AdviceAgent
-from lentilpathd._pool._members import Greeter, Members
-from lentilpathd._pool._ports import PartitionedTable, Registry, WorkerFactory
+from lentilpathd._pool._members import Greeter, JobNotice, Members
+from lentilpathd._pool._ports import Registry, WorkerFactory
 from lentilpathd._pool._settings import PoolHostSettings
+from lentilpathd._pool._table_path import TablePath
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,7 +22,7 @@
     settings: PoolHostSettings
     incarnation: Incarnation
     bus: PeerBus
-    table: PartitionedTable
+    table: TablePath
     registry: Registry
     create_worker: WorkerFactory
     advice_agent: AdviceAgent
@@ -30,3 +31,5 @@
     get_configuration: Callable[[], PoolConfiguration | None]
     get_own_state: Callable[[JobId], JobState | None]
     """What this process knows of a job if it leads."""
+    take_own_notice: Callable[[JobNotice], bool]
+    """Hand a stored row to this process if it leads; return whether it does."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -25,9 +25,12 @@
 from lentilpathd._pool._leadership import PoolLeadership
 from lentilpathd._pool._members import (
     HELLO_TOPIC,
+    NOTICE_TOPIC,
     STATE_TOPIC,
     Digest,
+    Empty,
     Greeter,
+    JobNotice,
     Members,
     StateQuestion,
     StateReply,
@@ -40,6 +43,7 @@
     WorkerFactory,
 )
 from lentilpathd._pool._settings import PoolHostSettings
+from lentilpathd._pool._table_path import TablePath
 from lentilpathd._pool._term import Term
 from lentilpathd._supervisor import Part, supervise_parts
 
@@ -58,7 +62,7 @@
     """The platform's services, as adapters have opened them."""
 
     table: PartitionedTable
-    registry: Registry
+    open_registry: Callable[[PartitionedTable], Registry]
     create_worker: WorkerFactory
     advice: AdviceService
 
@@ -77,31 +81,39 @@
         incarnation = Incarnation(f"{settings.host}.{uuid.uuid4().hex[:INCARNATION_DIGITS]}")
         self.bus = PeerBus(settings.host, incarnation, settings.zone)
         self.members = Members(settings, self.bus)
-        self.greeter = Greeter(settings, self.bus)
-        self.configuration = ConfigurationFollower(ports.registry, self._take_configuration)
-        self.leadership = PoolLeadership(ports.table, settings.host, incarnation, settings.peers)
+        self.greeter = Greeter(settings, self.bus, self.members)
+        self.table = TablePath(ports.table, self.bus, self.members.list_helpers)
+        registry = ports.open_registry(self.table)
+        self.configuration = ConfigurationFollower(registry, self._take_configuration)
+        self.leadership = PoolLeadership(self.table, settings.host, incarnation, settings.peers)
         self.context = PoolContext(
             settings,
             incarnation,
             self.bus,
-            ports.table,
-            ports.registry,
+            self.table,
+            registry,
             ports.create_worker,
             AdviceAgent(ports.advice, self.bus),
             self.members,
             self.greeter,
             self.configuration.get_current,
             self._get_own_state,
+            self._take_own_notice,
         )
         self.jobs = Jobs(self.context)
         self.stopping = asyncio.Event()
         self._term: Term | None = None
         self.bus.handle(HELLO_TOPIC, self._answer_hello)
         self.bus.handle(STATE_TOPIC, self._answer_state)
+        self.bus.handle(NOTICE_TOPIC, self._answer_notice)
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send callers here."""
-        return self.configuration.get_current() is not None and not self.stopping.is_set()
+        return (
+            self.configuration.get_current() is not None
+            and not self.stopping.is_set()
+            and self.table.is_open(read_instant())
+        )
 
     async def run(self) -> None:
         """Run all parts until cancelled."""
@@ -110,6 +122,7 @@
                 Part("peers", lambda: self.bus.serve(self.settings.peers)),
                 Part("configuration", self.configuration.run),
                 Part("greeter", self.greeter.run),
+                Part("table path", self.table.run),
                 Part("leadership", self._lead_in_turn),
                 Part("leader watch", self._watch_leader),
             )
@@ -122,6 +135,18 @@
     def _get_own_state(self, job: JobId) -> JobState | None:
         return self._term.get_state(job) if self._term is not None else None
 
+    def _take_own_notice(self, notice: JobNotice) -> bool:
+        if self._term is None:
+            return False
+        self._term.take_notice(notice)
+        return True
+
+    async def _answer_notice(self, request: PeerRequest) -> Empty:
+        if self._term is None:
+            raise NotLeading(f"{self.settings.host} does not lead")
+        self._term.take_notice(msgspec.convert(request.body, JobNotice))
+        return Empty()
+
     async def _answer_hello(self, request: PeerRequest) -> Digest:
         if self._term is None:
             raise NotLeading(f"{self.settings.host} does not lead")
--- a/packages/lentilpathd/src/lentilpathd/_pool/_job_feed.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_job_feed.py
@@ -15,8 +15,9 @@
 from lentilpathd._pool._recovery import READ_TIMEOUT_SECONDS, make_job_events
 
 WAIT_SECONDS = 1.5
-GATHER_SECONDS = 0.02
-"""Pause after jobs were seen, so that several share one call."""
+GATHER_SECONDS = 0.3
+"""Pause after jobs were seen, so that several share one call. Hosts tell the leader of each job
+at once, so the feed only brings what such a message has missed."""
 FOLLOW_TIMEOUT_SECONDS = 1.0
 """Beyond the wait, after which the connection counts as silent."""
 RETRY_SECONDS = 0.2
@@ -56,6 +57,10 @@
                 log_event(Event.JOBS_NOT_FOLLOWED, error=str(error))
                 await asyncio.sleep(RETRY_SECONDS)
 
+    def take_notice(self, row: PartRow, ended: Container[JobId]) -> bool:
+        """Take what a host says that it has stored; the feed brings it again."""
+        return self._hand_on((row,), row.version, ended)
+
     async def _follow(self, ended: Container[JobId]) -> None:
         changes = await self._table.follow(
             JOBS_TABLE, self._version, WAIT_SECONDS, WAIT_SECONDS + FOLLOW_TIMEOUT_SECONDS
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -12,12 +12,19 @@
     TableUnavailable,
     Unavailable,
 )
-from lentilpath_core.ids import Instant, JobId
+from lentilpath_core.ids import Instant, JobId, RowVersion
 from lentilpath_core.pool import JobRecord, JobState, QueuePolicy, decide_admission
 from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_event
 from lentilpathd._pool._context import PoolContext
-from lentilpathd._pool._members import STATE_TOPIC, StateQuestion, StateReply
+from lentilpathd._pool._members import (
+    NOTICE_TOPIC,
+    STATE_TOPIC,
+    Empty,
+    JobNotice,
+    StateQuestion,
+    StateReply,
+)
 from lentilpathd._pool._ports import PartTransaction
 from lentilpathd._pool._records import (
     JOBS_TABLE,
@@ -31,14 +38,15 @@
 )
 from lentilpathd._ports import ABSENT
 
-WRITE_TIMEOUT_SECONDS = 0.8
 READ_TIMEOUT_SECONDS = 0.8
 STATE_TIMEOUT_SECONDS = 0.4
 RETRY_SECONDS = 0.05
 STORE_AWAY_RETRY_MS = 1_000
 """When to come back while the table does not take writes."""
-DEADLINE_SHARE = 0.8
-"""Part of a caller's time that is spent on settling an unclear write."""
+SETTLE_SHARE = 0.25
+"""Part of a caller's time that is spent on settling an unclear write. The caller does better to
+ask again, by when another host may have a way to the table."""
+NOTICE_TIMEOUT_SECONDS = 0.4
 
 
 class SubmissionResult(Enum):
@@ -64,6 +72,7 @@
 
     def __init__(self, context: PoolContext) -> None:
         self._context = context
+        self._notices: set[asyncio.Future[None]] = set()
 
     async def submit(
         self, record: JobRecord, policy: QueuePolicy, deadline_ms: int
@@ -75,7 +84,7 @@
         if refusal_ms is not None:
             log_event(Event.JOB_REFUSED, job=record.job, queue=record.queue, load=load)
             return SubmissionAnswer(SubmissionResult.REFUSED, refusal_ms)
-        return await self._store(record, Instant(int(now + deadline_ms * DEADLINE_SHARE)))
+        return await self._store(record, Instant(int(now + deadline_ms * SETTLE_SHARE)))
 
     async def _store(self, record: JobRecord, give_up_at: Instant) -> SubmissionAnswer:
         transaction = PartTransaction(
@@ -84,11 +93,14 @@
             checks=((record.job, ABSENT),),
             puts=((record.job, encode_record(record)),),
         )
+        table = self._context.table
         is_unclear = False
         while True:
             try:
                 # A row that is there already is this job's, by this submission or an earlier one.
-                commit = await self._context.table.commit(transaction, WRITE_TIMEOUT_SECONDS)
+                commit = await table.commit(transaction, table.get_patience())
+                if commit.applied:
+                    self._tell_leader(transaction, commit.version)
                 log_event(
                     Event.JOB_STORED,
                     job=record.job,
@@ -108,6 +120,25 @@
                 return SubmissionAnswer(SubmissionResult.UNCLEAR)
             await asyncio.sleep(RETRY_SECONDS)
 
+    def _tell_leader(self, transaction: PartTransaction, version: RowVersion) -> None:
+        key, value = transaction.puts[0]
+        notice = JobNotice(transaction.part, key, value, version)
+        if self._context.take_own_notice(notice):
+            return
+        task = asyncio.ensure_future(self._send_notice(notice))
+        self._notices.add(task)
+        task.add_done_callback(self._notices.discard)
+
+    async def _send_notice(self, notice: JobNotice) -> None:
+        leader = self._context.greeter.get_leader()
+        if leader is None or leader == self._context.settings.host:
+            return
+        try:
+            await self._context.bus.ask(leader, NOTICE_TOPIC, notice, Empty, NOTICE_TIMEOUT_SECONDS)
+        except LentilpathError as error:
+            # The leader's feed brings the job all the same.
+            log_event(Event.LEADER_SILENT, leader=leader, error=str(error))
+
     async def get_state(self, job: JobId) -> JobState | None:
         """Return a job's state, or `None` if there is no such job.
 
@@ -154,21 +185,23 @@
 
         Raises `Unavailable` or `OutcomeUnknown` if the cancellation is not surely stored.
         """
-        give_up_at = read_instant() + deadline_ms * DEADLINE_SHARE
+        give_up_at = read_instant() + deadline_ms * SETTLE_SHARE
         state = await self.get_state(job)
         if state is None:
             return False
         transaction = PartTransaction(
             JOBS_TABLE, get_job_part(job), puts=((get_cancel_key(job), b"1"),)
         )
+        table = self._context.table
         while True:
             try:
-                await self._context.table.commit(transaction, WRITE_TIMEOUT_SECONDS)
+                commit = await table.commit(transaction, table.get_patience())
             except (Unavailable, OutcomeUnknown):
                 if read_instant() >= give_up_at:
                     raise
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
+            self._tell_leader(transaction, commit.version)
             log_event(Event.JOB_CANCELLED, job=job)
             return True
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -27,10 +27,10 @@
     encode_record,
 )
 
-LEASE_MS = 2_000
+LEASE_MS = 1_500
 """A leader that is silent for this long may be replaced; three renewals fit."""
-RENEW_EVERY_MS = 600
-WATCH_EVERY_MS = 500
+RENEW_EVERY_MS = 450
+WATCH_EVERY_MS = 350
 TAKEOVER_MARGIN_MS = 200
 """Beyond the lease, for the way from the leader to the table."""
 ROW_TIMEOUT_SECONDS = 1.0
@@ -61,10 +61,16 @@
     return SeenLeader(epoch, version, lease, read.clock_ms)
 
 
-def may_take_over(seen: SeenLeader) -> bool:
-    """Return whether the leadership is free by the table service's own clock."""
+def may_take_over(seen: SeenLeader, host: HostId, address: Address) -> bool:
+    """Return whether the leadership is free for a process on `host`.
+
+    It is if the lease has run out by the table service's own clock, or if it is held by an earlier
+    process of the same host: that one has ended, since this one holds the host's addresses.
+    """
     lease = seen.lease
-    return lease is None or seen.clock_ms > lease.until_ms + TAKEOVER_MARGIN_MS
+    if lease is None or (lease.host, lease.address) == (host, address):
+        return True
+    return seen.clock_ms > lease.until_ms + TAKEOVER_MARGIN_MS
 
 
 class TableClock:
@@ -110,7 +116,7 @@
         """Return the epoch of this process once it leads."""
         while True:
             seen = await self._watch()
-            if seen is not None and may_take_over(seen):
+            if seen is not None and may_take_over(seen, self._host, self._address):
                 epoch = await self._take_over(seen)
                 if epoch is not None:
                     return epoch
--- a/packages/lentilpathd/src/lentilpathd/_pool/_members.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_members.py
@@ -31,11 +31,21 @@
     region: RegionId
 
 
+class KnownHost(msgspec.Struct, frozen=True, array_like=True):
+    """Where a host is reached by others."""
+
+    host: HostId
+    address: Address
+    zone: ZoneId
+    region: RegionId
+
+
 class Digest(msgspec.Struct, frozen=True):
-    """What the leader tells the hosts about the load."""
+    """What the leader tells the hosts about the load and about each other."""
 
     epoch: Epoch
     queues: dict[str, QueueLoad]
+    hosts: tuple[KnownHost, ...] = ()
 
 
 class Members:
@@ -46,6 +56,36 @@
         self._bus = bus
         self._heard: dict[HostId, tuple[Instant, PeerSettings]] = {}
         self._leader: PeerSettings | None = None
+        self._told: dict[HostId, PeerSettings] = {}
+        """Hosts that the leader has told of."""
+
+    def list_helpers(self, now: Instant) -> tuple[HostId, ...]:
+        """Return other hosts that may be alive, for what any of them can do."""
+        heard = {host for host, (at, _) in self._heard.items() if now <= at + MEMBER_SILENT_MS}
+        known = heard | self._told.keys()
+        if self._leader is not None:
+            known.add(self._leader.host)
+        return tuple(sorted(known - {self._settings.host}))
+
+    def list_known_hosts(self, now: Instant) -> tuple[KnownHost, ...]:
+        """Return the hosts to tell others of."""
+        heard = (peer for at, peer in self._heard.values() if now <= at + MEMBER_SILENT_MS)
+        own = KnownHost(
+            self._settings.host, self._settings.peers, self._settings.zone, self._settings.region
+        )
+        others = (KnownHost(each.host, each.address, each.zone, each.region) for each in heard)
+        return (own, *others)
+
+    def take_told(self, hosts: tuple[KnownHost, ...]) -> None:
+        """Take over what the leader tells of other hosts."""
+        told = {
+            each.host: PeerSettings(each.host, each.region, each.zone, each.address)
+            for each in hosts
+            if each.host != self._settings.host
+        }
+        if told != self._told:
+            self._told = told
+            self._update_bus()
 
     def list_hosts(self, now: Instant) -> tuple[HostId, ...]:
         """Return this host and the others that have spoken to it lately."""
@@ -70,7 +110,8 @@
             self._update_bus()
 
     def _update_bus(self) -> None:
-        peers = {peer.host: peer for _, peer in self._heard.values()}
+        peers = dict(self._told)
+        peers.update({peer.host: peer for _, peer in self._heard.values()})
         if self._leader is not None:
             peers[self._leader.host] = self._leader
         self._bus.set_peers(tuple(peers.values()))
@@ -79,9 +120,10 @@
 class Greeter:
     """Greets the leader and keeps its last digest."""
 
-    def __init__(self, settings: PoolHostSettings, bus: PeerBus) -> None:
+    def __init__(self, settings: PoolHostSettings, bus: PeerBus, members: Members) -> None:
         self._settings = settings
         self._bus = bus
+        self._members = members
         self._leader: HostId | None = None
         self._digest: Digest | None = None
         self._digest_at = Instant(0)
@@ -118,6 +160,7 @@
             log_event(Event.LEADER_SILENT, leader=leader, error=str(error))
             return
         self.set_digest(digest, read_instant())
+        self._members.take_told(digest.hosts)
 
 
 def read_hello(request: PeerRequest) -> Hello:
@@ -138,3 +181,19 @@
     """A job's state, or an empty text if the leader does not know the job."""
 
     state: str
+
+
+NOTICE_TOPIC = "pool.notice"
+
+
+class JobNotice(msgspec.Struct, frozen=True):
+    """Tells the leader at once what a host has stored about a job."""
+
+    part: str
+    key: str
+    value: bytes
+    version: int
+
+
+class Empty(msgspec.Struct, frozen=True):
+    """Nothing to say."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -43,8 +43,8 @@
 from lentilpathd._pool._job_feed import JobFeed
 from lentilpathd._pool._leadership import PoolLeadership
 from lentilpathd._pool._link import CLOCK_DRIFT, LEASE_MARGIN_MS, WorkerLink
-from lentilpathd._pool._members import Digest, read_hello
-from lentilpathd._pool._ports import LifeKey
+from lentilpathd._pool._members import Digest, JobNotice, read_hello
+from lentilpathd._pool._ports import LifeKey, PartRow
 from lentilpathd._pool._records import format_task
 from lentilpathd._pool._recovery import READ_TIMEOUT_SECONDS, read_pool
 from lentilpathd._pool._writer import RecordWriter
@@ -158,7 +158,15 @@
 
     def make_digest(self) -> Digest:
         """Return what the hosts need to know of the load."""
-        return Digest(self._epoch, measure_loads(self._state, read_instant()))
+        now = read_instant()
+        hosts = self._context.members.list_known_hosts(now)
+        return Digest(self._epoch, measure_loads(self._state, now), hosts)
+
+    def take_notice(self, notice: JobNotice) -> None:
+        """Take what a host has stored about a job."""
+        if self._ready:
+            row = PartRow(notice.part, notice.key, notice.value, RowVersion(notice.version))
+            self._feed.take_notice(row, self._state.finals)
 
     def answer_hello(self, request: PeerRequest) -> Digest:
         """Answer a host's greeting."""
--- /dev/null
+++ b/tests/common/tables.py
@@ -0,0 +1,46 @@
+"""A table of one part in memory, which a test can switch off."""
+
+from __future__ import annotations
+
+import asyncio
+
+from lentilpath_core.errors import TableUnavailable
+from lentilpath_core.ids import RowVersion
+from lentilpathd._pool._ports import PartCommit, PartRow, PartRows
+
+
+class OneRowTable:
+    """Holds the rows of one part."""
+
+    def __init__(self) -> None:
+        self.is_away = False
+        self.rows: dict[str, PartRow] = {}
+        self.version = 0
+        self.clock_ms = 50_000
+        self.changes: tuple[PartRow, ...] = ()
+        self.follows = 0
+        self.followed_twice = asyncio.Event()
+
+    async def commit(self, transaction, timeout):
+        if self.is_away:
+            raise TableUnavailable("away")
+        for key, version in transaction.checks:
+            found = self.rows[key].version if key in self.rows else 0
+            if found != version:
+                return PartCommit(False, RowVersion(self.version), self.clock_ms)
+        self.version += 1
+        for key, value in transaction.puts:
+            self.rows[key] = PartRow("cell", key, value, RowVersion(self.version))
+        return PartCommit(True, RowVersion(self.version), self.clock_ms)
+
+    async def read_part(self, table, part, first, end, timeout):
+        if self.is_away:
+            raise TableUnavailable("away")
+        return PartRows(tuple(self.rows.values()), RowVersion(self.version), self.clock_ms)
+
+    async def follow(self, table, after, wait_seconds, timeout):
+        self.follows += 1
+        if self.follows == 2:
+            self.followed_twice.set()
+        await asyncio.sleep(0)
+        return PartRows(self.changes, RowVersion(after + 1), self.clock_ms)
--- a/tests/cover/test_pool_leadership.py
+++ b/tests/cover/test_pool_leadership.py
@@ -4,57 +4,20 @@
 
 import asyncio
 
-from lentilpath_core.errors import TableUnavailable
 from lentilpath_core.ids import Epoch, HostId, Incarnation, Instant, JobId, RowVersion
 from lentilpath_core.pool import JobAccepted, JobCancelled
 from lentilpath_core.settings import Address
 from lentilpathd._pool import _leadership
 from lentilpathd._pool._job_feed import JobFeed
 from lentilpathd._pool._leadership import LEASE_MS, PoolLeadership, may_take_over
-from lentilpathd._pool._ports import PartCommit, PartRow, PartRows
+from lentilpathd._pool._ports import PartRow
 from lentilpathd._pool._records import encode_record
 from tests.common.pools import make_record
+from tests.common.tables import OneRowTable
 
 ADDRESS = Address("127.0.0.1", 1)
 
 
-class OneRowTable:
-    """Holds the leadership rows in memory; the test switches it off."""
-
-    def __init__(self) -> None:
-        self.is_away = False
-        self.rows: dict[str, PartRow] = {}
-        self.version = 0
-        self.clock_ms = 50_000
-        self.changes: tuple[PartRow, ...] = ()
-        self.follows = 0
-        self.followed_twice = asyncio.Event()
-
-    async def commit(self, transaction, timeout):
-        if self.is_away:
-            raise TableUnavailable("away")
-        for key, version in transaction.checks:
-            found = self.rows[key].version if key in self.rows else 0
-            if found != version:
-                return PartCommit(False, RowVersion(self.version), self.clock_ms)
-        self.version += 1
-        for key, value in transaction.puts:
-            self.rows[key] = PartRow("cell", key, value, RowVersion(self.version))
-        return PartCommit(True, RowVersion(self.version), self.clock_ms)
-
-    async def read_part(self, table, part, first, end, timeout):
-        if self.is_away:
-            raise TableUnavailable("away")
-        return PartRows(tuple(self.rows.values()), RowVersion(self.version), self.clock_ms)
-
-    async def follow(self, table, after, wait_seconds, timeout):
-        self.follows += 1
-        if self.follows == 2:
-            self.followed_twice.set()
-        await asyncio.sleep(0)
-        return PartRows(self.changes, RowVersion(after + 1), self.clock_ms)
-
-
 def make_leadership(table: OneRowTable, host: str = "h1") -> PoolLeadership:
     return PoolLeadership(table, HostId(host), Incarnation(host + ".1"), ADDRESS)
 
@@ -80,11 +43,11 @@
     asyncio.run(first.wait_for_turn())
     seen = asyncio.run(second._watch())
     assert seen is not None
-    assert not may_take_over(seen)
+    assert not may_take_over(seen, HostId("h2"), ADDRESS)
     table.clock_ms += LEASE_MS
     seen = asyncio.run(second._watch())
     assert seen is not None
-    assert not may_take_over(seen)
+    assert not may_take_over(seen, HostId("h2"), ADDRESS)
     table.clock_ms += 1_000
     assert asyncio.run(second.wait_for_turn()) == 2
 
@@ -113,3 +76,9 @@
         table = OneRowTable()
         table.changes = (PartRow("0", record.job, encode_record(record), RowVersion(1)),)
         assert (record.job in follow_jobs(table, confirmed)) is confirmed
+
+
+def test_a_restarted_process_takes_over_from_the_earlier_one_of_its_host_at_once():
+    table = OneRowTable()
+    assert asyncio.run(make_leadership(table).wait_for_turn()) == 1
+    assert asyncio.run(make_leadership(table).wait_for_turn()) == 2
--- /dev/null
+++ b/tests/cover/test_pool_table_path.py
@@ -0,0 +1,130 @@
+"""A host whose way to the table is broken is served through another host, or told at once."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast
+
+import msgspec
+import pytest
+
+from lentilpath_core.errors import OutcomeUnknown, PeerUnavailable, TableUnavailable
+from lentilpath_core.ids import HostId, Incarnation, RowVersion, ZoneId
+from lentilpath_core.peers import PeerRequest
+from lentilpathd._peers import PeerBus, PeerHandler
+from lentilpathd._pool._ports import PartTransaction
+from lentilpathd._pool._table_path import FAILURES_TO_BREAK, TablePath
+from tests.common.tables import OneRowTable
+
+PUT = PartTransaction("lentilpath-jobs", "0", puts=(("a", b"\x00value"),))
+
+
+class Bus:
+    """Carries questions to other hosts of the test, in the form that the wire would."""
+
+    def __init__(self, host: str, hosts: dict[str, Bus]) -> None:
+        self.host = HostId(host)
+        self.handlers: dict[str, PeerHandler] = {}
+        self.hosts = hosts
+        self.asked = 0
+        hosts[host] = self
+
+    def handle(self, topic, handler):
+        self.handlers[topic] = handler
+
+    async def ask(self, host, topic, message, answer, timeout):
+        self.asked += 1
+        if host not in self.hosts:
+            raise PeerUnavailable(host)
+        body = msgspec.to_builtins(message)
+        request = PeerRequest(1, self.host, Incarnation("i"), ZoneId("z"), topic, body)
+        reply = await self.hosts[host].handlers[topic](request)
+        return msgspec.convert(msgspec.to_builtins(reply), answer)
+
+
+def make_paths(*names: str) -> tuple[list[TablePath], list[OneRowTable], list[Bus]]:
+    hosts: dict[str, Bus] = {}
+    buses = [Bus(name, hosts) for name in names]
+    tables = [OneRowTable() for _ in names]
+    known = tuple(HostId(name) for name in names)
+    paths = [
+        TablePath(table, cast(PeerBus, bus), lambda now: known)
+        for table, bus in zip(tables, buses, strict=True)
+    ]
+    return paths, tables, buses
+
+
+async def break_way(path: TablePath, table: OneRowTable) -> None:
+    table.is_away = True
+    for _ in range(FAILURES_TO_BREAK):
+        with pytest.raises(TableUnavailable):
+            await path.commit(PUT, 0.1)
+
+
+def test_a_write_goes_through_another_host_while_the_own_way_is_broken():
+    async def play():
+        (first, _), (own, other), _ = make_paths("h1", "h2")
+        await break_way(first, own)
+        commit = await first.commit(PUT, 0.1)
+        assert commit.applied
+        assert other.rows["a"].value == b"\x00value"
+        read = await first.read_part("lentilpath-jobs", "0", "", "", 0.1)
+        assert read.rows[0].value == b"\x00value"
+
+    asyncio.run(play())
+
+
+def test_a_condition_that_does_not_hold_is_told_through_another_host():
+    async def play():
+        (first, _), (own, _), _ = make_paths("h1", "h2")
+        await break_way(first, own)
+        twice = PartTransaction(
+            "lentilpath-jobs", "0", checks=(("a", RowVersion(0)),), puts=(("a", b"1"),)
+        )
+        assert (await first.commit(twice, 0.1)).applied
+        assert not (await first.commit(twice, 0.1)).applied
+
+    asyncio.run(play())
+
+
+def test_nothing_is_sent_while_nobody_has_a_way():
+    async def play():
+        (first, second), tables, buses = make_paths("h1", "h2")
+        await break_way(first, tables[0])
+        await break_way(second, tables[1])
+        with pytest.raises(TableUnavailable):
+            await first.commit(PUT, 0.1)
+        asked = buses[0].asked
+        with pytest.raises(TableUnavailable):
+            await first.commit(PUT, 0.1)
+        assert buses[0].asked == asked
+
+    asyncio.run(play())
+
+
+def test_a_write_whose_helper_does_not_answer_has_an_unknown_outcome():
+    async def play():
+        (first, _), tables, buses = make_paths("h1", "h2")
+        await break_way(first, tables[0])
+        del buses[0].hosts["h2"]
+        with pytest.raises(OutcomeUnknown):
+            await first.commit(PUT, 0.1)
+
+    asyncio.run(play())
+
+
+def test_the_own_way_is_used_again_when_a_probe_is_answered():
+    async def play():
+        (first, _), (own, other), _ = make_paths("h1", "h2")
+        await break_way(first, own)
+        own.is_away = False
+        probing = asyncio.create_task(first.run())
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        probing.cancel()
+        await asyncio.gather(probing, return_exceptions=True)
+        await first.commit(PUT, 0.1)
+        assert "a" in own.rows
+        assert "a" not in other.rows
+
+    asyncio.run(play())
