--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from functools import singledispatch
+from itertools import islice
 
 from lentilpath_core.ids import Instant, JobId
 from lentilpath_core.pool._events import (
     AdviceAnswered,
     ConfigurationSet,
     FinalsRecorded,
+    ForgetJob,
     JobAccepted,
     JobCancelled,
     JobEnded,
@@ -39,6 +41,9 @@
     take_start_answer,
 )
 
+FORGET_AT_ONCE = 50
+"""Finished jobs that are looked at in one tick; several times what ends meanwhile."""
+
 
 def decide_pool(state: PoolState, event: PoolEvent, now: Instant) -> tuple[PoolEffect, ...]:
     """Take `event` into `state` and return what is to be done about it.
@@ -195,13 +200,26 @@
     state.wall_now = event.wall_now
     effects = [*expire_leases(state, now), *stop_frozen(state, now)]
     find_slow(state, now)
-    for job in state.jobs.values():
+    for job in list(state.jobs.values()):
         _begin_due(state, job)
+    effects.extend(_forget_old_jobs(state))
     # Plans expire and closed workers open again with time alone.
     state.needs_placing = True
     return tuple(effects)
 
 
+def _forget_old_jobs(state: PoolState) -> list[PoolEffect]:
+    """Drop final states that nobody asks for any more; they are kept in order of their ends."""
+    effects: list[PoolEffect] = []
+    for job, final in list(islice(state.finals.items(), FORGET_AT_ONCE)):
+        if job in state.jobs or state.wall_now < final.at + state.job_memory_ms:
+            continue
+        del state.finals[job]
+        state.cancelled.discard(job)
+        effects.append(ForgetJob(job))
+    return effects
+
+
 def _begin_due(state: PoolState, job: Job) -> None:
     record = job.record
     while job.final is None and job.occurrences < record.repeats:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -230,6 +230,24 @@
     reason: LossReason
 
 
+@dataclass(frozen=True, slots=True)
+class PaceRun:
+    """Let a filling run work at this share only."""
+
+    worker: WorkerId
+    life: Life
+    task: TaskKey
+    run: Run
+    percent: int
+
+
+@dataclass(frozen=True, slots=True)
+class ForgetJob:
+    """Remove what is stored of a job that ended long ago."""
+
+    job: JobId
+
+
 @dataclass(frozen=True, slots=True)
 class AskAdvice:
     """Ask which of these workers the step may run on."""
@@ -275,6 +293,8 @@
 
 PoolEffect = (
     StartRun
+    | PaceRun
+    | ForgetJob
     | StopRun
     | GiveUpRun
     | AskAdvice
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
@@ -216,6 +216,8 @@
     run: Run
     checkpoint: str
     percent: int
+    load: int = 0
+    """Of a serving task the tail of its response times in ms; of others the millicores in use."""
 
 
 class EndedRun(NamedTuple):
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -250,6 +250,8 @@
 def _get_cost(step: Step, worker: Worker, left: Resources) -> float:
     """Return how bad a place is; among good ones the fullest worker wins."""
     capacity = worker.listed.capacity
+    if step.spec.fills:
+        return _get_filling_cost(step, worker, left)
     room = step.spec.counted_room
     cost = (left.millicores - room.millicores) / max(capacity.millicores, 1)
     cost += (left.memory_mib - room.memory_mib) / max(capacity.memory_mib, 1)
@@ -260,6 +262,23 @@
     return cost
 
 
+def _get_filling_cost(step: Step, worker: Worker, left: Resources) -> float:
+    """Return how bad a place is for work that only gets what others leave."""
+    capacity = max(worker.listed.capacity.millicores, 1)
+    taken = 0
+    cost = 0.0
+    for attempt in worker.attempts.values():
+        if attempt.step is None:
+            continue
+        if attempt.step.spec.fills:
+            taken += attempt.step.spec.room.millicores
+        if attempt.step.spec.tail_target_ms:
+            cost = REMOTE_COST
+    if step.spec.data_rack and worker.listed.rack != step.spec.data_rack:
+        cost += REMOTE_COST
+    return cost + (taken - left.millicores) / capacity
+
+
 def _may_intrude(step: Step) -> bool:
     return step.job.policy is not None and step.job.policy.priority == 0
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -49,6 +49,10 @@
     percent_at: Instant = Instant(0)
     """When the progress was last seen to change."""
     stop_sent_at: Instant = Instant(0)
+    load: int = 0
+    pace: int = 100
+    """Share in percent at which a filling run may work."""
+    pace_changed_at: Instant = Instant(0)
 
 
 @dataclass(slots=True)
@@ -174,6 +178,8 @@
     reserved: dict[WorkerId, StepKey] = field(default_factory=dict)
     """Workers on which room gathers for a gang."""
     wall_now: WallTime = WallTime(0)
+    job_memory_ms: int = 120_000
+    """How long the state of a finished job is kept."""
     needs_placing: bool = False
     recorded_workers: frozenset[tuple[WorkerId, Life]] = frozenset()
     """Lives of workers that are durably known, or being written."""
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -31,6 +31,7 @@
     StepKey,
     TaskKey,
 )
+from lentilpath_core.pool._sharing import adjust_paces
 from lentilpath_core.pool._state import Attempt, Phase, PoolState, Step, Worker
 from lentilpath_core.pool._steps import (
     break_gang,
@@ -107,6 +108,7 @@
     for attempt in list(worker.attempts.values()):
         if (attempt.task, attempt.run) not in listed:
             effects.extend(_check_missing(state, attempt, event.sent_at, now))
+    effects.extend(adjust_paces(worker, now))
     if is_first:
         state.needs_placing = True
     return tuple(effects)
@@ -127,6 +129,7 @@
         shared = 0 if attempt.step.spec.gang else running.task.number
         attempt.step.checkpoints[shared] = running.checkpoint
     note_progress(attempt, running.percent, now)
+    attempt.load = running.load
     if attempt.phase is Phase.STOPPING:
         return _stop_unwanted(attempt, now)
     return ()
--- /dev/null
+++ b/packages/lentilpath/src/lentilpath/_trace.py
@@ -0,0 +1,46 @@
+"""`lentilpath trace`: the life of one job or task from the logs of several processes."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from lentilpath_core.tracing import format_line, trace_id
+
+EXIT_NOT_FOUND = 1
+EXIT_UNREADABLE = 2
+
+
+def trace_command(
+    id: Annotated[str, typer.Argument(help="a job, or one task as JOB/0/STEP/NUMBER")],
+    logs: Annotated[
+        list[Path] | None, typer.Argument(help="log files; standard input if none is given")
+    ] = None,
+) -> None:
+    """Print what each process did about a job or task and believed then, in order."""
+    trace = trace_id(_read_lines(logs or []), id)
+    begun_at = trace.lines[0].at if trace.lines else 0.0
+    for line in trace.lines:
+        typer.echo(format_line(line, begun_at))
+    for text in trace.missing:
+        typer.echo(f"missing: {text}")
+    if trace.unreadable:
+        typer.echo(f"missing: {trace.unreadable} lines with this id cannot be read")
+    if not trace.lines:
+        raise typer.Exit(EXIT_NOT_FOUND)
+
+
+def _read_lines(logs: list[Path]) -> Iterator[str]:
+    if not logs:
+        yield from sys.stdin
+    for path in logs:
+        try:
+            with path.open(errors="replace") as log:
+                yield from log
+        except OSError as error:
+            typer.echo(f"{path}: cannot be read: {error.strerror}", err=True)
+            raise typer.Exit(EXIT_UNREADABLE) from error
--- a/packages/lentilpath/src/lentilpath/main.py
+++ b/packages/lentilpath/src/lentilpath/main.py
@@ -18,6 +18,7 @@
     run_call,
 )
 from lentilpath._shell import run_shell
+from lentilpath._trace import trace_command
 
 app = typer.Typer(no_args_is_help=True, add_completion=False)
 app.add_typer(_config.app, name="config")
@@ -62,6 +63,9 @@
     run_shell(connect(host))
 
 
+app.command("trace")(trace_command)
+
+
 def insert_default_command(arguments: list[str]) -> list[str]:
     """Return `arguments` with `run` in front, unless they name a subcommand or ask for help."""
     names = {command.name for command in app.registered_commands}
--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -99,7 +99,9 @@
     LINES_LEFT_OUT = (533, "lines were left out of the log to keep its volume bounded")
     TABLE_LOST = (535, "the table does not answer this host; other hosts are asked")
     TABLE_BACK = (536, "the table answers this host again")
-    STATE_SHOWN = (534, "a caller was told where its job stands")
+    RUN_PACED = (537, "a filling run's pace is changed")
+    PACE_UNANSWERED = (538, "a change of pace was not answered; the next report decides again")
+    JOBS_NOT_REMOVED = (539, "rows of old jobs could not be removed; it is tried again")
 
     @property
     def number(self) -> int:
--- a/packages/lentilpathd/src/lentilpathd/_logs.py
+++ b/packages/lentilpathd/src/lentilpathd/_logs.py
@@ -26,6 +26,11 @@
 class EventFormatter(JsonFormatter):
     """Formats a record as one JSON line with the event's number, text and fields."""
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.host = ""
+        """Written into each line, so that the lines of several hosts can be mixed."""
+
     def add_fields(
         self,
         log_data: dict[str, object],
@@ -35,6 +40,7 @@
         """Fill in the line's fields; called by the library."""
         log_data["at"] = round(record.created, 4)
         log_data["level"] = record.levelname
+        log_data["host"] = self.host
         line = record.args[0] if isinstance(record.args, tuple) and record.args else None
         if not isinstance(line, EventLine):
             log_data["text"] = record.getMessage()
@@ -137,10 +143,14 @@
     return line.event.number if isinstance(line, EventLine) else 0
 
 
-def set_up_structured_log(stream: IO[str] | None = None, level: str = "info") -> BoundedHandler:
-    """Send all events to `stream`, or to standard output, as JSON lines."""
+def set_up_structured_log(
+    host: str = "", stream: IO[str] | None = None, level: str = "info"
+) -> BoundedHandler:
+    """Send all events to `stream`, or to standard output, as JSON lines of `host`."""
     handler = BoundedHandler(stream or sys.stdout)
-    handler.setFormatter(EventFormatter())
+    formatter = EventFormatter()
+    formatter.host = host
+    handler.setFormatter(formatter)
     logger = logging.get_absl_logger()
     logger.propagate = False
     logger.handlers = [handler]
--- a/packages/lentilpathd/src/lentilpathd/_metrics.py
+++ b/packages/lentilpathd/src/lentilpathd/_metrics.py
@@ -28,6 +28,18 @@
     OBJECTIVE_GOOD = "objectives.good"
     OBJECTIVE_BAD = "objectives.bad"
     REGION_BYTES = "requests.other_region_bytes"
+    JOB_ANSWERED = "jobs.answered"
+    JOB_ANSWER_TIME = "jobs.answer_time"
+    JOB_ENDED = "jobs.ended"
+    JOBS_PENDING = "jobs.pending"
+    RUN_STARTED = "runs.started"
+    RUN_ENDED = "runs.ended"
+    RUN_STOPPED = "runs.stopped"
+    RUN_GIVEN_UP = "runs.given_up"
+    START_WAIT = "runs.start_wait"
+    ADVICE_TIME = "advice.time"
+    DEPENDENCY_FAILED = "dependencies.failed"
+    IS_LEADER = "leadership.is_leader"
 
 
 class Metrics:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_advice.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_advice.py
@@ -19,8 +19,10 @@
 from lentilpath_core.pool import AdviceAnswered, AskAdvice, Permission, PoolEvent, StepKey
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event
+from lentilpathd._metrics import Metric
 from lentilpathd._peers import PeerBus
 from lentilpathd._pool._members import Members
+from lentilpathd._pool._metrics import PoolMetrics
 from lentilpathd._pool._ports import Advice, AdviceService
 
 ADVICE_TOPIC = "pool.advice"
@@ -76,11 +78,13 @@
         agent: AdviceAgent,
         bus: PeerBus,
         members: Members,
+        metrics: PoolMetrics,
         take_event: Callable[[PoolEvent], None],
     ) -> None:
         self._agent = agent
         self._bus = bus
         self._members = members
+        self._metrics = metrics
         self._take_event = take_event
         self._queue: list[tuple[tuple[int, int, float], int, AskAdvice]] = []
         self._numbers = itertools.count()
@@ -124,12 +128,14 @@
         try:
             reply = await self._call(host, effect, timeout)
         except LentilpathError as error:
+            self._metrics.count(Metric.DEPENDENCY_FAILED, "advice")
             log_event(Event.ADVICE_MISSING, step=effect.step, host=host, error=str(error))
             self._take_event(AdviceAnswered(effect.step, effect.workers, None, sent_at))
             return
         finally:
             self._busy[host].remove(effect.cost_ms)
             self._changed.set()
+        self._metrics.record_time(Metric.ADVICE_TIME, read_instant() - sent_at)
         log_event(
             Event.ADVICE_ANSWERED,
             job=effect.step.job,
--- a/packages/lentilpathd/src/lentilpathd/_pool/_context.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_context.py
@@ -10,6 +10,7 @@
 from lentilpathd._peers import PeerBus
 from lentilpathd._pool._advice import AdviceAgent
 from lentilpathd._pool._members import Greeter, JobNotice, Members
+from lentilpathd._pool._metrics import PoolMetrics
 from lentilpathd._pool._ports import Registry, WorkerFactory
 from lentilpathd._pool._settings import PoolHostSettings
 from lentilpathd._pool._table_path import TablePath
@@ -28,6 +29,7 @@
     advice_agent: AdviceAgent
     members: Members
     greeter: Greeter
+    metrics: PoolMetrics
     get_configuration: Callable[[], PoolConfiguration | None]
     get_own_state: Callable[[JobId], JobState | None]
     """What this process knows of a job if it leads."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -17,6 +17,7 @@
 from lentilpath_http import HttpLimits, HttpRequest, HttpResponse, HttpServer, serve_http
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._metrics import Metric
 from lentilpathd._peers import PeerBus
 from lentilpathd._pool._advice import AdviceAgent
 from lentilpathd._pool._configuration import ConfigurationFollower
@@ -35,6 +36,7 @@
     StateQuestion,
     StateReply,
 )
+from lentilpathd._pool._metrics import PoolMetrics, serve_metrics
 from lentilpathd._pool._ports import (
     AdviceService,
     Deposed,
@@ -78,11 +80,12 @@
 
     def __init__(self, settings: PoolHostSettings, ports: PlatformPorts) -> None:
         self.settings = settings
+        self.metrics = PoolMetrics()
         incarnation = Incarnation(f"{settings.host}.{uuid.uuid4().hex[:INCARNATION_DIGITS]}")
         self.bus = PeerBus(settings.host, incarnation, settings.zone)
         self.members = Members(settings, self.bus)
         self.greeter = Greeter(settings, self.bus, self.members)
-        self.table = TablePath(ports.table, self.bus, self.members.list_helpers)
+        self.table = TablePath(ports.table, self.bus, self.members.list_helpers, self.metrics)
         registry = ports.open_registry(self.table)
         self.configuration = ConfigurationFollower(registry, self._take_configuration)
         self.leadership = PoolLeadership(self.table, settings.host, incarnation, settings.peers)
@@ -96,6 +99,7 @@
             AdviceAgent(ports.advice, self.bus),
             self.members,
             self.greeter,
+            self.metrics,
             self.configuration.get_current,
             self._get_own_state,
             self._take_own_notice,
@@ -115,6 +119,10 @@
             and self.table.is_open(read_instant())
         )
 
+    def is_leading(self) -> bool:
+        """Return whether this process leads and knows all that is stored."""
+        return self._term is not None and self._term.is_ready()
+
     async def run(self) -> None:
         """Run all parts until cancelled."""
         await supervise_parts(
@@ -165,9 +173,14 @@
             if seen is not None and seen.lease is not None:
                 self.members.set_leader(seen.lease.host, seen.lease.address)
                 self.greeter.set_leader(seen.lease.host)
-            if self._term is not None:
+            term = self._term
+            self.metrics.set_gauge(Metric.IS_LEADER, 0.0 if term is None else 1.0)
+            if term is not None:
+                digest = term.make_digest()
                 self.greeter.set_leader(self.settings.host)
-                self.greeter.set_digest(self._term.make_digest(), read_instant())
+                self.greeter.set_digest(digest, read_instant())
+                for queue, load in digest.queues.items():
+                    self.metrics.set_gauge(Metric.JOBS_PENDING, load.pending, queue)
             await asyncio.sleep(DIGEST_SECONDS)
 
     async def _lead_in_turn(self) -> None:
@@ -222,6 +235,7 @@
         return HttpResponse(200 if host.is_ready() else 503, (), b"")
 
     readiness = await serve_http(answer_readiness, settings.readiness.host, settings.readiness.port)
+    metrics = await serve_metrics(host.metrics, settings)
     running = asyncio.create_task(host.run())
     stopping = asyncio.create_task(stop.wait())
     await asyncio.wait((running, stopping), return_when=asyncio.FIRST_COMPLETED)
@@ -234,6 +248,7 @@
     stopping.cancel()
     await asyncio.wait((running,), timeout=STOP_MARGIN_SECONDS)
     await readiness.close(0.0)
+    await metrics.close(0.0)
     log_event(Event.PROCESS_STOPPED, host=settings.host, planned=planned)
     return planned
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -16,6 +16,7 @@
 from lentilpath_core.pool import JobRecord, JobState, QueuePolicy, decide_admission
 from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_event
+from lentilpathd._metrics import Metric
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._members import (
     NOTICE_TOPIC,
@@ -78,6 +79,16 @@
         self, record: JobRecord, policy: QueuePolicy, deadline_ms: int
     ) -> SubmissionAnswer:
         """Store a job; it is accepted once it is stored, and the same job again is the same."""
+        begun = read_instant()
+        answer = await self._submit(record, policy, deadline_ms)
+        labels = (record.queue, answer.result.value)
+        self._context.metrics.count(Metric.JOB_ANSWERED, *labels)
+        self._context.metrics.record_time(Metric.JOB_ANSWER_TIME, read_instant() - begun, *labels)
+        return answer
+
+    async def _submit(
+        self, record: JobRecord, policy: QueuePolicy, deadline_ms: int
+    ) -> SubmissionAnswer:
         now = read_instant()
         load = self._context.greeter.get_load(record.queue)
         refusal_ms = decide_admission(record, policy, load)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -10,6 +10,7 @@
 from lentilpath_core.pool import (
     LeaseSent,
     ListedWorker,
+    PaceRun,
     PoolEvent,
     Run,
     StartAnswer,
@@ -23,6 +24,7 @@
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event
 from lentilpathd._pool._ports import Deposed, OtherLife, PoolWorker, RefusedByFence
+from lentilpathd._pool._records import format_task
 from lentilpathd._pool._writer import RecordWriter
 
 RENEWAL_WAIT_MS = 1_000
@@ -160,6 +162,27 @@
             known.cancel()
         self._spawn(key, self._stop(effect))
 
+    def send_pace(self, effect: PaceRun) -> None:
+        """Change a run's pace; the next report shows whether it needs another change."""
+        if self._group is not None:
+            self._group.create_task(self._pace(effect))
+
+    async def _pace(self, effect: PaceRun) -> None:
+        try:
+            async with self._slots:
+                await self._client.pace(
+                    effect.task, effect.run, effect.percent, COMMAND_TIMEOUT_SECONDS
+                )
+        except RefusedByFence as error:
+            raise Deposed(str(error)) from error
+        except LentilpathError as error:
+            log_event(
+                Event.PACE_UNANSWERED,
+                worker=effect.worker,
+                task=format_task(effect.task),
+                error=str(error),
+            )
+
     def give_up(self, task: TaskKey, run: Run) -> None:
         """Send no further start of a run that is taken to be over."""
         known = self._commands.get((task, run))
@@ -222,7 +245,7 @@
             log_event(
                 Event.START_UNANSWERED,
                 worker=effect.worker,
-                task=effect.task,
+                task=format_task(effect.task),
                 run=effect.run,
                 error=str(error),
             )
@@ -243,7 +266,7 @@
                 log_event(
                     Event.STOP_UNANSWERED,
                     worker=effect.worker,
-                    task=effect.task,
+                    task=format_task(effect.task),
                     run=effect.run,
                     error=str(error),
                 )
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
@@ -0,0 +1,99 @@
+"""Counters and histograms of a pool's host, served as text and, if wanted, sent by statsd."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from lentilpath_http import HttpRequest, HttpResponse, HttpServer, serve_http
+from lentilpathd._metrics import Metric, Metrics
+from lentilpathd._pool._settings import PoolHostSettings
+
+CONTENT_TYPE = "text/plain; version=0.0.4"
+TIME_BUCKETS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+METRICS_PATH = "/metrics"
+
+_COUNTERS: dict[Metric, tuple[str, ...]] = {
+    Metric.JOB_ANSWERED: ("queue", "outcome"),
+    Metric.RUN_STARTED: ("queue", "tier"),
+    Metric.RUN_ENDED: ("end",),
+    Metric.RUN_STOPPED: ("reason",),
+    Metric.RUN_GIVEN_UP: ("reason",),
+    Metric.JOB_ENDED: ("state",),
+    Metric.DEPENDENCY_FAILED: ("dependency",),
+}
+"""Label values come from enumerations and from the configuration's queues."""
+_TIMES: dict[Metric, tuple[str, ...]] = {
+    Metric.JOB_ANSWER_TIME: ("queue", "outcome"),
+    Metric.START_WAIT: ("queue",),
+    Metric.ADVICE_TIME: (),
+}
+_GAUGES: dict[Metric, tuple[str, ...]] = {
+    Metric.JOBS_PENDING: ("queue",),
+    Metric.IS_LEADER: (),
+}
+_MS_PER_SECOND = 1_000
+
+
+class PoolMetrics:
+    """All metrics of one process."""
+
+    def __init__(self, statsd: Metrics | None = None) -> None:
+        self._statsd = statsd or Metrics(None)
+        self._registry = CollectorRegistry()
+        self._counters = {
+            metric: Counter(_make_name(metric), metric.value, labels, registry=self._registry)
+            for metric, labels in _COUNTERS.items()
+        }
+        self._times = {
+            metric: Histogram(
+                _make_name(metric) + "_seconds",
+                metric.value,
+                labels,
+                buckets=TIME_BUCKETS_SECONDS,
+                registry=self._registry,
+            )
+            for metric, labels in _TIMES.items()
+        }
+        self._gauges = {
+            metric: Gauge(_make_name(metric), metric.value, labels, registry=self._registry)
+            for metric, labels in _GAUGES.items()
+        }
+
+    def count(self, metric: Metric, *labels: str) -> None:
+        """Add one to a counter."""
+        counter = self._counters[metric]
+        (counter.labels(*labels) if labels else counter).inc()
+        self._statsd.count(metric)
+
+    def record_time(self, metric: Metric, ms: float, *labels: str) -> None:
+        """Add one time, in ms, to a histogram."""
+        histogram = self._times[metric]
+        (histogram.labels(*labels) if labels else histogram).observe(ms / _MS_PER_SECOND)
+        self._statsd.record_time(metric, ms)
+
+    def set_gauge(self, metric: Metric, value: float, *labels: str) -> None:
+        """Set a gauge."""
+        gauge = self._gauges[metric]
+        (gauge.labels(*labels) if labels else gauge).set(value)
+        self._statsd.set_gauge(metric, value)
+
+    def write_text(self) -> bytes:
+        """Return all metrics in the text format."""
+        return generate_latest(self._registry)
+
+
+def _make_name(metric: Metric) -> str:
+    return "lentilpath_" + metric.value.replace(".", "_")
+
+
+async def serve_metrics(metrics: PoolMetrics, settings: PoolHostSettings) -> HttpServer:
+    """Serve the metrics on the address of the settings."""
+
+    async def answer(request: HttpRequest) -> HttpResponse:
+        if request.target != METRICS_PATH:
+            return HttpResponse(HTTP_NOT_FOUND, (), b"")
+        return HttpResponse(HTTP_OK, (("content-type", CONTENT_TYPE),), metrics.write_text())
+
+    return await serve_http(answer, settings.metrics.host, settings.metrics.port)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_ports.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_ports.py
@@ -158,6 +158,10 @@
         """Stop a run, or keep it from ever beginning."""
         ...
 
+    async def pace(self, task: TaskKey, run: Run, percent: int, timeout: float) -> None:
+        """Let a run work at this share only."""
+        ...
+
     async def renew(
         self,
         taken_number: int,
--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -47,6 +47,8 @@
     events: tuple[PoolEvent, ...]
     """To be taken in this order."""
     former_workers: tuple[ListedWorker, ...]
+    end_keys: tuple[str, ...]
+    """Keys of the stored ends."""
     jobs_version: RowVersion
     """Changes of the table of jobs are followed from here."""
 
@@ -74,7 +76,8 @@
     events.extend(make_job_events(tuple(job_rows), finals.keys(), recovered=True))
     open_ends = tuple((task, record) for task, record in ends if task.job not in finals)
     events.append(RunsRecovered(open_ends))
-    return RecoveredPool(tuple(events), workers, jobs_version or RowVersion(0))
+    end_keys = tuple(row.key for row in pool.rows if row.key.startswith(END_PREFIX))
+    return RecoveredPool(tuple(events), workers, end_keys, jobs_version or RowVersion(0))
 
 
 def make_job_events(
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_removal.py
@@ -0,0 +1,79 @@
+"""Removes the rows of jobs that ended long ago, so that the table and a recovery stay small."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+
+from lentilpath_core.errors import OutcomeUnknown, Unavailable
+from lentilpath_core.ids import Epoch, JobId, RowVersion
+from lentilpathd._events import Event, log_event
+from lentilpathd._pool._ports import Deposed, PartitionedTable, PartTransaction
+from lentilpathd._pool._records import (
+    EPOCH_KEY,
+    JOBS_TABLE,
+    POOL_PART,
+    POOL_TABLE,
+    get_cancel_key,
+    get_job_part,
+    make_final_key,
+)
+
+GATHER_SECONDS = 1.0
+MAX_JOBS = 40
+"""Jobs in one transaction, which takes 100 entries; a job has up to two rows."""
+TIMEOUT_SECONDS = 1.0
+
+
+class JobRemover:
+    """Removes a job's own rows first, so that a job never stands without its final state."""
+
+    def __init__(self, table: PartitionedTable, epoch: Epoch, epoch_version: RowVersion) -> None:
+        self._table = table
+        self._epoch = epoch
+        self._epoch_version = epoch_version
+        self._queue: deque[JobId] = deque()
+        self._queued = asyncio.Event()
+
+    def queue(self, job: JobId) -> None:
+        """Remove a job's rows soon."""
+        self._queue.append(job)
+        self._queued.set()
+
+    async def run(self) -> None:
+        """Remove until cancelled; raises `Deposed`."""
+        while True:
+            await self._queued.wait()
+            await asyncio.sleep(GATHER_SECONDS)
+            batch = [self._queue.popleft() for _ in range(min(MAX_JOBS, len(self._queue)))]
+            if not self._queue:
+                self._queued.clear()
+            try:
+                await self._remove(batch)
+            except (Unavailable, OutcomeUnknown) as error:
+                # Removing twice is harmless, so all of the batch is tried again.
+                log_event(Event.JOBS_NOT_REMOVED, count=len(batch), error=str(error))
+                for job in batch:
+                    self.queue(job)
+
+    async def _remove(self, jobs: list[JobId]) -> None:
+        by_part: dict[str, list[JobId]] = {}
+        for job in jobs:
+            by_part.setdefault(get_job_part(job), []).append(job)
+        for part, members in by_part.items():
+            keys = [key for job in members for key in (job, get_cancel_key(job))]
+            await self._table.commit(
+                PartTransaction(JOBS_TABLE, part, deletes=tuple(keys)), TIMEOUT_SECONDS
+            )
+        finals = tuple(make_final_key(job) for job in jobs)
+        commit = await self._table.commit(
+            PartTransaction(
+                POOL_TABLE,
+                POOL_PART,
+                checks=((EPOCH_KEY, self._epoch_version),),
+                deletes=finals,
+            ),
+            TIMEOUT_SECONDS,
+        )
+        if not commit.applied:
+            raise Deposed(f"epoch {self._epoch} was followed by another leader")
--- a/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
@@ -17,7 +17,9 @@
 from lentilpath_core.peers import PeerRequest
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event
+from lentilpathd._metrics import Metric
 from lentilpathd._peers import PeerBus
+from lentilpathd._pool._metrics import PoolMetrics
 from lentilpathd._pool._ports import (
     HistoryLost,
     PartCommit,
@@ -105,10 +107,12 @@
         own: PartitionedTable,
         bus: PeerBus,
         list_helpers: Callable[[Instant], tuple[HostId, ...]],
+        metrics: PoolMetrics,
     ) -> None:
         self._own = own
         self._bus = bus
         self._list_helpers = list_helpers
+        self._metrics = metrics
         self._failures = 0
         self._broken = asyncio.Event()
         self._no_relay_before = Instant(0)
@@ -148,6 +152,7 @@
 
     def _note_failure(self, error: LentilpathError) -> None:
         self._failures += 1
+        self._metrics.count(Metric.DEPENDENCY_FAILED, "table")
         if self._failures >= FAILURES_TO_BREAK and not self._broken.is_set():
             self._broken.set()
             log_event(Event.TABLE_LOST, error=str(error))
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -11,15 +11,16 @@
 from lentilpath_core.pool import (
     AskAdvice,
     ConfigurationSet,
+    ForgetJob,
     GiveUpRun,
     JobAccepted,
     JobCancelled,
     JobState,
     ListedWorker,
+    PaceRun,
     PoolConfiguration,
     PoolEffect,
     PoolEvent,
-    PoolState,
     RecordFinal,
     RecordRun,
     RecordWorkers,
@@ -38,6 +39,7 @@
 )
 from lentilpathd._clock import read_instant, read_wall_time
 from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._metrics import Metric
 from lentilpathd._pool._advice import AdviceDispatcher
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._job_feed import JobFeed
@@ -47,6 +49,7 @@
 from lentilpathd._pool._ports import LifeKey, PartRow
 from lentilpathd._pool._records import format_task
 from lentilpathd._pool._recovery import READ_TIMEOUT_SECONDS, read_pool
+from lentilpathd._pool._removal import JobRemover
 from lentilpathd._pool._writer import RecordWriter
 
 TICK_SECONDS = 0.25
@@ -71,8 +74,9 @@
         lease_ms = context.settings.lease_ms / (1 - CLOCK_DRIFT) + LEASE_MARGIN_MS
         self._state = create_pool(epoch, Instant(int(now + lease_ms) + 1))
         self._writer = RecordWriter(context.table, epoch, leadership.epoch_version, self.take_event)
+        self._remover = JobRemover(context.table, epoch, leadership.epoch_version)
         self._advice = AdviceDispatcher(
-            context.advice_agent, context.bus, context.members, self.take_event
+            context.advice_agent, context.bus, context.members, context.metrics, self.take_event
         )
         self._links: dict[LifeKey, tuple[WorkerLink, asyncio.Task[None]]] = {}
         self._missing_since: dict[WorkerId, Instant] = {}
@@ -82,10 +86,9 @@
         self._jobs_version = RowVersion(0)
         self._feed = JobFeed(context.table, leadership.is_confirmed, self._take_job)
 
-    @property
-    def state(self) -> PoolState:
-        """What the leader knows."""
-        return self._state
+    def is_ready(self) -> bool:
+        """Return whether all that earlier leaders stored is known here."""
+        return self._ready
 
     async def run(self) -> None:
         """Recover and lead until cancelled; raises `Deposed` in an exception group."""
@@ -96,6 +99,7 @@
             self._open_links()
             group.create_task(self._writer.run())
             group.create_task(self._advice.run())
+            group.create_task(self._remover.run())
             group.create_task(self._pass_time())
             group.create_task(self._place())
             group.create_task(self._watch_workers())
@@ -111,6 +115,8 @@
                 log_warning_event(Event.POOL_RECOVERY_FAILED, epoch=self._epoch, error=str(error))
                 await asyncio.sleep(RETRY_SECONDS)
         self._jobs_version = recovered.jobs_version
+        self._writer.note_stored(recovered.end_keys)
+        self._state.job_memory_ms = self._context.settings.job_memory_ms
         configuration = self._context.get_configuration()
         if configuration is not None:
             self.take_event(ConfigurationSet(configuration))
@@ -179,6 +185,9 @@
 
     @_carry_out.register
     def _(self, effect: StartRun) -> None:
+        queue = self._state.jobs[effect.task.job].record.queue
+        self._context.metrics.count(Metric.RUN_STARTED, queue, str(effect.tier))
+        self._context.metrics.record_time(Metric.START_WAIT, effect.waited_ms, queue)
         log_event(
             Event.RUN_STARTED,
             task=format_task(effect.task),
@@ -197,6 +206,7 @@
 
     @_carry_out.register
     def _(self, effect: StopRun) -> None:
+        self._context.metrics.count(Metric.RUN_STOPPED, effect.reason.value)
         log_event(
             Event.RUN_STOPPED,
             task=format_task(effect.task),
@@ -211,6 +221,7 @@
 
     @_carry_out.register
     def _(self, effect: GiveUpRun) -> None:
+        self._context.metrics.count(Metric.RUN_GIVEN_UP, effect.reason.value)
         log_event(
             Event.RUN_GIVEN_UP,
             task=format_task(effect.task),
@@ -223,12 +234,34 @@
         if link is not None:
             link[0].give_up(effect.task, effect.run)
 
+    @_carry_out.register
+    def _(self, effect: PaceRun) -> None:
+        log_event(
+            Event.RUN_PACED,
+            task=format_task(effect.task),
+            run=effect.run,
+            worker=effect.worker,
+            percent=effect.percent,
+            epoch=self._epoch,
+        )
+        link = self._links.get((effect.worker, effect.life))
+        if link is not None:
+            link[0].send_pace(effect)
+
+    @_carry_out.register
+    def _(self, effect: ForgetJob) -> None:
+        self._remover.queue(effect.job)
+
     @_carry_out.register
     def _(self, effect: AskAdvice) -> None:
         self._advice.queue(effect)
 
     @_carry_out.register
     def _(self, effect: RecordRun | RecordFinal | RecordWorkers) -> None:
+        if isinstance(effect, RecordRun):
+            self._context.metrics.count(Metric.RUN_ENDED, effect.record.end.value)
+        elif isinstance(effect, RecordFinal):
+            self._context.metrics.count(Metric.JOB_ENDED, effect.final.state.value)
         self._writer.queue(effect)
 
     @_carry_out.register
--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from lentilpath_core.errors import OutcomeUnknown, Unavailable
-from lentilpath_core.ids import Epoch, RowVersion
+from lentilpath_core.ids import Epoch, JobId, RowVersion
 from lentilpath_core.pool import (
     FinalsRecorded,
     PoolEvent,
@@ -29,10 +29,13 @@
     make_end_key,
     make_final_key,
     make_worker_rows,
+    parse_end_key,
 )
 
-MAX_PUTS = 90
+MAX_ENTRIES = 95
 """Rows in one transaction; the platform takes 100 entries with the condition."""
+MAX_PUTS = 60
+"""Leaves room to remove rows that are not needed any more."""
 GATHER_SECONDS = 0.008
 """How long records gather: a part takes 200 transactions a second, so two gathers fit its time."""
 COMMIT_TIMEOUT_SECONDS = 1.0
@@ -59,11 +62,18 @@
         self._queue: deque[Record] = deque()
         self._queued = asyncio.Event()
         self._durable = asyncio.Condition()
+        self._end_keys: dict[JobId, list[str]] = {}
+        """Stored ends of jobs without a final state."""
         self.queued_count = 0
         """Records that were ever queued."""
         self.durable_count = 0
         """Records that are durable, from the first queued on."""
 
+    def note_stored(self, end_keys: tuple[str, ...]) -> None:
+        """Take in which ends earlier leaders have stored."""
+        for key in end_keys:
+            self._end_keys.setdefault(parse_end_key(key).job, []).append(key)
+
     def queue(self, record: Record) -> None:
         """Store a record soon."""
         self._queue.append(record)
@@ -98,11 +108,15 @@
         for record in batch:
             key, value = _make_row(record)
             puts[key] = value
+            if isinstance(record, RecordRun):
+                self._end_keys.setdefault(record.task.job, []).append(key)
+        deletes = self._list_needless_ends(batch, MAX_ENTRIES - len(puts))
         transaction = PartTransaction(
             POOL_TABLE,
             POOL_PART,
             checks=((EPOCH_KEY, self._epoch_version),),
             puts=tuple(puts.items()),
+            deletes=tuple(key for key in deletes if key not in puts),
         )
         delay_seconds = RETRY_SECONDS
         while True:
@@ -120,6 +134,14 @@
                 log_event(Event.RECORDS_STORED_AGAIN, count=len(batch))
             return
 
+    def _list_needless_ends(self, batch: list[Record], most: int) -> list[str]:
+        """Return stored ends of jobs whose final state is written now, which says enough."""
+        keys: list[str] = []
+        for record in batch:
+            if isinstance(record, RecordFinal):
+                keys.extend(self._end_keys.pop(record.job, ()))
+        return keys[:most]
+
     def _log(self, record: Record) -> None:
         if isinstance(record, RecordRun):
             log_event(
--- /dev/null
+++ b/tests/common/fleet/deployment.py
@@ -0,0 +1,202 @@
+"""Some entry hosts with the stand-in platform, all in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from lentilpath_core.ids import HostId, RegionId, ZoneId
+from lentilpath_core.settings import Address
+from lentilpath_http import (
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    create_client,
+    serve_http,
+)
+from lentilpath_platform.advice import open_advice
+from lentilpath_platform.callers import make_callers_handler
+from lentilpath_platform.registry import PlatformRegistry
+from lentilpath_platform.store import open_table
+from lentilpath_platform.workers import open_worker
+from lentilpathd.pool import PlatformPorts, PoolHost, PoolHostSettings
+from tests.common.fleet.store import StandInStore, StoreFaults
+from tests.common.fleet.workers import StandInWorker, TrueRun, serve_advice
+from tests.common.requests import find_free_port, wait_until
+
+DONE = ("completed", "failed", "cancelled")
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r-checks",
+            "host": "127.0.0.1",
+            "pathPrefix": "/checks/",
+            "kind": "non_idempotent",
+            "timeoutMs": 3_000,
+            "targetLatencyMs": 500,
+            "priority": 0,
+            "service": "planner",
+            "maxAttempts": 3,
+            "slackFactor": 2.0,
+        }
+    ],
+    "services": [{"name": "planner", "enforcesCapacity": False, "standby": False}],
+    "limits": {},
+}
+
+
+@dataclass
+class RunningHost:
+    """One entry host of the deployment."""
+
+    host: PoolHost
+    faults: StoreFaults
+    callers: HttpServer
+    client: HttpClient
+    task: asyncio.Task[None]
+
+    async def kill(self) -> None:
+        """End the host without any of its planned stop."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        await self.callers.close(0.0)
+
+    async def call(self, method: str, path: str, body: object = None) -> HttpResponse:
+        data = b"" if body is None else json.dumps(body).encode()
+        headers = (("x-deadline-ms", "3000"),)
+        return await self.client.send(HttpRequest(method, path, headers, data), 5.0)
+
+
+@dataclass
+class Fleet:
+    """The stand-ins, the hosts and the truth about runs."""
+
+    store: StandInStore
+    advice: HttpServer
+    workers: list[StandInWorker] = field(default_factory=list)
+    hosts: list[RunningHost] = field(default_factory=list)
+    log: list[TrueRun] = field(default_factory=list)
+    numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
+
+    async def add_worker(self, run_seconds: float = 0.1) -> StandInWorker:
+        name = f"w{len(self.workers)}"
+        worker = StandInWorker(name, self.store, self.log, run_seconds)
+        self.workers.append(worker)
+        await worker.start()
+        return worker
+
+    async def add_host(self) -> RunningHost:
+        faults = StoreFaults()
+        port = await self.store.listen(faults)
+        name = f"h{len(self.hosts)}"
+        callers_at, readiness, peers, metrics = [
+            Address("127.0.0.1", await find_free_port()) for _ in range(4)
+        ]
+        settings = PoolHostSettings(
+            HostId(name),
+            ZoneId("z1"),
+            RegionId("r"),
+            callers_at,
+            readiness,
+            peers,
+            metrics,
+            longest_lease_ms=6_000,
+            stop_grace_ms=2_000,
+        )
+        platform = PlatformPorts(
+            open_table(Address("127.0.0.1", port)),
+            PlatformRegistry,
+            open_worker,
+            open_advice(Address("127.0.0.1", self.advice.get_port())),
+        )
+        host = PoolHost(settings, platform)
+        callers = await serve_http(make_callers_handler(host), "127.0.0.1", callers_at.port)
+        task = asyncio.create_task(host.run())
+        client = create_client("127.0.0.1", callers_at.port)
+        running = RunningHost(host, faults, callers, client, task)
+        self.hosts.append(running)
+        return running
+
+    def find_leader(self) -> RunningHost | None:
+        for each in self.hosts:
+            if not each.task.done() and each.host.is_leading():
+                return each
+        return None
+
+    async def wait_for_leader(self) -> RunningHost:
+        await wait_until(lambda: self.find_leader() is not None)
+        leader = self.find_leader()
+        assert leader is not None
+        return leader
+
+    async def submit(
+        self, host: RunningHost, *steps: dict[str, object], job: str = ""
+    ) -> tuple[str, int]:
+        job = job or f"{next(self.numbers):016x}"
+        body = {"spec": "run", "steps": list(steps) or [make_step()]}
+        response = await host.call("POST", f"/checks/{job}", body)
+        return job, response.status
+
+    async def wait_for_end(self, host: RunningHost, job: str) -> str:
+        state = ""
+        async with asyncio.timeout(30.0):
+            while state not in DONE:
+                await asyncio.sleep(0.05)
+                state = await self.get_state(host, job)
+        return state
+
+    async def get_state(self, host: RunningHost, job: str) -> str:
+        response = await host.call("GET", f"/checks/{job}")
+        return str(json.loads(response.body)["state"]) if response.status == 200 else ""
+
+    def check_truth(self) -> None:
+        """Every task was done at most once and never ran twice at a time, within the room."""
+        runs: dict[str, list[TrueRun]] = {}
+        for run in self.log:
+            runs.setdefault(run.task, []).append(run)
+        for task, each in runs.items():
+            assert sum(run.how == "done" for run in each) <= 1, task
+            for first, second in itertools.combinations(each, 2):
+                assert not _overlap(first, second), task
+        for worker in self.workers:
+            own = [run for run in self.log if run.worker == worker.name]
+            for run in own:
+                beside = sum(other.begun <= run.begun < (other.ended or 1e18) for other in own)
+                assert beside * 1_000 <= worker.millicores
+
+
+def _overlap(first: TrueRun, second: TrueRun) -> bool:
+    return first.begun < (second.ended or 1e18) and second.begun < (first.ended or 1e18)
+
+
+def make_step(count: int = 1, **rest: object) -> dict[str, object]:
+    return {"count": count, "cpu": 1_000, "memMb": 64, "estRuntimeMs": 100, **rest}
+
+
+@asynccontextmanager
+async def run_fleet(hosts: int = 3, workers: int = 3, run_seconds: float = 0.1):
+    """Yield a fleet that leads, and close it afterwards."""
+    store = StandInStore()
+    store.put("op", "", "config", json.dumps(CONFIG).encode())
+    fleet = Fleet(store, await serve_advice())
+    try:
+        for _ in range(workers):
+            await fleet.add_worker(run_seconds)
+        for _ in range(hosts):
+            await fleet.add_host()
+        await fleet.wait_for_leader()
+        yield fleet
+    finally:
+        for host in fleet.hosts:
+            if not host.task.done():
+                await host.kill()
+            host.client.close()
+        for worker in fleet.workers:
+            await worker.close()
+        await fleet.advice.close(0.0)
+        await store.close()
--- /dev/null
+++ b/tests/common/fleet/workers.py
@@ -0,0 +1,155 @@
+"""Workers that keep a log of what really ran, and the advice service."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import json
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from lentilpath_http import HttpRequest, HttpResponse, HttpServer, serve_http
+from tests.common.fleet.store import AnswerLost, StandInStore
+
+LEASE_BOUND_MS = 6_000
+
+
+@dataclass
+class TrueRun:
+    """What really happened to one run."""
+
+    worker: str
+    task: str
+    run: int
+    begun: float
+    ended: float | None = None
+    how: str = ""
+
+
+@dataclass
+class StandInWorker:
+    """Runs tasks as timers. Obeys fencing tokens and leases."""
+
+    name: str
+    store: StandInStore
+    log: list[TrueRun]
+    run_seconds: float = 0.1
+    born: int = 1
+    millicores: int = 4_000
+    loses_answers: int = 0
+    """So many starts are carried out and not answered."""
+    token: int = 0
+    lease_until: int = 0
+    running: dict[tuple[str, int], TrueRun] = field(default_factory=dict)
+    ended: list[list[object]] = field(default_factory=list)
+    closed_runs: dict[str, int] = field(default_factory=dict)
+    numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    server: HttpServer | None = None
+
+    async def start(self) -> None:
+        self.server = await serve_http(self._answer, "127.0.0.1", 0)
+        self.register()
+
+    def register(self) -> None:
+        assert self.server is not None
+        entry = {
+            "service": "planner",
+            "address": f"127.0.0.1:{self.server.get_port()}",
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "capacity": {"cpu": self.millicores, "memMb": 8_192, "gpu": 0},
+            "labels": ["a", "r1"],
+            "born": self.born,
+            "sequence": 1,
+        }
+        self.store.put("servers", "", self.name, json.dumps(entry).encode())
+
+    async def close(self) -> None:
+        if self.server is not None:
+            await self.server.close(0.0)
+
+    def read_clock(self) -> int:
+        return time.monotonic_ns() // 1_000_000
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        message = json.loads(request.body)
+        if request.get_header("x-expect-instance") != self.name:
+            return self._reply(421)
+        if message.get("fencingToken", 0) < self.token:
+            return self._reply(409, reason="fence")
+        self.token = message.get("fencingToken", 0)
+        self._expire()
+        if request.target == "/run-start":
+            response = self._start(message)
+            if self.loses_answers > 0 and response.status == 200:
+                self.loses_answers -= 1
+                raise AnswerLost
+            return response
+        if request.target == "/run-stop":
+            self._end((message["task"], message["runId"]), "stopped")
+            task = message["task"]
+            self.closed_runs[task] = max(self.closed_runs.get(task, 0), message["runId"])
+            return self._reply(200)
+        return await self._hold(message)
+
+    def _start(self, message: dict[str, Any]) -> HttpResponse:
+        key = (message["task"], message["runId"])
+        self.lease_until = max(self.lease_until, message["expiresMs"])
+        if key in self.running:
+            return self._reply(200)
+        if message["runId"] <= self.closed_runs.get(message["task"], 0):
+            return self._reply(409, reason="old")
+        if message["expiresMs"] < self.read_clock():
+            return self._reply(409, reason="late")
+        run = TrueRun(self.name, message["task"], message["runId"], time.monotonic())
+        self.running[key] = run
+        self.log.append(run)
+        asyncio.get_running_loop().call_later(self.run_seconds, self._end, key, "done")
+        return self._reply(200)
+
+    def _end(self, key: tuple[str, int], how: str) -> None:
+        run = self.running.pop(key, None)
+        if run is None:
+            return
+        run.ended = time.monotonic()
+        run.how = how
+        self.closed_runs[key[0]] = max(self.closed_runs.get(key[0], 0), key[1])
+        self.ended.append([next(self.numbers), key[0], key[1], how, ""])
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _expire(self) -> None:
+        if self.running and self.read_clock() > self.lease_until:
+            for key in list(self.running):
+                self._end(key, "lapsed")
+
+    async def _hold(self, message: dict[str, Any]) -> HttpResponse:
+        if "expiresMs" in message:
+            bound = self.read_clock() + LEASE_BOUND_MS
+            self.lease_until = max(self.lease_until, min(message["expiresMs"], bound))
+        self.ended = [each for each in self.ended if each[0] > message["lastSeen"]]
+        if not self.ended and message.get("waitMs"):
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), message["waitMs"] / 1_000)
+        running = [[task, run, "", 50] for task, run in self.running]
+        return self._reply(200, running=running, finished=self.ended)
+
+    def _reply(self, status: int, **fields: object) -> HttpResponse:
+        message = {"clockMs": self.read_clock(), "born": self.born, **fields}
+        return HttpResponse(status, (), json.dumps(message).encode())
+
+
+async def serve_advice() -> HttpServer:
+    """Serve an advice service that allows every worker."""
+
+    async def answer(request: HttpRequest) -> HttpResponse:
+        message = json.loads(request.body)
+        allowed = [[worker, f"t-{worker}"] for worker in message["workers"]]
+        return HttpResponse(200, (), json.dumps({"allowed": allowed, "validMs": 3_000}).encode())
+
+    return await serve_http(answer, "127.0.0.1", 0)
--- a/tests/common/pools.py
+++ b/tests/common/pools.py
@@ -158,12 +158,15 @@
         running: tuple[tuple[TaskKey, int, int], ...] = (),
         ended: tuple[tuple[int, TaskKey, int, RunEnd], ...] = (),
         checkpoint: str = "",
+        load: int = 0,
     ) -> list[PoolEffect]:
         listed = self.listed[worker]
         self.now = Instant(self.now + 1)
         report = WorkerReport(
             WorkerTime(self.now),
-            tuple(RunningRun(task, Run(run), checkpoint, part) for task, run, part in running),
+            tuple(
+                RunningRun(task, Run(run), checkpoint, part, load) for task, run, part in running
+            ),
             tuple(
                 EndedRun(number, task, Run(run), end, checkpoint)
                 for number, task, run, end in ended
--- a/tests/common/tables.py
+++ b/tests/common/tables.py
@@ -20,6 +20,7 @@
         self.changes: tuple[PartRow, ...] = ()
         self.follows = 0
         self.followed_twice = asyncio.Event()
+        self.emptied = asyncio.Event()
 
     async def commit(self, transaction, timeout):
         if self.is_away:
@@ -31,6 +32,10 @@
         self.version += 1
         for key, value in transaction.puts:
             self.rows[key] = PartRow("cell", key, value, RowVersion(self.version))
+        for key in transaction.deletes:
+            self.rows.pop(key, None)
+        if not self.rows:
+            self.emptied.set()
         return PartCommit(True, RowVersion(self.version), self.clock_ms)
 
     async def read_part(self, table, part, first, end, timeout):
--- a/tests/cover/test_pool_link.py
+++ b/tests/cover/test_pool_link.py
@@ -42,6 +42,9 @@
     async def stop(self, task, run, timeout):
         raise OutcomeUnknown("no answer")
 
+    async def pace(self, task, run, percent, timeout):
+        raise OutcomeUnknown("no answer")
+
     def close(self) -> None:
         pass
 
--- /dev/null
+++ b/tests/cover/test_pool_records.py
@@ -0,0 +1,84 @@
+"""What is stored of jobs is enough for a new leader, and no more than that for long."""
+
+from __future__ import annotations
+
+import asyncio
+
+from lentilpath_core.ids import Epoch, RowVersion, WallTime
+from lentilpath_core.pool import (
+    FinalRecord,
+    ForgetJob,
+    JobState,
+    RecordFinal,
+    RecordRun,
+    Run,
+    RunEnd,
+    RunRecord,
+    StartAnswer,
+)
+from lentilpathd._pool._removal import JobRemover
+from lentilpathd._pool._writer import RecordWriter
+from tests.common.pools import PoolBench, list_starts, make_job_id, make_task, make_worker
+from tests.common.tables import OneRowTable
+
+END = RecordRun(make_task(1), RunRecord(Run(1), RunEnd.DONE))
+FINAL = RecordFinal(make_job_id(1), FinalRecord(JobState.COMPLETED, WallTime(5)))
+
+
+def write(table: OneRowTable, *records) -> list[object]:
+    events: list[object] = []
+
+    async def play() -> None:
+        writer = RecordWriter(table, Epoch(1), RowVersion(0), events.append)
+        task = asyncio.create_task(writer.run())
+        for record in records:
+            writer.queue(record)
+            assert await writer.wait_durable(writer.queued_count, 5.0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(play())
+    return events
+
+
+def test_an_end_is_announced_after_it_is_stored():
+    table = OneRowTable()
+    assert len(write(table, END)) == 1
+    assert len(table.rows) == 1
+
+
+def test_the_ends_of_a_job_are_removed_when_its_final_state_is_stored():
+    table = OneRowTable()
+    write(table, END, FINAL)
+    assert list(table.rows) == [f"final/{make_job_id(1)}"]
+
+
+def test_a_job_is_forgotten_only_after_its_time():
+    bench = PoolBench()
+    bench.add_workers(make_worker("w1"))
+    bench.submit(1)
+    (start,) = list_starts(bench.place())
+    bench.answer_start(start, StartAnswer.STARTED)
+    bench.pass_time(1)
+    bench.report("w1", ended=((1, start.task, start.run, RunEnd.DONE),))
+    bench.store_all()
+    bench.store_all()
+    memory_ms = bench.state.job_memory_ms
+    assert ForgetJob(make_job_id(1)) not in bench.pass_time(memory_ms - 100)
+    assert ForgetJob(make_job_id(1)) in bench.pass_time(200)
+
+
+def test_the_rows_of_a_forgotten_job_are_removed(monkeypatch):
+    monkeypatch.setattr("lentilpathd._pool._removal.GATHER_SECONDS", 0.001)
+    table = OneRowTable()
+    write(table, FINAL)
+
+    async def play() -> None:
+        remover = JobRemover(table, Epoch(1), RowVersion(0))
+        task = asyncio.create_task(remover.run())
+        remover.queue(make_job_id(1))
+        await asyncio.wait_for(table.emptied.wait(), 5.0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(play())
--- a/tests/cover/test_pool_table_path.py
+++ b/tests/cover/test_pool_table_path.py
@@ -12,6 +12,7 @@
 from lentilpath_core.ids import HostId, Incarnation, RowVersion, ZoneId
 from lentilpath_core.peers import PeerRequest
 from lentilpathd._peers import PeerBus, PeerHandler
+from lentilpathd._pool._metrics import PoolMetrics
 from lentilpathd._pool._ports import PartTransaction
 from lentilpathd._pool._table_path import FAILURES_TO_BREAK, TablePath
 from tests.common.tables import OneRowTable
@@ -48,7 +49,7 @@
     tables = [OneRowTable() for _ in names]
     known = tuple(HostId(name) for name in names)
     paths = [
-        TablePath(table, cast(PeerBus, bus), lambda now: known)
+        TablePath(table, cast(PeerBus, bus), lambda now: known, PoolMetrics())
         for table, bus in zip(tables, buses, strict=True)
     ]
     return paths, tables, buses
--- /dev/null
+++ b/tests/nocover/test_pool_hosts.py
@@ -0,0 +1,162 @@
+"""Several entry hosts on the stand-in platform: every accepted job is done once, whatever fails."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from tests.common.fleet.deployment import Fleet, make_step, run_fleet
+from tests.common.requests import wait_until
+
+
+def play(scenario, **sizes) -> None:
+    async def run() -> None:
+        async with run_fleet(**sizes) as fleet:
+            await scenario(fleet)
+            fleet.check_truth()
+
+    asyncio.run(run())
+
+
+async def submit_many(fleet: Fleet, count: int, *steps: dict[str, object]) -> list[str]:
+    jobs = []
+    alive = [each for each in fleet.hosts if not each.task.done()]
+    for number in range(count):
+        job, status = await fleet.submit(alive[number % len(alive)], *steps)
+        assert status == 200
+        jobs.append(job)
+    return jobs
+
+
+async def expect_all_completed(fleet: Fleet, jobs: list[str]) -> None:
+    asked = next(each for each in fleet.hosts if not each.task.done())
+    for job in jobs:
+        assert await fleet.wait_for_end(asked, job) == "completed"
+
+
+def test_jobs_with_steps_and_gangs_complete_on_a_calm_day():
+    async def scenario(fleet: Fleet) -> None:
+        steps = (make_step(2), make_step(3, after=[0], gangScheduled=True))
+        await expect_all_completed(fleet, await submit_many(fleet, 10, *steps))
+
+    play(scenario)
+
+
+def test_the_same_job_submitted_again_through_another_host_is_one_job():
+    async def scenario(fleet: Fleet) -> None:
+        first, second, _ = fleet.hosts
+        job, status = await fleet.submit(first)
+        assert status == 200
+        assert (await fleet.submit(second, job=job))[1] == 200
+        await expect_all_completed(fleet, [job])
+        assert len(fleet.log) == 1
+
+    play(scenario)
+
+
+def test_unknown_jobs_queues_and_methods_are_told_apart():
+    async def scenario(fleet: Fleet) -> None:
+        host = fleet.hosts[0]
+        assert (await host.call("GET", "/checks/00000000000000ff")).status == 410
+        assert (await host.call("DELETE", "/checks/00000000000000ff")).status == 410
+        assert (await host.call("GET", "/other/00000000000000ff")).status == 404
+        assert (await host.call("POST", "/checks/00000000000000ff", {"steps": []})).status == 400
+        assert json.loads((await host.call("GET", "/checks/")).body) == {"pending": 0}
+
+    play(scenario)
+
+
+def test_a_killed_leader_loses_and_doubles_nothing():
+    async def scenario(fleet: Fleet) -> None:
+        jobs = await submit_many(fleet, 12, make_step(2))
+        leader = await fleet.wait_for_leader()
+        await leader.kill()
+        jobs += await submit_many(fleet, 6)
+        await expect_all_completed(fleet, jobs)
+
+    play(scenario, run_seconds=0.3)
+
+
+def test_a_leader_that_the_table_turns_away_goes_on_through_another_host():
+    async def scenario(fleet: Fleet) -> None:
+        leader = await fleet.wait_for_leader()
+        await asyncio.sleep(1.2)
+        leader.faults.refuses = True
+        await asyncio.sleep(1.0)
+        await expect_all_completed(fleet, await submit_many(fleet, 6))
+
+    play(scenario)
+
+
+def test_a_job_is_refused_at_once_with_a_time_to_come_back_while_the_table_is_away():
+    async def scenario(fleet: Fleet) -> None:
+        for host in fleet.hosts:
+            host.faults.refuses = True
+        response = await fleet.hosts[0].call("POST", "/checks/00000000000000aa", {"steps": [{}]})
+        assert response.status == 503
+        assert response.get_header("retry-after") == "1"
+        await asyncio.sleep(1.0)
+        for host in fleet.hosts:
+            host.faults.refuses = False
+        assert fleet.log == []
+        await asyncio.sleep(0.6)
+        await expect_all_completed(fleet, await submit_many(fleet, 3))
+
+    play(scenario)
+
+
+def test_lost_answers_of_the_table_lose_and_double_nothing():
+    async def scenario(fleet: Fleet) -> None:
+        for host in fleet.hosts:
+            host.faults.loses_answers = 4
+        jobs = []
+        for _ in range(12):
+            job, status = await fleet.submit(fleet.hosts[0])
+            while status == 504:
+                job, status = await fleet.submit(fleet.hosts[1], job=job)
+            assert status == 200
+            jobs.append(job)
+        await expect_all_completed(fleet, jobs)
+
+    play(scenario)
+
+
+def test_lost_answers_of_workers_double_nothing():
+    async def scenario(fleet: Fleet) -> None:
+        for worker in fleet.workers:
+            worker.loses_answers = 3
+        await expect_all_completed(fleet, await submit_many(fleet, 12))
+
+    play(scenario)
+
+
+def test_a_history_of_changes_that_is_lost_hides_no_job():
+    async def scenario(fleet: Fleet) -> None:
+        for host in fleet.hosts:
+            host.faults.forgets = True
+        await expect_all_completed(fleet, await submit_many(fleet, 6))
+
+    play(scenario)
+
+
+def test_a_cancelled_job_is_shown_as_such_and_its_run_ends():
+    async def scenario(fleet: Fleet) -> None:
+        host = fleet.hosts[0]
+        job, _ = await fleet.submit(host)
+        await wait_until(lambda: bool(fleet.log))
+        assert (await host.call("DELETE", f"/checks/{job}")).status == 200
+        assert await fleet.wait_for_end(fleet.hosts[1], job) == "cancelled"
+        await wait_until(lambda: fleet.log[0].ended is not None)
+        assert fleet.log[0].how == "stopped"
+
+    play(scenario, run_seconds=30.0)
+
+
+def test_an_unreadable_entry_of_the_registry_stops_nothing():
+    async def scenario(fleet: Fleet) -> None:
+        fleet.store.put("servers", "", "stranger", b"\xff no entry")
+        fleet.store.put("servers", "", "half", b'{"service":"planner","state":"odd"}')
+        await asyncio.sleep(0.8)
+        await expect_all_completed(fleet, await submit_many(fleet, 3))
+
+    play(scenario)
