--- a/spec/check.py
+++ b/spec/check.py
@@ -66,6 +66,19 @@
             "REPORT_IGNORED",
         ),
     ),
+    Model(
+        "pool",
+        ("TICKS=6",),
+        ("TICKS=7",),
+        (
+            "CONFIRMED",
+            "FENCE",
+            "SENT_LEASE",
+            "UNSETTLED",
+            "LAPSE_MARGIN",
+            "UNSTORED_END",
+        ),
+    ),
 )
 
 
