--- a/packages/lentilpath-core/src/lentilpath_core/errors.py
+++ b/packages/lentilpath-core/src/lentilpath_core/errors.py
@@ -5,7 +5,7 @@
         `InvalidSettings`, `InvalidJob`, `InvalidCommand`, `UnknownName`
     `Conflict`: another writer was first; the message says who and what.
     `Unavailable`: something needed cannot be reached now; nothing was changed.
-        `TableUnavailable`, `PeerUnavailable`, `WorkerUnavailable`, `NoLeader`
+        `TableUnavailable`, `TableBusy`, `PeerUnavailable`, `WorkerUnavailable`, `NoLeader`
     `OutcomeUnknown`: the action may or may not have taken effect.
 
 Messages say what was wrong, with which value, and what to do about it. `code` is stable and is
@@ -67,6 +67,12 @@
     code = "table-unavailable"
 
 
+class TableBusy(TableUnavailable):
+    """The platform's table has more requests than it takes. It did nothing."""
+
+    code = "table-busy"
+
+
 class PeerUnavailable(Unavailable):
     """Another entry host could not be reached."""
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_job_feed.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_job_feed.py
@@ -11,8 +11,8 @@
 from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_event
 from lentilpathd._pool._ports import HistoryLost, PartitionedTable, PartRow
-from lentilpathd._pool._records import JOBS_TABLE, list_job_parts
-from lentilpathd._pool._recovery import READ_TIMEOUT_SECONDS, make_job_events
+from lentilpathd._pool._records import JOBS_TABLE
+from lentilpathd._pool._recovery import make_job_events, read_all_jobs
 
 WAIT_SECONDS = 1.5
 GATHER_SECONDS = 0.3
@@ -83,17 +83,14 @@
         return True
 
     async def _read_all(self, ended: Container[JobId]) -> None:
-        versions = []
-        for part in list_job_parts():
-            try:
-                read = await self._table.read_part(JOBS_TABLE, part, "", "", READ_TIMEOUT_SECONDS)
-            except (Unavailable, OutcomeUnknown) as error:
-                log_event(Event.JOBS_NOT_FOLLOWED, error=str(error))
-                await asyncio.sleep(RETRY_SECONDS)
-                return
-            if not self._hand_on(read.rows, read.version, ended):
-                await asyncio.sleep(UNCONFIRMED_RETRY_SECONDS)
-                return
-            versions.append(read.version)
-        self._version = max(self._version, min(versions))
+        try:
+            reads = await read_all_jobs(self._table)
+        except (Unavailable, OutcomeUnknown) as error:
+            log_event(Event.JOBS_NOT_FOLLOWED, error=str(error))
+            await asyncio.sleep(RETRY_SECONDS)
+            return
+        rows = tuple(row for read in reads for row in read.rows)
+        version = min(read.version for read in reads)
+        if self._hand_on(rows, version, ended):
+            self._version = max(self._version, version)
         await asyncio.sleep(RETRY_SECONDS)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -9,6 +9,7 @@
 from lentilpath_core.errors import (
     LentilpathError,
     OutcomeUnknown,
+    TableBusy,
     TableUnavailable,
     Unavailable,
 )
@@ -121,7 +122,8 @@
                 )
                 return SubmissionAnswer(SubmissionResult.ACCEPTED)
             except TableUnavailable as error:
-                if not is_unclear:
+                is_over = not isinstance(error, TableBusy) or read_instant() >= give_up_at
+                if is_over and not is_unclear:
                     log_event(Event.JOB_NOT_STORED, job=record.job, error=str(error))
                     return SubmissionAnswer(SubmissionResult.REFUSED, STORE_AWAY_RETRY_MS)
             except OutcomeUnknown as error:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -15,7 +15,13 @@
 from lentilpath_core.settings import Address
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
-from lentilpathd._pool._ports import Deposed, PartitionedTable, PartRows, PartTransaction
+from lentilpathd._pool._ports import (
+    Deposed,
+    PartCommit,
+    PartitionedTable,
+    PartRows,
+    PartTransaction,
+)
 from lentilpathd._pool._records import (
     EPOCH_KEY,
     LEADER_KEYS_END,
@@ -27,13 +33,15 @@
     encode_record,
 )
 
-LEASE_MS = 1_500
-"""A leader that is silent for this long may be replaced; three renewals fit."""
+LEASE_MS = 2_000
+"""A leader that is silent for this long may be replaced; four renewals fit, or two while the table
+is 100 times slower than usual."""
 RENEW_EVERY_MS = 450
 WATCH_EVERY_MS = 350
 TAKEOVER_MARGIN_MS = 200
 """Beyond the lease, for the way from the leader to the table."""
-ROW_TIMEOUT_SECONDS = 1.0
+ROW_TIMEOUT_SECONDS = 1.5
+"""Enough for a transaction while the table is 100 times slower than usual."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +112,7 @@
         self.epoch_version = RowVersion(0)
         self.seen: SeenLeader | None = None
         self._confirmed_until = Instant(0)
+        self._renewed_at = Instant(0)
 
     def is_confirmed(self, now: Instant) -> bool:
         """Return whether nobody else can have taken over yet."""
@@ -183,26 +192,38 @@
     def _make_lease(self, epoch: Epoch, now: Instant) -> LeaseRow:
         return LeaseRow(epoch, self._host, self._address, self._clock.estimate(now) + LEASE_MS)
 
+    def make_renewal(self, epoch: Epoch) -> tuple[str, bytes]:
+        """Return the lease's row as of now, for a transaction that is about to be sent."""
+        self._renewed_at = read_instant()
+        return LEASE_KEY, encode_record(self._make_lease(epoch, self._renewed_at))
+
+    def note_renewed(self, sent_at: Instant, commit: PartCommit) -> None:
+        """Take in that a transaction with a renewal was applied."""
+        self._clock.note(commit.clock_ms, read_instant())
+        self._confirm(sent_at)
+
     async def renew_forever(self, epoch: Epoch) -> None:
         """Renew the lease until another leader is found; raises `Deposed`.
 
-        While the table is out of reach the process goes on leading: nobody can take over without
-        the table, and whoever does is obeyed by the workers from its first word on.
+        Transactions of records renew it as well, so this only fills the pauses between them. While
+        the table is out of reach the process goes on leading: nobody can take over without the
+        table, and whoever does is obeyed by the workers from its first word on.
         """
         while True:
-            await asyncio.sleep(RENEW_EVERY_MS / MS_PER_SECOND)
-            await self._write_lease(epoch, self._make_lease(epoch, read_instant()))
+            due_ms = self._renewed_at + RENEW_EVERY_MS - read_instant()
+            if due_ms > 0:
+                await asyncio.sleep(due_ms / MS_PER_SECOND)
+                continue
+            await self._write_lease(epoch, self.make_renewal(epoch))
 
     async def release(self, epoch: Epoch) -> None:
         """Let another process take over at once."""
-        await self._write_lease(epoch, LeaseRow(epoch, self._host, self._address, 0))
+        lease = LeaseRow(epoch, self._host, self._address, 0)
+        await self._write_lease(epoch, (LEASE_KEY, encode_record(lease)))
 
-    async def _write_lease(self, epoch: Epoch, lease: LeaseRow) -> None:
+    async def _write_lease(self, epoch: Epoch, put: tuple[str, bytes]) -> None:
         transaction = PartTransaction(
-            POOL_TABLE,
-            POOL_PART,
-            checks=((EPOCH_KEY, self.epoch_version),),
-            puts=((LEASE_KEY, encode_record(lease)),),
+            POOL_TABLE, POOL_PART, checks=((EPOCH_KEY, self.epoch_version),), puts=(put,)
         )
         sent_at = read_instant()
         try:
@@ -210,7 +231,6 @@
         except (Unavailable, OutcomeUnknown) as error:
             log_warning_event(Event.LEASE_NOT_RENEWED, epoch=epoch, error=str(error))
             return
-        self._clock.note(commit.clock_ms, read_instant())
         if not commit.applied:
             raise Deposed(f"epoch {epoch} was followed by another leader")
-        self._confirm(sent_at)
+        self.note_renewed(sent_at, commit)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Container
 from dataclasses import dataclass
 
@@ -20,7 +21,7 @@
     TaskKey,
 )
 from lentilpathd._events import Event, log_warning_event
-from lentilpathd._pool._ports import PartitionedTable, PartRow
+from lentilpathd._pool._ports import PartitionedTable, PartRow, PartRows
 from lentilpathd._pool._records import (
     CANCEL_SUFFIX,
     END_PREFIX,
@@ -38,6 +39,8 @@
 )
 
 READ_TIMEOUT_SECONDS = 3.0
+READS_AT_ONCE = 8
+"""As many connections as a client keeps open."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,12 +58,9 @@
 
 async def read_pool(table: PartitionedTable) -> RecoveredPool:
     """Read all rows; raises `Unavailable` or `OutcomeUnknown`."""
-    jobs_version: RowVersion | None = None
-    job_rows: list[PartRow] = []
-    for part in list_job_parts():
-        read = await table.read_part(JOBS_TABLE, part, "", "", READ_TIMEOUT_SECONDS)
-        job_rows.extend(read.rows)
-        jobs_version = read.version if jobs_version is None else min(jobs_version, read.version)
+    reads = await read_all_jobs(table)
+    job_rows = [row for read in reads for row in read.rows]
+    jobs_version = min(read.version for read in reads)
     pool = await table.read_part(POOL_TABLE, POOL_PART, "", "", READ_TIMEOUT_SECONDS)
     finals: dict[JobId, FinalRecord] = {}
     ends: list[tuple[TaskKey, RunRecord]] = []
@@ -77,7 +77,18 @@
     open_ends = tuple((task, record) for task, record in ends if task.job not in finals)
     events.append(RunsRecovered(open_ends))
     end_keys = tuple(row.key for row in pool.rows if row.key.startswith(END_PREFIX))
-    return RecoveredPool(tuple(events), workers, end_keys, jobs_version or RowVersion(0))
+    return RecoveredPool(tuple(events), workers, end_keys, jobs_version)
+
+
+async def read_all_jobs(table: PartitionedTable) -> tuple[PartRows, ...]:
+    """Return what each part of the table of jobs holds, some parts at a time."""
+    slots = asyncio.Semaphore(READS_AT_ONCE)
+
+    async def read(part: str) -> PartRows:
+        async with slots:
+            return await table.read_part(JOBS_TABLE, part, "", "", READ_TIMEOUT_SECONDS)
+
+    return tuple(await asyncio.gather(*(read(part) for part in list_job_parts())))
 
 
 def make_job_events(
--- a/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from lentilpath_core.errors import LentilpathError, OutcomeUnknown, TableUnavailable
+from lentilpath_core.errors import LentilpathError, OutcomeUnknown, TableBusy, TableUnavailable
 from lentilpath_core.ids import HostId, Instant, RowVersion
 from lentilpath_core.peers import PeerRequest
 from lentilpathd._clock import MS_PER_SECOND, read_instant
@@ -33,16 +33,22 @@
 
 RELAY_TOPIC = "pool.table"
 PROBE_EVERY_SECONDS = 0.25
-PROBE_TIMEOUT_SECONDS = 0.4
-"""Several times the longest way to the table and back, and enough while it is 60 times slower."""
-FAILURES_TO_BREAK = 2
+PROBE_TIMEOUT_SECONDS = 0.8
+"""Enough for a read while the table is 100 times slower than its usual 4 ms."""
+FAILURES_TO_BREAK = 2.0
 """One call may be lost alone; the way is taken as broken when a second fails in a row."""
+SILENT_MS = 1_000
+"""A table that has answered anything within this is slow, not out of reach: hosts that follow read
+the leadership three times in it, and it may be 100 times slower than its usual 4 ms."""
+BUSY_FAILURE = 0.5
+"""A table that has too many calls answers, so it takes more of these to look elsewhere."""
 RELAY_PAUSE_MS = 400
 """No relaying for this long after no host could help; about two probes."""
 RELAYS_TRIED = 2
-MIN_PATIENCE_SECONDS = 0.35
+MIN_PATIENCE_SECONDS = 0.6
 """Several times the longest way to the table and back, with a transaction."""
-MAX_PATIENCE_SECONDS = 1.2
+MAX_PATIENCE_SECONDS = 1.5
+"""Half of the time that a caller waits."""
 PATIENCE_FACTOR = 3.0
 ANSWER_WEIGHT = 0.1
 """Weight of one more answer in the usual time of an answer."""
@@ -113,10 +119,11 @@
         self._bus = bus
         self._list_helpers = list_helpers
         self._metrics = metrics
-        self._failures = 0
+        self._failures = 0.0
         self._broken = asyncio.Event()
         self._no_relay_before = Instant(0)
         self._answer_seconds = 0.0
+        self._answered_at = Instant(0)
         self._turn = 0
         bus.handle(RELAY_TOPIC, self._answer)
 
@@ -145,13 +152,17 @@
             self._note_answer()
 
     def _note_answer(self) -> None:
-        self._failures = 0
+        self._answered_at = read_instant()
+        self._failures = 0.0
         if self._broken.is_set():
             self._broken.clear()
             log_event(Event.TABLE_BACK)
 
     def _note_failure(self, error: LentilpathError) -> None:
-        self._failures += 1
+        is_silent = isinstance(error, OutcomeUnknown)
+        if is_silent and read_instant() < self._answered_at + SILENT_MS:
+            return
+        self._failures += BUSY_FAILURE if isinstance(error, TableBusy) else 1.0
         self._metrics.count(Metric.DEPENDENCY_FAILED, "table")
         if self._failures >= FAILURES_TO_BREAK and not self._broken.is_set():
             self._broken.set()
@@ -207,7 +218,8 @@
             raise
         except LentilpathError as error:
             self._note_failure(error)
-            self._answer_seconds = max(self._answer_seconds, patience / 2)
+            if isinstance(error, OutcomeUnknown):
+                self._answer_seconds = max(self._answer_seconds, patience)
             raise
         self._note_answer()
         return result
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -73,7 +73,7 @@
         now = read_instant()
         lease_ms = context.settings.lease_ms / (1 - CLOCK_DRIFT) + LEASE_MARGIN_MS
         self._state = create_pool(epoch, Instant(int(now + lease_ms) + 1))
-        self._writer = RecordWriter(context.table, epoch, leadership.epoch_version, self.take_event)
+        self._writer = RecordWriter(context.table, epoch, leadership, self.take_event)
         self._remover = JobRemover(context.table, epoch, leadership.epoch_version)
         self._advice = AdviceDispatcher(
             context.advice_agent, context.bus, context.members, context.metrics, self.take_event
--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from lentilpath_core.errors import OutcomeUnknown, Unavailable
-from lentilpath_core.ids import Epoch, JobId, RowVersion
+from lentilpath_core.ids import Epoch, JobId
 from lentilpath_core.pool import (
     FinalsRecorded,
     PoolEvent,
@@ -17,7 +17,9 @@
     RunsRecorded,
     WorkersRecorded,
 )
+from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._pool._leadership import PoolLeadership
 from lentilpathd._pool._ports import Deposed, PartitionedTable, PartTransaction
 from lentilpathd._pool._records import (
     EPOCH_KEY,
@@ -38,7 +40,8 @@
 """Leaves room to remove rows that are not needed any more."""
 GATHER_SECONDS = 0.008
 """How long records gather: a part takes 200 transactions a second, so two gathers fit its time."""
-COMMIT_TIMEOUT_SECONDS = 1.0
+COMMIT_TIMEOUT_SECONDS = 1.5
+"""Enough for a transaction while the table is 100 times slower than usual."""
 RETRY_SECONDS = 0.15
 MAX_RETRY_SECONDS = 1.0
 
@@ -52,12 +55,12 @@
         self,
         table: PartitionedTable,
         epoch: Epoch,
-        epoch_version: RowVersion,
+        leadership: PoolLeadership,
         take_event: Callable[[PoolEvent], None],
     ) -> None:
         self._table = table
         self._epoch = epoch
-        self._epoch_version = epoch_version
+        self._leadership = leadership
         self._take_event = take_event
         self._queue: deque[Record] = deque()
         self._queued = asyncio.Event()
@@ -111,15 +114,17 @@
             if isinstance(record, RecordRun):
                 self._end_keys.setdefault(record.task.job, []).append(key)
         deletes = self._list_needless_ends(batch, MAX_ENTRIES - len(puts))
-        transaction = PartTransaction(
-            POOL_TABLE,
-            POOL_PART,
-            checks=((EPOCH_KEY, self._epoch_version),),
-            puts=tuple(puts.items()),
-            deletes=tuple(key for key in deletes if key not in puts),
-        )
         delay_seconds = RETRY_SECONDS
         while True:
+            renewal = self._leadership.make_renewal(self._epoch)
+            transaction = PartTransaction(
+                POOL_TABLE,
+                POOL_PART,
+                checks=((EPOCH_KEY, self._leadership.epoch_version),),
+                puts=(*puts.items(), renewal),
+                deletes=tuple(key for key in deletes if key not in puts),
+            )
+            sent_at = read_instant()
             try:
                 commit = await self._table.commit(transaction, COMMIT_TIMEOUT_SECONDS)
             except (Unavailable, OutcomeUnknown) as error:
@@ -130,6 +135,7 @@
                 continue
             if not commit.applied:
                 raise Deposed(f"epoch {self._epoch} was followed by another leader")
+            self._leadership.note_renewed(sent_at, commit)
             if delay_seconds != RETRY_SECONDS:
                 log_event(Event.RECORDS_STORED_AGAIN, count=len(batch))
             return
--- a/tests/cover/test_pool_leadership.py
+++ b/tests/cover/test_pool_leadership.py
@@ -4,22 +4,15 @@
 
 import asyncio
 
-from lentilpath_core.ids import Epoch, HostId, Incarnation, Instant, JobId, RowVersion
+from lentilpath_core.ids import Epoch, HostId, Instant, JobId, RowVersion
 from lentilpath_core.pool import JobAccepted, JobCancelled
-from lentilpath_core.settings import Address
 from lentilpathd._pool import _leadership
 from lentilpathd._pool._job_feed import JobFeed
-from lentilpathd._pool._leadership import LEASE_MS, PoolLeadership, may_take_over
+from lentilpathd._pool._leadership import LEASE_MS, may_take_over
 from lentilpathd._pool._ports import PartRow
 from lentilpathd._pool._records import encode_record
 from tests.common.pools import make_record
-from tests.common.tables import OneRowTable
-
-ADDRESS = Address("127.0.0.1", 1)
-
-
-def make_leadership(table: OneRowTable, host: str = "h1") -> PoolLeadership:
-    return PoolLeadership(table, HostId(host), Incarnation(host + ".1"), ADDRESS)
+from tests.common.tables import ADDRESS, OneRowTable, make_leadership
 
 
 def test_a_lease_is_confirmed_for_its_length_from_the_sending_of_its_last_renewal(monkeypatch):
