Say nothing of waiting jobs when no recent count is known

Ruled out: the count itself, which the leader's own log agrees with once it has recovered. A leader counts and answers only when it has read all; a count is used for 1.7 s; else the answer is 503. Test fails before and passes after.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -121,7 +121,11 @@
 
     def is_leading(self) -> bool:
         """Return whether this process leads and knows all that is stored."""
-        return self._term is not None and self._term.is_ready()
+        return self._find_term() is not None
+
+    def _find_term(self) -> Term | None:
+        """Return the term once it knows all that is stored; before that it can tell nothing."""
+        return self._term if self._term is not None and self._term.is_ready() else None
 
     async def run(self) -> None:
         """Run all parts until cancelled."""
@@ -141,30 +145,32 @@
             self._term.take_configuration(configuration)
 
     def _get_own_state(self, job: JobId) -> JobState | None:
-        return self._term.get_state(job) if self._term is not None else None
+        term = self._find_term()
+        return term.get_state(job) if term is not None else None
 
     def _take_own_notice(self, notice: JobNotice) -> bool:
-        if self._term is None:
+        term = self._find_term()
+        if term is None:
             return False
-        self._term.take_notice(notice)
+        term.take_notice(notice)
         return True
 
     async def _answer_notice(self, request: PeerRequest) -> Empty:
-        if self._term is None:
-            raise NotLeading(f"{self.settings.host} does not lead")
-        self._term.take_notice(msgspec.convert(request.body, JobNotice))
+        self._require_term().take_notice(msgspec.convert(request.body, JobNotice))
         return Empty()
 
-    async def _answer_hello(self, request: PeerRequest) -> Digest:
-        if self._term is None:
+    def _require_term(self) -> Term:
+        term = self._find_term()
+        if term is None:
             raise NotLeading(f"{self.settings.host} does not lead")
-        return self._term.answer_hello(request)
+        return term
+
+    async def _answer_hello(self, request: PeerRequest) -> Digest:
+        return self._require_term().answer_hello(request)
 
     async def _answer_state(self, request: PeerRequest) -> StateReply:
-        if self._term is None:
-            raise NotLeading(f"{self.settings.host} does not lead")
         question = msgspec.convert(request.body, StateQuestion)
-        state = self._term.get_state(question.job)
+        state = self._require_term().get_state(question.job)
         return StateReply(state.value if state is not None else "")
 
     async def _watch_leader(self) -> None:
@@ -173,7 +179,7 @@
             if seen is not None and seen.lease is not None:
                 self.members.set_leader(seen.lease.host, seen.lease.address)
                 self.greeter.set_leader(seen.lease.host)
-            term = self._term
+            term = self._find_term()
             self.metrics.set_gauge(Metric.IS_LEADER, 0.0 if term is None else 1.0)
             if term is not None:
                 digest = term.make_digest()
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -91,7 +91,7 @@
         self, record: JobRecord, policy: QueuePolicy, deadline_ms: int
     ) -> SubmissionAnswer:
         now = read_instant()
-        load = self._context.greeter.get_load(record.queue)
+        load = self._context.greeter.get_load(record.queue, now)
         refusal_ms = decide_admission(record, policy, load)
         if refusal_ms is not None:
             log_event(Event.JOB_REFUSED, job=record.job, queue=record.queue, load=load)
@@ -218,7 +218,7 @@
             log_event(Event.JOB_CANCELLED, job=job)
             return True
 
-    def count_pending(self, queue: str) -> int:
-        """Return how many accepted jobs of a queue have not begun, as last known."""
-        load = self._context.greeter.get_load(queue)
-        return load.pending if load is not None else 0
+    def count_pending(self, queue: str) -> int | None:
+        """Return how many accepted jobs of a queue have not begun, or `None` if not known now."""
+        load = self._context.greeter.get_load(queue, read_instant())
+        return load.pending if load is not None else None
--- a/packages/lentilpathd/src/lentilpathd/_pool/_members.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_members.py
@@ -19,6 +19,8 @@
 HELLO_TOPIC = "pool.hello"
 HELLO_EVERY_MS = 500
 HELLO_TIMEOUT_SECONDS = 0.5
+DIGEST_VALID_MS = 1_700
+"""Counts that callers are given may be 2 s old."""
 MEMBER_SILENT_MS = 1_600
 """A host that has not spoken for three greetings gets no more questions."""
 
@@ -140,9 +142,11 @@
         """Take a digest that was made on this host."""
         self._digest, self._digest_at = digest, now
 
-    def get_load(self, queue: str) -> QueueLoad | None:
-        """Return the last known load of a queue, or `None`."""
-        return self._digest.queues.get(queue) if self._digest is not None else None
+    def get_load(self, queue: str, now: Instant) -> QueueLoad | None:
+        """Return the load of a queue, or `None` if nothing recent is known."""
+        if self._digest is None or now > self._digest_at + DIGEST_VALID_MS:
+            return None
+        return self._digest.queues.get(queue)
 
     async def run(self) -> None:
         """Greet until cancelled."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -170,9 +170,8 @@
 
     def take_notice(self, notice: JobNotice) -> None:
         """Take what a host has stored about a job."""
-        if self._ready:
-            row = PartRow(notice.part, notice.key, notice.value, RowVersion(notice.version))
-            self._feed.take_notice(row, self._state.finals)
+        row = PartRow(notice.part, notice.key, notice.value, RowVersion(notice.version))
+        self._feed.take_notice(row, self._state.finals)
 
     def answer_hello(self, request: PeerRequest) -> Digest:
         """Answer a host's greeting."""
--- a/tests/nocover/test_pool_hosts.py
+++ b/tests/nocover/test_pool_hosts.py
@@ -61,6 +61,7 @@
         assert (await host.call("DELETE", "/checks/00000000000000ff")).status == 410
         assert (await host.call("GET", "/other/00000000000000ff")).status == 404
         assert (await host.call("POST", "/checks/00000000000000ff", {"steps": []})).status == 400
+        await asyncio.sleep(1.2)
         assert json.loads((await host.call("GET", "/checks/")).body) == {"pending": 0}
 
     play(scenario)
@@ -160,3 +161,17 @@
         await expect_all_completed(fleet, await submit_many(fleet, 3))
 
     play(scenario)
+
+
+def test_a_host_that_knows_of_no_leader_does_not_say_that_nothing_waits():
+    async def scenario(fleet: Fleet) -> None:
+        leader = await fleet.wait_for_leader()
+        others = [each for each in fleet.hosts if each is not leader]
+        for host in fleet.hosts:
+            host.faults.refuses = True
+        await leader.kill()
+        await asyncio.sleep(2.5)
+        for host in others:
+            assert (await host.call("GET", "/checks/")).status == 503
+
+    play(scenario)
