Say of no job that it does not run when it may be stored; extend leases before reading the jobs

Now the leader is asked first, hosts tell it of unclear writes, and without its word the answer is 504. Both new tests fail before and pass after.

--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -99,6 +99,7 @@
     LINES_LEFT_OUT = (533, "lines were left out of the log to keep its volume bounded")
     TABLE_LOST = (535, "the table does not answer this host; other hosts are asked")
     TABLE_BACK = (536, "the table answers this host again")
+    LEASE_NOT_EXTENDED = (540, "a worker of the earlier leader did not answer the new one at once")
     RUN_PACED = (537, "a filling run's pace is changed")
     PACE_UNANSWERED = (538, "a change of pace was not answered; the next report decides again")
     JOBS_NOT_REMOVED = (539, "rows of old jobs could not be removed; it is tried again")
--- a/packages/lentilpathd/src/lentilpathd/_pool/_context.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_context.py
@@ -9,7 +9,7 @@
 from lentilpath_core.pool import JobState, PoolConfiguration
 from lentilpathd._peers import PeerBus
 from lentilpathd._pool._advice import AdviceAgent
-from lentilpathd._pool._members import Greeter, JobNotice, Members
+from lentilpathd._pool._members import Greeter, JobNotice, Members, UnclearJobs
 from lentilpathd._pool._metrics import PoolMetrics
 from lentilpathd._pool._ports import Registry, WorkerFactory
 from lentilpathd._pool._settings import PoolHostSettings
@@ -35,3 +35,5 @@
     """What this process knows of a job if it leads."""
     take_own_notice: Callable[[JobNotice], bool]
     """Hand a stored row to this process if it leads; return whether it does."""
+    unclear: UnclearJobs
+    is_leading: Callable[[], bool]
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -28,6 +28,7 @@
     HELLO_TOPIC,
     NOTICE_TOPIC,
     STATE_TOPIC,
+    UNCLEAR_TOPIC,
     Digest,
     Empty,
     Greeter,
@@ -35,6 +36,8 @@
     Members,
     StateQuestion,
     StateReply,
+    UnclearJobs,
+    UnclearNotice,
 )
 from lentilpathd._pool._metrics import PoolMetrics, serve_metrics
 from lentilpathd._pool._ports import (
@@ -81,6 +84,7 @@
     def __init__(self, settings: PoolHostSettings, ports: PlatformPorts) -> None:
         self.settings = settings
         self.metrics = PoolMetrics()
+        self.unclear = UnclearJobs()
         incarnation = Incarnation(f"{settings.host}.{uuid.uuid4().hex[:INCARNATION_DIGITS]}")
         self.bus = PeerBus(settings.host, incarnation, settings.zone)
         self.members = Members(settings, self.bus)
@@ -103,6 +107,8 @@
             self.configuration.get_current,
             self._get_own_state,
             self._take_own_notice,
+            self.unclear,
+            self.is_leading,
         )
         self.jobs = Jobs(self.context)
         self.stopping = asyncio.Event()
@@ -110,6 +116,7 @@
         self.bus.handle(HELLO_TOPIC, self._answer_hello)
         self.bus.handle(STATE_TOPIC, self._answer_state)
         self.bus.handle(NOTICE_TOPIC, self._answer_notice)
+        self.bus.handle(UNCLEAR_TOPIC, self._answer_unclear)
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send callers here."""
@@ -171,7 +178,13 @@
     async def _answer_state(self, request: PeerRequest) -> StateReply:
         question = msgspec.convert(request.body, StateQuestion)
         state = self._require_term().get_state(question.job)
-        return StateReply(state.value if state is not None else "")
+        is_unclear = self.unclear.has(question.job, read_instant())
+        return StateReply(state.value if state is not None else "", is_unclear)
+
+    async def _answer_unclear(self, request: PeerRequest) -> Empty:
+        # Noted whether or not this host leads: it may lead by the time somebody asks.
+        self.unclear.note(msgspec.convert(request.body, UnclearNotice).job, read_instant())
+        return Empty()
 
     async def _watch_leader(self) -> None:
         while True:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -22,10 +22,12 @@
 from lentilpathd._pool._members import (
     NOTICE_TOPIC,
     STATE_TOPIC,
+    UNCLEAR_TOPIC,
     Empty,
     JobNotice,
     StateQuestion,
     StateReply,
+    UnclearNotice,
 )
 from lentilpathd._pool._ports import PartTransaction
 from lentilpathd._pool._records import (
@@ -124,32 +126,56 @@
             except TableUnavailable as error:
                 is_over = not isinstance(error, TableBusy) or read_instant() >= give_up_at
                 if is_over and not is_unclear:
-                    log_event(Event.JOB_NOT_STORED, job=record.job, error=str(error))
-                    return SubmissionAnswer(SubmissionResult.REFUSED, STORE_AWAY_RETRY_MS)
+                    return await self._refuse(record.job, error)
             except OutcomeUnknown as error:
-                is_unclear = True
+                if not is_unclear:
+                    is_unclear = True
+                    self._tell_unclear(record.job)
                 log_event(Event.JOB_UNCLEAR, job=record.job, error=str(error))
             if read_instant() >= give_up_at:
                 return SubmissionAnswer(SubmissionResult.UNCLEAR)
             await asyncio.sleep(RETRY_SECONDS)
 
+    async def _refuse(self, job: JobId, error: TableUnavailable) -> SubmissionAnswer:
+        """Answer a submission that was not sent to the table.
+
+        The same job may have been stored by an earlier submission, so that it would be untrue that
+        it does not run. The leader knows that; without its word the answer is unclear.
+        """
+        reply = await self._ask_state(job)
+        if reply is None or reply.is_unclear:
+            log_event(Event.JOB_UNCLEAR, job=job, error=str(error))
+            return SubmissionAnswer(SubmissionResult.UNCLEAR)
+        if reply.state:
+            log_event(Event.JOB_STORED, job=job, repeated=True, state=reply.state)
+            return SubmissionAnswer(SubmissionResult.ACCEPTED)
+        log_event(Event.JOB_NOT_STORED, job=job, error=str(error))
+        return SubmissionAnswer(SubmissionResult.REFUSED, STORE_AWAY_RETRY_MS)
+
+    def _tell_unclear(self, job: JobId) -> None:
+        """Let the leader know, so that no host says of this job that it does not run."""
+        self._context.unclear.note(job, read_instant())
+        self._tell(UNCLEAR_TOPIC, UnclearNotice(job))
+
+    def _tell(self, topic: str, message: JobNotice | UnclearNotice) -> None:
+        task = asyncio.ensure_future(self._send_to_leader(topic, message))
+        self._notices.add(task)
+        task.add_done_callback(self._notices.discard)
+
     def _tell_leader(self, transaction: PartTransaction, version: RowVersion) -> None:
         key, value = transaction.puts[0]
         notice = JobNotice(transaction.part, key, value, version)
-        if self._context.take_own_notice(notice):
-            return
-        task = asyncio.ensure_future(self._send_notice(notice))
-        self._notices.add(task)
-        task.add_done_callback(self._notices.discard)
+        if not self._context.take_own_notice(notice):
+            self._tell(NOTICE_TOPIC, notice)
 
-    async def _send_notice(self, notice: JobNotice) -> None:
+    async def _send_to_leader(self, topic: str, message: JobNotice | UnclearNotice) -> None:
         leader = self._context.greeter.get_leader()
         if leader is None or leader == self._context.settings.host:
             return
         try:
-            await self._context.bus.ask(leader, NOTICE_TOPIC, notice, Empty, NOTICE_TIMEOUT_SECONDS)
+            await self._context.bus.ask(leader, topic, message, Empty, NOTICE_TIMEOUT_SECONDS)
         except LentilpathError as error:
-            # The leader's feed brings the job all the same.
+            # The leader's feed brings stored jobs all the same.
             log_event(Event.LEADER_SILENT, leader=leader, error=str(error))
 
     async def get_state(self, job: JobId) -> JobState | None:
@@ -163,20 +189,25 @@
         return await self._read_state(job)
 
     async def _ask_leader(self, job: JobId) -> JobState | None:
-        own = self._context.get_own_state(job)
-        if own is not None:
-            return own
+        reply = await self._ask_state(job)
+        return JobState(reply.state) if reply is not None and reply.state else None
+
+    async def _ask_state(self, job: JobId) -> StateReply | None:
+        """Return what the leader knows of a job, or `None` without its word."""
+        if self._context.is_leading():
+            own = self._context.get_own_state(job)
+            is_unclear = self._context.unclear.has(job, read_instant())
+            return StateReply(own.value if own is not None else "", is_unclear)
         leader = self._context.greeter.get_leader()
         if leader is None or leader == self._context.settings.host:
             return None
         try:
-            reply = await self._context.bus.ask(
+            return await self._context.bus.ask(
                 leader, STATE_TOPIC, StateQuestion(job), StateReply, STATE_TIMEOUT_SECONDS
             )
         except LentilpathError as error:
             log_event(Event.LEADER_SILENT, leader=leader, error=str(error))
             return None
-        return JobState(reply.state) if reply.state else None
 
     async def _read_state(self, job: JobId) -> JobState | None:
         table = self._context.table
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -12,6 +12,7 @@
 
 from lentilpath_core.errors import OutcomeUnknown, Unavailable
 from lentilpath_core.ids import Epoch, HostId, Incarnation, Instant, RowVersion
+from lentilpath_core.pool import ListedWorker
 from lentilpath_core.settings import Address
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
@@ -28,8 +29,10 @@
     LEASE_KEY,
     POOL_PART,
     POOL_TABLE,
+    WORKERS_KEY,
     EpochRow,
     LeaseRow,
+    decode_workers,
     encode_record,
 )
 
@@ -52,6 +55,8 @@
     epoch_version: RowVersion
     lease: LeaseRow | None
     clock_ms: int
+    workers: tuple[ListedWorker, ...] = ()
+    """Workers that may hold tasks."""
 
 
 def decode_leader(read: PartRows) -> SeenLeader:
@@ -66,7 +71,9 @@
     if lease_row is not None:
         lease = msgspec.msgpack.decode(lease_row.value, type=LeaseRow)
     version = epoch_row.version if epoch_row is not None else RowVersion(0)
-    return SeenLeader(epoch, version, lease, read.clock_ms)
+    workers_row = rows.get(WORKERS_KEY)
+    workers = decode_workers(workers_row.value) if workers_row is not None else ()
+    return SeenLeader(epoch, version, lease, read.clock_ms, workers)
 
 
 def may_take_over(seen: SeenLeader, host: HostId, address: Address) -> bool:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -27,7 +27,7 @@
 from lentilpathd._pool._records import format_task
 from lentilpathd._pool._writer import RecordWriter
 
-RENEWAL_WAIT_MS = 1_000
+RENEWAL_WAIT_MS = 800
 """How long a worker may hold its answer while nothing ends."""
 RENEWAL_TIMEOUT_SECONDS = 0.7
 """Beyond the wait; several times the longest way there and back."""
@@ -68,6 +68,26 @@
         return until, Instant(int(self._read_at + longest_ms) + 1)
 
 
+async def extend_lease(client: PoolWorker, lease_ms: int) -> Instant | None:
+    """Extend what runs on a worker before anything is known of it; return until when at most.
+
+    The worker refuses earlier leaders from now on. `None` if it does not answer.
+    """
+    clock = WorkerClock()
+    try:
+        report = await client.renew(0, None, 0, RENEWAL_TIMEOUT_SECONDS)
+        clock.note(report.clock, read_instant())
+        lease = clock.make_lease(read_instant(), lease_ms)
+        assert lease is not None
+        await client.renew(0, lease[0], 0, RENEWAL_TIMEOUT_SECONDS)
+    except LentilpathError as error:
+        log_event(Event.LEASE_NOT_EXTENDED, error=str(error))
+        return None
+    finally:
+        client.close()
+    return lease[1]
+
+
 class WorkerLink:
     """Speaks with one life of a worker until it is cancelled."""
 
@@ -92,6 +112,7 @@
         self._commands: dict[tuple[TaskKey, Run], asyncio.Task[None]] = {}
         self._group: asyncio.TaskGroup | None = None
         self._silent = False
+        self._is_over = False
 
     async def run(self) -> None:
         """Renew leases and take reports until cancelled; raises `Deposed`."""
@@ -117,7 +138,9 @@
         try:
             report = await self._client.renew(self._taken_number, lease, wait_ms, timeout)
         except OtherLife:
-            log_event(Event.WORKER_REBORN, worker=self._listed.worker, life=self._listed.life)
+            if not self._is_over:
+                self._is_over = True
+                log_event(Event.WORKER_REBORN, worker=self._listed.worker, life=self._listed.life)
             await asyncio.sleep(RETRY_SECONDS)
             return True
         except RefusedByFence as error:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_members.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_members.py
@@ -21,6 +21,9 @@
 HELLO_TIMEOUT_SECONDS = 0.5
 DIGEST_VALID_MS = 1_700
 """Counts that callers are given may be 2 s old."""
+UNCLEAR_MS = 30_000
+"""Longer than any write was seen to be applied late, and than callers go on asking."""
+MAX_UNCLEAR_JOBS = 5_000
 MEMBER_SILENT_MS = 1_600
 """A host that has not spoken for three greetings gets no more questions."""
 
@@ -185,6 +188,8 @@
     """A job's state, or an empty text if the leader does not know the job."""
 
     state: str
+    is_unclear: bool = False
+    """A host has tried to store the job lately and does not know whether it did."""
 
 
 NOTICE_TOPIC = "pool.notice"
@@ -199,5 +204,31 @@
     version: int
 
 
+UNCLEAR_TOPIC = "pool.unclear"
+
+
+class UnclearNotice(msgspec.Struct, frozen=True):
+    """Tells the leader that a job may have been stored, or may be yet."""
+
+    job: JobId
+
+
+class UnclearJobs:
+    """Jobs of which hosts said that they may be stored. Kept while a late write may be applied."""
+
+    def __init__(self) -> None:
+        self._until: dict[JobId, Instant] = {}
+
+    def note(self, job: JobId, now: Instant) -> None:
+        """Remember a job."""
+        self._until[job] = Instant(now + UNCLEAR_MS)
+        if len(self._until) > MAX_UNCLEAR_JOBS:
+            self._until = {each: at for each, at in self._until.items() if at > now}
+
+    def has(self, job: JobId, now: Instant) -> bool:
+        """Return whether the job may be stored."""
+        return now < self._until.get(job, Instant(0))
+
+
 class Empty(msgspec.Struct, frozen=True):
     """Nothing to say."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
@@ -7,8 +7,9 @@
 from lentilpath_core.ids import HostId, RegionId, ZoneId
 from lentilpath_core.settings import Address
 
-MAX_LEASE_MS = 5_000
-"""A change of leader takes up to about 4 s with its first renewals; runs outlive it with this."""
+MAX_LEASE_MS = 4_000
+"""A change of leader takes up to 2.7 s until its first renewals, and the last one before it may be
+0.8 s old. A longer lease keeps what ran on a lost worker from starting elsewhere."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -44,7 +44,7 @@
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._job_feed import JobFeed
 from lentilpathd._pool._leadership import PoolLeadership
-from lentilpathd._pool._link import CLOCK_DRIFT, LEASE_MARGIN_MS, WorkerLink
+from lentilpathd._pool._link import CLOCK_DRIFT, LEASE_MARGIN_MS, WorkerLink, extend_lease
 from lentilpathd._pool._members import Digest, JobNotice, read_hello
 from lentilpathd._pool._ports import LifeKey, PartRow
 from lentilpathd._pool._records import format_task
@@ -70,6 +70,7 @@
     def __init__(self, context: PoolContext, epoch: Epoch, leadership: PoolLeadership) -> None:
         self._context = context
         self._epoch = epoch
+        self._leadership = leadership
         now = read_instant()
         lease_ms = context.settings.lease_ms / (1 - CLOCK_DRIFT) + LEASE_MARGIN_MS
         self._state = create_pool(epoch, Instant(int(now + lease_ms) + 1))
@@ -92,7 +93,9 @@
 
     async def run(self) -> None:
         """Recover and lead until cancelled; raises `Deposed` in an exception group."""
-        await self._recover()
+        async with asyncio.TaskGroup() as recovery:
+            recovery.create_task(self._extend_leases())
+            recovery.create_task(self._recover())
         async with asyncio.TaskGroup() as group:
             self._group = group
             self._ready = True
@@ -105,6 +108,21 @@
             group.create_task(self._watch_workers())
             group.create_task(self._feed.run(self._jobs_version, self._state.finals))
 
+    async def _extend_leases(self) -> None:
+        """Keep alive what runs, while the jobs that it belongs to are being read."""
+        seen = self._leadership.seen
+        if seen is None:
+            return
+        lease_ms = self._context.settings.lease_ms
+        ends = await asyncio.gather(
+            *(
+                extend_lease(self._context.create_worker(each, self._epoch), lease_ms)
+                for each in seen.workers
+            )
+        )
+        latest = max((end for end in ends if end is not None), default=self._state.settle_by)
+        self._state.settle_by = max(self._state.settle_by, latest)
+
     async def _recover(self) -> None:
         while True:
             try:
--- a/tests/nocover/test_pool_hosts.py
+++ b/tests/nocover/test_pool_hosts.py
@@ -175,3 +175,36 @@
             assert (await host.call("GET", "/checks/")).status == 503
 
     play(scenario)
+
+
+def test_a_job_that_was_accepted_is_never_said_not_to_run_while_the_table_is_away():
+    async def scenario(fleet: Fleet) -> None:
+        leader = await fleet.wait_for_leader()
+        other = next(each for each in fleet.hosts if each is not leader)
+        (job,) = await submit_many(fleet, 1)
+        await expect_all_completed(fleet, [job])
+        for host in fleet.hosts:
+            host.faults.refuses = True
+        await asyncio.sleep(1.0)
+        for host in (leader, other):
+            assert (await fleet.submit(host, job=job))[1] == 200
+            assert (await fleet.submit(host, job="00000000000000ee"))[1] == 503
+        await leader.kill()
+        assert (await fleet.submit(other, job="00000000000000ef"))[1] == 504
+
+    play(scenario)
+
+
+def test_a_job_whose_storing_is_unclear_is_not_said_not_to_run_by_another_host():
+    async def scenario(fleet: Fleet) -> None:
+        leader = await fleet.wait_for_leader()
+        first, second = (each for each in fleet.hosts if each is not leader)
+        first.faults.silent = True
+        job, status = await fleet.submit(first)
+        assert status == 504
+        for host in fleet.hosts:
+            host.faults.refuses = True
+        await asyncio.sleep(0.6)
+        assert (await fleet.submit(second, job=job))[1] in (200, 504)
+
+    play(scenario)
