--- /dev/null
+++ b/benches/pool/loads.py
@@ -0,0 +1,349 @@
+"""Deployments at the sizes of the users' sheets, and the load patterns that are played on them."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from lentilpath_core.ids import JobId, ServiceId
+from lentilpath_core.pool import AdvicePolicy, JobRecord, QueueId, QueuePolicy, StepSpec
+from lentilpath_core.resources import Resources
+
+SERVICE = ServiceId("service")
+TICKET_MS = 2_500
+SPREAD = 0.5
+"""Standard deviation of the logarithm of sizes and run times, as on the sheets."""
+ESTIMATE_SPREAD = 0.5
+SECONDS = 34
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """One kind of job on a sheet."""
+
+    name: str
+    priority: int
+    per_second: float
+    steps: float
+    width: float
+    millicores: int
+    memory_mib: int
+    run_ms: float
+    slack: float
+    target_ms: int
+    attempts: int
+    gang_share: float
+    allowed_share: float
+    worth: float
+    late_worth: float
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """A deployment."""
+
+    name: str
+    workers: int
+    room: Resources
+    kinds: tuple[Kind, ...]
+
+
+HARBOR = Site(
+    "harborspoon",
+    24,
+    Resources(32_000, 131_072, 0),
+    (
+        Kind(
+            "menu-rebuild",
+            1,
+            0.906,
+            1.2,
+            5,
+            9_000,
+            26_000,
+            6_200,
+            2.2,
+            1_200,
+            2,
+            1.0,
+            0.35,
+            12.8,
+            2.56,
+        ),
+        Kind(
+            "allergen-recon",
+            2,
+            3.41,
+            1.5,
+            10,
+            2_000,
+            4_000,
+            2_200,
+            4.0,
+            3_000,
+            4,
+            0.0,
+            0.45,
+            2.13,
+            0.426,
+        ),
+        Kind("swap-check", 0, 24.1, 1.0, 2, 2_800, 5_700, 640, 1.5, 500, 3, 0.3, 0.7, 0.42, 0.084),
+    ),
+)
+DHUNGE = Site(
+    "dhunge",
+    24,
+    Resources(16_000, 65_536, 0),
+    (
+        Kind(
+            "damage-survey",
+            1,
+            0.918,
+            1.2,
+            8,
+            4_500,
+            17_000,
+            4_000,
+            2.2,
+            1_200,
+            4,
+            1.0,
+            0.35,
+            10.5,
+            2.1,
+        ),
+        Kind(
+            "disburse-notice",
+            2,
+            2.72,
+            1.5,
+            10,
+            980,
+            2_800,
+            2_700,
+            4.0,
+            3_000,
+            4,
+            0.0,
+            0.45,
+            2.23,
+            0.446,
+        ),
+        Kind(
+            "elig-check", 0, 19.3, 1.0, 2, 1_400, 2_900, 800, 1.5, 500, 2, 0.3, 0.7, 0.439, 0.0878
+        ),
+    ),
+)
+HARBOR_GROWN = Site(
+    "harborspoon-grown",
+    176,
+    Resources(32_000, 131_072, 0),
+    (
+        Kind(
+            "menu-rebuild",
+            1,
+            2.71,
+            1.2,
+            20,
+            9_000,
+            26_000,
+            4_000,
+            2.2,
+            1_206,
+            2,
+            1.0,
+            0.35,
+            8.44,
+            1.69,
+        ),
+        Kind(
+            "allergen-recon",
+            2,
+            3.58,
+            1.5,
+            25,
+            3_500,
+            4_000,
+            3_400,
+            4.0,
+            3_006,
+            4,
+            0.0,
+            0.45,
+            3.99,
+            0.798,
+        ),
+        Kind(
+            "swap-check", 0, 50.0, 1.0, 3, 5_000, 5_700, 800, 1.5, 504, 3, 0.3, 0.7, 0.401, 0.0802
+        ),
+    ),
+)
+DHUNGE_GROWN = Site(
+    "dhunge-grown",
+    176,
+    Resources(16_000, 32_768, 0),
+    (
+        Kind(
+            "damage-survey",
+            1,
+            2.14,
+            1.2,
+            16,
+            4_500,
+            8_000,
+            6_200,
+            2.2,
+            1_204,
+            4,
+            1.0,
+            0.35,
+            8.61,
+            1.72,
+        ),
+        Kind(
+            "disburse-notice",
+            2,
+            3.58,
+            1.5,
+            25,
+            1_700,
+            2_800,
+            3_400,
+            4.0,
+            3_006,
+            4,
+            0.0,
+            0.45,
+            3.21,
+            0.642,
+        ),
+        Kind(
+            "elig-check", 0, 40.1, 1.0, 3, 2_500, 2_900, 1_000, 1.5, 504, 2, 0.3, 0.7, 0.402, 0.0804
+        ),
+    ),
+)
+SITES = (HARBOR, DHUNGE, HARBOR_GROWN, DHUNGE_GROWN)
+
+
+@dataclass(frozen=True, slots=True)
+class Pattern:
+    """What goes wrong, and when (in seconds)."""
+
+    name: str
+    burst_kind: int | None = None
+    burst_factor: float = 1.0
+    burst_at: tuple[float, float] = (8.0, 12.0)
+    slow_share: float = 0.0
+    advice_factor: float = 1.0
+    cancel_share: float = 0.0
+    poison_share: float = 0.0
+    width_factor: float = 1.0
+    """Of the urgent kind's jobs during the burst."""
+    leaving_share: float = 0.0
+    leader_away: tuple[float, float] = (0.0, 0.0)
+    table_away: tuple[float, float] = (0.0, 0.0)
+
+
+PATTERNS = (
+    Pattern("burst of urgent jobs", burst_kind=2, burst_factor=2.2),
+    Pattern("burst of gangs", burst_kind=0, burst_factor=1.9),
+    Pattern("burst of patient jobs", burst_kind=1, burst_factor=1.9),
+    Pattern("burst, a tenth of the workers slow", 2, 2.2, slow_share=0.1),
+    Pattern("burst, advice three times slower", 2, 2.2, advice_factor=3.0),
+    Pattern("burst, a third cancelled", 2, 2.2, cancel_share=0.33),
+    Pattern("burst, a tenth can never be done", 2, 2.2, poison_share=0.1),
+    Pattern("large jobs at once", 2, 1.5, width_factor=3.0),
+    Pattern("burst, 30% of the fleet leaves", 2, 2.2, leaving_share=0.3),
+    Pattern("burst, leader lost", 2, 2.2, leader_away=(9.0, 11.6)),
+    Pattern("burst, table away", 2, 2.2, table_away=(9.0, 13.0)),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class TrueJob:
+    """A job with what its caller and the deciders don't know."""
+
+    record: JobRecord
+    kind: Kind
+    submitted_ms: int
+    run_ms: tuple[tuple[float, ...], ...]
+    """True run time of each task, by step."""
+    is_poison: bool
+    cancelled_ms: int | None
+    weight: float
+    """Worth in proportion to its work."""
+
+
+def make_policy(kind: Kind) -> QueuePolicy:
+    """Return the queue's policy for a kind of job."""
+    advice = AdvicePolicy(20.0, 0.5, TICKET_MS)
+    return QueuePolicy(
+        QueueId(kind.name),
+        "h",
+        "/",
+        SERVICE,
+        kind.priority,
+        kind.attempts,
+        kind.slack,
+        kind.target_ms,
+        3_000,
+        advice,
+    )
+
+
+def make_jobs(site: Site, pattern: Pattern, seed: int) -> list[TrueJob]:
+    """Return the jobs of a pattern in order of their submission; a seed gives the same jobs."""
+    draw = random.Random(seed)
+    jobs: list[TrueJob] = []
+    for kind_number, kind in enumerate(site.kinds):
+        at_ms = 0.0
+        while at_ms < SECONDS * 1_000:
+            in_burst = (
+                pattern.burst_kind == kind_number
+                and pattern.burst_at[0] * 1_000 <= at_ms < pattern.burst_at[1] * 1_000
+            )
+            rate = kind.per_second * (pattern.burst_factor if in_burst else 1.0)
+            at_ms += draw.expovariate(rate) * 1_000
+            factor = pattern.width_factor if in_burst else 1.0
+            jobs.append(_make_job(draw, pattern, kind, len(jobs), int(at_ms), factor, in_burst))
+    jobs.sort(key=lambda job: job.submitted_ms)
+    return jobs
+
+
+def _make_job(
+    draw: random.Random,
+    pattern: Pattern,
+    kind: Kind,
+    number: int,
+    at_ms: int,
+    factor: float,
+    in_burst: bool,
+) -> TrueJob:
+    count = 1 if draw.random() > kind.steps - 1 else 2
+    steps: list[StepSpec] = []
+    runs: list[tuple[float, ...]] = []
+    work = 0.0
+    for step in range(count):
+        width = max(1, round(kind.width * factor * draw.lognormvariate(-(SPREAD**2) / 2, SPREAD)))
+        run_ms = kind.run_ms * draw.lognormvariate(-(SPREAD**2) / 2, SPREAD)
+        estimate = run_ms * draw.lognormvariate(0.0, ESTIMATE_SPREAD)
+        gang = draw.random() < kind.gang_share
+        each = tuple(run_ms if gang else run_ms * draw.uniform(0.8, 1.2) for _ in range(width))
+        steps.append(
+            StepSpec(
+                width,
+                Resources(kind.millicores, kind.memory_mib, 0),
+                int(estimate),
+                after=(step - 1,) if step else (),
+                gang=gang,
+            )
+        )
+        runs.append(each)
+        work += sum(each) * kind.millicores
+    usual = kind.steps * kind.width * kind.run_ms * kind.millicores
+    weight = min(4.0, 0.3 + 0.7 * work / usual)
+    is_poison = in_burst and draw.random() < pattern.poison_share
+    cancelled = in_burst and draw.random() < pattern.cancel_share
+    record = JobRecord(JobId(f"{number:016x}"), QueueId(kind.name), "", tuple(steps))
+    cancelled_ms = at_ms + 300 if cancelled else None
+    return TrueJob(record, kind, at_ms, tuple(runs), is_poison, cancelled_ms, weight)
--- a/make/bench.mk
+++ b/make/bench.mk
@@ -11,3 +11,9 @@
 	else \
 		echo "no kit at $(KIT): nothing was played"; \
 	fi
+
+# Load patterns through the pool's decisions, beside first fit. The table goes to docs/MEASURES-platform.md.
+.PHONY: measure-pool
+
+measure-pool: setup
+	$(BIN)/python -m benches.pool
