--- a/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
@@ -172,8 +172,11 @@
         is_silent = isinstance(error, OutcomeUnknown)
         if is_silent and read_instant() < self._answered_at + SILENT_MS:
             return
-        self._failed_at = read_instant()
-        self._failures += BUSY_FAILURE if isinstance(error, TableBusy) else 1.0
+        if isinstance(error, TableBusy):
+            self._failures += BUSY_FAILURE
+        else:
+            self._failed_at = read_instant()
+            self._failures += 1.0
         self._metrics.count(Metric.DEPENDENCY_FAILED, "table")
         if self._failures >= FAILURES_TO_BREAK and not self._broken.is_set():
             self._broken.set()
