Take over only from a leader whose lease was not seen to change, and read all parts at once

Ruled out: renewals that failed (the old leader's log has none). Recovery reads all of 32 parts at once. Tests replay the stale read.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -41,6 +41,8 @@
 is 100 times slower than usual."""
 RENEW_EVERY_MS = 450
 WATCH_EVERY_MS = 350
+SILENT_LEADER_MS = 950
+"""Two renewals."""
 TAKEOVER_MARGIN_MS = 200
 """Beyond the lease, for the way from the leader to the table."""
 ROW_TIMEOUT_SECONDS = 1.5
@@ -54,6 +56,7 @@
     epoch: Epoch
     epoch_version: RowVersion
     lease: LeaseRow | None
+    lease_version: RowVersion
     clock_ms: int
     workers: tuple[ListedWorker, ...] = ()
     """Workers that may hold tasks."""
@@ -73,19 +76,23 @@
     version = epoch_row.version if epoch_row is not None else RowVersion(0)
     workers_row = rows.get(WORKERS_KEY)
     workers = decode_workers(workers_row.value) if workers_row is not None else ()
-    return SeenLeader(epoch, version, lease, read.clock_ms, workers)
+    lease_version = lease_row.version if lease_row is not None else RowVersion(0)
+    return SeenLeader(epoch, version, lease, lease_version, read.clock_ms, workers)
 
 
-def may_take_over(seen: SeenLeader, host: HostId, address: Address) -> bool:
+def may_take_over(seen: SeenLeader, host: HostId, address: Address, unchanged_ms: int) -> bool:
     """Return whether the leadership is free for a process on `host`.
 
-    It is if the lease has run out by the table service's own clock, or if it is held by an earlier
-    process of the same host: that one has ended, since this one holds the host's addresses.
+    It is if the lease has run out by the table service's own clock and its row was not seen to
+    change for `SILENT_LEADER_MS`: a read may be seconds old, and then the lease looks over while
+    the row goes on changing. It also is if an earlier process of the same host holds it: that one
+    has ended, since this one holds the host's addresses.
     """
     lease = seen.lease
     if lease is None or (lease.host, lease.address) == (host, address):
         return True
-    return seen.clock_ms > lease.until_ms + TAKEOVER_MARGIN_MS
+    is_over = seen.clock_ms > lease.until_ms + TAKEOVER_MARGIN_MS
+    return is_over and (lease.until_ms == 0 or unchanged_ms >= SILENT_LEADER_MS)
 
 
 class TableClock:
@@ -120,6 +127,7 @@
         self.seen: SeenLeader | None = None
         self._confirmed_until = Instant(0)
         self._renewed_at = Instant(0)
+        self._changed_at = Instant(0)
 
     def is_confirmed(self, now: Instant) -> bool:
         """Return whether nobody else can have taken over yet."""
@@ -132,7 +140,9 @@
         """Return the epoch of this process once it leads."""
         while True:
             seen = await self._watch()
-            if seen is not None and may_take_over(seen, self._host, self._address):
+            if seen is not None and may_take_over(
+                seen, self._host, self._address, self._measure_unchanged(read_instant())
+            ):
                 epoch = await self._take_over(seen)
                 if epoch is not None:
                     return epoch
@@ -147,8 +157,15 @@
             log_event(Event.LEADER_NOT_READ, error=str(error))
             return None
         self._clock.note(read.clock_ms, read_instant())
-        self.seen = decode_leader(read)
-        return self.seen
+        seen = decode_leader(read)
+        if self.seen is None or seen.lease_version != self.seen.lease_version:
+            self._changed_at = read_instant()
+        self.seen = seen
+        return seen
+
+    def _measure_unchanged(self, now: Instant) -> int:
+        """Return for how long the lease's row was seen not to change."""
+        return now - self._changed_at
 
     async def _take_over(self, seen: SeenLeader) -> Epoch | None:
         epoch = Epoch(seen.epoch + 1)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_records.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_records.py
@@ -36,9 +36,9 @@
 from lentilpath_core.settings import Address
 
 JOBS_TABLE = "lentilpath-jobs"
-JOB_PARTS = 64
+JOB_PARTS = 32
 """Parts of the table of jobs. A part makes its writes one after another, so while the table is 100
-times slower it takes 2 a second; 64 parts take what a burst brings."""
+times slower it takes 2 a second; 32 parts take what a burst brings."""
 POOL_TABLE = "lentilpath-pool"
 POOL_PART = "cell"
 EPOCH_KEY = "0epoch"
--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -39,8 +39,8 @@
 )
 
 READ_TIMEOUT_SECONDS = 3.0
-READS_AT_ONCE = 8
-"""As many connections as a client keeps open."""
+READS_AT_ONCE = 32
+"""All parts at once: a leader far from the table would wait for each round of reads."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/cover/test_pool_leadership.py
+++ b/tests/cover/test_pool_leadership.py
@@ -8,7 +8,7 @@
 from lentilpath_core.pool import JobAccepted, JobCancelled
 from lentilpathd._pool import _leadership
 from lentilpathd._pool._job_feed import JobFeed
-from lentilpathd._pool._leadership import LEASE_MS, may_take_over
+from lentilpathd._pool._leadership import LEASE_MS, SILENT_LEADER_MS, may_take_over
 from lentilpathd._pool._ports import PartRow
 from lentilpathd._pool._records import encode_record
 from tests.common.pools import make_record
@@ -36,11 +36,11 @@
     asyncio.run(first.wait_for_turn())
     seen = asyncio.run(second._watch())
     assert seen is not None
-    assert not may_take_over(seen, HostId("h2"), ADDRESS)
+    assert not may_take_over(seen, HostId("h2"), ADDRESS, SILENT_LEADER_MS)
     table.clock_ms += LEASE_MS
     seen = asyncio.run(second._watch())
     assert seen is not None
-    assert not may_take_over(seen, HostId("h2"), ADDRESS)
+    assert not may_take_over(seen, HostId("h2"), ADDRESS, SILENT_LEADER_MS)
     table.clock_ms += 1_000
     assert asyncio.run(second.wait_for_turn()) == 2
 
@@ -75,3 +75,30 @@
     table = OneRowTable()
     assert asyncio.run(make_leadership(table).wait_for_turn()) == 1
     assert asyncio.run(make_leadership(table).wait_for_turn()) == 2
+
+
+def test_a_lease_that_looks_over_but_goes_on_changing_is_left_alone():
+    table = OneRowTable()
+    first, second = make_leadership(table), make_leadership(table, "h2")
+    asyncio.run(first.wait_for_turn())
+    table.clock_ms += LEASE_MS + 1_000
+    seen = asyncio.run(second._watch())
+    assert seen is not None
+    assert not may_take_over(seen, HostId("h2"), ADDRESS, SILENT_LEADER_MS - 1)
+    assert may_take_over(seen, HostId("h2"), ADDRESS, SILENT_LEADER_MS)
+
+
+def test_each_change_of_the_lease_begins_the_wait_anew(monkeypatch):
+    now = [Instant(1_000_000)]
+    monkeypatch.setattr(_leadership, "read_instant", lambda: now[0])
+    table = OneRowTable()
+    first, second = make_leadership(table), make_leadership(table, "h2")
+    epoch = asyncio.run(first.wait_for_turn())
+    for _ in range(3):
+        now[0] = Instant(now[0] + 800)
+        asyncio.run(first._write_lease(epoch, first.make_renewal(epoch)))
+        asyncio.run(second._watch())
+        assert second._measure_unchanged(now[0]) == 0
+    now[0] = Instant(now[0] + 800)
+    asyncio.run(second._watch())
+    assert second._measure_unchanged(now[0]) == 800
