Take ports for tests below those of outgoing connections

The port was found free by binding port 0 and was given by the kernel to another socket before the host listened. Ruled out: load; the other hosts had settled within a second. Ports come from 26,000 to 32,699, each process beginning elsewhere. No claim of a test is changed.

--- a/packages/lentilpath-standins/src/lentilpath_standins/cell.py
+++ b/packages/lentilpath-standins/src/lentilpath_standins/cell.py
@@ -12,6 +12,7 @@
 from lentilpath_core.errors import InvalidSettings
 from lentilpath_core.resources import Resources
 from lentilpath_core.settings import Address, HostSettings, parse_document, parse_settings
+from lentilpath_standins._free_ports import take_free_port
 
 PORT_STEP = 50
 MAX_SHIFTED_PORT = 25_999
@@ -193,21 +194,14 @@
 
 def move_to_loopback(cell: Cell) -> Cell:
     """Return `cell` with every address on 127.0.0.1, each on a port that is free now."""
-    held: list[socket.socket] = []
     moved: dict[Address, Address] = {}
 
     def take(address: Address) -> Address:
         if address not in moved:
-            holder = socket.socket()
-            holder.bind(("127.0.0.1", 0))
-            held.append(holder)
-            moved[address] = Address("127.0.0.1", holder.getsockname()[1])
+            moved[address] = Address("127.0.0.1", take_free_port())
         return moved[address]
 
-    result = move_cell(cell, take)
-    for holder in held:
-        holder.close()
-    return result
+    return move_cell(cell, take)
 
 
 def list_addresses(cell: Cell) -> Iterator[Address]:
--- a/tests/common/requests.py
+++ b/tests/common/requests.py
@@ -19,6 +19,7 @@
 from lentilpath_core.requests.policy import RequestPolicy
 from lentilpath_core.settings import Address, HostSettings, PeerSettings
 from lentilpath_http import HttpRequest, create_client
+from lentilpath_standins._free_ports import take_free_port
 from lentilpath_standins.runner import RunnerState, start_runner
 from lentilpathd._authority import Authority
 from lentilpathd._context import DaemonContext
@@ -138,7 +139,7 @@
         peers = []
         for name, place in places.items():
             zone, region = place if isinstance(place, tuple) else (place, "r")
-            address = Address(LOOPBACK, await find_free_port())
+            address = Address(LOOPBACK, take_free_port())
             peers.append(PeerSettings(HostId(name), RegionId(region), ZoneId(zone), address))
         for peer in peers:
             await self.start_host(peer, tuple(peers), policy)
@@ -216,14 +217,6 @@
         await cell.close()
 
 
-async def find_free_port():
-    server = await asyncio.start_server(lambda reader, writer: None, LOOPBACK, 0)
-    port = server.sockets[0].getsockname()[1]
-    server.close()
-    await server.wait_closed()
-    return port
-
-
 async def wait_until(condition, seconds=20.0):
     async with asyncio.timeout(seconds):
         while True:
