--- /dev/null
+++ b/make/bench.mk
@@ -0,0 +1,13 @@
+# Plays a calm day of each site with the users' bench, where the kit is there.
+.PHONY: bench-day
+
+KIT ?= ../given/kit/more/system
+
+bench-day:
+	@if [ -x $(KIT)/bin/fleetbench ]; then \
+		for site in harborspoon-lentil dhunge-grants; do \
+			$(KIT)/bin/fleetbench run $(KIT)/sites/$$site.toml quiet-1 || exit 1; \
+		done; \
+	else \
+		echo "no kit at $(KIT): nothing was played"; \
+	fi
--- /dev/null
+++ b/tests/cover/test_pool_admission.py
@@ -0,0 +1,70 @@
+"""Jobs that could only complete when their worth is gone are refused with a time to come back."""
+
+from __future__ import annotations
+
+from lentilpath_core.pool import (
+    QueueId,
+    QueueLoad,
+    StepSpec,
+    decide_admission,
+    measure_loads,
+)
+from lentilpath_core.resources import Resources
+from tests.common.pools import PoolBench, make_queue, make_record, make_worker
+
+URGENT = make_queue(QueueId("urgent"), 0, target_ms=500)
+PATIENT = make_queue(QueueId("patient"), 2, target_ms=3_000)
+WIDE = StepSpec(80, Resources(1_000, 64, 0), 1_000)
+"""Ten times what the worker does in a second."""
+CHECK = StepSpec(1, Resources(1_000, 64, 0), 500)
+
+
+def make_loaded_bench(jobs: int, queue: QueueId) -> PoolBench:
+    bench = PoolBench(URGENT, PATIENT)
+    bench.add_workers(make_worker("w1"))
+    for job in range(1, jobs + 1):
+        bench.submit(job, WIDE, queue=queue)
+    return bench
+
+
+def test_the_wait_of_a_queue_counts_what_is_as_urgent_or_more():
+    bench = make_loaded_bench(1, QueueId("patient"))
+    loads = measure_loads(bench.state, bench.now)
+    assert loads["patient"] == QueueLoad(1, 10_000)
+    assert loads["urgent"] == QueueLoad(0, 0)
+
+
+def test_a_job_is_accepted_while_it_can_still_earn_something():
+    record = make_record(1, CHECK, queue=QueueId("urgent"))
+    assert decide_admission(record, URGENT, None) is None
+    assert decide_admission(record, URGENT, QueueLoad(5, 4_000)) is None
+
+
+def test_a_job_that_cannot_earn_anything_is_refused_until_the_work_before_it_has_drained():
+    record = make_record(16, CHECK, queue=QueueId("urgent"))
+    retry_ms = decide_admission(record, URGENT, QueueLoad(50, 10_000))
+    assert retry_ms is not None
+    assert decide_admission(record, URGENT, QueueLoad(50, 10_000 - retry_ms)) is None
+
+
+def test_refused_callers_come_back_spread_out():
+    load = QueueLoad(50, 20_000)
+    retries = {
+        decide_admission(make_record(job, CHECK, queue=QueueId("urgent")), URGENT, load)
+        for job in range(16)
+    }
+    assert len(retries) == 16
+
+
+def test_a_burst_of_patient_work_does_not_turn_urgent_jobs_away():
+    bench = make_loaded_bench(20, QueueId("patient"))
+    loads = measure_loads(bench.state, bench.now)
+    urgent = make_record(99, CHECK, queue=QueueId("urgent"))
+    patient = make_record(98, CHECK, queue=QueueId("patient"))
+    assert decide_admission(urgent, URGENT, loads["urgent"]) is None
+    assert decide_admission(patient, PATIENT, loads["patient"]) is not None
+
+
+def test_work_that_lasts_is_never_refused_for_the_load():
+    record = make_record(1, StepSpec(1, Resources(1_000, 64, 0), lasting=True))
+    assert decide_admission(record, URGENT, QueueLoad(50, 10**6)) is None
