Take free ports in the tests of leadership

The host that could not listen ended silently, and a later wait timed out. Ruled out: leadership itself; the failing host never took part. A host of these tests whose part fails now says so when it is ended.

--- a/tests/common/leadership_hosts.py
+++ b/tests/common/leadership_hosts.py
@@ -8,6 +8,7 @@
 from lentilpath_core.ids import HostId, Incarnation, RegionId, ZoneId
 from lentilpath_core.leadership import ZoneRow, decode_zone_row, get_zone_key
 from lentilpath_core.settings import Address, HostSettings, LeadershipSettings, PeerSettings
+from lentilpath_standins._free_ports import take_free_port
 from lentilpathd._authority import Authority
 from lentilpathd._clock import read_instant
 from lentilpathd._context import DaemonContext
@@ -48,8 +49,11 @@
     async def kill(self) -> None:
         for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        ends = await asyncio.gather(*self._tasks, return_exceptions=True)
         self.bus.close()
+        failures = [end for end in ends if isinstance(end, Exception)]
+        if failures:
+            raise ExceptionGroup(f"parts of {self.settings.host} failed", failures)
 
     def decides(self) -> bool:
         authority = self.get_authority()
@@ -68,11 +72,9 @@
         return self.leadership.get_authority()
 
 
-def create_zone(
-    count: int, first_port: int, table: Any, leadership: LeadershipSettings
-) -> list[ZoneHost]:
+def create_zone(count: int, table: Any, leadership: LeadershipSettings) -> list[ZoneHost]:
     peers = tuple(
-        PeerSettings(HostId(f"h{i}"), REGION, ZONE, Address("127.0.0.1", first_port + i))
+        PeerSettings(HostId(f"h{i}"), REGION, ZONE, Address("127.0.0.1", take_free_port()))
         for i in range(count)
     )
     unused = Address("127.0.0.1", 1)
--- a/tests/nocover/test_leadership_hosts.py
+++ b/tests/nocover/test_leadership_hosts.py
@@ -34,7 +34,7 @@
 def test_one_host_leads_and_all_know_it():
     async def scenario() -> None:
         table = MemoryTable()
-        async with run_zone(create_zone(3, 21_000, table, SETTINGS)) as hosts:
+        async with run_zone(create_zone(3, table, SETTINGS)) as hosts:
             leader = await wait_for_leader(hosts)
             name = leader.settings.host
             await wait_for(lambda: all(h.leadership.get_leader(ZONE) == name for h in hosts))
@@ -47,7 +47,7 @@
 def test_another_host_leads_after_a_kill():
     async def scenario() -> None:
         table = MemoryTable()
-        async with run_zone(create_zone(3, 21_010, table, FAST)) as hosts:
+        async with run_zone(create_zone(3, table, FAST)) as hosts:
             leader = await wait_for_leader(hosts)
             await wait_for(lambda: knows_all(leader, 3))
             epoch = leader.expect_authority().epoch
@@ -64,7 +64,7 @@
         table = MemoryTable()
         # With this lease a take-over by watching would outlast the limit of `wait_for`.
         slow = LeadershipSettings(lease_ms=100_000)
-        async with run_zone(create_zone(3, 21_020, table, slow)) as hosts:
+        async with run_zone(create_zone(3, table, slow)) as hosts:
             leader = await wait_for_leader(hosts)
             await wait_for(lambda: knows_all(leader, 3))
             await leader.leadership.release()
@@ -78,7 +78,7 @@
 def test_hand_over_waits_for_commands_of_unknown_outcome():
     async def scenario() -> None:
         table = MemoryTable()
-        async with run_zone(create_zone(3, 21_070, table, SETTINGS)) as hosts:
+        async with run_zone(create_zone(3, table, SETTINGS)) as hosts:
             leader = await wait_for_leader(hosts)
             await wait_for(lambda: knows_all(leader, 3))
             commands_end = Instant(read_instant() + 700)
@@ -94,7 +94,7 @@
 def test_outage_leaves_the_leader_in_place():
     async def scenario() -> None:
         table = MemoryTable()
-        async with run_zone(create_zone(3, 21_030, table, SETTINGS)) as hosts:
+        async with run_zone(create_zone(3, table, SETTINGS)) as hosts:
             leader = await wait_for_leader(hosts)
             await wait_for(lambda: knows_all(leader, 3))
             table.down = True
@@ -110,7 +110,7 @@
 def test_outage_with_a_missing_member_leaves_nobody_in_charge_until_the_table_is_back():
     async def scenario() -> None:
         table = MemoryTable()
-        async with run_zone(create_zone(3, 21_040, table, FAST)) as hosts:
+        async with run_zone(create_zone(3, table, FAST)) as hosts:
             leader = await wait_for_leader(hosts)
             await wait_for(lambda: knows_all(leader, 3))
             table.down = True
@@ -128,7 +128,7 @@
 def test_restart_of_every_host_at_once_does_not_wait_for_the_horizon():
     async def scenario() -> None:
         table = MemoryTable()
-        async with run_zone(create_zone(3, 21_050, table, SETTINGS)) as hosts:
+        async with run_zone(create_zone(3, table, SETTINGS)) as hosts:
             leader = await wait_for_leader(hosts)
             await wait_for(lambda: knows_all(leader, 3))
             for host in hosts:
@@ -143,7 +143,7 @@
 def test_table_slower_than_the_lease_still_leaves_a_leader():
     async def scenario() -> None:
         table = MemoryTable()
-        async with run_zone(create_zone(3, 21_080, table, SETTINGS)) as hosts:
+        async with run_zone(create_zone(3, table, SETTINGS)) as hosts:
             leader = await wait_for_leader(hosts)
             await wait_for(lambda: knows_all(leader, 3))
             table.answer_seconds = 1.2
@@ -161,7 +161,7 @@
 def test_lost_answers_do_not_end_the_lead():
     async def scenario() -> None:
         table = MemoryTable()
-        async with run_zone(create_zone(2, 21_060, table, SETTINGS)) as hosts:
+        async with run_zone(create_zone(2, table, SETTINGS)) as hosts:
             leader = await wait_for_leader(hosts)
             await wait_for(lambda: knows_all(leader, 2))
             table.lose_answers = EVERY_ANSWER
