Lose no connection that a caller has made when a server stops

Cause: a stop closed the listener with connections still in the kernel's queue (reset), dropped those that the loop had accepted but not set up, and cut new ones that had not sent their request yet; without idle connections it did not wait at all.

--- a/packages/lentilpath-http/src/lentilpath_http/_server.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_server.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import contextlib
+import logging
+import math
+import socket
 import ssl
 from collections.abc import Awaitable, Callable
 
@@ -20,6 +23,9 @@
 )
 
 READ_CHUNK_BYTES = 65_536
+BACKLOG = 1_024
+"""Connections that the kernel holds until the loop takes them, at most; a quarter of the default
+limit on open connections."""
 HEAD_TOO_LARGE = 431
 WATCH_AFTER_SECONDS = 0.01
 
@@ -33,15 +39,22 @@
         self._handler = handler
         self._limits = limits
         self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._tls: ssl.SSLContext | None = None
         self._connections: set[asyncio.Task[None]] = set()
         self._idle: set[asyncio.Task[None]] = set()
+        self._unused: set[asyncio.Task[None]] = set()
+        """Idle connections that have not brought a request yet."""
         self._closing = False
 
     async def start(self, address: str, port: int, tls: ssl.SSLContext | None) -> None:
         """Listen on `address` and `port`."""
+        self._tls = tls
         self._server = await asyncio.start_server(
-            self._serve_connection, address, port, ssl=tls, backlog=1024
+            self._serve_connection, address, port, ssl=tls, backlog=BACKLOG
         )
+        # Keeps the kernel's queue of connections alive after the loop has stopped to listen.
+        self._listener = self._server.sockets[0].dup()
 
     def get_port(self) -> int:
         """Return the port that the server listens on."""
@@ -51,20 +64,48 @@
 
     async def close(self, grace_seconds: float) -> None:
         """Stop listening, finish requests in progress for at most `grace_seconds`, then close."""
+        deadline = asyncio.get_running_loop().time() + grace_seconds
         self._closing = True
         if self._server is not None:
-            self._server.close()
+            await self._stop_listening(self._server)
         # A request may be on its way on a connection that looks idle here. It is still answered,
         # with word that the connection ends.
-        linger_seconds = min(self._limits.linger_seconds, grace_seconds) if self._idle else 0.0
-        await asyncio.sleep(linger_seconds)
-        for task in tuple(self._idle):
-            task.cancel()
-        remaining_seconds = max(0.0, grace_seconds - linger_seconds)
+        await asyncio.sleep(min(self._limits.linger_seconds, grace_seconds))
+        _cancel_all(self._idle - self._unused)
+        # Who has just connected is about to send a request.
+        await self._wait_until_closed(deadline, self._limits.receive_seconds)
+        _cancel_all(self._idle)
+        await self._wait_until_closed(deadline)
+        _cancel_all(self._connections)
+
+    async def _stop_listening(self, server: asyncio.Server) -> None:
+        """Refuse new connections and lose none that a caller has already made."""
+        loop = asyncio.get_running_loop()
+        assert self._listener is not None
+        loop.remove_reader(server.sockets[0].fileno())
+        # Connections that the loop has accepted fail if the server closes before they are set up.
+        await asyncio.sleep(0)
+        server.close()
+        waiting: list[socket.socket] = []
+        with self._listener as listener, contextlib.suppress(BlockingIOError):
+            while True:
+                connection, _ = listener.accept()
+                connection.setblocking(False)
+                waiting.append(connection)
+        for connection in waiting:
+            try:
+                await loop.connect_accepted_socket(self._create_protocol, connection, ssl=self._tls)
+            except OSError as error:
+                # The caller has gone, or its TLS handshake failed.
+                logging.info("a connection made during a stop was lost: %r", error)
+
+    def _create_protocol(self) -> asyncio.StreamReaderProtocol:
+        return asyncio.StreamReaderProtocol(asyncio.StreamReader(), self._serve_connection)
+
+    async def _wait_until_closed(self, deadline: float, limit_seconds: float = math.inf) -> None:
         if self._connections:
-            await asyncio.wait(tuple(self._connections), timeout=remaining_seconds)
-        for task in tuple(self._connections):
-            task.cancel()
+            left_seconds = max(0.0, deadline - asyncio.get_running_loop().time())
+            await asyncio.wait(tuple(self._connections), timeout=min(left_seconds, limit_seconds))
 
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -75,6 +116,7 @@
             writer.transport.abort()
             return
         self._connections.add(task)
+        self._unused.add(task)
         set_keepalive(writer.get_extra_info("socket"))
         try:
             await self._serve_requests(reader, writer, task)
@@ -85,6 +127,7 @@
         finally:
             self._connections.discard(task)
             self._idle.discard(task)
+            self._unused.discard(task)
             writer.close()
 
     async def _serve_requests(
@@ -184,6 +227,7 @@
                     self._idle.discard(task)
                 if not started and data:
                     started = True
+                    self._unused.discard(task)
                     deadline = loop.time() + self._limits.receive_seconds
                 state.receive_data(data)
             elif isinstance(event, h11.Request):
@@ -266,6 +310,11 @@
             await writer.drain()
 
 
+def _cancel_all(tasks: set[asyncio.Task[None]]) -> None:
+    for task in tuple(tasks):
+        task.cancel()
+
+
 async def serve_http(
     handler: Handler,
     address: str,
