Put a changed settings file in force while the process runs; log errors that were swallowed

Now the file is read again each second and on SIGHUP. Bounds and the platform's addresses take effect; a file that cannot be used changes nothing and is reported once; the rest is named as waiting for a restart. A new leader waits for the longest lease that any settings allow, since leaders' settings may differ.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_admission.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_admission.py
@@ -23,6 +23,7 @@
 RETRY_SPREAD = 0.5
 """Callers come back over this share of the wait beyond it, so that they don't come all at once."""
 SPREAD_STEPS = 16
+"""Values of the last digit of a job's id, which spreads callers evenly."""
 
 
 class QueueLoad(msgspec.Struct, frozen=True):
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -37,7 +37,6 @@
 """Steps that may find no room in one pass, which bounds its time."""
 MAX_ASKED_WORKERS = 100
 """Workers that one advice call may name."""
-LEAVING_MARGIN_MS = 300
 
 Places = dict[int, Worker]
 
@@ -241,10 +240,13 @@
 
 
 REMOTE_COST = 4.0
+"""Outweighs any difference in fit, at most 2: remote runs take up to three times as long."""
 SLOW_COST = 8.0
+"""Outweighs a remote place: a slow worker is slower than the remote factor."""
 RESERVED_COST = 16.0
+"""Outweighs a slow place: a gang that waits for one worker waits with all its tasks."""
 AVOIDED_COST = 32.0
-"""Costs that outweigh any difference in fit, which is at most 2, and each other in this order."""
+"""Outweighs all others: where a task has failed it most likely fails again."""
 
 
 def _get_cost(step: Step, worker: Worker, left: Resources) -> float:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_sharing.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_sharing.py
@@ -11,13 +11,17 @@
 from lentilpath_core.pool._state import Attempt, Phase, Worker
 
 FULL_PACE = 100
+"""Percent; the pace at which runs start."""
 SLOW_DOWN_AFTER_MS = 700
 """A change of pace shows in the figures of the half second after it."""
 SPEED_UP_AFTER_MS = 2_000
+"""Four of the half seconds that a report covers, so that one quiet moment counts little."""
 SLOW_DOWN_FACTOR = 4
 """Two steps leave almost nothing, well before 4 s over the target are counted as harm."""
 MIN_PACE = 10
+"""Percent; less than this is nearly nothing and still disturbs, so it becomes 0."""
 SPEED_UP_STEP = 25
+"""Percent; from 0 to full pace in four steps."""
 CALM_SHARE = 0.8
 """Filling work goes faster only while serving work is this far below its target."""
 
--- a/packages/lentilpath-http/src/lentilpath_http/_client.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_client.py
@@ -35,6 +35,14 @@
         self.bytes_sent = 0
         self.bytes_received = 0
 
+    def move_to(self, address: str, port: int) -> None:
+        """Send further requests to another address; those under way go on at the earlier one."""
+        if (address, port) == (self.address, self.port):
+            return
+        self.address = address
+        self.port = port
+        self.close()
+
     async def send(self, request: HttpRequest, timeout: float) -> HttpResponse:
         """Send `request` and return the whole response.
 
@@ -44,6 +52,7 @@
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
+        peer = (self.address, self.port)
         connection = await self._take_connection(timeout)
         sent = connection.bytes_sent
         received = connection.bytes_received
@@ -57,7 +66,8 @@
         finally:
             self.bytes_sent += connection.bytes_sent - sent
             self.bytes_received += connection.bytes_received - received
-        if connection.is_usable() and len(self._idle) < MAX_IDLE_CONNECTIONS:
+        is_kept = peer == (self.address, self.port) and len(self._idle) < MAX_IDLE_CONNECTIONS
+        if is_kept and connection.is_usable():
             self._idle.append(connection)
         else:
             connection.close()
--- a/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
@@ -14,7 +14,9 @@
 WAIT_SECONDS = 1.2
 """A change is in force in 2.5 s also if the feed's connection went silent just before it."""
 TIMEOUT_SECONDS = 0.8
+"""Beyond the wait; together they stay under the 2.5 s in which a version must be in force."""
 RETRY_SECONDS = 0.15
+"""Fits several times into the 2.5 s in which a version must be in force."""
 
 
 class ConfigurationFollower:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_context.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_context.py
@@ -17,11 +17,12 @@
 from lentilpathd._pool._table_path import TablePath
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class PoolContext:
     """One host's settings, connections and identity."""
 
     settings: PoolHostSettings
+    """Replaced when the settings file changes; the rest stays."""
     incarnation: Incarnation
     bus: PeerBus
     table: TablePath
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -46,6 +46,7 @@
     WorkerFactory,
 )
 from lentilpathd._pool._settings import PoolHostSettings
+from lentilpathd._pool._settings_watch import LoadSettings, SettingsWatcher
 from lentilpathd._pool._table_path import TablePath
 from lentilpathd._pool._term import Term
 from lentilpathd._supervisor import Part, supervise_parts
@@ -53,11 +54,14 @@
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 INCARNATION_DIGITS = 8
+"""32 bits: two processes of one host never get the same in practice."""
 UNREADY_SECONDS = 2.4
 """How long a stopping host still takes connections: the balancer notices after two questions a
 second apart."""
 STOP_MARGIN_SECONDS = 0.8
+"""Kept from the grace of a stop to give back the leadership: one write to a slow table."""
 DIGEST_SECONDS = 0.5
+"""A quarter of the 2 s by which the count of waiting jobs may be old."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +72,7 @@
     open_registry: Callable[[PartitionedTable], Registry]
     create_worker: WorkerFactory
     advice: AdviceService
+    load_settings: LoadSettings = lambda: None
 
 
 class NotLeading(LentilpathError):
@@ -109,6 +114,9 @@
             self.is_leading,
         )
         self.jobs = Jobs(self.context)
+        self.settings_watcher = SettingsWatcher(
+            ports.load_settings, lambda: self.settings, self._take_settings
+        )
         self.stopping = asyncio.Event()
         self._term: Term | None = None
         self.bus.handle(HELLO_TOPIC, self._answer_hello)
@@ -142,9 +150,16 @@
                 Part("table path", self.table.run),
                 Part("leadership", self._lead_in_turn),
                 Part("leader watch", self._watch_leader),
+                Part("settings", self.settings_watcher.run),
             )
         )
 
+    def _take_settings(self, settings: PoolHostSettings) -> None:
+        self.settings = settings
+        self.context.settings = settings
+        if self._term is not None:
+            self._term.take_settings()
+
     def _take_configuration(self, configuration: PoolConfiguration) -> None:
         if self._term is not None:
             self._term.take_configuration(configuration)
@@ -241,8 +256,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log_event(Event.SETTINGS_CHANGED))
     host = PoolHost(settings, ports)
+    loop.add_signal_handler(signal.SIGHUP, host.settings_watcher.request)
     log_event(Event.PROCESS_STARTED, host=settings.host, zone=settings.zone)
     callers = await serve_http(
         make_handler(host), settings.callers.host, settings.callers.port, limits=HttpLimits()
@@ -258,7 +273,7 @@
     await asyncio.wait((running, stopping), return_when=asyncio.FIRST_COMPLETED)
     planned = stop.is_set()
     if planned:
-        await _drain(host, callers, settings)
+        await _drain(host, callers)
     else:
         log_warning_event(Event.PART_GIVEN_UP, error=repr(running.exception()))
     running.cancel()
@@ -270,10 +285,10 @@
     return planned
 
 
-async def _drain(host: PoolHost, callers: HttpServer, settings: PoolHostSettings) -> None:
-    log_event(Event.PROCESS_DRAINING, host=settings.host)
+async def _drain(host: PoolHost, callers: HttpServer) -> None:
+    log_event(Event.PROCESS_DRAINING, host=host.settings.host)
     host.stopping.set()
     begun = read_instant()
     await asyncio.sleep(UNREADY_SECONDS)
-    left_ms = settings.stop_grace_ms - (read_instant() - begun)
+    left_ms = host.settings.stop_grace_ms - (read_instant() - begun)
     await callers.close(max(0.0, left_ms / MS_PER_SECOND - STOP_MARGIN_SECONDS))
--- a/packages/lentilpathd/src/lentilpathd/_pool/_job_feed.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_job_feed.py
@@ -15,13 +15,16 @@
 from lentilpathd._pool._recovery import make_job_events, read_all_jobs
 
 WAIT_SECONDS = 1.5
+"""With the timeout it stays under the 3 s in which an accepted job must be visible."""
 GATHER_SECONDS = 0.3
 """Pause after jobs were seen, so that several share one call. Hosts tell the leader of each job
 at once, so the feed only brings what such a message has missed."""
 FOLLOW_TIMEOUT_SECONDS = 1.0
 """Beyond the wait, after which the connection counts as silent."""
 RETRY_SECONDS = 0.2
+"""Fits several times into the 3 s in which an accepted job must be visible."""
 UNCONFIRMED_RETRY_SECONDS = 0.1
+"""A quarter of the time between renewals of the leader's lease, which confirm it."""
 
 TakeJob = Callable[[JobAccepted | JobCancelled, RowVersion], None]
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -43,14 +43,18 @@
 from lentilpathd._ports import ABSENT
 
 READ_TIMEOUT_SECONDS = 0.8
+"""A quarter of a caller's usual 3 s, so that it may be told to ask again in time."""
 STATE_TIMEOUT_SECONDS = 0.4
+"""Half of a read of the table, which follows if the leader does not answer."""
 RETRY_SECONDS = 0.05
+"""One way there and back between regions."""
 STORE_AWAY_RETRY_MS = 1_000
 """When to come back while the table does not take writes."""
 SETTLE_SHARE = 0.25
 """Part of a caller's time that is spent on settling an unclear write. The caller does better to
 ask again, by when another host may have a way to the table."""
 NOTICE_TIMEOUT_SECONDS = 0.4
+"""Longer than the job feed's pause; after it the feed is sooner."""
 
 
 class SubmissionResult(Enum):
@@ -240,9 +244,10 @@
         while True:
             try:
                 commit = await table.commit(transaction, table.get_patience())
-            except (Unavailable, OutcomeUnknown):
+            except (Unavailable, OutcomeUnknown) as error:
                 if read_instant() >= give_up_at:
                     raise
+                log_event(Event.CANCEL_UNCLEAR, job=job, error=str(error))
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             self._tell_leader(transaction, commit.version)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -40,7 +40,9 @@
 """A leader that is silent for this long may be replaced; four renewals fit, or two while the table
 is 100 times slower than usual."""
 RENEW_EVERY_MS = 450
+"""Four renewals in a lease."""
 WATCH_EVERY_MS = 350
+"""Under the time between renewals, so that a host sees each of them."""
 SILENT_LEADER_MS = 950
 """Two renewals."""
 TAKEOVER_MARGIN_MS = 200
@@ -203,7 +205,8 @@
             read = await self._table.read_part(
                 POOL_TABLE, POOL_PART, EPOCH_KEY[0], LEADER_KEYS_END, ROW_TIMEOUT_SECONDS
             )
-        except (Unavailable, OutcomeUnknown):
+        except (Unavailable, OutcomeUnknown) as error:
+            log_event(Event.TAKEOVER_UNCLEAR, epoch=epoch, error=str(error))
             return None
         for row in read.rows:
             if row.key == EPOCH_KEY:
@@ -211,6 +214,7 @@
                 if found.epoch == epoch and found.incarnation == self._incarnation:
                     self.epoch_version = row.version
                     return epoch
+        log_event(Event.TAKEOVER_UNCLEAR, epoch=epoch, error="it is not stored, or not yet")
         return None
 
     def _make_lease(self, epoch: Epoch, now: Instant) -> LeaseRow:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -36,12 +36,15 @@
 DURABLE_WAIT_SECONDS = 0.4
 """Renewals go on after this also if ends are not durable yet, to keep the leases."""
 RETRY_SECONDS = 0.1
+"""Twice the longest way there and back."""
 COMMAND_TIMEOUT_SECONDS = 0.8
+"""Under a quarter of a lease, so that a lost command is found well before its lease is over."""
 COMMANDS_AT_ONCE = 3
 """Starts and stops under way to one worker, each on a connection of its own."""
 CLOCK_DRIFT = 0.02
 """A worker's clock may run this share slow."""
 LEASE_MARGIN_MS = 150
+"""For the rounding of both clocks and a loop that is late by a slice of its quota, 100 ms."""
 
 
 class WorkerClock:
@@ -96,14 +99,14 @@
         listed: ListedWorker,
         client: PoolWorker,
         epoch: Epoch,
-        lease_ms: int,
+        get_lease_ms: Callable[[], int],
         writer: RecordWriter,
         take_event: Callable[[PoolEvent], None],
     ) -> None:
         self._listed = listed
         self._client = client
         self._epoch = epoch
-        self._lease_ms = lease_ms
+        self._get_lease_ms = get_lease_ms
         self._writer = writer
         self._take_event = take_event
         self._clock = WorkerClock()
@@ -167,7 +170,7 @@
         return True
 
     def _grant(self, now: Instant) -> WorkerTime | None:
-        lease = self._clock.make_lease(now, self._lease_ms)
+        lease = self._clock.make_lease(now, self._get_lease_ms())
         if lease is None:
             return None
         self._take_event(LeaseSent(self._listed.worker, self._listed.life, lease[1]))
--- a/packages/lentilpathd/src/lentilpathd/_pool/_members.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_members.py
@@ -18,12 +18,15 @@
 from lentilpathd._pool._settings import PoolHostSettings
 
 HELLO_EVERY_MS = 500
+"""A quarter of the 2 s by which the count of waiting jobs may be old."""
 HELLO_TIMEOUT_SECONDS = 0.5
+"""One greeting is under way at a time."""
 DIGEST_VALID_MS = 1_700
 """Counts that callers are given may be 2 s old."""
 UNCLEAR_MS = 30_000
 """Longer than any write was seen to be applied late, and than callers go on asking."""
 MAX_UNCLEAR_JOBS = 5_000
+"""Several times the jobs that a burst brings in `UNCLEAR_MS`; bounds the memory to under 1 MB."""
 MEMBER_SILENT_MS = 1_600
 """A host that has not spoken for three greetings gets no more questions."""
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -39,6 +39,7 @@
 )
 
 READ_TIMEOUT_SECONDS = 3.0
+"""All parts are read at once, and each read takes 0.4 s while the table is 100 times slower."""
 READS_AT_ONCE = 32
 """All parts at once: a leader far from the table would wait for each round of reads."""
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_removal.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_removal.py
@@ -20,9 +20,11 @@
 )
 
 GATHER_SECONDS = 1.0
+"""Finished jobs are kept for minutes, so nothing is lost by waiting."""
 MAX_JOBS = 40
 """Jobs in one transaction, which takes 100 entries; a job has up to two rows."""
 TIMEOUT_SECONDS = 1.0
+"""Twice a transaction while the table is 100 times slower than its usual 5 ms."""
 
 
 class JobRemover:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields, replace
 
 from lentilpath_core.ids import HostId, RegionId, ZoneId
 from lentilpath_core.settings import Address
@@ -35,7 +35,25 @@
     job_memory_ms: int = 120_000
     """How long the state of a finished job can be asked for."""
 
+    def list_changes(self, other: PoolHostSettings) -> frozenset[str]:
+        """Return the names of the settings that `other` has changed."""
+        return frozenset(
+            each.name
+            for each in fields(self)
+            if getattr(self, each.name) != getattr(other, each.name)
+        )
+
+    def take_live(self, other: PoolHostSettings) -> PoolHostSettings:
+        """Return these settings with those of `other` that can change while the process runs."""
+        return replace(self, **{name: getattr(other, name) for name in LIVE_SETTINGS})
+
     @property
     def lease_ms(self) -> int:
         """The lease that the leader grants to what runs on a worker."""
         return min(self.longest_lease_ms, MAX_LEASE_MS)
+
+
+LIVE_SETTINGS = frozenset(
+    {"longest_lease_ms", "stop_grace_ms", "expected_callers_deadline_ms", "job_memory_ms"}
+)
+"""The others say who the process is and where it listens; it keeps them until its end."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
@@ -34,6 +34,7 @@
 
 RELAY_TOPIC = "pool.table"
 PROBE_EVERY_SECONDS = 0.25
+"""Each host then makes four calls a second at most, of the 2,000 that all may make."""
 PROBE_TIMEOUT_SECONDS = 0.8
 """Enough for a read while the table is 100 times slower than its usual 4 ms."""
 FAILURES_TO_BREAK = 2.0
@@ -46,11 +47,13 @@
 RELAY_PAUSE_MS = 400
 """No relaying for this long after no host could help; about two probes."""
 RELAYS_TRIED = 2
+"""Each takes up to the whole timeout; more would outlast a caller's 3 s."""
 MIN_PATIENCE_SECONDS = 0.6
 """Several times the longest way to the table and back, with a transaction."""
 MAX_PATIENCE_SECONDS = 1.5
 """Half of the time that a caller waits."""
 PATIENCE_FACTOR = 3.0
+"""Answers of a slow table spread by this much around their mean."""
 ANSWER_WEIGHT = 0.1
 """Weight of one more answer in the usual time of an answer."""
 
@@ -154,6 +157,7 @@
                     POOL_TABLE, POOL_PART, EPOCH_KEY, LEADER_KEYS_END, PROBE_TIMEOUT_SECONDS
                 )
             except LentilpathError:
+                # The loss was logged when it was found; a line for each probe would add nothing.
                 await asyncio.sleep(PROBE_EVERY_SECONDS)
                 continue
             self._note_answer(sent_at)
@@ -267,6 +271,7 @@
             try:
                 reply = await self._bus.ask(host, RELAY_TOPIC, question, RelayReply, timeout)
             except LentilpathError as error:
+                log_event(Event.RELAY_FAILED, host=host, error=str(error))
                 if question.commit is not None:
                     raise OutcomeUnknown(f"{host} did not answer for the table: {error}") from error
                 continue
@@ -288,6 +293,7 @@
                 return await self._commit_for_other(question.commit)
             if question.read is not None:
                 return await self._read_for_other(question.read)
+        # The host that asked logs what it is told, with the id of the request.
         except HistoryLost:
             return RelayReply("history-lost")
         except OutcomeUnknown:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -51,9 +51,11 @@
 from lentilpathd._pool._records import format_task
 from lentilpathd._pool._recovery import READ_TIMEOUT_SECONDS, read_pool
 from lentilpathd._pool._removal import JobRemover
+from lentilpathd._pool._settings import MAX_LEASE_MS
 from lentilpathd._pool._writer import RecordWriter
 
 TICK_SECONDS = 0.25
+"""Due times may be missed by 250 ms at most."""
 PLACE_SECONDS = 0.01
 """Events that arrive within this share one pass over what waits."""
 WORKERS_EVERY_SECONDS = 0.7
@@ -62,7 +64,9 @@
 """A worker whose entry is missing this long is gone: entries that lapsed while the platform's
 table was away are back within 2 s of its return."""
 LIST_TIMEOUT_SECONDS = 1.0
+"""With the pause between reads, under the 2.5 s in which starts on a leaving worker must end."""
 RETRY_SECONDS = 0.2
+"""Five in a second; a recovery makes 34 calls of the 2,000 that all hosts may make in one."""
 
 
 class Term:
@@ -73,7 +77,8 @@
         self._epoch = epoch
         self._leadership = leadership
         now = read_instant()
-        lease_ms = context.settings.lease_ms / (1 - CLOCK_DRIFT) + LEASE_MARGIN_MS
+        # Leaders with other settings may have granted longer leases than this one does.
+        lease_ms = MAX_LEASE_MS / (1 - CLOCK_DRIFT) + LEASE_MARGIN_MS
         self._state = create_pool(epoch, Instant(int(now + lease_ms) + 1))
         self._writer = RecordWriter(context.table, epoch, leadership, self.take_event)
         self._remover = JobRemover(context.table, epoch, leadership.epoch_version)
@@ -135,7 +140,7 @@
                 await asyncio.sleep(RETRY_SECONDS)
         self._jobs_version = recovered.jobs_version
         self._writer.note_stored(recovered.end_keys)
-        self._state.job_memory_ms = self._context.settings.job_memory_ms
+        self.take_settings()
         configuration = self._context.get_configuration()
         if configuration is not None:
             self.take_event(ConfigurationSet(configuration))
@@ -157,6 +162,10 @@
         """Decide by this configuration from now on."""
         self.take_event(ConfigurationSet(configuration))
 
+    def take_settings(self) -> None:
+        """Decide by the settings that are in force now."""
+        self._state.job_memory_ms = self._context.settings.job_memory_ms
+
     def take_event(self, event: PoolEvent) -> None:
         """Decide about an event and carry out the effects."""
         for effect in decide_pool(self._state, event, read_instant()):
@@ -288,7 +297,7 @@
                 worker.listed,
                 client,
                 self._epoch,
-                self._context.settings.lease_ms,
+                lambda: self._context.settings.lease_ms,
                 self._writer,
                 self.take_event,
             )
--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -43,7 +43,9 @@
 COMMIT_TIMEOUT_SECONDS = 1.5
 """Enough for a transaction while the table is 100 times slower than usual."""
 RETRY_SECONDS = 0.15
+"""Several times the pause in which records gather; doubled each time."""
 MAX_RETRY_SECONDS = 1.0
+"""Half of the leader's lease."""
 
 Record = RecordRun | RecordFinal | RecordWorkers
 
--- a/packages/lentilpathd/src/lentilpathd/pool.py
+++ b/packages/lentilpathd/src/lentilpathd/pool.py
@@ -2,6 +2,7 @@
 
 from lentilpathd._clock import read_wall_time
 from lentilpathd._logs import set_up_structured_log
+from lentilpathd._pool._adapter_log import log_unanswered_job, log_unreadable_entry
 from lentilpathd._pool._host import Handler, PlatformPorts, PoolHost, run_pool_host
 from lentilpathd._pool._jobs import Jobs, SubmissionAnswer, SubmissionResult
 from lentilpathd._pool._ports import (
@@ -19,7 +20,6 @@
     Registry,
     WorkerFactory,
 )
-from lentilpathd._pool._registry_log import log_unreadable_entry
 from lentilpathd._pool._settings import PoolHostSettings
 
 __all__ = [
@@ -43,6 +43,7 @@
     "SubmissionAnswer",
     "SubmissionResult",
     "WorkerFactory",
+    "log_unanswered_job",
     "log_unreadable_entry",
     "read_wall_time",
     "run_pool_host",
--- a/tests/cover/test_pool_link.py
+++ b/tests/cover/test_pool_link.py
@@ -60,7 +60,9 @@
 
     async def play() -> None:
         writer = RecordWriter(UNUSED_TABLE, Epoch(1), make_leadership(OneRowTable()), events.append)
-        link = WorkerLink(make_worker("w1"), client, Epoch(1), LEASE_MS, writer, events.append)
+        link = WorkerLink(
+            make_worker("w1"), client, Epoch(1), lambda: LEASE_MS, writer, events.append
+        )
         task = asyncio.create_task(link.run())
         while client.silent_renewals < renewals:
             await asyncio.sleep(0.001)
--- /dev/null
+++ b/tests/cover/test_pool_settings.py
@@ -0,0 +1,119 @@
+"""A changed settings file takes effect while the process runs, with or without a signal."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+
+from lentilpath_core.errors import InvalidSettings
+from lentilpath_core.settings import Address
+from lentilpath_platform.settings import SettingsFile, parse_settings
+from lentilpathd._pool import _settings_watch
+from lentilpathd._pool._settings import PoolHostSettings
+from lentilpathd._pool._settings_watch import SettingsWatcher
+
+FILE = {
+    "nodeName": "edge-1",
+    "ip": "10.0.0.1",
+    "zone": "z1",
+    "region": "r",
+    "listenAddrs": {"frontend": "10.0.0.1:80", "ready": "10.0.0.1:81"},
+    "portRange": [7000, 7010],
+    "platform": {"address": "10.0.0.9:8000"},
+    "bounds": {"graceS": 6, "holdMaxMs": 6000, "status_s": 120},
+}
+
+
+def write(path: Path, **changes: object) -> None:
+    path.write_text(json.dumps({**FILE, **changes}))
+
+
+class Watched:
+    """A watcher of settings that a test hands out."""
+
+    def __init__(self, *found: PoolHostSettings | InvalidSettings | None) -> None:
+        self.current = parse_settings(json.dumps(FILE)).host
+        self.found = list(found)
+        self.taken: list[PoolHostSettings] = []
+        self.changed = asyncio.Event()
+        self.watcher = SettingsWatcher(self.load, lambda: self.current, self.take)
+
+    def load(self) -> PoolHostSettings | None:
+        found = self.found.pop(0) if self.found else None
+        if isinstance(found, InvalidSettings):
+            raise found
+        return found
+
+    def take(self, settings: PoolHostSettings) -> None:
+        self.current = settings
+        self.taken.append(settings)
+        self.changed.set()
+
+
+def parse(**changes: object) -> PoolHostSettings:
+    return parse_settings(json.dumps({**FILE, **changes})).host
+
+
+def test_a_file_is_read_again_only_when_its_text_has_changed(tmp_path):
+    path = tmp_path / "node.yaml"
+    write(path)
+    file = SettingsFile(path)
+    assert file.load_change() is not None
+    assert file.load_change() is None
+    write(path, platform={"address": "10.0.0.8:8001"})
+    changed = file.load_change()
+    assert changed is not None
+    assert changed.table == Address("10.0.0.8", 8001)
+
+
+def test_a_file_that_cannot_be_used_is_reported_once_and_taken_when_it_is_mended(tmp_path):
+    path = tmp_path / "node.yaml"
+    file = SettingsFile(path)
+    with pytest.raises(InvalidSettings, match="cannot be read"):
+        file.load_change()
+    assert file.load_change() is None
+    path.write_text("nodeName: [")
+    with pytest.raises(InvalidSettings, match=r"node\.yaml"):
+        file.load_change()
+    assert file.load_change() is None
+    write(path)
+    assert file.load_change() is not None
+
+
+def test_changed_bounds_take_effect_and_addresses_wait_for_a_restart():
+    bounds = {"graceS": 9, "holdMaxMs": 3000, "status_s": 60}
+    changed = parse(bounds=bounds, listenAddrs={"frontend": "10.0.0.1:90", "ready": "10.0.0.1:81"})
+    watched = Watched(changed)
+    watched.watcher.check()
+    (taken,) = watched.taken
+    assert (taken.stop_grace_ms, taken.lease_ms, taken.job_memory_ms) == (9_000, 3_000, 60_000)
+    assert taken.callers == Address("10.0.0.1", 80)
+
+
+def test_settings_that_cannot_be_used_change_nothing():
+    watched = Watched(InvalidSettings("no address"))
+    watched.watcher.check()
+    assert watched.taken == []
+
+
+def test_a_signal_and_time_alone_both_bring_a_change(monkeypatch):
+    monkeypatch.setattr(_settings_watch, "CHECK_EVERY_SECONDS", 0.01)
+    first, second = parse(bounds={"graceS": 7}), parse(bounds={"graceS": 8})
+    watched = Watched(None, first, second)
+
+    async def scenario() -> None:
+        task = asyncio.create_task(watched.watcher.run())
+        async with asyncio.timeout(5.0):
+            await watched.changed.wait()
+            monkeypatch.setattr(_settings_watch, "CHECK_EVERY_SECONDS", 60.0)
+            watched.changed.clear()
+            watched.watcher.request()
+            await watched.changed.wait()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(scenario())
+    assert [each.stop_grace_ms for each in watched.taken] == [7_000, 8_000]
