Move work that saves its progress off a worker before it leaves

Cause: runs on a leaving worker ran until it ended and lost what they had done since their last checkpoint. They are stopped as late as the notice and a stop allow, unless they will be done by then; lasting tasks too. Runs that save nothing run on: a worker often stays longer than it promised.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -27,6 +27,7 @@
     WorkersRecorded,
 )
 from lentilpath_core.pool._evidence import find_slow, stop_frozen
+from lentilpath_core.pool._leaving import evacuate_leaving
 from lentilpath_core.pool._model import JobState, get_wait_objective
 from lentilpath_core.pool._placement import place_waiting, take_advice
 from lentilpath_core.pool._state import Job, PoolState
@@ -198,7 +199,11 @@
 @_take.register
 def _(event: TimePassed, state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
     state.wall_now = event.wall_now
-    effects = [*expire_leases(state, now), *stop_frozen(state, now)]
+    effects = [
+        *expire_leases(state, now),
+        *stop_frozen(state, now),
+        *evacuate_leaving(state, now),
+    ]
     find_slow(state, now)
     for job in list(state.jobs.values()):
         _begin_due(state, job)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -175,6 +175,8 @@
     """It made no progress for too long."""
     UNWANTED = "unwanted"
     """The task is done, or runs elsewhere, or its job is not known."""
+    EVACUATED = "evacuated"
+    """Its worker leaves before it would be done; it goes on elsewhere from what it has saved."""
     MAKES_ROOM = "makes-room"
     """More urgent work needs its room."""
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -76,6 +76,8 @@
     closed_until: Instant = Instant(0)
     """No starts before this time, because of failures."""
     is_slow: bool = False
+    leaves_at: Instant | None = None
+    """The earliest time at which a leaving worker ends."""
 
     @property
     def worker(self) -> WorkerId:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -19,6 +19,7 @@
     WorkersRecorded,
 )
 from lentilpath_core.pool._evidence import note_done, note_failure, note_progress
+from lentilpath_core.pool._leaving import note_leaving
 from lentilpath_core.pool._model import (
     EndedRun,
     Life,
@@ -63,10 +64,12 @@
             if known.listed.capacity != entry.capacity:
                 known.free = known.free + entry.capacity - known.listed.capacity
             known.listed = entry
+            note_leaving(known, entry, now)
         else:
             if known is not None:
                 effects.extend(_end_life(state, known, now))
-            state.workers[entry.worker] = Worker(entry, entry.capacity)
+            known = state.workers[entry.worker] = Worker(entry, entry.capacity)
+            note_leaving(known, entry, now)
     effects.extend(_record_workers(state))
     state.needs_placing = True
     return tuple(effects)
