Give the leadership to a host with a much faster processor

Cause: on the grown sites hosts have 0.52 or 2.15 cores, and whichever came first led. Hosts now say how fast they are; a leader that is confirmed and has its own way to the table names a host that is 1.5 times as fast as its successor, and slow hosts leave a silent leader to fast ones for 0.8 s.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -60,6 +60,8 @@
 second apart."""
 STOP_MARGIN_SECONDS = 0.8
 """Kept from the grace of a stop to give back the leadership: one write to a slow table."""
+HAND_OVER_CHECK_SECONDS = 1.0
+"""Two greetings, so that all hosts have said how fast they are."""
 DIGEST_SECONDS = 0.5
 """A quarter of the 2 s by which the count of waiting jobs may be old."""
 
@@ -91,11 +93,13 @@
         incarnation = Incarnation(f"{settings.host}.{uuid.uuid4().hex[:INCARNATION_DIGITS]}")
         self.bus = PeerBus(settings.host, incarnation, settings.zone)
         self.members = Members(settings, self.bus)
-        self.greeter = Greeter(settings, self.bus, self.members)
+        self.greeter = Greeter(settings, self.bus, self.members, self._can_lead)
         self.table = TablePath(ports.table, self.bus, self.members.list_helpers, self.metrics)
         registry = ports.open_registry(self.table)
         self.configuration = ConfigurationFollower(registry, self._take_configuration)
-        self.leadership = PoolLeadership(self.table, settings.host, incarnation, settings.peers)
+        self.leadership = PoolLeadership(
+            self.table, settings.host, incarnation, settings.peers, self.members.knows_faster
+        )
         self.context = PoolContext(
             settings,
             incarnation,
@@ -119,6 +123,7 @@
         )
         self.stopping = asyncio.Event()
         self._term: Term | None = None
+        self._hands_over = False
         self.bus.handle(HELLO_TOPIC, self._answer_hello)
         self.bus.handle(STATE_TOPIC, self._answer_state)
         self.bus.handle(NOTICE_TOPIC, self._answer_notice)
@@ -132,6 +137,9 @@
             and self.table.is_open(read_instant())
         )
 
+    def _can_lead(self) -> bool:
+        return self.table.is_own_way_open() and not self.stopping.is_set()
+
     def is_leading(self) -> bool:
         """Return whether this process leads and knows all that is stored."""
         return self._find_term() is not None
@@ -231,17 +239,34 @@
                 group.create_task(self.leadership.renew_forever(epoch))
                 group.create_task(term.run())
                 group.create_task(self._end_term_at_stop())
+                group.create_task(self._end_term_for_faster())
         except* (Deposed, NotLeading) as errors:
             log_event(Event.POOL_LEADERSHIP_LOST, epoch=epoch, error=str(errors.exceptions[0]))
         finally:
             self._term = None
+        successor = self.members.choose_successor(read_instant())
         if self.stopping.is_set():
-            await self.leadership.release(epoch)
+            await self.leadership.release(epoch, successor)
+        elif self._hands_over:
+            self._hands_over = False
+            log_event(Event.POOL_HANDED_OVER, epoch=epoch, successor=successor)
+            await self.leadership.release(epoch, successor)
 
     async def _end_term_at_stop(self) -> None:
         await self.stopping.wait()
         raise NotLeading("this host stops")
 
+    async def _end_term_for_faster(self) -> None:
+        """End the term once a much faster host could lead."""
+        while True:
+            await asyncio.sleep(HAND_OVER_CHECK_SECONDS)
+            now = read_instant()
+            is_calm = self.leadership.is_confirmed(now) and self.table.is_own_way_open()
+            faster = self.members.find_faster(now)
+            if is_calm and faster is not None:
+                self._hands_over = True
+                raise NotLeading(f"{faster} has a faster processor")
+
 
 async def run_pool_host(
     settings: PoolHostSettings,
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -45,6 +46,9 @@
 """Under the time between renewals, so that a host sees each of them."""
 SILENT_LEADER_MS = 950
 """Two renewals."""
+SLOW_HOST_WAIT_MS = 800
+"""How much later a slow host takes over if it knows of much faster ones: two of their watches and a
+transaction."""
 TAKEOVER_MARGIN_MS = 200
 """Beyond the lease, for the way from the leader to the table."""
 ROW_TIMEOUT_SECONDS = 1.5
@@ -82,19 +86,26 @@
     return SeenLeader(epoch, version, lease, lease_version, read.clock_ms, workers)
 
 
-def may_take_over(seen: SeenLeader, host: HostId, address: Address, unchanged_ms: int) -> bool:
+def may_take_over(
+    seen: SeenLeader, host: HostId, address: Address, unchanged_ms: int, wait_ms: int = 0
+) -> bool:
     """Return whether the leadership is free for a process on `host`.
 
     It is if the lease has run out by the table service's own clock and its row was not seen to
     change for `SILENT_LEADER_MS`: a read may be seconds old, and then the lease looks over while
     the row goes on changing. It also is if an earlier process of the same host holds it: that one
-    has ended, since this one holds the host's addresses.
+    has ended, since this one holds the host's addresses. After a planned stop a named successor
+    goes first. The process waits for `wait_ms` more than others.
     """
     lease = seen.lease
-    if lease is None or (lease.host, lease.address) == (host, address):
+    if lease is None:
         return True
-    is_over = seen.clock_ms > lease.until_ms + TAKEOVER_MARGIN_MS
-    return is_over and (lease.until_ms == 0 or unchanged_ms >= SILENT_LEADER_MS)
+    if lease.until_ms == 0:
+        return lease.successor in ("", host) or unchanged_ms >= SILENT_LEADER_MS + wait_ms
+    if (lease.host, lease.address) == (host, address):
+        return True
+    is_over = seen.clock_ms > lease.until_ms + TAKEOVER_MARGIN_MS + wait_ms
+    return is_over and unchanged_ms >= SILENT_LEADER_MS
 
 
 class TableClock:
@@ -118,9 +129,15 @@
     """Watches the leadership and takes it over when it is free."""
 
     def __init__(
-        self, table: PartitionedTable, host: HostId, incarnation: Incarnation, address: Address
+        self,
+        table: PartitionedTable,
+        host: HostId,
+        incarnation: Incarnation,
+        address: Address,
+        knows_faster: Callable[[HostId | None], bool] = lambda leader: False,
     ) -> None:
         self._table = table
+        self._knows_faster = knows_faster
         self._host = host
         self._incarnation = incarnation
         self._address = address
@@ -142,14 +159,18 @@
         """Return the epoch of this process once it leads."""
         while True:
             seen = await self._watch()
-            if seen is not None and may_take_over(
-                seen, self._host, self._address, self._measure_unchanged(read_instant())
-            ):
+            if seen is not None and self._is_free(seen, read_instant()):
                 epoch = await self._take_over(seen)
                 if epoch is not None:
                     return epoch
             await asyncio.sleep(WATCH_EVERY_MS / MS_PER_SECOND)
 
+    def _is_free(self, seen: SeenLeader, now: Instant) -> bool:
+        leader = seen.lease.host if seen.lease is not None else None
+        wait_ms = SLOW_HOST_WAIT_MS if self._knows_faster(leader) else 0
+        unchanged_ms = self._measure_unchanged(now)
+        return may_take_over(seen, self._host, self._address, unchanged_ms, wait_ms)
+
     async def _watch(self) -> SeenLeader | None:
         try:
             read = await self._table.read_part(
@@ -244,9 +265,9 @@
                 continue
             await self._write_lease(epoch, self.make_renewal(epoch))
 
-    async def release(self, epoch: Epoch) -> None:
-        """Let another process take over at once."""
-        lease = LeaseRow(epoch, self._host, self._address, 0)
+    async def release(self, epoch: Epoch, successor: HostId | None = None) -> None:
+        """Let another process take over at once; `successor` first if it is given."""
+        lease = LeaseRow(epoch, self._host, self._address, 0, successor or "")
         await self._write_lease(epoch, (LEASE_KEY, encode_record(lease)))
 
     async def _write_lease(self, epoch: Epoch, put: tuple[str, bytes]) -> None:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_members.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_members.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -27,6 +28,9 @@
 """Longer than any write was seen to be applied late, and than callers go on asking."""
 MAX_UNCLEAR_JOBS = 5_000
 """Several times the jobs that a burst brings in `UNCLEAR_MS`; bounds the memory to under 1 MB."""
+FASTER_FACTOR = 1.5
+"""A leader hands over to a host that is this much faster: a change of leader costs a second without
+starts, which a small difference does not earn back."""
 MEMBER_SILENT_MS = 1_600
 """A host that has not spoken for three greetings gets no more questions."""
 
@@ -37,9 +41,9 @@
     def __init__(self, settings: PoolHostSettings, bus: PeerBus) -> None:
         self._settings = settings
         self._bus = bus
-        self._heard: dict[HostId, tuple[Instant, PeerSettings]] = {}
+        self._heard: dict[HostId, tuple[Instant, Hello]] = {}
         self._leader: PeerSettings | None = None
-        self._told: dict[HostId, PeerSettings] = {}
+        self._told: dict[HostId, KnownHost] = {}
         """Hosts that the leader has told of."""
 
     def list_helpers(self, now: Instant) -> tuple[HostId, ...]:
@@ -52,20 +56,46 @@
 
     def list_known_hosts(self, now: Instant) -> tuple[KnownHost, ...]:
         """Return the hosts to tell others of."""
-        heard = (peer for at, peer in self._heard.values() if now <= at + MEMBER_SILENT_MS)
         own = KnownHost(
-            self._settings.host, self._settings.peers, self._settings.zone, self._settings.region
+            self._settings.host,
+            self._settings.peers,
+            self._settings.zone,
+            self._settings.region,
+            self._settings.cores,
         )
-        others = (KnownHost(each.host, each.address, each.zone, each.region) for each in heard)
-        return (own, *others)
+        return (own, *(_make_known(host, hello) for host, hello in self._list_heard(now)))
+
+    def _list_heard(self, now: Instant) -> list[tuple[HostId, Hello]]:
+        return [
+            (host, hello)
+            for host, (at, hello) in self._heard.items()
+            if now <= at + MEMBER_SILENT_MS
+        ]
+
+    def find_faster(self, now: Instant) -> HostId | None:
+        """Return the fastest host that could lead, if it is much faster than this one."""
+        able = [(hello.cores, host) for host, hello in self._list_heard(now) if hello.can_lead]
+        cores, host = max(able, default=(0.0, None))
+        return host if cores >= FASTER_FACTOR * self._settings.cores else None
+
+    def knows_faster(self, leader: HostId | None) -> bool:
+        """Return whether a much faster host than this one is known, other than `leader`."""
+        return any(
+            each.cores >= FASTER_FACTOR * self._settings.cores
+            for each in self._told.values()
+            if each.host != leader
+        )
+
+    def choose_successor(self, now: Instant) -> HostId | None:
+        """Return the fastest host that could lead, if others are much slower."""
+        able = [(hello.cores, host) for host, hello in self._list_heard(now) if hello.can_lead]
+        if not able or max(able)[0] < FASTER_FACTOR * min(able)[0]:
+            return None
+        return max(able)[1]
 
     def take_told(self, hosts: tuple[KnownHost, ...]) -> None:
         """Take over what the leader tells of other hosts."""
-        told = {
-            each.host: PeerSettings(each.host, each.region, each.zone, each.address)
-            for each in hosts
-            if each.host != self._settings.host
-        }
+        told = {each.host: each for each in hosts if each.host != self._settings.host}
         if told != self._told:
             self._told = told
             self._update_bus()
@@ -79,10 +109,9 @@
         """Take in a greeting."""
         if host == self._settings.host:
             return
-        peer = PeerSettings(host, hello.region, hello.zone, hello.address)
         known = self._heard.get(host)
-        self._heard[host] = (now, peer)
-        if known is None or known[1] != peer:
+        self._heard[host] = (now, hello)
+        if known is None or known[1].address != hello.address:
             self._update_bus()
 
     def set_leader(self, host: HostId, address: Address) -> None:
@@ -93,17 +122,32 @@
             self._update_bus()
 
     def _update_bus(self) -> None:
-        peers = dict(self._told)
-        peers.update({peer.host: peer for _, peer in self._heard.values()})
+        known = dict(self._told)
+        known.update({host: _make_known(host, hello) for host, (_, hello) in self._heard.items()})
+        peers = {
+            host: PeerSettings(host, each.region, each.zone, each.address)
+            for host, each in known.items()
+        }
         if self._leader is not None:
             peers[self._leader.host] = self._leader
         self._bus.set_peers(tuple(peers.values()))
 
 
+def _make_known(host: HostId, hello: Hello) -> KnownHost:
+    return KnownHost(host, hello.address, hello.zone, hello.region, hello.cores)
+
+
 class Greeter:
     """Greets the leader and keeps its last digest."""
 
-    def __init__(self, settings: PoolHostSettings, bus: PeerBus, members: Members) -> None:
+    def __init__(
+        self,
+        settings: PoolHostSettings,
+        bus: PeerBus,
+        members: Members,
+        can_lead: Callable[[], bool],
+    ) -> None:
+        self._can_lead = can_lead
         self._settings = settings
         self._bus = bus
         self._members = members
@@ -138,7 +182,13 @@
             await asyncio.sleep(HELLO_EVERY_MS / MS_PER_SECOND)
 
     async def _greet(self, leader: HostId) -> None:
-        hello = Hello(self._settings.peers, self._settings.zone, self._settings.region)
+        hello = Hello(
+            self._settings.peers,
+            self._settings.zone,
+            self._settings.region,
+            self._settings.cores,
+            self._can_lead(),
+        )
         try:
             digest = await self._bus.ask(leader, HELLO_TOPIC, hello, Digest, HELLO_TIMEOUT_SECONDS)
         except LentilpathError as error:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_messages.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_messages.py
@@ -20,6 +20,9 @@
     address: Address
     zone: ZoneId
     region: RegionId
+    cores: float = 1.0
+    can_lead: bool = False
+    """Whether the host reaches the table by itself and does not stop."""
 
 
 class KnownHost(msgspec.Struct, frozen=True, array_like=True):
@@ -29,6 +32,7 @@
     address: Address
     zone: ZoneId
     region: RegionId
+    cores: float = 1.0
 
 
 class Digest(msgspec.Struct, frozen=True):
--- a/packages/lentilpathd/src/lentilpathd/_pool/_records.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_records.py
@@ -66,6 +66,8 @@
     address: Address
     until_ms: int
     """0 after a planned stop."""
+    successor: str = ""
+    """The host that is to follow after a planned stop; empty for any."""
 
 
 class WorkerRow(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
@@ -31,6 +31,8 @@
     """Workers shorten longer leases to this."""
     stop_grace_ms: int
     """From SIGTERM to SIGKILL."""
+    cores: float = 1.0
+    """Speed of the host's processor, in cores."""
     expected_callers_deadline_ms: int = 3_000
     job_memory_ms: int = 120_000
     """How long the state of a finished job can be asked for."""
--- a/tests/common/fleet/deployment.py
+++ b/tests/common/fleet/deployment.py
@@ -91,7 +91,7 @@
         await worker.start()
         return worker
 
-    async def add_host(self) -> RunningHost:
+    async def add_host(self, cores: float = 1.0) -> RunningHost:
         faults = StoreFaults()
         port = await self.store.listen(faults)
         name = f"h{len(self.hosts)}"
@@ -108,6 +108,7 @@
             metrics,
             longest_lease_ms=6_000,
             stop_grace_ms=2_000,
+            cores=cores,
         )
         platform = PlatformPorts(
             open_table(Address("127.0.0.1", port)),
--- a/tests/cover/test_pool_leadership.py
+++ b/tests/cover/test_pool_leadership.py
@@ -8,7 +8,13 @@
 from lentilpath_core.pool import JobAccepted, JobCancelled
 from lentilpathd._pool import _leadership
 from lentilpathd._pool._job_feed import JobFeed
-from lentilpathd._pool._leadership import LEASE_MS, SILENT_LEADER_MS, may_take_over
+from lentilpathd._pool._leadership import (
+    LEASE_MS,
+    SILENT_LEADER_MS,
+    SLOW_HOST_WAIT_MS,
+    TAKEOVER_MARGIN_MS,
+    may_take_over,
+)
 from lentilpathd._pool._ports import PartRow
 from lentilpathd._pool._records import encode_record
 from tests.common.pools import make_record
@@ -102,3 +108,30 @@
     now[0] = Instant(now[0] + 800)
     asyncio.run(second._watch())
     assert second._measure_unchanged(now[0]) == 800
+
+
+def test_the_named_successor_of_a_planned_stop_goes_first():
+    table = OneRowTable()
+    first, second = make_leadership(table), make_leadership(table, "h2")
+    epoch = asyncio.run(first.wait_for_turn())
+    asyncio.run(first.release(epoch, HostId("h2")))
+    seen = asyncio.run(second._watch())
+    assert seen is not None
+    assert may_take_over(seen, HostId("h2"), ADDRESS, 0)
+    assert not may_take_over(seen, HostId("h3"), ADDRESS, 0)
+    assert may_take_over(seen, HostId("h3"), ADDRESS, SILENT_LEADER_MS)
+
+
+def test_a_slow_host_leaves_a_silent_leader_to_faster_hosts_for_a_while():
+    table = OneRowTable()
+    first, second = make_leadership(table), make_leadership(table, "h2")
+    asyncio.run(first.wait_for_turn())
+    table.clock_ms += LEASE_MS + TAKEOVER_MARGIN_MS + 1
+    seen = asyncio.run(second._watch())
+    assert seen is not None
+    assert may_take_over(seen, HostId("h2"), ADDRESS, SILENT_LEADER_MS)
+    assert not may_take_over(seen, HostId("h2"), ADDRESS, SILENT_LEADER_MS, SLOW_HOST_WAIT_MS)
+    table.clock_ms += SLOW_HOST_WAIT_MS
+    seen = asyncio.run(second._watch())
+    assert seen is not None
+    assert may_take_over(seen, HostId("h2"), ADDRESS, SILENT_LEADER_MS, SLOW_HOST_WAIT_MS)
--- a/tests/nocover/test_pool_hosts.py
+++ b/tests/nocover/test_pool_hosts.py
@@ -218,3 +218,16 @@
         assert (await fleet.submit(second, job="00000000000000de"))[1] == 503
 
     play(scenario)
+
+
+def test_a_much_faster_host_is_given_the_leadership_and_nothing_is_lost_or_doubled():
+    async def scenario(fleet: Fleet) -> None:
+        slow = await fleet.wait_for_leader()
+        jobs = await submit_many(fleet, 6, make_step(2))
+        fast = await fleet.add_host(cores=4.0)
+        await wait_until(lambda: fleet.find_leader() is fast)
+        jobs += await submit_many(fleet, 6)
+        await expect_all_completed(fleet, jobs)
+        assert not slow.host.is_leading()
+
+    play(scenario, run_seconds=0.5)
