Play real hosts under randomized faults, with the promises checked meanwhile

tests/soak: a seed gives a plan of 4 to 9 faults that may overlap: kills, planned stops, pauses and hang-ups of hosts; ways to the table and to workers that a loopback proxy delays, resets, cuts one way or silences; a table that refuses, is busy, slow, late, forgets or loses answers; workers that are reborn or lose answers. Checked: TWICE, LIMIT, ORDER, MIXED, REFUSED, UNASKED, LOST, planned stops that cut a call, ends that nobody asked for. Each check has a test that shows it failing on a made log. Not covered: cuts between hosts, clocks that jump. The stand-in worker ended runs whose lease had lapsed only at its next call; it now notes the true time.

--- /dev/null
+++ b/make/soak.mk
@@ -0,0 +1,9 @@
+# Real hosts as processes under randomized faults. A seed gives the same plan of faults.
+.PHONY: soak
+
+SEEDS ?= 50
+# 0 for seeds that were never played.
+FIRST ?= 1
+
+soak: setup
+	PYTHONPATH=.:platform $(BIN)/python -m tests.soak --seeds $(SEEDS) --first $(FIRST)
--- a/tests/common/fleet/store.py
+++ b/tests/common/fleet/store.py
@@ -29,6 +29,12 @@
     silent: bool = False
     forgets: bool = False
     """The history of changes is gone."""
+    is_busy: bool = False
+    """All calls are refused as too many."""
+    slow_seconds: float = 0.0
+    """How much longer each answer takes."""
+    late_seconds: float = 0.0
+    """Transactions are not answered and are done so much later; 0 for none."""
 
 
 @dataclass
@@ -77,8 +83,16 @@
             await asyncio.sleep(3600.0)
         if faults.refuses:
             return HttpResponse(503, (), b"")
+        if faults.is_busy:
+            return HttpResponse(429, (), b"")
+        if faults.slow_seconds:
+            await asyncio.sleep(faults.slow_seconds)
         url = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if url.path == "/rows-tx" and faults.late_seconds:
+            message = json.loads(request.body)
+            asyncio.get_running_loop().call_later(faults.late_seconds, self._transact, message)
+            raise AnswerLost
         if url.path == "/rows-tx":
             response = self._transact(json.loads(request.body))
             if faults.loses_answers > 0 and response.status == 200:
--- a/tests/common/fleet/workers.py
+++ b/tests/common/fleet/workers.py
@@ -26,6 +26,8 @@
     begun: float
     ended: float | None = None
     how: str = ""
+    is_acknowledged: bool = False
+    """Whether a leader has let the worker forget this end."""
 
 
 @dataclass
@@ -43,7 +45,11 @@
     token: int = 0
     lease_until: int = 0
     running: dict[tuple[str, int], TrueRun] = field(default_factory=dict)
-    ended: list[list[object]] = field(default_factory=list)
+    ended: list[list[Any]] = field(default_factory=list)
+    ends: dict[int, TrueRun] = field(default_factory=dict)
+    """Ends of this life by their numbers."""
+    address: str = ""
+    """Where callers are told to connect; empty for the worker's own port."""
     closed_runs: dict[str, int] = field(default_factory=dict)
     numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
     changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -57,7 +63,7 @@
         assert self.server is not None
         entry = {
             "service": "planner",
-            "address": f"127.0.0.1:{self.server.get_port()}",
+            "address": self.address or f"127.0.0.1:{self.server.get_port()}",
             "zone": "z1",
             "version": "v1",
             "slots": 8,
@@ -69,6 +75,19 @@
         }
         self.store.put("servers", "", self.name, json.dumps(entry).encode())
 
+    def restart(self) -> None:
+        """Crash, losing all that runs and is remembered, and begin another life."""
+        for run in self.running.values():
+            run.ended, run.how = time.monotonic(), "crashed"
+        self.running.clear()
+        self.ended.clear()
+        self.ends.clear()
+        self.closed_runs.clear()
+        self.token, self.lease_until = 0, 0
+        self.numbers = itertools.count(1)
+        self.born += 1
+        self.register()
+
     async def close(self) -> None:
         if self.server is not None:
             await self.server.close(0.0)
@@ -109,29 +128,40 @@
         run = TrueRun(self.name, message["task"], message["runId"], time.monotonic())
         self.running[key] = run
         self.log.append(run)
-        asyncio.get_running_loop().call_later(self.run_seconds, self._end, key, "done")
+        life = self.born
+        asyncio.get_running_loop().call_later(self.run_seconds, self._finish, key, life)
         return self._reply(200)
 
-    def _end(self, key: tuple[str, int], how: str) -> None:
+    def _finish(self, key: tuple[str, int], life: int) -> None:
+        self._expire()
+        if life == self.born:
+            self._end(key, "done")
+
+    def _end(self, key: tuple[str, int], how: str, at: float | None = None) -> None:
         run = self.running.pop(key, None)
         if run is None:
             return
-        run.ended = time.monotonic()
+        run.ended = at if at is not None else time.monotonic()
         run.how = how
         self.closed_runs[key[0]] = max(self.closed_runs.get(key[0], 0), key[1])
-        self.ended.append([next(self.numbers), key[0], key[1], how, ""])
+        number = next(self.numbers)
+        self.ended.append([number, key[0], key[1], how, ""])
+        self.ends[number] = run
         self.changed.set()
         self.changed = asyncio.Event()
 
     def _expire(self) -> None:
         if self.running and self.read_clock() > self.lease_until:
             for key in list(self.running):
-                self._end(key, "lapsed")
+                self._end(key, "lapsed", self.lease_until / 1_000)
 
     async def _hold(self, message: dict[str, Any]) -> HttpResponse:
         if "expiresMs" in message:
             bound = self.read_clock() + LEASE_BOUND_MS
             self.lease_until = max(self.lease_until, min(message["expiresMs"], bound))
+        for each in self.ended:
+            if each[0] <= message["lastSeen"]:
+                self.ends.pop(each[0]).is_acknowledged = True
         self.ended = [each for each in self.ended if each[0] > message["lastSeen"]]
         if not self.ended and message.get("waitMs"):
             with contextlib.suppress(TimeoutError):
