Relay through hosts that reach the table; hand over to the host that was restarted last

In the rolling stop at the end the leadership went to a host that was the next to be stopped, twice, then to a slow one, which took 3.2 s to read what is stored: no starts from second 29 to 35. Hosts now say whether they reach the table and how long they have run.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -101,7 +101,9 @@
     if lease is None:
         return True
     if lease.until_ms == 0:
-        return lease.successor in ("", host) or unchanged_ms >= SILENT_LEADER_MS + wait_ms
+        if not lease.successor:
+            return unchanged_ms >= wait_ms
+        return lease.successor == host or unchanged_ms >= SILENT_LEADER_MS + wait_ms
     if (lease.host, lease.address) == (host, address):
         return True
     is_over = seen.clock_ms > lease.until_ms + TAKEOVER_MARGIN_MS + wait_ms
--- a/packages/lentilpathd/src/lentilpathd/_pool/_members.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_members.py
@@ -28,6 +28,8 @@
 """Longer than any write was seen to be applied late, and than callers go on asking."""
 MAX_UNCLEAR_JOBS = 5_000
 """Several times the jobs that a burst brings in `UNCLEAR_MS`; bounds the memory to under 1 MB."""
+RESTARTED_MS = 2_000
+"""Processes that began this far apart did not begin with the deployment, which takes 0.3 s."""
 FASTER_FACTOR = 1.5
 """A leader hands over to a host that is this much faster: a change of leader costs a second without
 starts, which a small difference does not earn back."""
@@ -38,31 +40,42 @@
 class Members:
     """The hosts that have spoken to this process lately."""
 
-    def __init__(self, settings: PoolHostSettings, bus: PeerBus) -> None:
+    def __init__(
+        self, settings: PoolHostSettings, bus: PeerBus, can_lead: Callable[[], bool]
+    ) -> None:
         self._settings = settings
         self._bus = bus
+        self._can_lead = can_lead
+        self._started_at = read_instant()
         self._heard: dict[HostId, tuple[Instant, Hello]] = {}
         self._leader: PeerSettings | None = None
         self._told: dict[HostId, KnownHost] = {}
         """Hosts that the leader has told of."""
 
     def list_helpers(self, now: Instant) -> tuple[HostId, ...]:
-        """Return other hosts that may be alive, for what any of them can do."""
-        heard = {host for host, (at, _) in self._heard.items() if now <= at + MEMBER_SILENT_MS}
-        known = heard | self._told.keys()
+        """Return other hosts that may reach the table for this one.
+
+        Those that say so, if any does; else all that may be alive.
+        """
+        able = {host for host, each in self._told.items() if each.can_lead}
+        able -= self._heard.keys()
+        able |= {host for host, hello in self._list_heard(now) if hello.can_lead}
+        if able - {self._settings.host}:
+            return tuple(sorted(able - {self._settings.host}))
+        known = {host for host, _ in self._list_heard(now)} | self._told.keys()
         if self._leader is not None:
             known.add(self._leader.host)
         return tuple(sorted(known - {self._settings.host}))
 
+    def make_hello(self, now: Instant) -> Hello:
+        """Return what this host says of itself."""
+        own = self._settings
+        up_ms = now - self._started_at
+        return Hello(own.peers, own.zone, own.region, own.cores, self._can_lead(), up_ms)
+
     def list_known_hosts(self, now: Instant) -> tuple[KnownHost, ...]:
         """Return the hosts to tell others of."""
-        own = KnownHost(
-            self._settings.host,
-            self._settings.peers,
-            self._settings.zone,
-            self._settings.region,
-            self._settings.cores,
-        )
+        own = _make_known(self._settings.host, self.make_hello(now))
         return (own, *(_make_known(host, hello) for host, hello in self._list_heard(now)))
 
     def _list_heard(self, now: Instant) -> list[tuple[HostId, Hello]]:
@@ -87,11 +100,20 @@
         )
 
     def choose_successor(self, now: Instant) -> HostId | None:
-        """Return the fastest host that could lead, if others are much slower."""
-        able = [(hello.cores, host) for host, hello in self._list_heard(now) if hello.can_lead]
-        if not able or max(able)[0] < FASTER_FACTOR * min(able)[0]:
+        """Return a fast host that could lead, if it matters which one.
+
+        Of fast ones the one that was started last: while hosts are restarted one after another, it
+        is the least likely to be the next.
+        """
+        able = [(host, hello) for host, hello in self._list_heard(now) if hello.can_lead]
+        if not able:
             return None
-        return max(able)[1]
+        fastest = max(hello.cores for _, hello in able)
+        fast = [
+            (hello.up_ms, host) for host, hello in able if hello.cores * FASTER_FACTOR > fastest
+        ]
+        was_restarted = max(fast)[0] - min(fast)[0] >= RESTARTED_MS
+        return min(fast)[1] if was_restarted or len(fast) < len(able) else None
 
     def take_told(self, hosts: tuple[KnownHost, ...]) -> None:
         """Take over what the leader tells of other hosts."""
@@ -134,20 +156,13 @@
 
 
 def _make_known(host: HostId, hello: Hello) -> KnownHost:
-    return KnownHost(host, hello.address, hello.zone, hello.region, hello.cores)
+    return KnownHost(host, hello.address, hello.zone, hello.region, hello.cores, hello.can_lead)
 
 
 class Greeter:
     """Greets the leader and keeps its last digest."""
 
-    def __init__(
-        self,
-        settings: PoolHostSettings,
-        bus: PeerBus,
-        members: Members,
-        can_lead: Callable[[], bool],
-    ) -> None:
-        self._can_lead = can_lead
+    def __init__(self, settings: PoolHostSettings, bus: PeerBus, members: Members) -> None:
         self._settings = settings
         self._bus = bus
         self._members = members
@@ -182,13 +197,7 @@
             await asyncio.sleep(HELLO_EVERY_MS / MS_PER_SECOND)
 
     async def _greet(self, leader: HostId) -> None:
-        hello = Hello(
-            self._settings.peers,
-            self._settings.zone,
-            self._settings.region,
-            self._settings.cores,
-            self._can_lead(),
-        )
+        hello = self._members.make_hello(read_instant())
         try:
             digest = await self._bus.ask(leader, HELLO_TOPIC, hello, Digest, HELLO_TIMEOUT_SECONDS)
         except LentilpathError as error:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_messages.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_messages.py
@@ -23,6 +23,8 @@
     cores: float = 1.0
     can_lead: bool = False
     """Whether the host reaches the table by itself and does not stop."""
+    up_ms: int = 0
+    """How long the process has run."""
 
 
 class KnownHost(msgspec.Struct, frozen=True, array_like=True):
@@ -33,6 +35,7 @@
     zone: ZoneId
     region: RegionId
     cores: float = 1.0
+    can_lead: bool = False
 
 
 class Digest(msgspec.Struct, frozen=True):
--- a/tests/cover/test_pool_leadership.py
+++ b/tests/cover/test_pool_leadership.py
@@ -135,3 +135,15 @@
     seen = asyncio.run(second._watch())
     assert seen is not None
     assert may_take_over(seen, HostId("h2"), ADDRESS, SILENT_LEADER_MS, SLOW_HOST_WAIT_MS)
+
+
+def test_a_slow_host_leaves_a_planned_stop_without_a_successor_to_faster_hosts_for_a_while():
+    table = OneRowTable()
+    first, second = make_leadership(table), make_leadership(table, "h2")
+    epoch = asyncio.run(first.wait_for_turn())
+    asyncio.run(first.release(epoch))
+    seen = asyncio.run(second._watch())
+    assert seen is not None
+    assert may_take_over(seen, HostId("h2"), ADDRESS, 0)
+    assert not may_take_over(seen, HostId("h2"), ADDRESS, 0, SLOW_HOST_WAIT_MS)
+    assert may_take_over(seen, HostId("h2"), ADDRESS, SLOW_HOST_WAIT_MS, SLOW_HOST_WAIT_MS)
--- a/tests/cover/test_pool_members.py
+++ b/tests/cover/test_pool_members.py
@@ -18,11 +18,14 @@
     settings = PoolHostSettings(
         HostId("own"), ZONE, REGION, ADDRESS, ADDRESS, ADDRESS, ADDRESS, 6_000, 6_000, cores
     )
-    return Members(settings, PeerBus(settings.host, Incarnation("own.1"), ZONE))
+    bus = PeerBus(settings.host, Incarnation("own.1"), ZONE)
+    return Members(settings, bus, lambda: True)
 
 
-def greet(members: Members, host: str, cores: float, can_lead: bool = True) -> None:
-    members.note_hello(HostId(host), Hello(ADDRESS, ZONE, REGION, cores, can_lead), NOW)
+def greet(
+    members: Members, host: str, cores: float, can_lead: bool = True, up_ms: int = 60_000
+) -> None:
+    members.note_hello(HostId(host), Hello(ADDRESS, ZONE, REGION, cores, can_lead, up_ms), NOW)
 
 
 def test_the_fastest_host_that_can_lead_is_found():
@@ -44,7 +47,7 @@
 def test_a_successor_is_named_only_where_hosts_differ_much():
     members = make_members()
     greet(members, "a", 2.0)
-    greet(members, "b", 2.1)
+    greet(members, "b", 2.1, up_ms=59_990)
     assert members.choose_successor(NOW) is None
     greet(members, "c", 0.5)
     assert members.choose_successor(NOW) == "b"
@@ -55,3 +58,27 @@
     members.take_told((KnownHost(HostId("lead"), ADDRESS, ZONE, REGION, 2.0),))
     assert members.knows_faster(None)
     assert not members.knows_faster(HostId("lead"))
+
+
+def test_while_hosts_are_restarted_in_turn_the_last_one_restarted_follows():
+    members = make_members(cores=1.0)
+    greet(members, "a", 1.0)
+    greet(members, "b", 1.0, up_ms=59_900)
+    assert members.choose_successor(NOW) is None
+    greet(members, "c", 1.0, up_ms=5_000)
+    greet(members, "d", 1.0, up_ms=3_000, can_lead=False)
+    assert members.choose_successor(NOW) == "c"
+    greet(members, "slow", 0.5, up_ms=1_000)
+    assert members.choose_successor(NOW) == "c"
+
+
+def test_the_table_is_asked_for_through_hosts_that_reach_it():
+    members = make_members()
+    greet(members, "cut", 1.0, can_lead=False)
+    assert members.list_helpers(NOW) == ("cut",)
+    greet(members, "able", 1.0)
+    assert members.list_helpers(NOW) == ("able",)
+    told = KnownHost(HostId("told"), ADDRESS, ZONE, REGION, 1.0, True)
+    outdated = KnownHost(HostId("cut"), ADDRESS, ZONE, REGION, 1.0, True)
+    members.take_told((told, outdated))
+    assert members.list_helpers(NOW) == ("able", "told")
