Let the soak's clients be served, and fail a run in which next to nothing was

Each host now has a queue under its address, a call that cannot be made is a problem, and a run with fewer than 8 accepted jobs fails.

--- a/make/bench.mk
+++ b/make/bench.mk
@@ -17,3 +17,9 @@
 
 measure-pool: setup
 	$(BIN)/python -m benches.pool
+
+# Processor time of a line of the log. The figure goes to docs/MEASURES-platform.md.
+.PHONY: measure-logs
+
+measure-logs: setup
+	$(BIN)/python -m benches.logs
--- a/tests/common/fleet/deployment.py
+++ b/tests/common/fleet/deployment.py
@@ -30,22 +30,21 @@
 from tests.common.requests import wait_until
 
 DONE = ("completed", "failed", "cancelled")
+QUEUE = {
+    "name": "r-checks",
+    "host": "127.0.0.1",
+    "pathPrefix": "/checks/",
+    "kind": "non_idempotent",
+    "timeoutMs": 3_000,
+    "targetLatencyMs": 500,
+    "priority": 0,
+    "service": "planner",
+    "maxAttempts": 3,
+    "slackFactor": 2.0,
+}
 CONFIG = {
     "version": 3,
-    "routes": [
-        {
-            "name": "r-checks",
-            "host": "127.0.0.1",
-            "pathPrefix": "/checks/",
-            "kind": "non_idempotent",
-            "timeoutMs": 3_000,
-            "targetLatencyMs": 500,
-            "priority": 0,
-            "service": "planner",
-            "maxAttempts": 3,
-            "slackFactor": 2.0,
-        }
-    ],
+    "routes": [QUEUE],
     "services": [{"name": "planner", "enforcesCapacity": False, "standby": False}],
     "limits": {},
 }
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -11,7 +11,7 @@
 from tests.soak.clients import CutCall, Job
 from tests.soak.plans import FaultKind, make_plan
 from tests.soak.processes import HostProcess
-from tests.soak.promises import check_ends, check_planned_stops, check_runs
+from tests.soak.promises import check_ends, check_planned_stops, check_runs, check_served
 from tests.soak.regressions import REGRESSIONS
 from tests.soak.runs import play_seed
 
@@ -86,3 +86,11 @@
     assert len(check_planned_stops([host], [call], {})) == 1
     assert check_planned_stops([host], [call], {"h0": [9.0]}) == []
     assert check_planned_stops([host], [CutCall("h0", 2.0, 3.0, "reset")], {}) == []
+
+
+def test_a_run_in_which_next_to_nothing_was_served_is_found():
+    jobs = [Job(str(number), (1,)) for number in range(40)]
+    assert len(check_served(jobs)) == 1
+    for job in jobs:
+        job.accepted_at = 1.0
+    assert check_served(jobs) == []
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -127,14 +127,16 @@
         self, host: HostProcess, method: str, job: Job, body: bytes = b""
     ) -> HttpResponse | None:
         """Call a host; `None` if it did not answer."""
-        headers = (("host", "127.0.0.1"), ("x-deadline-ms", str(DEADLINE_MS)))
+        headers = (("x-deadline-ms", str(DEADLINE_MS)),)
         sent_at = time.monotonic()
         try:
             response = await host.client.send(
                 HttpRequest(method, f"/checks/{job.name}", headers, body), CALL_SECONDS
             )
-        except RequestNotSent:
+        except RequestNotSent as error:
             # The host does not run, or takes no connections.
+            if not isinstance(error.__cause__, OSError | TimeoutError):
+                self.problems.append(f"a call to {host.name} could not be made: {error!r}")
             return None
         except HttpError as error:
             self.cut_calls.append(CutCall(host.name, sent_at, time.monotonic(), repr(error)))
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -13,6 +13,8 @@
 """Leases end at whole milliseconds of the worker's clock, and timers are a little late."""
 CANCEL_SECONDS = 4.0
 """Starts of a cancelled job end this long after its acknowledgement, by the deployments' sheets."""
+FEWEST_ACCEPTED = 8
+"""Two a client. No plan harms all hosts all the time, and a client hands in three jobs a second."""
 CALM_SECONDS = 4.0
 """A planned stop is judged if its host had no other fault from this long before it."""
 
@@ -88,6 +90,14 @@
     return min((run.ended for run in runs if run.how == "done" and run.ended), default=None)
 
 
+def check_served(jobs: list[Job]) -> list[str]:
+    """Return a problem if too few jobs were accepted for the other checks to mean anything."""
+    accepted = sum(job.accepted_at is not None for job in jobs)
+    if accepted < FEWEST_ACCEPTED:
+        return [f"UNSERVED: {accepted} of {len(jobs)} jobs were accepted"]
+    return []
+
+
 def check_ends(jobs: list[Job]) -> list[str]:
     """Return what is wrong with the states that were shown at the end."""
     problems: list[str] = []
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -13,14 +13,14 @@
 from functools import partial
 from pathlib import Path
 
-from lentilpath_http import HttpError, HttpRequest, HttpServer, create_client
-from tests.common.fleet.deployment import CONFIG
+from lentilpath_http import HttpClient, HttpError, HttpRequest, HttpServer, create_client
+from tests.common.fleet.deployment import CONFIG, QUEUE
 from tests.common.fleet.store import StandInStore, StoreFaults
 from tests.common.fleet.workers import StandInWorker, TrueRun, serve_advice
 from tests.soak.clients import Clients
 from tests.soak.plans import FAULT_SECONDS, HOSTS, WORKERS, Fault, FaultKind, make_plan
 from tests.soak.processes import READY_PORT, HostProcess, choose_addresses, make_settings
-from tests.soak.promises import check_ends, check_planned_stops, check_runs
+from tests.soak.promises import check_ends, check_planned_stops, check_runs, check_served
 from tests.soak.proxies import Proxy
 
 CLIENTS = 4
@@ -56,15 +56,19 @@
 
     async def open(self) -> None:
         """Start everything and wait until each host takes callers."""
-        self.store.put("op", "", "config", json.dumps(CONFIG).encode())
+        addresses = choose_addresses(HOSTS, self.seed)
+        # A client reaches a host by its address, so there is a queue for each.
+        queues = [{**QUEUE, "name": f"r-{address}", "host": address} for address in addresses]
+        configuration = {**CONFIG, "routes": queues}
+        self.store.put("op", "", "config", json.dumps(configuration).encode())
         self.advice = await serve_advice()
         for number in range(WORKERS):
             await self._add_worker(number)
-        addresses = choose_addresses(HOSTS, self.seed)
         for number, address in enumerate(addresses):
             await self._add_host(number, address)
         for host in self.hosts:
             await self._wait_until_ready(host)
+            await self._wait_until(host.client, "/checks/")
 
     async def _add_worker(self, number: int) -> None:
         worker = StandInWorker(f"w{number}", self.store, self.log, RUN_SECONDS)
@@ -90,11 +94,15 @@
 
     async def _wait_until_ready(self, host: HostProcess) -> None:
         client = create_client(host.address, READY_PORT)
+        await self._wait_until(client, "/readyz")
+        client.close()
+
+    async def _wait_until(self, client: HttpClient, target: str) -> None:
+        """Wait until a call is answered with 200."""
         async with asyncio.timeout(READY_SECONDS):
             while True:
                 with suppress(HttpError):
-                    if (await client.send(HttpRequest("GET", "/readyz"), 1.0)).status == 200:
-                        client.close()
+                    if (await client.send(HttpRequest("GET", target), 1.0)).status == 200:
                         return
                 await asyncio.sleep(0.05)
 
@@ -126,6 +134,7 @@
         await self._settle(clients)
         return [
             *clients.problems,
+            *check_served(clients.jobs),
             *check_runs(clients.jobs, self.log, self.workers),
             *check_ends(clients.jobs),
             *check_planned_stops(self.hosts, clients.cut_calls, self.disturbed),
