--- a/benches/pool/loads.py
+++ b/benches/pool/loads.py
@@ -15,6 +15,10 @@
 """Standard deviation of the logarithm of sizes and run times, as on the sheets."""
 ESTIMATE_SPREAD = 0.5
 SECONDS = 34
+SAVES_SHARE = {0: 0.0, 1: 0.5, 2: 0.8}
+"""Share of the jobs of a priority that save their progress, the same on all four sheets."""
+SAVE_EVERY_MS = 2_000
+"""Work between two checkpoints."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -319,6 +323,7 @@
     factor: float,
     in_burst: bool,
 ) -> TrueJob:
+    saves = random.Random(number).random() < SAVES_SHARE[kind.priority]
     count = 1 if draw.random() > kind.steps - 1 else 2
     steps: list[StepSpec] = []
     runs: list[tuple[float, ...]] = []
@@ -335,6 +340,7 @@
                 Resources(kind.millicores, kind.memory_mib, 0),
                 int(estimate),
                 after=(step - 1,) if step else (),
+                saves_progress=saves,
                 gang=gang,
             )
         )
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -176,7 +176,7 @@
     UNWANTED = "unwanted"
     """The task is done, or runs elsewhere, or its job is not known."""
     EVACUATED = "evacuated"
-    """Its worker leaves before it would be done; it goes on elsewhere from what it has saved."""
+    """Its worker leaves, and it lasts; it goes on elsewhere."""
     MAKES_ROOM = "makes-room"
     """More urgent work needs its room."""
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
@@ -121,15 +121,13 @@
     return (StopRun(worker.worker, worker.life, attempt.task, attempt.run, reason),)
 
 
-def break_gang(
-    step: Step, now: Instant, reason: StopReason = StopReason.GANG_BROKEN
-) -> tuple[PoolEffect, ...]:
+def break_gang(step: Step, now: Instant) -> tuple[PoolEffect, ...]:
     """Stop the members that are left of a gang's run."""
     step.is_breaking = True
     effects: list[PoolEffect] = []
     for attempt in step.attempts.values():
         if attempt.phase is not Phase.STOPPING:
-            effects.extend(stop_attempt(attempt, reason, now))
+            effects.extend(stop_attempt(attempt, StopReason.GANG_BROKEN, now))
     return tuple(effects)
 
 
