Make one digest for the greetings of a quarter second, and tell hosts of each other only on a change

Cause, by reading: each of 64 greetings a second made the leader add up all waiting work and send all hosts' addresses to each host; both grow with the square of the hosts.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_members.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_members.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import zlib
 from collections.abc import Callable
 
 import msgspec
@@ -49,6 +50,7 @@
         self._started_at = read_instant()
         self._heard: dict[HostId, tuple[Instant, Hello]] = {}
         self._leader: PeerSettings | None = None
+        self._told_mark = 0
         self._told: dict[HostId, KnownHost] = {}
         """Hosts that the leader has told of."""
 
@@ -71,7 +73,9 @@
         """Return what this host says of itself."""
         own = self._settings
         up_ms = now - self._started_at
-        return Hello(own.peers, own.zone, own.region, own.cores, self._can_lead(), up_ms)
+        return Hello(
+            own.peers, own.zone, own.region, own.cores, self._can_lead(), up_ms, self._told_mark
+        )
 
     def list_known_hosts(self, now: Instant) -> tuple[KnownHost, ...]:
         """Return the hosts to tell others of."""
@@ -115,8 +119,11 @@
         was_restarted = max(fast)[0] - min(fast)[0] >= RESTARTED_MS
         return min(fast)[1] if was_restarted or len(fast) < len(able) else None
 
-    def take_told(self, hosts: tuple[KnownHost, ...]) -> None:
-        """Take over what the leader tells of other hosts."""
+    def take_told(self, hosts: tuple[KnownHost, ...], mark: int) -> None:
+        """Take over what the leader tells of other hosts, with the mark of its list."""
+        if not hosts:
+            return
+        self._told_mark = mark
         told = {each.host: each for each in hosts if each.host != self._settings.host}
         if told != self._told:
             self._told = told
@@ -204,7 +211,12 @@
             log_event(Event.LEADER_SILENT, leader=leader, error=str(error))
             return
         self.set_digest(digest, read_instant())
-        self._members.take_told(digest.hosts)
+        self._members.take_told(digest.hosts, digest.hosts_mark)
+
+
+def mark_hosts(hosts: tuple[KnownHost, ...]) -> int:
+    """Return a number that another list of hosts hardly ever has."""
+    return zlib.crc32(msgspec.msgpack.encode(sorted(hosts, key=lambda each: each.host)))
 
 
 def read_hello(request: PeerRequest) -> Hello:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_messages.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_messages.py
@@ -25,6 +25,8 @@
     """Whether the host reaches the table by itself and does not stop."""
     up_ms: int = 0
     """How long the process has run."""
+    hosts_mark: int = 0
+    """Tells which list of hosts the greeter has."""
 
 
 class KnownHost(msgspec.Struct, frozen=True, array_like=True):
@@ -44,6 +46,8 @@
     epoch: Epoch
     queues: dict[str, QueueLoad]
     hosts: tuple[KnownHost, ...] = ()
+    """Empty if the greeter has this list already."""
+    hosts_mark: int = 0
 
 
 class StateQuestion(msgspec.Struct, frozen=True):
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -5,6 +5,8 @@
 import asyncio
 from functools import singledispatchmethod
 
+import msgspec
+
 from lentilpath_core.errors import OutcomeUnknown, Unavailable
 from lentilpath_core.ids import Epoch, Instant, JobId, RowVersion, WorkerId
 from lentilpath_core.peers import PeerRequest
@@ -45,7 +47,7 @@
 from lentilpathd._pool._job_feed import JobFeed
 from lentilpathd._pool._leadership import PoolLeadership
 from lentilpathd._pool._link import CLOCK_DRIFT, LEASE_MARGIN_MS, WorkerLink, extend_lease
-from lentilpathd._pool._members import read_hello
+from lentilpathd._pool._members import mark_hosts, read_hello
 from lentilpathd._pool._messages import Digest, JobNotice
 from lentilpathd._pool._ports import LifeKey, PartRow
 from lentilpathd._pool._records import format_task
@@ -56,6 +58,9 @@
 
 TICK_SECONDS = 0.25
 """Due times may be missed by 250 ms at most."""
+DIGEST_REUSED_MS = 250
+"""A digest answers the greetings of this time, so that its cost does not grow with the hosts; with
+the time between greetings it stays under the 2 s by which the counts in it may be old."""
 PLACE_SECONDS = 0.01
 """Events that arrive within this share one pass over what waits."""
 WORKERS_EVERY_SECONDS = 0.7
@@ -90,6 +95,8 @@
         self._placing = asyncio.Event()
         self._group: asyncio.TaskGroup | None = None
         self._ready = False
+        self._digest: Digest | None = None
+        self._digest_at = Instant(0)
         self._jobs_version = RowVersion(0)
         self._feed = JobFeed(context.table, leadership.is_confirmed, self._take_job)
 
@@ -190,10 +197,14 @@
         return get_job_state(self._state, job)
 
     def make_digest(self) -> Digest:
-        """Return what the hosts need to know of the load."""
+        """Return what the hosts need to know of the load and of each other."""
         now = read_instant()
-        hosts = self._context.members.list_known_hosts(now)
-        return Digest(self._epoch, measure_loads(self._state, now), hosts)
+        if self._digest is None or now >= self._digest_at + DIGEST_REUSED_MS:
+            hosts = self._context.members.list_known_hosts(now)
+            loads = measure_loads(self._state, now)
+            self._digest = Digest(self._epoch, loads, hosts, mark_hosts(hosts))
+            self._digest_at = now
+        return self._digest
 
     def take_notice(self, notice: JobNotice) -> None:
         """Take what a host has stored about a job."""
@@ -202,8 +213,12 @@
 
     def answer_hello(self, request: PeerRequest) -> Digest:
         """Answer a host's greeting."""
-        self._context.members.note_hello(request.sender, read_hello(request), read_instant())
-        return self.make_digest()
+        hello = read_hello(request)
+        self._context.members.note_hello(request.sender, hello, read_instant())
+        digest = self.make_digest()
+        if hello.hosts_mark == digest.hosts_mark:
+            return msgspec.structs.replace(digest, hosts=())
+        return digest
 
     @singledispatchmethod
     def _carry_out(self, effect: PoolEffect) -> None:
--- a/tests/cover/test_pool_members.py
+++ b/tests/cover/test_pool_members.py
@@ -5,7 +5,7 @@
 from lentilpath_core.ids import HostId, Incarnation, Instant, RegionId, ZoneId
 from lentilpath_core.settings import Address
 from lentilpathd._peers import PeerBus
-from lentilpathd._pool._members import MEMBER_SILENT_MS, Members
+from lentilpathd._pool._members import MEMBER_SILENT_MS, Members, mark_hosts
 from lentilpathd._pool._messages import Hello, KnownHost
 from lentilpathd._pool._settings import PoolHostSettings
 
@@ -55,7 +55,7 @@
 
 def test_hosts_that_the_leader_tells_of_count_but_for_the_leader():
     members = make_members()
-    members.take_told((KnownHost(HostId("lead"), ADDRESS, ZONE, REGION, 2.0),))
+    members.take_told((KnownHost(HostId("lead"), ADDRESS, ZONE, REGION, 2.0),), 1)
     assert members.knows_faster(None)
     assert not members.knows_faster(HostId("lead"))
 
@@ -80,5 +80,18 @@
     assert members.list_helpers(NOW) == ("able",)
     told = KnownHost(HostId("told"), ADDRESS, ZONE, REGION, 1.0, True)
     outdated = KnownHost(HostId("cut"), ADDRESS, ZONE, REGION, 1.0, True)
-    members.take_told((told, outdated))
+    members.take_told((told, outdated), 1)
     assert members.list_helpers(NOW) == ("able", "told")
+
+
+def test_a_list_of_hosts_is_told_again_only_when_it_has_changed():
+    members = make_members()
+    greet(members, "a", 1.0)
+    first = members.list_known_hosts(NOW)
+    assert mark_hosts(first) == mark_hosts(tuple(reversed(first)))
+    members.take_told(first, mark_hosts(first))
+    assert members.make_hello(NOW).hosts_mark == mark_hosts(first)
+    members.take_told((), 0)
+    assert members.make_hello(NOW).hosts_mark == mark_hosts(first)
+    greet(members, "b", 1.0)
+    assert mark_hosts(members.list_known_hosts(NOW)) != mark_hosts(first)
