Settle an unanswered write through another host

After an unanswered write the next try goes through a host that says it reaches the table, for submissions, cancellations, records and the lease; a caller's write may take half of its time, in two tries at least. The job's row has the condition that it is absent, so a late first write changes nothing. Two process tests fail without it (504 in place of 200).

--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -15,7 +15,7 @@
 )
 from lentilpath_core.ids import Instant, JobId, RowVersion
 from lentilpath_core.pool import JobRecord, JobState, QueuePolicy, decide_admission
-from lentilpathd._clock import read_instant
+from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event
 from lentilpathd._metrics import Metric
 from lentilpathd._pool._context import PoolContext
@@ -40,6 +40,7 @@
     get_job_part,
     make_final_key,
 )
+from lentilpathd._pool._table_path import MIN_PATIENCE_SECONDS
 from lentilpathd._ports import ABSENT
 
 READ_TIMEOUT_SECONDS = 0.8
@@ -50,9 +51,9 @@
 """One way there and back between regions."""
 STORE_AWAY_RETRY_MS = 1_000
 """When to come back while the table does not take writes."""
-SETTLE_SHARE = 0.25
-"""Part of a caller's time that is spent on settling an unclear write. The caller does better to
-ask again, by when another host may have a way to the table."""
+SETTLE_SHARE = 0.5
+"""Part of a caller's time that is spent on settling an unclear write: two tries of the longest
+patience. Many callers must not hand a job in again that may have been taken."""
 NOTICE_TIMEOUT_SECONDS = 0.4
 """Longer than the job feed's pause; after it the feed is sooner."""
 
@@ -116,7 +117,10 @@
         while True:
             try:
                 # A row that is there already is this job's, by this submission or an earlier one.
-                commit = await table.commit(transaction, table.get_patience())
+                # After silence another host does it before this host's way is known to be broken.
+                commit = await table.commit(
+                    transaction, self._choose_patience(give_up_at), is_unclear
+                )
                 if commit.applied:
                     self._tell_leader(transaction, commit.version)
                 log_event(
@@ -140,6 +144,12 @@
                 return SubmissionAnswer(SubmissionResult.UNCLEAR)
             await asyncio.sleep(RETRY_SECONDS)
 
+    def _choose_patience(self, give_up_at: Instant) -> float:
+        """Return how long one try may take, in seconds; another one should still fit after it."""
+        left_seconds = (give_up_at - read_instant()) / MS_PER_SECOND
+        half_seconds = max(MIN_PATIENCE_SECONDS, left_seconds / 2)
+        return min(self._context.table.get_patience(), half_seconds)
+
     async def _refuse(self, job: JobId, error: TableUnavailable) -> SubmissionAnswer:
         """Answer a submission that was not sent to the table.
 
@@ -233,7 +243,8 @@
 
         Raises `Unavailable` or `OutcomeUnknown` if the cancellation is not surely stored.
         """
-        give_up_at = read_instant() + deadline_ms * SETTLE_SHARE
+        give_up_at = Instant(int(read_instant() + deadline_ms * SETTLE_SHARE))
+        is_unclear = False
         state = await self.get_state(job)
         if state is None:
             return False
@@ -243,10 +254,13 @@
         table = self._context.table
         while True:
             try:
-                commit = await table.commit(transaction, table.get_patience())
+                commit = await table.commit(
+                    transaction, self._choose_patience(give_up_at), is_unclear
+                )
             except (Unavailable, OutcomeUnknown) as error:
                 if read_instant() >= give_up_at:
                     raise
+                is_unclear = isinstance(error, OutcomeUnknown)
                 log_event(Event.CANCEL_UNCLEAR, job=job, error=str(error))
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -20,9 +20,9 @@
 from lentilpathd._pool._ports import (
     Deposed,
     PartCommit,
-    PartitionedTable,
     PartRows,
     PartTransaction,
+    SharedTable,
 )
 from lentilpathd._pool._records import (
     EPOCH_KEY,
@@ -132,7 +132,7 @@
 
     def __init__(
         self,
-        table: PartitionedTable,
+        table: SharedTable,
         host: HostId,
         incarnation: Incarnation,
         address: Address,
@@ -149,6 +149,8 @@
         self._confirmed_until = Instant(0)
         self._renewed_at = Instant(0)
         self._changed_at = Instant(0)
+        self._is_unclear = False
+        """Whether the last write of the lease was not answered."""
 
     def is_confirmed(self, now: Instant) -> bool:
         """Return whether nobody else can have taken over yet."""
@@ -278,10 +280,13 @@
         )
         sent_at = read_instant()
         try:
-            commit = await self._table.commit(transaction, ROW_TIMEOUT_SECONDS)
+            # After silence another host may renew it within the lease.
+            commit = await self._table.commit(transaction, ROW_TIMEOUT_SECONDS, self._is_unclear)
         except (Unavailable, OutcomeUnknown) as error:
+            self._is_unclear = isinstance(error, OutcomeUnknown)
             log_warning_event(Event.LEASE_NOT_RENEWED, epoch=epoch, error=str(error))
             return
         if not commit.applied:
             raise Deposed(f"epoch {epoch} was followed by another leader")
+        self._is_unclear = False
         self.note_renewed(sent_at, commit)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_ports.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_ports.py
@@ -114,6 +114,16 @@
         ...
 
 
+class SharedTable(PartitionedTable, Protocol):
+    """The table service, which other hosts may be asked for."""
+
+    async def commit(
+        self, transaction: PartTransaction, timeout: float, through_other: bool = False
+    ) -> PartCommit:
+        """Apply all of the transaction or nothing; with `through_other` by another host first."""
+        ...
+
+
 class Registry(Protocol):
     """What others write about the deployment: its workers and its configuration."""
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
@@ -186,9 +186,14 @@
             self._broken.set()
             log_event(Event.TABLE_LOST, error=str(error))
 
-    async def commit(self, transaction: PartTransaction, timeout: float) -> PartCommit:
-        """Apply all of the transaction or nothing; see `PartitionedTable`."""
-        if not self._broken.is_set():
+    async def commit(
+        self, transaction: PartTransaction, timeout: float, through_other: bool = False
+    ) -> PartCommit:
+        """Apply all of the transaction or nothing; see `PartitionedTable`.
+
+        With `through_other` another host is asked first, also while the own way counts as open.
+        """
+        if not self._broken.is_set() and not (through_other and self._may_relay()):
             try:
                 return await self._commit_directly(transaction, timeout)
             except TableBusy:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -20,7 +20,7 @@
 from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._pool._leadership import PoolLeadership
-from lentilpathd._pool._ports import Deposed, PartitionedTable, PartTransaction
+from lentilpathd._pool._ports import Deposed, PartTransaction, SharedTable
 from lentilpathd._pool._records import (
     EPOCH_KEY,
     POOL_PART,
@@ -55,7 +55,7 @@
 
     def __init__(
         self,
-        table: PartitionedTable,
+        table: SharedTable,
         epoch: Epoch,
         leadership: PoolLeadership,
         take_event: Callable[[PoolEvent], None],
@@ -117,6 +117,7 @@
                 self._end_keys.setdefault(record.task.job, []).append(key)
         deletes = self._list_needless_ends(batch, MAX_ENTRIES - len(puts))
         delay_seconds = RETRY_SECONDS
+        is_unclear = False
         while True:
             renewal = self._leadership.make_renewal(self._epoch)
             transaction = PartTransaction(
@@ -128,8 +129,9 @@
             )
             sent_at = read_instant()
             try:
-                commit = await self._table.commit(transaction, COMMIT_TIMEOUT_SECONDS)
+                commit = await self._table.commit(transaction, COMMIT_TIMEOUT_SECONDS, is_unclear)
             except (Unavailable, OutcomeUnknown) as error:
+                is_unclear = isinstance(error, OutcomeUnknown)
                 # Equal rows may be written twice, so an unclear write is simply made again.
                 log_warning_event(Event.RECORDS_NOT_STORED, count=len(batch), error=str(error))
                 await asyncio.sleep(delay_seconds)
--- a/tests/common/tables.py
+++ b/tests/common/tables.py
@@ -29,7 +29,7 @@
         self.followed_twice = asyncio.Event()
         self.emptied = asyncio.Event()
 
-    async def commit(self, transaction, timeout):
+    async def commit(self, transaction, timeout, through_other=False):
         if self.is_busy:
             raise TableBusy("too many calls")
         if self.is_away:
--- a/tests/cover/test_pool_link.py
+++ b/tests/cover/test_pool_link.py
@@ -10,13 +10,13 @@
 from lentilpath_core.pool import EndedRun, LeaseSent, Run, RunEnd, StartRun, WorkerReport
 from lentilpathd._pool import _link
 from lentilpathd._pool._link import WorkerLink
-from lentilpathd._pool._ports import PartitionedTable
+from lentilpathd._pool._ports import SharedTable
 from lentilpathd._pool._writer import RecordWriter
 from tests.common.pools import LIFE, make_task, make_worker
 from tests.common.tables import OneRowTable, make_leadership
 
 LEASE_MS = 5_000
-UNUSED_TABLE = typing.cast(PartitionedTable, None)
+UNUSED_TABLE = typing.cast(SharedTable, None)
 
 
 class SilencedWorker:
--- a/tests/nocover/test_pool_hosts.py
+++ b/tests/nocover/test_pool_hosts.py
@@ -7,7 +7,8 @@
 
 from lentilpath_core.ids import JobId
 from lentilpath_core.pool import QueueId
-from lentilpathd._clock import read_instant
+from lentilpathd._clock import MS_PER_SECOND, read_instant
+from lentilpathd._pool._leadership import LEASE_MS
 from tests.common.fleet.deployment import Fleet, make_step, run_fleet
 from tests.common.requests import wait_until
 
@@ -245,3 +246,32 @@
         assert len({run.task for run in done}) == len(done)
 
     play(scenario, run_seconds=0.15)
+
+
+def test_a_host_whose_way_to_the_table_falls_silent_settles_a_submission_through_another():
+    async def scenario(fleet: Fleet) -> None:
+        leader = await fleet.wait_for_leader()
+        host = next(each for each in fleet.hosts if each is not leader)
+        helpers = host.host.members.list_helpers
+        await wait_until(lambda: len(helpers(read_instant())) == 2)
+        host.faults.silent = True
+        job, status = await fleet.submit(host)
+        assert status == 200
+        await expect_all_completed(fleet, [job])
+
+    play(scenario)
+
+
+def test_a_leader_whose_way_to_the_table_falls_silent_renews_its_lease_through_another():
+    async def scenario(fleet: Fleet) -> None:
+        leader = await fleet.wait_for_leader()
+        helpers = leader.host.members.list_helpers
+        await wait_until(lambda: len(helpers(read_instant())) == 2)
+        leader.faults.silent = True
+        jobs = await submit_many(fleet, 6)
+        await asyncio.sleep(2 * LEASE_MS / MS_PER_SECOND)
+        assert leader.host.is_leading()
+        await expect_all_completed(fleet, [*jobs, *await submit_many(fleet, 3)])
+        assert leader.host.leadership.seen is None or leader.host.leadership.seen.epoch <= 1
+
+    play(scenario)
