--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -15,8 +15,8 @@
 from tests.soak.regressions import REGRESSIONS
 from tests.soak.runs import play_seed
 
-SEEDS = (4, 11)
-"""Chosen for their faults: a planned stop beside a cut of the table; workers cut and reborn."""
+SEEDS = (4,)
+"""A planned stop, a pause and a silenced way to the table, all of one host, with resets beside."""
 
 
 @pytest.mark.parametrize("seed", [*SEEDS, *REGRESSIONS])
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 REGRESSIONS: dict[int, str] = {
+    11: "the same as 140; failed in 1 of 6 runs before it was mended",
     140: "a start meant for a worker's former life was taken by the next one, whose ends were "
     "acknowledged by the number of a former end",
     143: "the same, with a change of leader after it",
