--- a/packages/lentilpath-http/src/lentilpath_http/_server.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_server.py
@@ -66,8 +66,9 @@
         """Stop listening, finish requests in progress for at most `grace_seconds`, then close."""
         deadline = asyncio.get_running_loop().time() + grace_seconds
         self._closing = True
-        if self._server is not None:
-            await self._stop_listening(self._server)
+        listener, self._listener = self._listener, None
+        if self._server is not None and listener is not None:
+            await self._stop_listening(self._server, listener)
         # A request may be on its way on a connection that looks idle here. It is still answered,
         # with word that the connection ends.
         await asyncio.sleep(min(self._limits.linger_seconds, grace_seconds))
@@ -78,16 +79,15 @@
         await self._wait_until_closed(deadline)
         _cancel_all(self._connections)
 
-    async def _stop_listening(self, server: asyncio.Server) -> None:
+    async def _stop_listening(self, server: asyncio.Server, listener: socket.socket) -> None:
         """Refuse new connections and lose none that a caller has already made."""
         loop = asyncio.get_running_loop()
-        assert self._listener is not None
         loop.remove_reader(server.sockets[0].fileno())
         # Connections that the loop has accepted fail if the server closes before they are set up.
         await asyncio.sleep(0)
         server.close()
         waiting: list[socket.socket] = []
-        with self._listener as listener, contextlib.suppress(BlockingIOError):
+        with listener, contextlib.suppress(BlockingIOError):
             while True:
                 connection, _ = listener.accept()
                 connection.setblocking(False)
--- a/tests/nocover/test_http_stop.py
+++ b/tests/nocover/test_http_stop.py
@@ -74,3 +74,16 @@
                 return b""
 
     assert asyncio.run(scenario()) == b""
+
+
+def test_a_server_that_is_stopped_again_while_it_stops_ends_once():
+    async def scenario() -> bytes:
+        server = await serve_http(answer, "127.0.0.1", 0, limits=LIMITS)
+        connection = connect(server.get_port())
+        connection.sendall(REQUEST)
+        stops = [asyncio.create_task(server.close(GRACE_SECONDS)) for _ in range(2)]
+        await asyncio.gather(*stops)
+        await server.close(0.0)
+        return await asyncio.to_thread(read_answer, connection)
+
+    assert b"200" in asyncio.run(scenario()).splitlines()[0]
