--- a/benches/pool/__main__.py
+++ b/benches/pool/__main__.py
@@ -12,9 +12,9 @@
 from benches.pool.deciders import Decider, FirstFit, PoolDecider
 from benches.pool.loads import (
     CHECKPOINT_INTERVAL_MS,
-    LOAD_SECONDS,
     PATTERNS,
     SITES,
+    Kind,
     Pattern,
     SimulatedJob,
     Site,
@@ -28,8 +28,12 @@
 TICK_MS = 10
 REPORT_INTERVAL_MS = 800
 ADVICE_DELAY_MS = 60
+ADVICE_NETWORK_MS = 40
+"""From the leader to the host that calls and back, between regions."""
 COMMAND_DELAY_MS = 20
 STOP_DELAY_MS = 400
+BOUND_ADVICE_WORKERS = 30
+"""Workers that the one advice call of a step names for the bound, as the users count it."""
 DRAIN_SECONDS = 30
 SLOW_FACTOR = 6
 SEED = 7
@@ -81,13 +85,20 @@
     wasted_core_seconds: float = 0.0
 
 
+def compute_advice_ms(kind: Kind, workers: int) -> float:
+    """Return how long the advice service takes to answer about this many workers."""
+    if not kind.advice_call_ms:
+        return ADVICE_DELAY_MS
+    return ADVICE_NETWORK_MS + kind.advice_call_ms + kind.advice_worker_ms * workers
+
+
 class Simulation:
     """One pattern on one site with one decider."""
 
-    def __init__(self, site: Site, pattern: Pattern, decider: Decider) -> None:
+    def __init__(self, site: Site, pattern: Pattern, decider: Decider, seed: int = SEED) -> None:
         self._site, self._pattern, self._decider = site, pattern, decider
-        self._rng = random.Random(SEED)
-        self.jobs = make_jobs(site, pattern, SEED)
+        self._rng = random.Random(seed)
+        self.jobs = make_jobs(site, pattern, seed)
         self._jobs_by_id = {job.record.job: job for job in self.jobs}
         names = [WorkerId(f"w{number}") for number in range(site.workers)]
         self._slow_workers = set(names[: int(pattern.slow_share * len(names))])
@@ -106,7 +117,7 @@
         cancels = sorted(
             (job.cancelled_ms, job.record.job) for job in self.jobs if job.cancelled_ms is not None
         )
-        for now in range(0, (LOAD_SECONDS + DRAIN_SECONDS) * 1_000, TICK_MS):
+        for now in range(0, (self._pattern.load_seconds + DRAIN_SECONDS) * 1_000, TICK_MS):
             without_leader = self._is_within(self._pattern.leader_outage, now)
             table_unavailable = self._is_within(self._pattern.table_outage, now)
             if self._leaving_workers and now == 10_000:
@@ -183,7 +194,8 @@
 
     def _execute(self, actions, now: int) -> None:  # type: ignore[no-untyped-def]
         for step, workers in actions.advice:
-            due = now + int(ADVICE_DELAY_MS * self._pattern.advice_factor)
+            kind = self._jobs_by_id[step.job].kind
+            due = now + int(compute_advice_ms(kind, len(workers)) * self._pattern.advice_factor)
             self._pending_advice.append((due, step, workers))
         for task, number, worker, checkpoint in actions.starts:
             self._start(task, number, worker, int(checkpoint or 0), now)
@@ -266,7 +278,8 @@
         if not job.always_fails and job.cancelled_ms is None:
             simulation.outcome.expected[job.kind.name] += 1
             simulation.outcome.total_value += job.kind.value * job.value_weight
-        step_ms = ADVICE_DELAY_MS * pattern.advice_factor + COMMAND_DELAY_MS
+        advice_ms = compute_advice_ms(job.kind, BOUND_ADVICE_WORKERS) * pattern.advice_factor
+        step_ms = advice_ms + COMMAND_DELAY_MS
         critical_path_ms = sum(max(step) + step_ms for step in job.run_ms)
         simulation.complete_job(job, int(started_at + critical_path_ms))
     return simulation.outcome
--- a/benches/pool/loads.py
+++ b/benches/pool/loads.py
@@ -15,6 +15,8 @@
 """Standard deviation of the logarithm of sizes and run times, as on the sheets."""
 ESTIMATE_SIGMA = 0.5
 LOAD_SECONDS = 34
+MAX_WIDTH_FACTOR = 6
+"""Largest number of tasks per step, as a factor on the mean."""
 SAVES_PROGRESS_SHARE = {0: 0.0, 1: 0.5, 2: 0.8}
 """Share of the jobs of a priority that save their progress, the same on all four sheets."""
 CHECKPOINT_INTERVAL_MS = 2_000
@@ -40,6 +42,15 @@
     allowed_share: float
     value: float
     late_value: float
+    width_sigma: float = SIZE_SIGMA
+    """Standard deviation of the logarithm of the tasks per step; the next two are alike."""
+    millicores_sigma: float = 0.0
+    memory_sigma: float = 0.0
+    advice_call_ms: float = 0.0
+    """Duration of an advice call; 0 for the same short duration for all calls."""
+    advice_worker_ms: float = 0.0
+    max_room_factor: float = 3.0
+    """Largest resources of a task, as a factor on the kind's mean."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -226,7 +237,81 @@
         ),
     ),
 )
-SITES = (HARBOR, DHUNGE, HARBOR_GROWN, DHUNGE_GROWN)
+HARBOR_LARGE = Site(
+    "harborspoon-large",
+    270,
+    Resources(32_000, 131_072, 0),
+    (
+        Kind(
+            "menu-rebuild",
+            1,
+            4.16,
+            1.2,
+            20,
+            9_000,
+            26_000,
+            4_000,
+            2.2,
+            1_203,
+            3,
+            1.0,
+            0.35,
+            5.57,
+            1.11,
+            0.8,
+            0.4,
+            0.5,
+            390.0,
+            5.6,
+            1.67,
+        ),
+        Kind(
+            "allergen-recon",
+            2,
+            5.55,
+            1.5,
+            15,
+            5_500,
+            16_000,
+            3_400,
+            4.0,
+            3_003,
+            2,
+            0.0,
+            0.45,
+            2.6,
+            0.52,
+            0.6,
+            0.45,
+            0.6,
+            140.0,
+            2.0,
+        ),
+        Kind(
+            "swap-check",
+            0,
+            49.3,
+            1.0,
+            3,
+            7_900,
+            23_000,
+            800,
+            1.5,
+            502,
+            3,
+            0.3,
+            0.7,
+            0.411,
+            0.0822,
+            0.8,
+            0.45,
+            0.6,
+            16.0,
+            0.23,
+        ),
+    ),
+)
+SITES = (HARBOR, DHUNGE, HARBOR_GROWN, DHUNGE_GROWN, HARBOR_LARGE)
 
 
 @dataclass(frozen=True, slots=True)
@@ -246,6 +331,8 @@
     leaving_share: float = 0.0
     leader_outage: tuple[float, float] = (0.0, 0.0)
     table_outage: tuple[float, float] = (0.0, 0.0)
+    load_seconds: int = LOAD_SECONDS
+    """How long jobs are submitted."""
 
 
 PATTERNS = (
@@ -281,6 +368,8 @@
 def make_policy(kind: Kind) -> QueuePolicy:
     """Return the policy of the queue for a kind of job."""
     advice = AdvicePolicy(20.0, 0.5, TICKET_MS)
+    if kind.advice_call_ms:
+        advice = AdvicePolicy(kind.advice_call_ms, kind.advice_worker_ms, TICKET_MS)
     return QueuePolicy(
         QueueId(kind.name),
         "h",
@@ -301,7 +390,7 @@
     jobs: list[SimulatedJob] = []
     for kind_number, kind in enumerate(site.kinds):
         at_ms = 0.0
-        while at_ms < LOAD_SECONDS * 1_000:
+        while at_ms < pattern.load_seconds * 1_000:
             in_burst = (
                 pattern.burst_kind == kind_number
                 and pattern.burst_at[0] * 1_000 <= at_ms < pattern.burst_at[1] * 1_000
@@ -325,6 +414,7 @@
 ) -> SimulatedJob:
     saves = random.Random(number).random() < SAVES_PROGRESS_SHARE[kind.priority]
     count = 1 if rng.random() > kind.steps - 1 else 2
+    room = _choose_room(kind, number)
     steps: list[StepSpec] = []
     run_ms_by_step: list[tuple[float, ...]] = []
     work = 0.0
@@ -334,7 +424,10 @@
             round(
                 kind.tasks_per_step
                 * width_factor
-                * rng.lognormvariate(-(SIZE_SIGMA**2) / 2, SIZE_SIGMA)
+                * min(
+                    MAX_WIDTH_FACTOR,
+                    rng.lognormvariate(-(kind.width_sigma**2) / 2, kind.width_sigma),
+                )
             ),
         )
         run_ms = kind.run_ms * rng.lognormvariate(-(SIZE_SIGMA**2) / 2, SIZE_SIGMA)
@@ -346,7 +439,7 @@
         steps.append(
             StepSpec(
                 width,
-                Resources(kind.millicores, kind.memory_mib, 0),
+                room,
                 int(estimate),
                 after=(step - 1,) if step else (),
                 saves_progress=saves,
@@ -354,7 +447,7 @@
             )
         )
         run_ms_by_step.append(task_run_ms)
-        work += sum(task_run_ms) * kind.millicores
+        work += sum(task_run_ms) * room.millicores
     mean_work = kind.steps * kind.tasks_per_step * kind.run_ms * kind.millicores
     weight = min(4.0, 0.3 + 0.7 * work / mean_work)
     always_fails = in_burst and rng.random() < pattern.always_failing_share
@@ -364,3 +457,17 @@
     return SimulatedJob(
         record, kind, at_ms, tuple(run_ms_by_step), always_fails, cancelled_ms, weight
     )
+
+
+def _choose_room(kind: Kind, number: int) -> Resources:
+    """Return the resources of a task of job `number`, around the kind's mean."""
+    rng = random.Random(f"{kind.name}/{number}")
+    scales = [
+        rng.lognormvariate(-(sigma**2) / 2, sigma)
+        for sigma in (kind.millicores_sigma, kind.memory_sigma)
+    ]
+    return Resources(
+        int(kind.millicores * min(scales[0], kind.max_room_factor)),
+        int(kind.memory_mib * min(scales[1], kind.max_room_factor)),
+        0,
+    )
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -107,6 +107,18 @@
     expires_at: Instant
 
 
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """Resources that are held for a gang until they suffice for all its tasks."""
+
+    step: StepKey
+    made_at: Instant
+    starts_at: Instant
+    """When the gang is expected to start."""
+    spare: dict[WorkerId, Resources]
+    """What is left of each reserved worker beside the gang, at that time."""
+
+
 @dataclass(slots=True)
 class Step:
     """State of one step of one occurrence of a job."""
@@ -132,9 +144,15 @@
     tickets: dict[WorkerId, Ticket] | None = None
     """Tickets by the worker they permit; `None` before the advice service's first answer."""
     asked_workers: set[WorkerId] = field(default_factory=set)
+    """Workers that the advice service has answered about."""
+    asking: set[WorkerId] = field(default_factory=set)
+    """Workers that calls in flight name."""
+    asking_until: Instant = Instant(0)
+    """Time until which the answers to these calls are awaited."""
     next_ask_at: Instant = Instant(0)
     """No advice call is made for the step before this time."""
     plan: Plan | None = None
+    reservation: Reservation | None = None
     is_open: bool = False
     is_breaking: bool = False
     """A member of the gang has ended its run, and the others are being stopped."""
@@ -179,8 +197,8 @@
     """Workers that may run tasks of an earlier leader and have not reported yet."""
     open_steps: dict[StepKey, Step] = field(default_factory=dict)
     """Steps that have tasks waiting for a start."""
-    gang_reservations: dict[WorkerId, StepKey] = field(default_factory=dict)
-    """Workers reserved for a gang that lacks room, and the gang's step; rebuilt in each pass."""
+    reservations: dict[WorkerId, Reservation] = field(default_factory=dict)
+    """Reservations for gangs that lack room, by worker; rebuilt in each placement pass."""
     wall_now: WallTime = WallTime(0)
     job_memory_ms: int = 120_000
     """Retention time of the state of a finished job."""
@@ -189,6 +207,8 @@
     """Incarnations of workers that are recorded, or whose record is being written."""
     run_time_ratios: dict[str, float] = field(default_factory=dict)
     """Moving average of run time divided by estimate, by queue."""
+    allowed_shares: dict[str, float] = field(default_factory=dict)
+    """Moving average of the share of workers that the advice service allows, by queue."""
 
 
 def create_pool(epoch: Epoch, former_leases_end_at: Instant) -> PoolState:
--- a/tests/common/pools.py
+++ b/tests/common/pools.py
@@ -208,6 +208,9 @@
         until = Instant(self.now + valid_ms)
         return self.handle_event(AdviceAnswered(ask.step, ask.workers, allowed, until))
 
+    def lose_advice(self, ask: AskAdvice) -> list[PoolEffect]:
+        return self.handle_event(AdviceAnswered(ask.step, ask.workers, None, self.now))
+
 
 def list_starts(effects: list[PoolEffect]) -> list[StartRun]:
     return [each for each in effects if isinstance(each, StartRun)]
