--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -51,7 +51,7 @@
 RETRY_SECONDS = 0.05
 """One network round trip between regions."""
 TABLE_UNAVAILABLE_RETRY_MS = 1_000
-"""Retry-after of a refused submission while the table does not accept writes."""
+"""Retry-after of a refused request while the table does not answer."""
 SETTLE_DEADLINE_SHARE = 0.5
 """Share of a caller's deadline spent on retrying a write of unknown outcome; it leaves time for two
 attempts. Many callers must not resubmit a job that may have been accepted."""
@@ -247,12 +247,12 @@
     async def cancel(self, job: JobId, deadline_ms: int) -> bool:
         """Cancel a job; return whether it exists.
 
-        Raises `Unavailable` or `OutcomeUnknown` if the cancellation may not be stored.
+        Raises `Unavailable` if the cancellation is certainly not stored, and `OutcomeUnknown` if it
+        may be.
         """
         give_up_at = Instant(int(read_instant() + deadline_ms * SETTLE_DEADLINE_SHARE))
         is_unclear = False
-        state = await self.get_state(job)
-        if state is None:
+        if not await self._is_known(job):
             return False
         transaction = PartitionTransaction(
             JOBS_TABLE, get_job_partition(job), puts=((get_cancel_key(job), b"1"),)
@@ -264,16 +264,25 @@
                     transaction, self._choose_timeout(give_up_at), is_unclear
                 )
             except (Unavailable, OutcomeUnknown) as error:
-                if read_instant() >= give_up_at:
+                is_unclear = is_unclear or isinstance(error, OutcomeUnknown)
+                is_over = read_instant() >= give_up_at
+                if not is_unclear and (is_over or not isinstance(error, TableBusy)):
                     raise
-                is_unclear = isinstance(error, OutcomeUnknown)
                 log_event(Event.CANCEL_UNCLEAR, job=job, error=str(error))
+                if is_over:
+                    raise OutcomeUnknown(f"the cancellation of {job} may be stored") from error
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             self._notify_leader(transaction, commit.version)
             log_event(Event.JOB_CANCELLED, job=job)
             return True
 
+    async def _is_known(self, job: JobId) -> bool:
+        try:
+            return await self.get_state(job) is not None
+        except OutcomeUnknown as error:
+            raise TableUnavailable(f"the state of {job} could not be read: {error}") from error
+
     def count_pending(self, queue: str) -> int | None:
         """Return how many accepted jobs of a queue have not started, or `None` if not known now."""
         load = self._context.heartbeat_sender.get_load(queue, read_instant())
--- a/packages/lentilpathd/src/lentilpathd/pool.py
+++ b/packages/lentilpathd/src/lentilpathd/pool.py
@@ -4,7 +4,12 @@
 from lentilpathd._logs import set_up_structured_log
 from lentilpathd._pool._adapter_log import log_unanswered_job, log_unreadable_entry
 from lentilpathd._pool._host import Handler, PlatformPorts, PoolHost, run_pool_host
-from lentilpathd._pool._jobs import Jobs, SubmissionAnswer, SubmissionResult
+from lentilpathd._pool._jobs import (
+    TABLE_UNAVAILABLE_RETRY_MS,
+    Jobs,
+    SubmissionAnswer,
+    SubmissionResult,
+)
 from lentilpathd._pool._ports import (
     Advice,
     AdviceService,
@@ -23,6 +28,7 @@
 from lentilpathd._pool._settings import PoolHostSettings
 
 __all__ = [
+    "TABLE_UNAVAILABLE_RETRY_MS",
     "Advice",
     "AdviceService",
     "Handler",
--- /dev/null
+++ b/tests/cover/test_pool_answers.py
@@ -0,0 +1,98 @@
+"""Callers' queries and cancellations get a truthful answer at once, with a time to come back."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
+from lentilpath_core.errors import LentilpathError, OutcomeUnknown, TableUnavailable
+from lentilpath_core.ids import HostId, JobId
+from lentilpath_core.pool import JobState, PoolConfiguration, QueueId, ServicePolicy
+from lentilpath_http import HttpRequest, HttpResponse
+from lentilpath_platform.callers import make_callers_handler
+from lentilpathd._pool._jobs import Jobs
+from lentilpathd._pool._members import UnclearJobs
+from lentilpathd._pool._metrics import PoolMetrics
+from tests.common.pools import SERVICE, make_queue
+from tests.common.tables import OnePartitionTable
+
+JOB = JobId("00000000000000ab")
+QUEUE = make_queue(QueueId("checks"))
+
+
+class ScriptedTable(OnePartitionTable):
+    """A table whose writes end with the scripted errors, one each, and then succeed."""
+
+    def __init__(self, *errors: LentilpathError) -> None:
+        super().__init__()
+        self.errors = list(errors)
+        self.writes = 0
+
+    async def commit(self, transaction, timeout, prefer_relay=False):
+        self.writes += 1
+        if self.errors:
+            raise self.errors.pop(0)
+        return await super().commit(transaction, timeout)
+
+    def get_commit_timeout(self) -> float:
+        return 0.1
+
+
+def make_jobs(table: OnePartitionTable, state: JobState | None = JobState.RUNNING) -> Jobs:
+    context = SimpleNamespace(
+        table=table,
+        settings=SimpleNamespace(host=HostId("h1")),
+        metrics=PoolMetrics(),
+        unclear_jobs=UnclearJobs(),
+        is_leading=lambda: True,
+        get_local_job_state=lambda job: state,
+        handle_local_notice=lambda notice: True,
+    )
+    return Jobs(cast(Any, context))
+
+
+def call(method: str, jobs: Jobs) -> HttpResponse:
+    configuration = PoolConfiguration(
+        cast(Any, 1), {QUEUE.queue: QUEUE}, {SERVICE: ServicePolicy(SERVICE)}
+    )
+    host = SimpleNamespace(
+        jobs=jobs, configuration=SimpleNamespace(get_current=lambda: configuration)
+    )
+    headers = (("host", QUEUE.host), ("x-deadline-ms", "400"))
+    request = HttpRequest(method, f"{QUEUE.path_prefix}{JOB}", headers, b"")
+    return asyncio.run(make_callers_handler(cast(Any, host))(request))
+
+
+def test_a_cancellation_that_was_not_sent_is_refused_at_once_with_a_time_to_come_back():
+    table = ScriptedTable(*[TableUnavailable("away")] * 50)
+    response = call("DELETE", make_jobs(table))
+    assert response.status == 503
+    assert response.get_header("retry-after")
+    assert table.writes == 1
+
+
+@pytest.mark.parametrize("then", [TableUnavailable("away"), OutcomeUnknown("silent")])
+def test_a_cancellation_that_may_be_stored_is_never_reported_as_without_effect(
+    then: LentilpathError,
+):
+    table = ScriptedTable(OutcomeUnknown("silent"), *[then] * 50)
+    assert call("DELETE", make_jobs(table)).status == 504
+
+
+def test_an_unclear_cancellation_is_settled_by_repeating_the_write():
+    table = ScriptedTable(OutcomeUnknown("silent"), TableUnavailable("away"))
+    assert call("DELETE", make_jobs(table)).status == 200
+    assert table.writes == 3
+
+
+@pytest.mark.parametrize("error", [TableUnavailable("away"), OutcomeUnknown("silent")])
+def test_a_query_that_cannot_be_answered_may_be_repeated(error: LentilpathError):
+    table = ScriptedTable()
+    table.is_unavailable = True
+    table.unavailable_error = error
+    response = call("GET", make_jobs(table, state=None))
+    assert response.status == 503
+    assert response.get_header("retry-after")
