A write that is late goes on beside the next attempt, so a slow table leaves no job in doubt

One write of such a table takes about 0.8 s. Change: _settling.py keeps attempts in flight until the caller's time for them is over and starts the next one beside them; cancellations use the same code. The path counts a late answer as a failure when it becomes late, unless the table has answered something else within a second.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -9,13 +9,11 @@
 from lentilpath_core.errors import (
     LentilpathError,
     OutcomeUnknown,
-    TableBusy,
     TableUnavailable,
-    Unavailable,
 )
 from lentilpath_core.ids import Instant, JobId, RowVersion
 from lentilpath_core.pool import JobRecord, JobState, QueuePolicy, decide_admission
-from lentilpathd._clock import MS_PER_SECOND, read_instant
+from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_event
 from lentilpathd._metrics import Metric
 from lentilpathd._pool._context import PoolContext
@@ -40,7 +38,7 @@
     get_job_partition,
     make_final_key,
 )
-from lentilpathd._pool._table_path import MIN_COMMIT_TIMEOUT_SECONDS
+from lentilpathd._pool._settling import settle_write
 from lentilpathd._ports import ABSENT
 
 READ_TIMEOUT_SECONDS = 0.8
@@ -48,13 +46,11 @@
 retry."""
 STATE_TIMEOUT_SECONDS = 0.4
 """Half the timeout of the table read that follows if the leader does not answer."""
-RETRY_SECONDS = 0.05
-"""One network round trip between regions."""
 TABLE_UNAVAILABLE_RETRY_MS = 1_000
 """Retry-after of a refused request while the table does not answer."""
 SETTLE_DEADLINE_SHARE = 0.5
-"""Share of a caller's deadline spent on retrying a write of unknown outcome; it leaves time for two
-attempts. Many callers must not resubmit a job that may have been accepted."""
+"""Share of a caller's deadline spent on a write of unknown outcome. Many callers must not resubmit
+a job that may have been accepted."""
 NOTICE_TIMEOUT_SECONDS = 0.4
 """Longer than the job feed's pause; beyond it the feed delivers the job sooner."""
 
@@ -115,44 +111,33 @@
             checks=((record.job, ABSENT),),
             puts=((record.job, encode_record(record)),),
         )
-        table = self._context.table
-        is_unclear = False
-        while True:
-            try:
-                # An existing row belongs to this job: this submission or an earlier one stored it.
-                # After an unanswered attempt a relay is tried first, even before this host's direct
-                # path is known to be down.
-                commit = await table.commit(
-                    transaction, self._choose_timeout(give_up_at), is_unclear
-                )
-                if commit.applied:
-                    self._notify_leader(transaction, commit.version)
-                log_event(
-                    Event.JOB_STORED,
-                    job=record.job,
-                    queue=record.queue,
-                    repeated=not commit.applied,
-                    version=commit.version,
-                )
-                return SubmissionAnswer(SubmissionResult.ACCEPTED)
-            except TableUnavailable as error:
-                is_over = not isinstance(error, TableBusy) or read_instant() >= give_up_at
-                if is_over and not is_unclear:
-                    return await self._answer_unsent(record.job, error)
-            except OutcomeUnknown as error:
-                if not is_unclear:
-                    is_unclear = True
-                    self.mark_unclear(record.job)
-                log_event(Event.JOB_UNCLEAR, job=record.job, error=str(error))
-            if read_instant() >= give_up_at:
-                return SubmissionAnswer(SubmissionResult.UNCLEAR)
-            await asyncio.sleep(RETRY_SECONDS)
-
-    def _choose_timeout(self, give_up_at: Instant) -> float:
-        """Return the timeout of one attempt in seconds; it leaves time for another attempt."""
-        left_seconds = (give_up_at - read_instant()) / MS_PER_SECOND
-        half_seconds = max(MIN_COMMIT_TIMEOUT_SECONDS, left_seconds / 2)
-        return min(self._context.table.get_commit_timeout(), half_seconds)
+        try:
+            commit = await settle_write(
+                self._context.table,
+                transaction,
+                give_up_at,
+                lambda error: self._report_unclear(record.job, error),
+            )
+        except TableUnavailable as error:
+            return await self._answer_unsent(record.job, error)
+        except OutcomeUnknown:
+            return SubmissionAnswer(SubmissionResult.UNCLEAR)
+        # An existing row belongs to this job: this submission or an earlier one stored it.
+        if commit.applied:
+            self._notify_leader(transaction, commit.version)
+        log_event(
+            Event.JOB_STORED,
+            job=record.job,
+            queue=record.queue,
+            repeated=not commit.applied,
+            version=commit.version,
+        )
+        return SubmissionAnswer(SubmissionResult.ACCEPTED)
+
+    def _report_unclear(self, job: JobId, error: Exception) -> None:
+        if not self._context.unclear_jobs.has(job, read_instant()):
+            self.mark_unclear(job)
+        log_event(Event.JOB_UNCLEAR, job=job, error=str(error))
 
     async def _answer_unsent(self, job: JobId, error: TableUnavailable) -> SubmissionAnswer:
         """Answer a submission whose write was not sent to the table.
@@ -251,31 +236,20 @@
         may be.
         """
         give_up_at = Instant(int(read_instant() + deadline_ms * SETTLE_DEADLINE_SHARE))
-        is_unclear = False
         if not await self._is_known(job):
             return False
         transaction = PartitionTransaction(
             JOBS_TABLE, get_job_partition(job), puts=((get_cancel_key(job), b"1"),)
         )
-        table = self._context.table
-        while True:
-            try:
-                commit = await table.commit(
-                    transaction, self._choose_timeout(give_up_at), is_unclear
-                )
-            except (Unavailable, OutcomeUnknown) as error:
-                is_unclear = is_unclear or isinstance(error, OutcomeUnknown)
-                is_over = read_instant() >= give_up_at
-                if not is_unclear and (is_over or not isinstance(error, TableBusy)):
-                    raise
-                log_event(Event.CANCEL_UNCLEAR, job=job, error=str(error))
-                if is_over:
-                    raise OutcomeUnknown(f"the cancellation of {job} may be stored") from error
-                await asyncio.sleep(RETRY_SECONDS)
-                continue
-            self._notify_leader(transaction, commit.version)
-            log_event(Event.JOB_CANCELLED, job=job)
-            return True
+        commit = await settle_write(
+            self._context.table,
+            transaction,
+            give_up_at,
+            lambda error: log_event(Event.CANCEL_UNCLEAR, job=job, error=str(error)),
+        )
+        self._notify_leader(transaction, commit.version)
+        log_event(Event.JOB_CANCELLED, job=job)
+        return True
 
     async def _is_known(self, job: JobId) -> bool:
         try:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
@@ -110,6 +110,10 @@
     read: RelayRead | None = None
 
 
+class LateAnswerLost(OutcomeUnknown):
+    """A write was late and never answered; it was counted as a failure when it became late."""
+
+
 class TablePath:
     """Implements `SharedTable` over this host's direct path or a relay host's.
 
@@ -176,9 +180,11 @@
             self._direct_down.clear()
             log_event(Event.TABLE_REACHABLE)
 
+    def _has_answered_recently(self) -> bool:
+        return read_instant() < self._answered_at + RECENT_RESPONSE_MS
+
     def _record_failure(self, error: LentilpathError) -> None:
-        is_unanswered = isinstance(error, OutcomeUnknown)
-        if is_unanswered and read_instant() < self._answered_at + RECENT_RESPONSE_MS:
+        if isinstance(error, OutcomeUnknown) and self._has_answered_recently():
             return
         if isinstance(error, TableBusy):
             self._failures += BUSY_FAILURE_WEIGHT
@@ -225,7 +231,8 @@
         self, transaction: PartitionTransaction, timeout: float
     ) -> PartitionCommitResult:
         started_at = read_instant()
-        commit = await self._track(self._direct.commit(transaction, timeout), timeout)
+        call = self._await_suspiciously(self._direct.commit(transaction, timeout))
+        commit = await self._track(call, timeout)
         self._record_commit_time((read_instant() - started_at) / MS_PER_SECOND)
         return commit
 
@@ -257,6 +264,27 @@
     def _record_commit_time(self, seconds: float) -> None:
         self._mean_commit_seconds += LATENCY_SMOOTHING * (seconds - self._mean_commit_seconds)
 
+    async def _await_suspiciously(self, call: Awaitable[T]) -> T:
+        """Await a write, and count it as a failure of the path once its answer is late.
+
+        Raises `LateAnswerLost` if it never comes, since the failure has been counted by then.
+        """
+        late_seconds = self.get_commit_timeout()
+        pending = asyncio.ensure_future(call)
+        try:
+            done, _ = await asyncio.wait((pending,), timeout=late_seconds)
+            if done:
+                return pending.result()
+            if self._has_answered_recently():
+                self._mean_commit_seconds = max(self._mean_commit_seconds, late_seconds)
+            else:
+                self._record_failure(OutcomeUnknown("an answer of the table is late"))
+            return await pending
+        except OutcomeUnknown as error:
+            raise (error if pending in done else LateAnswerLost(str(error))) from error
+        finally:
+            pending.cancel()
+
     async def _track(self, call: Awaitable[T], commit_timeout: float = 0.0) -> T:
         sent_at = read_instant()
         try:
@@ -265,7 +293,8 @@
             self._record_success(sent_at)
             raise
         except LentilpathError as error:
-            self._record_failure(error)
+            if not isinstance(error, LateAnswerLost):
+                self._record_failure(error)
             if isinstance(error, OutcomeUnknown):
                 self._mean_commit_seconds = max(self._mean_commit_seconds, commit_timeout)
             raise
--- a/tests/common/former_rules.py
+++ b/tests/common/former_rules.py
@@ -1,15 +1,22 @@
-"""Earlier rules of the pool's placement, to play a load with the old rule beside the new one."""
+"""Earlier rules of the pool, to play a load with the old rule beside the new one."""
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
 import pytest
 
+from lentilpath_core.errors import OutcomeUnknown, TableBusy, TableUnavailable
 from lentilpath_core.ids import Instant, WorkerId
 from lentilpath_core.pool import _advice, _placement
 from lentilpath_core.pool._fit import count_slots
 from lentilpath_core.pool._model import AdvicePolicy
 from lentilpath_core.pool._state import PoolState, Reservation, Step, Worker
 from lentilpath_core.resources import NO_RESOURCES
+from lentilpathd._pool import _jobs, _settling
+from lentilpathd._pool._ports import PartitionCommitResult, PartitionTransaction
 
 
 def ask_in_one_call_after_the_other(patch: pytest.MonkeyPatch) -> None:
@@ -41,3 +48,37 @@
         return Reservation(step.key, now, now, spare) if need <= 0 else None
 
     patch.setattr(_placement, "make_reservation", make)
+
+
+def _read_virtual_instant() -> Instant:
+    return Instant(int(asyncio.get_running_loop().time() * 1_000))
+
+
+def cut_late_writes(patch: pytest.MonkeyPatch) -> None:
+    """Give up a write when its answer is late, and repeat it, instead of waiting for both."""
+
+    async def settle(
+        table: Any,
+        transaction: PartitionTransaction,
+        give_up_at: Instant,
+        report_unclear: Callable[[Exception], None],
+    ) -> PartitionCommitResult:
+        is_unclear = False
+        while True:
+            left_seconds = (give_up_at - _read_virtual_instant()) / 1_000
+            timeout = min(table.get_commit_timeout(), max(0.6, left_seconds / 2))
+            try:
+                commit: PartitionCommitResult = await table.commit(transaction, timeout, is_unclear)
+                return commit
+            except TableUnavailable as error:
+                is_over = not isinstance(error, TableBusy) or left_seconds <= 0
+                if is_over and not is_unclear:
+                    raise
+            except OutcomeUnknown as error:
+                is_unclear = True
+                report_unclear(error)
+            if _read_virtual_instant() >= give_up_at:
+                raise OutcomeUnknown("not answered")
+            await asyncio.sleep(_settling.RETRY_SECONDS)
+
+    patch.setattr(_jobs, "settle_write", settle)
--- a/tests/cover/test_pool_answers.py
+++ b/tests/cover/test_pool_answers.py
@@ -50,6 +50,9 @@
         is_leading=lambda: True,
         get_local_job_state=lambda job: state,
         handle_local_notice=lambda notice: True,
+        heartbeat_sender=SimpleNamespace(
+            get_load=lambda queue, now: None, get_leader=lambda: HostId("h1")
+        ),
     )
     return Jobs(cast(Any, context))
 
@@ -63,7 +66,11 @@
     )
     headers = (("host", QUEUE.host), ("x-deadline-ms", "400"))
     request = HttpRequest(method, f"{QUEUE.path_prefix}{JOB}", headers, b"")
-    return asyncio.run(make_callers_handler(cast(Any, host))(request))
+
+    async def answer() -> HttpResponse:
+        return await make_callers_handler(cast(Any, host))(request)
+
+    return asyncio.run(answer())
 
 
 def test_a_cancellation_that_was_not_sent_is_refused_at_once_with_a_time_to_come_back():
