Peers: a slow answer spoils no other request, and a dead relay leaves one write in doubt

A host without its own way relayed writes to a host that was dead, again and again, and answered 504 for each though nothing had run. Change: the connection is kept if the peer has answered something else meanwhile; a request that never left raises PeerNotReached, and the write goes to the next relay; a relay that did not answer is left out for 2 s. Each new test fails without its part of the change.

--- a/packages/lentilpath-core/src/lentilpath_core/errors.py
+++ b/packages/lentilpath-core/src/lentilpath_core/errors.py
@@ -79,6 +79,12 @@
     code = "peer-unavailable"
 
 
+class PeerNotReached(PeerUnavailable):
+    """There was no connection to another entry host, so nothing was sent to it."""
+
+    code = "peer-not-reached"
+
+
 class WorkerUnavailable(Unavailable):
     """A worker refused the connection, so the command did not reach it."""
 
--- a/packages/lentilpathd/src/lentilpathd/_peers.py
+++ b/packages/lentilpathd/src/lentilpathd/_peers.py
@@ -10,7 +10,7 @@
 import msgspec
 import pynng
 
-from lentilpath_core.errors import LentilpathError, PeerUnavailable
+from lentilpath_core.errors import LentilpathError, PeerNotReached, PeerUnavailable
 from lentilpath_core.ids import HostId, Incarnation, ZoneId
 from lentilpath_core.peers import PROTOCOL_VERSION, PeerReply, PeerRequest
 from lentilpath_core.settings import Address, PeerSettings
@@ -33,7 +33,8 @@
     """Sends requests to other entry hosts and answers theirs.
 
     The bus never retries a request; its sender may, if the topic allows it. After a timeout the
-    connection to the peer is replaced, because the old one may be dead.
+    connection to the peer is replaced, because the old one may be dead, unless the peer has
+    answered another request meanwhile: then only this answer is slow.
     """
 
     def __init__(self, host: HostId, incarnation: Incarnation, zone: ZoneId) -> None:
@@ -43,6 +44,8 @@
         self._handlers: dict[str, PeerHandler] = {}
         self._addresses: dict[HostId, Address] = {}
         self._sockets: dict[HostId, pynng.Req0] = {}
+        self._answered_at: dict[HostId, float] = {}
+        """Loop time of each peer's last answer."""
         self.bytes_sent = 0
         self.bytes_received = 0
         self.listening = False
@@ -65,8 +68,9 @@
     ) -> T:
         """Send `message` to `host` and return its answer, converted to the type `answer`.
 
-        Raises `PeerUnavailable` if no answer came within `timeout` seconds (the peer may still have
-        handled the request), and `LentilpathError` with the peer's code if it refused.
+        Raises `PeerNotReached` if nothing was sent within `timeout` seconds, `PeerUnavailable` if
+        no answer came (the peer may still have handled the request), and `LentilpathError` with
+        the peer's code if it refused.
         """
         request = PeerRequest(
             PROTOCOL_VERSION,
@@ -78,22 +82,28 @@
         )
         data = msgspec.msgpack.encode(request)
         context = self._get_socket(host).new_context()
+        started_at = asyncio.get_running_loop().time()
+        is_sent = False
         try:
             async with asyncio.timeout(timeout):
                 await context.asend(data)
+                is_sent = True
                 self.bytes_sent += len(data)
                 received = await context.arecv()
         except (TimeoutError, pynng.NNGException) as error:
             raise_swallowed_cancellation()
             log_event(Event.PEER_SILENT, peer=host, topic=topic)
-            self._close_socket(host)
-            raise PeerUnavailable(f"{host} did not answer {topic}: {error!r}") from error
+            if self._answered_at.get(host, 0.0) <= started_at:
+                self._close_socket(host)
+            kind = PeerUnavailable if is_sent else PeerNotReached
+            raise kind(f"{host} did not answer {topic}: {error!r}") from error
         finally:
             # This request or another one to this peer may have closed the socket already.
             with contextlib.suppress(pynng.Closed):
                 context.close()
         raise_swallowed_cancellation()
         self.bytes_received += len(received)
+        self._answered_at[host] = asyncio.get_running_loop().time()
         reply = msgspec.msgpack.decode(received, type=PeerReply)
         if reply.code != "ok":
             failure = LentilpathError(f"{host} refused {topic}: {reply.code}: {reply.body}")
@@ -159,7 +169,7 @@
         if socket is None:
             address = self._addresses.get(host)
             if address is None:
-                raise PeerUnavailable(f"{host} is not a known entry host")
+                raise PeerNotReached(f"{host} is not a known entry host")
             # By default nng resends a request after a minute, but only the sender may retry it.
             socket = pynng.Req0(resend_time=-1, recv_max_size=MAX_MESSAGE_BYTES)
             socket.dial(f"tcp://{address.host}:{address.port}", block=False)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
@@ -12,7 +12,13 @@
 
 import msgspec
 
-from lentilpath_core.errors import LentilpathError, OutcomeUnknown, TableBusy, TableUnavailable
+from lentilpath_core.errors import (
+    LentilpathError,
+    OutcomeUnknown,
+    PeerNotReached,
+    TableBusy,
+    TableUnavailable,
+)
 from lentilpath_core.ids import HostId, Instant, RowVersion
 from lentilpath_core.peers import PeerRequest
 from lentilpathd._clock import MS_PER_SECOND, read_instant
@@ -47,6 +53,9 @@
 """A rejection for too many calls is still a response, so it counts less than a failure."""
 RELAY_BACKOFF_MS = 400
 """No relaying for this long after no relay could serve a call; about two probes."""
+RELAY_SILENCE_MS = 2_000
+"""A relay that did not answer is left out for this long. A write sent to a dead host has an unknown
+outcome until the membership notices that the host is dead, which takes three heartbeats."""
 MAX_RELAY_ATTEMPTS = 2
 """Each attempt takes up to the whole timeout; more would exceed a caller's 3 s."""
 MIN_COMMIT_TIMEOUT_SECONDS = 0.6
@@ -138,6 +147,7 @@
         self._answered_at = Instant(0)
         self._failed_at = Instant(0)
         self._rotation = 0
+        self._relay_silent_until: dict[HostId, Instant] = {}
         bus.handle(RELAY_TOPIC, self._handle_relay)
 
     def is_open(self, now: Instant) -> bool:
@@ -302,7 +312,11 @@
         return result
 
     def _list_relays(self, now: Instant) -> tuple[HostId, ...]:
-        relays = [host for host in self._list_relay_hosts(now) if host != self._bus.host]
+        relays = [
+            host
+            for host in self._list_relay_hosts(now)
+            if host != self._bus.host and now >= self._relay_silent_until.get(host, Instant(0))
+        ]
         self._rotation += 1
         start = self._rotation % len(relays) if relays else 0
         return (*relays[start:], *relays[:start])
@@ -315,8 +329,9 @@
             try:
                 reply = await self._bus.ask(host, RELAY_TOPIC, request, RelayReply, timeout)
             except LentilpathError as error:
+                self._relay_silent_until[host] = Instant(read_instant() + RELAY_SILENCE_MS)
                 log_event(Event.RELAY_FAILED, host=host, error=str(error))
-                if request.commit is not None:
+                if request.commit is not None and not isinstance(error, PeerNotReached):
                     raise OutcomeUnknown(f"{host} did not answer as a relay: {error}") from error
                 continue
             if reply.outcome == "unknown":
--- a/tests/cover/test_pool_table_path.py
+++ b/tests/cover/test_pool_table_path.py
@@ -8,7 +8,13 @@
 import msgspec
 import pytest
 
-from lentilpath_core.errors import OutcomeUnknown, PeerUnavailable, TableBusy, TableUnavailable
+from lentilpath_core.errors import (
+    OutcomeUnknown,
+    PeerNotReached,
+    PeerUnavailable,
+    TableBusy,
+    TableUnavailable,
+)
 from lentilpath_core.ids import HostId, Incarnation, RowVersion, ZoneId
 from lentilpath_core.peers import PeerRequest
 from lentilpathd._peers import PeerBus, PeerHandler
@@ -28,6 +34,7 @@
         self.handlers: dict[str, PeerHandler] = {}
         self.hosts = hosts
         self.request_count = 0
+        self.silence: type[PeerUnavailable] = PeerUnavailable
         hosts[host] = self
 
     def handle(self, topic, handler):
@@ -36,7 +43,7 @@
     async def ask(self, host, topic, message, answer, timeout):
         self.request_count += 1
         if host not in self.hosts:
-            raise PeerUnavailable(host)
+            raise self.silence(host)
         body = msgspec.to_builtins(message)
         request = PeerRequest(1, self.host, Incarnation("i"), ZoneId("z"), topic, body)
         reply = await self.hosts[host].handlers[topic](request)
@@ -199,3 +206,35 @@
         assert not first.is_direct_path_up()
 
     asyncio.run(scenario())
+
+
+def test_a_dead_relay_leaves_one_write_in_doubt_and_is_then_left_out():
+    async def scenario():
+        (first, _, _), tables, buses = make_paths("h1", "h2", "h3")
+        await break_direct_path(first, tables[0])
+        del buses[0].hosts["h2"]
+        unclear = 0
+        for number in range(6):
+            put = PartitionTransaction("lentilpath-jobs", "0", puts=((f"k{number}", b"1"),))
+            try:
+                await first.commit(put, 0.1)
+            except OutcomeUnknown:
+                unclear += 1
+        assert unclear == 1
+        assert len(tables[2].rows) == 5
+
+    asyncio.run(scenario())
+
+
+def test_a_write_that_did_not_leave_for_a_relay_goes_to_the_next_one():
+    async def scenario():
+        (first, _, _), tables, buses = make_paths("h1", "h2", "h3")
+        await break_direct_path(first, tables[0])
+        del buses[0].hosts["h2"]
+        buses[0].silence = PeerNotReached
+        for number in range(4):
+            put = PartitionTransaction("lentilpath-jobs", "0", puts=((f"k{number}", b"1"),))
+            assert (await first.commit(put, 0.1)).applied
+        assert len(tables[2].rows) == 4
+
+    asyncio.run(scenario())
