Records: ends beyond one transaction are removed too; LP518 no longer promises a retry

A new leader kept the ends of ended jobs as if they were open. LP518 said "retrying the write" also where the host gives up. Change: keys left over go with the next batches, and with one of their own if none comes; a new leader removes the ends of ended jobs. Both new tests of tests/cover/test_pool_records.py fail on the code before.

--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -99,7 +99,7 @@
     CONFIG_NOT_READ = (515, "the configuration could not be read; retrying")
     JOB_REFUSED = (516, "a job was refused before it was stored")
     JOB_NOT_STORED = (517, "a job was refused because the table did not accept the write")
-    JOB_UNCLEAR = (518, "a job may or may not have been stored; retrying the write")
+    JOB_UNCLEAR = (518, "a job may or may not have been stored")
     JOB_CANCELLED = (519, "a job's cancellation was stored")
     SETTINGS_CHANGED = (520, "changed settings are in force")
     ENTRY_UNREADABLE = (521, "an entry of the worker registry is unusable")
--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -54,6 +54,8 @@
     former_workers: tuple[ListedWorker, ...]
     end_keys: tuple[str, ...]
     """Keys of the stored ends of runs."""
+    ended_jobs: frozenset[JobId]
+    """Jobs whose final state is stored."""
     jobs_version: RowVersion
     """Version from which changes of the jobs table are followed."""
 
@@ -79,7 +81,7 @@
     open_ends = tuple((task, record) for task, record in ends if task.job not in finals)
     events.append(RunsRecovered(open_ends))
     end_keys = tuple(row.key for row in pool_rows.rows if row.key.startswith(END_PREFIX))
-    return RecoveredPool(tuple(events), workers, end_keys, jobs_version)
+    return RecoveredPool(tuple(events), workers, end_keys, frozenset(finals), jobs_version)
 
 
 async def read_all_jobs(table: PartitionedTable) -> tuple[PartitionRows, ...]:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -150,7 +150,7 @@
                 log_warning_event(Event.POOL_RECOVERY_FAILED, epoch=self._epoch, error=str(error))
                 await asyncio.sleep(RETRY_SECONDS)
         self._jobs_version = recovered.jobs_version
-        self._writer.add_stored_ends(recovered.end_keys)
+        self._writer.add_stored_ends(recovered.end_keys, recovered.ended_jobs)
         self.apply_settings()
         configuration = self._context.get_configuration()
         if configuration is not None:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 from lentilpath_core.errors import OutcomeUnknown, Unavailable
 from lentilpath_core.ids import Epoch, JobId
@@ -70,15 +70,23 @@
         self._durable = asyncio.Condition()
         self._end_keys: dict[JobId, list[str]] = {}
         """Keys of stored ends of runs, by job, for jobs without a final state."""
+        self._obsolete_keys: deque[str] = deque()
+        """Keys of stored ends of runs that a stored final state replaces, still to be deleted."""
         self.queued_count = 0
         """Number of records queued so far."""
         self.durable_count = 0
         """Number of durable records, in the order in which they were queued."""
 
-    def add_stored_ends(self, end_keys: tuple[str, ...]) -> None:
-        """Add the keys of ends that earlier leaders have stored."""
+    def add_stored_ends(self, end_keys: tuple[str, ...], ended_jobs: Container[JobId] = ()) -> None:
+        """Add the keys of ends that earlier leaders have stored; delete those of ended jobs."""
         for key in end_keys:
-            self._end_keys.setdefault(parse_end_key(key).job, []).append(key)
+            job = parse_end_key(key).job
+            if job in ended_jobs:
+                self._obsolete_keys.append(key)
+            else:
+                self._end_keys.setdefault(job, []).append(key)
+        if self._obsolete_keys:
+            self._queued.set()
 
     def queue(self, record: Record) -> None:
         """Queue a record to be stored in the next batch."""
@@ -104,9 +112,9 @@
             await self._queued.wait()
             await asyncio.sleep(BATCH_DELAY_SECONDS)
             batch = [self._queue.popleft() for _ in range(min(MAX_PUTS, len(self._queue)))]
-            if not self._queue:
-                self._queued.clear()
             await self._store(batch)
+            if not self._queue and not self._obsolete_keys:
+                self._queued.clear()
             self._report_durable(batch)
             async with self._durable:
                 self.durable_count += len(batch)
@@ -119,7 +127,7 @@
             puts[key] = value
             if isinstance(record, RecordRun):
                 self._end_keys.setdefault(record.task.job, []).append(key)
-        deletes = self._pop_obsolete_ends(batch, MAX_ENTRIES - len(puts))
+        deletes = self._pop_obsolete_keys(batch, MAX_ENTRIES - len(puts))
         delay_seconds = RETRY_SECONDS
         is_unclear = False
         while True:
@@ -148,13 +156,13 @@
                 log_event(Event.RECORDS_STORED_AGAIN, count=len(batch))
             return
 
-    def _pop_obsolete_ends(self, batch: list[Record], max_keys: int) -> list[str]:
-        """Drop keys of ends that final states in the batch replace; return at most `max_keys`."""
-        keys: list[str] = []
+    def _pop_obsolete_keys(self, batch: list[Record], max_keys: int) -> list[str]:
+        """Return at most `max_keys` keys to delete; the others are left to the next batches."""
         for record in batch:
             if isinstance(record, RecordFinal):
-                keys.extend(self._end_keys.pop(record.job, ()))
-        return keys[:max_keys]
+                self._obsolete_keys.extend(self._end_keys.pop(record.job, ()))
+        count = min(max_keys, len(self._obsolete_keys))
+        return [self._obsolete_keys.popleft() for _ in range(count)]
 
     def _log(self, record: Record) -> None:
         if isinstance(record, RecordRun):
--- a/tests/cover/test_pool_records.py
+++ b/tests/cover/test_pool_records.py
@@ -19,8 +19,11 @@
 from lentilpathd._pool._removal import JobRemover
 from lentilpathd._pool._writer import RecordWriter
 from tests.common.pools import PoolHarness, list_starts, make_job_id, make_task, make_worker
+from tests.common.requests import wait_until
 from tests.common.tables import OnePartitionTable, make_leadership
 
+MANY_ENDS = 130
+"""More rows than one transaction may have entries."""
 END = RecordRun(make_task(1), RunRecord(RunNumber(1), RunEnd.DONE))
 FINAL = RecordFinal(make_job_id(1), FinalRecord(JobState.COMPLETED, WallTime(5)))
 
@@ -53,6 +56,41 @@
     assert [key for key in table.rows if key != "0lease"] == [f"final/{make_job_id(1)}"]
 
 
+def make_ends(count: int) -> list[RecordRun]:
+    return [
+        RecordRun(make_task(1, number), RunRecord(RunNumber(1), RunEnd.DONE))
+        for number in range(count)
+    ]
+
+
+def list_end_keys(table: OnePartitionTable) -> list[str]:
+    return [key for key in table.rows if key.startswith("end/")]
+
+
+def test_more_ends_than_fit_in_one_transaction_are_all_removed():
+    table = OnePartitionTable()
+    next_batches = [RecordFinal(make_job_id(job), FINAL.final) for job in (2, 3)]
+    write(table, *make_ends(MANY_ENDS), FINAL, *next_batches)
+    assert list_end_keys(table) == []
+
+
+def test_ends_that_a_former_leader_did_not_remove_are_removed_by_the_next_one():
+    table = OnePartitionTable()
+    write(table, *make_ends(MANY_ENDS))
+    keys = tuple(list_end_keys(table))
+    assert len(keys) == MANY_ENDS
+
+    async def scenario() -> None:
+        writer = RecordWriter(table, Epoch(1), make_leadership(table), lambda event: None)
+        writer.add_stored_ends(keys, {make_job_id(1)})
+        task = asyncio.create_task(writer.run())
+        await wait_until(lambda: not list_end_keys(table))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(scenario())
+
+
 def test_a_job_is_forgotten_only_after_its_retention_time():
     harness = PoolHarness()
     harness.add_workers(make_worker("w1"))
