Three partitions for a job's row; a living leader keeps its place after an outage of the table

(1) A job may be stored in any of three partitions; each attempt goes to another one, and partitions that were late are tried last for 1.5 s. Reads of a state look in all three, and removal deletes from all three before the final state goes. (2) The time for which the lease row stood still counts only while it can be read, from the first read after a failure. Each part has a test that fails without it; the former rule beside today's in tests/cover/test_pool_settling.py.

--- a/benches/leadership.py
+++ b/benches/leadership.py
@@ -25,7 +25,6 @@
 from tests.common.platform import MemoryTable
 
 HOST_COUNT = 3
-FIRST_PORT = 21_500
 SEED = 4
 IDLE_SECONDS = 20.0
 DEFAULT_REPEATS = 20
@@ -37,9 +36,9 @@
     await wait_for(lambda: (row := leader.read_row()) is not None and len(row.roster) == HOST_COUNT)
 
 
-async def measure_kill(port: int, delay_seconds: float) -> float:
+async def measure_kill(delay_seconds: float) -> float:
     """Return the seconds from a kill of the leader until another host has authority."""
-    async with run_zone(create_zone(HOST_COUNT, port, MemoryTable(), SETTINGS)) as hosts:
+    async with run_zone(create_zone(HOST_COUNT, MemoryTable(), SETTINGS)) as hosts:
         leader = await wait_for_leader(hosts)
         await wait_for_full_roster(leader)
         await asyncio.sleep(delay_seconds)
@@ -49,9 +48,9 @@
         return time.perf_counter() - started
 
 
-async def measure_handover(port: int) -> float:
+async def measure_handover() -> float:
     """Return the seconds from the start of a planned release until another host has authority."""
-    async with run_zone(create_zone(HOST_COUNT, port, MemoryTable(), SETTINGS)) as hosts:
+    async with run_zone(create_zone(HOST_COUNT, MemoryTable(), SETTINGS)) as hosts:
         leader = await wait_for_leader(hosts)
         await wait_for_full_roster(leader)
         others = [host for host in hosts if host is not leader]
@@ -63,10 +62,10 @@
         return elapsed
 
 
-async def measure_idle_rates(port: int) -> tuple[float, float, float, float]:
+async def measure_idle_rates() -> tuple[float, float, float, float]:
     """Return table writes, table reads, peer bytes sent and processor seconds, all per second."""
     table = MemoryTable()
-    async with run_zone(create_zone(HOST_COUNT, port, table, SETTINGS)) as hosts:
+    async with run_zone(create_zone(HOST_COUNT, table, SETTINGS)) as hosts:
         leader = await wait_for_leader(hosts)
         await wait_for_full_roster(leader)
         commits, reads, cpu_seconds = table.commits, table.reads, time.process_time()
@@ -97,17 +96,11 @@
     print(f"{platform.machine()}, {os.cpu_count()} processors, Python {platform.python_version()}")
     print(f"load {os.getloadavg()[0]:.1f}; {HOST_COUNT} hosts; {SETTINGS}")
     renewal_seconds = SETTINGS.renew_every_ms / 1_000
-    kills = [
-        asyncio.run(measure_kill(FIRST_PORT + 4 * i, rng.uniform(0, renewal_seconds)))
-        for i in range(repeats)
-    ]
+    kills = [asyncio.run(measure_kill(rng.uniform(0, renewal_seconds))) for _ in range(repeats)]
     print_times("kill to next authority", kills)
-    port = FIRST_PORT + 4 * repeats
-    handovers = [asyncio.run(measure_handover(port + 4 * i)) for i in range(repeats)]
+    handovers = [asyncio.run(measure_handover()) for _ in range(repeats)]
     print_times("planned hand-over", handovers)
-    write_rate, read_rate, bytes_sent, cpu_share = asyncio.run(
-        measure_idle_rates(port + 4 * repeats)
-    )
+    write_rate, read_rate, bytes_sent, cpu_share = asyncio.run(measure_idle_rates())
     print(
         f"idle zone: {write_rate:.2f} table writes/s, {read_rate:.1f} table reads/s, "
         f"{bytes_sent / HOST_COUNT:.0f} peer bytes/s and "
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -35,10 +35,10 @@
     decode_final,
     encode_record,
     get_cancel_key,
-    get_job_partition,
+    get_job_partitions,
     make_final_key,
 )
-from lentilpathd._pool._settling import settle_write
+from lentilpathd._pool._settling import PartitionHealth, settle_write
 from lentilpathd._ports import ABSENT
 
 READ_TIMEOUT_SECONDS = 0.8
@@ -78,6 +78,7 @@
 
     def __init__(self, context: PoolContext) -> None:
         self._context = context
+        self._partition_health = PartitionHealth()
         self._pending_notices: set[asyncio.Future[None]] = set()
 
     async def submit(
@@ -105,16 +106,16 @@
         return await self._store(record, Instant(int(now + deadline_ms * SETTLE_DEADLINE_SHARE)))
 
     async def _store(self, record: JobRecord, give_up_at: Instant) -> SubmissionAnswer:
-        transaction = PartitionTransaction(
-            JOBS_TABLE,
-            get_job_partition(record.job),
-            checks=((record.job, ABSENT),),
-            puts=((record.job, encode_record(record)),),
+        row = (record.job, encode_record(record))
+        transactions = tuple(
+            PartitionTransaction(JOBS_TABLE, part, checks=((record.job, ABSENT),), puts=(row,))
+            for part in get_job_partitions(record.job)
         )
         try:
-            commit = await settle_write(
+            transaction, commit = await settle_write(
                 self._context.table,
-                transaction,
+                self._partition_health,
+                transactions,
                 give_up_at,
                 lambda error: self._report_unclear(record.job, error),
             )
@@ -224,10 +225,22 @@
         return JobState.QUEUED if await self._is_stored(job) else None
 
     async def _is_stored(self, job: JobId) -> bool:
-        read = await self._context.table.read_partition(
-            JOBS_TABLE, get_job_partition(job), job, job + "0", READ_TIMEOUT_SECONDS
+        reads = await asyncio.gather(
+            *(
+                self._context.table.read_partition(
+                    JOBS_TABLE, part, job, job + "0", READ_TIMEOUT_SECONDS
+                )
+                for part in get_job_partitions(job)
+            ),
+            return_exceptions=True,
         )
-        return any(row.key == job for row in read.rows)
+        failures = [read for read in reads if isinstance(read, BaseException)]
+        found = [row for read in reads if not isinstance(read, BaseException) for row in read.rows]
+        if any(row.key == job for row in found):
+            return True
+        if failures:
+            raise failures[0]
+        return False
 
     async def cancel(self, job: JobId, deadline_ms: int) -> bool:
         """Cancel a job; return whether it exists.
@@ -238,12 +251,14 @@
         give_up_at = Instant(int(read_instant() + deadline_ms * SETTLE_DEADLINE_SHARE))
         if not await self._is_known(job):
             return False
-        transaction = PartitionTransaction(
-            JOBS_TABLE, get_job_partition(job), puts=((get_cancel_key(job), b"1"),)
+        row = (get_cancel_key(job), b"1")
+        transactions = tuple(
+            PartitionTransaction(JOBS_TABLE, part, puts=(row,)) for part in get_job_partitions(job)
         )
-        commit = await settle_write(
+        transaction, commit = await settle_write(
             self._context.table,
-            transaction,
+            self._partition_health,
+            transactions,
             give_up_at,
             lambda error: log_event(Event.CANCEL_UNCLEAR, job=job, error=str(error)),
         )
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -152,7 +152,9 @@
         self.snapshot: LeadershipSnapshot | None = None
         self._confirmed_until = Instant(0)
         self._renewed_at = Instant(0)
-        self._lease_changed_at = Instant(0)
+        self._watched_since = Instant(0)
+        """Since when the lease row was read without a failure and without a change."""
+        self._is_watch_broken = False
         self._is_last_write_unanswered = False
         """Whether the outcome of the last lease write is unknown."""
 
@@ -186,17 +188,23 @@
             )
         except (Unavailable, OutcomeUnknown) as error:
             log_event(Event.LEADER_NOT_READ, error=str(error))
+            # While the table is away the leader cannot renew either. Once it is back, the leader
+            # needs time to do so.
+            self._is_watch_broken = True
             return None
         self._clock.observe(read.clock_ms, read_instant())
         snapshot = decode_snapshot(read)
-        if self.snapshot is None or snapshot.lease_version != self.snapshot.lease_version:
-            self._lease_changed_at = read_instant()
+        former = self.snapshot
+        is_first = former is None or self._is_watch_broken
+        if is_first or (former is not None and snapshot.lease_version != former.lease_version):
+            self._watched_since = read_instant()
+        self._is_watch_broken = False
         self.snapshot = snapshot
         return snapshot
 
     def _get_unchanged_ms(self, now: Instant) -> int:
-        """Return for how long, in ms, no change of the lease row was observed."""
-        return now - self._lease_changed_at
+        """Return for how long, in ms, the lease row was read and did not change."""
+        return now - self._watched_since
 
     async def _take_over(self, snapshot: LeadershipSnapshot) -> Epoch | None:
         epoch = Epoch(snapshot.epoch + 1)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_records.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_records.py
@@ -1,7 +1,8 @@
 """Rows that a pool stores in the platform's table, and their formats.
 
 `lentilpath-jobs`, partitioned by the job's id: `ID` holds the job as it was accepted, `ID/cancel`
-marks it as cancelled. Written by the host that serves the caller.
+marks it as cancelled. Written by the host that serves the caller. A job has several partitions, and
+either row counts in any of them; the same row may stand in more than one.
 
 `lentilpath-pool`, a single partition: `0epoch` and `0lease` hold the current leader, `0workers` the
 lives of workers that may be running tasks, `end/TASK/RUN` how a run ended, and `final/ID` a job's
@@ -39,6 +40,11 @@
 JOB_PARTITIONS = 32
 """Partitions of the jobs table. A partition serializes its writes, so while the table is 100 times
 slower it commits 2 a second; 32 partitions commit the jobs of a burst."""
+PARTITIONS_PER_JOB = 3
+"""Partitions that a job may be stored in. While a third of them do not answer, one in 27 jobs finds
+none that does."""
+PARTITION_STRIDE = 11
+"""Distance between the partitions of a job; about `JOB_PARTITIONS` divided by the above."""
 POOL_TABLE = "lentilpath-pool"
 POOL_PARTITION = "cell"
 EPOCH_KEY = "0epoch"
@@ -93,9 +99,13 @@
     return msgspec.msgpack.decode(value, type=JobRecord)
 
 
-def get_job_partition(job: JobId) -> str:
-    """Return the partition of the jobs table that holds `job`."""
-    return str(int(job[-4:], 16) % JOB_PARTITIONS)
+def get_job_partitions(job: JobId) -> tuple[str, ...]:
+    """Return the partitions of the jobs table that may hold `job`, the usual one first."""
+    first = int(job[-4:], 16)
+    return tuple(
+        str((first + number * PARTITION_STRIDE) % JOB_PARTITIONS)
+        for number in range(PARTITIONS_PER_JOB)
+    )
 
 
 def list_job_partitions() -> tuple[str, ...]:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_removal.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_removal.py
@@ -15,7 +15,7 @@
     POOL_PARTITION,
     POOL_TABLE,
     get_cancel_key,
-    get_job_partition,
+    get_job_partitions,
     make_final_key,
 )
 
@@ -63,7 +63,8 @@
     async def _remove(self, jobs: list[JobId]) -> None:
         jobs_by_partition: dict[str, list[JobId]] = {}
         for job in jobs:
-            jobs_by_partition.setdefault(get_job_partition(job), []).append(job)
+            for partition in get_job_partitions(job):
+                jobs_by_partition.setdefault(partition, []).append(job)
         for partition, members in jobs_by_partition.items():
             keys = [key for job in members for key in (job, get_cancel_key(job))]
             await self._table.commit(
--- a/packages/lentilpathd/src/lentilpathd/_pool/_settling.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_settling.py
@@ -2,12 +2,14 @@
 
 Designed for a table that answers slowly while callers press: a write that is cut off just before
 its answer leaves the caller in doubt, and its repetition loads the table once more. So an attempt
-that is late goes on, and the next one is made beside it, through another host.
+that is late goes on, and the next one is made beside it, through another host. It goes to another
+partition too, for a table of which some partitions do not answer.
 """
 
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Callable
 from typing import Protocol
 
@@ -27,7 +29,35 @@
 """Share of the remaining time after which an unanswered attempt gets another beside it at the
 latest. A slow table answers within it, and it leaves time for a way through another host."""
 
+SILENCE_MEMORY_MS = 1_500
+"""A partition that was late is tried last for this long, so that a burst meets it seldom."""
+
 Attempt = asyncio.Task[PartitionCommitResult]
+Stored = tuple[PartitionTransaction, PartitionCommitResult]
+"""The transaction that was applied, and its result."""
+
+
+class PartitionHealth:
+    """Partitions that did not answer in time lately."""
+
+    def __init__(self) -> None:
+        self._late_until: dict[str, Instant] = {}
+
+    def mark_late(self, partition: str, now: Instant) -> None:
+        """Note that a write to the partition was not answered in time."""
+        self._late_until[partition] = Instant(now + SILENCE_MEMORY_MS)
+
+    def mark_answered(self, partition: str) -> None:
+        """Note that the partition has answered a write."""
+        self._late_until.pop(partition, None)
+
+    def sort(
+        self, transactions: tuple[PartitionTransaction, ...], now: Instant
+    ) -> tuple[PartitionTransaction, ...]:
+        """Return the transactions, those to partitions that were late lately last."""
+        return tuple(
+            sorted(transactions, key=lambda each: self._late_until.get(each.part, now) > now)
+        )
 
 
 class WritableTable(Protocol):
@@ -46,17 +76,19 @@
 
 async def settle_write(
     table: WritableTable,
-    transaction: PartitionTransaction,
+    health: PartitionHealth,
+    transactions: tuple[PartitionTransaction, ...],
     give_up_at: Instant,
     report_unclear: Callable[[Exception], None],
-) -> PartitionCommitResult:
-    """Make an idempotent write and return its result.
+) -> Stored:
+    """Make an idempotent write, as any one of the transactions, and return the one applied.
 
     `report_unclear` is called each time an attempt may have taken effect without an answer. Raises
     `TableUnavailable` if no attempt was sent, at once unless the table is only busy, and
     `OutcomeUnknown` if the write may have taken effect but nothing is known at `give_up_at`.
     """
-    write = _RepeatedWrite(table, transaction, give_up_at, report_unclear)
+    ordered = health.sort(transactions, read_instant())
+    write = _RepeatedWrite(table, health, ordered, give_up_at, report_unclear)
     try:
         return await write.run()
     finally:
@@ -67,22 +99,24 @@
     def __init__(
         self,
         table: WritableTable,
-        transaction: PartitionTransaction,
+        health: PartitionHealth,
+        transactions: tuple[PartitionTransaction, ...],
         give_up_at: Instant,
         report_unclear: Callable[[Exception], None],
     ) -> None:
         self._table = table
-        self._transaction = transaction
+        self._health = health
+        self._transactions = itertools.cycle(transactions)
         self._give_up_at = give_up_at
         self._report_unclear = report_unclear
-        self._in_flight: set[Attempt] = set()
+        self._in_flight: dict[Attempt, PartitionTransaction] = {}
         self._is_unclear = False
 
-    async def run(self) -> PartitionCommitResult:
+    async def run(self) -> Stored:
         while True:
             if len(self._in_flight) < MAX_ATTEMPTS_IN_FLIGHT:
                 self._begin_attempt()
-            ended, self._in_flight = await asyncio.wait(
+            ended, _ = await asyncio.wait(
                 self._in_flight,
                 timeout=min(
                     self._table.get_commit_timeout(),
@@ -91,29 +125,38 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
             if not ended:
-                self._mark_unclear(OutcomeUnknown("the table has not answered yet"))
+                self._handle_lateness()
             for attempt in ended:
+                transaction = self._in_flight.pop(attempt)
                 error = attempt.exception()
                 if error is None:
-                    return attempt.result()
-                self._handle_failure(error)
+                    self._health.mark_answered(transaction.part)
+                    return transaction, attempt.result()
+                self._handle_failure(error, transaction)
             if read_instant() >= self._give_up_at:
                 raise OutcomeUnknown("no attempt to write was answered in time")
             if ended:
                 await asyncio.sleep(RETRY_SECONDS)
 
     def _begin_attempt(self) -> None:
+        transaction = next(self._transactions)
         commit = self._table.commit(
-            self._transaction, self._get_seconds_left(), prefer_relay=self._is_unclear
+            transaction, self._get_seconds_left(), prefer_relay=self._is_unclear
         )
-        self._in_flight.add(asyncio.ensure_future(commit))
+        self._in_flight[asyncio.ensure_future(commit)] = transaction
 
     def _get_seconds_left(self) -> float:
         left_ms = self._give_up_at - read_instant()
         return max(MIN_ATTEMPT_SECONDS, left_ms / MS_PER_SECOND)
 
-    def _handle_failure(self, error: BaseException) -> None:
+    def _handle_lateness(self) -> None:
+        for transaction in self._in_flight.values():
+            self._health.mark_late(transaction.part, read_instant())
+        self._mark_unclear(OutcomeUnknown("the table has not answered yet"))
+
+    def _handle_failure(self, error: BaseException, transaction: PartitionTransaction) -> None:
         if isinstance(error, OutcomeUnknown):
+            self._health.mark_late(transaction.part, read_instant())
             self._mark_unclear(error)
         elif not isinstance(error, TableUnavailable):
             raise error
--- a/tests/common/former_rules.py
+++ b/tests/common/former_rules.py
@@ -15,8 +15,9 @@
 from lentilpath_core.pool._model import AdvicePolicy
 from lentilpath_core.pool._state import PoolState, Reservation, Step, Worker
 from lentilpath_core.resources import NO_RESOURCES
-from lentilpathd._pool import _jobs, _settling
-from lentilpathd._pool._ports import PartitionCommitResult, PartitionTransaction
+from lentilpathd._pool import _jobs, _records, _settling
+from lentilpathd._pool._ports import PartitionTransaction
+from lentilpathd._pool._settling import PartitionHealth, Stored
 
 
 def ask_in_one_call_after_the_other(patch: pytest.MonkeyPatch) -> None:
@@ -59,17 +60,18 @@
 
     async def settle(
         table: Any,
-        transaction: PartitionTransaction,
+        health: PartitionHealth,
+        transactions: tuple[PartitionTransaction, ...],
         give_up_at: Instant,
         report_unclear: Callable[[Exception], None],
-    ) -> PartitionCommitResult:
+    ) -> Stored:
         is_unclear = False
+        transaction = transactions[0]
         while True:
             left_seconds = (give_up_at - _read_virtual_instant()) / 1_000
             timeout = min(table.get_commit_timeout(), max(0.6, left_seconds / 2))
             try:
-                commit: PartitionCommitResult = await table.commit(transaction, timeout, is_unclear)
-                return commit
+                return transaction, await table.commit(transaction, timeout, is_unclear)
             except TableUnavailable as error:
                 is_over = not isinstance(error, TableBusy) or left_seconds <= 0
                 if is_over and not is_unclear:
@@ -82,3 +84,9 @@
             await asyncio.sleep(_settling.RETRY_SECONDS)
 
     patch.setattr(_jobs, "settle_write", settle)
+
+
+def store_in_one_partition(patch: pytest.MonkeyPatch) -> None:
+    """Store a job in its usual partition only."""
+    former = _records.get_job_partitions
+    patch.setattr(_jobs, "get_job_partitions", lambda job: former(job)[:1])
--- a/tests/cover/test_pool_leadership.py
+++ b/tests/cover/test_pool_leadership.py
@@ -150,3 +150,26 @@
     assert may_take_over(snapshot, HostId("h2"), ADDRESS, 0)
     assert not may_take_over(snapshot, HostId("h2"), ADDRESS, 0, SLOW_HOST_WAIT_MS)
     assert may_take_over(snapshot, HostId("h2"), ADDRESS, SLOW_HOST_WAIT_MS, SLOW_HOST_WAIT_MS)
+
+
+def test_after_an_outage_of_the_table_a_living_leader_has_time_to_renew_first(monkeypatch):
+    now = [Instant(1_000_000)]
+    monkeypatch.setattr(_leadership, "read_instant", lambda: now[0])
+    table = OnePartitionTable()
+    first, second = make_leadership(table), make_leadership(table, "h2")
+    asyncio.run(first.acquire())
+    asyncio.run(second._read_snapshot())
+
+    def may_second_take_over(after_ms: int) -> bool:
+        now[0] = Instant(now[0] + after_ms)
+        table.clock_ms += after_ms
+        snapshot = asyncio.run(second._read_snapshot())
+        return snapshot is not None and second._may_take_over_now(snapshot, now[0])
+
+    table.is_unavailable = True
+    for _ in range(10):
+        assert not may_second_take_over(500)
+    table.is_unavailable = False
+    assert not may_second_take_over(350)
+    assert not may_second_take_over(LEADER_TIMEOUT_MS - 1)
+    assert may_second_take_over(1)
--- a/tests/cover/test_pool_records.py
+++ b/tests/cover/test_pool_records.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from lentilpath_core.ids import Epoch, RowVersion, WallTime
 from lentilpath_core.pool import (
     DeleteJob,
@@ -16,11 +18,14 @@
     RunRecord,
     StartAnswer,
 )
+from lentilpathd._pool._ports import PartitionRow, PartitionRows
+from lentilpathd._pool._records import PARTITIONS_PER_JOB, get_job_partitions
 from lentilpathd._pool._removal import JobRemover
 from lentilpathd._pool._writer import RecordWriter
 from tests.common.pools import PoolHarness, list_starts, make_job_id, make_task, make_worker
 from tests.common.requests import wait_until
 from tests.common.tables import OnePartitionTable, make_leadership
+from tests.cover.test_pool_answers import make_jobs
 
 MANY_ENDS = 130
 """More rows than one transaction may have entries."""
@@ -121,3 +126,39 @@
         await asyncio.gather(task, return_exceptions=True)
 
     asyncio.run(scenario())
+
+
+class PartitionsTable(OnePartitionTable):
+    """A table that notes the partitions of its transactions and holds rows in one of them only."""
+
+    def __init__(self, part: str = "") -> None:
+        super().__init__()
+        self.part = part
+        self.deleted: set[tuple[str, str]] = set()
+
+    async def commit(self, transaction, timeout, prefer_relay=False):
+        self.deleted.update((transaction.part, key) for key in transaction.deletes)
+        return await super().commit(transaction, timeout)
+
+    async def read_partition(self, table, partition, first, end, timeout):
+        if partition != self.part:
+            return PartitionRows((), RowVersion(self.version), self.clock_ms)
+        return await super().read_partition(table, partition, first, end, timeout)
+
+
+def test_a_forgotten_job_is_removed_from_each_partition_that_may_hold_it():
+    table = PartitionsTable()
+    job = make_job_id(1)
+    asyncio.run(JobRemover(table, Epoch(1), RowVersion(0))._remove([job]))
+    partitions = get_job_partitions(job)
+    assert len(set(partitions)) == PARTITIONS_PER_JOB
+    assert {(part, job) for part in partitions} <= table.deleted
+
+
+@pytest.mark.parametrize("number", range(PARTITIONS_PER_JOB))
+def test_a_job_is_known_whichever_of_its_partitions_holds_it(number: int):
+    job = make_job_id(1)
+    table = PartitionsTable(get_job_partitions(job)[number])
+    table.rows[job] = PartitionRow(table.part, job, b"", RowVersion(1))
+    assert asyncio.run(make_jobs(table, None).get_state(job)) is JobState.QUEUED
+    assert asyncio.run(make_jobs(PartitionsTable(), None).get_state(job)) is None
--- a/tests/cover/test_pool_settling.py
+++ b/tests/cover/test_pool_settling.py
@@ -11,7 +11,8 @@
 from lentilpathd._pool import _jobs, _members, _settling, _table_path
 from lentilpathd._pool._jobs import SubmissionResult
 from lentilpathd._pool._metrics import PoolMetrics
-from tests.common.former_rules import cut_late_writes
+from lentilpathd._pool._records import JOB_PARTITIONS
+from tests.common.former_rules import cut_late_writes, store_in_one_partition
 from tests.common.pools import make_record
 from tests.common.tables import OnePartitionTable
 from tests.common.virtual_time import run_in_virtual_time
@@ -27,18 +28,23 @@
 
 
 class SlowTable(OnePartitionTable):
-    """A table that answers each write after `delay` seconds, or never if that is `None`."""
+    """A table that answers each write after `delay` seconds, or never if that is `None`.
 
-    def __init__(self, delay: float | None) -> None:
+    Its `silent` partitions answer no call.
+    """
+
+    def __init__(self, delay: float | None, silent: frozenset[str] = frozenset()) -> None:
         super().__init__()
         self.delay = delay
+        self.silent = silent
         self.writes = 0
 
     async def commit(self, transaction, timeout, prefer_relay=False):
         self.writes += 1
+        is_silent = self.delay is None or transaction.part in self.silent
         try:
             async with asyncio.timeout(timeout):
-                await asyncio.sleep(3_600 if self.delay is None else self.delay)
+                await asyncio.sleep(3_600 if is_silent else self.delay or 0)
         except TimeoutError as error:
             raise OutcomeUnknown("no answer in time") from error
         return await super().commit(transaction, timeout)
@@ -92,3 +98,25 @@
     results, _ = submit_many(monkeypatch, SlowTable(None), SlowTable(None))
     assert results[0] is SubmissionResult.UNCLEAR
     assert SubmissionResult.ACCEPTED not in results
+
+
+USUAL_ANSWER_SECONDS = 0.01
+SILENT_PARTITIONS = frozenset(str(number) for number in range(0, JOB_PARTITIONS, 3))
+"""A third of the partitions, as on the users' days."""
+
+
+def submit_to_a_partly_silent_table(patch: pytest.MonkeyPatch) -> list[SubmissionResult]:
+    tables = [SlowTable(USUAL_ANSWER_SECONDS, SILENT_PARTITIONS) for _ in range(3)]
+    results, _ = submit_many(patch, *tables)
+    return results
+
+
+def test_jobs_are_stored_while_a_third_of_the_partitions_is_silent(monkeypatch):
+    results = submit_to_a_partly_silent_table(monkeypatch)
+    assert results.count(SubmissionResult.ACCEPTED) >= 0.9 * SUBMISSIONS
+
+
+def test_the_former_rule_left_the_jobs_of_silent_partitions_in_doubt(monkeypatch):
+    store_in_one_partition(monkeypatch)
+    results = submit_to_a_partly_silent_table(monkeypatch)
+    assert results.count(SubmissionResult.UNCLEAR) >= 0.25 * SUBMISSIONS
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -10,7 +10,7 @@
 from tests.common.fleet.workers import ObservedRun, StandInWorker
 from tests.soak.clients import Job, UnansweredCall
 from tests.soak.plans import FaultKind, make_plan
-from tests.soak.processes import HostProcess
+from tests.soak.processes import HostProcess, check_hosts
 from tests.soak.promises import (
     check_accepted_count,
     check_final_states,
@@ -109,3 +109,17 @@
     for job in jobs:
         job.accepted_at = 1.0
     assert check_accepted_count(jobs) == []
+
+
+def test_a_host_that_exits_by_itself_is_found_once(tmp_path):
+    host = HostProcess("h0", "127.0.0.1", tmp_path, {})
+
+    async def scenario() -> None:
+        await host.start()
+        assert host.process is not None
+        await host.process.wait()
+        check_hosts([host])
+        check_hosts([host])
+
+    asyncio.run(scenario())
+    assert len(check_planned_stops([host], [], {})) == 1
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -108,6 +108,12 @@
             self.expects_exit = True
 
 
+def check_hosts(hosts: list[HostProcess]) -> None:
+    """Record a problem for each host that has exited by itself."""
+    for host in hosts:
+        host.check_running()
+
+
 def make_settings(name: str, address: str, store_port: int, advice_port: int) -> dict[str, object]:
     """Return the content of a host's settings file in the platform's format."""
     return {
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -19,7 +19,13 @@
 from tests.common.fleet.workers import ObservedRun, StandInWorker, serve_advice
 from tests.soak.clients import Clients
 from tests.soak.plans import FAULT_PHASE_SECONDS, HOSTS, WORKERS, Fault, FaultKind, make_plan
-from tests.soak.processes import READY_PORT, HostProcess, choose_addresses, make_settings
+from tests.soak.processes import (
+    READY_PORT,
+    HostProcess,
+    check_hosts,
+    choose_addresses,
+    make_settings,
+)
 from tests.soak.promises import (
     check_accepted_count,
     check_final_states,
@@ -33,6 +39,7 @@
 READY_TIMEOUT_SECONDS = 30.0
 COMPLETION_TIMEOUT_SECONDS = 40.0
 """Time for all accepted jobs to end after the last fault, also on a busy machine."""
+WATCH_INTERVAL_SECONDS = 0.1
 RESTART_SECONDS = 0.3
 PROXY_DELAY_SECONDS = 0.15
 WRITE_DELAY_SECONDS = 2.0
@@ -134,9 +141,11 @@
                 group.create_task(clients.submit_until(end))
             for fault in make_plan(self.seed):
                 group.create_task(self._inject_fault(fault))
+            group.create_task(self._watch_hosts(end))
         for host in self.hosts:
             await self._wait_until_ready(host)
         await self._wait_until_jobs_end(clients)
+        check_hosts(self.hosts)
         return [
             *clients.problems,
             *check_accepted_count(clients.jobs),
@@ -145,6 +154,12 @@
             *check_planned_stops(self.hosts, clients.unanswered_calls, self.disturbances),
         ]
 
+    async def _watch_hosts(self, end: float) -> None:
+        """Notice hosts that exit by themselves, until the given time."""
+        while time.monotonic() < end:
+            check_hosts(self.hosts)
+            await asyncio.sleep(WATCH_INTERVAL_SECONDS)
+
     async def _wait_until_jobs_end(self, clients: Clients) -> None:
         """Query all accepted jobs until they have ended or the timeout has passed."""
         deadline = time.monotonic() + COMPLETION_TIMEOUT_SECONDS
@@ -185,8 +200,8 @@
         else:
             await host.terminate()
         await asyncio.sleep(RESTART_SECONDS)
-        host.expects_exit = False
         await host.start()
+        host.expects_exit = False
 
     def _begin_fault(self, kind: FaultKind, target: int) -> Undo:
         """Begin a fault and return the function that ends it."""
