--- a/benches/requests/entry.py
+++ b/benches/requests/entry.py
@@ -16,7 +16,7 @@
 from lentilpath_core.settings import HostSettings, parse_settings
 from lentilpath_http import HttpRequest, HttpResponse, json_response, serve_http
 from lentilpathd._adapters.platform import create_platform
-from lentilpathd._adapters.upstream import RunnerRefused
+from lentilpathd._adapters.upstream import RunnerRefused, connect_runner
 from lentilpathd._authority import Authority
 from lentilpathd._context import DaemonContext
 from lentilpathd._directory import Directory
@@ -58,10 +58,10 @@
         self._directory = directory
         self._zones = {peer.host: peer.zone for peer in settings.entry_hosts}
         self._ask = bus.ask
-        self._connect = runner_module.connect_runner
+        self._connect = connect_runner
         self.active = False
-        bus.ask = self._ask_if_reachable  # type: ignore[method-assign]
-        runner_module.connect_runner = self._connect_if_reachable
+        bus.ask = self._ask_if_reachable
+        setattr(runner_module, "connect_runner", self._connect_if_reachable)  # noqa: B010
 
     def switch(self, active: bool, cut_zone: str) -> None:
         """Start or end the partition of `cut_zone` from the other zones."""
