A start that another incarnation of a worker took is not repeated; ends stored with the final state are removed

The run ended there, so the next copy was refused as outdated and the stop that follows was answered. The answer of the stop counted as word of the former incarnation: when the new one was listed, the run was given up (LP529 new-life) and started elsewhere, 34 ms before the new incarnation listed its success. Change: only a run that this incarnation has confirmed (a start answered, or listed as running) is over with it; any other is stopped at the next incarnation and waits for its word. The new test of test_pool_runs fails on the code before.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -46,6 +46,8 @@
     phase: Phase
     begun_at: Instant
     answered_at: Instant | None = None
+    is_confirmed: bool = False
+    """Whether this incarnation of the worker has said that it started the run."""
     percent: int = 0
     progressed_at: Instant = Instant(0)
     """When a change of `percent` was last seen."""
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -81,29 +81,29 @@
 ) -> tuple[PoolEffect, ...]:
     """Add a new incarnation of a worker, and give up the runs of the former one.
 
-    Starts that the former incarnation did not answer may have reached the new one, so they are
-    moved to it and stopped there.
+    Starts that the former incarnation did not confirm may have reached the new one, even if a stop
+    was answered since, so they are moved to it and stopped there.
     """
-    unanswered: list[Attempt] = []
+    unconfirmed: list[Attempt] = []
     was_unconfirmed = entry.worker in state.unconfirmed_workers
     effects: list[PoolEffect] = []
     if former is not None:
-        unanswered = [each for each in former.attempts.values() if each.answered_at is None]
-        for attempt in unanswered:
+        unconfirmed = [each for each in former.attempts.values() if not each.is_confirmed]
+        for attempt in unconfirmed:
             del former.attempts[(attempt.task, attempt.run)]
         effects.extend(_remove_worker(state, former, now))
     worker = state.workers[entry.worker] = Worker(entry, entry.capacity)
     update_leave_time(worker, entry, now)
     if was_unconfirmed:
         state.unconfirmed_workers.add(entry.worker)
-    for attempt in unanswered:
+    for attempt in unconfirmed:
         effects.extend(_move_to_life(attempt, worker, now))
     return tuple(effects)
 
 
 def _move_to_life(attempt: Attempt, worker: Worker, now: Instant) -> tuple[PoolEffect, ...]:
-    """Move an unanswered run to the new incarnation, which may have started it, and stop it."""
-    moved = replace(attempt, worker=worker)
+    """Move an unconfirmed run to the new incarnation, which may have started it, and stop it."""
+    moved = replace(attempt, worker=worker, answered_at=None)
     _allocate_room(worker, moved)
     step = attempt.step
     if step is not None and step.attempts.get(attempt.task.number) is attempt:
@@ -161,6 +161,7 @@
         attempt = _adopt_run(state, worker, running, now)
     if attempt.step is None:
         return _stop_unwanted(attempt, now)
+    attempt.is_confirmed = True
     if attempt.phase is Phase.STARTING:
         attempt.phase = Phase.RUNNING
         attempt.answered_at = attempt.answered_at or now
@@ -204,6 +205,7 @@
         Phase.RUNNING,
         now,
         answered_at=now,
+        is_confirmed=True,
         percent=running.percent,
         progressed_at=now,
     )
@@ -370,6 +372,7 @@
         return ()
     if event.answer is StartAnswer.STARTED:
         attempt.answered_at = now
+        attempt.is_confirmed = True
         if attempt.phase is Phase.STARTING:
             attempt.phase = Phase.RUNNING
             attempt.progressed_at = now
--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -113,7 +113,7 @@
             await asyncio.sleep(BATCH_DELAY_SECONDS)
             batch = [self._queue.popleft() for _ in range(min(MAX_PUTS, len(self._queue)))]
             await self._store(batch)
-            if not self._queue and not self._obsolete_keys:
+            if not self._queue and len(self._obsolete_keys) < MAX_PUTS:
                 self._queued.clear()
             self._report_durable(batch)
             async with self._durable:
@@ -127,7 +127,7 @@
             puts[key] = value
             if isinstance(record, RecordRun):
                 self._end_keys.setdefault(record.task.job, []).append(key)
-        deletes = self._pop_obsolete_keys(batch, MAX_ENTRIES - len(puts))
+        deletes = self._pop_obsolete_keys(batch, puts.keys(), MAX_ENTRIES - len(puts))
         delay_seconds = RETRY_SECONDS
         is_unclear = False
         while True:
@@ -137,7 +137,7 @@
                 POOL_PARTITION,
                 checks=((EPOCH_KEY, self._leadership.epoch_version),),
                 puts=(*puts.items(), renewal),
-                deletes=tuple(key for key in deletes if key not in puts),
+                deletes=tuple(deletes),
             )
             sent_at = read_instant()
             try:
@@ -156,13 +156,20 @@
                 log_event(Event.RECORDS_STORED_AGAIN, count=len(batch))
             return
 
-    def _pop_obsolete_keys(self, batch: list[Record], max_keys: int) -> list[str]:
-        """Return at most `max_keys` keys to delete; the others are left to the next batches."""
+    def _pop_obsolete_keys(
+        self, batch: list[Record], written: Container[str], max_keys: int
+    ) -> list[str]:
+        """Return at most `max_keys` keys to delete in the transaction that writes the batch.
+
+        The others, and those that the transaction itself writes, go with a later one.
+        """
         for record in batch:
             if isinstance(record, RecordFinal):
                 self._obsolete_keys.extend(self._end_keys.pop(record.job, ()))
-        count = min(max_keys, len(self._obsolete_keys))
-        return [self._obsolete_keys.popleft() for _ in range(count)]
+        deletes = [key for key in self._obsolete_keys if key not in written][:max_keys]
+        chosen = set(deletes)
+        self._obsolete_keys = deque(key for key in self._obsolete_keys if key not in chosen)
+        return deletes
 
     def _log(self, record: Record) -> None:
         if isinstance(record, RecordRun):
--- a/tests/cover/test_pool_records.py
+++ b/tests/cover/test_pool_records.py
@@ -79,6 +79,25 @@
     assert list_end_keys(table) == []
 
 
+def test_an_end_stored_together_with_the_final_state_is_removed_with_a_later_write():
+    table = OnePartitionTable()
+
+    async def scenario() -> None:
+        writer = RecordWriter(table, Epoch(1), make_leadership(table), lambda event: None)
+        writer.queue(END)
+        writer.queue(FINAL)
+        task = asyncio.create_task(writer.run())
+        assert await writer.wait_durable(2, 5.0)
+        assert len(list_end_keys(table)) == 1
+        writer.queue(RecordFinal(make_job_id(2), FINAL.final))
+        assert await writer.wait_durable(3, 5.0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(scenario())
+    assert list_end_keys(table) == []
+
+
 def test_ends_that_a_former_leader_did_not_remove_are_removed_by_the_next_one():
     table = OnePartitionTable()
     write(table, *make_ends(MANY_ENDS))
@@ -89,6 +108,8 @@
         writer = RecordWriter(table, Epoch(1), make_leadership(table), lambda event: None)
         writer.add_stored_ends(keys, {make_job_id(1)})
         task = asyncio.create_task(writer.run())
+        await wait_until(lambda: len(list_end_keys(table)) < MANY_ENDS)
+        writer.queue(FINAL)
         await wait_until(lambda: not list_end_keys(table))
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
--- a/tests/cover/test_pool_runs.py
+++ b/tests/cover/test_pool_runs.py
@@ -168,6 +168,22 @@
     assert get_job_state(harness.state, make_job_id(1)) is JobState.COMPLETED
 
 
+def test_a_start_that_the_next_incarnation_took_is_not_repeated_although_its_stop_was_answered():
+    harness, start = make_harness_with_start()
+    # The next incarnation has run the task already, and answers the stop that was meant for the
+    # one before it.
+    harness.handle_event(StopAnswered(start.worker, start.life, start.task, start.run))
+    restarted = make_worker(start.worker, life=Life(2))
+    others = [each for each in harness.listed.values() if each.worker != start.worker]
+    harness.list_workers(restarted, *others)
+    assert list_starts(harness.place()) == []
+    harness.report(start.worker, ended=((1, start.task, start.run, RunEnd.DONE),))
+    harness.confirm_records()
+    harness.confirm_records()
+    assert list_starts(harness.place()) == []
+    assert get_job_state(harness.state, make_job_id(1)) is JobState.COMPLETED
+
+
 def test_a_start_that_never_reached_the_next_incarnation_is_repeated_after_its_stop():
     harness, start = make_harness_with_start()
     restarted = make_worker(start.worker, life=Life(2))
