--- a/tests/common/fleet/deployment.py
+++ b/tests/common/fleet/deployment.py
@@ -90,8 +90,8 @@
         await worker.start()
         return worker
 
-    async def add_host(self, cores: float = 1.0) -> RunningHost:
-        faults = StoreFaults()
+    async def add_host(self, cores: float = 1.0, faults: StoreFaults | None = None) -> RunningHost:
+        faults = faults or StoreFaults()
         port = await self.store.listen(faults)
         name = f"h{len(self.hosts)}"
         callers_at, readiness, peers, metrics = [
@@ -186,7 +186,7 @@
 
 @asynccontextmanager
 async def run_fleet(hosts: int = 3, workers: int = 3, run_seconds: float = 0.1):
-    """Yield a fleet that has a leader, and close it afterwards."""
+    """Yield a fleet that has a leader and whose hosts are all ready, and close it afterwards."""
     store = StandInStore()
     store.put("op", "", "config", json.dumps(CONFIG).encode())
     fleet = Fleet(store, await serve_advice())
@@ -196,6 +196,8 @@
         for _ in range(hosts):
             await fleet.add_host()
         await fleet.wait_for_leader()
+        # Callers are routed only to hosts that are ready, and hosts become so in any order.
+        await wait_until(lambda: all(each.host.is_ready() for each in fleet.hosts))
         yield fleet
     finally:
         for host in fleet.hosts:
--- a/tests/cover/test_pool_leadership.py
+++ b/tests/cover/test_pool_leadership.py
@@ -125,7 +125,9 @@
     assert may_take_over(snapshot, HostId("h3"), ADDRESS, LEADER_TIMEOUT_MS)
 
 
-def test_a_slow_host_leaves_a_silent_leader_to_faster_hosts_for_a_while():
+def test_a_slow_host_leaves_a_silent_leader_to_faster_hosts_for_a_while(monkeypatch):
+    # The bound is exact to the millisecond, so no time may pass while the lease is acquired.
+    monkeypatch.setattr(_leadership, "read_instant", lambda: Instant(1_000_000))
     table = OnePartitionTable()
     first, second = make_leadership(table), make_leadership(table, "h2")
     asyncio.run(first.acquire())
--- a/tests/nocover/test_pool_hosts.py
+++ b/tests/nocover/test_pool_hosts.py
@@ -10,6 +10,7 @@
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._pool._leadership import LEASE_MS
 from tests.common.fleet.deployment import Fleet, make_step, run_fleet
+from tests.common.fleet.store import StoreFaults
 from tests.common.requests import wait_until
 
 
@@ -75,6 +76,21 @@
     run_scenario(scenario)
 
 
+def test_a_host_that_has_not_read_its_configuration_asks_callers_to_return_and_then_serves():
+    async def scenario(fleet: Fleet) -> None:
+        late = await fleet.add_host(faults=StoreFaults(is_unavailable=True))
+        assert not late.host.is_ready()
+        refused = await late.call("POST", "/checks/00000000000000aa", {"steps": [make_step()]})
+        assert refused.status == 503
+        assert int(refused.get_header("retry-after") or "0") > 0
+        assert (await fleet.hosts[0].call("GET", "/checks/00000000000000aa")).status == 410
+        late.faults.is_unavailable = False
+        await wait_until(late.host.is_ready)
+        assert (await fleet.submit(late))[1] == 200
+
+    run_scenario(scenario, hosts=1)
+
+
 def test_a_killed_leader_loses_no_job_and_runs_no_task_twice():
     async def scenario(fleet: Fleet) -> None:
         jobs = await submit_many(fleet, 12, make_step(2))
