Pool: the workers are kept in 32 rows, so that thousands can be stored; rejected writes are named

Cause: all workers stood in one row, 0workers, of about 80 bytes each. Every host also read that row with each poll of the leadership, a cost that grows with hosts times workers. Change: 32 rows by a hash of the name, of which only the changed ones are written; the polled range ends before them and a new leader reads them itself, after the takeover instead of up to 350 ms before. The single row of earlier releases is still read, and replaced by the first list. Status 400 is a named error, WriteRejected, through relays too: the writer logs LP548, a caller's job gets 400 and is not run. A page with status 400 no longer counts as a failure of the path. Measured: tests fail with each part switched off (one row; wide polling; no replacement of the former row; all rows or no empty rows written; 400 as unknown; relay's answer as unknown). Ruled out: a row per worker (50 transactions for the first list of 3,000).

--- a/packages/lentilpath-core/src/lentilpath_core/errors.py
+++ b/packages/lentilpath-core/src/lentilpath_core/errors.py
@@ -2,7 +2,7 @@
 
 `LentilpathError`
     `InvalidInput`: the caller's input is invalid; nothing was changed.
-        `InvalidSettings`, `InvalidJob`, `InvalidCommand`, `UnknownName`
+        `InvalidSettings`, `InvalidJob`, `InvalidCommand`, `UnknownName`, `WriteRejected`
     `Conflict`: another writer changed the same thing first; the message says who and what.
     `Unavailable`: a required component cannot be reached; nothing was changed.
         `TableUnavailable`, `TableBusy`, `PeerUnavailable`, `WorkerUnavailable`, `NoLeader`
@@ -43,6 +43,12 @@
     code = "invalid-command"
 
 
+class WriteRejected(InvalidInput):
+    """The platform's table found a write invalid, such as a value that is too long."""
+
+    code = "write-rejected"
+
+
 class UnknownName(InvalidInput):
     """No job, task, worker, service or customer of this name is known."""
 
--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -117,13 +117,14 @@
     LINES_SUPPRESSED = (533, "log lines were suppressed by the rate limit")
     TABLE_UNREACHABLE = (535, "the table does not answer this host; relaying through other hosts")
     TABLE_REACHABLE = (536, "the table answers this host again")
-    JOB_UNANSWERED = (541, "a caller's query or cancellation of a job could not be answered")
+    JOB_UNANSWERED = (541, "a caller's request about a job could not be carried out")
     TAKEOVER_UNCLEAR = (542, "the leadership may or may not have been acquired; retrying")
     RELAY_FAILED = (543, "a table request could not be relayed through another host")
     CANCEL_UNCLEAR = (544, "a cancellation may or may not have been stored; retrying the write")
     SETTINGS_REFUSED = (545, "the changed settings are invalid; the previous ones stay in force")
     SETTINGS_NEED_RESTART = (546, "changed settings take effect only after a restart")
     POOL_HANDED_OVER = (547, "this process hands the leadership over to another host")
+    RECORDS_REJECTED = (548, "the table finds records invalid and stores none of them; retrying")
     LEASE_NOT_EXTENDED = (
         540,
         "a worker of the previous leader did not answer the new leader's first renewal",
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -13,7 +13,6 @@
 
 from lentilpath_core.errors import OutcomeUnknown, Unavailable
 from lentilpath_core.ids import Epoch, HostId, Incarnation, Instant, RowVersion
-from lentilpath_core.pool import ListedWorker
 from lentilpath_core.settings import Address
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
@@ -30,10 +29,8 @@
     LEASE_KEY,
     POOL_PARTITION,
     POOL_TABLE,
-    WORKERS_KEY,
     EpochRow,
     LeaseRow,
-    decode_workers,
     encode_record,
 )
 
@@ -64,8 +61,6 @@
     lease: LeaseRow | None
     lease_version: RowVersion
     clock_ms: int
-    workers: tuple[ListedWorker, ...] = ()
-    """Workers that may be running tasks."""
 
 
 def decode_snapshot(read: PartitionRows) -> LeadershipSnapshot:
@@ -80,10 +75,8 @@
     if lease_row is not None:
         lease = msgspec.msgpack.decode(lease_row.value, type=LeaseRow)
     version = epoch_row.version if epoch_row is not None else RowVersion(0)
-    workers_row = rows.get(WORKERS_KEY)
-    workers = decode_workers(workers_row.value) if workers_row is not None else ()
     lease_version = lease_row.version if lease_row is not None else RowVersion(0)
-    return LeadershipSnapshot(epoch, version, lease, lease_version, read.clock_ms, workers)
+    return LeadershipSnapshot(epoch, version, lease, lease_version, read.clock_ms)
 
 
 def may_take_over(
--- a/packages/lentilpathd/src/lentilpathd/_pool/_records.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_records.py
@@ -4,14 +4,16 @@
 marks it as cancelled. Written by the host that serves the caller. A job has several partitions, and
 either row counts in any of them; the same row may stand in more than one.
 
-`lentilpath-pool`, a single partition: `0epoch` and `0lease` hold the current leader, `0workers` the
-lives of workers that may be running tasks, `end/TASK/RUN` how a run ended, and `final/ID` a job's
-final state. Written only by the leader, on condition that `0epoch` is unchanged. Only the first
-three rows are ever changed, so a write may be repeated and may arrive late.
+`lentilpath-pool`, a single partition: `0epoch` and `0lease` hold the current leader, `0workers/N`
+the lives of workers that may be running tasks, `end/TASK/RUN` how a run ended, and `final/ID` a
+job's final state. Written only by the leader, on condition that `0epoch` is unchanged. Only the
+rows that begin with 0 are ever changed, so a write may be repeated and may arrive late.
 """
 
 from __future__ import annotations
 
+import zlib
+
 import msgspec
 
 from lentilpath_core.ids import (
@@ -50,7 +52,13 @@
 EPOCH_KEY = "0epoch"
 LEASE_KEY = "0lease"
 WORKERS_KEY = "0workers"
-LEADER_KEYS_END = "1"
+"""Begins the keys of the workers' rows. Earlier releases had a single row, with this key."""
+LEADER_KEYS_END = WORKERS_KEY
+"""The rows that every host polls end before the workers, whose number does not matter then."""
+WORKER_KEYS_END = "1"
+WORKER_ROWS = 32
+"""Rows that share the workers. One row of 64 KiB holds about 800 workers, and a transaction of 1 MB
+about 9,000; all rows fit in one transaction beside the records of a batch."""
 CANCEL_SUFFIX = "/cancel"
 END_PREFIX = "end/"
 FINAL_PREFIX = "final/"
@@ -149,25 +157,31 @@
     return msgspec.msgpack.decode(value, type=FinalRecord)
 
 
-def make_worker_rows(workers: tuple[ListedWorker, ...]) -> tuple[WorkerRow, ...]:
-    """Return the rows for the workers that a leader uses."""
-    return tuple(
-        WorkerRow(
-            each.worker,
-            each.life,
-            each.service,
-            each.address,
-            each.zone,
-            each.rack,
-            tuple(sorted(each.labels)),
-            each.capacity,
-        )
-        for each in workers
+def make_worker_values(workers: tuple[ListedWorker, ...]) -> dict[str, bytes]:
+    """Return the values of all workers' rows by key, the empty ones too, for the workers in use."""
+    shares: dict[str, list[WorkerRow]] = {WORKERS_KEY: []}
+    shares.update((f"{WORKERS_KEY}/{number}", []) for number in range(WORKER_ROWS))
+    for each in workers:
+        number = zlib.crc32(each.worker.encode()) % WORKER_ROWS
+        shares[f"{WORKERS_KEY}/{number}"].append(_make_worker_row(each))
+    return {key: encode_record(tuple(rows)) for key, rows in shares.items()}
+
+
+def _make_worker_row(listed: ListedWorker) -> WorkerRow:
+    return WorkerRow(
+        listed.worker,
+        listed.life,
+        listed.service,
+        listed.address,
+        listed.zone,
+        listed.rack,
+        tuple(sorted(listed.labels)),
+        listed.capacity,
     )
 
 
 def decode_workers(value: bytes) -> tuple[ListedWorker, ...]:
-    """Decode the workers that an earlier leader used; raises `msgspec.DecodeError`."""
+    """Decode one row of workers that an earlier leader used; raises `msgspec.DecodeError`."""
     rows = msgspec.msgpack.decode(value, type=tuple[WorkerRow, ...])
     return tuple(
         ListedWorker(
--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -29,6 +29,7 @@
     JOBS_TABLE,
     POOL_PARTITION,
     POOL_TABLE,
+    WORKER_KEYS_END,
     WORKERS_KEY,
     decode_end,
     decode_final,
@@ -74,8 +75,8 @@
             finals[JobId(row.key.removeprefix(FINAL_PREFIX))] = decode_final(row.value)
         elif row.key.startswith(END_PREFIX):
             ends.append((parse_end_key(row.key), decode_end(row.value)))
-        elif row.key == WORKERS_KEY:
-            workers = decode_workers(row.value)
+        elif row.key.startswith(WORKERS_KEY):
+            workers += decode_workers(row.value)
     events: list[PoolEvent] = [JobEnded(job, final) for job, final in finals.items()]
     events.extend(make_job_events(tuple(job_rows), finals.keys(), recovered=True))
     open_ends = tuple((task, record) for task, record in ends if task.job not in finals)
@@ -84,6 +85,14 @@
     return RecoveredPool(tuple(events), workers, end_keys, frozenset(finals), jobs_version)
 
 
+async def read_former_workers(table: PartitionedTable) -> tuple[ListedWorker, ...]:
+    """Read the workers that an earlier leader used; raises `Unavailable` or `OutcomeUnknown`."""
+    read = await table.read_partition(
+        POOL_TABLE, POOL_PARTITION, WORKERS_KEY, WORKER_KEYS_END, READ_TIMEOUT_SECONDS
+    )
+    return tuple(worker for row in read.rows for worker in decode_workers(row.value))
+
+
 async def read_all_jobs(table: PartitionedTable) -> tuple[PartitionRows, ...]:
     """Read all partitions of the jobs table, at most `MAX_CONCURRENT_READS` at a time."""
     slots = asyncio.Semaphore(MAX_CONCURRENT_READS)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
@@ -18,6 +18,7 @@
     PeerNotReached,
     TableBusy,
     TableUnavailable,
+    WriteRejected,
 )
 from lentilpath_core.ids import HostId, Instant, RowVersion
 from lentilpath_core.peers import PeerRequest
@@ -106,7 +107,8 @@
     """Result of a relayed call."""
 
     outcome: str
-    """`done`, `rejected`, `unavailable`, `unknown` or `history-lost`."""
+    """`done`, `rejected` (a condition did not hold), `invalid`, `unavailable`, `unknown` or
+    `history-lost`."""
     rows: tuple[RelayedRow, ...] = ()
     version: int = 0
     clock_ms: int = 0
@@ -299,7 +301,7 @@
         sent_at = read_instant()
         try:
             result = await call
-        except HistoryLost:
+        except (HistoryLost, WriteRejected):
             self._record_success(sent_at)
             raise
         except LentilpathError as error:
@@ -336,6 +338,8 @@
                 continue
             if reply.outcome == "unknown":
                 raise OutcomeUnknown(f"{host} got no response from the table")
+            if reply.outcome == "invalid":
+                raise WriteRejected(f"the table found a write through {host} invalid")
             if reply.outcome == "history-lost":
                 raise HistoryLost("the table no longer has the requested changes")
             if reply.outcome != "unavailable":
@@ -355,6 +359,8 @@
         # Failures are logged by the requesting host, with the id of the request.
         except HistoryLost:
             return RelayReply("history-lost")
+        except WriteRejected:
+            return RelayReply("invalid")
         except OutcomeUnknown:
             return RelayReply("unknown")
         except LentilpathError:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from functools import singledispatchmethod
+from typing import TypeVar
 
 import msgspec
 
@@ -51,11 +53,13 @@
 from lentilpathd._pool._messages import Digest, JobNotice
 from lentilpathd._pool._ports import LifeKey, PartitionRow
 from lentilpathd._pool._records import format_task
-from lentilpathd._pool._recovery import READ_TIMEOUT_SECONDS, read_pool
+from lentilpathd._pool._recovery import READ_TIMEOUT_SECONDS, read_former_workers, read_pool
 from lentilpathd._pool._removal import JobRemover
 from lentilpathd._pool._settings import MAX_LEASE_MS
 from lentilpathd._pool._writer import RecordWriter
 
+T = TypeVar("T")
+
 TICK_SECONDS = 0.25
 """Timers fire at most 250 ms late."""
 DIGEST_REUSE_MS = 250
@@ -125,14 +129,14 @@
 
     async def _extend_leases(self) -> None:
         """Extend the leases of runs that may be in progress, while their jobs are being read."""
-        snapshot = self._leadership.snapshot
-        if snapshot is None:
-            return
+        former_workers = await self._read_repeatedly(
+            lambda: read_former_workers(self._context.table)
+        )
         lease_ms = self._context.settings.lease_ms
         ends = await asyncio.gather(
             *(
                 extend_lease(self._context.create_worker(each, self._epoch), lease_ms)
-                for each in snapshot.workers
+                for each in former_workers
             )
         )
         latest = max(
@@ -141,14 +145,10 @@
         self._state.former_leases_end_at = max(self._state.former_leases_end_at, latest)
 
     async def _recover(self) -> None:
-        while True:
-            try:
-                recovered = await read_pool(self._context.table)
-                listed = await self._context.registry.read_workers(READ_TIMEOUT_SECONDS)
-                break
-            except (Unavailable, OutcomeUnknown) as error:
-                log_warning_event(Event.POOL_RECOVERY_FAILED, epoch=self._epoch, error=str(error))
-                await asyncio.sleep(RETRY_SECONDS)
+        recovered = await self._read_repeatedly(lambda: read_pool(self._context.table))
+        listed = await self._read_repeatedly(
+            lambda: self._context.registry.read_workers(READ_TIMEOUT_SECONDS)
+        )
         self._jobs_version = recovered.jobs_version
         self._writer.add_stored_ends(recovered.end_keys, recovered.ended_jobs)
         self.apply_settings()
@@ -169,6 +169,14 @@
             unsettled=sorted(self._state.unconfirmed_workers),
         )
 
+    async def _read_repeatedly(self, read: Callable[[], Awaitable[T]]) -> T:
+        while True:
+            try:
+                return await read()
+            except (Unavailable, OutcomeUnknown) as error:
+                log_warning_event(Event.POOL_RECOVERY_FAILED, epoch=self._epoch, error=str(error))
+                await asyncio.sleep(RETRY_SECONDS)
+
     def apply_configuration(self, configuration: PoolConfiguration) -> None:
         """Use this configuration for decisions from now on."""
         self.handle_event(ConfigurationSet(configuration))
--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -6,7 +6,7 @@
 from collections import deque
 from collections.abc import Callable, Container
 
-from lentilpath_core.errors import OutcomeUnknown, Unavailable
+from lentilpath_core.errors import OutcomeUnknown, Unavailable, WriteRejected
 from lentilpath_core.ids import Epoch, JobId
 from lentilpath_core.pool import (
     FinalsRecorded,
@@ -25,12 +25,11 @@
     EPOCH_KEY,
     POOL_PARTITION,
     POOL_TABLE,
-    WORKERS_KEY,
     encode_record,
     format_task,
     make_end_key,
     make_final_key,
-    make_worker_rows,
+    make_worker_values,
     parse_end_key,
 )
 
@@ -70,6 +69,8 @@
         self._durable = asyncio.Condition()
         self._end_keys: dict[JobId, list[str]] = {}
         """Keys of stored ends of runs, by job, for jobs without a final state."""
+        self._worker_values: dict[str, bytes] = {}
+        """Values of the workers' rows that this leader has written."""
         self._obsolete_keys: deque[str] = deque()
         """Keys of stored ends of runs that a stored final state replaces, still to be deleted."""
         self.queued_count = 0
@@ -123,10 +124,7 @@
     async def _store(self, batch: list[Record]) -> None:
         puts: dict[str, bytes] = {}
         for record in batch:
-            key, value = _make_row(record)
-            puts[key] = value
-            if isinstance(record, RecordRun):
-                self._end_keys.setdefault(record.task.job, []).append(key)
+            puts.update(self._make_puts(record))
         deletes = self._pop_obsolete_keys(batch, puts.keys(), MAX_ENTRIES - len(puts))
         delay_seconds = RETRY_SECONDS
         is_unclear = False
@@ -142,6 +140,11 @@
             sent_at = read_instant()
             try:
                 commit = await self._table.commit(transaction, COMMIT_TIMEOUT_SECONDS, is_unclear)
+            except WriteRejected as error:
+                # The records can't be given up, and the jobs of others wait behind them.
+                log_warning_event(Event.RECORDS_REJECTED, count=len(batch), error=str(error))
+                await asyncio.sleep(MAX_RETRY_SECONDS)
+                continue
             except (Unavailable, OutcomeUnknown) as error:
                 is_unclear = isinstance(error, OutcomeUnknown)
                 # Writing equal rows twice is idempotent, so a write of unknown outcome is retried.
@@ -156,6 +159,19 @@
                 log_event(Event.RECORDS_STORED_AGAIN, count=len(batch))
             return
 
+    def _make_puts(self, record: Record) -> dict[str, bytes]:
+        if isinstance(record, RecordRun):
+            key = make_end_key(record.task, record.record)
+            self._end_keys.setdefault(record.task.job, []).append(key)
+            return {key: encode_record(record.record)}
+        if isinstance(record, RecordFinal):
+            return {make_final_key(record.job): encode_record(record.final)}
+        # An earlier leader may have left any of these rows, so the first list rewrites all of them.
+        former, self._worker_values = self._worker_values, make_worker_values(record.workers)
+        return {
+            key: value for key, value in self._worker_values.items() if former.get(key) != value
+        }
+
     def _pop_obsolete_keys(
         self, batch: list[Record], written: Container[str], max_keys: int
     ) -> list[str]:
@@ -201,11 +217,3 @@
             if isinstance(record, RecordWorkers):
                 lives = tuple((each.worker, each.life) for each in record.workers)
                 self._handle_event(WorkersRecorded(lives))
-
-
-def _make_row(record: Record) -> tuple[str, bytes]:
-    if isinstance(record, RecordRun):
-        return make_end_key(record.task, record.record), encode_record(record.record)
-    if isinstance(record, RecordFinal):
-        return make_final_key(record.job), encode_record(record.final)
-    return WORKERS_KEY, encode_record(make_worker_rows(record.workers))
--- a/tests/common/fleet/store.py
+++ b/tests/common/fleet/store.py
@@ -14,6 +14,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from lentilpath_http import HttpRequest, HttpResponse, HttpServer, serve_http
+from tests.common.tables import MAX_ROW_BYTES
 
 RowKey = tuple[str, str, str]
 
@@ -122,10 +123,12 @@
             found = self.rows.get(key, (b"", 0))[1]
             if found != each["rowVersion"]:
                 return self._reply(412, rows=[self._show(key)] if found else [])
+        values = [base64.b64decode(each["value"]) for each in message["setKeys"]]
+        if any(len(value) > MAX_ROW_BYTES for value in values):
+            return HttpResponse(400, (), b"value too long")
         self.transactions += 1
         self.version += 1
-        for each in message["setKeys"]:
-            value = base64.b64decode(each["value"])
+        for each, value in zip(message["setKeys"], values, strict=True):
             self._put((each["table"], each["part"], each["key"]), value)
         for each in message["remove"]:
             self._put((each["table"], each["part"], each["key"]), None)
--- a/tests/common/tables.py
+++ b/tests/common/tables.py
@@ -4,13 +4,17 @@
 
 import asyncio
 
-from lentilpath_core.errors import LentilpathError, TableBusy, TableUnavailable
+from lentilpath_core.errors import LentilpathError, TableBusy, TableUnavailable, WriteRejected
 from lentilpath_core.ids import HostId, Incarnation, RowVersion
 from lentilpath_core.settings import Address
 from lentilpathd._pool._leadership import PoolLeadership
 from lentilpathd._pool._ports import PartitionCommitResult, PartitionRow, PartitionRows
 
 ADDRESS = Address("127.0.0.1", 1)
+MAX_ROW_BYTES = 65_536
+"""Longest value that the platform's table accepts in all published deployments."""
+MAX_ENTRIES = 100
+"""Conditions, puts and deletes that the platform's table accepts in one transaction."""
 
 
 class OnePartitionTable:
@@ -38,6 +42,10 @@
             found = self.rows[key].version if key in self.rows else 0
             if found != version:
                 return PartitionCommitResult(False, RowVersion(self.version), self.clock_ms)
+        entries = len(transaction.checks) + len(transaction.puts) + len(transaction.deletes)
+        longest = max((len(value) for _, value in transaction.puts), default=0)
+        if entries > MAX_ENTRIES or longest > MAX_ROW_BYTES:
+            raise WriteRejected(f"{entries} entries, the longest of {longest} bytes")
         self.version += 1
         for key, value in transaction.puts:
             self.rows[key] = PartitionRow("cell", key, value, RowVersion(self.version))
@@ -50,7 +58,10 @@
     async def read_partition(self, table, partition, first, end, timeout):
         if self.is_unavailable:
             raise self.unavailable_error
-        return PartitionRows(tuple(self.rows.values()), RowVersion(self.version), self.clock_ms)
+        found = tuple(
+            row for key, row in self.rows.items() if first <= key and (not end or key < end)
+        )
+        return PartitionRows(found, RowVersion(self.version), self.clock_ms)
 
     async def follow(self, table, after, wait_seconds, timeout):
         self.follows += 1
