Pool: a list of workers that the table applies late hides no worker that was added since

Cause: the workers' rows were the only rows of the pool that change, so a write of unknown outcome that the table applied seconds later, after a newer list, put an old list in its place. The next leader then did not know of a worker that may be running tasks and would not have spoken to it before it started them again. Change: a changed share of the workers gets a row with a new key (share, epoch, sequence), the former one is deleted with it or later, and a reader takes the latest row of each share. Rows of earlier leaders are deleted by the first list of the next one. The format has its own module, _worker_rows.py. Ruled out: a condition on the rows' versions (a repeated write then can't be told from a lost epoch).

--- a/packages/lentilpathd/src/lentilpathd/_pool/_records.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_records.py
@@ -4,38 +4,18 @@
 marks it as cancelled. Written by the host that serves the caller. A job has several partitions, and
 either row counts in any of them; the same row may stand in more than one.
 
-`lentilpath-pool`, a single partition: `0epoch` and `0lease` hold the current leader, `0workers/N`
+`lentilpath-pool`, a single partition: `0epoch` and `0lease` hold the current leader, `0workers/...`
 the lives of workers that may be running tasks, `end/TASK/RUN` how a run ended, and `final/ID` a
 job's final state. Written only by the leader, on condition that `0epoch` is unchanged. Only the
-rows that begin with 0 are ever changed, so a write may be repeated and may arrive late.
+first two rows are ever changed, so a write may be repeated and may arrive late.
 """
 
 from __future__ import annotations
 
-import zlib
-
 import msgspec
 
-from lentilpath_core.ids import (
-    Epoch,
-    HostId,
-    Incarnation,
-    JobId,
-    RackId,
-    ServiceId,
-    WorkerId,
-    ZoneId,
-)
-from lentilpath_core.pool import (
-    FinalRecord,
-    JobRecord,
-    Life,
-    ListedWorker,
-    RunRecord,
-    TaskKey,
-    WorkerCondition,
-)
-from lentilpath_core.resources import Resources
+from lentilpath_core.ids import Epoch, HostId, Incarnation, JobId
+from lentilpath_core.pool import FinalRecord, JobRecord, RunRecord, TaskKey
 from lentilpath_core.settings import Address
 
 JOBS_TABLE = "lentilpath-jobs"
@@ -52,13 +32,9 @@
 EPOCH_KEY = "0epoch"
 LEASE_KEY = "0lease"
 WORKERS_KEY = "0workers"
-"""Begins the keys of the workers' rows. Earlier releases had a single row, with this key."""
+"""Begins the keys of the workers' rows."""
 LEADER_KEYS_END = WORKERS_KEY
-"""The rows that every host polls end before the workers, whose number does not matter then."""
-WORKER_KEYS_END = "1"
-WORKER_ROWS = 32
-"""Rows that share the workers. One row of 64 KiB holds about 800 workers, and a transaction of 1 MB
-about 9,000; all rows fit in one transaction beside the records of a batch."""
+"""End of the rows that every host polls; the workers' rows are not among them."""
 CANCEL_SUFFIX = "/cancel"
 END_PREFIX = "end/"
 FINAL_PREFIX = "final/"
@@ -84,20 +60,7 @@
     """Host that takes over first after a release; empty for any."""
 
 
-class WorkerRow(msgspec.Struct, frozen=True, array_like=True):
-    """A life (process incarnation) of a worker that may be running tasks."""
-
-    worker: WorkerId
-    life: Life
-    service: ServiceId
-    address: Address
-    zone: ZoneId
-    rack: RackId
-    labels: tuple[str, ...]
-    capacity: Resources
-
-
-def encode_record(record: msgspec.Struct | tuple[WorkerRow, ...]) -> bytes:
+def encode_record(record: msgspec.Struct) -> bytes:
     """Encode a row's value."""
     return msgspec.msgpack.encode(record)
 
@@ -155,45 +118,3 @@
 def decode_final(value: bytes) -> FinalRecord:
     """Decode a job's final state; raises `msgspec.DecodeError`."""
     return msgspec.msgpack.decode(value, type=FinalRecord)
-
-
-def make_worker_values(workers: tuple[ListedWorker, ...]) -> dict[str, bytes]:
-    """Return the values of all workers' rows by key, the empty ones too, for the workers in use."""
-    shares: dict[str, list[WorkerRow]] = {WORKERS_KEY: []}
-    shares.update((f"{WORKERS_KEY}/{number}", []) for number in range(WORKER_ROWS))
-    for each in workers:
-        number = zlib.crc32(each.worker.encode()) % WORKER_ROWS
-        shares[f"{WORKERS_KEY}/{number}"].append(_make_worker_row(each))
-    return {key: encode_record(tuple(rows)) for key, rows in shares.items()}
-
-
-def _make_worker_row(listed: ListedWorker) -> WorkerRow:
-    return WorkerRow(
-        listed.worker,
-        listed.life,
-        listed.service,
-        listed.address,
-        listed.zone,
-        listed.rack,
-        tuple(sorted(listed.labels)),
-        listed.capacity,
-    )
-
-
-def decode_workers(value: bytes) -> tuple[ListedWorker, ...]:
-    """Decode one row of workers that an earlier leader used; raises `msgspec.DecodeError`."""
-    rows = msgspec.msgpack.decode(value, type=tuple[WorkerRow, ...])
-    return tuple(
-        ListedWorker(
-            row.worker,
-            row.life,
-            row.service,
-            row.address,
-            row.zone,
-            row.rack,
-            frozenset(row.labels),
-            row.capacity,
-            WorkerCondition.READY,
-        )
-        for row in rows
-    )
--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -29,15 +29,14 @@
     JOBS_TABLE,
     POOL_PARTITION,
     POOL_TABLE,
-    WORKER_KEYS_END,
     WORKERS_KEY,
     decode_end,
     decode_final,
     decode_job,
-    decode_workers,
     list_job_partitions,
     parse_end_key,
 )
+from lentilpathd._pool._worker_rows import WORKER_KEYS_END, decode_workers
 
 READ_TIMEOUT_SECONDS = 3.0
 """All partitions are read concurrently; a read takes 0.4 s while the table is 100 times slower."""
@@ -53,6 +52,8 @@
     events: tuple[PoolEvent, ...]
     """To be handled in this order."""
     former_workers: tuple[ListedWorker, ...]
+    worker_keys: tuple[str, ...]
+    """Keys of the rows that hold the former workers."""
     end_keys: tuple[str, ...]
     """Keys of the stored ends of runs."""
     ended_jobs: frozenset[JobId]
@@ -69,20 +70,27 @@
     pool_rows = await table.read_partition(POOL_TABLE, POOL_PARTITION, "", "", READ_TIMEOUT_SECONDS)
     finals: dict[JobId, FinalRecord] = {}
     ends: list[tuple[TaskKey, RunRecord]] = []
-    workers: tuple[ListedWorker, ...] = ()
+    worker_rows: dict[str, bytes] = {}
     for row in pool_rows.rows:
         if row.key.startswith(FINAL_PREFIX):
             finals[JobId(row.key.removeprefix(FINAL_PREFIX))] = decode_final(row.value)
         elif row.key.startswith(END_PREFIX):
             ends.append((parse_end_key(row.key), decode_end(row.value)))
         elif row.key.startswith(WORKERS_KEY):
-            workers += decode_workers(row.value)
+            worker_rows[row.key] = row.value
     events: list[PoolEvent] = [JobEnded(job, final) for job, final in finals.items()]
     events.extend(make_job_events(tuple(job_rows), finals.keys(), recovered=True))
     open_ends = tuple((task, record) for task, record in ends if task.job not in finals)
     events.append(RunsRecovered(open_ends))
     end_keys = tuple(row.key for row in pool_rows.rows if row.key.startswith(END_PREFIX))
-    return RecoveredPool(tuple(events), workers, end_keys, frozenset(finals), jobs_version)
+    return RecoveredPool(
+        tuple(events),
+        decode_workers(worker_rows),
+        tuple(worker_rows),
+        end_keys,
+        frozenset(finals),
+        jobs_version,
+    )
 
 
 async def read_former_workers(table: PartitionedTable) -> tuple[ListedWorker, ...]:
@@ -90,7 +98,7 @@
     read = await table.read_partition(
         POOL_TABLE, POOL_PARTITION, WORKERS_KEY, WORKER_KEYS_END, READ_TIMEOUT_SECONDS
     )
-    return tuple(worker for row in read.rows for worker in decode_workers(row.value))
+    return decode_workers({row.key: row.value for row in read.rows})
 
 
 async def read_all_jobs(table: PartitionedTable) -> tuple[PartitionRows, ...]:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -151,6 +151,7 @@
         )
         self._jobs_version = recovered.jobs_version
         self._writer.add_stored_ends(recovered.end_keys, recovered.ended_jobs)
+        self._writer.add_stored_workers(recovered.worker_keys)
         self.apply_settings()
         configuration = self._context.get_configuration()
         if configuration is not None:
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_worker_rows.py
@@ -0,0 +1,131 @@
+"""The workers that may be running tasks of a pool, stored in a number of shares.
+
+Designed for pools of thousands of workers: a row of the table takes 64 KiB, the entries of about
+800 workers, and when one worker restarts only its share is written. A changed share gets a new row,
+`0workers/SHARE/EPOCH/SEQUENCE`, and its former row is deleted. A write that the table applies late
+can therefore not hide a worker that was added since: of the rows of a share the latest counts.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from lentilpath_core.ids import Epoch, RackId, ServiceId, WorkerId, ZoneId
+from lentilpath_core.pool import Life, ListedWorker, WorkerCondition
+from lentilpath_core.resources import Resources
+from lentilpath_core.settings import Address
+from lentilpathd._pool._records import WORKERS_KEY
+
+WORKER_KEYS_END = "1"
+WORKER_SHARES = 32
+"""All shares fit in one transaction beside the records of a batch, and its 1 MB takes about 9,000
+workers."""
+
+
+class WorkerRow(msgspec.Struct, frozen=True, array_like=True):
+    """A life (process incarnation) of a worker that may be running tasks."""
+
+    worker: WorkerId
+    life: Life
+    service: ServiceId
+    address: Address
+    zone: ZoneId
+    rack: RackId
+    labels: tuple[str, ...]
+    capacity: Resources
+
+
+class WorkerShares:
+    """The rows that the leader of an epoch writes for the lists of workers that it uses."""
+
+    def __init__(self, epoch: Epoch) -> None:
+        self._epoch = epoch
+        self._sequence = 0
+        self._values: dict[int, bytes] = {}
+        self._keys: dict[int, str] = {}
+        self._former_keys: list[str] = []
+
+    def add_former_rows(self, keys: Iterable[str]) -> None:
+        """Add the keys of earlier leaders' rows. The first list supersedes all of them."""
+        self._former_keys.extend(keys)
+
+    def replace_workers(
+        self, workers: tuple[ListedWorker, ...]
+    ) -> tuple[dict[str, bytes], tuple[str, ...]]:
+        """Return the rows to write for a new list, and the keys to delete with them or later."""
+        self._sequence += 1
+        puts: dict[str, bytes] = {}
+        obsolete, self._former_keys = self._former_keys, []
+        for share, value in enumerate(_make_values(workers)):
+            if self._values.get(share) == value:
+                continue
+            if share in self._keys:
+                obsolete.append(self._keys[share])
+            self._values[share] = value
+            self._keys[share] = f"{WORKERS_KEY}/{share}/{self._epoch}/{self._sequence}"
+            puts[self._keys[share]] = value
+        return puts, tuple(obsolete)
+
+
+def _make_values(workers: tuple[ListedWorker, ...]) -> tuple[bytes, ...]:
+    """Return the row values of all shares, also of the empty ones."""
+    shares: tuple[list[WorkerRow], ...] = tuple([] for _ in range(WORKER_SHARES))
+    for each in workers:
+        shares[zlib.crc32(each.worker.encode()) % WORKER_SHARES].append(_make_worker_row(each))
+    return tuple(msgspec.msgpack.encode(rows) for rows in shares)
+
+
+def decode_workers(rows: Mapping[str, bytes]) -> tuple[ListedWorker, ...]:
+    """Decode the workers in the latest row of each share; raises `msgspec.DecodeError`.
+
+    `rows` has values by key. A single row of all workers, as earlier releases wrote it, counts too
+    until it is deleted.
+    """
+    latest: dict[str, tuple[int, int]] = {}
+    current: dict[str, bytes] = {}
+    for key, value in rows.items():
+        share, order = _parse_key(key)
+        if share not in latest or order > latest[share]:
+            latest[share], current[share] = order, value
+    return tuple(worker for value in current.values() for worker in _decode_share(value))
+
+
+def _parse_key(key: str) -> tuple[str, tuple[int, int]]:
+    if key == WORKERS_KEY:
+        return key, (0, 0)
+    _, share, epoch, sequence = key.split("/")
+    return share, (int(epoch), int(sequence))
+
+
+def _make_worker_row(listed: ListedWorker) -> WorkerRow:
+    return WorkerRow(
+        listed.worker,
+        listed.life,
+        listed.service,
+        listed.address,
+        listed.zone,
+        listed.rack,
+        tuple(sorted(listed.labels)),
+        listed.capacity,
+    )
+
+
+def _decode_share(value: bytes) -> tuple[ListedWorker, ...]:
+    rows = msgspec.msgpack.decode(value, type=tuple[WorkerRow, ...])
+    return tuple(
+        ListedWorker(
+            row.worker,
+            row.life,
+            row.service,
+            row.address,
+            row.zone,
+            row.rack,
+            frozenset(row.labels),
+            row.capacity,
+            WorkerCondition.READY,
+        )
+        for row in rows
+    )
--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -29,9 +29,9 @@
     format_task,
     make_end_key,
     make_final_key,
-    make_worker_values,
     parse_end_key,
 )
+from lentilpathd._pool._worker_rows import WorkerShares
 
 MAX_ENTRIES = 95
 """Rows in one transaction; the platform accepts 100 entries, including the condition."""
@@ -69,10 +69,9 @@
         self._durable = asyncio.Condition()
         self._end_keys: dict[JobId, list[str]] = {}
         """Keys of stored ends of runs, by job, for jobs without a final state."""
-        self._worker_values: dict[str, bytes] = {}
-        """Values of the workers' rows that this leader has written."""
+        self._worker_shares = WorkerShares(epoch)
         self._obsolete_keys: deque[str] = deque()
-        """Keys of stored ends of runs that a stored final state replaces, still to be deleted."""
+        """Keys of rows that other stored rows replace, still to be deleted."""
         self.queued_count = 0
         """Number of records queued so far."""
         self.durable_count = 0
@@ -89,6 +88,10 @@
         if self._obsolete_keys:
             self._queued.set()
 
+    def add_stored_workers(self, keys: tuple[str, ...]) -> None:
+        """Add the keys of the workers' rows that earlier leaders have stored."""
+        self._worker_shares.add_former_rows(keys)
+
     def queue(self, record: Record) -> None:
         """Queue a record to be stored in the next batch."""
         self._queue.append(record)
@@ -124,7 +127,13 @@
     async def _store(self, batch: list[Record]) -> None:
         puts: dict[str, bytes] = {}
         for record in batch:
-            puts.update(self._make_puts(record))
+            if isinstance(record, RecordRun):
+                key = make_end_key(record.task, record.record)
+                self._end_keys.setdefault(record.task.job, []).append(key)
+                puts[key] = encode_record(record.record)
+            elif isinstance(record, RecordFinal):
+                puts[make_final_key(record.job)] = encode_record(record.final)
+        puts.update(self._replace_workers(batch))
         deletes = self._pop_obsolete_keys(batch, puts.keys(), MAX_ENTRIES - len(puts))
         delay_seconds = RETRY_SECONDS
         is_unclear = False
@@ -159,18 +168,14 @@
                 log_event(Event.RECORDS_STORED_AGAIN, count=len(batch))
             return
 
-    def _make_puts(self, record: Record) -> dict[str, bytes]:
-        if isinstance(record, RecordRun):
-            key = make_end_key(record.task, record.record)
-            self._end_keys.setdefault(record.task.job, []).append(key)
-            return {key: encode_record(record.record)}
-        if isinstance(record, RecordFinal):
-            return {make_final_key(record.job): encode_record(record.final)}
-        # An earlier leader may have left any of these rows, so the first list rewrites all of them.
-        former, self._worker_values = self._worker_values, make_worker_values(record.workers)
-        return {
-            key: value for key, value in self._worker_values.items() if former.get(key) != value
-        }
+    def _replace_workers(self, batch: list[Record]) -> dict[str, bytes]:
+        """Return the rows of the last list of workers in the batch; it replaces the others."""
+        lists = [record for record in batch if isinstance(record, RecordWorkers)]
+        if not lists:
+            return {}
+        puts, obsolete = self._worker_shares.replace_workers(lists[-1].workers)
+        self._obsolete_keys.extend(obsolete)
+        return puts
 
     def _pop_obsolete_keys(
         self, batch: list[Record], written: Container[str], max_keys: int
--- a/tests/cover/test_pool_worker_rows.py
+++ b/tests/cover/test_pool_worker_rows.py
@@ -16,9 +16,9 @@
     POOL_PARTITION,
     POOL_TABLE,
     WORKERS_KEY,
-    make_worker_values,
 )
 from lentilpathd._pool._recovery import read_former_workers, read_pool
+from lentilpathd._pool._worker_rows import WORKER_SHARES, WorkerShares
 from lentilpathd._pool._writer import RecordWriter
 from tests.common.fleet.deployment import Fleet, make_step, run_fleet
 from tests.common.pools import make_worker
@@ -65,6 +65,22 @@
     return events
 
 
+def store_as_successor(table: OnePartitionTable, workers: tuple[ListedWorker, ...]) -> None:
+    """Store a list as the next leader, which knows of the rows in the table."""
+    keys = asyncio.run(read_pool(table)).worker_keys
+
+    async def scenario() -> None:
+        writer = RecordWriter(table, Epoch(2), make_leadership(table), lambda event: None)
+        writer.add_stored_workers(keys)
+        task = asyncio.create_task(writer.run())
+        writer.queue(RecordWorkers(workers))
+        await wait_until(lambda: not table.rows.keys() & set(keys))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(scenario())
+
+
 def read(table: OnePartitionTable) -> dict[WorkerId, Life]:
     recovered = asyncio.run(read_pool(table)).former_workers
     assert set(recovered) == set(asyncio.run(read_former_workers(table)))
@@ -87,7 +103,7 @@
     table, workers = OnePartitionTable(), make_workers(MANY_WORKERS)
     store(table, workers, workers[:7], workers[:1])
     assert read(table) == get_lives(workers[:1])
-    store(table, ())
+    store_as_successor(table, ())
     assert read(table) == {}
 
 
@@ -99,6 +115,51 @@
     assert read(table)[restarted.worker] == 2
 
 
+class LateTable(OnePartitionTable):
+    """Applies the transactions of the time in which `is_late` was set once more, later."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_late = True
+        self.late: list[PartitionTransaction] = []
+
+    async def commit(self, transaction, timeout, prefer_relay=False):
+        if self.is_late:
+            self.late.append(transaction)
+        return await super().commit(transaction, timeout, prefer_relay)
+
+    def apply_late(self) -> None:
+        for transaction in self.late:
+            asyncio.run(super().commit(transaction, 1.0))
+
+
+def test_a_list_that_the_table_applies_late_hides_no_worker_that_was_added_since():
+    table, workers = LateTable(), make_workers(MANY_WORKERS)
+
+    async def scenario() -> None:
+        writer = RecordWriter(table, Epoch(1), make_leadership(table), lambda event: None)
+        task = asyncio.create_task(writer.run())
+        writer.queue(RecordWorkers(workers[:-1]))
+        assert await writer.wait_durable(1, 5.0)
+        table.is_late = False
+        writer.queue(RecordWorkers(workers))
+        assert await writer.wait_durable(2, 5.0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(scenario())
+    table.apply_late()
+    assert read(table) == get_lives(workers)
+
+
+def test_rows_of_an_earlier_leader_are_deleted_by_the_first_list_of_its_successor():
+    table, workers = OnePartitionTable(), make_workers(MANY_WORKERS)
+    store(table, workers)
+    store_as_successor(table, workers[:10])
+    assert read(table) == get_lives(workers[:10])
+    assert len([key for key in table.rows if key.startswith(WORKERS_KEY)]) == WORKER_SHARES
+
+
 def test_lists_that_are_stored_in_one_transaction_leave_the_last_one():
     table, workers = OnePartitionTable(), make_workers(MANY_WORKERS)
 
@@ -117,13 +178,15 @@
 
 def test_the_row_of_an_earlier_release_is_read_and_then_replaced():
     table, workers = OnePartitionTable(), make_workers(20)
-    rows = [msgspec.msgpack.decode(value) for value in make_worker_values(workers).values()]
-    row = (WORKERS_KEY, msgspec.msgpack.encode([each for part in rows for each in part]))
+    values = WorkerShares(Epoch(1)).replace_workers(workers)[0].values()
+    rows = [each for value in values for each in msgspec.msgpack.decode(value)]
+    row = (WORKERS_KEY, msgspec.msgpack.encode(rows))
     former = PartitionTransaction(POOL_TABLE, POOL_PARTITION, puts=(row,))
     asyncio.run(table.commit(former, 1.0))
     assert read(table) == get_lives(workers)
-    store(table, workers[:3])
+    store_as_successor(table, workers[:3])
     assert read(table) == get_lives(workers[:3])
+    assert WORKERS_KEY not in table.rows
 
 
 class ReadRecordingTable(OnePartitionTable):
