--- a/packages/lentilpath-core/src/lentilpath_core/audit/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/audit/__init__.py
@@ -15,6 +15,7 @@
     get_audit_key,
     get_audit_prefix,
     get_command_key,
+    parse_audit_time,
 )
 
 __all__ = [
@@ -28,6 +29,7 @@
     "get_audit_key",
     "get_audit_prefix",
     "get_command_key",
+    "parse_audit_time",
     "seal_lines",
     "verify_sealed_object",
 ]
--- a/packages/lentilpath-core/src/lentilpath_core/audit/_trail.py
+++ b/packages/lentilpath-core/src/lentilpath_core/audit/_trail.py
@@ -55,6 +55,11 @@
     return f"audit/{at:0{TIME_DIGITS}d}"
 
 
+def parse_audit_time(key: str) -> WallTime:
+    """Return the time in the key of a row of the trail; none of its records is older."""
+    return WallTime(int(key.removeprefix("audit/")[:TIME_DIGITS]))
+
+
 def get_audit_key(at: WallTime, name: str) -> str:
     """Return the table key of one row of the trail."""
     return f"{get_audit_prefix(at)}-{name}"
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_events.py
@@ -49,6 +49,7 @@
     is_schedulable,
     reindex_worker,
     remove_allocation,
+    unindex_worker,
 )
 from lentilpath_core.resources import NO_RESOURCES, Resources
 from lentilpath_core.states import AttemptOutcome, WorkerState
@@ -76,6 +77,7 @@
     change = event.capacity - worker.capacity
     _adjust_capacity_count(state, worker.capacity, -1)
     _adjust_capacity_count(state, event.capacity, 1)
+    unindex_worker(state, worker)
     worker.capacity = event.capacity
     worker.rack = event.rack
     worker.state = event.state
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_rooms.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_rooms.py
@@ -42,13 +42,21 @@
     wanted = (worker.unreserved.millicores, worker.ordinal) if is_schedulable(worker) else None
     if wanted == worker.index_key:
         return
-    if worker.index_key is not None:
-        del index[bisect_left(index, worker.index_key)]
+    unindex_worker(state, worker)
     if wanted is not None:
         insort(index, wanted)
     worker.index_key = wanted
 
 
+def unindex_worker(state: PlacementState, worker: Worker) -> None:
+    """Remove the worker's index entry, before a change of its capacity selects another index."""
+    if worker.index_key is None:
+        return
+    index = state.accelerated_index if worker.capacity.accelerators else state.plain_index
+    del index[bisect_left(index, worker.index_key)]
+    worker.index_key = None
+
+
 def is_schedulable(worker: Worker) -> bool:
     """Return whether the worker is active and not quarantined."""
     return worker.state is WorkerState.ACTIVE and worker.quarantined_until is None
--- a/packages/lentilpath-core/src/lentilpath_core/requests/admission.py
+++ b/packages/lentilpath-core/src/lentilpath_core/requests/admission.py
@@ -103,9 +103,9 @@
             f"{max(0.0, limit_ms):.0f} ms",
             max(1, int(wait_ms)),
         )
+    displaced = _displace_normal_requests(queue, request, policy)
     if request.priority is Priority.URGENT:
         queue.last_urgent_at = now
-    displaced = _displace_normal_requests(queue, request, policy)
     requests = queue.urgent if request.priority is Priority.URGENT else queue.normal
     requests.append(request)
     queue.queued_at[request.request_id] = now
--- a/packages/lentilpathd/src/lentilpathd/_operators/_audit.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_audit.py
@@ -11,17 +11,20 @@
 import json
 import secrets
 from collections import deque
+from dataclasses import dataclass
 
 import msgspec
 
 from lentilpath_core.audit import (
     FIRST_DIGEST,
+    BrokenChain,
     CommandRecord,
     decode_records,
     encode_records,
     get_audit_key,
     get_audit_prefix,
     get_command_key,
+    parse_audit_time,
     seal_lines,
     verify_sealed_object,
 )
@@ -41,6 +44,9 @@
 OBJECT_TIMEOUT_SECONDS = 10.0
 MAX_BUFFERED_RECORDS = 10_000
 RECORDS_PER_ROW = 200
+MAX_ROW_SPAN_MS = 1_000
+"""Time between the first and the last record of a row, after an outage too. A list that begins at
+some time need not read rows that begin earlier than that."""
 ROWS_PER_SCAN = 500
 MAX_LISTED_ROWS = 5_000
 TABLE_RETENTION_MS = 2 * 86_400_000
@@ -57,6 +63,15 @@
     digest: str = FIRST_DIGEST
 
 
+@dataclass(frozen=True, slots=True)
+class ListedRecords:
+    """Records of the trail, oldest first."""
+
+    table: Table
+    cut_at: WallTime | None = None
+    """Time from which on records are missing, since the list would be too long; else `None`."""
+
+
 class AuditTrail:
     """Writes, lists and archives audit records."""
 
@@ -68,6 +83,9 @@
         self._leadership = leadership
         self._buffer: deque[CommandRecord] = deque()
         self._dropped_records = 0
+        self._batch: tuple[CommandRecord, ...] = ()
+        """Records that are being written; their row stays the same until it is stored."""
+        self._flush_lock = asyncio.Lock()
 
     def add(self, record: CommandRecord) -> None:
         """Buffer the record of a read, dry run or failed command; it is durable in about 1 s.
@@ -94,27 +112,38 @@
         if self._dropped_records:
             log_warning_event(Event.AUDIT_DROPPED, records=self._dropped_records)
             self._dropped_records = 0
-        while self._buffer:
-            records = tuple(self._buffer)[:RECORDS_PER_ROW]
-            name = f"{self._context.settings.host}-{records[0].id}"
-            row = (get_audit_key(records[0].at, name), encode_records(records))
-            transaction = Transaction(_make_write_id(), puts=(row,))
-            try:
-                await self._context.table.commit(transaction, TABLE_TIMEOUT_SECONDS)
-            except (Unavailable, OutcomeUnknown):
-                # The row's key depends only on its records, so the write can be retried safely.
-                return
-            for _ in records:
-                self._buffer.popleft()
-
-    async def list_records(self, since: WallTime) -> Table:
+        async with self._flush_lock:
+            while self._batch or self._buffer:
+                self._batch = self._batch or self._take_batch()
+                name = f"{self._context.settings.host}-{self._batch[0].id}"
+                first = min(record.at for record in self._batch)
+                row = (get_audit_key(first, name), encode_records(self._batch))
+                transaction = Transaction(_make_write_id(), puts=(row,))
+                try:
+                    await self._context.table.commit(transaction, TABLE_TIMEOUT_SECONDS)
+                except (Unavailable, OutcomeUnknown):
+                    # The same row is written again, so the write can be repeated safely.
+                    return
+                self._batch = ()
+
+    def _take_batch(self) -> tuple[CommandRecord, ...]:
+        batch: list[CommandRecord] = []
+        first = self._buffer[0].at
+        while self._buffer and len(batch) < RECORDS_PER_ROW:
+            if abs(self._buffer[0].at - first) > MAX_ROW_SPAN_MS // 2:
+                break
+            batch.append(self._buffer.popleft())
+        return tuple(batch)
+
+    async def list_records(self, since: WallTime) -> ListedRecords:
         """Return the records at or after `since`, oldest first, including archived records.
 
-        If `since` is 0, archived records are not read. About `MAX_LISTED_ROWS` rows of the table
-        are read at most; records in later rows are missing.
+        About `MAX_LISTED_ROWS` rows of the table are read at most; the result says from which time
+        on records are missing then. Raises `BrokenChain` if an archived object is missing.
         """
         records = await self._list_archived(since)
-        after = get_audit_prefix(since)
+        after = get_audit_prefix(WallTime(max(0, since - MAX_ROW_SPAN_MS)))
+        cut_at: WallTime | None = None
         scanned = 0
         while scanned < MAX_LISTED_ROWS:
             rows = await self._context.table.scan(
@@ -125,6 +154,8 @@
             if len(rows) < ROWS_PER_SCAN:
                 break
             after = rows[-1].key
+        else:
+            cut_at = parse_audit_time(after)
         ordered = sorted({record for record in records if record.at >= since}, key=_get_sort_key)
         rows_of_records = tuple(
             (
@@ -137,7 +168,7 @@
             )
             for record in ordered
         )
-        return Table(TABLE_COLUMNS["audit"], rows_of_records)
+        return ListedRecords(Table(TABLE_COLUMNS["audit"], rows_of_records), cut_at)
 
     async def archive(self, now: WallTime) -> int:
         """Move rows older than `TABLE_RETENTION_MS` to an archive object; return their number."""
@@ -205,7 +236,7 @@
             log_warning_event(Event.ARCHIVE_FAILED, error=str(error))
 
     async def _list_archived(self, since: WallTime) -> list[CommandRecord]:
-        if since >= read_wall_time() - TABLE_RETENTION_MS or since == 0:
+        if since >= read_wall_time() - TABLE_RETENTION_MS:
             return []
         keys = await self._context.objects.list_objects(ARCHIVE_PREFIX, OBJECT_TIMEOUT_SECONDS)
         records: list[CommandRecord] = []
@@ -215,7 +246,7 @@
                 continue
             data = await self._context.objects.get_object(key, OBJECT_TIMEOUT_SECONDS)
             if data is None:
-                continue
+                raise BrokenChain(f"the archived object {key} is missing")
             for line in verify_sealed_object(data, digest).lines:
                 records.extend(decode_records(json.loads(line)[1]))
         return records
--- a/packages/lentilpathd/src/lentilpathd/_operators/_reads.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_reads.py
@@ -68,8 +68,12 @@
         return CommandResponse("done", table=rows)
     if command.table == "audit":
         since = command.since if command.since is not None else read_wall_time() - MS_PER_DAY
-        records = await reads.trail.list_records(WallTime(since))
-        return CommandResponse("done", table=_limit_to_last(records, command))
+        listed = await reads.trail.list_records(WallTime(since))
+        message = ""
+        if listed.cut_at is not None:
+            cut_at = format_time(listed.cut_at)
+            message = f"records from {cut_at} on are missing; go on with `audit since {cut_at}`"
+        return CommandResponse("done", message, _limit_to_last(listed.table, command))
     if command.table == "teams":
         return await _list_teams(command, reads)
     # The zones do not know the leader column of `zones` and the capacity columns of `workers`. This
--- a/packages/lentilpathd/src/lentilpathd/_requests/deferred.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/deferred.py
@@ -109,7 +109,7 @@
                 RETRY_AFTER_MS,
             ) from error
         except BaseException:
-            self._breaker.record_result(True, read_instant())
+            self._breaker.abandon_call()
             raise
         self._breaker.record_result(True, read_instant())
         if not result.applied:
--- a/packages/lentilpathd/src/lentilpathd/_requests/keys.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/keys.py
@@ -141,7 +141,7 @@
             self._start_write(self._delete_claim(row, record))
             raise _make_table_failure(str(error)) from error
         except BaseException:
-            self._breaker.record_result(True, read_instant())
+            self._breaker.abandon_call()
             raise
         self._record_table_success()
         if result.applied:
--- a/packages/lentilpathd/src/lentilpathd/_requests/rows.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/rows.py
@@ -31,7 +31,10 @@
         return self._open_until is not None
 
     def allow_call(self, now: Instant) -> bool:
-        """Return whether the table may be called at `now`; follow it with `record_result` if so."""
+        """Return whether the table may be called at `now`.
+
+        Each allowed call is followed by `record_result`, or by `abandon_call` if it has no result.
+        """
         if self._open_until is None:
             return True
         if self._probing or now < self._open_until:
@@ -39,6 +42,10 @@
         self._probing = True
         return True
 
+    def abandon_call(self) -> None:
+        """End a call without a result, which shows nothing of the table; another may probe it."""
+        self._probing = False
+
     def record_result(self, reached: bool, now: Instant) -> None:
         """Record whether a call reached the table, which closes or opens the breaker."""
         self._probing = False
--- a/tests/cover/test_audit.py
+++ b/tests/cover/test_audit.py
@@ -1,6 +1,7 @@
 # mypy: no-check-untyped-defs
 import asyncio
 import json
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
@@ -9,11 +10,14 @@
 from lentilpath_core.audit import (
     FIRST_DIGEST,
     BrokenChain,
+    CommandRecord,
     find_chain_error,
     seal_lines,
     verify_sealed_object,
 )
 from lentilpath_core.errors import NoLeader
+from lentilpathd._clock import read_wall_time
+from lentilpathd._operators import _audit
 from tests.common.operators import create_cell
 
 SUBMIT = "submit batch nightly tasks=2 team=packing customer=spoon zones=za"
@@ -130,4 +134,96 @@
             await trail.list_records(at - 5 * DAY_MS)
         return listed
 
-    assert asyncio.run(scenario()).rows[0][3] == SUBMIT
+    assert asyncio.run(scenario()).table.rows[0][3] == SUBMIT
+
+
+def make_query(number, at=None):
+    at = read_wall_time() if at is None else at
+    return CommandRecord(f"q{number}", "mira", "reader", at, "za-0", "jobs", "answered", "")
+
+
+def list_ids(listed):
+    return [row[5] for row in listed.table.rows]
+
+
+class CommitPausingTable:
+    """Adds records to a trail while a row of it is being written."""
+
+    def __init__(self, table, trail, records):
+        self.table, self.trail, self.records = table, trail, records
+
+    def __getattr__(self, name):
+        return getattr(self.table, name)
+
+    async def commit(self, transaction, timeout):
+        while self.records:
+            self.trail.add(self.records.pop(0))
+        return await self.table.commit(transaction, timeout)
+
+
+def test_no_record_is_lost_if_the_buffer_overflows_while_a_row_is_written(monkeypatch):
+    monkeypatch.setattr(_audit, "MAX_BUFFERED_RECORDS", 4)
+
+    async def scenario():
+        cell = await create_cell()
+        trail = cell.hosts["za-0"].operators.trail
+        for number in range(4):
+            trail.add(make_query(number))
+        added = [make_query(number) for number in range(4, 8)]
+        trail._context = replace(trail._context, table=CommitPausingTable(cell.table, trail, added))
+        await trail.flush()
+        return list_ids(await trail.list_records(read_wall_time() - DAY_MS))
+
+    assert sorted(asyncio.run(scenario())) == [f"q{number}" for number in range(8)]
+
+
+def test_a_list_from_the_beginning_has_the_archived_records():
+    async def scenario():
+        cell = await create_cell()
+        trail = cell.hosts["za-0"].operators.trail
+        trail.add(make_query(1))
+        await trail.flush()
+        assert await trail.archive(read_wall_time() + 3 * DAY_MS) == 1
+        listed = await trail.list_records(0)
+        cell.objects.objects.clear()
+        assert list_ids(await trail.list_records(0)) == []
+        return listed
+
+    assert list_ids(asyncio.run(scenario())) == ["q1"]
+
+
+def test_a_list_that_is_cut_says_from_which_time_on_and_can_be_continued(monkeypatch):
+    monkeypatch.setattr(_audit, "MAX_LISTED_ROWS", 4)
+    monkeypatch.setattr(_audit, "ROWS_PER_SCAN", 2)
+
+    async def scenario():
+        cell = await create_cell()
+        host = cell.hosts["za-0"]
+        start = read_wall_time() - DAY_MS // 2
+        for number in range(10):
+            host.operators.trail.add(make_query(number, start + number * 60_000))
+        await host.operators.trail.flush()
+        found, since = [], start
+        while since is not None:
+            listed = await host.operators.trail.list_records(since)
+            found.extend(list_ids(listed))
+            since = listed.cut_at
+        _, answer = await host.run("audit")
+        return sorted(set(found)), answer["message"]
+
+    found, message = asyncio.run(scenario())
+    assert found == [f"q{number}" for number in range(10)]
+    assert "audit since" in message
+
+
+def test_a_list_that_begins_in_the_middle_of_a_row_has_its_later_records():
+    async def scenario():
+        cell = await create_cell()
+        trail = cell.hosts["za-0"].operators.trail
+        start = read_wall_time()
+        for number in range(3):
+            trail.add(make_query(number, start + 200 * number))
+        await trail.flush()
+        return list_ids(await trail.list_records(start + 100))
+
+    assert asyncio.run(scenario()) == ["q1", "q2"]
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -1,4 +1,5 @@
 from lentilpath_core.placement import StopMode, WaitRule
+from lentilpath_core.resources import Resources
 from lentilpath_core.states import AttemptOutcome
 from lentilpath_core.workloads import PriorityClass, Strategy, WorkloadKind
 from tests.common.placements import WALL_OFFSET_MS, Zone, make_spec
@@ -73,3 +74,13 @@
     (refusal,) = zone.refusals()
     assert "input" in refusal.reason
     assert zone.explain("recall/0").rule is WaitRule.STALE_INPUT
+
+
+def test_a_worker_whose_accelerators_change_is_still_found_and_is_in_one_index_only():
+    zone = Zone(workers=1, cores=4)
+    for accelerators in (2, 0, 1, 0):
+        zone.offer("w0", "r0", Resources(4_000, 32_768, accelerators))
+        assert bool(zone.state.accelerated_index) is bool(accelerators)
+        assert len(zone.state.accelerated_index) + len(zone.state.plain_index) == 1
+    zone.submit(make_spec(tasks=2, cores=2))
+    assert len(zone.starts()) == 2
--- a/tests/cover/test_requests_limits.py
+++ b/tests/cover/test_requests_limits.py
@@ -11,6 +11,7 @@
     MAX_TRACKED_CUSTOMERS,
     ServiceQueue,
     admit_request,
+    count_reserved_slots,
     enqueue_request,
     pop_next_request,
     release_request,
@@ -342,3 +343,23 @@
             writer.close()
 
     asyncio.run(scenario())
+
+
+def test_a_cancelled_probe_leaves_the_breaker_open_for_the_next_probe():
+    breaker = TableCircuitBreaker()
+    breaker.record_result(False, START)
+    later = Instant(START + RETRY_AFTER_MS)
+    assert breaker.allow_call(later)
+    breaker.abandon_call()
+    assert breaker.is_open()
+    assert [breaker.allow_call(later) for _ in range(2)] == [True, False]
+
+
+def test_a_refused_urgent_request_reserves_no_slots():
+    policy = RequestPolicy(queue_bytes=5, urgent_reserve_fraction=0.5)
+    queue = ServiceQueue()
+    with pytest.raises(RequestFailed):
+        enqueue_request(queue, make_request(1, Priority.URGENT, body=b"123456"), 8, policy, START)
+    assert count_reserved_slots(queue, 8, policy, START) == 0
+    enqueue_request(queue, make_request(2, Priority.URGENT), 8, policy, START)
+    assert count_reserved_slots(queue, 8, policy, START) == 4
