--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 	$(BIN)/black --check --quiet --diff $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
 	$(BIN)/mypy
+	$(BIN)/vulture
 
 test: setup
 	PYTHONHASHSEED=0 $(BIN)/pytest
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_messages.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_messages.py
@@ -160,7 +160,6 @@
     BACKOFF = "backoff"
     HELD_BACK = "held_back"
     STALE_INPUT = "stale_input"
-    UNKNOWN_PLACE = "unknown_place"
     TOO_LARGE = "too_large"
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -179,8 +179,6 @@
     """The run's task is lasting and its worker is leaving; the task restarts on another worker."""
     UNCLEAR = "unclear"
     """Its start was not answered, and the worker's process has restarted since."""
-    MAKES_ROOM = "makes-room"
-    """The run is preempted by more urgent work."""
 
 
 class LossReason(Enum):
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
@@ -160,8 +160,6 @@
     """Settings of a service in the current configuration."""
 
     service: ServiceId
-    checks_room: bool = False
-    """Whether the service's workers refuse tasks that exceed their capacity."""
     standby: bool = False
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -158,9 +158,6 @@
     planned_at: Instant | None = None
     """When the gang's start was last planned."""
     is_open: bool = False
-    is_breaking: bool = False
-    """A member of the gang has ended its run, and the others are being stopped."""
-    started_ever: bool = False
 
     def is_done(self) -> bool:
         """Return whether all tasks are done and their records durable."""
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
@@ -114,7 +114,6 @@
 def _requeue_gang(state: PoolState, step: Step) -> None:
     if step.attempts or step.recording or step.failing or step.is_done():
         return
-    step.is_breaking = False
     step.waiting = list(range(step.spec.count))
     update_open_steps(state, step)
 
@@ -129,7 +128,6 @@
 
 def break_gang(step: Step, now: Instant) -> tuple[PoolEffect, ...]:
     """Stop the members of a gang that still run."""
-    step.is_breaking = True
     effects: list[PoolEffect] = []
     for attempt in step.attempts.values():
         if attempt.phase is not Phase.STOPPING:
--- a/packages/lentilpath-core/src/lentilpath_core/requests/admission.py
+++ b/packages/lentilpath-core/src/lentilpath_core/requests/admission.py
@@ -148,21 +148,6 @@
     return None
 
 
-def pop_expired_requests(
-    queue: ServiceQueue, policy: RequestPolicy, now: Instant
-) -> tuple[CallerRequest, ...]:
-    """Remove and return the requests that exceeded the queue's wait limit or their deadline."""
-    expired = [
-        request
-        for requests in (queue.urgent, queue.normal)
-        for request in requests
-        if _is_expired(queue, request, policy, now)
-    ]
-    for request in expired:
-        withdraw_request(queue, request)
-    return tuple(expired)
-
-
 def count_reserved_slots(
     queue: ServiceQueue, slots: int, policy: RequestPolicy, now: Instant
 ) -> int:
@@ -181,15 +166,6 @@
     queue.average_run_ms += (run_ms - queue.average_run_ms) * RUN_TIME_WEIGHT
 
 
-def _is_expired(
-    queue: ServiceQueue, request: CallerRequest, policy: RequestPolicy, now: Instant
-) -> bool:
-    queued_at = queue.queued_at.get(request.request_id)
-    if queued_at is None:
-        return False
-    return now >= request.deadline or now - queued_at > policy.queue_wait_ms
-
-
 def _displace_normal_requests(
     queue: ServiceQueue, request: CallerRequest, policy: RequestPolicy
 ) -> tuple[CallerRequest, ...]:
--- a/packages/lentilpath-core/src/lentilpath_core/tracing.py
+++ b/packages/lentilpath-core/src/lentilpath_core/tracing.py
@@ -14,7 +14,6 @@
 RUN_STARTED_EVENT = 525
 RUN_ENDED_EVENT = 527
 RUN_GIVEN_UP_EVENT = 529
-_ID_FIELDS = ("job", "task")
 _OMITTED_FIELDS = frozenset({"at", "level", "event", "text", "host", "job", "task", "run"})
 MS_PER_SECOND = 1_000
 MAX_GAP_SECONDS = 2.0
--- a/packages/lentilpath-standins/src/lentilpath_standins/deployment.py
+++ b/packages/lentilpath-standins/src/lentilpath_standins/deployment.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from lentilpath_core.settings import Address, HostSettings
-from lentilpath_standins._control import read_log, send_request
+from lentilpath_standins._control import send_request
 from lentilpath_standins.cell import Cell, RunnerHost, WorkerHost
 
 READY_TIMEOUT_SECONDS = 40.0
@@ -131,10 +131,6 @@
         """Return the file to which a worker appends its facts (starts and ends of attempts)."""
         return self.directory / f"{name}.facts"
 
-    def get_entry_host(self, name: str) -> HostSettings:
-        """Return the settings of an entry host."""
-        return next(host for host in self.cell.entry_hosts if host.host == name)
-
     def get_process_id(self, name: str) -> int:
         """Return the id of a running process."""
         return self._processes[name].pid
@@ -156,10 +152,6 @@
         process.terminate()
         return self._reap(name, process)
 
-    def list_running(self) -> tuple[str, ...]:
-        """Return the names of all processes that still run."""
-        return tuple(name for name, process in self._processes.items() if process.poll() is None)
-
     def stop(self) -> dict[str, int]:
         """Stop all processes with SIGTERM, the daemons first, and return the exit codes by name.
 
@@ -185,10 +177,6 @@
             facts[worker.name] = [json.loads(line) for line in lines]
         return facts
 
-    def read_log_of(self, address: Address) -> Any:
-        """Return the log of a running stand-in."""
-        return read_log(address)
-
     def _start_standin(self, name: str, address: Address, *arguments: str, module: str) -> None:
         listen_arguments = ["--address", address.host, "--port", str(address.port)]
         module_name = f"lentilpath_standins.{module}"
--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -33,10 +33,8 @@
     HOST_LIST_UNAVAILABLE = (200, "the platform's host list could not be read")
     ZONE_RECOVERED = (201, "the zone's state was rebuilt")
     ZONE_RELEASED = (202, "this process ended its leadership term of the zone")
-    JOB_ACCEPTED = (203, "a job was accepted")
     BATCH_REJECTED = (204, "a journal batch was rejected by the table")
     WORKER_SILENT = (205, "a worker does not answer")
-    WORKER_LOST = (206, "all leases on a silent worker have expired")
     SNAPSHOT_FAILED = (
         208,
         "a snapshot of the zone could not be stored; the journal is kept until the next one",
@@ -107,7 +105,6 @@
     JOB_SEEN_BY_LEADER = (523, "the leader has seen a job")
     JOB_ENDED = (524, "a job reached a final state")
     RUN_STARTED = (525, "a run is started")
-    RUN_ANSWERED = (526, "a worker refused a start")
     RUN_ENDED = (527, "a run has ended and its end is stored")
     RUN_STOPPED = (528, "a run is stopped")
     RUN_GIVEN_UP = (529, "a run can no longer be running, but its outcome is unknown")
--- a/packages/lentilpathd/src/lentilpathd/_peers.py
+++ b/packages/lentilpathd/src/lentilpathd/_peers.py
@@ -21,7 +21,6 @@
 
 MAX_CONCURRENT_REQUESTS = 32
 """Requests of peers that are handled concurrently; others wait in the sockets' buffers."""
-RECEIVE_BUFFER_MESSAGES = 64
 MAX_MESSAGE_BYTES = 16_777_216
 MS_PER_SECOND = 1_000
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
@@ -33,7 +33,6 @@
     """Grace period from SIGTERM to SIGKILL."""
     cores: float = 1.0
     """Speed of the host's processor, in cores."""
-    expected_callers_deadline_ms: int = 3_000
     job_memory_ms: int = 120_000
     """How long the state of a finished job remains available."""
 
@@ -55,8 +54,6 @@
         return min(self.longest_lease_ms, MAX_LEASE_MS)
 
 
-LIVE_SETTINGS = frozenset(
-    {"longest_lease_ms", "stop_grace_ms", "expected_callers_deadline_ms", "job_memory_ms"}
-)
+LIVE_SETTINGS = frozenset({"longest_lease_ms", "stop_grace_ms", "job_memory_ms"})
 """Settings that can change while the process runs. The others define the process's identity and
 addresses, which are fixed until it ends."""
--- a/tests/common/zone.py
+++ b/tests/common/zone.py
@@ -162,7 +162,7 @@
 class FakeZone:
     """The zone's current leader, its workers and the runs that took place on them."""
 
-    def __init__(self, workers: int = 3, silent_start: bool = False) -> None:
+    def __init__(self, workers: int = 3) -> None:
         self.now = 1_000
         self.workers = {WorkerId(f"w{i}"): FakeWorker(WorkerId(f"w{i}")) for i in range(workers)}
         self.listed = tuple(
