--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -122,6 +122,7 @@
     SETTINGS_NEED_RESTART = (546, "changed settings take effect only after a restart")
     POOL_HANDED_OVER = (547, "this process hands the leadership over to another host")
     RECORDS_REJECTED = (548, "the table finds records invalid and stores none of them; retrying")
+    CONFIG_INVALID = (549, "the pools' configuration is invalid; the last valid one stays in force")
     LEASE_NOT_EXTENDED = (
         540,
         "a worker of the previous leader did not answer the new leader's first renewal",
--- a/packages/lentilpathd/src/lentilpathd/_pool/_adapter_log.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_adapter_log.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from lentilpath_core.ids import JobId
-from lentilpathd._events import Event, log_event
+from lentilpathd._events import Event, log_event, log_warning_event
 
 
 def log_unreadable_entry(worker: str, error: Exception) -> None:
     """Log a registry entry that cannot be decoded as a worker."""
-    log_event(Event.ENTRY_UNREADABLE, worker=worker, error=str(error))
+    log_warning_event(Event.ENTRY_UNREADABLE, worker=worker, error=str(error))
 
 
 def log_unanswered_job(job: JobId, method: str, error: Exception) -> None:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
@@ -5,10 +5,10 @@
 import asyncio
 from collections.abc import Callable
 
-from lentilpath_core.errors import OutcomeUnknown, Unavailable
+from lentilpath_core.errors import InvalidSettings, OutcomeUnknown, Unavailable
 from lentilpath_core.ids import RowVersion
 from lentilpath_core.pool import PoolConfiguration
-from lentilpathd._events import Event, log_event
+from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._pool._ports import HistoryLost, Registry
 
 LONG_POLL_SECONDS = 1.2
@@ -29,6 +29,8 @@
         self._on_change = on_change
         self._current: PoolConfiguration | None = None
         self._first_received = asyncio.Event()
+        self._last_invalid = ""
+        """The last reason for which a configuration could not be used; each is logged once."""
 
     def get_current(self) -> PoolConfiguration | None:
         """Return the configuration in force, or `None` before the first one was read."""
@@ -55,6 +57,10 @@
                 version = None
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
+            except InvalidSettings as error:
+                self._report_invalid(error)
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
             except (Unavailable, OutcomeUnknown) as error:
                 log_event(Event.CONFIG_NOT_READ, error=str(error))
                 await asyncio.sleep(RETRY_SECONDS)
@@ -65,10 +71,17 @@
                 version = None
                 await asyncio.sleep(RETRY_SECONDS)
 
+    def _report_invalid(self, error: InvalidSettings) -> None:
+        if str(error) != self._last_invalid:
+            self._last_invalid = str(error)
+            in_force = self._current.version if self._current is not None else None
+            log_warning_event(Event.CONFIG_INVALID, error=str(error), in_force=in_force)
+
     def _apply(self, found: PoolConfiguration) -> None:
         if self._current is not None and found.version <= self._current.version:
             return
         self._current = found
+        self._last_invalid = ""
         self._first_received.set()
         log_event(Event.CONFIG_IN_FORCE, version=found.version, queues=len(found.queues))
         self._on_change(found)
