--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -30,6 +30,11 @@
 from lentilpath_core.pool._leaving import evacuate_leaving_workers
 from lentilpath_core.pool._model import JobState, get_completion_objective_ms
 from lentilpath_core.pool._placement import handle_advice, place_waiting
+from lentilpath_core.pool._runs import (
+    handle_recorded_end,
+    handle_start_answer,
+    mark_answered,
+)
 from lentilpath_core.pool._state import Job, PoolState
 from lentilpath_core.pool._steps import (
     begin_occurrence,
@@ -39,12 +44,9 @@
 )
 from lentilpath_core.pool._workers import (
     expire_leases,
-    handle_recorded_end,
     handle_recorded_workers,
     handle_report,
-    handle_start_answer,
     handle_worker_list,
-    mark_answered,
 )
 
 MAX_JOBS_CHECKED_PER_TICK = 50
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -35,6 +35,7 @@
     make_reservation,
     reduce_spare,
 )
+from lentilpath_core.pool._runs import add_attempt
 from lentilpath_core.pool._state import Attempt, Phase, Plan, PoolState, Step, Worker
 from lentilpath_core.pool._steps import (
     allocate_run_number,
@@ -42,7 +43,6 @@
     get_shared_index,
     update_open_steps,
 )
-from lentilpath_core.pool._workers import add_attempt
 from lentilpath_core.resources import Resources
 
 MAX_REPORT_AGE_MS = 2_000
--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -0,0 +1,234 @@
+"""The life of a run from its start command to its end: answers, reported ends, losses, records."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from lentilpath_core.ids import Instant, WorkerId
+from lentilpath_core.pool._events import (
+    GiveUpRun,
+    LossReason,
+    PoolEffect,
+    RecordRun,
+    StartAnswered,
+)
+from lentilpath_core.pool._evidence import record_failure, record_success
+from lentilpath_core.pool._model import (
+    EndedRun,
+    Life,
+    RunEnd,
+    RunNumber,
+    RunRecord,
+    StartAnswer,
+    StepKey,
+    TaskKey,
+)
+from lentilpath_core.pool._state import Attempt, Phase, PoolState, Step, Worker
+from lentilpath_core.pool._steps import (
+    break_gang,
+    complete_while_recording,
+    handle_recorded_failure,
+    handle_recorded_success,
+    mark_run_number_used,
+    requeue_task,
+    update_open_steps,
+)
+
+UNHEALTHY_COOLDOWN_MS = 1_000
+"""How long a worker that has refused a start as unhealthy gets no starts. It is about the interval
+between its reports."""
+
+
+def allocate_room(worker: Worker, attempt: Attempt) -> None:
+    """Add the run to its worker and take its resources from the free ones."""
+    worker.attempts[(attempt.task, attempt.run)] = attempt
+    worker.free = worker.free - attempt.room
+
+
+def add_attempt(attempt: Attempt) -> None:
+    """Add a run that is about to be started, and allocate its resources on the worker."""
+    allocate_room(attempt.worker, attempt)
+    step = attempt.step
+    assert step is not None
+    step.attempts[attempt.task.number] = attempt
+    step.waiting.remove(attempt.task.number)
+    step.job.has_started = True
+
+
+def _remove_attempt(state: PoolState, attempt: Attempt) -> None:
+    worker = attempt.worker
+    if worker.attempts.pop((attempt.task, attempt.run), None) is None:
+        return
+    worker.free = worker.free + attempt.room
+    state.needs_placement = True
+    step = attempt.step
+    if step is not None and step.attempts.get(attempt.task.number) is attempt:
+        del step.attempts[attempt.task.number]
+        _drop_job_if_over(state, step)
+
+
+def _drop_job_if_over(state: PoolState, step: Step) -> None:
+    job = step.job
+    if job.record.job in state.finals and not any(each.attempts for each in job.steps.values()):
+        state.jobs.pop(job.record.job, None)
+
+
+def handle_ended_run(
+    state: PoolState, worker: Worker, ended: EndedRun, now: Instant
+) -> tuple[PoolEffect, ...]:
+    """Handle the end of a run as its worker reports it."""
+    attempt = worker.attempts.get((ended.task, ended.run))
+    step = find_step(state, ended.task)
+    if attempt is not None:
+        _remove_attempt(state, attempt)
+    if step is None or ended.task.number >= step.spec.count:
+        return ()
+    mark_run_number_used(step, ended.task.number, ended.run)
+    if ended.checkpoint:
+        shared = 0 if step.spec.gang else ended.task.number
+        step.checkpoints[shared] = ended.checkpoint
+    if ended.end is RunEnd.DONE:
+        record_success(state, worker, step, attempt, now)
+        return _handle_run_done(state, step, ended)
+    if ended.end is RunEnd.FAILED:
+        record_failure(worker, step.key.job, now)
+        step.avoided_workers.setdefault(ended.task.number, set()).add(worker.worker)
+        return _handle_run_failed(state, step, ended, now)
+    return _requeue_interrupted_task(state, step, ended.task.number, attempt, now)
+
+
+def _handle_run_done(state: PoolState, step: Step, ended: EndedRun) -> tuple[PoolEffect, ...]:
+    index = ended.task.number
+    if step.spec.lasting:
+        requeue_task(state, step, index)
+        return ()
+    if index in step.done or index in step.recording:
+        return ()
+    if step.spec.gang and (step.done or step.recording):
+        return ()
+    step.recording.add(index)
+    if index in step.waiting:
+        step.waiting.remove(index)
+    if step.spec.gang:
+        step.waiting = []
+    update_open_steps(state, step)
+    record = RecordRun(ended.task, RunRecord(ended.run, RunEnd.DONE))
+    return (record, *complete_while_recording(state, step.job))
+
+
+def _handle_run_failed(
+    state: PoolState, step: Step, ended: EndedRun, now: Instant
+) -> tuple[PoolEffect, ...]:
+    index = ended.task.number
+    if step.spec.lasting:
+        requeue_task(state, step, index)
+        return ()
+    effects: list[PoolEffect] = []
+    if index not in step.done and index not in step.recording:
+        step.failing.add(index)
+        if index in step.waiting:
+            step.waiting.remove(index)
+        if step.spec.gang:
+            step.waiting = []
+        update_open_steps(state, step)
+    effects.append(RecordRun(ended.task, RunRecord(ended.run, RunEnd.FAILED)))
+    if step.spec.gang:
+        effects.extend(break_gang(step, now))
+    return tuple(effects)
+
+
+def _requeue_interrupted_task(
+    state: PoolState, step: Step, index: int, attempt: Attempt | None, now: Instant
+) -> tuple[PoolEffect, ...]:
+    """Requeue a task whose run ended neither done nor failed; stop a gang's other members."""
+    if attempt is None or attempt.step is None:
+        return ()
+    if step.spec.gang and not step.is_done() and not step.recording:
+        effects = break_gang(step, now)
+        requeue_task(state, step, index)
+        return effects
+    requeue_task(state, step, index)
+    return ()
+
+
+def mark_attempt_lost(
+    state: PoolState, attempt: Attempt, reason: LossReason, now: Instant
+) -> tuple[PoolEffect, ...]:
+    """Give up a run that is known to be over although its outcome is unknown; requeue its task."""
+    _remove_attempt(state, attempt)
+    worker = attempt.worker
+    given_up = GiveUpRun(worker.worker, worker.life, attempt.task, attempt.run, reason)
+    if attempt.step is None:
+        return (given_up,)
+    return (
+        given_up,
+        *_requeue_interrupted_task(state, attempt.step, attempt.task.number, attempt, now),
+    )
+
+
+def handle_start_answer(
+    state: PoolState, event: StartAnswered, now: Instant
+) -> tuple[PoolEffect, ...]:
+    """Handle a worker's answer to a start command."""
+    worker = state.workers.get(event.worker)
+    if worker is None or worker.life != event.life:
+        return ()
+    attempt = worker.attempts.get((event.task, event.run))
+    if attempt is None:
+        return ()
+    if event.answer is StartAnswer.STARTED:
+        attempt.answered_at = now
+        attempt.is_confirmed = True
+        if attempt.phase is Phase.STARTING:
+            attempt.phase = Phase.RUNNING
+            attempt.progressed_at = now
+        return ()
+    if event.answer is StartAnswer.OUTDATED:
+        # Either an earlier copy of the command has started the run and it has ended, or it will
+        # never start. The next report shows which.
+        mark_answered(state, event.worker, event.life, event.task, event.run, now)
+        return ()
+    if event.answer is StartAnswer.NO_PERMISSION and attempt.step is not None:
+        tickets = attempt.step.tickets
+        if tickets is not None:
+            ticket = tickets.get(worker.worker)
+            if ticket is not None:
+                tickets[worker.worker] = replace(ticket, valid_until=Instant(0))
+    if event.answer is StartAnswer.UNHEALTHY:
+        worker.cooldown_until = Instant(now + UNHEALTHY_COOLDOWN_MS)
+    return mark_attempt_lost(state, attempt, LossReason.REFUSED, now)
+
+
+def mark_answered(
+    state: PoolState, worker_id: WorkerId, life: Life, task: TaskKey, run: RunNumber, now: Instant
+) -> None:
+    """Mark a run as answered, so that a later report without it shows that the run is over.
+
+    Called when no start command for the run is in flight any more.
+    """
+    worker = state.workers.get(worker_id)
+    if worker is None or worker.life != life:
+        return
+    attempt = worker.attempts.get((task, run))
+    if attempt is not None and attempt.answered_at is None:
+        attempt.answered_at = now
+
+
+def handle_recorded_end(
+    state: PoolState, task: TaskKey, record: RunRecord, now: Instant
+) -> tuple[PoolEffect, ...]:
+    """Handle the durable record of a run's end."""
+    step = find_step(state, task)
+    if step is not None:
+        mark_run_number_used(step, task.number, record.run)
+    if record.end is RunEnd.DONE:
+        return handle_recorded_success(state, task, now)
+    return handle_recorded_failure(state, task, record.run, now)
+
+
+def find_step(state: PoolState, task: TaskKey) -> Step | None:
+    """Return the step of a task, or `None` if its job is not known any more."""
+    job = state.jobs.get(task.job)
+    if job is None:
+        return None
+    return job.steps.get(StepKey(task.job, task.occurrence, task.step))
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -1,46 +1,37 @@
-"""Handles reports of workers, and the runs on workers that stop answering, restart or leave."""
+"""Handles lists and reports of workers, and workers that stop answering, restart or leave."""
 
 from __future__ import annotations
 
 from dataclasses import replace
 
-from lentilpath_core.ids import Instant, WorkerId
+from lentilpath_core.ids import Instant
 from lentilpath_core.pool._events import (
-    GiveUpRun,
     LossReason,
     PoolEffect,
-    RecordRun,
     RecordWorkers,
     ReleaseWorker,
-    StartAnswered,
     StopReason,
     WorkerReported,
     WorkersListed,
     WorkersRecorded,
 )
-from lentilpath_core.pool._evidence import record_failure, record_progress, record_success
+from lentilpath_core.pool._evidence import record_progress
 from lentilpath_core.pool._leaving import update_leave_time
 from lentilpath_core.pool._model import (
-    EndedRun,
-    Life,
     ListedWorker,
-    RunEnd,
     RunningRun,
     RunNumber,
-    RunRecord,
-    StartAnswer,
-    StepKey,
-    TaskKey,
+)
+from lentilpath_core.pool._runs import (
+    allocate_room,
+    find_step,
+    handle_ended_run,
+    mark_attempt_lost,
 )
 from lentilpath_core.pool._sharing import adjust_paces
 from lentilpath_core.pool._state import Attempt, Phase, PoolState, Step, Worker
 from lentilpath_core.pool._steps import (
-    break_gang,
-    complete_while_recording,
-    handle_recorded_failure,
-    handle_recorded_success,
     mark_run_number_used,
-    requeue_task,
     stop_attempt,
     update_open_steps,
 )
@@ -104,7 +95,7 @@
 def _move_to_life(attempt: Attempt, worker: Worker, now: Instant) -> tuple[PoolEffect, ...]:
     """Move an unconfirmed run to the new incarnation, which may have started it, and stop it."""
     moved = replace(attempt, worker=worker, answered_at=None)
-    _allocate_room(worker, moved)
+    allocate_room(worker, moved)
     step = attempt.step
     if step is not None and step.attempts.get(attempt.task.number) is attempt:
         step.attempts[attempt.task.number] = moved
@@ -140,7 +131,7 @@
     for ended in event.report.ended:
         if ended.number > worker.last_end_number:
             worker.last_end_number = ended.number
-            effects.extend(_handle_ended_run(state, worker, ended, now))
+            effects.extend(handle_ended_run(state, worker, ended, now))
     listed = {(each.task, each.run) for each in event.report.running}
     for running in event.report.running:
         effects.extend(_handle_running_run(state, worker, running, now))
@@ -183,7 +174,7 @@
 
 def _adopt_run(state: PoolState, worker: Worker, running: RunningRun, now: Instant) -> Attempt:
     """Add a run that an earlier leader has started; one without a step is no longer wanted."""
-    step = _find_step(state, running.task)
+    step = find_step(state, running.task)
     index = running.task.number
     wanted = (
         step is not None
@@ -209,7 +200,7 @@
         percent=running.percent,
         progressed_at=now,
     )
-    _allocate_room(worker, attempt)
+    allocate_room(worker, attempt)
     if step is not None and wanted:
         mark_run_number_used(step, index, running.run)
         step.attempts[index] = attempt
@@ -226,116 +217,6 @@
     return step.spec.gang and any(each.run != run for each in step.attempts.values())
 
 
-def _allocate_room(worker: Worker, attempt: Attempt) -> None:
-    worker.attempts[(attempt.task, attempt.run)] = attempt
-    worker.free = worker.free - attempt.room
-
-
-def add_attempt(attempt: Attempt) -> None:
-    """Add a run that is about to be started, and allocate its resources on the worker."""
-    _allocate_room(attempt.worker, attempt)
-    step = attempt.step
-    assert step is not None
-    step.attempts[attempt.task.number] = attempt
-    step.waiting.remove(attempt.task.number)
-    step.job.has_started = True
-
-
-def _remove_attempt(state: PoolState, attempt: Attempt) -> None:
-    worker = attempt.worker
-    if worker.attempts.pop((attempt.task, attempt.run), None) is None:
-        return
-    worker.free = worker.free + attempt.room
-    state.needs_placement = True
-    step = attempt.step
-    if step is not None and step.attempts.get(attempt.task.number) is attempt:
-        del step.attempts[attempt.task.number]
-        _drop_job_if_over(state, step)
-
-
-def _drop_job_if_over(state: PoolState, step: Step) -> None:
-    job = step.job
-    if job.record.job in state.finals and not any(each.attempts for each in job.steps.values()):
-        state.jobs.pop(job.record.job, None)
-
-
-def _handle_ended_run(
-    state: PoolState, worker: Worker, ended: EndedRun, now: Instant
-) -> tuple[PoolEffect, ...]:
-    attempt = worker.attempts.get((ended.task, ended.run))
-    step = _find_step(state, ended.task)
-    if attempt is not None:
-        _remove_attempt(state, attempt)
-    if step is None or ended.task.number >= step.spec.count:
-        return ()
-    mark_run_number_used(step, ended.task.number, ended.run)
-    if ended.checkpoint:
-        shared = 0 if step.spec.gang else ended.task.number
-        step.checkpoints[shared] = ended.checkpoint
-    if ended.end is RunEnd.DONE:
-        record_success(state, worker, step, attempt, now)
-        return _handle_run_done(state, step, ended)
-    if ended.end is RunEnd.FAILED:
-        record_failure(worker, step.key.job, now)
-        step.avoided_workers.setdefault(ended.task.number, set()).add(worker.worker)
-        return _handle_run_failed(state, step, ended, now)
-    return _requeue_interrupted_task(state, step, ended.task.number, attempt, now)
-
-
-def _handle_run_done(state: PoolState, step: Step, ended: EndedRun) -> tuple[PoolEffect, ...]:
-    index = ended.task.number
-    if step.spec.lasting:
-        requeue_task(state, step, index)
-        return ()
-    if index in step.done or index in step.recording:
-        return ()
-    if step.spec.gang and (step.done or step.recording):
-        return ()
-    step.recording.add(index)
-    if index in step.waiting:
-        step.waiting.remove(index)
-    if step.spec.gang:
-        step.waiting = []
-    update_open_steps(state, step)
-    record = RecordRun(ended.task, RunRecord(ended.run, RunEnd.DONE))
-    return (record, *complete_while_recording(state, step.job))
-
-
-def _handle_run_failed(
-    state: PoolState, step: Step, ended: EndedRun, now: Instant
-) -> tuple[PoolEffect, ...]:
-    index = ended.task.number
-    if step.spec.lasting:
-        requeue_task(state, step, index)
-        return ()
-    effects: list[PoolEffect] = []
-    if index not in step.done and index not in step.recording:
-        step.failing.add(index)
-        if index in step.waiting:
-            step.waiting.remove(index)
-        if step.spec.gang:
-            step.waiting = []
-        update_open_steps(state, step)
-    effects.append(RecordRun(ended.task, RunRecord(ended.run, RunEnd.FAILED)))
-    if step.spec.gang:
-        effects.extend(break_gang(step, now))
-    return tuple(effects)
-
-
-def _requeue_interrupted_task(
-    state: PoolState, step: Step, index: int, attempt: Attempt | None, now: Instant
-) -> tuple[PoolEffect, ...]:
-    """Requeue a task whose run ended neither done nor failed; stop a gang's other members."""
-    if attempt is None or attempt.step is None:
-        return ()
-    if step.spec.gang and not step.is_done() and not step.recording:
-        effects = break_gang(step, now)
-        requeue_task(state, step, index)
-        return effects
-    requeue_task(state, step, index)
-    return ()
-
-
 def _drop_unlisted_attempt(
     state: PoolState, attempt: Attempt, sent_at: Instant, now: Instant
 ) -> tuple[PoolEffect, ...]:
@@ -345,74 +226,6 @@
     return mark_attempt_lost(state, attempt, LossReason.NOT_LISTED, now)
 
 
-def mark_attempt_lost(
-    state: PoolState, attempt: Attempt, reason: LossReason, now: Instant
-) -> tuple[PoolEffect, ...]:
-    """Give up a run that is known to be over although its outcome is unknown; requeue its task."""
-    _remove_attempt(state, attempt)
-    worker = attempt.worker
-    given_up = GiveUpRun(worker.worker, worker.life, attempt.task, attempt.run, reason)
-    if attempt.step is None:
-        return (given_up,)
-    return (
-        given_up,
-        *_requeue_interrupted_task(state, attempt.step, attempt.task.number, attempt, now),
-    )
-
-
-def handle_start_answer(
-    state: PoolState, event: StartAnswered, now: Instant
-) -> tuple[PoolEffect, ...]:
-    """Handle a worker's answer to a start command."""
-    worker = state.workers.get(event.worker)
-    if worker is None or worker.life != event.life:
-        return ()
-    attempt = worker.attempts.get((event.task, event.run))
-    if attempt is None:
-        return ()
-    if event.answer is StartAnswer.STARTED:
-        attempt.answered_at = now
-        attempt.is_confirmed = True
-        if attempt.phase is Phase.STARTING:
-            attempt.phase = Phase.RUNNING
-            attempt.progressed_at = now
-        return ()
-    if event.answer is StartAnswer.OUTDATED:
-        # Either an earlier copy of the command has started the run and it has ended, or it will
-        # never start. The next report shows which.
-        mark_answered(state, event.worker, event.life, event.task, event.run, now)
-        return ()
-    if event.answer is StartAnswer.NO_PERMISSION and attempt.step is not None:
-        tickets = attempt.step.tickets
-        if tickets is not None:
-            ticket = tickets.get(worker.worker)
-            if ticket is not None:
-                tickets[worker.worker] = replace(ticket, valid_until=Instant(0))
-    if event.answer is StartAnswer.UNHEALTHY:
-        worker.cooldown_until = Instant(now + UNHEALTHY_COOLDOWN_MS)
-    return mark_attempt_lost(state, attempt, LossReason.REFUSED, now)
-
-
-def mark_answered(
-    state: PoolState, worker_id: WorkerId, life: Life, task: TaskKey, run: RunNumber, now: Instant
-) -> None:
-    """Mark a run as answered, so that a later report without it shows that the run is over.
-
-    Called when no start command for the run is in flight any more.
-    """
-    worker = state.workers.get(worker_id)
-    if worker is None or worker.life != life:
-        return
-    attempt = worker.attempts.get((task, run))
-    if attempt is not None and attempt.answered_at is None:
-        attempt.answered_at = now
-
-
-UNHEALTHY_COOLDOWN_MS = 1_000
-"""How long a worker that has refused a start as unhealthy gets no starts. It is about the interval
-between its reports."""
-
-
 def _remove_worker(state: PoolState, worker: Worker, now: Instant) -> tuple[PoolEffect, ...]:
     """Remove a worker's incarnation that is gone, and give up the runs on it."""
     effects: list[PoolEffect] = []
@@ -455,22 +268,3 @@
         state.workers[entry.worker].lease_ends_at = state.former_leases_end_at
         state.unconfirmed_workers.add(entry.worker)
     state.recorded_workers = frozenset((each.worker, each.life) for each in state.workers.values())
-
-
-def handle_recorded_end(
-    state: PoolState, task: TaskKey, record: RunRecord, now: Instant
-) -> tuple[PoolEffect, ...]:
-    """Handle the durable record of a run's end."""
-    step = _find_step(state, task)
-    if step is not None:
-        mark_run_number_used(step, task.number, record.run)
-    if record.end is RunEnd.DONE:
-        return handle_recorded_success(state, task, now)
-    return handle_recorded_failure(state, task, record.run, now)
-
-
-def _find_step(state: PoolState, task: TaskKey) -> Step | None:
-    job = state.jobs.get(task.job)
-    if job is None:
-        return None
-    return job.steps.get(StepKey(task.job, task.occurrence, task.step))
--- a/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
@@ -31,11 +31,18 @@
     HistoryLost,
     PartitionCommitResult,
     PartitionedTable,
-    PartitionRow,
     PartitionRows,
     PartitionTransaction,
 )
 from lentilpathd._pool._records import EPOCH_KEY, LEADER_KEYS_END, POOL_PARTITION, POOL_TABLE
+from lentilpathd._pool._relay_messages import (
+    RelayCommit,
+    RelayedRow,
+    RelayRead,
+    RelayReply,
+    RelayRequest,
+    make_rows,
+)
 
 T = TypeVar("T")
 
@@ -69,58 +76,6 @@
 """Weight of a new sample in the exponential moving average of commit times."""
 
 
-class RelayCommit(msgspec.Struct, frozen=True):
-    """Asks another host to commit a transaction."""
-
-    table: str
-    part: str
-    checks: tuple[tuple[str, int], ...]
-    puts: tuple[tuple[str, bytes], ...]
-    deletes: tuple[str, ...]
-    timeout_ms: int
-
-
-class RelayRead(msgspec.Struct, frozen=True):
-    """Asks another host to read rows of a partition, or changes of a table."""
-
-    table: str
-    part: str
-    first: str
-    end: str
-    after: int
-    """Version from which to follow changes; -1 to read rows."""
-    wait_ms: int
-    timeout_ms: int
-
-
-class RelayedRow(msgspec.Struct, frozen=True, array_like=True):
-    """A row returned by a relay host."""
-
-    part: str
-    key: str
-    value: bytes
-    version: int
-    is_deleted: bool
-
-
-class RelayReply(msgspec.Struct, frozen=True):
-    """Result of a relayed call."""
-
-    outcome: str
-    """`done`, `rejected` (a condition did not hold), `invalid`, `unavailable`, `unknown` or
-    `history-lost`."""
-    rows: tuple[RelayedRow, ...] = ()
-    version: int = 0
-    clock_ms: int = 0
-
-
-class RelayRequest(msgspec.Struct, frozen=True):
-    """A relayed call; exactly one of the fields is set."""
-
-    commit: RelayCommit | None = None
-    read: RelayRead | None = None
-
-
 class LateAnswerLost(OutcomeUnknown):
     """A write was late and never answered; it was counted as a failure when it became late."""
 
@@ -261,7 +216,7 @@
                 self._direct.read_partition(table, partition, first, end, timeout)
             )
         read = RelayRead(table, partition, first, end, -1, 0, int(timeout * MS_PER_SECOND))
-        return _make_rows(await self._relay(RelayRequest(read=read), timeout))
+        return make_rows(await self._relay(RelayRequest(read=read), timeout))
 
     async def follow(
         self, table: str, after: RowVersion, wait_seconds: float, timeout: float
@@ -271,7 +226,7 @@
             return await self._track(self._direct.follow(table, after, wait_seconds, timeout))
         wait_ms = int(wait_seconds * MS_PER_SECOND)
         read = RelayRead(table, "", "", "", after, wait_ms, int(timeout * MS_PER_SECOND))
-        return _make_rows(await self._relay(RelayRequest(read=read), timeout))
+        return make_rows(await self._relay(RelayRequest(read=read), timeout))
 
     def _record_commit_time(self, seconds: float) -> None:
         self._mean_commit_seconds += LATENCY_SMOOTHING * (seconds - self._mean_commit_seconds)
@@ -397,11 +352,3 @@
             for each in found.rows
         )
         return RelayReply("done", rows, found.version, found.clock_ms)
-
-
-def _make_rows(reply: RelayReply) -> PartitionRows:
-    rows = tuple(
-        PartitionRow(row.part, row.key, row.value, RowVersion(row.version), row.is_deleted)
-        for row in reply.rows
-    )
-    return PartitionRows(rows, RowVersion(reply.version), reply.clock_ms)
