--- a/benches/pool/__main__.py
+++ b/benches/pool/__main__.py
@@ -228,7 +228,7 @@
         self._running[worker][(task, number)] = run
 
     def _end_workers(self, now: int) -> None:
-        for worker in self._leaving_workers:
+        for worker in sorted(self._leaving_workers):
             runs = self._running[worker]
             rows = []
             for run in list(runs.values()):
