HTTP client: a connection closed before its answer is a lost response, in plain words

Now a ResponseLost that says so; an answer that has begun and is cut stays malformed. To callers both are an unknown outcome, as before. Two comments from reading the diff.

--- a/packages/lentilpath-http/src/lentilpath_http/_connection.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_connection.py
@@ -140,9 +140,14 @@
 
     def eof_received(self) -> None:
         """Process the end of the server's stream; called by asyncio."""
-        if self._response is not None:
-            self._state.receive_data(b"")
-            self._process_events()
+        if self._response is None:
+            return
+        has_answer_begun = self._state.their_state is not h11.SEND_RESPONSE
+        if not has_answer_begun and not self._state.trailing_data[0]:
+            self._fail(ResponseLost(f"{self.name} closed the connection before its answer"))
+            return
+        self._state.receive_data(b"")
+        self._process_events()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress; called by asyncio."""
--- a/packages/lentilpathd/src/lentilpathd/_operators/_audit.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_audit.py
@@ -128,6 +128,7 @@
 
     def _take_batch(self) -> tuple[CommandRecord, ...]:
         batch: list[CommandRecord] = []
+        # Half of the span on both sides, since the wall clock may have gone back.
         first = self._buffer[0].at
         while self._buffer and len(batch) < RECORDS_PER_ROW:
             if abs(self._buffer[0].at - first) > MAX_ROW_SPAN_MS // 2:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_worker_rows.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_worker_rows.py
@@ -20,6 +20,7 @@
 from lentilpathd._pool._records import WORKERS_KEY
 
 WORKER_KEYS_END = "1"
+"""End of the keys that begin with `WORKERS_KEY`; no other key lies between."""
 WORKER_SHARES = 32
 """All shares fit in one transaction beside the records of a batch, and its 1 MB takes about 9,000
 workers."""
