--- a/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
@@ -59,7 +59,8 @@
                 continue
             except InvalidSettings as error:
                 self._report_invalid(error)
-                await asyncio.sleep(RETRY_SECONDS)
+                # The feed returns the same version at once until there is another one.
+                await asyncio.sleep(LONG_POLL_SECONDS)
                 continue
             except (Unavailable, OutcomeUnknown) as error:
                 log_event(Event.CONFIG_NOT_READ, error=str(error))
--- a/tests/cover/test_pool_registry.py
+++ b/tests/cover/test_pool_registry.py
@@ -100,9 +100,19 @@
     assert caplog.text.count(f"LP{Event.ENTRY_UNREADABLE.number}") == 2
 
 
-def test_many_routes_at_once_are_in_force_and_an_invalid_version_leaves_them_so(caplog):
+def test_many_routes_at_once_are_in_force_and_an_invalid_version_leaves_them_so(
+    caplog, monkeypatch
+):
     async def scenario(store: StandInStore, registry: PlatformRegistry) -> None:
         applied: list[PoolConfiguration] = []
+        polls: list[None] = []
+        follow = registry.follow_configuration
+
+        async def follow_and_count(*arguments):
+            polls.append(None)
+            return await follow(*arguments)
+
+        monkeypatch.setattr(registry, "follow_configuration", follow_and_count)
         follower = ConfigurationFollower(registry, applied.append)
         task = asyncio.create_task(follower.run())
         store.put("op", "", "config", make_configuration(3, 1))
@@ -115,7 +125,9 @@
         with pytest.raises(InvalidSettings, match="name"):
             await registry.read_configuration(TIMEOUT_SECONDS)
         assert follower.get_current() is applied[1]
-        await asyncio.sleep(3 * _configuration.RETRY_SECONDS)
+        polls_before = len(polls)
+        await asyncio.sleep(5 * _configuration.RETRY_SECONDS)
+        assert len(polls) - polls_before <= 1
         store.put("op", "", "config", make_configuration(6, 2))
         await wait_until(lambda: len(applied) == 3)
         task.cancel()
