--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -31,7 +31,7 @@
 from lentilpath_core.pool._reservations import (
     compute_usable_room,
     hold_reservation,
-    is_reservation_fresh,
+    is_plan_due,
     make_reservation,
     reduce_spare,
 )
@@ -103,7 +103,8 @@
 
 def _reserve(state: PoolState, step: Step, candidates: list[Worker], now: Instant) -> int:
     """Hold resources for a gang that does not fit; return 1, or 0 if it can never fit there."""
-    if not is_reservation_fresh(step, now):
+    if is_plan_due(step, now):
+        step.planned_at = now
         step.reservation = make_reservation(state, step, candidates, now)
     if step.reservation is None:
         return 0
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_reservations.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_reservations.py
@@ -14,7 +14,7 @@
 from lentilpath_core.resources import Resources
 
 REFRESH_MS = 200
-"""A reservation is worked out again after this time. Runs end earlier or later than estimated."""
+"""A gang's start is planned again after this time. Runs end earlier or later than estimated."""
 BACKFILL_MARGIN = 1.5
 """Factor on the run time that a task is expected to take before the gang starts. Run times differ
 from their estimates by about this factor."""
@@ -29,9 +29,9 @@
 """A time, the id of a worker, the worker, and the number of slots that it gains then."""
 
 
-def is_reservation_fresh(step: Step, now: Instant) -> bool:
-    """Return whether the step's reservation need not be worked out again yet."""
-    return step.reservation is not None and now < step.reservation.made_at + REFRESH_MS
+def is_plan_due(step: Step, now: Instant) -> bool:
+    """Return whether the gang's start is to be planned again, whatever the last plan found."""
+    return step.planned_at is None or now >= step.planned_at + REFRESH_MS
 
 
 def make_reservation(
@@ -65,7 +65,7 @@
         worker: _compute_room_at(state, workers[worker], starts_at, now) - room.multiply(count)
         for worker, count in slots.items()
     }
-    return Reservation(step.key, now, starts_at, spare)
+    return Reservation(step.key, starts_at, spare)
 
 
 def _list_gains(state: PoolState, step: Step, worker: Worker, now: Instant) -> list[Slot]:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -112,7 +112,6 @@
     """Resources that are held for a gang until they suffice for all its tasks."""
 
     step: StepKey
-    made_at: Instant
     starts_at: Instant
     """When the gang is expected to start."""
     spare: dict[WorkerId, Resources]
@@ -153,6 +152,9 @@
     """No advice call is made for the step before this time."""
     plan: Plan | None = None
     reservation: Reservation | None = None
+    """Resources that the gang's last plan holds; `None` if the plan found too few."""
+    planned_at: Instant | None = None
+    """When the gang's start was last planned."""
     is_open: bool = False
     is_breaking: bool = False
     """A member of the gang has ended its run, and the others are being stopped."""
--- a/tests/cover/test_pool_reservations.py
+++ b/tests/cover/test_pool_reservations.py
@@ -2,7 +2,18 @@
 
 from __future__ import annotations
 
-from lentilpath_core.pool import QueueId, RunEnd, StartAnswer, StartRun, StepSpec
+from lentilpath_core.ids import Instant
+from lentilpath_core.pool import (
+    QueueId,
+    RunEnd,
+    StartAnswer,
+    StartRun,
+    StepKey,
+    StepSpec,
+    _placement,
+)
+from lentilpath_core.pool._reservations import REFRESH_MS
+from lentilpath_core.pool._state import PoolState, Step, Worker
 from lentilpath_core.resources import Resources
 from tests.common.pools import PoolHarness, list_starts, make_queue, make_worker
 
@@ -76,3 +87,21 @@
     ]
     assert len(reserved) == 3
     assert sum(each.millicores for each in reserved) == 4_000
+
+
+def test_a_gang_for_which_no_start_can_be_planned_is_planned_seldom(monkeypatch):
+    planned: list[StepKey] = []
+
+    def find_nothing(state: PoolState, step: Step, candidates: list[Worker], now: Instant) -> None:
+        planned.append(step.key)
+
+    monkeypatch.setattr(_placement, "make_reservation", find_nothing)
+    harness = PoolHarness(GANGS)
+    harness.add_workers(make_worker("w1"))
+    harness.submit(1, StepSpec(2, MEMBER, LONG_MS, gang=True), queue=GANGS.queue)
+    for _ in range(10):
+        harness.place()
+    assert len(planned) == 1
+    harness.pass_time(REFRESH_MS)
+    harness.place()
+    assert len(planned) == 2
