--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -173,8 +173,10 @@
     """Another member of the gang's run has ended."""
     FROZEN = "frozen"
     """The run made no progress for too long."""
+    DUPLICATE = "duplicate"
+    """Another run of the task is in progress, or the task is done."""
     UNWANTED = "unwanted"
-    """The task is done or runs elsewhere, or its job is not known."""
+    """The run's job is not known."""
     EVACUATED = "evacuated"
     """The run's task is lasting and its worker is leaving; the task restarts on another worker."""
     UNCLEAR = "unclear"
@@ -231,6 +233,10 @@
     task: TaskKey
     run: RunNumber
     reason: LossReason
+    is_confirmed: bool
+    """Whether this incarnation of the worker has said that it started the run."""
+    report_age_ms: int | None
+    """Time since the request for the incarnation's last report; `None` if it never reported."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -157,7 +157,15 @@
     """Give up a run that is known to be over although its outcome is unknown; requeue its task."""
     _remove_attempt(state, attempt)
     worker = attempt.worker
-    given_up = GiveUpRun(worker.worker, worker.life, attempt.task, attempt.run, reason)
+    given_up = GiveUpRun(
+        worker.worker,
+        worker.life,
+        attempt.task,
+        attempt.run,
+        reason,
+        attempt.is_confirmed,
+        now - worker.reported_at if worker.reported_at is not None else None,
+    )
     if attempt.step is None:
         return (given_up,)
     return (
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from lentilpath_core.ids import Epoch, Instant, JobId, WallTime, WorkerId
+from lentilpath_core.pool._events import StopReason
 from lentilpath_core.pool._model import (
     FinalRecord,
     JobRecord,
@@ -52,6 +53,8 @@
     progressed_at: Instant = Instant(0)
     """When a change of `percent` was last seen."""
     stop_sent_at: Instant = Instant(0)
+    stop_reason: StopReason | None = None
+    """Why the run is being stopped; `None` while it is not."""
     load: int = 0
     pace: int = 100
     """Percent of full speed at which a filling run may work."""
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
@@ -122,6 +122,7 @@
     """Mark a run as stopping and return the effect that stops it."""
     attempt.phase = Phase.STOPPING
     attempt.stop_sent_at = now
+    attempt.stop_reason = reason
     worker = attempt.worker
     return (StopRun(worker.worker, worker.life, attempt.task, attempt.run, reason),)
 
@@ -208,7 +209,7 @@
         attempt = step.attempts.get(index)
         # The other members of a gang end by themselves, but another copy of a task does not.
         if attempt is not None and not step.spec.gang and attempt.phase is not Phase.STOPPING:
-            effects.extend(stop_attempt(attempt, StopReason.UNWANTED, now))
+            effects.extend(stop_attempt(attempt, StopReason.DUPLICATE, now))
     update_open_steps(state, step)
     if step.is_done():
         effects.extend(_handle_step_done(state, step, now))
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -21,6 +21,7 @@
     ListedWorker,
     RunningRun,
     RunNumber,
+    TaskKey,
 )
 from lentilpath_core.pool._runs import (
     allocate_room,
@@ -151,7 +152,7 @@
     if attempt is None:
         attempt = _adopt_run(state, worker, running, now)
     if attempt.step is None:
-        return _stop_unwanted(attempt, now)
+        return _stop_listed_run(attempt, _explain_unwanted_run(state, attempt.task), now)
     attempt.is_confirmed = True
     if attempt.phase is Phase.STARTING:
         attempt.phase = Phase.RUNNING
@@ -161,15 +162,23 @@
         attempt.step.checkpoints[shared] = running.checkpoint
     record_progress(attempt, running.percent, now)
     attempt.load = running.load
-    if attempt.phase is Phase.STOPPING:
-        return _stop_unwanted(attempt, now)
+    if attempt.stop_reason is not None:
+        return _stop_listed_run(attempt, attempt.stop_reason, now)
     return ()
 
 
-def _stop_unwanted(attempt: Attempt, now: Instant) -> tuple[PoolEffect, ...]:
+def _stop_listed_run(attempt: Attempt, reason: StopReason, now: Instant) -> tuple[PoolEffect, ...]:
+    """Stop a run that its worker still lists, unless a stop was sent a short time ago."""
     if now < attempt.stop_sent_at + STOP_RETRY_MS and attempt.phase is Phase.STOPPING:
         return ()
-    return stop_attempt(attempt, StopReason.UNWANTED, now)
+    return stop_attempt(attempt, reason, now)
+
+
+def _explain_unwanted_run(state: PoolState, task: TaskKey) -> StopReason:
+    step = find_step(state, task)
+    if step is None:
+        return StopReason.UNWANTED
+    return StopReason.JOB_OVER if step.job.final is not None else StopReason.DUPLICATE
 
 
 def _adopt_run(state: PoolState, worker: Worker, running: RunningRun, now: Instant) -> Attempt:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -258,7 +258,7 @@
     @_execute.register
     def _(self, effect: StopRun) -> None:
         self._context.metrics.count(Metric.RUN_STOPPED, effect.reason.value)
-        self._log_run(Event.RUN_STOPPED, effect, reason=effect.reason.value)
+        self._log_run(Event.RUN_STOPPED, effect, life=effect.life, reason=effect.reason.value)
         # The run may be on a life of the worker that was listed only just now and has no link yet.
         self._open_links()
         link = self._links.get((effect.worker, effect.life))
@@ -268,7 +268,14 @@
     @_execute.register
     def _(self, effect: GiveUpRun) -> None:
         self._context.metrics.count(Metric.RUN_GIVEN_UP, effect.reason.value)
-        self._log_run(Event.RUN_GIVEN_UP, effect, reason=effect.reason.value)
+        self._log_run(
+            Event.RUN_GIVEN_UP,
+            effect,
+            life=effect.life,
+            reason=effect.reason.value,
+            confirmed=effect.is_confirmed,
+            report_age_ms=effect.report_age_ms,
+        )
         link = self._links.get((effect.worker, effect.life))
         if link is not None:
             link[0].cancel_start(effect.task, effect.run)
--- a/tests/cover/test_pool_runs.py
+++ b/tests/cover/test_pool_runs.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from lentilpath_core.ids import WorkerId
 from lentilpath_core.pool import (
     FinalsRecorded,
+    GiveUpRun,
+    JobCancelled,
     JobState,
     Life,
     RecordFinal,
@@ -17,6 +20,7 @@
     get_job_state,
 )
 from tests.common.pools import (
+    SETTLE_MS,
     TASK_RESOURCES,
     PoolHarness,
     list_records,
@@ -195,3 +199,29 @@
     harness.report(start.worker)
     (again,) = list_starts(harness.place())
     assert (again.task, again.run) == (start.task, start.run + 1)
+
+
+def test_a_run_of_a_task_that_runs_elsewhere_is_stopped_as_a_duplicate():
+    harness, start = make_harness_with_start()
+    harness.answer_start(start, StartAnswer.STARTED)
+    other = "w2" if start.worker == "w1" else "w1"
+    (stop,) = list_stops(harness.report(other, running=((start.task, 7, 10),)))
+    assert (stop.worker, stop.run, stop.reason) == (other, 7, StopReason.DUPLICATE)
+
+
+def test_a_run_of_a_job_that_is_over_is_not_called_a_duplicate():
+    harness, start = make_harness_with_start()
+    harness.answer_start(start, StartAnswer.STARTED)
+    harness.handle_event(JobCancelled(make_job_id(1)))
+    other = "w2" if start.worker == "w1" else "w1"
+    (stop,) = list_stops(harness.report(other, running=((start.task, 7, 10),)))
+    assert stop.reason is StopReason.JOB_OVER
+
+
+def test_a_run_that_is_given_up_tells_when_its_worker_was_heard():
+    harness, _ = make_harness_with_start()
+    reported_at = harness.state.workers[WorkerId("w1")].reported_at
+    harness.pass_time(SETTLE_MS + 1)
+    (given_up,) = [each for each in harness.effects if isinstance(each, GiveUpRun)]
+    assert given_up.worker == "w1"
+    assert (given_up.is_confirmed, given_up.report_age_ms) == (False, harness.now - reported_at)
