--- a/tests/cover/test_pool_admission.py
+++ b/tests/cover/test_pool_admission.py
@@ -3,14 +3,25 @@
 from __future__ import annotations
 
 from lentilpath_core.pool import (
+    JobState,
     QueueId,
     QueueLoad,
+    StartAnswer,
     StepSpec,
     decide_admission,
+    get_job_state,
     measure_loads,
 )
 from lentilpath_core.resources import Resources
-from tests.common.pools import PoolHarness, make_queue, make_record, make_worker
+from tests.common.pools import (
+    QUEUE,
+    PoolHarness,
+    list_starts,
+    make_job_id,
+    make_queue,
+    make_record,
+    make_worker,
+)
 
 URGENT = make_queue(QueueId("urgent"), 0, target_ms=500)
 PATIENT = make_queue(QueueId("patient"), 2, target_ms=3_000)
@@ -68,3 +79,15 @@
 def test_work_that_lasts_is_never_refused_for_the_load():
     record = make_record(1, StepSpec(1, Resources(1_000, 64, 0), lasting=True))
     assert decide_admission(record, URGENT, QueueLoad(50, 10**6)) is None
+
+
+def test_a_job_whose_only_start_has_no_answer_yet_is_still_pending():
+    harness = PoolHarness()
+    harness.add_workers(make_worker("w1"))
+    harness.submit(1)
+    (start,) = list_starts(harness.place())
+    assert measure_loads(harness.state, harness.now)[QUEUE].pending == 1
+    assert get_job_state(harness.state, make_job_id(1)) is JobState.QUEUED
+    harness.answer_start(start, StartAnswer.STARTED)
+    assert measure_loads(harness.state, harness.now)[QUEUE].pending == 0
+    assert get_job_state(harness.state, make_job_id(1)) is JobState.RUNNING
--- /dev/null
+++ b/tests/cover/test_pool_restarts.py
@@ -0,0 +1,151 @@
+"""What was sent to one incarnation of a worker may take effect at the next one."""
+
+from __future__ import annotations
+
+import asyncio
+
+from lentilpath_core.errors import OutcomeUnknown
+from lentilpath_core.ids import Epoch, WorkerId, WorkerTime
+from lentilpath_core.pool import (
+    LeaseSent,
+    Life,
+    RecordWorkers,
+    RunNumber,
+    StopAnswered,
+    StopReason,
+    StopRun,
+    WorkerReport,
+    WorkersRecorded,
+)
+from lentilpathd._pool import _link
+from lentilpathd._pool._link import WorkerLink, extend_lease
+from lentilpathd._pool._writer import RecordWriter
+from tests.common.pools import (
+    LIFE,
+    PoolHarness,
+    list_starts,
+    list_stops,
+    make_task,
+    make_worker,
+)
+from tests.common.tables import OnePartitionTable, make_leadership
+
+LONGEST_LEASE_MS = 10_000
+
+
+def make_harness_with_start():
+    harness = PoolHarness()
+    harness.add_workers(make_worker("w1"), make_worker("w2"))
+    harness.submit(1)
+    (start,) = list_starts(harness.place())
+    return harness, start
+
+
+def restart_worker(harness: PoolHarness, worker: WorkerId, life: int = 2) -> list[StopRun]:
+    """List the next incarnation of a worker and return the stops that follow."""
+    others = [each for each in harness.listed.values() if each.worker != worker]
+    harness.effects.clear()
+    harness.list_workers(make_worker(worker, life=Life(life)), *others)
+    return list_stops(harness.effects)
+
+
+def test_a_start_that_a_silent_incarnation_may_have_taken_is_not_repeated_within_its_lease():
+    harness, start = make_harness_with_start()
+    restart_worker(harness, start.worker)
+    for _ in range(LONGEST_LEASE_MS // 250):
+        harness.pass_time(250)
+        harness.report("w2" if start.worker == "w1" else "w1")
+        assert list_starts(harness.place()) == []
+    harness.pass_time(1_000)
+    harness.report("w2" if start.worker == "w1" else "w1")
+    assert len(list_starts(harness.place())) == 1
+
+
+def test_a_run_on_a_new_incarnation_is_kept_between_its_first_report_and_its_first_lease():
+    harness, start = make_harness_with_start()
+    (stop,) = restart_worker(harness, start.worker)
+    harness.handle_event(StopAnswered(stop.worker, stop.life, stop.task, stop.run))
+    report_without_lease(harness, start.worker, ((start.task, start.run, 10),))
+    harness.pass_time(250)
+    assert list_starts(harness.place()) == []
+
+
+def report_without_lease(harness, worker, running) -> None:
+    """Report as an incarnation that has been granted no lease by this leader."""
+    handle_event = harness.handle_event
+    harness.handle_event = lambda each: [] if isinstance(each, LeaseSent) else handle_event(each)
+    harness.report(worker, running)
+    harness.handle_event = handle_event
+
+
+class OpenedWorker:
+    """Answers renewals, and counts the stops that it gets."""
+
+    def __init__(self) -> None:
+        self.stops: list[RunNumber] = []
+
+    async def renew(self, last_end_number, lease_until, wait_ms, timeout):
+        await asyncio.sleep(0.001)
+        return WorkerReport(WorkerTime(1_000), (), ())
+
+    async def stop(self, task, run, timeout):
+        self.stops.append(run)
+
+    def close(self) -> None:
+        pass
+
+
+def test_a_stop_for_a_link_that_has_only_just_been_opened_is_sent():
+    client, events = OpenedWorker(), []
+
+    async def scenario() -> None:
+        writer = RecordWriter(
+            OnePartitionTable(), Epoch(1), make_leadership(OnePartitionTable()), events.append
+        )
+        link = WorkerLink(make_worker("w1"), client, Epoch(1), lambda: 4_000, writer, events.append)
+        task = asyncio.create_task(link.run())
+        link.send_stop(
+            StopRun(WorkerId("w1"), LIFE, make_task(1), RunNumber(3), StopReason.UNCLEAR)
+        )
+        await asyncio.sleep(0.02)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(scenario())
+    assert client.stops == [3]
+    assert [each.run for each in events if isinstance(each, StopAnswered)] == [3]
+
+
+class LosesExtension(OpenedWorker):
+    """Answers the first renewal; the answer to the extension of its lease is lost."""
+
+    async def renew(self, last_end_number, lease_until, wait_ms, timeout):
+        if lease_until is not None:
+            raise OutcomeUnknown("no answer")
+        return await super().renew(last_end_number, lease_until, wait_ms, timeout)
+
+
+def test_an_extension_of_a_lease_that_was_not_answered_is_waited_for():
+    before = _link.read_instant()
+    ends_at = asyncio.run(extend_lease(LosesExtension(), 4_000))
+    assert ends_at is not None
+    assert ends_at >= before + 4_000
+
+
+def test_only_the_list_of_workers_that_was_stored_allows_starts():
+    events: list[object] = []
+    workers = [make_worker("w1"), make_worker("w2")]
+
+    async def scenario() -> None:
+        table = OnePartitionTable()
+        writer = RecordWriter(table, Epoch(1), make_leadership(table), events.append)
+        writer.queue(RecordWorkers(tuple(workers)))
+        writer.queue(RecordWorkers((workers[0],)))
+        task = asyncio.create_task(writer.run())
+        assert await writer.wait_durable(2, 5.0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(scenario())
+    recorded = [each for each in events if isinstance(each, WorkersRecorded)]
+    assert [each.lives for each in recorded] == [(("w1", LIFE),)]
