Worker link: a command for a link that does not run yet is sent once it runs

Cause: when a worker's next incarnation is listed, the leader opens its link and stops the starts that the former one did not confirm, in the same step. The link's task group exists only once its coroutine has run, and until then commands were dropped without a word. The task then waited for an answer to a stop that was never sent. Change: such commands wait for the group.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -120,6 +120,9 @@
         self._slots = asyncio.Semaphore(MAX_CONCURRENT_COMMANDS)
         self._commands: dict[tuple[TaskKey, RunNumber], asyncio.Task[None]] = {}
         self._group: asyncio.TaskGroup | None = None
+        self._early: list[Callable[[], None]] = []
+        """Commands for a link that has been created but does not run yet."""
+        self._is_closed = False
         self._is_silent = False
         self._is_superseded = False
 
@@ -128,10 +131,13 @@
         try:
             async with asyncio.TaskGroup() as group:
                 self._group = group
+                for send in self._early:
+                    send()
                 while await self._renew():
                     pass
         finally:
             self._group = None
+            self._is_closed = True
             self._client.close()
 
     async def _renew(self) -> bool:
@@ -189,15 +195,12 @@
 
     def send_start(self, effect: StartRun) -> None:
         """Start a run; retried until the worker's answer is known."""
-        self._spawn((effect.task, effect.run), self._start(effect))
+        self._run_or_postpone(lambda: self._spawn((effect.task, effect.run), self._start(effect)))
 
     def send_stop(self, effect: StopRun) -> None:
         """Stop a run; a start of it in flight is cancelled first."""
-        key = (effect.task, effect.run)
-        command = self._commands.get(key)
-        if command is not None:
-            command.cancel()
-        self._spawn(key, self._stop(effect))
+        self.cancel_start(effect.task, effect.run)
+        self._run_or_postpone(lambda: self._spawn((effect.task, effect.run), self._stop(effect)))
 
     def send_pace(self, effect: PaceRun) -> None:
         """Set a run's pace in percent; the next report shows whether another change is needed."""
@@ -226,10 +229,14 @@
         if command is not None:
             command.cancel()
 
+    def _run_or_postpone(self, send: Callable[[], None]) -> None:
+        if self._group is not None:
+            send()
+        elif not self._is_closed:
+            self._early.append(send)
+
     def _spawn(self, key: tuple[TaskKey, RunNumber], command: Coroutine[None, None, None]) -> None:
-        if self._group is None:
-            command.close()
-            return
+        assert self._group is not None
         task = self._group.create_task(command)
         self._commands[key] = task
         task.add_done_callback(lambda done: self._discard_command(key, done))
