Pool: a worker's next incarnation may hold runs and leases of commands for the former one

What callers saw: a task could run on two workers at once (TWICE). Class of fault: state that is bounded by one incarnation of a worker, while a command reaches whichever incarnation lives when it arrives, because it names the worker's id only. Cause: a start without an answer is moved to the next incarnation when that is listed, but its record began with a lease bound of 0. The next tick (250 ms) took that for a lapsed lease and started the task elsewhere, before the new incarnation had said a word. The same happened to a run that the new incarnation listed between its first report and the first lease granted to it. Change: the next incarnation begins with the longest lease that workers accept, and so does a worker that lists a run after its known bound has passed. Workers of the former leader keep the bound of its leases. What ends the wait early is the worker's word, as before.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -74,7 +74,8 @@
     reported_at: Instant | None = None
     """When the last answered renewal was sent; `None` before the first."""
     lease_ends_at: Instant = Instant(0)
-    """Latest time until which runs on the worker may continue without a further command."""
+    """Latest time until which runs on the worker may continue without a further command. In the
+    past while no command was sent that could have started or prolonged a run."""
     last_end_number: int = 0
     """Number of the last listed end of a run that was handled."""
     failed_jobs: set[JobId] = field(default_factory=set)
@@ -206,6 +207,8 @@
     wall_now: WallTime = WallTime(0)
     job_memory_ms: int = 120_000
     """Retention time of the state of a finished job."""
+    longest_lease_ms: int = 10_400
+    """Longest time for which a worker may keep its runs without any further command."""
     needs_placement: bool = False
     recorded_workers: frozenset[tuple[WorkerId, Life]] = frozenset()
     """Incarnations of workers that are recorded, or whose record is being written."""
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -74,7 +74,8 @@
     """Add a new incarnation of a worker, and give up the runs of the former one.
 
     Starts that the former incarnation did not confirm may have reached the new one, even if a stop
-    was answered since, so they are moved to it and stopped there.
+    was answered since, so they are moved to it and stopped there. What was sent for the former one
+    may also have granted a lease, which the clock of the new one does not bound.
     """
     unconfirmed: list[Attempt] = []
     was_unconfirmed = entry.worker in state.unconfirmed_workers
@@ -85,6 +86,8 @@
             del former.attempts[(attempt.task, attempt.run)]
         effects.extend(_remove_worker(state, former, now))
     worker = state.workers[entry.worker] = Worker(entry, entry.capacity)
+    if former is not None:
+        _assume_longest_lease(state, worker, now)
     update_leave_time(worker, entry, now)
     if was_unconfirmed:
         state.unconfirmed_workers.add(entry.worker)
@@ -93,6 +96,11 @@
     return tuple(effects)
 
 
+def _assume_longest_lease(state: PoolState, worker: Worker, now: Instant) -> None:
+    lease_ends_at = Instant(now + state.longest_lease_ms)
+    worker.lease_ends_at = max(worker.lease_ends_at, lease_ends_at)
+
+
 def _move_to_life(attempt: Attempt, worker: Worker, now: Instant) -> tuple[PoolEffect, ...]:
     """Move an unconfirmed run to the new incarnation, which may have started it, and stop it."""
     moved = replace(attempt, worker=worker, answered_at=None)
@@ -210,6 +218,9 @@
         progressed_at=now,
     )
     allocate_room(worker, attempt)
+    if worker.lease_ends_at <= now:
+        # The run is in progress, so a command that is not known here has granted it a lease.
+        _assume_longest_lease(state, worker, now)
     if step is not None and wanted:
         mark_run_number_used(step, index, running.run)
         step.attempts[index] = attempt
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -51,6 +51,11 @@
 quota, 100 ms."""
 
 
+def bound_lease_ms(lease_ms: int) -> int:
+    """Return the longest time in ms, on the leader's clock, that a lease may last."""
+    return int(lease_ms / (1 - CLOCK_DRIFT) + LEASE_MARGIN_MS) + 1
+
+
 class WorkerClock:
     """Last known reading of a worker's clock."""
 
@@ -71,8 +76,7 @@
         if self._reading is None:
             return None
         until = WorkerTime(self._reading + (now - self._read_at) + lease_ms)
-        longest_ms = (until - self._reading) / (1 - CLOCK_DRIFT) + LEASE_MARGIN_MS
-        return until, Instant(int(self._read_at + longest_ms) + 1)
+        return until, Instant(self._read_at + bound_lease_ms(until - self._reading))
 
 
 async def extend_lease(client: PoolWorker, lease_ms: int) -> Instant | None:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -48,7 +48,7 @@
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._job_feed import JobFeed
 from lentilpathd._pool._leadership import PoolLeadership
-from lentilpathd._pool._link import CLOCK_DRIFT, LEASE_MARGIN_MS, WorkerLink, extend_lease
+from lentilpathd._pool._link import WorkerLink, bound_lease_ms, extend_lease
 from lentilpathd._pool._members import decode_heartbeat, fingerprint_hosts
 from lentilpathd._pool._messages import Digest, JobNotice
 from lentilpathd._pool._ports import LifeKey, PartitionRow
@@ -89,8 +89,7 @@
         self._leadership = leadership
         now = read_instant()
         # Earlier leaders may have granted longer leases than this one, from other settings.
-        lease_ms = MAX_LEASE_MS / (1 - CLOCK_DRIFT) + LEASE_MARGIN_MS
-        self._state = create_pool(epoch, Instant(int(now + lease_ms) + 1))
+        self._state = create_pool(epoch, Instant(now + bound_lease_ms(MAX_LEASE_MS)))
         self._writer = RecordWriter(context.table, epoch, leadership, self.handle_event)
         self._remover = JobRemover(context.table, epoch, leadership.epoch_version)
         self._advice = AdviceDispatcher(
@@ -184,7 +183,9 @@
 
     def apply_settings(self) -> None:
         """Use the current settings for decisions from now on."""
-        self._state.job_memory_ms = self._context.settings.job_memory_ms
+        settings = self._context.settings
+        self._state.job_memory_ms = settings.job_memory_ms
+        self._state.longest_lease_ms = bound_lease_ms(settings.longest_lease_ms)
 
     def handle_event(self, event: PoolEvent) -> None:
         """Pass an event to the decision core and execute the effects."""
--- a/tests/common/pools.py
+++ b/tests/common/pools.py
@@ -162,6 +162,7 @@
         ended: tuple[tuple[int, TaskKey, int, RunEnd], ...] = (),
         checkpoint: str = "",
         load: int = 0,
+        with_lease: bool = True,
     ) -> list[PoolEffect]:
         listed = self.listed[worker]
         self.now = Instant(self.now + 1)
@@ -176,7 +177,8 @@
                 for number, task, run, end in ended
             ),
         )
-        self.handle_event(LeaseSent(listed.worker, listed.life, Instant(self.now + SETTLE_MS)))
+        if with_lease:
+            self.handle_event(LeaseSent(listed.worker, listed.life, Instant(self.now + SETTLE_MS)))
         return self.handle_event(WorkerReported(listed.worker, listed.life, report, self.now))
 
     def submit(self, job: int, *steps: StepSpec, queue: QueueId = QUEUE) -> None:
--- a/tests/cover/test_pool_restarts.py
+++ b/tests/cover/test_pool_restarts.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 from lentilpath_core.errors import OutcomeUnknown
 from lentilpath_core.ids import Epoch, WorkerId, WorkerTime
 from lentilpath_core.pool import (
-    LeaseSent,
     Life,
     RecordWorkers,
     RunNumber,
@@ -17,7 +17,7 @@
     WorkerReport,
     WorkersRecorded,
 )
-from lentilpathd._pool import _link
+from lentilpathd._clock import read_instant
 from lentilpathd._pool._link import WorkerLink, extend_lease
 from lentilpathd._pool._writer import RecordWriter
 from tests.common.pools import (
@@ -65,19 +65,11 @@
     harness, start = make_harness_with_start()
     (stop,) = restart_worker(harness, start.worker)
     harness.handle_event(StopAnswered(stop.worker, stop.life, stop.task, stop.run))
-    report_without_lease(harness, start.worker, ((start.task, start.run, 10),))
+    harness.report(start.worker, ((start.task, start.run, 10),), with_lease=False)
     harness.pass_time(250)
     assert list_starts(harness.place()) == []
 
 
-def report_without_lease(harness, worker, running) -> None:
-    """Report as an incarnation that has been granted no lease by this leader."""
-    handle_event = harness.handle_event
-    harness.handle_event = lambda each: [] if isinstance(each, LeaseSent) else handle_event(each)
-    harness.report(worker, running)
-    harness.handle_event = handle_event
-
-
 class OpenedWorker:
     """Answers renewals, and counts the stops that it gets."""
 
@@ -96,7 +88,8 @@
 
 
 def test_a_stop_for_a_link_that_has_only_just_been_opened_is_sent():
-    client, events = OpenedWorker(), []
+    client: Any = OpenedWorker()
+    events: list[object] = []
 
     async def scenario() -> None:
         writer = RecordWriter(
@@ -126,8 +119,9 @@
 
 
 def test_an_extension_of_a_lease_that_was_not_answered_is_waited_for():
-    before = _link.read_instant()
-    ends_at = asyncio.run(extend_lease(LosesExtension(), 4_000))
+    client: Any = LosesExtension()
+    before = read_instant()
+    ends_at = asyncio.run(extend_lease(client, 4_000))
     assert ends_at is not None
     assert ends_at >= before + 4_000
 
