Pool recovery: an extension of a lease that got no answer is waited for

Class of fault: a grant without an answer counts as not given; the links count it (MUTANT_SENT_LEASE of spec/pool.pml), the new leader's first extension did not. If the worker carried it out and fell silent, its runs outlived the wait of the new leader by the time between the takeover and the extension, and their tasks could start elsewhere.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -82,22 +82,23 @@
 async def extend_lease(client: PoolWorker, lease_ms: int) -> Instant | None:
     """Extend the leases of all runs on a worker before its runs are known.
 
-    Returns the latest time at which the leases expire, or `None` if the worker does not answer. The
-    worker refuses earlier leaders from now on.
+    Returns the latest time at which the leases expire, or `None` if the worker does not answer and
+    was sent no extension. The worker refuses earlier leaders from its first answer on.
     """
     clock = WorkerClock()
+    ends_at = None
     try:
         report = await client.renew(0, None, 0, RENEWAL_TIMEOUT_SECONDS)
         clock.observe(report.clock, read_instant())
         lease = clock.make_lease(read_instant(), lease_ms)
         assert lease is not None
-        await client.renew(0, lease[0], 0, RENEWAL_TIMEOUT_SECONDS)
+        until, ends_at = lease
+        await client.renew(0, until, 0, RENEWAL_TIMEOUT_SECONDS)
     except LentilpathError as error:
         log_event(Event.LEASE_NOT_EXTENDED, error=str(error))
-        return None
     finally:
         client.close()
-    return lease[1]
+    return ends_at
 
 
 class WorkerLink:
