Pool records: only the list of workers that was stored allows starts

Of several lists in one transaction only the last is stored, but each was reported as durable. A worker that left and came back between them could get starts while no stored list named it, and the next leader would not have asked it before starting its tasks again.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -170,7 +170,7 @@
 
     def _replace_workers(self, batch: list[Record]) -> dict[str, bytes]:
         """Return the rows of the last list of workers in the batch; it replaces the others."""
-        lists = [record for record in batch if isinstance(record, RecordWorkers)]
+        lists = _select_worker_lists(batch)
         if not lists:
             return {}
         puts, obsolete = self._worker_shares.replace_workers(lists[-1].workers)
@@ -218,7 +218,11 @@
             self._handle_event(RunsRecorded(runs))
         if finals:
             self._handle_event(FinalsRecorded(finals))
-        for record in batch:
-            if isinstance(record, RecordWorkers):
-                lives = tuple((each.worker, each.life) for each in record.workers)
-                self._handle_event(WorkersRecorded(lives))
+        if lists := _select_worker_lists(batch):
+            lives = tuple((each.worker, each.life) for each in lists[-1].workers)
+            self._handle_event(WorkersRecorded(lives))
+
+
+def _select_worker_lists(batch: list[Record]) -> list[RecordWorkers]:
+    """Return the lists of workers in a batch; only the last one is stored."""
+    return [record for record in batch if isinstance(record, RecordWorkers)]
