Pending count: a job has begun when a worker says so, not when its first start is sent

Cause: has_started was set with the start command, whose answer may be seconds away when workers leave commands unanswered. Change: it is set by an answer, a report or an end.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -52,7 +52,13 @@
     assert step is not None
     step.attempts[attempt.task.number] = attempt
     step.waiting.remove(attempt.task.number)
-    step.job.has_started = True
+
+
+def confirm_attempt(attempt: Attempt) -> None:
+    """Mark a run as started: its worker has said so."""
+    attempt.is_confirmed = True
+    if attempt.step is not None:
+        attempt.step.job.has_started = True
 
 
 def _remove_attempt(state: PoolState, attempt: Attempt) -> None:
@@ -84,6 +90,7 @@
     if step is None or ended.task.number >= step.spec.count:
         return ()
     mark_run_number_used(step, ended.task.number, ended.run)
+    step.job.has_started = True
     if ended.checkpoint:
         shared = 0 if step.spec.gang else ended.task.number
         step.checkpoints[shared] = ended.checkpoint
@@ -186,7 +193,7 @@
         return ()
     if event.answer is StartAnswer.STARTED:
         attempt.answered_at = now
-        attempt.is_confirmed = True
+        confirm_attempt(attempt)
         if attempt.phase is Phase.STARTING:
             attempt.phase = Phase.RUNNING
             attempt.progressed_at = now
@@ -229,6 +236,7 @@
     step = find_step(state, task)
     if step is not None:
         mark_run_number_used(step, task.number, record.run)
+        step.job.has_started = True
     if record.end is RunEnd.DONE:
         return handle_recorded_success(state, task, now)
     return handle_recorded_failure(state, task, record.run, now)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -181,6 +181,7 @@
     occurrences: int = 0
     """Number of occurrences that have begun."""
     has_started: bool = False
+    """Whether a worker has said that it started a task of the job."""
     final: FinalRecord | None = None
     """The final state that was decided; callers see it only once its record is durable."""
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -25,6 +25,7 @@
 )
 from lentilpath_core.pool._runs import (
     allocate_room,
+    confirm_attempt,
     find_step,
     handle_ended_run,
     mark_attempt_lost,
@@ -161,7 +162,7 @@
         attempt = _adopt_run(state, worker, running, now)
     if attempt.step is None:
         return _stop_listed_run(attempt, _explain_unwanted_run(state, attempt.task), now)
-    attempt.is_confirmed = True
+    confirm_attempt(attempt)
     if attempt.phase is Phase.STARTING:
         attempt.phase = Phase.RUNNING
         attempt.answered_at = attempt.answered_at or now
@@ -224,7 +225,6 @@
     if step is not None and wanted:
         mark_run_number_used(step, index, running.run)
         step.attempts[index] = attempt
-        step.job.has_started = True
         if step.spec.gang:
             step.waiting = []
         elif index in step.waiting:
