--- /dev/null
+++ b/tests/common/simulated_workers.py
@@ -0,0 +1,441 @@
+"""Workers in memory that follow PROTOCOL.md, "Running tasks", on a network that fails by a seed.
+
+A worker keeps its id over restarts. Each incarnation starts with nothing: no runs, no ends, no
+token, and a clock near 0. Commands name the id only, so the incarnation that lives when a command
+arrives carries it out. All times are seconds of the event loop unless they are named otherwise.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field, replace
+
+from lentilpath_core.errors import OutcomeUnknown, TableUnavailable, WorkerUnavailable
+from lentilpath_core.ids import Epoch, WorkerTime
+from lentilpath_core.pool import (
+    EndedRun,
+    JobRecord,
+    Life,
+    ListedWorker,
+    RunEnd,
+    RunningRun,
+    RunNumber,
+    StartAnswer,
+    StepSpec,
+    TaskKey,
+    WorkerReport,
+)
+from lentilpath_core.resources import Resources
+from lentilpathd._pool._ports import OtherLife, RefusedByFence
+from lentilpathd._pool._records import format_task
+from tests.common.pools import make_worker
+
+LONGEST_LEASE_MS = 10_000
+GANG_WAIT_SECONDS = 4.0
+LONGEST_STOP_SECONDS = 0.4
+SILENCE_SECONDS = 4.2
+"""A worker that is silent for three heartbeat intervals is removed from the registry."""
+SLOTS = 4
+ROOM = Resources(1_000, 512, 0)
+MAX_CLOCK_DRIFT = 0.02
+
+
+@dataclass(frozen=True)
+class Faults:
+    """Which faults happen, and how often: shares of commands, or mean seconds between them."""
+
+    late: float = 0.0
+    """Commands without an answer that are carried out up to 12 s later."""
+    unanswered: float = 0.0
+    """Commands that are carried out at once, without an answer."""
+    lost: float = 0.0
+    refused: float = 0.0
+    crash_seconds: float = 0.0
+    cut_seconds: float = 0.0
+    takeovers: int = 0
+    latest_seconds: float = 12.0
+    isolates_leader: bool = False
+    """A former leader goes on commanding workers while only the table is out of its reach."""
+
+
+@dataclass
+class SimulatedRun:
+    """One run as its worker saw it."""
+
+    task: TaskKey
+    run: RunNumber
+    place: str
+    started_at: float
+    begun_at: float | None = None
+    """When the work began: for a gang when all its members were present."""
+    ended_at: float | None = None
+    end: str = ""
+    is_acknowledged: bool = False
+    """Whether the end was acknowledged before the lease of its worker expired."""
+    origin: str = ""
+    """The fate of the command that started it, and the incarnation that the command was meant for."""
+
+
+class SimulatedCluster:
+    """All workers, the registry that lists them, and the log of what took place."""
+
+    def __init__(self, seed: int, faults: Faults, worker_count: int) -> None:
+        self.random = random.Random(seed)
+        self.faults = faults
+        self.jobs: dict[str, JobRecord] = {}
+        self.runs: list[SimulatedRun] = []
+        self.log: list[tuple[float, str]] = []
+        self._tasks: set[asyncio.Task[object]] = set()
+        self.workers = {f"w{each}": SimulatedWorker(self, f"w{each}") for each in range(worker_count)}
+
+    def note(self, text: str) -> None:
+        self.log.append((read_time(), text))
+
+    def spawn(self, coroutine: Coroutine[object, object, object]) -> asyncio.Task[object]:
+        task: asyncio.Task[object] = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def get_step(self, task: TaskKey) -> StepSpec:
+        return self.jobs[task.job].steps[task.step]
+
+    async def read_workers(self, timeout: float) -> tuple[ListedWorker, ...]:
+        """Return the registry's entries; see `Registry`."""
+        await asyncio.sleep(self.random.uniform(0.002, 0.04))
+        if self.random.random() < self.faults.lost:
+            raise TableUnavailable("away")
+        return tuple(each.entry for each in self.workers.values() if each.is_registered())
+
+    def open_client(self, listed: ListedWorker, epoch: Epoch) -> SimulatedClient:
+        return SimulatedClient(self, listed, epoch)
+
+    async def crash_and_cut(self, until: float) -> None:
+        """Crash workers and cut them off until then."""
+        events: list[tuple[float, Callable[[SimulatedWorker], None]]] = []
+        for mean, act in (
+            (self.faults.crash_seconds, lambda worker: worker.crash()),
+            (self.faults.cut_seconds, lambda worker: worker.cut()),
+        ):
+            at = read_time()
+            while mean and (at := at + self.random.expovariate(len(self.workers) / mean)) < until:
+                events.append((at, act))
+        for at, act in sorted(events, key=lambda event: event[0]):
+            await asyncio.sleep(at - read_time())
+            act(self.random.choice(list(self.workers.values())))
+
+
+def read_time() -> float:
+    return asyncio.get_running_loop().time()
+
+
+@dataclass
+class SimulatedWorker:
+    """A worker over all its incarnations."""
+
+    cluster: SimulatedCluster
+    name: str
+    life: Life = Life(0)
+    is_up: bool = False
+    cut_until: float = 0.0
+    seen_at: float = 0.0
+    entry: ListedWorker = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.entry = make_worker(self.name, Resources(SLOTS * 1_000, 8_192, 0), life=Life(1))
+
+    def boot(self, registry_delay: float = 0.0) -> None:
+        """Start the next incarnation."""
+        chance = self.cluster.random
+        self.life, self.is_up = Life(self.life + 1), True
+        self.token = 0
+        self.lease_ms = 0
+        self.lapsed_at = 0.0
+        self.clock_start = read_time() - chance.uniform(0.0, 0.05)
+        self.clock_rate = 1.0 - chance.uniform(0.0, MAX_CLOCK_DRIFT)
+        self.running: dict[tuple[TaskKey, RunNumber], SimulatedRun] = {}
+        self.closed: dict[TaskKey, int] = {}
+        self.ends: list[tuple[EndedRun, SimulatedRun]] = []
+        self.end_count = 0
+        self.changed = asyncio.Event()
+        asyncio.get_running_loop().call_later(registry_delay, self._register, self.life)
+
+    def crash(self) -> None:
+        """End this incarnation; the next one comes within 3 s, at times behind a cut."""
+        if not self.is_up:
+            return
+        self.cluster.note(f"{self.name}.{self.life} crashes")
+        self.expire()
+        self.is_up = False
+        self.seen_at = read_time()
+        for run in list(self.running.values()):
+            self._close(run, "crashed", read_time())
+        chance = self.cluster.random
+        asyncio.get_running_loop().call_later(chance.uniform(0.0, 3.0), self._return)
+
+    def _return(self) -> None:
+        chance = self.cluster.random
+        self.boot(chance.uniform(0.0, 2.0))
+        self.cluster.note(f"{self.name}.{self.life} is up")
+        if chance.random() < 0.3:
+            self.cut()
+
+    def cut(self) -> None:
+        """Cut the worker off from all leaders for some seconds; it reaches the registry."""
+        self.cut_until = read_time() + self.cluster.random.uniform(0.5, 7.0)
+        self.cluster.note(f"{self.name} is cut off until {self.cut_until:.3f}")
+
+    def is_registered(self) -> bool:
+        return self.is_up or read_time() < self.seen_at + SILENCE_SECONDS
+
+    def is_cut(self) -> bool:
+        return read_time() < self.cut_until
+
+    def _register(self, life: Life) -> None:
+        self.entry = replace(self.entry, life=max(life, self.entry.life))
+
+    def read_clock(self) -> int:
+        return int((read_time() - self.clock_start) * self.clock_rate * 1_000)
+
+    def expire(self) -> None:
+        """Kill all runs if the lease is over."""
+        if self.read_clock() <= self.lease_ms:
+            return
+        self.lapsed_at = self.clock_start + self.lease_ms / self.clock_rate / 1_000
+        for run in list(self.running.values()):
+            self.end(run, RunEnd.LAPSED, max(self.lapsed_at, run.started_at))
+
+    def _extend(self, lease_ms: int) -> None:
+        self.lease_ms = max(self.lease_ms, min(lease_ms, self.read_clock() + LONGEST_LEASE_MS))
+        left = (self.lease_ms - self.read_clock() + 1) / self.clock_rate / 1_000
+        life = self.life
+        asyncio.get_running_loop().call_later(
+            max(0.0, left), lambda: self.is_up and self.life == life and self.expire()
+        )
+
+    def check_token(self, epoch: Epoch) -> None:
+        if epoch < self.token:
+            raise RefusedByFence(f"{self.name}.{self.life} has seen {self.token}")
+        self.token = epoch
+        self.expire()
+
+    def start(
+        self, task: TaskKey, run: RunNumber, text: str, lease_ms: int, origin: str
+    ) -> StartAnswer:
+        if lease_ms < self.read_clock():
+            return StartAnswer.LATE
+        self._extend(lease_ms)
+        if (task, run) in self.running:
+            return StartAnswer.STARTED
+        if run <= self.closed.get(task, 0):
+            return StartAnswer.OUTDATED
+        if len(self.running) >= SLOTS:
+            return StartAnswer.NO_ROOM
+        started = SimulatedRun(task, run, f"{self.name}.{self.life}", read_time())
+        started.origin = origin
+        self.running[(task, run)] = started
+        self.cluster.runs.append(started)
+        loop = asyncio.get_running_loop()
+        gang = self._find_gang(started)
+        spec = self.cluster.get_step(task)
+        if spec.gang:
+            loop.call_later(GANG_WAIT_SECONDS, self._leave_gang, started)
+        if not spec.gang or {each.task.number for _, each in gang} == set(range(spec.count)):
+            for _, each in gang:
+                each.begun_at = read_time()
+            fails = self.cluster.random.random() < 0.03
+            loop.call_later(int(text) / 1_000, self._finish, started, fails)
+        return StartAnswer.STARTED
+
+    def _find_gang(self, run: SimulatedRun) -> list[tuple[SimulatedWorker, SimulatedRun]]:
+        """Return the running members of a gang's run, or the run itself if it has no gang."""
+        return [
+            (worker, each)
+            for worker in self.cluster.workers.values()
+            if worker.is_up
+            for each in worker.running.values()
+            if each is run
+            or (
+                self.cluster.get_step(run.task).gang
+                and (each.task.get_step(), each.run) == (run.task.get_step(), run.run)
+            )
+        ]
+
+    def _leave_gang(self, run: SimulatedRun) -> None:
+        if run.begun_at is None and run.ended_at is None:
+            self.end(run, RunEnd.ALONE, read_time())
+
+    def _finish(self, run: SimulatedRun, fails: bool) -> None:
+        for worker, _ in self._find_gang(run):
+            worker.expire()
+        if run.ended_at is not None:
+            return
+        if fails:
+            self.end(run, RunEnd.FAILED, read_time())
+            return
+        for worker, each in self._find_gang(run):
+            worker.end(each, RunEnd.DONE, read_time())
+
+    def stop(self, task: TaskKey, run: RunNumber) -> None:
+        self.closed[task] = max(self.closed.get(task, 0), run)
+        stopped = self.running.get((task, run))
+        if stopped is not None:
+            delay = self.cluster.random.uniform(0.0, LONGEST_STOP_SECONDS)
+            asyncio.get_running_loop().call_later(delay, self._finish_stop, stopped)
+
+    def _finish_stop(self, run: SimulatedRun) -> None:
+        self.expire()
+        self.end(run, RunEnd.STOPPED, read_time())
+
+    def end(self, run: SimulatedRun, how: RunEnd, at: float) -> None:
+        """End a run of the present incarnation, and list its end."""
+        if run.ended_at is not None:
+            return
+        self._close(run, how.value, at)
+        self.closed[run.task] = max(self.closed.get(run.task, 0), run.run)
+        self.end_count += 1
+        self.ends.append((EndedRun(self.end_count, run.task, run.run, how, ""), run))
+        self.changed.set()
+
+    def _close(self, run: SimulatedRun, how: str, at: float) -> None:
+        members = self._find_gang(run)
+        del self.running[(run.task, run.run)]
+        run.ended_at, run.end = at, how
+        self.cluster.note(f"{run.place}: {format_task(run.task)} run {run.run} {how}, at {at:.3f}")
+        if how != "done":
+            for worker, each in members:
+                if each is not run and each.ended_at is None:
+                    worker.end(each, RunEnd.BROKEN, read_time())
+
+    async def renew(self, last_end: int, lease_ms: int | None, wait_ms: int) -> WorkerReport | None:
+        if lease_ms is not None:
+            self._extend(lease_ms)
+        for ended, run in self.ends:
+            if ended.number <= last_end:
+                run.is_acknowledged = run.ended_at is not None and self.lapsed_at < run.ended_at
+        self.ends = [each for each in self.ends if each[0].number > last_end]
+        life = self.life
+        if not self.ends and wait_ms:
+            self.changed.clear()
+            await asyncio.wait({self.cluster.spawn(self.changed.wait())}, timeout=wait_ms / 1_000)
+        if not self.is_up or self.life != life:
+            return None
+        self.expire()
+        running = tuple(
+            RunningRun(each.task, each.run, "", self._measure_progress(each))
+            for each in self.running.values()
+        )
+        ends = tuple(ended for ended, _ in self.ends)
+        return WorkerReport(WorkerTime(self.read_clock()), running, ends, self.life)
+
+    def _measure_progress(self, run: SimulatedRun) -> int:
+        if run.begun_at is None:
+            return 0
+        work_seconds = int(self.cluster.jobs[run.task.job].text) / 1_000
+        return min(99, int((read_time() - run.begun_at) / work_seconds * 100))
+
+
+class SimulatedClient:
+    """Implements `PoolWorker` as the platform's adapter does."""
+
+    def __init__(self, cluster: SimulatedCluster, listed: ListedWorker, epoch: Epoch) -> None:
+        self._cluster = cluster
+        self._worker = cluster.workers[listed.worker]
+        self._life = listed.life
+        self._epoch = epoch
+
+    async def start(
+        self,
+        task: TaskKey,
+        run: RunNumber,
+        text: str,
+        checkpoint: str,
+        ticket: str,
+        lease_until: WorkerTime,
+        timeout: float,
+    ) -> StartAnswer:
+        async def act(fate: str) -> tuple[StartAnswer, Life]:
+            origin = f"{fate}, sent to life {self._life} by epoch {self._epoch}"
+            answer = self._worker.start(task, run, text, lease_until, origin)
+            return answer, self._worker.life
+
+        name = f"start {format_task(task)} run {run} until {lease_until}"
+        try:
+            answer, life = await self._send(name, act, timeout)
+        except WorkerUnavailable:
+            return StartAnswer.UNHEALTHY
+        if answer is StartAnswer.STARTED and life != self._life:
+            raise OutcomeUnknown(f"life {life} accepted a start sent to life {self._life}")
+        return answer
+
+    async def stop(self, task: TaskKey, run: RunNumber, timeout: float) -> None:
+        async def act(fate: str) -> bool:
+            self._worker.stop(task, run)
+            return True
+
+        await self._send(f"stop {format_task(task)} run {run}", act, timeout)
+
+    async def pace(self, task: TaskKey, run: RunNumber, percent: int, timeout: float) -> None:
+        raise AssertionError("no task of these jobs fills")
+
+    async def renew(
+        self, last_end_number: int, lease_until: WorkerTime | None, wait_ms: int, timeout: float
+    ) -> WorkerReport:
+        async def act(fate: str) -> WorkerReport | None:
+            return await self._worker.renew(last_end_number, lease_until, wait_ms)
+
+        report = await self._send(f"renew {last_end_number} until {lease_until}", act, timeout)
+        if report.life != self._life:
+            raise OtherLife(f"life {report.life} answered a request to life {self._life}")
+        return report
+
+    def close(self) -> None:
+        """Do nothing: commands that are on their way stay so."""
+
+    async def _send(self, name: str, act: Callable[[str], Coroutine], timeout: float):  # type: ignore[no-untyped-def, type-arg]
+        chance, worker = self._cluster.random, self._worker
+        name = f"{name} by epoch {self._epoch} to {worker.name}.{self._life}"
+        fate = self._draw_fate()
+        if fate == "refused" or not worker.is_up:
+            await asyncio.sleep(chance.uniform(0.002, 0.04))
+            raise WorkerUnavailable(f"{worker.name} refused the connection")
+        delay = chance.uniform(0.001, 0.02)
+        if fate == "late":
+            delay = chance.uniform(0.0, self._cluster.faults.latest_seconds)
+        if fate != "answered":
+            self._cluster.note(f"{name}: {fate}, delay {delay:.3f}")
+        delivery = self._cluster.spawn(self._deliver(name, act, delay, fate))
+        await asyncio.wait({delivery}, timeout=timeout)
+        if fate == "answered" and delivery.done() and (reply := delivery.result()) is not None:
+            if isinstance(reply, RefusedByFence):
+                raise reply
+            return reply
+        raise OutcomeUnknown(f"{name} got no answer")
+
+    def _draw_fate(self) -> str:
+        faults, chance = self._cluster.faults, self._cluster.random
+        if self._worker.is_cut():
+            return chance.choice(("refused", "lost", "late", "unanswered"))
+        weights = (faults.late, faults.unanswered, faults.lost, faults.refused)
+        names = ("late", "unanswered", "lost", "refused", "answered")
+        return chance.choices(names, (*weights, 1.0 - sum(weights)))[0]
+
+    async def _deliver(
+        self, name: str, act: Callable[[str], Coroutine[object, object, object]], delay: float, fate: str
+    ) -> object:
+        await asyncio.sleep(delay)
+        worker = self._worker
+        if fate == "lost" or not worker.is_up:
+            return None
+        try:
+            worker.check_token(self._epoch)
+        except RefusedByFence as error:
+            return error
+        life = worker.life
+        reply = await act(fate)
+        if not name.startswith("renew") or life != self._life:
+            self._cluster.note(f"{worker.name}.{life} carries out {name}: {reply}")
+        await asyncio.sleep(self._cluster.random.uniform(0.001, 0.02))
+        return None if worker.is_cut() or not worker.is_up or worker.life != life else reply
