Worker link: commands for an earlier incarnation have no effect once a worker is contacted anew

Class of fault: a command that was not answered takes effect at whichever incarnation of the worker lives when it arrives: it starts a run, grants a lease by the wrong clock, or acknowledges ends that were never reported. All clients of a leader had the same fencing token, the epoch, so the next incarnation obeyed. Change: each client of a worker has a higher token than the one before (epoch * 10^9 + number). A refusal counts as a later leader's only for the newest client. After another incarnation has answered, the link grants no leases and sends no starts. What is left: a late start that arrives before the first contact. Tests: two of test_pool_restarts (leases and starts sent to another incarnation; no new client) fail before. Bring all hosts to this release together: workers refuse leaders of earlier releases, whose tokens are lower.

--- a/packages/lentilpath-core/src/lentilpath_core/ids.py
+++ b/packages/lentilpath-core/src/lentilpath_core/ids.py
@@ -24,6 +24,8 @@
 
 Epoch = NewType("Epoch", int)
 """Number of a zone's leadership term; rises with each new leader, from 1."""
+FencingToken = NewType("FencingToken", int)
+"""Order of the commands to a worker, which refuses a lower token than it has seen."""
 RowVersion = NewType("RowVersion", int)
 """Version of a table row; 0 means that the row is absent."""
 JournalSequence = NewType("JournalSequence", int)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -103,19 +103,25 @@
 
 
 class WorkerLink:
-    """Renews the leases and sends the commands for one life of a worker until cancelled."""
+    """Renews the leases and sends the commands for one life of a worker until cancelled.
+
+    Each client that `create_client` returns has a higher fencing token than the one before it. A
+    worker that has fallen silent may have restarted, and commands that it has not answered may
+    still arrive. So it is contacted with a new client, after which they have no effect.
+    """
 
     def __init__(
         self,
         listed: ListedWorker,
-        client: PoolWorker,
+        create_client: Callable[[], PoolWorker],
         epoch: Epoch,
         get_lease_ms: Callable[[], int],
         writer: RecordWriter,
         handle_event: Callable[[PoolEvent], None],
     ) -> None:
         self._listed = listed
-        self._client = client
+        self._create_client = create_client
+        self._client = create_client()
         self._epoch = epoch
         self._get_lease_ms = get_lease_ms
         self._writer = writer
@@ -152,7 +158,7 @@
         sent_at = read_instant()
         # A silent worker may still receive messages, so each grant would postpone the time at which
         # its leases are known to have expired. It is polled without a lease until it answers.
-        lease = None if self._is_silent else self._grant_lease(sent_at)
+        lease = None if self._is_silent or self._is_superseded else self._grant_lease(sent_at)
         if lease is None:
             wait_ms = 0
         timeout = wait_ms / MS_PER_SECOND + RENEWAL_TIMEOUT_SECONDS
@@ -174,6 +180,7 @@
         except (Unavailable, OutcomeUnknown) as error:
             if not self._is_silent:
                 self._is_silent = True
+                self._replace_client()
                 log_event(Event.WORKER_SILENT, worker=self._listed.worker, error=str(error))
             await asyncio.sleep(RETRY_SECONDS)
             return True
@@ -192,6 +199,10 @@
             self._unacknowledged_number = highest
         return True
 
+    def _replace_client(self) -> None:
+        self._client.close()
+        self._client = self._create_client()
+
     def _grant_lease(self, now: Instant) -> WorkerTime | None:
         lease = self._clock.make_lease(now, self._get_lease_ms())
         if lease is None:
@@ -216,12 +227,10 @@
     async def _pace(self, effect: PaceRun) -> None:
         try:
             async with self._slots:
-                await self._client.pace(
-                    effect.task, effect.run, effect.percent, COMMAND_TIMEOUT_SECONDS
-                )
-        except RefusedByFence as error:
-            raise Deposed(str(error)) from error
+                client = self._client
+                await client.pace(effect.task, effect.run, effect.percent, COMMAND_TIMEOUT_SECONDS)
         except LentilpathError as error:
+            self._raise_if_deposed(error, client)
             log_event(
                 Event.PACE_UNANSWERED,
                 worker=effect.worker,
@@ -276,11 +285,12 @@
 
     async def _try_start(self, effect: StartRun) -> StartAnswer | None:
         """Return the worker's answer, or `None` if the command may have been executed."""
-        lease = self._grant_lease(read_instant())
+        lease = None if self._is_superseded else self._grant_lease(read_instant())
         if lease is None:
             return StartAnswer.UNHEALTHY
+        client = self._client
         try:
-            answer = await self._client.start(
+            answer = await client.start(
                 effect.task,
                 effect.run,
                 effect.text,
@@ -291,12 +301,11 @@
             )
         except OtherLife:
             return StartAnswer.OTHER_LIFE
-        except RefusedByFence as error:
-            raise Deposed(str(error)) from error
         except asyncio.CancelledError:
             self._report_unanswered(effect)
             raise
         except LentilpathError as error:
+            self._raise_if_deposed(error, client)
             self._report_unanswered(effect)
             log_event(
                 Event.START_UNANSWERED,
@@ -308,6 +317,11 @@
             return None
         return answer
 
+    def _raise_if_deposed(self, error: LentilpathError, client: PoolWorker) -> None:
+        """Raise `Deposed` if a command was refused although its token was the newest one here."""
+        if isinstance(error, RefusedByFence) and client is self._client:
+            raise Deposed(str(error)) from error
+
     def _report_unanswered(self, effect: StartRun) -> None:
         self._handle_event(StartUnanswered(effect.worker, effect.life, effect.task, effect.run))
 
@@ -315,13 +329,13 @@
         while True:
             try:
                 async with self._slots:
-                    await self._client.stop(effect.task, effect.run, COMMAND_TIMEOUT_SECONDS)
+                    client = self._client
+                    await client.stop(effect.task, effect.run, COMMAND_TIMEOUT_SECONDS)
                 break
             except OtherLife:
                 break
-            except RefusedByFence as error:
-                raise Deposed(str(error)) from error
             except LentilpathError as error:
+                self._raise_if_deposed(error, client)
                 log_event(
                     Event.STOP_UNANSWERED,
                     worker=effect.worker,
--- a/packages/lentilpathd/src/lentilpathd/_pool/_ports.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_ports.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from lentilpath_core.errors import LentilpathError
-from lentilpath_core.ids import Epoch, RowVersion, WorkerId, WorkerTime
+from lentilpath_core.ids import FencingToken, RowVersion, WorkerId, WorkerTime
 from lentilpath_core.pool import (
     Life,
     ListedWorker,
@@ -197,8 +197,9 @@
         ...
 
 
-WorkerFactory = Callable[[ListedWorker, Epoch], PoolWorker]
-"""Creates the client of a worker's life for a leader's epoch; it connects on its first command."""
+WorkerFactory = Callable[[ListedWorker, FencingToken], PoolWorker]
+"""Creates the client of a worker's life, whose commands all carry the token; it connects on its
+first command."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -4,13 +4,13 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from typing import TypeVar
 
 import msgspec
 
 from lentilpath_core.errors import OutcomeUnknown, Unavailable
-from lentilpath_core.ids import Epoch, Instant, JobId, RowVersion, WorkerId
+from lentilpath_core.ids import Epoch, FencingToken, Instant, JobId, RowVersion, WorkerId
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.pool import (
     AskAdvice,
@@ -51,7 +51,7 @@
 from lentilpathd._pool._link import WorkerLink, bound_lease_ms, extend_lease
 from lentilpathd._pool._members import decode_heartbeat, fingerprint_hosts
 from lentilpathd._pool._messages import Digest, JobNotice
-from lentilpathd._pool._ports import LifeKey, PartitionRow
+from lentilpathd._pool._ports import LifeKey, PartitionRow, PoolWorker
 from lentilpathd._pool._records import format_task
 from lentilpathd._pool._recovery import READ_TIMEOUT_SECONDS, read_former_workers, read_pool
 from lentilpathd._pool._removal import JobRemover
@@ -60,6 +60,9 @@
 
 T = TypeVar("T")
 
+TOKENS_PER_EPOCH = 1_000_000_000
+"""Fencing tokens that are set aside for the clients of each epoch. A pool of thousands of workers
+that all fall silent once a minute takes months to use them up."""
 TICK_SECONDS = 0.25
 """Timers fire at most 250 ms late."""
 DIGEST_REUSE_MS = 250
@@ -80,6 +83,11 @@
 make."""
 
 
+def make_token(epoch: Epoch, client: int) -> FencingToken:
+    """Return the fencing token of a client, numbered from 1; 0 for commands before any link."""
+    return FencingToken(epoch * TOKENS_PER_EPOCH + client)
+
+
 class Term:
     """Runs the pool as leader, from winning an epoch until it is lost or released."""
 
@@ -96,6 +104,7 @@
             context.advice_agent, context.bus, context.members, context.metrics, self.handle_event
         )
         self._links: dict[LifeKey, tuple[WorkerLink, asyncio.Task[None]]] = {}
+        self._opened_clients = 0
         self._missing_since: dict[WorkerId, Instant] = {}
         self._placement_due = asyncio.Event()
         self._group: asyncio.TaskGroup | None = None
@@ -134,7 +143,9 @@
         lease_ms = self._context.settings.lease_ms
         ends = await asyncio.gather(
             *(
-                extend_lease(self._context.create_worker(each, self._epoch), lease_ms)
+                extend_lease(
+                    self._context.create_worker(each, make_token(self._epoch, 0)), lease_ms
+                )
                 for each in former_workers
             )
         )
@@ -330,10 +341,9 @@
             key = (worker.worker, worker.life)
             if key in self._links:
                 continue
-            client = self._context.create_worker(worker.listed, self._epoch)
             link = WorkerLink(
                 worker.listed,
-                client,
+                partial(self._create_client, worker.listed),
                 self._epoch,
                 lambda: self._context.settings.lease_ms,
                 self._writer,
@@ -342,6 +352,12 @@
             self._links[key] = (link, self._group.create_task(link.run()))
             log_event(Event.WORKER_LISTED, worker=worker.worker, life=worker.life)
 
+    def _create_client(self, listed: ListedWorker) -> PoolWorker:
+        # Once the worker has seen a client's token, commands of earlier clients have no effect,
+        # whenever they arrive.
+        self._opened_clients += 1
+        return self._context.create_worker(listed, make_token(self._epoch, self._opened_clients))
+
     async def _tick(self) -> None:
         while True:
             self.handle_event(TimePassed(read_wall_time()))
--- a/tests/common/simulated_workers.py
+++ b/tests/common/simulated_workers.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from lentilpath_core.errors import OutcomeUnknown, TableUnavailable, WorkerUnavailable
-from lentilpath_core.ids import Epoch, WorkerTime
+from lentilpath_core.ids import FencingToken, WorkerTime
 from lentilpath_core.pool import (
     EndedRun,
     JobRecord,
@@ -113,8 +113,8 @@
             raise TableUnavailable("away")
         return tuple(each.entry for each in self.workers.values() if each.is_registered())
 
-    def open_client(self, listed: ListedWorker, epoch: Epoch) -> SimulatedClient:
-        return SimulatedClient(self, listed, epoch)
+    def open_client(self, listed: ListedWorker, token: FencingToken) -> SimulatedClient:
+        return SimulatedClient(self, listed, token)
 
     async def crash_and_cut(self, until: float) -> None:
         """Crash workers and cut them off until then."""
@@ -154,7 +154,7 @@
         """Start the next incarnation."""
         chance = self.cluster.random
         self.life, self.is_up = Life(self.life + 1), True
-        self.token = 0
+        self.token = FencingToken(0)
         self.lease_ms = 0
         self.lapsed_at = 0.0
         self.clock_start = read_time() - chance.uniform(0.0, 0.05)
@@ -220,10 +220,10 @@
         if self.is_up and self.life == life:
             self.expire()
 
-    def check_token(self, epoch: Epoch) -> None:
-        if epoch < self.token:
+    def check_token(self, token: FencingToken) -> None:
+        if token < self.token:
             raise RefusedByFence(f"{self.name}.{self.life} has seen {self.token}")
-        self.token = epoch
+        self.token = token
         self.expire()
 
     def start(
@@ -349,11 +349,13 @@
 class SimulatedClient:
     """Implements `PoolWorker` as the platform's adapter does."""
 
-    def __init__(self, cluster: SimulatedCluster, listed: ListedWorker, epoch: Epoch) -> None:
+    def __init__(
+        self, cluster: SimulatedCluster, listed: ListedWorker, token: FencingToken
+    ) -> None:
         self._cluster = cluster
         self._worker = cluster.workers[listed.worker]
         self._life = listed.life
-        self._epoch = epoch
+        self._token = token
 
     async def start(
         self,
@@ -366,7 +368,7 @@
         timeout: float,
     ) -> StartAnswer:
         async def act(fate: str) -> tuple[StartAnswer, Life]:
-            origin = f"{fate}, sent to life {self._life} by epoch {self._epoch}"
+            origin = f"{fate}, sent to life {self._life} with token {self._token}"
             answer = self._worker.start(task, run, text, lease_until, origin)
             return answer, self._worker.life
 
@@ -409,7 +411,7 @@
         self, name: str, act: Callable[[str], Coroutine[Any, Any, Any]], timeout: float
     ) -> Any:
         chance, worker = self._cluster.random, self._worker
-        name = f"{name} by epoch {self._epoch} to {worker.name}.{self._life}"
+        name = f"{name} with token {self._token} to {worker.name}.{self._life}"
         fate = self._draw_fate()
         if fate == "refused" or not worker.is_up:
             await asyncio.sleep(chance.uniform(0.002, 0.04))
@@ -447,7 +449,7 @@
         if fate == "lost" or not worker.is_up:
             return None
         try:
-            worker.check_token(self._epoch)
+            worker.check_token(self._token)
         except RefusedByFence as error:
             return error
         life = worker.life
--- a/tests/cover/test_pool_link.py
+++ b/tests/cover/test_pool_link.py
@@ -79,7 +79,7 @@
             UNUSED_TABLE, Epoch(1), make_leadership(OnePartitionTable()), events.append
         )
         link = WorkerLink(
-            make_worker("w1"), client, Epoch(1), lambda: LEASE_MS, writer, events.append
+            make_worker("w1"), lambda: client, Epoch(1), lambda: LEASE_MS, writer, events.append
         )
         task = asyncio.create_task(link.run())
         while client.silent_renewals < renewal_count:
--- a/tests/cover/test_pool_restarts.py
+++ b/tests/cover/test_pool_restarts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from lentilpath_core.errors import OutcomeUnknown
@@ -13,6 +14,7 @@
     RunEnd,
     RunNumber,
     StartAnswer,
+    StartAnswered,
     StartRun,
     StartUnanswered,
     StopAnswered,
@@ -23,7 +25,9 @@
 )
 from lentilpath_core.pool._runs import UNANSWERED_START_MEMORY_MS
 from lentilpathd._clock import read_instant
+from lentilpathd._pool import _link
 from lentilpathd._pool._link import WorkerLink, extend_lease
+from lentilpathd._pool._ports import OtherLife, RefusedByFence
 from lentilpathd._pool._writer import RecordWriter
 from tests.common.pools import (
     LIFE,
@@ -33,6 +37,7 @@
     make_task,
     make_worker,
 )
+from tests.common.requests import wait_until
 from tests.common.tables import OnePartitionTable, make_leadership
 
 LONGEST_LEASE_MS = 10_000
@@ -139,7 +144,9 @@
         writer = RecordWriter(
             OnePartitionTable(), Epoch(1), make_leadership(OnePartitionTable()), events.append
         )
-        link = WorkerLink(make_worker("w1"), client, Epoch(1), lambda: 4_000, writer, events.append)
+        link = WorkerLink(
+            make_worker("w1"), lambda: client, Epoch(1), lambda: 4_000, writer, events.append
+        )
         task = asyncio.create_task(link.run())
         link.send_stop(
             StopRun(WorkerId("w1"), LIFE, make_task(1), RunNumber(3), StopReason.UNCLEAR)
@@ -153,6 +160,31 @@
     assert [each.run for each in events if isinstance(each, StopAnswered)] == [3]
 
 
+def run_link(create_client: Any, is_over: Callable[[], bool], monkeypatch) -> list[object]:
+    """Run a link that is given a start when it has lost its worker, until `is_over`."""
+    events: list[object] = []
+    monkeypatch.setattr(_link, "RETRY_SECONDS", 0.001)
+
+    async def scenario() -> None:
+        table = OnePartitionTable()
+        writer = RecordWriter(table, Epoch(1), make_leadership(table), events.append)
+        link = WorkerLink(
+            make_worker("w1"), create_client, Epoch(1), lambda: 4_000, writer, events.append
+        )
+        task = asyncio.create_task(link.run())
+        await wait_until(is_over)
+        link.send_start(
+            StartRun(WorkerId("w1"), LIFE, make_task(1), RunNumber(1), "run", "", "", 0, 0)
+        )
+        link.send_stop(StopRun(WorkerId("w1"), LIFE, make_task(2), RunNumber(1), StopReason.FROZEN))
+        await wait_until(lambda: any(isinstance(each, StopAnswered) for each in events))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(scenario())
+    return events
+
+
 class LosesExtension(OpenedWorker):
     """Answers the first renewal; the answer to the extension of its lease is lost."""
 
@@ -187,3 +219,56 @@
     asyncio.run(scenario())
     recorded = [each for each in events if isinstance(each, WorkersRecorded)]
     assert [each.lives for each in recorded] == [(("w1", LIFE),)]
+
+
+class RestartedWorker(OpenedWorker):
+    """Another incarnation answers the second renewal and the following ones."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.leases: list[WorkerTime | None] = []
+        self.starts = 0
+
+    async def renew(self, last_end_number, lease_until, wait_ms, timeout):
+        self.leases.append(lease_until)
+        if len(self.leases) > 1:
+            raise OtherLife("life 2 answered a request to life 1")
+        return await super().renew(last_end_number, lease_until, wait_ms, timeout)
+
+    async def start(self, task, run, text, checkpoint, ticket, lease_until, timeout):
+        self.starts += 1
+        return StartAnswer.STARTED
+
+
+def test_an_incarnation_gets_no_leases_and_starts_that_were_meant_for_another_one(monkeypatch):
+    client: Any = RestartedWorker()
+    events = run_link(lambda: client, lambda: len(client.leases) > 4, monkeypatch)
+    assert client.leases[2:] == [None] * len(client.leases[2:])
+    (answered,) = [each for each in events if isinstance(each, StartAnswered)]
+    assert (client.starts, answered.answer) == (0, StartAnswer.UNHEALTHY)
+
+
+class FencingWorker(OpenedWorker):
+    """Loses one renewal; clients opened before that are refused from then on."""
+
+    def __init__(self, opened: list[FencingWorker]) -> None:
+        super().__init__()
+        self.opened = opened
+        opened.append(self)
+
+    async def renew(self, last_end_number, lease_until, wait_ms, timeout):
+        await asyncio.sleep(0.001)
+        if len(self.opened) == 1:
+            raise OutcomeUnknown("no answer")
+        return WorkerReport(WorkerTime(1_000), (), ())
+
+    async def stop(self, task, run, timeout):
+        if self is not self.opened[-1]:
+            raise RefusedByFence("a later token was seen")
+        await super().stop(task, run, timeout)
+
+
+def test_a_worker_that_fell_silent_is_contacted_with_a_new_token(monkeypatch):
+    opened: list[FencingWorker] = []
+    run_link(lambda: FencingWorker(opened), lambda: len(opened) > 1, monkeypatch)
+    assert len(opened) == 2
