Pool: a silent worker that restarts is waited for as long as its leases may last, and no longer

Three bounds of the same class, found by the reviewer, each with a test that failed before: - A new leader waited 4.2 s for a former worker that does not answer, though its next incarnation may hold a run for as long as workers accept. It waits for that worker's own bound now; others keep theirs. - Runs that a new leader finds kept the wait as it was when the former workers were read; extensions made since did not count. - A start that was never confirmed moved from incarnation to incarnation of a silent worker without end, and its task never started elsewhere (LOST). It is given up with the incarnation after 30 s, when late commands are over.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -25,6 +25,7 @@
     TaskKey,
 )
 from lentilpath_core.pool._runs import (
+    UNANSWERED_START_MEMORY_MS,
     allocate_room,
     confirm_attempt,
     find_step,
@@ -89,7 +90,7 @@
         moved = [
             each
             for key, each in former.attempts.items()
-            if not each.is_confirmed or key in unanswered
+            if key in unanswered or _is_recent_and_unconfirmed(each, now)
         ]
         for attempt in moved:
             del former.attempts[(attempt.task, attempt.run)]
@@ -108,6 +109,10 @@
     return tuple(effects)
 
 
+def _is_recent_and_unconfirmed(attempt: Attempt, now: Instant) -> bool:
+    return not attempt.is_confirmed and now < attempt.begun_at + UNANSWERED_START_MEMORY_MS
+
+
 def _assume_longest_lease(state: PoolState, worker: Worker, now: Instant) -> None:
     lease_ends_at = Instant(now + state.longest_lease_ms)
     worker.lease_ends_at = max(worker.lease_ends_at, lease_ends_at)
@@ -230,6 +235,7 @@
         progressed_at=now,
     )
     allocate_room(worker, attempt)
+    worker.lease_ends_at = max(worker.lease_ends_at, state.former_leases_end_at)
     if worker.lease_ends_at <= now:
         # The run is in progress, so a command that is not known here has granted it a lease.
         _assume_longest_lease(state, worker, now)
@@ -271,9 +277,7 @@
 def expire_leases(state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
     """Give up runs on workers whose leases have expired, and remove workers that left."""
     effects: list[PoolEffect] = []
-    if state.unconfirmed_workers and now >= state.former_leases_end_at:
-        state.unconfirmed_workers.clear()
-        state.needs_placement = True
+    _expire_former_leases(state, now)
     for worker in list(state.workers.values()):
         if worker.worker in state.unconfirmed_workers:
             continue
@@ -287,6 +291,17 @@
     return tuple(effects)
 
 
+def _expire_former_leases(state: PoolState, now: Instant) -> None:
+    """Stop waiting for workers on which runs of an earlier leader have ended by now."""
+    if now < state.former_leases_end_at:
+        return
+    for worker_id in list(state.unconfirmed_workers):
+        worker = state.workers.get(worker_id)
+        if worker is None or now >= worker.lease_ends_at:
+            state.unconfirmed_workers.discard(worker_id)
+            state.needs_placement = True
+
+
 def restore_former_workers(state: PoolState, workers: tuple[ListedWorker, ...]) -> None:
     """Add the workers that an earlier leader used.
 
--- a/tests/cover/test_pool_restarts.py
+++ b/tests/cover/test_pool_restarts.py
@@ -7,8 +7,9 @@
 from typing import Any
 
 from lentilpath_core.errors import OutcomeUnknown
-from lentilpath_core.ids import Epoch, WorkerId, WorkerTime
+from lentilpath_core.ids import Epoch, Instant, WorkerId, WorkerTime
 from lentilpath_core.pool import (
+    JobAccepted,
     Life,
     RecordWorkers,
     RunEnd,
@@ -22,6 +23,7 @@
     StopRun,
     WorkerReport,
     WorkersRecorded,
+    restore_former_workers,
 )
 from lentilpath_core.pool._runs import UNANSWERED_START_MEMORY_MS
 from lentilpathd._clock import read_instant
@@ -31,9 +33,11 @@
 from lentilpathd._pool._writer import RecordWriter
 from tests.common.pools import (
     LIFE,
+    SETTLE_MS,
     PoolHarness,
     list_starts,
     list_stops,
+    make_record,
     make_task,
     make_worker,
 )
@@ -231,6 +235,19 @@
     assert list_starts(harness.place()) == []
 
 
+def test_a_task_is_not_bound_forever_to_a_silent_worker_that_restarts_on_and_on():
+    harness, start = make_harness_with_start()
+    other = "w2" if start.worker == "w1" else "w1"
+    starts: list[StartRun] = []
+    for life in range(2, 12):
+        restart_worker(harness, start.worker, life)
+        for _ in range(32):
+            harness.pass_time(250)
+            harness.report(other)
+            starts.extend(list_starts(harness.place()))
+    assert [each.worker for each in starts] == [other]
+
+
 class RestartedWorker(OpenedWorker):
     """Another incarnation answers the second renewal and the following ones."""
 
@@ -282,3 +299,35 @@
     opened: list[FencingWorker] = []
     run_link(lambda: FencingWorker(opened), lambda: len(opened) > 1, monkeypatch)
     assert len(opened) == 2
+
+
+def make_successor(*former: str) -> PoolHarness:
+    """Return a new leader that knows the workers of the former one and has a recovered job."""
+    harness = PoolHarness(epoch=2)
+    workers = tuple(make_worker(name) for name in ("w1", "w2"))
+    restore_former_workers(harness.state, tuple(each for each in workers if each.worker in former))
+    harness.list_workers(*workers)
+    harness.handle_event(JobAccepted(make_record(1), recovered=True))
+    harness.report("w2")
+    return harness
+
+
+def test_a_successor_waits_for_a_silent_worker_that_restarted_as_long_as_its_lease_may_last():
+    harness = make_successor("w1", "w2")
+    restart_worker(harness, WorkerId("w1"))
+    for _ in range(LONGEST_LEASE_MS // 250):
+        harness.pass_time(250)
+        harness.report("w2")
+        assert list_starts(harness.place()) == []
+    harness.pass_time(1_000)
+    harness.report("w2")
+    assert len(list_starts(harness.place())) == 1
+
+
+def test_a_run_that_a_successor_finds_is_kept_until_the_leases_it_extended_are_over():
+    harness = make_successor("w1", "w2")
+    harness.state.former_leases_end_at = Instant(harness.now + SETTLE_MS + 2_000)
+    harness.report("w1", ((make_task(1), 5, 10),), with_lease=False)
+    harness.pass_time(SETTLE_MS + 500)
+    harness.report("w2")
+    assert list_starts(harness.place()) == []
