--- a/tests/common/fleet/workers.py
+++ b/tests/common/fleet/workers.py
@@ -16,6 +16,10 @@
 MAX_LEASE_MS = 6_000
 
 
+def _read_monotonic_ms() -> int:
+    return time.monotonic_ns() // 1_000_000
+
+
 @dataclass
 class ObservedRun:
     """One run as its worker observed it, in seconds of the monotonic clock."""
@@ -39,6 +43,8 @@
     log: list[ObservedRun]
     run_seconds: float = 0.1
     born: int = 1
+    clock_started_ms: int = 0
+    """Time of the monotonic clock at which the worker's own clock reads 0."""
     millicores: int = 4_000
     lost_responses: int = 0
     """Number of starts that are still to be carried out without a response."""
@@ -87,6 +93,7 @@
         self.closed_runs.clear()
         self.token, self.lease_until = 0, 0
         self.end_numbers = itertools.count(1)
+        self.clock_started_ms = _read_monotonic_ms()
         self.born += 1
         self.register()
 
@@ -95,7 +102,10 @@
             await self.server.close(0.0)
 
     def read_clock(self) -> int:
-        return time.monotonic_ns() // 1_000_000
+        return _read_monotonic_ms() - self.clock_started_ms
+
+    def _get_lease_end_seconds(self) -> float:
+        return (self.lease_until + self.clock_started_ms) / 1_000
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
         message = json.loads(request.body)
@@ -120,7 +130,8 @@
 
     def _start(self, message: dict[str, Any]) -> HttpResponse:
         key = (message["task"], message["runId"])
-        self.lease_until = max(self.lease_until, message["expiresMs"])
+        bound = self.read_clock() + MAX_LEASE_MS
+        self.lease_until = max(self.lease_until, min(message["expiresMs"], bound))
         if key in self.running:
             return self._reply(200)
         if message["runId"] <= self.closed_runs.get(message["task"], 0):
@@ -154,10 +165,10 @@
 
     def _expire(self) -> None:
         if self.read_clock() > self.lease_until:
-            self.lease_lapsed_at = self.lease_until / 1_000
+            self.lease_lapsed_at = self._get_lease_end_seconds()
         if self.running and self.read_clock() > self.lease_until:
             for key in list(self.running):
-                self._end(key, "lapsed", self.lease_until / 1_000)
+                self._end(key, "lapsed", self._get_lease_end_seconds())
 
     async def _renew_and_report(self, message: dict[str, Any]) -> HttpResponse:
         if "expiresMs" in message:
@@ -178,10 +189,10 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), message["waitMs"] / 1_000)
         running = [[task, run, "", 50] for task, run in self.running]
-        return self._reply(200, running=running, finished=self.unacknowledged_ends)
+        return self._reply(200, born=self.born, running=running, finished=self.unacknowledged_ends)
 
     def _reply(self, status: int, **fields: object) -> HttpResponse:
-        message = {"clockMs": self.read_clock(), "born": self.born, **fields}
+        message = {"clockMs": self.read_clock(), **fields}
         return HttpResponse(status, (), json.dumps(message).encode())
 
 
