--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -224,25 +224,20 @@
 
 
 def record_unanswered_start(state: PoolState, event: StartUnanswered, now: Instant) -> None:
-    """Remember a start command that may be carried out later; forget those that are too old."""
+    """Remember a start command that may be carried out later, by any incarnation of the worker."""
     starts = state.unanswered_starts.setdefault(event.worker, {})
-    key = (event.task, event.run)
-    starts.pop(key, None)
-    starts[key] = now
-    for other, noticed_at in list(starts.items()):
-        if now < noticed_at + UNANSWERED_START_MEMORY_MS:
-            break
-        del starts[other]
-
-
-def list_unanswered_starts(
-    state: PoolState, worker: WorkerId, now: Instant
-) -> tuple[tuple[TaskKey, RunNumber], ...]:
-    """Return the start commands to a worker that may still be carried out."""
-    starts = state.unanswered_starts.get(worker, {})
-    return tuple(
-        key for key, noticed_at in starts.items() if now < noticed_at + UNANSWERED_START_MEMORY_MS
-    )
+    starts[(event.task, event.run)] = now
+
+
+def forget_old_unanswered_starts(state: PoolState, now: Instant) -> None:
+    """Forget the start commands that can no longer be carried out."""
+    oldest = now - UNANSWERED_START_MEMORY_MS
+    for worker, starts in list(state.unanswered_starts.items()):
+        recent = {key: noticed_at for key, noticed_at in starts.items() if noticed_at > oldest}
+        if recent:
+            state.unanswered_starts[worker] = recent
+        else:
+            del state.unanswered_starts[worker]
 
 
 def mark_answered(
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -29,8 +29,8 @@
     allocate_room,
     confirm_attempt,
     find_step,
+    forget_old_unanswered_starts,
     handle_ended_run,
-    list_unanswered_starts,
     mark_attempt_lost,
 )
 from lentilpath_core.pool._sharing import adjust_paces
@@ -51,6 +51,7 @@
 ) -> tuple[PoolEffect, ...]:
     """Update the known workers from the complete list of registered workers."""
     effects: list[PoolEffect] = []
+    forget_old_unanswered_starts(state, now)
     listed = {each.worker: each for each in event.workers}
     for worker in list(state.workers.values()):
         worker.is_listed = worker.worker in listed
@@ -82,7 +83,7 @@
     the former incarnation still held are moved to the new one until it reports. What was sent for
     the former one may also have granted a lease, which the clock of the new one does not bound.
     """
-    unanswered = list_unanswered_starts(state, entry.worker, now)
+    unanswered = state.unanswered_starts.get(entry.worker, {})
     moved: list[Attempt] = []
     was_unconfirmed = entry.worker in state.unconfirmed_workers
     effects: list[PoolEffect] = []
--- a/tests/cover/test_pool_restarts.py
+++ b/tests/cover/test_pool_restarts.py
@@ -121,6 +121,7 @@
     harness.report(start.worker, ended=((1, start.task, start.run, RunEnd.DONE),))
     harness.pass_time(UNANSWERED_START_MEMORY_MS)
     assert restart_worker(harness, start.worker) == []
+    assert harness.state.unanswered_starts == {}
 
 
 class OpenedWorker:
