--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -30,6 +30,7 @@
 from lentilpath_core.pool._order import Rank, rank_step
 from lentilpath_core.pool._reservations import (
     compute_usable_room,
+    count_reserving_gangs,
     hold_reservation,
     is_plan_due,
     make_reservation,
@@ -54,7 +55,11 @@
 """Largest number of gangs that reserve workers at once. More would leave too much of the fleet
 idle."""
 MAX_UNPLACED_STEPS = 40
-"""A pass stops placing after this many steps that fit on no worker, which bounds its duration."""
+"""A pass examines steps in the order of their rank until this many have fit on no worker. The bound
+keeps a pass short on a small host."""
+MAX_UNPLACED_TURNS = 20
+"""After that, a pass examines the remaining steps until this many more have fit on no worker, those
+first that were not examined for longest. So each step has its turn, whatever waits before it."""
 
 Places = dict[int, Worker]
 
@@ -69,47 +74,68 @@
     state.reservations.clear()
     schedulable = [each for each in state.workers.values() if _is_schedulable(each, now)]
     effects: list[PoolEffect] = []
+    remaining: list[tuple[Rank, Step, list[Worker]]] = []
     unplaced = 0
-    reserving = 0
     for rank, step in ranked:
-        if step.job.is_recovered and state.unconfirmed_workers:
-            continue
-        if step.plan is not None:
-            if now < step.plan.expires_at:
-                continue
-            drop_plan(step)
-        if step.spec.gang and step.attempts:
+        if not _needs_places(state, step, now):
             continue
         candidates = _list_candidates(step, schedulable)
         if step.tickets is None and needs_advice(step):
             effects.extend(ask_about_new_workers(state, step, candidates, rank, now))
-            continue
-        if unplaced >= MAX_UNPLACED_STEPS:
-            continue
-        allowed = candidates
-        if step.tickets is not None:
-            allowed = [each for each in candidates if each.worker in step.tickets]
-        places = _choose_places(state, step, allowed, now)
-        if places:
-            effects.extend(_start_or_renew_tickets(state, step, places, rank, now))
-            continue
-        unplaced += 1
-        if needs_advice(step):
-            effects.extend(ask_about_new_workers(state, step, candidates, rank, now))
-        if step.spec.gang and reserving < MAX_RESERVING_GANGS and rank[0] < 2:
-            reserving += _reserve(state, step, allowed, now)
+        elif unplaced >= MAX_UNPLACED_STEPS:
+            remaining.append((rank, step, candidates))
+        else:
+            is_placed, caused = _place_step(state, step, candidates, rank, now)
+            effects.extend(caused)
+            unplaced += not is_placed
+    remaining.sort(key=lambda each: each[1].examined_at)
+    unplaced = 0
+    for rank, step, candidates in remaining:
+        if unplaced >= MAX_UNPLACED_TURNS:
+            break
+        is_placed, caused = _place_step(state, step, candidates, rank, now)
+        effects.extend(caused)
+        unplaced += not is_placed
     return tuple(effects)
 
 
-def _reserve(state: PoolState, step: Step, candidates: list[Worker], now: Instant) -> int:
-    """Hold resources for a gang that does not fit; return 1, or 0 if it can never fit there."""
+def _needs_places(state: PoolState, step: Step, now: Instant) -> bool:
+    """Return whether the step's waiting tasks are to be placed in this pass."""
+    if step.job.is_recovered and state.unconfirmed_workers:
+        return False
+    if step.plan is not None:
+        if now < step.plan.expires_at:
+            return False
+        drop_plan(step)
+    return not (step.spec.gang and step.attempts)
+
+
+def _place_step(
+    state: PoolState, step: Step, candidates: list[Worker], rank: Rank, now: Instant
+) -> tuple[bool, tuple[PoolEffect, ...]]:
+    """Start the step's tasks that fit, or prepare their start; return whether any task fits."""
+    step.examined_at = now
+    allowed = candidates
+    if step.tickets is not None:
+        allowed = [each for each in candidates if each.worker in step.tickets]
+    places = _choose_places(state, step, allowed, now)
+    if places:
+        return True, _start_or_renew_tickets(state, step, places, rank, now)
+    calls: tuple[PoolEffect, ...] = ()
+    if needs_advice(step):
+        calls = ask_about_new_workers(state, step, candidates, rank, now)
+    if step.spec.gang and rank[0] < 2 and count_reserving_gangs(state) < MAX_RESERVING_GANGS:
+        _reserve(state, step, allowed, now)
+    return False, calls
+
+
+def _reserve(state: PoolState, step: Step, candidates: list[Worker], now: Instant) -> None:
+    """Hold resources for a gang that does not fit, unless it can never fit there."""
     if is_plan_due(step, now):
         step.planned_at = now
         step.reservation = make_reservation(state, step, candidates, now)
-    if step.reservation is None:
-        return 0
-    hold_reservation(state, step.reservation)
-    return 1
+    if step.reservation is not None:
+        hold_reservation(state, step.reservation)
 
 
 def _is_schedulable(worker: Worker, now: Instant) -> bool:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_reservations.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_reservations.py
@@ -151,6 +151,11 @@
         state.reservations.setdefault(worker, reservation)
 
 
+def count_reserving_gangs(state: PoolState) -> int:
+    """Return how many gangs hold resources in the present pass."""
+    return len({each.step for each in state.reservations.values()})
+
+
 def reduce_spare(state: PoolState, step: Step, worker: Worker) -> None:
     """Take a task that starts on a reserved worker from what is left beside the gang."""
     reservation = state.reservations.get(worker.worker)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -161,6 +161,8 @@
     """Resources that the gang's last plan holds; `None` if the plan found too few."""
     planned_at: Instant | None = None
     """When the gang's start was last planned."""
+    examined_at: Instant = Instant(0)
+    """When places for the step's waiting tasks were last sought."""
     is_open: bool = False
 
     def is_done(self) -> bool:
--- a/tests/cover/test_pool_placement.py
+++ b/tests/cover/test_pool_placement.py
@@ -9,7 +9,9 @@
     RunEnd,
     StartAnswer,
     StepSpec,
+    _placement,
 )
+from lentilpath_core.pool._placement import MAX_UNPLACED_STEPS, MAX_UNPLACED_TURNS
 from lentilpath_core.resources import Resources
 from tests.common.pools import (
     TASK_RESOURCES,
@@ -160,3 +162,33 @@
     (again,) = list_starts(harness.place())
     assert again.worker != start.worker
     assert again.checkpoint == "c2"
+
+
+def test_a_step_that_fits_is_started_however_many_steps_before_it_fit_nowhere():
+    # A pass examined only the first 40 steps that fit nowhere, so those behind them never started.
+    harness = PoolHarness(URGENT, PATIENT)
+    harness.add_workers(make_worker("w1"), make_worker("w2"))
+    for job in range(1, 101):
+        harness.submit(job, StepSpec(3, BIG, gang=True), queue=URGENT.queue)
+    harness.submit(101, StepSpec(1, TASK_RESOURCES), queue=PATIENT.queue)
+    starts = []
+    for _ in range(5):
+        starts.extend(list_starts(harness.place()))
+        harness.pass_time(250)
+    assert [each.task.job for each in starts] == ["0000000000000065"]
+
+
+def test_a_pass_examines_a_bounded_number_of_steps_that_fit_nowhere(monkeypatch):
+    examined = []
+    monkeypatch.setattr(
+        _placement, "_choose_places", lambda _state, step, *_: examined.append(step.key.job)
+    )
+    harness = PoolHarness()
+    harness.add_workers(make_worker("w1"))
+    for job in range(1, 201):
+        harness.submit(job, StepSpec(2, BIG, gang=True))
+    for _ in range(10):
+        before = len(examined)
+        harness.place()
+        assert len(examined) - before <= MAX_UNPLACED_STEPS + MAX_UNPLACED_TURNS
+    assert len(set(examined)) == 200
