--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -185,19 +185,30 @@
     drop_plan(step)
     if plan is None or step.key not in state.open_steps:
         return ()
-    places = {
-        index: worker
-        for index, worker in plan.places.items()
-        if index in step.waiting
-        and _is_schedulable(worker, now)
-        and step.spec.counted_room.fits_in(worker.free)
-        and has_fresh_ticket(step, worker, now)
-    }
+    places = _confirm_places(step, plan.places, now)
     if step.spec.gang and len(places) < step.spec.count:
         return ()
     return _start_all(state, step, places, now)
 
 
+def _confirm_places(step: Step, planned: Places, now: Instant) -> Places:
+    """Return the planned places that are still possible, all of them together."""
+    places: Places = {}
+    left: dict[WorkerId, Resources] = {}
+    room = step.spec.counted_room
+    for index, worker in sorted(planned.items()):
+        free = left.get(worker.worker, worker.free)
+        if (
+            index in step.waiting
+            and _is_schedulable(worker, now)
+            and room.fits_in(free)
+            and has_fresh_ticket(step, worker, now)
+        ):
+            places[index] = worker
+            left[worker.worker] = free - room
+    return places
+
+
 def _choose_places(state: PoolState, step: Step, candidates: list[Worker], now: Instant) -> Places:
     """Return the cheapest worker for each waiting task that fits, by task index.
 
--- a/tests/cover/test_pool_room.py
+++ b/tests/cover/test_pool_room.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-from lentilpath_core.pool import AdvicePolicy, JobCancelled, RunEnd, StartAnswer, StepSpec
+from lentilpath_core.pool import (
+    AdvicePolicy,
+    JobCancelled,
+    RunEnd,
+    StartAnswer,
+    StepSpec,
+    StopRun,
+)
 from lentilpath_core.resources import Resources
 from tests.common.pools import (
     TASK_RESOURCES,
@@ -84,3 +91,33 @@
     harness.pass_time(2_000)
     harness.report("w1")
     assert len(list_advice_requests(harness.place())) == 1
+
+
+def shrink_worker(harness: PoolHarness, name: str, tasks: int) -> list[StopRun]:
+    """List a worker with room for this many tasks, and return the stops that follow."""
+    harness.effects.clear()
+    harness.list_workers(make_worker(name, room=TASK_RESOURCES.multiply(tasks), sequence=2))
+    return list_stops(harness.effects)
+
+
+def test_tickets_that_come_after_a_worker_has_shrunk_start_no_more_than_fits():
+    # Each task of a plan was compared with the free room by itself, whatever the others take.
+    harness = PoolHarness(make_queue(advice=ADVICE))
+    harness.add_workers(make_worker("w1"))
+    harness.submit(1, StepSpec(6, TASK_RESOURCES))
+    (ask,) = list_advice_requests(harness.place())
+    harness.grant_permissions(ask, "w1", valid_ms=100)
+    (again,) = list_advice_requests(harness.place())
+    shrink_worker(harness, "w1", tasks=2)
+    assert len(list_starts(harness.grant_permissions(again, "w1"))) == 2
+    assert harness.state.workers[again.workers[0]].free == Resources()
+
+
+def test_a_worker_that_has_shrunk_gets_starts_again_when_it_has_grown():
+    harness = PoolHarness()
+    harness.add_workers(make_worker("w1"))
+    shrink_worker(harness, "w1", tasks=1)
+    harness.submit(1, StepSpec(8, TASK_RESOURCES))
+    assert len(list_starts(harness.place())) == 1
+    harness.list_workers(make_worker("w1", sequence=3))
+    assert len(list_starts(harness.place())) == 7
