--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -40,6 +40,7 @@
     stop_attempt,
     update_open_steps,
 )
+from lentilpath_core.resources import NO_RESOURCES
 
 STOP_RETRY_MS = 1_000
 """A stop is sent again after this time if the run is still listed. It is over twice as long as the
@@ -64,6 +65,7 @@
                 continue
             if known.listed.capacity != entry.capacity:
                 known.free = known.free + entry.capacity - known.listed.capacity
+                effects.extend(_withdraw_starts(known, now))
             known.listed = entry
             update_leave_time(known, entry, now)
         else:
@@ -73,6 +75,19 @@
     return tuple(effects)
 
 
+def _withdraw_starts(worker: Worker, now: Instant) -> tuple[PoolEffect, ...]:
+    """Stop the latest starts that a worker has not answered, if its runs exceed its capacity."""
+    effects: list[PoolEffect] = []
+    expected = worker.free
+    pending = [each for each in worker.attempts.values() if each.phase is Phase.STARTING]
+    for attempt in sorted(pending, key=lambda each: each.begun_at, reverse=True):
+        if NO_RESOURCES.fits_in(expected):
+            break
+        expected = expected + attempt.room
+        effects.extend(stop_attempt(attempt, StopReason.NO_ROOM, now))
+    return tuple(effects)
+
+
 def _start_new_life(
     state: PoolState, former: Worker | None, entry: ListedWorker, now: Instant
 ) -> tuple[PoolEffect, ...]:
--- a/tests/cover/test_pool_room.py
+++ b/tests/cover/test_pool_room.py
@@ -113,6 +113,22 @@
     assert harness.state.workers[again.workers[0]].free == Resources()
 
 
+def test_starts_that_a_shrunk_worker_has_not_answered_are_withdrawn_the_latest_first():
+    harness = PoolHarness()
+    harness.add_workers(make_worker("w1"))
+    harness.submit(1, StepSpec(2, TASK_RESOURCES))
+    answered = list_starts(harness.place())
+    for start in answered:
+        harness.answer_start(start, StartAnswer.STARTED)
+    harness.pass_time(100)
+    harness.submit(2, StepSpec(4, TASK_RESOURCES))
+    pending = list_starts(harness.place())
+    stops = shrink_worker(harness, "w1", tasks=3)
+    assert len(stops) == 3
+    assert {each.task for each in stops} < {each.task for each in pending}
+    assert shrink_worker(harness, "w1", tasks=3) == []
+
+
 def test_a_worker_that_has_shrunk_gets_starts_again_when_it_has_grown():
     harness = PoolHarness()
     harness.add_workers(make_worker("w1"))
