--- a/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
@@ -16,6 +16,7 @@
 from lentilpath_core.pool._events import (
     AdviceAnswered,
     AskAdvice,
+    ClearRun,
     ConfigurationSet,
     DeleteJob,
     FinalsRecorded,
@@ -79,6 +80,7 @@
     "AdviceAnswered",
     "AdvicePolicy",
     "AskAdvice",
+    "ClearRun",
     "ConfigurationSet",
     "DeleteJob",
     "EndedRun",
--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -0,0 +1,134 @@
+"""Tasks that crash the workers that start them: suspected, started with care, and given up.
+
+Designed for jobs of which one task crashes its worker, again and again, beside jobs that only lost
+their workers to it. A worker that crashes tells nothing, so each run is suspected that it had
+answered to have started and had not listed in a report yet. A suspected task starts where no other
+start is in progress, so that the next crash points at one task. Once a report lists a run of it, it
+is no longer suspected. A worker that was only cut off clears its runs when it is heard again.
+"""
+
+from __future__ import annotations
+
+from lentilpath_core.ids import Instant
+from lentilpath_core.pool._events import ClearRun, PoolEffect, RecordRun
+from lentilpath_core.pool._model import JobState, RunEnd, RunNumber, RunRecord, TaskKey
+from lentilpath_core.pool._state import Attempt, PoolState, Step, Worker
+from lentilpath_core.pool._steps import find_step, finish_job, mark_run_number_used
+
+MAX_CRASHES = 3
+"""A task is given up after this many crashes in a row of workers that had just started it. Users
+allow it after two; one more spares tasks that were in a bad place twice."""
+SILENT_ENTRY_MS = 10_000
+"""A worker that is still listed this long after its last report is only cut off. The entry of a
+crashed worker expires after three heartbeats of 1,500 ms, and is kept for another 2,500 ms."""
+
+
+def count_suspicions(step: Step, index: int) -> int:
+    """Return how many runs of a task have crashed their worker, or may have."""
+    return len(step.crashed_runs.get(index, ())) + len(step.suspected_runs.get(index, ()))
+
+
+def list_startable(step: Step) -> list[int]:
+    """Return the waiting tasks that may start, the suspected ones first.
+
+    The others are about to be given up or to be cleared. A gang starts with all its tasks or not.
+    """
+    waiting = sorted(step.waiting)
+    if not step.suspected_runs and not step.crashed_runs:
+        return waiting
+    startable = [index for index in waiting if count_suspicions(step, index) < MAX_CRASHES]
+    if step.spec.gang and len(startable) < len(waiting):
+        return []
+    return sorted(startable, key=lambda index: count_suspicions(step, index) == 0)
+
+
+def is_quiet(worker: Worker) -> bool:
+    """Return whether the worker has listed all its runs, so that no start is in progress there."""
+    return all(attempt.is_confirmed for attempt in worker.attempts.values())
+
+
+def may_start(step: Step, index: int, worker: Worker) -> bool:
+    """Return whether a task may start on a worker beside the starts in progress there."""
+    if worker.kept_for is not None:
+        return False
+    return count_suspicions(step, index) == 0 or is_quiet(worker)
+
+
+def suspect_run(attempt: Attempt, now: Instant) -> bool:
+    """Note that a run was lost with its worker; return whether it may have crashed the worker."""
+    worker, step = attempt.worker, attempt.step
+    if step is None or worker.listed.leaves_in_ms is not None:
+        return False
+    if attempt.is_confirmed or not attempt.has_started:
+        return False
+    if not worker.suspects:
+        worker.suspected_at = now
+        worker.suspected_sequence = worker.listed.sequence
+    worker.suspects.append((attempt.task, attempt.run))
+    step.suspected_runs.setdefault(attempt.task.number, set()).add(attempt.run)
+    return True
+
+
+def clear_task(attempt: Attempt) -> None:
+    """Forget the crashes under a task: its worker has survived the start."""
+    if attempt.step is not None:
+        attempt.step.crashed_runs.pop(attempt.task.number, None)
+        attempt.step.suspected_runs.pop(attempt.task.number, None)
+
+
+def record_crashes(worker: Worker) -> tuple[PoolEffect, ...]:
+    """Store that a worker, whose process is over, has crashed under the runs suspected of it."""
+    suspects, worker.suspects = worker.suspects, []
+    return tuple(RecordRun(task, RunRecord(run, RunEnd.CRASHED)) for task, run in suspects)
+
+
+def clear_suspects(state: PoolState, worker: Worker) -> tuple[PoolEffect, ...]:
+    """Drop the suspicion of runs on a worker that lives: it was only cut off."""
+    if not worker.suspects:
+        return ()
+    suspects, worker.suspects = worker.suspects, []
+    state.needs_placement = True
+    for task, run in suspects:
+        step = find_step(state, task)
+        if step is not None:
+            _discard_suspicion(step, task.number, run)
+    return tuple(ClearRun(worker.worker, worker.life, task, run) for task, run in suspects)
+
+
+def clear_suspects_of_living_workers(state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
+    """Drop the suspicion of runs on workers that the registry shows to be alive."""
+    effects: list[PoolEffect] = []
+    for worker in state.workers.values():
+        if not worker.suspects or not worker.is_listed:
+            continue
+        heard_at = worker.reported_at if worker.reported_at is not None else worker.suspected_at
+        has_beaten = worker.listed.sequence > worker.suspected_sequence
+        if has_beaten or now >= heard_at + SILENT_ENTRY_MS:
+            effects.extend(clear_suspects(state, worker))
+    return tuple(effects)
+
+
+def _discard_suspicion(step: Step, index: int, run: RunNumber) -> None:
+    runs = step.suspected_runs.get(index)
+    if runs is not None:
+        runs.discard(run)
+        if not runs:
+            del step.suspected_runs[index]
+
+
+def handle_recorded_crash(
+    state: PoolState, task: TaskKey, run: RunNumber, now: Instant
+) -> tuple[PoolEffect, ...]:
+    """Handle the durable record of a crash: the job fails if the task has caused too many."""
+    step = find_step(state, task)
+    if step is None:
+        return ()
+    index = task.number
+    mark_run_number_used(step, index, run)
+    _discard_suspicion(step, index, run)
+    crashed = step.crashed_runs.setdefault(index, set())
+    crashed.add(run)
+    state.needs_placement = True
+    if len(crashed) < MAX_CRASHES or index in step.done or index in step.recording:
+        return ()
+    return finish_job(state, step.job, JobState.FAILED, state.wall_now, now)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -224,6 +224,8 @@
     tier: int
     """0 if the job could still meet its objective, 1 if it is late, 2 if it is too late to be of
     any value."""
+    is_suspected: bool = False
+    """Whether the task may crash its worker, so that the run is to be looked for right away."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,6 +252,18 @@
     """Whether a report of this incarnation of the worker has listed the run."""
     report_age_ms: int | None
     """Time since the request for the incarnation's last report; `None` if it never reported."""
+    is_suspected: bool
+    """Whether the run may have crashed the worker."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClearRun:
+    """Tell that a suspected run has not crashed its worker, which lives."""
+
+    worker: WorkerId
+    life: Life
+    task: TaskKey
+    run: RunNumber
 
 
 @dataclass(frozen=True, slots=True)
@@ -319,6 +333,7 @@
     | DeleteJob
     | StopRun
     | GiveUpRun
+    | ClearRun
     | AskAdvice
     | RecordRun
     | RecordFinal
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
@@ -199,7 +199,7 @@
 
 
 class RunEnd(Enum):
-    """How a run ended, as its worker reports it."""
+    """How a run ended, as its worker reports it or as the leader has found out."""
 
     DONE = "done"
     FAILED = "failed"
@@ -207,6 +207,8 @@
     LAPSED = "lapsed"
     BROKEN = "broken"
     ALONE = "alone"
+    CRASHED = "crashed"
+    """The worker's process has ended with the run; never reported, since that worker is gone."""
 
 
 class RunningRun(NamedTuple):
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -19,6 +19,7 @@
     record_answer,
     request_advice,
 )
+from lentilpath_core.pool._crashes import count_suspicions, is_quiet, list_startable, may_start
 from lentilpath_core.pool._events import PoolEffect, StartRun
 from lentilpath_core.pool._fit import (
     RESERVED_COST,
@@ -107,7 +108,7 @@
         if now < step.plan.expires_at:
             return False
         drop_plan(step)
-    return not (step.spec.gang and step.attempts)
+    return bool(list_startable(step)) and not (step.spec.gang and step.attempts)
 
 
 def _place_step(
@@ -201,6 +202,7 @@
         if (
             index in step.waiting
             and _is_schedulable(worker, now)
+            and may_start(step, index, worker)
             and room.fits_in(free)
             and has_fresh_ticket(step, worker, now)
         ):
@@ -218,11 +220,14 @@
     if step.spec.gang and options.count_slots() < step.spec.count:
         return {}
     places: Places = {}
-    for index in sorted(step.waiting):
-        best = options.take_cheapest(index)
+    for index in list_startable(step):
+        is_suspected = count_suspicions(step, index) > 0
+        best = options.take_quietest() if is_suspected else options.take_cheapest(index)
         if best is None:
             if step.spec.gang:
                 return {}
+            if is_suspected:
+                continue
             break
         places[index] = best
     return places
@@ -240,10 +245,13 @@
     ) -> None:
         self._state = state
         self._step = step
+        self._now = now
         self._room = step.spec.counted_room
         self._workers: list[Worker] = []
         self._free: list[Resources] = []
         for worker in candidates:
+            if worker.kept_for is not None:
+                continue
             free = compute_usable_room(state, step, worker, now)
             if self._room.fits_in(free):
                 self._workers.append(worker)
@@ -258,6 +266,8 @@
             self._rack_costs = compute_rack_costs(step, self._workers)
         self._heap: list[tuple[float, int]] | None = None
         """Costs and positions of the workers that have room for one more task."""
+        self._exclusive: set[int] = set()
+        """Positions of workers that were taken for a suspected task, and get no other."""
 
     def count_slots(self) -> int:
         """Return how many tasks of the step fit, counting no more than it has."""
@@ -291,12 +301,38 @@
             heapq.heappush(self._heap, (self._compute_cost(position), position))
         return self._workers[position]
 
+    def take_quietest(self) -> Worker | None:
+        """Return the worker with the fewest runs on which no start is in progress, or `None`.
+
+        Workers with a ticket go first. The worker gets no other task, so the suspected tasks of a
+        step are to be placed before its others.
+        """
+        quiet = [
+            position
+            for position, worker in enumerate(self._workers)
+            if self._has_room(position) and is_quiet(worker)
+        ]
+        if not quiet:
+            return None
+        best = min(
+            quiet,
+            key=lambda position: (
+                not has_fresh_ticket(self._step, self._workers[position], self._now),
+                len(self._workers[position].attempts),
+                self._compute_cost(position),
+            ),
+        )
+        self._exclusive.add(best)
+        return self._workers[best]
+
     def _allocate(self, position: int) -> None:
         worker_id = self._workers[position].worker
         self._free[position] = self._free[position] - self._room
         self._running[worker_id] = self._running.get(worker_id, 0) + 1
 
     def _has_room(self, position: int) -> bool:
+        if position in self._exclusive:
+            return False
         most = self._step.spec.most_per_worker
         if most and self._running.get(self._workers[position].worker, 0) >= most:
             return False
@@ -330,8 +366,10 @@
     calls = request_advice(step, workers, rank, now)
     hold_ms = max(call.cost_ms for call in calls) + PLAN_MARGIN_MS
     step.plan = Plan(dict(places), Instant(int(now + hold_ms)))
-    for worker in places.values():
+    for index, worker in places.items():
         worker.free = worker.free - step.spec.counted_room
+        if count_suspicions(step, index):
+            worker.kept_for = TaskKey(*step.key, index)
     effects.extend(calls)
     return tuple(effects)
 
@@ -350,6 +388,9 @@
         attempt = Attempt(task, run, worker, step, step.spec.counted_room, Phase.STARTING, now)
         attempt.progressed_at = now
         add_attempt(attempt)
+        is_suspected = count_suspicions(step, index) > 0
+        if is_suspected:
+            worker.kept_for = task
         reduce_spare(state, step, worker)
         ticket = (step.tickets or {}).get(worker.worker)
         checkpoint = step.checkpoints.get(get_shared_index(step.spec, index), "")
@@ -364,6 +405,7 @@
                 ticket.value if ticket is not None else "",
                 now - step.job.accepted_at,
                 rank_step(step, now)[0],
+                is_suspected,
             )
         )
     update_open_steps(state, step)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from lentilpath_core.ids import Instant, WorkerId
+from lentilpath_core.pool._crashes import clear_task, handle_recorded_crash, suspect_run
 from lentilpath_core.pool._events import (
     GiveUpRun,
     LossReason,
@@ -21,16 +22,17 @@
     RunNumber,
     RunRecord,
     StartAnswer,
-    StepKey,
     TaskKey,
 )
 from lentilpath_core.pool._state import Attempt, Phase, PoolState, Step, Worker
 from lentilpath_core.pool._steps import (
     break_gang,
     complete_while_recording,
+    find_step,
     handle_recorded_failure,
     handle_recorded_success,
     mark_run_number_used,
+    release_worker,
     requeue_task,
     update_open_steps,
 )
@@ -60,7 +62,9 @@
 
 def confirm_attempt(attempt: Attempt) -> None:
     """Mark a run as started by this incarnation of its worker, whose report lists it."""
-    attempt.is_confirmed = True
+    attempt.has_started = attempt.is_confirmed = True
+    release_worker(attempt.worker, attempt.task)
+    clear_task(attempt)
     _mark_job_started(attempt)
 
 
@@ -74,6 +78,7 @@
     if worker.attempts.pop((attempt.task, attempt.run), None) is None:
         return
     worker.free = worker.free + attempt.room
+    release_worker(worker, attempt.task)
     state.needs_placement = True
     step = attempt.step
     if step is not None and step.attempts.get(attempt.task.number) is attempt:
@@ -170,6 +175,8 @@
     state: PoolState, attempt: Attempt, reason: LossReason, now: Instant
 ) -> tuple[PoolEffect, ...]:
     """Give up a run that is known to be over although its outcome is unknown; requeue its task."""
+    is_lost_with_worker = reason in (LossReason.LEASE_LAPSED, LossReason.NEW_LIFE)
+    is_suspected = is_lost_with_worker and suspect_run(attempt, now)
     _remove_attempt(state, attempt)
     worker = attempt.worker
     given_up = GiveUpRun(
@@ -180,6 +187,7 @@
         reason,
         attempt.is_confirmed,
         now - worker.reported_at if worker.reported_at is not None else None,
+        is_suspected,
     )
     if attempt.step is None:
         return (given_up,)
@@ -202,6 +210,7 @@
     if event.answer is StartAnswer.STARTED:
         # The answer does not tell which incarnation has started the run; a report does.
         attempt.answered_at = now
+        attempt.has_started = True
         _mark_job_started(attempt)
         if attempt.phase is Phase.STARTING:
             attempt.phase = Phase.RUNNING
@@ -265,12 +274,6 @@
         step.job.has_started = True
     if record.end is RunEnd.DONE:
         return handle_recorded_success(state, task, now)
+    if record.end is RunEnd.CRASHED:
+        return handle_recorded_crash(state, task, record.run, now)
     return handle_recorded_failure(state, task, record.run, now)
-
-
-def find_step(state: PoolState, task: TaskKey) -> Step | None:
-    """Return the step of a task, or `None` if its job is not known any more."""
-    job = state.jobs.get(task.job)
-    if job is None:
-        return None
-    return job.steps.get(StepKey(task.job, task.occurrence, task.step))
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -47,6 +47,8 @@
     phase: Phase
     begun_at: Instant
     answered_at: Instant | None = None
+    has_started: bool = False
+    """Whether the worker has said, in an answer or a report, that it started the run."""
     is_confirmed: bool = False
     """Whether a report of this incarnation of the worker has listed the run."""
     percent: int = 0
@@ -85,6 +87,14 @@
     is_slow: bool = False
     leaves_at: Instant | None = None
     """The earliest time at which a leaving worker ends."""
+    kept_for: TaskKey | None = None
+    """The suspected task that is about to start here, or whose run no report has listed yet.
+    Nothing else starts meanwhile."""
+    suspects: list[tuple[TaskKey, RunNumber]] = field(default_factory=list)
+    """Lost runs that may have crashed the worker, while it is not known whether it lives."""
+    suspected_at: Instant = Instant(0)
+    suspected_sequence: int = 0
+    """The last known sequence of the worker's own reports when its runs became suspected."""
 
     @property
     def worker(self) -> WorkerId:
@@ -144,6 +154,10 @@
     """Runs whose failure is durable, by task index; a gang uses index 0."""
     failing: set[int] = field(default_factory=set)
     """Tasks whose failure is being recorded; they are requeued once the record is durable."""
+    crashed_runs: dict[int, set[RunNumber]] = field(default_factory=dict)
+    """Runs that had just begun when their worker crashed, by task index; stored."""
+    suspected_runs: dict[int, set[RunNumber]] = field(default_factory=dict)
+    """Runs that may be added to `crashed_runs`, by task index."""
     avoided_workers: dict[int, set[WorkerId]] = field(default_factory=dict)
     """Workers on which a task has failed, by task index."""
     tickets: dict[WorkerId, Ticket] | None = None
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
@@ -12,12 +12,28 @@
     StepSpec,
     TaskKey,
 )
-from lentilpath_core.pool._state import RUNS_PER_EPOCH, Attempt, Job, Phase, PoolState, Step
+from lentilpath_core.pool._state import (
+    RUNS_PER_EPOCH,
+    Attempt,
+    Job,
+    Phase,
+    PoolState,
+    Step,
+    Worker,
+)
 
 GANG_INDEX = 0
 """Index under which the run number, failures and checkpoint of a whole gang are kept."""
 
 
+def find_step(state: PoolState, task: TaskKey) -> Step | None:
+    """Return the step of a task, or `None` if its job is not known any more."""
+    job = state.jobs.get(task.job)
+    if job is None:
+        return None
+    return job.steps.get(StepKey(task.job, task.occurrence, task.step))
+
+
 def get_shared_index(spec: StepSpec, index: int) -> int:
     """Return the index under which a task's run number, failures and checkpoint are kept."""
     return GANG_INDEX if spec.gang else index
@@ -76,11 +92,18 @@
     """Release the resources that a step holds while its tickets are renewed."""
     if step.plan is None:
         return
-    for worker in step.plan.places.values():
+    for index, worker in step.plan.places.items():
         worker.free = worker.free + step.spec.counted_room
+        release_worker(worker, TaskKey(*step.key, index))
     step.plan = None
 
 
+def release_worker(worker: Worker, task: TaskKey) -> None:
+    """Let other tasks start on a worker that was kept for a suspected one."""
+    if worker.kept_for == task:
+        worker.kept_for = None
+
+
 def allocate_run_number(state: PoolState, step: Step, index: int) -> RunNumber:
     """Allocate and return the number of the next run of a task, or of a gang."""
     shared = get_shared_index(step.spec, index)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from lentilpath_core.ids import Instant
+from lentilpath_core.pool._crashes import clear_suspects, record_crashes, suspect_run
 from lentilpath_core.pool._events import (
     LossReason,
     PoolEffect,
@@ -28,7 +29,6 @@
     UNANSWERED_START_MEMORY_MS,
     allocate_room,
     confirm_attempt,
-    find_step,
     forget_old_unanswered_starts,
     handle_ended_run,
     mark_attempt_lost,
@@ -36,6 +36,7 @@
 from lentilpath_core.pool._sharing import adjust_paces
 from lentilpath_core.pool._state import Attempt, Phase, PoolState, Step, Worker
 from lentilpath_core.pool._steps import (
+    find_step,
     mark_run_number_used,
     stop_attempt,
     update_open_steps,
@@ -109,6 +110,7 @@
             if key in unanswered or _is_recent_and_unconfirmed(each, now)
         ]
         for attempt in moved:
+            suspect_run(attempt, now)
             del former.attempts[(attempt.task, attempt.run)]
         effects.extend(_remove_worker(state, former, now))
     worker = state.workers[entry.worker] = Worker(entry, entry.capacity)
@@ -136,7 +138,7 @@
 
 def _move_to_life(attempt: Attempt, worker: Worker, now: Instant) -> tuple[PoolEffect, ...]:
     """Move a run to the new incarnation, which may have started it too, and stop it there."""
-    moved = replace(attempt, worker=worker, answered_at=None, is_confirmed=False)
+    moved = replace(attempt, worker=worker, answered_at=None, has_started=False, is_confirmed=False)
     allocate_room(worker, moved)
     step = attempt.step
     if step is not None and step.attempts.get(attempt.task.number) is attempt:
@@ -167,9 +169,9 @@
     if worker is None or worker.life != event.life:
         return ()
     is_first = worker.reported_at is None
-    worker.reported_at = event.sent_at
+    worker.reported_at = max(event.sent_at, worker.reported_at or event.sent_at)
     state.unconfirmed_workers.discard(worker.worker)
-    effects: list[PoolEffect] = []
+    effects: list[PoolEffect] = list(clear_suspects(state, worker))
     for ended in event.report.ended:
         if ended.number > worker.last_end_number:
             worker.last_end_number = ended.number
@@ -246,6 +248,7 @@
         Phase.RUNNING,
         now,
         answered_at=now,
+        has_started=True,
         is_confirmed=True,
         percent=running.percent,
         progressed_at=now,
@@ -284,6 +287,7 @@
     effects: list[PoolEffect] = []
     for attempt in list(worker.attempts.values()):
         effects.extend(mark_attempt_lost(state, attempt, LossReason.NEW_LIFE, now))
+    effects.extend(record_crashes(worker))
     effects.append(ReleaseWorker(worker.worker, worker.life))
     state.workers.pop(worker.worker, None)
     state.unconfirmed_workers.discard(worker.worker)
--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -123,6 +123,8 @@
     POOL_HANDED_OVER = (547, "this process hands the leadership over to another host")
     RECORDS_REJECTED = (548, "the table finds records invalid and stores none of them; retrying")
     CONFIG_INVALID = (549, "the pools' configuration is invalid; the last valid one stays in force")
+    RUN_CLEARED = (550, "a run has not crashed its worker, which lives")
+    START_NOT_CHECKED = (551, "a worker did not answer right after the start of a suspected run")
     LEASE_NOT_EXTENDED = (
         540,
         "a worker of the previous leader did not answer the new leader's first renewal",
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -41,6 +41,9 @@
 """After this the next renewal is sent even if ends are not durable yet, to keep the leases."""
 RETRY_SECONDS = 0.1
 """Twice the longest network round trip."""
+START_CHECK_SECONDS = 0.1
+"""A suspected run is looked for this long after its start: ten times as long as a task takes that
+crashes its worker, and short enough that few workers crash meanwhile for another reason."""
 COMMAND_TIMEOUT_SECONDS = 0.8
 """Under a quarter of a lease, so that a lost command is noticed well before its lease expires."""
 MAX_CONCURRENT_COMMANDS = 3
@@ -134,6 +137,7 @@
         self._group: asyncio.TaskGroup | None = None
         self._early: list[Callable[[], None]] = []
         """Commands for a link that has been created but does not run yet."""
+        self._report_count = 0
         self._is_closed = False
         self._is_silent = False
         self._is_superseded = False
@@ -188,6 +192,7 @@
             self._is_silent = False
             log_event(Event.WORKER_RESPONDING, worker=self._listed.worker)
         self._clock.observe(report.clock, read_instant())
+        self._report_count += 1
         self._handle_event(WorkerReported(self._listed.worker, self._listed.life, report, sent_at))
         if report.ended:
             # An end is acknowledged only once all records that it causes are durable.
@@ -282,6 +287,27 @@
         self._handle_event(
             StartAnswered(effect.worker, effect.life, effect.task, effect.run, answer)
         )
+        if effect.is_suspected and answer is StartAnswer.STARTED:
+            await self._check_start(effect)
+
+    async def _check_start(self, effect: StartRun) -> None:
+        """Ask for a report soon after a start, without waiting for the renewal in flight."""
+        await asyncio.sleep(START_CHECK_SECONDS)
+        sent_at, report_count = read_instant(), self._report_count
+        try:
+            report = await self._client.renew(0, None, 0, RENEWAL_TIMEOUT_SECONDS)
+        except LentilpathError as error:
+            log_event(
+                Event.START_NOT_CHECKED,
+                worker=effect.worker,
+                task=format_task(effect.task),
+                run=effect.run,
+                error=str(error),
+            )
+            return
+        # Answers may overtake each other. An older report would bring back runs that have ended.
+        if report_count == self._report_count:
+            self._handle_event(WorkerReported(effect.worker, effect.life, report, sent_at))
 
     async def _try_start(self, effect: StartRun) -> StartAnswer | None:
         """Return the worker's answer, or `None` if the command may have been executed."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -14,6 +14,7 @@
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.pool import (
     AskAdvice,
+    ClearRun,
     ConfigurationSet,
     DeleteJob,
     GiveUpRun,
@@ -287,11 +288,16 @@
             reason=effect.reason.value,
             confirmed=effect.is_confirmed,
             report_age_ms=effect.report_age_ms,
+            suspected=effect.is_suspected,
         )
         link = self._links.get((effect.worker, effect.life))
         if link is not None:
             link[0].cancel_start(effect.task, effect.run)
 
+    @_execute.register
+    def _(self, effect: ClearRun) -> None:
+        self._log_run(Event.RUN_CLEARED, effect, life=effect.life)
+
     @_execute.register
     def _(self, effect: PaceRun) -> None:
         self._log_run(Event.RUN_PACED, effect, percent=effect.percent)
@@ -323,7 +329,10 @@
             link[1].cancel()
 
     def _log_run(
-        self, event: Event, effect: StartRun | StopRun | PaceRun | GiveUpRun, **more: object
+        self,
+        event: Event,
+        effect: StartRun | StopRun | PaceRun | GiveUpRun | ClearRun,
+        **more: object,
     ) -> None:
         log_event(
             event,
--- /dev/null
+++ b/tests/cover/test_pool_crashes.py
@@ -0,0 +1,240 @@
+"""A task that crashes the workers that start it is given up; others are not taken for it."""
+
+from __future__ import annotations
+
+from lentilpath_core.ids import WorkerId
+from lentilpath_core.pool import (
+    AdvicePolicy,
+    ClearRun,
+    JobAccepted,
+    JobState,
+    Life,
+    RecordFinal,
+    RecordRun,
+    RunEnd,
+    RunNumber,
+    RunRecord,
+    RunsRecovered,
+    StartAnswer,
+    StartRun,
+    StepSpec,
+    get_job_state,
+)
+from lentilpath_core.pool._crashes import MAX_CRASHES, SILENT_ENTRY_MS
+from tests.common.pools import (
+    SETTLE_MS,
+    TASK_RESOURCES,
+    PoolHarness,
+    list_advice_requests,
+    list_starts,
+    make_job_id,
+    make_queue,
+    make_record,
+    make_task,
+    make_worker,
+)
+
+NAMES = ("w1", "w2", "w3", "w4", "w5", "w6")
+
+
+def make_harness(epoch: int = 1, advice: AdvicePolicy | None = None) -> PoolHarness:
+    harness = PoolHarness(make_queue(advice=advice), epoch=epoch)
+    harness.add_workers(*(make_worker(name) for name in NAMES))
+    return harness
+
+
+def pass_time(harness: PoolHarness, ms: int, silent: str = "") -> None:
+    """Let time pass while all listed workers but one report the runs that they were given."""
+    for _ in range(ms // 250):
+        harness.pass_time(250)
+        for name in harness.listed:
+            if name != silent:
+                report_runs(harness, name)
+
+
+def report_runs(harness: PoolHarness, name: str) -> None:
+    attempts = harness.state.workers[WorkerId(name)].attempts.values()
+    harness.report(name, tuple((each.task, each.run, 50) for each in attempts))
+
+
+def crash_worker(harness: PoolHarness, start: StartRun) -> None:
+    """Let the worker fall silent for good, directly after the start."""
+    harness.effects.clear()
+    pass_time(harness, SETTLE_MS + 500, silent=start.worker)
+    remaining = [each for name, each in harness.listed.items() if name != start.worker]
+    harness.list_workers(*remaining)
+    pass_time(harness, 500)
+    harness.confirm_records()
+    harness.confirm_records()
+
+
+def start_one(harness: PoolHarness) -> StartRun:
+    (start,) = list_starts(harness.place())
+    harness.answer_start(start, StartAnswer.STARTED)
+    return start
+
+
+def test_a_task_that_crashes_each_worker_that_starts_it_is_given_up_and_its_job_fails():
+    harness = make_harness()
+    harness.submit(1)
+    for _ in range(MAX_CRASHES):
+        crash_worker(harness, start_one(harness))
+    assert get_job_state(harness.state, make_job_id(1)) is JobState.FAILED
+    assert list_starts(harness.place()) == []
+
+
+def test_a_crash_is_stored_and_counts_for_the_next_leader():
+    harness = make_harness()
+    harness.submit(1)
+    start = start_one(harness)
+    crash_worker(harness, start)
+    successor = make_harness(epoch=2)
+    successor.handle_event(JobAccepted(make_record(1), recovered=True))
+    record = RunRecord(start.run, RunEnd.CRASHED)
+    successor.handle_event(RunsRecovered(((start.task, record),)))
+    for _ in range(MAX_CRASHES - 1):
+        crash_worker(successor, start_one(successor))
+    assert get_job_state(successor.state, make_job_id(1)) is JobState.FAILED
+
+
+def test_a_task_that_may_have_crashed_too_many_workers_waits_until_that_is_known():
+    harness = make_harness()
+    harness.submit(1)
+    for _ in range(MAX_CRASHES - 1):
+        crash_worker(harness, start_one(harness))
+    start = start_one(harness)
+    pass_time(harness, SETTLE_MS + 500, silent=start.worker)
+    assert list_starts(harness.place()) == []
+    harness.report(start.worker)
+    assert list_starts(harness.place()) != []
+    assert get_job_state(harness.state, make_job_id(1)) is JobState.RUNNING
+
+
+def test_a_worker_that_stays_registered_was_cut_off_and_clears_its_runs():
+    harness = make_harness()
+    harness.submit(1)
+    for _ in range(MAX_CRASHES + 1):
+        start = start_one(harness)
+        pass_time(harness, SILENT_ENTRY_MS + 500, silent=start.worker)
+        harness.report(start.worker)
+    harness.confirm_records()
+    assert get_job_state(harness.state, make_job_id(1)) is JobState.RUNNING
+
+
+def test_a_worker_whose_own_reports_go_on_was_cut_off_and_clears_its_runs():
+    harness = make_harness()
+    harness.submit(1)
+    start = start_one(harness)
+    pass_time(harness, SETTLE_MS + 500, silent=start.worker)
+    assert harness.state.workers[start.worker].suspects
+    others = [each for name, each in harness.listed.items() if name != start.worker]
+    harness.list_workers(make_worker(start.worker, sequence=9), *others)
+    (cleared,) = [each for each in harness.pass_time(250) if isinstance(each, ClearRun)]
+    assert (cleared.worker, cleared.task, cleared.run) == (start.worker, start.task, start.run)
+    assert not harness.state.workers[start.worker].suspects
+
+
+def test_runs_that_a_report_has_listed_are_not_blamed_for_the_crash_and_clear_their_task():
+    harness = make_harness()
+    harness.submit(1)
+    for _ in range(MAX_CRASHES - 1):
+        crash_worker(harness, start_one(harness))
+    start = start_one(harness)
+    report_runs(harness, start.worker)
+    crash_worker(harness, start)
+    crash_worker(harness, start_one(harness))
+    assert get_job_state(harness.state, make_job_id(1)) is JobState.RUNNING
+
+
+def test_a_task_is_not_blamed_for_a_crash_unless_the_worker_had_said_that_it_started_it():
+    harness = make_harness()
+    harness.submit(1)
+    for _ in range(MAX_CRASHES + 1):
+        (start,) = list_starts(harness.place())
+        crash_worker(harness, start)
+    assert get_job_state(harness.state, make_job_id(1)) is JobState.QUEUED
+
+
+def test_a_worker_that_leaves_as_announced_has_not_crashed():
+    harness = make_harness()
+    harness.submit(1)
+    start = start_one(harness)
+    others = [each for name, each in harness.listed.items() if name != start.worker]
+    harness.list_workers(make_worker(start.worker, leaves_in_ms=1_000, sequence=2), *others)
+    harness.effects.clear()
+    harness.list_workers(*others)
+    pass_time(harness, SETTLE_MS + 500, silent=start.worker)
+    assert not any(isinstance(each, RecordRun) for each in harness.effects)
+    assert len(list_starts(harness.place())) == 1
+
+
+def test_a_restart_under_the_same_id_counts_although_the_run_is_stopped_there():
+    harness = make_harness()
+    harness.submit(1)
+    start = start_one(harness)
+    others = [each for name, each in harness.listed.items() if name != start.worker]
+    harness.effects.clear()
+    harness.list_workers(make_worker(start.worker, life=Life(2)), *others)
+    harness.confirm_records()
+    (step,) = harness.state.jobs[make_job_id(1)].steps.values()
+    assert step.crashed_runs == {0: {start.run}}
+
+
+def test_a_suspected_task_starts_where_nothing_else_is_starting_and_nothing_joins_it():
+    harness = make_harness()
+    harness.submit(1)
+    crash_worker(harness, start_one(harness))
+    harness.submit(2, StepSpec(4, TASK_RESOURCES, 500))
+    starts = list_starts(harness.place())
+    (suspected,) = [each for each in starts if each.task.job == make_job_id(1)]
+    assert suspected.worker not in {each.worker for each in starts if each is not suspected}
+    harness.submit(3, StepSpec(20, TASK_RESOURCES, 500))
+    assert suspected.worker not in {each.worker for each in list_starts(harness.place())}
+    harness.answer_start(suspected, StartAnswer.STARTED)
+    report_runs(harness, suspected.worker)
+    harness.submit(4, StepSpec(12, TASK_RESOURCES, 500))
+    assert suspected.worker in {each.worker for each in list_starts(harness.place())}
+
+
+def test_each_suspected_task_gets_a_worker_of_its_own_while_tickets_are_renewed():
+    # They all chose the same worker, on which only one of them could start at a time.
+    harness = make_harness(advice=AdvicePolicy(20.0, 1.0, 2_000))
+    for job in (1, 2):
+        harness.submit(job, StepSpec(2, TASK_RESOURCES, 500))
+    for ask in list_advice_requests(harness.place()):
+        harness.grant_permissions(ask, *NAMES)
+    starts = list_starts(harness.place())
+    for start in starts:
+        harness.answer_start(start, StartAnswer.STARTED)
+    assert len({start.worker for start in starts}) == 1
+    crash_worker(harness, starts[0])
+    renewals = list_advice_requests(harness.place())
+    again = [
+        start for each in renewals for start in list_starts(harness.grant_permissions(each, *NAMES))
+    ]
+    assert len({start.worker for start in again}) == len(again) == 4
+
+
+def test_each_member_of_a_gang_is_judged_by_its_own_workers():
+    harness = make_harness()
+    harness.submit(1, StepSpec(2, TASK_RESOURCES, 500, gang=True, most_per_worker=1))
+    first = list_starts(harness.place())
+    crash_worker(harness, first[0])
+    assert harness.state.jobs[make_job_id(1)].final is None
+    other = first[1]
+    harness.report(other.worker, ended=((1, other.task, other.run, RunEnd.BROKEN),))
+    second = list_starts(harness.place())
+    assert len(second) == 2
+    crash_worker(harness, second[1])
+    assert harness.state.jobs[make_job_id(1)].final is None
+
+
+def test_the_final_state_of_a_given_up_job_is_stored():
+    harness = make_harness()
+    harness.submit(1)
+    start = start_one(harness)
+    for run in range(start.run, start.run + MAX_CRASHES):
+        record = RunRecord(RunNumber(run), RunEnd.CRASHED)
+        harness.handle_event(RunsRecovered(((make_task(1), record),)))
+    (final,) = [each for each in harness.effects if isinstance(each, RecordFinal)]
+    assert final.final.state is JobState.FAILED
--- a/tests/cover/test_pool_link.py
+++ b/tests/cover/test_pool_link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import typing
+from dataclasses import replace
 
 from lentilpath_core.errors import OutcomeUnknown
 from lentilpath_core.ids import Epoch, WorkerId, WorkerTime
@@ -12,9 +13,12 @@
     LeaseSent,
     RunEnd,
     RunNumber,
+    StartAnswer,
+    StartAnswered,
     StartRun,
     StartUnanswered,
     WorkerReport,
+    WorkerReported,
 )
 from lentilpathd._pool import _link
 from lentilpathd._pool._link import WorkerLink
@@ -168,3 +172,33 @@
 
     run_link(client, 10, monkeypatch, on_poll)
     assert client.starts == 1
+
+
+class SlowReports(SilencedWorker):
+    """Starts runs, answers a long poll only after a minute, and other requests at once."""
+
+    async def start(self, task, run, text, checkpoint, ticket, lease_until, timeout):
+        self.starts += 1
+        return StartAnswer.STARTED
+
+    async def renew(self, last_end_number, lease_until, wait_ms, timeout):
+        report = await super().renew(last_end_number, lease_until, wait_ms, timeout)
+        if wait_ms:
+            await asyncio.sleep(60.0)
+        self.silent_renewals += self.starts
+        return report
+
+
+def test_a_suspected_run_is_looked_for_right_after_its_start(monkeypatch):
+    client = SlowReports(answers=9)
+    monkeypatch.setattr(_link, "START_CHECK_SECONDS", 0.001)
+    sent: list[None] = []
+
+    def on_poll(link):
+        if not sent and client.numbers[1:]:
+            sent.append(link.send_start(replace(make_start(), is_suspected=True)))
+
+    events = run_link(client, 1, monkeypatch, on_poll)
+    assert isinstance(events[-2], StartAnswered)
+    assert isinstance(events[-1], WorkerReported)
+    assert client.leases[-1] is None
