Stand-in workers: tasks that crash them, capacity that shrinks, workers that do not guard it

Simulated: a job's task may crash each worker that starts it, 10 ms after the start; the machine has a worker again 2.5 to 3.5 s later, under the old id or a new one, and commands to the old id are then answered by another instance. A worker's capacity may shrink and grow again, and its registry entry follows within a heartbeat. Without enforcement workers start whatever they are told. The checks are BUDGET, LIMIT and LOST beside TWICE; a start that was carried out late is held against the capacities since it was sent.

--- /dev/null
+++ b/tests/common/simulated_pool.py
@@ -0,0 +1,324 @@
+"""The real `Term` of a pool on simulated workers in virtual time, and checks of their log."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+import sys
+import typing
+from bisect import bisect
+from collections.abc import Iterable
+
+import pytest
+
+from lentilpath_core.ids import ConfigVersion, Epoch, HostId, Incarnation, JobId, RowVersion
+from lentilpath_core.pool import JobRecord, JobState, PoolConfiguration, StepSpec, TaskKey
+from lentilpathd._events import EventLine
+from lentilpathd._pool._context import PoolContext
+from lentilpathd._pool._leadership import PoolLeadership
+from lentilpathd._pool._ports import Deposed, PartitionRow, PartitionRows
+from lentilpathd._pool._records import encode_record, format_task, get_job_partitions
+from lentilpathd._pool._settings import PoolHostSettings
+from lentilpathd._pool._term import Term
+from tests.common.pools import QUEUE, make_job_id, make_queue
+from tests.common.simulated_workers import (
+    ROOM,
+    Faults,
+    SimulatedCluster,
+    SimulatedRun,
+    read_time,
+)
+from tests.common.tables import ADDRESS, OnePartitionTable
+from tests.common.virtual_time import run_in_virtual_time
+
+FAULT_SECONDS = 40.0
+CALM_SECONDS = 90.0
+"""Bound on the time in which all jobs complete once faults are over."""
+JOB_COUNT = 40
+WORKER_COUNT = 6
+CLOCK_SLACK_SECONDS = 0.002
+"""Both clocks are read in whole milliseconds."""
+SHRUNK_SECONDS = 5.5
+"""Capacity that has shrunk counts this long: contactMs and a heartbeat."""
+CRASHES = 3
+"""A task is not started this often again after as many workers have crashed under it."""
+
+
+class SharedRows(OnePartitionTable):
+    """One host's path to the rows of all hosts, which a test can cut."""
+
+    def __init__(self, rows: SharedRows | None = None) -> None:
+        super().__init__()
+        self._shared = rows or self
+
+    async def commit(self, transaction, timeout, prefer_relay=False):
+        await asyncio.sleep(0.01)
+        if self.is_unavailable:
+            raise self.unavailable_error
+        self._shared.clock_ms = int(read_time() * 1_000)
+        if self._shared is self:
+            return await super().commit(transaction, timeout, prefer_relay)
+        return await OnePartitionTable.commit(self._shared, transaction, timeout)
+
+    async def read_partition(self, table, partition, first, end, timeout):
+        await asyncio.sleep(0.01)
+        if self.is_unavailable:
+            raise self.unavailable_error
+        self._shared.clock_ms = int(read_time() * 1_000)
+        read = await OnePartitionTable.read_partition(
+            self._shared, table, partition, first, end, timeout
+        )
+        rows = tuple(row for row in read.rows if row.part == partition)
+        return PartitionRows(rows, read.version, read.clock_ms)
+
+    async def follow(self, table, after, wait_seconds, timeout):
+        await asyncio.sleep(0.1)
+        if self.is_unavailable:
+            raise self.unavailable_error
+        shared = self._shared
+        rows = tuple(row for row in shared.rows.values() if row.version > after)
+        rows = tuple(row for row in rows if "/" not in row.key and row.part != "cell")
+        return PartitionRows(rows, RowVersion(shared.version), shared.clock_ms)
+
+    def put_job(self, record: JobRecord) -> None:
+        self.version += 1
+        part = get_job_partitions(record.job)[0]
+        row = PartitionRow(part, record.job, encode_record(record), RowVersion(self.version))
+        self.rows[record.job] = row
+
+
+class SimulatedHost:
+    """A host that leads whenever it can, without callers and peers."""
+
+    def __init__(self, name: str, rows: SharedRows, cluster: SimulatedCluster) -> None:
+        self.name = name
+        self.path = SharedRows(rows)
+        self.term: Term | None = None
+        settings = PoolHostSettings(
+            *(typing.cast(typing.Any, name),) * 3, *(ADDRESS,) * 4, 10_000, 5_000
+        )
+        unused = typing.cast(typing.Any, None)
+        configuration = PoolConfiguration(ConfigVersion(1), {QUEUE: make_queue(max_attempts=99)})
+        self.context = PoolContext(
+            settings,
+            Incarnation(name),
+            unused,
+            typing.cast(typing.Any, self.path),
+            typing.cast(typing.Any, cluster),
+            cluster.open_client,
+            unused,
+            unused,
+            unused,
+            typing.cast(typing.Any, CountsNothing()),
+            lambda: configuration,
+            *(unused,) * 4,
+        )
+        self.leadership = PoolLeadership(self.path, HostId(name), Incarnation(name), ADDRESS)
+
+    async def run(self) -> None:
+        while True:
+            epoch: Epoch = await self.leadership.acquire()
+            self.term = Term(self.context, epoch, self.leadership)
+            try:
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(self.leadership.renew_forever(epoch))
+                    group.create_task(self.term.run())
+            except* Deposed:
+                pass
+            finally:
+                self.term = None
+
+
+class CountsNothing:
+    """Stands for the metrics."""
+
+    def count(self, *_: object) -> None:
+        pass
+
+    def record_time(self, *_: object) -> None:
+        pass
+
+
+class TimelineHandler(logging.Handler):
+    """Adds the leaders' own events to the log of the cluster."""
+
+    def __init__(self, cluster: SimulatedCluster) -> None:
+        super().__init__(logging.INFO)
+        self._cluster = cluster
+
+    def emit(self, record: logging.LogRecord) -> None:
+        if record.args and isinstance(record.args, tuple):
+            line = record.args[0]
+            if isinstance(line, EventLine):
+                self._cluster.note(f"  leader: {line.event.text} {line.fields}")
+
+
+def make_jobs(cluster: SimulatedCluster) -> list[tuple[float, JobRecord]]:
+    """Draw jobs of single tasks, of steps of several tasks and of gangs, with their times."""
+    chance = cluster.random
+    jobs = []
+    for number in range(1, JOB_COUNT + 1):
+        ms = chance.randint(200, 4_000)
+        gang = StepSpec(chance.randint(2, 4), ROOM, ms, gang=True)
+        steps = chance.choice(
+            (
+                (StepSpec(1, ROOM, ms),),
+                (StepSpec(chance.randint(2, 5), ROOM, ms), StepSpec(2, ROOM, ms, after=(0,))),
+                (gang,),
+                (gang, StepSpec(1, ROOM, ms, after=(0,))),
+            )
+        )
+        record = JobRecord(make_job_id(number), QUEUE, str(ms), steps)
+        if cluster.faults.crashing and chance.random() < cluster.faults.crashing:
+            step = chance.randrange(len(steps))
+            task = TaskKey(record.job, 0, step, chance.randrange(steps[step].count))
+            cluster.crashing.add(task)
+        jobs.append((chance.uniform(0.0, FAULT_SECONDS - 5.0), record))
+    return sorted(jobs, key=lambda job: job[0])
+
+
+async def simulate(cluster: SimulatedCluster) -> list[str]:
+    """Run the pool through the faults and a calm time; return the jobs that did not end as due.
+
+    Jobs with a task that crashes workers are due to fail, all others to complete.
+    """
+    begun_at = read_time()
+    for worker in cluster.workers.values():
+        worker.boot()
+    rows = SharedRows()
+    hosts = [SimulatedHost(f"h{number}", rows, cluster) for number in range(2)]
+    running = [asyncio.create_task(host.run()) for host in hosts]
+    cluster.spawn(cluster.disturb_workers(begun_at + FAULT_SECONDS))
+    cluster.spawn(replace_leaders(cluster, hosts, running))
+    for at, record in make_jobs(cluster):
+        cluster.jobs[record.job] = record
+        await asyncio.sleep(max(0.0, begun_at + at - read_time()))
+        rows.put_job(record)
+    await asyncio.sleep(begun_at + FAULT_SECONDS - read_time())
+    cluster.note("faults are over")
+    cluster.faults = Faults()
+    due = dict.fromkeys(cluster.jobs, JobState.COMPLETED)
+    due.update(dict.fromkeys((task.job for task in cluster.crashing), JobState.FAILED))
+    open_jobs = {job: [""] for job in due}
+    while open_jobs and read_time() < begun_at + FAULT_SECONDS + CALM_SECONDS:
+        await asyncio.sleep(1.0)
+        terms = [host.term for host in hosts if host.term is not None]
+        shown = {job: [show_state(term, job) for term in terms] for job in due}
+        open_jobs = {job: states for job, states in shown.items() if due[job].value not in states}
+    await asyncio.sleep(13.0)
+    assert all(not task.done() for task in running), [task for task in running if task.done()]
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in others:
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
+    return [
+        f"LOST: {job} is {' and '.join(states)}, not {due[job].value}"
+        for job, states in open_jobs.items()
+    ]
+
+
+def show_state(term: Term, job: str) -> str:
+    state = term.get_state(JobId(job))
+    return state.value if state is not None else "unknown"
+
+
+async def replace_leaders(
+    cluster: SimulatedCluster, hosts: list[SimulatedHost], running: list[asyncio.Task[None]]
+) -> None:
+    """Crash the leader's host from time to time, or cut it off from the table."""
+    times = (cluster.random.uniform(2.0, FAULT_SECONDS) for _ in range(cluster.faults.takeovers))
+    begun_at = read_time()
+    for at in sorted(times):
+        await asyncio.sleep(max(0.0, begun_at + at - read_time()))
+        index = next((n for n, host in enumerate(hosts) if host.term is not None), 0)
+        host = hosts[index]
+        if cluster.faults.isolates_leader:
+            cluster.note(f"{host.name} is cut off from the table")
+            host.path.is_unavailable = True
+            asyncio.get_running_loop().call_later(6.0, setattr, host.path, "is_unavailable", False)
+            continue
+        cluster.note(f"{host.name} crashes")
+        running[index].cancel()
+        await asyncio.wait({running[index]})
+        await asyncio.sleep(2.5)
+        running[index] = asyncio.create_task(host.run())
+
+
+def check_runs(runs: list[SimulatedRun]) -> Iterable[str]:
+    """Yield the promises that the workers' log shows to be broken."""
+    by_task: dict[str, list[SimulatedRun]] = {}
+    for run in runs:
+        by_task.setdefault(format_task(run.task), []).append(run)
+    for task, each in by_task.items():
+        for first, second in itertools.permutations(each, 2):
+            if first.started_at > second.started_at:
+                continue
+            first_end = first.ended_at if first.ended_at is not None else float("inf")
+            names = " and ".join(
+                f"{each.place} run {each.run} ({each.origin})" for each in (first, second)
+            )
+            if second.started_at < first_end - CLOCK_SLACK_SECONDS:
+                yield f"TWICE: {task} at the same time, {names} at {second.started_at:.3f}"
+            elif first.end == "done" and first.is_acknowledged:
+                yield f"TWICE: {task} after its success, {names} at {second.started_at:.3f}"
+
+
+def check_capacities(cluster: SimulatedCluster) -> Iterable[str]:
+    """Yield the starts that brought a worker over its capacity.
+
+    A start that is carried out late is held against the capacities since it was sent.
+    """
+    by_place: dict[str, list[SimulatedRun]] = {}
+    for run in cluster.runs:
+        by_place.setdefault(run.place, []).append(run)
+    for place, runs in by_place.items():
+        worker = cluster.workers[place.partition(".")[0]]
+        for run in runs:
+            at = run.started_at
+            held = [
+                each
+                for each in runs
+                if each.started_at <= at
+                and (each.ended_at is None or at < each.ended_at - CLOCK_SLACK_SECONDS)
+            ]
+            capacities = worker.list_capacities(run.sent_at - SHRUNK_SECONDS, at)
+            if not any(ROOM.multiply(len(held)).fits_in(each) for each in capacities):
+                names = ", ".join(f"{format_task(each.task)} run {each.run}" for each in held)
+                yield f"LIMIT: {place} has {names} at {at:.3f}, the last {run.origin}"
+
+
+def check_crashes(cluster: SimulatedCluster) -> Iterable[str]:
+    """Yield the tasks that were started too often after workers had crashed under them."""
+    for task in sorted(cluster.crashing):
+        runs = [each for each in cluster.runs if each.task == task]
+        crashes = sorted(each.ended_at or 0.0 for each in runs if each.end == "crashed")
+        later = [each for each in runs if bisect(crashes, each.started_at) >= CRASHES]
+        if len(later) >= CRASHES:
+            names = ", ".join(f"{each.place} at {each.started_at:.3f}" for each in later[:CRASHES])
+            yield f"BUDGET: {format_task(task)} after {CRASHES} crashes, {names}"
+
+
+def run_seed(
+    seed: int, faults: Faults, patch: pytest.MonkeyPatch, enforces_capacity: bool = True
+) -> tuple[list[str], str]:
+    """Return the problems of one seed, and the timeline of the tasks that have them."""
+    cluster = SimulatedCluster(seed, faults, WORKER_COUNT, enforces_capacity)
+    modules = [
+        module
+        for name, module in list(sys.modules.items())
+        if name.startswith("lentilpathd._pool.") and hasattr(module, "read_instant")
+    ]
+    handler = TimelineHandler(cluster)
+    root = logging.getLogger()
+    level = root.level
+    root.addHandler(handler)
+    root.setLevel(logging.INFO)
+    try:
+        problems = run_in_virtual_time(simulate(cluster), patch, *modules)
+    finally:
+        root.removeHandler(handler)
+        root.setLevel(level)
+    for check in (check_runs(cluster.runs), check_capacities(cluster), check_crashes(cluster)):
+        problems.extend(check)
+    return problems, "\n".join(f"{at:.3f} {text}" for at, text in cluster.log)
--- a/tests/common/simulated_workers.py
+++ b/tests/common/simulated_workers.py
@@ -1,13 +1,15 @@
 """Workers in memory that follow PROTOCOL.md, "Running tasks", on a network that fails by a seed.
 
-A worker keeps its id over restarts. Each incarnation starts with nothing: no runs, no ends, no
-token, and a clock near 0. Commands name the id only, so the incarnation that lives when a command
-arrives carries it out. All times are seconds of the event loop unless they are named otherwise.
+A worker keeps its id over restarts; only one that a task has crashed may be back under a new id on
+the same machine. Each incarnation starts with nothing: no runs, no ends, no token, and a clock near
+0. Commands name the id only, so the incarnation that lives when a command arrives carries it out.
+All times are seconds of the event loop unless they are named otherwise.
 """
 
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field, replace
@@ -38,9 +40,13 @@
 LONGEST_STOP_SECONDS = 0.4
 SILENCE_SECONDS = 4.2
 """A worker that is silent for three heartbeat intervals is removed from the registry."""
+HEARTBEAT_SECONDS = 1.5
 SLOTS = 4
+CAPACITY = Resources(SLOTS * 1_000, 8_192, 0)
 ROOM = Resources(1_000, 512, 0)
 MAX_CLOCK_DRIFT = 0.02
+CRASH_DELAY_SECONDS = 0.01
+"""Time from the start of a task that crashes its worker to the crash."""
 
 
 @dataclass(frozen=True)
@@ -60,6 +66,10 @@
     """Longest delay of a late command."""
     isolates_leader: bool = False
     """A former leader goes on commanding workers while only the table is out of its reach."""
+    crashing: float = 0.0
+    """Share of jobs with a task that crashes each worker that starts it."""
+    shrink_seconds: float = 0.0
+    """Mean time between shrinks of a worker's capacity, which grows back after some seconds."""
 
 
 @dataclass
@@ -69,6 +79,8 @@
     task: TaskKey
     run: RunNumber
     place: str
+    sent_at: float
+    """When the command that started it was sent."""
     started_at: float
     begun_at: float | None = None
     """When the work began: for a gang when all its members were present."""
@@ -83,10 +95,16 @@
 class SimulatedCluster:
     """All workers, the registry that lists them, and the log of what took place."""
 
-    def __init__(self, seed: int, faults: Faults, worker_count: int) -> None:
+    def __init__(
+        self, seed: int, faults: Faults, worker_count: int, enforces_capacity: bool = True
+    ) -> None:
         self.random = random.Random(seed)
         self.faults = faults
+        self.enforces_capacity = enforces_capacity
+        """Whether workers refuse runs that do not fit, as the service's configuration says."""
         self.jobs: dict[str, JobRecord] = {}
+        self.crashing: set[TaskKey] = set()
+        """Tasks that crash each worker that starts them."""
         self.runs: list[SimulatedRun] = []
         self.log: list[tuple[float, str]] = []
         self._tasks: set[asyncio.Task[object]] = set()
@@ -106,6 +124,10 @@
     def get_step(self, task: TaskKey) -> StepSpec:
         return self.jobs[task.job].steps[task.step]
 
+    def is_in_use(self, machine: str) -> bool:
+        """Return whether a worker of any id runs on the machine."""
+        return any(each.is_up for each in self.workers.values() if each.machine == machine)
+
     async def read_workers(self, timeout: float) -> tuple[ListedWorker, ...]:
         """Return the registry's entries; see `Registry`."""
         await asyncio.sleep(self.random.uniform(0.002, 0.04))
@@ -116,19 +138,20 @@
     def open_client(self, listed: ListedWorker, token: FencingToken) -> SimulatedClient:
         return SimulatedClient(self, listed, token)
 
-    async def crash_and_cut(self, until: float) -> None:
-        """Crash workers and cut them off until then."""
+    async def disturb_workers(self, until: float) -> None:
+        """Crash workers, cut them off and shrink their capacity until then."""
         events: list[tuple[float, Callable[[SimulatedWorker], None]]] = []
         for mean, act in (
             (self.faults.crash_seconds, lambda worker: worker.crash()),
             (self.faults.cut_seconds, lambda worker: worker.cut()),
+            (self.faults.shrink_seconds, lambda worker: worker.shrink()),
         ):
             at = read_time()
             while mean and (at := at + self.random.expovariate(len(self.workers) / mean)) < until:
                 events.append((at, act))
         for at, act in sorted(events, key=lambda event: event[0]):
             await asyncio.sleep(at - read_time())
-            act(self.random.choice(list(self.workers.values())))
+            act(self.random.choice([each for each in self.workers.values() if not each.is_gone]))
 
 
 def read_time() -> float:
@@ -141,14 +164,21 @@
 
     cluster: SimulatedCluster
     name: str
+    machine: str = ""
+    """Name of the first worker on the same machine."""
     life: Life = Life(0)
     is_up: bool = False
+    is_gone: bool = False
+    """Whether the machine has a worker of another id since."""
     cut_until: float = 0.0
     seen_at: float = 0.0
     entry: ListedWorker = field(init=False)
+    capacities: list[tuple[float, Resources]] = field(default_factory=lambda: [(0.0, CAPACITY)])
+    """The capacities that it had, each with the time from which it did."""
 
     def __post_init__(self) -> None:
-        self.entry = make_worker(self.name, Resources(SLOTS * 1_000, 8_192, 0), life=Life(1))
+        self.machine = self.machine or self.name
+        self.entry = make_worker(self.name, CAPACITY, life=Life(1))
 
     def boot(self, registry_delay: float = 0.0) -> None:
         """Start the next incarnation."""
@@ -170,14 +200,38 @@
         """End this incarnation; the next one comes within 3 s, at times behind a cut."""
         if not self.is_up:
             return
+        self._end_life()
+        chance = self.cluster.random
+        asyncio.get_running_loop().call_later(chance.uniform(0.0, 3.0), self._return)
+
+    def _end_life(self) -> None:
         self.cluster.note(f"{self.name}.{self.life} crashes")
         self.expire()
         self.is_up = False
         self.seen_at = read_time()
         for run in list(self.running.values()):
             self._close(run, "crashed", read_time())
+
+    def _crash_under(self, run: SimulatedRun) -> None:
+        """End the incarnation that runs this; its machine has a worker again after about 3 s."""
+        if run.ended_at is not None:
+            return
+        self._end_life()
         chance = self.cluster.random
-        asyncio.get_running_loop().call_later(chance.uniform(0.0, 3.0), self._return)
+        come_back = chance.choice((self._return_under_old_id, self._return_under_new_id))
+        asyncio.get_running_loop().call_later(chance.uniform(2.5, 3.5), come_back)
+
+    def _return_under_old_id(self) -> None:
+        self.boot()
+        self.cluster.note(f"{self.name}.{self.life} is up")
+
+    def _return_under_new_id(self) -> None:
+        self.is_gone = True
+        name = f"w{len(self.cluster.workers)}"
+        self.cluster.note(f"{self.name} is back as {name}")
+        worker = SimulatedWorker(self.cluster, name, self.machine, cut_until=self.cut_until)
+        self.cluster.workers[name] = worker
+        worker.boot()
 
     def _return(self) -> None:
         chance = self.cluster.random
@@ -191,6 +245,32 @@
         self.cut_until = read_time() + self.cluster.random.uniform(0.5, 7.0)
         self.cluster.note(f"{self.name} is cut off until {self.cut_until:.3f}")
 
+    def shrink(self) -> None:
+        """Take some of the capacity away for some seconds."""
+        chance = self.cluster.random
+        self._set_capacity(replace(CAPACITY, millicores=chance.randrange(1, SLOTS) * 1_000))
+        grow_delay = chance.uniform(3.0, 15.0)
+        asyncio.get_running_loop().call_later(grow_delay, self._set_capacity, CAPACITY)
+
+    def _set_capacity(self, capacity: Resources) -> None:
+        self.capacities.append((read_time(), capacity))
+        self.cluster.note(f"{self.name} has {capacity}")
+        delay = self.cluster.random.uniform(0.0, HEARTBEAT_SECONDS)
+        asyncio.get_running_loop().call_later(delay, self._write_capacity)
+
+    def _write_capacity(self) -> None:
+        if self.is_up:
+            capacity, sequence = self.get_capacity(), self.entry.sequence + 1
+            self.entry = replace(self.entry, capacity=capacity, sequence=sequence)
+
+    def get_capacity(self) -> Resources:
+        return self.capacities[-1][1]
+
+    def list_capacities(self, since: float, until: float) -> list[Resources]:
+        """Return the capacities that the worker had at any time between these two."""
+        changes = itertools.pairwise([*self.capacities, (float("inf"), CAPACITY)])
+        return [each for (at, each), (end, _) in changes if at <= until and end >= since]
+
     def is_registered(self) -> bool:
         return self.is_up or read_time() < self.seen_at + SILENCE_SECONDS
 
@@ -198,7 +278,8 @@
         return read_time() < self.cut_until
 
     def _register(self, life: Life) -> None:
-        self.entry = replace(self.entry, life=max(life, self.entry.life))
+        life = max(life, self.entry.life)
+        self.entry = replace(self.entry, life=life, capacity=self.get_capacity())
 
     def read_clock(self) -> int:
         return int((read_time() - self.clock_start) * self.clock_rate * 1_000)
@@ -227,7 +308,13 @@
         self.expire()
 
     def start(
-        self, task: TaskKey, run: RunNumber, text: str, lease_ms: int, origin: str
+        self,
+        task: TaskKey,
+        run: RunNumber,
+        text: str,
+        lease_ms: int,
+        origin: str,
+        sent_at: float,
     ) -> StartAnswer:
         if lease_ms < self.read_clock():
             return StartAnswer.LATE
@@ -236,13 +323,16 @@
             return StartAnswer.STARTED
         if run <= self.closed.get(task, 0):
             return StartAnswer.OUTDATED
-        if len(self.running) >= SLOTS:
+        taken = ROOM.multiply(len(self.running) + 1)
+        if self.cluster.enforces_capacity and not taken.fits_in(self.get_capacity()):
             return StartAnswer.NO_ROOM
-        started = SimulatedRun(task, run, f"{self.name}.{self.life}", read_time())
+        started = SimulatedRun(task, run, f"{self.name}.{self.life}", sent_at, read_time())
         started.origin = origin
         self.running[(task, run)] = started
         self.cluster.runs.append(started)
         loop = asyncio.get_running_loop()
+        if task in self.cluster.crashing:
+            loop.call_later(CRASH_DELAY_SECONDS, self._crash_under, started)
         gang = self._find_gang(started)
         spec = self.cluster.get_step(task)
         if spec.gang:
@@ -367,9 +457,11 @@
         lease_until: WorkerTime,
         timeout: float,
     ) -> StartAnswer:
+        sent_at = read_time()
+
         async def act(fate: str) -> tuple[StartAnswer, Life]:
             origin = f"{fate}, sent to life {self._life} with token {self._token}"
-            answer = self._worker.start(task, run, text, lease_until, origin)
+            answer = self._worker.start(task, run, text, lease_until, origin, sent_at)
             return answer, self._worker.life
 
         name = f"start {format_task(task)} run {run} until {lease_until}"
@@ -413,7 +505,7 @@
         chance, worker = self._cluster.random, self._worker
         name = f"{name} with token {self._token} to {worker.name}.{self._life}"
         fate = self._draw_fate()
-        if fate == "refused" or not worker.is_up:
+        if fate == "refused" or not self._cluster.is_in_use(worker.machine):
             await asyncio.sleep(chance.uniform(0.002, 0.04))
             raise WorkerUnavailable(f"{worker.name} refused the connection")
         delay = chance.uniform(0.001, 0.02)
@@ -424,7 +516,7 @@
         delivery = self._cluster.spawn(self._deliver(name, act, delay, fate))
         await asyncio.wait({delivery}, timeout=timeout)
         if fate == "answered" and delivery.done() and (reply := delivery.result()) is not None:
-            if isinstance(reply, RefusedByFence):
+            if isinstance(reply, RefusedByFence | OtherLife):
                 raise reply
             return reply
         raise OutcomeUnknown(f"{name} got no answer")
@@ -446,8 +538,10 @@
     ) -> object:
         await asyncio.sleep(delay)
         worker = self._worker
-        if fate == "lost" or not worker.is_up:
+        if fate == "lost" or not self._cluster.is_in_use(worker.machine):
             return None
+        if not worker.is_up:
+            return OtherLife(f"{worker.name} is under another id")
         try:
             worker.check_token(self._token)
         except RefusedByFence as error:
