Stand-in workers: the table and the registry may be away while capacity shrinks

Simulated: twice in a run the table and the registry are away from all hosts for 6 to 10 s; workers write their entries again within a heartbeat of the return. Capacity that shrinks meanwhile is over its time when the table is back, and the leader does not know of it.

--- a/tests/common/simulated_pool.py
+++ b/tests/common/simulated_pool.py
@@ -191,6 +191,7 @@
     running = [asyncio.create_task(host.run()) for host in hosts]
     cluster.spawn(cluster.disturb_workers(begun_at + FAULT_SECONDS))
     cluster.spawn(replace_leaders(cluster, hosts, running))
+    cluster.spawn(interrupt_table(cluster, hosts))
     for at, record in make_jobs(cluster):
         cluster.jobs[record.job] = record
         await asyncio.sleep(max(0.0, begun_at + at - read_time()))
@@ -245,6 +246,22 @@
         running[index] = asyncio.create_task(host.run())
 
 
+async def interrupt_table(cluster: SimulatedCluster, hosts: list[SimulatedHost]) -> None:
+    """Take the table and the registry away from all hosts and workers from time to time."""
+    for _ in range(cluster.faults.outages):
+        await asyncio.sleep(cluster.random.uniform(4.0, 9.0))
+        set_table_away(cluster, hosts, True)
+        await asyncio.sleep(cluster.random.uniform(6.0, 10.0))
+        set_table_away(cluster, hosts, False)
+
+
+def set_table_away(cluster: SimulatedCluster, hosts: list[SimulatedHost], is_away: bool) -> None:
+    cluster.note(f"the table is {'away' if is_away else 'back'}")
+    cluster.is_registry_away = is_away
+    for host in hosts:
+        host.path.is_unavailable = is_away
+
+
 def check_runs(runs: list[SimulatedRun]) -> Iterable[str]:
     """Yield the promises that the workers' log shows to be broken."""
     by_task: dict[str, list[SimulatedRun]] = {}
--- a/tests/common/simulated_workers.py
+++ b/tests/common/simulated_workers.py
@@ -70,6 +70,8 @@
     """Share of jobs with a task that crashes each worker that starts it."""
     shrink_seconds: float = 0.0
     """Mean time between shrinks of a worker's capacity, which grows back after some seconds."""
+    outages: int = 0
+    """Times at which the table and the registry are away from everybody for some seconds."""
 
 
 @dataclass
@@ -105,6 +107,7 @@
         self.jobs: dict[str, JobRecord] = {}
         self.crashing: set[TaskKey] = set()
         """Tasks that crash each worker that starts them."""
+        self.is_registry_away = False
         self.runs: list[SimulatedRun] = []
         self.log: list[tuple[float, str]] = []
         self._tasks: set[asyncio.Task[object]] = set()
@@ -131,7 +134,7 @@
     async def read_workers(self, timeout: float) -> tuple[ListedWorker, ...]:
         """Return the registry's entries; see `Registry`."""
         await asyncio.sleep(self.random.uniform(0.002, 0.04))
-        if self.random.random() < self.faults.lost:
+        if self.random.random() < self.faults.lost or self.is_registry_away:
             raise TableUnavailable("away")
         return tuple(each.entry for each in self.workers.values() if each.is_registered())
 
@@ -259,7 +262,9 @@
         asyncio.get_running_loop().call_later(delay, self._write_capacity)
 
     def _write_capacity(self) -> None:
-        if self.is_up:
+        if self.cluster.is_registry_away:
+            asyncio.get_running_loop().call_later(HEARTBEAT_SECONDS, self._write_capacity)
+        elif self.is_up:
             capacity, sequence = self.get_capacity(), self.entry.sequence + 1
             self.entry = replace(self.entry, capacity=capacity, sequence=sequence)
 
--- a/tests/nocover/test_pool_crashing_tasks.py
+++ b/tests/nocover/test_pool_crashing_tasks.py
@@ -25,6 +25,7 @@
     "constant with late commands": Faults(late=0.08),
     "shrinking": SHRINKING,
     "shrinking with late commands": replace(SHRINKING, late=0.08),
+    "shrinking with outages": replace(SHRINKING, outages=2),
 }
 
 
