--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -30,7 +30,7 @@
 )
 from lentilpath_core.pool._evidence import mark_slow_workers, stop_frozen_runs
 from lentilpath_core.pool._leaving import evacuate_leaving_workers
-from lentilpath_core.pool._model import JobState, get_completion_objective_ms
+from lentilpath_core.pool._model import JobState, TaskKey, get_completion_objective_ms
 from lentilpath_core.pool._placement import handle_advice, place_waiting
 from lentilpath_core.pool._runs import (
     handle_recorded_end,
@@ -156,6 +156,10 @@
 @_handle.register
 def _(event: RunsRecovered, state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
     effects: list[PoolEffect] = []
+    for job in state.jobs.values():
+        _begin_due_occurrences(state, job)
+    for task, _ in event.ends:
+        _begin_occurrences_up_to(state, task)
     for task, record in event.ends:
         effects.extend(handle_recorded_end(state, task, record, now))
     return tuple(effects)
@@ -255,6 +259,16 @@
     return effects
 
 
+def _begin_occurrences_up_to(state: PoolState, task: TaskKey) -> None:
+    """Begin the occurrences of a repeating job that its earlier leader had begun.
+
+    Their time has come, even if the wall clock says otherwise since.
+    """
+    job = state.jobs.get(task.job)
+    while job is not None and job.final is None and job.occurrences <= task.occurrence:
+        begin_occurrence(state, job, job.occurrences)
+
+
 def _begin_due_occurrences(state: PoolState, job: Job) -> None:
     record = job.record
     while job.final is None and job.occurrences < record.repeats:
--- a/tests/cover/test_pool_restarts.py
+++ b/tests/cover/test_pool_restarts.py
@@ -7,20 +7,25 @@
 from typing import Any
 
 from lentilpath_core.errors import OutcomeUnknown
-from lentilpath_core.ids import Epoch, Instant, WorkerId, WorkerTime
+from lentilpath_core.ids import Epoch, Instant, WallTime, WorkerId, WorkerTime
 from lentilpath_core.pool import (
     JobAccepted,
+    JobRecord,
     Life,
     RecordWorkers,
     RunEnd,
     RunNumber,
+    RunRecord,
+    RunsRecovered,
     StartAnswer,
     StartAnswered,
     StartRun,
     StartUnanswered,
+    StepSpec,
     StopAnswered,
     StopReason,
     StopRun,
+    TaskKey,
     WorkerReport,
     WorkersRecorded,
     restore_former_workers,
@@ -33,10 +38,13 @@
 from lentilpathd._pool._writer import RecordWriter
 from tests.common.pools import (
     LIFE,
+    QUEUE,
     SETTLE_MS,
+    TASK_RESOURCES,
     PoolHarness,
     list_starts,
     list_stops,
+    make_job_id,
     make_record,
     make_task,
     make_worker,
@@ -332,3 +340,27 @@
     harness.pass_time(SETTLE_MS + 500)
     harness.report("w2")
     assert list_starts(harness.place()) == []
+
+
+def test_the_done_tasks_of_a_repeating_job_do_not_run_again_after_a_change_of_leader():
+    # The steps of its occurrences began with the first tick, after the recovered ends were handled.
+    harness = PoolHarness(epoch=2)
+    harness.state.wall_now = WallTime(harness.now)
+    steps = (StepSpec(2, TASK_RESOURCES, 500),)
+    record = JobRecord(
+        make_job_id(1),
+        QUEUE,
+        "run",
+        steps,
+        repeats=3,
+        first_due=WallTime(harness.now - 500),
+        every_ms=60_000,
+    )
+    harness.handle_event(JobAccepted(record, recovered=True))
+    done = RunRecord(RunNumber(1), RunEnd.DONE)
+    second = TaskKey(make_job_id(1), 1, 0, 0)
+    harness.handle_event(RunsRecovered(((make_task(1), done), (second, done))))
+    harness.add_workers(make_worker("w1"))
+    harness.pass_time(250)
+    started = {(each.task.occurrence, each.task.number) for each in list_starts(harness.place())}
+    assert started == {(0, 1), (1, 1)}
