--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -291,6 +291,8 @@
     effects.append(ReleaseWorker(worker.worker, worker.life))
     state.workers.pop(worker.worker, None)
     state.unconfirmed_workers.discard(worker.worker)
+    # A plan of a step may still refer to it.
+    worker.is_listed = False
     return tuple(effects)
 
 
--- a/tests/cover/test_pool_restarts.py
+++ b/tests/cover/test_pool_restarts.py
@@ -9,6 +9,7 @@
 from lentilpath_core.errors import OutcomeUnknown
 from lentilpath_core.ids import Epoch, Instant, WallTime, WorkerId, WorkerTime
 from lentilpath_core.pool import (
+    AdvicePolicy,
     JobAccepted,
     JobRecord,
     Life,
@@ -42,9 +43,11 @@
     SETTLE_MS,
     TASK_RESOURCES,
     PoolHarness,
+    list_advice_requests,
     list_starts,
     list_stops,
     make_job_id,
+    make_queue,
     make_record,
     make_task,
     make_worker,
@@ -364,3 +367,19 @@
     harness.pass_time(250)
     started = {(each.task.occurrence, each.task.number) for each in list_starts(harness.place())}
     assert started == {(0, 1), (1, 1)}
+
+
+def test_a_task_that_was_planned_for_the_former_incarnation_of_a_worker_starts_on_the_next_one():
+    harness = PoolHarness(make_queue(advice=AdvicePolicy(100.0, 1.0, 300)))
+    harness.add_workers(make_worker("w1"))
+    harness.submit(1)
+    (ask,) = list_advice_requests(harness.place())
+    harness.grant_permissions(ask, "w1", valid_ms=300)
+    harness.pass_time(250)
+    harness.report("w1")
+    (renewal,) = list_advice_requests(harness.place())
+    harness.list_workers(make_worker("w1", life=Life(2)))
+    harness.report("w1")
+    assert list_starts(harness.grant_permissions(renewal, "w1", valid_ms=60_000)) == []
+    (start,) = list_starts(harness.place())
+    assert start.life == 2
