--- a/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -1,10 +1,11 @@
 """Tasks that crash the workers that start them: suspected, started with care, and given up.
 
 Designed for jobs of which one task crashes its worker, again and again, beside jobs that only lost
-their workers to it. A worker that crashes tells nothing, so each run is suspected that it had
-answered to have started and had not listed in a report yet. A suspected task starts where no other
-start is in progress, so that the next crash points at one task. Once a report lists a run of it, it
-is no longer suspected. A worker that was only cut off clears its runs when it is heard again.
+their workers to it. A worker that crashes tells nothing, so each run is suspected that it had not
+listed in a report yet. A suspected task starts where no other start is in progress, on a worker
+that has answered right before and is asked again right after, so that the next crash points at one
+task. Once a report lists a run of it, it is no longer suspected. A worker that was only cut off
+clears its runs when it is heard again.
 """
 
 from __future__ import annotations
@@ -16,8 +17,8 @@
 from lentilpath_core.pool._steps import find_step, finish_job, mark_run_number_used
 
 MAX_CRASHES = 3
-"""A task is given up after this many crashes in a row of workers that had just started it. Users
-allow it after two; one more spares tasks that were in a bad place twice."""
+"""A task is given up after this many crashes in a row. Users allow it after two; the first of the
+three may have been another task's, since several may have been starting."""
 SILENT_ENTRY_MS = 10_000
 """A worker that is still listed this long after its last report is only cut off. The entry of a
 crashed worker expires after three heartbeats of 1,500 ms, and is kept for another 2,500 ms."""
@@ -59,7 +60,7 @@
     worker, step = attempt.worker, attempt.step
     if step is None or worker.listed.leaves_in_ms is not None:
         return False
-    if attempt.is_confirmed or not attempt.has_started:
+    if attempt.is_confirmed:
         return False
     if not worker.suspects:
         worker.suspected_at = now
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -62,7 +62,7 @@
 
 def confirm_attempt(attempt: Attempt) -> None:
     """Mark a run as started by this incarnation of its worker, whose report lists it."""
-    attempt.has_started = attempt.is_confirmed = True
+    attempt.is_confirmed = True
     release_worker(attempt.worker, attempt.task)
     clear_task(attempt)
     _mark_job_started(attempt)
@@ -210,7 +210,6 @@
     if event.answer is StartAnswer.STARTED:
         # The answer does not tell which incarnation has started the run; a report does.
         attempt.answered_at = now
-        attempt.has_started = True
         _mark_job_started(attempt)
         if attempt.phase is Phase.STARTING:
             attempt.phase = Phase.RUNNING
@@ -271,7 +270,8 @@
     step = find_step(state, task)
     if step is not None:
         mark_run_number_used(step, task.number, record.run)
-        step.job.has_started = True
+        # A worker that has crashed may never have begun the run.
+        step.job.has_started |= record.end is not RunEnd.CRASHED
     if record.end is RunEnd.DONE:
         return handle_recorded_success(state, task, now)
     if record.end is RunEnd.CRASHED:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -47,8 +47,6 @@
     phase: Phase
     begun_at: Instant
     answered_at: Instant | None = None
-    has_started: bool = False
-    """Whether the worker has said, in an answer or a report, that it started the run."""
     is_confirmed: bool = False
     """Whether a report of this incarnation of the worker has listed the run."""
     percent: int = 0
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -138,7 +138,7 @@
 
 def _move_to_life(attempt: Attempt, worker: Worker, now: Instant) -> tuple[PoolEffect, ...]:
     """Move a run to the new incarnation, which may have started it too, and stop it there."""
-    moved = replace(attempt, worker=worker, answered_at=None, has_started=False, is_confirmed=False)
+    moved = replace(attempt, worker=worker, answered_at=None, is_confirmed=False)
     allocate_room(worker, moved)
     step = attempt.step
     if step is not None and step.attempts.get(attempt.task.number) is attempt:
@@ -248,7 +248,6 @@
         Phase.RUNNING,
         now,
         answered_at=now,
-        has_started=True,
         is_confirmed=True,
         percent=running.percent,
         progressed_at=now,
--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -124,7 +124,7 @@
     RECORDS_REJECTED = (548, "the table finds records invalid and stores none of them; retrying")
     CONFIG_INVALID = (549, "the pools' configuration is invalid; the last valid one stays in force")
     RUN_CLEARED = (550, "a run has not crashed its worker, which lives")
-    START_NOT_CHECKED = (551, "a worker did not answer right after the start of a suspected run")
+    START_NOT_CHECKED = (551, "a worker did not answer right before or after a suspected start")
     LEASE_NOT_EXTENDED = (
         540,
         "a worker of the previous leader did not answer the new leader's first renewal",
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -23,6 +23,7 @@
     StopAnswered,
     StopRun,
     TaskKey,
+    WorkerReport,
     WorkerReported,
 )
 from lentilpathd._clock import MS_PER_SECOND, read_instant
@@ -266,6 +267,10 @@
             del self._commands[key]
 
     async def _start(self, effect: StartRun) -> None:
+        if effect.is_suspected and await self._ask_for_report(effect) is None:
+            # The start was not sent, so it is not to blame for what has become of the worker.
+            self._answer_start(effect, StartAnswer.UNHEALTHY)
+            return
         is_unclear = False
         while True:
             if is_unclear and self._is_silent:
@@ -284,19 +289,31 @@
             # and the next report tells how the run ended.
             await self._stop(effect)
             return
+        self._answer_start(effect, answer)
+        if effect.is_suspected and answer is StartAnswer.STARTED:
+            await self._check_start(effect)
+
+    def _answer_start(self, effect: StartRun, answer: StartAnswer) -> None:
         self._handle_event(
             StartAnswered(effect.worker, effect.life, effect.task, effect.run, answer)
         )
-        if effect.is_suspected and answer is StartAnswer.STARTED:
-            await self._check_start(effect)
 
     async def _check_start(self, effect: StartRun) -> None:
-        """Ask for a report soon after a start, without waiting for the renewal in flight."""
+        """Handle a report soon after a start, without waiting for the renewal in flight."""
         await asyncio.sleep(START_CHECK_SECONDS)
         sent_at, report_count = read_instant(), self._report_count
+        report = await self._ask_for_report(effect)
+        # Answers may overtake each other. An older report would bring back runs that have ended.
+        if report is not None and report_count == self._report_count:
+            self._handle_event(WorkerReported(effect.worker, effect.life, report, sent_at))
+
+    async def _ask_for_report(self, effect: StartRun) -> WorkerReport | None:
+        """Return a report that acknowledges and extends nothing; `None` without an answer."""
+        client = self._client
         try:
-            report = await self._client.renew(0, None, 0, RENEWAL_TIMEOUT_SECONDS)
+            return await client.renew(0, None, 0, RENEWAL_TIMEOUT_SECONDS)
         except LentilpathError as error:
+            self._raise_if_deposed(error, client)
             log_event(
                 Event.START_NOT_CHECKED,
                 worker=effect.worker,
@@ -304,10 +321,7 @@
                 run=effect.run,
                 error=str(error),
             )
-            return
-        # Answers may overtake each other. An older report would bring back runs that have ended.
-        if report_count == self._report_count:
-            self._handle_event(WorkerReported(effect.worker, effect.life, report, sent_at))
+            return None
 
     async def _try_start(self, effect: StartRun) -> StartAnswer | None:
         """Return the worker's answer, or `None` if the command may have been executed."""
--- a/tests/cover/test_pool_crashes.py
+++ b/tests/cover/test_pool_crashes.py
@@ -146,11 +146,22 @@
     assert get_job_state(harness.state, make_job_id(1)) is JobState.RUNNING
 
 
-def test_a_task_is_not_blamed_for_a_crash_unless_the_worker_had_said_that_it_started_it():
+def test_a_start_that_a_worker_has_not_answered_may_have_crashed_it_too():
     harness = make_harness()
     harness.submit(1)
-    for _ in range(MAX_CRASHES + 1):
+    for _ in range(MAX_CRASHES):
+        assert get_job_state(harness.state, make_job_id(1)) is JobState.QUEUED
+        (start,) = list_starts(harness.place())
+        crash_worker(harness, start)
+    assert get_job_state(harness.state, make_job_id(1)) is JobState.FAILED
+
+
+def test_a_start_that_a_worker_refused_has_not_crashed_it():
+    harness = make_harness()
+    harness.submit(1)
+    for _ in range(MAX_CRASHES):
         (start,) = list_starts(harness.place())
+        harness.answer_start(start, StartAnswer.UNHEALTHY)
         crash_worker(harness, start)
     assert get_job_state(harness.state, make_job_id(1)) is JobState.QUEUED
 
--- a/tests/cover/test_pool_link.py
+++ b/tests/cover/test_pool_link.py
@@ -202,3 +202,17 @@
     assert isinstance(events[-2], StartAnswered)
     assert isinstance(events[-1], WorkerReported)
     assert client.leases[-1] is None
+
+
+def test_a_suspected_run_is_started_only_on_a_worker_that_has_just_answered(monkeypatch):
+    client = SilencedWorker(answers=3)
+    sent: list[None] = []
+
+    def on_poll(link):
+        if not sent and client.silent_renewals:
+            sent.append(link.send_start(replace(make_start(), is_suspected=True)))
+
+    events = run_link(client, 10, monkeypatch, on_poll)
+    answers = [each.answer for each in events if isinstance(each, StartAnswered)]
+    assert answers == [StartAnswer.UNHEALTHY]
+    assert client.starts == 0
