--- a/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -43,6 +43,14 @@
     return sorted(startable, key=lambda index: count_suspicions(step, index) == 0)
 
 
+def starts_apart(step: Step, index: int) -> bool:
+    """Return whether a task starts on a worker of its own.
+
+    The members of a gang start together, and there may be fewer workers than suspected members.
+    """
+    return count_suspicions(step, index) > 0 and not step.spec.gang
+
+
 def is_quiet(worker: Worker) -> bool:
     """Return whether the worker has listed all its runs, so that no start is in progress there."""
     return all(attempt.is_confirmed for attempt in worker.attempts.values())
@@ -52,7 +60,7 @@
     """Return whether a task may start on a worker beside the starts in progress there."""
     if worker.kept_for is not None:
         return False
-    return count_suspicions(step, index) == 0 or is_quiet(worker)
+    return not starts_apart(step, index) or is_quiet(worker)
 
 
 def suspect_run(attempt: Attempt, now: Instant) -> bool:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -19,7 +19,13 @@
     record_answer,
     request_advice,
 )
-from lentilpath_core.pool._crashes import count_suspicions, is_quiet, list_startable, may_start
+from lentilpath_core.pool._crashes import (
+    count_suspicions,
+    is_quiet,
+    list_startable,
+    may_start,
+    starts_apart,
+)
 from lentilpath_core.pool._events import PoolEffect, StartRun
 from lentilpath_core.pool._fit import (
     RESERVED_COST,
@@ -221,7 +227,7 @@
         return {}
     places: Places = {}
     for index in list_startable(step):
-        is_suspected = count_suspicions(step, index) > 0
+        is_suspected = starts_apart(step, index)
         best = options.take_quietest() if is_suspected else options.take_cheapest(index)
         if best is None:
             if step.spec.gang:
@@ -368,7 +374,7 @@
     step.plan = Plan(dict(places), Instant(int(now + hold_ms)))
     for index, worker in places.items():
         worker.free = worker.free - step.spec.counted_room
-        if count_suspicions(step, index):
+        if starts_apart(step, index):
             worker.kept_for = TaskKey(*step.key, index)
     effects.extend(calls)
     return tuple(effects)
@@ -389,7 +395,7 @@
         attempt.progressed_at = now
         add_attempt(attempt)
         is_suspected = count_suspicions(step, index) > 0
-        if is_suspected:
+        if starts_apart(step, index):
             worker.kept_for = task
         reduce_spare(state, step, worker)
         ticket = (step.tickets or {}).get(worker.worker)
--- a/tests/cover/test_pool_crashes.py
+++ b/tests/cover/test_pool_crashes.py
@@ -240,6 +240,16 @@
     assert harness.state.jobs[make_job_id(1)].final is None
 
 
+def test_a_gang_with_more_suspected_members_than_workers_starts_again():
+    harness = PoolHarness()
+    harness.add_workers(make_worker("w1"), make_worker("w2"), make_worker("w3"))
+    harness.submit(1, StepSpec(4, TASK_RESOURCES, 500, gang=True))
+    starts = list_starts(harness.place())
+    assert len({start.worker for start in starts}) == 1
+    crash_worker(harness, starts[0])
+    assert len(list_starts(harness.place())) == 4
+
+
 def test_the_final_state_of_a_given_up_job_is_stored():
     harness = make_harness()
     harness.submit(1)
