--- a/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -14,11 +14,19 @@
 from lentilpath_core.pool._events import ClearRun, PoolEffect, RecordRun
 from lentilpath_core.pool._model import JobState, RunEnd, RunNumber, RunRecord, TaskKey
 from lentilpath_core.pool._state import Attempt, PoolState, Step, Worker
-from lentilpath_core.pool._steps import find_step, finish_job, mark_run_number_used
+from lentilpath_core.pool._steps import (
+    find_step,
+    finish_job,
+    mark_run_number_used,
+    release_worker,
+)
 
 MAX_CRASHES = 3
 """A task is given up after this many crashes in a row. Users allow it after two; the first of the
 three may have been another task's, since several may have been starting."""
+SURVIVAL_MS = 100
+"""A worker that lists a run this long after its start has survived it. Tasks crash their workers 10
+ms after the start, and a report may be made in between."""
 SILENT_ENTRY_MS = 10_000
 """A worker that is still listed this long after its last report is only cut off. The entry of a
 crashed worker expires after three heartbeats of 1,500 ms, and is kept for another 2,500 ms."""
@@ -68,7 +76,7 @@
     worker, step = attempt.worker, attempt.step
     if step is None or worker.listed.leaves_in_ms is not None:
         return False
-    if attempt.is_confirmed:
+    if attempt.has_survived:
         return False
     if not worker.suspects:
         worker.suspected_at = now
@@ -78,8 +86,12 @@
     return True
 
 
-def clear_task(attempt: Attempt) -> None:
-    """Forget the crashes under a task: its worker has survived the start."""
+def note_listing(attempt: Attempt, now: Instant) -> None:
+    """Forget the crashes under a task whose worker lists its run and has survived the start."""
+    if now < attempt.begun_at + SURVIVAL_MS:
+        return
+    attempt.has_survived = True
+    release_worker(attempt.worker, attempt.task)
     if attempt.step is not None:
         attempt.step.crashed_runs.pop(attempt.task.number, None)
         attempt.step.suspected_runs.pop(attempt.task.number, None)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from lentilpath_core.ids import Instant, WorkerId
-from lentilpath_core.pool._crashes import clear_task, handle_recorded_crash, suspect_run
+from lentilpath_core.pool._crashes import handle_recorded_crash, note_listing, suspect_run
 from lentilpath_core.pool._events import (
     GiveUpRun,
     LossReason,
@@ -60,11 +60,10 @@
     step.waiting.remove(attempt.task.number)
 
 
-def confirm_attempt(attempt: Attempt) -> None:
+def confirm_attempt(attempt: Attempt, now: Instant) -> None:
     """Mark a run as started by this incarnation of its worker, whose report lists it."""
     attempt.is_confirmed = True
-    release_worker(attempt.worker, attempt.task)
-    clear_task(attempt)
+    note_listing(attempt, now)
     _mark_job_started(attempt)
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -49,6 +49,8 @@
     answered_at: Instant | None = None
     is_confirmed: bool = False
     """Whether a report of this incarnation of the worker has listed the run."""
+    has_survived: bool = False
+    """Whether a report has listed the run so long after its start that it has crashed nothing."""
     percent: int = 0
     progressed_at: Instant = Instant(0)
     """When a change of `percent` was last seen."""
--- a/tests/cover/test_pool_crashes.py
+++ b/tests/cover/test_pool_crashes.py
@@ -20,7 +20,7 @@
     StepSpec,
     get_job_state,
 )
-from lentilpath_core.pool._crashes import MAX_CRASHES, SILENT_ENTRY_MS
+from lentilpath_core.pool._crashes import MAX_CRASHES, SILENT_ENTRY_MS, SURVIVAL_MS
 from tests.common.pools import (
     SETTLE_MS,
     TASK_RESOURCES,
@@ -140,12 +140,23 @@
     for _ in range(MAX_CRASHES - 1):
         crash_worker(harness, start_one(harness))
     start = start_one(harness)
+    harness.pass_time(SURVIVAL_MS)
     report_runs(harness, start.worker)
     crash_worker(harness, start)
     crash_worker(harness, start_one(harness))
     assert get_job_state(harness.state, make_job_id(1)) is JobState.RUNNING
 
 
+def test_a_report_made_between_a_start_and_the_crash_does_not_clear_the_task():
+    harness = make_harness()
+    harness.submit(1)
+    for _ in range(MAX_CRASHES):
+        start = start_one(harness)
+        report_runs(harness, start.worker)
+        crash_worker(harness, start)
+    assert get_job_state(harness.state, make_job_id(1)) is JobState.FAILED
+
+
 def test_a_start_that_a_worker_has_not_answered_may_have_crashed_it_too():
     harness = make_harness()
     harness.submit(1)
@@ -202,6 +213,7 @@
     harness.submit(3, StepSpec(20, TASK_RESOURCES, 500))
     assert suspected.worker not in {each.worker for each in list_starts(harness.place())}
     harness.answer_start(suspected, StartAnswer.STARTED)
+    harness.pass_time(SURVIVAL_MS)
     report_runs(harness, suspected.worker)
     harness.submit(4, StepSpec(12, TASK_RESOURCES, 500))
     assert suspected.worker in {each.worker for each in list_starts(harness.place())}
