--- a/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -28,8 +28,10 @@
 """A worker that lists a run this long after its start has survived it. Tasks crash their workers 10
 ms after the start, and a report may be made in between."""
 SILENT_ENTRY_MS = 10_000
-"""A worker that is still listed this long after its last report is only cut off. The entry of a
-crashed worker expires after three heartbeats of 1,500 ms, and is kept for another 2,500 ms."""
+"""A worker that lists show for this long after its runs became suspected is only cut off. The entry
+of a crashed worker expires after three heartbeats of 1,500 ms, and is kept for another 2,500 ms."""
+LIST_GAP_MS = 3_000
+"""After a longer time without a list the registry was away, and entries may not have expired."""
 
 
 def count_suspicions(step: Step, index: int) -> int:
@@ -117,14 +119,17 @@
 
 
 def clear_suspects_of_living_workers(state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
-    """Drop the suspicion of runs on workers that the registry shows to be alive."""
+    """Drop the suspicion of runs on workers that a list just read shows to be alive."""
+    has_gap = now > state.listed_at + LIST_GAP_MS
+    state.listed_at = now
     effects: list[PoolEffect] = []
     for worker in state.workers.values():
         if not worker.suspects or not worker.is_listed:
             continue
-        heard_at = worker.reported_at if worker.reported_at is not None else worker.suspected_at
+        if has_gap:
+            worker.suspected_at = now
         has_beaten = worker.listed.sequence > worker.suspected_sequence
-        if has_beaten or now >= heard_at + SILENT_ENTRY_MS:
+        if has_beaten or now >= worker.suspected_at + SILENT_ENTRY_MS:
             effects.extend(clear_suspects(state, worker))
     return tuple(effects)
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -6,7 +6,6 @@
 from itertools import islice
 
 from lentilpath_core.ids import Instant, JobId
-from lentilpath_core.pool._crashes import clear_suspects_of_living_workers
 from lentilpath_core.pool._events import (
     AdviceAnswered,
     ConfigurationSet,
@@ -233,7 +232,6 @@
         *expire_leases(state, now),
         *stop_frozen_runs(state, now),
         *evacuate_leaving_workers(state, now),
-        *clear_suspects_of_living_workers(state, now),
     ]
     mark_slow_workers(state, now)
     for job in list(state.jobs.values()):
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -222,6 +222,8 @@
     )
     """Start commands that got no answer and may still be carried out, and when this was noticed. By
     id, because any incarnation of the worker carries them out."""
+    listed_at: Instant = Instant(0)
+    """When the list of workers was last read."""
     open_steps: dict[StepKey, Step] = field(default_factory=dict)
     """Steps that have tasks waiting for a start."""
     reservations: dict[WorkerId, Reservation] = field(default_factory=dict)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -5,7 +5,12 @@
 from dataclasses import replace
 
 from lentilpath_core.ids import Instant
-from lentilpath_core.pool._crashes import clear_suspects, record_crashes, suspect_run
+from lentilpath_core.pool._crashes import (
+    clear_suspects,
+    clear_suspects_of_living_workers,
+    record_crashes,
+    suspect_run,
+)
 from lentilpath_core.pool._events import (
     LossReason,
     PoolEffect,
@@ -72,6 +77,7 @@
         else:
             effects.extend(_start_new_life(state, known, entry, now))
     effects.extend(_record_workers(state))
+    effects.extend(clear_suspects_of_living_workers(state, now))
     state.needs_placement = True
     return tuple(effects)
 
--- a/tests/cover/test_pool_crashes.py
+++ b/tests/cover/test_pool_crashes.py
@@ -43,10 +43,12 @@
     return harness
 
 
-def pass_time(harness: PoolHarness, ms: int, silent: str = "") -> None:
+def pass_time(harness: PoolHarness, ms: int, silent: str = "", is_registry_up: bool = True) -> None:
     """Let time pass while all listed workers but one report the runs that they were given."""
     for _ in range(ms // 250):
         harness.pass_time(250)
+        if is_registry_up:
+            harness.list_workers(*harness.listed.values())
         for name in harness.listed:
             if name != silent:
                 report_runs(harness, name)
@@ -115,12 +117,22 @@
     harness.submit(1)
     for _ in range(MAX_CRASHES + 1):
         start = start_one(harness)
-        pass_time(harness, SILENT_ENTRY_MS + 500, silent=start.worker)
+        pass_time(harness, SETTLE_MS + SILENT_ENTRY_MS + 1_000, silent=start.worker)
+        assert not harness.state.workers[start.worker].suspects
         harness.report(start.worker)
     harness.confirm_records()
     assert get_job_state(harness.state, make_job_id(1)) is JobState.RUNNING
 
 
+def test_a_registry_that_is_away_does_not_show_that_a_worker_lives():
+    harness = make_harness()
+    harness.submit(1)
+    start = start_one(harness)
+    pass_time(harness, 3 * SILENT_ENTRY_MS, silent=start.worker, is_registry_up=False)
+    pass_time(harness, 1_000, silent=start.worker)
+    assert harness.state.workers[start.worker].suspects
+
+
 def test_a_worker_whose_own_reports_go_on_was_cut_off_and_clears_its_runs():
     harness = make_harness()
     harness.submit(1)
@@ -128,8 +140,9 @@
     pass_time(harness, SETTLE_MS + 500, silent=start.worker)
     assert harness.state.workers[start.worker].suspects
     others = [each for name, each in harness.listed.items() if name != start.worker]
+    harness.effects.clear()
     harness.list_workers(make_worker(start.worker, sequence=9), *others)
-    (cleared,) = [each for each in harness.pass_time(250) if isinstance(each, ClearRun)]
+    (cleared,) = [each for each in harness.effects if isinstance(each, ClearRun)]
     assert (cleared.worker, cleared.task, cleared.run) == (start.worker, start.task, start.run)
     assert not harness.state.workers[start.worker].suspects
 
