--- a/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from lentilpath_core.ids import Instant
-from lentilpath_core.pool._events import ClearRun, PoolEffect, RecordRun
+from lentilpath_core.pool._events import ClearRun, ForgetCrash, PoolEffect, RecordRun
 from lentilpath_core.pool._model import JobState, RunEnd, RunNumber, RunRecord, TaskKey
 from lentilpath_core.pool._state import Attempt, PoolState, Step, Worker
 from lentilpath_core.pool._steps import (
@@ -88,21 +88,27 @@
     return True
 
 
-def note_listing(attempt: Attempt, now: Instant) -> None:
+def note_listing(attempt: Attempt, now: Instant) -> tuple[PoolEffect, ...]:
     """Forget the crashes under a task whose worker lists its run and has survived the start."""
     if now < attempt.begun_at + SURVIVAL_MS:
-        return
+        return ()
     attempt.has_survived = True
     release_worker(attempt.worker, attempt.task)
-    if attempt.step is not None:
-        attempt.step.crashed_runs.pop(attempt.task.number, None)
-        attempt.step.suspected_runs.pop(attempt.task.number, None)
+    if attempt.step is None:
+        return ()
+    attempt.step.suspected_runs.pop(attempt.task.number, None)
+    crashed = attempt.step.crashed_runs.pop(attempt.task.number, set())
+    return tuple(ForgetCrash(attempt.task, run) for run in sorted(crashed))
 
 
-def record_crashes(worker: Worker) -> tuple[PoolEffect, ...]:
+def record_crashes(state: PoolState, worker: Worker) -> tuple[PoolEffect, ...]:
     """Store that a worker, whose process is over, has crashed under the runs suspected of it."""
     suspects, worker.suspects = worker.suspects, []
-    return tuple(RecordRun(task, RunRecord(run, RunEnd.CRASHED)) for task, run in suspects)
+    return tuple(
+        RecordRun(task, RunRecord(run, RunEnd.CRASHED))
+        for task, run in suspects
+        if (step := find_step(state, task)) is not None and step.job.final is None
+    )
 
 
 def clear_suspects(state: PoolState, worker: Worker) -> tuple[PoolEffect, ...]:
@@ -143,14 +149,19 @@
 
 
 def handle_recorded_crash(
-    state: PoolState, task: TaskKey, run: RunNumber, now: Instant
+    state: PoolState, task: TaskKey, run: RunNumber, is_recovered: bool, now: Instant
 ) -> tuple[PoolEffect, ...]:
-    """Handle the durable record of a crash: the job fails if the task has caused too many."""
+    """Handle the durable record of a crash: the job fails if the task has caused too many.
+
+    A record of this leader does not count if the task was cleared before it became durable.
+    """
     step = find_step(state, task)
     if step is None:
         return ()
     index = task.number
     mark_run_number_used(step, index, run)
+    if not is_recovered and run not in step.suspected_runs.get(index, ()):
+        return (ForgetCrash(task, run),)
     _discard_suspicion(step, index, run)
     crashed = step.crashed_runs.setdefault(index, set())
     crashed.add(run)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -160,7 +160,7 @@
     for task, _ in event.ends:
         _begin_occurrences_up_to(state, task)
     for task, record in event.ends:
-        effects.extend(handle_recorded_end(state, task, record, now))
+        effects.extend(handle_recorded_end(state, task, record, now, is_recovered=True))
     return tuple(effects)
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -304,6 +304,14 @@
     record: RunRecord
 
 
+@dataclass(frozen=True, slots=True)
+class ForgetCrash:
+    """Delete the stored crash under a run: the task has not crashed its worker since."""
+
+    task: TaskKey
+    run: RunNumber
+
+
 @dataclass(frozen=True, slots=True)
 class RecordFinal:
     """Store a job's final state."""
@@ -334,6 +342,7 @@
     | StopRun
     | GiveUpRun
     | ClearRun
+    | ForgetCrash
     | AskAdvice
     | RecordRun
     | RecordFinal
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -60,11 +60,11 @@
     step.waiting.remove(attempt.task.number)
 
 
-def confirm_attempt(attempt: Attempt, now: Instant) -> None:
+def confirm_attempt(attempt: Attempt, now: Instant) -> tuple[PoolEffect, ...]:
     """Mark a run as started by this incarnation of its worker, whose report lists it."""
     attempt.is_confirmed = True
-    note_listing(attempt, now)
     _mark_job_started(attempt)
+    return note_listing(attempt, now)
 
 
 def _mark_job_started(attempt: Attempt) -> None:
@@ -263,9 +263,9 @@
 
 
 def handle_recorded_end(
-    state: PoolState, task: TaskKey, record: RunRecord, now: Instant
+    state: PoolState, task: TaskKey, record: RunRecord, now: Instant, is_recovered: bool = False
 ) -> tuple[PoolEffect, ...]:
-    """Handle the durable record of a run's end."""
+    """Handle the durable record of a run's end, which an earlier leader may have stored."""
     step = find_step(state, task)
     if step is not None:
         mark_run_number_used(step, task.number, record.run)
@@ -274,5 +274,5 @@
     if record.end is RunEnd.DONE:
         return handle_recorded_success(state, task, now)
     if record.end is RunEnd.CRASHED:
-        return handle_recorded_crash(state, task, record.run, now)
+        return handle_recorded_crash(state, task, record.run, is_recovered, now)
     return handle_recorded_failure(state, task, record.run, now)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -202,7 +202,7 @@
         attempt = _adopt_run(state, worker, running, now)
     if attempt.step is None:
         return _stop_listed_run(attempt, _explain_unwanted_run(state, attempt.task), now)
-    confirm_attempt(attempt, now)
+    effects = confirm_attempt(attempt, now)
     if attempt.phase is Phase.STARTING:
         attempt.phase = Phase.RUNNING
         attempt.answered_at = attempt.answered_at or now
@@ -212,8 +212,8 @@
     record_progress(attempt, running.percent, now)
     attempt.load = running.load
     if attempt.stop_reason is not None:
-        return _stop_listed_run(attempt, attempt.stop_reason, now)
-    return ()
+        effects += _stop_listed_run(attempt, attempt.stop_reason, now)
+    return effects
 
 
 def _stop_listed_run(attempt: Attempt, reason: StopReason, now: Instant) -> tuple[PoolEffect, ...]:
@@ -292,7 +292,7 @@
     effects: list[PoolEffect] = []
     for attempt in list(worker.attempts.values()):
         effects.extend(mark_attempt_lost(state, attempt, LossReason.NEW_LIFE, now))
-    effects.extend(record_crashes(worker))
+    effects.extend(record_crashes(state, worker))
     effects.append(ReleaseWorker(worker.worker, worker.life))
     state.workers.pop(worker.worker, None)
     state.unconfirmed_workers.discard(worker.worker)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_records.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_records.py
@@ -5,9 +5,10 @@
 either row counts in any of them; the same row may stand in more than one.
 
 `lentilpath-pool`, a single partition: `0epoch` and `0lease` hold the current leader, `0workers/...`
-the lives of workers that may be running tasks, `end/TASK/RUN` how a run ended, and `final/ID` a
-job's final state. Written only by the leader, on condition that `0epoch` is unchanged. Only the
-first two rows are ever changed, so a write may be repeated and may arrive late.
+the lives of workers that may be running tasks, `end/TASK/RUN` how a run ended, `end/TASK/RUN-crashed`
+that its worker crashed under it, and `final/ID` a job's final state. Written only by the leader, on
+condition that `0epoch` is unchanged. Only the first two rows are ever changed, so a write may be
+repeated and may arrive late.
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
 import msgspec
 
 from lentilpath_core.ids import Epoch, HostId, Incarnation, JobId
-from lentilpath_core.pool import FinalRecord, JobRecord, RunRecord, TaskKey
+from lentilpath_core.pool import FinalRecord, JobRecord, RunEnd, RunNumber, RunRecord, TaskKey
 from lentilpath_core.settings import Address
 
 JOBS_TABLE = "lentilpath-jobs"
@@ -37,6 +38,7 @@
 """End of the rows that every host polls; the workers' rows are not among them."""
 CANCEL_SUFFIX = "/cancel"
 END_PREFIX = "end/"
+CRASH_SUFFIX = "-crashed"
 FINAL_PREFIX = "final/"
 
 
@@ -96,9 +98,20 @@
 
 def make_end_key(task: TaskKey, record: RunRecord) -> str:
     """Return the key of the row for a run's end."""
+    if record.end is RunEnd.CRASHED:
+        return make_crash_key(task, record.run)
     return f"{END_PREFIX}{format_task(task)}/{record.run}"
 
 
+def make_crash_key(task: TaskKey, run: RunNumber) -> str:
+    """Return the key of the row for a crash under a run.
+
+    It is a row of its own, so that a write that is applied late never replaces an end that the
+    worker has reported after all.
+    """
+    return f"{END_PREFIX}{format_task(task)}/{run}{CRASH_SUFFIX}"
+
+
 def parse_end_key(key: str) -> TaskKey:
     """Return the task in the key of a run's end; raises `ValueError`."""
     _, job, occurrence, step, number, _ = key.split("/")
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -17,6 +17,7 @@
     ClearRun,
     ConfigurationSet,
     DeleteJob,
+    ForgetCrash,
     GiveUpRun,
     JobAccepted,
     JobCancelled,
@@ -53,7 +54,7 @@
 from lentilpathd._pool._members import decode_heartbeat, fingerprint_hosts
 from lentilpathd._pool._messages import Digest, JobNotice
 from lentilpathd._pool._ports import LifeKey, PartitionRow, PoolWorker
-from lentilpathd._pool._records import format_task
+from lentilpathd._pool._records import format_task, make_crash_key
 from lentilpathd._pool._recovery import READ_TIMEOUT_SECONDS, read_former_workers, read_pool
 from lentilpathd._pool._removal import JobRemover
 from lentilpathd._pool._settings import MAX_LEASE_MS
@@ -305,6 +306,10 @@
         if link is not None:
             link[0].send_pace(effect)
 
+    @_execute.register
+    def _(self, effect: ForgetCrash) -> None:
+        self._writer.forget_end(make_crash_key(effect.task, effect.run))
+
     @_execute.register
     def _(self, effect: DeleteJob) -> None:
         self._remover.queue(effect.job)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -92,6 +92,14 @@
         """Add the keys of the workers' rows that earlier leaders have stored."""
         self._worker_shares.add_former_rows(keys)
 
+    def forget_end(self, key: str) -> None:
+        """Delete the row of a run's end together with the next records."""
+        keys = self._end_keys.get(parse_end_key(key).job, [])
+        if key in keys:
+            keys.remove(key)
+            self._obsolete_keys.append(key)
+            self._queued.set()
+
     def queue(self, record: Record) -> None:
         """Queue a record to be stored in the next batch."""
         self._queue.append(record)
--- a/tests/cover/test_pool_crashes.py
+++ b/tests/cover/test_pool_crashes.py
@@ -6,6 +6,7 @@
 from lentilpath_core.pool import (
     AdvicePolicy,
     ClearRun,
+    ForgetCrash,
     JobAccepted,
     JobState,
     Life,
@@ -251,6 +252,34 @@
     assert len({start.worker for start in again}) == len(again) == 4
 
 
+def test_crashes_that_a_survived_start_has_cleared_are_deleted_for_the_next_leader_too():
+    harness = make_harness()
+    harness.submit(1)
+    first = start_one(harness)
+    crash_worker(harness, first)
+    start = start_one(harness)
+    harness.pass_time(SURVIVAL_MS)
+    harness.effects.clear()
+    report_runs(harness, start.worker)
+    (forgotten,) = [each for each in harness.effects if isinstance(each, ForgetCrash)]
+    assert (forgotten.task, forgotten.run) == (first.task, first.run)
+
+
+def test_a_crash_that_is_stored_after_its_task_was_cleared_does_not_count():
+    harness = make_harness()
+    harness.submit(1)
+    first = start_one(harness)
+    pass_time(harness, SETTLE_MS + 500, silent=first.worker)
+    harness.list_workers(*(each for name, each in harness.listed.items() if name != first.worker))
+    start = start_one(harness)
+    harness.pass_time(SURVIVAL_MS)
+    report_runs(harness, start.worker)
+    follow = harness.confirm_records()
+    assert any(isinstance(each, ForgetCrash) for each in follow)
+    (step,) = harness.state.jobs[make_job_id(1)].steps.values()
+    assert step.crashed_runs == {}
+
+
 def test_each_member_of_a_gang_is_judged_by_its_own_workers():
     harness = make_harness()
     harness.submit(1, StepSpec(2, TASK_RESOURCES, 500, gang=True, most_per_worker=1))
--- a/tests/cover/test_pool_records.py
+++ b/tests/cover/test_pool_records.py
@@ -19,7 +19,12 @@
     StartAnswer,
 )
 from lentilpathd._pool._ports import PartitionRow, PartitionRows
-from lentilpathd._pool._records import PARTITIONS_PER_JOB, get_job_partitions
+from lentilpathd._pool._records import (
+    PARTITIONS_PER_JOB,
+    get_job_partitions,
+    make_crash_key,
+    make_end_key,
+)
 from lentilpathd._pool._removal import JobRemover
 from lentilpathd._pool._writer import RecordWriter
 from tests.common.pools import PoolHarness, list_starts, make_job_id, make_task, make_worker
@@ -183,3 +188,23 @@
     table.rows[job] = PartitionRow(table.part, job, b"", RowVersion(1))
     assert asyncio.run(make_jobs(table, None).get_state(job)) is JobState.QUEUED
     assert asyncio.run(make_jobs(PartitionsTable(), None).get_state(job)) is None
+
+
+def test_a_crash_under_a_run_has_a_row_of_its_own_which_can_be_deleted():
+    table = OnePartitionTable()
+    crash = RecordRun(make_task(1), RunRecord(RunNumber(1), RunEnd.CRASHED))
+
+    async def scenario() -> None:
+        writer = RecordWriter(table, Epoch(1), make_leadership(table), lambda _event: None)
+        task = asyncio.create_task(writer.run())
+        for record in (crash, END):
+            writer.queue(record)
+        assert await writer.wait_durable(2, 5.0)
+        assert len([key for key in table.rows if key.startswith("end/")]) == 2
+        writer.forget_end(make_crash_key(make_task(1), RunNumber(1)))
+        await wait_until(lambda: len([key for key in table.rows if key.startswith("end/")]) == 1)
+        assert make_end_key(END.task, END.record) in table.rows
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(scenario())
