--- a/packages/lentilpathd/src/lentilpathd/_pool/_records.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_records.py
@@ -5,10 +5,10 @@
 either row counts in any of them; the same row may stand in more than one.
 
 `lentilpath-pool`, a single partition: `0epoch` and `0lease` hold the current leader, `0workers/...`
-the lives of workers that may be running tasks, `end/TASK/RUN` how a run ended, `end/TASK/RUN-crashed`
-that its worker crashed under it, and `final/ID` a job's final state. Written only by the leader, on
-condition that `0epoch` is unchanged. Only the first two rows are ever changed, so a write may be
-repeated and may arrive late.
+the lives of workers that may be running tasks, `end/TASK/RUN` how a run ended,
+`end/TASK/RUN-crashed` that its worker crashed under it, and `final/ID` a job's final state. Written
+only by the leader, on condition that `0epoch` is unchanged. Only the first two rows are ever
+changed, so a write may be repeated and may arrive late.
 """
 
 from __future__ import annotations
