--- a/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -24,9 +24,10 @@
 MAX_CRASHES = 3
 """A task is given up after this many crashes in a row. Users allow it after two; the first of the
 three may have been another task's, since several may have been starting."""
-SURVIVAL_MS = 100
-"""A worker that lists a run this long after its start has survived it. Tasks crash their workers 10
-ms after the start, and a report may be made in between."""
+SURVIVAL_MS = 50
+"""A worker has survived a start if it lists the run in a report that was asked for this long after
+the start was answered. Tasks crash their workers 10 ms after the start, and the answer to a request
+that was sent before may list the run in between."""
 SILENT_ENTRY_MS = 10_000
 """A worker that lists show for this long after its runs became suspected is only cut off. The entry
 of a crashed worker expires after three heartbeats of 1,500 ms, and is kept for another 2,500 ms."""
@@ -73,24 +74,26 @@
     return not starts_apart(step, index) or is_quiet(worker)
 
 
-def suspect_run(attempt: Attempt, now: Instant) -> bool:
+def suspect_run(state: PoolState, attempt: Attempt, now: Instant) -> bool:
     """Note that a run was lost with its worker; return whether it may have crashed the worker."""
     worker, step = attempt.worker, attempt.step
     if step is None or worker.listed.leaves_in_ms is not None:
         return False
-    if attempt.has_survived:
+    key = (attempt.task, attempt.run)
+    was_sent = attempt.has_started or key in state.unanswered_starts.get(worker.worker, {})
+    if attempt.has_survived or not was_sent:
         return False
     if not worker.suspects:
         worker.suspected_at = now
         worker.suspected_sequence = worker.listed.sequence
-    worker.suspects.append((attempt.task, attempt.run))
+    worker.suspects.append(key)
     step.suspected_runs.setdefault(attempt.task.number, set()).add(attempt.run)
     return True
 
 
-def note_listing(attempt: Attempt, now: Instant) -> tuple[PoolEffect, ...]:
+def note_listing(attempt: Attempt, sent_at: Instant) -> tuple[PoolEffect, ...]:
     """Forget the crashes under a task whose worker lists its run and has survived the start."""
-    if now < attempt.begun_at + SURVIVAL_MS:
+    if attempt.answered_at is None or sent_at < attempt.answered_at + SURVIVAL_MS:
         return ()
     attempt.has_survived = True
     release_worker(attempt.worker, attempt.task)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -60,11 +60,11 @@
     step.waiting.remove(attempt.task.number)
 
 
-def confirm_attempt(attempt: Attempt, now: Instant) -> tuple[PoolEffect, ...]:
+def confirm_attempt(attempt: Attempt, sent_at: Instant) -> tuple[PoolEffect, ...]:
     """Mark a run as started by this incarnation of its worker, whose report lists it."""
-    attempt.is_confirmed = True
+    attempt.has_started = attempt.is_confirmed = True
     _mark_job_started(attempt)
-    return note_listing(attempt, now)
+    return note_listing(attempt, sent_at)
 
 
 def _mark_job_started(attempt: Attempt) -> None:
@@ -175,7 +175,7 @@
 ) -> tuple[PoolEffect, ...]:
     """Give up a run that is known to be over although its outcome is unknown; requeue its task."""
     is_lost_with_worker = reason in (LossReason.LEASE_LAPSED, LossReason.NEW_LIFE)
-    is_suspected = is_lost_with_worker and suspect_run(attempt, now)
+    is_suspected = is_lost_with_worker and suspect_run(state, attempt, now)
     _remove_attempt(state, attempt)
     worker = attempt.worker
     given_up = GiveUpRun(
@@ -209,6 +209,7 @@
     if event.answer is StartAnswer.STARTED:
         # The answer does not tell which incarnation has started the run; a report does.
         attempt.answered_at = now
+        attempt.has_started = True
         _mark_job_started(attempt)
         if attempt.phase is Phase.STARTING:
             attempt.phase = Phase.RUNNING
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -49,6 +49,8 @@
     answered_at: Instant | None = None
     is_confirmed: bool = False
     """Whether a report of this incarnation of the worker has listed the run."""
+    has_started: bool = False
+    """Whether the worker has said, in an answer or a report, that it started the run."""
     has_survived: bool = False
     """Whether a report has listed the run so long after its start that it has crashed nothing."""
     percent: int = 0
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -116,7 +116,7 @@
             if key in unanswered or _is_recent_and_unconfirmed(each, now)
         ]
         for attempt in moved:
-            suspect_run(attempt, now)
+            suspect_run(state, attempt, now)
             del former.attempts[(attempt.task, attempt.run)]
         effects.extend(_remove_worker(state, former, now))
     worker = state.workers[entry.worker] = Worker(entry, entry.capacity)
@@ -144,7 +144,7 @@
 
 def _move_to_life(attempt: Attempt, worker: Worker, now: Instant) -> tuple[PoolEffect, ...]:
     """Move a run to the new incarnation, which may have started it too, and stop it there."""
-    moved = replace(attempt, worker=worker, answered_at=None, is_confirmed=False)
+    moved = replace(attempt, worker=worker, answered_at=None, has_started=False, is_confirmed=False)
     allocate_room(worker, moved)
     step = attempt.step
     if step is not None and step.attempts.get(attempt.task.number) is attempt:
@@ -184,7 +184,7 @@
             effects.extend(handle_ended_run(state, worker, ended, now))
     listed = {(each.task, each.run) for each in event.report.running}
     for running in event.report.running:
-        effects.extend(_handle_running_run(state, worker, running, now))
+        effects.extend(_handle_running_run(state, worker, running, event.sent_at, now))
     for attempt in list(worker.attempts.values()):
         if (attempt.task, attempt.run) not in listed:
             effects.extend(_drop_unlisted_attempt(state, attempt, event.sent_at, now))
@@ -195,14 +195,14 @@
 
 
 def _handle_running_run(
-    state: PoolState, worker: Worker, running: RunningRun, now: Instant
+    state: PoolState, worker: Worker, running: RunningRun, sent_at: Instant, now: Instant
 ) -> tuple[PoolEffect, ...]:
     attempt = worker.attempts.get((running.task, running.run))
     if attempt is None:
         attempt = _adopt_run(state, worker, running, now)
     if attempt.step is None:
         return _stop_listed_run(attempt, _explain_unwanted_run(state, attempt.task), now)
-    effects = confirm_attempt(attempt, now)
+    effects = confirm_attempt(attempt, sent_at)
     if attempt.phase is Phase.STARTING:
         attempt.phase = Phase.RUNNING
         attempt.answered_at = attempt.answered_at or now
@@ -254,6 +254,7 @@
         Phase.RUNNING,
         now,
         answered_at=now,
+        has_started=True,
         is_confirmed=True,
         percent=running.percent,
         progressed_at=now,
--- a/tests/cover/test_pool_crashes.py
+++ b/tests/cover/test_pool_crashes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lentilpath_core.ids import WorkerId
+from lentilpath_core.ids import WorkerId, WorkerTime
 from lentilpath_core.pool import (
     AdvicePolicy,
     ClearRun,
@@ -13,12 +13,16 @@
     RecordFinal,
     RecordRun,
     RunEnd,
+    RunningRun,
     RunNumber,
     RunRecord,
     RunsRecovered,
     StartAnswer,
     StartRun,
+    StartUnanswered,
     StepSpec,
+    WorkerReport,
+    WorkerReported,
     get_job_state,
 )
 from lentilpath_core.pool._crashes import MAX_CRASHES, SILENT_ENTRY_MS, SURVIVAL_MS
@@ -77,6 +81,10 @@
     return start
 
 
+def lose_answer(harness: PoolHarness, start: StartRun) -> None:
+    harness.handle_event(StartUnanswered(start.worker, start.life, start.task, start.run))
+
+
 def test_a_task_that_crashes_each_worker_that_starts_it_is_given_up_and_its_job_fails():
     harness = make_harness()
     harness.submit(1)
@@ -165,8 +173,12 @@
     harness = make_harness()
     harness.submit(1)
     for _ in range(MAX_CRASHES):
+        asked_at = harness.now
         start = start_one(harness)
-        report_runs(harness, start.worker)
+        running = RunningRun(start.task, start.run, "", 0)
+        report = WorkerReport(WorkerTime(harness.now), (running,), ())
+        harness.pass_time(SURVIVAL_MS)
+        harness.handle_event(WorkerReported(start.worker, start.life, report, asked_at))
         crash_worker(harness, start)
     assert get_job_state(harness.state, make_job_id(1)) is JobState.FAILED
 
@@ -177,10 +189,20 @@
     for _ in range(MAX_CRASHES):
         assert get_job_state(harness.state, make_job_id(1)) is JobState.QUEUED
         (start,) = list_starts(harness.place())
+        lose_answer(harness, start)
         crash_worker(harness, start)
     assert get_job_state(harness.state, make_job_id(1)) is JobState.FAILED
 
 
+def test_a_start_that_was_not_sent_before_its_worker_crashed_has_not_crashed_it():
+    harness = make_harness()
+    harness.submit(1)
+    for _ in range(MAX_CRASHES + 1):
+        (start,) = list_starts(harness.place())
+        crash_worker(harness, start)
+    assert get_job_state(harness.state, make_job_id(1)) is JobState.QUEUED
+
+
 def test_a_start_that_a_worker_refused_has_not_crashed_it():
     harness = make_harness()
     harness.submit(1)
