Soak: tasks that crash their workers, and capacity that shrinks

Injected: a stand-in worker that starts a task whose spec is "crash" is gone 10 ms later. Its runs end, its connections are cut and its port refuses for 3 s; then it is back under its id with a new birth. About three quarters of the seeds submit one or two such jobs, and most shrink up to three workers' capacity for some seconds, which the entry shows up to a heartbeat later with a higher sequence. Both are drawn from generators of their own. The regression seeds are played without them (--no-disrupts-workers).

Checked: LIMIT against the highest capacity of the last 5.5 s (from the beginning of a fault that delays the worker's commands); BUDGET, three starts after the third crash; such a job ends failed, and not before two crashes; no other accepted job is ever shown as failed.

--- a/tests/common/fleet/workers.py
+++ b/tests/common/fleet/workers.py
@@ -14,6 +14,9 @@
 from tests.common.fleet.store import ResponseLost, StandInStore
 
 MAX_LEASE_MS = 6_000
+CRASHING_SPEC = "crash"
+"""`spec` of tasks that crash the worker that starts them."""
+CRASH_DELAY_SECONDS = 0.01
 
 
 def _read_monotonic_ms() -> int:
@@ -46,6 +49,10 @@
     clock_started_ms: int = 0
     """Time of the monotonic clock at which the worker's own clock reads 0."""
     millicores: int = 4_000
+    sequence: int = 1
+    """Number of the registered entry; it rises with each change of the capacity."""
+    crash_seconds: float = 3.0
+    """Time that the worker is down after a task has crashed it."""
     lost_responses: int = 0
     """Number of starts that are still to be carried out without a response."""
     token: int = 0
@@ -62,16 +69,31 @@
     end_numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     server: HttpServer | None = None
+    """`None` while the worker is down."""
+    port: int = 0
+    recovery: asyncio.Task[None] | None = None
+    """Restarts the worker after a crash."""
+    capacities: list[tuple[float, int]] = field(init=False)
+    """Each capacity in millicores, with the time since which the worker has had it, in seconds of
+    the monotonic clock."""
+
+    def __post_init__(self) -> None:
+        self.capacities = [(0.0, self.millicores)]
 
     async def start(self) -> None:
-        self.server = await serve_http(self._answer, "127.0.0.1", 0)
+        await self._listen()
         self.register()
 
+    async def _listen(self) -> None:
+        self.server = await serve_http(self._answer, "127.0.0.1", self.port)
+        self.port = self.server.get_port()
+
     def register(self) -> None:
-        assert self.server is not None
+        if self.server is None:
+            return
         entry = {
             "service": "planner",
-            "address": self.address or f"127.0.0.1:{self.server.get_port()}",
+            "address": self.address or f"127.0.0.1:{self.port}",
             "zone": "z1",
             "version": "v1",
             "slots": 8,
@@ -79,15 +101,48 @@
             "capacity": {"cpu": self.millicores, "memMb": 8_192, "gpu": 0},
             "labels": ["a", "r1"],
             "born": self.born,
-            "sequence": 1,
+            "sequence": self.sequence,
         }
         self.store.put("servers", "", self.name, json.dumps(entry).encode())
 
-    def restart(self) -> None:
-        """Crash, losing all runs and state, and register as a new incarnation."""
+    def set_capacity(self, millicores: int) -> None:
+        """Change the capacity; the registered entry shows it from the next `register` on."""
+        self.millicores = millicores
+        self.capacities.append((time.monotonic(), millicores))
+        self.sequence += 1
+
+    def get_max_capacity(self, since: float, until: float) -> int:
+        """Return the highest capacity, in millicores, that the worker had within a time span."""
+        changes = [*self.capacities, (float("inf"), 0)]
+        return max(
+            millicores
+            for (began_at, millicores), (ended_at, _) in itertools.pairwise(changes)
+            if began_at <= until and ended_at > since
+        )
+
+    def _crash(self, incarnation: int) -> None:
+        if incarnation == self.born and self.server is not None:
+            self._lose_runs()
+            server, self.server = self.server, None
+            self.recovery = asyncio.create_task(self._recover(server))
+
+    async def _recover(self, server: HttpServer) -> None:
+        """Break off all connections, refuse new ones for a while, and restart."""
+        await server.close(0.0)
+        await asyncio.sleep(self.crash_seconds)
+        await self._listen()
+        self.restart()
+
+    def _lose_runs(self) -> None:
         for run in self.running.values():
             run.ended_at, run.outcome = time.monotonic(), "crashed"
         self.running.clear()
+
+    def restart(self) -> None:
+        """Crash, losing all runs and state, and register as a new incarnation."""
+        if self.server is None:
+            return
+        self._lose_runs()
         self.unacknowledged_ends.clear()
         self.ended_runs.clear()
         self.closed_runs.clear()
@@ -95,9 +150,14 @@
         self.end_numbers = itertools.count(1)
         self.clock_started_ms = _read_monotonic_ms()
         self.born += 1
+        self.sequence = 1
         self.register()
 
     async def close(self) -> None:
+        if self.recovery is not None:
+            self.recovery.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self.recovery
         if self.server is not None:
             await self.server.close(0.0)
 
@@ -108,6 +168,8 @@
         return (self.lease_until + self.clock_started_ms) / 1_000
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
+        if self.server is None:
+            raise ResponseLost
         message = json.loads(request.body)
         if request.get_header("x-expect-instance") != self.name:
             return self._reply(421)
@@ -142,7 +204,10 @@
         self.running[key] = run
         self.log.append(run)
         incarnation = self.born
-        asyncio.get_running_loop().call_later(self.run_seconds, self._finish, key, incarnation)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.run_seconds, self._finish, key, incarnation)
+        if message["spec"] == CRASHING_SPEC:
+            loop.call_later(CRASH_DELAY_SECONDS, self._crash, incarnation)
         return self._reply(200)
 
     def _finish(self, key: tuple[str, int], incarnation: int) -> None:
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -9,7 +9,7 @@
 from tests.common.fleet.store import StandInStore
 from tests.common.fleet.workers import ObservedRun, StandInWorker
 from tests.soak.clients import Job, UnansweredCall
-from tests.soak.plans import FaultKind, make_plan
+from tests.soak.plans import FaultKind, make_plan, make_worker_plan
 from tests.soak.processes import HostProcess, check_hosts
 from tests.soak.promises import (
     check_accepted_count,
@@ -22,15 +22,23 @@
 
 SEEDS = (4,)
 """A planned stop, a pause and hanging table connections of one host, along with resets."""
+DISRUPTED_SEEDS = (13, 10)
+"""A task that crashes its workers, and workers that lose a part or all of their capacity."""
 
 
 @pytest.mark.parametrize("seed", [*SEEDS, *REGRESSIONS])
 def test_all_guarantees_hold_under_injected_faults(seed, tmp_path):
+    assert asyncio.run(run_seed(seed, tmp_path, disrupts_workers=False)) == []
+
+
+@pytest.mark.parametrize("seed", DISRUPTED_SEEDS)
+def test_all_guarantees_hold_when_tasks_crash_workers_and_capacity_shrinks(seed, tmp_path):
     assert asyncio.run(run_seed(seed, tmp_path)) == []
 
 
 def test_a_seed_always_gives_the_same_plan_and_all_kinds_of_faults_occur():
     assert make_plan(7) == make_plan(7)
+    assert make_worker_plan(7) == make_worker_plan(7)
     seen = {fault.kind for seed in range(60) for fault in make_plan(seed)}
     assert seen == set(FaultKind)
 
@@ -51,7 +59,7 @@
 
 def find_problem_kinds(job: Job, *log: ObservedRun) -> list[str]:
     workers = [StandInWorker("w0", StandInStore(), []), StandInWorker("w1", StandInStore(), [])]
-    problems = check_runs([job], list(log), workers)
+    problems = check_runs([job], list(log), workers, {})
     return sorted({problem.partition(":")[0] for problem in problems})
 
 
@@ -88,6 +96,42 @@
     assert find_problem_kinds(job, *runs) == ["LIMIT"]
 
 
+def test_starts_beyond_a_capacity_that_shrank_are_found_once_its_grace_period_is_over():
+    worker = StandInWorker("w0", StandInStore(), [])
+    worker.capacities = [(0.0, 4_000), (10.0, 1_000), (20.0, 4_000)]
+
+    def check_starts(started_at: float, **delays: list[float]) -> list[str]:
+        runs = [make_run(f"a.0.0.{number}", started_at, 30.0) for number in range(2)]
+        return check_runs([Job("a", (2,))], runs, [worker], delays)
+
+    assert check_starts(15.4) == []
+    assert len(check_starts(15.6)) == 2
+    assert check_starts(15.6, w0=[15.0]) == []
+    assert len(check_starts(17.0, w0=[16.0])) == 2
+    assert check_starts(20.1) == []
+
+
+def test_a_task_that_keeps_crashing_workers_is_found():
+    job = Job("a", (1,), crashes_workers=True)
+    crashes = [make_run("a.0.0.0", at, at + 0.1, "crashed") for at in range(1, 7)]
+    assert find_problem_kinds(job, *crashes) == ["BUDGET"]
+    assert find_problem_kinds(job, *crashes[:5]) == []
+    assert find_problem_kinds(Job("a", (1,)), *crashes) == []
+
+
+def test_a_job_that_is_reported_as_failed_without_cause_is_found():
+    crashes = [make_run("a.0.0.0", at, at + 0.1, "crashed") for at in range(1, 3)]
+    job = Job("a", (1,), accepted_at=1.0, failed_at=2.0, state="failed", crashes_workers=True)
+    assert find_problem_kinds(job, *crashes) == ["LOST"]
+    job.failed_at = 2.2
+    assert find_problem_kinds(job, *crashes) == []
+    assert check_final_states([job]) == []
+    job.state = "running"
+    assert check_final_states([job]) != []
+    other = Job("a", (1,), accepted_at=1.0, failed_at=2.0, state="completed")
+    assert check_final_states([other]) != []
+
+
 def test_accepted_work_that_is_not_done_is_found():
     assert check_final_states([Job("a", (1,), accepted_at=1.0, state="running")]) != []
     assert check_final_states([Job("a", (1,), accepted_at=1.0, state="completed")]) == []
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,34 +10,40 @@
 
 import typer
 
-from tests.soak.plans import make_plan
+from tests.soak.plans import make_plan, make_worker_plan
 from tests.soak.runs import run_seed
 
 JOBS = 4
 """Number of concurrent runs; each has its own three entry hosts."""
 
 
-def main(seeds: int = 50, first: int = 0, jobs: int = JOBS) -> None:
-    """Run `seeds` seeds from `first` on (0: from the current time); exits with 1 if any fails."""
+def main(seeds: int = 50, first: int = 0, jobs: int = JOBS, disrupts_workers: bool = True) -> None:
+    """Run `seeds` seeds from `first` on (0: from the current time); exits with 1 if any fails.
+
+    The seeds in `regressions.py` need `--no-disrupts-workers`.
+    """
     first_seed = first or int(time.time())
-    failed = asyncio.run(_run_seeds(range(first_seed, first_seed + seeds), jobs))
+    chosen = range(first_seed, first_seed + seeds)
+    failed = asyncio.run(_run_seeds(chosen, jobs, disrupts_workers))
     print(f"{seeds} seeds from {first_seed}: {len(failed)} failed {failed or ''}")
     sys.exit(1 if failed else 0)
 
 
-async def _run_seeds(seeds: range, jobs: int) -> list[int]:
+async def _run_seeds(seeds: range, jobs: int, disrupts_workers: bool) -> list[int]:
     slots = asyncio.Semaphore(jobs)
     failed: list[int] = []
 
     async def run_one(seed: int) -> None:
         async with slots:
             directory = Path(tempfile.mkdtemp(prefix=f"lentilpath-soak-{seed}-"))
-            problems = await run_seed(seed, directory)
+            problems = await run_seed(seed, directory, disrupts_workers=disrupts_workers)
         if problems:
             failed.append(seed)
             print(f"seed {seed}: logs in {directory}")
             for fault in make_plan(seed):
                 print(f"  {fault}")
+            if disrupts_workers:
+                print(f"  {make_worker_plan(seed)}")
             for problem in problems:
                 print(f"  {problem}")
 
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from lentilpath_http import HttpError, HttpRequest, HttpResponse, RequestNotSent
+from tests.common.fleet.workers import CRASHING_SPEC
 from tests.soak.processes import HostProcess
 
 CALL_TIMEOUT_SECONDS = 4.0
@@ -34,7 +35,11 @@
     is_cancel_sent: bool = False
     completed_at: float | None = None
     """When a host first reported it as completed."""
+    failed_at: float | None = None
+    """When a host first reported it as failed."""
     state: str = ""
+    crashes_workers: bool = False
+    """Whether its tasks crash the workers that start them."""
 
     def list_tasks(self, step: int) -> list[str]:
         """Return the task names of a step."""
@@ -52,7 +57,8 @@
             }
             for number, count in enumerate(self.counts)
         ]
-        return json.dumps({"spec": self.name, "steps": steps}).encode()
+        spec = CRASHING_SPEC if self.crashes_workers else self.name
+        return json.dumps({"spec": spec, "steps": steps}).encode()
 
 
 @dataclass
@@ -88,6 +94,13 @@
                 await self.read_state(job, self.rng.choice(self.hosts))
             await asyncio.sleep(self.rng.uniform(0.02, MAX_PAUSE_SECONDS))
 
+    async def submit_crashing_job(self, delay_seconds: float) -> None:
+        """Submit a job of one task that crashes the workers that start it."""
+        await asyncio.sleep(delay_seconds)
+        job = Job(f"{self.rng.getrandbits(64):016x}", (1,), crashes_workers=True)
+        self.jobs.append(job)
+        await self.submit(job)
+
     async def submit(self, job: Job, attempts: int = 5) -> None:
         """Submit a job, and retry through random hosts until it is accepted or attempts run out."""
         for _ in range(attempts):
@@ -119,6 +132,8 @@
         job.state = json.loads(response.body)["state"]
         if job.state == "completed" and job.completed_at is None:
             job.completed_at = now
+        if job.state == "failed" and job.failed_at is None:
+            job.failed_at = now
         return job.state
 
     async def call(
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -12,6 +12,12 @@
 """Duration of fault injection: twice the longest lease, so that leases lapse within a run."""
 MIN_FAULTS = 4
 MAX_FAULTS = 9
+HEARTBEAT_SECONDS = 1.5
+"""A worker's entry shows a change of its capacity at the latest after this time."""
+WORKER_MILLICORES = 4_000
+MAX_SHRINK_AT_SECONDS = 1.0
+MIN_SHRUNK_SECONDS, MAX_SHRUNK_SECONDS = 5.0, 8.0
+"""Starts may use capacity for a while after it has shrunk, so it shrinks early and for long."""
 
 
 class FaultKind(Enum):
@@ -61,6 +67,34 @@
         """Whether the targets are workers."""
         return self.kind.value.startswith("worker-")
 
+    @property
+    def delays_commands(self) -> bool:
+        """Whether commands may reach the targets late."""
+        return self.kind in (FaultKind.WORKER_DELAYED, FaultKind.WORKER_CUT_THERE)
+
+
+@dataclass(frozen=True, slots=True)
+class CapacityChange:
+    """A worker's capacity shrinks for a while."""
+
+    at_seconds: float
+    worker: int
+    """Index of the worker."""
+    millicores: int
+    duration_seconds: float
+    """Time for which its entry shows less than it had before."""
+    heartbeat_seconds: float
+    """Time from each change until the worker's entry shows it."""
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerPlan:
+    """What jobs and the platform do to the workers of a run."""
+
+    crashing_jobs: tuple[float, ...] = ()
+    """Time at which each job that crashes its workers is submitted."""
+    capacity_changes: tuple[CapacityChange, ...] = ()
+
 
 def make_plan(seed: int) -> tuple[Fault, ...]:
     """Return the faults of a seed, sorted by start time; they may overlap."""
@@ -79,3 +113,22 @@
             )
         )
     return tuple(sorted(faults, key=lambda fault: fault.at_seconds))
+
+
+def make_worker_plan(seed: int) -> WorkerPlan:
+    """Return the plan for the workers of a seed; the faults of `make_plan` do not depend on it."""
+    rng = random.Random(f"{seed}-workers")
+    crashing_jobs = sorted(
+        round(rng.uniform(0.0, FAULT_PHASE_SECONDS), 3) for _ in range(rng.choice((0, 1, 1, 2)))
+    )
+    changes = [
+        CapacityChange(
+            round(rng.uniform(0.0, MAX_SHRINK_AT_SECONDS), 3),
+            worker,
+            rng.randrange(0, WORKER_MILLICORES, 1_000),
+            round(rng.uniform(MIN_SHRUNK_SECONDS, MAX_SHRUNK_SECONDS), 3),
+            round(rng.uniform(0.0, HEARTBEAT_SECONDS), 3),
+        )
+        for worker in rng.sample(range(WORKERS), rng.choice((0, 1, 2, 3)))
+    ]
+    return WorkerPlan(tuple(crashing_jobs), tuple(changes))
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from tests.common.fleet.workers import ObservedRun, StandInWorker
 from tests.soak.clients import REFUSED, TASK_MILLICORES, Job, UnansweredCall
+from tests.soak.plans import HEARTBEAT_SECONDS
 from tests.soak.processes import HostProcess
 
 CLOCK_SLACK_SECONDS = 0.03
@@ -15,12 +16,27 @@
 """A cancelled job gets no starts this long after the acknowledgement, as deployments specify."""
 MIN_ACCEPTED_JOBS = 8
 """Two per client. No plan disrupts all hosts all the time, and a client submits three jobs/s."""
+CAPACITY_GRACE_SECONDS = 4.0 + HEARTBEAT_SECONDS
+"""Starts may still use capacity that has shrunk for this long, as deployments specify."""
+MIN_CRASHES = 2
+"""A task may be given up once it has crashed this many workers."""
+CRASHES_BEFORE_BUDGET = 3
+"""Once a task has crashed this many workers, it may be started fewer than three times more."""
+MAX_STARTS_AFTER_CRASHES = 2
 UNDISTURBED_SECONDS = 4.0
 """A planned stop is checked only if its host had no other fault in this time before it."""
 
 
-def check_runs(jobs: list[Job], log: list[ObservedRun], workers: list[StandInWorker]) -> list[str]:
-    """Return the violations of guarantees by the runs of tasks."""
+def check_runs(
+    jobs: list[Job],
+    log: list[ObservedRun],
+    workers: list[StandInWorker],
+    delays: Mapping[str, list[float]],
+) -> list[str]:
+    """Return the violations of guarantees by the runs of tasks.
+
+    `delays` has the times at which faults that delay commands began or ended, by worker.
+    """
     runs: dict[str, list[ObservedRun]] = {}
     for run in log:
         runs.setdefault(run.task, []).append(run)
@@ -28,7 +44,8 @@
     for task, each in runs.items():
         problems.extend(_check_task(task, each))
     for worker in workers:
-        problems.extend(_check_capacity(worker, [run for run in log if run.worker == worker.name]))
+        worker_runs = [run for run in log if run.worker == worker.name]
+        problems.extend(_check_capacity(worker, worker_runs, delays.get(worker.name, [])))
     known = {job.name for job in jobs}
     problems.extend(
         f"UNASKED: {task} ran, but its job was not submitted"
@@ -51,14 +68,24 @@
             yield f"TWICE: {task} was started on {second.worker} after its acknowledged success"
 
 
-def _check_capacity(worker: StandInWorker, worker_runs: list[ObservedRun]) -> Iterable[str]:
+def _check_capacity(
+    worker: StandInWorker, worker_runs: list[ObservedRun], delays: list[float]
+) -> Iterable[str]:
     for run in worker_runs:
+        recent_delays = [
+            at for at in delays if run.started_at - CAPACITY_GRACE_SECONDS < at <= run.started_at
+        ]
+        sent_at = min(recent_delays, default=run.started_at)
+        capacity = worker.get_max_capacity(sent_at - CAPACITY_GRACE_SECONDS, run.started_at)
         concurrent = sum(
             other.started_at <= run.started_at and run.started_at < (other.ended_at or float("inf"))
             for other in worker_runs
         )
-        if concurrent * TASK_MILLICORES > worker.millicores:
-            yield f"LIMIT: {run.task} was one of {concurrent} concurrent tasks on {worker.name}"
+        if concurrent * TASK_MILLICORES > capacity:
+            yield (
+                f"LIMIT: {run.task} was one of {concurrent} concurrent tasks on {worker.name}, "
+                f"which had {capacity} millicores"
+            )
 
 
 def _check_job(job: Job, runs: dict[str, list[ObservedRun]]) -> Iterable[str]:
@@ -83,6 +110,8 @@
         ]
         if started_at is not None and any(at is None or at > started_at for at in completions):
             yield f"ORDER: step {step} of {job.name} started before the previous step was done"
+    if job.crashes_workers:
+        yield from _check_crashes(job, job_runs)
     if job.completed_at is not None:
         for step in range(len(job.counts)):
             for task in job.list_tasks(step):
@@ -97,6 +126,20 @@
             yield f"UNASKED: {late_runs[0].task} was started after its job was cancelled"
 
 
+def _check_crashes(job: Job, runs: list[ObservedRun]) -> Iterable[str]:
+    """Check the runs of a job of one task that crashes its workers."""
+    crashes = sorted(run.ended_at for run in runs if run.outcome == "crashed" and run.ended_at)
+    if len(crashes) >= CRASHES_BEFORE_BUDGET:
+        last_at = crashes[CRASHES_BEFORE_BUDGET - 1]
+        later = sum(run.started_at > last_at for run in runs)
+        if later > MAX_STARTS_AFTER_CRASHES:
+            yield f"BUDGET: {job.name} was started {later} times after it crashed three workers"
+    if job.failed_at is not None:
+        count = sum(at <= job.failed_at for at in crashes)
+        if count < MIN_CRASHES:
+            yield f"LOST: {job.name} was reported as failed after it crashed {count} workers"
+
+
 def _find_completion_time(runs: list[ObservedRun]) -> float | None:
     return min(
         (run.ended_at for run in runs if run.outcome == "done" and run.ended_at), default=None
@@ -112,13 +155,16 @@
 
 
 def check_final_states(jobs: list[Job]) -> list[str]:
-    """Return the accepted jobs whose last reported state is not an expected final state."""
+    """Return the accepted jobs that failed without cause or did not reach their final state."""
     problems: list[str] = []
     for job in jobs:
         if job.accepted_at is None:
             continue
-        allowed = ("completed", "cancelled") if job.is_cancel_sent else ("completed",)
-        if job.state not in allowed:
+        final = "failed" if job.crashes_workers else "completed"
+        allowed = (final, "cancelled") if job.is_cancel_sent else (final,)
+        if job.failed_at is not None and not job.crashes_workers:
+            problems.append(f"LOST: {job.name} was reported as failed")
+        elif job.state not in allowed:
             problems.append(
                 f"LOST: {job.name} was accepted, but its last state is {job.state or 'unknown'}"
             )
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -10,4 +10,4 @@
     "its lease had lapsed and its task was started again, which is allowed; the check flagged it",
     143: "same cause as 140, followed by a change of leader",
 }
-"""Cause by seed; the short soak test in CI runs all of them."""
+"""Cause by seed; the short soak test in CI runs all of them, without disrupted workers."""
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -9,16 +9,27 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from pathlib import Path
 
 from lentilpath_http import HttpClient, HttpError, HttpRequest, HttpServer, create_client
-from tests.common.fleet.deployment import CONFIG, QUEUE
+from tests.common.fleet.deployment import CONFIG, FINAL_STATES, QUEUE
 from tests.common.fleet.store import StandInStore, StoreFaults
 from tests.common.fleet.workers import ObservedRun, StandInWorker, serve_advice
 from tests.soak.clients import Clients
-from tests.soak.plans import FAULT_PHASE_SECONDS, HOSTS, WORKERS, Fault, FaultKind, make_plan
+from tests.soak.plans import (
+    FAULT_PHASE_SECONDS,
+    HOSTS,
+    WORKER_MILLICORES,
+    WORKERS,
+    CapacityChange,
+    Fault,
+    FaultKind,
+    WorkerPlan,
+    make_plan,
+    make_worker_plan,
+)
 from tests.soak.processes import (
     READY_PORT,
     HostProcess,
@@ -55,6 +66,7 @@
 
     seed: int
     directory: Path
+    worker_plan: WorkerPlan = field(default_factory=WorkerPlan)
     store: StandInStore = field(default_factory=StandInStore)
     advice: HttpServer | None = None
     log: list[ObservedRun] = field(default_factory=list)
@@ -64,7 +76,8 @@
     workers: list[StandInWorker] = field(default_factory=list)
     worker_proxies: list[Proxy] = field(default_factory=list)
     disturbances: dict[str, list[float]] = field(default_factory=dict)
-    """Times at which faults other than planned stops began or ended, by host."""
+    """Times at which faults other than planned stops began or ended, by host; and those at which
+    faults that delay commands did, by worker."""
 
     async def open(self) -> None:
         """Start everything and wait until each host accepts requests."""
@@ -83,7 +96,9 @@
             await self._wait_until(host.client, "/checks/")
 
     async def _add_worker(self, number: int) -> None:
-        worker = StandInWorker(f"w{number}", self.store, self.log, TASK_SECONDS)
+        worker = StandInWorker(
+            f"w{number}", self.store, self.log, TASK_SECONDS, millicores=WORKER_MILLICORES
+        )
         await worker.start()
         assert worker.server is not None
         proxy = Proxy("127.0.0.1", worker.server.get_port())
@@ -141,6 +156,12 @@
                 group.create_task(clients.submit_until(end))
             for fault in make_plan(self.seed):
                 group.create_task(self._inject_fault(fault))
+            for change in self.worker_plan.capacity_changes:
+                group.create_task(self._change_capacity(change))
+            # A generator of their own leaves the other jobs of the seed as they are.
+            rng = random.Random(f"{self.seed}-crashing-jobs")
+            for at_seconds in self.worker_plan.crashing_jobs:
+                group.create_task(replace(clients, rng=rng).submit_crashing_job(at_seconds))
             group.create_task(self._watch_hosts(end))
         for host in self.hosts:
             await self._wait_until_ready(host)
@@ -149,7 +170,7 @@
         return [
             *clients.problems,
             *check_accepted_count(clients.jobs),
-            *check_runs(clients.jobs, self.log, self.workers),
+            *check_runs(clients.jobs, self.log, self.workers, self.disturbances),
             *check_final_states(clients.jobs),
             *check_planned_stops(self.hosts, clients.unanswered_calls, self.disturbances),
         ]
@@ -167,9 +188,20 @@
         while open_jobs and time.monotonic() < deadline:
             for job in open_jobs:
                 await clients.read_state(job, clients.rng.choice(self.hosts))
-            open_jobs = [job for job in open_jobs if job.state not in ("completed", "cancelled")]
+            open_jobs = [job for job in open_jobs if job.state not in FINAL_STATES]
             await asyncio.sleep(0.1)
 
+    async def _change_capacity(self, change: CapacityChange) -> None:
+        worker = self.workers[change.worker]
+        for delay_seconds, millicores in (
+            (change.at_seconds, change.millicores),
+            (change.duration_seconds, worker.millicores),
+        ):
+            await asyncio.sleep(delay_seconds)
+            worker.set_capacity(millicores)
+            await asyncio.sleep(change.heartbeat_seconds)
+            worker.register()
+
     async def _inject_fault(self, fault: Fault) -> None:
         await asyncio.sleep(fault.at_seconds)
         async with asyncio.TaskGroup() as group:
@@ -180,16 +212,18 @@
         if fault.kind in (FaultKind.KILL, FaultKind.TERMINATE):
             await self._end_host(fault, self.hosts[target])
             return
-        if not fault.targets_worker:
-            self._record_disturbance(self.hosts[target])
+        disturbed = self.workers[target] if fault.targets_worker else self.hosts[target]
+        is_recorded = fault.delays_commands or not fault.targets_worker
+        if is_recorded:
+            self._record_disturbance(disturbed)
         undo = self._begin_fault(fault.kind, target)
         await asyncio.sleep(fault.duration_seconds)
         undo()
-        if not fault.targets_worker:
-            self._record_disturbance(self.hosts[target])
+        if is_recorded:
+            self._record_disturbance(disturbed)
 
-    def _record_disturbance(self, host: HostProcess) -> None:
-        self.disturbances.setdefault(host.name, []).append(time.monotonic())
+    def _record_disturbance(self, target: HostProcess | StandInWorker) -> None:
+        self.disturbances.setdefault(target.name, []).append(time.monotonic())
 
     async def _end_host(self, fault: Fault, host: HostProcess) -> None:
         if host.expects_exit:
@@ -262,9 +296,12 @@
     return proxy.heal
 
 
-async def run_seed(seed: int, directory: Path) -> list[str]:
-    """Run one seed and return the violations; logs and settings are kept in `directory`."""
-    soak = Soak(seed, directory)
+async def run_seed(seed: int, directory: Path, *, disrupts_workers: bool = True) -> list[str]:
+    """Run one seed and return the violations; logs and settings are kept in `directory`.
+
+    Without `disrupts_workers`, no job crashes a worker and no worker's capacity changes.
+    """
+    soak = Soak(seed, directory, make_worker_plan(seed) if disrupts_workers else WorkerPlan())
     try:
         await soak.open()
         return await soak.run()
