--- a/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -81,7 +81,10 @@
         return False
     key = (attempt.task, attempt.run)
     was_sent = attempt.has_started or key in state.unanswered_starts.get(worker.worker, {})
-    if attempt.has_survived or not was_sent:
+    # A task without a suspicion is not blamed once its run was listed at all. Few of those that
+    # crash their workers are, and many others share the crashed workers.
+    is_spared = attempt.is_confirmed and count_suspicions(step, attempt.task.number) == 0
+    if attempt.has_survived or is_spared or not was_sent:
         return False
     if not worker.suspects:
         worker.suspected_at = now
