--- a/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -4,8 +4,8 @@
 their workers to it. A worker that crashes tells nothing, so each run is suspected that it had not
 listed in a report yet. A suspected task starts where no other start is in progress, on a worker
 that has answered right before and is asked again right after, so that the next crash points at one
-task. Once a report lists a run of it, it is no longer suspected. A worker that was only cut off
-clears its runs when it is heard again.
+task. It is cleared when a report that was asked for after its start lists its run, or when a worker
+that was only cut off is heard again.
 """
 
 from __future__ import annotations
