--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from lentilpath_core.errors import OutcomeUnknown, Unavailable
-from lentilpath_core.ids import Epoch, FencingToken, Instant, JobId, RowVersion, WorkerId
+from lentilpath_core.ids import Epoch, Instant, JobId, RowVersion, WorkerId
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.pool import (
     AskAdvice,
@@ -58,13 +58,12 @@
 from lentilpathd._pool._recovery import READ_TIMEOUT_SECONDS, read_former_workers, read_pool
 from lentilpathd._pool._removal import JobRemover
 from lentilpathd._pool._settings import MAX_LEASE_MS
+from lentilpathd._pool._tokens import make_token
 from lentilpathd._pool._writer import RecordWriter
 
 T = TypeVar("T")
+RunEffect = StartRun | StopRun | PaceRun | GiveUpRun | ClearRun
 
-TOKENS_PER_EPOCH = 1_000_000_000
-"""Fencing tokens that are set aside for the clients of each epoch. A pool of thousands of workers
-that all fall silent once a minute takes months to use them up."""
 TICK_SECONDS = 0.25
 """Timers fire at most 250 ms late."""
 DIGEST_REUSE_MS = 250
@@ -85,11 +84,6 @@
 make."""
 
 
-def make_token(epoch: Epoch, client: int) -> FencingToken:
-    """Return the fencing token of a client, numbered from 1; 0 for commands before any link."""
-    return FencingToken(epoch * TOKENS_PER_EPOCH + client)
-
-
 class Term:
     """Runs the pool as leader, from winning an epoch until it is lost or released."""
 
@@ -333,12 +327,7 @@
         if link is not None:
             link[1].cancel()
 
-    def _log_run(
-        self,
-        event: Event,
-        effect: StartRun | StopRun | PaceRun | GiveUpRun | ClearRun,
-        **more: object,
-    ) -> None:
+    def _log_run(self, event: Event, effect: RunEffect, **more: object) -> None:
         log_event(
             event,
             task=format_task(effect.task),
