--- a/packages/lentilpath-core/src/lentilpath_core/errors.py
+++ b/packages/lentilpath-core/src/lentilpath_core/errors.py
@@ -3,6 +3,8 @@
 `LentilpathError`
     `InvalidInput`: the caller's input is invalid; nothing was changed.
         `InvalidSettings`, `InvalidJob`, `InvalidCommand`, `UnknownName`, `WriteRejected`
+    `AccessDenied`: the caller may not do this; nothing was changed.
+        `UnknownKey`, `NotPermitted`
     `Conflict`: another writer changed the same thing first; the message says who and what.
     `Unavailable`: a required component cannot be reached; nothing was changed.
         `TableUnavailable`, `TableBusy`, `PeerUnavailable`, `WorkerUnavailable`, `NoLeader`
@@ -55,6 +57,24 @@
     code = "unknown-name"
 
 
+class AccessDenied(LentilpathError):
+    """The caller may not do this. Nothing was changed."""
+
+    code = "access-denied"
+
+
+class UnknownKey(AccessDenied):
+    """The call carries no key, or one that is not in force."""
+
+    code = "unknown-key"
+
+
+class NotPermitted(AccessDenied):
+    """The caller's key is valid but does not permit the action."""
+
+    code = "not-permitted"
+
+
 class Conflict(LentilpathError):
     """Another writer changed the same thing first."""
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
@@ -6,9 +6,17 @@
 effects.
 """
 
+from lentilpath_core.pool._access import (
+    NO_CUSTOMER,
+    check_owner,
+    identify_customer,
+    index_customers,
+    is_configuration_current,
+)
 from lentilpath_core.pool._admission import QueueLoad, decide_admission, measure_loads
 from lentilpath_core.pool._decisions import (
     decide_pool,
+    get_job_customer,
     get_job_state,
     is_placement_due,
     place_pool,
@@ -50,6 +58,7 @@
 from lentilpath_core.pool._model import (
     FINAL_STATES,
     AdvicePolicy,
+    CustomerPolicy,
     EndedRun,
     FinalRecord,
     JobRecord,
@@ -78,11 +87,13 @@
 
 __all__ = [
     "FINAL_STATES",
+    "NO_CUSTOMER",
     "AdviceAnswered",
     "AdvicePolicy",
     "AskAdvice",
     "ClearRun",
     "ConfigurationSet",
+    "CustomerPolicy",
     "DeleteJob",
     "EndedRun",
     "FinalRecord",
@@ -134,11 +145,16 @@
     "WorkerReported",
     "WorkersListed",
     "WorkersRecorded",
+    "check_owner",
     "create_pool",
     "decide_admission",
     "decide_pool",
     "get_completion_objective_ms",
+    "get_job_customer",
     "get_job_state",
+    "identify_customer",
+    "index_customers",
+    "is_configuration_current",
     "is_placement_due",
     "measure_loads",
     "place_pool",
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -5,7 +5,7 @@
 from functools import singledispatch
 from itertools import islice
 
-from lentilpath_core.ids import Instant, JobId
+from lentilpath_core.ids import CustomerId, Instant, JobId
 from lentilpath_core.pool._events import (
     AdviceAnswered,
     ConfigurationSet,
@@ -85,6 +85,15 @@
     return JobState.RUNNING if known.has_started else JobState.QUEUED
 
 
+def get_job_customer(state: PoolState, job: JobId) -> CustomerId:
+    """Return the customer of a job; empty if it has none or is not known."""
+    known = state.jobs.get(job)
+    if known is not None:
+        return known.record.customer
+    final = state.finals.get(job)
+    return final.customer if final is not None else CustomerId("")
+
+
 @singledispatch
 def _handle(event: PoolEvent, state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
     raise TypeError(f"unknown type of pool event: {event!r}")
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
@@ -10,6 +10,7 @@
 
 from lentilpath_core.ids import (
     ConfigVersion,
+    CustomerId,
     JobId,
     RackId,
     ServiceId,
@@ -108,6 +109,8 @@
     """How many times the steps run; 0 to run them once, without delay."""
     first_due: WallTime = WallTime(0)
     every_ms: int = 0
+    customer: CustomerId = CustomerId("")
+    """Customer whose key the submission carried; empty without one."""
 
 
 class JobState(Enum):
@@ -153,6 +156,8 @@
     target_ms: int
     timeout_ms: int
     advice: AdvicePolicy | None = None
+    is_public: bool = False
+    """Whether calls to the queue need no key."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,6 +168,18 @@
     standby: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class CustomerPolicy:
+    """Settings of a customer in the current configuration."""
+
+    customer: CustomerId
+    weight: float = 1.0
+    """The customer's share of a full fleet, relative to the other weights, and the number of jobs
+    per second that it may submit before its further jobs wait behind those of others."""
+    quota: Resources = Resources()
+    """Most that the customer's running tasks may hold on all workers; 0 for no limit."""
+
+
 @dataclass(frozen=True, slots=True)
 class PoolConfiguration:
     """One version of the configuration, decoded once."""
@@ -170,6 +187,12 @@
     version: ConfigVersion
     queues: dict[QueueId, QueuePolicy] = field(default_factory=dict)
     services: dict[ServiceId, ServicePolicy] = field(default_factory=dict)
+    customers: dict[CustomerId, CustomerPolicy] = field(default_factory=dict)
+    customers_by_key: dict[str, CustomerId] = field(default_factory=dict, repr=False)
+    """Keys are secrets, so they are left out of the representation."""
+    requires_keys: bool = False
+    """Whether calls need a customer's key, unless their queue is public. False for a deployment
+    whose configuration does not mention customers."""
 
 
 class WorkerCondition(Enum):
@@ -278,6 +301,8 @@
 
     state: JobState
     at: WallTime
+    customer: CustomerId = CustomerId("")
+    """Customer of the job. The last field, so that earlier releases can read the record."""
 
 
 def get_completion_objective_ms(policy: QueuePolicy, critical_path_ms: float) -> float:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
@@ -174,7 +174,7 @@
 def _set_final_state(
     state: PoolState, job: Job, final: JobState, wall_now: WallTime
 ) -> tuple[PoolEffect, ...]:
-    job.final = FinalRecord(final, wall_now)
+    job.final = FinalRecord(final, wall_now, job.record.customer)
     for step in job.steps.values():
         state.open_steps.pop(step.key, None)
         drop_plan(step)
--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -129,6 +129,7 @@
         540,
         "a worker of the previous leader did not answer the new leader's first renewal",
     )
+    KEY_REFUSED = (552, "a call carried no key, or one that is not in force")
     RUN_PACED = (537, "the throttling of a filling run was changed")
     PACE_UNANSWERED = (
         538,
--- a/packages/lentilpathd/src/lentilpathd/_metrics.py
+++ b/packages/lentilpathd/src/lentilpathd/_metrics.py
@@ -32,6 +32,7 @@
     JOB_ANSWER_TIME = "jobs.answer_time"
     JOB_ENDED = "jobs.ended"
     JOBS_PENDING = "jobs.pending"
+    KEY_REFUSED = "jobs.key_refused"
     RUN_STARTED = "runs.started"
     RUN_ENDED = "runs.ended"
     RUN_STOPPED = "runs.stopped"
--- a/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
@@ -6,8 +6,9 @@
 from collections.abc import Callable
 
 from lentilpath_core.errors import InvalidSettings, OutcomeUnknown, Unavailable
-from lentilpath_core.ids import RowVersion
-from lentilpath_core.pool import PoolConfiguration
+from lentilpath_core.ids import Instant, RowVersion
+from lentilpath_core.pool import PoolConfiguration, is_configuration_current
+from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._pool._ports import HistoryLost, Registry
 
@@ -28,6 +29,7 @@
         self._registry = registry
         self._on_change = on_change
         self._current: PoolConfiguration | None = None
+        self._confirmed_at: Instant | None = None
         self._first_received = asyncio.Event()
         self._last_invalid = ""
         """The last reason for which a configuration could not be used; each is logged once."""
@@ -36,6 +38,10 @@
         """Return the configuration in force, or `None` before the first one was read."""
         return self._current
 
+    def is_current(self, max_age_ms: int | None, now: Instant) -> bool:
+        """Return whether the configuration was confirmed as the newest one recently enough."""
+        return is_configuration_current(self._confirmed_at, max_age_ms, now)
+
     async def wait_for_first(self) -> None:
         """Wait until the first configuration was read."""
         await self._first_received.wait()
@@ -44,6 +50,7 @@
         """Follow changes until cancelled."""
         version: RowVersion | None = None
         while True:
+            sent_at = read_instant()
             try:
                 if version is None:
                     found, version = await self._registry.read_configuration(
@@ -66,6 +73,7 @@
                 log_event(Event.CONFIG_NOT_READ, error=str(error))
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
+            self._confirmed_at = sent_at
             if found is not None:
                 self._apply(found)
             elif self._current is None:
@@ -84,5 +92,10 @@
         self._current = found
         self._last_invalid = ""
         self._first_received.set()
-        log_event(Event.CONFIG_IN_FORCE, version=found.version, queues=len(found.queues))
+        log_event(
+            Event.CONFIG_IN_FORCE,
+            version=found.version,
+            queues=len(found.queues),
+            customers=len(found.customers),
+        )
         self._on_change(found)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_context.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_context.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from lentilpath_core.ids import Incarnation, JobId
+from lentilpath_core.ids import CustomerId, Incarnation, JobId
 from lentilpath_core.pool import JobState, PoolConfiguration
 from lentilpathd._peers import PeerBus
 from lentilpathd._pool._advice import AdviceAgent
@@ -39,3 +39,5 @@
     """Passes a stored row to this process if it leads; returns whether it leads."""
     unclear_jobs: UnclearJobs
     is_leading: Callable[[], bool]
+    get_local_job_customer: Callable[[JobId], CustomerId]
+    """Returns a job's customer; empty if it has none or is not known to this process."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -11,9 +11,9 @@
 import msgspec
 
 from lentilpath_core.errors import LentilpathError
-from lentilpath_core.ids import Epoch, Incarnation, Instant, JobId
+from lentilpath_core.ids import CustomerId, Epoch, Incarnation, Instant, JobId
 from lentilpath_core.peers import PeerRequest
-from lentilpath_core.pool import JobState, PoolConfiguration
+from lentilpath_core.pool import NO_CUSTOMER, JobState, PoolConfiguration, QueueId, QueuePolicy
 from lentilpath_http import HttpLimits, HttpRequest, HttpResponse, HttpServer, serve_http
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
@@ -119,6 +119,7 @@
             self._handle_local_notice,
             self.unclear_jobs,
             self.is_leading,
+            self._get_local_job_customer,
         )
         self.jobs = Jobs(self.context)
         self.settings_watcher = SettingsWatcher(
@@ -141,6 +142,19 @@
             and self.table.is_open(read_instant())
         )
 
+    def may_check_keys(self, configuration: PoolConfiguration, queue: QueuePolicy) -> bool:
+        """Return whether the configuration is recent enough to accept a key for this queue."""
+        if not configuration.requires_keys or queue.is_public:
+            return True
+        return self.configuration.is_current(self.settings.max_configuration_age_ms, read_instant())
+
+    def report_unknown_key(self, queue: QueueId, method: str) -> None:
+        """Log and count a call without a key that is in force; the key itself is never logged."""
+        configuration = self.configuration.get_current()
+        version = configuration.version if configuration is not None else None
+        self.metrics.count(Metric.KEY_REFUSED, queue)
+        log_event(Event.KEY_REFUSED, queue=queue, method=method, config=version)
+
     def _can_lead(self) -> bool:
         return self.table.is_direct_path_up() and not self.stopping.is_set()
 
@@ -180,6 +194,10 @@
         term = self._get_ready_term()
         return term.get_state(job) if term is not None else None
 
+    def _get_local_job_customer(self, job: JobId) -> CustomerId:
+        term = self._get_ready_term()
+        return term.get_customer(job) if term is not None else NO_CUSTOMER
+
     def _handle_local_notice(self, notice: JobNotice) -> bool:
         term = self._get_ready_term()
         if term is None:
@@ -202,9 +220,11 @@
 
     async def _handle_state_request(self, request: PeerRequest) -> StateReply:
         state_request = msgspec.convert(request.body, StateRequest)
-        state = self._require_term().get_state(state_request.job)
+        term = self._require_term()
+        state = term.get_state(state_request.job)
         is_unclear = self.unclear_jobs.has(state_request.job, read_instant())
-        return StateReply(state.value if state is not None else "", is_unclear)
+        customer = term.get_customer(state_request.job)
+        return StateReply(state.value if state is not None else "", is_unclear, customer)
 
     async def _handle_unclear_notice(self, request: PeerRequest) -> Empty:
         # Recorded whether or not this host leads: it may lead by the time the job is asked about.
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -11,8 +11,15 @@
     OutcomeUnknown,
     TableUnavailable,
 )
-from lentilpath_core.ids import Instant, JobId, RowVersion
-from lentilpath_core.pool import JobRecord, JobState, QueuePolicy, decide_admission
+from lentilpath_core.ids import CustomerId, Instant, JobId, RowVersion
+from lentilpath_core.pool import (
+    NO_CUSTOMER,
+    JobRecord,
+    JobState,
+    QueuePolicy,
+    check_owner,
+    decide_admission,
+)
 from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_event
 from lentilpathd._metrics import Metric
@@ -33,6 +40,7 @@
     POOL_PARTITION,
     POOL_TABLE,
     decode_final,
+    decode_job,
     encode_record,
     get_cancel_key,
     get_job_partitions,
@@ -124,6 +132,9 @@
         except OutcomeUnknown:
             return SubmissionAnswer(SubmissionResult.UNCLEAR)
         # An existing row belongs to this job: this submission or an earlier one stored it.
+        for existing in commit.conflicts:
+            if existing.key == record.job:
+                check_owner(decode_job(existing.value).customer, record.customer)
         if commit.applied:
             self._notify_leader(transaction, commit.version)
         log_event(
@@ -182,26 +193,27 @@
             # The leader's job feed delivers stored jobs even if this notice is lost.
             log_event(Event.LEADER_SILENT, leader=leader, error=str(error))
 
-    async def get_state(self, job: JobId) -> JobState | None:
-        """Return a job's state, or `None` if there is no such job.
+    async def get_state(self, job: JobId, caller: CustomerId = NO_CUSTOMER) -> JobState | None:
+        """Return the state of a job of `caller`, or `None` if there is no such job.
 
-        Raises `Unavailable` or `OutcomeUnknown` if the state cannot be determined now.
+        Raises `NotPermitted` if the job belongs to another customer, and `Unavailable` or
+        `OutcomeUnknown` if the state cannot be determined now.
         """
-        state = await self._query_leader(job)
-        if state is not None:
-            return state
-        return await self._read_stored_state(job)
-
-    async def _query_leader(self, job: JobId) -> JobState | None:
         reply = await self._query_state(job)
-        return JobState(reply.state) if reply is not None and reply.state else None
+        if reply is None or not reply.state:
+            reply = await self._read_stored_state(job)
+        if not reply.state:
+            return None
+        check_owner(reply.customer, caller)
+        return JobState(reply.state)
 
     async def _query_state(self, job: JobId) -> StateReply | None:
         """Return the leader's view of a job, or `None` if the leader does not answer."""
         if self._context.is_leading():
             own = self._context.get_local_job_state(job)
             is_unclear = self._context.unclear_jobs.has(job, read_instant())
-            return StateReply(own.value if own is not None else "", is_unclear)
+            customer = self._context.get_local_job_customer(job)
+            return StateReply(own.value if own is not None else "", is_unclear, customer)
         leader = self._context.heartbeat_sender.get_leader()
         if leader is None or leader == self._context.settings.host:
             return None
@@ -213,7 +225,7 @@
             log_event(Event.LEADER_SILENT, leader=leader, error=str(error))
             return None
 
-    async def _read_stored_state(self, job: JobId) -> JobState | None:
+    async def _read_stored_state(self, job: JobId) -> StateReply:
         table = self._context.table
         key = make_final_key(job)
         read = await table.read_partition(
@@ -221,10 +233,14 @@
         )
         for row in read.rows:
             if row.key == key:
-                return decode_final(row.value).state
-        return JobState.QUEUED if await self._is_stored(job) else None
-
-    async def _is_stored(self, job: JobId) -> bool:
+                final = decode_final(row.value)
+                return StateReply(final.state.value, customer=final.customer)
+        record = await self._read_record(job)
+        if record is None:
+            return StateReply("")
+        return StateReply(JobState.QUEUED.value, customer=record.customer)
+
+    async def _read_record(self, job: JobId) -> JobRecord | None:
         reads = await asyncio.gather(
             *(
                 self._context.table.read_partition(
@@ -236,20 +252,21 @@
         )
         failures = [read for read in reads if isinstance(read, BaseException)]
         found = [row for read in reads if not isinstance(read, BaseException) for row in read.rows]
-        if any(row.key == job for row in found):
-            return True
+        for row in found:
+            if row.key == job:
+                return decode_job(row.value)
         if failures:
             raise failures[0]
-        return False
+        return None
 
-    async def cancel(self, job: JobId, deadline_ms: int) -> bool:
-        """Cancel a job; return whether it exists.
+    async def cancel(self, job: JobId, deadline_ms: int, caller: CustomerId = NO_CUSTOMER) -> bool:
+        """Cancel a job of `caller`; return whether it exists.
 
-        Raises `Unavailable` if the cancellation is certainly not stored, and `OutcomeUnknown` if it
-        may be.
+        Raises `NotPermitted` if the job belongs to another customer, `Unavailable` if the
+        cancellation is certainly not stored, and `OutcomeUnknown` if it may be.
         """
         give_up_at = Instant(int(read_instant() + deadline_ms * SETTLE_DEADLINE_SHARE))
-        if not await self._is_known(job):
+        if not await self._is_known(job, caller):
             return False
         row = (get_cancel_key(job), b"1")
         transactions = tuple(
@@ -266,9 +283,9 @@
         log_event(Event.JOB_CANCELLED, job=job)
         return True
 
-    async def _is_known(self, job: JobId) -> bool:
+    async def _is_known(self, job: JobId, caller: CustomerId) -> bool:
         try:
-            return await self.get_state(job) is not None
+            return await self.get_state(job, caller) is not None
         except OutcomeUnknown as error:
             raise TableUnavailable(f"the state of {job} could not be read: {error}") from error
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_messages.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from lentilpath_core.ids import Epoch, HostId, JobId, RegionId, ZoneId
+from lentilpath_core.ids import CustomerId, Epoch, HostId, JobId, RegionId, ZoneId
 from lentilpath_core.pool import QueueLoad
 from lentilpath_core.settings import Address
 
@@ -62,6 +62,8 @@
     state: str
     is_unclear: bool = False
     """Whether a host recently tried to store the job and does not know the outcome."""
+    customer: CustomerId = CustomerId("")
+    """Customer of the job; empty if it has none or is not known."""
 
 
 class JobNotice(msgspec.Struct, frozen=True):
--- a/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
@@ -16,6 +16,7 @@
 
 _COUNTERS: dict[Metric, tuple[str, ...]] = {
     Metric.JOB_ANSWERED: ("queue", "outcome"),
+    Metric.KEY_REFUSED: ("queue",),
     Metric.RUN_STARTED: ("queue", "tier"),
     Metric.RUN_ENDED: ("end",),
     Metric.RUN_STOPPED: ("reason",),
--- a/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
@@ -35,6 +35,9 @@
     """Speed of the host's processor, in cores."""
     job_memory_ms: int = 120_000
     """How long the state of a finished job remains available."""
+    max_configuration_age_ms: int | None = None
+    """Keys are not accepted while the configuration was last confirmed longer ago than this, since
+    they may have been withdrawn; `None` for no limit."""
 
     def list_changes(self, other: PoolHostSettings) -> frozenset[str]:
         """Return the names of the settings that differ in `other`."""
@@ -54,6 +57,8 @@
         return min(self.longest_lease_ms, MAX_LEASE_MS)
 
 
-LIVE_SETTINGS = frozenset({"longest_lease_ms", "stop_grace_ms", "job_memory_ms"})
+LIVE_SETTINGS = frozenset(
+    {"longest_lease_ms", "stop_grace_ms", "job_memory_ms", "max_configuration_age_ms"}
+)
 """Settings that can change while the process runs. The others define the process's identity and
 addresses, which are fixed until it ends."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from lentilpath_core.errors import OutcomeUnknown, Unavailable
-from lentilpath_core.ids import Epoch, Instant, JobId, RowVersion, WorkerId
+from lentilpath_core.ids import CustomerId, Epoch, Instant, JobId, RowVersion, WorkerId
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.pool import (
     AskAdvice,
@@ -37,6 +37,7 @@
     WorkersListed,
     create_pool,
     decide_pool,
+    get_job_customer,
     get_job_state,
     is_placement_due,
     measure_loads,
@@ -217,6 +218,10 @@
         """Return the state of a job as shown to callers, or `None` if it is not known."""
         return get_job_state(self._state, job)
 
+    def get_customer(self, job: JobId) -> CustomerId:
+        """Return the customer of a job; empty if it has none or is not known."""
+        return get_job_customer(self._state, job)
+
     def make_digest(self) -> Digest:
         """Return the digest of queue loads and known hosts, at most `DIGEST_REUSE_MS` old."""
         now = read_instant()
--- a/tests/common/fleet/deployment.py
+++ b/tests/common/fleet/deployment.py
@@ -66,9 +66,13 @@
         await asyncio.gather(self.task, return_exceptions=True)
         await self.callers.close(0.0)
 
-    async def call(self, method: str, path: str, body: object = None) -> HttpResponse:
+    async def call(
+        self, method: str, path: str, body: object = None, key: str | None = None
+    ) -> HttpResponse:
         data = b"" if body is None else json.dumps(body).encode()
-        headers = (("x-deadline-ms", "3000"),)
+        headers: tuple[tuple[str, str], ...] = (("x-deadline-ms", "3000"),)
+        if key is not None:
+            headers += (("x-credential", key),)
         return await self.client.send(HttpRequest(method, path, headers, data), 5.0)
 
 
--- a/tests/common/pools.py
+++ b/tests/common/pools.py
@@ -4,6 +4,7 @@
 
 from lentilpath_core.ids import (
     ConfigVersion,
+    CustomerId,
     Epoch,
     Instant,
     JobId,
@@ -15,10 +16,12 @@
     ZoneId,
 )
 from lentilpath_core.pool import (
+    NO_CUSTOMER,
     AdviceAnswered,
     AdvicePolicy,
     AskAdvice,
     ConfigurationSet,
+    CustomerPolicy,
     EndedRun,
     FinalsRecorded,
     JobAccepted,
@@ -88,6 +91,7 @@
         rest.get("target_ms", 1_000),
         3_000,
         advice,
+        bool(rest.get("is_public", False)),
     )
 
 
@@ -109,8 +113,21 @@
     )
 
 
-def make_record(job: int, *steps: StepSpec, queue: QueueId = QUEUE) -> JobRecord:
-    return JobRecord(make_job_id(job), queue, "run", steps or (StepSpec(1, TASK_RESOURCES, 500),))
+def make_record(
+    job: int,
+    *steps: StepSpec,
+    queue: QueueId = QUEUE,
+    customer: CustomerId = NO_CUSTOMER,
+    accepted_at: int = 0,
+) -> JobRecord:
+    return JobRecord(
+        make_job_id(job),
+        queue,
+        "run",
+        steps or (StepSpec(1, TASK_RESOURCES, 500),),
+        WallTime(accepted_at),
+        customer=customer,
+    )
 
 
 class PoolHarness:
@@ -119,17 +136,23 @@
     Records become durable only when the test confirms them.
     """
 
-    def __init__(self, *queues: QueuePolicy, epoch: int = 1) -> None:
+    def __init__(
+        self, *queues: QueuePolicy, epoch: int = 1, customers: tuple[CustomerPolicy, ...] = ()
+    ) -> None:
         self.now = Instant(1_000_000)
         self.state = create_pool(Epoch(epoch), Instant(self.now + SETTLE_MS))
         self.effects: list[PoolEffect] = []
         self.listed: dict[str, ListedWorker] = {}
         chosen = queues or (make_queue(),)
-        self.handle_event(
-            ConfigurationSet(
-                PoolConfiguration(ConfigVersion(1), {each.queue: each for each in chosen})
-            )
+        self.queues = {each.queue: each for each in chosen}
+        self.set_customers(1, *customers)
+
+    def set_customers(self, version: int, *customers: CustomerPolicy) -> None:
+        known = {each.customer: each for each in customers}
+        configuration = PoolConfiguration(
+            ConfigVersion(version), self.queues, customers=known, requires_keys=bool(known)
         )
+        self.handle_event(ConfigurationSet(configuration))
 
     def handle_event(self, event: PoolEvent) -> list[PoolEffect]:
         effects = list(decide_pool(self.state, event, self.now))
@@ -181,8 +204,16 @@
             self.handle_event(LeaseSent(listed.worker, listed.life, Instant(self.now + SETTLE_MS)))
         return self.handle_event(WorkerReported(listed.worker, listed.life, report, self.now))
 
-    def submit(self, job: int, *steps: StepSpec, queue: QueueId = QUEUE) -> None:
-        self.handle_event(JobAccepted(make_record(job, *steps, queue=queue)))
+    def submit(
+        self,
+        job: int,
+        *steps: StepSpec,
+        queue: QueueId = QUEUE,
+        customer: CustomerId = NO_CUSTOMER,
+        accepted_at: int = 0,
+    ) -> None:
+        record = make_record(job, *steps, queue=queue, customer=customer, accepted_at=accepted_at)
+        self.handle_event(JobAccepted(record))
 
     def answer_start(self, start: StartRun, answer: StartAnswer) -> list[PoolEffect]:
         return self.handle_event(
--- a/tests/common/simulated_pool.py
+++ b/tests/common/simulated_pool.py
@@ -112,7 +112,7 @@
             unused,
             typing.cast(typing.Any, CountsNothing()),
             lambda: configuration,
-            *(unused,) * 4,
+            *(unused,) * 5,
         )
         self.leadership = PoolLeadership(self.path, HostId(name), Incarnation(name), ADDRESS)
 
--- a/tests/cover/test_pool_answers.py
+++ b/tests/cover/test_pool_answers.py
@@ -10,7 +10,7 @@
 
 from lentilpath_core.errors import LentilpathError, OutcomeUnknown, TableUnavailable
 from lentilpath_core.ids import HostId, JobId
-from lentilpath_core.pool import JobState, PoolConfiguration, QueueId, ServicePolicy
+from lentilpath_core.pool import NO_CUSTOMER, JobState, PoolConfiguration, QueueId, ServicePolicy
 from lentilpath_http import HttpRequest, HttpResponse
 from lentilpath_platform.callers import make_callers_handler
 from lentilpathd._pool._jobs import Jobs
@@ -49,6 +49,7 @@
         unclear_jobs=UnclearJobs(),
         is_leading=lambda: True,
         get_local_job_state=lambda job: state,
+        get_local_job_customer=lambda job: NO_CUSTOMER,
         handle_local_notice=lambda notice: True,
         heartbeat_sender=SimpleNamespace(
             get_load=lambda queue, now: None, get_leader=lambda: HostId("h1")
@@ -62,7 +63,9 @@
         cast(Any, 1), {QUEUE.queue: QUEUE}, {SERVICE: ServicePolicy(SERVICE)}
     )
     host = SimpleNamespace(
-        jobs=jobs, configuration=SimpleNamespace(get_current=lambda: configuration)
+        jobs=jobs,
+        configuration=SimpleNamespace(get_current=lambda: configuration),
+        may_check_keys=lambda configuration, queue: True,
     )
     headers = (("host", QUEUE.host), ("x-deadline-ms", "400"))
     request = HttpRequest(method, f"{QUEUE.path_prefix}{JOB}", headers, b"")
--- a/tests/cover/test_pool_settings.py
+++ b/tests/cover/test_pool_settings.py
@@ -121,3 +121,10 @@
 
     asyncio.run(scenario())
     assert [each.stop_grace_ms for each in scripted.applied] == [7_000, 8_000]
+
+
+def test_the_age_of_the_configuration_is_limited_only_where_revocation_is_strict():
+    assert parse().max_configuration_age_ms is None
+    assert parse(bounds={"revokeMs": 4_000}).max_configuration_age_ms is None
+    strict = parse(bounds={"revokeMs": 4_000, "strictRevoke": True})
+    assert strict.max_configuration_age_ms == 4_000
