Pool: the rank of a step has named fields, with room for customers' shares

A job's row that cannot be decoded counts as stored and has no known customer, as the test of records demands.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_admission.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_admission.py
@@ -67,12 +67,12 @@
     """Return the waiting work that is still of value, in millicores times ms, by priority."""
     work: dict[int, float] = {}
     for step in state.open_steps.values():
-        tier, priority, _ = rank_step(step, now)
-        if tier > 1 or step.spec.lasting or step.spec.fills:
+        rank = rank_step(state, step, now)
+        if rank.tier > 1 or step.spec.lasting or step.spec.fills:
             continue
         ratio = state.run_time_ratios.get(step.job.record.queue, 1.0)
         task_work = step.spec.room.millicores * step.spec.estimate_ms * ratio
-        work[priority] = work.get(priority, 0.0) + task_work * len(step.waiting)
+        work[rank.priority] = work.get(rank.priority, 0.0) + task_work * len(step.waiting)
     return work
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -292,7 +292,7 @@
     workers: tuple[WorkerId, ...]
     cost_ms: float
     """Expected duration of the call."""
-    rank: tuple[int, int, float]
+    rank: tuple[float, ...]
     """Rank of the step; calls with a smaller rank go first."""
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_order.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_order.py
@@ -2,10 +2,26 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from lentilpath_core.ids import Instant
-from lentilpath_core.pool._state import Step
+from lentilpath_core.pool._customers import compute_weighted_share
+from lentilpath_core.pool._state import PoolState, Step
+
+
+class Rank(NamedTuple):
+    """Sort key of a waiting step; steps with a smaller rank are placed first."""
+
+    tier: int
+    """0 if the job can complete within its objective, 1 if it will be late, 2 if it is too late to
+    be of any value."""
+    is_over_share: bool
+    """Whether the job is beyond the number of jobs per second that its customer is entitled to."""
+    priority: int
+    weighted_share: float
+    """The customer's dominant share of the fleet divided by its weight; 0 without a customer."""
+    due_at: float
 
-Rank = tuple[int, int, float]
 
 LATE_FACTOR = 3.0
 """A job that completes within this many times its objective is late but still of some value."""
@@ -14,19 +30,18 @@
 a job counts as in time if half of its estimated remaining time still fits."""
 
 
-def rank_step(step: Step, now: Instant) -> Rank:
-    """Return the rank of a step; steps with a smaller rank are placed first.
+def rank_step(state: PoolState, step: Step, now: Instant) -> Rank:
+    """Return the rank of a step.
 
-    The rank orders by tier, then by the queue's priority, then by the earliest deadline. Tier 0
-    holds steps of jobs that can complete within their objective, tier 1 those that will be late,
-    and tier 2 those that are too late to be of any value. Lasting steps are always in tier 0 and
-    ordered by the time at which their job was accepted.
+    Lasting steps are always in tier 0 and ordered by the time at which their job was accepted, the
+    others by the earliest deadline.
     """
     job = step.job
     priority = job.policy.priority if job.policy is not None else 0
     due_at = job.accepted_at + job.objective_ms
+    share = compute_weighted_share(state, job)
     if step.spec.lasting:
-        return (0, priority, job.accepted_at)
+        return Rank(0, job.is_over_share, priority, share, job.accepted_at)
     remaining_ms = step.critical_path_ms * REMAINING_WORK_SHARE
     if now + remaining_ms <= due_at:
         tier = 0
@@ -34,4 +49,4 @@
         tier = 1
     else:
         tier = 2
-    return (tier, priority, due_at)
+    return Rank(tier, job.is_over_share, priority, share, due_at)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -67,7 +67,7 @@
     """Start waiting tasks that fit, in the order of their rank, and request missing advice."""
     state.needs_placement = False
     ranked = sorted(
-        ((rank_step(step, now), step) for step in state.open_steps.values()),
+        ((rank_step(state, step, now), step) for step in state.open_steps.values()),
         key=lambda pair: pair[0],
     )
     state.reservations.clear()
@@ -123,7 +123,7 @@
     calls: tuple[PoolEffect, ...] = ()
     if needs_advice(step):
         calls = ask_about_new_workers(state, step, candidates, rank, now)
-    if step.spec.gang and rank[0] < 2 and count_reserving_gangs(state) < MAX_RESERVING_GANGS:
+    if step.spec.gang and rank.tier < 2 and count_reserving_gangs(state) < MAX_RESERVING_GANGS:
         _reserve(state, step, allowed, now)
     return False, calls
 
@@ -288,7 +288,7 @@
                 checkpoint,
                 ticket.value if ticket is not None else "",
                 now - step.job.accepted_at,
-                rank_step(step, now)[0],
+                rank_step(state, step, now).tier,
                 is_suspected,
             )
         )
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -202,6 +202,8 @@
     """Whether a worker has said that it started a task of the job."""
     final: FinalRecord | None = None
     """The final state that was decided; callers see it only once its record is durable."""
+    is_over_share: bool = False
+    """Whether the job is beyond the number of jobs per second that its customer is entitled to."""
 
 
 @dataclass(slots=True)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_advice.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_advice.py
@@ -86,7 +86,7 @@
         self._members = members
         self._metrics = metrics
         self._handle_event = handle_event
-        self._queue: list[tuple[tuple[int, int, float], int, AskAdvice]] = []
+        self._queue: list[tuple[tuple[float, ...], int, AskAdvice]] = []
         self._sequence = itertools.count()
         self._calls_in_flight: dict[HostId, list[float]] = {}
         self._wakeup = asyncio.Event()
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from lentilpath_core.errors import (
     LentilpathError,
     OutcomeUnknown,
@@ -21,7 +23,7 @@
     decide_admission,
 )
 from lentilpathd._clock import read_instant
-from lentilpathd._events import Event, log_event
+from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._metrics import Metric
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._messages import (
@@ -34,7 +36,7 @@
     StateRequest,
     UnclearNotice,
 )
-from lentilpathd._pool._ports import PartitionTransaction
+from lentilpathd._pool._ports import PartitionRow, PartitionTransaction
 from lentilpathd._pool._records import (
     JOBS_TABLE,
     POOL_PARTITION,
@@ -134,7 +136,7 @@
         # An existing row belongs to this job: this submission or an earlier one stored it.
         for existing in commit.conflicts:
             if existing.key == record.job:
-                check_owner(decode_job(existing.value).customer, record.customer)
+                check_owner(_read_owner(existing), record.customer)
         if commit.applied:
             self._notify_leader(transaction, commit.version)
         log_event(
@@ -235,12 +237,12 @@
             if row.key == key:
                 final = decode_final(row.value)
                 return StateReply(final.state.value, customer=final.customer)
-        record = await self._read_record(job)
-        if record is None:
+        stored = await self._read_job_row(job)
+        if stored is None:
             return StateReply("")
-        return StateReply(JobState.QUEUED.value, customer=record.customer)
+        return StateReply(JobState.QUEUED.value, customer=_read_owner(stored))
 
-    async def _read_record(self, job: JobId) -> JobRecord | None:
+    async def _read_job_row(self, job: JobId) -> PartitionRow | None:
         reads = await asyncio.gather(
             *(
                 self._context.table.read_partition(
@@ -254,7 +256,7 @@
         found = [row for read in reads if not isinstance(read, BaseException) for row in read.rows]
         for row in found:
             if row.key == job:
-                return decode_job(row.value)
+                return row
         if failures:
             raise failures[0]
         return None
@@ -293,3 +295,12 @@
         """Return how many accepted jobs of a queue have not started, or `None` if not known now."""
         load = self._context.heartbeat_sender.get_load(queue, read_instant())
         return load.pending if load is not None else None
+
+
+def _read_owner(row: PartitionRow) -> CustomerId:
+    """Return the customer of a stored job; a job whose row cannot be decoded is open to all."""
+    try:
+        return decode_job(row.value).customer
+    except msgspec.DecodeError as error:
+        log_warning_event(Event.COMMAND_REFUSED, key=row.key, error=str(error))
+        return NO_CUSTOMER
