--- a/packages/lentilpath/src/lentilpath/main.py
+++ b/packages/lentilpath/src/lentilpath/main.py
@@ -8,6 +8,7 @@
 import typer
 
 from lentilpath import _config, _keys, _report
+from lentilpath._explain import explain_job_file
 from lentilpath._options import (
     DryRunOption,
     ExpectOption,
@@ -66,6 +67,7 @@
 
 
 app.command("trace")(trace_command)
+app.command("explain")(explain_job_file)
 
 
 def insert_default_command(arguments: list[str]) -> list[str]:
@@ -73,7 +75,9 @@
     names = {command.name for command in app.registered_commands}
     names |= {group.name for group in app.registered_groups}
     names |= {"--help"}
-    if not arguments or arguments[0] in names:
+    # `explain line L` is a command of the language, `explain FILE` a subcommand.
+    is_of_language = arguments[:2] == ["explain", "line"]
+    if not arguments or (arguments[0] in names and not is_of_language):
         return arguments
     return ["run", *arguments]
 
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_explain.py
@@ -0,0 +1,119 @@
+"""Answers operators' questions about where a job would be placed, without submitting it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from lentilpath_core.errors import InvalidJob, LentilpathError, NoLeader, Unavailable, UnknownName
+from lentilpath_core.ids import CustomerId, HostId, Instant, JobId
+from lentilpath_core.peers import PeerRequest
+from lentilpath_core.pool import JobExplanation, JobRecord, QueueId, StepSpec
+from lentilpath_http import HttpRequest, HttpResponse
+from lentilpathd._clock import read_instant
+from lentilpathd._peers import PeerBus
+from lentilpathd._pool._term import Term
+
+EXPLAIN_TOPIC = "pool.explain"
+EXPLAIN_PATH = "/explain"
+ANSWER_TIMEOUT_SECONDS = 2.0
+"""The leader may be in the middle of a placement pass, which takes up to half a second."""
+MIN_INTERVAL_MS = 200
+"""A leader answers at most five questions a second. Each costs about as much as placing one step,
+a few milliseconds, so they take at most a few percent of its time."""
+MAX_STEPS = 100
+MAX_TASKS_PER_STEP = 10_000
+"""Both bound the work for one answer; accepted jobs are far smaller."""
+QUESTION_JOB = JobId("0" * 16)
+HTTP_OK, HTTP_BAD_REQUEST, HTTP_NOT_FOUND = 200, 400, 404
+HTTP_TOO_MANY_REQUESTS, HTTP_SERVICE_UNAVAILABLE = 429, 503
+
+
+class TooManyQuestions(Unavailable):
+    """The leader has answered another question a moment ago."""
+
+    code = "too-many-questions"
+
+
+class Question(msgspec.Struct, frozen=True):
+    """A job to explain."""
+
+    queue: QueueId
+    steps: tuple[StepSpec, ...]
+    customer: CustomerId = CustomerId("")
+
+
+class Explainer:
+    """Answers questions on the leader, and passes them on to it from the other hosts."""
+
+    def __init__(
+        self,
+        bus: PeerBus,
+        get_term: Callable[[], Term | None],
+        get_leader: Callable[[], HostId | None],
+    ) -> None:
+        self._bus = bus
+        self._get_term = get_term
+        self._get_leader = get_leader
+        self._next_answer_at = Instant(0)
+        bus.handle(EXPLAIN_TOPIC, self._handle_peer)
+
+    async def handle_http(self, request: HttpRequest) -> HttpResponse:
+        """Answer a question in JSON."""
+        if request.method != "POST":
+            return HttpResponse(HTTP_NOT_FOUND, (), b"")
+        try:
+            question = msgspec.json.decode(request.body, type=Question)
+            _check_question(question)
+            explanation = await self._explain(question)
+        except (msgspec.DecodeError, InvalidJob, UnknownName) as error:
+            return _make_error(HTTP_BAD_REQUEST, "invalid-job", error)
+        except TooManyQuestions as error:
+            return _make_error(HTTP_TOO_MANY_REQUESTS, error.code, error)
+        except LentilpathError as error:
+            return _make_error(HTTP_SERVICE_UNAVAILABLE, error.code, error)
+        body = msgspec.json.encode(explanation)
+        return HttpResponse(HTTP_OK, (("content-type", "application/json"),), body)
+
+    async def _explain(self, question: Question) -> JobExplanation:
+        if self._get_term() is not None:
+            return self._answer(question, read_instant())
+        leader = self._get_leader()
+        if leader is None or leader == self._bus.host:
+            raise NoLeader("no host leads at the moment; repeat the question in a second")
+        return await self._bus.ask(
+            leader, EXPLAIN_TOPIC, question, JobExplanation, ANSWER_TIMEOUT_SECONDS
+        )
+
+    async def _handle_peer(self, request: PeerRequest) -> JobExplanation:
+        question = msgspec.convert(request.body, Question)
+        _check_question(question)
+        return self._answer(question, read_instant())
+
+    def _answer(self, question: Question, now: Instant) -> JobExplanation:
+        term = self._get_term()
+        if term is None:
+            raise NoLeader(f"{self._bus.host} does not lead; repeat the question in a second")
+        if now < self._next_answer_at:
+            raise TooManyQuestions("another question was answered a moment ago; repeat it later")
+        self._next_answer_at = Instant(now + MIN_INTERVAL_MS)
+        record = JobRecord(
+            QUESTION_JOB, question.queue, "", question.steps, customer=question.customer
+        )
+        return term.explain(record, now)
+
+
+def _check_question(question: Question) -> None:
+    if not 1 <= len(question.steps) <= MAX_STEPS:
+        raise InvalidJob(f"{len(question.steps)} steps; give 1 to {MAX_STEPS}")
+    for number, step in enumerate(question.steps):
+        if not 1 <= step.count <= MAX_TASKS_PER_STEP:
+            raise InvalidJob(f"step {number}: {step.count} tasks; give 1 to {MAX_TASKS_PER_STEP}")
+        if any(not 0 <= each < number for each in step.after):
+            raise InvalidJob(f"step {number}: after={step.after}; name earlier steps, from 0")
+
+
+def _make_error(status: int, code: str, error: Exception) -> HttpResponse:
+    body = msgspec.json.encode({"error": code, "message": str(error)})
+    return HttpResponse(status, (("content-type", "application/json"),), body)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -22,6 +22,7 @@
 from lentilpathd._pool._advice import AdviceAgent
 from lentilpathd._pool._configuration import ConfigurationFollower
 from lentilpathd._pool._context import PoolContext
+from lentilpathd._pool._explain import EXPLAIN_PATH, Explainer
 from lentilpathd._pool._jobs import Jobs
 from lentilpathd._pool._leadership import PoolLeadership
 from lentilpathd._pool._members import HeartbeatSender, Members, UnclearJobs
@@ -122,6 +123,7 @@
             self._get_local_job_customer,
         )
         self.jobs = Jobs(self.context)
+        self.explainer = Explainer(self.bus, self._get_ready_term, self.heartbeat_sender.get_leader)
         self.settings_watcher = SettingsWatcher(
             ports.load_settings, lambda: self.settings, self._apply_settings
         )
@@ -322,7 +324,9 @@
         return HttpResponse(200 if host.is_ready() else 503, (), b"")
 
     readiness = await serve_http(answer_readiness, settings.readiness.host, settings.readiness.port)
-    metrics = await serve_metrics(host.metrics, settings)
+    metrics = await serve_metrics(
+        host.metrics, settings, {EXPLAIN_PATH: host.explainer.handle_http}
+    )
     running = asyncio.create_task(host.run())
     stopping = asyncio.create_task(stop.wait())
     await asyncio.wait((running, stopping), return_when=asyncio.FIRST_COMPLETED)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable, Mapping
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from lentilpath_http import HttpRequest, HttpResponse, HttpServer, serve_http
@@ -89,10 +91,16 @@
     return "lentilpath_" + metric.value.replace(".", "_")
 
 
-async def serve_metrics(metrics: PoolMetrics, settings: PoolHostSettings) -> HttpServer:
-    """Serve the metrics on the address of the settings."""
+async def serve_metrics(
+    metrics: PoolMetrics,
+    settings: PoolHostSettings,
+    pages: Mapping[str, Callable[[HttpRequest], Awaitable[HttpResponse]]],
+) -> HttpServer:
+    """Serve the metrics, and other `pages` by their paths, on the address of the settings."""
 
     async def answer(request: HttpRequest) -> HttpResponse:
+        if request.target in pages:
+            return await pages[request.target](request)
         if request.target != METRICS_PATH:
             return HttpResponse(HTTP_NOT_FOUND, (), b"")
         return HttpResponse(HTTP_OK, (("content-type", CONTENT_TYPE),), metrics.write_text())
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from lentilpath_core.errors import OutcomeUnknown, Unavailable
+from lentilpath_core.errors import OutcomeUnknown, Unavailable, UnknownName
 from lentilpath_core.ids import CustomerId, Epoch, Instant, JobId, RowVersion, WorkerId
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.pool import (
@@ -21,6 +21,8 @@
     GiveUpRun,
     JobAccepted,
     JobCancelled,
+    JobExplanation,
+    JobRecord,
     JobState,
     ListedWorker,
     PaceRun,
@@ -37,6 +39,7 @@
     WorkersListed,
     create_pool,
     decide_pool,
+    explain_job,
     get_job_customer,
     get_job_state,
     is_placement_due,
@@ -222,6 +225,13 @@
         """Return the customer of a job; empty if it has none or is not known."""
         return get_job_customer(self._state, job)
 
+    def explain(self, record: JobRecord, now: Instant) -> JobExplanation:
+        """Return where a job would be placed; raises `UnknownName` if its queue is not known."""
+        policy = self._state.configuration.queues.get(record.queue)
+        if policy is None:
+            raise UnknownName(f"no queue {record.queue!r} in the configuration in force")
+        return explain_job(self._state, record, policy, now)
+
     def make_digest(self) -> Digest:
         """Return the digest of queue loads and known hosts, at most `DIGEST_REUSE_MS` old."""
         now = read_instant()
--- a/tests/cover/test_cli_shell.py
+++ b/tests/cover/test_cli_shell.py
@@ -48,3 +48,5 @@
     assert insert_default_command(["stop", "job", "j"]) == ["run", "stop", "job", "j"]
     assert insert_default_command(["shell"]) == ["shell"]
     assert insert_default_command(["--json", "jobs"]) == ["run", "--json", "jobs"]
+    assert insert_default_command(["explain", "line", "7"]) == ["run", "explain", "line", "7"]
+    assert insert_default_command(["explain", "job.json"]) == ["explain", "job.json"]
