Soak: customers whose keys are revoked and whose quotas change

The soak knew no customers. Four of five seeds have two customers now, whose jobs carry keys. A key is replaced and the quotas change while faults are injected; a revoked key has to be refused by every host once faults are over, and no start may bring a customer above its quota, its overage and one task. The seeds of former failures are played as before, without customers.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,7 +10,7 @@
 
 import typer
 
-from tests.soak.plans import make_plan, make_worker_plan
+from tests.soak.plans import make_customer_plan, make_plan, make_worker_plan
 from tests.soak.runs import run_seed
 
 JOBS = 4
@@ -44,6 +44,7 @@
                 print(f"  {fault}")
             if disrupts_workers:
                 print(f"  {make_worker_plan(seed)}")
+                print(f"  {make_customer_plan(seed)}")
             for problem in problems:
                 print(f"  {problem}")
 
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -40,6 +40,8 @@
     state: str = ""
     crashes_workers: bool = False
     """Whether its tasks crash the workers that start them."""
+    customer: int | None = None
+    """Index of its customer; `None` if no key is needed."""
 
     def list_tasks(self, step: int) -> list[str]:
         """Return the task names of a step."""
@@ -80,12 +82,20 @@
     jobs: list[Job] = field(default_factory=list)
     unanswered_calls: list[UnansweredCall] = field(default_factory=list)
     problems: list[str] = field(default_factory=list)
+    keys: list[str] = field(default_factory=list)
+    """The present key of each customer, by index."""
+    customer_rng: random.Random = field(default_factory=random.Random)
+    """A generator of their own leaves the jobs of a seed as they are."""
+
+    def choose_customer(self) -> int | None:
+        """Return the customer of a new job, or `None` if no key is needed."""
+        return self.customer_rng.randrange(len(self.keys)) if self.keys else None
 
     async def submit_until(self, end: float) -> None:
         """Submit jobs one after another until the time `end`; cancel or query some of them."""
         while time.monotonic() < end:
             counts = tuple(self.rng.randint(1, 3) for _ in range(self.rng.choice((1, 1, 2))))
-            job = Job(f"{self.rng.getrandbits(64):016x}", counts)
+            job = Job(f"{self.rng.getrandbits(64):016x}", counts, customer=self.choose_customer())
             self.jobs.append(job)
             await self.submit(job)
             if job.accepted_at is not None and self.rng.random() < 0.1:
@@ -98,6 +108,7 @@
         """Submit a job of one task that crashes the workers that start it."""
         await asyncio.sleep(delay_seconds)
         job = Job(f"{self.rng.getrandbits(64):016x}", (1,), crashes_workers=True)
+        job.customer = self.choose_customer()
         self.jobs.append(job)
         await self.submit(job)
 
@@ -137,10 +148,15 @@
         return job.state
 
     async def call(
-        self, host: HostProcess, method: str, job: Job, body: bytes = b""
+        self, host: HostProcess, method: str, job: Job, body: bytes = b"", key: str = ""
     ) -> HttpResponse | None:
-        """Send a request about a job to a host; return `None` if there was no response."""
-        headers = (("x-deadline-ms", str(DEADLINE_MS)),)
+        """Send a request about a job to a host; return `None` if there was no response.
+
+        It carries the present key of the job's customer, or `key`.
+        """
+        headers: tuple[tuple[str, str], ...] = (("x-deadline-ms", str(DEADLINE_MS)),)
+        if job.customer is not None:
+            headers += (("x-credential", key or self.keys[job.customer]),)
         sent_at = time.monotonic()
         try:
             response = await host.client.send(
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -96,6 +96,19 @@
     capacity_changes: tuple[CapacityChange, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class CustomerPlan:
+    """The customers of a run. Each has one key at a time."""
+
+    quotas: tuple[int, ...] = ()
+    """Millicores that each customer's running tasks may hold; without any, no key is needed."""
+    revoked_at: float | None = None
+    """Time at which the first customer's key is replaced by another."""
+    quota_changed_at: float | None = None
+    """Time at which all quotas change to `later_quotas`."""
+    later_quotas: tuple[int, ...] = ()
+
+
 def make_plan(seed: int) -> tuple[Fault, ...]:
     """Return the faults of a seed, sorted by start time; they may overlap."""
     rng = random.Random(seed)
@@ -132,3 +145,17 @@
         for worker in rng.sample(range(WORKERS), rng.choice((0, 1, 2, 3)))
     ]
     return WorkerPlan(tuple(crashing_jobs), tuple(changes))
+
+
+def make_customer_plan(seed: int) -> CustomerPlan:
+    """Return the customers of a seed; its other plans do not depend on it."""
+    rng = random.Random(f"{seed}-customers")
+    if rng.random() < 0.2:
+        return CustomerPlan()
+    quotas, later = (
+        tuple(rng.randrange(3_000, WORKERS * WORKER_MILLICORES, 1_000) for _ in range(2))
+        for _ in range(2)
+    )
+    times = (round(rng.uniform(0.0, FAULT_PHASE_SECONDS), 3) for _ in range(2))
+    revoked_at, changed_at = (at if rng.random() < 0.7 else None for at in times)
+    return CustomerPlan(quotas, revoked_at, changed_at, later)
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from functools import partial
@@ -18,15 +17,18 @@
 from tests.common.fleet.store import StandInStore, StoreFaults
 from tests.common.fleet.workers import ObservedRun, StandInWorker, serve_advice
 from tests.soak.clients import Clients
+from tests.soak.customers import Customers
 from tests.soak.plans import (
     FAULT_PHASE_SECONDS,
     HOSTS,
     WORKER_MILLICORES,
     WORKERS,
     CapacityChange,
+    CustomerPlan,
     Fault,
     FaultKind,
     WorkerPlan,
+    make_customer_plan,
     make_plan,
     make_worker_plan,
 )
@@ -67,6 +69,7 @@
     seed: int
     directory: Path
     worker_plan: WorkerPlan = field(default_factory=WorkerPlan)
+    customer_plan: CustomerPlan = field(default_factory=CustomerPlan)
     store: StandInStore = field(default_factory=StandInStore)
     advice: HttpServer | None = None
     log: list[ObservedRun] = field(default_factory=list)
@@ -75,6 +78,7 @@
     table_proxies: list[Proxy] = field(default_factory=list)
     workers: list[StandInWorker] = field(default_factory=list)
     worker_proxies: list[Proxy] = field(default_factory=list)
+    customers: Customers = field(init=False)
     disturbances: dict[str, list[float]] = field(default_factory=dict)
     """Times at which faults other than planned stops began or ended, by host; and those at which
     faults that delay commands did, by worker."""
@@ -85,7 +89,8 @@
         # Clients reach a host by its address, so each address needs its own queue.
         queues = [{**QUEUE, "name": f"r-{address}", "host": address} for address in addresses]
         configuration = {**CONFIG, "routes": queues}
-        self.store.put("op", "", "config", json.dumps(configuration).encode())
+        self.customers = Customers(self.store, self.customer_plan, configuration)
+        self.customers.begin()
         self.advice = await serve_advice()
         for number in range(WORKERS):
             await self._add_worker(number)
@@ -93,7 +98,7 @@
             await self._add_host(number, address)
         for host in self.hosts:
             await self._wait_until_ready(host)
-            await self._wait_until(host.client, "/checks/")
+            await self._wait_until(host.client, "/checks/", self.customers.keys[:1])
 
     async def _add_worker(self, number: int) -> None:
         worker = StandInWorker(
@@ -124,12 +129,13 @@
         await self._wait_until(client, "/readyz")
         client.close()
 
-    async def _wait_until(self, client: HttpClient, target: str) -> None:
-        """Wait until a call returns status 200."""
+    async def _wait_until(self, client: HttpClient, target: str, keys: Iterable[str] = ()) -> None:
+        """Wait until a call, with one of the `keys` if there is any, returns status 200."""
+        headers = tuple(("x-credential", key) for key in keys)
         async with asyncio.timeout(READY_TIMEOUT_SECONDS):
             while True:
                 with suppress(HttpError):
-                    if (await client.send(HttpRequest("GET", target), 1.0)).status == 200:
+                    if (await client.send(HttpRequest("GET", target, headers), 1.0)).status == 200:
                         return
                 await asyncio.sleep(0.05)
 
@@ -149,7 +155,8 @@
 
     async def run(self) -> list[str]:
         """Run the clients while the plan's faults are injected; return the violated guarantees."""
-        clients = Clients(self.hosts, random.Random(self.seed))
+        clients = Clients(self.hosts, random.Random(self.seed), keys=self.customers.keys)
+        clients.customer_rng.seed(f"{self.seed}-jobs-of-customers")
         end = time.monotonic() + FAULT_PHASE_SECONDS
         async with asyncio.TaskGroup() as group:
             for _ in range(CLIENTS):
@@ -162,13 +169,18 @@
             rng = random.Random(f"{self.seed}-crashing-jobs")
             for at_seconds in self.worker_plan.crashing_jobs:
                 group.create_task(replace(clients, rng=rng).submit_crashing_job(at_seconds))
+            group.create_task(self.customers.revoke_key())
+            group.create_task(self.customers.change_quotas())
             group.create_task(self._watch_hosts(end))
         for host in self.hosts:
             await self._wait_until_ready(host)
         await self._wait_until_jobs_end(clients)
         check_hosts(self.hosts)
+        still_accepted = await self.customers.check_revoked_keys(clients)
         return [
             *clients.problems,
+            *still_accepted,
+            *self.customers.check_quotas(clients.jobs, self.log),
             *check_accepted_count(clients.jobs),
             *check_runs(clients.jobs, self.log, self.workers, self.disturbances),
             *check_final_states(clients.jobs),
@@ -299,9 +311,13 @@
 async def run_seed(seed: int, directory: Path, *, disrupts_workers: bool = True) -> list[str]:
     """Run one seed and return the violations; logs and settings are kept in `directory`.
 
-    Without `disrupts_workers`, no job crashes a worker and no worker's capacity changes.
+    Without `disrupts_workers`, no job crashes a worker, no worker's capacity changes and there are
+    no customers.
     """
-    soak = Soak(seed, directory, make_worker_plan(seed) if disrupts_workers else WorkerPlan())
+    if disrupts_workers:
+        soak = Soak(seed, directory, make_worker_plan(seed), make_customer_plan(seed))
+    else:
+        soak = Soak(seed, directory)
     try:
         await soak.open()
         return await soak.run()
