Pool: what a customer's tasks hold stays within its quota

Cause: the leader read maxItems and used it nowhere, so a customer that sent several times its usual load took what the others were entitled to, and a task or gang larger than its quota was accepted and waited for ever.

Change: the resources of a customer's runs and plans are counted as they come and go (CustomerUsage.held). After a change of leader, what unconfirmed workers may still run is added: the smaller of their capacity and of the recovered tasks that are neither done nor seen running; jobs that were stopped within 15 s before count whole. Places, plans that wait for tickets and confirmations are limited by it. A customer at its quota is passed over before workers are listed, and counts neither as unplaced nor for a reservation. The dominant share and the count of fitting tasks are methods of Resources now, used by the zones and the pool.

--- a/packages/lentilpath-core/src/lentilpath_core/errors.py
+++ b/packages/lentilpath-core/src/lentilpath_core/errors.py
@@ -2,7 +2,8 @@
 
 `LentilpathError`
     `InvalidInput`: the caller's input is invalid; nothing was changed.
-        `InvalidSettings`, `InvalidJob`, `InvalidCommand`, `UnknownName`, `WriteRejected`
+        `InvalidSettings`, `InvalidJob`, `QuotaTooSmall`, `InvalidCommand`, `UnknownName`,
+        `WriteRejected`
     `AccessDenied`: the caller may not do this; nothing was changed.
         `UnknownKey`, `NotPermitted`
     `Conflict`: another writer changed the same thing first; the message says who and what.
@@ -39,6 +40,12 @@
     code = "invalid-job"
 
 
+class QuotaTooSmall(InvalidJob):
+    """A task or gang of a job needs more than its customer's quota allows at any time."""
+
+    code = "quota-too-small"
+
+
 class InvalidCommand(InvalidInput):
     """A command of the operators' language cannot be parsed."""
 
--- a/packages/lentilpath-core/src/lentilpath_core/placement/_quotas.py
+++ b/packages/lentilpath-core/src/lentilpath_core/placement/_quotas.py
@@ -30,24 +30,13 @@
         or inputs[1] is not team.guaranteed
         or inputs[2] is not state.total
     ):
-        weight = max(MIN_WEIGHT, _compute_dominant_share(team.guaranteed, state.total))
-        team.weighted_share = _compute_dominant_share(team.allocated, state.total) / weight
+        weight = max(MIN_WEIGHT, team.guaranteed.compute_dominant_share(state.total))
+        team.weighted_share = team.allocated.compute_dominant_share(state.total) / weight
         team.share_inputs = (team.allocated, team.guaranteed, state.total)
     # A weighted share above 1 means that the team exceeds its guarantee.
     return (team.weighted_share > 1, tier, team.weighted_share)
 
 
-def _compute_dominant_share(amount: Resources, total: Resources) -> float:
-    share = 0.0
-    if total.millicores:
-        share = amount.millicores / total.millicores
-    if total.memory_mib:
-        share = max(share, amount.memory_mib / total.memory_mib)
-    if total.accelerators:
-        share = max(share, amount.accelerators / total.accelerators)
-    return share
-
-
 def is_within_quota(state: PlacementState, job: Job, needed: Resources) -> bool:
     """Return whether the team may be allocated `needed` more, within its guarantee or borrowed.
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
@@ -14,9 +14,14 @@
     is_configuration_current,
 )
 from lentilpath_core.pool._admission import QueueLoad, decide_admission, measure_loads
+from lentilpath_core.pool._customers import (
+    QUOTA_OVERAGE,
+    carry_customers,
+    check_job_fits_quota,
+    get_job_customer,
+)
 from lentilpath_core.pool._decisions import (
     decide_pool,
-    get_job_customer,
     get_job_state,
     is_placement_due,
     place_pool,
@@ -88,6 +93,7 @@
 __all__ = [
     "FINAL_STATES",
     "NO_CUSTOMER",
+    "QUOTA_OVERAGE",
     "AdviceAnswered",
     "AdvicePolicy",
     "AskAdvice",
@@ -145,6 +151,8 @@
     "WorkerReported",
     "WorkersListed",
     "WorkersRecorded",
+    "carry_customers",
+    "check_job_fits_quota",
     "check_owner",
     "create_pool",
     "decide_admission",
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -5,7 +5,8 @@
 from functools import singledispatch
 from itertools import islice
 
-from lentilpath_core.ids import CustomerId, Instant, JobId
+from lentilpath_core.ids import Instant, JobId
+from lentilpath_core.pool._customers import add_ended_job, apply_policies
 from lentilpath_core.pool._events import (
     AdviceAnswered,
     ConfigurationSet,
@@ -85,15 +86,6 @@
     return JobState.RUNNING if known.has_started else JobState.QUEUED
 
 
-def get_job_customer(state: PoolState, job: JobId) -> CustomerId:
-    """Return the customer of a job; empty if it has none or is not known."""
-    known = state.jobs.get(job)
-    if known is not None:
-        return known.record.customer
-    final = state.finals.get(job)
-    return final.customer if final is not None else CustomerId("")
-
-
 @singledispatch
 def _handle(event: PoolEvent, state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
     raise TypeError(f"unknown type of pool event: {event!r}")
@@ -104,6 +96,7 @@
     if event.configuration.version < state.configuration.version:
         return ()
     state.configuration = event.configuration
+    apply_policies(state, event.configuration)
     for job in state.jobs.values():
         policy = event.configuration.queues.get(job.record.queue)
         # Accepted jobs run on if their queue is removed from the configuration. They keep the
@@ -139,6 +132,8 @@
     age_ms = max(0, state.wall_now - record.accepted_at) if event.recovered else 0
     job = Job(record, policy, Instant(now - age_ms), objective_ms, event.recovered)
     state.jobs[record.job] = job
+    if event.recovered and record.customer:
+        state.recovered_jobs[record.job] = job
     if record.job in state.cancelled:
         return finish_job(state, job, JobState.CANCELLED, state.wall_now, now)
     if not record.repeats:
@@ -158,6 +153,8 @@
 @_handle.register
 def _(event: JobEnded, state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
     state.finals[event.job] = event.final
+    if event.record is not None and event.record.customer:
+        add_ended_job(state, event.record)
     return ()
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -72,6 +72,8 @@
 
     job: JobId
     final: FinalRecord
+    record: JobRecord | None = None
+    """The job, if its runs may not have been stopped yet."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_fit.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_fit.py
@@ -64,17 +64,10 @@
 
     `running` is the number of the step's tasks that the worker runs already.
     """
-    room = step.spec.counted_room
-    slots = step.spec.count
-    if room.millicores:
-        slots = min(slots, free.millicores // room.millicores)
-    if room.memory_mib:
-        slots = min(slots, free.memory_mib // room.memory_mib)
-    if room.accelerators:
-        slots = min(slots, free.accelerators // room.accelerators)
+    most = step.spec.count
     if step.spec.most_per_worker:
-        slots = min(slots, step.spec.most_per_worker - running)
-    return max(0, int(slots))
+        most = min(most, step.spec.most_per_worker - running)
+    return step.spec.counted_room.count_in(free, most)
 
 
 def compute_rack_costs(step: Step, fitting: list[Worker]) -> dict[str, float]:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
@@ -193,6 +193,8 @@
     requires_keys: bool = False
     """Whether calls need a customer's key, unless their queue is public. False for a deployment
     whose configuration does not mention customers."""
+    former_customers: dict[CustomerId, CustomerPolicy] = field(default_factory=dict)
+    """Last policies of customers that this version lacks, as far as the host has seen them."""
 
 
 class WorkerCondition(Enum):
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -24,6 +24,7 @@
     may_start,
     starts_apart,
 )
+from lentilpath_core.pool._customers import count_allowed, count_unseen_runs, hold_room
 from lentilpath_core.pool._events import PoolEffect, StartRun
 from lentilpath_core.pool._model import Permission, RunNumber, TaskKey
 from lentilpath_core.pool._options import Options
@@ -66,6 +67,7 @@
 def place_waiting(state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
     """Start waiting tasks that fit, in the order of their rank, and request missing advice."""
     state.needs_placement = False
+    count_unseen_runs(state)
     ranked = sorted(
         ((rank_step(state, step, now), step) for step in state.open_steps.values()),
         key=lambda pair: pair[0],
@@ -99,13 +101,18 @@
 
 
 def _needs_places(state: PoolState, step: Step, now: Instant) -> bool:
-    """Return whether the step's waiting tasks are to be placed in this pass."""
+    """Return whether the step's waiting tasks are to be placed in this pass.
+
+    Those of a customer at its quota are not, so they neither count as unplaced nor ask for advice.
+    """
     if step.job.is_recovered and state.unconfirmed_workers:
         return False
     if step.plan is not None:
         if now < step.plan.expires_at:
             return False
-        drop_plan(step)
+        drop_plan(state, step)
+    if not count_allowed(state, step):
+        return False
     return bool(list_startable(step)) and not (step.spec.gang and step.attempts)
 
 
@@ -176,26 +183,29 @@
     state.needs_placement = True
     record_answer(state, step, asked, allowed, valid_until, now)
     if allowed is None:
-        drop_plan(step)
+        drop_plan(state, step)
         return ()
     plan = step.plan
     if plan is not None and is_awaiting_advice(step, now):
         return ()
-    drop_plan(step)
+    drop_plan(state, step)
     if plan is None or step.key not in state.open_steps:
         return ()
-    places = _confirm_places(step, plan.places, now)
+    places = _confirm_places(state, step, plan.places, now)
     if step.spec.gang and len(places) < step.spec.count:
         return ()
     return _start_all(state, step, places, now)
 
 
-def _confirm_places(step: Step, planned: Places, now: Instant) -> Places:
+def _confirm_places(state: PoolState, step: Step, planned: Places, now: Instant) -> Places:
     """Return the planned places that are still possible, all of them together."""
     places: Places = {}
     left: dict[WorkerId, Resources] = {}
     room = step.spec.counted_room
+    most = count_allowed(state, step)
     for index, worker in sorted(planned.items()):
+        if len(places) >= most:
+            break
         free = left.get(worker.worker, worker.free)
         if (
             index in step.waiting
@@ -212,13 +222,17 @@
 def _choose_places(state: PoolState, step: Step, candidates: list[Worker], now: Instant) -> Places:
     """Return the cheapest worker for each waiting task that fits, by task index.
 
-    A gang gets places for all its tasks or for none.
+    Their number is limited by the quota of the step's customer. A gang gets places for all its
+    tasks or for none.
     """
     options = Options(state, step, candidates, now)
     if step.spec.gang and options.count_slots() < step.spec.count:
         return {}
     places: Places = {}
+    most = count_allowed(state, step)
     for index in list_startable(step):
+        if len(places) >= most:
+            break
         is_suspected = starts_apart(step, index)
         best = options.take_quietest() if is_suspected else options.take_cheapest(index)
         if best is None:
@@ -252,6 +266,7 @@
     step.plan = Plan(dict(places), Instant(int(now + hold_ms)))
     for index, worker in places.items():
         worker.free = worker.free - step.spec.counted_room
+        hold_room(state, step.job.record.customer, step.spec.counted_room)
         if starts_apart(step, index):
             worker.kept_for = TaskKey(*step.key, index)
     effects.extend(calls)
@@ -271,7 +286,8 @@
         task = TaskKey(*step.key, index)
         attempt = Attempt(task, run, worker, step, step.spec.counted_room, Phase.STARTING, now)
         attempt.progressed_at = now
-        add_attempt(attempt)
+        attempt.customer = step.job.record.customer
+        add_attempt(state, attempt)
         is_suspected = count_suspicions(step, index) > 0
         if starts_apart(step, index):
             worker.kept_for = task
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_reservations.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_reservations.py
@@ -132,12 +132,7 @@
     run_ms = estimate_run_ms(state, step) * BACKFILL_MARGIN
     if not step.spec.lasting and now + run_ms <= reservation.starts_at:
         return worker.free
-    spare = reservation.spare[worker.worker]
-    return Resources(
-        min(worker.free.millicores, spare.millicores),
-        min(worker.free.memory_mib, spare.memory_mib),
-        min(worker.free.accelerators, spare.accelerators),
-    )
+    return worker.free.limit_to(reservation.spare[worker.worker])
 
 
 def may_ignore_reservations(step: Step) -> bool:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -6,6 +6,7 @@
 
 from lentilpath_core.ids import Instant, WorkerId
 from lentilpath_core.pool._crashes import handle_recorded_crash, note_listing, suspect_run
+from lentilpath_core.pool._customers import hold_room, release_room
 from lentilpath_core.pool._events import (
     GiveUpRun,
     LossReason,
@@ -51,9 +52,10 @@
     worker.free = worker.free - attempt.room
 
 
-def add_attempt(attempt: Attempt) -> None:
+def add_attempt(state: PoolState, attempt: Attempt) -> None:
     """Add a run that is about to be started, and allocate its resources on the worker."""
     allocate_room(attempt.worker, attempt)
+    hold_room(state, attempt.customer, attempt.room)
     step = attempt.step
     assert step is not None
     step.attempts[attempt.task.number] = attempt
@@ -77,6 +79,7 @@
     if worker.attempts.pop((attempt.task, attempt.run), None) is None:
         return
     worker.free = worker.free + attempt.room
+    release_room(state, attempt.customer, attempt.room)
     release_worker(worker, attempt.task)
     state.needs_placement = True
     step = attempt.step
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from lentilpath_core.ids import Epoch, Instant, JobId, WallTime, WorkerId
+from lentilpath_core.ids import CustomerId, Epoch, Instant, JobId, WallTime, WorkerId
 from lentilpath_core.pool._events import StopReason
 from lentilpath_core.pool._model import (
+    CustomerPolicy,
     FinalRecord,
     JobRecord,
     Life,
@@ -19,7 +20,7 @@
     StepSpec,
     TaskKey,
 )
-from lentilpath_core.resources import Resources
+from lentilpath_core.resources import NO_RESOURCES, Resources
 
 RUNS_PER_EPOCH = 100
 """Run numbers of a task that are set aside for each epoch. A new leader cannot know all starts of
@@ -63,6 +64,8 @@
     pace: int = 100
     """Percent of full speed at which a filling run may work."""
     pace_changed_at: Instant = Instant(0)
+    customer: CustomerId = CustomerId("")
+    """Customer against whose quota the resources count; empty for none."""
 
 
 @dataclass(slots=True)
@@ -206,6 +209,18 @@
     """Whether the job is beyond the number of jobs per second that its customer is entitled to."""
 
 
+@dataclass(slots=True)
+class CustomerUsage:
+    """What a customer holds of the fleet."""
+
+    policy: CustomerPolicy | None = None
+    """The last policy that was in force; kept when the customer is removed."""
+    held: Resources = NO_RESOURCES
+    """Resources of the customer's runs, and of its plans that wait for tickets."""
+    unseen: Resources = NO_RESOURCES
+    """Most that unconfirmed workers may still run of the customer's recovered jobs."""
+
+
 @dataclass(slots=True)
 class PoolState:
     """The complete state of a pool's leader."""
@@ -221,6 +236,12 @@
     workers: dict[WorkerId, Worker] = field(default_factory=dict)
     unconfirmed_workers: set[WorkerId] = field(default_factory=set)
     """Workers that may run tasks of an earlier leader and have not reported yet."""
+    customers: dict[CustomerId, CustomerUsage] = field(default_factory=dict)
+    recovered_jobs: dict[JobId, Job] = field(default_factory=dict)
+    """Jobs of customers that an earlier leader may have started, while workers are unconfirmed."""
+    ended_rooms: dict[CustomerId, Resources] = field(default_factory=dict)
+    """Most that may still run of jobs whose end an earlier leader has stored, while workers are
+    unconfirmed."""
     unanswered_starts: dict[WorkerId, dict[tuple[TaskKey, RunNumber], Instant]] = field(
         default_factory=dict
     )
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from lentilpath_core.ids import Instant, WallTime
+from lentilpath_core.pool._customers import release_room
 from lentilpath_core.pool._events import PoolEffect, RecordFinal, StopReason, StopRun
 from lentilpath_core.pool._model import (
     FinalRecord,
@@ -85,15 +86,16 @@
         state.needs_placement = True
     else:
         state.open_steps.pop(step.key, None)
-        drop_plan(step)
+        drop_plan(state, step)
 
 
-def drop_plan(step: Step) -> None:
+def drop_plan(state: PoolState, step: Step) -> None:
     """Release the resources that a step holds while its tickets are renewed."""
     if step.plan is None:
         return
     for index, worker in step.plan.places.items():
         worker.free = worker.free + step.spec.counted_room
+        release_room(state, step.job.record.customer, step.spec.counted_room)
         release_worker(worker, TaskKey(*step.key, index))
     step.plan = None
 
@@ -177,7 +179,7 @@
     job.final = FinalRecord(final, wall_now, job.record.customer)
     for step in job.steps.values():
         state.open_steps.pop(step.key, None)
-        drop_plan(step)
+        drop_plan(state, step)
         step.waiting.clear()
     state.needs_placement = True
     return (RecordFinal(job.record.job, job.final),)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -11,6 +11,7 @@
     record_crashes,
     suspect_run,
 )
+from lentilpath_core.pool._customers import get_job_customer, hold_room
 from lentilpath_core.pool._events import (
     LossReason,
     PoolEffect,
@@ -258,8 +259,10 @@
         is_confirmed=True,
         percent=running.percent,
         progressed_at=now,
+        customer=get_job_customer(state, running.task.job),
     )
     allocate_room(worker, attempt)
+    hold_room(state, attempt.customer, attempt.room)
     worker.lease_ends_at = max(worker.lease_ends_at, state.former_leases_end_at)
     if worker.lease_ends_at <= now:
         # The run is in progress, so a command that is not known here has granted it a lease.
--- a/packages/lentilpath-core/src/lentilpath_core/resources.py
+++ b/packages/lentilpath-core/src/lentilpath_core/resources.py
@@ -46,5 +46,34 @@
             self.millicores * count, self.memory_mib * count, self.accelerators * count
         )
 
+    def count_in(self, room: Resources, most: int) -> int:
+        """Return how many times this amount fits in `room`, at least 0 and at most `most`."""
+        if self.millicores:
+            most = min(most, room.millicores // self.millicores)
+        if self.memory_mib:
+            most = min(most, room.memory_mib // self.memory_mib)
+        if self.accelerators:
+            most = min(most, room.accelerators // self.accelerators)
+        return max(0, most)
+
+    def limit_to(self, most: Resources) -> Resources:
+        """Return the smaller of both amounts, for each resource."""
+        return Resources(
+            min(self.millicores, most.millicores),
+            min(self.memory_mib, most.memory_mib),
+            min(self.accelerators, most.accelerators),
+        )
+
+    def compute_dominant_share(self, total: Resources) -> float:
+        """Return the largest share of `total` that this is, over the resources that it has."""
+        share = 0.0
+        if total.millicores:
+            share = self.millicores / total.millicores
+        if total.memory_mib:
+            share = max(share, self.memory_mib / total.memory_mib)
+        if total.accelerators:
+            share = max(share, self.accelerators / total.accelerators)
+        return share
+
 
 NO_RESOURCES = Resources()
--- a/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
@@ -7,7 +7,7 @@
 
 from lentilpath_core.errors import InvalidSettings, OutcomeUnknown, Unavailable
 from lentilpath_core.ids import Instant, RowVersion
-from lentilpath_core.pool import PoolConfiguration, is_configuration_current
+from lentilpath_core.pool import PoolConfiguration, carry_customers, is_configuration_current
 from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._pool._ports import HistoryLost, Registry
@@ -89,6 +89,7 @@
     def _apply(self, found: PoolConfiguration) -> None:
         if self._current is not None and found.version <= self._current.version:
             return
+        found = carry_customers(self._current, found)
         self._current = found
         self._last_invalid = ""
         self._first_received.set()
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -11,14 +11,17 @@
 from lentilpath_core.errors import (
     LentilpathError,
     OutcomeUnknown,
+    QuotaTooSmall,
     TableUnavailable,
 )
 from lentilpath_core.ids import CustomerId, Instant, JobId, RowVersion
 from lentilpath_core.pool import (
     NO_CUSTOMER,
+    CustomerPolicy,
     JobRecord,
     JobState,
     QueuePolicy,
+    check_job_fits_quota,
     check_owner,
     decide_admission,
 )
@@ -71,6 +74,8 @@
     ACCEPTED = "accepted"
     REFUSED = "refused"
     """Not stored; the job never runs unless it is submitted again."""
+    OVER_QUOTA = "over-quota"
+    """Not stored; a task or gang alone exceeds the customer's quota, so that it can never run."""
     UNCLEAR = "unclear"
     """The job may be stored; repeating the same submission resolves it."""
 
@@ -81,6 +86,8 @@
 
     result: SubmissionResult
     retry_after_ms: int = 0
+    reason: str = ""
+    """What the caller is told of a submission that can never run."""
 
 
 class Jobs:
@@ -108,13 +115,32 @@
         self, record: JobRecord, policy: QueuePolicy, deadline_ms: int
     ) -> SubmissionAnswer:
         now = read_instant()
+        try:
+            check_job_fits_quota(record, self._find_customer(record.customer))
+        except QuotaTooSmall as error:
+            return await self._answer_over_quota(record, error)
         load = self._context.heartbeat_sender.get_load(record.queue, now)
         refusal_ms = decide_admission(record, policy, load)
         if refusal_ms is not None:
-            log_event(Event.JOB_REFUSED, job=record.job, queue=record.queue, load=load)
+            log_event(
+                Event.JOB_REFUSED, job=record.job, queue=record.queue, reason="full", load=load
+            )
             return SubmissionAnswer(SubmissionResult.REFUSED, refusal_ms)
         return await self._store(record, Instant(int(now + deadline_ms * SETTLE_DEADLINE_SHARE)))
 
+    def _find_customer(self, customer: CustomerId) -> CustomerPolicy | None:
+        configuration = self._context.get_configuration() if customer else None
+        return configuration.customers.get(customer) if configuration is not None else None
+
+    async def _answer_over_quota(self, record: JobRecord, error: QuotaTooSmall) -> SubmissionAnswer:
+        """Refuse the job, unless the leader knows that it was accepted under an earlier quota."""
+        reply = await self._query_state(record.job)
+        if reply is not None and reply.state and reply.customer == record.customer:
+            log_event(Event.JOB_STORED, job=record.job, repeated=True, state=reply.state)
+            return SubmissionAnswer(SubmissionResult.ACCEPTED)
+        log_event(Event.JOB_REFUSED, job=record.job, queue=record.queue, reason="quota")
+        return SubmissionAnswer(SubmissionResult.OVER_QUOTA, reason=str(error))
+
     async def _store(self, record: JobRecord, give_up_at: Instant) -> SubmissionAnswer:
         row = (record.job, encode_record(record))
         transactions = tuple(
--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -14,6 +14,8 @@
     JobAccepted,
     JobCancelled,
     JobEnded,
+    JobRecord,
+    JobState,
     ListedWorker,
     PoolEvent,
     RunRecord,
@@ -44,6 +46,10 @@
 """All partitions at once: a leader far from the table would pay a round trip for each further
 batch."""
 
+STOPPED_RUNS_MS = 15_000
+"""Runs that an earlier leader stopped may go on this long, if the stop was lost: the longest lease,
+10.4 s, and the difference between the hosts' clocks."""
+
 
 @dataclass(frozen=True, slots=True)
 class RecoveredPool:
@@ -78,7 +84,10 @@
             ends.append((parse_end_key(row.key), decode_end(row.value)))
         elif row.key.startswith(WORKERS_KEY):
             worker_rows[row.key] = row.value
-    events: list[PoolEvent] = [JobEnded(job, final) for job, final in finals.items()]
+    recent = _read_recently_ended(job_rows, finals, pool_rows.clock_ms)
+    events: list[PoolEvent] = [
+        JobEnded(job, final, recent.get(job)) for job, final in finals.items()
+    ]
     events.extend(make_job_events(tuple(job_rows), finals.keys(), recovered=True))
     open_ends = tuple((task, record) for task, record in ends if task.job not in finals)
     events.append(RunsRecovered(open_ends))
@@ -93,6 +102,25 @@
     )
 
 
+def _read_recently_ended(
+    rows: list[PartitionRow], finals: dict[JobId, FinalRecord], clock_ms: int
+) -> dict[JobId, JobRecord]:
+    """Return the jobs whose runs were stopped so recently that some may not have ended.
+
+    A completed job has no run that holds resources much longer than its last task.
+    """
+    since_ms = clock_ms - STOPPED_RUNS_MS
+    recent = {
+        job
+        for job, final in finals.items()
+        if final.at >= since_ms and final.customer and final.state is not JobState.COMPLETED
+    }
+    accepted = make_job_events(
+        tuple(row for row in rows if row.key in recent), ended=(), recovered=True
+    )
+    return {each.record.job: each.record for each in accepted if isinstance(each, JobAccepted)}
+
+
 async def read_former_workers(table: PartitionedTable) -> tuple[ListedWorker, ...]:
     """Read the workers that an earlier leader used; raises `Unavailable` or `OutcomeUnknown`."""
     read = await table.read_partition(
--- a/tests/common/simulated_pool.py
+++ b/tests/common/simulated_pool.py
@@ -13,7 +13,14 @@
 import pytest
 
 from lentilpath_core.ids import ConfigVersion, Epoch, HostId, Incarnation, JobId, RowVersion
-from lentilpath_core.pool import JobRecord, JobState, PoolConfiguration, StepSpec, TaskKey
+from lentilpath_core.pool import (
+    NO_CUSTOMER,
+    JobRecord,
+    JobState,
+    PoolConfiguration,
+    StepSpec,
+    TaskKey,
+)
 from lentilpathd._events import EventLine
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._leadership import PoolLeadership
@@ -22,6 +29,14 @@
 from lentilpathd._pool._settings import PoolHostSettings
 from lentilpathd._pool._term import Term
 from tests.common.pools import QUEUE, make_job_id, make_queue
+from tests.common.simulated_customers import (
+    CUSTOMERS,
+    FIRST_QUOTAS,
+    check_quotas,
+    list_leaks,
+    make_configuration,
+    make_quota_plan,
+)
 from tests.common.simulated_workers import (
     ROOM,
     Faults,
@@ -99,7 +114,6 @@
             *(typing.cast(typing.Any, name),) * 3, *(ADDRESS,) * 4, 10_000, 5_000
         )
         unused = typing.cast(typing.Any, None)
-        configuration = PoolConfiguration(ConfigVersion(1), {QUEUE: make_queue(max_attempts=99)})
         self.context = PoolContext(
             settings,
             Incarnation(name),
@@ -111,7 +125,7 @@
             unused,
             unused,
             typing.cast(typing.Any, CountsNothing()),
-            lambda: configuration,
+            lambda: cluster.configuration,
             *(unused,) * 5,
         )
         self.leadership = PoolLeadership(self.path, HostId(name), Incarnation(name), ADDRESS)
@@ -169,7 +183,8 @@
                 (gang, StepSpec(1, ROOM, ms, after=(0,))),
             )
         )
-        record = JobRecord(make_job_id(number), QUEUE, str(ms), steps)
+        customer = CUSTOMERS[number % len(CUSTOMERS)] if cluster.quotas else NO_CUSTOMER
+        record = JobRecord(make_job_id(number), QUEUE, str(ms), steps, customer=customer)
         if cluster.faults.crashing and chance.random() < cluster.faults.crashing:
             step = chance.randrange(len(steps))
             task = TaskKey(record.job, 0, step, chance.randrange(steps[step].count))
@@ -189,6 +204,8 @@
     rows = SharedRows()
     hosts = [SimulatedHost(f"h{number}", rows, cluster) for number in range(2)]
     running = [asyncio.create_task(host.run()) for host in hosts]
+    if cluster.quotas:
+        cluster.spawn(change_quotas(cluster, hosts, begun_at))
     cluster.spawn(cluster.disturb_workers(begun_at + FAULT_SECONDS))
     cluster.spawn(replace_leaders(cluster, hosts, running))
     cluster.spawn(interrupt_table(cluster, hosts))
@@ -208,15 +225,30 @@
         shown = {job: [show_state(term, job) for term in terms] for job in due}
         open_jobs = {job: states for job, states in shown.items() if due[job].value not in states}
     await asyncio.sleep(13.0)
+    leaks = [leak for host in hosts if host.term is not None for leak in list_leaks(host.term)]
     assert all(not task.done() for task in running), [task for task in running if task.done()]
     others = asyncio.all_tasks() - {asyncio.current_task()}
     for task in others:
         task.cancel()
     await asyncio.gather(*others, return_exceptions=True)
-    return [
+    lost = [
         f"LOST: {job} is {' and '.join(states)}, not {due[job].value}"
         for job, states in open_jobs.items()
     ]
+    return lost if lost else leaks
+
+
+async def change_quotas(
+    cluster: SimulatedCluster, hosts: list[SimulatedHost], begun_at: float
+) -> None:
+    """Let the customers' quotas change as planned; leaders apply each version at once."""
+    for at, configuration in make_quota_plan(cluster, FAULT_SECONDS):
+        await asyncio.sleep(max(0.0, begun_at + at - read_time()))
+        cluster.configuration = configuration
+        cluster.quotas.append((read_time(), configuration.customers))
+        for host in hosts:
+            if host.term is not None:
+                host.term.apply_configuration(configuration)
 
 
 def show_state(term: Term, job: str) -> str:
@@ -317,10 +349,20 @@
 
 
 def run_seed(
-    seed: int, faults: Faults, patch: pytest.MonkeyPatch, enforces_capacity: bool = True
+    seed: int,
+    faults: Faults,
+    patch: pytest.MonkeyPatch,
+    enforces_capacity: bool = True,
+    has_customers: bool = False,
 ) -> tuple[list[str], str]:
     """Return the problems of one seed, and the timeline of the tasks that have them."""
     cluster = SimulatedCluster(seed, faults, WORKER_COUNT, enforces_capacity)
+    cluster.configuration = PoolConfiguration(
+        ConfigVersion(1), {QUEUE: make_queue(max_attempts=99)}
+    )
+    if has_customers:
+        cluster.configuration = make_configuration(cluster.configuration, FIRST_QUOTAS)
+        cluster.quotas.append((0.0, cluster.configuration.customers))
     modules = [
         module
         for name, module in list(sys.modules.items())
@@ -336,6 +378,11 @@
     finally:
         root.removeHandler(handler)
         root.setLevel(level)
-    for check in (check_runs(cluster.runs), check_capacities(cluster), check_crashes(cluster)):
+    for check in (
+        check_runs(cluster.runs),
+        check_capacities(cluster),
+        check_crashes(cluster),
+        check_quotas(cluster),
+    ):
         problems.extend(check)
     return problems, "\n".join(f"{at:.3f} {text}" for at, text in cluster.log)
--- a/tests/common/simulated_workers.py
+++ b/tests/common/simulated_workers.py
@@ -16,12 +16,14 @@
 from typing import Any
 
 from lentilpath_core.errors import OutcomeUnknown, TableUnavailable, WorkerUnavailable
-from lentilpath_core.ids import FencingToken, WorkerTime
+from lentilpath_core.ids import CustomerId, FencingToken, WorkerTime
 from lentilpath_core.pool import (
+    CustomerPolicy,
     EndedRun,
     JobRecord,
     Life,
     ListedWorker,
+    PoolConfiguration,
     RunEnd,
     RunningRun,
     RunNumber,
@@ -105,6 +107,10 @@
         self.enforces_capacity = enforces_capacity
         """Whether workers refuse runs that do not fit, as the service's configuration says."""
         self.jobs: dict[str, JobRecord] = {}
+        self.configuration: PoolConfiguration | None = None
+        self.quotas: list[tuple[float, dict[CustomerId, CustomerPolicy]]] = []
+        """The customers of each version of the configuration, and when it was in force; empty
+        without customers."""
         self.crashing: set[TaskKey] = set()
         """Tasks that crash each worker that starts them."""
         self.is_registry_away = False
--- a/tests/nocover/test_pool_customers.py
+++ b/tests/nocover/test_pool_customers.py
@@ -100,6 +100,29 @@
     run_scenario(scenario, hosts=1)
 
 
+def test_a_job_that_its_quota_can_never_hold_gets_429_with_the_quota_and_no_time_to_come_back():
+    async def scenario(fleet: Fleet) -> None:
+        tenants = [{"name": "small", "apiKeys": ["k1"], "maxItems": {"cpu": 500}}]
+        value = json.dumps(CONFIG | {"version": 4, "tenants": tenants}).encode()
+        fleet.store.put("op", "", "config", value)
+        await wait_for_version(fleet, 4)
+        host = fleet.hosts[0]
+        refused = await host.call("POST", JOB, BODY, "k1")
+        assert refused.status == 429
+        assert "500 millicores" in json.loads(refused.body)["error"]
+        assert not refused.get_header("retry-after")
+        assert (await host.call("GET", JOB, key="k1")).status == 410
+        put_customers(fleet, 5, small=["k1"])
+        await wait_for_version(fleet, 5)
+        assert (await host.call("POST", JOB, BODY, "k1")).status == 200
+        # The repetition of an accepted submission is no new job, so a later quota does not count.
+        fleet.store.put("op", "", "config", value.replace(b'"version": 4', b'"version": 6'))
+        await wait_for_version(fleet, 6)
+        assert (await host.call("POST", JOB, BODY, "k1")).status == 200
+
+    run_scenario(scenario, hosts=1)
+
+
 def test_a_host_that_restarts_while_the_table_is_away_accepts_no_key_at_all():
     async def scenario(fleet: Fleet) -> None:
         put_customers(fleet, 4, small=["k1"])
