Pool: a table that is back is noticed within 0.3 s, and settles writes in doubt

Cause: probes of a direct path that is down were sent one after the other, so one that was sent into the outage delayed the next by up to 1.05 s. The failure of a call that was sent into the outage counted against the path after its return. A write without an answer was given up after half of the caller's deadline, and all of its attempts could wait for a table that had dropped them.

Callers saw 504 for submissions after the table's return, and for writes whose deadline was later than the return.

Change: probes overlap, one each 0.25 s. Answers and failures are compared by when their calls were sent. Settling takes 0.9 of the deadline and makes a new, direct attempt when the path is back.

Measured in virtual time (tests/cover/test_pool_table_outages.py): the return of a table that was silent for 2.6 to 3.4 s is noticed within 0.3 s; a write sent 0.5 s into the outage is accepted.

The former rule in tests/common/former_rules.py gets the deadline share that it had, 0.5.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -58,9 +58,9 @@
 """Half the timeout of the table read that follows if the leader does not answer."""
 TABLE_UNAVAILABLE_RETRY_MS = 1_000
 """Retry-after of a refused request while the table does not answer."""
-SETTLE_DEADLINE_SHARE = 0.5
-"""Share of a caller's deadline spent on a write of unknown outcome. Many callers must not resubmit
-a job that may have been accepted."""
+SETTLE_DEADLINE_SHARE = 0.9
+"""Share of a caller's deadline spent on a write of unknown outcome, since many callers must not
+resubmit a job that may have been accepted. The rest is for the way of the answer."""
 NOTICE_TIMEOUT_SECONDS = 0.4
 """Longer than the job feed's pause; beyond it the feed delivers the job sooner."""
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_settling.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_settling.py
@@ -25,6 +25,10 @@
 MIN_ATTEMPT_SECONDS = 0.05
 """Shortest time left for an attempt: one network round trip between regions."""
 
+RETURN_CHECK_SECONDS = 0.1
+"""How soon a waiting write notices that the table has returned; two of its answers from the
+farthest region."""
+
 FIRST_ATTEMPT_SHARE = 0.65
 """Share of the remaining time after which an unanswered attempt gets another beside it at the
 latest. A slow table answers within it, and it leaves time for a way through another host."""
@@ -73,6 +77,10 @@
         """Return the time in seconds after which an answer is later than usual."""
         ...
 
+    def get_returned_at(self) -> Instant:
+        """Return when the direct path last began to work again; 0 if it was never down."""
+        ...
+
 
 async def settle_write(
     table: WritableTable,
@@ -110,20 +118,14 @@
         self._give_up_at = give_up_at
         self._report_unclear = report_unclear
         self._in_flight: dict[Attempt, PartitionTransaction] = {}
+        self._last_begun_at = Instant(0)
         self._is_unclear = False
 
     async def run(self) -> Stored:
         while True:
             if len(self._in_flight) < MAX_ATTEMPTS_IN_FLIGHT:
                 self._begin_attempt()
-            ended, _ = await asyncio.wait(
-                self._in_flight,
-                timeout=min(
-                    self._table.get_commit_timeout(),
-                    self._get_seconds_left() * FIRST_ATTEMPT_SHARE,
-                ),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
+            ended = await self._wait_for_attempts()
             if not ended:
                 self._handle_lateness()
             for attempt in ended:
@@ -138,11 +140,40 @@
             if ended:
                 await asyncio.sleep(RETRY_SECONDS)
 
+    async def _wait_for_attempts(self) -> set[Attempt]:
+        """Return the attempts that ended; none if all are late or the table has returned since."""
+        left_seconds = min(
+            self._table.get_commit_timeout(), self._get_seconds_left() * FIRST_ATTEMPT_SHARE
+        )
+        while left_seconds > 0.0:
+            wait_seconds = min(left_seconds, RETURN_CHECK_SECONDS)
+            ended, _ = await asyncio.wait(
+                self._in_flight, timeout=wait_seconds, return_when=asyncio.FIRST_COMPLETED
+            )
+            if ended:
+                return ended
+            if self._has_table_returned():
+                await self._abandon_oldest_attempt()
+                break
+            left_seconds -= wait_seconds
+        return set()
+
+    def _has_table_returned(self) -> bool:
+        return self._table.get_returned_at() > self._last_begun_at
+
+    async def _abandon_oldest_attempt(self) -> None:
+        """Make room for an attempt to a table that has returned; it may have dropped the others."""
+        if len(self._in_flight) == MAX_ATTEMPTS_IN_FLIGHT:
+            oldest = next(iter(self._in_flight))
+            self._in_flight.pop(oldest)
+            oldest.cancel()
+            await asyncio.gather(oldest, return_exceptions=True)
+
     def _begin_attempt(self) -> None:
         transaction = next(self._transactions)
-        commit = self._table.commit(
-            transaction, self._get_seconds_left(), prefer_relay=self._is_unclear
-        )
+        prefer_relay = self._is_unclear and not self._has_table_returned()
+        commit = self._table.commit(transaction, self._get_seconds_left(), prefer_relay)
+        self._last_begun_at = read_instant()
         self._in_flight[asyncio.ensure_future(commit)] = transaction
 
     def _get_seconds_left(self) -> float:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
@@ -50,7 +50,8 @@
 PROBE_INTERVAL_SECONDS = 0.25
 """Limits each host to four probes a second, of the 2,000 calls a second that all hosts may make."""
 PROBE_TIMEOUT_SECONDS = 0.8
-"""Enough for a read while the table is 100 times slower than its usual 4 ms."""
+"""Enough for a read while the table is 100 times slower than its usual 4 ms. Probes overlap, so one
+that was sent into an outage does not delay the next."""
 FAILURE_THRESHOLD = 2.0
 """A single call may get lost; the direct path counts as down when a second call in a row fails."""
 RECENT_RESPONSE_MS = 1_000
@@ -102,7 +103,9 @@
         self._relay_allowed_at = Instant(0)
         self._mean_commit_seconds = 0.0
         self._answered_at = Instant(0)
-        self._failed_at = Instant(0)
+        self._failed_call_sent_at = Instant(0)
+        self._answered_call_sent_at = Instant(0)
+        self._returned_at = Instant(0)
         self._rotation = 0
         self._relay_silent_until: dict[HostId, Instant] = {}
         bus.handle(RELAY_TOPIC, self._handle_relay)
@@ -122,41 +125,62 @@
         scaled_seconds = COMMIT_TIMEOUT_FACTOR * self._mean_commit_seconds
         return min(MAX_COMMIT_TIMEOUT_SECONDS, max(MIN_COMMIT_TIMEOUT_SECONDS, scaled_seconds))
 
+    def get_returned_at(self) -> Instant:
+        """Return when the direct path last began to work again; 0 if it was never down."""
+        return self._returned_at
+
     async def run(self) -> None:
         """Probe a direct path that is down until it works again, until cancelled."""
-        while True:
-            await self._direct_down.wait()
-            sent_at = read_instant()
-            try:
-                await self._direct.read_partition(
-                    POOL_TABLE, POOL_PARTITION, EPOCH_KEY, LEADER_KEYS_END, PROBE_TIMEOUT_SECONDS
-                )
-            except LentilpathError:
-                # The outage was logged when it was detected; failed probes are not logged.
-                await asyncio.sleep(PROBE_INTERVAL_SECONDS)
-                continue
-            self._record_success(sent_at)
+        probes: set[asyncio.Task[None]] = set()
+        try:
+            while True:
+                await self._direct_down.wait()
+                probe = asyncio.ensure_future(self._probe())
+                probes.add(probe)
+                probe.add_done_callback(probes.discard)
+                await asyncio.wait((probe,), timeout=PROBE_INTERVAL_SECONDS)
+                if self._direct_down.is_set() and probe.done():
+                    await asyncio.sleep(PROBE_INTERVAL_SECONDS)
+        finally:
+            for each in probes:
+                each.cancel()
+
+    async def _probe(self) -> None:
+        sent_at = read_instant()
+        try:
+            await self._direct.read_partition(
+                POOL_TABLE, POOL_PARTITION, EPOCH_KEY, LEADER_KEYS_END, PROBE_TIMEOUT_SECONDS
+            )
+        except LentilpathError:
+            # The outage was logged when it was detected; failed probes are not logged.
+            return
+        self._record_success(sent_at)
 
     def _record_success(self, sent_at: Instant) -> None:
         self._answered_at = read_instant()
-        if sent_at < self._failed_at:
-            # A response to a call sent before the last failure does not show that the path works.
+        if sent_at < self._failed_call_sent_at:
+            # A response to a call sent before one that failed does not show that the path works.
             return
+        self._answered_call_sent_at = max(self._answered_call_sent_at, sent_at)
         self._failures = 0.0
         if self._direct_down.is_set():
             self._direct_down.clear()
+            self._returned_at = self._answered_at
             log_event(Event.TABLE_REACHABLE)
 
     def _has_answered_recently(self) -> bool:
         return read_instant() < self._answered_at + RECENT_RESPONSE_MS
 
-    def _record_failure(self, error: LentilpathError) -> None:
+    def _record_failure(self, error: LentilpathError, sent_at: Instant) -> None:
         if isinstance(error, OutcomeUnknown) and self._has_answered_recently():
             return
+        if sent_at < self._answered_call_sent_at:
+            # A call that was sent into an outage may fail long after the path has returned.
+            return
         if isinstance(error, TableBusy):
             self._failures += BUSY_FAILURE_WEIGHT
         else:
-            self._failed_at = read_instant()
+            self._failed_call_sent_at = max(self._failed_call_sent_at, sent_at)
             self._failures += 1.0
         self._metrics.count(Metric.DEPENDENCY_FAILED, "table")
         if self._failures >= FAILURE_THRESHOLD and not self._direct_down.is_set():
@@ -237,6 +261,7 @@
         Raises `LateAnswerLost` if it never comes, since the failure has been counted by then.
         """
         late_seconds = self.get_commit_timeout()
+        sent_at = read_instant()
         pending = asyncio.ensure_future(call)
         try:
             done, _ = await asyncio.wait((pending,), timeout=late_seconds)
@@ -245,7 +270,7 @@
             if self._has_answered_recently():
                 self._mean_commit_seconds = max(self._mean_commit_seconds, late_seconds)
             else:
-                self._record_failure(OutcomeUnknown("an answer of the table is late"))
+                self._record_failure(OutcomeUnknown("an answer of the table is late"), sent_at)
             return await pending
         except OutcomeUnknown as error:
             raise (error if pending in done else LateAnswerLost(str(error))) from error
@@ -261,7 +286,7 @@
             raise
         except LentilpathError as error:
             if not isinstance(error, LateAnswerLost):
-                self._record_failure(error)
+                self._record_failure(error, sent_at)
             if isinstance(error, OutcomeUnknown):
                 self._mean_commit_seconds = max(self._mean_commit_seconds, commit_timeout)
             raise
--- a/tests/common/former_rules.py
+++ b/tests/common/former_rules.py
@@ -84,6 +84,7 @@
             await asyncio.sleep(_settling.RETRY_SECONDS)
 
     patch.setattr(_jobs, "settle_write", settle)
+    patch.setattr(_jobs, "SETTLE_DEADLINE_SHARE", 0.5)
 
 
 def store_in_one_partition(patch: pytest.MonkeyPatch) -> None:
--- /dev/null
+++ b/tests/cover/test_pool_table_outages.py
@@ -0,0 +1,123 @@
+"""The return of a table that gave no answers is noticed, and used for writes in doubt, at once."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, cast
+
+import pytest
+
+from lentilpath_core.errors import LentilpathError, OutcomeUnknown, TableUnavailable
+from lentilpathd._pool import _jobs, _members, _settling, _table_path
+from lentilpathd._pool._jobs import SubmissionResult
+from lentilpathd._pool._metrics import PoolMetrics
+from lentilpathd._pool._table_path import TablePath
+from tests.common.pools import make_record
+from tests.common.tables import OnePartitionTable
+from tests.common.virtual_time import run_in_virtual_time
+from tests.cover.test_pool_answers import QUEUE, make_jobs
+from tests.cover.test_pool_table_path import PUT, InMemoryBus
+
+MODULES = (_jobs, _members, _settling, _table_path)
+ANSWER_SECONDS = 0.02
+OUTAGE_SECONDS = 2.6
+DEADLINE_MS = 3_000
+PROBE_STEP_SECONDS = 0.01
+
+
+class OutageTable(OnePartitionTable):
+    """A table that drops all calls that it receives while `is_silent` is set."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_silent = False
+        self.timeout_error: type[LentilpathError] = OutcomeUnknown
+        self.writes = 0
+
+    async def _reach(self, timeout: float) -> None:
+        try:
+            async with asyncio.timeout(timeout):
+                await asyncio.sleep(3_600 if self.is_silent else ANSWER_SECONDS)
+        except TimeoutError as error:
+            raise self.timeout_error("no answer in time") from error
+
+    async def commit(self, transaction, timeout, prefer_relay=False):
+        self.writes += 1
+        await self._reach(timeout)
+        return await super().commit(transaction, timeout)
+
+    async def read_partition(self, table, partition, first, end, timeout):
+        await self._reach(timeout)
+        return await super().read_partition(table, partition, first, end, timeout)
+
+
+def make_path(table: OutageTable) -> TablePath:
+    return TablePath(table, cast(Any, InMemoryBus("h1", {})), lambda now: (), PoolMetrics())
+
+
+async def poll(path: TablePath) -> None:
+    """Read the leadership rows as each host does."""
+    while True:
+        await asyncio.gather(path.read_partition("t", "cell", "", "", 1.5), return_exceptions=True)
+        await asyncio.sleep(0.35)
+
+
+@pytest.mark.parametrize("offset", [0.0, 0.1, 0.2, 0.4, 0.6, 0.8])
+def test_a_direct_path_that_works_again_is_noticed_within_300_ms(monkeypatch, offset):
+    async def scenario() -> float:
+        table = OutageTable()
+        path = make_path(table)
+        running = asyncio.ensure_future(path.run())
+        table.is_silent = True
+        writes = (path.commit(PUT, 0.5) for _ in range(2))
+        await asyncio.gather(*writes, return_exceptions=True)
+        assert not path.is_direct_path_up()
+        await asyncio.sleep(OUTAGE_SECONDS + offset)
+        table.is_silent = False
+        waited = 0.0
+        while not path.is_direct_path_up():
+            await asyncio.sleep(PROBE_STEP_SECONDS)
+            waited += PROBE_STEP_SECONDS
+        running.cancel()
+        return waited
+
+    assert run_in_virtual_time(scenario(), monkeypatch, *MODULES) <= 0.3
+
+
+def test_a_call_that_did_not_connect_in_an_outage_does_not_close_the_path_after_its_return(
+    monkeypatch,
+):
+    async def scenario() -> bool:
+        table = OutageTable()
+        path = make_path(table)
+        table.is_silent = True
+        table.timeout_error = TableUnavailable
+        old = [asyncio.ensure_future(path.commit(PUT, 2.5)) for _ in range(4)]
+        await asyncio.sleep(0.1)
+        table.is_silent = False
+        await path.read_partition("t", "cell", "", "", 0.5)
+        await asyncio.gather(*old, return_exceptions=True)
+        return path.is_direct_path_up()
+
+    assert run_in_virtual_time(scenario(), monkeypatch, *MODULES)
+
+
+def test_a_write_that_was_sent_into_an_outage_is_settled_once_the_table_is_back(monkeypatch):
+    async def scenario() -> SubmissionResult:
+        table = OutageTable()
+        path = make_path(table)
+        tasks = [asyncio.ensure_future(path.run()), asyncio.ensure_future(poll(path))]
+        await asyncio.sleep(1.0)
+        table.is_silent = True
+        await asyncio.sleep(0.5)
+        jobs = make_jobs(cast(Any, path), None)
+        submission = asyncio.ensure_future(jobs.submit(make_record(1), QUEUE, DEADLINE_MS))
+        await asyncio.sleep(OUTAGE_SECONDS - 0.5)
+        table.is_silent = False
+        answer = await submission
+        for task in tasks:
+            task.cancel()
+        return answer.result
+
+    result = run_in_virtual_time(scenario(), monkeypatch, *MODULES)
+    assert result is SubmissionResult.ACCEPTED
