--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -34,6 +34,10 @@
     """The complete list of registered workers; a worker that is not in it has left."""
 
     workers: tuple[ListedWorker, ...]
+    sent_at: Instant | None = None
+    """When the list was requested; `None` for just now."""
+    missing: frozenset[WorkerId] = frozenset()
+    """Workers in it that the registry does not show at present, but may show again."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -18,6 +18,7 @@
     record_answer,
     request_advice,
 )
+from lentilpath_core.pool._capacity import is_capacity_known
 from lentilpath_core.pool._crashes import (
     count_suspicions,
     list_startable,
@@ -145,6 +146,7 @@
         and now <= worker.reported_at + MAX_REPORT_AGE_MS
         and now >= worker.cooldown_until
         and worker.listed.leaves_in_ms is None
+        and is_capacity_known(worker, now)
     )
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -77,6 +77,8 @@
     """Whether the record that the pool uses this incarnation is durable."""
     reported_at: Instant | None = None
     """When the last answered renewal was sent; `None` before the first."""
+    capacity_seen_at: Instant = Instant(0)
+    """The worker's last report to the registry was not made before this time."""
     lease_ends_at: Instant = Instant(0)
     """Latest time until which runs on the worker may continue without a further command. In the
     past while no command was sent that could have started or prolonged a run."""
@@ -228,6 +230,10 @@
     id, because any incarnation of the worker carries them out."""
     listed_at: Instant = Instant(0)
     """When the list of workers was last read."""
+    list_sent_at: Instant | None = None
+    """When the last list of workers was requested; `None` before the first."""
+    lists_since: Instant = Instant(0)
+    """When the first of the lists was requested that have come without a gap since."""
     open_steps: dict[StepKey, Step] = field(default_factory=dict)
     """Steps that have tasks waiting for a start."""
     reservations: dict[WorkerId, Reservation] = field(default_factory=dict)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from lentilpath_core.ids import Instant
+from lentilpath_core.pool._capacity import note_list, note_reports
 from lentilpath_core.pool._crashes import (
     clear_suspects,
     clear_suspects_of_living_workers,
@@ -59,6 +60,7 @@
     """Update the known workers from the complete list of registered workers."""
     effects: list[PoolEffect] = []
     forget_old_unanswered_starts(state, now)
+    reported_at = note_list(state, event, now)
     listed = {each.worker: each for each in event.workers}
     for worker in list(state.workers.values()):
         worker.is_listed = worker.worker in listed
@@ -69,6 +71,8 @@
         elif known is not None and known.life == entry.life:
             if entry.sequence < known.listed.sequence:
                 continue
+            if entry.sequence > known.listed.sequence or not known.capacity_seen_at:
+                known.capacity_seen_at = max(known.capacity_seen_at, reported_at)
             if known.listed.capacity != entry.capacity:
                 known.free = known.free + entry.capacity - known.listed.capacity
                 effects.extend(_withdraw_starts(known, now))
@@ -76,6 +80,8 @@
             update_leave_time(known, entry, now)
         else:
             effects.extend(_start_new_life(state, known, entry, now))
+            state.workers[entry.worker].capacity_seen_at = reported_at
+    note_reports(state, event)
     effects.extend(_record_workers(state))
     effects.extend(clear_suspects_of_living_workers(state, now))
     state.needs_placement = True
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from lentilpath_core.errors import OutcomeUnknown, Unavailable
-from lentilpath_core.ids import CustomerId, Epoch, Instant, JobId, RowVersion, WorkerId
+from lentilpath_core.ids import CustomerId, Epoch, Instant, JobId, RowVersion
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.pool import (
     AskAdvice,
@@ -60,6 +60,7 @@
 from lentilpathd._pool._removal import JobRemover
 from lentilpathd._pool._settings import MAX_LEASE_MS
 from lentilpathd._pool._tokens import make_token
+from lentilpathd._pool._worker_watch import WorkerWatch
 from lentilpathd._pool._writer import RecordWriter
 
 T = TypeVar("T")
@@ -72,14 +73,6 @@
 hosts. With the heartbeat interval it stays under the maximum age of its counts, 2 s."""
 PLACEMENT_DELAY_SECONDS = 0.01
 """Events that arrive within this time share one placement pass over the pending tasks."""
-WORKERS_INTERVAL_SECONDS = 0.7
-"""Half of the interval between workers' own reports."""
-WORKER_REMOVAL_DELAY_MS = 2_500
-"""A worker whose registry entry is missing for this long is removed. Entries that expired in an
-outage of the platform's table are back within 2 s after it."""
-LIST_TIMEOUT_SECONDS = 1.0
-"""With the pause between reads it stays under 2.5 s, in which starts on a draining worker must
-stop."""
 RETRY_SECONDS = 0.2
 """Five attempts a second; a recovery makes 34 calls, of the 2,000 a second that all hosts may
 make."""
@@ -102,13 +95,13 @@
         )
         self._links: dict[LifeKey, tuple[WorkerLink, asyncio.Task[None]]] = {}
         self._opened_clients = 0
-        self._missing_since: dict[WorkerId, Instant] = {}
         self._placement_due = asyncio.Event()
         self._group: asyncio.TaskGroup | None = None
         self._ready = False
         self._digest: Digest | None = None
         self._digest_at = Instant(0)
         self._jobs_version = RowVersion(0)
+        self._watch = WorkerWatch(context.registry, self._state, self._handle_list)
         self._feed = JobFeed(context.table, leadership.is_confirmed, self._handle_job)
 
     def is_ready(self) -> bool:
@@ -129,7 +122,7 @@
             group.create_task(self._remover.run())
             group.create_task(self._tick())
             group.create_task(self._run_placement())
-            group.create_task(self._watch_workers())
+            group.create_task(self._watch.run())
             group.create_task(self._feed.run(self._jobs_version, self._state.finals))
 
     async def _extend_leases(self) -> None:
@@ -153,9 +146,7 @@
 
     async def _recover(self) -> None:
         recovered = await self._read_repeatedly(lambda: read_pool(self._context.table))
-        listed = await self._read_repeatedly(
-            lambda: self._context.registry.read_workers(READ_TIMEOUT_SECONDS)
-        )
+        listed, listed_at = await self._read_repeatedly(self._read_workers)
         self._jobs_version = recovered.jobs_version
         self._writer.add_stored_ends(recovered.end_keys, recovered.ended_jobs)
         self._writer.add_stored_workers(recovered.worker_keys)
@@ -165,7 +156,7 @@
             self.handle_event(ConfigurationSet(configuration))
         self._state.wall_now = read_wall_time()
         restore_former_workers(self._state, recovered.former_workers)
-        self.handle_event(WorkersListed(listed))
+        self.handle_event(WorkersListed(listed, listed_at))
         for event in recovered.events:
             self.handle_event(event)
         log_event(
@@ -177,6 +168,10 @@
             unsettled=sorted(self._state.unconfirmed_workers),
         )
 
+    async def _read_workers(self) -> tuple[tuple[ListedWorker, ...], Instant]:
+        sent_at = read_instant()
+        return await self._context.registry.read_workers(READ_TIMEOUT_SECONDS), sent_at
+
     async def _read_repeatedly(self, read: Callable[[], Awaitable[T]]) -> T:
         while True:
             try:
@@ -379,24 +374,6 @@
             for effect in place_pool(self._state, read_instant()):
                 self._execute(effect)
 
-    async def _watch_workers(self) -> None:
-        while True:
-            try:
-                listed = await self._context.registry.read_workers(LIST_TIMEOUT_SECONDS)
-            except (Unavailable, OutcomeUnknown) as error:
-                log_event(Event.HOST_LIST_UNAVAILABLE, error=str(error))
-            else:
-                self._handle_listed(listed)
-            await asyncio.sleep(WORKERS_INTERVAL_SECONDS)
-
-    def _handle_listed(self, listed: tuple[ListedWorker, ...]) -> None:
-        now = read_instant()
-        present = {each.worker for each in listed}
-        kept = list(listed)
-        for worker in self._state.workers.values():
-            if worker.worker in present or not worker.is_listed:
-                self._missing_since.pop(worker.worker, None)
-            elif now < self._missing_since.setdefault(worker.worker, now) + WORKER_REMOVAL_DELAY_MS:
-                kept.append(worker.listed)
-        self.handle_event(WorkersListed(tuple(kept)))
+    def _handle_list(self, event: WorkersListed) -> None:
+        self.handle_event(event)
         self._open_links()
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_worker_watch.py
@@ -0,0 +1,84 @@
+"""Reads the list of registered workers from the platform's registry again and again."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from lentilpath_core.errors import OutcomeUnknown, Unavailable
+from lentilpath_core.ids import Instant, WorkerId
+from lentilpath_core.pool import ListedWorker, PoolState, WorkersListed
+from lentilpathd._clock import read_instant
+from lentilpathd._events import Event, log_event
+from lentilpathd._pool._ports import Registry
+
+INTERVAL_SECONDS = 0.7
+"""Half of the interval between workers' own reports."""
+REMOVAL_DELAY_MS = 2_500
+"""A worker whose registry entry is missing for this long is removed. Entries that expired in an
+outage of the platform's table are back within 2 s after it."""
+TIMEOUT_SECONDS = 2.3
+"""Starts on a draining worker must stop within 2.5 s. A read does not wait for the one before it,
+so a slow table delays each list but does not thin them out; four reads are in flight at most."""
+CATCH_UP_INTERVAL_SECONDS = 0.2
+"""After an outage, starts on a worker wait for a list that shows a report made since. The first
+list should come soon, since reports that it shows may have been made before the outage."""
+CATCH_UP_MS = 1_700
+"""In this time after the last failed read, each worker reports once."""
+
+
+class WorkerWatch:
+    """Delivers the list of workers until cancelled, without those that have long been missing."""
+
+    def __init__(
+        self,
+        registry: Registry,
+        state: PoolState,
+        handle_list: Callable[[WorkersListed], None],
+    ) -> None:
+        self._registry = registry
+        self._state = state
+        self._handle_list = handle_list
+        self._missing_since: dict[WorkerId, Instant] = {}
+        self._handled_sent_at = Instant(0)
+        self._failed_at: Instant | None = None
+
+    async def run(self) -> None:
+        """Read the list at each interval until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                read = group.create_task(self._read())
+                done, _ = await asyncio.wait({read}, timeout=INTERVAL_SECONDS)
+                if done:
+                    await asyncio.sleep(self._get_pause_seconds())
+
+    def _get_pause_seconds(self) -> float:
+        failed_at = self._failed_at
+        if failed_at is not None and read_instant() < failed_at + CATCH_UP_MS:
+            return CATCH_UP_INTERVAL_SECONDS
+        return INTERVAL_SECONDS
+
+    async def _read(self) -> None:
+        sent_at = read_instant()
+        try:
+            listed = await self._registry.read_workers(TIMEOUT_SECONDS)
+        except (Unavailable, OutcomeUnknown) as error:
+            self._failed_at = read_instant()
+            log_event(Event.HOST_LIST_UNAVAILABLE, error=str(error))
+            return
+        # Answers may overtake each other.
+        if sent_at >= self._handled_sent_at:
+            self._handled_sent_at = sent_at
+            self._handle(listed, sent_at)
+
+    def _handle(self, listed: tuple[ListedWorker, ...], sent_at: Instant) -> None:
+        now = read_instant()
+        present = {each.worker for each in listed}
+        kept: list[ListedWorker] = []
+        for worker in self._state.workers.values():
+            if worker.worker in present or not worker.is_listed:
+                self._missing_since.pop(worker.worker, None)
+            elif now < self._missing_since.setdefault(worker.worker, now) + REMOVAL_DELAY_MS:
+                kept.append(worker.listed)
+        missing = frozenset(each.worker for each in kept)
+        self._handle_list(WorkersListed((*listed, *kept), sent_at, missing))
--- a/tests/common/simulated_pool.py
+++ b/tests/common/simulated_pool.py
@@ -27,6 +27,7 @@
     Faults,
     SimulatedCluster,
     SimulatedRun,
+    delay_call,
     read_time,
 )
 from tests.common.tables import ADDRESS, OnePartitionTable
@@ -48,12 +49,20 @@
 class SharedRows(OnePartitionTable):
     """One host's path to the rows of all hosts, which a test can cut."""
 
-    def __init__(self, rows: SharedRows | None = None) -> None:
+    def __init__(
+        self, rows: SharedRows | None = None, cluster: SimulatedCluster | None = None
+    ) -> None:
         super().__init__()
         self._shared = rows or self
+        self._cluster = cluster
 
-    async def commit(self, transaction, timeout, prefer_relay=False):
+    async def _delay(self, timeout: float) -> None:
         await asyncio.sleep(0.01)
+        if self._cluster is not None:
+            await delay_call(self._cluster.faults.table_seconds, timeout)
+
+    async def commit(self, transaction, timeout, prefer_relay=False):
+        await self._delay(timeout)
         if self.is_unavailable:
             raise self.unavailable_error
         self._shared.clock_ms = int(read_time() * 1_000)
@@ -62,7 +71,7 @@
         return await OnePartitionTable.commit(self._shared, transaction, timeout)
 
     async def read_partition(self, table, partition, first, end, timeout):
-        await asyncio.sleep(0.01)
+        await self._delay(timeout)
         if self.is_unavailable:
             raise self.unavailable_error
         self._shared.clock_ms = int(read_time() * 1_000)
@@ -93,7 +102,7 @@
 
     def __init__(self, name: str, rows: SharedRows, cluster: SimulatedCluster) -> None:
         self.name = name
-        self.path = SharedRows(rows)
+        self.path = SharedRows(rows, cluster)
         self.term: Term | None = None
         settings = PoolHostSettings(
             *(typing.cast(typing.Any, name),) * 3, *(ADDRESS,) * 4, 10_000, 5_000
@@ -248,10 +257,11 @@
 
 async def interrupt_table(cluster: SimulatedCluster, hosts: list[SimulatedHost]) -> None:
     """Take the table and the registry away from all hosts and workers from time to time."""
-    for _ in range(cluster.faults.outages):
-        await asyncio.sleep(cluster.random.uniform(4.0, 9.0))
+    chance, faults = cluster.random, cluster.faults
+    for _ in range(faults.outages):
+        await asyncio.sleep(chance.uniform(4.0, 9.0))
         set_table_away(cluster, hosts, True)
-        await asyncio.sleep(cluster.random.uniform(6.0, 10.0))
+        await asyncio.sleep(faults.outage_seconds or chance.uniform(6.0, 10.0))
         set_table_away(cluster, hosts, False)
 
 
--- a/tests/common/simulated_workers.py
+++ b/tests/common/simulated_workers.py
@@ -72,6 +72,10 @@
     """Mean time between shrinks of a worker's capacity, which grows back after some seconds."""
     outages: int = 0
     """Times at which the table and the registry are away from everybody for some seconds."""
+    outage_seconds: float = 0.0
+    """How long each of them lasts; 0 for 6 to 10 s, by the seed."""
+    table_seconds: float = 0.0
+    """Added to the time that each call of the table and the registry takes."""
 
 
 @dataclass
@@ -136,7 +140,9 @@
         await asyncio.sleep(self.random.uniform(0.002, 0.04))
         if self.random.random() < self.faults.lost or self.is_registry_away:
             raise TableUnavailable("away")
-        return tuple(each.entry for each in self.workers.values() if each.is_registered())
+        listed = tuple(each.entry for each in self.workers.values() if each.is_registered())
+        await delay_call(self.faults.table_seconds, timeout)
+        return listed
 
     def open_client(self, listed: ListedWorker, token: FencingToken) -> SimulatedClient:
         return SimulatedClient(self, listed, token)
@@ -157,6 +163,13 @@
             act(self.random.choice([each for each in self.workers.values() if not each.is_gone]))
 
 
+async def delay_call(seconds: float, timeout: float) -> None:
+    """Let a call take this long, or fail once its timeout is over."""
+    await asyncio.sleep(min(seconds, timeout))
+    if seconds > timeout:
+        raise OutcomeUnknown("slow")
+
+
 def read_time() -> float:
     return asyncio.get_running_loop().time()
 
@@ -198,6 +211,9 @@
         self.end_count = 0
         self.changed = asyncio.Event()
         asyncio.get_running_loop().call_later(registry_delay, self._register, self.life)
+        # Drawn apart, so that other faults of a seed do not depend on how many workers boot.
+        phase = random.Random(f"{self.name}.{self.life}").uniform(0.0, HEARTBEAT_SECONDS)
+        self.cluster.spawn(self._write_entries(self.life, registry_delay + phase))
 
     def crash(self) -> None:
         """End this incarnation; the next one comes within 3 s, at times behind a cut."""
@@ -258,15 +274,17 @@
     def _set_capacity(self, capacity: Resources) -> None:
         self.capacities.append((read_time(), capacity))
         self.cluster.note(f"{self.name} has {capacity}")
-        delay = self.cluster.random.uniform(0.0, HEARTBEAT_SECONDS)
-        asyncio.get_running_loop().call_later(delay, self._write_capacity)
 
-    def _write_capacity(self) -> None:
-        if self.cluster.is_registry_away:
-            asyncio.get_running_loop().call_later(HEARTBEAT_SECONDS, self._write_capacity)
-        elif self.is_up:
+    async def _write_entries(self, life: Life, delay: float) -> None:
+        """Report to the registry at each heartbeat while this incarnation lives."""
+        await asyncio.sleep(delay)
+        while self.is_up and self.life == life:
             capacity, sequence = self.get_capacity(), self.entry.sequence + 1
-            self.entry = replace(self.entry, capacity=capacity, sequence=sequence)
+            latency = self.cluster.faults.table_seconds
+            await asyncio.sleep(latency)
+            if not self.cluster.is_registry_away and self.is_up and self.life == life:
+                self.entry = replace(self.entry, capacity=capacity, sequence=sequence)
+            await asyncio.sleep(HEARTBEAT_SECONDS - latency)
 
     def get_capacity(self) -> Resources:
         return self.capacities[-1][1]
--- a/tests/nocover/test_pool_crashing_tasks.py
+++ b/tests/nocover/test_pool_crashing_tasks.py
@@ -26,6 +26,7 @@
     "shrinking": SHRINKING,
     "shrinking with late commands": replace(SHRINKING, late=0.08),
     "shrinking with outages": replace(SHRINKING, outages=2),
+    "shrinking with a slow table": replace(SHRINKING, table_seconds=1.05),
 }
 
 
