Bench: the worst loads of the market and the charges office, by queue

The patterns of benches/pool had neither deployment, and showed one number of refusals for all queues and no caller that retries.

benches/pool/contention.py plays the two deployments of docs/design/customers-and-load.md at their worst loads, with estimates that are off by up to a factor of 2, workers of unlike size, a digest that is up to 500 ms old, and callers that submit a refused job up to five times. It prints for each queue what completed within the objective, late, was refused, had no value, and when it was refused.

--- a/benches/pool/__main__.py
+++ b/benches/pool/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import random
 import sys
 from collections import defaultdict
@@ -82,6 +83,8 @@
     earned_value: float = 0.0
     total_value: float = 0.0
     refused: int = 0
+    refused_after_ms: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))
+    """Times from the first submission to the last refusal, of jobs that were never accepted."""
     wasted_core_seconds: float = 0.0
 
 
@@ -113,7 +116,7 @@
 
     def run(self) -> Outcome:
         """Run the simulation to its end and return the result."""
-        waiting = list(reversed(self.jobs))
+        waiting = [(job.submitted_ms, number, 1) for number, job in enumerate(self.jobs)]
         cancels = sorted(
             (job.cancelled_ms, job.record.job) for job in self.jobs if job.cancelled_ms is not None
         )
@@ -124,12 +127,11 @@
                 self._decider.mark_leaving(self._leaving_workers, now)
             if self._leaving_workers and now == 12_500:
                 self._end_workers(now)
-            while (
-                waiting
-                and waiting[-1].submitted_ms <= now
-                and not (without_leader or table_unavailable)
-            ):
-                self._submit(waiting.pop(), now)
+            while waiting and waiting[0][0] <= now and not (without_leader or table_unavailable):
+                _, number, attempt = heapq.heappop(waiting)
+                retry_ms = self._submit(self.jobs[number], attempt, now)
+                if retry_ms is not None:
+                    heapq.heappush(waiting, (now + retry_ms, number, attempt + 1))
             while cancels and cancels[0][0] <= now:
                 self._decider.cancel(cancels.pop(0)[1], now)
             if without_leader:
@@ -143,12 +145,17 @@
     def _is_within(self, span: tuple[float, float], now: int) -> bool:
         return span[0] * 1_000 <= now < span[1] * 1_000
 
-    def _submit(self, job: SimulatedJob, now: int) -> None:
-        if not job.always_fails and job.cancelled_ms is None:
+    def _submit(self, job: SimulatedJob, attempt: int, now: int) -> int | None:
+        """Submit a job; return the delay in ms after which its caller submits it again, if any."""
+        if attempt == 1 and not job.always_fails and job.cancelled_ms is None:
             self.outcome.expected[job.kind.name] += 1
             self.outcome.total_value += job.kind.value * job.value_weight
-        if not self._decider.submit(job, now):
+        retry_ms = self._decider.submit(job, now)
+        if retry_ms is not None and attempt >= self._site.submissions_per_job:
             self.outcome.refused += 1
+            self.outcome.refused_after_ms[job.kind.name].append(now - job.submitted_ms)
+            return None
+        return retry_ms
 
     def _answer_advice(self, now: int) -> None:
         due = [each for each in self._pending_advice if each[0] <= now]
@@ -262,13 +269,13 @@
             self.outcome.earned_value += job.kind.late_value * job.value_weight
 
 
-def compute_bound(site: Site, pattern: Pattern) -> Outcome:
+def compute_bound(site: Site, pattern: Pattern, seed: int = SEED) -> Outcome:
     """Return the outcome if each job ran alone on a fleet of workers of normal speed.
 
     This is an upper bound for every decider: from the first moment at which it can be submitted, a
     job takes at least its critical path plus the advice and the command delay of each step.
     """
-    simulation = Simulation(site, pattern, FirstFit(site))
+    simulation = Simulation(site, pattern, FirstFit(site), seed)
     outages = (pattern.leader_outage, pattern.table_outage)
     for job in simulation.jobs:
         started_at = job.submitted_ms
--- a/benches/pool/deciders.py
+++ b/benches/pool/deciders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -32,6 +33,7 @@
     PoolConfiguration,
     PoolEffect,
     QueueId,
+    QueueLoad,
     RecordFinal,
     RecordRun,
     RunEnd,
@@ -54,9 +56,11 @@
     create_pool,
     decide_admission,
     decide_pool,
+    is_placement_due,
     measure_loads,
     place_pool,
 )
+from lentilpath_core.resources import Resources
 from lentilpath_core.settings import Address
 
 LIFE = Life(1)
@@ -77,8 +81,8 @@
 class Decider(Protocol):
     """Interface of a decider; `now` is virtual time in ms."""
 
-    def submit(self, job: SimulatedJob, now: int) -> bool:
-        """Submit a job; return whether it is accepted."""
+    def submit(self, job: SimulatedJob, now: int) -> int | None:
+        """Submit a job; return `None` if it is accepted, else the retry delay in ms."""
         ...
 
     def cancel(self, job: JobId, now: int) -> None:
@@ -123,9 +127,9 @@
             SERVICE,
             Address("", 0),
             ZoneId("z"),
-            RackId(f"r{number // 8}"),
+            RackId(f"r{number // site.workers_per_rack}"),
             frozenset(),
-            site.worker_capacity,
+            _choose_capacity(site, number),
             WorkerCondition.READY,
             2_000 if leaving and WorkerId(f"w{number}") in leaving else None,
         )
@@ -133,6 +137,14 @@
     )
 
 
+def _choose_capacity(site: Site, number: int) -> Resources:
+    if not site.capacity_spread:
+        return site.worker_capacity
+    factor = 1 + random.Random(number).uniform(-site.capacity_spread, site.capacity_spread)
+    mean = site.worker_capacity
+    return Resources(int(mean.millicores * factor), int(mean.memory_mib * factor), 0)
+
+
 class PoolDecider:
     """The pool's decisions, with records that become durable one tick later."""
 
@@ -141,6 +153,8 @@
         self._state = create_pool(Epoch(1), Instant(0))
         self._effects: list[PoolEffect] = []
         self._pending_records: list[RecordRun | RecordFinal] = []
+        self._loads: dict[str, QueueLoad] = {}
+        self._measured_at = -site.digest_interval_ms
         queues = {QueueId(kind.name): make_policy(kind) for kind in site.kinds}
         services = {SERVICE: ServicePolicy(SERVICE)}
         self._queues = queues
@@ -154,13 +168,15 @@
     def _apply_event(self, event, now: int) -> None:  # type: ignore[no-untyped-def]
         self._effects.extend(decide_pool(self._state, event, Instant(now)))
 
-    def submit(self, job: SimulatedJob, now: int) -> bool:
+    def submit(self, job: SimulatedJob, now: int) -> int | None:
         """Submit a job; see `Decider`."""
-        load = measure_loads(self._state, Instant(now)).get(job.record.queue)
-        if decide_admission(job.record, self._queues[job.record.queue], load) is not None:
-            return False
-        self._apply_event(JobAccepted(job.record), now)
-        return True
+        if now >= self._measured_at + self._site.digest_interval_ms:
+            self._loads, self._measured_at = measure_loads(self._state, Instant(now)), now
+        load = self._loads.get(job.record.queue)
+        retry_ms = decide_admission(job.record, self._queues[job.record.queue], load)
+        if retry_ms is None:
+            self._apply_event(JobAccepted(job.record), now)
+        return retry_ms
 
     def cancel(self, job: JobId, now: int) -> None:
         """Cancel a job; see `Decider`."""
@@ -204,7 +220,8 @@
                 self._record_stored(record, now)
         if now % 250 == 0:
             self._apply_event(TimePassed(WallTime(now)), now)
-        self._effects.extend(place_pool(self._state, Instant(now)))
+        if not self._site.digest_interval_ms or is_placement_due(self._state):
+            self._effects.extend(place_pool(self._state, Instant(now)))
         actions = Actions()
         effects, self._effects = self._effects, []
         for effect in effects:
@@ -254,12 +271,12 @@
         self._unadvised_steps: list[StepKey] = []
         self._done_jobs: list[JobId] = []
 
-    def submit(self, job: SimulatedJob, now: int) -> bool:
+    def submit(self, job: SimulatedJob, now: int) -> int | None:
         """Submit a job; see `Decider`."""
         self._jobs[job.record.job] = job
         self._steps_left[job.record.job] = len(job.record.steps)
         self._open_step(job, 0)
-        return True
+        return None
 
     def _open_step(self, job: SimulatedJob, number: int) -> None:
         key = StepKey(job.record.job, 0, number)
--- a/benches/pool/loads.py
+++ b/benches/pool/loads.py
@@ -51,6 +51,8 @@
     advice_worker_ms: float = 0.0
     max_room_factor: float = 3.0
     """Largest resources of a task, as a factor on the kind's mean."""
+    max_estimate_factor: float = 0.0
+    """Estimates are off by up to this factor; 0 for an unbounded error of `ESTIMATE_SIGMA`."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +63,13 @@
     workers: int
     worker_capacity: Resources
     kinds: tuple[Kind, ...]
+    workers_per_rack: int = 8
+    capacity_spread: float = 0.0
+    """Workers differ from the mean capacity by up to this share."""
+    submissions_per_job: int = 1
+    """How many times a caller submits a job that is refused, each time after `Retry-After`."""
+    digest_interval_ms: int = 0
+    """Age at which hosts get a new view of the load; 0 for a current view at each submission."""
 
 
 HARBOR = Site(
@@ -314,12 +323,16 @@
 SITES = (HARBOR, DHUNGE, HARBOR_GROWN, DHUNGE_GROWN, HARBOR_LARGE)
 
 
+ALL_KINDS = -1
+
+
 @dataclass(frozen=True, slots=True)
 class Pattern:
     """Faults and bursts of a load, with their intervals in seconds."""
 
     name: str
     burst_kind: int | None = None
+    """Position of the kind that bursts, or `ALL_KINDS`."""
     burst_factor: float = 1.0
     burst_at: tuple[float, float] = (8.0, 12.0)
     slow_share: float = 0.0
@@ -392,7 +405,7 @@
         at_ms = 0.0
         while at_ms < pattern.load_seconds * 1_000:
             in_burst = (
-                pattern.burst_kind == kind_number
+                pattern.burst_kind in (kind_number, ALL_KINDS)
                 and pattern.burst_at[0] * 1_000 <= at_ms < pattern.burst_at[1] * 1_000
             )
             rate = kind.jobs_per_second * (pattern.burst_factor if in_burst else 1.0)
@@ -431,7 +444,7 @@
             ),
         )
         run_ms = kind.run_ms * rng.lognormvariate(-(SIZE_SIGMA**2) / 2, SIZE_SIGMA)
-        estimate = run_ms * rng.lognormvariate(0.0, ESTIMATE_SIGMA)
+        estimate = run_ms * _choose_estimate_factor(rng, kind)
         gang = rng.random() < kind.gang_share
         task_run_ms = tuple(
             run_ms if gang else run_ms * rng.uniform(0.8, 1.2) for _ in range(width)
@@ -459,6 +472,12 @@
     )
 
 
+def _choose_estimate_factor(rng: random.Random, kind: Kind) -> float:
+    if kind.max_estimate_factor:
+        return kind.max_estimate_factor ** rng.uniform(-1.0, 1.0)
+    return rng.lognormvariate(0.0, ESTIMATE_SIGMA)
+
+
 def _choose_room(kind: Kind, number: int) -> Resources:
     """Return the resources of a task of job `number`, around the kind's mean."""
     rng = random.Random(f"{kind.name}/{number}")
--- a/make/bench.mk
+++ b/make/bench.mk
@@ -25,3 +25,9 @@
 
 measure-logs: setup
 	$(BIN)/python -m benches.logs
+
+# The worst loads of the market and the charges office by queue; prints tables.
+.PHONY: measure-contention
+
+measure-contention: setup
+	$(BIN)/python -m benches.pool.contention
