Pool: malformed submissions are refused, and an unexpected error in a call is answered

Cause: a submission's numbers were not bounded. A count of 10^9 made the leader build a list of that length, a repeat count of 10^9 a loop of that length, a negative `cpu` added capacity to a worker, an integer of over 64 bits could not be stored (OverflowError), deep nesting raised RecursionError, and an X-Deadline-Ms of inf or 1e400 raised OverflowError. What callers saw: 500, which says nothing about the effect, or a leader without memory.

Change: `check_job` bounds the numbers of a job, its steps and its tasks over all repetitions; the caller gets 400 with the field's name. Texts in log fields are cut off at 500 characters.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
@@ -83,10 +83,12 @@
     get_completion_objective_ms,
 )
 from lentilpath_core.pool._state import PoolState, create_pool
+from lentilpath_core.pool._validity import MAX_INTEGER, check_job
 from lentilpath_core.pool._workers import restore_former_workers
 
 __all__ = [
     "FINAL_STATES",
+    "MAX_INTEGER",
     "NO_CUSTOMER",
     "AdviceAnswered",
     "AdvicePolicy",
@@ -145,6 +147,7 @@
     "WorkerReported",
     "WorkersListed",
     "WorkersRecorded",
+    "check_job",
     "check_owner",
     "create_pool",
     "decide_admission",
--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_validity.py
@@ -0,0 +1,68 @@
+"""Checks of records that come from outside, before a leader's decisions work with them."""
+
+from __future__ import annotations
+
+from lentilpath_core.errors import InvalidJob
+from lentilpath_core.pool._model import JobRecord, StepSpec
+from lentilpath_core.resources import Resources
+
+MAX_INTEGER = 2**53 - 1
+"""JSON carries integers exactly up to this. Sums of them fit in the 64 bits of a stored record."""
+MAX_JOB_TASKS = 100_000
+"""Tasks of a job over all its occurrences. The leader keeps a number for each waiting task; the
+largest job of the deployments has 38 tasks."""
+MAX_JOB_STEPS = 10_000
+"""Steps of a job over all its occurrences, of about 1 KB in the leader's memory each."""
+
+
+def check_job(record: JobRecord) -> None:
+    """Raise `InvalidJob` if a job is malformed or too large for a leader's memory."""
+    if not record.steps:
+        raise InvalidJob("the job has no steps; give it at least one")
+    _check_numbers(
+        "the job",
+        repeats=record.repeats,
+        first_due=record.first_due,
+        every_ms=record.every_ms,
+        accepted_at=record.accepted_at,
+    )
+    for number, step in enumerate(record.steps):
+        _check_step(number, step)
+    occurrences = max(1, record.repeats)
+    steps = occurrences * len(record.steps)
+    tasks = occurrences * sum(step.count for step in record.steps)
+    if steps > MAX_JOB_STEPS or tasks > MAX_JOB_TASKS:
+        raise InvalidJob(
+            f"the job has {steps} steps and {tasks} tasks with its repetitions; split it into jobs"
+            f" of at most {MAX_JOB_STEPS} steps and {MAX_JOB_TASKS} tasks"
+        )
+
+
+def is_non_negative(room: Resources) -> bool:
+    """Return whether each amount is an integer from 0 to `MAX_INTEGER`."""
+    amounts = (room.millicores, room.memory_mib, room.accelerators)
+    return all(0 <= amount <= MAX_INTEGER for amount in amounts)
+
+
+def _check_step(number: int, step: StepSpec) -> None:
+    name = f"step {number}"
+    if step.count < 1:
+        raise InvalidJob(f"{name} has {step.count} tasks; give it at least one")
+    if any(not 0 <= each < number for each in step.after):
+        raise InvalidJob(f"{name} comes after a step that is not before it; reorder the steps")
+    if not is_non_negative(step.room):
+        raise InvalidJob(f"{name}: {step.room} is negative or too large; use 0 to {MAX_INTEGER}")
+    _check_numbers(
+        name,
+        count=step.count,
+        estimate_ms=step.estimate_ms,
+        most_per_worker=step.most_per_worker,
+        tail_target_ms=step.tail_target_ms,
+        most_unavailable=step.most_unavailable + 1,
+    )
+
+
+def _check_numbers(name: str, **numbers: int) -> None:
+    for field, number in numbers.items():
+        if not 0 <= number <= MAX_INTEGER:
+            raise InvalidJob(f"{name}: {field} is {number:.3g}; use 0 to {MAX_INTEGER}")
--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -136,6 +136,8 @@
         "a throttle command got no answer; the next report decides again",
     )
     JOBS_NOT_REMOVED = (539, "rows of old jobs could not be deleted; retrying")
+    INTERNAL_ERROR = (570, "an unexpected error was caught; the process continues without it")
+    ROW_UNREADABLE = (571, "a stored row cannot be used and is skipped")
 
     @property
     def number(self) -> int:
@@ -148,6 +150,18 @@
         return self.value[1]
 
 
+MAX_FIELD_CHARACTERS = 500
+"""Longest text of a field: texts that come from outside may have megabytes."""
+
+
+def _bound_text(value: object) -> object:
+    """Return a field's value with a long text, also that of an exception, cut off."""
+    text = str(value) if isinstance(value, Exception) else value
+    if isinstance(text, str) and len(text) > MAX_FIELD_CHARACTERS:
+        return f"{text[:MAX_FIELD_CHARACTERS]}... ({len(text)} characters)"
+    return text
+
+
 class EventLine:
     """An event with its fields. Its text is formatted only if the line is written."""
 
@@ -155,7 +169,7 @@
 
     def __init__(self, event: Event, fields: dict[str, object]) -> None:
         self.event = event
-        self.fields = fields
+        self.fields = {name: _bound_text(value) for name, value in fields.items()}
 
     def __str__(self) -> str:
         details = json.dumps(self.fields, default=str, separators=(",", ":"), sort_keys=True)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_adapter_log.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_adapter_log.py
@@ -14,3 +14,13 @@
 def log_unanswered_job(job: JobId, method: str, error: Exception) -> None:
     """Log that a caller's request about a job failed without a definite answer."""
     log_event(Event.JOB_UNANSWERED, job=job, method=method, error=str(error))
+
+
+def log_internal_error(part: str, error: Exception) -> None:
+    """Log an error that nothing expected, without ending the process."""
+    log_warning_event(Event.INTERNAL_ERROR, part=part, error=repr(error))
+
+
+def log_unreadable_row(key: str, error: Exception) -> None:
+    """Log a stored row that cannot be used and is skipped."""
+    log_warning_event(Event.ROW_UNREADABLE, key=key, error=error)
--- a/packages/lentilpathd/src/lentilpathd/pool.py
+++ b/packages/lentilpathd/src/lentilpathd/pool.py
@@ -2,7 +2,12 @@
 
 from lentilpathd._clock import read_wall_time
 from lentilpathd._logs import set_up_structured_log
-from lentilpathd._pool._adapter_log import log_unanswered_job, log_unreadable_entry
+from lentilpathd._pool._adapter_log import (
+    log_internal_error,
+    log_unanswered_job,
+    log_unreadable_entry,
+    log_unreadable_row,
+)
 from lentilpathd._pool._host import Handler, PlatformPorts, PoolHost, run_pool_host
 from lentilpathd._pool._jobs import (
     TABLE_UNAVAILABLE_RETRY_MS,
@@ -49,8 +54,10 @@
     "SubmissionAnswer",
     "SubmissionResult",
     "WorkerFactory",
+    "log_internal_error",
     "log_unanswered_job",
     "log_unreadable_entry",
+    "log_unreadable_row",
     "read_wall_time",
     "run_pool_host",
     "set_up_structured_log",
--- a/tests/cover/test_pool_answers.py
+++ b/tests/cover/test_pool_answers.py
@@ -58,7 +58,7 @@
     return Jobs(cast(Any, context))
 
 
-def call(method: str, jobs: Jobs) -> HttpResponse:
+def call(method: str, jobs: Jobs, body: bytes = b"", deadline: str = "400") -> HttpResponse:
     configuration = PoolConfiguration(
         cast(Any, 1), {QUEUE.queue: QUEUE}, {SERVICE: ServicePolicy(SERVICE)}
     )
@@ -67,8 +67,8 @@
         configuration=SimpleNamespace(get_current=lambda: configuration),
         may_check_keys=lambda configuration, queue: True,
     )
-    headers = (("host", QUEUE.host), ("x-deadline-ms", "400"))
-    request = HttpRequest(method, f"{QUEUE.path_prefix}{JOB}", headers, b"")
+    headers = (("host", QUEUE.host), ("x-deadline-ms", deadline))
+    request = HttpRequest(method, f"{QUEUE.path_prefix}{JOB}", headers, body)
 
     async def answer() -> HttpResponse:
         return await make_callers_handler(cast(Any, host))(request)
