Peers: no message of a peer ends the peers' port, and unreadable answers are failures

Cause: `PeerBus._answer` caught four kinds of errors. Any other (RecursionError of nested lists, OverflowError of an integer over 64 bits in an answer, AttributeError in a handler) ended the port with its 32 requests; after 20 times the supervisor ended the process. A request with an absurd timeout held one of the 32 places for good. In `ask` an unreadable answer raised DecodeError and an unusable address an error of pynng, which the callers of `ask` don't expect: they ended the leader's term or the heartbeats.

Change: every request is answered (`internal`, LP570), also after 30 s (`late`). An unreadable answer is PeerUnavailable (LP572), an unusable address PeerNotReached. Refusals repeat at most 200 characters of the sender's words.

--- a/packages/lentilpathd/src/lentilpathd/_peers.py
+++ b/packages/lentilpathd/src/lentilpathd/_peers.py
@@ -22,6 +22,11 @@
 MAX_CONCURRENT_REQUESTS = 32
 """Requests of peers that are handled concurrently; others wait in the sockets' buffers."""
 MAX_MESSAGE_BYTES = 16_777_216
+MAX_HANDLER_SECONDS = 30.0
+"""A request is refused after this time, so that requests with absurd timeouts never take all of the
+`MAX_CONCURRENT_REQUESTS`. Several times the longest call that a peer waits for."""
+MAX_ECHO_CHARACTERS = 200
+"""Length of the sender's own words in a refusal."""
 MS_PER_SECOND = 1_000
 
 PeerHandler = Callable[[PeerRequest], Awaitable[Any]]
@@ -103,12 +108,18 @@
         raise_swallowed_cancellation()
         self.bytes_received += len(received)
         self._answered_at[host] = asyncio.get_running_loop().time()
-        reply = msgspec.msgpack.decode(received, type=PeerReply)
-        if reply.code != "ok":
-            failure = LentilpathError(f"{host} refused {topic}: {reply.code}: {reply.body}")
-            failure.code = reply.code
-            raise failure
-        return msgspec.convert(reply.body, answer)
+        try:
+            reply = msgspec.msgpack.decode(received, type=PeerReply)
+            if reply.code == "ok":
+                return msgspec.convert(reply.body, answer)
+        except (msgspec.DecodeError, RecursionError) as error:
+            log_warning_event(
+                Event.PEER_ANSWER_UNREADABLE, peer=host, topic=topic, error=repr(error)
+            )
+            raise PeerUnavailable(f"{host} answered {topic} unreadably: {error!r}") from error
+        failure = LentilpathError(f"{host} refused {topic}: {reply.code}: {reply.body}")
+        failure.code = reply.code
+        raise failure
 
     async def serve(self, address: Address) -> None:
         """Answer peers' requests on `address` until cancelled."""
@@ -131,17 +142,35 @@
                 data = await context.arecv()
                 raise_swallowed_cancellation()
                 self.bytes_received += len(data)
-                reply = msgspec.msgpack.encode(await self._answer(data))
+                reply = await self._answer(data)
                 self.bytes_sent += len(reply)
-                await context.asend(reply)
+                try:
+                    await context.asend(reply)
+                except pynng.Closed:
+                    raise
+                except pynng.NNGException as error:
+                    # The sender's connection is gone, or the reply is longer than it accepts.
+                    log_warning_event(Event.INTERNAL_ERROR, part="peer reply", error=repr(error))
                 raise_swallowed_cancellation()
         finally:
             context.close()
 
-    async def _answer(self, data: bytes) -> PeerReply:
+    async def _answer(self, data: bytes) -> bytes:
+        """Return the encoded reply to a request, whatever its content."""
+        try:
+            return msgspec.msgpack.encode(await self._handle(data))
+        except Exception as error:
+            raise_swallowed_cancellation()
+            log_warning_event(Event.INTERNAL_ERROR, part="peer request", error=repr(error))
+            return msgspec.msgpack.encode(self._make_reply("internal", type(error).__name__))
+
+    async def _handle(self, data: bytes) -> PeerReply:
         try:
             request = msgspec.msgpack.decode(data, type=PeerRequest)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
+            log_warning_event(
+                Event.PEER_REQUEST_REFUSED, peer="unknown", topic="", error=repr(error)
+            )
             return self._make_reply("malformed", str(error))
         if request.version != PROTOCOL_VERSION:
             return self._make_reply(
@@ -149,16 +178,22 @@
             )
         handler = self._handlers.get(request.topic)
         if handler is None:
-            return self._make_reply("unknown-topic", request.topic)
+            return self._make_reply("unknown-topic", request.topic[:MAX_ECHO_CHARACTERS])
         try:
-            return self._make_reply("ok", msgspec.to_builtins(await handler(request)))
+            async with asyncio.timeout(MAX_HANDLER_SECONDS):
+                return self._make_reply("ok", msgspec.to_builtins(await handler(request)))
+        except TimeoutError:
+            log_warning_event(
+                Event.PEER_REQUEST_REFUSED, peer=request.sender, topic=request.topic, error="late"
+            )
+            return self._make_reply("late", f"not handled within {MAX_HANDLER_SECONDS} s")
         except LentilpathError as error:
             return self._make_reply(error.code, str(error))
         except (msgspec.ValidationError, TypeError, KeyError, ValueError) as error:
             log_warning_event(
                 Event.PEER_REQUEST_REFUSED, peer=request.sender, topic=request.topic, error=error
             )
-            return self._make_reply("malformed", repr(error))
+            return self._make_reply("malformed", repr(error)[:MAX_ECHO_CHARACTERS])
 
     def _make_reply(self, code: str, body: Any) -> PeerReply:
         return PeerReply(PROTOCOL_VERSION, self.host, self.incarnation, code, body)
@@ -171,7 +206,13 @@
                 raise PeerNotReached(f"{host} is not a known entry host")
             # By default nng resends a request after a minute, but only the sender may retry it.
             socket = pynng.Req0(resend_time=-1, recv_max_size=MAX_MESSAGE_BYTES)
-            socket.dial(f"tcp://{address.host}:{address.port}", block=False)
+            try:
+                socket.dial(f"tcp://{address.host}:{address.port}", block=False)
+            except (pynng.NNGException, ValueError) as error:
+                socket.close()
+                raise PeerNotReached(
+                    f"{host} has an unusable address {address}: {error}"
+                ) from error
             self._sockets[host] = socket
         return socket
 
