Pool: one unusable row does not stop a new leader's recovery

Cause: only job rows were allowed to be undecodable. An unreadable end, final state, list of workers or key raised in `read_pool` and ended each new leader's term, on one host after the other. Readable rows with impossible content passed: a count or an occurrence of 10^9 was expanded in memory, a step after itself raised KeyError, a row could hold another job than its key says, and an end of a task that does not exist counted as one that is done. What callers saw: no leader, or none with memory.

A job whose final state cannot be read counts as ended and never runs again. Where a list of former workers cannot be read, recovered jobs wait until the longest lease of the earlier leader is over, as they do for a worker that does not answer.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
@@ -83,7 +83,7 @@
     get_completion_objective_ms,
 )
 from lentilpath_core.pool._state import PoolState, create_pool
-from lentilpath_core.pool._validity import MAX_INTEGER, check_job
+from lentilpath_core.pool._validity import MAX_INTEGER, check_job, check_worker
 from lentilpath_core.pool._workers import restore_former_workers
 
 __all__ = [
@@ -149,6 +149,7 @@
     "WorkersRecorded",
     "check_job",
     "check_owner",
+    "check_worker",
     "create_pool",
     "decide_admission",
     "decide_pool",
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -272,7 +272,9 @@
     Their time has come, even if the wall clock says otherwise since.
     """
     job = state.jobs.get(task.job)
-    while job is not None and job.final is None and job.occurrences <= task.occurrence:
+    if job is None or task.occurrence >= max(1, job.record.repeats):
+        return
+    while job.final is None and job.occurrences <= task.occurrence:
         begin_occurrence(state, job, job.occurrences)
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -268,6 +268,8 @@
 ) -> tuple[PoolEffect, ...]:
     """Handle the durable record of a run's end, which an earlier leader may have stored."""
     step = find_step(state, task)
+    if step is not None and task.number >= step.spec.count:
+        return ()
     if step is not None:
         mark_run_number_used(step, task.number, record.run)
         # A worker that has crashed may never have begun the run.
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_validity.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_validity.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from lentilpath_core.errors import InvalidJob
-from lentilpath_core.pool._model import JobRecord, StepSpec
+from lentilpath_core.errors import InvalidInput, InvalidJob
+from lentilpath_core.pool._model import JobRecord, ListedWorker, StepSpec
 from lentilpath_core.resources import Resources
 
 MAX_INTEGER = 2**53 - 1
@@ -14,6 +14,11 @@
 MAX_JOB_STEPS = 10_000
 """Steps of a job over all its occurrences, of about 1 KB in the leader's memory each."""
 
+MAX_NAME_CHARACTERS = 256
+"""A worker's name is sent in a header; the deployments' names have under 40 characters."""
+MAX_PORT = 65_535
+"""Ports of TCP have 16 bits."""
+
 
 def check_job(record: JobRecord) -> None:
     """Raise `InvalidJob` if a job is malformed or too large for a leader's memory."""
@@ -38,6 +43,21 @@
         )
 
 
+def check_worker(listed: ListedWorker) -> None:
+    """Raise `InvalidInput` if a worker has numbers or an address that nothing can work with."""
+    name = f"worker {listed.worker[:MAX_NAME_CHARACTERS]!r}"
+    if not listed.worker.isascii() or len(listed.worker) > MAX_NAME_CHARACTERS:
+        raise InvalidInput(f"{name}: use at most {MAX_NAME_CHARACTERS} ASCII characters")
+    if not listed.address.host or not 1 <= listed.address.port <= MAX_PORT:
+        raise InvalidInput(f"{name}: its address needs a host and a port from 1 to {MAX_PORT}")
+    if not is_non_negative(listed.capacity):
+        raise InvalidInput(
+            f"{name}: its capacity {listed.capacity} is negative or over {MAX_INTEGER}"
+        )
+    if not 0 <= listed.life <= MAX_INTEGER:
+        raise InvalidInput(f"{name}: its process started at {listed.life}; use ms since 1970")
+
+
 def is_non_negative(room: Resources) -> bool:
     """Return whether each amount is an integer from 0 to `MAX_INTEGER`."""
     amounts = (room.millicores, room.memory_mib, room.accelerators)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import replace
 
-from lentilpath_core.ids import Instant
+from lentilpath_core.ids import Instant, WorkerId
 from lentilpath_core.pool._crashes import (
     clear_suspects,
     clear_suspects_of_living_workers,
@@ -330,11 +331,15 @@
             state.needs_placement = True
 
 
-def restore_former_workers(state: PoolState, workers: tuple[ListedWorker, ...]) -> None:
+def restore_former_workers(
+    state: PoolState, workers: tuple[ListedWorker, ...], unknown: Iterable[str] = ()
+) -> None:
     """Add the workers that an earlier leader used.
 
     Each is unconfirmed until it reports, or until the leases of the earlier leader have expired.
+    `unknown` stands for workers whose record cannot be read: they are unconfirmed until then too.
     """
+    state.unconfirmed_workers.update(WorkerId(each) for each in unknown)
     for entry in workers:
         if entry.worker not in state.workers:
             state.workers[entry.worker] = Worker(entry, entry.capacity, is_listed=False)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_records.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_records.py
@@ -13,12 +13,25 @@
 
 from __future__ import annotations
 
+import re
+from typing import TypeVar
+
 import msgspec
 
 from lentilpath_core.ids import Epoch, HostId, Incarnation, JobId
-from lentilpath_core.pool import FinalRecord, JobRecord, RunEnd, RunNumber, RunRecord, TaskKey
+from lentilpath_core.pool import (
+    MAX_INTEGER,
+    FinalRecord,
+    JobRecord,
+    RunEnd,
+    RunNumber,
+    RunRecord,
+    TaskKey,
+)
 from lentilpath_core.settings import Address
 
+T = TypeVar("T")
+
 JOBS_TABLE = "lentilpath-jobs"
 JOB_PARTITIONS = 32
 """Partitions of the jobs table. A partition serializes its writes, so while the table is 100 times
@@ -40,6 +53,7 @@
 END_PREFIX = "end/"
 CRASH_SUFFIX = "-crashed"
 FINAL_PREFIX = "final/"
+_JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 
 
 class EpochRow(msgspec.Struct, frozen=True, array_like=True):
@@ -67,9 +81,24 @@
     return msgspec.msgpack.encode(record)
 
 
+def decode_record(value: bytes, kind: type[T]) -> T:
+    """Decode a row's value; raises `msgspec.DecodeError`, also if it is nested too deeply."""
+    try:
+        return msgspec.msgpack.decode(value, type=kind)
+    except RecursionError as error:
+        raise msgspec.DecodeError(str(error)) from error
+
+
+def parse_job_id(text: str) -> JobId:
+    """Return the job's id in a key; raises `ValueError`."""
+    if not _JOB_ID.fullmatch(text):
+        raise ValueError(f"{text[:40]!r} is not the id of a job, which has 16 hexadecimal digits")
+    return JobId(text)
+
+
 def decode_job(value: bytes) -> JobRecord:
     """Decode an accepted job; raises `msgspec.DecodeError`."""
-    return msgspec.msgpack.decode(value, type=JobRecord)
+    return decode_record(value, JobRecord)
 
 
 def get_job_partitions(job: JobId) -> tuple[str, ...]:
@@ -114,13 +143,19 @@
 
 def parse_end_key(key: str) -> TaskKey:
     """Return the task in the key of a run's end; raises `ValueError`."""
-    _, job, occurrence, step, number, _ = key.split("/")
-    return TaskKey(JobId(job), int(occurrence), int(step), int(number))
+    _, job, *numbers, _ = key.split("/")
+    occurrence, step, number = (int(each) for each in numbers)
+    if min(occurrence, step, number) < 0:
+        raise ValueError(f"{key} has a negative number")
+    return TaskKey(parse_job_id(job), occurrence, step, number)
 
 
 def decode_end(value: bytes) -> RunRecord:
-    """Decode a run's end; raises `msgspec.DecodeError`."""
-    return msgspec.msgpack.decode(value, type=RunRecord)
+    """Decode a run's end; raises `ValueError`."""
+    record = decode_record(value, RunRecord)
+    if not 0 <= record.run <= MAX_INTEGER:
+        raise ValueError(f"{record.run} is not the number of a run")
+    return record
 
 
 def make_final_key(job: JobId) -> str:
@@ -130,4 +165,4 @@
 
 def decode_final(value: bytes) -> FinalRecord:
     """Decode a job's final state; raises `msgspec.DecodeError`."""
-    return msgspec.msgpack.decode(value, type=FinalRecord)
+    return decode_record(value, FinalRecord)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -6,19 +6,20 @@
 from collections.abc import Container
 from dataclasses import dataclass
 
-import msgspec
-
+from lentilpath_core.errors import InvalidJob
 from lentilpath_core.ids import JobId, RowVersion
 from lentilpath_core.pool import (
     FinalRecord,
     JobAccepted,
     JobCancelled,
     JobEnded,
+    JobRecord,
     ListedWorker,
     PoolEvent,
     RunRecord,
     RunsRecovered,
     TaskKey,
+    check_job,
 )
 from lentilpathd._events import Event, log_warning_event
 from lentilpathd._pool._ports import PartitionedTable, PartitionRow, PartitionRows
@@ -35,6 +36,7 @@
     decode_job,
     list_job_partitions,
     parse_end_key,
+    parse_job_id,
 )
 from lentilpathd._pool._worker_rows import WORKER_KEYS_END, decode_workers
 
@@ -52,53 +54,82 @@
     events: tuple[PoolEvent, ...]
     """To be handled in this order."""
     former_workers: tuple[ListedWorker, ...]
+    unreadable_workers: tuple[str, ...]
+    """Keys of rows of former workers that cannot be used."""
     worker_keys: tuple[str, ...]
     """Keys of the rows that hold the former workers."""
     end_keys: tuple[str, ...]
     """Keys of the stored ends of runs."""
     ended_jobs: frozenset[JobId]
-    """Jobs whose final state is stored."""
+    """Jobs whose final state is stored, also if it cannot be read."""
     jobs_version: RowVersion
     """Version from which changes of the jobs table are followed."""
 
 
+@dataclass(frozen=True, slots=True)
+class EndedJobs:
+    """Jobs with a known final state, and those whose stored final state cannot be read."""
+
+    finals: Container[JobId]
+    unreadable: frozenset[JobId]
+
+    def __contains__(self, job: object) -> bool:
+        """Return whether the job has ended."""
+        return job in self.finals or job in self.unreadable
+
+
 async def read_pool(table: PartitionedTable) -> RecoveredPool:
-    """Read all rows of a pool; raises `Unavailable` or `OutcomeUnknown`."""
+    """Read all rows of a pool; raises `Unavailable` or `OutcomeUnknown`.
+
+    Rows that cannot be used are logged and skipped.
+    """
     reads = await read_all_jobs(table)
     job_rows = [row for read in reads for row in read.rows]
     jobs_version = min(read.version for read in reads)
     pool_rows = await table.read_partition(POOL_TABLE, POOL_PARTITION, "", "", READ_TIMEOUT_SECONDS)
     finals: dict[JobId, FinalRecord] = {}
-    ends: list[tuple[TaskKey, RunRecord]] = []
-    worker_rows: dict[str, bytes] = {}
+    ended: set[JobId] = set()
+    ends: dict[str, tuple[TaskKey, RunRecord]] = {}
     for row in pool_rows.rows:
-        if row.key.startswith(FINAL_PREFIX):
-            finals[JobId(row.key.removeprefix(FINAL_PREFIX))] = decode_final(row.value)
-        elif row.key.startswith(END_PREFIX):
-            ends.append((parse_end_key(row.key), decode_end(row.value)))
-        elif row.key.startswith(WORKERS_KEY):
-            worker_rows[row.key] = row.value
+        try:
+            if row.key.startswith(FINAL_PREFIX):
+                job = parse_job_id(row.key.removeprefix(FINAL_PREFIX))
+                # The job has ended even if its state cannot be read, so it never runs again.
+                ended.add(job)
+                finals[job] = decode_final(row.value)
+            elif row.key.startswith(END_PREFIX):
+                ends[row.key] = parse_end_key(row.key), decode_end(row.value)
+        except ValueError as error:
+            log_warning_event(Event.ROW_UNREADABLE, key=row.key, error=error)
+    worker_rows = {row.key: row.value for row in pool_rows.rows if _holds_workers(row)}
+    former_workers, unreadable_workers = decode_workers(worker_rows)
+    for key, reason in unreadable_workers.items():
+        log_warning_event(Event.ROW_UNREADABLE, key=key, error=reason)
     events: list[PoolEvent] = [JobEnded(job, final) for job, final in finals.items()]
-    events.extend(make_job_events(tuple(job_rows), finals.keys(), recovered=True))
-    open_ends = tuple((task, record) for task, record in ends if task.job not in finals)
+    events.extend(make_job_events(tuple(job_rows), ended, recovered=True))
+    open_ends = tuple(end for end in ends.values() if end[0].job not in ended)
     events.append(RunsRecovered(open_ends))
-    end_keys = tuple(row.key for row in pool_rows.rows if row.key.startswith(END_PREFIX))
     return RecoveredPool(
         tuple(events),
-        decode_workers(worker_rows),
+        former_workers,
+        tuple(unreadable_workers),
         tuple(worker_rows),
-        end_keys,
-        frozenset(finals),
+        tuple(ends),
+        frozenset(ended),
         jobs_version,
     )
 
 
+def _holds_workers(row: PartitionRow) -> bool:
+    return row.key.startswith(WORKERS_KEY)
+
+
 async def read_former_workers(table: PartitionedTable) -> tuple[ListedWorker, ...]:
     """Read the workers that an earlier leader used; raises `Unavailable` or `OutcomeUnknown`."""
     read = await table.read_partition(
         POOL_TABLE, POOL_PARTITION, WORKERS_KEY, WORKER_KEYS_END, READ_TIMEOUT_SECONDS
     )
-    return decode_workers({row.key: row.value for row in read.rows})
+    return decode_workers({row.key: row.value for row in read.rows})[0]
 
 
 async def read_all_jobs(table: PartitionedTable) -> tuple[PartitionRows, ...]:
@@ -117,19 +148,27 @@
 ) -> tuple[JobAccepted | JobCancelled, ...]:
     """Convert rows of the jobs table to events; skip deleted rows and jobs in `ended`.
 
-    Accepted jobs precede cancellations. Rows that cannot be decoded are logged and skipped.
+    Accepted jobs precede cancellations. Rows that cannot be used are logged and skipped.
     """
     accepted: list[JobAccepted] = []
     cancelled: list[JobCancelled] = []
     for row in rows:
-        job = JobId(row.key.removesuffix(CANCEL_SUFFIX))
-        if row.is_deleted or job in ended:
-            continue
-        if row.key.endswith(CANCEL_SUFFIX):
-            cancelled.append(JobCancelled(job))
+        if row.is_deleted or JobId(row.key.removesuffix(CANCEL_SUFFIX)) in ended:
             continue
         try:
-            accepted.append(JobAccepted(decode_job(row.value), recovered))
-        except msgspec.DecodeError as error:
-            log_warning_event(Event.COMMAND_REFUSED, key=row.key, error=str(error))
+            job = parse_job_id(row.key.removesuffix(CANCEL_SUFFIX))
+            if row.key.endswith(CANCEL_SUFFIX):
+                cancelled.append(JobCancelled(job))
+            else:
+                accepted.append(JobAccepted(_decode_checked_job(row), recovered))
+        except (ValueError, InvalidJob) as error:
+            log_warning_event(Event.ROW_UNREADABLE, key=row.key, error=error)
     return (*accepted, *cancelled)
+
+
+def _decode_checked_job(row: PartitionRow) -> JobRecord:
+    record = decode_job(row.value)
+    if record.job != row.key:
+        raise InvalidJob(f"the row of {row.key} holds the job {record.job[:40]!r}")
+    check_job(record)
+    return record
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Container
 from functools import partial, singledispatchmethod
 from typing import TypeVar
 
@@ -56,7 +56,12 @@
 from lentilpathd._pool._messages import Digest, JobNotice
 from lentilpathd._pool._ports import LifeKey, PartitionRow, PoolWorker
 from lentilpathd._pool._records import format_task, make_crash_key
-from lentilpathd._pool._recovery import READ_TIMEOUT_SECONDS, read_former_workers, read_pool
+from lentilpathd._pool._recovery import (
+    READ_TIMEOUT_SECONDS,
+    EndedJobs,
+    read_former_workers,
+    read_pool,
+)
 from lentilpathd._pool._removal import JobRemover
 from lentilpathd._pool._settings import MAX_LEASE_MS
 from lentilpathd._pool._tokens import make_token
@@ -109,6 +114,7 @@
         self._digest: Digest | None = None
         self._digest_at = Instant(0)
         self._jobs_version = RowVersion(0)
+        self._ended: Container[JobId] = self._state.finals
         self._feed = JobFeed(context.table, leadership.is_confirmed, self._handle_job)
 
     def is_ready(self) -> bool:
@@ -130,7 +136,7 @@
             group.create_task(self._tick())
             group.create_task(self._run_placement())
             group.create_task(self._watch_workers())
-            group.create_task(self._feed.run(self._jobs_version, self._state.finals))
+            group.create_task(self._feed.run(self._jobs_version, self._ended))
 
     async def _extend_leases(self) -> None:
         """Extend the leases of runs that may be in progress, while their jobs are being read."""
@@ -164,10 +170,12 @@
         if configuration is not None:
             self.handle_event(ConfigurationSet(configuration))
         self._state.wall_now = read_wall_time()
-        restore_former_workers(self._state, recovered.former_workers)
+        restore_former_workers(self._state, recovered.former_workers, recovered.unreadable_workers)
         self.handle_event(WorkersListed(listed))
         for event in recovered.events:
             self.handle_event(event)
+        unreadable = recovered.ended_jobs - self._state.finals.keys()
+        self._ended = EndedJobs(self._state.finals, unreadable)
         log_event(
             Event.POOL_RECOVERED,
             epoch=self._epoch,
@@ -235,7 +243,7 @@
     def handle_notice(self, notice: JobNotice) -> None:
         """Handle a host's notice of a row that it has stored for a job."""
         row = PartitionRow(notice.part, notice.key, notice.value, RowVersion(notice.version))
-        self._feed.handle_notice(row, self._state.finals)
+        self._feed.handle_notice(row, self._ended)
 
     def handle_heartbeat(self, request: PeerRequest) -> Digest:
         """Record a host's heartbeat and answer with the digest."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_worker_rows.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_worker_rows.py
@@ -13,11 +13,12 @@
 
 import msgspec
 
+from lentilpath_core.errors import InvalidInput
 from lentilpath_core.ids import Epoch, RackId, ServiceId, WorkerId, ZoneId
-from lentilpath_core.pool import Life, ListedWorker, WorkerCondition
+from lentilpath_core.pool import Life, ListedWorker, WorkerCondition, check_worker
 from lentilpath_core.resources import Resources
 from lentilpath_core.settings import Address
-from lentilpathd._pool._records import WORKERS_KEY
+from lentilpathd._pool._records import WORKERS_KEY, decode_record
 
 WORKER_KEYS_END = "1"
 """End of the keys that begin with `WORKERS_KEY`; no other key lies between."""
@@ -79,19 +80,32 @@
     return tuple(msgspec.msgpack.encode(rows) for rows in shares)
 
 
-def decode_workers(rows: Mapping[str, bytes]) -> tuple[ListedWorker, ...]:
-    """Decode the workers in the latest row of each share; raises `msgspec.DecodeError`.
+def decode_workers(
+    rows: Mapping[str, bytes],
+) -> tuple[tuple[ListedWorker, ...], dict[str, Exception]]:
+    """Decode the workers in the latest row of each share; return also the keys of unusable rows.
 
     `rows` has values by key. A single row of all workers, as earlier releases wrote it, counts too
     until it is deleted.
     """
     latest: dict[str, tuple[int, int]] = {}
-    current: dict[str, bytes] = {}
-    for key, value in rows.items():
-        share, order = _parse_key(key)
+    current: dict[str, str] = {}
+    unusable: dict[str, Exception] = {}
+    for key in rows:
+        try:
+            share, order = _parse_key(key)
+        except ValueError as error:
+            unusable[key] = error
+            continue
         if share not in latest or order > latest[share]:
-            latest[share], current[share] = order, value
-    return tuple(worker for value in current.values() for worker in _decode_share(value))
+            latest[share], current[share] = order, key
+    workers: list[ListedWorker] = []
+    for key in current.values():
+        try:
+            workers.extend(_decode_share(rows[key]))
+        except (ValueError, InvalidInput) as error:
+            unusable[key] = error
+    return tuple(workers), unusable
 
 
 def _parse_key(key: str) -> tuple[str, tuple[int, int]]:
@@ -115,8 +129,7 @@
 
 
 def _decode_share(value: bytes) -> tuple[ListedWorker, ...]:
-    rows = msgspec.msgpack.decode(value, type=tuple[WorkerRow, ...])
-    return tuple(
+    workers = tuple(
         ListedWorker(
             row.worker,
             row.life,
@@ -128,5 +141,8 @@
             row.capacity,
             WorkerCondition.READY,
         )
-        for row in rows
+        for row in decode_record(value, tuple[WorkerRow, ...])
     )
+    for each in workers:
+        check_worker(each)
+    return workers
