--- a/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
@@ -95,10 +95,12 @@
     get_completion_objective_ms,
 )
 from lentilpath_core.pool._state import PoolState, create_pool
+from lentilpath_core.pool._validity import MAX_INTEGER, check_job, check_worker
 from lentilpath_core.pool._workers import restore_former_workers
 
 __all__ = [
     "FINAL_STATES",
+    "MAX_INTEGER",
     "NO_CUSTOMER",
     "QUOTA_OVERAGE",
     "AdviceAnswered",
@@ -163,8 +165,10 @@
     "WorkersListed",
     "WorkersRecorded",
     "carry_customers",
+    "check_job",
     "check_job_fits_quota",
     "check_owner",
+    "check_worker",
     "create_pool",
     "decide_admission",
     "decide_pool",
