--- a/packages/lentilpath-core/src/lentilpath_core/pool/_validity.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_validity.py
@@ -10,7 +10,7 @@
 """JSON carries integers exactly up to this. Sums of them fit in the 64 bits of a stored record."""
 MAX_JOB_TASKS = 100_000
 """Tasks of a job over all its occurrences. The leader keeps a number for each waiting task; the
-largest job of the deployments has 38 tasks."""
+largest jobs of the deployments have some hundreds."""
 MAX_JOB_STEPS = 10_000
 """Steps of a job over all its occurrences, of about 1 KB in the leader's memory each."""
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_explain.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_explain.py
@@ -23,8 +23,9 @@
 """A leader answers at most five questions a second. Each costs about as much as placing one step,
 a few milliseconds, so they take at most a few percent of its time."""
 MAX_STEPS = 100
+"""Bounds the work for one answer; the deployments' jobs have up to four steps."""
 MAX_TASKS_PER_STEP = 10_000
-"""Both bound the work for one answer; accepted jobs are far smaller."""
+"""Bounds the work for one answer; the deployments' steps have up to 150 tasks."""
 QUESTION_JOB = JobId("0" * 16)
 HTTP_OK, HTTP_BAD_REQUEST, HTTP_NOT_FOUND = 200, 400, 404
 HTTP_TOO_MANY_REQUESTS, HTTP_SERVICE_UNAVAILABLE = 429, 503
