Pool: customers share a full fleet by weight, and what is beyond a share waits

Cause: jobs were ranked by tier, urgency and deadline only, so a customer that sent several times its usual load was served in proportion to what it sent.

Change: a customer's jobs pass through a token bucket of its weight per second, by their stored acceptance, so that the next leader marks the same jobs. Steps beyond the share come after those within it, and before those too late to be of value. Among equal tier and urgency the customer with the smallest dominant share over its weight is next, also within a pass. The digest names the customers beyond their share, and hosts refuse their work first (LP516 reason=over-share), with the time until the bucket has tokens as Retry-After. Gauges by customer, bounded. The work that an admission decision counts as ahead leaves out what is beyond a share; sum_waiting_work moved to _shares.py.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
@@ -15,10 +15,14 @@
 )
 from lentilpath_core.pool._admission import QueueLoad, decide_admission, measure_loads
 from lentilpath_core.pool._customers import (
+    MAX_LISTED_CUSTOMERS,
+    OTHER_CUSTOMERS,
     QUOTA_OVERAGE,
+    ListedUsage,
     carry_customers,
     check_job_fits_quota,
     get_job_customer,
+    list_usages,
 )
 from lentilpath_core.pool._decisions import (
     decide_pool,
@@ -87,12 +91,19 @@
     WorkerReport,
     get_completion_objective_ms,
 )
+from lentilpath_core.pool._share_admission import (
+    ShareLoads,
+    decide_share_admission,
+    measure_shares,
+)
 from lentilpath_core.pool._state import PoolState, create_pool
 from lentilpath_core.pool._workers import restore_former_workers
 
 __all__ = [
     "FINAL_STATES",
+    "MAX_LISTED_CUSTOMERS",
     "NO_CUSTOMER",
+    "OTHER_CUSTOMERS",
     "QUOTA_OVERAGE",
     "AdviceAnswered",
     "AdvicePolicy",
@@ -113,6 +124,7 @@
     "JobState",
     "LeaseSent",
     "Life",
+    "ListedUsage",
     "ListedWorker",
     "LossReason",
     "PaceRun",
@@ -135,6 +147,7 @@
     "RunsRecorded",
     "RunsRecovered",
     "ServicePolicy",
+    "ShareLoads",
     "StartAnswer",
     "StartAnswered",
     "StartRun",
@@ -157,6 +170,7 @@
     "create_pool",
     "decide_admission",
     "decide_pool",
+    "decide_share_admission",
     "get_completion_objective_ms",
     "get_job_customer",
     "get_job_state",
@@ -164,7 +178,9 @@
     "index_customers",
     "is_configuration_current",
     "is_placement_due",
+    "list_usages",
     "measure_loads",
+    "measure_shares",
     "place_pool",
     "restore_former_workers",
 ]
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_admission.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_admission.py
@@ -9,14 +9,15 @@
 
 import msgspec
 
-from lentilpath_core.ids import Instant
+from lentilpath_core.ids import Instant, JobId
 from lentilpath_core.pool._model import (
     JobRecord,
     QueueId,
     QueuePolicy,
     get_completion_objective_ms,
 )
-from lentilpath_core.pool._order import LATE_FACTOR, rank_step
+from lentilpath_core.pool._order import LATE_FACTOR
+from lentilpath_core.pool._shares import sum_fleet_millicores, sum_waiting_work
 from lentilpath_core.pool._state import PoolState
 from lentilpath_core.pool._steps import estimate_critical_paths
 
@@ -42,12 +43,8 @@
     for job in state.jobs.values():
         if not job.has_started and job.final is None and not job.record.repeats:
             pending_jobs[job.record.queue] = pending_jobs.get(job.record.queue, 0) + 1
-    waiting_work = _sum_waiting_work(state, now)
-    fleet_millicores = sum(
-        worker.listed.capacity.millicores
-        for worker in state.workers.values()
-        if worker.is_listed and worker.reported_at is not None
-    )
+    waiting_work = sum_waiting_work(state, now, is_over_share=False)
+    fleet_millicores = sum_fleet_millicores(state)
     loads = {}
     for queue, count in pending_jobs.items():
         policy = state.configuration.queues.get(QueueId(queue))
@@ -63,19 +60,6 @@
     return loads
 
 
-def _sum_waiting_work(state: PoolState, now: Instant) -> dict[int, float]:
-    """Return the waiting work that is still of value, in millicores times ms, by priority."""
-    work: dict[int, float] = {}
-    for step in state.open_steps.values():
-        rank = rank_step(state, step, now)
-        if rank.tier > 1 or step.spec.lasting or step.spec.fills:
-            continue
-        ratio = state.run_time_ratios.get(step.job.record.queue, 1.0)
-        task_work = step.spec.room.millicores * step.spec.estimate_ms * ratio
-        work[rank.priority] = work.get(rank.priority, 0.0) + task_work * len(step.waiting)
-    return work
-
-
 def decide_admission(record: JobRecord, policy: QueuePolicy, load: QueueLoad | None) -> int | None:
     """Return `None` to accept the job, or the time in ms after which its caller should retry.
 
@@ -89,5 +73,10 @@
     if load.wait_ms + critical_path_ms <= latest_ms:
         return None
     over_ms = load.wait_ms + critical_path_ms - latest_ms
-    jitter = int(record.job[-1], 16) / JITTER_STEPS
-    return int(over_ms * (1 + RETRY_JITTER * jitter)) + 1
+    return spread_retry(over_ms, record.job)
+
+
+def spread_retry(wait_ms: float, job: JobId) -> int:
+    """Return a time in ms that is at least the wait, and differs between jobs."""
+    jitter = int(job[-1], 16) / JITTER_STEPS
+    return int(wait_ms * (1 + RETRY_JITTER * jitter)) + 1
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_customers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_customers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import NamedTuple
 
 from lentilpath_core.errors import QuotaTooSmall
 from lentilpath_core.ids import CustomerId, JobId
@@ -19,6 +20,11 @@
 QUOTA_OVERAGE = 0.1
 """Share of its quota by which a customer may exceed it. It is the margin for what a leader cannot
 know; only a gang for which a shrunk quota is too small uses it on purpose."""
+MIN_WEIGHT = 1e-3
+"""Least weight by which a share is divided; a customer with the weight 0 is last by its rank."""
+MAX_LISTED_CUSTOMERS = 50
+"""Largest number of customers with gauges of their own, which bounds the metrics of a host."""
+OTHER_CUSTOMERS = CustomerId("(others)")
 UNLIMITED = 1 << 60
 """Amount of a resource that stands for a quota of 0, which means no limit."""
 
@@ -182,11 +188,52 @@
     return replace(found, former_customers=gone) if gone else found
 
 
+class ListedUsage(NamedTuple):
+    """What a customer, or all that are not listed, has running and waiting."""
+
+    customer: CustomerId
+    millicores: int
+    waiting_tasks: int
+
+
+def list_usages(state: PoolState) -> list[ListedUsage]:
+    """Return the customers that hold most processors, and the sums of the others as one."""
+    waiting: dict[CustomerId, int] = dict.fromkeys(state.customers, 0)
+    for step in state.open_steps.values():
+        customer = step.job.record.customer
+        if customer in waiting:
+            waiting[customer] += len(step.waiting)
+    usages = [
+        ListedUsage(customer, usage.held.millicores, waiting[customer])
+        for customer, usage in state.customers.items()
+    ]
+    usages.sort(key=lambda each: (-each.millicores, -each.waiting_tasks, each.customer))
+    rest = usages[MAX_LISTED_CUSTOMERS:]
+    if not rest:
+        return usages
+    others = ListedUsage(
+        OTHER_CUSTOMERS,
+        sum(each.millicores for each in rest),
+        sum(each.waiting_tasks for each in rest),
+    )
+    return [*usages[:MAX_LISTED_CUSTOMERS], others]
+
+
 def compute_weighted_share(state: PoolState, job: Job) -> float:
     """Return the dominant share of the fleet that the job's customer holds, over its weight.
 
     0 for a job without a customer, so that the order of such jobs does not depend on it.
     """
-    if not job.record.customer or not state.workers:
+    usage = state.customers.get(job.record.customer)
+    if usage is None:
         return 0.0
-    return 0.0
+    if usage.share_inputs is None or (
+        usage.share_inputs[0] is not usage.held
+        or usage.share_inputs[1] is not state.fleet
+        or usage.share_inputs[2] is not usage.policy
+    ):
+        weight = usage.policy.weight if usage.policy is not None else 1.0
+        share = usage.held.compute_dominant_share(state.fleet)
+        usage.weighted_share = share / max(weight, MIN_WEIGHT)
+        usage.share_inputs = (usage.held, state.fleet, usage.policy)
+    return usage.weighted_share
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -38,6 +38,7 @@
     mark_answered,
     record_unanswered_start,
 )
+from lentilpath_core.pool._shares import number_job, update_buckets
 from lentilpath_core.pool._state import Job, PoolState
 from lentilpath_core.pool._steps import (
     begin_occurrence,
@@ -97,6 +98,7 @@
         return ()
     state.configuration = event.configuration
     apply_policies(state, event.configuration)
+    update_buckets(state)
     for job in state.jobs.values():
         policy = event.configuration.queues.get(job.record.queue)
         # Accepted jobs run on if their queue is removed from the configuration. They keep the
@@ -134,6 +136,7 @@
     state.jobs[record.job] = job
     if event.recovered and record.customer:
         state.recovered_jobs[record.job] = job
+    number_job(state, record.customer, record.job, record.accepted_at)
     if record.job in state.cancelled:
         return finish_job(state, job, JobState.CANCELLED, state.wall_now, now)
     if not record.repeats:
@@ -155,6 +158,8 @@
     state.finals[event.job] = event.final
     if event.record is not None and event.record.customer:
         add_ended_job(state, event.record)
+    if event.accepted_at is not None:
+        number_job(state, event.final.customer, event.job, event.accepted_at)
     return ()
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -74,6 +74,8 @@
     final: FinalRecord
     record: JobRecord | None = None
     """The job, if its runs may not have been stopped yet."""
+    accepted_at: WallTime | None = None
+    """When the job was accepted, if it has a customer and its stored record is known."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_order.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_order.py
@@ -12,16 +12,23 @@
 class Rank(NamedTuple):
     """Sort key of a waiting step; steps with a smaller rank are placed first."""
 
+    is_worthless: bool
+    """Whether the job is too late to be of any value, so that even work beyond its share goes
+    before it."""
+    is_over_share: bool
+    """Whether the job is beyond the number of jobs per second that its customer is entitled to."""
     tier: int
     """0 if the job can complete within its objective, 1 if it will be late, 2 if it is too late to
     be of any value."""
-    is_over_share: bool
-    """Whether the job is beyond the number of jobs per second that its customer is entitled to."""
     priority: int
     weighted_share: float
     """The customer's dominant share of the fleet divided by its weight; 0 without a customer."""
     due_at: float
 
+    def get_class(self) -> tuple[bool, bool, int, int]:
+        """Return the fields before the share: the customers' shares count among equal ones."""
+        return self[:4]
+
 
 LATE_FACTOR = 3.0
 """A job that completes within this many times its objective is late but still of some value."""
@@ -41,7 +48,7 @@
     due_at = job.accepted_at + job.objective_ms
     share = compute_weighted_share(state, job)
     if step.spec.lasting:
-        return Rank(0, job.is_over_share, priority, share, job.accepted_at)
+        return Rank(False, job.is_over_share, 0, priority, share, job.accepted_at)
     remaining_ms = step.critical_path_ms * REMAINING_WORK_SHARE
     if now + remaining_ms <= due_at:
         tier = 0
@@ -49,4 +56,4 @@
         tier = 1
     else:
         tier = 2
-    return Rank(tier, job.is_over_share, priority, share, due_at)
+    return Rank(tier == 2, job.is_over_share, tier, priority, share, due_at)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -37,6 +37,7 @@
     reduce_spare,
 )
 from lentilpath_core.pool._runs import add_attempt
+from lentilpath_core.pool._shares import list_by_rank
 from lentilpath_core.pool._state import Attempt, Phase, Plan, PoolState, Step, Worker
 from lentilpath_core.pool._steps import (
     allocate_run_number,
@@ -68,16 +69,12 @@
     """Start waiting tasks that fit, in the order of their rank, and request missing advice."""
     state.needs_placement = False
     count_unseen_runs(state)
-    ranked = sorted(
-        ((rank_step(state, step, now), step) for step in state.open_steps.values()),
-        key=lambda pair: pair[0],
-    )
     state.reservations.clear()
     schedulable = [each for each in state.workers.values() if _is_schedulable(each, now)]
     effects: list[PoolEffect] = []
     remaining: list[tuple[Rank, Step, list[Worker]]] = []
     unplaced = 0
-    for rank, step in ranked:
+    for rank, step in list_by_rank(state, now):
         if not _needs_places(state, step, now):
             continue
         candidates = _list_candidates(step, schedulable)
@@ -130,7 +127,11 @@
     calls: tuple[PoolEffect, ...] = ()
     if needs_advice(step):
         calls = ask_about_new_workers(state, step, candidates, rank, now)
-    if step.spec.gang and rank.tier < 2 and count_reserving_gangs(state) < MAX_RESERVING_GANGS:
+    if (
+        step.spec.gang
+        and not rank.is_worthless
+        and count_reserving_gangs(state) < MAX_RESERVING_GANGS
+    ):
         _reserve(state, step, allowed, now)
     return False, calls
 
--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_share_admission.py
@@ -0,0 +1,62 @@
+"""Admission of work beyond its customer's share, which is refused before all other work."""
+
+from __future__ import annotations
+
+import msgspec
+
+from lentilpath_core.ids import Instant
+from lentilpath_core.pool._admission import QueueLoad, decide_admission, spread_retry
+from lentilpath_core.pool._model import JobRecord, QueueId, QueuePolicy
+from lentilpath_core.pool._shares import sum_fleet_millicores, sum_waiting_work
+from lentilpath_core.pool._state import PoolState
+
+MAX_CUSTOMERS = 50
+"""Largest number of customers that a digest names, which bounds it to about 1 KB. Customers send
+several times their usual load one to three at a time."""
+
+
+class ShareLoads(msgspec.Struct, frozen=True):
+    """The customers that are beyond their share, and the load of work beyond it."""
+
+    delays_ms: dict[str, int] = {}
+    """Time until the customer's bucket has a token, by customer."""
+    waits_ms: dict[str, int] = {}
+    """Estimated time until the fleet has done what is ahead of such work, by queue."""
+
+
+def measure_shares(state: PoolState, now: Instant) -> ShareLoads:
+    """Return which customers are beyond their share, those with the longest delay first."""
+    delays: dict[str, int] = {}
+    for customer, usage in state.customers.items():
+        if usage.policy is not None:
+            delay_ms = usage.bucket.compute_delay_ms(state.wall_now)
+            if delay_ms:
+                delays[customer] = delay_ms
+    fleet_millicores = sum_fleet_millicores(state) if delays else 0
+    if not fleet_millicores:
+        return ShareLoads()
+    longest = sorted(delays, key=lambda each: (-delays[each], each))[:MAX_CUSTOMERS]
+    within = sum(sum_waiting_work(state, now, is_over_share=False).values())
+    beyond = sum_waiting_work(state, now, is_over_share=True)
+    waits = {}
+    for queue, policy in state.configuration.queues.items():
+        ahead = within + sum(work for each, work in beyond.items() if each <= policy.priority)
+        waits[str(queue)] = int(ahead / fleet_millicores)
+    return ShareLoads({each: delays[each] for each in longest}, waits)
+
+
+def decide_share_admission(
+    record: JobRecord, policy: QueuePolicy, load: QueueLoad | None, shares: ShareLoads
+) -> int | None:
+    """Return `None` to accept the job, or the time in ms after which its caller should retry.
+
+    A job beyond its customer's share waits behind all others, and is refused if it would complete
+    too late then. Its caller should retry once the customer's bucket has tokens again.
+    """
+    delay_ms = shares.delays_ms.get(record.customer)
+    if load is None or delay_ms is None:
+        return None
+    beyond = QueueLoad(load.pending, shares.waits_ms.get(QueueId(record.queue), 0))
+    if decide_admission(record, policy, beyond) is None:
+        return None
+    return spread_retry(delay_ms, record.job)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from lentilpath_core.ids import CustomerId, Epoch, Instant, JobId, WallTime, WorkerId
+from lentilpath_core.pool._buckets import TokenBucket
 from lentilpath_core.pool._events import StopReason
 from lentilpath_core.pool._model import (
     CustomerPolicy,
@@ -219,6 +220,11 @@
     """Resources of the customer's runs, and of its plans that wait for tickets."""
     unseen: Resources = NO_RESOURCES
     """Most that unconfirmed workers may still run of the customer's recovered jobs."""
+    bucket: TokenBucket = field(default_factory=TokenBucket)
+    """Which of its jobs are beyond its share."""
+    weighted_share: float = 0.0
+    """Its dominant share of the fleet over its weight, for `share_inputs`."""
+    share_inputs: tuple[Resources, Resources, CustomerPolicy | None] | None = None
 
 
 @dataclass(slots=True)
@@ -236,6 +242,8 @@
     workers: dict[WorkerId, Worker] = field(default_factory=dict)
     unconfirmed_workers: set[WorkerId] = field(default_factory=set)
     """Workers that may run tasks of an earlier leader and have not reported yet."""
+    fleet: Resources = NO_RESOURCES
+    """Capacity of all registered workers."""
     customers: dict[CustomerId, CustomerUsage] = field(default_factory=dict)
     recovered_jobs: dict[JobId, Job] = field(default_factory=dict)
     """Jobs of customers that an earlier leader may have started, while workers are unconfirmed."""
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -79,6 +79,8 @@
             effects.extend(_start_new_life(state, known, entry, now))
     effects.extend(_record_workers(state))
     effects.extend(clear_suspects_of_living_workers(state, now))
+    if state.customers:
+        state.fleet = sum((each.capacity for each in event.workers), NO_RESOURCES)
     state.needs_placement = True
     return tuple(effects)
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -243,6 +243,7 @@
                 digest = term.make_digest()
                 self.heartbeat_sender.set_leader(self.settings.host)
                 self.heartbeat_sender.set_digest(digest, read_instant())
+                self.metrics.set_customers(term.list_usages())
                 for queue, load in digest.queues.items():
                     self.metrics.set_gauge(Metric.JOBS_PENDING, load.pending, queue)
             await asyncio.sleep(DIGEST_INTERVAL_SECONDS)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -20,10 +20,12 @@
     CustomerPolicy,
     JobRecord,
     JobState,
+    QueueLoad,
     QueuePolicy,
     check_job_fits_quota,
     check_owner,
     decide_admission,
+    decide_share_admission,
 )
 from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
@@ -121,13 +123,27 @@
             return await self._answer_over_quota(record, error)
         load = self._context.heartbeat_sender.get_load(record.queue, now)
         refusal_ms = decide_admission(record, policy, load)
+        reason = "full"
+        if refusal_ms is None and record.customer:
+            shares = self._context.heartbeat_sender.get_shares(now)
+            refusal_ms = decide_share_admission(record, policy, load, shares)
+            reason = "over-share"
         if refusal_ms is not None:
-            log_event(
-                Event.JOB_REFUSED, job=record.job, queue=record.queue, reason="full", load=load
-            )
+            self._report_refused(record, reason, load)
             return SubmissionAnswer(SubmissionResult.REFUSED, refusal_ms)
         return await self._store(record, Instant(int(now + deadline_ms * SETTLE_DEADLINE_SHARE)))
 
+    def _report_refused(self, record: JobRecord, reason: str, load: QueueLoad | None) -> None:
+        self._context.metrics.count_customer(Metric.CUSTOMER_REFUSED, record.customer)
+        log_event(
+            Event.JOB_REFUSED,
+            job=record.job,
+            queue=record.queue,
+            customer=record.customer,
+            reason=reason,
+            load=load,
+        )
+
     def _find_customer(self, customer: CustomerId) -> CustomerPolicy | None:
         configuration = self._context.get_configuration() if customer else None
         return configuration.customers.get(customer) if configuration is not None else None
@@ -138,7 +154,7 @@
         if reply is not None and reply.state and reply.customer == record.customer:
             log_event(Event.JOB_STORED, job=record.job, repeated=True, state=reply.state)
             return SubmissionAnswer(SubmissionResult.ACCEPTED)
-        log_event(Event.JOB_REFUSED, job=record.job, queue=record.queue, reason="quota")
+        self._report_refused(record, "quota", None)
         return SubmissionAnswer(SubmissionResult.OVER_QUOTA, reason=str(error))
 
     async def _store(self, record: JobRecord, give_up_at: Instant) -> SubmissionAnswer:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_members.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_members.py
@@ -11,7 +11,7 @@
 from lentilpath_core.errors import LentilpathError
 from lentilpath_core.ids import HostId, Instant, JobId
 from lentilpath_core.peers import PeerRequest
-from lentilpath_core.pool import QueueLoad
+from lentilpath_core.pool import QueueLoad, ShareLoads
 from lentilpath_core.settings import Address, PeerSettings
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event
@@ -231,6 +231,12 @@
             return None
         return self._digest.queues.get(queue)
 
+    def get_shares(self, now: Instant) -> ShareLoads:
+        """Return the customers beyond their share; none if the digest is too old."""
+        if self._digest is None or now > self._digest_at + DIGEST_VALID_MS:
+            return ShareLoads()
+        return self._digest.shares
+
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
         while True:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_messages.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from lentilpath_core.ids import CustomerId, Epoch, HostId, JobId, RegionId, ZoneId
-from lentilpath_core.pool import QueueLoad
+from lentilpath_core.pool import QueueLoad, ShareLoads
 from lentilpath_core.settings import Address
 
 HEARTBEAT_TOPIC = "pool.hello"
@@ -48,6 +48,7 @@
     hosts: tuple[KnownHost, ...] = ()
     """Empty if the sender of the heartbeat already has this list."""
     hosts_mark: int = 0
+    shares: ShareLoads = ShareLoads()
 
 
 class StateRequest(msgspec.Struct, frozen=True):
--- a/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+from lentilpath_core.ids import CustomerId
+from lentilpath_core.pool import MAX_LISTED_CUSTOMERS, OTHER_CUSTOMERS, ListedUsage
 from lentilpath_http import HttpRequest, HttpResponse, HttpServer, serve_http
 from lentilpathd._metrics import Metric, Metrics
 from lentilpathd._pool._settings import PoolHostSettings
@@ -17,6 +21,7 @@
 _COUNTERS: dict[Metric, tuple[str, ...]] = {
     Metric.JOB_ANSWERED: ("queue", "outcome"),
     Metric.KEY_REFUSED: ("queue",),
+    Metric.CUSTOMER_REFUSED: ("customer",),
     Metric.RUN_STARTED: ("queue", "tier"),
     Metric.RUN_ENDED: ("end",),
     Metric.RUN_STOPPED: ("reason",),
@@ -33,6 +38,8 @@
 _GAUGES: dict[Metric, tuple[str, ...]] = {
     Metric.JOBS_PENDING: ("queue",),
     Metric.IS_LEADER: (),
+    Metric.CUSTOMER_RUNNING: ("customer",),
+    Metric.CUSTOMER_WAITING: ("customer",),
 }
 _MS_PER_SECOND = 1_000
 
@@ -42,6 +49,7 @@
 
     def __init__(self, statsd: Metrics | None = None) -> None:
         self._statsd = statsd or Metrics(None)
+        self._counted_customers: set[CustomerId] = set()
         self._registry = CollectorRegistry()
         self._counters = {
             metric: Counter(_make_name(metric), metric.value, labels, registry=self._registry)
@@ -68,6 +76,22 @@
         (counter.labels(*labels) if labels else counter).inc()
         self._statsd.count(metric)
 
+    def count_customer(self, metric: Metric, customer: CustomerId) -> None:
+        """Increment a counter by customer; beyond `MAX_LISTED_CUSTOMERS` they count as one."""
+        if customer not in self._counted_customers:
+            if len(self._counted_customers) >= MAX_LISTED_CUSTOMERS:
+                customer = OTHER_CUSTOMERS
+            self._counted_customers.add(customer)
+        self.count(metric, customer)
+
+    def set_customers(self, usages: Iterable[ListedUsage]) -> None:
+        """Replace the gauges by customer with these."""
+        for metric in (Metric.CUSTOMER_RUNNING, Metric.CUSTOMER_WAITING):
+            self._gauges[metric].clear()
+        for usage in usages:
+            self.set_gauge(Metric.CUSTOMER_RUNNING, usage.millicores, usage.customer)
+            self.set_gauge(Metric.CUSTOMER_WAITING, usage.waiting_tasks, usage.customer)
+
     def record_time(self, metric: Metric, ms: float, *labels: str) -> None:
         """Record a duration, in ms, in a histogram."""
         histogram = self._times[metric]
--- a/packages/lentilpathd/src/lentilpathd/_pool/_records.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_records.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from lentilpath_core.ids import Epoch, HostId, Incarnation, JobId
+from lentilpath_core.ids import Epoch, HostId, Incarnation, JobId, WallTime
 from lentilpath_core.pool import FinalRecord, JobRecord, RunEnd, RunNumber, RunRecord, TaskKey
 from lentilpath_core.settings import Address
 
@@ -72,6 +72,17 @@
     return msgspec.msgpack.decode(value, type=JobRecord)
 
 
+class _AcceptedRecord(msgspec.Struct):
+    """The part of a job's record that shares depend on."""
+
+    accepted_at: WallTime = WallTime(0)
+
+
+def decode_acceptance(value: bytes) -> WallTime:
+    """Return when a job was accepted, without the rest; raises `msgspec.DecodeError`."""
+    return msgspec.msgpack.decode(value, type=_AcceptedRecord).accepted_at
+
+
 def get_job_partitions(job: JobId) -> tuple[str, ...]:
     """Return the partitions of the jobs table that may hold `job`, the usual one first."""
     first = int(job[-4:], 16)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from lentilpath_core.ids import JobId, RowVersion
+from lentilpath_core.ids import JobId, RowVersion, WallTime
 from lentilpath_core.pool import (
     FinalRecord,
     JobAccepted,
@@ -32,6 +32,7 @@
     POOL_PARTITION,
     POOL_TABLE,
     WORKERS_KEY,
+    decode_acceptance,
     decode_end,
     decode_final,
     decode_job,
@@ -85,8 +86,9 @@
         elif row.key.startswith(WORKERS_KEY):
             worker_rows[row.key] = row.value
     recent = _read_recently_ended(job_rows, finals, pool_rows.clock_ms)
+    accepted_at = _read_acceptance(job_rows, finals)
     events: list[PoolEvent] = [
-        JobEnded(job, final, recent.get(job)) for job, final in finals.items()
+        JobEnded(job, final, recent.get(job), accepted_at.get(job)) for job, final in finals.items()
     ]
     events.extend(make_job_events(tuple(job_rows), finals.keys(), recovered=True))
     open_ends = tuple((task, record) for task, record in ends if task.job not in finals)
@@ -121,6 +123,21 @@
     return {each.record.job: each.record for each in accepted if isinstance(each, JobAccepted)}
 
 
+def _read_acceptance(
+    rows: list[PartitionRow], finals: dict[JobId, FinalRecord]
+) -> dict[JobId, WallTime]:
+    """Return when the ended jobs of customers were accepted."""
+    found: dict[JobId, WallTime] = {}
+    for row in rows:
+        final = finals.get(JobId(row.key))
+        if final is not None and final.customer and not row.is_deleted:
+            try:
+                found[JobId(row.key)] = decode_acceptance(row.value)
+            except msgspec.DecodeError as error:
+                log_warning_event(Event.COMMAND_REFUSED, key=row.key, error=str(error))
+    return found
+
+
 async def read_former_workers(table: PartitionedTable) -> tuple[ListedWorker, ...]:
     """Read the workers that an earlier leader used; raises `Unavailable` or `OutcomeUnknown`."""
     read = await table.read_partition(
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from lentilpath_core.errors import OutcomeUnknown, Unavailable
-from lentilpath_core.ids import CustomerId, Epoch, Instant, JobId, RowVersion, WorkerId
+from lentilpath_core.ids import CustomerId, Epoch, Instant, JobId, RowVersion
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.pool import (
     AskAdvice,
@@ -22,6 +22,7 @@
     JobAccepted,
     JobCancelled,
     JobState,
+    ListedUsage,
     ListedWorker,
     PaceRun,
     PoolConfiguration,
@@ -40,7 +41,9 @@
     get_job_customer,
     get_job_state,
     is_placement_due,
+    list_usages,
     measure_loads,
+    measure_shares,
     place_pool,
     restore_former_workers,
 )
@@ -54,6 +57,7 @@
 from lentilpathd._pool._link import WorkerLink, bound_lease_ms, extend_lease
 from lentilpathd._pool._members import decode_heartbeat, fingerprint_hosts
 from lentilpathd._pool._messages import Digest, JobNotice
+from lentilpathd._pool._missing_workers import MissingWorkers
 from lentilpathd._pool._ports import LifeKey, PartitionRow, PoolWorker
 from lentilpathd._pool._records import format_task, make_crash_key
 from lentilpathd._pool._recovery import READ_TIMEOUT_SECONDS, read_former_workers, read_pool
@@ -74,9 +78,6 @@
 """Events that arrive within this time share one placement pass over the pending tasks."""
 WORKERS_INTERVAL_SECONDS = 0.7
 """Half of the interval between workers' own reports."""
-WORKER_REMOVAL_DELAY_MS = 2_500
-"""A worker whose registry entry is missing for this long is removed. Entries that expired in an
-outage of the platform's table are back within 2 s after it."""
 LIST_TIMEOUT_SECONDS = 1.0
 """With the pause between reads it stays under 2.5 s, in which starts on a draining worker must
 stop."""
@@ -102,7 +103,7 @@
         )
         self._links: dict[LifeKey, tuple[WorkerLink, asyncio.Task[None]]] = {}
         self._opened_clients = 0
-        self._missing_since: dict[WorkerId, Instant] = {}
+        self._missing = MissingWorkers()
         self._placement_due = asyncio.Event()
         self._group: asyncio.TaskGroup | None = None
         self._ready = False
@@ -228,10 +229,15 @@
         if self._digest is None or now >= self._digest_at + DIGEST_REUSE_MS:
             hosts = self._context.members.list_known_hosts(now)
             loads = measure_loads(self._state, now)
-            self._digest = Digest(self._epoch, loads, hosts, fingerprint_hosts(hosts))
+            shares = measure_shares(self._state, now)
+            self._digest = Digest(self._epoch, loads, hosts, fingerprint_hosts(hosts), shares)
             self._digest_at = now
         return self._digest
 
+    def list_usages(self) -> list[ListedUsage]:
+        """Return what the customers have running and waiting, for the metrics."""
+        return list_usages(self._state)
+
     def handle_notice(self, notice: JobNotice) -> None:
         """Handle a host's notice of a row that it has stored for a job."""
         row = PartitionRow(notice.part, notice.key, notice.value, RowVersion(notice.version))
@@ -390,13 +396,6 @@
             await asyncio.sleep(WORKERS_INTERVAL_SECONDS)
 
     def _handle_listed(self, listed: tuple[ListedWorker, ...]) -> None:
-        now = read_instant()
-        present = {each.worker for each in listed}
-        kept = list(listed)
-        for worker in self._state.workers.values():
-            if worker.worker in present or not worker.is_listed:
-                self._missing_since.pop(worker.worker, None)
-            elif now < self._missing_since.setdefault(worker.worker, now) + WORKER_REMOVAL_DELAY_MS:
-                kept.append(worker.listed)
-        self.handle_event(WorkersListed(tuple(kept)))
+        kept = self._missing.add_missing(listed, self._state, read_instant())
+        self.handle_event(WorkersListed(kept))
         self._open_links()
