--- a/packages/lentilpathd/src/lentilpathd/_pool/_records.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_records.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from lentilpath_core.ids import Epoch, HostId, Incarnation, JobId
+from lentilpath_core.ids import Epoch, HostId, Incarnation, JobId, WallTime
 from lentilpath_core.pool import (
     MAX_INTEGER,
     FinalRecord,
@@ -101,6 +101,17 @@
     return decode_record(value, JobRecord)
 
 
+class _AcceptedRecord(msgspec.Struct):
+    """The part of a job's record that shares depend on."""
+
+    accepted_at: WallTime = WallTime(0)
+
+
+def decode_acceptance(value: bytes) -> WallTime:
+    """Return when a job was accepted, without the rest; raises `msgspec.DecodeError`."""
+    return decode_record(value, _AcceptedRecord).accepted_at
+
+
 def get_job_partitions(job: JobId) -> tuple[str, ...]:
     """Return the partitions of the jobs table that may hold `job`, the usual one first."""
     first = int(job[-4:], 16)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -6,6 +6,8 @@
 from collections.abc import Container
 from dataclasses import dataclass
 
+import msgspec
+
 from lentilpath_core.errors import InvalidJob
 from lentilpath_core.ids import JobId, RowVersion, WallTime
 from lentilpath_core.pool import (
@@ -33,6 +35,7 @@
     POOL_PARTITION,
     POOL_TABLE,
     WORKERS_KEY,
+    decode_acceptance,
     decode_end,
     decode_final,
     decode_job,
@@ -112,8 +115,9 @@
     for key, reason in unreadable_workers.items():
         log_warning_event(Event.ROW_UNREADABLE, key=key, error=reason)
     recent = _read_recently_ended(job_rows, finals, read_wall_time())
+    accepted_at = _read_acceptance(job_rows, finals)
     events: list[PoolEvent] = [
-        JobEnded(job, final, recent.get(job)) for job, final in finals.items()
+        JobEnded(job, final, recent.get(job), accepted_at.get(job)) for job, final in finals.items()
     ]
     events.extend(make_job_events(tuple(job_rows), ended, recovered=True))
     open_ends = tuple(end for end in ends.values() if end[0].job not in ended)
@@ -152,6 +156,21 @@
     return row.key.startswith(WORKERS_KEY)
 
 
+def _read_acceptance(
+    rows: list[PartitionRow], finals: dict[JobId, FinalRecord]
+) -> dict[JobId, WallTime]:
+    """Return when the ended jobs of customers were accepted."""
+    found: dict[JobId, WallTime] = {}
+    for row in rows:
+        final = finals.get(JobId(row.key))
+        if final is not None and final.customer and not row.is_deleted:
+            try:
+                found[JobId(row.key)] = decode_acceptance(row.value)
+            except msgspec.DecodeError as error:
+                log_warning_event(Event.ROW_UNREADABLE, key=row.key, error=error)
+    return found
+
+
 async def read_former_workers(table: PartitionedTable) -> tuple[ListedWorker, ...]:
     """Read the workers that an earlier leader used; raises `Unavailable` or `OutcomeUnknown`."""
     read = await table.read_partition(
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -24,6 +24,7 @@
     JobExplanation,
     JobRecord,
     JobState,
+    ListedUsage,
     ListedWorker,
     PaceRun,
     PoolConfiguration,
@@ -43,7 +44,9 @@
     get_job_customer,
     get_job_state,
     is_placement_due,
+    list_usages,
     measure_loads,
+    measure_shares,
     place_pool,
     restore_former_workers,
 )
@@ -241,10 +244,15 @@
         if self._digest is None or now >= self._digest_at + DIGEST_REUSE_MS:
             hosts = self._context.members.list_known_hosts(now)
             loads = measure_loads(self._state, now)
-            self._digest = Digest(self._epoch, loads, hosts, fingerprint_hosts(hosts))
+            shares = measure_shares(self._state, now)
+            self._digest = Digest(self._epoch, loads, hosts, fingerprint_hosts(hosts), shares)
             self._digest_at = now
         return self._digest
 
+    def list_usages(self) -> list[ListedUsage]:
+        """Return what the customers have running and waiting, for the metrics."""
+        return list_usages(self._state)
+
     def handle_notice(self, notice: JobNotice) -> None:
         """Handle a host's notice of a row that it has stored for a job."""
         row = PartitionRow(notice.part, notice.key, notice.value, RowVersion(notice.version))
