Platform: an unusable answer fails its own call, and an unusable row or entry is skipped

Cause: answers and rows were checked for JSON and little else. An unreadable 0epoch or 0lease ended the leadership part on all hosts, and a lease that ends in years was waited for.

Of 0epoch and 0lease, which both hold the epoch, one suffices.

--- a/packages/lentilpath-http/src/lentilpath_http/_connection.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_connection.py
@@ -102,13 +102,13 @@
         return done
 
     def _encode(self, request: HttpRequest) -> bytes:
-        headers = [
-            (key.encode("latin-1"), value.encode("latin-1"))
-            for key, value in (("host", self.name), *request.headers)
-            if key != "content-length"
-        ]
-        headers.append((b"content-length", str(len(request.body)).encode()))
         try:
+            headers = [
+                (key.encode("latin-1"), value.encode("latin-1"))
+                for key, value in (("host", self.name), *request.headers)
+                if key != "content-length"
+            ]
+            headers.append((b"content-length", str(len(request.body)).encode()))
             head = h11.Request(
                 method=request.method, target=request.target.encode("latin-1"), headers=headers
             )
@@ -116,7 +116,7 @@
             if request.body:
                 data += self._state.send(h11.Data(data=request.body)) or b""
             data += self._state.send(h11.EndOfMessage()) or b""
-        except h11.LocalProtocolError as error:
+        except (h11.LocalProtocolError, UnicodeError) as error:
             self.close()
             raise RequestNotSent(f"request to {self.name} is malformed: {error}") from error
         return data
@@ -235,6 +235,7 @@
             _, connection = await loop.create_connection(
                 lambda: ClientConnection(name, max_response_bytes), address, port, ssl=tls
             )
-    except (TimeoutError, OSError) as error:
+    except (TimeoutError, OSError, OverflowError, ValueError) as error:
+        # The last two: a port over 65,535, or a name that is no host's name.
         raise RequestNotSent(f"no connection to {name}: {error!r}") from error
     return connection
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -31,6 +31,7 @@
     POOL_TABLE,
     EpochRow,
     LeaseRow,
+    decode_record,
     encode_record,
 )
 
@@ -48,6 +49,11 @@
 intervals and a transaction."""
 TAKEOVER_MARGIN_MS = 200
 """Added to the lease, for the latency from the leader to the table."""
+MAX_LEASE_AHEAD_MS = 60_000
+"""A lease that ends later than this after the time of the table service was not written by a
+leader, whose leases last 2 s."""
+MAX_EPOCH = 2**32
+"""The workers' fencing tokens are 10^9 times as large and have 63 bits."""
 ROW_TIMEOUT_SECONDS = 1.5
 """Enough for a transaction while the table is 100 times slower than usual."""
 
@@ -61,22 +67,51 @@
     lease: LeaseRow | None
     lease_version: RowVersion
     clock_ms: int
+    unreadable: tuple[str, ...] = ()
+    """Keys of the rows that cannot be used."""
 
 
 def decode_snapshot(read: PartitionRows) -> LeadershipSnapshot:
-    """Decode the leadership rows; raises `msgspec.DecodeError`."""
+    """Decode the leadership rows; raises `OutcomeUnknown` if the epoch is not to be found in them.
+
+    Both rows hold the epoch, since a takeover writes both.
+    """
     rows = {row.key: row for row in read.rows}
     epoch_row = rows.get(EPOCH_KEY)
     lease_row = rows.get(LEASE_KEY)
-    epoch = Epoch(0)
+    lease = _decode_lease(lease_row.value, read.clock_ms) if lease_row is not None else None
+    epoch: Epoch | None = Epoch(0)
+    unreadable = (LEASE_KEY,) if lease_row is not None and lease is None else ()
     if epoch_row is not None:
-        epoch = msgspec.msgpack.decode(epoch_row.value, type=EpochRow).epoch
-    lease = None
-    if lease_row is not None:
-        lease = msgspec.msgpack.decode(lease_row.value, type=LeaseRow)
+        epoch = _decode_epoch(epoch_row.value)
+    if epoch is None:
+        unreadable = (EPOCH_KEY, *unreadable)
+        if lease is None:
+            raise OutcomeUnknown(
+                f"the rows {EPOCH_KEY} and {LEASE_KEY} cannot be read, so the leader's epoch is"
+                " not known; correct one of them"
+            )
+        epoch = lease.epoch
     version = epoch_row.version if epoch_row is not None else RowVersion(0)
     lease_version = lease_row.version if lease_row is not None else RowVersion(0)
-    return LeadershipSnapshot(epoch, version, lease, lease_version, read.clock_ms)
+    return LeadershipSnapshot(epoch, version, lease, lease_version, read.clock_ms, unreadable)
+
+
+def _decode_epoch(value: bytes) -> Epoch | None:
+    try:
+        epoch = decode_record(value, EpochRow).epoch
+    except msgspec.DecodeError:
+        return None
+    return epoch if 0 <= epoch <= MAX_EPOCH else None
+
+
+def _decode_lease(value: bytes, clock_ms: int) -> LeaseRow | None:
+    try:
+        lease = decode_record(value, LeaseRow)
+    except msgspec.DecodeError:
+        return None
+    is_usable = 0 <= lease.epoch <= MAX_EPOCH and lease.until_ms <= clock_ms + MAX_LEASE_AHEAD_MS
+    return lease if is_usable else None
 
 
 def may_take_over(
@@ -96,7 +131,8 @@
     """
     lease = snapshot.lease
     if lease is None:
-        return True
+        # A living leader replaces a lease that cannot be read with its next renewal.
+        return LEASE_KEY not in snapshot.unreadable or unchanged_ms >= LEADER_TIMEOUT_MS + wait_ms
     if lease.until_ms == 0:
         if not lease.successor:
             return unchanged_ms >= wait_ms
@@ -179,6 +215,7 @@
             read = await self._table.read_partition(
                 POOL_TABLE, POOL_PARTITION, EPOCH_KEY[0], LEADER_KEYS_END, ROW_TIMEOUT_SECONDS
             )
+            snapshot = decode_snapshot(read)
         except (Unavailable, OutcomeUnknown) as error:
             log_event(Event.LEADER_NOT_READ, error=str(error))
             # While the table is away the leader cannot renew either. Once it is back, the leader
@@ -186,12 +223,14 @@
             self._is_watch_broken = True
             return None
         self._clock.observe(read.clock_ms, read_instant())
-        snapshot = decode_snapshot(read)
         former = self.snapshot
         is_first = former is None or self._is_watch_broken
         if is_first or (former is not None and snapshot.lease_version != former.lease_version):
             self._watched_since = read_instant()
         self._is_watch_broken = False
+        if snapshot.unreadable and (former is None or former.unreadable != snapshot.unreadable):
+            for key in snapshot.unreadable:
+                log_warning_event(Event.ROW_UNREADABLE, key=key, error="it is not a leader's row")
         self.snapshot = snapshot
         return snapshot
 
@@ -240,7 +279,11 @@
             return None
         for row in read.rows:
             if row.key == EPOCH_KEY:
-                found = msgspec.msgpack.decode(row.value, type=EpochRow)
+                try:
+                    found = decode_record(row.value, EpochRow)
+                except msgspec.DecodeError as error:
+                    log_warning_event(Event.ROW_UNREADABLE, key=row.key, error=error)
+                    continue
                 if found.epoch == epoch and found.incarnation == self._incarnation:
                     self.epoch_version = row.version
                     return epoch
