Pool: an unexpected error loses an event or an effect, and not the leader's term

Cause: an error that is not one of lentilpath_core.errors in a worker's link, a call for advice, the list of workers, the job feed, a placement pass or an event ended the task group of the term. After 20 in a row the supervisor ended the process. What callers saw: a second or more without starts each time, then a host that was gone.

Change: links, former workers and calls for advice treat any error as a call without an answer; each event and each effect is handled by itself; the other parts start again after 0.25 s (LP570 each time). A start that could not be sent counts as refused, and a run that is given up is withdrawn before it is logged. An unexpected error of the writer still ends the term, since only a recovery knows what is not stored.

--- a/packages/lentilpath-http/src/lentilpath_http/_server.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_server.py
@@ -28,6 +28,8 @@
 of the default limit on open connections."""
 STATUS_HEADERS_TOO_LARGE = 431
 DISCONNECT_WATCH_DELAY_SECONDS = 0.01
+MAX_LOGGED_CHARACTERS = 500
+"""Length of an error in the log; it may repeat what a caller has sent."""
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -124,6 +126,9 @@
             writer.transport.abort()
         except (OSError, asyncio.CancelledError):
             pass
+        except Exception as error:
+            # Such as a response that is no valid HTTP; other connections are not affected.
+            logging.warning("connection failed: %s", repr(error)[:MAX_LOGGED_CHARACTERS])
         finally:
             self._connections.discard(task)
             self._idle.discard(task)
@@ -181,6 +186,7 @@
             # The handler itself answers the errors it expects. After any other error it is unknown
             # here whether the request had an effect.
             message = f"internal failure: {type(error).__name__}"
+            logging.warning("%s %s", message, repr(error)[:MAX_LOGGED_CHARACTERS])
             return json_response(
                 500, {"error": "internal", "message": message, "outcome": "unknown"}
             )
--- a/packages/lentilpathd/src/lentilpathd/_pool/_advice.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_advice.py
@@ -13,7 +13,6 @@
 
 import msgspec
 
-from lentilpath_core.errors import LentilpathError
 from lentilpath_core.ids import HostId, Instant, JobId, WorkerId
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.pool import AdviceAnswered, AskAdvice, Permission, PoolEvent, StepKey
@@ -21,6 +20,7 @@
 from lentilpathd._events import Event, log_event
 from lentilpathd._metrics import Metric
 from lentilpathd._peers import PeerBus
+from lentilpathd._pool._guard import report_unexpected
 from lentilpathd._pool._members import Members
 from lentilpathd._pool._metrics import PoolMetrics
 from lentilpathd._pool._ports import Advice, AdviceService
@@ -132,7 +132,8 @@
         timeout = effect.cost_ms / MS_PER_SECOND + CALL_MARGIN_SECONDS
         try:
             reply = await self._call(host, effect, timeout)
-        except LentilpathError as error:
+        except Exception as error:
+            report_unexpected("advice", error)
             self._metrics.count(Metric.DEPENDENCY_FAILED, "advice")
             log_event(Event.ADVICE_MISSING, step=effect.step, host=host, error=str(error))
             self._handle_event(AdviceAnswered(effect.step, effect.workers, None, sent_at))
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -8,7 +8,6 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 
-from lentilpath_core.errors import LentilpathError, OutcomeUnknown, Unavailable
 from lentilpath_core.ids import Epoch, Instant, WorkerTime
 from lentilpath_core.pool import (
     LeaseSent,
@@ -28,6 +27,7 @@
 )
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event
+from lentilpathd._pool._guard import report_unexpected
 from lentilpathd._pool._ports import Deposed, OtherLife, PoolWorker, RefusedByFence
 from lentilpathd._pool._records import format_task
 from lentilpathd._pool._writer import RecordWriter
@@ -99,7 +99,8 @@
         assert lease is not None
         until, ends_at = lease
         await client.renew(0, until, 0, RENEWAL_TIMEOUT_SECONDS)
-    except LentilpathError as error:
+    except Exception as error:
+        report_unexpected("former worker", error)
         log_event(Event.LEASE_NOT_EXTENDED, error=str(error))
     finally:
         client.close()
@@ -182,7 +183,8 @@
             return True
         except RefusedByFence as error:
             raise Deposed(str(error)) from error
-        except (Unavailable, OutcomeUnknown) as error:
+        except Exception as error:
+            report_unexpected("worker link", error)
             if not self._is_silent:
                 self._is_silent = True
                 self._replace_client()
@@ -235,7 +237,7 @@
             async with self._slots:
                 client = self._client
                 await client.pace(effect.task, effect.run, effect.percent, COMMAND_TIMEOUT_SECONDS)
-        except LentilpathError as error:
+        except Exception as error:
             self._raise_if_deposed(error, client)
             log_event(
                 Event.PACE_UNANSWERED,
@@ -312,7 +314,7 @@
         client = self._client
         try:
             return await client.renew(0, None, 0, RENEWAL_TIMEOUT_SECONDS)
-        except LentilpathError as error:
+        except Exception as error:
             self._raise_if_deposed(error, client)
             log_event(
                 Event.START_NOT_CHECKED,
@@ -344,7 +346,7 @@
         except asyncio.CancelledError:
             self._report_unanswered(effect)
             raise
-        except LentilpathError as error:
+        except Exception as error:
             self._raise_if_deposed(error, client)
             self._report_unanswered(effect)
             log_event(
@@ -357,8 +359,9 @@
             return None
         return answer
 
-    def _raise_if_deposed(self, error: LentilpathError, client: PoolWorker) -> None:
+    def _raise_if_deposed(self, error: Exception, client: PoolWorker) -> None:
         """Raise `Deposed` if a command was refused although its token was the newest one here."""
+        report_unexpected("worker link", error)
         if isinstance(error, RefusedByFence) and client is self._client:
             raise Deposed(str(error)) from error
 
@@ -374,7 +377,7 @@
                 break
             except OtherLife:
                 break
-            except LentilpathError as error:
+            except Exception as error:
                 self._raise_if_deposed(error, client)
                 log_event(
                     Event.STOP_UNANSWERED,
--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Container
+from collections.abc import Awaitable, Callable, Container
 from dataclasses import dataclass
+from typing import TypeVar
 
-from lentilpath_core.errors import InvalidJob
-from lentilpath_core.ids import JobId, RowVersion
+from lentilpath_core.errors import InvalidJob, OutcomeUnknown, Unavailable
+from lentilpath_core.ids import Epoch, JobId, RowVersion
 from lentilpath_core.pool import (
     FinalRecord,
     JobAccepted,
@@ -40,6 +41,8 @@
 )
 from lentilpathd._pool._worker_rows import WORKER_KEYS_END, decode_workers
 
+T = TypeVar("T")
+
 READ_TIMEOUT_SECONDS = 3.0
 """All partitions are read concurrently; a read takes 0.4 s while the table is 100 times slower."""
 MAX_CONCURRENT_READS = 32
@@ -47,6 +50,11 @@
 batch."""
 
 
+RETRY_SECONDS = 0.2
+"""Five attempts a second; a recovery makes 34 calls, of the 2,000 a second that all hosts may
+make."""
+
+
 @dataclass(frozen=True, slots=True)
 class RecoveredPool:
     """The stored state of a pool, as events for the decision core."""
@@ -124,6 +132,16 @@
     return row.key.startswith(WORKERS_KEY)
 
 
+async def read_repeatedly(read: Callable[[], Awaitable[T]], epoch: Epoch) -> T:
+    """Read until it succeeds, and return what was read."""
+    while True:
+        try:
+            return await read()
+        except (Unavailable, OutcomeUnknown) as error:
+            log_warning_event(Event.POOL_RECOVERY_FAILED, epoch=epoch, error=str(error))
+            await asyncio.sleep(RETRY_SECONDS)
+
+
 async def read_former_workers(table: PartitionedTable) -> tuple[ListedWorker, ...]:
     """Read the workers that an earlier leader used; raises `Unavailable` or `OutcomeUnknown`."""
     read = await table.read_partition(
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Container
+from collections.abc import Container
 from functools import partial, singledispatchmethod
-from typing import TypeVar
 
 import msgspec
 
-from lentilpath_core.errors import OutcomeUnknown, Unavailable
-from lentilpath_core.ids import CustomerId, Epoch, Instant, JobId, RowVersion, WorkerId
+from lentilpath_core.ids import CustomerId, Epoch, Instant, JobId, RowVersion
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.pool import (
     AskAdvice,
@@ -31,6 +29,8 @@
     RecordRun,
     RecordWorkers,
     ReleaseWorker,
+    StartAnswer,
+    StartAnswered,
     StartRun,
     StopRun,
     TimePassed,
@@ -45,10 +45,12 @@
     restore_former_workers,
 )
 from lentilpathd._clock import read_instant, read_wall_time
-from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._events import Event, log_event
 from lentilpathd._metrics import Metric
+from lentilpathd._pool._adapter_log import log_internal_error
 from lentilpathd._pool._advice import AdviceDispatcher
 from lentilpathd._pool._context import PoolContext
+from lentilpathd._pool._guard import run_guarded
 from lentilpathd._pool._job_feed import JobFeed
 from lentilpathd._pool._leadership import PoolLeadership
 from lentilpathd._pool._link import WorkerLink, bound_lease_ms, extend_lease
@@ -61,13 +63,14 @@
     EndedJobs,
     read_former_workers,
     read_pool,
+    read_repeatedly,
 )
 from lentilpathd._pool._removal import JobRemover
 from lentilpathd._pool._settings import MAX_LEASE_MS
 from lentilpathd._pool._tokens import make_token
+from lentilpathd._pool._worker_list import WorkerListReader
 from lentilpathd._pool._writer import RecordWriter
 
-T = TypeVar("T")
 RunEffect = StartRun | StopRun | PaceRun | GiveUpRun | ClearRun
 
 TICK_SECONDS = 0.25
@@ -77,17 +80,6 @@
 hosts. With the heartbeat interval it stays under the maximum age of its counts, 2 s."""
 PLACEMENT_DELAY_SECONDS = 0.01
 """Events that arrive within this time share one placement pass over the pending tasks."""
-WORKERS_INTERVAL_SECONDS = 0.7
-"""Half of the interval between workers' own reports."""
-WORKER_REMOVAL_DELAY_MS = 2_500
-"""A worker whose registry entry is missing for this long is removed. Entries that expired in an
-outage of the platform's table are back within 2 s after it."""
-LIST_TIMEOUT_SECONDS = 1.0
-"""With the pause between reads it stays under 2.5 s, in which starts on a draining worker must
-stop."""
-RETRY_SECONDS = 0.2
-"""Five attempts a second; a recovery makes 34 calls, of the 2,000 a second that all hosts may
-make."""
 
 
 class Term:
@@ -107,7 +99,7 @@
         )
         self._links: dict[LifeKey, tuple[WorkerLink, asyncio.Task[None]]] = {}
         self._opened_clients = 0
-        self._missing_since: dict[WorkerId, Instant] = {}
+        self._worker_list = WorkerListReader(context.registry, self._state, self._handle_workers)
         self._placement_due = asyncio.Event()
         self._group: asyncio.TaskGroup | None = None
         self._ready = False
@@ -130,19 +122,22 @@
             self._group = group
             self._ready = True
             self._open_links()
+            # What the writer fails to store is known to the next term only.
             group.create_task(self._writer.run())
-            group.create_task(self._advice.run())
-            group.create_task(self._remover.run())
-            group.create_task(self._tick())
-            group.create_task(self._run_placement())
-            group.create_task(self._watch_workers())
-            group.create_task(self._feed.run(self._jobs_version, self._ended))
+            for part, run in (
+                ("advice", self._advice.run),
+                ("removal", self._remover.run),
+                ("tick", self._tick),
+                ("placement", self._run_placement),
+                ("worker list", self._worker_list.run),
+                ("job feed", lambda: self._feed.run(self._jobs_version, self._ended)),
+            ):
+                group.create_task(run_guarded(part, run))
 
     async def _extend_leases(self) -> None:
         """Extend the leases of runs that may be in progress, while their jobs are being read."""
-        former_workers = await self._read_repeatedly(
-            lambda: read_former_workers(self._context.table)
-        )
+        table = self._context.table
+        former_workers = await read_repeatedly(lambda: read_former_workers(table), self._epoch)
         lease_ms = self._context.settings.lease_ms
         ends = await asyncio.gather(
             *(
@@ -158,9 +153,10 @@
         self._state.former_leases_end_at = max(self._state.former_leases_end_at, latest)
 
     async def _recover(self) -> None:
-        recovered = await self._read_repeatedly(lambda: read_pool(self._context.table))
-        listed = await self._read_repeatedly(
-            lambda: self._context.registry.read_workers(READ_TIMEOUT_SECONDS)
+        table, registry = self._context.table, self._context.registry
+        recovered = await read_repeatedly(lambda: read_pool(table), self._epoch)
+        listed = await read_repeatedly(
+            lambda: registry.read_workers(READ_TIMEOUT_SECONDS), self._epoch
         )
         self._jobs_version = recovered.jobs_version
         self._writer.add_stored_ends(recovered.end_keys, recovered.ended_jobs)
@@ -185,14 +181,6 @@
             unsettled=sorted(self._state.unconfirmed_workers),
         )
 
-    async def _read_repeatedly(self, read: Callable[[], Awaitable[T]]) -> T:
-        while True:
-            try:
-                return await read()
-            except (Unavailable, OutcomeUnknown) as error:
-                log_warning_event(Event.POOL_RECOVERY_FAILED, epoch=self._epoch, error=str(error))
-                await asyncio.sleep(RETRY_SECONDS)
-
     def apply_configuration(self, configuration: PoolConfiguration) -> None:
         """Use this configuration for decisions from now on."""
         self.handle_event(ConfigurationSet(configuration))
@@ -204,12 +192,27 @@
         self._state.longest_lease_ms = bound_lease_ms(settings.longest_lease_ms)
 
     def handle_event(self, event: PoolEvent) -> None:
-        """Pass an event to the decision core and execute the effects."""
-        for effect in decide_pool(self._state, event, read_instant()):
-            self._execute(effect)
+        """Handle an event; an unexpected error loses the event, or an effect, and not the term."""
+        try:
+            effects = decide_pool(self._state, event, read_instant())
+        except Exception as error:
+            log_internal_error(type(event).__name__, error)
+            return
+        self._execute_all(effects)
         if is_placement_due(self._state):
             self._placement_due.set()
 
+    def _execute_all(self, effects: tuple[PoolEffect, ...]) -> None:
+        for effect in effects:
+            try:
+                self._execute(effect)
+            except Exception as error:
+                log_internal_error(type(effect).__name__, error)
+                if isinstance(effect, StartRun):
+                    # It was not sent, which is the last step of its execution.
+                    run = (effect.worker, effect.life, effect.task, effect.run)
+                    self.handle_event(StartAnswered(*run, StartAnswer.UNHEALTHY))
+
     def _handle_job(self, event: JobAccepted | JobCancelled, version: RowVersion) -> None:
         if isinstance(event, JobAccepted) and event.record.job not in self._state.jobs:
             log_event(
@@ -288,6 +291,9 @@
 
     @_execute.register
     def _(self, effect: GiveUpRun) -> None:
+        link = self._links.get((effect.worker, effect.life))
+        if link is not None:
+            link[0].cancel_start(effect.task, effect.run)
         self._context.metrics.count(Metric.RUN_GIVEN_UP, effect.reason.value)
         self._log_run(
             Event.RUN_GIVEN_UP,
@@ -298,9 +304,6 @@
             report_age_ms=effect.report_age_ms,
             suspected=effect.is_suspected,
         )
-        link = self._links.get((effect.worker, effect.life))
-        if link is not None:
-            link[0].cancel_start(effect.task, effect.run)
 
     @_execute.register
     def _(self, effect: ClearRun) -> None:
@@ -327,11 +330,11 @@
 
     @_execute.register
     def _(self, effect: RecordRun | RecordFinal | RecordWorkers) -> None:
+        self._writer.queue(effect)
         if isinstance(effect, RecordRun):
             self._context.metrics.count(Metric.RUN_ENDED, effect.record.end.value)
         elif isinstance(effect, RecordFinal):
             self._context.metrics.count(Metric.JOB_ENDED, effect.final.state.value)
-        self._writer.queue(effect)
 
     @_execute.register
     def _(self, effect: ReleaseWorker) -> None:
@@ -384,27 +387,8 @@
             await self._placement_due.wait()
             await asyncio.sleep(PLACEMENT_DELAY_SECONDS)
             self._placement_due.clear()
-            for effect in place_pool(self._state, read_instant()):
-                self._execute(effect)
+            self._execute_all(place_pool(self._state, read_instant()))
 
-    async def _watch_workers(self) -> None:
-        while True:
-            try:
-                listed = await self._context.registry.read_workers(LIST_TIMEOUT_SECONDS)
-            except (Unavailable, OutcomeUnknown) as error:
-                log_event(Event.HOST_LIST_UNAVAILABLE, error=str(error))
-            else:
-                self._handle_listed(listed)
-            await asyncio.sleep(WORKERS_INTERVAL_SECONDS)
-
-    def _handle_listed(self, listed: tuple[ListedWorker, ...]) -> None:
-        now = read_instant()
-        present = {each.worker for each in listed}
-        kept = list(listed)
-        for worker in self._state.workers.values():
-            if worker.worker in present or not worker.is_listed:
-                self._missing_since.pop(worker.worker, None)
-            elif now < self._missing_since.setdefault(worker.worker, now) + WORKER_REMOVAL_DELAY_MS:
-                kept.append(worker.listed)
-        self.handle_event(WorkersListed(tuple(kept)))
+    def _handle_workers(self, listed: tuple[ListedWorker, ...]) -> None:
+        self.handle_event(WorkersListed(listed))
         self._open_links()
