--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Container
+from collections.abc import Awaitable, Callable, Container
 from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 
-from lentilpath_core.errors import InvalidJob
-from lentilpath_core.ids import JobId, RowVersion, WallTime
+from lentilpath_core.errors import InvalidJob, OutcomeUnknown, Unavailable
+from lentilpath_core.ids import Epoch, JobId, RowVersion, WallTime
 from lentilpath_core.pool import (
     FinalRecord,
     JobAccepted,
@@ -45,6 +46,8 @@
 )
 from lentilpathd._pool._worker_rows import WORKER_KEYS_END, decode_workers
 
+T = TypeVar("T")
+
 READ_TIMEOUT_SECONDS = 3.0
 """All partitions are read concurrently; a read takes 0.4 s while the table is 100 times slower."""
 MAX_CONCURRENT_READS = 32
@@ -56,6 +59,11 @@
 10.4 s, and the difference between the hosts' clocks."""
 
 
+RETRY_SECONDS = 0.2
+"""Five attempts a second; a recovery makes 34 calls, of the 2,000 a second that all hosts may
+make."""
+
+
 @dataclass(frozen=True, slots=True)
 class RecoveredPool:
     """The stored state of a pool, as events for the decision core."""
@@ -171,6 +179,16 @@
     return found
 
 
+async def read_repeatedly(read: Callable[[], Awaitable[T]], epoch: Epoch) -> T:
+    """Read until it succeeds, and return what was read."""
+    while True:
+        try:
+            return await read()
+        except (Unavailable, OutcomeUnknown) as error:
+            log_warning_event(Event.POOL_RECOVERY_FAILED, epoch=epoch, error=str(error))
+            await asyncio.sleep(RETRY_SECONDS)
+
+
 async def read_former_workers(table: PartitionedTable) -> tuple[ListedWorker, ...]:
     """Read the workers that an earlier leader used; raises `Unavailable` or `OutcomeUnknown`."""
     read = await table.read_partition(
--- a/packages/lentilpathd/src/lentilpathd/_pool/_worker_watch.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_worker_watch.py
@@ -11,6 +11,7 @@
 from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_event
 from lentilpathd._pool._ports import Registry
+from lentilpathd._pool._recovery import READ_TIMEOUT_SECONDS
 
 INTERVAL_SECONDS = 0.7
 """Half of the interval between workers' own reports."""
@@ -27,6 +28,12 @@
 """In this time after the last failed read, each worker reports once."""
 
 
+async def read_list(registry: Registry) -> tuple[tuple[ListedWorker, ...], Instant]:
+    """Return the list and when it was requested; raises `Unavailable` or `OutcomeUnknown`."""
+    sent_at = read_instant()
+    return await registry.read_workers(READ_TIMEOUT_SECONDS), sent_at
+
+
 class WorkerWatch:
     """Delivers the list of workers until cancelled, without those that have long been missing."""
 
