--- a/benches/pool/deciders.py
+++ b/benches/pool/deciders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -22,6 +23,7 @@
     AdviceAnswered,
     AskAdvice,
     ConfigurationSet,
+    CustomerPolicy,
     EndedRun,
     FinalsRecorded,
     JobAccepted,
@@ -32,6 +34,7 @@
     Permission,
     PoolConfiguration,
     PoolEffect,
+    PoolEvent,
     QueueId,
     QueueLoad,
     RecordFinal,
@@ -41,6 +44,7 @@
     RunNumber,
     RunsRecorded,
     ServicePolicy,
+    ShareLoads,
     StartAnswer,
     StartAnswered,
     StartRun,
@@ -56,8 +60,10 @@
     create_pool,
     decide_admission,
     decide_pool,
+    decide_share_admission,
     is_placement_due,
     measure_loads,
+    measure_shares,
     place_pool,
 )
 from lentilpath_core.resources import Resources
@@ -148,46 +154,62 @@
 class PoolDecider:
     """The pool's decisions, with records that become durable one tick later."""
 
-    def __init__(self, site: Site) -> None:
+    def __init__(self, site: Site, customers: Iterable[CustomerPolicy] = ()) -> None:
         self._site = site
-        self._state = create_pool(Epoch(1), Instant(0))
+        self.state = create_pool(Epoch(1), Instant(0))
         self._effects: list[PoolEffect] = []
         self._pending_records: list[RecordRun | RecordFinal] = []
         self._loads: dict[str, QueueLoad] = {}
+        self._shares: ShareLoads | None = None
         self._measured_at = -site.digest_interval_ms
         queues = {QueueId(kind.name): make_policy(kind) for kind in site.kinds}
         services = {SERVICE: ServicePolicy(SERVICE)}
         self._queues = queues
-        self._apply_event(
-            ConfigurationSet(PoolConfiguration(ConfigVersion(1), queues, services)), 0
+        known = {each.customer: each for each in customers}
+        self.apply_event(
+            ConfigurationSet(
+                PoolConfiguration(
+                    ConfigVersion(1),
+                    queues,
+                    services,
+                    known,
+                    requires_keys=bool(known),
+                )
+            ),
+            0,
         )
         workers = list_workers(site)
-        self._apply_event(WorkersListed(workers), 0)
-        self._apply_event(WorkersRecorded(tuple((each.worker, LIFE) for each in workers)), 0)
+        self.apply_event(WorkersListed(workers), 0)
+        self.apply_event(WorkersRecorded(tuple((each.worker, LIFE) for each in workers)), 0)
 
-    def _apply_event(self, event, now: int) -> None:  # type: ignore[no-untyped-def]
-        self._effects.extend(decide_pool(self._state, event, Instant(now)))
+    def apply_event(self, event: PoolEvent, now: int) -> None:
+        """Apply an event of the pool and keep its effects for the next decision."""
+        self._effects.extend(decide_pool(self.state, event, Instant(now)))
 
     def submit(self, job: SimulatedJob, now: int) -> int | None:
         """Submit a job; see `Decider`."""
         if now >= self._measured_at + self._site.digest_interval_ms:
-            self._loads, self._measured_at = measure_loads(self._state, Instant(now)), now
+            self._loads, self._measured_at = measure_loads(self.state, Instant(now)), now
+            self._shares = measure_shares(self.state, Instant(now))
         load = self._loads.get(job.record.queue)
-        retry_ms = decide_admission(job.record, self._queues[job.record.queue], load)
+        policy = self._queues[job.record.queue]
+        retry_ms = decide_admission(job.record, policy, load)
+        if retry_ms is None and self._shares is not None:
+            retry_ms = decide_share_admission(job.record, policy, load, self._shares)
         if retry_ms is None:
-            self._apply_event(JobAccepted(job.record), now)
+            self.apply_event(JobAccepted(job.record), now)
         return retry_ms
 
     def cancel(self, job: JobId, now: int) -> None:
         """Cancel a job; see `Decider`."""
-        self._apply_event(JobCancelled(job), now)
+        self.apply_event(JobCancelled(job), now)
 
     def handle_advice(
         self, step: StepKey, asked: tuple[WorkerId, ...], allowed: tuple[WorkerId, ...], now: int
     ) -> None:
         """Handle a response of the advice service; see `Decider`."""
         permissions = tuple(Permission(each, "t") for each in allowed)
-        self._apply_event(AdviceAnswered(step, asked, permissions, Instant(now + 2_400)), now)
+        self.apply_event(AdviceAnswered(step, asked, permissions, Instant(now + 2_400)), now)
 
     def handle_report(
         self,
@@ -205,12 +227,12 @@
                 for number, task, run, end, checkpoint in ended
             ),
         )
-        self._apply_event(LeaseSent(worker, LIFE, Instant(now + LEASE_MS)), now)
-        self._apply_event(WorkerReported(worker, LIFE, report, Instant(now)), now)
+        self.apply_event(LeaseSent(worker, LIFE, Instant(now + LEASE_MS)), now)
+        self.apply_event(WorkerReported(worker, LIFE, report, Instant(now)), now)
 
     def mark_leaving(self, workers: set[WorkerId], now: int) -> None:
         """Mark workers as leaving; see `Decider`."""
-        self._apply_event(WorkersListed(list_workers(self._site, workers)), now)
+        self.apply_event(WorkersListed(list_workers(self._site, workers)), now)
 
     def decide(self, now: int, table_unavailable: bool) -> Actions:
         """Return the actions to execute now; see `Decider`."""
@@ -219,9 +241,9 @@
             for record in records:
                 self._record_stored(record, now)
         if now % 250 == 0:
-            self._apply_event(TimePassed(WallTime(now)), now)
-        if not self._site.digest_interval_ms or is_placement_due(self._state):
-            self._effects.extend(place_pool(self._state, Instant(now)))
+            self.apply_event(TimePassed(WallTime(now)), now)
+        if not self._site.digest_interval_ms or is_placement_due(self.state):
+            self._effects.extend(place_pool(self.state, Instant(now)))
         actions = Actions()
         effects, self._effects = self._effects, []
         for effect in effects:
@@ -230,7 +252,7 @@
                 answered = StartAnswered(
                     effect.worker, LIFE, effect.task, effect.run, StartAnswer.STARTED
                 )
-                self._apply_event(answered, now)
+                self.apply_event(answered, now)
             elif isinstance(effect, StopRun):
                 actions.stops.append((effect.task, effect.run, effect.worker))
             elif isinstance(effect, AskAdvice):
@@ -243,9 +265,9 @@
 
     def _record_stored(self, record: RecordRun | RecordFinal, now: int) -> None:
         if isinstance(record, RecordRun):
-            self._apply_event(RunsRecorded(((record.task, record.record),)), now)
+            self.apply_event(RunsRecorded(((record.task, record.record),)), now)
         else:
-            self._apply_event(FinalsRecorded(((record.job, record.final),)), now)
+            self.apply_event(FinalsRecorded(((record.job, record.final),)), now)
 
 
 @dataclass(slots=True)
--- a/make/bench.mk
+++ b/make/bench.mk
@@ -31,3 +31,10 @@
 
 measure-contention: setup
 	$(BIN)/python -m benches.pool.contention
+
+# What one customer at six times its usual load leaves to nineteen others, and the cost of a pass.
+.PHONY: measure-customers
+
+measure-customers: setup
+	$(BIN)/python -m benches.pool.customers
+	$(BIN)/python -m benches.pool.customers passes
