--- a/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
@@ -98,6 +98,7 @@
     WorkerReport,
     get_completion_objective_ms,
 )
+from lentilpath_core.pool._pauses import PauseWatch
 from lentilpath_core.pool._share_admission import (
     ShareLoads,
     decide_share_admission,
@@ -140,6 +141,7 @@
     "Obstacle",
     "ObstacleCount",
     "PaceRun",
+    "PauseWatch",
     "Permission",
     "PoolConfiguration",
     "PoolEffect",
