Pool: writes are held while no path to the table answers

Cause: a host noticed an outage only after two calls had waited for 0.6 to 1.5 s. Writes that were sent until then were in doubt. Writes after that were not sent, but the leader was asked only once whether an earlier try was stored, for 0.4 s; without its answer the caller got 504.

Callers saw 504, which ends their retries, for submissions that had not been sent anywhere. No host was ready during an outage, so that calls ended without having reached one.

Change: - A circuit breaker (_breaker.py, pure) for the direct path and for each partition and path. Notices of jobs that may be stored are repeated until the leader has acknowledged them. - Retry-After is 1 to 3 s by the job's id. A host is ready while the leader answers it. - Only an answer to a call that was not sent before the unanswered one shows that the path works; a long poll from before the outage made the path count as up. - Gauges table.breaker_open and table.calls_held, events LP560 to LP563.

Tests changed: the direct path's constants moved to _direct_path.py.

--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -130,6 +130,10 @@
         "a worker of the previous leader did not answer the new leader's first renewal",
     )
     KEY_REFUSED = (552, "a call carried no key, or one that is not in force")
+    WRITES_UNANSWERED = (560, "writes to a partition of the table get no answer on one path")
+    WRITES_ANSWERED = (561, "writes to a partition of the table are answered again on one path")
+    CALLS_HELD = (562, "callers' writes are held until the table answers")
+    CALLS_RELEASED = (563, "no callers' writes are held any more")
     RUN_PACED = (537, "the throttling of a filling run was changed")
     PACE_UNANSWERED = (
         538,
--- a/packages/lentilpathd/src/lentilpathd/_metrics.py
+++ b/packages/lentilpathd/src/lentilpathd/_metrics.py
@@ -41,6 +41,8 @@
     ADVICE_TIME = "advice.time"
     DEPENDENCY_FAILED = "dependencies.failed"
     IS_LEADER = "leadership.is_leader"
+    BREAKER_OPEN = "table.breaker_open"
+    CALLS_HELD = "table.calls_held"
 
 
 class Metrics:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -135,12 +135,16 @@
         self.bus.handle(UNCLEAR_TOPIC, self._handle_unclear_notice)
 
     def is_ready(self) -> bool:
-        """Return whether the load balancer may route callers to this host."""
-        return (
-            self.configuration.get_current() is not None
-            and not self.stopping.is_set()
-            and self.table.is_open(read_instant())
-        )
+        """Return whether the load balancer may route callers to this host.
+
+        While the table is unresponsive it may, if the leader answers: calls are held, and those
+        that cannot be written in time are refused truthfully.
+        """
+        if self.configuration.get_current() is None or self.stopping.is_set():
+            return False
+        now = read_instant()
+        is_leader_known = self.is_leading() or self.heartbeat_sender.has_recent_digest(now)
+        return is_leader_known or self.table.is_open(now)
 
     def may_check_keys(self, configuration: PoolConfiguration, queue: QueuePolicy) -> bool:
         """Return whether the configuration is recent enough to accept a key for this queue."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -26,6 +27,9 @@
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._metrics import Metric
 from lentilpathd._pool._context import PoolContext
+from lentilpathd._pool._held_calls import HeldCall
+from lentilpathd._pool._holding import CallHolder
+from lentilpathd._pool._leader_query import LeaderQuery
 from lentilpathd._pool._messages import (
     NOTICE_TOPIC,
     STATE_TOPIC,
@@ -48,7 +52,7 @@
     get_job_partitions,
     make_final_key,
 )
-from lentilpathd._pool._settling import PartitionHealth, settle_write
+from lentilpathd._pool._settling import PartitionHealth, Stored, settle_write
 from lentilpathd._ports import ABSENT
 
 READ_TIMEOUT_SECONDS = 0.8
@@ -57,13 +61,16 @@
 STATE_TIMEOUT_SECONDS = 0.4
 """Half the timeout of the table read that follows if the leader does not answer."""
 TABLE_UNAVAILABLE_RETRY_MS = 1_000
-"""Retry-after of a refused request while the table does not answer."""
-SETTLE_DEADLINE_SHARE = 0.9
-"""Share of a caller's deadline spent on a write of unknown outcome, since many callers must not
-resubmit a job that may have been accepted. The rest is for the way of the answer."""
+"""Shortest retry-after of a refused request while the table does not answer."""
+RETRY_SPREAD_STEPS = 3
+"""Callers return in one of three seconds, by the job's id, so that the first does not get all."""
 NOTICE_TIMEOUT_SECONDS = 0.4
 """Longer than the job feed's pause; beyond it the feed delivers the job sooner."""
 
+UNCLEAR_NOTICE_ATTEMPTS = 20
+"""With the timeout and pauses at least 8 s, several times the answer time of the submission, so
+that a later submission of the job is not refused by a leader that was silent for a moment."""
+
 
 class SubmissionResult(Enum):
     """Outcome of a submission."""
@@ -89,6 +96,7 @@
     def __init__(self, context: PoolContext) -> None:
         self._context = context
         self._partition_health = PartitionHealth()
+        self._holder = CallHolder(context.table.can_write, context.metrics)
         self._pending_notices: set[asyncio.Future[None]] = set()
 
     async def submit(
@@ -113,24 +121,35 @@
         if refusal_ms is not None:
             log_event(Event.JOB_REFUSED, job=record.job, queue=record.queue, load=load)
             return SubmissionAnswer(SubmissionResult.REFUSED, refusal_ms)
-        return await self._store(record, Instant(int(now + deadline_ms * SETTLE_DEADLINE_SHARE)))
-
-    async def _store(self, record: JobRecord, give_up_at: Instant) -> SubmissionAnswer:
         row = (record.job, encode_record(record))
         transactions = tuple(
             PartitionTransaction(JOBS_TABLE, part, checks=((record.job, ABSENT),), puts=(row,))
             for part in get_job_partitions(record.job)
         )
+        call = _make_call(record.job, policy.priority, now, deadline_ms, transactions)
+        query = LeaderQuery(self._query_state, record.job, call.get_query_until())
+        try:
+            return await self._store(record, call, transactions, query)
+        except TableUnavailable as error:
+            return await self._answer_unsent(record.job, error, query)
+        finally:
+            query.cancel()
+
+    async def _store(
+        self,
+        record: JobRecord,
+        call: HeldCall,
+        transactions: tuple[PartitionTransaction, ...],
+        query: LeaderQuery,
+    ) -> SubmissionAnswer:
+        """Store a job; raises `TableUnavailable` if nothing was sent to the table."""
         try:
-            transaction, commit = await settle_write(
-                self._context.table,
-                self._partition_health,
+            transaction, commit = await self._write_when_answered(
+                call,
                 transactions,
-                give_up_at,
                 lambda error: self._report_unclear(record.job, error),
+                query.start,
             )
-        except TableUnavailable as error:
-            return await self._answer_unsent(record.job, error)
         except OutcomeUnknown:
             return SubmissionAnswer(SubmissionResult.UNCLEAR)
         # An existing row belongs to this job: this submission or an earlier one stored it.
@@ -148,26 +167,60 @@
         )
         return SubmissionAnswer(SubmissionResult.ACCEPTED)
 
+    async def _write_when_answered(
+        self,
+        call: HeldCall,
+        transactions: tuple[PartitionTransaction, ...],
+        report_unclear: Callable[[Exception], None],
+        report_held: Callable[[], object] = lambda: None,
+    ) -> Stored:
+        """Write one of the transactions, once a path to the table answers.
+
+        Raises `TableUnavailable` if nothing was sent, and `OutcomeUnknown`; see `settle_write`.
+        """
+        table = self._context.table
+        while True:
+            if not table.can_write(call.partitions):
+                report_held()
+                if not await self._holder.wait(call):
+                    raise TableUnavailable("the table does not answer in time for this call")
+            try:
+                return await settle_write(
+                    table,
+                    self._partition_health,
+                    transactions,
+                    call.get_settle_until(),
+                    report_unclear,
+                )
+            except TableUnavailable:
+                # Nothing was sent. If all paths are unresponsive by now, the call is held.
+                if table.can_write(call.partitions):
+                    raise
+
     def _report_unclear(self, job: JobId, error: Exception) -> None:
         if not self._context.unclear_jobs.has(job, read_instant()):
             self.mark_unclear(job)
         log_event(Event.JOB_UNCLEAR, job=job, error=str(error))
 
-    async def _answer_unsent(self, job: JobId, error: TableUnavailable) -> SubmissionAnswer:
+    async def _answer_unsent(
+        self, job: JobId, error: TableUnavailable, query: LeaderQuery
+    ) -> SubmissionAnswer:
         """Answer a submission whose write was not sent to the table.
 
         An earlier submission may have stored the same job, in which case a refusal would be wrong.
-        The leader knows whether it did; without the leader's answer the result is `UNCLEAR`.
+        The leader knows whether it did; without the leader's answer the result is `UNCLEAR`. It is
+        asked while the call is held, so that its answer is there in time.
         """
-        reply = await self._query_state(job)
-        if reply is None or reply.is_unclear:
+        reply = await query.get_reply()
+        is_marked = self._context.unclear_jobs.has(job, read_instant())
+        if reply is None or reply.is_unclear or is_marked:
             log_event(Event.JOB_UNCLEAR, job=job, error=str(error))
             return SubmissionAnswer(SubmissionResult.UNCLEAR)
         if reply.state:
             log_event(Event.JOB_STORED, job=job, repeated=True, state=reply.state)
             return SubmissionAnswer(SubmissionResult.ACCEPTED)
         log_event(Event.JOB_NOT_STORED, job=job, error=str(error))
-        return SubmissionAnswer(SubmissionResult.REFUSED, TABLE_UNAVAILABLE_RETRY_MS)
+        return SubmissionAnswer(SubmissionResult.REFUSED, spread_retry_ms(job))
 
     def mark_unclear(self, job: JobId) -> None:
         """Record that the job may be stored and notify the leader, so that no host refuses it."""
@@ -187,13 +240,18 @@
 
     async def _send_to_leader(self, topic: str, message: JobNotice | UnclearNotice) -> None:
         leader = self._context.heartbeat_sender.get_leader()
-        if leader is None or leader == self._context.settings.host:
-            return
-        try:
-            await self._context.bus.ask(leader, topic, message, Empty, NOTICE_TIMEOUT_SECONDS)
-        except LentilpathError as error:
-            # The leader's job feed delivers stored jobs even if this notice is lost.
-            log_event(Event.LEADER_SILENT, leader=leader, error=str(error))
+        attempts = UNCLEAR_NOTICE_ATTEMPTS if topic == UNCLEAR_TOPIC else 1
+        for _ in range(attempts):
+            if leader is None or leader == self._context.settings.host:
+                return
+            try:
+                await self._context.bus.ask(leader, topic, message, Empty, NOTICE_TIMEOUT_SECONDS)
+                return
+            except LentilpathError as error:
+                # The leader's job feed delivers stored jobs even if this notice is lost.
+                log_event(Event.LEADER_SILENT, leader=leader, error=str(error))
+            await asyncio.sleep(NOTICE_TIMEOUT_SECONDS)
+            leader = self._context.heartbeat_sender.get_leader()
 
     async def get_state(self, job: JobId, caller: CustomerId = NO_CUSTOMER) -> JobState | None:
         """Return the state of a job of `caller`, or `None` if there is no such job.
@@ -261,24 +319,24 @@
             raise failures[0]
         return None
 
-    async def cancel(self, job: JobId, deadline_ms: int, caller: CustomerId = NO_CUSTOMER) -> bool:
-        """Cancel a job of `caller`; return whether it exists.
+    async def cancel(
+        self, job: JobId, deadline_ms: int, caller: CustomerId = NO_CUSTOMER, urgency: int = 0
+    ) -> bool:
+        """Cancel a job of `caller`, from a queue of priority `urgency`; return whether it exists.
 
         Raises `NotPermitted` if the job belongs to another customer, `Unavailable` if the
         cancellation is certainly not stored, and `OutcomeUnknown` if it may be.
         """
-        give_up_at = Instant(int(read_instant() + deadline_ms * SETTLE_DEADLINE_SHARE))
+        now = read_instant()
         if not await self._is_known(job, caller):
             return False
         row = (get_cancel_key(job), b"1")
         transactions = tuple(
             PartitionTransaction(JOBS_TABLE, part, puts=(row,)) for part in get_job_partitions(job)
         )
-        transaction, commit = await settle_write(
-            self._context.table,
-            self._partition_health,
+        transaction, commit = await self._write_when_answered(
+            _make_call(job, urgency, now, deadline_ms, transactions),
             transactions,
-            give_up_at,
             lambda error: log_event(Event.CANCEL_UNCLEAR, job=job, error=str(error)),
         )
         self._notify_leader(transaction, commit.version)
@@ -297,6 +355,23 @@
         return load.pending if load is not None else None
 
 
+def spread_retry_ms(job: JobId) -> int:
+    """Return when to retry a call about a job that was refused while the table did not answer."""
+    return TABLE_UNAVAILABLE_RETRY_MS * (1 + int(job, 16) % RETRY_SPREAD_STEPS)
+
+
+def _make_call(
+    job: JobId,
+    urgency: int,
+    now: Instant,
+    deadline_ms: int,
+    transactions: tuple[PartitionTransaction, ...],
+) -> HeldCall:
+    size_bytes = sum(len(value) for _, value in transactions[0].puts)
+    partitions = tuple(each.part for each in transactions)
+    return HeldCall(job, urgency, now, deadline_ms, size_bytes, partitions)
+
+
 def _read_owner(row: PartitionRow) -> CustomerId:
     """Return the customer of a stored job; a job whose row cannot be decoded is open to all."""
     try:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_members.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_members.py
@@ -225,9 +225,13 @@
         """Store a digest that arrived, or was made on this host, at `now`."""
         self._digest, self._digest_at = digest, now
 
+    def has_recent_digest(self, now: Instant) -> bool:
+        """Return whether a leader has answered a heartbeat lately."""
+        return self._digest is not None and now <= self._digest_at + DIGEST_VALID_MS
+
     def get_load(self, queue: str, now: Instant) -> QueueLoad | None:
         """Return the load of a queue, or `None` if it is unknown or the digest is too old."""
-        if self._digest is None or now > self._digest_at + DIGEST_VALID_MS:
+        if self._digest is None or not self.has_recent_digest(now):
             return None
         return self._digest.queues.get(queue)
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
@@ -33,6 +33,8 @@
 _GAUGES: dict[Metric, tuple[str, ...]] = {
     Metric.JOBS_PENDING: ("queue",),
     Metric.IS_LEADER: (),
+    Metric.BREAKER_OPEN: ("partition", "path"),
+    Metric.CALLS_HELD: (),
 }
 _MS_PER_SECOND = 1_000
 
--- a/packages/lentilpathd/src/lentilpathd/pool.py
+++ b/packages/lentilpathd/src/lentilpathd/pool.py
@@ -5,10 +5,10 @@
 from lentilpathd._pool._adapter_log import log_unanswered_job, log_unreadable_entry
 from lentilpathd._pool._host import Handler, PlatformPorts, PoolHost, run_pool_host
 from lentilpathd._pool._jobs import (
-    TABLE_UNAVAILABLE_RETRY_MS,
     Jobs,
     SubmissionAnswer,
     SubmissionResult,
+    spread_retry_ms,
 )
 from lentilpathd._pool._ports import (
     Advice,
@@ -28,7 +28,6 @@
 from lentilpathd._pool._settings import PoolHostSettings
 
 __all__ = [
-    "TABLE_UNAVAILABLE_RETRY_MS",
     "Advice",
     "AdviceService",
     "Handler",
@@ -54,4 +53,5 @@
     "read_wall_time",
     "run_pool_host",
     "set_up_structured_log",
+    "spread_retry_ms",
 ]
--- a/tests/cover/test_pool_answers.py
+++ b/tests/cover/test_pool_answers.py
@@ -40,6 +40,9 @@
     def get_commit_timeout(self) -> float:
         return 0.1
 
+    def can_write(self, partitions: tuple[str, ...]) -> bool:
+        return True
+
     def get_returned_at(self) -> Instant:
         return Instant(0)
 
--- a/tests/cover/test_pool_table_path.py
+++ b/tests/cover/test_pool_table_path.py
@@ -18,9 +18,10 @@
 from lentilpath_core.ids import HostId, Incarnation, RowVersion, ZoneId
 from lentilpath_core.peers import PeerRequest
 from lentilpathd._peers import PeerBus, PeerHandler
+from lentilpathd._pool._direct_path import FAILURE_THRESHOLD
 from lentilpathd._pool._metrics import PoolMetrics
 from lentilpathd._pool._ports import PartitionTransaction
-from lentilpathd._pool._table_path import FAILURE_THRESHOLD, TablePath
+from lentilpathd._pool._table_path import TablePath
 from tests.common.tables import OnePartitionTable
 
 PUT = PartitionTransaction("lentilpath-jobs", "0", puts=(("a", b"\x00value"),))
