--- a/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
@@ -40,6 +40,8 @@
     Metric.IS_LEADER: (),
     Metric.CUSTOMER_RUNNING: ("customer",),
     Metric.CUSTOMER_WAITING: ("customer",),
+    Metric.BREAKER_OPEN: ("partition", "path"),
+    Metric.CALLS_HELD: (),
 }
 _MS_PER_SECOND = 1_000
 
--- a/packages/lentilpathd/src/lentilpathd/pool.py
+++ b/packages/lentilpathd/src/lentilpathd/pool.py
@@ -9,12 +9,7 @@
     log_unreadable_row,
 )
 from lentilpathd._pool._host import Handler, PlatformPorts, PoolHost, run_pool_host
-from lentilpathd._pool._jobs import (
-    TABLE_UNAVAILABLE_RETRY_MS,
-    Jobs,
-    SubmissionAnswer,
-    SubmissionResult,
-)
+from lentilpathd._pool._jobs import Jobs, spread_retry_ms
 from lentilpathd._pool._ports import (
     Advice,
     AdviceService,
@@ -30,10 +25,10 @@
     Registry,
     WorkerFactory,
 )
+from lentilpathd._pool._refusals import SubmissionAnswer, SubmissionResult
 from lentilpathd._pool._settings import PoolHostSettings
 
 __all__ = [
-    "TABLE_UNAVAILABLE_RETRY_MS",
     "Advice",
     "AdviceService",
     "Handler",
@@ -61,4 +56,5 @@
     "read_wall_time",
     "run_pool_host",
     "set_up_structured_log",
+    "spread_retry_ms",
 ]
--- a/tests/cover/test_pool_answers.py
+++ b/tests/cover/test_pool_answers.py
@@ -10,13 +10,22 @@
 
 from lentilpath_core.errors import LentilpathError, OutcomeUnknown, TableUnavailable
 from lentilpath_core.ids import HostId, Instant, JobId
-from lentilpath_core.pool import NO_CUSTOMER, JobState, PoolConfiguration, QueueId, ServicePolicy
+from lentilpath_core.pool import (
+    NO_CUSTOMER,
+    JobState,
+    PoolConfiguration,
+    QueueId,
+    QueueLoad,
+    ServicePolicy,
+)
 from lentilpath_http import HttpRequest, HttpResponse
 from lentilpath_platform.callers import make_callers_handler
+from lentilpathd._clock import read_instant
 from lentilpathd._pool._jobs import Jobs
 from lentilpathd._pool._members import UnclearJobs
 from lentilpathd._pool._metrics import PoolMetrics
-from tests.common.pools import SERVICE, make_queue
+from lentilpathd._pool._refusals import SubmissionResult
+from tests.common.pools import SERVICE, make_job_id, make_queue, make_record
 from tests.common.tables import OnePartitionTable
 
 JOB = JobId("00000000000000ab")
@@ -40,6 +49,9 @@
     def get_commit_timeout(self) -> float:
         return 0.1
 
+    def can_write(self, partitions: tuple[str, ...]) -> bool:
+        return True
+
     def get_returned_at(self) -> Instant:
         return Instant(0)
 
@@ -109,3 +121,24 @@
     response = call("GET", make_jobs(table, state=None))
     assert response.status == 503
     assert response.get_header("retry-after")
+
+
+@pytest.mark.parametrize(
+    ("state", "is_unclear", "status"),
+    [
+        (JobState.QUEUED, False, SubmissionResult.ACCEPTED),
+        (None, True, SubmissionResult.UNCLEAR),
+        (None, False, SubmissionResult.REFUSED),
+    ],
+)
+def test_a_full_pool_refuses_no_job_that_an_earlier_submission_has_stored(
+    state, is_unclear, status
+):
+    """Guards against a refusal after a lost answer: "not accepted" of a job that runs."""
+    jobs = make_jobs(ScriptedTable(), state)
+    context = cast(Any, jobs)._context
+    context.heartbeat_sender.get_load = lambda queue, now: QueueLoad(500, 10**6)
+    if is_unclear:
+        context.unclear_jobs.add(make_job_id(1), read_instant())
+    answer = asyncio.run(jobs.submit(make_record(1), QUEUE, 400))
+    assert answer.result is status
