--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -311,7 +311,7 @@
     async def _answer_expired(self, effect: StartRun, is_repeated: bool) -> StartAnswer | None:
         """Answer a start whose ticket has expired; an earlier command may have started the run."""
         log_event(
-            Event.WOKE_LATE,
+            Event.COMMAND_EXPIRED,
             worker=effect.worker,
             task=format_task(effect.task),
             run=effect.run,
