--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -142,7 +142,10 @@
     JOBS_NOT_REMOVED = (539, "rows of old jobs could not be deleted; retrying")
     INTERNAL_ERROR = (570, "an unexpected error was caught; the process continues without it")
     ROW_UNREADABLE = (571, "a stored row cannot be used and is skipped")
-    COMMAND_EXPIRED = (573, "a command was not sent: its permission expired while the process was paused")
+    COMMAND_EXPIRED = (
+        573,
+        "a command was not sent: its permission expired while the process was paused",
+    )
     PEER_ANSWER_UNREADABLE = (572, "a peer's answer cannot be read; it counts as no answer")
 
     @property
