--- a/packages/lentilpath-core/src/lentilpath_core/pool/_advice.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_advice.py
@@ -26,6 +26,12 @@
 """Largest number of workers that one advice call may name."""
 MIN_WORKERS_ASKED = 30
 """Calls about fewer workers are hardly shorter, and leave a step little choice."""
+MAX_BACKLOG_MS = 600
+"""No call is requested while the calls that wait for a host take each host this long. A plan holds
+its places for 1,000 ms more than its call takes. If answers came later, the places would be held by
+the plans of other steps, whose answers would come too late as well."""
+TOO_LATE_BACKLOG_MS = 300
+"""The same for steps that are too late to be of value, so that others find room before them."""
 SLOT_COVERAGE = 2.0
 """Slots that the allowed workers should have for each waiting task. Other steps take some of the
 slots while the call is made."""
@@ -53,6 +59,19 @@
     return now < step.next_ask_at or (bool(step.asking) and now < step.asking_until)
 
 
+def may_request_advice(state: PoolState, rank: Rank) -> bool:
+    """Return whether the service would answer another call soon enough."""
+    limit_ms = TOO_LATE_BACKLOG_MS if rank.tier == 2 else MAX_BACKLOG_MS
+    return not state.advice_hosts or state.advice_backlog_ms < limit_ms * state.advice_hosts
+
+
+def may_start_or_ask(state: PoolState, step: Step, rank: Rank, now: Instant) -> bool:
+    """Return whether the step may have a fresh ticket, or may ask for one."""
+    if not needs_advice(step) or now + TICKET_MARGIN_MS <= step.tickets_valid_until:
+        return True
+    return may_request_advice(state, rank)
+
+
 def ask_about_new_workers(
     state: PoolState, step: Step, candidates: list[Worker], rank: Rank, now: Instant
 ) -> tuple[AskAdvice, ...]:
@@ -61,16 +80,16 @@
     Several calls are made at the same time, by different hosts. Nothing is asked while an answer
     is awaited.
     """
-    if is_awaiting_advice(step, now):
+    if is_awaiting_advice(step, now) or not may_request_advice(state, rank):
         return ()
     unasked = [each for each in candidates if each.worker not in step.asked_workers]
     if not unasked:
         return ()
-    return request_advice(step, _choose_workers(state, step, unasked), rank, now)
+    return request_advice(state, step, _choose_workers(state, step, unasked), rank, now)
 
 
 def request_advice(
-    step: Step, workers: list[WorkerId], rank: Rank, now: Instant
+    state: PoolState, step: Step, workers: list[WorkerId], rank: Rank, now: Instant
 ) -> tuple[AskAdvice, ...]:
     """Return the calls about these workers, and note that their answers are awaited."""
     policy = _get_policy(step)
@@ -79,6 +98,7 @@
         for part in _split_calls(policy, workers)
     )
     longest_ms = max(call.cost_ms for call in calls)
+    state.advice_backlog_ms += sum(call.cost_ms for call in calls)
     step.asking.update(workers)
     step.asking_until = Instant(int(now + ANSWER_TIMEOUT_MS + longest_ms))
     return calls
@@ -140,6 +160,8 @@
     step.asked_workers.update(asked)
     tickets = step.tickets if step.tickets is not None else {}
     step.tickets = tickets
+    if allowed:
+        step.tickets_valid_until = max(step.tickets_valid_until, valid_until)
     for permission in allowed:
         tickets[permission.worker] = Ticket(permission.ticket, valid_until)
     if asked:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -14,6 +14,8 @@
     ask_about_new_workers,
     has_fresh_ticket,
     is_awaiting_advice,
+    may_request_advice,
+    may_start_or_ask,
     needs_advice,
     record_answer,
     request_advice,
@@ -77,7 +79,7 @@
     remaining: list[tuple[Rank, Step, list[Worker]]] = []
     unplaced = 0
     for rank, step in ranked:
-        if not _needs_places(state, step, now):
+        if not _needs_places(state, step, now) or not may_start_or_ask(state, step, rank, now):
             continue
         candidates = _list_candidates(step, schedulable)
         if step.tickets is None and needs_advice(step):
@@ -248,8 +250,10 @@
         places = stale
     if is_awaiting_advice(step, now) or step.key not in state.open_steps:
         return tuple(effects)
+    if not may_request_advice(state, rank):
+        return tuple(effects)
     workers = list(dict.fromkeys(worker.worker for worker in places.values()))
-    calls = request_advice(step, workers, rank, now)
+    calls = request_advice(state, step, workers, rank, now)
     hold_ms = max(call.cost_ms for call in calls) + PLAN_MARGIN_MS
     step.plan = Plan(dict(places), Instant(int(now + hold_ms)))
     for index, worker in places.items():
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -166,6 +166,8 @@
     """Workers on which a task has failed, by task index."""
     tickets: dict[WorkerId, Ticket] | None = None
     """Tickets by the worker they permit; `None` before the advice service's first answer."""
+    tickets_valid_until: Instant = Instant(0)
+    """When the last of the tickets expires."""
     asked_workers: set[WorkerId] = field(default_factory=set)
     """Workers that the advice service has answered about."""
     asking: set[WorkerId] = field(default_factory=set)
@@ -248,6 +250,10 @@
     """Incarnations of workers that are recorded, or whose record is being written."""
     run_time_ratios: dict[str, float] = field(default_factory=dict)
     """Moving average of run time divided by estimate, by queue."""
+    advice_hosts: int = 0
+    """Number of hosts that call the advice service; 0 if calls are not limited."""
+    advice_backlog_ms: float = 0.0
+    """Expected duration of all calls that wait for a host."""
     allowed_shares: dict[str, float] = field(default_factory=dict)
     """Moving average of the share of workers that the advice service allows, by queue."""
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_advice.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_advice.py
@@ -96,6 +96,10 @@
         heapq.heappush(self._queue, (effect.rank, next(self._sequence), effect))
         self._wakeup.set()
 
+    def get_backlog_ms(self) -> float:
+        """Return the expected duration of all calls that wait for a host."""
+        return sum(effect.cost_ms for _, _, effect in self._queue)
+
     async def run(self) -> None:
         """Dispatch queued calls until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -371,6 +371,8 @@
             await self._placement_due.wait()
             await asyncio.sleep(PLACEMENT_DELAY_SECONDS)
             self._placement_due.clear()
+            self._state.advice_hosts = len(self._context.members.list_hosts(read_instant()))
+            self._state.advice_backlog_ms = self._advice.get_backlog_ms()
             for effect in place_pool(self._state, read_instant()):
                 self._execute(effect)
 
--- /dev/null
+++ b/tests/common/simulated_advice.py
@@ -0,0 +1,72 @@
+"""An advice service with few calling hosts, and a check that no task waits beside free workers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from lentilpath_core.ids import HostId, Instant
+from lentilpath_core.pool import AdvicePolicy, PoolState, StepKey
+from lentilpath_core.pool._crashes import list_startable
+from lentilpath_core.pool._state import Step
+from lentilpathd._clock import MS_PER_SECOND
+from lentilpathd._pool._advice import AdviceReply, AdviceRequest
+from tests.common.simulated_workers import SLOTS, SimulatedCluster, read_time
+
+POLICY = AdvicePolicy(30.0, 2.0, 2_000)
+ALLOWED_SHARE = 0.5
+LONGEST_WAIT_SECONDS = 3.0
+"""A task that could start does not wait longer, by the rule LOST."""
+CHECK_SECONDS = 0.25
+
+
+class SimulatedAdvice:
+    """Stands for the members and the peers, each of which may call the service."""
+
+    host = HostId("leader")
+
+    def __init__(self, cluster: SimulatedCluster) -> None:
+        self._cluster = cluster
+        self._allowed: dict[tuple[object, object], bool] = {}
+
+    def list_hosts(self, now: Instant) -> tuple[HostId, ...]:
+        return tuple(HostId(f"a{each}") for each in range(self._cluster.advice_hosts))
+
+    async def ask(
+        self, host: HostId, topic: str, body: AdviceRequest, reply: object, timeout: float
+    ) -> AdviceReply:
+        await asyncio.sleep(POLICY.estimate_call_ms(len(body.workers)) / MS_PER_SECOND)
+        draw = self._cluster.random.random
+        for worker in body.workers:
+            self._allowed.setdefault((body.step, worker), draw() < ALLOWED_SHARE)
+        allowed = tuple((each, "t") for each in body.workers if self._allowed[(body.step, each)])
+        return AdviceReply(allowed, POLICY.valid_ms)
+
+
+async def watch_startable(
+    cluster: SimulatedCluster, list_states: Callable[[], Iterable[PoolState]], problems: list[str]
+) -> None:
+    """Add the steps that wait too long while most workers are free, with room for them twice."""
+    since: dict[StepKey, float] = {}
+    while True:
+        await asyncio.sleep(CHECK_SECONDS)
+        living = [each for each in cluster.workers.values() if each.is_up]
+        slots, used = SLOTS * len(living), sum(len(each.running) for each in living)
+        machines = {each.machine for each in cluster.workers.values()}
+        is_free = 2 * used < slots and 2 * len(living) > len(machines)
+        waiting: set[StepKey] = set()
+        for state in list_states():
+            for step in state.open_steps.values():
+                if is_free and _is_idle(state, step) and 2 * step.spec.count <= slots - used:
+                    waiting.add(step.key)
+        since = {key: since.get(key, read_time()) for key in waiting}
+        for key, at in since.items():
+            if read_time() - at > LONGEST_WAIT_SECONDS:
+                problems.append(f"IDLE: {key} waits since {at:.3f}, {used} of {slots} slots used")
+
+
+def _is_idle(state: PoolState, step: Step) -> bool:
+    """Return whether none of the step's tasks runs, or may run for an earlier leader."""
+    if step.job.is_recovered and state.unconfirmed_workers:
+        return False
+    return bool(list_startable(step)) and not step.attempts
--- a/tests/common/simulated_pool.py
+++ b/tests/common/simulated_pool.py
@@ -13,7 +13,14 @@
 import pytest
 
 from lentilpath_core.ids import ConfigVersion, Epoch, HostId, Incarnation, JobId, RowVersion
-from lentilpath_core.pool import JobRecord, JobState, PoolConfiguration, StepSpec, TaskKey
+from lentilpath_core.pool import (
+    JobRecord,
+    JobState,
+    PoolConfiguration,
+    PoolState,
+    StepSpec,
+    TaskKey,
+)
 from lentilpathd._events import EventLine
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._leadership import PoolLeadership
@@ -22,6 +29,7 @@
 from lentilpathd._pool._settings import PoolHostSettings
 from lentilpathd._pool._term import Term
 from tests.common.pools import QUEUE, make_job_id, make_queue
+from tests.common.simulated_advice import POLICY, SimulatedAdvice, watch_startable
 from tests.common.simulated_workers import (
     ROOM,
     Faults,
@@ -108,16 +116,19 @@
             *(typing.cast(typing.Any, name),) * 3, *(ADDRESS,) * 4, 10_000, 5_000
         )
         unused = typing.cast(typing.Any, None)
-        configuration = PoolConfiguration(ConfigVersion(1), {QUEUE: make_queue(max_attempts=99)})
+        policy = POLICY if cluster.advice_hosts else None
+        queue = make_queue(max_attempts=99, advice=policy)
+        configuration = PoolConfiguration(ConfigVersion(1), {QUEUE: queue})
+        advice = typing.cast(typing.Any, SimulatedAdvice(cluster))
         self.context = PoolContext(
             settings,
             Incarnation(name),
-            unused,
+            advice,
             typing.cast(typing.Any, self.path),
             typing.cast(typing.Any, cluster),
             cluster.open_client,
             unused,
-            unused,
+            advice,
             unused,
             typing.cast(typing.Any, CountsNothing()),
             lambda: configuration,
@@ -163,11 +174,11 @@
                 self._cluster.note(f"  leader: {line.event.text} {line.fields}")
 
 
-def make_jobs(cluster: SimulatedCluster) -> list[tuple[float, JobRecord]]:
+def make_jobs(cluster: SimulatedCluster, count: int) -> list[tuple[float, JobRecord]]:
     """Draw jobs of single tasks, of steps of several tasks and of gangs, with their times."""
     chance = cluster.random
     jobs = []
-    for number in range(1, JOB_COUNT + 1):
+    for number in range(1, count + 1):
         ms = chance.randint(200, 4_000)
         gang = StepSpec(chance.randint(2, 4), ROOM, ms, gang=True)
         steps = chance.choice(
@@ -187,7 +198,7 @@
     return sorted(jobs, key=lambda job: job[0])
 
 
-async def simulate(cluster: SimulatedCluster) -> list[str]:
+async def simulate(cluster: SimulatedCluster, job_count: int) -> list[str]:
     """Run the pool through the faults and a calm time; return the jobs that did not end as due.
 
     Jobs with a task that crashes workers are due to fail, all others to complete.
@@ -201,13 +212,15 @@
     cluster.spawn(cluster.disturb_workers(begun_at + FAULT_SECONDS))
     cluster.spawn(replace_leaders(cluster, hosts, running))
     cluster.spawn(interrupt_table(cluster, hosts))
-    for at, record in make_jobs(cluster):
+    for at, record in make_jobs(cluster, job_count):
         cluster.jobs[record.job] = record
         await asyncio.sleep(max(0.0, begun_at + at - read_time()))
         rows.put_job(record)
     await asyncio.sleep(begun_at + FAULT_SECONDS - read_time())
     cluster.note("faults are over")
     cluster.faults = Faults()
+    idle: list[str] = []
+    cluster.spawn(watch_startable(cluster, lambda: list_states(hosts), idle))
     due = dict.fromkeys(cluster.jobs, JobState.COMPLETED)
     due.update(dict.fromkeys((task.job for task in cluster.crashing), JobState.FAILED))
     open_jobs = {job: [""] for job in due}
@@ -222,12 +235,16 @@
     for task in others:
         task.cancel()
     await asyncio.gather(*others, return_exceptions=True)
-    return [
+    return idle[:1] + [
         f"LOST: {job} is {' and '.join(states)}, not {due[job].value}"
         for job, states in open_jobs.items()
     ]
 
 
+def list_states(hosts: list[SimulatedHost]) -> list[PoolState]:
+    return [host.term._state for host in hosts if host.term is not None and host.term.is_ready()]
+
+
 def show_state(term: Term, job: str) -> str:
     state = term.get_state(JobId(job))
     return state.value if state is not None else "unknown"
@@ -327,10 +344,16 @@
 
 
 def run_seed(
-    seed: int, faults: Faults, patch: pytest.MonkeyPatch, enforces_capacity: bool = True
+    seed: int,
+    faults: Faults,
+    patch: pytest.MonkeyPatch,
+    enforces_capacity: bool = True,
+    worker_count: int = WORKER_COUNT,
+    job_count: int = JOB_COUNT,
+    advice_hosts: int = 0,
 ) -> tuple[list[str], str]:
     """Return the problems of one seed, and the timeline of the tasks that have them."""
-    cluster = SimulatedCluster(seed, faults, WORKER_COUNT, enforces_capacity)
+    cluster = SimulatedCluster(seed, faults, worker_count, enforces_capacity, advice_hosts)
     modules = [
         module
         for name, module in list(sys.modules.items())
@@ -342,7 +365,7 @@
     root.addHandler(handler)
     root.setLevel(logging.INFO)
     try:
-        problems = run_in_virtual_time(simulate(cluster), patch, *modules)
+        problems = run_in_virtual_time(simulate(cluster, job_count), patch, *modules)
     finally:
         root.removeHandler(handler)
         root.setLevel(level)
--- a/tests/common/simulated_workers.py
+++ b/tests/common/simulated_workers.py
@@ -102,12 +102,19 @@
     """All workers, the registry that lists them, and the log of what took place."""
 
     def __init__(
-        self, seed: int, faults: Faults, worker_count: int, enforces_capacity: bool = True
+        self,
+        seed: int,
+        faults: Faults,
+        worker_count: int,
+        enforces_capacity: bool = True,
+        advice_hosts: int = 0,
     ) -> None:
         self.random = random.Random(seed)
         self.faults = faults
         self.enforces_capacity = enforces_capacity
         """Whether workers refuse runs that do not fit, as the service's configuration says."""
+        self.advice_hosts = advice_hosts
+        """Hosts that may call the advice service; 0 if starts need no advice."""
         self.jobs: dict[str, JobRecord] = {}
         self.crashing: set[TaskKey] = set()
         """Tasks that crash each worker that starts them."""
--- a/tests/cover/test_pool_advice.py
+++ b/tests/cover/test_pool_advice.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from lentilpath_core.ids import Instant
 from lentilpath_core.pool import AdvicePolicy, QueueId, StepSpec
+from lentilpath_core.pool._advice import MAX_BACKLOG_MS, TOO_LATE_BACKLOG_MS
 from lentilpath_core.resources import Resources
 from tests.common.pools import (
     TASK_RESOURCES,
@@ -10,6 +12,7 @@
     PoolHarness,
     list_advice_requests,
     list_starts,
+    make_job_id,
     make_queue,
     make_worker,
 )
@@ -43,6 +46,33 @@
     assert list_advice_requests(harness.place()) == []
 
 
+def test_no_more_is_asked_than_the_service_answers_soon_and_urgent_steps_go_on_asking_longer():
+    harness = make_harness(40)
+    harness.state.advice_hosts = 1
+    harness.submit(1, StepSpec(1, TASK_RESOURCES, 4_000), queue=GANGS.queue)
+    harness.state.advice_backlog_ms = MAX_BACKLOG_MS
+    assert list_advice_requests(harness.place()) == []
+    harness.state.advice_backlog_ms = TOO_LATE_BACKLOG_MS
+    (call,) = list_advice_requests(harness.place())
+    assert harness.state.advice_backlog_ms == TOO_LATE_BACKLOG_MS + call.cost_ms
+    harness.grant_permissions(call, *call.workers)
+    harness.submit(2, StepSpec(1, TASK_RESOURCES, 4_000), queue=GANGS.queue)
+    (start,) = list_starts(harness.place())
+    assert start.task.job == make_job_id(1)
+
+
+def test_a_step_that_is_too_late_asks_only_while_few_calls_wait():
+    harness = make_harness(40)
+    harness.submit(1, StepSpec(1, TASK_RESOURCES, 4_000), queue=GANGS.queue)
+    harness.now = Instant(harness.now + 10 * GANGS.target_ms)
+    for name in harness.listed:
+        harness.report(name)
+    harness.state.advice_hosts, harness.state.advice_backlog_ms = 1, TOO_LATE_BACKLOG_MS
+    assert list_advice_requests(harness.place()) == []
+    harness.state.advice_backlog_ms = 0
+    assert list_advice_requests(harness.place()) != []
+
+
 def test_a_narrow_step_asks_about_the_workers_with_most_room():
     harness = make_harness(40)
     harness.submit(1, StepSpec(5, WORKER_CAPACITY, 4_000), queue=GANGS.queue)
--- a/tests/nocover/test_pool_crashing_tasks.py
+++ b/tests/nocover/test_pool_crashing_tasks.py
@@ -46,3 +46,16 @@
     problems, timeline = run_seed(seed, CAPACITY_CASES[case], monkeypatch, enforces_capacity=False)
     print(timeline)
     assert not problems
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_steps_that_outnumber_the_calls_to_the_advice_service_start_while_workers_are_free(
+    seed, monkeypatch
+):
+    """All steps asked at once; each answer came when the step's places were held by others."""
+    faults = Faults(crashing=0.4, crash_seconds=30.0)
+    problems, timeline = run_seed(
+        seed, faults, monkeypatch, worker_count=20, job_count=300, advice_hosts=1
+    )
+    print(timeline)
+    assert not problems
