--- a/tests/common/simulated_pool.py
+++ b/tests/common/simulated_pool.py
@@ -18,6 +18,7 @@
     JobRecord,
     JobState,
     PoolConfiguration,
+    PoolState,
     StepSpec,
     TaskKey,
 )
@@ -29,6 +30,7 @@
 from lentilpathd._pool._settings import PoolHostSettings
 from lentilpathd._pool._term import Term
 from tests.common.pools import QUEUE, make_job_id, make_queue
+from tests.common.simulated_advice import POLICY, SimulatedAdvice, watch_startable
 from tests.common.simulated_customers import (
     CUSTOMERS,
     FIRST_QUOTAS,
@@ -123,15 +125,16 @@
             *(typing.cast(typing.Any, name),) * 3, *(ADDRESS,) * 4, 10_000, 5_000
         )
         unused = typing.cast(typing.Any, None)
+        advice = typing.cast(typing.Any, SimulatedAdvice(cluster))
         self.context = PoolContext(
             settings,
             Incarnation(name),
-            unused,
+            advice,
             typing.cast(typing.Any, self.path),
             typing.cast(typing.Any, cluster),
             cluster.open_client,
             unused,
-            unused,
+            advice,
             unused,
             typing.cast(typing.Any, CountsNothing()),
             lambda: cluster.configuration,
@@ -177,11 +180,11 @@
                 self._cluster.note(f"  leader: {line.event.text} {line.fields}")
 
 
-def make_jobs(cluster: SimulatedCluster) -> list[tuple[float, JobRecord]]:
+def make_jobs(cluster: SimulatedCluster, count: int) -> list[tuple[float, JobRecord]]:
     """Draw jobs of single tasks, of steps of several tasks and of gangs, with their times."""
     chance = cluster.random
     jobs = []
-    for number in range(1, JOB_COUNT + 1):
+    for number in range(1, count + 1):
         ms = chance.randint(200, 4_000)
         gang = StepSpec(chance.randint(2, 4), ROOM, ms, gang=True)
         steps = chance.choice(
@@ -202,7 +205,7 @@
     return sorted(jobs, key=lambda job: job[0])
 
 
-async def simulate(cluster: SimulatedCluster) -> list[str]:
+async def simulate(cluster: SimulatedCluster, job_count: int) -> list[str]:
     """Run the pool through the faults and a calm time; return the jobs that did not end as due.
 
     Jobs with a task that crashes workers are due to fail, all others to complete.
@@ -218,13 +221,15 @@
     cluster.spawn(cluster.disturb_workers(begun_at + FAULT_SECONDS))
     cluster.spawn(replace_leaders(cluster, hosts, running))
     cluster.spawn(interrupt_table(cluster, hosts))
-    for at, record in make_jobs(cluster):
+    for at, record in make_jobs(cluster, job_count):
         cluster.jobs[record.job] = record
         await asyncio.sleep(max(0.0, begun_at + at - read_time()))
         rows.put_job(record)
     await asyncio.sleep(begun_at + FAULT_SECONDS - read_time())
     cluster.note("faults are over")
     cluster.faults = Faults()
+    idle: list[str] = []
+    cluster.spawn(watch_startable(cluster, lambda: list_states(hosts), idle))
     due = dict.fromkeys(cluster.jobs, JobState.COMPLETED)
     due.update(dict.fromkeys((task.job for task in cluster.crashing), JobState.FAILED))
     open_jobs = {job: [""] for job in due}
@@ -240,7 +245,7 @@
     for task in others:
         task.cancel()
     await asyncio.gather(*others, return_exceptions=True)
-    lost = [
+    lost = idle[:1] + [
         f"LOST: {job} is {' and '.join(states)}, not {due[job].value}"
         for job, states in open_jobs.items()
     ]
@@ -260,6 +265,10 @@
                 host.term.apply_configuration(configuration)
 
 
+def list_states(hosts: list[SimulatedHost]) -> list[PoolState]:
+    return [host.term._state for host in hosts if host.term is not None and host.term.is_ready()]
+
+
 def show_state(term: Term, job: str) -> str:
     state = term.get_state(JobId(job))
     return state.value if state is not None else "unknown"
@@ -364,12 +373,14 @@
     patch: pytest.MonkeyPatch,
     enforces_capacity: bool = True,
     has_customers: bool = False,
+    worker_count: int = WORKER_COUNT,
+    job_count: int = JOB_COUNT,
+    advice_hosts: int = 0,
 ) -> tuple[list[str], str]:
     """Return the problems of one seed, and the timeline of the tasks that have them."""
-    cluster = SimulatedCluster(seed, faults, WORKER_COUNT, enforces_capacity)
-    cluster.configuration = PoolConfiguration(
-        ConfigVersion(1), {QUEUE: make_queue(max_attempts=99)}
-    )
+    cluster = SimulatedCluster(seed, faults, worker_count, enforces_capacity, advice_hosts)
+    queue = make_queue(max_attempts=99, advice=POLICY if advice_hosts else None)
+    cluster.configuration = PoolConfiguration(ConfigVersion(1), {QUEUE: queue})
     if has_customers:
         cluster.configuration = make_configuration(cluster.configuration, FIRST_QUOTAS)
         cluster.quotas.append((0.0, cluster.configuration.customers))
@@ -384,7 +395,7 @@
     root.addHandler(handler)
     root.setLevel(logging.INFO)
     try:
-        problems = run_in_virtual_time(simulate(cluster), patch, *modules)
+        problems = run_in_virtual_time(simulate(cluster, job_count), patch, *modules)
     finally:
         root.removeHandler(handler)
         root.setLevel(level)
--- a/tests/cover/test_pool_advice.py
+++ b/tests/cover/test_pool_advice.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from lentilpath_core.ids import Instant
 from lentilpath_core.pool import AdvicePolicy, QueueId, StepSpec
+from lentilpath_core.pool._advice import MAX_BACKLOG_MS, TOO_LATE_BACKLOG_MS
 from lentilpath_core.resources import Resources
 from tests.common.pools import (
     TASK_RESOURCES,
@@ -10,6 +12,7 @@
     PoolHarness,
     list_advice_requests,
     list_starts,
+    make_job_id,
     make_queue,
     make_worker,
 )
@@ -18,6 +21,8 @@
 """As for the largest gangs of the data sheets: 100 workers take a second."""
 GANGS = make_queue(QueueId("gangs"), advice=SLOW_ADVICE, target_ms=60_000)
 MANY_WORKERS = 150
+FIRST_CLASS = (False, False, 0, 0)
+"""Calls of this class of rank go before all others."""
 
 
 def make_harness(workers: int = MANY_WORKERS) -> PoolHarness:
@@ -43,6 +48,43 @@
     assert list_advice_requests(harness.place()) == []
 
 
+def test_no_more_is_asked_than_the_service_answers_soon_and_urgent_steps_go_on_asking_longer():
+    harness = make_harness(40)
+    harness.state.advice_hosts = 1
+    harness.submit(1, StepSpec(1, TASK_RESOURCES, 4_000), queue=GANGS.queue)
+    harness.state.advice_backlog_ms = {FIRST_CLASS: MAX_BACKLOG_MS}
+    assert list_advice_requests(harness.place()) == []
+    harness.state.advice_backlog_ms = {FIRST_CLASS: TOO_LATE_BACKLOG_MS}
+    (call,) = list_advice_requests(harness.place())
+    assert sum(harness.state.advice_backlog_ms.values()) == TOO_LATE_BACKLOG_MS + call.cost_ms
+    harness.grant_permissions(call, *call.workers)
+    harness.submit(2, StepSpec(1, TASK_RESOURCES, 4_000), queue=GANGS.queue)
+    (start,) = list_starts(harness.place())
+    assert start.task.job == make_job_id(1)
+
+
+def test_calls_of_less_urgent_steps_keep_no_step_from_asking():
+    """Guards against an urgent step that waits for the calls of others which it would overtake."""
+    harness = make_harness(40)
+    harness.state.advice_hosts = 1
+    harness.state.advice_backlog_ms = {(True, False, 2, 0): 10 * MAX_BACKLOG_MS}
+    harness.submit(1, StepSpec(1, TASK_RESOURCES, 4_000), queue=GANGS.queue)
+    assert list_advice_requests(harness.place()) != []
+
+
+def test_a_step_that_is_too_late_asks_only_while_few_calls_wait():
+    harness = make_harness(40)
+    harness.submit(1, StepSpec(1, TASK_RESOURCES, 4_000), queue=GANGS.queue)
+    harness.now = Instant(harness.now + 10 * GANGS.target_ms)
+    for name in harness.listed:
+        harness.report(name)
+    harness.state.advice_hosts = 1
+    harness.state.advice_backlog_ms = {FIRST_CLASS: TOO_LATE_BACKLOG_MS}
+    assert list_advice_requests(harness.place()) == []
+    harness.state.advice_backlog_ms = {}
+    assert list_advice_requests(harness.place()) != []
+
+
 def test_a_narrow_step_asks_about_the_workers_with_most_room():
     harness = make_harness(40)
     harness.submit(1, StepSpec(5, WORKER_CAPACITY, 4_000), queue=GANGS.queue)
