Pool: work beyond a share is refused by the wait of work as urgent as it

Cause: the wait of work beyond a share counted all work within shares, also less urgent work. It goes first, but leaves gaps that small tasks use.

Change: only work that is as urgent counts, within shares and beyond.

The new test of test_pool_shares.py failed before.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_share_admission.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_share_admission.py
@@ -36,11 +36,13 @@
     if not fleet_millicores:
         return ShareLoads()
     longest = sorted(delays, key=lambda each: (-delays[each], each))[:MAX_CUSTOMERS]
-    within = sum(sum_waiting_work(state, now, is_over_share=False).values())
-    beyond = sum_waiting_work(state, now, is_over_share=True)
+    # Less urgent work within shares goes first too, but leaves gaps that small tasks use. To count
+    # it refused up to a third of a heavy customer's jobs, most of which complete if accepted.
+    work = [*sum_waiting_work(state, now, is_over_share=False).items()]
+    work.extend(sum_waiting_work(state, now, is_over_share=True).items())
     waits = {}
     for queue, policy in state.configuration.queues.items():
-        ahead = within + sum(work for each, work in beyond.items() if each <= policy.priority)
+        ahead = sum(amount for priority, amount in work if priority <= policy.priority)
         waits[str(queue)] = int(ahead / fleet_millicores)
     return ShareLoads({each: delays[each] for each in longest}, waits)
 
--- a/tests/cover/test_pool_shares.py
+++ b/tests/cover/test_pool_shares.py
@@ -15,6 +15,7 @@
     JobAccepted,
     JobEnded,
     JobState,
+    QueueId,
     QueueLoad,
     ShareLoads,
     StepSpec,
@@ -197,6 +198,23 @@
     assert decide_share_admission(record, policy, QueueLoad(0, 0), ShareLoads({A: 5}, {})) is None
 
 
+def test_less_urgent_work_does_not_get_work_beyond_a_share_refused():
+    patient = QueueId("batches")
+    harness = PoolHarness(
+        make_queue(),
+        make_queue(patient, priority=2, target_ms=60_000),
+        customers=(CustomerPolicy(A),),
+    )
+    harness.add_workers(make_worker("w1"))
+    for job in range(1, 200):
+        step = StepSpec(1, TASK_RESOURCES, 5_000)
+        harness.submit(job, step, queue=patient, customer=A, accepted_at=0)
+    shares = measure_shares(harness.state, harness.now)
+    assert shares.delays_ms[A] > 0
+    assert shares.waits_ms[patient] > 60_000
+    assert shares.waits_ms[QUEUE] == 0
+
+
 def test_gauges_by_customer_are_bounded():
     names = {f"c{number:03}": 1.0 for number in range(MAX_LISTED_CUSTOMERS + 9)}
     harness = make_pool(**names)
