Pool: a run on a silent worker is not stopped as frozen

Cause: a run counted as frozen 4 s after its last reported progress, also while its worker did not report. The stop was repeated until the worker answered, and then ended work that had run on. A run whose progress was last seen 2 s before needed only 2 s of silence. What callers saw: work that ran was stopped and started again, and its job was late.

Change: while a worker's last report is older than 2 s its runs are not judged, and the time of the silence does not count afterwards.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_evidence.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_evidence.py
@@ -22,6 +22,9 @@
 """A run that makes no progress for this long is stopped. This is over twice the time in which the
 longest run of the deployments' data sheets progresses by one percent on a worker that is six times
 slower than normal."""
+SILENT_AFTER_MS = 2_000
+"""A worker whose last report is older than this is silent. A working one is asked at most 1.5 s
+after the last time: a long poll of 0.8 s, and 0.4 s until the ends in the answer are stored."""
 RUN_TIME_RATIO_WEIGHT = 0.05
 """Weight of a new run in the moving average of run time divided by estimate."""
 SLOW_FACTOR = 2.5
@@ -66,13 +69,28 @@
     effects: list[PoolEffect] = []
     for worker in state.workers.values():
         for attempt in worker.attempts.values():
-            if _is_frozen(attempt, now):
+            if _is_frozen(worker, attempt, now):
                 worker.cooldown_until = Instant(now + FAILURE_COOLDOWN_MS)
                 effects.extend(stop_attempt(attempt, StopReason.FROZEN, now))
     return tuple(effects)
 
 
-def _is_frozen(attempt: Attempt, now: Instant) -> bool:
+def discount_silence(worker: Worker, sent_at: Instant) -> None:
+    """Leave the time in which a worker did not report out of its runs' time without progress.
+
+    Called with the report that was asked for at `sent_at`, before it is recorded.
+    """
+    if worker.reported_at is None or sent_at <= worker.reported_at + SILENT_AFTER_MS:
+        return
+    silent_ms = sent_at - worker.reported_at
+    for attempt in worker.attempts.values():
+        attempt.progressed_at = Instant(min(sent_at, attempt.progressed_at + silent_ms))
+
+
+def _is_frozen(worker: Worker, attempt: Attempt, now: Instant) -> bool:
+    if worker.reported_at is None or now > worker.reported_at + SILENT_AFTER_MS:
+        # The run may progress unseen. Its lease decides what becomes of it.
+        return False
     step = attempt.step
     if attempt.phase is not Phase.RUNNING or step is None or step.spec.fills:
         return False
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -23,7 +23,7 @@
     WorkersListed,
     WorkersRecorded,
 )
-from lentilpath_core.pool._evidence import record_progress
+from lentilpath_core.pool._evidence import discount_silence, record_progress
 from lentilpath_core.pool._leaving import update_leave_time
 from lentilpath_core.pool._model import (
     ListedWorker,
@@ -176,6 +176,7 @@
     if worker is None or worker.life != event.life:
         return ()
     is_first = worker.reported_at is None
+    discount_silence(worker, event.sent_at)
     worker.reported_at = max(event.sent_at, worker.reported_at or event.sent_at)
     state.unconfirmed_workers.discard(worker.worker)
     effects: list[PoolEffect] = list(clear_suspects(state, worker))
