--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -45,6 +45,7 @@
     Registry,
     WorkerFactory,
 )
+from lentilpathd._pool._records import parse_job_id
 from lentilpathd._pool._settings import PoolHostSettings
 from lentilpathd._pool._settings_watch import LoadSettings, SettingsWatcher
 from lentilpathd._pool._table_path import TablePath
@@ -228,7 +229,8 @@
 
     async def _handle_unclear_notice(self, request: PeerRequest) -> Empty:
         # Recorded whether or not this host leads: it may lead by the time the job is asked about.
-        self.unclear_jobs.add(msgspec.convert(request.body, UnclearNotice).job, read_instant())
+        job = parse_job_id(msgspec.convert(request.body, UnclearNotice).job)
+        self.unclear_jobs.add(job, read_instant())
         return Empty()
 
     async def _watch_leader(self) -> None:
