Pool: after a pause keys are checked only once the configuration was asked for again

Cause: a process that wakes up answers the callers that wait in its sockets before its request for the configuration is answered, so a key that was withdrawn during the pause was accepted again. What callers saw: calls with a withdrawn key answered 200 more than 4 s after the withdrawal.

Change: after a gap of over 1.5 s in the process's time, calls with keys get 503 (not run) until a request for the configuration sent after the pause has been answered, or has failed: a host that is cut off goes on with its version. That request does not wait for changes, so this takes a round trip.

Measured: the new test in test_pool_pauses passes, with an answer and with a failure; on the former code it can't run (no such question). Tests of test_pool_access, test_pool_registry and test_pool_customers pass.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_pauses.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_pauses.py
@@ -20,15 +20,22 @@
     def __init__(self, now: Instant) -> None:
         self._seen_at = now
         self._must_confirm = False
+        self.woken_at = Instant(0)
+        """End of the last pause that was noticed."""
+
+    def observe(self, now: Instant) -> None:
+        """Notice a pause since the last observation."""
+        if now - self._seen_at > MAX_GAP_MS:
+            self._must_confirm = True
+            self.woken_at = now
+        self._seen_at = now
 
     def may_command(self, now: Instant, is_confirmed: bool) -> bool:
         """Observe the time; return whether the leader may send commands.
 
         After a pause it may not until its leadership is confirmed (`is_confirmed`).
         """
-        if now - self._seen_at > MAX_GAP_MS:
-            self._must_confirm = True
-        self._seen_at = now
+        self.observe(now)
         if is_confirmed:
             self._must_confirm = False
         return not self._must_confirm
--- a/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
@@ -7,7 +7,7 @@
 
 from lentilpath_core.errors import InvalidSettings, OutcomeUnknown, Unavailable
 from lentilpath_core.ids import Instant, RowVersion
-from lentilpath_core.pool import PoolConfiguration, is_configuration_current
+from lentilpath_core.pool import PauseWatch, PoolConfiguration, is_configuration_current
 from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._pool._ports import HistoryLost, Registry
@@ -30,6 +30,9 @@
         self._on_change = on_change
         self._current: PoolConfiguration | None = None
         self._confirmed_at: Instant | None = None
+        self._pauses = PauseWatch(read_instant())
+        self._settled_at = Instant(0)
+        """When the last request that has ended was sent."""
         self._first_received = asyncio.Event()
         self._last_invalid = ""
         """The last reason for which a configuration could not be used; each is logged once."""
@@ -42,6 +45,15 @@
         """Return whether the configuration was confirmed as the newest one recently enough."""
         return is_configuration_current(self._confirmed_at, max_age_ms, now)
 
+    def is_settled(self, now: Instant) -> bool:
+        """Return whether a request sent after the last pause of this process has ended.
+
+        A key may have been withdrawn in the pause. A request that fails settles it too, because a
+        host that is cut off from the table goes on with its version.
+        """
+        self._pauses.observe(now)
+        return self._settled_at >= self._pauses.woken_at
+
     async def wait_for_first(self) -> None:
         """Wait until the first configuration was read."""
         await self._first_received.wait()
@@ -49,8 +61,11 @@
     async def run(self) -> None:
         """Follow changes until cancelled."""
         version: RowVersion | None = None
+        sent_at = self._settled_at
         while True:
+            self._settled_at = sent_at
             sent_at = read_instant()
+            wait_seconds = LONG_POLL_SECONDS if self.is_settled(sent_at) else 0.0
             try:
                 if version is None:
                     found, version = await self._registry.read_configuration(
@@ -58,7 +73,7 @@
                     )
                 else:
                     found, version = await self._registry.follow_configuration(
-                        version, LONG_POLL_SECONDS, LONG_POLL_SECONDS + REQUEST_TIMEOUT_SECONDS
+                        version, wait_seconds, wait_seconds + REQUEST_TIMEOUT_SECONDS
                     )
             except HistoryLost:
                 version = None
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -147,7 +147,9 @@
         """Return whether the configuration is recent enough to accept a key for this queue."""
         if not configuration.requires_keys or queue.is_public:
             return True
-        return self.configuration.is_current(self.settings.max_configuration_age_ms, read_instant())
+        now = read_instant()
+        max_age_ms = self.settings.max_configuration_age_ms
+        return self.configuration.is_settled(now) and self.configuration.is_current(max_age_ms, now)
 
     def report_unknown_key(self, queue: QueueId, method: str) -> None:
         """Log and count a call without a key that is in force; the key itself is never logged."""
@@ -235,6 +237,8 @@
 
     async def _watch_leader(self) -> None:
         while True:
+            # Pauses are noticed as gaps between observations.
+            self.configuration.is_settled(read_instant())
             snapshot = self.leadership.snapshot
             if snapshot is not None and snapshot.lease is not None:
                 self.members.set_leader(snapshot.lease.host, snapshot.lease.address)
--- a/tests/cover/test_pool_pauses.py
+++ b/tests/cover/test_pool_pauses.py
@@ -13,9 +13,11 @@
 
 import pytest
 
-from lentilpath_core.ids import Epoch, Instant, WorkerTime
+from lentilpath_core.errors import OutcomeUnknown
+from lentilpath_core.ids import Epoch, Instant, RowVersion, WorkerTime
 from lentilpath_core.pool import (
     PauseWatch,
+    PoolConfiguration,
     RunningRun,
     StartAnswer,
     StartAnswered,
@@ -32,12 +34,14 @@
     create_client,
     serve_http,
 )
-from lentilpathd._pool import _link
+from lentilpathd._pool import _configuration, _link
+from lentilpathd._pool._configuration import ConfigurationFollower
 from lentilpathd._pool._leadership import LEASE_MS, RENEW_INTERVAL_MS
 from lentilpathd._pool._leases import extend_lease
 from lentilpathd._pool._link import WorkerLink
 from lentilpathd._pool._writer import RecordWriter
 from tests.common.pools import PoolHarness, list_advice_requests, list_starts, make_worker
+from tests.common.requests import wait_until
 from tests.common.tables import OnePartitionTable, make_leadership
 from tests.cover.test_pool_advice import GANGS
 from tests.cover.test_pool_link import SilencedWorker, make_start
@@ -65,6 +69,57 @@
     assert MAX_GAP_MS <= LEASE_MS - RENEW_INTERVAL_MS
 
 
+class AnsweringRegistry:
+    """Answers requests for the configuration once the test lets it, or fails them."""
+
+    def __init__(self) -> None:
+        self.waits: list[float] = []
+        self.may_answer = asyncio.Event()
+        self.is_away = False
+
+    async def read_configuration(self, timeout: float) -> Any:
+        return PoolConfiguration(cast(Any, 1)), RowVersion(1)
+
+    async def follow_configuration(self, after: Any, wait: float, timeout: float) -> Any:
+        self.waits.append(wait)
+        await self.may_answer.wait()
+        self.may_answer.clear()
+        if self.is_away:
+            raise OutcomeUnknown("no answer")
+        return None, RowVersion(1)
+
+
+@pytest.mark.parametrize("is_away", [False, True])
+def test_keys_are_checked_after_a_pause_only_once_the_configuration_was_asked_for(
+    is_away: bool, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against a key that was withdrawn during the pause and is accepted after it."""
+    now = [Instant(1_000)]
+    monkeypatch.setattr(_configuration, "read_instant", lambda: now[0])
+    monkeypatch.setattr(_configuration, "RETRY_SECONDS", 0.001)
+    registry = AnsweringRegistry()
+    follower = ConfigurationFollower(cast(Any, registry), lambda found: None)
+
+    async def run() -> None:
+        running = asyncio.create_task(follower.run())
+        await wait_until(lambda: len(registry.waits) == 1)
+        assert follower.is_settled(now[0])
+        now[0] = Instant(now[0] + 30_000)
+        assert not follower.is_settled(now[0])
+        registry.is_away = is_away
+        registry.may_answer.set()
+        await wait_until(lambda: len(registry.waits) == 2)
+        assert not follower.is_settled(now[0])
+        registry.may_answer.set()
+        await wait_until(lambda: len(registry.waits) == 3)
+        assert follower.is_settled(now[0])
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    asyncio.run(run())
+    assert [wait > 0 for wait in registry.waits] == [True, False, True]
+
+
 class RecordingWorker(SilencedWorker):
     """Answers every call, and lists the given runs."""
 
