--- a/tests/nocover/test_pool_hosts.py
+++ b/tests/nocover/test_pool_hosts.py
@@ -187,6 +187,35 @@
     run_scenario(scenario)
 
 
+def test_unusable_rows_of_every_table_stop_neither_the_leader_nor_the_next_one():
+    """Guards against a row that ends each new leader's term, on one host after the other."""
+
+    async def scenario(fleet: Fleet) -> None:
+        jobs = await submit_many(fleet, 3, make_step(2))
+        first = await fleet.wait_for_leader()
+        for value in (b"", b"\xff", b"\x91" * 50_000, b"x" * 60_000):
+            fleet.store.put("servers", "", "stranger", value)
+            fleet.store.put("op", "", "config", value)
+            for key in ("x", f"{jobs[0]}/cancel/x", "00000000000000ff"):
+                fleet.store.put("lentilpath-jobs", "0", key, value)
+            for key in (
+                "0workers/1/9/9",
+                "0workers/x",
+                "end/x",
+                "final/00000000000000fe",
+                "0lease",
+            ):
+                fleet.store.put("lentilpath-pool", "cell", key, value)
+            await asyncio.sleep(0.3)
+        jobs += await submit_many(fleet, 3)
+        await first.kill()
+        jobs += await submit_many(fleet, 3, make_step(2))
+        await expect_all_completed(fleet, jobs)
+        assert not any(each.task.done() for each in fleet.hosts if each is not first)
+
+    run_scenario(scenario, run_seconds=0.3)
+
+
 def test_a_host_that_knows_no_leader_does_not_report_an_empty_queue():
     async def scenario(fleet: Fleet) -> None:
         leader = await fleet.wait_for_leader()
