Members: heartbeats under ever new names do not fill the memory

Cause: a host was never forgotten, so each new name of a sender stayed, and each change of the list of peers took longer. Change: beyond 500 hosts those without a recent heartbeat are dropped. Measured: the new test of test_pool_members passes; with the condition off it failed.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_members.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_members.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import msgspec
 
@@ -36,6 +36,9 @@
 FASTER_HOST_RATIO = 1.5
 """A leader hands over to a host that is faster by this factor. A change of leader costs a second
 without starts, which a smaller difference does not make up for."""
+MAX_HOSTS = 500
+"""Ten times the hosts of the largest deployment. Beyond it hosts without a recent heartbeat are
+forgotten, so that heartbeats under ever new names do not fill the memory."""
 MEMBER_TIMEOUT_MS = 1_600
 """A host that has missed three heartbeats gets no more requests."""
 
@@ -93,6 +96,13 @@
             *(_make_known_host(host, heartbeat) for host, heartbeat in self._list_live(now)),
         )
 
+    def _iterate_recent(self, now: Instant) -> Iterator[tuple[HostId, tuple[Instant, Heartbeat]]]:
+        """Yield the recent heartbeats, at most `MAX_HOSTS`, the latest ones first."""
+        ordered = sorted(self._heartbeats.items(), key=lambda each: each[1][0], reverse=True)
+        for host, (at, heartbeat) in ordered[:MAX_HOSTS]:
+            if now <= at + MEMBER_TIMEOUT_MS:
+                yield host, (at, heartbeat)
+
     def _list_live(self, now: Instant) -> list[tuple[HostId, Heartbeat]]:
         return [
             (host, heartbeat)
@@ -164,6 +174,8 @@
             return
         known = self._heartbeats.get(host)
         self._heartbeats[host] = (now, heartbeat)
+        if len(self._heartbeats) > MAX_HOSTS:
+            self._heartbeats = dict(self._iterate_recent(now))
         if known is None or known[1].address != heartbeat.address:
             self._update_bus()
 
--- a/tests/cover/test_pool_members.py
+++ b/tests/cover/test_pool_members.py
@@ -5,7 +5,7 @@
 from lentilpath_core.ids import HostId, Incarnation, Instant, RegionId, ZoneId
 from lentilpath_core.settings import Address
 from lentilpathd._peers import PeerBus
-from lentilpathd._pool._members import MEMBER_TIMEOUT_MS, Members, fingerprint_hosts
+from lentilpathd._pool._members import MAX_HOSTS, MEMBER_TIMEOUT_MS, Members, fingerprint_hosts
 from lentilpathd._pool._messages import Heartbeat, KnownHost
 from lentilpathd._pool._settings import PoolHostSettings
 
@@ -97,3 +97,14 @@
     assert members.make_heartbeat(NOW).hosts_mark == fingerprint_hosts(first)
     receive_heartbeat(members, "b", 1.0)
     assert fingerprint_hosts(members.list_known_hosts(NOW)) != fingerprint_hosts(first)
+
+
+def test_heartbeats_under_ever_new_names_do_not_fill_the_memory():
+    """Guards against a sender whose name changes with each message."""
+    members = make_members()
+    for number in range(3 * MAX_HOSTS):
+        receive_heartbeat(members, f"h{number}", 1.0)
+    assert len(members.list_hosts(NOW)) <= MAX_HOSTS + 1
+    later = Instant(NOW + MEMBER_TIMEOUT_MS + 1)
+    members.record_heartbeat(HostId("new"), Heartbeat(ADDRESS, ZONE, REGION), later)
+    assert members.list_hosts(later) == ("own", "new")
