--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -46,6 +46,7 @@
     Registry,
     WorkerFactory,
 )
+from lentilpathd._pool._records import parse_job_id
 from lentilpathd._pool._settings import PoolHostSettings
 from lentilpathd._pool._settings_watch import LoadSettings, SettingsWatcher
 from lentilpathd._pool._table_path import TablePath
@@ -152,7 +153,9 @@
         """Return whether the configuration is recent enough to accept a key for this queue."""
         if not configuration.requires_keys or queue.is_public:
             return True
-        return self.configuration.is_current(self.settings.max_configuration_age_ms, read_instant())
+        now = read_instant()
+        max_age_ms = self.settings.max_configuration_age_ms
+        return self.configuration.is_settled(now) and self.configuration.is_current(max_age_ms, now)
 
     def report_unknown_key(self, queue: QueueId, method: str) -> None:
         """Log and count a call without a key that is in force; the key itself is never logged."""
@@ -234,11 +237,14 @@
 
     async def _handle_unclear_notice(self, request: PeerRequest) -> Empty:
         # Recorded whether or not this host leads: it may lead by the time the job is asked about.
-        self.unclear_jobs.add(msgspec.convert(request.body, UnclearNotice).job, read_instant())
+        job = parse_job_id(msgspec.convert(request.body, UnclearNotice).job)
+        self.unclear_jobs.add(job, read_instant())
         return Empty()
 
     async def _watch_leader(self) -> None:
         while True:
+            # Pauses are noticed as gaps between observations.
+            self.configuration.is_settled(read_instant())
             snapshot = self.leadership.snapshot
             if snapshot is not None and snapshot.lease is not None:
                 self.members.set_leader(snapshot.lease.host, snapshot.lease.address)
