Pool: a leader to which the table is silent alone stores its records through a relay at once

Cause: the leader's writer and the renewal of its lease waited 1.5 s for each direct write and made one attempt at a time, and then paused for up to 1 s. Reads and long polls waited for their full timeout on a path that had gone down. Steps whose earlier ends were not stored waited for that.

Callers saw jobs that were late for the first 3.5 s of such a fault.

Change: both make their idempotent writes by settle_write, with a second attempt through a relay once the direct path is silent. A read that waits while the path goes down is relayed. The writer's pause is at most 0.3 s. The release loop of held calls ends with its last call.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_direct_path.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_direct_path.py
@@ -80,6 +80,14 @@
         scaled_seconds = COMMIT_TIMEOUT_FACTOR * self._mean_commit_seconds
         return min(MAX_COMMIT_TIMEOUT_SECONDS, max(MIN_COMMIT_TIMEOUT_SECONDS, scaled_seconds))
 
+    def get_silence_seconds(self) -> float:
+        """Return after how long a missing answer shows that the path is silent."""
+        return self._breaker.get_silence_ms() / MS_PER_SECOND
+
+    async def wait_down(self) -> None:
+        """Wait until the table does not answer on this path."""
+        await self._down.wait()
+
     def get_returned_at(self) -> Instant:
         """Return when the direct path last began to work again; 0 if it was never down."""
         return self._returned_at
--- a/packages/lentilpathd/src/lentilpathd/_pool/_holding.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_holding.py
@@ -55,7 +55,8 @@
             if released is not None:
                 count += 1
                 self._end((released,), may_write=True)
-            await asyncio.sleep(RELEASE_INTERVAL_MS / MS_PER_SECOND)
+            if self._held:
+                await asyncio.sleep(RELEASE_INTERVAL_MS / MS_PER_SECOND)
         self._metrics.set_gauge(Metric.CALLS_HELD, 0)
         self._releasing = None
         log_event(Event.CALLS_RELEASED, released=count)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -33,6 +33,7 @@
     LeaseRow,
     encode_record,
 )
+from lentilpathd._pool._settling import commit_repeatedly
 
 LEASE_MS = 2_000
 """A leader that does not renew its lease for this long may be replaced. Four renewals fit in it, or
@@ -148,8 +149,6 @@
         self._watched_since = Instant(0)
         """Since when the lease row was read without a failure and without a change."""
         self._is_watch_broken = False
-        self._is_last_write_unanswered = False
-        """Whether the outcome of the last lease write is unknown."""
 
     def is_confirmed(self, now: Instant) -> bool:
         """Return whether the lease is certainly still held, so that nobody else has taken over."""
@@ -289,15 +288,11 @@
         )
         sent_at = read_instant()
         try:
-            # After an unanswered write a relay may still renew the lease before it expires.
-            commit = await self._table.commit(
-                transaction, ROW_TIMEOUT_SECONDS, self._is_last_write_unanswered
-            )
+            # While the direct path is silent, a relay may still renew the lease before it expires.
+            commit = await commit_repeatedly(self._table, transaction, ROW_TIMEOUT_SECONDS)
         except (Unavailable, OutcomeUnknown) as error:
-            self._is_last_write_unanswered = isinstance(error, OutcomeUnknown)
             log_warning_event(Event.LEASE_NOT_RENEWED, epoch=epoch, error=str(error))
             return
         if not commit.applied:
             raise Deposed(f"epoch {epoch} was superseded by another leader")
-        self._is_last_write_unanswered = False
         self.record_renewal(sent_at, commit)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_ports.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_ports.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from lentilpath_core.errors import LentilpathError
-from lentilpath_core.ids import FencingToken, RowVersion, WorkerId, WorkerTime
+from lentilpath_core.ids import FencingToken, Instant, RowVersion, WorkerId, WorkerTime
 from lentilpath_core.pool import (
     Life,
     ListedWorker,
@@ -128,6 +128,18 @@
         """Apply all of the transaction or nothing; with `prefer_relay` try a relay host first."""
         ...
 
+    def get_commit_timeout(self) -> float:
+        """Return the time in seconds after which an answer is later than usual."""
+        ...
+
+    def get_silence_seconds(self) -> float:
+        """Return the time in seconds after which a missing answer shows that the path is silent."""
+        ...
+
+    def get_returned_at(self) -> Instant:
+        """Return when the direct path last began to work again; 0 if it was never down."""
+        ...
+
 
 class Registry(Protocol):
     """The deployment's registered workers and its configuration, written by others."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_settling.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_settling.py
@@ -11,12 +11,11 @@
 import asyncio
 import itertools
 from collections.abc import Callable
-from typing import Protocol
 
 from lentilpath_core.errors import OutcomeUnknown, TableBusy, TableUnavailable
 from lentilpath_core.ids import Instant
 from lentilpathd._clock import MS_PER_SECOND, read_instant
-from lentilpathd._pool._ports import PartitionCommitResult, PartitionTransaction
+from lentilpathd._pool._ports import PartitionCommitResult, PartitionTransaction, SharedTable
 
 RETRY_SECONDS = 0.05
 """One network round trip between regions."""
@@ -64,59 +63,66 @@
         )
 
 
-class WritableTable(Protocol):
-    """What a write that is repeated needs of the table."""
-
-    async def commit(
-        self, transaction: PartitionTransaction, timeout: float, prefer_relay: bool = False
-    ) -> PartitionCommitResult:
-        """Apply all of the transaction or nothing; with `prefer_relay` try a relay host first."""
-        ...
-
-    def get_commit_timeout(self) -> float:
-        """Return the time in seconds after which an answer is later than usual."""
-        ...
-
-    def get_returned_at(self) -> Instant:
-        """Return when the direct path last began to work again; 0 if it was never down."""
-        ...
-
-
 async def settle_write(
-    table: WritableTable,
+    table: SharedTable,
     health: PartitionHealth,
     transactions: tuple[PartitionTransaction, ...],
     give_up_at: Instant,
     report_unclear: Callable[[Exception], None],
+    get_late_seconds: Callable[[], float] | None = None,
 ) -> Stored:
     """Make an idempotent write, as any one of the transactions, and return the one applied.
 
+    An attempt that takes longer than `get_late_seconds` gets another beside it; by default the
+    table's commit timeout.
+
     `report_unclear` is called each time an attempt may have taken effect without an answer. Raises
     `TableUnavailable` if no attempt was sent, at once unless the table is only busy, and
     `OutcomeUnknown` if the write may have taken effect but nothing is known at `give_up_at`.
     """
     ordered = health.sort(transactions, read_instant())
-    write = _RepeatedWrite(table, health, ordered, give_up_at, report_unclear)
+    late = get_late_seconds or table.get_commit_timeout
+    write = _RepeatedWrite(table, health, ordered, give_up_at, report_unclear, late)
     try:
         return await write.run()
     finally:
         await write.close()
 
 
+async def commit_repeatedly(
+    table: SharedTable, transaction: PartitionTransaction, timeout: float
+) -> PartitionCommitResult:
+    """Make an idempotent write of the leader, which other work waits for.
+
+    It is sent through a relay too as soon as the direct path is silent. Raises as `settle_write`.
+    """
+    _, commit = await settle_write(
+        table,
+        PartitionHealth(),
+        (transaction,),
+        Instant(int(read_instant() + timeout * MS_PER_SECOND)),
+        lambda error: None,
+        table.get_silence_seconds,
+    )
+    return commit
+
+
 class _RepeatedWrite:
     def __init__(
         self,
-        table: WritableTable,
+        table: SharedTable,
         health: PartitionHealth,
         transactions: tuple[PartitionTransaction, ...],
         give_up_at: Instant,
         report_unclear: Callable[[Exception], None],
+        get_late_seconds: Callable[[], float],
     ) -> None:
         self._table = table
         self._health = health
         self._transactions = itertools.cycle(transactions)
         self._give_up_at = give_up_at
         self._report_unclear = report_unclear
+        self._get_late_seconds = get_late_seconds
         self._in_flight: dict[Attempt, PartitionTransaction] = {}
         self._last_begun_at = Instant(0)
         self._is_unclear = False
@@ -142,9 +148,7 @@
 
     async def _wait_for_attempts(self) -> set[Attempt]:
         """Return the attempts that ended; none if all are late or the table has returned since."""
-        left_seconds = min(
-            self._table.get_commit_timeout(), self._get_seconds_left() * FIRST_ATTEMPT_SHARE
-        )
+        left_seconds = min(self._get_late_seconds(), self._get_seconds_left() * FIRST_ATTEMPT_SHARE)
         while left_seconds > 0.0:
             wait_seconds = min(left_seconds, RETURN_CHECK_SECONDS)
             ended, _ = await asyncio.wait(
--- a/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from functools import partial
 from typing import TypeVar
 
 import msgspec
@@ -94,6 +95,10 @@
         """Return the timeout for a caller's write in seconds, longer while responses are slow."""
         return self._direct.get_commit_timeout()
 
+    def get_silence_seconds(self) -> float:
+        """Return after how long a missing answer shows that the direct path is silent."""
+        return self._direct.get_silence_seconds()
+
     def get_returned_at(self) -> Instant:
         """Return when the direct path last began to work again; 0 if it was never down."""
         return self._direct.get_returned_at()
@@ -188,19 +193,36 @@
         self, table: str, partition: str, first: str, end: str, timeout: float
     ) -> PartitionRows:
         """Return the rows of a partition; see `PartitionedTable`."""
-        if self._direct.is_up():
-            return await self._direct.read_partition(table, partition, first, end, timeout)
         read = RelayRead(table, partition, first, end, -1, 0, int(timeout * MS_PER_SECOND))
-        return make_rows(await self._relay(RelayRequest(read=read), timeout))
+        call = partial(self._direct.read_partition, table, partition, first, end, timeout)
+        return await self._read(call, read, timeout)
 
     async def follow(
         self, table: str, after: RowVersion, wait_seconds: float, timeout: float
     ) -> PartitionRows:
         """Return changes of a table; see `PartitionedTable`."""
-        if self._direct.is_up():
-            return await self._direct.follow(table, after, wait_seconds, timeout)
         wait_ms = int(wait_seconds * MS_PER_SECOND)
         read = RelayRead(table, "", "", "", after, wait_ms, int(timeout * MS_PER_SECOND))
+        call = partial(self._direct.follow, table, after, wait_seconds, timeout)
+        return await self._read(call, read, timeout)
+
+    async def _read(
+        self,
+        read_directly: Callable[[], Coroutine[None, None, PartitionRows]],
+        read: RelayRead,
+        timeout: float,
+    ) -> PartitionRows:
+        """Read directly, or through a relay if the direct path is down or goes down meanwhile."""
+        if self._direct.is_up():
+            reading = asyncio.ensure_future(read_directly())
+            going_down = asyncio.ensure_future(self._direct.wait_down())
+            try:
+                await asyncio.wait((reading, going_down), return_when=asyncio.FIRST_COMPLETED)
+                if reading.done() or not self._can_relay(read_instant()):
+                    return await reading
+            finally:
+                going_down.cancel()
+                reading.cancel()
         return make_rows(await self._relay(RelayRequest(read=read), timeout))
 
     def _list_relays(self, now: Instant) -> tuple[HostId, ...]:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -31,6 +31,7 @@
     make_final_key,
     parse_end_key,
 )
+from lentilpathd._pool._settling import commit_repeatedly
 from lentilpathd._pool._worker_rows import WorkerShares
 
 MAX_ENTRIES = 95
@@ -44,8 +45,11 @@
 """Enough for a transaction while the table is 100 times slower than usual."""
 RETRY_SECONDS = 0.15
 """Several times the batch delay; doubled after each failure."""
-MAX_RETRY_SECONDS = 1.0
-"""Half of the leader's lease."""
+MAX_RETRY_SECONDS = 0.3
+"""Steps that depend on stored ends wait for no longer once the table is back. While no path to it
+is open, a retry sends nothing."""
+REJECTED_RETRY_SECONDS = 1.0
+"""The table is asked seldom about records that it finds invalid."""
 
 Record = RecordRun | RecordFinal | RecordWorkers
 
@@ -144,7 +148,6 @@
         puts.update(self._replace_workers(batch))
         deletes = self._pop_obsolete_keys(batch, puts.keys(), MAX_ENTRIES - len(puts))
         delay_seconds = RETRY_SECONDS
-        is_unclear = False
         while True:
             renewal = self._leadership.make_renewal(self._epoch)
             transaction = PartitionTransaction(
@@ -156,14 +159,13 @@
             )
             sent_at = read_instant()
             try:
-                commit = await self._table.commit(transaction, COMMIT_TIMEOUT_SECONDS, is_unclear)
+                commit = await commit_repeatedly(self._table, transaction, COMMIT_TIMEOUT_SECONDS)
             except WriteRejected as error:
                 # The records can't be given up, and the jobs of others wait behind them.
                 log_warning_event(Event.RECORDS_REJECTED, count=len(batch), error=str(error))
-                await asyncio.sleep(MAX_RETRY_SECONDS)
+                await asyncio.sleep(REJECTED_RETRY_SECONDS)
                 continue
             except (Unavailable, OutcomeUnknown) as error:
-                is_unclear = isinstance(error, OutcomeUnknown)
                 # Writing equal rows twice is idempotent, so a write of unknown outcome is retried.
                 log_warning_event(Event.RECORDS_NOT_STORED, count=len(batch), error=str(error))
                 await asyncio.sleep(delay_seconds)
--- a/tests/common/tables.py
+++ b/tests/common/tables.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from lentilpath_core.errors import LentilpathError, TableBusy, TableUnavailable, WriteRejected
-from lentilpath_core.ids import HostId, Incarnation, RowVersion
+from lentilpath_core.ids import HostId, Incarnation, Instant, RowVersion
 from lentilpath_core.settings import Address
 from lentilpathd._pool._leadership import PoolLeadership
 from lentilpathd._pool._ports import PartitionCommitResult, PartitionRow, PartitionRows
@@ -55,6 +55,18 @@
             self.emptied.set()
         return PartitionCommitResult(True, RowVersion(self.version), self.clock_ms)
 
+    def can_write(self, partitions: tuple[str, ...]) -> bool:
+        return True
+
+    def get_commit_timeout(self) -> float:
+        return 0.1
+
+    def get_silence_seconds(self) -> float:
+        return 0.1
+
+    def get_returned_at(self) -> Instant:
+        return Instant(0)
+
     async def read_partition(self, table, partition, first, end, timeout):
         if self.is_unavailable:
             raise self.unavailable_error
--- a/tests/cover/test_pool_answers.py
+++ b/tests/cover/test_pool_answers.py
@@ -9,7 +9,7 @@
 import pytest
 
 from lentilpath_core.errors import LentilpathError, OutcomeUnknown, TableUnavailable
-from lentilpath_core.ids import HostId, Instant, JobId
+from lentilpath_core.ids import HostId, JobId
 from lentilpath_core.pool import NO_CUSTOMER, JobState, PoolConfiguration, QueueId, ServicePolicy
 from lentilpath_http import HttpRequest, HttpResponse
 from lentilpath_platform.callers import make_callers_handler
@@ -37,15 +37,6 @@
             raise self.errors.pop(0)
         return await super().commit(transaction, timeout)
 
-    def get_commit_timeout(self) -> float:
-        return 0.1
-
-    def can_write(self, partitions: tuple[str, ...]) -> bool:
-        return True
-
-    def get_returned_at(self) -> Instant:
-        return Instant(0)
-
 
 def make_jobs(table: OnePartitionTable, state: JobState | None = JobState.RUNNING) -> Jobs:
     context = SimpleNamespace(
--- a/tests/cover/test_pool_table_outages.py
+++ b/tests/cover/test_pool_table_outages.py
@@ -8,12 +8,15 @@
 import pytest
 
 from lentilpath_core.errors import LentilpathError, OutcomeUnknown, TableUnavailable
-from lentilpath_core.ids import RowVersion
+from lentilpath_core.ids import Epoch, HostId, JobId, RowVersion, WallTime
+from lentilpath_core.pool import FinalRecord, JobState, RecordFinal
+from lentilpathd._pool import _leadership, _writer
 from lentilpathd._pool._jobs import SubmissionResult
 from lentilpathd._pool._metrics import PoolMetrics
 from lentilpathd._pool._table_path import TablePath
+from lentilpathd._pool._writer import RecordWriter
 from tests.common.pools import make_record
-from tests.common.tables import OnePartitionTable
+from tests.common.tables import OnePartitionTable, make_leadership
 from tests.common.virtual_time import run_in_virtual_time
 from tests.cover.test_pool_answers import QUEUE, make_jobs
 from tests.cover.test_pool_settling import MODULES
@@ -146,3 +149,47 @@
         return path.is_direct_path_up()
 
     assert not run_in_virtual_time(scenario(), monkeypatch, *MODULES)
+
+
+def make_cut_path() -> tuple[TablePath, OutageTable]:
+    """Return the path of a host that has another host as its relay, and its own table."""
+    buses: dict[str, InMemoryBus] = {}
+    hosts = (HostId("h1"), HostId("h2"))
+    tables = [OutageTable() for _ in hosts]
+    paths = [
+        TablePath(table, cast(Any, InMemoryBus(host, buses)), lambda now: hosts, PoolMetrics())
+        for table, host in zip(tables, hosts, strict=True)
+    ]
+    return paths[0], tables[0]
+
+
+def test_records_are_stored_soon_while_the_table_is_silent_to_the_leaders_host_alone(monkeypatch):
+    async def scenario() -> float:
+        path, table = make_cut_path()
+        writer = RecordWriter(path, Epoch(1), make_leadership(cast(Any, path)), lambda event: None)
+        tasks = [asyncio.ensure_future(each.run()) for each in (path, writer)]
+        await path.commit(PUT, 1.0)
+        table.is_silent = True
+        started_at = asyncio.get_running_loop().time()
+        for number in range(3):
+            final = FinalRecord(JobState.COMPLETED, WallTime(0))
+            writer.queue(RecordFinal(JobId(f"{number:016x}"), final))
+            assert await writer.wait_durable(number + 1, 5.0)
+        waited = asyncio.get_running_loop().time() - started_at
+        await stop(*tasks)
+        return waited
+
+    modules = (*MODULES, _writer, _leadership)
+    assert run_in_virtual_time(scenario(), monkeypatch, *modules) <= 0.4
+
+
+def test_a_read_that_is_waiting_when_the_path_goes_down_is_relayed(monkeypatch):
+    async def scenario() -> float:
+        path, table = make_cut_path()
+        await path.commit(PUT, 1.0)
+        table.is_silent = True
+        started_at = asyncio.get_running_loop().time()
+        await path.read_partition("t", "cell", "", "", 1.5)
+        return asyncio.get_running_loop().time() - started_at
+
+    assert run_in_virtual_time(scenario(), monkeypatch, *MODULES) <= 0.2
