Pool: a new leader learns which jobs may be stored; readiness and cancels have tests

Cause: hosts told only the leader of the time that a job may be stored. The next leader did not know, so that it could confirm "not stored" for a job whose write was still to be applied.

Change: hosts repeat these notices when another host leads.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -240,7 +240,10 @@
             snapshot = self.leadership.snapshot
             if snapshot is not None and snapshot.lease is not None:
                 self.members.set_leader(snapshot.lease.host, snapshot.lease.address)
+                is_new = self.heartbeat_sender.get_leader() != snapshot.lease.host
                 self.heartbeat_sender.set_leader(snapshot.lease.host)
+                if is_new:
+                    self.jobs.notify_new_leader()
             term = self._get_ready_term()
             self.metrics.set_gauge(Metric.IS_LEADER, 0.0 if term is None else 1.0)
             if term is not None:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -227,6 +227,14 @@
         self._context.unclear_jobs.add(job, read_instant())
         self._send_in_background(UNCLEAR_TOPIC, UnclearNotice(job))
 
+    def notify_new_leader(self) -> None:
+        """Tell a leader that has just taken over which jobs may be stored, as the former one knew.
+
+        It reads the stored jobs before it answers queries, so that these notices come first.
+        """
+        for job in self._context.unclear_jobs.list_jobs(read_instant()):
+            self._send_in_background(UNCLEAR_TOPIC, UnclearNotice(job))
+
     def _send_in_background(self, topic: str, message: JobNotice | UnclearNotice) -> None:
         task = asyncio.ensure_future(self._send_to_leader(topic, message))
         self._pending_notices.add(task)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_members.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_members.py
@@ -278,6 +278,10 @@
         if len(self._until) > MAX_UNCLEAR_JOBS:
             self._until = {each: at for each, at in self._until.items() if at > now}
 
+    def list_jobs(self, now: Instant) -> tuple[JobId, ...]:
+        """Return all jobs that may be stored."""
+        return tuple(job for job, until in self._until.items() if now < until)
+
     def has(self, job: JobId, now: Instant) -> bool:
         """Return whether the job may be stored."""
         return now < self._until.get(job, Instant(0))
--- a/tests/cover/test_pool_held_calls.py
+++ b/tests/cover/test_pool_held_calls.py
@@ -24,6 +24,7 @@
 from lentilpathd._pool._messages import STATE_TOPIC, Empty, StateReply
 from lentilpathd._pool._metrics import PoolMetrics
 from lentilpathd._pool._ports import PartitionCommitResult
+from lentilpathd._pool._records import get_cancel_key
 from lentilpathd._pool._table_path import TablePath
 from tests.common.former_rules import send_to_silent_paths
 from tests.common.pools import make_record
@@ -152,6 +153,42 @@
     assert SubmissionResult.UNCLEAR in results
 
 
+def test_a_cancellation_that_arrives_in_an_outage_is_stored_once_the_table_is_back(monkeypatch):
+    async def scenario() -> tuple[bool, int]:
+        table, leader = OutageTable(), Leader()
+        (path,), (jobs,) = make_hosts(table, leader, 1)
+        tasks = [asyncio.ensure_future(path.run()), asyncio.ensure_future(poll(path))]
+        job = make_record(1).job
+        leader.stored.add(job)
+        await asyncio.sleep(1.0)
+        table.is_silent = True
+        await asyncio.sleep(0.6)
+        cancelling = asyncio.ensure_future(jobs.cancel(job, DEADLINE_MS))
+        await asyncio.sleep(1.5)
+        writes = table.writes
+        table.is_silent = False
+        is_known = await cancelling
+        await stop(*tasks)
+        return is_known and get_cancel_key(job) in table.rows, writes
+
+    assert run_in_virtual_time(scenario(), monkeypatch, *MODULES) == (True, 0)
+
+
+def test_a_new_leader_learns_which_jobs_may_be_stored(monkeypatch):
+    async def scenario() -> bool:
+        former, leader = Leader(), Leader()
+        _, (jobs,) = make_hosts(OutageTable(), former, 1)
+        job = make_record(1).job
+        jobs.mark_unclear(job)
+        await asyncio.sleep(1.0)
+        former.ask = leader.ask  # type: ignore[method-assign]
+        jobs.notify_new_leader()
+        await asyncio.sleep(1.0)
+        return leader.unclear.has(job, Instant(int(asyncio.get_running_loop().time() * 1_000)))
+
+    assert run_in_virtual_time(scenario(), monkeypatch, *MODULES)
+
+
 def make_call(number: int, urgency: int = 0, received_at: int = 0, size: int = 100) -> HeldCall:
     job = JobId(f"{number:016x}")
     return HeldCall(job, urgency, Instant(received_at), DEADLINE_MS, size, ("0",))
--- a/tests/nocover/test_pool_hosts.py
+++ b/tests/nocover/test_pool_hosts.py
@@ -295,3 +295,23 @@
         assert leader.host.leadership.snapshot is None or leader.host.leadership.snapshot.epoch <= 1
 
     run_scenario(scenario)
+
+
+def test_hosts_stay_ready_while_the_table_is_silent_and_hold_a_submission_until_it_is_back():
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.wait_for_leader()
+        digests = [each.host.heartbeat_sender for each in fleet.hosts]
+        await wait_until(lambda: all(each.has_recent_digest(read_instant()) for each in digests))
+        for host in fleet.hosts:
+            host.faults.hangs = True
+        await wait_until(lambda: not any(list_direct_path_states(fleet)))
+        submitting = asyncio.create_task(fleet.submit(fleet.hosts[1]))
+        await asyncio.sleep(1.0)
+        assert all(each.host.is_ready() for each in fleet.hosts)
+        for host in fleet.hosts:
+            host.faults.hangs = False
+        job, status = await submitting
+        assert status == 200
+        await expect_all_completed(fleet, [job])
+
+    run_scenario(scenario)
