--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -45,11 +45,8 @@
 """Enough for a transaction while the table is 100 times slower than usual."""
 RETRY_SECONDS = 0.15
 """Several times the batch delay; doubled after each failure."""
-MAX_RETRY_SECONDS = 0.3
-"""Steps that depend on stored ends wait for no longer once the table is back. While no path to it
-is open, a retry sends nothing."""
-REJECTED_RETRY_SECONDS = 1.0
-"""The table is asked seldom about records that it finds invalid."""
+MAX_RETRY_SECONDS = 1.0
+"""Half of the leader's lease."""
 
 Record = RecordRun | RecordFinal | RecordWorkers
 
@@ -163,7 +160,7 @@
             except WriteRejected as error:
                 # The records can't be given up, and the jobs of others wait behind them.
                 log_warning_event(Event.RECORDS_REJECTED, count=len(batch), error=str(error))
-                await asyncio.sleep(REJECTED_RETRY_SECONDS)
+                await asyncio.sleep(MAX_RETRY_SECONDS)
                 continue
             except (Unavailable, OutcomeUnknown) as error:
                 # Writing equal rows twice is idempotent, so a write of unknown outcome is retried.
