--- a/tests/cover/test_pool_customer_calls.py
+++ b/tests/cover/test_pool_customer_calls.py
@@ -19,10 +19,10 @@
     ShareLoads,
     StepSpec,
 )
-from lentilpathd._pool._jobs import SubmissionResult
 from lentilpathd._pool._ports import PartitionRow
 from lentilpathd._pool._records import encode_record, make_final_key
 from lentilpathd._pool._recovery import read_pool
+from lentilpathd._pool._refusals import SubmissionResult
 from tests.common.pools import QUEUE, TASK_RESOURCES, make_queue, make_record
 from tests.common.tables import OnePartitionTable
 from tests.cover.test_pool_answers import ScriptedTable, make_jobs
--- a/tests/cover/test_pool_malformed_ports.py
+++ b/tests/cover/test_pool_malformed_ports.py
@@ -71,7 +71,7 @@
     places = (HostId("h"), ZoneId("z"), RegionId("r"))
     own = PoolHostSettings(*places, address, address, address, address, 6_000, 6_000)
     readiness = await serve_http(answer_readiness, "127.0.0.1", 0, limits=LIMITS)
-    return [readiness, await serve_metrics(PoolMetrics(), own)]
+    return [readiness, await serve_metrics(PoolMetrics(), own, {})]
 
 
 @settings(max_examples=60)
