Explain: a job's customer, its quota and its share

The explanation said nothing of the customer, so a job that its quota or its customer's share refuses was shown as accepted, and tasks were shown as placed that the quota does not let start.

JobExplanation now has what the customer holds, its quota, its weight and whether the job would be over its share. The answer is decided in the order in which hosts decide: quota, work ahead, share. count_allowed no longer adds an unknown customer to the state; the test of that fails with the earlier lookup.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_customers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_customers.py
@@ -78,7 +78,8 @@
     customer = step.job.record.customer
     if customer == NO_CUSTOMER:
         return count
-    usage = _get_usage(state, customer)
+    # Reads only: a question about a job of an unknown customer must not add the customer.
+    usage = state.customers.get(customer) or CustomerUsage()
     if usage.policy is None:
         if not state.configuration.requires_keys:
             return count
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_explanations.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_explanations.py
@@ -11,16 +11,34 @@
 
 import msgspec
 
-from lentilpath_core.ids import Instant, WorkerId
-from lentilpath_core.pool._admission import decide_admission, measure_loads
+from lentilpath_core.errors import QuotaTooSmall
+from lentilpath_core.ids import CustomerId, Instant, WorkerId
+from lentilpath_core.pool._access import NO_CUSTOMER
+from lentilpath_core.pool._admission import QueueLoad, decide_admission, measure_loads
 from lentilpath_core.pool._advice import needs_advice
-from lentilpath_core.pool._model import JobRecord, QueuePolicy, get_completion_objective_ms
+from lentilpath_core.pool._customers import (
+    check_job_fits_quota,
+    compute_weighted_share,
+    count_allowed,
+)
+from lentilpath_core.pool._model import (
+    CustomerPolicy,
+    JobRecord,
+    QueuePolicy,
+    get_completion_objective_ms,
+)
 from lentilpath_core.pool._options import Options
 from lentilpath_core.pool._order import rank_step
 from lentilpath_core.pool._placement import MAX_REPORT_AGE_MS
 from lentilpath_core.pool._reservations import compute_usable_room, make_reservation
-from lentilpath_core.pool._state import Job, PoolState, Step, Worker
+from lentilpath_core.pool._share_admission import (
+    ShareLoads,
+    decide_share_admission,
+    measure_shares,
+)
+from lentilpath_core.pool._state import CustomerUsage, Job, PoolState, Step, Worker
 from lentilpath_core.pool._steps import begin_occurrence, estimate_critical_paths
+from lentilpath_core.resources import Resources
 
 MAX_NAMED_WORKERS = 10
 """Workers that an answer names per step and obstacle, so that its size does not grow with the
@@ -54,8 +72,11 @@
 
     step: int
     tasks: int
+    allowed: int
+    """Tasks that the customer's quota lets start now; a gang starts whole or not at all."""
     placed: int
-    """Tasks for which there is room now; a gang has room for all of its tasks or for none."""
+    """Allowed tasks for which there is room now; a gang has room for all of its tasks or for none.
+    """
     workers: tuple[WorkerId, ...]
     """Some of the workers that would be chosen."""
     obstacles: tuple[ObstacleCount, ...]
@@ -66,6 +87,29 @@
     """Whether the advice service may still exclude workers."""
 
 
+class CustomerExplanation(msgspec.Struct, frozen=True):
+    """What the job's customer holds of the fleet, and what it is entitled to."""
+
+    customer: CustomerId
+    is_known: bool
+    """Whether the leader has a policy of the customer. Without one, and where calls need keys, one
+    task or gang of the customer runs at a time."""
+    held: Resources
+    """What its runs hold, and its plans that wait for tickets."""
+    unseen: Resources
+    """Most that workers which have not reported to this leader may still run; counted as held."""
+    quota: Resources
+    """Most that its running tasks may hold; 0 for no limit."""
+    weight: float
+    """Jobs per second that it is entitled to."""
+    weighted_share: float
+    """The dominant share of the fleet that it holds, over its weight; the smallest goes first."""
+    is_over_share: bool
+    """Whether the job would be beyond the customer's share, and so wait behind all others."""
+    within_share_in_ms: int
+    """Time until a job of the customer is within its share again."""
+
+
 class JobExplanation(msgspec.Struct, frozen=True):
     """Whether a job would be accepted now, and where its first steps would be placed."""
 
@@ -83,6 +127,8 @@
     """The steps that depend on no other step."""
     oldest_report_ms: int | None
     """Age of the oldest last report of a listed worker; `None` if none has reported."""
+    customer: CustomerExplanation | None = None
+    """`None` for a job without a customer."""
 
 
 def explain_job(
@@ -90,12 +136,18 @@
 ) -> JobExplanation:
     """Return where the job would be placed at `now`. Changes nothing in `state`."""
     load = measure_loads(state, now).get(record.queue)
-    refusal_ms = decide_admission(record, policy, load)
+    shares = measure_shares(state, now) if record.customer != NO_CUSTOMER else ShareLoads()
+    refusal_ms, reason = _decide_answer(state, record, policy, load, shares)
     critical_path_ms = max(estimate_critical_paths(record.steps), default=0.0)
     objective_ms = get_completion_objective_ms(policy, critical_path_ms)
     job = Job(record, policy, now, objective_ms)
     # The steps are created in a state of their own, so that they are not open in the pool's.
     begin_occurrence(PoolState(state.epoch, now), job, 0)
+    customer = _explain_customer(state, job)
+    job.is_over_share = customer is not None and customer.is_over_share
+    wait_ms = load.wait_ms if load is not None else 0
+    if job.is_over_share:
+        wait_ms = shares.waits_ms.get(str(record.queue), wait_ms)
     first = [step for step in job.steps.values() if not step.spec.after]
     ranks = [rank_step(state, step, now) for step in state.open_steps.values()]
     own_rank = min(rank_step(state, step, now) for step in first)
@@ -105,16 +157,63 @@
         if worker.is_listed and worker.reported_at is not None
     ]
     return JobExplanation(
-        is_accepted=refusal_ms is None,
-        reason="" if refusal_ms is None else "the work ahead of it leaves too little time",
-        retry_after_ms=refusal_ms or 0,
+        is_accepted=not reason,
+        reason=reason,
+        retry_after_ms=refusal_ms,
         objective_ms=int(objective_ms),
         critical_path_ms=int(critical_path_ms),
-        wait_ms=load.wait_ms if load is not None else 0,
+        wait_ms=wait_ms,
         steps_ahead=sum(rank < own_rank for rank in ranks),
         steps_waiting=len(ranks),
         steps=tuple(_explain_step(state, step, now) for step in first),
         oldest_report_ms=max(ages, default=None),
+        customer=customer,
+    )
+
+
+def _decide_answer(
+    state: PoolState,
+    record: JobRecord,
+    policy: QueuePolicy,
+    load: QueueLoad | None,
+    shares: ShareLoads,
+) -> tuple[int, str]:
+    """Return the retry delay and the reason of a refusal, in the order in which hosts decide.
+
+    An empty reason means that the job would be accepted. A delay of 0 with a reason means that
+    waiting does not help.
+    """
+    usage = state.customers.get(record.customer)
+    try:
+        check_job_fits_quota(record, usage.policy if usage is not None else None)
+    except QuotaTooSmall as error:
+        return 0, str(error)
+    refusal_ms = decide_admission(record, policy, load)
+    if refusal_ms is not None:
+        return refusal_ms, "the work ahead of it leaves too little time"
+    refusal_ms = decide_share_admission(record, policy, load, shares)
+    if refusal_ms is not None:
+        return refusal_ms, "its customer is over its share, and all other work goes first"
+    return 0, ""
+
+
+def _explain_customer(state: PoolState, job: Job) -> CustomerExplanation | None:
+    customer = job.record.customer
+    if customer == NO_CUSTOMER:
+        return None
+    usage = state.customers.get(customer) or CustomerUsage()
+    policy = usage.policy or CustomerPolicy(customer)
+    delay_ms = usage.bucket.compute_delay_ms(state.wall_now) if usage.policy is not None else 0
+    return CustomerExplanation(
+        customer=customer,
+        is_known=usage.policy is not None,
+        held=usage.held,
+        unseen=usage.unseen,
+        quota=policy.quota,
+        weight=policy.weight,
+        weighted_share=compute_weighted_share(state, job),
+        is_over_share=delay_ms > 0,
+        within_share_in_ms=delay_ms,
     )
 
 
@@ -127,17 +226,19 @@
             fitting.append(worker)
         else:
             excluded.setdefault(obstacle, []).append(worker.worker)
-    places = _choose_workers(state, step, fitting, now)
+    allowed = count_allowed(state, step)
+    places = _choose_workers(state, step, fitting, allowed, now)
     return StepExplanation(
         step=step.key.step,
         tasks=step.spec.count,
+        allowed=allowed,
         placed=len(places),
         workers=_name_some(dict.fromkeys(worker.worker for worker in places)),
         obstacles=tuple(
             ObstacleCount(obstacle, len(workers), _name_some(workers))
             for obstacle, workers in sorted(excluded.items(), key=lambda each: -len(each[1]))
         ),
-        starts_in_ms=0 if len(places) == step.spec.count else _estimate_start(state, step, now),
+        starts_in_ms=_estimate_start(state, step, len(places), allowed, now),
         needs_advice=needs_advice(step),
     )
 
@@ -147,11 +248,11 @@
 
 
 def _choose_workers(
-    state: PoolState, step: Step, fitting: list[Worker], now: Instant
+    state: PoolState, step: Step, fitting: list[Worker], allowed: int, now: Instant
 ) -> list[Worker]:
     options = Options(state, step, fitting, now)
     chosen: list[Worker] = []
-    for index in range(step.spec.count):
+    for index in range(allowed):
         worker = options.take_cheapest(index)
         if worker is None:
             break
@@ -192,7 +293,14 @@
     return None
 
 
-def _estimate_start(state: PoolState, step: Step, now: Instant) -> int | None:
+def _estimate_start(
+    state: PoolState, step: Step, placed: int, allowed: int, now: Instant
+) -> int | None:
+    if placed == step.spec.count:
+        return 0
+    if allowed < step.spec.count:
+        # A reservation plans by the workers' room alone, so it says nothing about the quota.
+        return None
     usable = [
         worker
         for worker in state.workers.values()
--- a/packages/lentilpath/src/lentilpath/_explain.py
+++ b/packages/lentilpath/src/lentilpath/_explain.py
@@ -26,6 +26,9 @@
     str | None, typer.Option("--host", help="IP:PORT of an entry host's metrics address")
 ]
 
+_UNITS = (("millicores", "millicores"), ("memory_mib", "MB"), ("accelerators", "accelerators"))
+"""The amounts of resources, each with its unit."""
+
 
 def explain_job_file(
     file: FileArgument, host: MetricsHostOption = None, as_json: JsonOption = False
@@ -60,6 +63,8 @@
     lines.append(
         f"objective {answer['objective_ms']} ms, critical path {answer['critical_path_ms']} ms"
     )
+    if answer["customer"] is not None:
+        lines.extend(_format_customer(answer["customer"]))
     for step in answer["steps"]:
         lines.extend(_format_step(step))
     age = answer["oldest_report_ms"]
@@ -67,10 +72,32 @@
     return "\n".join(lines)
 
 
+def _format_customer(customer: dict[str, Any]) -> list[str]:
+    name = customer["customer"]
+    if not customer["is_known"]:
+        return [f"customer {name}: not in any configuration that the leader has seen"]
+    held, unseen, quota = customer["held"], customer["unseen"], customer["quota"]
+    amounts = []
+    for field, unit in _UNITS:
+        limit = quota[field] or "no limit"
+        amount = f"{held[field]} of {limit} {unit}"
+        if unseen[field]:
+            amount += f" and up to {unseen[field]} on workers that have not reported"
+        amounts.append(amount)
+    lines = [f"customer {name} holds {', '.join(amounts)}"]
+    share = f"weight {customer['weight']:g}, weighted share {customer['weighted_share']:.4f}"
+    if customer["is_over_share"]:
+        share += f"; over its share for {customer['within_share_in_ms']} ms, behind all others"
+    lines.append(f"  {share}")
+    return lines
+
+
 def _format_step(step: dict[str, Any]) -> list[str]:
     start = step["starts_in_ms"]
     expected = "start cannot be estimated" if start is None else f"starts in about {start} ms"
     lines = [f"step {step['step']}: room for {step['placed']} of {step['tasks']} tasks; {expected}"]
+    if step["allowed"] < step["tasks"]:
+        lines.append(f"  the customer's quota lets {step['allowed']} tasks start now")
     if step["workers"]:
         lines.append(f"  on {', '.join(step['workers'])}")
     for each in step["obstacles"]:
--- a/tests/cover/test_pool_explanations.py
+++ b/tests/cover/test_pool_explanations.py
@@ -18,15 +18,21 @@
 import pytest
 
 from lentilpath._explain import format_explanation
-from lentilpath_core.ids import HostId
+from lentilpath_core.ids import CustomerId, HostId
 from lentilpath_core.pool import (
+    NO_CUSTOMER,
     AdvicePolicy,
+    CustomerPolicy,
     JobExplanation,
     JobRecord,
     Obstacle,
     StartAnswer,
     StepSpec,
+    decide_admission,
+    decide_share_admission,
     explain_job,
+    measure_loads,
+    measure_shares,
 )
 from lentilpath_core.resources import Resources
 from lentilpath_http import HttpRequest, HttpResponse
@@ -43,10 +49,13 @@
 from tests.cover.test_pool_table_path import InMemoryBus
 
 LARGE = Resources(6_000, 512, 0)
+BUYER = CustomerId("buyer")
 
 
-def explain(harness: PoolHarness, *steps: StepSpec) -> JobExplanation:
-    record = make_record(99, *steps)
+def explain(
+    harness: PoolHarness, *steps: StepSpec, customer: CustomerId = NO_CUSTOMER
+) -> JobExplanation:
+    record = make_record(99, *steps, customer=customer)
     return explain_job(harness.state, record, harness.queues[QUEUE], harness.now)
 
 
@@ -122,6 +131,96 @@
     assert "advice service" in lines
 
 
+def make_customer_harness(quota_millicores: int = 0, weight: float = 1.0) -> PoolHarness:
+    policy = CustomerPolicy(BUYER, weight, Resources(quota_millicores, 0, 0))
+    harness = PoolHarness(customers=(policy,))
+    harness.add_workers(make_worker("w1"), make_worker("w2"))
+    return harness
+
+
+@pytest.mark.parametrize(
+    ("step", "allowed"),
+    [
+        (StepSpec(5, TASK_RESOURCES, 500), 2),
+        (StepSpec(2, TASK_RESOURCES, 500, gang=True), 2),
+        (StepSpec(3, TASK_RESOURCES, 500, gang=True), 0),
+    ],
+)
+def test_no_more_tasks_are_shown_as_placed_than_the_quota_then_lets_start(step, allowed):
+    harness = make_customer_harness(quota_millicores=3_000)
+    harness.submit(1, StepSpec(1, TASK_RESOURCES, 5_000), customer=BUYER)
+    (start,) = list_starts(harness.place())
+    harness.answer_start(start, StartAnswer.STARTED)
+    explanation = explain(harness, step, customer=BUYER)
+    harness.submit(99, step, customer=BUYER)
+    (explained,) = explanation.steps
+    assert (explained.allowed, explained.placed) == (allowed, allowed)
+    assert len(list_starts(harness.place())) == allowed
+    assert explained.starts_in_ms == (0 if allowed == step.count else None)
+    customer = explanation.customer
+    assert customer is not None
+    assert (customer.held, customer.quota) == (TASK_RESOURCES, Resources(3_000, 0, 0))
+    lines = format_explanation(msgspec.json.decode(msgspec.json.encode(explanation)))
+    assert "holds 1000 of 3000 millicores, 512 of no limit MB" in lines
+
+
+def test_a_job_that_its_quota_can_never_hold_is_explained_with_the_quota_and_no_retry():
+    harness = make_customer_harness(quota_millicores=500)
+    explanation = explain(harness, StepSpec(1, TASK_RESOURCES, 500), customer=BUYER)
+    assert not explanation.is_accepted
+    assert "500 millicores" in explanation.reason
+    assert explanation.retry_after_ms == 0
+    assert explanation.steps[0].allowed == 0
+
+
+def test_a_job_beyond_its_customers_share_waits_behind_the_others():
+    harness = make_customer_harness(weight=0.5)
+    harness.pass_time(1)
+    for job in range(1, 12):
+        harness.submit(job, customer=BUYER, accepted_at=harness.now)
+    harness.submit(50, StepSpec(1, TASK_RESOURCES, 50_000))
+    explanation = explain(harness, StepSpec(1, TASK_RESOURCES, 5_000), customer=BUYER)
+    customer = explanation.customer
+    assert customer is not None
+    assert customer.is_over_share
+    assert customer.within_share_in_ms == 2_001  # the time of a token, rounded up
+    assert explanation.steps_ahead == 12
+    assert explain(harness, StepSpec(1, TASK_RESOURCES, 500)).customer is None
+    lines = format_explanation(msgspec.json.decode(msgspec.json.encode(explanation)))
+    assert "over its share for" in lines
+
+
+def test_a_job_that_its_customers_share_refuses_is_explained_with_that_reason():
+    harness = make_customer_harness(weight=0.5)
+    harness.pass_time(1)
+    for job in range(1, 14):
+        step = StepSpec(1 if job <= 10 else 400, TASK_RESOURCES, 1_000)
+        harness.submit(job, step, customer=BUYER, accepted_at=harness.now)
+    step = StepSpec(1, TASK_RESOURCES, 500)
+    explanation = explain(harness, step, customer=BUYER)
+    record = make_record(99, step, customer=BUYER)
+    policy = harness.queues[QUEUE]
+    load = measure_loads(harness.state, harness.now)[QUEUE]
+    assert decide_admission(record, policy, load) is None
+    shares = measure_shares(harness.state, harness.now)
+    assert explanation.retry_after_ms == decide_share_admission(record, policy, load, shares)
+    assert not explanation.is_accepted
+    assert "over its share" in explanation.reason
+    assert explanation.wait_ms == shares.waits_ms[QUEUE]
+
+
+def test_asking_for_an_unknown_customer_does_not_add_it():
+    harness = make_customer_harness(quota_millicores=500)
+    before = copy.deepcopy(harness.state)
+    explanation = explain(harness, StepSpec(2, TASK_RESOURCES, 500), customer=CustomerId("new"))
+    assert explanation.customer is not None
+    assert not explanation.customer.is_known
+    assert explanation.steps[0].allowed == 1
+    assert repr(harness.state) == repr(before)
+    lines = format_explanation(msgspec.json.decode(msgspec.json.encode(explanation)))
+    assert "not in any configuration" in lines
+
+
 class StubTerm:
     """Explains with a pool's state, as the leader's term does."""
 
