Jobs: a submission under another customer's job id gets 403 without the table

While the table takes no writes, the leader says whether an earlier submission stored the job. This answer was used without looking at the job's customer: a caller with another customer's key got 200 for a job that is not its own, and took its own job as accepted.

The owner is checked as on the path through the table. The new test failed before with 200 in place of 403.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -172,7 +172,7 @@
                 lambda error: self._report_unclear(record.job, error),
             )
         except TableUnavailable as error:
-            return await self._answer_unsent(record.job, error)
+            return await self._answer_unsent(record, error)
         except OutcomeUnknown:
             return SubmissionAnswer(SubmissionResult.UNCLEAR)
         # An existing row belongs to this job: this submission or an earlier one stored it.
@@ -195,17 +195,20 @@
             self.mark_unclear(job)
         log_event(Event.JOB_UNCLEAR, job=job, error=str(error))
 
-    async def _answer_unsent(self, job: JobId, error: TableUnavailable) -> SubmissionAnswer:
+    async def _answer_unsent(self, record: JobRecord, error: TableUnavailable) -> SubmissionAnswer:
         """Answer a submission whose write was not sent to the table.
 
         An earlier submission may have stored the same job, in which case a refusal would be wrong.
         The leader knows whether it did; without the leader's answer the result is `UNCLEAR`.
+        Raises `NotPermitted` if the stored job belongs to another customer.
         """
+        job = record.job
         reply = await self._query_state(job)
         if reply is None or reply.is_unclear:
             log_event(Event.JOB_UNCLEAR, job=job, error=str(error))
             return SubmissionAnswer(SubmissionResult.UNCLEAR)
         if reply.state:
+            check_owner(reply.customer, record.customer)
             log_event(Event.JOB_STORED, job=job, repeated=True, state=reply.state)
             return SubmissionAnswer(SubmissionResult.ACCEPTED)
         log_event(Event.JOB_NOT_STORED, job=job, error=str(error))
--- a/tests/cover/test_pool_answers.py
+++ b/tests/cover/test_pool_answers.py
@@ -3,16 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
+from functools import partial
 from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
 
 from lentilpath_core.errors import LentilpathError, OutcomeUnknown, TableUnavailable
-from lentilpath_core.ids import HostId, Instant, JobId
-from lentilpath_core.pool import NO_CUSTOMER, JobState, PoolConfiguration, QueueId, ServicePolicy
+from lentilpath_core.ids import CustomerId, HostId, Instant, JobId
+from lentilpath_core.pool import (
+    NO_CUSTOMER,
+    CustomerPolicy,
+    JobState,
+    PoolConfiguration,
+    QueueId,
+    QueuePolicy,
+    ServicePolicy,
+    ShareLoads,
+)
 from lentilpath_http import HttpRequest, HttpResponse
 from lentilpath_platform.callers import make_callers_handler
+from lentilpathd._pool._host import PoolHost
 from lentilpathd._pool._jobs import Jobs
 from lentilpathd._pool._members import UnclearJobs
 from lentilpathd._pool._metrics import PoolMetrics
@@ -21,6 +33,8 @@
 
 JOB = JobId("00000000000000ab")
 QUEUE = make_queue(QueueId("checks"))
+OWNER, OTHER = CustomerId("owner"), CustomerId("other")
+BODY = b'{"steps": [{"cpu": 1000}]}'
 
 
 class ScriptedTable(OnePartitionTable):
@@ -44,7 +58,11 @@
         return Instant(0)
 
 
-def make_jobs(table: OnePartitionTable, state: JobState | None = JobState.RUNNING) -> Jobs:
+def make_jobs(
+    table: OnePartitionTable,
+    state: JobState | None = JobState.RUNNING,
+    owner: CustomerId = NO_CUSTOMER,
+) -> Jobs:
     context = SimpleNamespace(
         table=table,
         settings=SimpleNamespace(host=HostId("h1")),
@@ -52,25 +70,48 @@
         unclear_jobs=UnclearJobs(),
         is_leading=lambda: True,
         get_local_job_state=lambda job: state,
-        get_local_job_customer=lambda job: NO_CUSTOMER,
+        get_local_job_customer=lambda job: owner,
         handle_local_notice=lambda notice: True,
         heartbeat_sender=SimpleNamespace(
-            get_load=lambda queue, now: None, get_leader=lambda: HostId("h1")
+            get_load=lambda queue, now: None,
+            get_shares=lambda now: ShareLoads(),
+            get_leader=lambda: HostId("h1"),
         ),
+        get_configuration=lambda: None,
     )
     return Jobs(cast(Any, context))
 
 
-def call(method: str, jobs: Jobs, body: bytes = b"", deadline: str = "400") -> HttpResponse:
+def call(
+    method: str,
+    jobs: Jobs,
+    body: bytes = b"",
+    deadline: str = "400",
+    queue: QueuePolicy = QUEUE,
+    key: str | None = None,
+    is_current: bool = True,
+) -> HttpResponse:
     configuration = PoolConfiguration(
-        cast(Any, 1), {QUEUE.queue: QUEUE}, {SERVICE: ServicePolicy(SERVICE)}
+        cast(Any, 1),
+        {queue.queue: queue},
+        {SERVICE: ServicePolicy(SERVICE)},
+        {OWNER: CustomerPolicy(OWNER), OTHER: CustomerPolicy(OTHER)},
+        {"owner-key": OWNER, "other-key": OTHER},
     )
+    if key is not None:
+        configuration = replace(configuration, requires_keys=True)
     host = SimpleNamespace(
         jobs=jobs,
-        configuration=SimpleNamespace(get_current=lambda: configuration),
-        may_check_keys=lambda configuration, queue: True,
+        configuration=SimpleNamespace(
+            get_current=lambda: configuration, is_current=lambda max_age_ms, now: is_current
+        ),
+        settings=SimpleNamespace(max_configuration_age_ms=5_000),
+        report_unknown_key=lambda queue, method: None,
     )
-    headers = (("host", QUEUE.host), ("x-deadline-ms", deadline))
+    host.may_check_keys = partial(PoolHost.may_check_keys, cast(Any, host))
+    headers: tuple[tuple[str, str], ...] = (("host", "shop.example"), ("x-deadline-ms", deadline))
+    if key is not None:
+        headers += (("x-credential", key),)
     request = HttpRequest(method, f"{QUEUE.path_prefix}{JOB}", headers, body)
 
     async def answer() -> HttpResponse:
@@ -109,3 +150,11 @@
     response = call("GET", make_jobs(table, state=None))
     assert response.status == 503
     assert response.get_header("retry-after")
+
+
+@pytest.mark.parametrize(("key", "status"), [("owner-key", 200), ("other-key", 403)])
+def test_a_submission_that_the_table_does_not_take_is_accepted_only_for_the_jobs_own_customer(
+    key: str, status: int
+):
+    table = ScriptedTable(*[TableUnavailable("away")] * 50)
+    assert call("POST", make_jobs(table, owner=OWNER), BODY, key=key).status == status
