Keys: no key is used on a public queue while the configuration is too old

With strictRevoke, a host whose view of the configuration is too old answers keyed calls 503. Public queues were exempt as a whole, although a key in a call on one identifies its customer too: with a withdrawn key, a caller could read and cancel the customer's jobs of all queues through a public one.

The age now matters wherever a key identified the customer. Calls on public queues without a valid key are served as before. The test of a public queue failed before with 200 in place of 503. The test with hosts calls may_check_keys without the queue, which it no longer takes.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -13,7 +13,7 @@
 from lentilpath_core.errors import LentilpathError
 from lentilpath_core.ids import CustomerId, Epoch, Incarnation, Instant, JobId
 from lentilpath_core.peers import PeerRequest
-from lentilpath_core.pool import NO_CUSTOMER, JobState, PoolConfiguration, QueueId, QueuePolicy
+from lentilpath_core.pool import NO_CUSTOMER, JobState, PoolConfiguration, QueueId
 from lentilpath_http import HttpLimits, HttpRequest, HttpResponse, HttpServer, serve_http
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
@@ -144,9 +144,9 @@
             and self.table.is_open(read_instant())
         )
 
-    def may_check_keys(self, configuration: PoolConfiguration, queue: QueuePolicy) -> bool:
-        """Return whether the configuration is recent enough to accept a key for this queue."""
-        if not configuration.requires_keys or queue.is_public:
+    def may_check_keys(self, configuration: PoolConfiguration) -> bool:
+        """Return whether the configuration is recent enough to accept or refuse a key by it."""
+        if not configuration.requires_keys:
             return True
         return self.configuration.is_current(self.settings.max_configuration_age_ms, read_instant())
 
--- a/tests/cover/test_pool_answers.py
+++ b/tests/cover/test_pool_answers.py
@@ -158,3 +158,22 @@
 ):
     table = ScriptedTable(*[TableUnavailable("away")] * 50)
     assert call("POST", make_jobs(table, owner=OWNER), BODY, key=key).status == status
+
+
+@pytest.mark.parametrize("is_public", [False, True])
+def test_a_key_is_not_used_while_the_configuration_is_too_old_on_a_public_queue_either(
+    is_public: bool,
+):
+    queue = make_queue(QueueId("checks"), is_public=is_public)
+    jobs = make_jobs(ScriptedTable(), owner=OWNER)
+    for method in ("GET", "DELETE", "POST"):
+        old = call(method, jobs, BODY, queue=queue, key="owner-key", is_current=False)
+        assert old.status == 503
+        assert old.get_header("retry-after")
+        assert call(method, jobs, BODY, queue=queue, key="owner-key").status == 200
+
+
+def test_a_public_queue_serves_calls_without_a_key_while_the_configuration_is_too_old():
+    queue = make_queue(QueueId("checks"), is_public=True)
+    jobs = make_jobs(ScriptedTable())
+    assert call("GET", jobs, queue=queue, key="unknown", is_current=False).status == 200
--- a/tests/nocover/test_pool_customers.py
+++ b/tests/nocover/test_pool_customers.py
@@ -144,8 +144,7 @@
         pool_host = fleet.hosts[0].host
         configuration = pool_host.configuration.get_current()
         assert configuration is not None
-        (queue,) = configuration.queues.values()
-        assert pool_host.may_check_keys(configuration, queue)
+        assert pool_host.may_check_keys(configuration)
         assert pool_host.configuration.is_current(60_000, read_instant())
         assert not pool_host.configuration.is_current(60_000, Instant(read_instant() + 61_000))
 
