Keys: a too old configuration does not say that a key is unknown

With strictRevoke, a host whose view of the configuration is too old looked a key up before it looked at the age. A key that a newer version holds got 401, which callers take as a statement about the key, in place of 503.

A call with a key gets 503 there, and one without a key 401 as before.

--- a/tests/cover/test_pool_answers.py
+++ b/tests/cover/test_pool_answers.py
@@ -177,3 +177,9 @@
     queue = make_queue(QueueId("checks"), is_public=True)
     jobs = make_jobs(ScriptedTable())
     assert call("GET", jobs, queue=queue, key="unknown", is_current=False).status == 200
+
+
+def test_a_key_that_a_too_old_configuration_lacks_is_not_said_to_be_unknown():
+    jobs = make_jobs(ScriptedTable())
+    assert call("GET", jobs, key="new-key", is_current=False).status == 503
+    assert call("GET", jobs, key="new-key").status == 401
