Keys: a customer whose keys or quota are null does not block a configuration

An encoder that writes an empty list as null made the version an error, for example when the last key of a customer was withdrawn. The earlier version, with the withdrawn key, stayed in force.

--- a/tests/cover/test_pool_access.py
+++ b/tests/cover/test_pool_access.py
@@ -119,6 +119,15 @@
     assert not read_configuration().requires_keys
 
 
+def test_an_entry_that_leaves_keys_or_quota_out_or_null_is_no_reason_to_keep_a_withdrawn_key():
+    for empty in ({"name": "large"}, TENANT | {"apiKeys": None, "maxItems": None}):
+        found = read_configuration(tenants=[empty])
+        assert found.customers[LARGE].quota == Resources()
+        assert found.customers_by_key == {}
+    twice = read_configuration(tenants=[TENANT | {"apiKeys": [SECRET, SECRET], "weight": 0}])
+    assert twice.customers_by_key == {SECRET: LARGE}
+
+
 @pytest.mark.parametrize(
     ("tenants", "named"),
     [
