Callers: a queue's host may be configured in capitals

The host of a call was compared in lower case with the configured one as it was written, so all calls on such a queue got 404.

--- a/tests/cover/test_pool_answers.py
+++ b/tests/cover/test_pool_answers.py
@@ -142,6 +142,11 @@
     assert table.writes == 3
 
 
+def test_a_queue_whose_host_is_configured_in_capitals_is_found():
+    queue = replace(QUEUE, host="Shop.Example")
+    assert call("GET", make_jobs(ScriptedTable()), queue=queue).status == 200
+
+
 @pytest.mark.parametrize("error", [TableUnavailable("away"), OutcomeUnknown("silent")])
 def test_a_query_that_cannot_be_answered_may_be_repeated(error: LentilpathError):
     table = ScriptedTable()
