Customers: extreme weights and quotas do not fail the leader's decisions

A weight close to 0 gave an infinite delay, so the digest failed with OverflowError once the customer's bucket was empty, and a quota beyond the range of floats failed each placement pass. The configuration accepts both.

The delay is limited before it is rounded, and an amount over UNLIMITED is no limit. Both new tests failed before with OverflowError.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_buckets.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_buckets.py
@@ -112,4 +112,5 @@
         tokens = self._refill(period.left[-1], max(0, wall_now - period.jobs[-1][0]))
         if tokens >= 1.0:
             return 0
-        return min(until_full_ms, int((1.0 - tokens) / self.weight * MS_PER_SECOND) + 1)
+        # The time is infinite for a weight close to 0.
+        return int(min(until_full_ms, (1.0 - tokens) / self.weight * MS_PER_SECOND + 1))
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_customers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_customers.py
@@ -99,11 +99,14 @@
 
 
 def _limit_of(quota: Resources, factor: float = 1.0) -> Resources:
-    """Return the quota times a factor, with `UNLIMITED` in place of 0."""
+    """Return the quota times a factor, with `UNLIMITED` in place of 0 and of larger amounts.
+
+    Amounts that no float can hold would otherwise fail each pass of the leader.
+    """
     return Resources(
-        int(quota.millicores * factor) or UNLIMITED,
-        int(quota.memory_mib * factor) or UNLIMITED,
-        int(quota.accelerators * factor) or UNLIMITED,
+        int(min(quota.millicores, UNLIMITED) * factor) or UNLIMITED,
+        int(min(quota.memory_mib, UNLIMITED) * factor) or UNLIMITED,
+        int(min(quota.accelerators, UNLIMITED) * factor) or UNLIMITED,
     )
 
 
--- a/tests/cover/test_pool_quotas.py
+++ b/tests/cover/test_pool_quotas.py
@@ -21,6 +21,7 @@
     check_job_fits_quota,
     restore_former_workers,
 )
+from lentilpath_core.resources import Resources
 from tests.common.pools import (
     TASK_RESOURCES,
     PoolHarness,
@@ -220,3 +221,10 @@
         return
     with pytest.raises(QuotaTooSmall, match="'small', 2000 millicores"):
         check_job_fits_quota(record, make_quota(2))
+
+
+def test_a_quota_that_no_float_can_hold_is_no_limit():
+    harness = PoolHarness(customers=(CustomerPolicy(SMALL, 1.0, Resources(10**400, 0, 0)),))
+    harness.add_workers(make_worker("w1"))
+    submit(harness, 1, count=2)
+    assert len(list_starts(harness.place())) == 2
--- a/tests/cover/test_pool_shares.py
+++ b/tests/cover/test_pool_shares.py
@@ -99,6 +99,13 @@
     assert TokenBucket(0.0).compute_delay_ms(MINUTE) > 0
 
 
+def test_a_weight_close_to_0_gives_a_delay_to_the_end_of_the_period():
+    bucket = TokenBucket(5e-324)
+    for number in range(int(MIN_CAPACITY)):
+        bucket.add(make_job_id(number), MINUTE, MINUTE)
+    assert bucket.compute_delay_ms(MINUTE) == PERIOD_MS
+
+
 def make_pool(**weights: float) -> PoolHarness:
     policies = tuple(CustomerPolicy(CustomerId(name), each) for name, each in weights.items())
     harness = PoolHarness(make_queue(target_ms=3_000), customers=policies)
