Explain: each host answers a refused question with the same status

The leader's errors reach another host as a code and a text. A host that does not lead therefore answered 503, to be repeated, to a question about an unknown queue (400 by the leader), and to one too many (429).

The status follows from the code. The two tests failed before with 503; their bus now reports errors by code as the real one does.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_explain.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_explain.py
@@ -37,6 +37,13 @@
     code = "too-many-questions"
 
 
+_STATUS_BY_CODE = {
+    InvalidJob.code: HTTP_BAD_REQUEST,
+    UnknownName.code: HTTP_BAD_REQUEST,
+    TooManyQuestions.code: HTTP_TOO_MANY_REQUESTS,
+}
+
+
 class Question(msgspec.Struct, frozen=True):
     """A job to explain."""
 
@@ -68,12 +75,12 @@
             question = msgspec.json.decode(request.body, type=Question)
             _check_question(question)
             explanation = await self._explain(question)
-        except (msgspec.DecodeError, InvalidJob, UnknownName) as error:
-            return _make_error(HTTP_BAD_REQUEST, "invalid-job", error)
-        except TooManyQuestions as error:
-            return _make_error(HTTP_TOO_MANY_REQUESTS, error.code, error)
+        except (msgspec.DecodeError, RecursionError) as error:
+            return _make_error(HTTP_BAD_REQUEST, InvalidJob.code, error)
         except LentilpathError as error:
-            return _make_error(HTTP_SERVICE_UNAVAILABLE, error.code, error)
+            # The leader's errors arrive from another host with their code alone.
+            status = _STATUS_BY_CODE.get(error.code, HTTP_SERVICE_UNAVAILABLE)
+            return _make_error(status, error.code, error)
         body = msgspec.json.encode(explanation)
         return HttpResponse(HTTP_OK, (("content-type", "application/json"),), body)
 
--- a/tests/cover/test_pool_explanations.py
+++ b/tests/cover/test_pool_explanations.py
@@ -18,6 +18,7 @@
 import pytest
 
 from lentilpath._explain import format_explanation
+from lentilpath_core.errors import LentilpathError, UnknownName
 from lentilpath_core.ids import CustomerId, HostId
 from lentilpath_core.pool import (
     NO_CUSTOMER,
@@ -229,6 +230,8 @@
         self.harness.add_workers(make_worker("w1"))
 
     def explain(self, record: JobRecord, now: Any) -> JobExplanation:
+        if record.queue != QUEUE:
+            raise UnknownName(f"no queue {record.queue!r}")
         # The harness has a clock of its own; reports are too old by the machine's.
         return explain_job(self.harness.state, record, self.harness.queues[QUEUE], self.harness.now)
 
@@ -238,13 +241,25 @@
     return asyncio.run(explainer.handle_http(request))
 
 
+class RefusingBus(InMemoryBus):
+    """Reports the errors of other hosts by their code alone, as the bus between processes does."""
+
+    async def ask(self, host, topic, message, answer, timeout):
+        try:
+            return await super().ask(host, topic, message, answer, timeout)
+        except LentilpathError as error:
+            failure = LentilpathError(str(error))
+            failure.code = error.code
+            raise failure from error
+
+
 def make_explainers() -> tuple[Explainer, Explainer]:
     """Return the explainers of a host that leads and of one that does not."""
     hosts: dict[str, InMemoryBus] = {}
     term = StubTerm()
     return (
         Explainer(cast(Any, InMemoryBus("h1", hosts)), lambda: cast(Any, term), lambda: None),
-        Explainer(cast(Any, InMemoryBus("h2", hosts)), lambda: None, lambda: HostId("h1")),
+        Explainer(cast(Any, RefusingBus("h2", hosts)), lambda: None, lambda: HostId("h1")),
     )
 
 
@@ -258,9 +273,15 @@
     assert json.loads(response.body)["steps"][0]["workers"] == ["w1"]
 
 
-def test_questions_in_quick_succession_are_refused():
-    leader, _ = make_explainers()
-    assert [ask(leader, QUESTION).status for _ in range(2)] == [200, 429]
+@pytest.mark.parametrize("host", [0, 1])
+def test_questions_in_quick_succession_are_refused_by_each_host(host: int):
+    explainer = make_explainers()[host]
+    assert [ask(explainer, QUESTION).status for _ in range(2)] == [200, 429]
+
+
+@pytest.mark.parametrize("host", [0, 1])
+def test_an_unknown_queue_gets_the_same_answer_from_each_host(host: int):
+    assert ask(make_explainers()[host], QUESTION | {"queue": "unknown"}).status == 400
 
 
 def test_without_a_leader_the_question_is_to_be_repeated():
