Explain: waiting steps of equal rank are counted as going first

A pass sorts by rank and keeps the order of equal ones, so jobs accepted earlier go first. Operators were told that such steps are not ahead.

The new test failed before with 0 in place of 1.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_explanations.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_explanations.py
@@ -121,7 +121,7 @@
     wait_ms: int
     """Estimated time until the work ahead of the job's queue is done."""
     steps_ahead: int
-    """Waiting steps of a smaller rank."""
+    """Waiting steps of a smaller rank, or of an equal one, of which earlier jobs go first."""
     steps_waiting: int
     steps: tuple[StepExplanation, ...]
     """The steps that depend on no other step."""
@@ -163,7 +163,7 @@
         objective_ms=int(objective_ms),
         critical_path_ms=int(critical_path_ms),
         wait_ms=wait_ms,
-        steps_ahead=sum(rank < own_rank for rank in ranks),
+        steps_ahead=sum(rank <= own_rank for rank in ranks),
         steps_waiting=len(ranks),
         steps=tuple(_explain_step(state, step, now) for step in first),
         oldest_report_ms=max(ages, default=None),
--- a/tests/cover/test_pool_explanations.py
+++ b/tests/cover/test_pool_explanations.py
@@ -222,6 +222,13 @@
     assert "not in any configuration" in lines
 
 
+def test_a_waiting_step_of_equal_rank_goes_first():
+    harness = make_customer_harness()
+    step = StepSpec(2, LARGE, 500, gang=True)
+    harness.submit(1, step)
+    assert explain(harness, step).steps_ahead == 1
+
+
 class StubTerm:
     """Explains with a pool's state, as the leader's term does."""
 
