Jobs: a number beyond the range of floats is refused with 400

The error message for a number out of range formatted it as a float, which fails for integers of more than 308 digits. Callers got 504, as if the job might be stored, in place of 400.

The message shows the first digits. The new test failed before with 504 for both such numbers.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_validity.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_validity.py
@@ -16,6 +16,8 @@
 
 MAX_NAME_CHARACTERS = 256
 """A worker's name is sent in a header; the deployments' names have under 40 characters."""
+MAX_SHOWN_DIGITS = 20
+"""A number that an error names may have thousands of digits and exceed the range of floats."""
 MAX_PORT = 65_535
 """Ports of TCP have 16 bits."""
 
@@ -85,4 +87,5 @@
 def _check_numbers(name: str, **numbers: int) -> None:
     for field, number in numbers.items():
         if not 0 <= number <= MAX_INTEGER:
-            raise InvalidJob(f"{name}: {field} is {number:.3g}; use 0 to {MAX_INTEGER}")
+            shown = str(number)[:MAX_SHOWN_DIGITS]
+            raise InvalidJob(f"{name}: {field} is {shown}; use 0 to {MAX_INTEGER}")
--- a/tests/cover/test_pool_answers.py
+++ b/tests/cover/test_pool_answers.py
@@ -188,3 +188,9 @@
     jobs = make_jobs(ScriptedTable())
     assert call("GET", jobs, key="new-key", is_current=False).status == 503
     assert call("GET", jobs, key="new-key").status == 401
+
+
+@pytest.mark.parametrize("number", [-1, 10**16, 10**400, -(10**400)], ids=["-1", "16", "400", "-400"])
+def test_a_job_with_a_number_out_of_range_is_refused_as_unreadable(number: int):
+    body = b'{"steps": [{"estRuntimeMs": %d}]}' % number
+    assert call("POST", make_jobs(ScriptedTable()), body).status == 400
