Jobs: a job id of another customer is not accepted in another partition

A job may be stored in three partitions, and the condition that it is absent holds for one of them. While the usual partition gave no answer, a submission under the id of another customer's job was stored in the next one and answered 200, although the leader never runs it.

After a write outside the usual partition, a host asks the leader for the job's customer, and answers 403 if it is another one. The row remains and is not used.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -180,6 +180,8 @@
             if existing.key == record.job:
                 check_owner(_read_owner(existing), record.customer)
         if commit.applied:
+            if record.customer and transaction is not transactions[0]:
+                await self._check_known_owner(record)
             self._notify_leader(transaction, commit.version)
         log_event(
             Event.JOB_STORED,
@@ -190,6 +192,16 @@
         )
         return SubmissionAnswer(SubmissionResult.ACCEPTED)
 
+    async def _check_known_owner(self, record: JobRecord) -> None:
+        """Raise `NotPermitted` if the leader knows the job as another customer's.
+
+        The condition of a write sees only the rows of its own partition, and the job may be stored
+        in its usual one.
+        """
+        reply = await self._query_state(record.job)
+        if reply is not None and reply.state:
+            check_owner(reply.customer, record.customer)
+
     def _report_unclear(self, job: JobId, error: Exception) -> None:
         if not self._context.unclear_jobs.has(job, read_instant()):
             self.mark_unclear(job)
--- a/tests/cover/test_pool_answers.py
+++ b/tests/cover/test_pool_answers.py
@@ -196,3 +196,13 @@
 def test_a_job_with_a_number_out_of_range_is_refused_as_unreadable(number: int):
     body = b'{"steps": [{"estRuntimeMs": %d}]}' % number
     assert call("POST", make_jobs(ScriptedTable()), body).status == 400
+
+
+@pytest.mark.parametrize(("key", "status"), [("owner-key", 200), ("other-key", 403)])
+def test_a_submission_stored_in_another_partition_is_not_accepted_if_the_job_is_another_customers(
+    key: str, status: int
+):
+    # The row of the owner's job is in the partition that gives no answer.
+    table = ScriptedTable(OutcomeUnknown("silent"))
+    assert call("POST", make_jobs(table, owner=OWNER), BODY, key=key).status == status
+    assert table.writes == 2
