Recovery: of a job that is stored twice, the first accepted row counts

A job may be stored in several partitions, also under the same id by another customer while its usual partition did not answer. A new leader used the row of the lowest partition, so the job's customer, steps and queue could change with the leader.

The row that was accepted first counts, which the former leader normally used. The new test failed before for one of the two orders.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -213,9 +213,11 @@
 ) -> tuple[JobAccepted | JobCancelled, ...]:
     """Convert rows of the jobs table to events; skip deleted rows and jobs in `ended`.
 
-    Accepted jobs precede cancellations. Rows that cannot be used are logged and skipped.
+    Accepted jobs precede cancellations. Of a job that is stored in several partitions, the row that
+    was accepted first counts, since a later one may be of another customer. Rows that cannot be
+    used are logged and skipped.
     """
-    accepted: list[JobAccepted] = []
+    accepted: dict[JobId, JobAccepted] = {}
     cancelled: list[JobCancelled] = []
     for row in rows:
         if row.is_deleted or JobId(row.key.removesuffix(CANCEL_SUFFIX)) in ended:
@@ -225,10 +227,13 @@
             if row.key.endswith(CANCEL_SUFFIX):
                 cancelled.append(JobCancelled(job))
             else:
-                accepted.append(JobAccepted(_decode_checked_job(row), recovered))
+                record = _decode_checked_job(row)
+                known = accepted.get(job)
+                if known is None or record.accepted_at < known.record.accepted_at:
+                    accepted[job] = JobAccepted(record, recovered)
         except (ValueError, InvalidJob) as error:
             log_warning_event(Event.ROW_UNREADABLE, key=row.key, error=error)
-    return (*accepted, *cancelled)
+    return (*accepted.values(), *cancelled)
 
 
 def _decode_checked_job(row: PartitionRow) -> JobRecord:
--- a/tests/cover/test_pool_access.py
+++ b/tests/cover/test_pool_access.py
@@ -12,7 +12,7 @@
 import pytest
 
 from lentilpath_core.errors import InvalidSettings, NotPermitted, UnknownKey
-from lentilpath_core.ids import ConfigVersion, CustomerId, Instant
+from lentilpath_core.ids import ConfigVersion, CustomerId, Instant, RowVersion
 from lentilpath_core.pool import (
     NO_CUSTOMER,
     CustomerPolicy,
@@ -26,9 +26,11 @@
 )
 from lentilpath_core.resources import Resources
 from lentilpath_platform.registry import CONFIG_KEY, OPERATOR_TABLE, PlatformRegistry
-from lentilpathd._pool._ports import PartitionTransaction
+from lentilpathd._pool._ports import PartitionRow, PartitionTransaction
+from lentilpathd._pool._records import encode_record
+from lentilpathd._pool._recovery import make_job_events
 from tests.common.fleet.deployment import CONFIG, QUEUE
-from tests.common.pools import PoolHarness, list_starts, make_job_id, make_queue
+from tests.common.pools import PoolHarness, list_starts, make_job_id, make_queue, make_record
 from tests.common.tables import OnePartitionTable
 
 SMALL, LARGE = CustomerId("small"), CustomerId("large")
@@ -110,6 +112,25 @@
     assert get_job_customer(harness.state, make_job_id(2)) == NO_CUSTOMER
 
 
+@pytest.mark.parametrize("is_reversed", [False, True])
+def test_a_job_stored_twice_belongs_to_the_customer_whose_job_was_accepted_first(is_reversed):
+    # A host that does not reach the job's usual partition stores it in another one.
+    first = make_record(1, customer=SMALL, accepted_at=5)
+    later = make_record(1, customer=LARGE, accepted_at=6)
+    other = make_record(2, customer=LARGE, accepted_at=9)
+    rows = [
+        PartitionRow(part, record.job, encode_record(record), RowVersion(1))
+        for part, record in (("1", first), ("2", other), ("12", later))
+    ]
+    if is_reversed:
+        rows.reverse()
+    harness = PoolHarness()
+    for event in make_job_events(tuple(rows), ended=(), recovered=True):
+        harness.handle_event(event)
+    assert get_job_customer(harness.state, make_job_id(1)) == SMALL
+    assert get_job_customer(harness.state, make_job_id(2)) == LARGE
+
+
 def test_the_platforms_customers_are_read_with_weight_and_quota():
     found = read_configuration(tenants=[TENANT], routes=[QUEUE | {"public": True}])
     assert found.requires_keys
