Tests: the customer of stored jobs, and the versions and age of a configuration

No test failed when the customer was left out of the answer from a stored row or of the leader's answer to another host, when an older version replaced a newer one, when a removed customer's policy was dropped, or when the age of the configuration was counted from the answer.

--- a/tests/cover/test_pool_access.py
+++ b/tests/cover/test_pool_access.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import json
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 
@@ -26,6 +28,8 @@
 )
 from lentilpath_core.resources import Resources
 from lentilpath_platform.registry import CONFIG_KEY, OPERATOR_TABLE, PlatformRegistry
+from lentilpathd._pool import _configuration
+from lentilpathd._pool._configuration import ConfigurationFollower
 from lentilpathd._pool._ports import PartitionRow, PartitionTransaction
 from lentilpathd._pool._records import encode_record
 from lentilpathd._pool._recovery import make_job_events
@@ -131,6 +135,61 @@
     assert get_job_customer(harness.state, make_job_id(2)) == LARGE
 
 
+class ScriptedRegistry:
+    """Answers with the scripted configurations, each after some time, and then no more."""
+
+    def __init__(self, clock: SimpleNamespace, *found: PoolConfiguration) -> None:
+        self.clock = clock
+        self.found = list(found)
+        self.finished = asyncio.Event()
+
+    async def read_configuration(self, timeout):
+        self.clock.now += 3_000
+        return self.found.pop(0), RowVersion(1)
+
+    async def follow_configuration(self, after, wait_seconds, timeout):
+        if not self.found:
+            self.finished.set()
+            await asyncio.Event().wait()
+        return await self.read_configuration(timeout)
+
+
+def follow(clock: SimpleNamespace, *found: PoolConfiguration) -> tuple[ConfigurationFollower, Any]:
+    """Return a follower that has read these configurations, and those that it has put in force."""
+    applied: list[PoolConfiguration] = []
+
+    async def run() -> ConfigurationFollower:
+        registry = ScriptedRegistry(clock, *found)
+        follower = ConfigurationFollower(cast(Any, registry), applied.append)
+        running = asyncio.create_task(follower.run())
+        async with asyncio.timeout(5.0):
+            await registry.finished.wait()
+        running.cancel()
+        return follower
+
+    return asyncio.run(run()), applied
+
+
+def test_an_older_version_never_replaces_a_newer_one_and_removed_customers_keep_their_policy():
+    small, large = CustomerPolicy(SMALL), CustomerPolicy(LARGE, 2.0, Resources(4_000, 0, 0))
+    newer = PoolConfiguration(ConfigVersion(5), customers={SMALL: small, LARGE: large})
+    older = PoolConfiguration(ConfigVersion(4), customers_by_key={"withdrawn": SMALL})
+    newest = PoolConfiguration(ConfigVersion(6), customers={SMALL: small})
+    follower, applied = follow(SimpleNamespace(now=0), newer, older, newest)
+    assert [each.version for each in applied] == [5, 6]
+    current = follower.get_current()
+    assert current is not None
+    assert current.former_customers == {LARGE: large}
+
+
+def test_the_age_of_a_configuration_counts_from_the_sending_of_the_request(monkeypatch):
+    clock = SimpleNamespace(now=10_000)
+    monkeypatch.setattr(_configuration, "read_instant", lambda: Instant(clock.now))
+    follower, _ = follow(clock, make_configuration())
+    assert follower.is_current(5_000, Instant(15_000))
+    assert not follower.is_current(5_000, Instant(15_001))
+
+
 def test_the_platforms_customers_are_read_with_weight_and_quota():
     found = read_configuration(tenants=[TENANT], routes=[QUEUE | {"public": True}])
     assert found.requires_keys
--- a/tests/cover/test_pool_answers.py
+++ b/tests/cover/test_pool_answers.py
@@ -11,10 +11,21 @@
 import pytest
 
 from lentilpath_core.errors import LentilpathError, OutcomeUnknown, TableUnavailable
-from lentilpath_core.ids import CustomerId, HostId, Instant, JobId
+from lentilpath_core.ids import (
+    CustomerId,
+    HostId,
+    Incarnation,
+    Instant,
+    JobId,
+    RowVersion,
+    WallTime,
+    ZoneId,
+)
+from lentilpath_core.peers import PeerRequest
 from lentilpath_core.pool import (
     NO_CUSTOMER,
     CustomerPolicy,
+    FinalRecord,
     JobState,
     PoolConfiguration,
     QueueId,
@@ -27,8 +38,11 @@
 from lentilpathd._pool._host import PoolHost
 from lentilpathd._pool._jobs import Jobs
 from lentilpathd._pool._members import UnclearJobs
+from lentilpathd._pool._messages import STATE_TOPIC
 from lentilpathd._pool._metrics import PoolMetrics
-from tests.common.pools import SERVICE, make_queue
+from lentilpathd._pool._ports import PartitionRow
+from lentilpathd._pool._records import encode_record, make_final_key
+from tests.common.pools import SERVICE, make_queue, make_record
 from tests.common.tables import OnePartitionTable
 
 JOB = JobId("00000000000000ab")
@@ -62,13 +76,14 @@
     table: OnePartitionTable,
     state: JobState | None = JobState.RUNNING,
     owner: CustomerId = NO_CUSTOMER,
+    is_leading: bool = True,
 ) -> Jobs:
     context = SimpleNamespace(
         table=table,
         settings=SimpleNamespace(host=HostId("h1")),
         metrics=PoolMetrics(),
         unclear_jobs=UnclearJobs(),
-        is_leading=lambda: True,
+        is_leading=lambda: is_leading,
         get_local_job_state=lambda job: state,
         get_local_job_customer=lambda job: owner,
         handle_local_notice=lambda notice: True,
@@ -206,3 +221,30 @@
     table = ScriptedTable(OutcomeUnknown("silent"))
     assert call("POST", make_jobs(table, owner=OWNER), BODY, key=key).status == status
     assert table.writes == 2
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        (make_final_key(JOB), FinalRecord(JobState.COMPLETED, WallTime(5), customer=OWNER)),
+        (JOB, make_record(int(JOB, 16), customer=OWNER)),
+    ],
+)
+def test_a_stored_job_is_open_to_its_own_customer_only_while_no_leader_answers(key, value):
+    table = ScriptedTable()
+    table.rows[key] = PartitionRow("0", key, encode_record(value), RowVersion(1))
+    jobs = make_jobs(table, is_leading=False)
+    for method in ("GET", "DELETE"):
+        assert call(method, jobs, key="other-key").status == 403
+        assert call(method, jobs, key="owner-key").status == 200
+    assert table.writes == 1
+
+
+def test_the_leader_tells_other_hosts_a_jobs_customer():
+    term = SimpleNamespace(get_state=lambda job: JobState.RUNNING, get_customer=lambda job: OWNER)
+    host = SimpleNamespace(_require_term=lambda: term, unclear_jobs=UnclearJobs())
+    request = PeerRequest(
+        1, HostId("h2"), Incarnation("i"), ZoneId("z"), STATE_TOPIC, {"job": str(JOB)}
+    )
+    reply = asyncio.run(PoolHost._handle_state_request(cast(Any, host), request))
+    assert (reply.state, reply.customer) == ("running", OWNER)
