Jobs: a repeated submission of a job without a customer is not over a quota

A job that was accepted without a customer, through a public queue or by an earlier release, is open to all. Its repetition with a key whose customer's quota is too small for it got 429, which says that it never runs.

It now gets 200, as a job of the caller's own customer does. The new test failed before with 429 for such a job.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -151,7 +151,8 @@
     async def _answer_over_quota(self, record: JobRecord, error: QuotaTooSmall) -> SubmissionAnswer:
         """Refuse the job, unless the leader knows that it was accepted under an earlier quota."""
         reply = await self._query_state(record.job)
-        if reply is not None and reply.state and reply.customer == record.customer:
+        owners = (NO_CUSTOMER, record.customer)
+        if reply is not None and reply.state and reply.customer in owners:
             log_event(Event.JOB_STORED, job=record.job, repeated=True, state=reply.state)
             return SubmissionAnswer(SubmissionResult.ACCEPTED)
         self._report_refused(record, "quota", None)
--- a/tests/cover/test_pool_answers.py
+++ b/tests/cover/test_pool_answers.py
@@ -33,6 +33,7 @@
     ServicePolicy,
     ShareLoads,
 )
+from lentilpath_core.resources import Resources
 from lentilpath_http import HttpRequest, HttpResponse
 from lentilpath_platform.callers import make_callers_handler
 from lentilpathd._pool._host import PoolHost
@@ -77,6 +78,7 @@
     state: JobState | None = JobState.RUNNING,
     owner: CustomerId = NO_CUSTOMER,
     is_leading: bool = True,
+    customers: dict[CustomerId, CustomerPolicy] | None = None,
 ) -> Jobs:
     context = SimpleNamespace(
         table=table,
@@ -92,7 +94,7 @@
             get_shares=lambda now: ShareLoads(),
             get_leader=lambda: HostId("h1"),
         ),
-        get_configuration=lambda: None,
+        get_configuration=lambda: PoolConfiguration(cast(Any, 1), customers=customers or {}),
     )
     return Jobs(cast(Any, context))
 
@@ -248,3 +250,12 @@
     )
     reply = asyncio.run(PoolHost._handle_state_request(cast(Any, host), request))
     assert (reply.state, reply.customer) == ("running", OWNER)
+
+
+@pytest.mark.parametrize(("owner", "status"), [(NO_CUSTOMER, 200), (OWNER, 200), (OTHER, 429)])
+def test_a_repeated_submission_over_the_quota_is_accepted_if_its_caller_may_use_the_known_job(
+    owner: CustomerId, status: int
+):
+    quotas = {OWNER: CustomerPolicy(OWNER, 1.0, Resources(500, 0, 0))}
+    jobs = make_jobs(ScriptedTable(), owner=owner, customers=quotas)
+    assert call("POST", jobs, BODY, key="owner-key").status == status
