--- a/tests/cover/test_pool_access.py
+++ b/tests/cover/test_pool_access.py
@@ -8,11 +8,13 @@
 
 import asyncio
 import json
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 
 from lentilpath_core.errors import InvalidSettings, NotPermitted, UnknownKey
-from lentilpath_core.ids import ConfigVersion, CustomerId, Instant
+from lentilpath_core.ids import ConfigVersion, CustomerId, Instant, RowVersion
 from lentilpath_core.pool import (
     NO_CUSTOMER,
     CustomerPolicy,
@@ -26,9 +28,13 @@
 )
 from lentilpath_core.resources import Resources
 from lentilpath_platform.registry import CONFIG_KEY, OPERATOR_TABLE, PlatformRegistry
-from lentilpathd._pool._ports import PartitionTransaction
+from lentilpathd._pool import _configuration
+from lentilpathd._pool._configuration import ConfigurationFollower
+from lentilpathd._pool._ports import PartitionRow, PartitionTransaction
+from lentilpathd._pool._records import encode_record
+from lentilpathd._pool._recovery import make_job_events
 from tests.common.fleet.deployment import CONFIG, QUEUE
-from tests.common.pools import PoolHarness, list_starts, make_job_id, make_queue
+from tests.common.pools import PoolHarness, list_starts, make_job_id, make_queue, make_record
 from tests.common.tables import OnePartitionTable
 
 SMALL, LARGE = CustomerId("small"), CustomerId("large")
@@ -110,6 +116,80 @@
     assert get_job_customer(harness.state, make_job_id(2)) == NO_CUSTOMER
 
 
+@pytest.mark.parametrize("is_reversed", [False, True])
+def test_a_job_stored_twice_belongs_to_the_customer_whose_job_was_accepted_first(is_reversed):
+    # A host that does not reach the job's usual partition stores it in another one.
+    first = make_record(1, customer=SMALL, accepted_at=5)
+    later = make_record(1, customer=LARGE, accepted_at=6)
+    other = make_record(2, customer=LARGE, accepted_at=9)
+    rows = [
+        PartitionRow(part, record.job, encode_record(record), RowVersion(1))
+        for part, record in (("1", first), ("2", other), ("12", later))
+    ]
+    if is_reversed:
+        rows.reverse()
+    harness = PoolHarness()
+    for event in make_job_events(tuple(rows), ended=(), recovered=True):
+        harness.handle_event(event)
+    assert get_job_customer(harness.state, make_job_id(1)) == SMALL
+    assert get_job_customer(harness.state, make_job_id(2)) == LARGE
+
+
+class ScriptedRegistry:
+    """Answers with the scripted configurations, each after some time, and then no more."""
+
+    def __init__(self, clock: SimpleNamespace, *found: PoolConfiguration) -> None:
+        self.clock = clock
+        self.found = list(found)
+        self.finished = asyncio.Event()
+
+    async def read_configuration(self, timeout):
+        self.clock.now += 3_000
+        return self.found.pop(0), RowVersion(1)
+
+    async def follow_configuration(self, after, wait_seconds, timeout):
+        if not self.found:
+            self.finished.set()
+            await asyncio.Event().wait()
+        return await self.read_configuration(timeout)
+
+
+def follow(clock: SimpleNamespace, *found: PoolConfiguration) -> tuple[ConfigurationFollower, Any]:
+    """Return a follower that has read these configurations, and those that it has put in force."""
+    applied: list[PoolConfiguration] = []
+
+    async def run() -> ConfigurationFollower:
+        registry = ScriptedRegistry(clock, *found)
+        follower = ConfigurationFollower(cast(Any, registry), applied.append)
+        running = asyncio.create_task(follower.run())
+        async with asyncio.timeout(5.0):
+            await registry.finished.wait()
+        running.cancel()
+        return follower
+
+    return asyncio.run(run()), applied
+
+
+def test_an_older_version_never_replaces_a_newer_one_and_removed_customers_keep_their_policy():
+    small, large = CustomerPolicy(SMALL), CustomerPolicy(LARGE, 2.0, Resources(4_000, 0, 0))
+    newer = PoolConfiguration(ConfigVersion(5), customers={SMALL: small, LARGE: large})
+    older = PoolConfiguration(ConfigVersion(4), customers_by_key={"withdrawn": SMALL})
+    newest = PoolConfiguration(ConfigVersion(6), customers={SMALL: small})
+    follower, applied = follow(SimpleNamespace(now=0), newer, older, newest)
+    assert [each.version for each in applied] == [5, 6]
+    current = follower.get_current()
+    assert current is not None
+    assert current.former_customers == {LARGE: large}
+
+
+def test_the_age_of_a_configuration_counts_from_the_sending_of_the_request(monkeypatch):
+    clock = SimpleNamespace(now=10_000)
+    monkeypatch.setattr(_configuration, "read_instant", lambda: Instant(clock.now))
+    follower, _ = follow(clock, make_configuration())
+    assert follower.is_current(5_000, Instant(15_000))
+    assert not follower.is_current(5_000, Instant(15_001))
+
+
 def test_the_platforms_customers_are_read_with_weight_and_quota():
     found = read_configuration(tenants=[TENANT], routes=[QUEUE | {"public": True}])
     assert found.requires_keys
@@ -119,6 +199,15 @@
     assert not read_configuration().requires_keys
 
 
+def test_an_entry_that_leaves_keys_or_quota_out_or_null_is_no_reason_to_keep_a_withdrawn_key():
+    for empty in ({"name": "large"}, TENANT | {"apiKeys": None, "maxItems": None}):
+        found = read_configuration(tenants=[empty])
+        assert found.customers[LARGE].quota == Resources()
+        assert found.customers_by_key == {}
+    twice = read_configuration(tenants=[TENANT | {"apiKeys": [SECRET, SECRET], "weight": 0}])
+    assert twice.customers_by_key == {SECRET: LARGE}
+
+
 @pytest.mark.parametrize(
     ("tenants", "named"),
     [
--- a/tests/cover/test_pool_customer_calls.py
+++ b/tests/cover/test_pool_customer_calls.py
@@ -19,6 +19,7 @@
     ShareLoads,
     StepSpec,
 )
+from lentilpathd._clock import read_wall_time
 from lentilpathd._pool._ports import PartitionRow
 from lentilpathd._pool._records import encode_record, make_final_key
 from lentilpathd._pool._recovery import read_pool
@@ -44,7 +45,7 @@
 def test_a_refusal_is_logged_with_its_reason(tasks, load, shares, result, reason, monkeypatch):
     logged: list[dict[str, object]] = []
     monkeypatch.setattr(
-        "lentilpathd._pool._jobs.log_event", lambda event, **fields: logged.append(fields)
+        "lentilpathd._pool._refusals.log_event", lambda event, **fields: logged.append(fields)
     )
     table = ScriptedTable()
     jobs = make_jobs(table, state=None)
@@ -73,7 +74,7 @@
             table.rows[key] = PartitionRow("cell", key, encode_record(row), RowVersion(1))
         return record.job
 
-    now = table.clock_ms
+    now = read_wall_time()
     stopped = store(1, JobState.CANCELLED, now - 5_000)
     store(2, JobState.CANCELLED, now - 20_000)
     store(3, JobState.COMPLETED, now - 5_000)
