Admission: a new leader does not refuse jobs for workers it has not heard from

Cause: the wait of a queue was the waiting work over the capacity of the workers that have answered this leader. Right after a takeover these are few, and all recovered work counts as waiting, even what is running.

What callers saw: jobs were refused for a wait that was ten times too long when a tenth of the workers had answered, with the others partly idle.

Change: all listed workers count as capacity, and recovered work is left out until all workers that may be running it have reported. The two new tests failed before (wait 10,000 ms or more instead of 1,000 and 0).

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_admission.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_admission.py
@@ -43,10 +43,10 @@
         if not job.has_started and job.final is None and not job.record.repeats:
             pending_jobs[job.record.queue] = pending_jobs.get(job.record.queue, 0) + 1
     waiting_work = _sum_waiting_work(state, now)
+    # Workers that a new leader has not heard from count too. Without them the wait would be many
+    # times too long, and jobs would be refused although workers are idle.
     fleet_millicores = sum(
-        worker.listed.capacity.millicores
-        for worker in state.workers.values()
-        if worker.is_listed and worker.reported_at is not None
+        worker.listed.capacity.millicores for worker in state.workers.values() if worker.is_listed
     )
     loads = {}
     for queue, count in pending_jobs.items():
@@ -64,9 +64,14 @@
 
 
 def _sum_waiting_work(state: PoolState, now: Instant) -> dict[int, float]:
-    """Return the waiting work that is still of value, in millicores times ms, by priority."""
+    """Return the waiting work that is still of value, in millicores times ms, by priority.
+
+    Recovered work is left out until all workers that may be running it have reported.
+    """
     work: dict[int, float] = {}
     for step in state.open_steps.values():
+        if step.job.is_recovered and state.unconfirmed_workers:
+            continue
         rank = rank_step(state, step, now)
         if rank.tier > 1 or step.spec.lasting or step.spec.fills:
             continue
--- a/tests/cover/test_pool_admission.py
+++ b/tests/cover/test_pool_admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from lentilpath_core.pool import (
+    JobAccepted,
     JobState,
     QueueId,
     QueueLoad,
@@ -76,6 +77,32 @@
     assert decide_admission(patient, PATIENT, loads["patient"]) is not None
 
 
+def make_recovering_harness() -> PoolHarness:
+    """Return a new leader that has heard from one of ten workers, with a job of 80 core-s."""
+    harness = PoolHarness(URGENT, PATIENT, epoch=2)
+    workers = [make_worker(f"w{number}") for number in range(10)]
+    harness.list_workers(*workers)
+    harness.state.unconfirmed_workers.update(each.worker for each in workers[1:])
+    harness.report("w0")
+    record = make_record(1, WIDE, queue=QueueId("patient"))
+    harness.handle_event(JobAccepted(record, recovered=True))
+    return harness
+
+
+def test_a_new_leader_counts_workers_that_it_has_not_heard_from():
+    """Counting a tenth of the capacity refused jobs for ten times the wait, with workers idle."""
+    harness = make_recovering_harness()
+    harness.submit(2, WIDE, queue=QueueId("patient"))
+    assert measure_loads(harness.state, harness.now)["patient"] == QueueLoad(2, 1_000)
+
+
+def test_a_new_leader_does_not_count_work_as_waiting_that_may_be_running():
+    harness = make_recovering_harness()
+    assert measure_loads(harness.state, harness.now)["patient"].wait_ms == 0
+    harness.state.unconfirmed_workers.clear()
+    assert measure_loads(harness.state, harness.now)["patient"].wait_ms == 1_000
+
+
 def test_work_that_lasts_is_never_refused_for_the_load():
     record = make_record(1, StepSpec(1, Resources(1_000, 64, 0), lasting=True))
     assert decide_admission(record, URGENT, QueueLoad(50, 10**6)) is None
