--- a/benches/pool/loads.py
+++ b/benches/pool/loads.py
@@ -70,6 +70,8 @@
     """How many times a caller submits a job that is refused, each time after `Retry-After`."""
     digest_interval_ms: int = 0
     """Age at which hosts get a new view of the load; 0 for a current view at each submission."""
+    expects_contention: bool = False
+    """The setting of the same name."""
 
 
 HARBOR = Site(
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -57,7 +57,11 @@
 """How much longer than the expected duration of an advice call a plan holds resources."""
 MAX_RESERVING_GANGS = 3
 """Largest number of gangs that reserve workers at once. More would leave too much of the fleet
-idle."""
+idle where there is usually room."""
+MAX_RESERVING_GANGS_UNDER_CONTENTION = 8
+"""The same where callers are expected to compete for too little capacity. A gang without a
+reservation waits until smaller work leaves room by chance, so it covers the gangs that a burst
+leaves waiting at once. More gangs find no workers that are not reserved."""
 MAX_UNPLACED_STEPS = 40
 """A pass examines steps in the order of their rank until this many have fit on no worker. The bound
 keeps a pass short on a small host."""
@@ -80,6 +84,7 @@
     effects: list[PoolEffect] = []
     remaining: list[tuple[Rank, Step, list[Worker]]] = []
     unplaced = 0
+    is_contended = False
     for rank, step in list_by_rank(state, now):
         if not _needs_places(state, step, now) or not may_start_or_ask(state, step, rank, now):
             continue
@@ -92,6 +97,8 @@
             is_placed, caused = _place_step(state, step, candidates, rank, now)
             effects.extend(caused)
             unplaced += not is_placed
+            is_contended |= not is_placed and not is_awaiting_advice(step, now)
+    state.is_contended = is_contended and state.expects_contention
     remaining.sort(key=lambda each: each[1].examined_at)
     unplaced = 0
     for rank, step, candidates in remaining:
@@ -103,6 +110,12 @@
     return tuple(effects)
 
 
+def _get_max_reserving_gangs(state: PoolState) -> int:
+    if state.expects_contention:
+        return MAX_RESERVING_GANGS_UNDER_CONTENTION
+    return MAX_RESERVING_GANGS
+
+
 def _needs_places(state: PoolState, step: Step, now: Instant) -> bool:
     """Return whether the step's waiting tasks are to be placed in this pass.
 
@@ -136,7 +149,7 @@
     if (
         step.spec.gang
         and not rank.is_worthless
-        and count_reserving_gangs(state) < MAX_RESERVING_GANGS
+        and count_reserving_gangs(state) < _get_max_reserving_gangs(state)
     ):
         _reserve(state, step, allowed, now)
     return False, calls
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_shares.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_shares.py
@@ -14,7 +14,7 @@
 from lentilpath_core.ids import CustomerId, Instant, JobId, WallTime
 from lentilpath_core.pool._access import NO_CUSTOMER
 from lentilpath_core.pool._customers import compute_weighted_share
-from lentilpath_core.pool._order import Rank, rank_step
+from lentilpath_core.pool._order import Rank, estimate_work, rank_step
 from lentilpath_core.pool._state import PoolState, Step
 
 Ranked = tuple[Rank, Step]
@@ -86,27 +86,30 @@
 
 
 def sum_fleet_millicores(state: PoolState) -> int:
-    """Return the millicores of the workers that are registered and have reported."""
+    """Return the millicores of the registered workers.
+
+    Those that a new leader has not heard from count too. Without them the wait would be many times
+    too long, and jobs would be refused although workers are idle.
+    """
     return sum(
-        worker.listed.capacity.millicores
-        for worker in state.workers.values()
-        if worker.is_listed and worker.reported_at is not None
+        worker.listed.capacity.millicores for worker in state.workers.values() if worker.is_listed
     )
 
 
 def sum_waiting_work(state: PoolState, now: Instant, is_over_share: bool) -> dict[int, float]:
     """Return the waiting work that is still of value, in millicores times ms, by priority.
 
-    Either that of jobs within their customer's share, or that of jobs beyond it.
+    Either that of jobs within their customer's share, or that of jobs beyond it. Recovered work is
+    left out until all workers that may be running it have reported.
     """
     work: dict[int, float] = {}
     for step in state.open_steps.values():
         if step.job.is_over_share is not is_over_share:
             continue
+        if step.job.is_recovered and state.unconfirmed_workers:
+            continue
         rank = rank_step(state, step, now)
         if rank.is_worthless or step.spec.lasting or step.spec.fills:
             continue
-        ratio = state.run_time_ratios.get(step.job.record.queue, 1.0)
-        task_work = step.spec.room.millicores * step.spec.estimate_ms * ratio
-        work[rank.priority] = work.get(rank.priority, 0.0) + task_work * len(step.waiting)
+        work[rank.priority] = work.get(rank.priority, 0.0) + estimate_work(state, step)
     return work
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -195,6 +195,7 @@
         """Use the current settings for decisions from now on."""
         settings = self._context.settings
         self._state.job_memory_ms = settings.job_memory_ms
+        self._state.expects_contention = settings.expects_contention
         self._state.longest_lease_ms = bound_lease_ms(settings.longest_lease_ms)
 
     def handle_event(self, event: PoolEvent) -> None:
