--- a/packages/lentilpathd/src/lentilpathd/_pool/_missing_workers.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_missing_workers.py
@@ -16,7 +16,7 @@
     def __init__(self) -> None:
         self._since: dict[WorkerId, Instant] = {}
 
-    def add_missing(
+    def complete(
         self, listed: tuple[ListedWorker, ...], state: PoolState, now: Instant
     ) -> tuple[ListedWorker, ...]:
         """Return the list with the entries that went missing only just before."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -228,8 +228,7 @@
         now = read_instant()
         if self._digest is None or now >= self._digest_at + DIGEST_REUSE_MS:
             hosts = self._context.members.list_known_hosts(now)
-            loads = measure_loads(self._state, now)
-            shares = measure_shares(self._state, now)
+            loads, shares = measure_loads(self._state, now), measure_shares(self._state, now)
             self._digest = Digest(self._epoch, loads, hosts, fingerprint_hosts(hosts), shares)
             self._digest_at = now
         return self._digest
@@ -248,9 +247,8 @@
         heartbeat = decode_heartbeat(request)
         self._context.members.record_heartbeat(request.sender, heartbeat, read_instant())
         digest = self.make_digest()
-        if heartbeat.hosts_mark == digest.hosts_mark:
-            return msgspec.structs.replace(digest, hosts=())
-        return digest
+        is_known = heartbeat.hosts_mark == digest.hosts_mark
+        return msgspec.structs.replace(digest, hosts=()) if is_known else digest
 
     @singledispatchmethod
     def _execute(self, effect: PoolEffect) -> None:
@@ -396,6 +394,6 @@
             await asyncio.sleep(WORKERS_INTERVAL_SECONDS)
 
     def _handle_listed(self, listed: tuple[ListedWorker, ...]) -> None:
-        kept = self._missing.add_missing(listed, self._state, read_instant())
+        kept = self._missing.complete(listed, self._state, read_instant())
         self.handle_event(WorkersListed(kept))
         self._open_links()
