--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -252,8 +252,7 @@
         now = read_instant()
         if self._digest is None or now >= self._digest_at + DIGEST_REUSE_MS:
             hosts = self._context.members.list_known_hosts(now)
-            loads = measure_loads(self._state, now)
-            shares = measure_shares(self._state, now)
+            loads, shares = measure_loads(self._state, now), measure_shares(self._state, now)
             self._digest = Digest(self._epoch, loads, hosts, fingerprint_hosts(hosts), shares)
             self._digest_at = now
         return self._digest
@@ -272,9 +271,8 @@
         heartbeat = decode_heartbeat(request)
         self._context.members.record_heartbeat(request.sender, heartbeat, read_instant())
         digest = self.make_digest()
-        if heartbeat.hosts_mark == digest.hosts_mark:
-            return msgspec.structs.replace(digest, hosts=())
-        return digest
+        is_known = heartbeat.hosts_mark == digest.hosts_mark
+        return msgspec.structs.replace(digest, hosts=()) if is_known else digest
 
     @singledispatchmethod
     def _execute(self, effect: PoolEffect) -> None:
