--- a/benches/pool/deployments.py
+++ b/benches/pool/deployments.py
@@ -69,6 +69,7 @@
     _make_pattern("batches at 2.6 times", 1, 2.6),
     _make_pattern("checks at 2.6 times", 2, 2.6),
     _make_pattern("everything at 2.2 times", ALL_KINDS, 2.2),
+    Pattern("everything at 2.2 times for 14 s", ALL_KINDS, 2.2, (4.0, 18.0), load_seconds=22),
     _make_pattern("large jobs at once", 0, 1.5, width_factor=2.5),
     _make_pattern(
         "everything at 2.2 times, 30% of workers leave", ALL_KINDS, 2.2, leaving_share=0.3
