--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable, Container
 
 from lentilpath_core.errors import OutcomeUnknown, Unavailable, WriteRejected
-from lentilpath_core.ids import Epoch, JobId
+from lentilpath_core.ids import Epoch, Instant, JobId
 from lentilpath_core.pool import (
     FinalsRecorded,
     PoolEvent,
@@ -47,6 +48,9 @@
 """Several times the batch delay; doubled after each failure."""
 MAX_RETRY_SECONDS = 1.0
 """Half of the leader's lease."""
+RETURN_CHECK_SECONDS = 0.05
+"""How soon the writer notices that the table has returned. Callers see the ends of their jobs only
+once they are stored."""
 
 Record = RecordRun | RecordFinal | RecordWorkers
 
@@ -165,7 +169,7 @@
             except (Unavailable, OutcomeUnknown) as error:
                 # Writing equal rows twice is idempotent, so a write of unknown outcome is retried.
                 log_warning_event(Event.RECORDS_NOT_STORED, count=len(batch), error=str(error))
-                await asyncio.sleep(delay_seconds)
+                await self._wait_for_table(sent_at, delay_seconds)
                 delay_seconds = min(2 * delay_seconds, MAX_RETRY_SECONDS)
                 continue
             if not commit.applied:
@@ -175,6 +179,13 @@
                 log_event(Event.RECORDS_STORED_AGAIN, count=len(batch))
             return
 
+    async def _wait_for_table(self, failed_at: Instant, delay_seconds: float) -> None:
+        """Wait before the next attempt, at most until the table has returned since `failed_at`."""
+        for _ in range(math.ceil(delay_seconds / RETURN_CHECK_SECONDS)):
+            if self._table.get_returned_at() > failed_at:
+                return
+            await asyncio.sleep(RETURN_CHECK_SECONDS)
+
     def _replace_workers(self, batch: list[Record]) -> dict[str, bytes]:
         """Return the rows of the last list of workers in the batch; it replaces the others."""
         lists = _select_worker_lists(batch)
--- a/tests/cover/test_pool_table_outages.py
+++ b/tests/cover/test_pool_table_outages.py
@@ -183,6 +183,30 @@
     assert run_in_virtual_time(scenario(), monkeypatch, *modules) <= 0.4
 
 
+@pytest.mark.parametrize("offset", [0.0, 0.3, 0.6, 0.9])
+def test_records_are_stored_soon_after_the_table_has_returned_to_all_hosts(monkeypatch, offset):
+    """Guards against jobs that are done but shown so a second after the table's return."""
+
+    async def scenario() -> float:
+        table = OutageTable()
+        path = make_path(table)
+        writer = RecordWriter(path, Epoch(1), make_leadership(cast(Any, path)), lambda event: None)
+        tasks = [asyncio.ensure_future(each.run()) for each in (path, writer)]
+        await path.commit(PUT, 1.0)
+        table.is_silent = True
+        writer.queue(RecordFinal(JobId("f" * 16), FinalRecord(JobState.COMPLETED, WallTime(0))))
+        await asyncio.sleep(OUTAGE_SECONDS + offset)
+        table.is_silent = False
+        returned_at = asyncio.get_running_loop().time()
+        assert await writer.wait_durable(1, 5.0)
+        waited = asyncio.get_running_loop().time() - returned_at
+        await stop(*tasks)
+        return waited
+
+    modules = (*MODULES, _writer, _leadership)
+    assert run_in_virtual_time(scenario(), monkeypatch, *modules) <= 0.45
+
+
 def test_a_read_that_is_waiting_when_the_path_goes_down_is_relayed(monkeypatch):
     async def scenario() -> float:
         path, table = make_cut_path()
