--- a/benches/pool/deciders.py
+++ b/benches/pool/deciders.py
@@ -157,6 +157,7 @@
     def __init__(self, site: Site, customers: Iterable[CustomerPolicy] = ()) -> None:
         self._site = site
         self.state = create_pool(Epoch(1), Instant(0))
+        self.state.expects_contention = site.expects_contention
         self._effects: list[PoolEffect] = []
         self._pending_records: list[RecordRun | RecordFinal] = []
         self._loads: dict[str, QueueLoad] = {}
@@ -197,9 +198,13 @@
         if retry_ms is None and self._shares is not None:
             retry_ms = decide_share_admission(job.record, policy, load, self._shares)
         if retry_ms is None:
-            self.apply_event(JobAccepted(job.record), now)
+            self.accept(job, now)
         return retry_ms
 
+    def accept(self, job: SimulatedJob, now: int) -> None:
+        """Accept a job without admission control."""
+        self.apply_event(JobAccepted(job.record), now)
+
     def cancel(self, job: JobId, now: int) -> None:
         """Cancel a job; see `Decider`."""
         self.apply_event(JobCancelled(job), now)
--- a/benches/pool/deployments.py
+++ b/benches/pool/deployments.py
@@ -42,6 +42,7 @@
     _make_kinds((2.0, 20, 9_000, 4_000), (5.8, 25, 3_500, 2_700), (30.0, 3, 5_000, 1_000)),
     workers_per_rack=12,
     capacity_spread=0.2,
+    expects_contention=True,
     submissions_per_job=5,
     digest_interval_ms=DIGEST_INTERVAL_MS,
 )
@@ -52,6 +53,7 @@
     _make_kinds((2.1, 16, 18_000, 5_300), (4.3, 25, 6_900, 2_300), (38.8, 3, 9_900, 850)),
     workers_per_rack=20,
     capacity_spread=0.2,
+    expects_contention=True,
     submissions_per_job=5,
     digest_interval_ms=DIGEST_INTERVAL_MS,
 )
@@ -69,6 +71,7 @@
     _make_pattern("batches at 2.6 times", 1, 2.6),
     _make_pattern("checks at 2.6 times", 2, 2.6),
     _make_pattern("everything at 2.2 times", ALL_KINDS, 2.2),
+    Pattern("everything at 2.2 times for 14 s", ALL_KINDS, 2.2, (4.0, 18.0), load_seconds=22),
     _make_pattern("large jobs at once", 0, 1.5, width_factor=2.5),
     _make_pattern(
         "everything at 2.2 times, 30% of workers leave", ALL_KINDS, 2.2, leaving_share=0.3
--- a/packages/lentilpathd/src/lentilpathd/_pool/_advice.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_advice.py
@@ -26,6 +26,8 @@
 from lentilpathd._pool._ports import Advice, AdviceService
 
 ADVICE_TOPIC = "pool.advice"
+RANK_CLASS_FIELDS = 4
+"""Fields of a rank before those that differ from step to step; see `Rank.get_class`."""
 CALL_MARGIN_SECONDS = 1.0
 """Added to the expected duration of a call, for the network and an earlier call on that host."""
 MAX_OVERLAPPING_CALL_MS = 60.0
@@ -96,6 +98,17 @@
         heapq.heappush(self._queue, (effect.rank, next(self._sequence), effect))
         self._wakeup.set()
 
+    def measure_backlog(self) -> dict[tuple[float, ...], float]:
+        """Return the expected duration in ms of the calls that wait for a host, by their rank.
+
+        Only the class of the rank counts, so that there are few entries.
+        """
+        backlog: dict[tuple[float, ...], float] = {}
+        for rank, _, effect in self._queue:
+            key = rank[:RANK_CLASS_FIELDS]
+            backlog[key] = backlog.get(key, 0.0) + effect.cost_ms
+        return backlog
+
     async def run(self) -> None:
         """Dispatch queued calls until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -13,7 +13,7 @@
 from lentilpath_core.errors import LentilpathError
 from lentilpath_core.ids import CustomerId, Epoch, Incarnation, Instant, JobId
 from lentilpath_core.peers import PeerRequest
-from lentilpath_core.pool import NO_CUSTOMER, JobState, PoolConfiguration, QueueId, QueuePolicy
+from lentilpath_core.pool import NO_CUSTOMER, JobState, PoolConfiguration, QueueId
 from lentilpath_http import HttpLimits, HttpRequest, HttpResponse, HttpServer, serve_http
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
@@ -46,6 +46,7 @@
     Registry,
     WorkerFactory,
 )
+from lentilpathd._pool._records import parse_job_id
 from lentilpathd._pool._settings import PoolHostSettings
 from lentilpathd._pool._settings_watch import LoadSettings, SettingsWatcher
 from lentilpathd._pool._table_path import TablePath
@@ -148,11 +149,13 @@
         is_leader_known = self.is_leading() or self.heartbeat_sender.has_recent_digest(now)
         return is_leader_known or self.table.is_open(now)
 
-    def may_check_keys(self, configuration: PoolConfiguration, queue: QueuePolicy) -> bool:
-        """Return whether the configuration is recent enough to accept a key for this queue."""
-        if not configuration.requires_keys or queue.is_public:
+    def may_check_keys(self, configuration: PoolConfiguration) -> bool:
+        """Return whether the configuration is recent enough to accept or refuse a key by it."""
+        if not configuration.requires_keys:
             return True
-        return self.configuration.is_current(self.settings.max_configuration_age_ms, read_instant())
+        now = read_instant()
+        max_age_ms = self.settings.max_configuration_age_ms
+        return self.configuration.is_settled(now) and self.configuration.is_current(max_age_ms, now)
 
     def report_unknown_key(self, queue: QueueId, method: str) -> None:
         """Log and count a call without a key that is in force; the key itself is never logged."""
@@ -234,15 +237,21 @@
 
     async def _handle_unclear_notice(self, request: PeerRequest) -> Empty:
         # Recorded whether or not this host leads: it may lead by the time the job is asked about.
-        self.unclear_jobs.add(msgspec.convert(request.body, UnclearNotice).job, read_instant())
+        job = parse_job_id(msgspec.convert(request.body, UnclearNotice).job)
+        self.unclear_jobs.add(job, read_instant())
         return Empty()
 
     async def _watch_leader(self) -> None:
         while True:
+            # Pauses are noticed as gaps between observations.
+            self.configuration.is_settled(read_instant())
             snapshot = self.leadership.snapshot
             if snapshot is not None and snapshot.lease is not None:
                 self.members.set_leader(snapshot.lease.host, snapshot.lease.address)
+                is_new = self.heartbeat_sender.get_leader() != snapshot.lease.host
                 self.heartbeat_sender.set_leader(snapshot.lease.host)
+                if is_new:
+                    self.jobs.notify_new_leader()
             term = self._get_ready_term()
             self.metrics.set_gauge(Metric.IS_LEADER, 0.0 if term is None else 1.0)
             if term is not None:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -117,7 +117,7 @@
         try:
             return await self._store(record, call, transactions, query)
         except TableUnavailable as error:
-            return await self._answer_unsent(record.job, error, query)
+            return await self._answer_unsent(record, error, query)
         finally:
             query.cancel()
 
@@ -134,8 +134,7 @@
         if reply is None or reply.is_unclear or is_marked:
             log_event(Event.JOB_UNCLEAR, job=record.job, error=refusal.reason.value)
             return SubmissionAnswer(SubmissionResult.UNCLEAR)
-        if reply.state:
-            check_owner(reply.customer, record.customer)
+        if reply.state and reply.customer in (NO_CUSTOMER, record.customer):
             log_event(Event.JOB_STORED, job=record.job, repeated=True, state=reply.state)
             return SubmissionAnswer(SubmissionResult.ACCEPTED)
         report_refusal(self._context, record, refusal)
@@ -163,6 +162,8 @@
             if existing.key == record.job:
                 check_owner(_read_owner(existing), record.customer)
         if commit.applied:
+            if record.customer and transaction is not transactions[0]:
+                await self._check_known_owner(record)
             self._notify_leader(transaction, commit.version)
         log_event(
             Event.JOB_STORED,
@@ -203,26 +204,39 @@
                 if table.can_write(call.partitions):
                     raise
 
+    async def _check_known_owner(self, record: JobRecord) -> None:
+        """Raise `NotPermitted` if the leader knows the job as another customer's.
+
+        The condition of a write sees only the rows of its own partition, and the job may be stored
+        in its usual one.
+        """
+        reply = await self._query_state(record.job)
+        if reply is not None and reply.state:
+            check_owner(reply.customer, record.customer)
+
     def _report_unclear(self, job: JobId, error: Exception) -> None:
         if not self._context.unclear_jobs.has(job, read_instant()):
             self.mark_unclear(job)
         log_event(Event.JOB_UNCLEAR, job=job, error=str(error))
 
     async def _answer_unsent(
-        self, job: JobId, error: TableUnavailable, query: LeaderQuery
+        self, record: JobRecord, error: TableUnavailable, query: LeaderQuery
     ) -> SubmissionAnswer:
         """Answer a submission whose write was not sent to the table.
 
         An earlier submission may have stored the same job, in which case a refusal would be wrong.
         The leader knows whether it did; without the leader's answer the result is `UNCLEAR`. It is
-        asked while the call is held, so that its answer is there in time.
+        asked while the call is held, so that its answer is there in time. Raises `NotPermitted` if
+        the stored job belongs to another customer.
         """
+        job = record.job
         reply = await query.get_reply()
         is_marked = self._context.unclear_jobs.has(job, read_instant())
         if reply is None or reply.is_unclear or is_marked:
             log_event(Event.JOB_UNCLEAR, job=job, error=str(error))
             return SubmissionAnswer(SubmissionResult.UNCLEAR)
         if reply.state:
+            check_owner(reply.customer, record.customer)
             log_event(Event.JOB_STORED, job=job, repeated=True, state=reply.state)
             return SubmissionAnswer(SubmissionResult.ACCEPTED)
         log_event(Event.JOB_NOT_STORED, job=job, error=str(error))
@@ -233,6 +247,14 @@
         self._context.unclear_jobs.add(job, read_instant())
         self._send_in_background(UNCLEAR_TOPIC, UnclearNotice(job))
 
+    def notify_new_leader(self) -> None:
+        """Tell a leader that has just taken over which jobs may be stored, as the former one knew.
+
+        It reads the stored jobs before it answers queries, so that these notices come first.
+        """
+        for job in self._context.unclear_jobs.list_jobs(read_instant()):
+            self._send_in_background(UNCLEAR_TOPIC, UnclearNotice(job))
+
     def _send_in_background(self, topic: str, message: JobNotice | UnclearNotice) -> None:
         task = asyncio.ensure_future(self._send_to_leader(topic, message))
         self._pending_notices.add(task)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
@@ -35,6 +35,8 @@
     """Speed of the host's processor, in cores."""
     job_memory_ms: int = 120_000
     """How long the state of a finished job remains available."""
+    expects_contention: bool = False
+    """Whether the deployment's callers compete for too little capacity at times."""
     max_configuration_age_ms: int | None = None
     """Keys are not accepted while the configuration was last confirmed longer ago than this, since
     they may have been withdrawn; `None` for no limit."""
@@ -58,7 +60,13 @@
 
 
 LIVE_SETTINGS = frozenset(
-    {"longest_lease_ms", "stop_grace_ms", "job_memory_ms", "max_configuration_age_ms"}
+    {
+        "longest_lease_ms",
+        "stop_grace_ms",
+        "job_memory_ms",
+        "max_configuration_age_ms",
+        "expects_contention",
+    }
 )
 """Settings that can change while the process runs. The others define the process's identity and
 addresses, which are fixed until it ends."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -195,6 +195,7 @@
         """Use the current settings for decisions from now on."""
         settings = self._context.settings
         self._state.job_memory_ms = settings.job_memory_ms
+        self._state.expects_contention = settings.expects_contention
         self._state.longest_lease_ms = bound_lease_ms(settings.longest_lease_ms)
 
     def handle_event(self, event: PoolEvent) -> None:
@@ -251,8 +252,7 @@
         now = read_instant()
         if self._digest is None or now >= self._digest_at + DIGEST_REUSE_MS:
             hosts = self._context.members.list_known_hosts(now)
-            loads = measure_loads(self._state, now)
-            shares = measure_shares(self._state, now)
+            loads, shares = measure_loads(self._state, now), measure_shares(self._state, now)
             self._digest = Digest(self._epoch, loads, hosts, fingerprint_hosts(hosts), shares)
             self._digest_at = now
         return self._digest
@@ -271,9 +271,8 @@
         heartbeat = decode_heartbeat(request)
         self._context.members.record_heartbeat(request.sender, heartbeat, read_instant())
         digest = self.make_digest()
-        if heartbeat.hosts_mark == digest.hosts_mark:
-            return msgspec.structs.replace(digest, hosts=())
-        return digest
+        is_known = heartbeat.hosts_mark == digest.hosts_mark
+        return msgspec.structs.replace(digest, hosts=()) if is_known else digest
 
     @singledispatchmethod
     def _execute(self, effect: PoolEffect) -> None:
@@ -407,6 +406,8 @@
             await self._placement_due.wait()
             await asyncio.sleep(PLACEMENT_DELAY_SECONDS)
             self._placement_due.clear()
+            self._state.advice_hosts = len(self._context.members.list_hosts(read_instant()))
+            self._state.advice_backlog_ms = self._advice.measure_backlog()
             self._execute_all(place_pool(self._state, read_instant()))
 
     def _handle_list(self, event: WorkersListed) -> None:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable, Container
 
 from lentilpath_core.errors import OutcomeUnknown, Unavailable, WriteRejected
-from lentilpath_core.ids import Epoch, JobId
+from lentilpath_core.ids import Epoch, Instant, JobId
 from lentilpath_core.pool import (
     FinalsRecorded,
     PoolEvent,
@@ -31,6 +32,7 @@
     make_final_key,
     parse_end_key,
 )
+from lentilpathd._pool._settling import commit_repeatedly
 from lentilpathd._pool._worker_rows import WorkerShares
 
 MAX_ENTRIES = 95
@@ -46,6 +48,9 @@
 """Several times the batch delay; doubled after each failure."""
 MAX_RETRY_SECONDS = 1.0
 """Half of the leader's lease."""
+RETURN_CHECK_SECONDS = 0.05
+"""How soon the writer notices that the table has returned. Callers see the ends of their jobs only
+once they are stored."""
 
 Record = RecordRun | RecordFinal | RecordWorkers
 
@@ -144,7 +149,6 @@
         puts.update(self._replace_workers(batch))
         deletes = self._pop_obsolete_keys(batch, puts.keys(), MAX_ENTRIES - len(puts))
         delay_seconds = RETRY_SECONDS
-        is_unclear = False
         while True:
             renewal = self._leadership.make_renewal(self._epoch)
             transaction = PartitionTransaction(
@@ -156,17 +160,16 @@
             )
             sent_at = read_instant()
             try:
-                commit = await self._table.commit(transaction, COMMIT_TIMEOUT_SECONDS, is_unclear)
+                commit = await commit_repeatedly(self._table, transaction, COMMIT_TIMEOUT_SECONDS)
             except WriteRejected as error:
                 # The records can't be given up, and the jobs of others wait behind them.
                 log_warning_event(Event.RECORDS_REJECTED, count=len(batch), error=str(error))
                 await asyncio.sleep(MAX_RETRY_SECONDS)
                 continue
             except (Unavailable, OutcomeUnknown) as error:
-                is_unclear = isinstance(error, OutcomeUnknown)
                 # Writing equal rows twice is idempotent, so a write of unknown outcome is retried.
                 log_warning_event(Event.RECORDS_NOT_STORED, count=len(batch), error=str(error))
-                await asyncio.sleep(delay_seconds)
+                await self._wait_for_table(sent_at, delay_seconds)
                 delay_seconds = min(2 * delay_seconds, MAX_RETRY_SECONDS)
                 continue
             if not commit.applied:
@@ -176,6 +179,13 @@
                 log_event(Event.RECORDS_STORED_AGAIN, count=len(batch))
             return
 
+    async def _wait_for_table(self, failed_at: Instant, delay_seconds: float) -> None:
+        """Wait before the next attempt, at most until the table has returned since `failed_at`."""
+        for _ in range(math.ceil(delay_seconds / RETURN_CHECK_SECONDS)):
+            if self._table.get_returned_at() > failed_at:
+                return
+            await asyncio.sleep(RETURN_CHECK_SECONDS)
+
     def _replace_workers(self, batch: list[Record]) -> dict[str, bytes]:
         """Return the rows of the last list of workers in the batch; it replaces the others."""
         lists = _select_worker_lists(batch)
--- a/tests/cover/test_pool_settings.py
+++ b/tests/cover/test_pool_settings.py
@@ -123,6 +123,12 @@
     assert [each.stop_grace_ms for each in scripted.applied] == [7_000, 8_000]
 
 
+def test_contention_is_expected_only_where_the_platform_says_so():
+    assert not parse().expects_contention
+    assert not parse(contracts=["base", "quota"]).expects_contention
+    assert parse(contracts=["base", "pressure"]).expects_contention
+
+
 def test_the_age_of_the_configuration_is_limited_only_where_revocation_is_strict():
     assert parse().max_configuration_age_ms is None
     assert parse(bounds={"revokeMs": 4_000}).max_configuration_age_ms is None
--- a/tests/nocover/test_pool_hosts.py
+++ b/tests/nocover/test_pool_hosts.py
@@ -187,6 +187,35 @@
     run_scenario(scenario)
 
 
+def test_unusable_rows_of_every_table_stop_neither_the_leader_nor_the_next_one():
+    """Guards against a row that ends each new leader's term, on one host after the other."""
+
+    async def scenario(fleet: Fleet) -> None:
+        jobs = await submit_many(fleet, 3, make_step(2))
+        first = await fleet.wait_for_leader()
+        for value in (b"", b"\xff", b"\x91" * 50_000, b"x" * 60_000):
+            fleet.store.put("servers", "", "stranger", value)
+            fleet.store.put("op", "", "config", value)
+            for key in ("x", f"{jobs[0]}/cancel/x", "00000000000000ff"):
+                fleet.store.put("lentilpath-jobs", "0", key, value)
+            for key in (
+                "0workers/1/9/9",
+                "0workers/x",
+                "end/x",
+                "final/00000000000000fe",
+                "0lease",
+            ):
+                fleet.store.put("lentilpath-pool", "cell", key, value)
+            await asyncio.sleep(0.3)
+        jobs += await submit_many(fleet, 3)
+        await first.kill()
+        jobs += await submit_many(fleet, 3, make_step(2))
+        await expect_all_completed(fleet, jobs)
+        assert not any(each.task.done() for each in fleet.hosts if each is not first)
+
+    run_scenario(scenario, run_seconds=0.3)
+
+
 def test_a_host_that_knows_no_leader_does_not_report_an_empty_queue():
     async def scenario(fleet: Fleet) -> None:
         leader = await fleet.wait_for_leader()
@@ -295,3 +324,23 @@
         assert leader.host.leadership.snapshot is None or leader.host.leadership.snapshot.epoch <= 1
 
     run_scenario(scenario)
+
+
+def test_hosts_stay_ready_while_the_table_is_silent_and_hold_a_submission_until_it_is_back():
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.wait_for_leader()
+        digests = [each.host.heartbeat_sender for each in fleet.hosts]
+        await wait_until(lambda: all(each.has_recent_digest(read_instant()) for each in digests))
+        for host in fleet.hosts:
+            host.faults.hangs = True
+        await wait_until(lambda: not any(list_direct_path_states(fleet)))
+        submitting = asyncio.create_task(fleet.submit(fleet.hosts[1]))
+        await asyncio.sleep(1.0)
+        assert all(each.host.is_ready() for each in fleet.hosts)
+        for host in fleet.hosts:
+            host.faults.hangs = False
+        job, status = await submitting
+        assert status == 200
+        await expect_all_completed(fleet, [job])
+
+    run_scenario(scenario)
