--- a/packages/lentilpathd/src/lentilpathd/_pool/_held_calls.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_held_calls.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from lentilpath_core.ids import Instant, JobId
+from lentilpathd._pool._ports import PartitionTransaction
 
 MAX_HELD_CALLS = 400
 """About 30 s of one entry host's share of the largest deployment's calls, of which each waits for
@@ -55,6 +56,19 @@
         return Instant(self.get_settle_until() - WRITE_MS)
 
 
+def make_call(
+    job: JobId,
+    urgency: int,
+    now: Instant,
+    deadline_ms: int,
+    transactions: tuple[PartitionTransaction, ...],
+) -> HeldCall:
+    """Return a call whose write is any one of the transactions, which have equal rows."""
+    size_bytes = sum(len(value) for _, value in transactions[0].puts)
+    partitions = tuple(each.part for each in transactions)
+    return HeldCall(job, urgency, now, deadline_ms, size_bytes, partitions)
+
+
 class HeldCalls:
     """The calls that are held by one host, identified by a number."""
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -12,7 +12,7 @@
     OutcomeUnknown,
     TableUnavailable,
 )
-from lentilpath_core.ids import CustomerId, Instant, JobId, RowVersion
+from lentilpath_core.ids import CustomerId, JobId, RowVersion
 from lentilpath_core.pool import (
     NO_CUSTOMER,
     JobRecord,
@@ -24,7 +24,7 @@
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._metrics import Metric
 from lentilpathd._pool._context import PoolContext
-from lentilpathd._pool._held_calls import HeldCall
+from lentilpathd._pool._held_calls import HeldCall, make_call
 from lentilpathd._pool._holding import CallHolder
 from lentilpathd._pool._leader_query import LeaderQuery
 from lentilpathd._pool._messages import (
@@ -112,7 +112,7 @@
             PartitionTransaction(JOBS_TABLE, part, checks=((record.job, ABSENT),), puts=(row,))
             for part in get_job_partitions(record.job)
         )
-        call = _make_call(record.job, policy.priority, now, deadline_ms, transactions)
+        call = make_call(record.job, policy.priority, now, deadline_ms, transactions)
         query = LeaderQuery(self._query_state, record.job, call.get_query_until())
         try:
             return await self._store(record, call, transactions, query)
@@ -363,7 +363,7 @@
             PartitionTransaction(JOBS_TABLE, part, puts=(row,)) for part in get_job_partitions(job)
         )
         transaction, commit = await self._write_when_answered(
-            _make_call(job, urgency, now, deadline_ms, transactions),
+            make_call(job, urgency, now, deadline_ms, transactions),
             transactions,
             lambda error: log_event(Event.CANCEL_UNCLEAR, job=job, error=str(error)),
         )
@@ -388,18 +388,6 @@
     return TABLE_UNAVAILABLE_RETRY_MS * (1 + int(job, 16) % RETRY_SPREAD_STEPS)
 
 
-def _make_call(
-    job: JobId,
-    urgency: int,
-    now: Instant,
-    deadline_ms: int,
-    transactions: tuple[PartitionTransaction, ...],
-) -> HeldCall:
-    size_bytes = sum(len(value) for _, value in transactions[0].puts)
-    partitions = tuple(each.part for each in transactions)
-    return HeldCall(job, urgency, now, deadline_ms, size_bytes, partitions)
-
-
 def _read_owner(row: PartitionRow) -> CustomerId:
     """Return the customer of a stored job; a job whose row cannot be decoded is open to all."""
     try:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -47,8 +47,6 @@
     get_job_state,
     is_placement_due,
     list_usages,
-    measure_loads,
-    measure_shares,
     place_pool,
     restore_former_workers,
 )
@@ -58,12 +56,13 @@
 from lentilpathd._pool._adapter_log import log_internal_error
 from lentilpathd._pool._advice import AdviceDispatcher
 from lentilpathd._pool._context import PoolContext
+from lentilpathd._pool._digests import Digests
 from lentilpathd._pool._guard import run_guarded
 from lentilpathd._pool._job_feed import JobFeed
 from lentilpathd._pool._leadership import PoolLeadership
 from lentilpathd._pool._leases import bound_lease_ms, extend_leases
 from lentilpathd._pool._link import WorkerLink
-from lentilpathd._pool._members import decode_heartbeat, fingerprint_hosts
+from lentilpathd._pool._members import decode_heartbeat
 from lentilpathd._pool._messages import Digest, JobNotice
 from lentilpathd._pool._ports import LifeKey, PartitionRow, PoolWorker
 from lentilpathd._pool._records import format_task, make_crash_key
@@ -83,9 +82,6 @@
 
 TICK_SECONDS = 0.25
 """Timers fire at most 250 ms late."""
-DIGEST_REUSE_MS = 250
-"""A digest is reused for heartbeats within this time, so its cost does not grow with the number of
-hosts. With the heartbeat interval it stays under the maximum age of its counts, 2 s."""
 PLACEMENT_DELAY_SECONDS = 0.01
 """Events that arrive within this time share one placement pass over the pending tasks."""
 
@@ -111,8 +107,7 @@
         self._placement_due = asyncio.Event()
         self._group: asyncio.TaskGroup | None = None
         self._ready = False
-        self._digest: Digest | None = None
-        self._digest_at = Instant(0)
+        self._digests = Digests(epoch, context.members, self._state)
         self._jobs_version = RowVersion(0)
         self._watch = WorkerWatch(context.registry, self._state, self._handle_list)
         self._ended: Container[JobId] = self._state.finals
@@ -248,14 +243,8 @@
         return explain_job(self._state, record, policy, now)
 
     def make_digest(self) -> Digest:
-        """Return the digest of queue loads and known hosts, at most `DIGEST_REUSE_MS` old."""
-        now = read_instant()
-        if self._digest is None or now >= self._digest_at + DIGEST_REUSE_MS:
-            hosts = self._context.members.list_known_hosts(now)
-            loads, shares = measure_loads(self._state, now), measure_shares(self._state, now)
-            self._digest = Digest(self._epoch, loads, hosts, fingerprint_hosts(hosts), shares)
-            self._digest_at = now
-        return self._digest
+        """Return the digest for heartbeats; see `Digests`."""
+        return self._digests.get(read_instant())
 
     def list_usages(self) -> list[ListedUsage]:
         """Return what the customers have running and waiting, for the metrics."""
