Test: the lost response of the trace test is that of the job's write

By reading, the renewal of the leader's lease, every 0.45 s through the same address, can use up the one response that is lost, so that the job's write gets its own. The stand-in now loses responses of one table only where a test asks for it. The race was not reproduced on purpose.

--- a/tests/common/fleet/store.py
+++ b/tests/common/fleet/store.py
@@ -31,6 +31,8 @@
     """All calls get status 503."""
     lost_responses: int = 0
     """Number of transactions that are still to be applied without a response."""
+    lost_table: str = ""
+    """Only responses to transactions of this table are lost; empty for any table."""
     hangs: bool = False
     """Calls get no response."""
     history_lost: bool = False
@@ -102,8 +104,11 @@
             )
             raise ResponseLost
         if url.path == "/rows-tx":
-            response = self._transact(json.loads(request.body))
-            if faults.lost_responses > 0 and response.status == 200:
+            message = json.loads(request.body)
+            response = self._transact(message)
+            tables = {each["table"] for each in message["setKeys"]}
+            is_meant = not faults.lost_table or faults.lost_table in tables
+            if faults.lost_responses > 0 and response.status == 200 and is_meant:
                 faults.lost_responses -= 1
                 raise ResponseLost
             return response
--- a/tests/nocover/test_pool_trace.py
+++ b/tests/nocover/test_pool_trace.py
@@ -9,6 +9,7 @@
 from typer.testing import CliRunner
 
 from lentilpath.main import app
+from lentilpathd._pool._records import JOBS_TABLE
 from tests.common.requests import wait_until
 from tests.soak.clients import Clients, Job
 from tests.soak.runs import Soak
@@ -80,7 +81,8 @@
     async def scenario(soak: Soak, clients: Clients) -> Job:
         job = Job("00000000000000ac", (1,))
         for faults in soak.table_faults:
-            faults.lost_responses = 1
+            # The renewal of the leader's lease must not use up the lost response.
+            faults.lost_responses, faults.lost_table = 1, JOBS_TABLE
         await clients.submit(job)
         assert job.accepted_at is not None
         return job
