Simulation: a step that its customer's quota holds back may wait

Traced: the gang needs 4 cores, its customer held 3 to 5 of a quota of 5 in all six observations. The rule exempts a customer that holds half of its quota, and a quota too small for the step.

--- a/tests/common/simulated_advice.py
+++ b/tests/common/simulated_advice.py
@@ -69,4 +69,20 @@
     """Return whether none of the step's tasks runs, or may run for an earlier leader."""
     if step.job.is_recovered and state.unconfirmed_workers:
         return False
+    if _is_held_by_quota(state, step):
+        return False
     return bool(list_startable(step)) and not step.attempts
+
+
+def _is_held_by_quota(state: PoolState, step: Step) -> bool:
+    """Return whether the customer holds half of its quota, or the quota is too small for the step.
+
+    Such a step may wait however much room there is.
+    """
+    usage = state.customers.get(step.job.record.customer)
+    quota = usage.policy.quota.millicores if usage is not None and usage.policy is not None else 0
+    if usage is None or not quota:
+        return False
+    least = step.spec.room.millicores * (step.spec.count if step.spec.gang else 1)
+    held = usage.held.millicores + usage.unseen.millicores
+    return least > quota or 2 * held >= quota
