Pool: a held call is refused in time even if the release of held calls fails

Cause, by reading: only the release ended the wait of a held call. After an unexpected error in it, all held calls and all later ones would have waited until their callers gave up.

--- a/tests/cover/test_pool_held_calls.py
+++ b/tests/cover/test_pool_held_calls.py
@@ -19,6 +19,7 @@
     HeldCall,
     HeldCalls,
 )
+from lentilpathd._pool._holding import CallHolder
 from lentilpathd._pool._jobs import Jobs
 from lentilpathd._pool._members import UnclearJobs
 from lentilpathd._pool._messages import STATE_TOPIC, Empty, StateReply
@@ -28,7 +29,7 @@
 from lentilpathd._pool._refusals import SubmissionResult
 from lentilpathd._pool._table_path import TablePath
 from tests.common.former_rules import send_to_silent_paths
-from tests.common.pools import make_record
+from tests.common.pools import make_job_id, make_record
 from tests.common.tables import OnePartitionTable
 from tests.common.virtual_time import run_in_virtual_time
 from tests.cover.test_pool_answers import QUEUE
@@ -331,3 +332,21 @@
 def test_the_search_finds_false_refusals_if_hosts_forget_which_jobs_may_be_stored(monkeypatch):
     monkeypatch.setattr(UnclearJobs, "has", lambda jobs, job, now: False)
     assert find_false_answers(monkeypatch)[0]
+
+
+def test_a_held_call_is_refused_in_time_even_if_the_release_fails(monkeypatch):
+    """Guards against calls that wait for ever after an unexpected error."""
+
+    def fail(partitions: tuple[str, ...]) -> bool:
+        raise RuntimeError("unexpected")
+
+    async def scenario() -> tuple[bool, float]:
+        holder = CallHolder(fail, PoolMetrics())
+        began_at = asyncio.get_running_loop().time()
+        call = HeldCall(make_job_id(1), 0, Instant(int(began_at * 1_000)), 3_000, 10, ("0",))
+        may_write = await holder.wait(call)
+        return may_write, asyncio.get_running_loop().time() - began_at
+
+    may_write, waited = run_in_virtual_time(scenario(), monkeypatch, *MODULES)
+    assert not may_write
+    assert waited <= 2.7
