Keys: a list of customers that is null opens no queue

Cause: null in the place of the list counted as a deployment without customers. An encoder that writes an empty list as null, once the last customer has left, opened all queues to calls without a key. Found in review.

--- a/tests/cover/test_pool_access.py
+++ b/tests/cover/test_pool_access.py
@@ -199,6 +199,12 @@
     assert not read_configuration().requires_keys
 
 
+def test_a_list_of_customers_that_is_null_or_empty_opens_no_queue():
+    """An encoder that writes an empty list as null opened all queues to calls without a key."""
+    assert read_configuration(tenants=None).requires_keys
+    assert read_configuration(tenants=[]).requires_keys
+
+
 def test_an_entry_that_leaves_keys_or_quota_out_or_null_is_no_reason_to_keep_a_withdrawn_key():
     for empty in ({"name": "large"}, TENANT | {"apiKeys": None, "maxItems": None}):
         found = read_configuration(tenants=[empty])
