--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Container
-from functools import partial, singledispatchmethod
+from functools import singledispatchmethod
 
 import msgspec
 
@@ -24,7 +24,6 @@
     JobRecord,
     JobState,
     ListedUsage,
-    ListedWorker,
     PaceRun,
     PauseWatch,
     PoolConfiguration,
@@ -61,10 +60,9 @@
 from lentilpathd._pool._job_feed import JobFeed
 from lentilpathd._pool._leadership import PoolLeadership
 from lentilpathd._pool._leases import bound_lease_ms, extend_leases
-from lentilpathd._pool._link import WorkerLink
 from lentilpathd._pool._members import decode_heartbeat
 from lentilpathd._pool._messages import Digest, JobNotice
-from lentilpathd._pool._ports import LifeKey, PartitionRow, PoolWorker
+from lentilpathd._pool._ports import PartitionRow
 from lentilpathd._pool._records import format_task, make_crash_key
 from lentilpathd._pool._recovery import (
     EndedJobs,
@@ -75,6 +73,7 @@
 from lentilpathd._pool._removal import JobRemover
 from lentilpathd._pool._settings import MAX_LEASE_MS
 from lentilpathd._pool._tokens import make_token
+from lentilpathd._pool._worker_links import WorkerLinks
 from lentilpathd._pool._worker_watch import WorkerWatch, read_list
 from lentilpathd._pool._writer import RecordWriter
 
@@ -102,10 +101,10 @@
         self._advice = AdviceDispatcher(
             context.advice_agent, context.bus, context.members, context.metrics, self.handle_event
         )
-        self._links: dict[LifeKey, tuple[WorkerLink, asyncio.Task[None]]] = {}
-        self._opened_clients = 0
+        self._links = WorkerLinks(
+            context, epoch, self._state, self._writer, self.handle_event, self._may_command
+        )
         self._placement_due = asyncio.Event()
-        self._group: asyncio.TaskGroup | None = None
         self._ready = False
         self._digests = Digests(epoch, context.members, self._state)
         self._jobs_version = RowVersion(0)
@@ -127,9 +126,8 @@
             recovery.create_task(self._extend_leases())
             recovery.create_task(self._recover())
         async with asyncio.TaskGroup() as group:
-            self._group = group
             self._ready = True
-            self._open_links()
+            self._links.start(group)
             # What the writer fails to store is known to the next term only.
             group.create_task(self._writer.run())
             for part, run in (
@@ -281,25 +279,25 @@
             resumed=bool(effect.checkpoint),
             config=self._state.configuration.version,
         )
-        link = self._links.get((effect.worker, effect.life))
+        link = self._links.get(effect.worker, effect.life)
         if link is not None:
-            link[0].send_start(effect)
+            link.send_start(effect)
 
     @_execute.register
     def _(self, effect: StopRun) -> None:
         self._context.metrics.count(Metric.RUN_STOPPED, effect.reason.value)
         self._log_run(Event.RUN_STOPPED, effect, life=effect.life, reason=effect.reason.value)
         # The run may be on a life of the worker that was listed only just now and has no link yet.
-        self._open_links()
-        link = self._links.get((effect.worker, effect.life))
+        self._links.open_missing()
+        link = self._links.get(effect.worker, effect.life)
         if link is not None:
-            link[0].send_stop(effect)
+            link.send_stop(effect)
 
     @_execute.register
     def _(self, effect: GiveUpRun) -> None:
-        link = self._links.get((effect.worker, effect.life))
+        link = self._links.get(effect.worker, effect.life)
         if link is not None:
-            link[0].cancel_start(effect.task, effect.run)
+            link.cancel_start(effect.task, effect.run)
         self._context.metrics.count(Metric.RUN_GIVEN_UP, effect.reason.value)
         self._log_run(
             Event.RUN_GIVEN_UP,
@@ -318,9 +316,9 @@
     @_execute.register
     def _(self, effect: PaceRun) -> None:
         self._log_run(Event.RUN_PACED, effect, percent=effect.percent)
-        link = self._links.get((effect.worker, effect.life))
+        link = self._links.get(effect.worker, effect.life)
         if link is not None:
-            link[0].send_pace(effect)
+            link.send_pace(effect)
 
     @_execute.register
     def _(self, effect: ForgetCrash) -> None:
@@ -345,9 +343,7 @@
     @_execute.register
     def _(self, effect: ReleaseWorker) -> None:
         log_event(Event.WORKER_RELEASED, worker=effect.worker, life=effect.life)
-        link = self._links.pop((effect.worker, effect.life), None)
-        if link is not None:
-            link[1].cancel()
+        self._links.close(effect.worker, effect.life)
 
     def _log_run(self, event: Event, effect: RunEffect, **more: object) -> None:
         log_event(
@@ -359,31 +355,6 @@
             **more,
         )
 
-    def _open_links(self) -> None:
-        if self._group is None:
-            return
-        for worker in self._state.workers.values():
-            key = (worker.worker, worker.life)
-            if key in self._links:
-                continue
-            link = WorkerLink(
-                worker.listed,
-                partial(self._create_client, worker.listed),
-                self._epoch,
-                lambda: self._context.settings.lease_ms,
-                self._writer,
-                self.handle_event,
-                self._may_command,
-            )
-            self._links[key] = (link, self._group.create_task(link.run()))
-            log_event(Event.WORKER_LISTED, worker=worker.worker, life=worker.life)
-
-    def _create_client(self, listed: ListedWorker) -> PoolWorker:
-        # Once the worker has seen a client's token, commands of earlier clients have no effect,
-        # whenever they arrive.
-        self._opened_clients += 1
-        return self._context.create_worker(listed, make_token(self._epoch, self._opened_clients))
-
     async def _tick(self) -> None:
         while True:
             self._may_command()
@@ -401,4 +372,4 @@
 
     def _handle_list(self, event: WorkersListed) -> None:
         self.handle_event(event)
-        self._open_links()
+        self._links.open_missing()
--- /dev/null
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_worker_links.py
@@ -0,0 +1,81 @@
+"""The links of one term of a leader, one for each listed life of a worker."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from functools import partial
+
+from lentilpath_core.ids import Epoch, WorkerId
+from lentilpath_core.pool import Life, ListedWorker, PoolEvent, PoolState
+from lentilpathd._events import Event, log_event
+from lentilpathd._pool._context import PoolContext
+from lentilpathd._pool._link import WorkerLink
+from lentilpathd._pool._ports import LifeKey, PoolWorker
+from lentilpathd._pool._tokens import make_token
+from lentilpathd._pool._writer import RecordWriter
+
+
+class WorkerLinks:
+    """Opens links to the workers of a pool's state, and closes those of released workers."""
+
+    def __init__(
+        self,
+        context: PoolContext,
+        epoch: Epoch,
+        state: PoolState,
+        writer: RecordWriter,
+        handle_event: Callable[[PoolEvent], None],
+        may_command: Callable[[], bool],
+    ) -> None:
+        self._context = context
+        self._epoch = epoch
+        self._state = state
+        self._writer = writer
+        self._handle_event = handle_event
+        self._may_command = may_command
+        self._links: dict[LifeKey, tuple[WorkerLink, asyncio.Task[None]]] = {}
+        self._opened_clients = 0
+        self._group: asyncio.TaskGroup | None = None
+
+    def start(self, group: asyncio.TaskGroup) -> None:
+        """Open the links of all workers that are known; links run in this group from now on."""
+        self._group = group
+        self.open_missing()
+
+    def open_missing(self) -> None:
+        """Open links to workers that have none; does nothing before `start`."""
+        if self._group is None:
+            return
+        for worker in self._state.workers.values():
+            key = (worker.worker, worker.life)
+            if key in self._links:
+                continue
+            link = WorkerLink(
+                worker.listed,
+                partial(self._create_client, worker.listed),
+                self._epoch,
+                lambda: self._context.settings.lease_ms,
+                self._writer,
+                self._handle_event,
+                self._may_command,
+            )
+            self._links[key] = (link, self._group.create_task(link.run()))
+            log_event(Event.WORKER_LISTED, worker=worker.worker, life=worker.life)
+
+    def get(self, worker: WorkerId, life: Life) -> WorkerLink | None:
+        """Return the link to this life of a worker, or `None` if it has none."""
+        link = self._links.get((worker, life))
+        return None if link is None else link[0]
+
+    def close(self, worker: WorkerId, life: Life) -> None:
+        """Close the link to this life of a worker, if it has one."""
+        link = self._links.pop((worker, life), None)
+        if link is not None:
+            link[1].cancel()
+
+    def _create_client(self, listed: ListedWorker) -> PoolWorker:
+        # Once the worker has seen a client's token, commands of earlier clients have no effect,
+        # whenever they arrive.
+        self._opened_clients += 1
+        return self._context.create_worker(listed, make_token(self._epoch, self._opened_clients))
