Keys: null lists of queues or services do not keep a withdrawn key in force

Cause: null in the place of an empty list of routes or services made the version an error, and the earlier version, with keys that the new one withdraws, stayed in force.

--- a/tests/cover/test_pool_access.py
+++ b/tests/cover/test_pool_access.py
@@ -214,6 +214,12 @@
     assert twice.customers_by_key == {SECRET: LARGE}
 
 
+def test_empty_lists_that_are_null_are_no_reason_to_keep_a_withdrawn_key():
+    """A version whose last service or queue had gone was refused, and the earlier one kept."""
+    found = read_configuration(tenants=[TENANT], routes=None, services=None)
+    assert (found.queues, found.services) == ({}, {})
+
+
 @pytest.mark.parametrize(
     ("tenants", "named"),
     [
