Pool: a run whose start may still be carried out waits for the registry at its lapse

Cause: a lapse ends what the process of the lease may run, but not what its successor may be told by a command that is still on its way. Now the run is given up only once the registry shows a report of the same process made after the lapse, or the worker is gone, for as long as a late command may come. When the new process is listed, the run moves to it and is stopped there, as before.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -325,13 +325,27 @@
         if now < worker.lease_ends_at and (worker.is_listed or worker.attempts):
             continue
         for attempt in list(worker.attempts.values()):
-            effects.extend(mark_attempt_lost(state, attempt, LossReason.LEASE_LAPSED, now))
+            if not _may_begin_in_next_life(state, attempt, now):
+                effects.extend(mark_attempt_lost(state, attempt, LossReason.LEASE_LAPSED, now))
         if not worker.is_listed:
             effects.extend(_remove_worker(state, worker, now))
             effects.extend(_record_workers(state))
     return tuple(effects)
 
 
+def _may_begin_in_next_life(state: PoolState, attempt: Attempt, now: Instant) -> bool:
+    """Return whether a run whose lease has expired may begin again after a restart of its worker.
+
+    A start without an answer may still be carried out. The process that it was sent to refuses it
+    by now, but the worker may have restarted before the registry shows it.
+    """
+    worker = attempt.worker
+    unanswered_at = state.unanswered_starts.get(worker.worker, {}).get((attempt.task, attempt.run))
+    if unanswered_at is None or now >= unanswered_at + UNANSWERED_START_MEMORY_MS:
+        return False
+    return worker.is_listed and worker.capacity_seen_at < worker.lease_ends_at
+
+
 def _expire_former_leases(state: PoolState, now: Instant) -> None:
     """Stop waiting for workers on which runs of an earlier leader have ended by now."""
     if now < state.former_leases_end_at:
--- a/tests/cover/test_pool_restarts.py
+++ b/tests/cover/test_pool_restarts.py
@@ -13,6 +13,7 @@
     JobAccepted,
     JobRecord,
     Life,
+    ListedWorker,
     RecordWorkers,
     RunEnd,
     RunNumber,
@@ -384,3 +385,44 @@
     assert list_starts(harness.grant_permissions(renewal, "w1", valid_ms=60_000)) == []
     (start,) = list_starts(harness.place())
     assert start.life == 2
+
+
+def report_others(harness: PoolHarness, silent: str, *listed: ListedWorker) -> None:
+    """Let all workers but one report; the registry shows `listed` instead, if given."""
+    harness.pass_time(250)
+    harness.list_workers(*(listed or tuple(harness.listed.values())))
+    for name in harness.listed:
+        if name != silent:
+            harness.report(name)
+
+
+def start_and_lose_the_first_answer() -> tuple[PoolHarness, StartRun]:
+    harness, start = make_harness_with_start()
+    lose_answer(harness, start)
+    harness.answer_start(start, StartAnswer.STARTED)
+    harness.report(start.worker, ((start.task, start.run, 10),))
+    return harness, start
+
+
+def test_a_task_waits_for_the_registry_if_a_late_start_may_reach_the_next_incarnation():
+    """A task was started elsewhere at the lapse, and a late copy ran on the restarted worker."""
+    harness, start = start_and_lose_the_first_answer()
+    for _ in range((SETTLE_MS + 1_000) // 250):
+        report_others(harness, start.worker)
+        assert list_starts(harness.place()) == []
+    (stop,) = restart_worker(harness, start.worker)
+    assert (stop.life, stop.task, stop.run) == (2, start.task, start.run)
+
+
+def test_a_task_starts_elsewhere_once_its_worker_has_outlived_the_lease_or_left_the_registry():
+    for is_alive in (True, False):
+        harness, start = start_and_lose_the_first_answer()
+        for _ in range((SETTLE_MS + 1_000) // 250):
+            report_others(harness, start.worker)
+        assert list_starts(harness.place()) == []
+        remaining = [each for each in harness.listed.values() if each.worker != start.worker]
+        beating = make_worker(start.worker, sequence=1)
+        for _ in range(8):
+            report_others(harness, start.worker, *remaining, *((beating,) if is_alive else ()))
+        (again,) = list_starts(harness.place())
+        assert again.run > start.run
