Pool: a report that was made after a start clears the task, whenever it was asked for

Cause: a report cleared a task only if it was requested after the start. A worker makes a report when the wait is over, so one that arrives later than the longest way back after the start was made after it too.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -4,8 +4,8 @@
 their workers to it. A worker that crashes tells nothing, so each run is suspected that it had not
 listed in a report yet. A suspected task starts where no other start is in progress, on a worker
 that has answered right before and is asked again right after, so that the next crash points at one
-task. It is cleared when a report that was asked for after its start lists its run, or when a worker
-that was only cut off is heard again.
+task. It is cleared when a report that was made after its start lists its run, or when a worker that
+was only cut off is heard again.
 """
 
 from __future__ import annotations
@@ -25,9 +25,12 @@
 """A task is given up after this many crashes in a row. Users allow it after two; the first of the
 three may have been another task's, since several may have been starting."""
 SURVIVAL_MS = 50
-"""A worker has survived a start if it lists the run in a report that was asked for this long after
-the start was answered. Tasks crash their workers 10 ms after the start, and the answer to a request
-that was sent before may list the run in between."""
+"""A worker has survived a start if it lists the run in a report that was made this long after the
+start was answered. Tasks crash their workers 10 ms after the start, and a report that was made in
+between may list the run."""
+MAX_REPORT_DELAY_MS = 200
+"""A report arrives at most this long after it was made: a network round trip between regions, and
+an event loop that is delayed by one period of its CPU quota."""
 SILENT_ENTRY_MS = 10_000
 """A worker that lists show for this long after its runs became suspected is only cut off. The entry
 of a crashed worker expires after three heartbeats of 1,500 ms, and is kept for another 2,500 ms."""
@@ -94,9 +97,15 @@
     return True
 
 
-def note_listing(attempt: Attempt, sent_at: Instant) -> tuple[PoolEffect, ...]:
-    """Forget the crashes under a task whose worker lists its run and has survived the start."""
-    if attempt.answered_at is None or sent_at < attempt.answered_at + SURVIVAL_MS:
+def note_listing(attempt: Attempt, sent_at: Instant, now: Instant) -> tuple[PoolEffect, ...]:
+    """Forget the crashes under a task whose worker lists its run and has survived the start.
+
+    A worker may delay its answer, so a report is as recent as the request or as its arrival allow.
+    """
+    if attempt.answered_at is None:
+        return ()
+    reported_since = max(sent_at, now - MAX_REPORT_DELAY_MS)
+    if reported_since < attempt.answered_at + SURVIVAL_MS:
         return ()
     attempt.has_survived = True
     release_worker(attempt.worker, attempt.task)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -62,11 +62,11 @@
     step.waiting.remove(attempt.task.number)
 
 
-def confirm_attempt(attempt: Attempt, sent_at: Instant) -> tuple[PoolEffect, ...]:
+def confirm_attempt(attempt: Attempt, sent_at: Instant, now: Instant) -> tuple[PoolEffect, ...]:
     """Mark a run as started by this incarnation of its worker, whose report lists it."""
     attempt.has_started = attempt.is_confirmed = True
     _mark_job_started(attempt)
-    return note_listing(attempt, sent_at)
+    return note_listing(attempt, sent_at, now)
 
 
 def _mark_job_started(attempt: Attempt) -> None:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -213,7 +213,7 @@
         attempt = _adopt_run(state, worker, running, now)
     if attempt.step is None:
         return _stop_listed_run(attempt, _explain_unwanted_run(state, attempt.task), now)
-    effects = confirm_attempt(attempt, sent_at)
+    effects = confirm_attempt(attempt, sent_at, now)
     if attempt.phase is Phase.STARTING:
         attempt.phase = Phase.RUNNING
         attempt.answered_at = attempt.answered_at or now
--- a/tests/cover/test_pool_crashes.py
+++ b/tests/cover/test_pool_crashes.py
@@ -25,7 +25,12 @@
     WorkerReported,
     get_job_state,
 )
-from lentilpath_core.pool._crashes import MAX_CRASHES, SILENT_ENTRY_MS, SURVIVAL_MS
+from lentilpath_core.pool._crashes import (
+    MAX_CRASHES,
+    MAX_REPORT_DELAY_MS,
+    SILENT_ENTRY_MS,
+    SURVIVAL_MS,
+)
 from tests.common.pools import (
     SETTLE_MS,
     TASK_RESOURCES,
@@ -184,6 +189,22 @@
     assert get_job_state(harness.state, make_job_id(1)) is JobState.FAILED
 
 
+def test_a_delayed_answer_that_was_made_after_a_start_clears_the_task():
+    """An innocent task was given up: each of its workers crashed by chance within a long poll."""
+    harness = make_harness()
+    harness.submit(1)
+    crash_worker(harness, start_one(harness))
+    for _ in range(MAX_CRASHES - 1):
+        asked_at = harness.now
+        start = start_one(harness)
+        running = RunningRun(start.task, start.run, "", 0)
+        report = WorkerReport(WorkerTime(harness.now), (running,), ())
+        harness.pass_time(SURVIVAL_MS + MAX_REPORT_DELAY_MS)
+        harness.handle_event(WorkerReported(start.worker, start.life, report, asked_at))
+        crash_worker(harness, start)
+    assert get_job_state(harness.state, make_job_id(1)) is JobState.RUNNING
+
+
 def test_a_run_that_was_listed_before_the_crash_is_not_the_first_to_be_blamed():
     harness = make_harness()
     harness.submit(1)
