Pool: the leader makes fewer transactions while the table is slow; times of storage are logged

Hypothesis: ends and final states wait because the leader's own transactions queue behind each other.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -6,7 +6,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 import msgspec
@@ -41,6 +42,11 @@
 two while the table is 100 times slower than usual."""
 RENEW_INTERVAL_MS = 450
 """Four renewals fit in a lease."""
+SLOW_RENEW_INTERVAL_MS = 1_000
+"""The same while the table is slow: half of the lease, so that one answer may take as long. Each
+renewal delays the records that wait in the same partition."""
+SLOW_RENEWAL_MS = 200
+"""A table is slow if it takes this long for a renewal, 20 times as long as usual."""
 POLL_INTERVAL_MS = 350
 """Shorter than the interval between renewals, so that a host observes each of them."""
 LEADER_TIMEOUT_MS = 950
@@ -182,6 +188,10 @@
         self.snapshot: LeadershipSnapshot | None = None
         self._confirmed_until = Instant(0)
         self._renewed_at = Instant(0)
+        self._renewal_ms = 0
+        """Duration of the last renewal."""
+        self._is_renewal_carried = False
+        """Whether a transaction is in flight that renews the lease beside its records."""
         self._watched_since = Instant(0)
         """Since when the lease row was read without a failure and without a change."""
         self._is_watch_broken = False
@@ -301,9 +311,24 @@
         self._renewed_at = read_instant()
         return LEASE_KEY, encode_record(self._make_lease(epoch, self._renewed_at))
 
+    @contextmanager
+    def carry_renewal(self, epoch: Epoch) -> Iterator[tuple[str, bytes]]:
+        """Return a renewed lease for a transaction that ends within the context.
+
+        No renewal is sent beside it meanwhile, which would wait in the same partition.
+        """
+        renewal = self.make_renewal(epoch)
+        self._is_renewal_carried = True
+        try:
+            yield renewal
+        finally:
+            self._is_renewal_carried = False
+
     def record_renewal(self, sent_at: Instant, commit: PartitionCommitResult) -> None:
         """Record that a transaction with a renewal, sent at `sent_at`, was applied."""
-        self._clock.observe(commit.clock_ms, read_instant())
+        now = read_instant()
+        self._renewal_ms = now - sent_at
+        self._clock.observe(commit.clock_ms, now)
         self._confirm(sent_at)
 
     async def renew_forever(self, epoch: Epoch) -> None:
@@ -314,12 +339,21 @@
         workers accept only the new leader's fencing token from its first command on.
         """
         while True:
-            due_ms = self._renewed_at + RENEW_INTERVAL_MS - read_instant()
+            due_ms = self._find_renewal_due() - read_instant()
             if due_ms > 0:
-                await asyncio.sleep(due_ms / MS_PER_SECOND)
+                await asyncio.sleep(min(due_ms, RENEW_INTERVAL_MS) / MS_PER_SECOND)
                 continue
             await self._write_lease(epoch, self.make_renewal(epoch))
 
+    def _find_renewal_due(self) -> Instant:
+        is_slow = self._is_renewal_carried or self.is_table_slow()
+        interval_ms = SLOW_RENEW_INTERVAL_MS if is_slow else RENEW_INTERVAL_MS
+        return Instant(self._renewed_at + interval_ms)
+
+    def is_table_slow(self) -> bool:
+        """Return whether the table was slow to answer this leader's last renewal."""
+        return self._renewal_ms >= SLOW_RENEWAL_MS
+
     async def release(self, epoch: Epoch, successor: HostId | None = None) -> None:
         """Release the lease for an immediate takeover, by `successor` first if it is given."""
         lease = LeaseRow(epoch, self._host, self._address, 0, successor or "")
--- a/packages/lentilpathd/src/lentilpathd/_pool/_settling.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_settling.py
@@ -32,6 +32,9 @@
 """Share of the remaining time after which an unanswered attempt gets another beside it at the
 latest. A slow table answers within it, and it leaves time for a way through another host."""
 
+SLOW_ANSWER_SECONDS = 1.2
+"""Longest time in which a table that is 100 times slower answers two writes to one partition."""
+
 SILENCE_MEMORY_MS = 1_500
 """A partition that was late is tried last for this long, so that a burst meets it seldom."""
 
@@ -94,16 +97,23 @@
 ) -> PartitionCommitResult:
     """Make an idempotent write of the leader, which other work waits for.
 
-    It is sent through a relay too as soon as the direct path is silent. Raises as `settle_write`.
+    It is sent through a relay too as soon as the direct path is silent. There is one partition to
+    write to, and each attempt takes its turn there although it brings nothing, so a third one is
+    made only once the answers are later than a slow table explains. Raises as `settle_write`.
     """
-    _, commit = await settle_write(
+    write = _RepeatedWrite(
         table,
         PartitionHealth(),
         (transaction,),
         Instant(int(read_instant() + timeout * MS_PER_SECOND)),
         lambda error: None,
         table.get_silence_seconds,
+        waits_for_slow_answers=True,
     )
+    try:
+        _, commit = await write.run()
+    finally:
+        await write.close()
     return commit
 
 
@@ -116,8 +126,10 @@
         give_up_at: Instant,
         report_unclear: Callable[[Exception], None],
         get_late_seconds: Callable[[], float],
+        waits_for_slow_answers: bool = False,
     ) -> None:
         self._table = table
+        self._waits_for_slow_answers = waits_for_slow_answers
         self._health = health
         self._transactions = itertools.cycle(transactions)
         self._give_up_at = give_up_at
@@ -148,7 +160,10 @@
 
     async def _wait_for_attempts(self) -> set[Attempt]:
         """Return the attempts that ended; none if all are late or the table has returned since."""
-        left_seconds = min(self._get_late_seconds(), self._get_seconds_left() * FIRST_ATTEMPT_SHARE)
+        late_seconds = self._get_late_seconds()
+        if self._waits_for_slow_answers and len(self._in_flight) > 1:
+            late_seconds = SLOW_ANSWER_SECONDS
+        left_seconds = min(late_seconds, self._get_seconds_left() * FIRST_ATTEMPT_SHARE)
         while left_seconds > 0.0:
             wait_seconds = min(left_seconds, RETURN_CHECK_SECONDS)
             ended, _ = await asyncio.wait(
@@ -156,7 +171,7 @@
             )
             if ended:
                 return ended
-            if self._has_table_returned():
+            if self._has_table_returned() and not self._waits_for_slow_answers:
                 await self._abandon_oldest_attempt()
                 break
             left_seconds -= wait_seconds
--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -6,6 +6,7 @@
 import math
 from collections import deque
 from collections.abc import Callable, Container
+from itertools import islice
 
 from lentilpath_core.errors import OutcomeUnknown, Unavailable, WriteRejected
 from lentilpath_core.ids import Epoch, Instant, JobId
@@ -39,11 +40,14 @@
 """Rows in one transaction; the platform accepts 100 entries, including the condition."""
 MAX_PUTS = 60
 """Leaves room in the transaction for deleting obsolete rows."""
+SLOW_COMMIT_MS = 200
+"""A table is slow if it takes this long for a transaction, 20 times as long as usual. Its
+transactions are then filled with records, and deletions wait."""
 BATCH_DELAY_SECONDS = 0.008
 """Pause in which records are collected for a batch. A partition commits 200 transactions a second;
 with this pause the writer needs at most 125 of them."""
-COMMIT_TIMEOUT_SECONDS = 1.5
-"""Enough for a transaction while the table is 100 times slower than usual."""
+COMMIT_TIMEOUT_SECONDS = 3.0
+"""Enough for two attempts while the table is 100 times slower than usual."""
 RETRY_SECONDS = 0.15
 """Several times the batch delay; doubled after each failure."""
 MAX_RETRY_SECONDS = 1.0
@@ -69,7 +73,8 @@
         self._epoch = epoch
         self._leadership = leadership
         self._handle_event = handle_event
-        self._queue: deque[Record] = deque()
+        self._queue: deque[tuple[Record, Instant]] = deque()
+        """Records that wait, each with the time at which it was queued."""
         self._queued = asyncio.Event()
         self._durable = asyncio.Condition()
         self._end_keys: dict[JobId, list[str]] = {}
@@ -77,6 +82,8 @@
         self._worker_shares = WorkerShares(epoch)
         self._obsolete_keys: deque[str] = deque()
         """Keys of rows that other stored rows replace, still to be deleted."""
+        self._commit_ms = 0
+        """Duration of the last transaction."""
         self.queued_count = 0
         """Number of records queued so far."""
         self.durable_count = 0
@@ -107,7 +114,7 @@
 
     def queue(self, record: Record) -> None:
         """Queue a record to be stored in the next batch."""
-        self._queue.append(record)
+        self._queue.append((record, read_instant()))
         self.queued_count += 1
         self._queued.set()
 
@@ -128,19 +135,35 @@
         while True:
             await self._queued.wait()
             await asyncio.sleep(BATCH_DELAY_SECONDS)
-            batch = [self._queue.popleft() for _ in range(min(MAX_PUTS, len(self._queue)))]
+            popped = self._pop_batch()
+            batch = [record for record, _ in popped]
             await self._store(batch)
             if not self._queue and len(self._obsolete_keys) < MAX_PUTS:
                 self._queued.clear()
+            stored_at = read_instant()
+            for record, queued_at in popped:
+                self._log(record, stored_at - queued_at)
             self._report_durable(batch)
             async with self._durable:
                 self.durable_count += len(batch)
                 self._durable.notify_all()
 
+    def _pop_batch(self) -> list[tuple[Record, Instant]]:
+        max_puts = MAX_PUTS
+        if self._commit_ms >= SLOW_COMMIT_MS:
+            first = [record for record, _ in islice(self._queue, MAX_ENTRIES)]
+            # A list of workers has several rows.
+            max_puts = MAX_PUTS if _select_worker_lists(first) else MAX_ENTRIES
+        return [self._queue.popleft() for _ in range(min(max_puts, len(self._queue)))]
+
     async def _store(self, batch: list[Record]) -> None:
         puts: dict[str, bytes] = {}
+        ended = {record.job for record in batch if isinstance(record, RecordFinal)}
         for record in batch:
             if isinstance(record, RecordRun):
+                if record.task.job in ended:
+                    # The final state replaces the ends of the job's runs.
+                    continue
                 key = make_end_key(record.task, record.record)
                 self._end_keys.setdefault(record.task.job, []).append(key)
                 puts[key] = encode_record(record.record)
@@ -150,17 +173,9 @@
         deletes = self._pop_obsolete_keys(batch, puts.keys(), MAX_ENTRIES - len(puts))
         delay_seconds = RETRY_SECONDS
         while True:
-            renewal = self._leadership.make_renewal(self._epoch)
-            transaction = PartitionTransaction(
-                POOL_TABLE,
-                POOL_PARTITION,
-                checks=((EPOCH_KEY, self._leadership.epoch_version),),
-                puts=(*puts.items(), renewal),
-                deletes=tuple(deletes),
-            )
             sent_at = read_instant()
             try:
-                commit = await commit_repeatedly(self._table, transaction, COMMIT_TIMEOUT_SECONDS)
+                await self._commit(tuple(puts.items()), tuple(deletes))
             except WriteRejected as error:
                 # The records can't be given up, and the jobs of others wait behind them.
                 log_warning_event(Event.RECORDS_REJECTED, count=len(batch), error=str(error))
@@ -172,13 +187,26 @@
                 await self._wait_for_table(sent_at, delay_seconds)
                 delay_seconds = min(2 * delay_seconds, MAX_RETRY_SECONDS)
                 continue
-            if not commit.applied:
-                raise Deposed(f"epoch {self._epoch} was superseded by another leader")
-            self._leadership.record_renewal(sent_at, commit)
+            self._commit_ms = read_instant() - sent_at
             if delay_seconds != RETRY_SECONDS:
                 log_event(Event.RECORDS_STORED_AGAIN, count=len(batch))
             return
 
+    async def _commit(self, puts: tuple[tuple[str, bytes], ...], deletes: tuple[str, ...]) -> None:
+        with self._leadership.carry_renewal(self._epoch) as renewal:
+            transaction = PartitionTransaction(
+                POOL_TABLE,
+                POOL_PARTITION,
+                checks=((EPOCH_KEY, self._leadership.epoch_version),),
+                puts=(*puts, renewal),
+                deletes=deletes,
+            )
+            sent_at = read_instant()
+            commit = await commit_repeatedly(self._table, transaction, COMMIT_TIMEOUT_SECONDS)
+        if not commit.applied:
+            raise Deposed(f"epoch {self._epoch} was superseded by another leader")
+        self._leadership.record_renewal(sent_at, commit)
+
     async def _wait_for_table(self, failed_at: Instant, delay_seconds: float) -> None:
         """Wait before the next attempt, at most until the table has returned since `failed_at`."""
         for _ in range(math.ceil(delay_seconds / RETURN_CHECK_SECONDS)):
@@ -210,13 +238,14 @@
         self._obsolete_keys = deque(key for key in self._obsolete_keys if key not in chosen)
         return deletes
 
-    def _log(self, record: Record) -> None:
+    def _log(self, record: Record, stored_ms: int) -> None:
         if isinstance(record, RecordRun):
             log_event(
                 Event.RUN_ENDED,
                 task=format_task(record.task),
                 run=record.record.run,
                 end=record.record.end.value,
+                stored_ms=stored_ms,
                 epoch=self._epoch,
             )
         elif isinstance(record, RecordFinal):
@@ -224,12 +253,11 @@
                 Event.JOB_ENDED,
                 job=record.job,
                 state=record.final.state.value,
+                stored_ms=stored_ms,
                 epoch=self._epoch,
             )
 
     def _report_durable(self, batch: list[Record]) -> None:
-        for record in batch:
-            self._log(record)
         runs = tuple((each.task, each.record) for each in batch if isinstance(each, RecordRun))
         finals = tuple((each.job, each.final) for each in batch if isinstance(each, RecordFinal))
         if runs:
--- a/tests/common/former_rules.py
+++ b/tests/common/former_rules.py
@@ -15,9 +15,10 @@
 from lentilpath_core.pool._model import AdvicePolicy
 from lentilpath_core.pool._state import PoolState, Reservation, Step, Worker
 from lentilpath_core.resources import NO_RESOURCES
-from lentilpathd._pool import _held_calls, _jobs, _records, _settling
+from lentilpathd._clock import read_instant
+from lentilpathd._pool import _held_calls, _jobs, _leadership, _records, _settling, _writer
 from lentilpathd._pool._breaker import PathBreaker
-from lentilpathd._pool._ports import PartitionTransaction
+from lentilpathd._pool._ports import PartitionCommitResult, PartitionTransaction
 from lentilpathd._pool._settling import PartitionHealth, Stored
 
 
@@ -103,3 +104,24 @@
     """Store a job in its usual partition only."""
     former = _records.get_job_partitions
     patch.setattr(_jobs, "get_job_partitions", lambda job: former(job)[:1])
+
+
+def crowd_the_leaders_partition(patch: pytest.MonkeyPatch) -> None:
+    """Renew the lease beside records, and repeat each write of the leader that seems late."""
+    patch.setattr(_leadership, "SLOW_RENEW_INTERVAL_MS", _leadership.RENEW_INTERVAL_MS)
+
+    async def commit(
+        table: Any, transaction: PartitionTransaction, timeout: float
+    ) -> PartitionCommitResult:
+        _, result = await _settling.settle_write(
+            table,
+            PartitionHealth(),
+            (transaction,),
+            Instant(read_instant() + 1_500),
+            lambda error: None,
+            table.get_silence_seconds,
+        )
+        return result
+
+    patch.setattr(_writer, "commit_repeatedly", commit)
+    patch.setattr(_leadership, "commit_repeatedly", commit)
