Pool: later steps and repetitions follow the reported end of a run, not its storage

Cause: a step of a job waited until the ends before it were stored, 1 to 2.6 s while the table is slow, and for as long as the table is away; the repetition of a failed task did too.

Change: a step opens when all tasks before it are reported done; a failed task may start again when its failure is reported, unless that may have been its last attempt. A worker lists an end until it is acknowledged, and that is only once it is stored, so a later leader learns of it before it starts what may have been started. If the worker is lost with such ends, its tasks run again, as before, while later steps that already run go on. Final states are still shown only once stored.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -33,6 +33,7 @@
     handle_recorded_failure,
     handle_recorded_success,
     mark_run_number_used,
+    open_later_steps,
     release_worker,
     requeue_task,
     update_open_steps,
@@ -134,6 +135,7 @@
     if step.spec.gang:
         step.waiting = []
     update_open_steps(state, step)
+    open_later_steps(state, step)
     record = RecordRun(ended.task, RunRecord(ended.run, RunEnd.DONE))
     return (record, *complete_while_recording(state, step.job))
 
@@ -146,7 +148,9 @@
         requeue_task(state, step, index)
         return ()
     effects: list[PoolEffect] = []
-    if index not in step.done and index not in step.recording:
+    if _may_repeat_at_once(step, ended):
+        requeue_task(state, step, index)
+    elif index not in step.done and index not in step.recording:
         step.failing.add(index)
         if index in step.waiting:
             step.waiting.remove(index)
@@ -159,6 +163,20 @@
     return tuple(effects)
 
 
+def _may_repeat_at_once(step: Step, ended: EndedRun) -> bool:
+    """Note a failure, and return whether the task may start again before it is durable.
+
+    Not if it may have been the last attempt. A later leader learns of the failure from its worker,
+    before it starts any task that may have been started before.
+    """
+    policy, index = step.job.policy, ended.task.number
+    if step.spec.gang or policy is None:
+        return False
+    unstored = step.unstored_failures.setdefault(index, set())
+    unstored.add(ended.run)
+    return len(unstored | step.failed_runs.get(index, set())) < policy.max_attempts
+
+
 def _requeue_interrupted_task(
     state: PoolState, step: Step, index: int, attempt: Attempt | None, now: Instant
 ) -> tuple[PoolEffect, ...]:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -160,8 +160,10 @@
     checkpoints: dict[int, str] = field(default_factory=dict)
     failed_runs: dict[int, set[RunNumber]] = field(default_factory=dict)
     """Runs whose failure is durable, by task index; a gang uses index 0."""
+    unstored_failures: dict[int, set[RunNumber]] = field(default_factory=dict)
+    """Runs whose failure was reported and is not durable yet, by task index."""
     failing: set[int] = field(default_factory=set)
-    """Tasks whose failure is being recorded; they are requeued once the record is durable."""
+    """Tasks that wait until the record of their failure is durable."""
     crashed_runs: dict[int, set[RunNumber]] = field(default_factory=dict)
     """Runs that had just begun when their worker crashed, by task index; stored."""
     suspected_runs: dict[int, set[RunNumber]] = field(default_factory=dict)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
@@ -64,12 +64,16 @@
 
 
 def open_if_ready(state: PoolState, step: Step) -> None:
-    """Queue the step's tasks for a start if all steps that it depends on are done."""
+    """Queue the step's tasks for a start if all steps that it depends on are done.
+
+    The ends of those steps need not be durable yet: a later leader learns them from their workers,
+    which list an end until it is acknowledged, and that is only once it is durable.
+    """
     if step.is_open or step.job.final is not None:
         return
     key = step.key
     earlier = (step.job.steps[StepKey(key.job, key.occurrence, each)] for each in step.spec.after)
-    if not all(each.is_done() for each in earlier):
+    if not all(_is_done_or_recording(each) for each in earlier):
         return
     step.is_open = True
     busy = step.done | step.recording | step.failing | set(step.attempts)
@@ -241,11 +245,16 @@
     return tuple(effects)
 
 
-def _handle_step_done(state: PoolState, step: Step, now: Instant) -> tuple[PoolEffect, ...]:
-    job = step.job
-    for other in job.steps.values():
+def open_later_steps(state: PoolState, step: Step) -> None:
+    """Queue the tasks of the steps that depend on this one and on no other step in progress."""
+    for other in step.job.steps.values():
         if other.key.occurrence == step.key.occurrence and step.key.step in other.spec.after:
             open_if_ready(state, other)
+
+
+def _handle_step_done(state: PoolState, step: Step, now: Instant) -> tuple[PoolEffect, ...]:
+    job = step.job
+    open_later_steps(state, step)
     occurrences = max(1, job.record.repeats)
     if job.occurrences >= occurrences and all(each.is_done() for each in job.steps.values()):
         return finish_job(state, job, JobState.COMPLETED, state.wall_now, now)
@@ -266,7 +275,10 @@
     shared = get_shared_index(step.spec, task.number)
     runs = step.failed_runs.setdefault(shared, set())
     runs.add(run)
-    step.failing.discard(task.number)
+    unstored = step.unstored_failures.get(shared, set())
+    unstored.discard(run)
+    if not unstored:
+        step.failing.discard(task.number)
     mark_run_number_used(step, task.number, run)
     if job.policy is not None and len(runs) >= job.policy.max_attempts:
         if shared in step.done or shared in step.recording:
