Pool: a new leader reads jobs, records and workers at the same time

None needs another: since the takeover only this leader writes records, and a job's rows are deleted before its final state.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -100,10 +100,13 @@
 
     Rows that cannot be used are logged and skipped.
     """
-    reads = await read_all_jobs(table)
+    # The records may be read before the jobs: only this leader changes them since its takeover.
+    reads, pool_rows = await asyncio.gather(
+        read_all_jobs(table),
+        table.read_partition(POOL_TABLE, POOL_PARTITION, "", "", READ_TIMEOUT_SECONDS),
+    )
     job_rows = [row for read in reads for row in read.rows]
     jobs_version = min(read.version for read in reads)
-    pool_rows = await table.read_partition(POOL_TABLE, POOL_PARTITION, "", "", READ_TIMEOUT_SECONDS)
     finals: dict[JobId, FinalRecord] = {}
     ended: set[JobId] = set()
     ends: dict[str, tuple[TaskKey, RunRecord]] = {}
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -155,8 +155,10 @@
 
     async def _recover(self) -> None:
         table, registry = self._context.table, self._context.registry
-        recovered = await read_repeatedly(lambda: read_pool(table), self._epoch)
-        listed, listed_at = await read_repeatedly(lambda: read_list(registry), self._epoch)
+        recovered, (listed, listed_at) = await asyncio.gather(
+            read_repeatedly(lambda: read_pool(table), self._epoch),
+            read_repeatedly(lambda: read_list(registry), self._epoch),
+        )
         self._jobs_version = recovered.jobs_version
         self._writer.add_stored_ends(recovered.end_keys, recovered.ended_jobs)
         self._writer.add_stored_workers(recovered.worker_keys)
