Pool: a stopping leader leads on while the table is slow, within its grace period

Cause: a leader that is stopped handed over at once.

Change: it leads on until the table is fast again, at most until 1.6 s before its grace period ends, and its process does not end before it has handed over.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -62,6 +62,11 @@
 it after two readiness probes, which are one second apart."""
 STOP_MARGIN_SECONDS = 0.8
 """Part of the stop grace period kept for releasing the leadership: one write to a slow table."""
+RELEASE_SECONDS = 1.6
+"""Part of the stop grace period kept for releasing the leadership to a slow table: two of its
+answers while it is 100 times slower than usual."""
+SLOW_TABLE_CHECK_SECONDS = 0.1
+"""How soon a stopping leader notices that the table is no longer slow."""
 HANDOVER_CHECK_SECONDS = 1.0
 """Two heartbeat intervals, so that all hosts have reported their speed."""
 HANDOVER_COOLDOWN_MS = 10_000
@@ -129,7 +134,11 @@
             ports.load_settings, lambda: self.settings, self._apply_settings
         )
         self.stopping = asyncio.Event()
+        self._stop_at: Instant | None = None
+        """Until when a stopping host may lead on; `None` if it is not stopping."""
         self._term: Term | None = None
+        self._not_leading = asyncio.Event()
+        self._not_leading.set()
         self._handover_requested = False
         self._next_handover_at = Instant(0)
         self.bus.handle(HEARTBEAT_TOPIC, self._handle_heartbeat)
@@ -274,6 +283,7 @@
         log_event(Event.POOL_LEADERSHIP_GAINED, epoch=epoch, host=self.settings.host)
         term = Term(self.context, epoch, self.leadership)
         self._term = term
+        self._not_leading.clear()
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.leadership.renew_forever(epoch))
@@ -287,6 +297,7 @@
         if self.stopping.is_set() or self._handover_requested:
             self._handover_requested = False
             await self._release_leadership(epoch)
+        self._not_leading.set()
 
     async def _release_leadership(self, epoch: Epoch) -> None:
         successor = self.members.choose_successor(read_instant())
@@ -297,8 +308,26 @@
             # Another host already leads, so there is nothing left to release.
             log_event(Event.POOL_LEADERSHIP_LOST, epoch=epoch, error=str(error))
 
+    def request_stop(self, now: Instant) -> None:
+        """Stop accepting work, and hand the leadership over within the grace period."""
+        grace_ms = self.settings.stop_grace_ms - RELEASE_SECONDS * MS_PER_SECOND
+        self._stop_at = Instant(int(now + grace_ms))
+        self.stopping.set()
+
+    async def wait_handed_over(self) -> None:
+        """Wait until this host does not lead."""
+        await self._not_leading.wait()
+
     async def _end_term_at_stop(self) -> None:
+        """End the term of a stopping host, once the next leader can take over quickly.
+
+        A takeover needs several answers of the table in turn, and nothing starts meanwhile.
+        """
         await self.stopping.wait()
+        is_slow = True
+        while is_slow:
+            await asyncio.sleep(SLOW_TABLE_CHECK_SECONDS)
+            is_slow = must_lead_on(self.leadership.is_table_slow(), self._stop_at, read_instant())
         raise NotLeading("this host is stopping")
 
     async def _end_term_for_faster_host(self) -> None:
@@ -314,6 +343,11 @@
                 raise NotLeading(f"{faster} has a faster processor")
 
 
+def must_lead_on(is_table_slow: bool, stop_at: Instant | None, now: Instant) -> bool:
+    """Return whether a stopping leader leads on for the moment, rather than hand over."""
+    return is_table_slow and stop_at is not None and now < stop_at
+
+
 async def run_pool_host(
     settings: PoolHostSettings,
     ports: PlatformPorts,
@@ -360,8 +394,11 @@
 
 async def _drain(host: PoolHost, callers: HttpServer) -> None:
     log_event(Event.PROCESS_DRAINING, host=host.settings.host)
-    host.stopping.set()
     started_at = read_instant()
+    host.request_stop(started_at)
     await asyncio.sleep(UNREADY_BEFORE_CLOSE_SECONDS)
     left_ms = host.settings.stop_grace_ms - (read_instant() - started_at)
-    await callers.close(max(0.0, left_ms / MS_PER_SECOND - STOP_MARGIN_SECONDS))
+    await asyncio.gather(
+        callers.close(max(0.0, left_ms / MS_PER_SECOND - STOP_MARGIN_SECONDS)),
+        host.wait_handed_over(),
+    )
--- a/tests/cover/test_pool_known_faults.py
+++ b/tests/cover/test_pool_known_faults.py
@@ -113,6 +113,8 @@
         self.settings = self.context.settings
         self.members = cast(Any, self)
         self._handover_requested = False
+        self._stop_at = None
+        self._not_leading = asyncio.Event()
 
     def choose_successor(self, now: Instant) -> None:
         return None
--- a/tests/cover/test_pool_slow_table.py
+++ b/tests/cover/test_pool_slow_table.py
@@ -12,9 +12,10 @@
 import pytest
 
 from lentilpath_core.errors import OutcomeUnknown
-from lentilpath_core.ids import Epoch, HostId
+from lentilpath_core.ids import Epoch, HostId, Instant
 from lentilpath_core.pool import RecordRun, RunEnd, RunNumber, RunRecord
 from lentilpathd._pool import _leadership, _writer
+from lentilpathd._pool._host import must_lead_on
 from lentilpathd._pool._metrics import PoolMetrics
 from lentilpathd._pool._table_path import TablePath
 from lentilpathd._pool._writer import RecordWriter
@@ -128,3 +129,11 @@
     commits, longest = play_slow_table(monkeypatch)
     assert commits > 1.5 * SLOW_TIME_SECONDS / SLOW_SECONDS
     assert longest > MAX_WAIT_SECONDS
+
+
+def test_a_stopping_leader_leads_on_while_the_table_is_slow_and_its_grace_period_lasts():
+    now, stop_at = Instant(10_000), Instant(14_000)
+    assert must_lead_on(True, stop_at, now)
+    assert not must_lead_on(False, stop_at, now)
+    assert not must_lead_on(True, stop_at, stop_at)
+    assert not must_lead_on(True, None, now)
