--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -37,13 +37,15 @@
 )
 from lentilpathd._pool._settling import commit_repeatedly
 
-LEASE_MS = 2_000
-"""A leader that does not renew its lease for this long may be replaced. Four renewals fit in it, or
-two while the table is 100 times slower than usual."""
+LEASE_MS = 1_500
+"""A leader that does not renew its lease for this long may be replaced. Three renewals fit in it,
+or the answers to two while the table is becoming 80 times slower."""
+SLOW_LEASE_MS = 2_000
+"""The same while the table is slow: two renewals while it is 100 times slower than usual."""
 RENEW_INTERVAL_MS = 450
-"""Four renewals fit in a lease."""
+"""Three renewals fit in a lease."""
 SLOW_RENEW_INTERVAL_MS = 1_000
-"""The same while the table is slow: half of the lease, so that one answer may take as long. Each
+"""The same while the table is slow: half of its lease, so that one answer may take as long. Each
 renewal delays the records that wait in the same partition."""
 SLOW_RENEWAL_MS = 200
 """A table is slow if it takes this long for a renewal, 20 times as long as usual."""
@@ -65,6 +67,16 @@
 """Enough for a transaction while the table is 100 times slower than usual."""
 
 
+@dataclass(frozen=True, slots=True)
+class Renewal:
+    """A renewed lease, for a transaction that is sent at once."""
+
+    put: tuple[str, bytes]
+    """Key and value of the row."""
+    sent_at: Instant
+    lease_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class LeadershipSnapshot:
     """The leadership rows as they were read."""
@@ -200,8 +212,8 @@
         """Return whether the lease is certainly still held, so that nobody else has taken over."""
         return now < self._confirmed_until
 
-    def _confirm(self, sent_at: Instant) -> None:
-        self._confirmed_until = Instant(sent_at + LEASE_MS)
+    def _confirm(self, renewal: Renewal) -> None:
+        self._confirmed_until = Instant(renewal.sent_at + renewal.lease_ms)
 
     async def acquire(self) -> Epoch:
         """Wait until this process has become the leader; return its epoch."""
@@ -249,16 +261,17 @@
 
     async def _take_over(self, snapshot: LeadershipSnapshot) -> Epoch | None:
         epoch = Epoch(snapshot.epoch + 1)
-        sent_at = read_instant()
+        renewal = self.make_renewal(epoch)
         row = EpochRow(epoch, self._host, self._incarnation)
         transaction = PartitionTransaction(
             POOL_TABLE,
             POOL_PARTITION,
-            checks=((EPOCH_KEY, snapshot.epoch_version),),
-            puts=(
-                (EPOCH_KEY, encode_record(row)),
-                (LEASE_KEY, encode_record(self._make_lease(epoch, read_instant()))),
+            # A renewal that was on its way when the lease was read keeps the leader in place.
+            checks=(
+                (EPOCH_KEY, snapshot.epoch_version),
+                (LEASE_KEY, snapshot.lease_version),
             ),
+            puts=((EPOCH_KEY, encode_record(row)), renewal.put),
         )
         try:
             commit = await self._table.commit(transaction, ROW_TIMEOUT_SECONDS)
@@ -270,8 +283,7 @@
         if not commit.applied:
             return None
         self.epoch_version = commit.version
-        self._confirm(sent_at)
-        self._clock.observe(commit.clock_ms, read_instant())
+        self.record_renewal(renewal, commit)
         return epoch
 
     async def _verify_takeover(self, epoch: Epoch) -> Epoch | None:
@@ -303,16 +315,16 @@
         )
         return None
 
-    def _make_lease(self, epoch: Epoch, now: Instant) -> LeaseRow:
-        return LeaseRow(epoch, self._host, self._address, self._clock.estimate(now) + LEASE_MS)
-
-    def make_renewal(self, epoch: Epoch) -> tuple[str, bytes]:
-        """Return key and value of a renewed lease, for a transaction that is sent at once."""
-        self._renewed_at = read_instant()
-        return LEASE_KEY, encode_record(self._make_lease(epoch, self._renewed_at))
+    def make_renewal(self, epoch: Epoch) -> Renewal:
+        """Return a renewed lease, for a transaction that is sent at once."""
+        now = self._renewed_at = read_instant()
+        lease_ms = SLOW_LEASE_MS if self.is_table_slow() else LEASE_MS
+        until_ms = self._clock.estimate(now) + lease_ms
+        lease = LeaseRow(epoch, self._host, self._address, until_ms)
+        return Renewal((LEASE_KEY, encode_record(lease)), now, lease_ms)
 
     @contextmanager
-    def carry_renewal(self, epoch: Epoch) -> Iterator[tuple[str, bytes]]:
+    def carry_renewal(self, epoch: Epoch) -> Iterator[Renewal]:
         """Return a renewed lease for a transaction that ends within the context.
 
         No renewal is sent beside it meanwhile, which would wait in the same partition.
@@ -324,12 +336,12 @@
         finally:
             self._is_renewal_carried = False
 
-    def record_renewal(self, sent_at: Instant, commit: PartitionCommitResult) -> None:
-        """Record that a transaction with a renewal, sent at `sent_at`, was applied."""
+    def record_renewal(self, renewal: Renewal, commit: PartitionCommitResult) -> None:
+        """Record that a transaction with a renewal was applied."""
         now = read_instant()
-        self._renewal_ms = now - sent_at
+        self._renewal_ms = now - renewal.sent_at
         self._clock.observe(commit.clock_ms, now)
-        self._confirm(sent_at)
+        self._confirm(renewal)
 
     async def renew_forever(self, epoch: Epoch) -> None:
         """Renew the lease until another leader is found; raises `Deposed`.
@@ -357,13 +369,16 @@
     async def release(self, epoch: Epoch, successor: HostId | None = None) -> None:
         """Release the lease for an immediate takeover, by `successor` first if it is given."""
         lease = LeaseRow(epoch, self._host, self._address, 0, successor or "")
-        await self._write_lease(epoch, (LEASE_KEY, encode_record(lease)))
+        put = (LEASE_KEY, encode_record(lease))
+        await self._write_lease(epoch, Renewal(put, read_instant(), lease_ms=0))
 
-    async def _write_lease(self, epoch: Epoch, put: tuple[str, bytes]) -> None:
+    async def _write_lease(self, epoch: Epoch, renewal: Renewal) -> None:
         transaction = PartitionTransaction(
-            POOL_TABLE, POOL_PARTITION, checks=((EPOCH_KEY, self.epoch_version),), puts=(put,)
+            POOL_TABLE,
+            POOL_PARTITION,
+            checks=((EPOCH_KEY, self.epoch_version),),
+            puts=(renewal.put,),
         )
-        sent_at = read_instant()
         try:
             # While the direct path is silent, a relay may still renew the lease before it expires.
             commit = await commit_repeatedly(self._table, transaction, ROW_TIMEOUT_SECONDS)
@@ -372,4 +387,4 @@
             return
         if not commit.applied:
             raise Deposed(f"epoch {epoch} was superseded by another leader")
-        self.record_renewal(sent_at, commit)
+        self.record_renewal(renewal, commit)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -198,14 +198,13 @@
                 POOL_TABLE,
                 POOL_PARTITION,
                 checks=((EPOCH_KEY, self._leadership.epoch_version),),
-                puts=(*puts, renewal),
+                puts=(*puts, renewal.put),
                 deletes=deletes,
             )
-            sent_at = read_instant()
             commit = await commit_repeatedly(self._table, transaction, COMMIT_TIMEOUT_SECONDS)
         if not commit.applied:
             raise Deposed(f"epoch {self._epoch} was superseded by another leader")
-        self._leadership.record_renewal(sent_at, commit)
+        self._leadership.record_renewal(renewal, commit)
 
     async def _wait_for_table(self, failed_at: Instant, delay_seconds: float) -> None:
         """Wait before the next attempt, at most until the table has returned since `failed_at`."""
--- a/tests/cover/test_pool_leadership.py
+++ b/tests/cover/test_pool_leadership.py
@@ -15,11 +15,13 @@
     LEADER_TIMEOUT_MS,
     LEASE_MS,
     SLOW_HOST_WAIT_MS,
+    SLOW_LEASE_MS,
+    SLOW_RENEWAL_MS,
     TAKEOVER_MARGIN_MS,
     may_take_over,
 )
-from lentilpathd._pool._ports import PartitionRow
-from lentilpathd._pool._records import encode_record
+from lentilpathd._pool._ports import PartitionCommitResult, PartitionRow
+from lentilpathd._pool._records import LeaseRow, decode_record, encode_record
 from tests.common.pools import make_record
 from tests.common.tables import ADDRESS, OnePartitionTable, make_leadership
 
@@ -97,6 +99,34 @@
     assert may_take_over(snapshot, HostId("h2"), ADDRESS, LEADER_TIMEOUT_MS)
 
 
+def test_a_renewal_that_was_on_its_way_keeps_a_leader_whose_lease_looked_expired():
+    table = OnePartitionTable()
+    first, second = make_leadership(table), make_leadership(table, "h2")
+    epoch = asyncio.run(first.acquire())
+    snapshot = asyncio.run(second._read_snapshot())
+    assert snapshot is not None
+    asyncio.run(first._write_lease(epoch, first.make_renewal(epoch)))
+    assert asyncio.run(second._take_over(snapshot)) is None
+    asyncio.run(first._write_lease(epoch, first.make_renewal(epoch)))
+
+
+def test_a_leader_counts_on_no_longer_lease_than_the_table_shows(monkeypatch):
+    now = [Instant(1_000_000)]
+    monkeypatch.setattr(_leadership, "read_instant", lambda: now[0])
+    table = OnePartitionTable()
+    leader = make_leadership(table)
+    epoch = asyncio.run(leader.acquire())
+    for answer_ms, lease_ms in ((0, LEASE_MS), (SLOW_RENEWAL_MS, LEASE_MS), (0, SLOW_LEASE_MS)):
+        renewal = leader.make_renewal(epoch)
+        row = decode_record(renewal.put[1], LeaseRow)
+        assert row.until_ms == leader._clock.estimate(now[0]) + lease_ms
+        now[0] = Instant(now[0] + answer_ms)
+        answer = PartitionCommitResult(True, RowVersion(1), table.clock_ms)
+        leader.record_renewal(renewal, answer)
+        assert leader.is_confirmed(Instant(renewal.sent_at + lease_ms - 1))
+        assert not leader.is_confirmed(Instant(renewal.sent_at + lease_ms))
+
+
 def test_each_change_of_the_lease_restarts_the_wait(monkeypatch):
     now = [Instant(1_000_000)]
     monkeypatch.setattr(_leadership, "read_instant", lambda: now[0])
--- a/tests/cover/test_pool_pauses.py
+++ b/tests/cover/test_pool_pauses.py
@@ -36,7 +36,12 @@
 )
 from lentilpathd._pool import _configuration, _link
 from lentilpathd._pool._configuration import ConfigurationFollower
-from lentilpathd._pool._leadership import LEASE_MS, RENEW_INTERVAL_MS
+from lentilpathd._pool._leadership import (
+    LEASE_MS,
+    RENEW_INTERVAL_MS,
+    SLOW_LEASE_MS,
+    SLOW_RENEW_INTERVAL_MS,
+)
 from lentilpathd._pool._leases import extend_lease
 from lentilpathd._pool._link import WorkerLink
 from lentilpathd._pool._writer import RecordWriter
@@ -67,6 +72,7 @@
 
 def test_nobody_can_have_taken_over_after_a_pause_that_goes_unnoticed():
     assert MAX_GAP_MS <= LEASE_MS - RENEW_INTERVAL_MS
+    assert MAX_GAP_MS <= SLOW_LEASE_MS - SLOW_RENEW_INTERVAL_MS
 
 
 class AnsweringRegistry:
