--- a/packages/lentilpathd/src/lentilpathd/_metrics.py
+++ b/packages/lentilpathd/src/lentilpathd/_metrics.py
@@ -41,6 +41,7 @@
     RUN_STOPPED = "runs.stopped"
     RUN_GIVEN_UP = "runs.given_up"
     START_WAIT = "runs.start_wait"
+    RECORD_WAIT = "runs.record_wait"
     ADVICE_TIME = "advice.time"
     DEPENDENCY_FAILED = "dependencies.failed"
     IS_LEADER = "leadership.is_leader"
--- a/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
@@ -33,6 +33,7 @@
 _TIMES: dict[Metric, tuple[str, ...]] = {
     Metric.JOB_ANSWER_TIME: ("queue", "outcome"),
     Metric.START_WAIT: ("queue",),
+    Metric.RECORD_WAIT: (),
     Metric.ADVICE_TIME: (),
 }
 _GAUGES: dict[Metric, tuple[str, ...]] = {
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -96,7 +96,13 @@
         # Earlier leaders may have granted longer leases than this one, from other settings.
         self._state = create_pool(epoch, Instant(now + bound_lease_ms(MAX_LEASE_MS)))
         self._pauses = PauseWatch(now)
-        self._writer = RecordWriter(context.table, epoch, leadership, self.handle_event)
+        self._writer = RecordWriter(
+            context.table,
+            epoch,
+            leadership,
+            self.handle_event,
+            lambda wait_ms: context.metrics.record_time(Metric.RECORD_WAIT, wait_ms),
+        )
         self._remover = JobRemover(context.table, epoch, leadership.epoch_version)
         self._advice = AdviceDispatcher(
             context.advice_agent, context.bus, context.members, context.metrics, self.handle_event
--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -68,7 +68,9 @@
         epoch: Epoch,
         leadership: PoolLeadership,
         handle_event: Callable[[PoolEvent], None],
+        report_wait: Callable[[int], None] = lambda wait_ms: None,
     ) -> None:
+        self._report_wait = report_wait
         self._table = table
         self._epoch = epoch
         self._leadership = leadership
@@ -142,6 +144,7 @@
                 self._queued.clear()
             stored_at = read_instant()
             for record, queued_at in popped:
+                self._report_wait(stored_at - queued_at)
                 self._log(record, stored_at - queued_at)
             self._report_durable(batch)
             async with self._durable:
