--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -23,6 +23,7 @@
 from lentilpathd._pool._configuration import ConfigurationFollower
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._explain import EXPLAIN_PATH, Explainer
+from lentilpathd._pool._handover import find_last_handover, must_lead_on
 from lentilpathd._pool._jobs import Jobs
 from lentilpathd._pool._leadership import PoolLeadership
 from lentilpathd._pool._members import HeartbeatSender, Members, UnclearJobs
@@ -62,9 +63,6 @@
 it after two readiness probes, which are one second apart."""
 STOP_MARGIN_SECONDS = 0.8
 """Part of the stop grace period kept for releasing the leadership: one write to a slow table."""
-RELEASE_SECONDS = 1.6
-"""Part of the stop grace period kept for releasing the leadership to a slow table: two of its
-answers while it is 100 times slower than usual."""
 SLOW_TABLE_CHECK_SECONDS = 0.1
 """How soon a stopping leader notices that the table is no longer slow."""
 HANDOVER_CHECK_SECONDS = 1.0
@@ -134,7 +132,7 @@
             ports.load_settings, lambda: self.settings, self._apply_settings
         )
         self.stopping = asyncio.Event()
-        self._stop_at: Instant | None = None
+        self._last_handover_at: Instant | None = None
         """Until when a stopping host may lead on; `None` if it is not stopping."""
         self._term: Term | None = None
         self._not_leading = asyncio.Event()
@@ -315,8 +313,7 @@
 
     def request_stop(self, now: Instant) -> None:
         """Stop accepting work, and hand the leadership over within the grace period."""
-        grace_ms = self.settings.stop_grace_ms - RELEASE_SECONDS * MS_PER_SECOND
-        self._stop_at = Instant(int(now + grace_ms))
+        self._last_handover_at = find_last_handover(now, self.settings.stop_grace_ms)
         self.stopping.set()
 
     async def wait_handed_over(self) -> None:
@@ -332,7 +329,9 @@
         is_slow = True
         while is_slow:
             await asyncio.sleep(SLOW_TABLE_CHECK_SECONDS)
-            is_slow = must_lead_on(self.leadership.is_table_slow(), self._stop_at, read_instant())
+            is_slow = must_lead_on(
+                self.leadership.is_table_slow(), self._last_handover_at, read_instant()
+            )
         raise NotLeading("this host is stopping")
 
     async def _end_term_for_faster_host(self) -> None:
@@ -348,11 +347,6 @@
                 raise NotLeading(f"{faster} has a faster processor")
 
 
-def must_lead_on(is_table_slow: bool, stop_at: Instant | None, now: Instant) -> bool:
-    """Return whether a stopping leader leads on for the moment, rather than hand over."""
-    return is_table_slow and stop_at is not None and now < stop_at
-
-
 async def run_pool_host(
     settings: PoolHostSettings,
     ports: PlatformPorts,
--- a/tests/cover/test_pool_known_faults.py
+++ b/tests/cover/test_pool_known_faults.py
@@ -113,7 +113,7 @@
         self.settings = self.context.settings
         self.members = cast(Any, self)
         self._handover_requested = False
-        self._stop_at = None
+        self._last_handover_at = None
         self._not_leading = asyncio.Event()
 
     def choose_successor(self, now: Instant) -> None:
--- a/tests/cover/test_pool_slow_table.py
+++ b/tests/cover/test_pool_slow_table.py
@@ -15,7 +15,7 @@
 from lentilpath_core.ids import Epoch, HostId, Instant
 from lentilpath_core.pool import RecordRun, RunEnd, RunNumber, RunRecord
 from lentilpathd._pool import _leadership, _writer
-from lentilpathd._pool._host import must_lead_on
+from lentilpathd._pool._handover import must_lead_on
 from lentilpathd._pool._metrics import PoolMetrics
 from lentilpathd._pool._table_path import TablePath
 from lentilpathd._pool._writer import RecordWriter
