--- a/tests/common/simulated_pool.py
+++ b/tests/common/simulated_pool.py
@@ -59,6 +59,7 @@
 """Both clocks are read in whole milliseconds."""
 SHRUNK_SECONDS = 5.5
 """Capacity that has shrunk counts this long: contactMs and a heartbeat."""
+UNLIMITED_ATTEMPTS = 99
 CRASHES = 3
 """A task is not started this often again after as many workers have crashed under it."""
 
@@ -205,10 +206,13 @@
     return sorted(jobs, key=lambda job: job[0])
 
 
-async def simulate(cluster: SimulatedCluster, job_count: int) -> list[str]:
+async def simulate(
+    cluster: SimulatedCluster, job_count: int, max_attempts: int = UNLIMITED_ATTEMPTS
+) -> list[str]:
     """Run the pool through the faults and a calm time; return the jobs that did not end as due.
 
-    Jobs with a task that crashes workers are due to fail, all others to complete.
+    Jobs with a task that crashes workers are due to fail, all others to complete unless a task has
+    failed in all its attempts.
     """
     begun_at = read_time()
     for worker in cluster.workers.values():
@@ -237,7 +241,12 @@
         await asyncio.sleep(1.0)
         terms = [host.term for host in hosts if host.term is not None]
         shown = {job: [show_state(term, job) for term in terms] for job in due}
-        open_jobs = {job: states for job, states in shown.items() if due[job].value not in states}
+        open_jobs = {
+            job: states
+            for job, states in shown.items()
+            if due[job].value not in states
+            and not ("failed" in states and has_spent_attempts(cluster, job, max_attempts))
+        }
     await asyncio.sleep(13.0)
     leaks = [leak for host in hosts if host.term is not None for leak in list_leaks(host.term)]
     assert all(not task.done() for task in running), [task for task in running if task.done()]
@@ -332,6 +341,55 @@
                 yield f"TWICE: {task} after its success, {names} at {second.started_at:.3f}"
 
 
+def list_failures(cluster: SimulatedCluster, only_acknowledged: bool) -> dict[TaskKey, list[float]]:
+    """Return the times at which runs failed, by task; those of a gang under its first task."""
+    failures: dict[TaskKey, dict[int, float]] = {}
+    for run in cluster.runs:
+        if run.end == "failed" and (run.is_acknowledged or not only_acknowledged):
+            assert run.ended_at is not None
+            failures.setdefault(find_counted_task(cluster, run), {})[run.run] = run.ended_at
+    return {task: sorted(ends.values()) for task, ends in failures.items()}
+
+
+def find_counted_task(cluster: SimulatedCluster, run: SimulatedRun) -> TaskKey:
+    """Return the task under which the attempts of a run's task, or of its gang, are counted."""
+    is_gang = cluster.get_step(run.task).gang
+    return run.task._replace(number=0) if is_gang else run.task
+
+
+def has_spent_attempts(cluster: SimulatedCluster, job: str, max_attempts: int) -> bool:
+    """Return whether a task of the job has failed in all its attempts."""
+    failures = list_failures(cluster, only_acknowledged=False)
+    return any(task.job == job and len(times) >= max_attempts for task, times in failures.items())
+
+
+def check_attempts(cluster: SimulatedCluster, max_attempts: int) -> Iterable[str]:
+    """Yield the starts of tasks whose attempts had all failed."""
+    failures = list_failures(cluster, only_acknowledged=True)
+    for run in cluster.runs:
+        times = failures.get(find_counted_task(cluster, run), [])
+        if bisect(times, run.started_at) >= max_attempts:
+            yield f"BUDGET: {format_task(run.task)} run {run.run} at {run.started_at:.3f}"
+
+
+def check_order(cluster: SimulatedCluster) -> Iterable[str]:
+    """Yield the starts of steps before all tasks of the steps before them had ended well."""
+    done: dict[TaskKey, float] = {}
+    for run in cluster.runs:
+        if run.end == "done" and run.ended_at is not None:
+            done[run.task] = min(run.ended_at, done.get(run.task, run.ended_at))
+    for run in cluster.runs:
+        for earlier in cluster.get_step(run.task).after:
+            spec = cluster.jobs[run.task.job].steps[earlier]
+            ends = [
+                done.get(run.task._replace(step=earlier, number=number), float("inf"))
+                for number in range(spec.count)
+            ]
+            # One successful end of a gang stands for all of them.
+            if (min(ends) if spec.gang else max(ends)) > run.started_at + CLOCK_SLACK_SECONDS:
+                yield f"ORDER: {format_task(run.task)} run {run.run} at {run.started_at:.3f}"
+
+
 def check_capacities(cluster: SimulatedCluster) -> Iterable[str]:
     """Yield the starts that brought a worker over its capacity.
 
@@ -376,10 +434,11 @@
     worker_count: int = WORKER_COUNT,
     job_count: int = JOB_COUNT,
     advice_hosts: int = 0,
+    max_attempts: int = UNLIMITED_ATTEMPTS,
 ) -> tuple[list[str], str]:
     """Return the problems of one seed, and the timeline of the tasks that have them."""
     cluster = SimulatedCluster(seed, faults, worker_count, enforces_capacity, advice_hosts)
-    queue = make_queue(max_attempts=99, advice=POLICY if advice_hosts else None)
+    queue = make_queue(max_attempts=max_attempts, advice=POLICY if advice_hosts else None)
     cluster.configuration = PoolConfiguration(ConfigVersion(1), {QUEUE: queue})
     if has_customers:
         cluster.configuration = make_configuration(cluster.configuration, FIRST_QUOTAS)
@@ -395,12 +454,14 @@
     root.addHandler(handler)
     root.setLevel(logging.INFO)
     try:
-        problems = run_in_virtual_time(simulate(cluster, job_count), patch, *modules)
+        problems = run_in_virtual_time(simulate(cluster, job_count, max_attempts), patch, *modules)
     finally:
         root.removeHandler(handler)
         root.setLevel(level)
     for check in (
         check_runs(cluster.runs),
+        check_order(cluster),
+        check_attempts(cluster, max_attempts),
         check_capacities(cluster),
         check_crashes(cluster),
         check_quotas(cluster),
--- a/tests/common/simulated_workers.py
+++ b/tests/common/simulated_workers.py
@@ -68,6 +68,8 @@
     """Longest delay of a late command."""
     isolates_leader: bool = False
     """A former leader goes on commanding workers while only the table is out of its reach."""
+    failing: float = 0.03
+    """Share of runs that fail."""
     crashing: float = 0.0
     """Share of jobs with a task that crashes each worker that starts it."""
     shrink_seconds: float = 0.0
@@ -376,7 +378,7 @@
         if not spec.gang or {each.task.number for _, each in gang} == set(range(spec.count)):
             for _, each in gang:
                 each.begun_at = read_time()
-            fails = self.cluster.random.random() < 0.03
+            fails = self.cluster.random.random() < self.cluster.faults.failing
             loop.call_later(int(text) / 1_000, self._finish, started, fails)
         return StartAnswer.STARTED
 
--- a/tests/nocover/test_pool_once.py
+++ b/tests/nocover/test_pool_once.py
@@ -44,3 +44,27 @@
     problems, timeline = run_seed(seed, ISOLATED, monkeypatch)
     print(timeline)
     assert not problems
+
+
+FAILING = Faults(failing=0.3)
+FAILING_CASES = {
+    "alone": FAILING,
+    "with lost answers": replace(FAILING, unanswered=0.08, lost=0.03),
+    "with a slow table": replace(FAILING, table_seconds=0.7),
+    "with takeovers": replace(FAILING, takeovers=3),
+    "with takeovers, crashes and a slow table": replace(
+        FAILING, takeovers=3, crash_seconds=15.0, table_seconds=0.7
+    ),
+}
+MAX_ATTEMPTS = 2
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("case", FAILING_CASES)
+def test_no_task_starts_out_of_order_or_once_it_has_failed_in_all_its_attempts(
+    case, seed, monkeypatch
+):
+    """Steps and repetitions follow ends that are reported and not stored yet."""
+    problems, timeline = run_seed(seed, FAILING_CASES[case], monkeypatch, max_attempts=MAX_ATTEMPTS)
+    print(timeline)
+    assert not problems
