Logs: how much of the configuration was read, in what time, and how much of an answer came in time

The incident's logs could not tell an answer that never came from one that was cut off while it arrived, nor how many versions an answer held (hypotheses 1, 3 and 4 of docs/incidents/large-configuration.md). LP515 has the wait and the time, and the bytes that had arrived; LP574 the versions and their bytes; LP405 the time of the read. No decision is changed.

--- a/packages/lentilpath-http/src/lentilpath_http/_connection.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_connection.py
@@ -81,6 +81,7 @@
         self._response = future
         self._method = request.method
         self._reset_response()
+        received = self.bytes_received
         self.bytes_sent += len(data)
         assert self._transport is not None
         self._transport.write(data)
@@ -88,7 +89,10 @@
             async with asyncio.timeout(timeout):
                 response = await future
         except TimeoutError as error:
-            raise ResponseLost(f"{self.name} did not answer in time") from error
+            arrived = self.bytes_received - received
+            raise ResponseLost(
+                f"{self.name} did not answer in time; {arrived} bytes of the answer arrived"
+            ) from error
         finally:
             self._response = None
             if not self._start_next_cycle():
--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -147,6 +147,7 @@
         "a command was not sent: its permission expired while the process was paused",
     )
     PEER_ANSWER_UNREADABLE = (572, "a peer's answer cannot be read; it counts as no answer")
+    CONFIG_READ = (574, "versions of the configuration were read")
 
     @property
     def number(self) -> int:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_adapter_log.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_adapter_log.py
@@ -24,3 +24,8 @@
 def log_unreadable_row(key: str, error: Exception) -> None:
     """Log a stored row that cannot be used and is skipped."""
     log_warning_event(Event.ROW_UNREADABLE, key=key, error=error)
+
+
+def log_configuration_read(versions: int, size_bytes: int) -> None:
+    """Log how many versions of the configuration one answer held, and their length together."""
+    log_event(Event.CONFIG_READ, versions=versions, bytes=size_bytes)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
@@ -90,12 +90,17 @@
                 await asyncio.sleep(LONG_POLL_SECONDS)
                 continue
             except (Unavailable, OutcomeUnknown) as error:
-                log_event(Event.CONFIG_NOT_READ, error=str(error))
+                log_event(
+                    Event.CONFIG_NOT_READ,
+                    error=str(error),
+                    wait_seconds=wait_seconds,
+                    elapsed_ms=read_instant() - sent_at,
+                )
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             self._confirmed_at = sent_at
             if found is not None:
-                self._apply(found)
+                self._apply(found, read_instant() - sent_at)
             elif self._current is None:
                 version = None
                 await asyncio.sleep(RETRY_SECONDS)
@@ -106,7 +111,7 @@
             in_force = self._current.version if self._current is not None else None
             log_warning_event(Event.CONFIG_INVALID, error=str(error), in_force=in_force)
 
-    def _apply(self, found: PoolConfiguration) -> None:
+    def _apply(self, found: PoolConfiguration, read_ms: int) -> None:
         if self._current is not None and found.version <= self._current.version:
             return
         found = carry_customers(self._current, found)
@@ -118,5 +123,6 @@
             version=found.version,
             queues=len(found.queues),
             customers=len(found.customers),
+            read_ms=read_ms,
         )
         self._on_change(found)
--- a/packages/lentilpathd/src/lentilpathd/pool.py
+++ b/packages/lentilpathd/src/lentilpathd/pool.py
@@ -3,6 +3,7 @@
 from lentilpathd._clock import read_wall_time
 from lentilpathd._logs import set_up_structured_log
 from lentilpathd._pool._adapter_log import (
+    log_configuration_read,
     log_internal_error,
     log_unanswered_job,
     log_unreadable_entry,
@@ -49,6 +50,7 @@
     "SubmissionAnswer",
     "SubmissionResult",
     "WorkerFactory",
+    "log_configuration_read",
     "log_internal_error",
     "log_unanswered_job",
     "log_unreadable_entry",
