A failing test: a configuration that takes longer than the bound of a request never comes into force

A host behind a link of 1 MB a second reads 450 KB with bounds of 0.1 s and a long poll of 0.1 s; the same proportions as 1.36 MB, 5 Mbit/s, 0.8 s and 1.2 s. The soak's proxy learns a limit of its bytes.

--- /dev/null
+++ b/tests/cover/test_pool_slow_links.py
@@ -0,0 +1,70 @@
+"""What a host reads from the table arrives whatever its size, over a link of any speed.
+
+Guards against bounds that fit only small answers: an answer that was cut off at its bound was asked
+for again from its first byte, so a host with a slow link never got it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from lentilpath_core.pool import PoolConfiguration
+from lentilpath_core.settings import Address
+from lentilpath_platform.registry import PlatformRegistry
+from lentilpath_platform.store import open_table
+from lentilpathd._pool import _configuration
+from lentilpathd._pool._configuration import ConfigurationFollower
+from tests.common.fleet.store import StandInStore, StoreFaults
+from tests.common.requests import wait_until
+from tests.cover.test_pool_registry import make_configuration
+from tests.soak.proxies import Proxy
+
+ROUTES = 1_400
+LINK_BYTES_PER_SECOND = 1_000_000
+"""The configuration takes half a second, several times the bounds below."""
+LONG_POLL_SECONDS = 0.1
+REQUEST_TIMEOUT_SECONDS = 0.1
+
+Scenario = Callable[[StandInStore, Proxy, PlatformRegistry], Awaitable[None]]
+
+
+def run_on_a_slow_link(scenario: Scenario) -> None:
+    async def run() -> None:
+        store = StandInStore()
+        proxy = Proxy("127.0.0.1", await store.listen(StoreFaults()))
+        port = await proxy.open()
+        try:
+            await scenario(store, proxy, PlatformRegistry(open_table(Address("127.0.0.1", port))))
+        finally:
+            await proxy.close()
+            await store.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("is_first", [True, False])
+def test_a_configuration_that_takes_longer_than_the_bound_of_a_request_comes_into_force(
+    is_first: bool, monkeypatch: pytest.MonkeyPatch
+):
+    """The host has just started, or has an earlier version in force."""
+    monkeypatch.setattr(_configuration, "LONG_POLL_SECONDS", LONG_POLL_SECONDS)
+    monkeypatch.setattr(_configuration, "REQUEST_TIMEOUT_SECONDS", REQUEST_TIMEOUT_SECONDS)
+    applied: list[PoolConfiguration] = []
+
+    async def scenario(store: StandInStore, proxy: Proxy, registry: PlatformRegistry) -> None:
+        first = make_configuration(4, ROUTES) if is_first else make_configuration(3, 1)
+        store.put("op", "", "config", first)
+        proxy.bytes_per_second = LINK_BYTES_PER_SECOND
+        following = asyncio.create_task(ConfigurationFollower(registry, applied.append).run())
+        if not is_first:
+            await wait_until(lambda: len(applied) == 1)
+            store.put("op", "", "config", make_configuration(4, ROUTES))
+        await wait_until(lambda: bool(applied) and applied[-1].version == 4)
+        following.cancel()
+        await asyncio.gather(following, return_exceptions=True)
+
+    run_on_a_slow_link(scenario)
+    assert len(applied[-1].queues) == ROUTES
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -1,4 +1,4 @@
-"""A loopback proxy that can delay, reset, cut in one direction or blackhole its connections."""
+"""A loopback proxy that can slow, delay, reset, cut or blackhole its connections."""
 
 from __future__ import annotations
 
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 
 CHUNK_BYTES = 65_536
+SLOW_CHUNK_SECONDS = 0.01
+"""Interval between the chunks that a limited proxy forwards."""
 
 
 @dataclass(eq=False)
@@ -25,6 +27,8 @@
     host: str
     port: int
     delay_seconds: float = 0.0
+    bytes_per_second: int = 0
+    """Limit of each connection in each direction; 0 for none."""
     to_server_open: asyncio.Event = field(default_factory=asyncio.Event)
     """Set while bytes are forwarded from the client to the server."""
     to_client_open: asyncio.Event = field(default_factory=asyncio.Event)
@@ -53,7 +57,8 @@
             tunnel.is_blackholed = True
 
     def heal(self) -> None:
-        """End delays and cuts."""
+        """End limits, delays and cuts."""
+        self.bytes_per_second = 0
         self.delay_seconds = 0.0
         self.to_server_open.set()
         self.to_client_open.set()
@@ -89,7 +94,9 @@
         is_open: asyncio.Event,
     ) -> None:
         try:
-            while data := await reader.read(CHUNK_BYTES):
+            while data := await reader.read(self._choose_chunk_bytes()):
+                if self.bytes_per_second:
+                    await asyncio.sleep(len(data) / self.bytes_per_second)
                 if self.delay_seconds:
                     await asyncio.sleep(self.delay_seconds)
                 await is_open.wait()
@@ -100,3 +107,8 @@
                 await writer.drain()
         finally:
             writer.close()
+
+    def _choose_chunk_bytes(self) -> int:
+        if not self.bytes_per_second:
+            return CHUNK_BYTES
+        return max(1, int(self.bytes_per_second * SLOW_CHUNK_SECONDS))
