Heartbeats: their answer does not grow with the number of queues

Cause: the leader's digest, which answers each heartbeat, listed the load of each queue, and each host gets two a second.

Change: the digest has the pending jobs of the queues that have any, and the waits by priority, which a host looks up by its own configuration. The same for the waits of work beyond a share. The gauge of pending jobs is written for queues that have had any. The peers' protocol is version 2.

--- a/benches/pool/deciders.py
+++ b/benches/pool/deciders.py
@@ -35,8 +35,8 @@
     PoolConfiguration,
     PoolEffect,
     PoolEvent,
+    PoolLoads,
     QueueId,
-    QueueLoad,
     RecordFinal,
     RecordRun,
     RunEnd,
@@ -160,7 +160,7 @@
         self.state.expects_contention = site.expects_contention
         self._effects: list[PoolEffect] = []
         self._pending_records: list[RecordRun | RecordFinal] = []
-        self._loads: dict[str, QueueLoad] = {}
+        self._loads = PoolLoads()
         self._shares: ShareLoads | None = None
         self._measured_at = -site.digest_interval_ms
         queues = {QueueId(kind.name): make_policy(kind) for kind in site.kinds}
@@ -192,8 +192,8 @@
         if now >= self._measured_at + self._site.digest_interval_ms:
             self._loads, self._measured_at = measure_loads(self.state, Instant(now)), now
             self._shares = measure_shares(self.state, Instant(now))
-        load = self._loads.get(job.record.queue)
         policy = self._queues[job.record.queue]
+        load = self._loads.get(policy)
         retry_ms = decide_admission(job.record, policy, load)
         if retry_ms is None and self._shares is not None:
             retry_ms = decide_share_admission(job.record, policy, load, self._shares)
--- a/packages/lentilpath-core/src/lentilpath_core/peers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/peers.py
@@ -8,7 +8,7 @@
 
 from lentilpath_core.ids import HostId, Incarnation, ZoneId
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 
 class PeerRequest(msgspec.Struct, frozen=True):
--- a/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
@@ -13,7 +13,13 @@
     index_customers,
     is_configuration_current,
 )
-from lentilpath_core.pool._admission import QueueLoad, decide_admission, measure_loads
+from lentilpath_core.pool._admission import (
+    PoolLoads,
+    QueueLoad,
+    decide_admission,
+    find_wait_ms,
+    measure_loads,
+)
 from lentilpath_core.pool._customers import (
     MAX_LISTED_CUSTOMERS,
     OTHER_CUSTOMERS,
@@ -146,6 +152,7 @@
     "PoolConfiguration",
     "PoolEffect",
     "PoolEvent",
+    "PoolLoads",
     "PoolState",
     "QueueId",
     "QueueLoad",
@@ -189,6 +196,7 @@
     "decide_pool",
     "decide_share_admission",
     "explain_job",
+    "find_wait_ms",
     "get_completion_objective_ms",
     "get_job_customer",
     "get_job_state",
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_admission.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_admission.py
@@ -7,12 +7,13 @@
 
 from __future__ import annotations
 
+import itertools
+
 import msgspec
 
 from lentilpath_core.ids import Instant, JobId
 from lentilpath_core.pool._model import (
     JobRecord,
-    QueueId,
     QueuePolicy,
     get_completion_objective_ms,
 )
@@ -37,27 +38,48 @@
     """Estimated time until the fleet has done the work that is ahead of a new job of the queue."""
 
 
-def measure_loads(state: PoolState, now: Instant) -> dict[str, QueueLoad]:
-    """Return the load of each queue, by queue id."""
-    pending_jobs: dict[str, int] = dict.fromkeys(state.configuration.queues, 0)
+PriorityWaits = tuple[tuple[int, int], ...]
+"""Priorities with waiting work, the most urgent first. Each has the estimated time in ms until the
+fleet has done the work of this priority and of the more urgent ones."""
+
+
+class PoolLoads(msgspec.Struct, frozen=True):
+    """The load of all queues. Its size depends on what waits, not on the number of queues."""
+
+    pending: dict[str, int] = {}
+    """Number of accepted jobs of which no task has started, by queue; only queues with any."""
+    waits_ms: PriorityWaits = ()
+
+    def get(self, policy: QueuePolicy) -> QueueLoad:
+        """Return the load of a queue."""
+        wait_ms = find_wait_ms(self.waits_ms, policy.priority)
+        return QueueLoad(self.pending.get(policy.queue, 0), wait_ms)
+
+
+def measure_loads(state: PoolState, now: Instant) -> PoolLoads:
+    """Return the load of all queues."""
+    pending: dict[str, int] = {}
     for job in state.jobs.values():
         if not job.has_started and job.final is None and not job.record.repeats:
-            pending_jobs[job.record.queue] = pending_jobs.get(job.record.queue, 0) + 1
-    waiting_work = sum_waiting_work(state, now, is_over_share=False)
-    fleet_millicores = sum_fleet_millicores(state)
-    loads = {}
-    for queue, count in pending_jobs.items():
-        policy = state.configuration.queues.get(QueueId(queue))
-        priority = policy.priority if policy is not None else 0
-        work_ahead = sum(
-            amount
-            for waiting_priority, amount in waiting_work.items()
-            if waiting_priority <= priority
-        )
-        loads[queue] = QueueLoad(
-            count, int(work_ahead / fleet_millicores) if fleet_millicores else 0
-        )
-    return loads
+            pending[job.record.queue] = pending.get(job.record.queue, 0) + 1
+    work = sum_waiting_work(state, now, is_over_share=False)
+    return PoolLoads(pending, measure_waits(work, sum_fleet_millicores(state)))
+
+
+def measure_waits(work: dict[int, float], fleet_millicores: int) -> PriorityWaits:
+    """Return how long a fleet needs for work in millicores times ms, by priority."""
+    if not fleet_millicores:
+        return ()
+    sums = itertools.accumulate(amount for _, amount in sorted(work.items()))
+    return tuple(
+        (priority, int(total / fleet_millicores))
+        for priority, total in zip(sorted(work), sums, strict=True)
+    )
+
+
+def find_wait_ms(waits: PriorityWaits, priority: int) -> int:
+    """Return the time until the work ahead of a new job of this priority is done, in ms."""
+    return max((wait_ms for other, wait_ms in waits if other <= priority), default=0)
 
 
 def decide_admission(record: JobRecord, policy: QueuePolicy, load: QueueLoad | None) -> int | None:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_explanations.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_explanations.py
@@ -14,7 +14,12 @@
 from lentilpath_core.errors import QuotaTooSmall
 from lentilpath_core.ids import CustomerId, Instant, WorkerId
 from lentilpath_core.pool._access import NO_CUSTOMER
-from lentilpath_core.pool._admission import QueueLoad, decide_admission, measure_loads
+from lentilpath_core.pool._admission import (
+    QueueLoad,
+    decide_admission,
+    find_wait_ms,
+    measure_loads,
+)
 from lentilpath_core.pool._advice import needs_advice
 from lentilpath_core.pool._customers import (
     check_job_fits_quota,
@@ -138,7 +143,7 @@
     state: PoolState, record: JobRecord, policy: QueuePolicy, now: Instant
 ) -> JobExplanation:
     """Return where the job would be placed at `now`. Changes nothing in `state`."""
-    load = measure_loads(state, now).get(record.queue)
+    load = measure_loads(state, now).get(policy)
     shares = measure_shares(state, now) if record.customer != NO_CUSTOMER else ShareLoads()
     refusal_ms, reason = _decide_answer(state, record, policy, load, shares)
     critical_path_ms = max(estimate_critical_paths(record.steps), default=0.0)
@@ -148,9 +153,9 @@
     begin_occurrence(PoolState(state.epoch, now), job, 0)
     customer = _explain_customer(state, job)
     job.is_over_share = customer is not None and customer.is_over_share
-    wait_ms = load.wait_ms if load is not None else 0
-    if job.is_over_share:
-        wait_ms = shares.waits_ms.get(str(record.queue), wait_ms)
+    wait_ms = load.wait_ms
+    if job.is_over_share and shares.delays_ms:
+        wait_ms = find_wait_ms(shares.waits_ms, policy.priority)
     first = [step for step in job.steps.values() if not step.spec.after]
     ranks = [rank_step(state, step, now) for step in state.open_steps.values()]
     own_rank = min(rank_step(state, step, now) for step in first)
@@ -178,7 +183,7 @@
     state: PoolState,
     record: JobRecord,
     policy: QueuePolicy,
-    load: QueueLoad | None,
+    load: QueueLoad,
     shares: ShareLoads,
 ) -> tuple[int, str]:
     """Return the retry delay and the reason of a refusal, in the order in which hosts decide.
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_share_admission.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_share_admission.py
@@ -5,8 +5,15 @@
 import msgspec
 
 from lentilpath_core.ids import Instant
-from lentilpath_core.pool._admission import QueueLoad, decide_admission, spread_retry
-from lentilpath_core.pool._model import JobRecord, QueueId, QueuePolicy
+from lentilpath_core.pool._admission import (
+    PriorityWaits,
+    QueueLoad,
+    decide_admission,
+    find_wait_ms,
+    measure_waits,
+    spread_retry,
+)
+from lentilpath_core.pool._model import JobRecord, QueuePolicy
 from lentilpath_core.pool._shares import sum_fleet_millicores, sum_waiting_work
 from lentilpath_core.pool._state import PoolState
 
@@ -20,8 +27,8 @@
 
     delays_ms: dict[str, int] = {}
     """Time until the customer's bucket has a token, by customer."""
-    waits_ms: dict[str, int] = {}
-    """Estimated time until the fleet has done what is ahead of such work, by queue."""
+    waits_ms: PriorityWaits = ()
+    """Estimated time until the fleet has done what is ahead of such work."""
 
 
 def measure_shares(state: PoolState, now: Instant) -> ShareLoads:
@@ -38,12 +45,10 @@
     longest = sorted(delays, key=lambda each: (-delays[each], each))[:MAX_CUSTOMERS]
     # Less urgent work within shares goes first too, but leaves gaps that small tasks use. To count
     # it refused up to a third of a heavy customer's jobs, most of which complete if accepted.
-    work = [*sum_waiting_work(state, now, is_over_share=False).items()]
-    work.extend(sum_waiting_work(state, now, is_over_share=True).items())
-    waits = {}
-    for queue, policy in state.configuration.queues.items():
-        ahead = sum(amount for priority, amount in work if priority <= policy.priority)
-        waits[str(queue)] = int(ahead / fleet_millicores)
+    work = sum_waiting_work(state, now, is_over_share=False)
+    for priority, amount in sum_waiting_work(state, now, is_over_share=True).items():
+        work[priority] = work.get(priority, 0.0) + amount
+    waits = measure_waits(work, fleet_millicores)
     return ShareLoads({each: delays[each] for each in longest}, waits)
 
 
@@ -58,7 +63,7 @@
     delay_ms = shares.delays_ms.get(record.customer)
     if load is None or delay_ms is None:
         return None
-    beyond = QueueLoad(load.pending, shares.waits_ms.get(QueueId(record.queue), 0))
+    beyond = QueueLoad(load.pending, find_wait_ms(shares.waits_ms, policy.priority))
     if decide_admission(record, policy, beyond) is None:
         return None
     return spread_retry(delay_ms, record.job)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -264,8 +264,7 @@
                 self.heartbeat_sender.set_leader(self.settings.host)
                 self.heartbeat_sender.set_digest(digest, read_instant())
                 self.metrics.set_customers(term.list_usages())
-                for queue, load in digest.queues.items():
-                    self.metrics.set_gauge(Metric.JOBS_PENDING, load.pending, queue)
+                self.metrics.set_pending(digest.loads.pending)
             await asyncio.sleep(DIGEST_INTERVAL_SECONDS)
 
     async def _run_leadership(self) -> None:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -379,8 +379,8 @@
 
     def count_pending(self, queue: str) -> int | None:
         """Return how many accepted jobs of a queue have not started, or `None` if not known now."""
-        load = self._context.heartbeat_sender.get_load(queue, read_instant())
-        return load.pending if load is not None else None
+        loads = self._context.heartbeat_sender.get_loads(read_instant())
+        return loads.pending.get(queue, 0) if loads is not None else None
 
 
 def spread_retry_ms(job: JobId) -> int:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_members.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_members.py
@@ -11,7 +11,7 @@
 from lentilpath_core.errors import LentilpathError
 from lentilpath_core.ids import HostId, Instant, JobId
 from lentilpath_core.peers import PeerRequest
-from lentilpath_core.pool import QueueLoad, ShareLoads
+from lentilpath_core.pool import PoolLoads, ShareLoads
 from lentilpath_core.settings import Address, PeerSettings
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event
@@ -241,11 +241,11 @@
         """Return whether a leader has answered a heartbeat lately."""
         return self._digest is not None and now <= self._digest_at + DIGEST_VALID_MS
 
-    def get_load(self, queue: str, now: Instant) -> QueueLoad | None:
-        """Return the load of a queue, or `None` if it is unknown or the digest is too old."""
+    def get_loads(self, now: Instant) -> PoolLoads | None:
+        """Return the load of the queues, or `None` if the digest is too old."""
         if self._digest is None or not self.has_recent_digest(now):
             return None
-        return self._digest.queues.get(queue)
+        return self._digest.loads
 
     def get_shares(self, now: Instant) -> ShareLoads:
         """Return the customers beyond their share; none if the digest is too old."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_messages.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from lentilpath_core.ids import CustomerId, Epoch, HostId, JobId, RegionId, ZoneId
-from lentilpath_core.pool import QueueLoad, ShareLoads
+from lentilpath_core.pool import PoolLoads, ShareLoads
 from lentilpath_core.settings import Address
 
 HEARTBEAT_TOPIC = "pool.hello"
@@ -41,10 +41,13 @@
 
 
 class Digest(msgspec.Struct, frozen=True):
-    """The leader's answer to a heartbeat: load by queue, and the known hosts."""
+    """The leader's answer to a heartbeat: the load, and the known hosts.
+
+    Each host gets two a second, so nothing in it may grow with the configuration.
+    """
 
     epoch: Epoch
-    queues: dict[str, QueueLoad]
+    loads: PoolLoads
     hosts: tuple[KnownHost, ...] = ()
     """Empty if the sender of the heartbeat already has this list."""
     hosts_mark: int = 0
--- a/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
@@ -53,6 +53,7 @@
     def __init__(self, statsd: Metrics | None = None) -> None:
         self._statsd = statsd or Metrics(None)
         self._counted_customers: set[CustomerId] = set()
+        self._pending_queues: set[str] = set()
         self._registry = CollectorRegistry()
         self._counters = {
             metric: Counter(_make_name(metric), metric.value, labels, registry=self._registry)
@@ -87,6 +88,12 @@
             self._counted_customers.add(customer)
         self.count(metric, customer)
 
+    def set_pending(self, pending: Mapping[str, int]) -> None:
+        """Set the pending jobs by queue. A queue that never had any has no gauge."""
+        self._pending_queues |= pending.keys()
+        for queue in self._pending_queues:
+            self.set_gauge(Metric.JOBS_PENDING, pending.get(queue, 0), queue)
+
     def set_customers(self, usages: Iterable[ListedUsage]) -> None:
         """Replace the gauges by customer with these."""
         for metric in (Metric.CUSTOMER_RUNNING, Metric.CUSTOMER_WAITING):
--- a/packages/lentilpathd/src/lentilpathd/_pool/_refusals.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_refusals.py
@@ -75,7 +75,8 @@
         except QuotaTooSmall as error:
             answer = SubmissionAnswer(SubmissionResult.OVER_QUOTA, reason=str(error))
             return Refusal(RefusalReason.QUOTA, answer, None)
-    load = context.heartbeat_sender.get_load(record.queue, now)
+    loads = context.heartbeat_sender.get_loads(now)
+    load = loads.get(policy) if loads is not None else None
     retry_ms = decide_admission(record, policy, load)
     reason = RefusalReason.FULL
     if retry_ms is None and record.customer:
--- a/tests/cover/test_pool_admission.py
+++ b/tests/cover/test_pool_admission.py
@@ -15,7 +15,6 @@
 )
 from lentilpath_core.resources import Resources
 from tests.common.pools import (
-    QUEUE,
     PoolHarness,
     list_starts,
     make_job_id,
@@ -42,8 +41,8 @@
 def test_the_wait_of_a_queue_counts_work_of_equal_or_higher_urgency():
     harness = make_loaded_harness(1, QueueId("patient"))
     loads = measure_loads(harness.state, harness.now)
-    assert loads["patient"] == QueueLoad(1, 10_000)
-    assert loads["urgent"] == QueueLoad(0, 0)
+    assert loads.get(PATIENT) == QueueLoad(1, 10_000)
+    assert loads.get(URGENT) == QueueLoad(0, 0)
 
 
 def test_a_job_is_accepted_while_it_can_still_complete_with_value():
@@ -73,8 +72,8 @@
     loads = measure_loads(harness.state, harness.now)
     urgent = make_record(99, CHECK, queue=QueueId("urgent"))
     patient = make_record(98, CHECK, queue=QueueId("patient"))
-    assert decide_admission(urgent, URGENT, loads["urgent"]) is None
-    assert decide_admission(patient, PATIENT, loads["patient"]) is not None
+    assert decide_admission(urgent, URGENT, loads.get(URGENT)) is None
+    assert decide_admission(patient, PATIENT, loads.get(PATIENT)) is not None
 
 
 def make_recovering_harness() -> PoolHarness:
@@ -93,14 +92,14 @@
     """Counting a tenth of the capacity refused jobs for ten times the wait, with workers idle."""
     harness = make_recovering_harness()
     harness.submit(2, WIDE, queue=QueueId("patient"))
-    assert measure_loads(harness.state, harness.now)["patient"] == QueueLoad(2, 1_000)
+    assert measure_loads(harness.state, harness.now).get(PATIENT) == QueueLoad(2, 1_000)
 
 
 def test_a_new_leader_does_not_count_work_as_waiting_that_may_be_running():
     harness = make_recovering_harness()
-    assert measure_loads(harness.state, harness.now)["patient"].wait_ms == 0
+    assert measure_loads(harness.state, harness.now).get(PATIENT).wait_ms == 0
     harness.state.unconfirmed_workers.clear()
-    assert measure_loads(harness.state, harness.now)["patient"].wait_ms == 1_000
+    assert measure_loads(harness.state, harness.now).get(PATIENT).wait_ms == 1_000
 
 
 def test_work_that_lasts_is_never_refused_for_the_load():
@@ -113,8 +112,8 @@
     harness.add_workers(make_worker("w1"))
     harness.submit(1)
     (start,) = list_starts(harness.place())
-    assert measure_loads(harness.state, harness.now)[QUEUE].pending == 1
+    assert measure_loads(harness.state, harness.now).get(make_queue()).pending == 1
     assert get_job_state(harness.state, make_job_id(1)) is JobState.QUEUED
     harness.answer_start(start, StartAnswer.STARTED)
-    assert measure_loads(harness.state, harness.now)[QUEUE].pending == 0
+    assert measure_loads(harness.state, harness.now).get(make_queue()).pending == 0
     assert get_job_state(harness.state, make_job_id(1)) is JobState.RUNNING
--- a/tests/cover/test_pool_answers.py
+++ b/tests/cover/test_pool_answers.py
@@ -27,8 +27,8 @@
     FinalRecord,
     JobState,
     PoolConfiguration,
+    PoolLoads,
     QueueId,
-    QueueLoad,
     QueuePolicy,
     ServicePolicy,
     ShareLoads,
@@ -86,7 +86,7 @@
         get_local_job_customer=lambda job: owner,
         handle_local_notice=lambda notice: True,
         heartbeat_sender=SimpleNamespace(
-            get_load=lambda queue, now: None,
+            get_loads=lambda now: None,
             get_shares=lambda now: ShareLoads(),
             get_leader=lambda: HostId("h1"),
         ),
@@ -186,7 +186,7 @@
     """Guards against a refusal after a lost answer: "not accepted" of a job that runs."""
     jobs = make_jobs(ScriptedTable(), state)
     context = cast(Any, jobs)._context
-    context.heartbeat_sender.get_load = lambda queue, now: QueueLoad(500, 10**6)
+    context.heartbeat_sender.get_loads = lambda now: PoolLoads({}, ((0, 10**6),))
     if is_unclear:
         context.unclear_jobs.add(make_job_id(1), read_instant())
     answer = asyncio.run(jobs.submit(make_record(1), QUEUE, 400))
--- a/tests/cover/test_pool_customer_calls.py
+++ b/tests/cover/test_pool_customer_calls.py
@@ -15,7 +15,7 @@
     JobEnded,
     JobState,
     PoolConfiguration,
-    QueueLoad,
+    PoolLoads,
     ShareLoads,
     StepSpec,
 )
@@ -24,22 +24,22 @@
 from lentilpathd._pool._records import encode_record, make_final_key
 from lentilpathd._pool._recovery import read_pool
 from lentilpathd._pool._refusals import SubmissionResult
-from tests.common.pools import QUEUE, TASK_RESOURCES, make_queue, make_record
+from tests.common.pools import TASK_RESOURCES, make_queue, make_record
 from tests.common.tables import OnePartitionTable
 from tests.cover.test_pool_answers import ScriptedTable, make_jobs
 
 SMALL = CustomerId("small")
 POLICY = CustomerPolicy(SMALL, 1.0, TASK_RESOURCES.multiply(2))
-BUSY = ShareLoads({SMALL: 400}, {QUEUE: 60_000})
+BUSY = ShareLoads({SMALL: 400}, ((0, 60_000),))
 
 
 @pytest.mark.parametrize(
     ("tasks", "load", "shares", "result", "reason"),
     [
-        (1, QueueLoad(0, 0), ShareLoads(), SubmissionResult.ACCEPTED, ""),
-        (1, QueueLoad(0, 0), BUSY, SubmissionResult.REFUSED, "'over-share'"),
-        (1, QueueLoad(0, 60_000), BUSY, SubmissionResult.REFUSED, "'full'"),
-        (3, QueueLoad(0, 0), ShareLoads(), SubmissionResult.OVER_QUOTA, "'quota'"),
+        (1, PoolLoads(), ShareLoads(), SubmissionResult.ACCEPTED, ""),
+        (1, PoolLoads(), BUSY, SubmissionResult.REFUSED, "'over-share'"),
+        (1, PoolLoads({}, ((0, 60_000),)), BUSY, SubmissionResult.REFUSED, "'full'"),
+        (3, PoolLoads(), ShareLoads(), SubmissionResult.OVER_QUOTA, "'quota'"),
     ],
 )
 def test_a_refusal_is_logged_with_its_reason(tasks, load, shares, result, reason, monkeypatch):
@@ -53,7 +53,7 @@
     configuration = PoolConfiguration(ConfigVersion(1), customers={SMALL: POLICY})
     context.get_configuration = lambda: configuration
     context.heartbeat_sender = SimpleNamespace(
-        get_load=lambda queue, now: load,
+        get_loads=lambda now: load,
         get_shares=lambda now: shares,
         get_leader=context.heartbeat_sender.get_leader,
     )
--- a/tests/cover/test_pool_explanations.py
+++ b/tests/cover/test_pool_explanations.py
@@ -32,6 +32,7 @@
     decide_admission,
     decide_share_admission,
     explain_job,
+    find_wait_ms,
     measure_loads,
     measure_shares,
 )
@@ -201,13 +202,13 @@
     explanation = explain(harness, step, customer=BUYER)
     record = make_record(99, step, customer=BUYER)
     policy = harness.queues[QUEUE]
-    load = measure_loads(harness.state, harness.now)[QUEUE]
+    load = measure_loads(harness.state, harness.now).get(policy)
     assert decide_admission(record, policy, load) is None
     shares = measure_shares(harness.state, harness.now)
     assert explanation.retry_after_ms == decide_share_admission(record, policy, load, shares)
     assert not explanation.is_accepted
     assert "over its share" in explanation.reason
-    assert explanation.wait_ms == shares.waits_ms[QUEUE]
+    assert explanation.wait_ms == find_wait_ms(shares.waits_ms, policy.priority)
 
 
 def test_asking_for_an_unknown_customer_does_not_add_it():
--- a/tests/cover/test_pool_held_calls.py
+++ b/tests/cover/test_pool_held_calls.py
@@ -98,7 +98,7 @@
         handle_local_notice=handle_local_notice,
         bus=SimpleNamespace(ask=ask),
         heartbeat_sender=SimpleNamespace(
-            get_load=lambda queue, now: None, get_leader=lambda: HostId("h0")
+            get_loads=lambda now: None, get_leader=lambda: HostId("h0")
         ),
     )
     return Jobs(cast(Any, context))
--- a/tests/cover/test_pool_shares.py
+++ b/tests/cover/test_pool_shares.py
@@ -20,6 +20,7 @@
     ShareLoads,
     StepSpec,
     decide_share_admission,
+    find_wait_ms,
     list_usages,
     measure_loads,
     measure_shares,
@@ -27,7 +28,6 @@
 from lentilpath_core.pool._buckets import CAPACITY_SECONDS, MIN_CAPACITY, PERIOD_MS, TokenBucket
 from lentilpath_core.pool._order import rank_step
 from tests.common.pools import (
-    QUEUE,
     TASK_RESOURCES,
     PoolHarness,
     list_starts,
@@ -192,17 +192,17 @@
     for job in range(1, 150):
         submit(harness, job, A)
     harness.pass_time(1)
-    load = measure_loads(harness.state, harness.now)[QUEUE]
+    policy = make_queue(target_ms=100)
+    load = measure_loads(harness.state, harness.now).get(policy)
     shares = measure_shares(harness.state, harness.now)
     assert set(shares.delays_ms) == {A}
-    policy = make_queue(target_ms=100)
     record = make_record(200, customer=A)
     retry_ms = decide_share_admission(record, policy, load, shares)
     assert retry_ms is not None
     assert shares.delays_ms[A] <= retry_ms <= 1.5 * shares.delays_ms[A] + 1
     assert decide_share_admission(make_record(201, customer=B), policy, load, shares) is None
     assert decide_share_admission(record, policy, load, ShareLoads()) is None
-    assert decide_share_admission(record, policy, QueueLoad(0, 0), ShareLoads({A: 5}, {})) is None
+    assert decide_share_admission(record, policy, QueueLoad(0, 0), ShareLoads({A: 5})) is None
 
 
 def test_less_urgent_work_does_not_get_work_beyond_a_share_refused():
@@ -218,8 +218,8 @@
         harness.submit(job, step, queue=patient, customer=A, accepted_at=0)
     shares = measure_shares(harness.state, harness.now)
     assert shares.delays_ms[A] > 0
-    assert shares.waits_ms[patient] > 60_000
-    assert shares.waits_ms[QUEUE] == 0
+    assert find_wait_ms(shares.waits_ms, 2) > 60_000
+    assert find_wait_ms(shares.waits_ms, make_queue().priority) == 0
 
 
 def test_gauges_by_customer_are_bounded():
--- a/tests/cover/test_pool_slow_links.py
+++ b/tests/cover/test_pool_slow_links.py
@@ -8,16 +8,22 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
+from typing import Any, cast
 
+import msgspec
 import pytest
 
-from lentilpath_core.pool import PoolConfiguration
+from lentilpath_core.ids import Epoch
+from lentilpath_core.pool import PoolConfiguration, QueueId
 from lentilpath_core.settings import Address
 from lentilpath_platform.registry import PlatformRegistry
 from lentilpath_platform.store import open_table
 from lentilpathd._pool import _configuration
 from lentilpathd._pool._configuration import ConfigurationFollower
+from lentilpathd._pool._digests import Digests
 from tests.common.fleet.store import StandInStore, StoreFaults
+from tests.common.pools import PoolHarness, make_queue, make_worker
 from tests.common.requests import wait_until
 from tests.cover.test_pool_registry import make_configuration
 from tests.soak.proxies import Proxy
@@ -68,3 +74,20 @@
 
     run_on_a_slow_link(scenario)
     assert len(applied[-1].queues) == ROUTES
+
+
+def measure_digest(queues: int) -> int:
+    """Return the length in bytes of the answer to a heartbeat, with jobs waiting in one queue."""
+    policies = [make_queue(QueueId(f"q{number}")) for number in range(queues)]
+    harness = PoolHarness(*policies)
+    harness.add_workers(make_worker("w1"))
+    for job in range(1, 40):
+        harness.submit(job, queue=QueueId("q0"))
+    members = cast(Any, SimpleNamespace(list_known_hosts=lambda now: ()))
+    digest = Digests(Epoch(1), members, harness.state).get(harness.now)
+    return len(msgspec.msgpack.encode(msgspec.to_builtins(digest)))
+
+
+def test_the_answer_to_a_heartbeat_does_not_grow_with_the_configuration():
+    """With each queue in it, heartbeats took half of a link of 5 Mbit/s."""
+    assert measure_digest(4_000) == measure_digest(1)
