Configuration: a host that does not lead does not take its own waiting for a pause

What callers saw: on deployments with keys, calls refused for a while on hosts that stood still at no time; everywhere, half of the polls without a wait, so with a bound of 0.8 s in place of 2.0 s for their whole answer.

Cause: since a gap of 500 ms between two observations is a pause, but a host that does not lead observed every 500 ms, or between two long polls.

Evidence: of 20 moments 0.7 s apart, the host was unsettled in most, and its polls alternate between a wait and none (the new test on the code before).

Change: the follower observes the time every 250 ms itself.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
@@ -23,6 +23,8 @@
 REQUEST_TIMEOUT_SECONDS = 0.8
 """Added to the long poll; together they stay under the 2.5 s in which a version must be in
 force."""
+PAUSE_CHECK_SECONDS = 0.25
+"""Half of the time that counts as a pause, so that only a process that stood still is late."""
 RETRY_SECONDS = 0.15
 """Allows several retries within the 2.5 s in which a version must be in force."""
 
@@ -65,6 +67,17 @@
 
     async def run(self) -> None:
         """Follow changes until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._watch_pauses())
+            group.create_task(self._follow())
+
+    async def _watch_pauses(self) -> None:
+        """Observe the time often enough that a gap shows a pause of this process."""
+        while True:
+            self._pauses.observe(read_instant())
+            await asyncio.sleep(PAUSE_CHECK_SECONDS)
+
+    async def _follow(self) -> None:
         version: RowVersion | None = None
         sent_at = self._settled_at
         while True:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -248,8 +248,6 @@
 
     async def _watch_leader(self) -> None:
         while True:
-            # Pauses are noticed as gaps between observations.
-            self.configuration.is_settled(read_instant())
             snapshot = self.leadership.snapshot
             if snapshot is not None and snapshot.lease is not None:
                 self.members.set_leader(snapshot.lease.host, snapshot.lease.address)
--- a/tests/cover/test_pool_pauses.py
+++ b/tests/cover/test_pool_pauses.py
@@ -48,6 +48,7 @@
 from tests.common.pools import PoolHarness, list_advice_requests, list_starts, make_worker
 from tests.common.requests import wait_until
 from tests.common.tables import OnePartitionTable, make_leadership
+from tests.common.virtual_time import run_in_virtual_time
 from tests.cover.test_pool_advice import GANGS
 from tests.cover.test_pool_link import SilencedWorker, make_start
 
@@ -127,6 +128,41 @@
     assert [wait > 0 for wait in registry.waits] == [True, False, True]
 
 
+class PollingRegistry:
+    """Answers each long poll at its end, without a change."""
+
+    def __init__(self) -> None:
+        self.waits: list[float] = []
+
+    async def read_configuration(self, timeout: float) -> Any:
+        return PoolConfiguration(cast(Any, 1)), RowVersion(1)
+
+    async def follow_configuration(self, after: Any, wait: float, timeout: float) -> Any:
+        self.waits.append(wait)
+        await asyncio.sleep(wait)
+        return None, RowVersion(1)
+
+
+def test_a_host_that_runs_without_a_pause_always_checks_keys(monkeypatch: pytest.MonkeyPatch):
+    """Guards against a host that takes its own waiting for a pause, and refuses calls meanwhile."""
+    registry = PollingRegistry()
+    settled: list[bool] = []
+
+    async def scenario() -> None:
+        follower = ConfigurationFollower(cast(Any, registry), lambda found: None)
+        running = asyncio.create_task(follower.run())
+        await follower.wait_for_first()
+        for _ in range(20):
+            await asyncio.sleep(0.7)
+            settled.append(follower.is_settled(cast(Any, _configuration).read_instant()))
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    run_in_virtual_time(scenario(), monkeypatch, _configuration)
+    assert all(settled)
+    assert set(registry.waits) == {_configuration.LONG_POLL_SECONDS}
+
+
 class RecordingWorker(SilencedWorker):
     """Answers every call, and lists the given runs."""
 
