Reads of the table: an answer that keeps arriving is read to its end

Cause: the bound of a read, 0.8 s and with a long poll 2.0 s, was one for its last byte. 1,400 routes are 450 KB, 0.72 s of an empty link; 4,200 routes are 1.36 MB and 2.2 s. An answer that was cut off was asked for again from its first byte, so a host whose link was busy never got it.

Change: the timeout of a read bounds the time until its answer begins. That holds for all reads of the table: the configuration, the list of workers, the jobs and records that a new leader recovers, and the feeds. Writes keep their bounds.

--- a/packages/lentilpath-http/src/lentilpath_http/__init__.py
+++ b/packages/lentilpath-http/src/lentilpath_http/__init__.py
@@ -11,6 +11,7 @@
     MessageTooLarge,
     RequestNotSent,
     ResponseLost,
+    TransferBounds,
     json_response,
 )
 from lentilpath_http._server import HttpServer, serve_http
@@ -27,6 +28,7 @@
     "MessageTooLarge",
     "RequestNotSent",
     "ResponseLost",
+    "TransferBounds",
     "create_client",
     "json_response",
     "open_connection",
--- a/packages/lentilpath-http/src/lentilpath_http/_client.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_client.py
@@ -4,9 +4,16 @@
 
 import ssl
 import time
+from collections.abc import Callable
 
 from lentilpath_http._connection import ClientConnection, open_connection
-from lentilpath_http._messages import HttpError, HttpRequest, HttpResponse, RequestNotSent
+from lentilpath_http._messages import (
+    HttpError,
+    HttpRequest,
+    HttpResponse,
+    RequestNotSent,
+    TransferBounds,
+)
 
 MAX_IDLE_CONNECTIONS = 8
 
@@ -48,12 +55,20 @@
         self.port = port
         self.close()
 
-    async def send(self, request: HttpRequest, timeout: float) -> HttpResponse:
+    async def send(
+        self,
+        request: HttpRequest,
+        timeout: float,
+        transfer: TransferBounds | None = None,
+        report_progress: Callable[[], None] = lambda: None,
+    ) -> HttpResponse:
         """Send `request` and return the complete response.
 
-        `timeout` is in seconds and includes the time to connect. Raises `RequestNotSent` if
-        nothing was sent, and `ResponseLost`, `MalformedMessage` or `MessageTooLarge` if the server
-        may have acted on the request.
+        `timeout` is in seconds and includes the time to connect. It ends with the last byte of the
+        response, or, where `transfer` bounds the rest, with the first one. `report_progress` is
+        called whenever a part of the body of a successful response has arrived. Raises
+        `RequestNotSent` if nothing was sent, and `ResponseLost`, `MalformedMessage` or
+        `MessageTooLarge` if the server may have acted on the request.
         """
         deadline = read_seconds() + timeout
         peer = (self.address, self.port)
@@ -66,7 +81,7 @@
         sent = connection.bytes_sent
         received = connection.bytes_received
         try:
-            response = await connection.exchange(request, left_seconds)
+            response = await connection.exchange(request, left_seconds, transfer, report_progress)
         except HttpError:
             # The fault that broke this connection has often broken the idle connections too. A
             # request sent on one of them would wait for its full timeout.
--- a/packages/lentilpath-http/src/lentilpath_http/_connection.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_connection.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import ssl
+from collections.abc import Callable
 
 import h11
 
@@ -16,6 +17,7 @@
     MessageTooLarge,
     RequestNotSent,
     ResponseLost,
+    TransferBounds,
 )
 
 MAX_HEAD_BYTES = 32_768
@@ -25,6 +27,7 @@
 KEEPALIVE_PROBES = 2
 TCP_USER_TIMEOUT_MS = 3_000
 """Time that sent data may stay unacknowledged before the kernel closes the connection."""
+FIRST_REDIRECTION_STATUS = 300
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
@@ -43,6 +46,9 @@
         self._state = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._transport: asyncio.Transport | None = None
         self._response: asyncio.Future[HttpResponse] | None = None
+        self._timeout: asyncio.Timeout | None = None
+        self._transfer: TransferBounds | None = None
+        self._report_progress: Callable[[], None] = lambda: None
         self._method = ""
         self._reset_response()
 
@@ -50,6 +56,8 @@
         self._status = 0
         self._headers: tuple[tuple[str, str], ...] = ()
         self._body = bytearray()
+        self._began_at: float | None = None
+        """Loop time of the response's first byte."""
         self._informational_responses = 0
 
     def is_usable(self) -> bool:
@@ -68,8 +76,14 @@
             self._transport.abort()
         self._fail(ResponseLost(f"the connection to {self.name} was closed"))
 
-    async def exchange(self, request: HttpRequest, timeout: float) -> HttpResponse:
-        """Send `request` and return its complete response; see `HttpClient.send` for errors.
+    async def exchange(
+        self,
+        request: HttpRequest,
+        timeout: float,
+        transfer: TransferBounds | None = None,
+        report_progress: Callable[[], None] = lambda: None,
+    ) -> HttpResponse:
+        """Send `request` and return its complete response; see `HttpClient.send`.
 
         Any failure or cancellation closes the connection, because a late response would otherwise
         be matched to the next request.
@@ -80,13 +94,15 @@
         data = self._encode(request)
         self._response = future
         self._method = request.method
+        self._transfer = transfer
+        self._report_progress = report_progress
         self._reset_response()
         received = self.bytes_received
         self.bytes_sent += len(data)
         assert self._transport is not None
         self._transport.write(data)
         try:
-            async with asyncio.timeout(timeout):
+            async with asyncio.timeout(timeout) as self._timeout:
                 response = await future
         except TimeoutError as error:
             arrived = self.bytes_received - received
@@ -95,6 +111,7 @@
             ) from error
         finally:
             self._response = None
+            self._timeout = None
             if not self._start_next_cycle():
                 self.close()
         return response
@@ -139,9 +156,20 @@
         if self._response is None or self._response.done():
             self.close()
             return
+        self._extend_timeout()
         self._state.receive_data(data)
         self._process_events()
 
+    def _extend_timeout(self) -> None:
+        """Postpone the timeout of a transfer, of which some bytes have arrived."""
+        if self._transfer is None or self._timeout is None or self._timeout.expired():
+            return
+        now = asyncio.get_running_loop().time()
+        if self._began_at is None:
+            self._began_at = now
+        ends_at = self._began_at + self._transfer.total_seconds
+        self._timeout.reschedule(min(now + self._transfer.silence_seconds, ends_at))
+
     def eof_received(self) -> None:
         """Process the end of the server's stream; called by asyncio."""
         if self._response is None:
@@ -176,6 +204,8 @@
             self._process_head(event)
         elif isinstance(event, h11.Data):
             self._body += event.data
+            if self._status < FIRST_REDIRECTION_STATUS:
+                self._report_progress()
             if len(self._body) > self._max_response_bytes:
                 raise MessageTooLarge(f"answer of {self.name} is over {self._max_response_bytes}")
         elif isinstance(event, h11.EndOfMessage):
--- a/packages/lentilpath-http/src/lentilpath_http/_messages.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_messages.py
@@ -47,6 +47,16 @@
     """Time that a planned stop still accepts requests on idle connections."""
 
 
+@dataclass(frozen=True, slots=True)
+class TransferBounds:
+    """Bounds of the time in which an answer of any size arrives, once it has begun to."""
+
+    silence_seconds: float
+    """Maximum time without a byte of it."""
+    total_seconds: float
+    """Maximum time from its first byte to its last."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """One request with its complete body."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
@@ -21,8 +21,8 @@
 """Duration of a long poll. It is so short that a change is in force within 2.5 s even if the
 connection of the feed fails silently just before it."""
 REQUEST_TIMEOUT_SECONDS = 0.8
-"""Added to the long poll; together they stay under the 2.5 s in which a version must be in
-force."""
+"""Time until an answer begins, added to the long poll; together they stay under the 2.5 s in which
+a version must be in force."""
 PAUSE_CHECK_SECONDS = 0.25
 """Half of the time that counts as a pause, so that only a process that stood still is late."""
 RETRY_SECONDS = 0.15
--- a/packages/lentilpathd/src/lentilpathd/_pool/_ports.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_ports.py
@@ -94,7 +94,9 @@
     """The platform's table service: partitioned rows, transactions within a partition, change feed.
 
     Calls raise `TableUnavailable` if they had no effect; `commit` raises `OutcomeUnknown` if the
-    write may have been applied or may still be. Timeouts are in seconds.
+    write may have been applied or may still be. Timeouts are in seconds. That of a read bounds the
+    time until its answer begins to arrive, for each page of it: an answer of any size is read to
+    its end while it keeps arriving.
     """
 
     async def commit(
@@ -142,7 +144,10 @@
 
 
 class Registry(Protocol):
-    """The deployment's registered workers and its configuration, written by others."""
+    """The deployment's registered workers and its configuration, written by others.
+
+    Timeouts are those of reads of the table; see `PartitionedTable`.
+    """
 
     async def read_workers(self, timeout: float) -> tuple[ListedWorker, ...]:
         """Return all registered workers, ready or draining."""
--- a/tests/cover/test_pool_malformed_answers.py
+++ b/tests/cover/test_pool_malformed_answers.py
@@ -19,7 +19,13 @@
 from lentilpath_core.errors import InvalidSettings, LentilpathError, OutcomeUnknown
 from lentilpath_core.ids import HostId, Instant, RowVersion
 from lentilpath_core.pool import MAX_INTEGER, RecordRun, StepKey, WorkerReported
-from lentilpath_http import HttpRequest, HttpResponse, RequestNotSent, create_client
+from lentilpath_http import (
+    HttpRequest,
+    HttpResponse,
+    RequestNotSent,
+    TransferBounds,
+    create_client,
+)
 from lentilpath_platform.advice import PlatformAdvice
 from lentilpath_platform.registry import PlatformRegistry
 from lentilpath_platform.store import PlatformTable
@@ -68,7 +74,9 @@
     def __init__(self, body: bytes, status: int = 200) -> None:
         self._response = HttpResponse(status, (), body)
 
-    async def send(self, request: HttpRequest, timeout: float) -> HttpResponse:
+    async def send(
+        self, request: HttpRequest, timeout: float, transfer: TransferBounds | None = None
+    ) -> HttpResponse:
         return self._response
 
 
--- a/tests/cover/test_pool_slow_links.py
+++ b/tests/cover/test_pool_slow_links.py
@@ -17,6 +17,8 @@
 from lentilpath_core.ids import Epoch
 from lentilpath_core.pool import PoolConfiguration, QueueId
 from lentilpath_core.settings import Address
+from lentilpath_http import HttpRequest, ResponseLost, TransferBounds, create_client
+from lentilpath_platform import store as store_client
 from lentilpath_platform.registry import PlatformRegistry
 from lentilpath_platform.store import open_table
 from lentilpathd._pool import _configuration
@@ -91,3 +93,57 @@
 def test_the_answer_to_a_heartbeat_does_not_grow_with_the_configuration():
     """With each queue in it, heartbeats took half of a link of 5 Mbit/s."""
     assert measure_digest(4_000) == measure_digest(1)
+
+
+def test_a_configuration_whose_transfer_falls_silent_is_asked_for_again(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    monkeypatch.setattr(store_client, "READ_TRANSFER", TransferBounds(0.2, 30.0))
+    applied: list[PoolConfiguration] = []
+
+    async def scenario(store: StandInStore, proxy: Proxy, registry: PlatformRegistry) -> None:
+        store.put("op", "", "config", make_configuration(4, ROUTES))
+        proxy.bytes_per_second = LINK_BYTES_PER_SECOND
+        following = asyncio.create_task(ConfigurationFollower(registry, applied.append).run())
+        await wait_until(lambda: proxy.forwarded_bytes > 50_000)
+        proxy.blackhole_open_connections()
+        await wait_until(lambda: bool(applied))
+        following.cancel()
+        await asyncio.gather(following, return_exceptions=True)
+
+    run_on_a_slow_link(scenario)
+    assert len(applied[0].queues) == ROUTES
+
+
+@pytest.mark.parametrize(
+    ("pause_seconds", "bounds"),
+    [(10.0, TransferBounds(0.1, 10.0)), (0.01, TransferBounds(5.0, 0.3))],
+)
+def test_a_transfer_that_falls_silent_or_never_ends_is_given_up(
+    pause_seconds: float, bounds: TransferBounds
+):
+    """Guards against a source that sends a byte now and then and holds up its reader for good."""
+
+    async def trickle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n")
+        try:
+            while True:
+                writer.write(b"x")
+                await writer.drain()
+                await asyncio.sleep(pause_seconds)
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+    async def run() -> None:
+        server = await asyncio.start_server(trickle, "127.0.0.1", 0)
+        client = create_client("127.0.0.1", server.sockets[0].getsockname()[1])
+        try:
+            with pytest.raises(ResponseLost, match="bytes of the answer arrived"):
+                await client.send(HttpRequest("GET", "/"), 5.0, bounds)
+        finally:
+            server.close()
+
+    asyncio.run(run())
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -33,6 +33,7 @@
     """Set while bytes are forwarded from the client to the server."""
     to_client_open: asyncio.Event = field(default_factory=asyncio.Event)
     """Set while bytes are forwarded from the server to the client."""
+    forwarded_bytes: int = 0
     tunnels: set[Tunnel] = field(default_factory=set)
     server: asyncio.Server | None = None
 
@@ -104,6 +105,7 @@
                     await tunnel.ended.wait()
                     return
                 writer.write(data)
+                self.forwarded_bytes += len(data)
                 await writer.drain()
         finally:
             writer.close()
