Path to the table: an answer that is arriving is no silence

When a large configuration came, each host with a slow link turned to relays, so that the answer crossed two slow links twice.

Cause: the path's breaker knew complete answers only. It found the table silent 120 to 405 ms after a call that waited for, or behind, the large answer.

Change: the client of the table reports each part of a successful answer. The silence of the path counts from the last one, and a connection that cannot be opened in time while an answer arrives is no failure of the path. The breakers of single partitions go by answers, as before.

--- a/packages/lentilpath-core/src/lentilpath_core/errors.py
+++ b/packages/lentilpath-core/src/lentilpath_core/errors.py
@@ -100,6 +100,12 @@
     code = "table-unavailable"
 
 
+class TableNotReached(TableUnavailable):
+    """There was no connection to the platform's table, so nothing was sent to it."""
+
+    code = "table-not-reached"
+
+
 class TableBusy(TableUnavailable):
     """The platform's table is overloaded and rejected the request without any effect."""
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_breaker.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_breaker.py
@@ -3,7 +3,8 @@
 Designed for a table that stops answering while callers keep submitting: a write that was sent and
 gets no answer leaves its caller in doubt, so the decision has to be made before the next one is
 sent. A path is unresponsive once its oldest unanswered call is later than the answers before it
-make likely. Any answer closes the breaker. There is no I/O here, and the time is an argument.
+make likely, and nothing arrives on it meanwhile: behind a large answer on a slow link, others are
+late. Any answer closes the breaker. There is no I/O here, and the time is an argument.
 """
 
 from __future__ import annotations
@@ -49,6 +50,7 @@
         self._answered_sent_at = Instant(0)
         """When the latest call was sent that has been answered."""
         self._answered_at = Instant(0)
+        """When the latest answer, or part of one, has arrived."""
         self._mean_ms = 0.0
 
     def begin(self, now: Instant) -> CallNumber:
@@ -68,6 +70,10 @@
         elif self._is_silence(sent_at, now) and self._failed_sent_at is None:
             self._failed_sent_at = sent_at
 
+    def hear(self, now: Instant) -> None:
+        """Record that a part of an answer has arrived: the path works, however full it is."""
+        self._answered_at = max(self._answered_at, now)
+
     def _learn(self, answer_ms: float) -> None:
         weight = SLOWER_WEIGHT if answer_ms > self._mean_ms else FASTER_WEIGHT
         self._mean_ms += weight * (answer_ms - self._mean_ms)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_direct_path.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_direct_path.py
@@ -6,7 +6,13 @@
 from collections.abc import Awaitable
 from typing import TypeVar
 
-from lentilpath_core.errors import LentilpathError, OutcomeUnknown, TableBusy, WriteRejected
+from lentilpath_core.errors import (
+    LentilpathError,
+    OutcomeUnknown,
+    TableBusy,
+    TableNotReached,
+    WriteRejected,
+)
 from lentilpath_core.ids import Instant, RowVersion
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event
@@ -14,6 +20,7 @@
 from lentilpathd._pool._breaker import PathBreaker
 from lentilpathd._pool._metrics import PoolMetrics
 from lentilpathd._pool._ports import (
+    AnswerProgress,
     HistoryLost,
     PartitionCommitResult,
     PartitionedTable,
@@ -58,7 +65,10 @@
 class DirectPath:
     """Implements `PartitionedTable` on this host's path, and tells whether the path works."""
 
-    def __init__(self, table: PartitionedTable, metrics: PoolMetrics) -> None:
+    def __init__(
+        self, table: PartitionedTable, metrics: PoolMetrics, progress: AnswerProgress
+    ) -> None:
+        progress.listen(self._hear)
         self._table = table
         self._metrics = metrics
         self._breaker = PathBreaker()
@@ -67,6 +77,7 @@
         self._down = asyncio.Event()
         self._mean_commit_seconds = 0.0
         self._answered_at = Instant(0)
+        """When the latest answer, or part of one, has arrived."""
         self._failed_call_sent_at = Instant(0)
         self._answered_call_sent_at = Instant(0)
         self._returned_at = Instant(0)
@@ -136,12 +147,20 @@
             self._returned_at = self._answered_at
             log_event(Event.TABLE_REACHABLE)
 
+    def _hear(self) -> None:
+        """Record that a part of an answer has arrived."""
+        self._answered_at = read_instant()
+        self._breaker.hear(self._answered_at)
+
     def _has_answered_recently(self) -> bool:
         return read_instant() < self._answered_at + RECENT_RESPONSE_MS
 
     def _record_failure(self, error: LentilpathError, sent_at: Instant) -> None:
         if isinstance(error, OutcomeUnknown) and self._has_answered_recently():
             return
+        if isinstance(error, TableNotReached) and self._answered_at > sent_at:
+            # The link is full of an answer that is arriving, so connecting takes longer.
+            return
         if sent_at < self._answered_call_sent_at:
             # A call that was sent into an outage may fail long after the path has returned.
             return
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -6,7 +6,7 @@
 import signal
 import uuid
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -42,6 +42,7 @@
 from lentilpathd._pool._metrics import PoolMetrics, serve_metrics
 from lentilpathd._pool._ports import (
     AdviceService,
+    AnswerProgress,
     Deposed,
     PartitionedTable,
     Registry,
@@ -81,6 +82,8 @@
     create_worker: WorkerFactory
     advice: AdviceService
     load_settings: LoadSettings = lambda: None
+    progress: AnswerProgress = field(default_factory=AnswerProgress)
+    """Reported to by `table`."""
 
 
 class NotLeading(LentilpathError):
@@ -100,7 +103,13 @@
         self.bus = PeerBus(settings.host, incarnation, settings.zone)
         self.members = Members(settings, self.bus, self._can_lead)
         self.heartbeat_sender = HeartbeatSender(settings, self.bus, self.members)
-        self.table = TablePath(ports.table, self.bus, self.members.list_relay_hosts, self.metrics)
+        self.table = TablePath(
+            ports.table,
+            self.bus,
+            self.members.list_relay_hosts,
+            self.metrics,
+            ports.progress,
+        )
         registry = ports.open_registry(self.table)
         self.configuration = ConfigurationFollower(registry, self._apply_configuration)
         self.leadership = PoolLeadership(
--- a/packages/lentilpathd/src/lentilpathd/_pool/_ports.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_ports.py
@@ -121,6 +121,21 @@
         ...
 
 
+class AnswerProgress:
+    """Tells a listener whenever a part of a successful answer of the table has arrived."""
+
+    def __init__(self) -> None:
+        self._listener: Callable[[], None] = lambda: None
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Call `listener` from now on, in place of the one before."""
+        self._listener = listener
+
+    def report(self) -> None:
+        """Tell the listener."""
+        self._listener()
+
+
 class SharedTable(PartitionedTable, Protocol):
     """The table service, reached directly or through a relay host."""
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
@@ -31,6 +31,7 @@
 from lentilpathd._pool._direct_path import DirectPath
 from lentilpathd._pool._metrics import PoolMetrics
 from lentilpathd._pool._ports import (
+    AnswerProgress,
     HistoryLost,
     PartitionCommitResult,
     PartitionedTable,
@@ -72,8 +73,9 @@
         bus: PeerBus,
         list_relay_hosts: Callable[[Instant], tuple[HostId, ...]],
         metrics: PoolMetrics,
+        progress: AnswerProgress | None = None,
     ) -> None:
-        self._direct = DirectPath(direct, metrics)
+        self._direct = DirectPath(direct, metrics, progress or AnswerProgress())
         self._bus = bus
         self._list_relay_hosts = list_relay_hosts
         self._metrics = metrics
--- a/packages/lentilpathd/src/lentilpathd/pool.py
+++ b/packages/lentilpathd/src/lentilpathd/pool.py
@@ -14,6 +14,7 @@
 from lentilpathd._pool._ports import (
     Advice,
     AdviceService,
+    AnswerProgress,
     HistoryLost,
     OtherLife,
     PartitionCommitResult,
@@ -32,6 +33,7 @@
 __all__ = [
     "Advice",
     "AdviceService",
+    "AnswerProgress",
     "Handler",
     "HistoryLost",
     "Jobs",
