Heartbeats: an answer that waits behind a large one on the link is waited for

The bound is 1 s; with the interval it stays under the 1.6 s in which a host counts as gone, and a digest under the 1.7 s in which its counts may be used. So that a leader that is gone does not hold up the first heartbeat to the next one, a heartbeat is given up when another host leads. Both tests fail on the code before.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_members.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_members.py
@@ -21,8 +21,9 @@
 
 HEARTBEAT_INTERVAL_MS = 500
 """A quarter of the maximum age of the pending job count, 2 s."""
-HEARTBEAT_TIMEOUT_SECONDS = 0.5
-"""One heartbeat is in flight at a time."""
+HEARTBEAT_TIMEOUT_SECONDS = 1.0
+"""One heartbeat is in flight at a time, and behind a large answer on a slow link it takes several
+times as long as usual. With the interval this stays under `MEMBER_TIMEOUT_MS`."""
 DIGEST_VALID_MS = 1_700
 """Counts returned to callers may be at most 2 s old."""
 UNCLEAR_RETENTION_MS = 30_000
@@ -222,12 +223,15 @@
         self._bus = bus
         self._members = members
         self._leader: HostId | None = None
+        self._leader_changed = asyncio.Event()
         self._digest: Digest | None = None
         self._digest_at = Instant(0)
 
     def set_leader(self, leader: HostId | None) -> None:
         """Send heartbeats to this host from now on."""
-        self._leader = leader
+        if leader != self._leader:
+            self._leader = leader
+            self._leader_changed.set()
 
     def get_leader(self) -> HostId | None:
         """Return the host that was last seen to lead."""
@@ -257,9 +261,24 @@
         """Send heartbeats until cancelled."""
         while True:
             leader = self._leader
+            self._leader_changed.clear()
             if leader is not None and leader != self._settings.host:
-                await self._send_heartbeat(leader)
-            await asyncio.sleep(HEARTBEAT_INTERVAL_MS / MS_PER_SECOND)
+                await self._send_to(leader)
+            if not self._leader_changed.is_set():
+                await asyncio.sleep(HEARTBEAT_INTERVAL_MS / MS_PER_SECOND)
+
+    async def _send_to(self, leader: HostId) -> None:
+        """Send a heartbeat; give it up if another host leads meanwhile."""
+        sending = asyncio.ensure_future(self._send_heartbeat(leader))
+        changing = asyncio.ensure_future(self._leader_changed.wait())
+        try:
+            await asyncio.wait((sending, changing), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            sending.cancel()
+            changing.cancel()
+        await asyncio.wait((sending,))
+        if not sending.cancelled():
+            sending.result()
 
     async def _send_heartbeat(self, leader: HostId) -> None:
         heartbeat = self._members.make_heartbeat(read_instant())
--- a/tests/cover/test_pool_slow_links.py
+++ b/tests/cover/test_pool_slow_links.py
@@ -15,8 +15,9 @@
 import msgspec
 import pytest
 
-from lentilpath_core.ids import Epoch, HostId, Incarnation, Instant, ZoneId
-from lentilpath_core.pool import PoolConfiguration, QueueId
+from lentilpath_core.errors import PeerUnavailable
+from lentilpath_core.ids import Epoch, HostId, Incarnation, Instant, RegionId, ZoneId
+from lentilpath_core.pool import PoolConfiguration, PoolLoads, QueueId
 from lentilpath_core.settings import Address
 from lentilpath_http import HttpRequest, ResponseLost, TransferBounds, create_client
 from lentilpath_platform import store as store_client
@@ -24,16 +25,20 @@
 from lentilpath_platform.store import open_table
 from lentilpathd._events import Event
 from lentilpathd._peers import PeerBus
-from lentilpathd._pool import _configuration
+from lentilpathd._pool import _configuration, _members
 from lentilpathd._pool._breaker import MIN_SILENCE_MS, PathBreaker
 from lentilpathd._pool._configuration import ConfigurationFollower
 from lentilpathd._pool._digests import Digests
+from lentilpathd._pool._members import HeartbeatSender, Members
+from lentilpathd._pool._messages import Digest
 from lentilpathd._pool._metrics import PoolMetrics
 from lentilpathd._pool._ports import AnswerProgress
+from lentilpathd._pool._settings import PoolHostSettings
 from lentilpathd._pool._table_path import TablePath
 from tests.common.fleet.store import StandInStore, StoreFaults
 from tests.common.pools import PoolHarness, make_queue, make_worker
 from tests.common.requests import wait_until
+from tests.common.virtual_time import run_in_virtual_time
 from tests.cover.test_pool_registry import make_configuration
 from tests.soak.proxies import Proxy
 
@@ -192,3 +197,74 @@
             server.close()
 
     asyncio.run(run())
+
+
+class SlowBus:
+    """Answers each request after some time, or not at all."""
+
+    def __init__(self, answer_seconds: float) -> None:
+        self.answer_seconds = answer_seconds
+        self.asked: list[HostId] = []
+
+    async def ask(
+        self, host: HostId, topic: str, message: object, answer: object, timeout: float
+    ) -> Digest:
+        self.asked.append(host)
+        try:
+            async with asyncio.timeout(timeout):
+                await asyncio.sleep(self.answer_seconds)
+        except TimeoutError as error:
+            raise PeerUnavailable(f"{host} did not answer in time") from error
+        return Digest(Epoch(1), PoolLoads())
+
+    def set_peers(self, peers: object) -> None:
+        pass
+
+
+def make_sender(bus: SlowBus) -> HeartbeatSender:
+    address = Address("127.0.0.1", 1)
+    places = (HostId("h1"), ZoneId("z"), RegionId("r"))
+    own = PoolHostSettings(*places, address, address, address, address, 6_000, 6_000)
+    members = Members(own, cast(Any, bus), lambda: True)
+    return HeartbeatSender(own, cast(Any, bus), members)
+
+
+def test_a_leader_whose_answers_wait_behind_a_large_one_counts_as_answering(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """A queue of 0.8 s on the link is what 0.5 MB take on one of 5 Mbit/s."""
+    bus = SlowBus(0.8)
+    answered: list[bool] = []
+
+    async def scenario() -> None:
+        sender = make_sender(bus)
+        sender.set_leader(HostId("h2"))
+        sending = asyncio.create_task(sender.run())
+        await asyncio.sleep(1.0)
+        for _ in range(50):
+            await asyncio.sleep(0.1)
+            answered.append(sender.has_recent_digest(cast(Any, _members).read_instant()))
+        sending.cancel()
+        await asyncio.gather(sending, return_exceptions=True)
+
+    run_in_virtual_time(scenario(), monkeypatch, _members)
+    assert all(answered)
+
+
+def test_a_heartbeat_to_a_leader_that_does_not_answer_is_given_up_when_another_one_leads(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    monkeypatch.setattr(_members, "HEARTBEAT_TIMEOUT_SECONDS", 3_600.0)
+    bus = SlowBus(3_600.0)
+
+    async def scenario() -> None:
+        sender = make_sender(bus)
+        sender.set_leader(HostId("h2"))
+        sending = asyncio.create_task(sender.run())
+        await wait_until(lambda: bus.asked == ["h2"])
+        sender.set_leader(HostId("h3"))
+        await wait_until(lambda: bus.asked == ["h2", "h3"])
+        sending.cancel()
+        await asyncio.gather(sending, return_exceptions=True)
+
+    asyncio.run(scenario())
