Objects, rows and workers' reports: an answer that keeps arriving is read to its end

A report that never arrives in time is asked for again with the same ends in it, and its leases lapse meanwhile.

--- a/packages/lentilpath-http/src/lentilpath_http/__init__.py
+++ b/packages/lentilpath-http/src/lentilpath_http/__init__.py
@@ -3,6 +3,7 @@
 from lentilpath_http._client import HttpClient, create_client
 from lentilpath_http._connection import ClientConnection, open_connection
 from lentilpath_http._messages import (
+    READ_TRANSFER,
     HttpError,
     HttpLimits,
     HttpRequest,
@@ -17,6 +18,7 @@
 from lentilpath_http._server import HttpServer, serve_http
 
 __all__ = [
+    "READ_TRANSFER",
     "ClientConnection",
     "HttpClient",
     "HttpError",
--- a/packages/lentilpath-http/src/lentilpath_http/_messages.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_messages.py
@@ -57,6 +57,11 @@
     """Maximum time from its first byte to its last."""
 
 
+READ_TRANSFER = TransferBounds(silence_seconds=1.0, total_seconds=30.0)
+"""Bounds of a read of any size: two retransmissions of a lost packet in a row, which Linux sends
+after 0.2 and 0.6 s; and 16 MB, the longest answer that clients accept, on a link of 5 Mbit/s."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """One request with its complete body."""
--- a/packages/lentilpathd/src/lentilpathd/_adapters/platform.py
+++ b/packages/lentilpathd/src/lentilpathd/_adapters/platform.py
@@ -11,6 +11,7 @@
 from lentilpath_core.resources import Resources
 from lentilpath_core.settings import Address
 from lentilpath_http import (
+    READ_TRANSFER,
     HttpClient,
     HttpError,
     HttpRequest,
@@ -124,7 +125,7 @@
 
     async def _send(self, request: HttpRequest, timeout: float) -> HttpResponse:
         try:
-            return await self._client.send(request, timeout)
+            return await self._client.send(request, timeout, READ_TRANSFER)
         except HttpError as error:
             raise TableUnavailable(f"{request.method} {request.target}: {error!r}") from error
 
--- a/packages/lentilpathd/src/lentilpathd/_ports.py
+++ b/packages/lentilpathd/src/lentilpathd/_ports.py
@@ -57,7 +57,8 @@
     """The platform's transactional table.
 
     Calls raise `TableUnavailable` if the table did not process them; `commit` raises
-    `OutcomeUnknown` if the write may have been applied. Timeouts are in seconds.
+    `OutcomeUnknown` if the write may have been applied. Timeouts are in seconds; that of a read
+    bounds the time until its answer begins to arrive.
     """
 
     async def commit(self, transaction: Transaction, timeout: float) -> CommitResult:
@@ -74,7 +75,10 @@
 
 
 class ObjectStore(Protocol):
-    """The platform's object store. Calls raise `Unavailable`; puts are idempotent."""
+    """The platform's object store. Calls raise `Unavailable`; puts are idempotent.
+
+    Timeouts are in seconds; that of a read bounds the time until its answer begins to arrive.
+    """
 
     async def put_object(self, key: str, data: bytes, timeout: float) -> None:
         """Store `data` under `key`, replacing an existing object."""
--- a/tests/cover/test_pool_slow_links.py
+++ b/tests/cover/test_pool_slow_links.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any, cast
 
@@ -16,13 +18,22 @@
 import pytest
 
 from lentilpath_core.errors import PeerUnavailable
-from lentilpath_core.ids import Epoch, HostId, Incarnation, Instant, RegionId, ZoneId
+from lentilpath_core.ids import Epoch, FencingToken, HostId, Incarnation, Instant, RegionId, ZoneId
 from lentilpath_core.pool import PoolConfiguration, PoolLoads, QueueId
 from lentilpath_core.settings import Address
-from lentilpath_http import HttpRequest, ResponseLost, TransferBounds, create_client
+from lentilpath_http import (
+    HttpRequest,
+    HttpResponse,
+    ResponseLost,
+    TransferBounds,
+    create_client,
+    serve_http,
+)
 from lentilpath_platform import store as store_client
 from lentilpath_platform.registry import PlatformRegistry
 from lentilpath_platform.store import open_table
+from lentilpath_platform.workers import open_worker
+from lentilpathd._adapters.platform import create_platform
 from lentilpathd._events import Event
 from lentilpathd._peers import PeerBus
 from lentilpathd._pool import _configuration, _members
@@ -199,6 +210,53 @@
     asyncio.run(run())
 
 
+async def read_object(address: Address) -> int:
+    """Return the length of an object that the cell's platform answers with."""
+    platform = create_platform(address)
+    data = await platform.get_object("journal", REQUEST_TIMEOUT_SECONDS)
+    platform.close()
+    return len(data or b"")
+
+
+async def read_report(address: Address) -> int:
+    """Return the length of the checkpoints in a worker's report."""
+    worker = open_worker(replace(make_worker("w1"), address=address), FencingToken(1))
+    report = await worker.renew(0, None, 0, REQUEST_TIMEOUT_SECONDS)
+    worker.close()
+    return sum(len(each.checkpoint) for each in report.running)
+
+
+CHECKPOINT = "c" * 500
+RUNNING = [[f"{number:016x}.0.0.0", 1, CHECKPOINT, 50] for number in range(800)]
+REPORT = json.dumps({"clockMs": 1, "born": 1, "running": RUNNING}).encode()
+
+
+@pytest.mark.parametrize(
+    ("read", "length"),
+    [(read_object, len(REPORT)), (read_report, len(RUNNING) * len(CHECKPOINT))],
+)
+def test_objects_and_workers_reports_that_take_longer_than_the_bound_arrive(
+    read: Callable[[Address], Awaitable[int]], length: int
+):
+    """A report that never arrives in time is asked for again, and its leases lapse meanwhile."""
+
+    async def answer(request: HttpRequest) -> HttpResponse:
+        return HttpResponse(200, (), REPORT)
+
+    async def run() -> int:
+        server = await serve_http(answer, "127.0.0.1", 0)
+        proxy = Proxy("127.0.0.1", server.get_port())
+        address = Address("127.0.0.1", await proxy.open())
+        proxy.bytes_per_second = LINK_BYTES_PER_SECOND
+        try:
+            return await read(address)
+        finally:
+            await proxy.close()
+            await server.close(0.0)
+
+    assert asyncio.run(run()) == length
+
+
 class SlowBus:
     """Answers each request after some time, or not at all."""
 
