--- a/packages/lentilpathd/src/lentilpathd/_pool/_worker_watch.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_worker_watch.py
@@ -20,7 +20,9 @@
 outage of the platform's table are back within 2 s after it."""
 TIMEOUT_SECONDS = 2.3
 """Starts on a draining worker must stop within 2.5 s. A read does not wait for the one before it,
-so a slow table delays each list but does not thin them out; four reads are in flight at most."""
+so a slow table delays each list but does not thin them out."""
+MAX_READS = 4
+"""Reads in flight. More of them would slow down a list that takes long to arrive."""
 CATCH_UP_INTERVAL_SECONDS = 0.2
 """After an outage, starts on a worker wait for a list that shows a report made since. The first
 list should come soon, since reports that it shows may have been made before the outage."""
@@ -52,12 +54,17 @@
 
     async def run(self) -> None:
         """Read the list at each interval until cancelled."""
+        reads: set[asyncio.Task[None]] = set()
         async with asyncio.TaskGroup() as group:
             while True:
                 read = group.create_task(self._read())
+                reads.add(read)
                 done, _ = await asyncio.wait({read}, timeout=INTERVAL_SECONDS)
                 if done:
                     await asyncio.sleep(self._get_pause_seconds())
+                reads = {each for each in reads if not each.done()}
+                if len(reads) >= MAX_READS:
+                    await asyncio.wait(reads, return_when=asyncio.FIRST_COMPLETED)
 
     def _get_pause_seconds(self) -> float:
         failed_at = self._failed_at
--- a/tests/cover/test_pool_slow_links.py
+++ b/tests/cover/test_pool_slow_links.py
@@ -19,7 +19,7 @@
 
 from lentilpath_core.errors import PeerUnavailable
 from lentilpath_core.ids import Epoch, FencingToken, HostId, Incarnation, Instant, RegionId, ZoneId
-from lentilpath_core.pool import PoolConfiguration, PoolLoads, QueueId
+from lentilpath_core.pool import PoolConfiguration, PoolLoads, QueueId, create_pool
 from lentilpath_core.settings import Address
 from lentilpath_http import (
     HttpRequest,
@@ -36,7 +36,7 @@
 from lentilpathd._adapters.platform import create_platform
 from lentilpathd._events import Event
 from lentilpathd._peers import PeerBus
-from lentilpathd._pool import _configuration, _members
+from lentilpathd._pool import _configuration, _members, _worker_watch
 from lentilpathd._pool._breaker import MIN_SILENCE_MS, PathBreaker
 from lentilpathd._pool._configuration import ConfigurationFollower
 from lentilpathd._pool._digests import Digests
@@ -46,6 +46,7 @@
 from lentilpathd._pool._ports import AnswerProgress
 from lentilpathd._pool._settings import PoolHostSettings
 from lentilpathd._pool._table_path import TablePath
+from lentilpathd._pool._worker_watch import MAX_READS, WorkerWatch
 from tests.common.fleet.store import StandInStore, StoreFaults
 from tests.common.pools import PoolHarness, make_queue, make_worker
 from tests.common.requests import wait_until
@@ -326,3 +327,31 @@
         await asyncio.gather(sending, return_exceptions=True)
 
     asyncio.run(scenario())
+
+
+class EndlessRegistry:
+    """Lists of workers that arrive for ever."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+
+    async def read_workers(self, timeout: float) -> Any:
+        self.reads += 1
+        await asyncio.Event().wait()
+
+
+def test_lists_of_workers_that_take_long_to_arrive_are_not_asked_for_ever_more_often(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    registry = EndlessRegistry()
+    state = create_pool(Epoch(1), Instant(0))
+
+    async def scenario() -> None:
+        watch = WorkerWatch(cast(Any, registry), state, lambda event: None)
+        watching = asyncio.create_task(watch.run())
+        await asyncio.sleep(60.0)
+        watching.cancel()
+        await asyncio.gather(watching, return_exceptions=True)
+
+    run_in_virtual_time(scenario(), monkeypatch, _worker_watch)
+    assert registry.reads == MAX_READS
