--- a/tests/cover/test_benches.py
+++ b/tests/cover/test_benches.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ast
 import importlib
 from pathlib import Path
 
@@ -28,6 +29,18 @@
     importlib.import_module(name)
 
 
+@pytest.mark.parametrize("name", list_modules())
+def test_importing_a_bench_runs_nothing(name: str) -> None:
+    """A bench that ran when it was imported spoke over ports that another run of CI also used."""
+    tree = ast.parse((ROOT / name.replace(".", "/")).with_suffix(".py").read_text())
+    calls = [each for each in tree.body if isinstance(each, ast.Expr | ast.For | ast.While)]
+    assert [each.lineno for each in calls if not _is_docstring(each)] == []
+
+
+def _is_docstring(node: ast.stmt) -> bool:
+    return isinstance(node, ast.Expr) and isinstance(node.value, ast.Constant)
+
+
 LOG = """
    1.0000 h1 {"at": 101.0, "event": 522, "job": "a", "queue": "q"}
    1.1000 h1 {"at": 101.1, "event": 523, "job": "a"}
