Peers: a connection is replaced only after the peer has long been silent

A request that got no answer within its timeout, 0.4 s for a job's state, replaced the connection to its peer, so that the answers to all other requests were lost, heartbeats and relayed writes among them, and the new connection had to be opened over the same full link.

The connection is replaced if the peer has answered nothing for 0.9 s. A dead one is still noticed by the first heartbeat that is lost.

--- a/packages/lentilpathd/src/lentilpathd/_peers.py
+++ b/packages/lentilpathd/src/lentilpathd/_peers.py
@@ -32,6 +32,9 @@
 """The fastest one; texts such as a configuration shrink to a quarter or less with it."""
 COMPRESSED_MARK = b"\x78"
 """First byte of a compressed message (RFC 1950). Other messages begin with that of a map."""
+CONNECTION_SILENCE_SECONDS = 0.9
+"""Behind a large message on a slow link an answer is late by some tenths of a second. Shorter than
+the timeout of a heartbeat, so that one lost heartbeat shows a dead connection."""
 MAX_ECHO_CHARACTERS = 200
 """Length of the sender's own words in a refusal."""
 MS_PER_SECOND = 1_000
@@ -67,8 +70,9 @@
     """Sends requests to other entry hosts and answers theirs.
 
     The bus never retries a request; its sender may, if the topic allows it. After a timeout the
-    connection to the peer is replaced, because the old one may be dead, unless the peer has
-    answered another request meanwhile: then only this answer is slow.
+    connection to the peer is replaced, because the old one may be dead, if the peer has answered
+    nothing for `CONNECTION_SILENCE_SECONDS`. Until then only this answer is slow; to replace the
+    connection would lose the answers to all other requests.
     """
 
     def __init__(self, host: HostId, incarnation: Incarnation, zone: ZoneId) -> None:
@@ -78,8 +82,8 @@
         self._handlers: dict[str, PeerHandler] = {}
         self._addresses: dict[HostId, Address] = {}
         self._sockets: dict[HostId, pynng.Req0] = {}
-        self._answered_at: dict[HostId, float] = {}
-        """Loop time of each peer's last answer."""
+        self._silent_since: dict[HostId, float] = {}
+        """Loop time of the first request to each peer since its last answer."""
         self.bytes_sent = 0
         self.bytes_received = 0
         self.listening = False
@@ -116,7 +120,8 @@
         )
         data = encode_message(request)
         context = self._get_socket(host).new_context()
-        started_at = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        self._silent_since.setdefault(host, loop.time())
         is_sent = False
         try:
             async with asyncio.timeout(timeout):
@@ -127,7 +132,10 @@
         except (TimeoutError, pynng.NNGException) as error:
             raise_swallowed_cancellation()
             log_event(Event.PEER_SILENT, peer=host, topic=topic)
-            if self._answered_at.get(host, 0.0) <= started_at:
+            if (
+                loop.time()
+                >= self._silent_since.get(host, loop.time()) + CONNECTION_SILENCE_SECONDS
+            ):
                 self._close_socket(host)
             kind = PeerUnavailable if is_sent else PeerNotReached
             raise kind(f"{host} did not answer {topic}: {error!r}") from error
@@ -137,7 +145,7 @@
                 context.close()
         raise_swallowed_cancellation()
         self.bytes_received += len(received)
-        self._answered_at[host] = asyncio.get_running_loop().time()
+        self._silent_since.pop(host, None)
         try:
             reply = decode_message(received, PeerReply)
             if reply.code == "ok":
@@ -247,6 +255,7 @@
         return socket
 
     def _close_socket(self, host: HostId) -> None:
+        self._silent_since.pop(host, None)
         socket = self._sockets.pop(host, None)
         if socket is not None:
             socket.close()
--- a/tests/cover/test_peer_answers.py
+++ b/tests/cover/test_peer_answers.py
@@ -11,6 +11,7 @@
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.settings import Address, PeerSettings
 from lentilpath_standins._free_ports import allocate_port
+from lentilpathd import _peers
 from lentilpathd._peers import PeerBus
 
 SHORT_SECONDS = 0.2
@@ -66,3 +67,34 @@
         client.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("silence_seconds", "is_kept"), [(3_600.0, True), (0.0, False)])
+def test_a_late_answer_loses_the_others_only_once_the_peer_has_long_been_silent(
+    silence_seconds: float, is_kept: bool, monkeypatch: pytest.MonkeyPatch
+):
+    """On a slow link all answers are late behind a large one; a dead connection is replaced."""
+    monkeypatch.setattr(_peers, "CONNECTION_SILENCE_SECONDS", silence_seconds)
+    address = Address("127.0.0.1", allocate_port())
+    server, client = make_bus("b"), make_bus("a")
+    client.set_peers((PeerSettings(HostId("b"), RegionId("r"), ZoneId("z"), address),))
+    may_answer = asyncio.Event()
+
+    async def answer_late(request: PeerRequest) -> str:
+        await may_answer.wait()
+        return "late"
+
+    async def scenario() -> str | BaseException:
+        server.handle("late", answer_late)
+        serving = asyncio.create_task(server.serve(address))
+        patient = asyncio.create_task(client.ask(HostId("b"), "late", None, str, LONG_SECONDS))
+        with pytest.raises(PeerUnavailable):
+            await client.ask(HostId("b"), "late", None, str, SHORT_SECONDS)
+        may_answer.set()
+        (answer,) = await asyncio.gather(patient, return_exceptions=True)
+        client.close()
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+        return answer
+
+    assert (asyncio.run(scenario()) == "late") is is_kept
