Relays: an answer of any size is read through a relay

A relayed read had its bound for the whole way: the relay's read of the table and the answer between the hosts.

A relay that does not answer is noticed as soon as before. The new test, a read of 3 s with a timeout of 0.8 s, fails on the code before.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_relay_messages.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_relay_messages.py
@@ -30,6 +30,8 @@
     """Version from which to follow changes; -1 to read rows."""
     wait_ms: int
     timeout_ms: int
+    number: int
+    """The reader's number for this read, which it sends again until the read has ended."""
 
 
 class RelayedRow(msgspec.Struct, frozen=True, array_like=True):
@@ -46,8 +48,8 @@
     """Result of a relayed call."""
 
     outcome: str
-    """`done`, `rejected` (a condition did not hold), `invalid`, `unavailable`, `unknown` or
-    `history-lost`."""
+    """`done`, `rejected` (a condition did not hold), `invalid`, `unavailable`, `unknown`,
+    `history-lost`, or `reading` (the reader asks again)."""
     rows: tuple[RelayedRow, ...] = ()
     version: int = 0
     clock_ms: int = 0
--- a/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Awaitable, Callable, Coroutine
 from functools import partial
 from typing import TypeVar
@@ -46,6 +47,7 @@
     RelayRequest,
     make_rows,
 )
+from lentilpathd._pool._relayed_reads import ReadKey, RelayedReads
 
 T = TypeVar("T")
 
@@ -82,6 +84,8 @@
         self._breakers = PartitionBreakers()
         self._relay_allowed_at = Instant(0)
         self._rotation = 0
+        self._numbers = itertools.count()
+        self._relayed_reads = RelayedReads(self._read_for_peer)
         self._relay_silent_until: dict[HostId, Instant] = {}
         bus.handle(RELAY_TOPIC, self._handle_relay)
 
@@ -195,7 +199,8 @@
         self, table: str, partition: str, first: str, end: str, timeout: float
     ) -> PartitionRows:
         """Return the rows of a partition; see `PartitionedTable`."""
-        read = RelayRead(table, partition, first, end, -1, 0, int(timeout * MS_PER_SECOND))
+        timeout_ms = int(timeout * MS_PER_SECOND)
+        read = RelayRead(table, partition, first, end, -1, 0, timeout_ms, next(self._numbers))
         call = partial(self._direct.read_partition, table, partition, first, end, timeout)
         return await self._read(call, read, timeout)
 
@@ -203,8 +208,8 @@
         self, table: str, after: RowVersion, wait_seconds: float, timeout: float
     ) -> PartitionRows:
         """Return changes of a table; see `PartitionedTable`."""
-        wait_ms = int(wait_seconds * MS_PER_SECOND)
-        read = RelayRead(table, "", "", "", after, wait_ms, int(timeout * MS_PER_SECOND))
+        wait_ms, timeout_ms = int(wait_seconds * MS_PER_SECOND), int(timeout * MS_PER_SECOND)
+        read = RelayRead(table, "", "", "", after, wait_ms, timeout_ms, next(self._numbers))
         call = partial(self._direct.follow, table, after, wait_seconds, timeout)
         return await self._read(call, read, timeout)
 
@@ -243,7 +248,7 @@
             raise TableUnavailable("the table is unreachable directly and through relay hosts")
         for host in self._list_relays(now)[:MAX_RELAY_ATTEMPTS]:
             try:
-                reply = await self._bus.ask(host, RELAY_TOPIC, request, RelayReply, timeout)
+                reply = await self._ask_relay(host, request, timeout)
             except LentilpathError as error:
                 self._relay_silent_until[host] = Instant(read_instant() + RELAY_SILENCE_MS)
                 log_event(Event.RELAY_FAILED, host=host, error=str(error))
@@ -261,6 +266,12 @@
         self._relay_allowed_at = Instant(now + RELAY_BACKOFF_MS)
         raise TableUnavailable("the table is unreachable directly and through relay hosts")
 
+    async def _ask_relay(self, host: HostId, request: RelayRequest, timeout: float) -> RelayReply:
+        while True:
+            reply = await self._bus.ask(host, RELAY_TOPIC, request, RelayReply, timeout)
+            if reply.outcome != "reading":
+                return reply
+
     async def _handle_relay(self, request: PeerRequest) -> RelayReply:
         if not self._direct.is_up():
             return RelayReply("unavailable")
@@ -269,7 +280,8 @@
             if relay_request.commit is not None:
                 return await self._serve_commit(relay_request.commit)
             if relay_request.read is not None:
-                return await self._serve_read(relay_request.read)
+                key = (request.sender, request.incarnation, relay_request.read.number)
+                return await self._serve_read(key, relay_request.read)
         # Failures are logged by the requesting host, with the id of the request.
         except HistoryLost:
             return RelayReply("history-lost")
@@ -297,19 +309,22 @@
         outcome = "done" if commit.applied else "rejected"
         return RelayReply(outcome, (), commit.version, commit.clock_ms)
 
-    async def _serve_read(self, request: RelayRead) -> RelayReply:
-        timeout = request.timeout_ms / MS_PER_SECOND
-        if request.after < 0:
-            call = self._direct.read_partition(
-                request.table, request.part, request.first, request.end, timeout
-            )
-        else:
-            call = self._direct.follow(
-                request.table, RowVersion(request.after), request.wait_ms / MS_PER_SECOND, timeout
-            )
-        found = await call
+    async def _serve_read(self, key: ReadKey, request: RelayRead) -> RelayReply:
+        found = await self._relayed_reads.get(key, request)
+        if found is None:
+            return RelayReply("reading")
         rows = tuple(
             RelayedRow(each.part, each.key, each.value, each.version, each.is_deleted)
             for each in found.rows
         )
         return RelayReply("done", rows, found.version, found.clock_ms)
+
+    async def _read_for_peer(self, request: RelayRead) -> PartitionRows:
+        timeout = request.timeout_ms / MS_PER_SECOND
+        if request.after < 0:
+            return await self._direct.read_partition(
+                request.table, request.part, request.first, request.end, timeout
+            )
+        return await self._direct.follow(
+            request.table, RowVersion(request.after), request.wait_ms / MS_PER_SECOND, timeout
+        )
--- a/tests/cover/test_pool_slow_links.py
+++ b/tests/cover/test_pool_slow_links.py
@@ -18,7 +18,16 @@
 import pytest
 
 from lentilpath_core.errors import PeerUnavailable
-from lentilpath_core.ids import Epoch, FencingToken, HostId, Incarnation, Instant, RegionId, ZoneId
+from lentilpath_core.ids import (
+    Epoch,
+    FencingToken,
+    HostId,
+    Incarnation,
+    Instant,
+    RegionId,
+    RowVersion,
+    ZoneId,
+)
 from lentilpath_core.peers import PROTOCOL_VERSION, PeerReply
 from lentilpath_core.pool import PoolConfiguration, PoolLoads, QueueId, create_pool
 from lentilpath_core.settings import Address
@@ -37,14 +46,20 @@
 from lentilpathd._adapters.platform import create_platform
 from lentilpathd._events import Event
 from lentilpathd._peers import PeerBus, convert_to_body, decode_message, encode_message
-from lentilpathd._pool import _configuration, _members, _worker_watch
+from lentilpathd._pool import (
+    _configuration,
+    _direct_path,
+    _members,
+    _table_path,
+    _worker_watch,
+)
 from lentilpathd._pool._breaker import MIN_SILENCE_MS, PathBreaker
 from lentilpathd._pool._configuration import ConfigurationFollower
 from lentilpathd._pool._digests import Digests
 from lentilpathd._pool._members import HeartbeatSender, Members
 from lentilpathd._pool._messages import Digest
 from lentilpathd._pool._metrics import PoolMetrics
-from lentilpathd._pool._ports import AnswerProgress
+from lentilpathd._pool._ports import AnswerProgress, PartitionRow, PartitionRows
 from lentilpathd._pool._relay_messages import RelayedRow, RelayReply
 from lentilpathd._pool._settings import PoolHostSettings
 from lentilpathd._pool._table_path import TablePath
@@ -52,8 +67,10 @@
 from tests.common.fleet.store import StandInStore, StoreFaults
 from tests.common.pools import PoolHarness, make_queue, make_worker
 from tests.common.requests import wait_until
+from tests.common.tables import OnePartitionTable
 from tests.common.virtual_time import run_in_virtual_time
 from tests.cover.test_pool_registry import make_configuration
+from tests.cover.test_pool_table_path import InMemoryBus, break_direct_path
 from tests.soak.proxies import Proxy
 
 ROUTES = 1_400
@@ -342,6 +359,59 @@
     assert msgspec.convert(decode_message(data, PeerReply).body, RelayReply) == sent
 
 
+class BoundedBus(InMemoryBus):
+    """Loses an answer that takes longer than the timeout."""
+
+    async def ask(self, host: Any, topic: Any, message: Any, answer: Any, timeout: Any) -> Any:
+        try:
+            async with asyncio.timeout(timeout):
+                return await super().ask(host, topic, message, answer, timeout)
+        except TimeoutError as error:
+            raise PeerUnavailable(f"{host} did not answer in time") from error
+
+
+class SlowTable(OnePartitionTable):
+    """A table whose rows take several timeouts of a request to arrive."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.progress = AnswerProgress()
+
+    async def read_partition(self, *arguments: Any) -> PartitionRows:
+        for _ in range(60):
+            await asyncio.sleep(0.05)
+            self.progress.report()
+        return cast(PartitionRows, await super().read_partition(*arguments))
+
+
+def test_rows_that_take_long_to_arrive_at_a_relay_are_read_through_it(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """Guards against a relay that counts as silent while it reads, and the next one that does."""
+
+    async def scenario() -> PartitionRows:
+        hosts: dict[str, InMemoryBus] = {}
+        own, other = OnePartitionTable(), SlowTable()
+        other.rows["a"] = PartitionRow("", "a", b"value", RowVersion(1))
+        first, _ = (
+            TablePath(
+                cast(Any, table),
+                cast(Any, BoundedBus(name, hosts)),
+                lambda now: (HostId("h1"), HostId("h2")),
+                PoolMetrics(),
+                progress,
+            )
+            for name, table, progress in (("h1", own, None), ("h2", other, other.progress))
+        )
+        await break_direct_path(first, own)
+        # Less than the table takes, and more than a relay takes to say that it is reading.
+        return await first.read_partition("op", "", "", "", 0.8)
+
+    modules = (_direct_path, _table_path)
+    read = run_in_virtual_time(scenario(), monkeypatch, *modules)
+    assert [row.value for row in read.rows] == [b"value"]
+
+
 class EndlessRegistry:
     """Lists of workers that arrive for ever."""
 
