Configuration: a version that cannot be used is not read again and again

The follower kept its place in the feed when the newest version could not be used, so the feed returned the same version with each poll, 1.1 MB every 1.2 s for 4,200 routes, more than a link of 5 Mbit/s carries. It follows on from that version now. Until a usable one comes, the version in force does not count as confirmed, as before, so keys are not accepted by it for longer than the settings allow.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
@@ -15,7 +15,7 @@
 )
 from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
-from lentilpathd._pool._ports import HistoryLost, Registry
+from lentilpathd._pool._ports import HistoryLost, Registry, UnusableConfiguration
 
 LONG_POLL_SECONDS = 1.2
 """Duration of a long poll. It is so short that a change is in force within 2.5 s even if the
@@ -41,6 +41,8 @@
         self._settled_at = Instant(0)
         """When the last request that has ended was sent."""
         self._first_received = asyncio.Event()
+        self._is_newest_usable = True
+        """Whether the newest version that was read could be used."""
         self._last_invalid = ""
         """The last reason for which a configuration could not be used; each is logged once."""
 
@@ -97,10 +99,11 @@
                 version = None
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            except InvalidSettings as error:
+            except UnusableConfiguration as error:
                 self._report_invalid(error)
-                # The feed returns the same version at once until there is another one.
-                await asyncio.sleep(LONG_POLL_SECONDS)
+                # It is not read again: it may be large, and the feed would return it at once.
+                version = error.version
+                self._is_newest_usable = False
                 continue
             except (Unavailable, OutcomeUnknown) as error:
                 log_event(
@@ -111,10 +114,12 @@
                 )
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            self._confirmed_at = sent_at
+            if found is not None or self._is_newest_usable:
+                self._confirmed_at = sent_at
+                self._is_newest_usable = True
             if found is not None:
                 self._apply(found, read_instant() - sent_at)
-            elif self._current is None:
+            elif self._current is None and self._is_newest_usable:
                 version = None
                 await asyncio.sleep(RETRY_SECONDS)
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_ports.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_ports.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from lentilpath_core.errors import LentilpathError
+from lentilpath_core.errors import InvalidSettings, LentilpathError
 from lentilpath_core.ids import FencingToken, Instant, RowVersion, WorkerId, WorkerTime
 from lentilpath_core.pool import (
     Life,
@@ -27,6 +27,14 @@
     code = "history-lost"
 
 
+class UnusableConfiguration(InvalidSettings):
+    """The newest configuration cannot be used; changes are followed from `version`."""
+
+    def __init__(self, reason: str, version: RowVersion) -> None:
+        super().__init__(reason)
+        self.version = version
+
+
 class Deposed(LentilpathError):
     """Another process has taken over the leadership."""
 
@@ -171,13 +179,19 @@
     async def read_configuration(
         self, timeout: float
     ) -> tuple[PoolConfiguration | None, RowVersion]:
-        """Return the newest configuration, and the version to follow changes from."""
+        """Return the newest configuration, and the version to follow changes from.
+
+        Raises `UnusableConfiguration`.
+        """
         ...
 
     async def follow_configuration(
         self, after: RowVersion, wait_seconds: float, timeout: float
     ) -> tuple[PoolConfiguration | None, RowVersion]:
-        """Return the next configuration, or `None` after the wait; raises `HistoryLost`."""
+        """Return the next configuration, or `None` after the wait.
+
+        Raises `HistoryLost` or `UnusableConfiguration`.
+        """
         ...
 
 
--- a/packages/lentilpathd/src/lentilpathd/pool.py
+++ b/packages/lentilpathd/src/lentilpathd/pool.py
@@ -25,6 +25,7 @@
     PoolWorker,
     RefusedByFence,
     Registry,
+    UnusableConfiguration,
     WorkerFactory,
 )
 from lentilpathd._pool._refusals import SubmissionAnswer, SubmissionResult
@@ -51,6 +52,7 @@
     "Registry",
     "SubmissionAnswer",
     "SubmissionResult",
+    "UnusableConfiguration",
     "WorkerFactory",
     "log_configuration_read",
     "log_internal_error",
--- a/tests/cover/test_pool_slow_links.py
+++ b/tests/cover/test_pool_slow_links.py
@@ -196,6 +196,34 @@
     assert len(applied[0].queues) == ROUTES
 
 
+def test_a_large_configuration_that_cannot_be_used_is_read_once(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against a slow link that is filled by the same unusable version again and again."""
+    monkeypatch.setattr(_configuration, "LONG_POLL_SECONDS", LONG_POLL_SECONDS)
+    caplog.set_level(logging.INFO)
+    applied: list[PoolConfiguration] = []
+
+    async def scenario(store: StandInStore, proxy: Proxy, address: Address) -> None:
+        follower = ConfigurationFollower(PlatformRegistry(open_table(address)), applied.append)
+        following = asyncio.create_task(follower.run())
+        store.put("op", "", "config", make_configuration(3, 1))
+        await wait_until(lambda: len(applied) == 1)
+        usable = make_configuration(4, ROUTES)
+        store.put("op", "", "config", usable.replace(b'"version": 4', b'"version": "four"'))
+        await wait_until(lambda: f"LP{Event.CONFIG_INVALID.number}" in caplog.text)
+        await asyncio.sleep(5 * LONG_POLL_SECONDS)
+        confirmed_at = cast(Any, _configuration).read_instant()
+        assert not follower.is_current(int(4_000 * LONG_POLL_SECONDS), confirmed_at)
+        store.put("op", "", "config", make_configuration(5, 2))
+        await wait_until(lambda: len(applied) == 2)
+        following.cancel()
+        await asyncio.gather(following, return_exceptions=True)
+
+    run_on_a_slow_link(scenario)
+    assert caplog.text.count(f"LP{Event.CONFIG_READ.number}") == 3
+
+
 @pytest.mark.parametrize(
     ("pause_seconds", "bounds"),
     [(10.0, TransferBounds(0.1, 10.0)), (0.01, TransferBounds(5.0, 0.3))],
