--- a/tests/common/fleet/deployment.py
+++ b/tests/common/fleet/deployment.py
@@ -28,6 +28,7 @@
 from tests.common.fleet.store import StandInStore, StoreFaults
 from tests.common.fleet.workers import ObservedRun, StandInWorker, serve_advice
 from tests.common.requests import wait_until
+from tests.soak.proxies import Proxy
 
 FINAL_STATES = ("completed", "failed", "cancelled")
 QUEUE = {
@@ -84,6 +85,7 @@
     advice: HttpServer
     workers: list[StandInWorker] = field(default_factory=list)
     hosts: list[RunningHost] = field(default_factory=list)
+    proxies: list[Proxy] = field(default_factory=list)
     log: list[ObservedRun] = field(default_factory=list)
     numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
 
@@ -94,9 +96,16 @@
         await worker.start()
         return worker
 
-    async def add_host(self, cores: float = 1.0, faults: StoreFaults | None = None) -> RunningHost:
+    async def add_host(
+        self, cores: float = 1.0, faults: StoreFaults | None = None, bytes_per_second: int = 0
+    ) -> RunningHost:
+        """Start a host; `bytes_per_second` limits its connections to the table, 0 for no limit."""
         faults = faults or StoreFaults()
         port = await self.store.listen(faults)
+        if bytes_per_second:
+            proxy = Proxy("127.0.0.1", port, bytes_per_second=bytes_per_second)
+            self.proxies.append(proxy)
+            port = await proxy.open()
         name = f"h{len(self.hosts)}"
         callers_at, readiness, peers, metrics = [
             Address("127.0.0.1", allocate_port()) for _ in range(4)
@@ -210,6 +219,8 @@
             if not host.task.done():
                 await host.kill()
             host.client.close()
+        for proxy in fleet.proxies:
+            await proxy.close()
         for worker in fleet.workers:
             await worker.close()
         await fleet.advice.close(0.0)
