--- a/packages/lentilpathd/src/lentilpathd/_peers.py
+++ b/packages/lentilpathd/src/lentilpathd/_peers.py
@@ -132,10 +132,7 @@
         except (TimeoutError, pynng.NNGException) as error:
             raise_swallowed_cancellation()
             log_event(Event.PEER_SILENT, peer=host, topic=topic)
-            if (
-                loop.time()
-                >= self._silent_since.get(host, loop.time()) + CONNECTION_SILENCE_SECONDS
-            ):
+            if self._is_silent(host, loop.time()):
                 self._close_socket(host)
             kind = PeerUnavailable if is_sent else PeerNotReached
             raise kind(f"{host} did not answer {topic}: {error!r}") from error
@@ -236,6 +233,11 @@
     def _make_reply(self, code: str, body: Any) -> PeerReply:
         return PeerReply(PROTOCOL_VERSION, self.host, self.incarnation, code, body)
 
+    def _is_silent(self, host: HostId, now: float) -> bool:
+        """Return whether a peer has long answered none of the requests sent to it."""
+        since = self._silent_since.get(host)
+        return since is not None and now >= since + CONNECTION_SILENCE_SECONDS
+
     def _get_socket(self, host: HostId) -> pynng.Req0:
         socket = self._sockets.get(host)
         if socket is None:
