--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,8 +8,8 @@
 from review.standins.case import (
     BROKEN,
     HELD,
-    Case,
     CannotRun,
+    Case,
     make_config,
     make_route,
     play,
@@ -60,7 +60,9 @@
             await host.terminate()
             await asyncio.sleep(1.0)
     jobs = [f"{number:016x}" for number in range(0xD1, 0xD4)]
-    accepted = [job for job in jobs if await case.ask(first, "POST", "/notices/" + job, body) == 200]
+    accepted = [
+        job for job in jobs if await case.ask(first, "POST", "/notices/" + job, body) == 200
+    ]
     if not accepted:
         # A refusal that is true would break nothing; it counts as served nobody.
         case.log("no job was accepted by the host that is left")
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -26,6 +26,7 @@
 SERVICE = "grant-desk"
 FRONT, READY, PEERS, METRICS = 8161, 8167, 7720, 9464
 GRACE_SECONDS = 6.0
+DEADLINE_MS = 3_000
 
 
 class CannotRun(Exception):
@@ -138,7 +139,14 @@
             "entryKind": "vip",
             "heartbeatMs": 1500,
             "contracts": [
-                "base", "drain", "config", "cost", "recover", "sched", "platform", "advice"
+                "base",
+                "drain",
+                "config",
+                "cost",
+                "recover",
+                "sched",
+                "platform",
+                "advice",
             ],
             "faultTolerance": {"machines": 2, "zones": 0, "regionLosses": 0},
             "bounds": {
@@ -225,6 +233,8 @@
         self._advice_policy = {"decideMs": 0, "perItemMs": 0, "validMs": 2000}
 
     def log(self, what: str, /, **fields: Any) -> None:
+        if self._record.closed:
+            return
         told = " ".join(f"{name}={value}" for name, value in fields.items())
         print(f"{self.now():8.3f} {what} {told}", file=self._record, flush=True)
 
@@ -317,7 +327,7 @@
     async def ask_fully(
         self, host: Host, method: str, path: str, body: Any = None, timeout: float = 3.0
     ) -> tuple[int, Any] | None:
-        headers = {"host": HOST_NAME, "x-deadline-ms": str(int(timeout * 1_000))}
+        headers = {"host": HOST_NAME, "x-deadline-ms": str(DEADLINE_MS)}
         self.log("sent", host=host.name, method=method, path=path)
         found = await call(host.front, method, path, headers, body, timeout)
         status, answer = found if found is not None else (None, None)
