--- a/review/1/case.py
+++ b/review/1/case.py
@@ -33,7 +33,10 @@
     step = {"count": 2, "cpu": 1_000, "memMb": 64, "estRuntimeMs": 500}
     body = {"spec": "notice", "steps": [step]}
     first = case.find_leader()
-    if case.has_trouble:
+    if not case.has_trouble:
+        # A host that does not lead yet has to take over once the others are removed.
+        first = next(host for host in case.hosts if host is not first)
+    else:
         case.log("SIGSTOP", host=first.name)
         first.signal(signal.SIGSTOP)
         await asyncio.sleep(FREEZE_SECONDS)
@@ -63,9 +66,7 @@
     accepted = [
         job for job in jobs if await case.ask(first, "POST", "/notices/" + job, body) == 200
     ]
-    if not accepted:
-        # A refusal that is true would break nothing; it counts as served nobody.
-        case.log("no job was accepted by the host that is left")
+    case.log("accepted by the host that is left", count=len(accepted))
     await asyncio.sleep(WAIT_SECONDS)
     for job in (earlier, *accepted):
         await case.ask_fully(first, "GET", "/notices/" + job)
