--- a/review/9/case.py
+++ b/review/9/case.py
@@ -44,11 +44,9 @@
     if acknowledged_at is None:
         raise CannotRun("the cancelling was not acknowledged")
     await case.sleep_until(acknowledged_at + 15.0)
-    began = case._began  # noqa: SLF001
+    began = case._began
     late = [
-        run
-        for run in case.list_runs()
-        if run.started_at - began > acknowledged_at + CANCEL_SECONDS
+        run for run in case.list_runs() if run.started_at - began > acknowledged_at + CANCEL_SECONDS
     ]
     case.log("UNASKED", starts_after_cancel=len(late))
     return BROKEN if late else HELD
