Supervision: no part ends without a line in the log, whatever Python counts as a cancellation

Cause: raise_swallowed_cancellation took Task.cancelling() > 0 for a swallowed cancellation. On Python 3.11 a task keeps that count after one of its task groups has failed, which is how every term of a leader ends. The next request to a peer from that task raised CancelledError; the supervisor restarts after an Exception only, and a task group ignores a cancelled member.

Change: swallowed cancellations are found by the change of the count during one operation; parts, terms and long-running members of groups run in tasks of their own; a part that returns or is cancelled by anything else has failed, is logged and starts again. The same for the tasks that answer peers, links, feeds, the table path and the zones' controller.

test_pool_unexpected: the part of the former test ended by returning, which counts as a failure now. The new one ends by Deposed, and has a return among the failures.

--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -20,6 +20,7 @@
     PROCESS_STOPPED = (3, "process stopped")
     PART_FAILED = (4, "a supervised part failed and is restarted")
     PART_GIVEN_UP = (5, "a supervised part failed too many times; the process stops")
+    FAILED_AS_CANCELLED = (6, "some work failed as it was cancelled; nothing waits for it any more")
     PEER_SILENT = (100, "a peer did not answer; its connection is replaced")
     PEER_REQUEST_REFUSED = (101, "a peer's request was refused")
     LEADERSHIP_GAINED = (110, "this process leads its zone")
--- a/packages/lentilpathd/src/lentilpathd/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_leadership.py
@@ -41,6 +41,7 @@
 )
 from lentilpath_core.peers import PeerRequest
 from lentilpathd._authority import NO_UNCONFIRMED_START, Authority, Leadership
+from lentilpathd._cancellation import start_member
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._context import DaemonContext
 from lentilpathd._events import Event, log_event, log_warning_event
@@ -113,11 +114,11 @@
         """Acquire and renew the authority until cancelled."""
         self._resolve_interrupted_request()
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._tick())
-            group.create_task(self._process_table_effects())
-            group.create_task(self._process_promise_effects())
-            group.create_task(self._send_hellos())
-            group.create_task(self._watch_other_zones())
+            start_member(group, self._tick, "tick")
+            start_member(group, self._process_table_effects, "table")
+            start_member(group, self._process_promise_effects, "promises")
+            start_member(group, self._send_hellos, "hellos")
+            start_member(group, self._watch_other_zones, "zone watch")
 
     async def release(self, commands_end: Instant = NO_UNCONFIRMED_START) -> None:
         """Release the zone once `commands_end` has passed; `run` must be running.
--- a/packages/lentilpathd/src/lentilpathd/_operators/_part.py
+++ b/packages/lentilpathd/src/lentilpathd/_operators/_part.py
@@ -7,6 +7,7 @@
 from lentilpath_core.configuration import find_price_rule
 from lentilpath_http import HttpServer, serve_http
 from lentilpathd._authority import Leadership
+from lentilpathd._cancellation import start_member
 from lentilpathd._context import DaemonContext
 from lentilpathd._operators._accountant import Accountant
 from lentilpathd._operators._accounts import SealedUsageReader
@@ -56,10 +57,10 @@
         self._server = await serve_http(self.api.handle, address.host, address.port, tls=tls)
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self.trail.run(), name="audit trail")
-                group.create_task(self.accountant.run(), name="usage")
-                group.create_task(self.configuration.run(), name="configuration")
-                group.create_task(self.burn.run(), name="burn")
+                start_member(group, self.trail.run, "audit trail")
+                start_member(group, self.accountant.run, "usage")
+                start_member(group, self.configuration.run, "configuration")
+                start_member(group, self.burn.run, "burn")
         finally:
             await self._server.close(0)
 
--- a/packages/lentilpathd/src/lentilpathd/_peers.py
+++ b/packages/lentilpathd/src/lentilpathd/_peers.py
@@ -6,6 +6,7 @@
 import contextlib
 import zlib
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any, TypeVar
 
 import msgspec
@@ -15,7 +16,11 @@
 from lentilpath_core.ids import HostId, Incarnation, ZoneId
 from lentilpath_core.peers import PROTOCOL_VERSION, PeerReply, PeerRequest
 from lentilpath_core.settings import Address, PeerSettings
-from lentilpathd._cancellation import raise_swallowed_cancellation
+from lentilpathd._cancellation import (
+    count_cancellations,
+    raise_swallowed_cancellation,
+    start_member,
+)
 from lentilpathd._events import Event, log_event, log_warning_event
 
 T = TypeVar("T")
@@ -98,7 +103,10 @@
         self._addresses = addresses
 
     def handle(self, topic: str, handler: PeerHandler) -> None:
-        """Register `handler` for the requests of `topic`."""
+        """Register `handler` for the requests of `topic`.
+
+        A task group that it needs has to run in another task; see `raise_swallowed_cancellation`.
+        """
         self._handlers[topic] = handler
 
     async def ask(
@@ -123,6 +131,7 @@
         loop = asyncio.get_running_loop()
         self._silent_since.setdefault(host, loop.time())
         is_sent = False
+        cancellations = count_cancellations()
         try:
             async with asyncio.timeout(timeout):
                 await context.asend(data)
@@ -130,7 +139,7 @@
                 self.bytes_sent += len(data)
                 received = await context.arecv()
         except (TimeoutError, pynng.NNGException) as error:
-            raise_swallowed_cancellation()
+            raise_swallowed_cancellation(cancellations)
             log_event(Event.PEER_SILENT, peer=host, topic=topic)
             if self._is_silent(host, loop.time()):
                 self._close_socket(host)
@@ -140,7 +149,7 @@
             # This request or another one to this peer may have closed the socket already.
             with contextlib.suppress(pynng.Closed):
                 context.close()
-        raise_swallowed_cancellation()
+        raise_swallowed_cancellation(cancellations)
         self.bytes_received += len(received)
         self._silent_since.pop(host, None)
         try:
@@ -163,7 +172,7 @@
             self.listening = True
             async with asyncio.TaskGroup() as group:
                 for _ in range(MAX_CONCURRENT_REQUESTS):
-                    group.create_task(self._answer_requests(socket))
+                    start_member(group, partial(self._answer_requests, socket), "peer requests")
 
     def close(self) -> None:
         """Close the connections to all peers."""
@@ -174,11 +183,13 @@
         context = socket.new_context()
         try:
             while True:
+                cancellations = count_cancellations()
                 data = await context.arecv()
-                raise_swallowed_cancellation()
+                raise_swallowed_cancellation(cancellations)
                 self.bytes_received += len(data)
                 reply = await self._answer(data)
                 self.bytes_sent += len(reply)
+                cancellations = count_cancellations()
                 try:
                     await context.asend(reply)
                 except pynng.Closed:
@@ -186,16 +197,17 @@
                 except pynng.NNGException as error:
                     # The sender's connection is gone, or the reply is longer than it accepts.
                     log_warning_event(Event.INTERNAL_ERROR, part="peer reply", error=repr(error))
-                raise_swallowed_cancellation()
+                raise_swallowed_cancellation(cancellations)
         finally:
             context.close()
 
     async def _answer(self, data: bytes) -> bytes:
         """Return the encoded reply to a request, whatever its content."""
+        cancellations = count_cancellations()
         try:
             return encode_message(await self._handle(data))
         except Exception as error:
-            raise_swallowed_cancellation()
+            raise_swallowed_cancellation(cancellations)
             log_warning_event(Event.INTERNAL_ERROR, part="peer request", error=repr(error))
             return msgspec.msgpack.encode(self._make_reply("internal", type(error).__name__))
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_configuration.py
@@ -13,6 +13,7 @@
     carry_customers,
     is_configuration_current,
 )
+from lentilpathd._cancellation import start_member
 from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._pool._ports import HistoryLost, Registry, UnusableConfiguration
@@ -70,8 +71,8 @@
     async def run(self) -> None:
         """Follow changes until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._watch_pauses())
-            group.create_task(self._follow())
+            start_member(group, self._watch_pauses, "pause watch")
+            start_member(group, self._follow, "configuration feed")
 
     async def _watch_pauses(self) -> None:
         """Observe the time often enough that a gap shows a pause of this process."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -7,6 +7,7 @@
 import uuid
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import msgspec
 
@@ -15,6 +16,7 @@
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.pool import NO_CUSTOMER, JobState, PoolConfiguration, QueueId
 from lentilpath_http import HttpLimits, HttpRequest, HttpResponse, HttpServer, serve_http
+from lentilpathd._cancellation import run_in_own_task, start_member
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._metrics import Metric
@@ -278,7 +280,7 @@
         await self.configuration.wait_for_first()
         while not self.stopping.is_set():
             epoch = await self.leadership.acquire()
-            await self._lead(epoch)
+            await run_in_own_task(partial(self._lead, epoch), "leadership term")
         await asyncio.Event().wait()
 
     async def _lead(self, epoch: Epoch) -> None:
@@ -297,10 +299,10 @@
         self._term = term
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self.leadership.renew_forever(epoch))
-                group.create_task(term.run())
-                group.create_task(self._end_term_at_stop())
-                group.create_task(self._end_term_for_faster_host())
+                start_member(group, partial(self.leadership.renew_forever, epoch), "renewals")
+                start_member(group, term.run, "term")
+                start_member(group, self._end_term_at_stop, "planned stop")
+                start_member(group, self._end_term_for_faster_host, "handover")
         except* (Deposed, NotLeading) as errors:
             log_event(Event.POOL_LEADERSHIP_LOST, epoch=epoch, error=str(errors.exceptions[0]))
         finally:
@@ -378,7 +380,8 @@
     if planned:
         await _drain(host, callers)
     else:
-        log_warning_event(Event.PART_GIVEN_UP, error=repr(running.exception()))
+        error = None if running.cancelled() else running.exception()
+        log_warning_event(Event.PART_GIVEN_UP, error=repr(error))
     running.cancel()
     stopping.cancel()
     await asyncio.wait((running,), timeout=STOP_MARGIN_SECONDS)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_table_path.py
@@ -24,6 +24,7 @@
 )
 from lentilpath_core.ids import HostId, Instant, RowVersion
 from lentilpath_core.peers import PeerRequest
+from lentilpathd._cancellation import start_member
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event
 from lentilpathd._metrics import Metric
@@ -128,8 +129,8 @@
     async def run(self) -> None:
         """Probe a direct path that is down, and report the breakers, until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._direct.run())
-            group.create_task(self._report_breakers())
+            start_member(group, self._direct.run, "direct path")
+            start_member(group, self._report_breakers, "breaker report")
 
     async def _report_breakers(self) -> None:
         while True:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -49,6 +49,7 @@
     place_pool,
     restore_former_workers,
 )
+from lentilpathd._cancellation import start_member
 from lentilpathd._clock import read_instant, read_wall_time
 from lentilpathd._events import Event, log_event
 from lentilpathd._metrics import Metric
@@ -129,13 +130,13 @@
     async def run(self) -> None:
         """Recover and lead until cancelled; raises `Deposed` in an exception group."""
         async with asyncio.TaskGroup() as recovery:
-            recovery.create_task(self._extend_leases())
-            recovery.create_task(self._recover())
+            start_member(recovery, self._extend_leases, "lease extension")
+            start_member(recovery, self._recover, "recovery")
         async with asyncio.TaskGroup() as group:
             self._ready = True
             self._links.start(group)
             # What the writer fails to store is known to the next term only.
-            group.create_task(self._writer.run())
+            start_member(group, self._writer.run, "record writer")
             for part, run in (
                 ("advice", self._advice.run),
                 ("removal", self._remover.run),
--- a/packages/lentilpathd/src/lentilpathd/_pool/_worker_links.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_worker_links.py
@@ -8,6 +8,7 @@
 
 from lentilpath_core.ids import Epoch, WorkerId
 from lentilpath_core.pool import Life, ListedWorker, PoolEvent, PoolState
+from lentilpathd._cancellation import start_member
 from lentilpathd._events import Event, log_event
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._link import WorkerLink
@@ -60,7 +61,7 @@
                 self._handle_event,
                 self._may_command,
             )
-            self._links[key] = (link, self._group.create_task(link.run()))
+            self._links[key] = (link, start_member(self._group, link.run, "worker link"))
             log_event(Event.WORKER_LISTED, worker=worker.worker, life=worker.life)
 
     def get(self, worker: WorkerId, life: Life) -> WorkerLink | None:
--- a/packages/lentilpathd/src/lentilpathd/_requests/part.py
+++ b/packages/lentilpathd/src/lentilpathd/_requests/part.py
@@ -25,6 +25,7 @@
     write_failure,
 )
 from lentilpathd._authority import Leadership
+from lentilpathd._cancellation import start_member
 from lentilpathd._clock import read_instant
 from lentilpathd._context import DaemonContext
 from lentilpathd._events import Event, log_event
@@ -105,11 +106,11 @@
         )
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._connections.run())
-                group.create_task(self._loans.run())
-                group.create_task(self._deferred.run())
-                group.create_task(self._sweeper.run())
-                group.create_task(self._dispatch_periodically())
+                start_member(group, self._connections.run, "connections")
+                start_member(group, self._loans.run, "loans")
+                start_member(group, self._deferred.run, "deferred requests")
+                start_member(group, self._sweeper.run, "sweeper")
+                start_member(group, self._dispatch_periodically, "dispatch")
         finally:
             self._abort()
             server, self._server = self._server, None
--- a/packages/lentilpathd/src/lentilpathd/_supervisor.py
+++ b/packages/lentilpathd/src/lentilpathd/_supervisor.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any
 
 from lentilpath_core.errors import LentilpathError
-from lentilpathd._cancellation import raise_swallowed_cancellation
+from lentilpathd._cancellation import run_in_own_task
 from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_warning_event
 
@@ -18,6 +19,12 @@
 MS_PER_SECOND = 1_000
 
 
+class PartEnded(LentilpathError):
+    """A supervised part returned, although only a failure or a cancellation may end it."""
+
+    code = "part-ended"
+
+
 class PartGivenUp(LentilpathError):
     """A supervised part failed more than `MAX_RESTARTS` times without a stable run in between."""
 
@@ -29,7 +36,7 @@
     """One supervised part. `run` ends only by failure or by cancellation."""
 
     name: str
-    run: Callable[[], Awaitable[None]]
+    run: Callable[[], Coroutine[Any, Any, None]]
 
 
 async def supervise_parts(parts: tuple[Part, ...]) -> None:
@@ -42,17 +49,17 @@
 async def supervise_part(part: Part) -> None:
     """Run one part and restart it after failures with exponential backoff.
 
-    Raises `PartGivenUp` after more than `MAX_RESTARTS` failures without a run of more than
+    A part that returns, or is cancelled by anything but this task, has failed too. Raises
+    `PartGivenUp` after more than `MAX_RESTARTS` failures without a run of more than
     `STABLE_AFTER_MS` in between.
     """
     restarts = 0
     while True:
         started = read_instant()
         try:
-            await part.run()
-            return
+            await run_in_own_task(part.run, part.name)
+            raise PartEnded(f"{part.name} returned")
         except Exception as error:
-            raise_swallowed_cancellation()
             if read_instant() - started > STABLE_AFTER_MS:
                 restarts = 0
             restarts += 1
--- a/packages/lentilpathd/src/lentilpathd/_zone/_leading.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_leading.py
@@ -39,6 +39,7 @@
 from lentilpath_core.zone.state import ZoneState
 from lentilpathd._adapters.worker import create_worker
 from lentilpathd._authority import NO_UNCONFIRMED_START
+from lentilpathd._cancellation import start_member
 from lentilpathd._clock import read_instant, read_wall_time
 from lentilpathd._context import DaemonContext
 from lentilpathd._events import Event, log_warning_event
@@ -92,9 +93,9 @@
         async with asyncio.TaskGroup() as group:
             self._group = group
             self._update_links()
-            group.create_task(self._tick())
-            group.create_task(self._write_journal())
-            group.create_task(self._read_inbox())
+            start_member(group, self._tick, "tick")
+            start_member(group, self._write_journal, "journal")
+            start_member(group, self._read_inbox, "inbox")
 
     def wake(self) -> None:
         """Read the inbox without waiting for the next poll."""
@@ -157,7 +158,7 @@
             )
             self._links[worker] = link
             self._link_hosts[worker] = host
-            self._link_tasks[worker] = self._group.create_task(link.run())
+            self._link_tasks[worker] = start_member(self._group, link.run, "worker link")
 
     def _handle_event(self, event: ControlEvent) -> None:
         now = read_instant()
--- a/packages/lentilpathd/src/lentilpathd/_zone/_service.py
+++ b/packages/lentilpathd/src/lentilpathd/_zone/_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from functools import partial
 
 from lentilpath_core.configuration import get_zone_quota
 from lentilpath_core.errors import OutcomeUnknown, Unavailable
@@ -14,7 +15,7 @@
 from lentilpath_core.zone.journal import CommandAnswered
 from lentilpath_core.zone.state import ZoneState
 from lentilpathd._authority import NO_UNCONFIRMED_START, Authority, Leadership
-from lentilpathd._cancellation import raise_swallowed_cancellation
+from lentilpathd._cancellation import run_in_own_task
 from lentilpathd._clock import read_instant
 from lentilpathd._context import DaemonContext
 from lentilpathd._events import Event, log_event, log_warning_event
@@ -67,8 +68,7 @@
         while True:
             authority = self._leadership.get_authority()
             if authority is not None and authority.until > read_instant() and not self._stopped:
-                await self._lead(authority)
-                raise_swallowed_cancellation()
+                await run_in_own_task(partial(self._lead, authority), "zone term")
             await asyncio.sleep(AUTHORITY_POLL_SECONDS)
 
     async def drain(self) -> Instant:
--- a/tests/cover/test_pool_unexpected.py
+++ b/tests/cover/test_pool_unexpected.py
@@ -97,16 +97,18 @@
         asyncio.run(run_guarded("part", fail))
 
 
-def test_a_failed_part_starts_again(monkeypatch: pytest.MonkeyPatch):
+def test_a_part_that_fails_or_returns_starts_again(monkeypatch: pytest.MonkeyPatch):
     monkeypatch.setattr(_guard, "RESTART_SECONDS", 0.0)
-    failures = [ValueError("x"), ExceptionGroup("x", [KeyError("x")])]
+    ends = [Deposed("over"), None, ValueError("x"), ExceptionGroup("x", [KeyError("x")])]
 
     async def run() -> None:
-        if failures:
-            raise failures.pop()
+        end = ends.pop()
+        if end is not None:
+            raise end
 
-    asyncio.run(run_guarded("part", run))
-    assert not failures
+    with pytest.raises(Deposed):
+        asyncio.run(run_guarded("part", run))
+    assert not ends
 
 
 def test_an_impossible_response_costs_its_own_connection_only(caplog):
