Reports: a list of ends that is full says nothing of the runs it leaves out

Cause: a worker lists 500 ends at a time. The first report of a worker, full or not, confirmed it to the new leader, and runs that a report does not list were given up. Tasks behind the first 500 ends were started again.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_evidence.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_evidence.py
@@ -91,6 +91,9 @@
     if worker.reported_at is None or now > worker.reported_at + SILENT_AFTER_MS:
         # The run may progress unseen. Its lease decides what becomes of it.
         return False
+    if worker.has_unlisted_ends:
+        # The run may have ended; its progress is judged again once the reports are complete.
+        return False
     step = attempt.step
     if attempt.phase is not Phase.RUNNING or step is None or step.spec.fills:
         return False
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
@@ -268,6 +268,9 @@
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
     life: Life | None = None
+    is_complete: bool = True
+    """Whether `ended` lists all ends that were not acknowledged. If not, a run that is missing from
+    the report may have ended, and its end is listed once those before it are acknowledged."""
 
 
 class StartAnswer(Enum):
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -81,6 +81,8 @@
     """Whether the record that the pool uses this incarnation is durable."""
     reported_at: Instant | None = None
     """When the last answered renewal was sent; `None` before the first."""
+    has_unlisted_ends: bool = False
+    """Whether the last report was incomplete, so that a run which it leaves out may have ended."""
     capacity_seen_at: Instant = Instant(0)
     """The worker's last report to the registry was not made before this time."""
     lease_ends_at: Instant = Instant(0)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -180,14 +180,21 @@
 
 
 def handle_report(state: PoolState, event: WorkerReported, now: Instant) -> tuple[PoolEffect, ...]:
-    """Handle a worker's report of the runs that are running and those that have ended."""
+    """Handle a worker's report of the runs that are running and those that have ended.
+
+    An incomplete report neither ends the runs that it leaves out nor confirms the worker: the tasks
+    of an earlier leader may be among the ends that it does not list.
+    """
     worker = state.workers.get(event.worker)
     if worker is None or worker.life != event.life:
         return ()
     is_first = worker.reported_at is None
+    was_unconfirmed = worker.worker in state.unconfirmed_workers
     discount_silence(worker, event.sent_at)
     worker.reported_at = max(event.sent_at, worker.reported_at or event.sent_at)
-    state.unconfirmed_workers.discard(worker.worker)
+    worker.has_unlisted_ends = not event.report.is_complete
+    if event.report.is_complete:
+        state.unconfirmed_workers.discard(worker.worker)
     effects: list[PoolEffect] = list(clear_suspects(state, worker))
     for ended in event.report.ended:
         if ended.number > worker.last_end_number:
@@ -197,10 +204,10 @@
     for running in event.report.running:
         effects.extend(_handle_running_run(state, worker, running, event.sent_at, now))
     for attempt in list(worker.attempts.values()):
-        if (attempt.task, attempt.run) not in listed:
+        if event.report.is_complete and (attempt.task, attempt.run) not in listed:
             effects.extend(_drop_unlisted_attempt(state, attempt, event.sent_at, now))
     effects.extend(adjust_paces(worker, now))
-    if is_first:
+    if is_first or (was_unconfirmed and event.report.is_complete):
         state.needs_placement = True
     return tuple(effects)
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -325,6 +325,8 @@
         listed = {(each.task, each.run) for each in report.running}
         listed |= {(each.task, each.run) for each in report.ended}
         is_started = (effect.task, effect.run) in listed
+        if not is_started and not report.is_complete:
+            return None
         return StartAnswer.STARTED if is_started else StartAnswer.NO_PERMISSION
 
     def _raise_if_deposed(self, error: Exception, client: PoolWorker) -> None:
--- a/tests/common/pools.py
+++ b/tests/common/pools.py
@@ -186,6 +186,7 @@
         checkpoint: str = "",
         load: int = 0,
         with_lease: bool = True,
+        is_complete: bool = True,
     ) -> list[PoolEffect]:
         listed = self.listed[worker]
         self.now = Instant(self.now + 1)
@@ -199,6 +200,7 @@
                 EndedRun(number, task, RunNumber(run), end, checkpoint)
                 for number, task, run, end in ended
             ),
+            is_complete=is_complete,
         )
         if with_lease:
             self.handle_event(LeaseSent(listed.worker, listed.life, Instant(self.now + SETTLE_MS)))
