Leadership: a leader cut off from the table and most workers acts no longer

Cause: a leader without word from the table went on without limit. Its successor, which could not reach the workers on its side, waited for leases of before the takeover only, while the former leader extended them. It also gave up workers that were silent to it, whose leases its successor may have extended, and a run found late counted as over by the bound from the takeover.

Without confirmation a leader acts only while more than half of the recorded workers are in touch with it, and gives up none; a successor starts recovered tasks beside silent workers once it has reached half of them and the former leader must have noticed.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
@@ -20,6 +20,7 @@
     find_wait_ms,
     measure_loads,
 )
+from lentilpath_core.pool._authority import may_lead_on
 from lentilpath_core.pool._customers import (
     MAX_LISTED_CUSTOMERS,
     OTHER_CUSTOMERS,
@@ -205,6 +206,7 @@
     "is_configuration_current",
     "is_placement_due",
     "list_usages",
+    "may_lead_on",
     "measure_loads",
     "measure_shares",
     "place_pool",
--- /dev/null
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
@@ -0,0 +1,103 @@
+"""Decides whether a leader without word from the table may act, and when its leases are over.
+
+A leader that cannot renew its lease may have been replaced. Workers refuse it once its successor
+has reached them, but a partition may leave the two with different workers. So both count the
+recorded workers: the former leader goes on only while it is in touch with more than half of them,
+and its successor treats a worker that it cannot reach as free only after it has reached half of
+them and the former leader must have noticed. docs/design/cut-leader.md has the argument.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from lentilpath_core.ids import Instant, WorkerId
+from lentilpath_core.pool._events import PoolEffect, RecordWorkers
+from lentilpath_core.pool._model import Life
+from lentilpath_core.pool._state import PoolState, WorkerLives
+
+IN_TOUCH_MS = 2_900
+"""A worker is in touch if it has answered a request sent this recently. A reachable one answers
+every 2 s at least: a long poll of 0.8 s, 0.4 s until its ends are stored, and the next poll."""
+NOTICE_MS = 3_000
+"""Time after which a former leader has noticed that half of the workers refuse it: `IN_TOUCH_MS`,
+and the age of what `may_lead_on` last returned."""
+MAX_UNCONFIRMED_MS = 120_000
+"""A leader goes on for this long without word from the table. Longer outages end all runs, and a
+successor that reaches less than half of the workers waits for as long."""
+
+
+def may_lead_on(state: PoolState, unconfirmed_ms: int, now: Instant) -> bool:
+    """Return whether a leader may act although its lease was last confirmed `unconfirmed_ms` ago.
+
+    It may while more than half of the workers are in touch and none of them has seen a successor,
+    by each list of workers that a successor may find recorded.
+    """
+    if unconfirmed_ms > MAX_UNCONFIRMED_MS:
+        return False
+    return all(_has_majority(state, lives, now) for lives in state.possible_records)
+
+
+def _has_majority(state: PoolState, lives: WorkerLives, now: Instant) -> bool:
+    in_touch = sum(_is_in_touch(state, worker, life, now) for worker, life in lives)
+    return not lives or 2 * in_touch > len(lives)
+
+
+def _is_in_touch(state: PoolState, worker_id: WorkerId, life: Life, now: Instant) -> bool:
+    worker = state.workers.get(worker_id)
+    if worker is None or worker.life != life or worker.reported_at is None:
+        return False
+    return now <= worker.reported_at + IN_TOUCH_MS
+
+
+def expect_former_leader(state: PoolState, workers: WorkerLives) -> None:
+    """Note the workers that an earlier leader has recorded, with whom it may still go on."""
+    state.possible_records = [workers]
+    if workers:
+        ends_at = Instant(state.former_leases_end_at + MAX_UNCONFIRMED_MS)
+        state.former_leader = replace(
+            state.former_leader, workers=workers, is_outnumbered=False, leases_end_at=ends_at
+        )
+
+
+def update_former_leader(state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
+    """Note once half of the former leader's workers are reached; it loses its majority by that."""
+    former = state.former_leader
+    if former.is_outnumbered:
+        return ()
+    reached = sum(_is_reached(state, worker, life) for worker, life in former.workers)
+    if 2 * reached < len(former.workers):
+        return ()
+    ends_at = Instant(now + NOTICE_MS + former.lease_ms)
+    state.former_leader = replace(former, is_outnumbered=True, leases_end_at=ends_at)
+    return record_workers(state)
+
+
+def _is_reached(state: PoolState, worker_id: WorkerId, life: Life) -> bool:
+    """Return whether a life of a worker refuses the former leader, or is over."""
+    worker = state.workers.get(worker_id)
+    return worker is None or worker.life != life or worker.reported_at is not None
+
+
+def has_former_leader_ended(state: PoolState, now: Instant) -> bool:
+    """Return whether all leases have expired that an earlier leader may have granted."""
+    return now >= max(state.former_leases_end_at, state.former_leader.leases_end_at)
+
+
+def record_workers(state: PoolState) -> tuple[PoolEffect, ...]:
+    """Record the workers that the pool uses, if they have changed.
+
+    A list of other workers would change what half of them are, so the former leader's list stays
+    until it is outnumbered.
+    """
+    lives = frozenset((each.worker, each.life) for each in state.workers.values())
+    if not state.former_leader.is_outnumbered or lives == state.possible_records[-1]:
+        return ()
+    state.possible_records.append(lives)
+    return (RecordWorkers(tuple(each.listed for each in state.workers.values())),)
+
+
+def note_recorded_workers(state: PoolState, lives: WorkerLives) -> None:
+    """Note that a list of workers is durable, so that none before it is found any more."""
+    if lives in state.possible_records:
+        del state.possible_records[: state.possible_records.index(lives)]
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -240,7 +240,7 @@
 def _(event: TimePassed, state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
     state.wall_now = event.wall_now
     effects = [
-        *expire_leases(state, now),
+        *expire_leases(state, event.is_confirmed, now),
         *stop_frozen_runs(state, now),
         *evacuate_leaving_workers(state, now),
     ]
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -161,6 +161,8 @@
     """A periodic tick: handle everything that is due by now."""
 
     wall_now: WallTime
+    is_confirmed: bool = True
+    """Whether this process certainly still leads."""
 
 
 PoolEvent = (
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_explanations.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_explanations.py
@@ -41,7 +41,7 @@
     decide_share_admission,
     measure_shares,
 )
-from lentilpath_core.pool._state import CustomerUsage, Job, PoolState, Step, Worker
+from lentilpath_core.pool._state import CustomerUsage, Job, PoolState, Step, Worker, create_pool
 from lentilpath_core.pool._steps import begin_occurrence, estimate_critical_paths
 from lentilpath_core.resources import Resources
 
@@ -150,7 +150,7 @@
     objective_ms = get_completion_objective_ms(policy, critical_path_ms)
     job = Job(record, policy, now, objective_ms)
     # The steps are created in a state of their own, so that they are not open in the pool's.
-    begin_occurrence(PoolState(state.epoch, now), job, 0)
+    begin_occurrence(create_pool(state.epoch, now), job, 0)
     customer = _explain_customer(state, job)
     job.is_over_share = customer is not None and customer.is_over_share
     wait_ms = load.wait_ms
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -237,13 +237,33 @@
     share_inputs: tuple[Resources, Resources, CustomerPolicy | None] | None = None
 
 
+WorkerLives = frozenset[tuple[WorkerId, Life]]
+"""Incarnations of workers."""
+
+
+@dataclass(frozen=True, slots=True)
+class FormerLeader:
+    """What is known of an earlier leader that may not have noticed that it was replaced."""
+
+    lease_ms: int
+    """Longest time, on this leader's clock, that a lease of it may last."""
+    leases_end_at: Instant
+    """When the last leases that it may grant have expired."""
+    workers: WorkerLives = frozenset()
+    """The workers that it recorded."""
+    is_outnumbered: bool = True
+    """Whether half of these workers refuse it or are over, so that it has no majority of them."""
+
+
 @dataclass(slots=True)
 class PoolState:
     """The complete state of a pool's leader."""
 
     epoch: Epoch
     former_leases_end_at: Instant
-    """Latest time at which the leases that an earlier leader granted expire."""
+    """Latest time at which the leases expire that an earlier leader granted before the takeover,
+    and those that were extended at once after it."""
+    former_leader: FormerLeader
     configuration: PoolConfiguration = field(default_factory=lambda: PoolConfiguration(0))  # type: ignore[arg-type]
     jobs: dict[JobId, Job] = field(default_factory=dict)
     finals: dict[JobId, FinalRecord] = field(default_factory=dict)
@@ -286,8 +306,8 @@
     longest_lease_ms: int = 10_400
     """Longest time for which a worker may keep its runs without any further command."""
     needs_placement: bool = False
-    recorded_workers: frozenset[tuple[WorkerId, Life]] = frozenset()
-    """Incarnations of workers that are recorded, or whose record is being written."""
+    possible_records: list[WorkerLives] = field(default_factory=lambda: [frozenset()])
+    """The recorded list of workers, and those that may have replaced it since; the newest last."""
     run_time_ratios: dict[str, float] = field(default_factory=dict)
     """Moving average of run time divided by estimate, by queue."""
     advice_hosts: int = 0
@@ -298,6 +318,10 @@
     """Moving average of the share of workers that the advice service allows, by queue."""
 
 
-def create_pool(epoch: Epoch, former_leases_end_at: Instant) -> PoolState:
-    """Return the initial state of a leader of this epoch."""
-    return PoolState(epoch, former_leases_end_at)
+def create_pool(epoch: Epoch, former_leases_end_at: Instant, former_lease_ms: int = 0) -> PoolState:
+    """Return the initial state of a leader of this epoch.
+
+    Leases of earlier leaders last `former_lease_ms` at most.
+    """
+    former_leader = FormerLeader(former_lease_ms, former_leases_end_at)
+    return PoolState(epoch, former_leases_end_at, former_leader)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -6,6 +6,13 @@
 from dataclasses import replace
 
 from lentilpath_core.ids import Instant, WorkerId
+from lentilpath_core.pool._authority import (
+    expect_former_leader,
+    has_former_leader_ended,
+    note_recorded_workers,
+    record_workers,
+    update_former_leader,
+)
 from lentilpath_core.pool._capacity import note_list, note_reports
 from lentilpath_core.pool._crashes import (
     clear_suspects,
@@ -17,7 +24,6 @@
 from lentilpath_core.pool._events import (
     LossReason,
     PoolEffect,
-    RecordWorkers,
     ReleaseWorker,
     StopReason,
     StopRun,
@@ -84,7 +90,8 @@
             effects.extend(_start_new_life(state, known, entry, now))
             state.workers[entry.worker].capacity_seen_at = reported_at
     note_reports(state, event)
-    effects.extend(_record_workers(state))
+    effects.extend(update_former_leader(state, now))
+    effects.extend(record_workers(state))
     effects.extend(clear_suspects_of_living_workers(state, now))
     if state.customers:
         state.fleet = sum((each.capacity for each in event.workers), NO_RESOURCES)
@@ -162,16 +169,9 @@
     return stop_attempt(moved, StopReason.UNCLEAR, now)
 
 
-def _record_workers(state: PoolState) -> tuple[PoolEffect, ...]:
-    lives = frozenset((each.worker, each.life) for each in state.workers.values())
-    if lives == state.recorded_workers:
-        return ()
-    state.recorded_workers = lives
-    return (RecordWorkers(tuple(each.listed for each in state.workers.values())),)
-
-
 def handle_recorded_workers(state: PoolState, event: WorkersRecorded) -> None:
     """Allow starts on these incarnations of workers, whose record is durable."""
+    note_recorded_workers(state, frozenset(event.lives))
     for worker_id, life in event.lives:
         worker = state.workers.get(worker_id)
         if worker is not None and worker.life == life:
@@ -192,10 +192,11 @@
     was_unconfirmed = worker.worker in state.unconfirmed_workers
     discount_silence(worker, event.sent_at)
     worker.reported_at = max(event.sent_at, worker.reported_at or event.sent_at)
+    effects: list[PoolEffect] = list(update_former_leader(state, now))
     worker.has_unlisted_ends = not event.report.is_complete
     if event.report.is_complete:
         state.unconfirmed_workers.discard(worker.worker)
-    effects: list[PoolEffect] = list(clear_suspects(state, worker))
+    effects.extend(clear_suspects(state, worker))
     for ended in event.report.ended:
         if ended.number > worker.last_end_number:
             worker.last_end_number = ended.number
@@ -280,7 +281,11 @@
     )
     allocate_room(worker, attempt)
     hold_room(state, attempt.customer, attempt.room)
-    worker.lease_ends_at = max(worker.lease_ends_at, state.former_leases_end_at)
+    # The worker refuses earlier leaders since it has reported, not since the takeover.
+    former_lease_ends_at = Instant(now + state.former_leader.lease_ms)
+    worker.lease_ends_at = max(
+        worker.lease_ends_at, state.former_leases_end_at, former_lease_ends_at
+    )
     if worker.lease_ends_at <= now:
         # The run is in progress, so a command that is not known here has granted it a lease.
         _assume_longest_lease(state, worker, now)
@@ -322,10 +327,14 @@
     return tuple(effects)
 
 
-def expire_leases(state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
-    """Give up runs on workers whose leases have expired, and remove workers that left."""
-    effects: list[PoolEffect] = []
-    _expire_former_leases(state, now)
+def expire_leases(state: PoolState, is_confirmed: bool, now: Instant) -> tuple[PoolEffect, ...]:
+    """Give up runs on workers whose leases have expired, and remove workers that left.
+
+    Only a leader whose lease is confirmed knows that nobody else has extended those leases.
+    """
+    if not is_confirmed:
+        return ()
+    effects: list[PoolEffect] = list(_expire_former_leases(state, now))
     for worker in list(state.workers.values()):
         if worker.worker in state.unconfirmed_workers:
             continue
@@ -336,7 +345,7 @@
                 effects.extend(mark_attempt_lost(state, attempt, LossReason.LEASE_LAPSED, now))
         if not worker.is_listed:
             effects.extend(_remove_worker(state, worker, now))
-            effects.extend(_record_workers(state))
+            effects.extend(record_workers(state))
     return tuple(effects)
 
 
@@ -353,15 +362,17 @@
     return worker.is_listed and worker.capacity_seen_at < worker.lease_ends_at
 
 
-def _expire_former_leases(state: PoolState, now: Instant) -> None:
+def _expire_former_leases(state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
     """Stop waiting for workers on which runs of an earlier leader have ended by now."""
-    if now < state.former_leases_end_at:
-        return
+    if not has_former_leader_ended(state, now):
+        return ()
     for worker_id in list(state.unconfirmed_workers):
         worker = state.workers.get(worker_id)
         if worker is None or now >= worker.lease_ends_at:
             state.unconfirmed_workers.discard(worker_id)
             state.needs_placement = True
+    state.former_leader = replace(state.former_leader, is_outnumbered=True)
+    return record_workers(state)
 
 
 def restore_former_workers(
@@ -379,4 +390,5 @@
         state.workers[entry.worker].is_recorded = True
         state.workers[entry.worker].lease_ends_at = state.former_leases_end_at
         state.unconfirmed_workers.add(entry.worker)
-    state.recorded_workers = frozenset((each.worker, each.life) for each in state.workers.values())
+    lives = frozenset((each.worker, each.life) for each in state.workers.values())
+    expect_former_leader(state, lives)
--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -147,6 +147,11 @@
         573,
         "a command was not sent: its permission expired while the process was paused",
     )
+    COMMANDS_WITHHELD = (
+        575,
+        "another host may lead, and too few workers answer to exclude it; commands are withheld",
+    )
+    COMMANDS_RESUMED = (576, "commands are no longer withheld")
     PEER_ANSWER_UNREADABLE = (572, "a peer's answer cannot be read; it counts as no answer")
     CONFIG_READ = (574, "versions of the configuration were read")
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -212,6 +212,10 @@
         """Return whether the lease is certainly still held, so that nobody else has taken over."""
         return now < self._confirmed_until
 
+    def get_unconfirmed_ms(self, now: Instant) -> int:
+        """Return for how long, in ms, the lease has not been confirmed; 0 if it is."""
+        return max(0, now - self._confirmed_until)
+
     def _confirm(self, renewal: Renewal) -> None:
         self._confirmed_until = Instant(renewal.sent_at + renewal.lease_ms)
 
@@ -347,8 +351,7 @@
         """Renew the lease until another leader is found; raises `Deposed`.
 
         Transactions of records renew it as well, so this only renews between them. While the table
-        is unreachable the process goes on leading: nobody can take over without the table, and
-        workers accept only the new leader's fencing token from its first command on.
+        is unreachable the process goes on leading, as far as the workers that it reaches allow.
         """
         while True:
             due_ms = self._find_renewal_due() - read_instant()
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -41,6 +41,9 @@
 """After this the next renewal is sent even if ends are not durable yet, to keep the leases."""
 RETRY_SECONDS = 0.1
 """Twice the longest network round trip."""
+MAX_POLL_BACKOFF = 8
+"""While commands are withheld a worker is polled without a lease, in the end once in this many
+`RETRY_SECONDS`: often enough to be in touch."""
 START_CHECK_SECONDS = 0.1
 """A suspected run is looked for this long after its start: ten times as long as a task takes that
 crashes its worker, and short enough that few workers crash meanwhile for another reason."""
@@ -85,6 +88,8 @@
         self._early: list[Callable[[], None]] = []
         """Commands for a link that has been created but does not run yet."""
         self._report_count = 0
+        self._withheld_polls = 0
+        """Number of renewals in a row for which commands were withheld."""
         self._is_closed = False
         self._is_silent = False
         self._is_superseded = False
@@ -112,8 +117,11 @@
         lease = None if self._is_silent or self._is_superseded else self._grant_lease(sent_at)
         if lease is None:
             wait_ms = 0
-        if not self._may_command():
-            await asyncio.sleep(RETRY_SECONDS)
+        if self._may_command():
+            self._withheld_polls = 0
+        else:
+            await asyncio.sleep(RETRY_SECONDS * min(2**self._withheld_polls, MAX_POLL_BACKOFF))
+            self._withheld_polls += 1
         timeout = wait_ms / MS_PER_SECOND + RENEWAL_TIMEOUT_SECONDS
         try:
             # Another life of the worker restarts the numbering of its ends and would drop ends that
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -46,6 +46,7 @@
     get_job_state,
     is_placement_due,
     list_usages,
+    may_lead_on,
     place_pool,
     restore_former_workers,
 )
@@ -80,6 +81,8 @@
 
 RunEffect = StartRun | StopRun | PaceRun | GiveUpRun | ClearRun
 
+JUDGEMENT_AGE_MS = 50
+"""How long it is remembered whether a leader without word from the table may act."""
 TICK_SECONDS = 0.25
 """Timers fire at most 250 ms late."""
 PLACEMENT_DELAY_SECONDS = 0.01
@@ -95,7 +98,8 @@
         self._leadership = leadership
         now = read_instant()
         # Earlier leaders may have granted longer leases than this one, from other settings.
-        self._state = create_pool(epoch, Instant(now + bound_lease_ms(MAX_LEASE_MS)))
+        former_lease_ms = bound_lease_ms(MAX_LEASE_MS)
+        self._state = create_pool(epoch, Instant(now + former_lease_ms), former_lease_ms)
         self._pauses = PauseWatch(now)
         self._writer = RecordWriter(
             context.table,
@@ -113,6 +117,9 @@
         )
         self._placement_due = asyncio.Event()
         self._ready = False
+        self._is_withheld = False
+        """Whether commands are withheld, since another host may lead."""
+        self._judged_at = Instant(0)
         self._digests = Digests(epoch, context.members, self._state)
         self._jobs_version = RowVersion(0)
         self._watch = WorkerWatch(context.registry, self._state, self._handle_list)
@@ -125,7 +132,22 @@
 
     def _may_command(self) -> bool:
         now = read_instant()
-        return self._pauses.may_command(now, self._leadership.is_confirmed(now))
+        is_confirmed = self._leadership.is_confirmed(now)
+        may_command = self._pauses.may_command(now, is_confirmed)
+        return may_command and not self._withhold(is_confirmed, now)
+
+    def _withhold(self, is_confirmed: bool, now: Instant) -> bool:
+        """Return whether commands are withheld, judged a short time ago at most."""
+        if not is_confirmed and now < self._judged_at + JUDGEMENT_AGE_MS:
+            return self._is_withheld
+        self._judged_at = now
+        unconfirmed_ms = self._leadership.get_unconfirmed_ms(now)
+        is_withheld = not is_confirmed and not may_lead_on(self._state, unconfirmed_ms, now)
+        if is_withheld is not self._is_withheld:
+            self._is_withheld = is_withheld
+            event = Event.COMMANDS_WITHHELD if is_withheld else Event.COMMANDS_RESUMED
+            log_event(event, epoch=self._epoch, unconfirmed_ms=unconfirmed_ms)
+        return is_withheld
 
     async def run(self) -> None:
         """Recover and lead until cancelled; raises `Deposed` in an exception group."""
@@ -367,7 +389,8 @@
     async def _tick(self) -> None:
         while True:
             self._may_command()
-            self.handle_event(TimePassed(read_wall_time()))
+            is_confirmed = self._leadership.is_confirmed(read_instant())
+            self.handle_event(TimePassed(read_wall_time(), is_confirmed))
             await asyncio.sleep(TICK_SECONDS)
 
     async def _run_placement(self) -> None:
--- a/tests/common/simulated_pool.py
+++ b/tests/common/simulated_pool.py
@@ -59,6 +59,8 @@
 """Both clocks are read in whole milliseconds."""
 SHRUNK_SECONDS = 5.5
 """Capacity that has shrunk counts this long: contactMs and a heartbeat."""
+SPLIT_SECONDS = 12.0
+"""A leader that is cut off together with workers outlives three of its leases."""
 UNLIMITED_ATTEMPTS = 99
 CRASHES = 3
 """A task is not started this often again after as many workers have crashed under it."""
@@ -296,6 +298,13 @@
         if cluster.faults.isolates_leader:
             cluster.note(f"{host.name} is cut off from the table")
             host.path.is_unavailable = True
+            if cluster.faults.splits_workers and host.term is not None:
+                near = frozenset(sorted(cluster.workers)[: len(cluster.workers) // 3])
+                cluster.split = host.term._epoch, near
+                cluster.note(f"it reaches {', '.join(sorted(near))} only")
+                await asyncio.sleep(SPLIT_SECONDS)
+                cluster.split, host.path.is_unavailable = None, False
+                continue
             asyncio.get_running_loop().call_later(6.0, setattr, host.path, "is_unavailable", False)
             continue
         cluster.note(f"{host.name} crashes")
--- a/tests/common/simulated_workers.py
+++ b/tests/common/simulated_workers.py
@@ -35,6 +35,7 @@
 from lentilpath_core.resources import Resources
 from lentilpathd._pool._ports import OtherLife, RefusedByFence
 from lentilpathd._pool._records import format_task
+from lentilpathd._pool._tokens import TOKENS_PER_EPOCH
 from tests.common.pools import make_worker
 
 LONGEST_LEASE_MS = 10_000
@@ -68,6 +69,8 @@
     """Longest delay of a late command."""
     isolates_leader: bool = False
     """A former leader goes on commanding workers while only the table is out of its reach."""
+    splits_workers: bool = False
+    """Meanwhile a third of the workers is reached by this leader only, the others by later ones."""
     failing: float = 0.03
     """Share of runs that fail."""
     crashing: float = 0.0
@@ -127,6 +130,8 @@
         self.crashing: set[TaskKey] = set()
         """Tasks that crash each worker that starts them."""
         self.is_registry_away = False
+        self.split: tuple[int, frozenset[str]] | None = None
+        """During a split, the epoch of the leader that is cut off, and the workers on its side."""
         self.runs: list[SimulatedRun] = []
         self.log: list[tuple[float, str]] = []
         self._tasks: set[asyncio.Task[object]] = set()
@@ -559,8 +564,17 @@
             return reply
         raise OutcomeUnknown(f"{name} got no answer")
 
+    def _is_behind_split(self) -> bool:
+        if self._cluster.split is None:
+            return False
+        epoch, near = self._cluster.split
+        is_former = self._token // TOKENS_PER_EPOCH <= epoch
+        return is_former is not (self._worker.name in near)
+
     def _draw_fate(self) -> str:
         faults, chance = self._cluster.faults, self._cluster.random
+        if self._is_behind_split():
+            return "lost"
         if self._worker.is_cut():
             return chance.choice(("refused", "lost", "late", "unanswered"))
         weights = (faults.late, faults.unanswered, faults.lost, faults.refused)
--- /dev/null
+++ b/tests/cover/test_pool_authority.py
@@ -0,0 +1,137 @@
+"""A leader without word from the table and its successor never act on the same task.
+
+A leader that was cut off together with a third of the workers went on extending their leases and
+starting tasks there, while its successor started the same tasks on the others.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from lentilpath_core.ids import Epoch, Instant, WallTime
+from lentilpath_core.pool import (
+    JobAccepted,
+    RecordWorkers,
+    StepSpec,
+    TimePassed,
+    create_pool,
+    may_lead_on,
+    restore_former_workers,
+)
+from lentilpath_core.pool._authority import IN_TOUCH_MS, MAX_UNCONFIRMED_MS, NOTICE_MS
+from tests.common.pools import (
+    SETTLE_MS,
+    TASK_RESOURCES,
+    PoolHarness,
+    list_starts,
+    make_record,
+    make_worker,
+)
+
+LEASE_MS = 4_000
+NAMES = tuple(f"w{number}" for number in range(1, 5))
+
+
+def make_leader() -> PoolHarness:
+    """Return a leader of four workers that have all reported just now."""
+    harness = PoolHarness()
+    harness.add_workers(*(make_worker(name) for name in NAMES))
+    return harness
+
+
+def report_for(harness: PoolHarness, ms: int, *names: str) -> None:
+    """Let only these workers report during this time."""
+    for _ in range(ms // 250):
+        harness.pass_time(250)
+        for name in names:
+            harness.report(name)
+
+
+@pytest.mark.parametrize(("reached", "may_lead"), [(4, True), (3, True), (2, False), (0, False)])
+def test_a_leader_without_the_table_acts_while_more_than_half_of_the_workers_answer(
+    reached, may_lead
+):
+    harness = make_leader()
+    report_for(harness, IN_TOUCH_MS + 500, *NAMES[:reached])
+    assert may_lead_on(harness.state, 1, harness.now) is may_lead
+
+
+def test_an_outage_of_the_table_ends_the_term_only_after_its_limit():
+    harness = make_leader()
+    report_for(harness, 10_000, *NAMES)
+    assert may_lead_on(harness.state, MAX_UNCONFIRMED_MS, harness.now)
+    assert not may_lead_on(harness.state, MAX_UNCONFIRMED_MS + 1, harness.now)
+
+
+def test_workers_whose_record_may_not_be_stored_count_with_those_that_are_recorded():
+    harness = make_leader()
+    added = tuple(make_worker(f"x{number}") for number in range(8))
+    known = tuple(make_worker(name) for name in NAMES)
+    harness.listed = {each.worker: each for each in (*known, *added)}
+    harness.state.possible_records.append(
+        frozenset((each.worker, each.life) for each in harness.listed.values())
+    )
+    assert not may_lead_on(harness.state, 1, harness.now)
+
+
+def test_a_leader_without_the_table_gives_up_no_silent_worker():
+    """Its successor may have extended the leases there."""
+    harness = make_leader()
+    harness.submit(1, StepSpec(1, TASK_RESOURCES))
+    (start,) = list_starts(harness.place())
+    others = tuple(name for name in NAMES if name != start.worker)
+    for _ in range(2 * SETTLE_MS // 250):
+        harness.now = Instant(harness.now + 250)
+        harness.handle_event(TimePassed(WallTime(harness.now), is_confirmed=False))
+        for name in others:
+            harness.report(name)
+        assert list_starts(harness.place()) == []
+    harness.pass_time(250)
+    assert len(list_starts(harness.place())) == 1
+
+
+def make_successor() -> PoolHarness:
+    """Return a new leader with a recovered job, and the recorded workers of the former one."""
+    harness = PoolHarness(epoch=2)
+    harness.state = create_pool(Epoch(2), Instant(harness.now + LEASE_MS), LEASE_MS)
+    harness.set_customers(1)
+    restore_former_workers(harness.state, tuple(make_worker(name) for name in NAMES))
+    harness.list_workers(*(make_worker(name) for name in NAMES))
+    harness.handle_event(JobAccepted(make_record(1), recovered=True))
+    return harness
+
+
+def find_first_start(harness: PoolHarness, *names: str, limit_ms: int) -> int | None:
+    """Return after how many ms the recovered task starts while only these workers report."""
+    began = harness.now
+    while harness.now < began + limit_ms:
+        report_for(harness, 250, *names)
+        if list_starts(harness.place()):
+            return harness.now - began
+    return None
+
+
+def test_a_successor_of_half_the_workers_waits_until_the_former_leader_has_noticed():
+    started = find_first_start(make_successor(), *NAMES[:2], limit_ms=20_000)
+    assert started is not None
+    assert NOTICE_MS + LEASE_MS <= started <= NOTICE_MS + LEASE_MS + 1_000
+
+
+def test_a_successor_of_fewer_workers_waits_until_the_former_leader_has_reached_its_limit():
+    harness = make_successor()
+    started = find_first_start(harness, NAMES[0], limit_ms=MAX_UNCONFIRMED_MS + 20_000)
+    assert started is not None
+    assert started >= MAX_UNCONFIRMED_MS + LEASE_MS
+
+
+def test_a_successor_that_reaches_all_workers_starts_at_once():
+    assert find_first_start(make_successor(), *NAMES, limit_ms=1_000) is not None
+
+
+def test_a_successor_records_no_other_workers_before_the_former_leader_is_outnumbered():
+    harness = make_successor()
+    harness.list_workers(*(make_worker(name) for name in (*NAMES, "x1", "x2", "x3", "x4", "x5")))
+    assert not any(isinstance(each, RecordWorkers) for each in harness.effects)
+    harness.report(NAMES[0])
+    effects = harness.report(NAMES[1])
+    assert any(isinstance(each, RecordWorkers) for each in effects)
--- a/tests/nocover/test_pool_once.py
+++ b/tests/nocover/test_pool_once.py
@@ -46,6 +46,23 @@
     assert not problems
 
 
+SPLITS = {
+    "alone": Faults(takeovers=2, isolates_leader=True, splits_workers=True),
+    "with all": replace(ALL, takeovers=2, isolates_leader=True, splits_workers=True),
+}
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("case", SPLITS)
+def test_no_task_runs_twice_while_a_leader_is_cut_off_with_some_of_the_workers(
+    case, seed, monkeypatch
+):
+    """The former leader extended their leases while its successor took them for free."""
+    problems, timeline = run_seed(seed, SPLITS[case], monkeypatch)
+    print(timeline)
+    assert not problems
+
+
 FAILING = Faults(failing=0.3)
 FAILING_CASES = {
     "alone": FAILING,
