Soak: the leader is cut off with some of the workers

Real hosts, whose connections to each other go through proxies; commands of the leader that is cut off reach its workers only, those of later leaders reach the others only. The same checks as for all other seeds, of what callers and workers see.

--- a/make/soak.mk
+++ b/make/soak.mk
@@ -1,5 +1,5 @@
 # Real hosts as processes under randomized faults. A seed gives the same plan of faults.
-.PHONY: soak
+.PHONY: soak soak-cuts
 
 SEEDS ?= 50
 # 0 for seeds that were never played.
@@ -7,3 +7,7 @@
 
 soak: setup
 	PYTHONPATH=.:platform $(BIN)/python -m tests.soak --seeds $(SEEDS) --first $(FIRST)
+
+# The leader is cut off with some of the workers.
+soak-cuts: setup
+	PYTHONPATH=.:platform $(BIN)/python -m tests.soak --cuts-leader --seeds $(SEEDS) --first $(FIRST)
--- a/tests/common/fleet/workers.py
+++ b/tests/common/fleet/workers.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -14,6 +15,8 @@
 from tests.common.fleet.store import ResponseLost, StandInStore
 
 MAX_LEASE_MS = 6_000
+SILENT_SECONDS = 30.0
+"""Longer than any command waits for its answer."""
 CRASHING_SPEC = "crash"
 """`spec` of tasks that crash the worker that starts them."""
 CRASH_DELAY_SECONDS = 0.01
@@ -55,6 +58,8 @@
     """Time that the worker is down after a task has crashed it."""
     lost_responses: int = 0
     """Number of starts that are still to be carried out without a response."""
+    is_reached_by: Callable[[int], bool] | None = None
+    """Whether commands with a token arrive; `None` while all do. The others are never answered."""
     token: int = 0
     lease_until: int = 0
     running: dict[tuple[str, int], ObservedRun] = field(default_factory=dict)
@@ -171,6 +176,9 @@
         if self.server is None:
             raise ResponseLost
         message = json.loads(request.body)
+        if self.is_reached_by is not None and not self.is_reached_by(message["fencingToken"]):
+            await asyncio.sleep(SILENT_SECONDS)
+            raise ResponseLost
         if request.get_header("x-expect-instance") != self.name:
             return self._reply(421)
         if message.get("fencingToken", 0) < self.token:
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -18,10 +18,12 @@
     check_runs,
 )
 from tests.soak.regressions import REGRESSIONS
-from tests.soak.runs import run_seed
+from tests.soak.runs import run_leader_cut, run_seed
 
 SEEDS = (4,)
 """A planned stop, a pause and hanging table connections of one host, along with resets."""
+CUT_SEEDS = (4, 5)
+"""Cuts of 12 s with half of the workers, and with a quarter."""
 DISRUPTED_SEEDS = (13, 10)
 """A task that crashes its workers, and workers that lose a part or all of their capacity."""
 
@@ -36,6 +38,12 @@
     assert asyncio.run(run_seed(seed, tmp_path)) == []
 
 
+@pytest.mark.parametrize("seed", CUT_SEEDS)
+def test_all_guarantees_hold_while_the_leader_is_cut_off_with_some_of_the_workers(seed, tmp_path):
+    """The users' own runs: tasks ran on both sides of the cut (docs/incidents/cut-leader.md)."""
+    assert asyncio.run(run_leader_cut(seed, tmp_path)) == []
+
+
 def test_a_seed_always_gives_the_same_plan_and_all_kinds_of_faults_occur():
     assert make_plan(7) == make_plan(7)
     assert make_worker_plan(7) == make_worker_plan(7)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,21 +10,32 @@
 
 import typer
 
+from tests.soak.cuts import make_leader_cut
 from tests.soak.plans import make_customer_plan, make_plan, make_worker_plan
-from tests.soak.runs import run_seed
+from tests.soak.runs import run_leader_cut, run_seed
 
 JOBS = 4
 """Number of concurrent runs; each has its own three entry hosts."""
 
 
-def main(seeds: int = 50, first: int = 0, jobs: int = JOBS, disrupts_workers: bool = True) -> None:
+def main(
+    seeds: int = 50,
+    first: int = 0,
+    jobs: int = JOBS,
+    disrupts_workers: bool = True,
+    cuts_leader: bool = False,
+) -> None:
     """Run `seeds` seeds from `first` on (0: from the current time); exits with 1 if any fails.
 
+    With `--cuts-leader` the leader is cut off with some of the workers, and nothing else happens.
     The seeds in `regressions.py` need `--no-disrupts-workers`.
     """
     first_seed = first or int(time.time())
     chosen = range(first_seed, first_seed + seeds)
-    failed = asyncio.run(_run_seeds(chosen, jobs, disrupts_workers))
+    if cuts_leader:
+        failed = asyncio.run(_run_leader_cuts(chosen, jobs))
+    else:
+        failed = asyncio.run(_run_seeds(chosen, jobs, disrupts_workers))
     print(f"{seeds} seeds from {first_seed}: {len(failed)} failed {failed or ''}")
     sys.exit(1 if failed else 0)
 
@@ -52,5 +63,23 @@
     return sorted(failed)
 
 
+async def _run_leader_cuts(seeds: range, jobs: int) -> list[int]:
+    slots = asyncio.Semaphore(jobs)
+    failed: list[int] = []
+
+    async def run_one(seed: int) -> None:
+        async with slots:
+            directory = Path(tempfile.mkdtemp(prefix=f"lentilpath-cut-{seed}-"))
+            problems = await run_leader_cut(seed, directory)
+        if problems:
+            failed.append(seed)
+            print(f"seed {seed}: {make_leader_cut(seed)}, logs in {directory}")
+            for problem in problems:
+                print(f"  {problem}")
+
+    await asyncio.gather(*(run_one(seed) for seed in seeds))
+    return sorted(failed)
+
+
 if __name__ == "__main__":
     typer.run(main)
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -29,6 +29,8 @@
     address: str
     directory: Path
     settings: dict[str, object]
+    peer_proxies: dict[str, str] = field(default_factory=dict)
+    """Address of the proxy in front of each peer's; peers without one are dialled directly."""
     process: asyncio.subprocess.Process | None = None
     planned_stops: list[tuple[float, float]] = field(default_factory=list)
     """Start and end time of each planned stop."""
@@ -47,13 +49,15 @@
         environment = {
             **os.environ,
             "LENTILPATH_NODE_FILE": str(path),
-            "PYTHONPATH": str(ROOT / "platform"),
+            "PYTHONPATH": f"{ROOT / 'platform'}:{ROOT}",
+            "PEER_PROXIES": json.dumps(self.peer_proxies),
         }
+        module = "tests.soak.proxied_host" if self.peer_proxies else "lentilpath_platform.main"
         with (self.directory / f"{self.name}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "lentilpath_platform.main",
+                module,
                 env=environment,
                 stdout=log,
                 stderr=log,
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -34,6 +34,8 @@
     to_client_open: asyncio.Event = field(default_factory=asyncio.Event)
     """Set while bytes are forwarded from the server to the client."""
     forwarded_bytes: int = 0
+    own_port: int = 0
+    """Port that it listens on, once opened."""
     tunnels: set[Tunnel] = field(default_factory=set)
     server: asyncio.Server | None = None
 
@@ -42,7 +44,8 @@
         self.to_server_open.set()
         self.to_client_open.set()
         self.server = await asyncio.start_server(self._forward, "127.0.0.1", 0)
-        return int(self.server.sockets[0].getsockname()[1])
+        self.own_port = int(self.server.sockets[0].getsockname()[1])
+        return self.own_port
 
     def reset(self) -> None:
         """Reset all connections."""
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -13,11 +13,19 @@
 from pathlib import Path
 
 from lentilpath_http import HttpClient, HttpError, HttpRequest, HttpServer, create_client
+from lentilpathd._pool._records import (
+    LEASE_KEY,
+    POOL_PARTITION,
+    POOL_TABLE,
+    LeaseRow,
+    decode_record,
+)
 from tests.common.fleet.deployment import CONFIG, FINAL_STATES, QUEUE
 from tests.common.fleet.store import StandInStore, StoreFaults
 from tests.common.fleet.workers import ObservedRun, StandInWorker, serve_advice
 from tests.soak.clients import Clients
 from tests.soak.customers import Customers
+from tests.soak.cuts import CUT_PHASE_SECONDS, LeaderCut, PeerLinks, cut_leader, make_leader_cut
 from tests.soak.plans import (
     FAULT_PHASE_SECONDS,
     HOSTS,
@@ -70,6 +78,8 @@
     directory: Path
     worker_plan: WorkerPlan = field(default_factory=WorkerPlan)
     customer_plan: CustomerPlan = field(default_factory=CustomerPlan)
+    leader_cut: LeaderCut | None = None
+    """Cuts the leader off; no other faults of the seed are injected beside it."""
     store: StandInStore = field(default_factory=StandInStore)
     advice: HttpServer | None = None
     log: list[ObservedRun] = field(default_factory=list)
@@ -78,6 +88,7 @@
     table_proxies: list[Proxy] = field(default_factory=list)
     workers: list[StandInWorker] = field(default_factory=list)
     worker_proxies: list[Proxy] = field(default_factory=list)
+    peer_links: PeerLinks = field(default_factory=PeerLinks)
     customers: Customers = field(init=False)
     disturbances: dict[str, list[float]] = field(default_factory=dict)
     """Times at which faults other than planned stops began or ended, by host; and those at which
@@ -94,6 +105,8 @@
         self.advice = await serve_advice()
         for number in range(WORKERS):
             await self._add_worker(number)
+        if self.leader_cut is not None:
+            await self.peer_links.open(addresses)
         for number, address in enumerate(addresses):
             await self._add_host(number, address)
         for host in self.hosts:
@@ -118,7 +131,8 @@
         name = f"h{number}"
         assert self.advice is not None
         settings = make_settings(name, address, await proxy.open(), self.advice.get_port())
-        host = HostProcess(name, address, self.directory, settings)
+        proxies = self.peer_links.list_proxies(address)
+        host = HostProcess(name, address, self.directory, settings, proxies)
         await host.start()
         self.hosts.append(host)
         self.table_faults.append(faults)
@@ -147,6 +161,7 @@
             host.client.close()
         for proxy in (*self.table_proxies, *self.worker_proxies):
             await proxy.close()
+        await self.peer_links.close()
         for worker in self.workers:
             await worker.close()
         if self.advice is not None:
@@ -157,11 +172,14 @@
         """Run the clients while the plan's faults are injected; return the violated guarantees."""
         clients = Clients(self.hosts, random.Random(self.seed), keys=self.customers.keys)
         clients.customer_rng.seed(f"{self.seed}-jobs-of-customers")
-        end = time.monotonic() + FAULT_PHASE_SECONDS
+        is_cut = self.leader_cut is not None
+        end = time.monotonic() + (CUT_PHASE_SECONDS if is_cut else FAULT_PHASE_SECONDS)
         async with asyncio.TaskGroup() as group:
             for _ in range(CLIENTS):
                 group.create_task(clients.submit_until(end))
-            for fault in make_plan(self.seed):
+            if self.leader_cut is not None:
+                group.create_task(self._cut_leader(self.leader_cut))
+            for fault in () if is_cut else make_plan(self.seed):
                 group.create_task(self._inject_fault(fault))
             for change in self.worker_plan.capacity_changes:
                 group.create_task(self._change_capacity(change))
@@ -187,6 +205,16 @@
             *check_planned_stops(self.hosts, clients.unanswered_calls, self.disturbances),
         ]
 
+    async def _cut_leader(self, cut: LeaderCut) -> None:
+        await asyncio.sleep(cut.at_seconds)
+        value, _ = self.store.rows[POOL_TABLE, POOL_PARTITION, LEASE_KEY]
+        lease = decode_record(value, LeaseRow)
+        index = next(n for n, host in enumerate(self.hosts) if host.name == lease.host)
+        leader = self.hosts[index]
+        self._record_disturbance(leader)
+        await cut_leader(cut, leader, self.table_proxies[index], self.peer_links, self.workers)
+        self._record_disturbance(leader)
+
     async def _watch_hosts(self, end: float) -> None:
         """Notice hosts that exit by themselves, until the given time."""
         while time.monotonic() < end:
@@ -308,6 +336,16 @@
     return proxy.heal
 
 
+async def run_leader_cut(seed: int, directory: Path) -> list[str]:
+    """Cut the leader off with some of the workers as the seed says; return the violations."""
+    soak = Soak(seed, directory, leader_cut=make_leader_cut(seed))
+    try:
+        await soak.open()
+        return await soak.run()
+    finally:
+        await soak.close()
+
+
 async def run_seed(seed: int, directory: Path, *, disrupts_workers: bool = True) -> list[str]:
     """Run one seed and return the violations; logs and settings are kept in `directory`.
 
