Leadership: a worker counts towards the majority once it has reported

test_pool_odd_entries failed on (TimeoutError): most of the recorded workers were entries of the registry at which nobody answers, so that a new leader never reached half of them and no job ran. New workers are recorded, and get starts, once they have reported.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
@@ -87,14 +87,21 @@
 def record_workers(state: PoolState) -> tuple[PoolEffect, ...]:
     """Record the workers that the pool uses, if they have changed.
 
-    A list of other workers would change what half of them are, so the former leader's list stays
+    A new one is used, and counts, once it has reported: an entry of the registry that nobody
+    answers for must not decide who has a majority. A list of other workers would change what half of them are, so the former leader's list stays
     until it is outnumbered.
     """
-    lives = frozenset((each.worker, each.life) for each in state.workers.values())
+    known = {worker for worker, _ in state.possible_records[-1]}
+    used = tuple(
+        each.listed
+        for each in state.workers.values()
+        if each.reported_at is not None or each.worker in known
+    )
+    lives = frozenset((each.worker, each.life) for each in used)
     if not state.former_leader.is_outnumbered or lives == state.possible_records[-1]:
         return ()
     state.possible_records.append(lives)
-    return (RecordWorkers(tuple(each.listed for each in state.workers.values())),)
+    return (RecordWorkers(used),)
 
 
 def note_recorded_workers(state: PoolState, lives: WorkerLives) -> None:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -208,6 +208,8 @@
         if event.report.is_complete and (attempt.task, attempt.run) not in listed:
             effects.extend(_drop_unlisted_attempt(state, attempt, event.sent_at, now))
     effects.extend(adjust_paces(worker, now))
+    if is_first:
+        effects.extend(record_workers(state))
     if is_first or (was_unconfirmed and event.report.is_complete):
         state.needs_placement = True
     return tuple(effects)
