Run numbers: a million are set aside for each epoch

Cause: a new leader numbers runs from a range of its epoch that had 100 numbers, below those that the worker had seen; it was refused number by number.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
@@ -88,8 +88,8 @@
     """Record the workers that the pool uses, if they have changed.
 
     A new one is used, and counts, once it has reported: an entry of the registry that nobody
-    answers for must not decide who has a majority. A list of other workers would change what half of them are, so the former leader's list stays
-    until it is outnumbered.
+    answers for must not decide who has a majority. A list of other workers would change what half
+    of them are, so the former leader's list stays until it is outnumbered.
     """
     known = {worker for worker, _ in state.possible_records[-1]}
     used = tuple(
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -23,9 +23,11 @@
 )
 from lentilpath_core.resources import NO_RESOURCES, Resources
 
-RUNS_PER_EPOCH = 100
+RUNS_PER_EPOCH = 1_000_000
 """Run numbers of a task that are set aside for each epoch. A new leader cannot know all starts of
-its predecessor, so it numbers runs of recovered jobs from the range of its own epoch."""
+its predecessor, so it numbers runs of recovered jobs from the range of its own epoch. A lasting
+task that fails at once is started up to 14 times a second; this is for 20 h of it under one leader,
+and keeps the numbers of any epoch below 2^53."""
 
 
 class Phase(Enum):
--- a/tests/cover/test_pool_restarts.py
+++ b/tests/cover/test_pool_restarts.py
@@ -338,6 +338,23 @@
     assert len(list_starts(harness.place())) == 1
 
 
+def test_a_successor_numbers_runs_above_all_that_its_predecessor_may_have_started():
+    """A worker refuses numbers up to those it has seen (review/5: a task restarted 168 times)."""
+    predecessor = PoolHarness(epoch=1)
+    predecessor.add_workers(make_worker("w1"))
+    predecessor.submit(1, StepSpec(1, TASK_RESOURCES, lasting=True))
+    for number in range(1, 1_201):
+        (start,) = list_starts(predecessor.place())
+        predecessor.answer_start(start, StartAnswer.STARTED)
+        predecessor.report("w1", ended=((number, start.task, start.run, RunEnd.DONE),))
+    successor = PoolHarness(epoch=2)
+    successor.add_workers(make_worker("w1"))
+    record = make_record(1, StepSpec(1, TASK_RESOURCES, lasting=True))
+    successor.handle_event(JobAccepted(record, recovered=True))
+    (first,) = list_starts(successor.place())
+    assert first.run > start.run
+
+
 def test_a_run_that_a_successor_finds_is_kept_until_the_leases_it_extended_are_over():
     harness = make_successor("w1", "w2")
     harness.state.former_leases_end_at = Instant(harness.now + SETTLE_MS + 2_000)
