Leadership: a leader that has ended for certain is not waited for

The lease says now whether its holder had outlived all leaders before it. A successor waits for the leases only after a release by such a holder, or after such an earlier process of its own host.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
@@ -53,7 +53,7 @@
 def expect_former_leader(state: PoolState, workers: WorkerLives) -> None:
     """Note the workers that an earlier leader has recorded, with whom it may still go on."""
     state.possible_records = [workers]
-    if workers:
+    if workers and not state.former_leader.has_ended:
         ends_at = Instant(state.former_leases_end_at + MAX_UNCONFIRMED_MS)
         state.former_leader = replace(
             state.former_leader, workers=workers, is_outnumbered=False, leases_end_at=ends_at
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -251,6 +251,8 @@
     """Longest time, on this leader's clock, that a lease of it may last."""
     leases_end_at: Instant
     """When the last leases that it may grant have expired."""
+    has_ended: bool = False
+    """Whether it has released its lease, so that it grants no more leases."""
     workers: WorkerLives = frozenset()
     """The workers that it recorded."""
     is_outnumbered: bool = True
@@ -320,10 +322,16 @@
     """Moving average of the share of workers that the advice service allows, by queue."""
 
 
-def create_pool(epoch: Epoch, former_leases_end_at: Instant, former_lease_ms: int = 0) -> PoolState:
+def create_pool(
+    epoch: Epoch,
+    former_leases_end_at: Instant,
+    former_lease_ms: int = 0,
+    former_has_ended: bool = False,
+) -> PoolState:
     """Return the initial state of a leader of this epoch.
 
-    Leases of earlier leaders last `former_lease_ms` at most.
+    Leases of earlier leaders last `former_lease_ms` at most. `former_has_ended` says that no
+    earlier leader can act any more.
     """
-    former_leader = FormerLeader(former_lease_ms, former_leases_end_at)
+    former_leader = FormerLeader(former_lease_ms, former_leases_end_at, former_has_ended)
     return PoolState(epoch, former_leases_end_at, former_leader)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -162,6 +162,19 @@
     return is_expired and unchanged_ms >= LEADER_TIMEOUT_MS
 
 
+def has_sole_leader_ended(snapshot: LeadershipSnapshot, host: HostId, address: Address) -> bool:
+    """Return whether the last leader has ended for certain, and none before it can act any more.
+
+    Also if there was none. It has ended if it has released its lease, or if it was an earlier
+    process of this host. Any other silent leader may be cut off and still act.
+    """
+    lease = snapshot.lease
+    if lease is None:
+        return LEASE_KEY not in snapshot.unreadable
+    is_own = (lease.host, lease.address) == (host, address)
+    return lease.is_sole and (lease.until_ms == 0 or is_own)
+
+
 class TableClock:
     """Lower bound of the table service's clock, estimated from its responses."""
 
@@ -204,6 +217,10 @@
         """Duration of the last renewal."""
         self._is_renewal_carried = False
         """Whether a transaction is in flight that renews the lease beside its records."""
+        self.is_sole = False
+        """Whether no leader before this one can act any more; stored with each renewal."""
+        self.succeeds_sole_leader = False
+        """Whether no leader before the last takeover can act any more."""
         self._watched_since = Instant(0)
         """Since when the lease row was read without a failure and without a change."""
         self._is_watch_broken = False
@@ -264,6 +281,8 @@
         return now - self._watched_since
 
     async def _take_over(self, snapshot: LeadershipSnapshot) -> Epoch | None:
+        self.is_sole = False
+        self.succeeds_sole_leader = has_sole_leader_ended(snapshot, self._host, self._address)
         epoch = Epoch(snapshot.epoch + 1)
         renewal = self.make_renewal(epoch)
         row = EpochRow(epoch, self._host, self._incarnation)
@@ -324,7 +343,7 @@
         now = self._renewed_at = read_instant()
         lease_ms = SLOW_LEASE_MS if self.is_table_slow() else LEASE_MS
         until_ms = self._clock.estimate(now) + lease_ms
-        lease = LeaseRow(epoch, self._host, self._address, until_ms)
+        lease = LeaseRow(epoch, self._host, self._address, until_ms, is_sole=self.is_sole)
         return Renewal((LEASE_KEY, encode_record(lease)), now, lease_ms)
 
     @contextmanager
@@ -371,7 +390,7 @@
 
     async def release(self, epoch: Epoch, successor: HostId | None = None) -> None:
         """Release the lease for an immediate takeover, by `successor` first if it is given."""
-        lease = LeaseRow(epoch, self._host, self._address, 0, successor or "")
+        lease = LeaseRow(epoch, self._host, self._address, 0, successor or "", self.is_sole)
         put = (LEASE_KEY, encode_record(lease))
         await self._write_lease(epoch, Renewal(put, read_instant(), lease_ms=0))
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_records.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_records.py
@@ -74,6 +74,8 @@
     """0 after the leader has released the lease."""
     successor: str = ""
     """Host that takes over first after a release; empty for any."""
+    is_sole: bool = False
+    """Whether no leader before this one can act any more."""
 
 
 def encode_record(record: msgspec.Struct) -> bytes:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -44,6 +44,7 @@
     explain_job,
     get_job_customer,
     get_job_state,
+    has_former_leader_ended,
     is_placement_due,
     list_usages,
     may_lead_on,
@@ -99,7 +100,12 @@
         now = read_instant()
         # Earlier leaders may have granted longer leases than this one, from other settings.
         former_lease_ms = bound_lease_ms(MAX_LEASE_MS)
-        self._state = create_pool(epoch, Instant(now + former_lease_ms), former_lease_ms)
+        self._state = create_pool(
+            epoch,
+            Instant(now + former_lease_ms),
+            former_lease_ms,
+            leadership.succeeds_sole_leader,
+        )
         self._pauses = PauseWatch(now)
         self._writer = RecordWriter(
             context.table,
@@ -389,7 +395,9 @@
     async def _tick(self) -> None:
         while True:
             self._may_command()
-            is_confirmed = self._leadership.is_confirmed(read_instant())
+            now = read_instant()
+            is_confirmed = self._leadership.is_confirmed(now)
+            self._leadership.is_sole = has_former_leader_ended(self._state, now)
             self.handle_event(TimePassed(read_wall_time(), is_confirmed))
             await asyncio.sleep(TICK_SECONDS)
 
--- a/tests/cover/test_pool_authority.py
+++ b/tests/cover/test_pool_authority.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from lentilpath_core.ids import Epoch, Instant, WallTime
+from lentilpath_core.ids import Epoch, HostId, Instant, RowVersion, WallTime
 from lentilpath_core.pool import (
     JobAccepted,
     RecordWorkers,
@@ -19,6 +19,8 @@
     restore_former_workers,
 )
 from lentilpath_core.pool._authority import IN_TOUCH_MS, MAX_UNCONFIRMED_MS, NOTICE_MS
+from lentilpathd._pool._leadership import LeadershipSnapshot, has_sole_leader_ended
+from lentilpathd._pool._records import LeaseRow
 from tests.common.pools import (
     SETTLE_MS,
     TASK_RESOURCES,
@@ -27,6 +29,7 @@
     make_record,
     make_worker,
 )
+from tests.common.tables import ADDRESS
 
 LEASE_MS = 4_000
 NAMES = tuple(f"w{number}" for number in range(1, 5))
@@ -99,10 +102,11 @@
     assert may_lead_on(harness.state, 1, harness.now)
 
 
-def make_successor() -> PoolHarness:
+def make_successor(former_has_ended: bool = False) -> PoolHarness:
     """Return a new leader with a recovered job, and the recorded workers of the former one."""
     harness = PoolHarness(epoch=2)
-    harness.state = create_pool(Epoch(2), Instant(harness.now + LEASE_MS), LEASE_MS)
+    leases_end_at = Instant(harness.now + LEASE_MS)
+    harness.state = create_pool(Epoch(2), leases_end_at, LEASE_MS, former_has_ended)
     harness.set_customers(1)
     restore_former_workers(harness.state, tuple(make_worker(name) for name in NAMES))
     harness.list_workers(*(make_worker(name) for name in NAMES))
@@ -126,6 +130,30 @@
     assert NOTICE_MS + LEASE_MS <= started <= NOTICE_MS + LEASE_MS + 1_000
 
 
+def test_a_successor_of_a_leader_that_has_released_its_lease_waits_for_its_leases_only():
+    started = find_first_start(make_successor(True), NAMES[0], limit_ms=20_000)
+    assert started is not None
+    assert LEASE_MS <= started <= LEASE_MS + 1_000
+
+
+@pytest.mark.parametrize(
+    ("host", "until_ms", "is_sole", "has_ended"),
+    [
+        ("h1", 0, True, True),
+        ("h1", 0, False, False),
+        ("h1", 1_000, True, False),
+        ("own", 1_000, True, True),
+        ("own", 1_000, False, False),
+    ],
+)
+def test_only_a_release_or_a_process_of_the_same_host_shows_that_a_leader_has_ended(
+    host, until_ms, is_sole, has_ended
+):
+    lease = LeaseRow(Epoch(1), HostId(host), ADDRESS, until_ms, "", is_sole)
+    snapshot = LeadershipSnapshot(Epoch(1), RowVersion(1), lease, RowVersion(1), 2_000)
+    assert has_sole_leader_ended(snapshot, HostId("own"), ADDRESS) is has_ended
+
+
 def test_a_successor_of_fewer_workers_waits_until_the_former_leader_has_reached_its_limit():
     harness = make_successor()
     started = find_first_start(harness, NAMES[0], limit_ms=MAX_UNCONFIRMED_MS + 20_000)
