--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -152,6 +152,11 @@
         "another host may lead, and too few workers answer to exclude it; commands are withheld",
     )
     COMMANDS_RESUMED = (576, "commands are no longer withheld")
+    RECOVERED_JOBS_HELD = (
+        577,
+        "recovered jobs wait for workers that may still run their tasks for an earlier leader",
+    )
+    RECOVERED_JOBS_RELEASED = (578, "recovered jobs wait for no worker any more")
     PEER_ANSWER_UNREADABLE = (572, "a peer's answer cannot be read; it counts as no answer")
     CONFIG_READ = (574, "versions of the configuration were read")
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -60,6 +60,7 @@
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._digests import Digests
 from lentilpathd._pool._guard import run_guarded
+from lentilpathd._pool._hold_log import HoldLog
 from lentilpathd._pool._job_feed import JobFeed
 from lentilpathd._pool._leadership import PoolLeadership
 from lentilpathd._pool._leases import bound_lease_ms, extend_leases
@@ -107,6 +108,7 @@
             leadership.succeeds_sole_leader,
         )
         self._pauses = PauseWatch(now)
+        self._hold_log = HoldLog(epoch, now)
         self._writer = RecordWriter(
             context.table,
             epoch,
@@ -399,6 +401,7 @@
             is_confirmed = self._leadership.is_confirmed(now)
             self._leadership.is_sole = has_former_leader_ended(self._state, now)
             self.handle_event(TimePassed(read_wall_time(), is_confirmed))
+            self._hold_log.observe(self._state, now)
             await asyncio.sleep(TICK_SECONDS)
 
     async def _run_placement(self) -> None:
