--- a/tests/common/simulated_advice.py
+++ b/tests/common/simulated_advice.py
@@ -17,6 +17,8 @@
 ALLOWED_SHARE = 0.5
 LONGEST_WAIT_SECONDS = 3.0
 """A task that could start does not wait longer, by the rule LOST."""
+SETTLING_SECONDS = 4.0
+"""Work of an earlier leader may wait this long before, by the same rule."""
 CHECK_SECONDS = 0.25
 
 
@@ -44,10 +46,14 @@
 
 
 async def watch_startable(
-    cluster: SimulatedCluster, list_states: Callable[[], Iterable[PoolState]], problems: list[str]
+    cluster: SimulatedCluster,
+    list_states: Callable[[], Iterable[PoolState]],
+    disturbed_until: float,
+    problems: list[str],
 ) -> None:
     """Add the steps that wait too long while most workers are free, with room for them twice."""
     since: dict[StepKey, float] = {}
+    settled_at = disturbed_until + SETTLING_SECONDS
     while True:
         await asyncio.sleep(CHECK_SECONDS)
         living = [each for each in cluster.workers.values() if each.is_up]
@@ -57,7 +63,9 @@
         waiting: set[StepKey] = set()
         for state in list_states():
             for step in state.open_steps.values():
-                if is_free and _is_idle(state, step) and 2 * step.spec.count <= slots - used:
+                is_settling = step.job.is_recovered and read_time() < settled_at
+                has_room = is_free and 2 * step.spec.count <= slots - used
+                if has_room and not is_settling and _is_idle(state, step):
                     waiting.add(step.key)
         since = {key: since.get(key, read_time()) for key in waiting}
         for key, at in since.items():
@@ -66,9 +74,7 @@
 
 
 def _is_idle(state: PoolState, step: Step) -> bool:
-    """Return whether none of the step's tasks runs, or may run for an earlier leader."""
-    if step.job.is_recovered and state.unconfirmed_workers:
-        return False
+    """Return whether none of the step's tasks runs."""
     if _is_held_by_quota(state, step):
         return False
     return bool(list_startable(step)) and not step.attempts
--- a/tests/common/simulated_pool.py
+++ b/tests/common/simulated_pool.py
@@ -8,7 +8,7 @@
 import sys
 import typing
 from bisect import bisect
-from collections.abc import Iterable
+from collections.abc import Coroutine, Iterable
 
 import pytest
 
@@ -120,8 +120,12 @@
 class SimulatedHost:
     """A host that leads whenever it can, without callers and peers."""
 
-    def __init__(self, name: str, rows: SharedRows, cluster: SimulatedCluster) -> None:
+    def __init__(
+        self, name: str, rows: SharedRows, cluster: SimulatedCluster, starts: int = 0
+    ) -> None:
         self.name = name
+        self.starts = starts
+        """How often the host's process was started before."""
         self.path = SharedRows(rows, cluster)
         self.term: Term | None = None
         settings = PoolHostSettings(
@@ -143,7 +147,8 @@
             lambda: cluster.configuration,
             *(unused,) * 5,
         )
-        self.leadership = PoolLeadership(self.path, HostId(name), Incarnation(name), ADDRESS)
+        incarnation = Incarnation(f"{name}.{starts}")
+        self.leadership = PoolLeadership(self.path, HostId(name), incarnation, ADDRESS)
 
     async def run(self) -> None:
         while True:
@@ -235,7 +240,7 @@
     cluster.note("faults are over")
     cluster.faults = Faults()
     idle: list[str] = []
-    cluster.spawn(watch_startable(cluster, lambda: list_states(hosts), idle))
+    cluster.spawn(watch_startable(cluster, lambda: list_states(hosts), read_time(), idle))
     due = dict.fromkeys(cluster.jobs, JobState.COMPLETED)
     due.update(dict.fromkeys((task.job for task in cluster.crashing), JobState.FAILED))
     open_jobs = {job: [""] for job in due}
@@ -434,6 +439,29 @@
             yield f"BUDGET: {format_task(task)} after {CRASHES} crashes, {names}"
 
 
+def run_logged(
+    scenario: Coroutine[object, object, list[str]],
+    cluster: SimulatedCluster,
+    patch: pytest.MonkeyPatch,
+) -> list[str]:
+    """Run a scenario in virtual time, and add the leaders' events to the cluster's log."""
+    modules = [
+        module
+        for name, module in list(sys.modules.items())
+        if name.startswith("lentilpathd._pool.") and hasattr(module, "read_instant")
+    ]
+    handler = TimelineHandler(cluster)
+    root = logging.getLogger()
+    level = root.level
+    root.addHandler(handler)
+    root.setLevel(logging.INFO)
+    try:
+        return run_in_virtual_time(scenario, patch, *modules)
+    finally:
+        root.removeHandler(handler)
+        root.setLevel(level)
+
+
 def run_seed(
     seed: int,
     faults: Faults,
@@ -452,21 +480,7 @@
     if has_customers:
         cluster.configuration = make_configuration(cluster.configuration, FIRST_QUOTAS)
         cluster.quotas.append((0.0, cluster.configuration.customers))
-    modules = [
-        module
-        for name, module in list(sys.modules.items())
-        if name.startswith("lentilpathd._pool.") and hasattr(module, "read_instant")
-    ]
-    handler = TimelineHandler(cluster)
-    root = logging.getLogger()
-    level = root.level
-    root.addHandler(handler)
-    root.setLevel(logging.INFO)
-    try:
-        problems = run_in_virtual_time(simulate(cluster, job_count, max_attempts), patch, *modules)
-    finally:
-        root.removeHandler(handler)
-        root.setLevel(level)
+    problems = run_logged(simulate(cluster, job_count, max_attempts), cluster, patch)
     for check in (
         check_runs(cluster.runs),
         check_order(cluster),
