Pools: a new leader's recovery waits for no silent worker

What callers saw: after each change of leader nothing started, new jobs neither, and every host said that the leader did not answer, for up to 1.4 s longer than the stored state took to read, while a worker was silent.

Cause: a term became ready once every former worker had answered the extension of its lease, or two timeouts had passed: a wait as long as its slowest part. The latest of these extensions also postponed the time at which the leases of all other workers, the silent ones too, were taken to have expired.

Change: the extension goes on beside the recovery and ends with it; the links contact the rest. Each worker counts its own extension, which is noted before it is sent.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_leases.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leases.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from lentilpath_core.ids import Instant, WorkerTime
 from lentilpathd._clock import read_instant
@@ -49,35 +48,30 @@
 
 
 async def extend_lease(
-    client: PoolWorker, lease_ms: int, may_command: Callable[[], bool] = lambda: True
-) -> Instant | None:
+    client: PoolWorker,
+    lease_ms: int,
+    note_lease: Callable[[Instant], None],
+    may_command: Callable[[], bool] = lambda: True,
+) -> None:
     """Extend the leases of all runs on a worker before its runs are known.
 
-    Returns the latest time at which the leases expire, or `None` if the worker does not answer and
-    was sent no extension. The worker refuses earlier leaders from its first answer on.
+    Calls `note_lease` with the time at which the leases expire at the latest, right before it sends
+    the extension. A worker that does not answer is sent none. It refuses earlier leaders from its
+    first answer on.
     """
     clock = WorkerClock()
-    ends_at = None
     try:
         report = await client.renew(0, None, 0, RENEWAL_TIMEOUT_SECONDS)
         clock.observe(report.clock, read_instant())
         lease = clock.make_lease(read_instant(), lease_ms)
         assert lease is not None
         if not may_command():
-            return None
+            return
         until, ends_at = lease
+        note_lease(ends_at)
         await client.renew(0, until, 0, RENEWAL_TIMEOUT_SECONDS)
     except Exception as error:
         report_unexpected("former worker", error)
         log_event(Event.LEASE_NOT_EXTENDED, error=str(error))
     finally:
         client.close()
-    return ends_at
-
-
-async def extend_leases(
-    clients: Iterable[PoolWorker], lease_ms: int, may_command: Callable[[], bool]
-) -> Instant | None:
-    """Extend the leases on several workers; return the latest time at which one of them expires."""
-    ends = await asyncio.gather(*(extend_lease(each, lease_ms, may_command) for each in clients))
-    return max((end for end in ends if end is not None), default=None)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -23,7 +23,9 @@
     JobExplanation,
     JobRecord,
     JobState,
+    LeaseSent,
     ListedUsage,
+    ListedWorker,
     PaceRun,
     PauseWatch,
     PoolConfiguration,
@@ -63,7 +65,7 @@
 from lentilpathd._pool._hold_log import HoldLog
 from lentilpathd._pool._job_feed import JobFeed
 from lentilpathd._pool._leadership import PoolLeadership
-from lentilpathd._pool._leases import bound_lease_ms, extend_leases
+from lentilpathd._pool._leases import bound_lease_ms, extend_lease
 from lentilpathd._pool._members import decode_heartbeat
 from lentilpathd._pool._messages import Digest, JobNotice
 from lentilpathd._pool._ports import PartitionRow
@@ -125,6 +127,8 @@
         )
         self._placement_due = asyncio.Event()
         self._ready = False
+        self._extensions: list[LeaseSent] = []
+        """The extensions of leases that were sent while the state was being read."""
         self._is_withheld = False
         """Whether commands are withheld, since another host may lead."""
         self._judged_at = Instant(0)
@@ -160,8 +164,10 @@
     async def run(self) -> None:
         """Recover and lead until cancelled; raises `Deposed` in an exception group."""
         async with asyncio.TaskGroup() as recovery:
-            start_member(recovery, self._extend_leases, "lease extension")
-            start_member(recovery, self._recover, "recovery")
+            extension = start_member(recovery, self._extend_leases, "lease extension")
+            await self._recover()
+            # The links go on with workers that have not answered yet.
+            extension.cancel()
         async with asyncio.TaskGroup() as group:
             self._ready = True
             self._links.start(group)
@@ -181,14 +187,18 @@
         """Extend the leases of runs that may be in progress, while their jobs are being read."""
         table = self._context.table
         former_workers = await read_repeatedly(lambda: read_former_workers(table), self._epoch)
-        token = make_token(self._epoch, 0)
-        latest = await extend_leases(
-            [self._context.create_worker(each, token) for each in former_workers],
-            self._context.settings.lease_ms,
-            self._may_command,
-        )
-        if latest is not None:
-            self._state.former_leases_end_at = max(self._state.former_leases_end_at, latest)
+        await asyncio.gather(*(self._extend_lease(each) for each in former_workers))
+
+    async def _extend_lease(self, worker: ListedWorker) -> None:
+        client = self._context.create_worker(worker, make_token(self._epoch, 0))
+        lease_ms = self._context.settings.lease_ms
+
+        def note_lease(ends_at: Instant) -> None:
+            sent = LeaseSent(worker.worker, worker.life, ends_at)
+            self._extensions.append(sent)
+            self.handle_event(sent)
+
+        await extend_lease(client, lease_ms, note_lease, self._may_command)
 
     async def _recover(self) -> None:
         table, registry = self._context.table, self._context.registry
@@ -206,7 +216,7 @@
         self._state.wall_now = read_wall_time()
         restore_former_workers(self._state, recovered.former_workers, recovered.unreadable_workers)
         self.handle_event(WorkersListed(listed, listed_at))
-        for event in recovered.events:
+        for event in (*self._extensions, *recovered.events):
             self.handle_event(event)
         unreadable = recovered.ended_jobs - self._state.finals.keys()
         self._ended = EndedJobs(self._state.finals, unreadable)
--- a/tests/nocover/test_pool_silent_workers.py
+++ b/tests/nocover/test_pool_silent_workers.py
@@ -13,7 +13,9 @@
 
 from lentilpath_core.ids import ConfigVersion
 from lentilpath_core.pool import JobState, PoolConfiguration
+from lentilpathd._pool._leases import RENEWAL_TIMEOUT_SECONDS
 from tests.common.pools import QUEUE, make_queue
+from tests.common.requests import wait_until
 from tests.common.simulated_advice import watch_startable
 from tests.common.simulated_pool import (
     SharedRows,
@@ -116,3 +118,38 @@
     problems.extend(check_runs(cluster.runs))
     print("\n".join(f"{at:.3f} {text}" for at, text in cluster.log))
     assert not problems
+
+
+async def measure_recovery(cluster: SimulatedCluster, silent: int) -> float:
+    """Return the time from a leader's takeover until its successor's jobs may start, in seconds."""
+    for worker in cluster.workers.values():
+        worker.boot()
+    rows = SharedRows()
+    first, second = (SimulatedHost(name, rows, cluster) for name in ("h0", "h1"))
+    leading = asyncio.create_task(first.run())
+    await asyncio.sleep(4.0)
+    for worker in list(cluster.workers.values())[:silent]:
+        worker.cut_until = FOR_EVER
+    leading.cancel()
+    await asyncio.wait({leading})
+    following = asyncio.create_task(second.run())
+    await wait_until(lambda: second.term is not None)
+    began = read_time()
+    await wait_until(lambda: bool(list_states([second])))
+    following.cancel()
+    await asyncio.wait({following})
+    return read_time() - began
+
+
+@pytest.mark.parametrize("silent", [0, 1, 7])
+def test_a_new_leader_waits_for_no_silent_worker_before_it_decides(silent, monkeypatch):
+    cluster = SimulatedCluster(1, Faults(latest_seconds=3.0), WORKER_COUNT)
+    cluster.configuration = PoolConfiguration(ConfigVersion(1), {QUEUE: make_queue()})
+    took: list[float] = []
+
+    async def scenario() -> list[str]:
+        took.append(await measure_recovery(cluster, silent))
+        return []
+
+    run_logged(scenario(), cluster, monkeypatch)
+    assert took[0] < RENEWAL_TIMEOUT_SECONDS
