Leadership: the record says which workers are silent, so that no later leader waits for them anew

Cause: each leader waited for every worker of the record that had not answered it until all leases were over that its predecessors may have granted, and the time that it had waited was lost with it. A worker that had been silent for long stayed in the record for as long as the registry listed it.

Change: a worker that does not answer a new leader for 1 s is suspended: a record says that it is sent nothing that starts or prolongs a run, and when the runs of earlier leaders on it have ended, on the table's clock. A later leader waits until that time only. A worker of this leader that is silent, without runs and past its lease is left out of the record. Either gets commands again once another record is durable. Earlier leaders are contained once each of their workers has answered or is suspended in the stored list, which is what is_sole asks for; so other workers may be recorded then too, with fewer than half of the former leader's workers reached.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
@@ -22,7 +22,7 @@
 )
 from lentilpath_core.pool._authority import (
     get_unconfirmed_lease_ms,
-    has_former_leader_ended,
+    is_former_leader_contained,
     may_lead_on,
 )
 from lentilpath_core.pool._customers import (
@@ -206,10 +206,10 @@
     "get_job_customer",
     "get_job_state",
     "get_unconfirmed_lease_ms",
-    "has_former_leader_ended",
     "identify_customer",
     "index_customers",
     "is_configuration_current",
+    "is_former_leader_contained",
     "is_placement_due",
     "list_usages",
     "may_lead_on",
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
@@ -9,12 +9,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import replace
 
 from lentilpath_core.ids import Instant, WorkerId
-from lentilpath_core.pool._events import PoolEffect, RecordWorkers
+from lentilpath_core.pool._events import PoolEffect, RecordWorkers, WorkersRecorded
 from lentilpath_core.pool._model import Life
-from lentilpath_core.pool._state import PoolState, WorkerLives
+from lentilpath_core.pool._state import PoolState, Worker, WorkerLives
 
 IN_TOUCH_MS = 2_900
 """A worker is in touch if it has answered a request sent this recently. A reachable one answers
@@ -25,6 +26,11 @@
 is left of it outlasts the next poll."""
 UNCONFIRMED_LEASE_BOUND_MS = 3_750
 """The same on the clock of another host: a worker's clock may run slow by 2%, and 150 ms."""
+FIRST_ANSWER_MS = 1_000
+"""A worker that has not answered a new leader for this long is silent: a request times out after
+700 ms."""
+MIN_BOUND_GAIN_MS = 1_000
+"""Another record of a suspended worker is stored if its runs end this much sooner by it."""
 MAX_UNCONFIRMED_MS = 120_000
 """A leader goes on for this long without word from the table. Longer outages end all runs, and a
 successor that reaches less than half of the workers waits for as long."""
@@ -109,27 +115,101 @@
     return now >= max(state.former_leases_end_at, state.former_leader.leases_end_at)
 
 
+def is_former_leader_contained(state: PoolState, now: Instant) -> bool:
+    """Return whether no earlier leader can act on a worker that the stored list lets be used.
+
+    If so, a successor needs to know of no leader but this one.
+    """
+    if has_former_leader_ended(state, now):
+        return True
+    return _is_kept_out(state, state.stored_suspensions)
+
+
+def find_end_of_runs(state: PoolState, worker: Worker) -> Instant:
+    """Return when the runs that earlier leaders may have on an unconfirmed worker have ended."""
+    if worker.are_runs_bounded:
+        return worker.lease_ends_at
+    former_end = max(state.former_leases_end_at, state.former_leader.leases_end_at)
+    return max(worker.lease_ends_at, former_end)
+
+
+def suspend_silent_workers(state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
+    """Suspend the workers that do not answer, and on which only earlier leaders may have runs.
+
+    Once that is stored, a later leader need not wait for these workers, or waits for the runs of
+    those earlier leaders only: however many leaders follow, the wait does not begin anew.
+    """
+    for worker in state.workers.values():
+        if not worker.is_suspended and _is_without_own_runs(state, worker, now):
+            worker.is_suspended = worker.awaits_record = True
+            worker.is_recorded = False
+    return record_workers(state)
+
+
+def _is_without_own_runs(state: PoolState, worker: Worker, now: Instant) -> bool:
+    """Return whether a silent worker certainly has no run or command of this leader."""
+    if worker.reported_at is None:
+        is_awaited = worker.worker in state.unconfirmed_workers
+        return is_awaited and now >= state.polled_since + FIRST_ANSWER_MS
+    is_silent = now > worker.reported_at + IN_TOUCH_MS and now >= worker.lease_ends_at
+    return is_silent and worker.is_recorded and not worker.attempts
+
+
 def record_workers(state: PoolState) -> tuple[PoolEffect, ...]:
-    """Record the workers that the pool uses, if they have changed.
+    """Record the workers that the pool uses, and those that are suspended, if they have changed.
 
     A new one is used, and counts, once it has reported: an entry of the registry that nobody
     answers for must not decide who has a majority. A list of other workers would change what half
-    of them are, so the former leader's list stays until it is outnumbered.
+    of them are, so the former leader's list stays until it is outnumbered, or until all workers
+    that it may still command are suspended.
     """
+    suspended_now = {each.worker for each in state.workers.values() if each.is_suspended}
+    if not state.former_leader.is_outnumbered and not _is_kept_out(state, suspended_now):
+        return ()
     known = {worker for worker, _ in state.possible_records[-1]}
     used = tuple(
-        each.listed
+        each
         for each in state.workers.values()
-        if each.reported_at is not None or each.worker in known
+        if not each.is_suspended and (each.reported_at is not None or each.worker in known)
     )
+    # A suspended worker whose runs have ended needs no record: it is as if it had never been used.
+    suspended = {
+        each.worker: find_end_of_runs(state, each)
+        for each in state.workers.values()
+        if each.is_suspended and each.worker in state.unconfirmed_workers
+    }
     lives = frozenset((each.worker, each.life) for each in used)
-    if not state.former_leader.is_outnumbered or lives == state.possible_records[-1]:
+    if lives == state.possible_records[-1] and not _has_new_suspension(state, suspended):
         return ()
-    state.possible_records.append(lives)
-    return (RecordWorkers(used),)
+    if lives != state.possible_records[-1]:
+        state.possible_records.append(lives)
+    listed = (*used, *(state.workers[each] for each in suspended))
+    record = RecordWorkers(tuple(each.listed for each in listed), tuple(suspended.items()))
+    state.last_record = record
+    return (record,)
+
+
+def _is_kept_out(state: PoolState, suspended: Collection[WorkerId]) -> bool:
+    """Return whether the former leader can command none but these workers."""
+    for worker_id in state.unconfirmed_workers - set(suspended):
+        worker = state.workers.get(worker_id)
+        if worker is None or worker.reported_at is None:
+            return False
+    return True
+
+
+def _has_new_suspension(state: PoolState, suspended: dict[WorkerId, Instant]) -> bool:
+    """Return whether a worker was suspended, or its runs are known to end much sooner, since."""
+    stored = dict(state.last_record.suspended)
+    return any(
+        worker not in stored or ends_at + MIN_BOUND_GAIN_MS <= stored[worker]
+        for worker, ends_at in suspended.items()
+    )
 
 
-def note_recorded_workers(state: PoolState, lives: WorkerLives) -> None:
+def note_recorded_workers(state: PoolState, event: WorkersRecorded) -> None:
     """Note that a list of workers is durable, so that none before it is found any more."""
+    lives = frozenset(event.lives)
     if lives in state.possible_records:
         del state.possible_records[: state.possible_records.index(lives)]
+    state.stored_suspensions = frozenset(event.suspended)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -6,6 +6,7 @@
 from itertools import islice
 
 from lentilpath_core.ids import Instant, JobId
+from lentilpath_core.pool._authority import suspend_silent_workers
 from lentilpath_core.pool._customers import add_ended_job, apply_policies
 from lentilpath_core.pool._events import (
     AdviceAnswered,
@@ -239,8 +240,10 @@
 @_handle.register
 def _(event: TimePassed, state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
     state.wall_now = event.wall_now
+    state.polled_since = state.polled_since or now
     effects = [
         *expire_leases(state, event.is_confirmed, now),
+        *(suspend_silent_workers(state, now) if event.is_confirmed else ()),
         *stop_frozen_runs(state, now),
         *evacuate_leaving_workers(state, now),
     ]
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -45,6 +45,8 @@
     """The record that the pool uses these incarnations of workers is durable."""
 
     lives: tuple[tuple[WorkerId, Life], ...]
+    suspended: tuple[WorkerId, ...] = ()
+    """Workers that it says get no commands; not in `lives`."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -337,6 +339,9 @@
     """Store which incarnations of workers may run tasks of the pool, before tasks start on them."""
 
     workers: tuple[ListedWorker, ...]
+    suspended: tuple[tuple[WorkerId, Instant], ...] = ()
+    """Those of them that get no command that starts or prolongs a run until another record is
+    durable, and when the runs on them have ended."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -7,7 +7,7 @@
 
 from lentilpath_core.ids import CustomerId, Epoch, Instant, JobId, WallTime, WorkerId
 from lentilpath_core.pool._buckets import TokenBucket
-from lentilpath_core.pool._events import StopReason
+from lentilpath_core.pool._events import RecordWorkers, StopReason
 from lentilpath_core.pool._model import (
     CustomerPolicy,
     FinalRecord,
@@ -81,6 +81,13 @@
     is_listed: bool = True
     is_recorded: bool = False
     """Whether the record that the pool uses this incarnation is durable."""
+    is_suspended: bool = False
+    """Whether the worker is silent and gets no commands, which is to be stored."""
+    awaits_record: bool = False
+    """Whether the worker was suspended and the record that it is used again is not durable yet."""
+    are_runs_bounded: bool = False
+    """Whether the runs of all earlier leaders have ended at `lease_ends_at`: one of them has stored
+    that it sends no more commands."""
     reported_at: Instant | None = None
     """When the last answered renewal was sent; `None` before the first."""
     has_unlisted_ends: bool = False
@@ -240,7 +247,7 @@
 
 
 WorkerLives = frozenset[tuple[WorkerId, Life]]
-"""Incarnations of workers."""
+"""Incarnations of workers that a leader may command."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -276,6 +283,12 @@
     workers: dict[WorkerId, Worker] = field(default_factory=dict)
     unconfirmed_workers: set[WorkerId] = field(default_factory=set)
     """Workers that may run tasks of an earlier leader and have not reported yet."""
+    polled_since: Instant = Instant(0)
+    """Since when this leader polls the workers; 0 before."""
+    last_record: RecordWorkers = RecordWorkers(())
+    """The last list of workers that was stored or is to be."""
+    stored_suspensions: frozenset[WorkerId] = frozenset()
+    """Workers that are suspended by the stored list."""
     fleet: Resources = NO_RESOURCES
     """Capacity of all registered workers."""
     customers: dict[CustomerId, CustomerUsage] = field(default_factory=dict)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
 from lentilpath_core.ids import Instant, WorkerId
 from lentilpath_core.pool._authority import (
     expect_former_leader,
+    find_end_of_runs,
     has_former_leader_ended,
     note_recorded_workers,
     record_workers,
@@ -24,6 +25,7 @@
 from lentilpath_core.pool._events import (
     LossReason,
     PoolEffect,
+    RecordWorkers,
     ReleaseWorker,
     StopReason,
     StopRun,
@@ -171,11 +173,12 @@
 
 def handle_recorded_workers(state: PoolState, event: WorkersRecorded) -> None:
     """Allow starts on these incarnations of workers, whose record is durable."""
-    note_recorded_workers(state, frozenset(event.lives))
+    note_recorded_workers(state, event)
     for worker_id, life in event.lives:
         worker = state.workers.get(worker_id)
-        if worker is not None and worker.life == life:
+        if worker is not None and worker.life == life and not worker.is_suspended:
             worker.is_recorded = True
+            worker.awaits_record = False
     state.needs_placement = True
 
 
@@ -188,7 +191,8 @@
     worker = state.workers.get(event.worker)
     if worker is None or worker.life != event.life:
         return ()
-    is_first = worker.reported_at is None
+    is_first = worker.reported_at is None or worker.is_suspended
+    worker.is_suspended = False
     was_unconfirmed = worker.worker in state.unconfirmed_workers
     discount_silence(worker, event.sent_at)
     worker.reported_at = max(event.sent_at, worker.reported_at or event.sent_at)
@@ -366,31 +370,41 @@
 
 def _expire_former_leases(state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
     """Stop waiting for workers on which runs of an earlier leader have ended by now."""
-    if not has_former_leader_ended(state, now):
-        return ()
+    has_ended = has_former_leader_ended(state, now)
+    if has_ended:
+        state.former_leader = replace(state.former_leader, is_outnumbered=True)
     for worker_id in list(state.unconfirmed_workers):
         worker = state.workers.get(worker_id)
-        if worker is None or now >= worker.lease_ends_at:
+        if has_ended if worker is None else now >= find_end_of_runs(state, worker):
             state.unconfirmed_workers.discard(worker_id)
             state.needs_placement = True
-    state.former_leader = replace(state.former_leader, is_outnumbered=True)
     return record_workers(state)
 
 
 def restore_former_workers(
-    state: PoolState, workers: tuple[ListedWorker, ...], unknown: Iterable[str] = ()
+    state: PoolState,
+    workers: tuple[ListedWorker, ...],
+    unknown: Iterable[str] = (),
+    suspended: Mapping[WorkerId, Instant] | None = None,
 ) -> None:
     """Add the workers that an earlier leader used.
 
     Each is unconfirmed until it reports, or until the leases of the earlier leader have expired.
     `unknown` stands for workers whose record cannot be read: they are unconfirmed until then too.
+    `suspended` holds those to which it sent no commands, and when the runs on them have ended.
     """
+    ends = suspended or {}
     state.unconfirmed_workers.update(WorkerId(each) for each in unknown)
     for entry in workers:
         if entry.worker not in state.workers:
             state.workers[entry.worker] = Worker(entry, entry.capacity, is_listed=False)
-        state.workers[entry.worker].is_recorded = True
-        state.workers[entry.worker].lease_ends_at = state.former_leases_end_at
+        worker = state.workers[entry.worker]
+        worker.is_suspended = worker.are_runs_bounded = entry.worker in ends
+        worker.awaits_record = worker.is_suspended
+        worker.is_recorded = not worker.is_suspended
+        worker.lease_ends_at = ends.get(entry.worker, state.former_leases_end_at)
         state.unconfirmed_workers.add(entry.worker)
-    lives = frozenset((each.worker, each.life) for each in state.workers.values())
-    expect_former_leader(state, lives)
+    state.last_record = RecordWorkers(workers, tuple(ends.items()))
+    state.stored_suspensions = frozenset(ends)
+    used = (each for each in state.workers.values() if not each.is_suspended)
+    expect_former_leader(state, frozenset((each.worker, each.life) for each in used))
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -17,6 +18,7 @@
 from lentilpath_core.settings import Address
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._pool._leases import CLOCK_DRIFT, LEASE_MARGIN_MS
 from lentilpathd._pool._ports import (
     Deposed,
     PartitionCommitResult,
@@ -176,20 +178,29 @@
 
 
 class TableClock:
-    """Lower bound of the table service's clock, estimated from its responses."""
+    """Bounds of the table service's clock, estimated from its responses."""
 
     def __init__(self) -> None:
-        self._offset_ms: int | None = None
+        self._least_offset_ms: int | None = None
+        self._most_offset_ms = 0
 
-    def observe(self, clock_ms: int, now: Instant) -> None:
-        """Update the estimate with a response that arrived at `now`."""
-        offset_ms = clock_ms - now
-        if self._offset_ms is None or offset_ms > self._offset_ms:
-            self._offset_ms = offset_ms
+    def observe(self, clock_ms: int, sent_at: Instant, now: Instant) -> None:
+        """Update the bounds with the response, at `now`, to a request of `sent_at`."""
+        least = clock_ms - now
+        if self._least_offset_ms is None or least > self._least_offset_ms:
+            self._least_offset_ms = least
+        # Only the latest one: over a long time the clocks drift apart.
+        self._most_offset_ms = clock_ms - sent_at
 
     def estimate(self, now: Instant) -> int:
         """Return a time that the table service's clock has reached, in ms."""
-        return now + (self._offset_ms or 0)
+        return now + (self._least_offset_ms or 0)
+
+    def convert(self, at: Instant, now: Instant) -> int:
+        """Return a time in ms that the table service's clock does not reach before `at`."""
+        ahead_ms = max(0, at - now)
+        drift_ms = math.ceil(ahead_ms * CLOCK_DRIFT) + LEASE_MARGIN_MS
+        return now + ahead_ms + drift_ms + self._most_offset_ms
 
 
 class PoolLeadership:
@@ -236,6 +247,10 @@
     def _confirm(self, renewal: Renewal) -> None:
         self._confirmed_until = Instant(renewal.sent_at + renewal.lease_ms)
 
+    def convert_to_table_clock(self, at: Instant, now: Instant) -> int:
+        """Return a time in ms that the table service's clock does not reach before `at`."""
+        return self._clock.convert(at, now)
+
     async def acquire(self) -> Epoch:
         """Wait until this process has become the leader; return its epoch."""
         while True:
@@ -253,6 +268,7 @@
         return may_take_over(snapshot, self._host, self._address, unchanged_ms, wait_ms)
 
     async def _read_snapshot(self) -> LeadershipSnapshot | None:
+        sent_at = read_instant()
         try:
             read = await self._table.read_partition(
                 POOL_TABLE, POOL_PARTITION, EPOCH_KEY[0], LEADER_KEYS_END, ROW_TIMEOUT_SECONDS
@@ -264,7 +280,7 @@
             # needs time to do so.
             self._is_watch_broken = True
             return None
-        self._clock.observe(read.clock_ms, read_instant())
+        self._clock.observe(read.clock_ms, sent_at, read_instant())
         former = self.snapshot
         is_first = former is None or self._is_watch_broken
         if is_first or (former is not None and snapshot.lease_version != former.lease_version):
@@ -363,7 +379,7 @@
         """Record that a transaction with a renewal was applied."""
         now = read_instant()
         self._renewal_ms = now - renewal.sent_at
-        self._clock.observe(commit.clock_ms, now)
+        self._clock.observe(commit.clock_ms, renewal.sent_at, now)
         self._confirm(renewal)
 
     async def renew_forever(self, epoch: Epoch) -> None:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -89,7 +89,7 @@
         """Commands for a link that has been created but does not run yet."""
         self._report_count = 0
         self._withheld_polls = 0
-        """Number of renewals in a row for which commands were withheld."""
+        """Number of renewals in a row for which commands, or a lease, were withheld."""
         self._is_closed = False
         self._is_silent = False
         self._is_superseded = False
@@ -117,7 +117,9 @@
         lease = None if self._is_silent or self._is_superseded else self._grant_lease(sent_at)
         if lease is None:
             wait_ms = 0
-        if self._may_command():
+        # Whether a lease could be granted if the worker answered.
+        may_grant = not self._report_count or self._is_silent or self._get_lease_ms() > 0
+        if self._may_command() and may_grant:
             self._withheld_polls = 0
         else:
             await asyncio.sleep(RETRY_SECONDS * min(2**self._withheld_polls, MAX_POLL_BACKOFF))
--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Container
+from collections.abc import Awaitable, Callable, Container, Mapping
 from dataclasses import dataclass
 from typing import TypeVar
 
 import msgspec
 
 from lentilpath_core.errors import InvalidJob, OutcomeUnknown, Unavailable
-from lentilpath_core.ids import Epoch, JobId, RowVersion, WallTime
+from lentilpath_core.ids import Epoch, Instant, JobId, RowVersion, WallTime, WorkerId
 from lentilpath_core.pool import (
     FinalRecord,
     JobAccepted,
@@ -25,8 +25,9 @@
     TaskKey,
     check_job,
 )
-from lentilpathd._clock import read_wall_time
+from lentilpathd._clock import read_instant, read_wall_time
 from lentilpathd._events import Event, log_warning_event
+from lentilpathd._pool._leases import CLOCK_DRIFT
 from lentilpathd._pool._ports import PartitionedTable, PartitionRow, PartitionRows
 from lentilpathd._pool._records import (
     CANCEL_SUFFIX,
@@ -44,7 +45,7 @@
     parse_end_key,
     parse_job_id,
 )
-from lentilpathd._pool._worker_rows import WORKER_KEYS_END, decode_workers
+from lentilpathd._pool._worker_rows import WORKER_KEYS_END, StoredWorkers, decode_workers
 
 T = TypeVar("T")
 
@@ -54,6 +55,9 @@
 """All partitions at once: a leader far from the table would pay a round trip for each further
 batch."""
 
+MAX_RUNS_MS = 150_000
+"""No run goes on for longer without a command: the limit of a leader without word from the table,
+120 s, the longest lease and the differences between clocks."""
 STOPPED_RUNS_MS = 15_000
 """Runs that an earlier leader stopped may go on this long, if the stop was lost: the longest lease,
 10.4 s, and the difference between the hosts' clocks."""
@@ -73,6 +77,8 @@
     former_workers: tuple[ListedWorker, ...]
     unreadable_workers: tuple[str, ...]
     """Keys of rows of former workers that cannot be used."""
+    suspended_workers: Mapping[WorkerId, Instant]
+    """Former workers that were sent no commands, and when the runs on them have ended."""
     worker_keys: tuple[str, ...]
     """Keys of the rows that hold the former workers."""
     end_keys: tuple[str, ...]
@@ -122,8 +128,8 @@
         except ValueError as error:
             log_warning_event(Event.ROW_UNREADABLE, key=row.key, error=error)
     worker_rows = {row.key: row.value for row in pool_rows.rows if _holds_workers(row)}
-    former_workers, unreadable_workers = decode_workers(worker_rows)
-    for key, reason in unreadable_workers.items():
+    stored = decode_workers(worker_rows)
+    for key, reason in stored.unusable.items():
         log_warning_event(Event.ROW_UNREADABLE, key=key, error=reason)
     recent = _read_recently_ended(job_rows, finals, read_wall_time())
     accepted_at = _read_acceptance(job_rows, finals)
@@ -135,8 +141,9 @@
     events.append(RunsRecovered(open_ends))
     return RecoveredPool(
         tuple(events),
-        former_workers,
-        tuple(unreadable_workers),
+        stored.workers,
+        tuple(stored.unusable),
+        _convert_ends(stored, pool_rows.clock_ms, read_instant()),
         tuple(worker_rows),
         tuple(ends),
         frozenset(ended),
@@ -192,12 +199,30 @@
             await asyncio.sleep(RETRY_SECONDS)
 
 
-async def read_former_workers(table: PartitionedTable) -> tuple[ListedWorker, ...]:
-    """Read the workers that an earlier leader used; raises `Unavailable` or `OutcomeUnknown`."""
+async def read_commanded_workers(table: PartitionedTable) -> tuple[ListedWorker, ...]:
+    """Read the workers that an earlier leader could command.
+
+    Raises `Unavailable` or `OutcomeUnknown`.
+    """
     read = await table.read_partition(
         POOL_TABLE, POOL_PARTITION, WORKERS_KEY, WORKER_KEYS_END, READ_TIMEOUT_SECONDS
     )
-    return decode_workers({row.key: row.value for row in read.rows})[0]
+    stored = decode_workers({row.key: row.value for row in read.rows})
+    return tuple(each for each in stored.workers if each.worker not in stored.runs_end_ms)
+
+
+def _convert_ends(stored: StoredWorkers, clock_ms: int, now: Instant) -> Mapping[WorkerId, Instant]:
+    """Return by this host's clock when the runs on suspended workers have ended.
+
+    The table service's clock has reached `clock_ms`. Times too far ahead cannot be right: such
+    workers count as commanded.
+    """
+    left_ms = {worker: max(0, at - clock_ms) for worker, at in stored.runs_end_ms.items()}
+    return {
+        worker: Instant(int(now + left * (1 + CLOCK_DRIFT)))
+        for worker, left in left_ms.items()
+        if left <= MAX_RUNS_MS
+    }
 
 
 async def read_all_jobs(table: PartitionedTable) -> tuple[PartitionRows, ...]:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from lentilpath_core.errors import UnknownName
-from lentilpath_core.ids import CustomerId, Epoch, Instant, JobId, RowVersion
+from lentilpath_core.ids import CustomerId, Epoch, Instant, JobId, RowVersion, WorkerId
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.pool import (
     AskAdvice,
@@ -24,6 +24,7 @@
     JobRecord,
     JobState,
     LeaseSent,
+    Life,
     ListedUsage,
     ListedWorker,
     PaceRun,
@@ -47,7 +48,7 @@
     get_job_customer,
     get_job_state,
     get_unconfirmed_lease_ms,
-    has_former_leader_ended,
+    is_former_leader_contained,
     is_placement_due,
     list_usages,
     may_lead_on,
@@ -73,7 +74,7 @@
 from lentilpathd._pool._records import format_task, make_crash_key
 from lentilpathd._pool._recovery import (
     EndedJobs,
-    read_former_workers,
+    read_commanded_workers,
     read_pool,
     read_repeatedly,
 )
@@ -130,7 +131,7 @@
             self._writer,
             self.handle_event,
             self._may_command,
-            self._get_lease_ms,
+            self._get_lease_ms_of,
         )
         self._placement_due = asyncio.Event()
         self._ready = False
@@ -174,6 +175,13 @@
             return lease_ms
         return min(lease_ms, get_unconfirmed_lease_ms(self._state, now))
 
+    def _get_lease_ms_of(self, worker_id: WorkerId, life: Life) -> int:
+        """Return how long a lease to a worker may last; 0 while the stored list suspends it."""
+        worker = self._state.workers.get(worker_id)
+        if worker is not None and worker.life == life and worker.awaits_record:
+            return 0
+        return self._get_lease_ms()
+
     async def run(self) -> None:
         """Recover and lead until cancelled; raises `Deposed` in an exception group."""
         async with asyncio.TaskGroup() as recovery:
@@ -199,7 +207,7 @@
     async def _extend_leases(self) -> None:
         """Extend the leases of runs that may be in progress, while their jobs are being read."""
         table = self._context.table
-        former_workers = await read_repeatedly(lambda: read_former_workers(table), self._epoch)
+        former_workers = await read_repeatedly(lambda: read_commanded_workers(table), self._epoch)
         await asyncio.gather(*(self._extend_lease(each) for each in former_workers))
 
     async def _extend_lease(self, worker: ListedWorker) -> None:
@@ -226,7 +234,12 @@
         if configuration is not None:
             self.handle_event(ConfigurationSet(configuration))
         self._state.wall_now = read_wall_time()
-        restore_former_workers(self._state, recovered.former_workers, recovered.unreadable_workers)
+        restore_former_workers(
+            self._state,
+            recovered.former_workers,
+            recovered.unreadable_workers,
+            recovered.suspended_workers,
+        )
         self.handle_event(WorkersListed(listed, listed_at))
         for event in (*self._extensions, *recovered.events):
             self.handle_event(event)
@@ -421,7 +434,7 @@
             self._may_command()
             now = read_instant()
             is_confirmed = self._leadership.is_confirmed(now)
-            self._leadership.is_sole = has_former_leader_ended(self._state, now)
+            self._leadership.is_sole = is_former_leader_contained(self._state, now)
             self.handle_event(TimePassed(read_wall_time(), is_confirmed))
             self._hold_log.observe(self._state, now)
             await asyncio.sleep(TICK_SECONDS)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_worker_links.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_worker_links.py
@@ -28,7 +28,7 @@
         writer: RecordWriter,
         handle_event: Callable[[PoolEvent], None],
         may_command: Callable[[], bool],
-        get_lease_ms: Callable[[], int],
+        get_lease_ms: Callable[[WorkerId, Life], int],
     ) -> None:
         self._get_lease_ms = get_lease_ms
         self._context = context
@@ -58,7 +58,7 @@
                 worker.listed,
                 partial(self._create_client, worker.listed),
                 self._epoch,
-                self._get_lease_ms,
+                partial(self._get_lease_ms, *key),
                 self._writer,
                 self._handle_event,
                 self._may_command,
--- a/packages/lentilpathd/src/lentilpathd/_pool/_worker_rows.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_worker_rows.py
@@ -10,6 +10,7 @@
 
 import zlib
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
 import msgspec
 
@@ -38,6 +39,9 @@
     rack: RackId
     labels: tuple[str, ...]
     capacity: Resources
+    runs_end_ms: int = 0
+    """For a worker to which no commands are sent: when the runs on it have ended, on the table
+    service's clock. 0 for all others. The last field, so that earlier releases can read the row."""
 
 
 class WorkerShares:
@@ -55,13 +59,16 @@
         self._former_keys.extend(keys)
 
     def replace_workers(
-        self, workers: tuple[ListedWorker, ...]
+        self, workers: tuple[ListedWorker, ...], runs_end_ms: Mapping[WorkerId, int]
     ) -> tuple[dict[str, bytes], tuple[str, ...]]:
-        """Return the rows to write for a new list, and the keys to delete with them or later."""
+        """Return the rows to write for a new list, and the keys to delete with them or later.
+
+        `runs_end_ms` holds the suspended workers, and when the runs on them have ended.
+        """
         self._sequence += 1
         puts: dict[str, bytes] = {}
         obsolete, self._former_keys = self._former_keys, []
-        for share, value in enumerate(_make_values(workers)):
+        for share, value in enumerate(_make_values(workers, runs_end_ms)):
             if self._values.get(share) == value:
                 continue
             if share in self._keys:
@@ -72,18 +79,31 @@
         return puts, tuple(obsolete)
 
 
-def _make_values(workers: tuple[ListedWorker, ...]) -> tuple[bytes, ...]:
+def _make_values(
+    workers: tuple[ListedWorker, ...], runs_end_ms: Mapping[WorkerId, int]
+) -> tuple[bytes, ...]:
     """Return the row values of all shares, also of the empty ones."""
     shares: tuple[list[WorkerRow], ...] = tuple([] for _ in range(WORKER_SHARES))
     for each in workers:
-        shares[zlib.crc32(each.worker.encode()) % WORKER_SHARES].append(_make_worker_row(each))
+        row = _make_worker_row(each, runs_end_ms.get(each.worker, 0))
+        shares[zlib.crc32(each.worker.encode()) % WORKER_SHARES].append(row)
     return tuple(msgspec.msgpack.encode(rows) for rows in shares)
 
 
-def decode_workers(
-    rows: Mapping[str, bytes],
-) -> tuple[tuple[ListedWorker, ...], dict[str, Exception]]:
-    """Decode the workers in the latest row of each share; return also the keys of unusable rows.
+@dataclass(frozen=True, slots=True)
+class StoredWorkers:
+    """The workers that earlier leaders have recorded."""
+
+    workers: tuple[ListedWorker, ...]
+    runs_end_ms: Mapping[WorkerId, int]
+    """Those to which no commands were sent, and when the runs on them have ended, on the table
+    service's clock."""
+    unusable: Mapping[str, Exception]
+    """Keys of rows that cannot be used."""
+
+
+def decode_workers(rows: Mapping[str, bytes]) -> StoredWorkers:
+    """Decode the workers in the latest row of each share.
 
     `rows` has values by key. A single row of all workers, as earlier releases wrote it, counts too
     until it is deleted.
@@ -100,12 +120,16 @@
         if share not in latest or order > latest[share]:
             latest[share], current[share] = order, key
     workers: list[ListedWorker] = []
+    runs_end_ms: dict[WorkerId, int] = {}
     for key in current.values():
         try:
-            workers.extend(_decode_share(rows[key]))
+            share_rows = decode_record(rows[key], tuple[WorkerRow, ...])
+            workers.extend(_make_listed_workers(share_rows))
         except (ValueError, InvalidInput) as error:
             unusable[key] = error
-    return tuple(workers), unusable
+            continue
+        runs_end_ms.update({row.worker: row.runs_end_ms for row in share_rows if row.runs_end_ms})
+    return StoredWorkers(tuple(workers), runs_end_ms, unusable)
 
 
 def _parse_key(key: str) -> tuple[str, tuple[int, int]]:
@@ -115,7 +139,7 @@
     return share, (int(epoch), int(sequence))
 
 
-def _make_worker_row(listed: ListedWorker) -> WorkerRow:
+def _make_worker_row(listed: ListedWorker, runs_end_ms: int) -> WorkerRow:
     return WorkerRow(
         listed.worker,
         listed.life,
@@ -125,10 +149,11 @@
         listed.rack,
         tuple(sorted(listed.labels)),
         listed.capacity,
+        runs_end_ms,
     )
 
 
-def _decode_share(value: bytes) -> tuple[ListedWorker, ...]:
+def _make_listed_workers(rows: tuple[WorkerRow, ...]) -> tuple[ListedWorker, ...]:
     workers = tuple(
         ListedWorker(
             row.worker,
@@ -141,7 +166,7 @@
             row.capacity,
             WorkerCondition.READY,
         )
-        for row in decode_record(value, tuple[WorkerRow, ...])
+        for row in rows
     )
     for each in workers:
         check_worker(each)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -221,7 +221,11 @@
         lists = _select_worker_lists(batch)
         if not lists:
             return {}
-        puts, obsolete = self._worker_shares.replace_workers(lists[-1].workers)
+        runs_end_ms = {
+            worker: self._leadership.convert_to_table_clock(ends_at, read_instant())
+            for worker, ends_at in lists[-1].suspended
+        }
+        puts, obsolete = self._worker_shares.replace_workers(lists[-1].workers, runs_end_ms)
         self._obsolete_keys.extend(obsolete)
         return puts
 
@@ -267,8 +271,13 @@
         if finals:
             self._handle_event(FinalsRecorded(finals))
         if lists := _select_worker_lists(batch):
-            lives = tuple((each.worker, each.life) for each in lists[-1].workers)
-            self._handle_event(WorkersRecorded(lives))
+            suspended = tuple(worker for worker, _ in lists[-1].suspended)
+            lives = tuple(
+                (each.worker, each.life)
+                for each in lists[-1].workers
+                if each.worker not in suspended
+            )
+            self._handle_event(WorkersRecorded(lives, suspended))
 
 
 def _select_worker_lists(batch: list[Record]) -> list[RecordWorkers]:
--- a/tests/common/pools.py
+++ b/tests/common/pools.py
@@ -164,13 +164,16 @@
         self.effects.extend(effects)
         return effects
 
-    def pass_time(self, ms: int) -> list[PoolEffect]:
+    def pass_time(self, ms: int, is_confirmed: bool = True) -> list[PoolEffect]:
         self.now = Instant(self.now + ms)
-        return self.handle_event(TimePassed(WallTime(self.now)))
+        return self.handle_event(TimePassed(WallTime(self.now), is_confirmed))
 
-    def list_workers(self, *workers: ListedWorker) -> None:
+    def list_workers_unrecorded(self, *workers: ListedWorker) -> None:
         self.listed = {each.worker: each for each in workers}
         self.handle_event(WorkersListed(tuple(workers)))
+
+    def list_workers(self, *workers: ListedWorker) -> None:
+        self.list_workers_unrecorded(*workers)
         self.handle_event(WorkersRecorded(tuple((each.worker, each.life) for each in workers)))
 
     def add_workers(self, *workers: ListedWorker) -> None:
@@ -222,6 +225,15 @@
             StartAnswered(start.worker, start.life, start.task, start.run, answer)
         )
 
+    def confirm_workers(self) -> None:
+        """Make the last requested list of workers durable."""
+        record = next(each for each in reversed(self.effects) if isinstance(each, RecordWorkers))
+        suspended = tuple(worker for worker, _ in record.suspended)
+        lives = tuple(
+            (each.worker, each.life) for each in record.workers if each.worker not in suspended
+        )
+        self.handle_event(WorkersRecorded(lives, suspended))
+
     def confirm_records(self) -> list[PoolEffect]:
         """Make all requested records durable and return the effects that follow."""
         follow: list[PoolEffect] = []
--- a/tests/common/simulated_advice.py
+++ b/tests/common/simulated_advice.py
@@ -56,7 +56,11 @@
     settled_at = disturbed_until + SETTLING_SECONDS
     while True:
         await asyncio.sleep(CHECK_SECONDS)
-        living = [each for each in cluster.workers.values() if each.is_up]
+        if cluster.split is not None:
+            settled_at = read_time() + SETTLING_SECONDS
+        living = [
+            each for each in cluster.workers.values() if each.is_up and not each.is_back_soon()
+        ]
         slots, used = SLOTS * len(living), sum(len(each.running) for each in living)
         machines = {each.machine for each in cluster.workers.values()}
         is_free = 2 * used < slots and 2 * len(living) > len(machines)
--- a/tests/common/simulated_workers.py
+++ b/tests/common/simulated_workers.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field, replace
@@ -320,6 +321,10 @@
     def is_cut(self) -> bool:
         return read_time() < self.cut_until
 
+    def is_back_soon(self) -> bool:
+        """Return whether the worker is cut off, but not for good."""
+        return self.is_cut() and not math.isinf(self.cut_until)
+
     def _register(self, life: Life) -> None:
         life = max(life, self.entry.life)
         self.entry = replace(self.entry, life=life, capacity=self.get_capacity())
--- a/tests/cover/test_pool_malformed_answers.py
+++ b/tests/cover/test_pool_malformed_answers.py
@@ -217,7 +217,7 @@
     put(table, "good", encode(ENTRY))
     listed = asyncio.run(PlatformRegistry(table).read_workers(1.0))
     assert "good" in [each.worker for each in listed]
-    for row in WorkerShares(cast(Any, 1)).replace_workers(listed)[0].values():
+    for row in WorkerShares(cast(Any, 1)).replace_workers(listed, {})[0].values():
         assert len(row) < 65_536
 
 
--- a/tests/cover/test_pool_malformed_rows.py
+++ b/tests/cover/test_pool_malformed_rows.py
@@ -97,7 +97,7 @@
     put(table, "cell", make_final_key(ENDED), final)
     end = RunRecord(RunNumber(1), RunEnd.FAILED)
     put(table, "cell", make_end_key(make_task(1), end), encode_record(end))
-    for key, value in WorkerShares(Epoch(1)).replace_workers(workers)[0].items():
+    for key, value in WorkerShares(Epoch(1)).replace_workers(workers, {})[0].items():
         put(table, "cell", key, value)
     return table
 
@@ -180,5 +180,5 @@
     shares = WorkerShares(Epoch(2))
     shares.add_former_rows(recovered.worker_keys)
     record = RecordWorkers((make_worker("w2"),))
-    assert "0workers/x" in shares.replace_workers(record.workers)[1]
+    assert "0workers/x" in shares.replace_workers(record.workers, {})[1]
     assert JobId("x") not in recovered.ended_jobs
--- a/tests/cover/test_pool_placement.py
+++ b/tests/cover/test_pool_placement.py
@@ -113,6 +113,7 @@
     harness.submit(1, StepSpec(1, BIG, 500), queue=URGENT.queue)
     harness.pass_time(60_000)
     harness.report("w1")
+    harness.confirm_workers()
     harness.submit(2, StepSpec(1, BIG, 500), queue=PATIENT.queue)
     harness.submit(3, StepSpec(1, BIG, 500), queue=URGENT.queue)
     order = []
@@ -187,6 +188,7 @@
     )
     for name in ("w1", "w2"):
         harness.report(name)
+    harness.confirm_workers()
     (again,) = list_starts(harness.place())
     assert again.worker != start.worker
     assert again.checkpoint == "c2"
--- a/tests/cover/test_pool_worker_rows.py
+++ b/tests/cover/test_pool_worker_rows.py
@@ -17,7 +17,7 @@
     POOL_TABLE,
     WORKERS_KEY,
 )
-from lentilpathd._pool._recovery import read_former_workers, read_pool
+from lentilpathd._pool._recovery import read_commanded_workers, read_pool
 from lentilpathd._pool._worker_rows import WORKER_SHARES, WorkerShares
 from lentilpathd._pool._writer import RecordWriter
 from tests.common.fleet.deployment import Fleet, make_step, run_fleet
@@ -83,7 +83,7 @@
 
 def read(table: OnePartitionTable) -> dict[WorkerId, Life]:
     recovered = asyncio.run(read_pool(table)).former_workers
-    assert set(recovered) == set(asyncio.run(read_former_workers(table)))
+    assert set(recovered) == set(asyncio.run(read_commanded_workers(table)))
     return {each.worker: each.life for each in recovered}
 
 
@@ -178,7 +178,7 @@
 
 def test_the_row_of_an_earlier_release_is_read_and_then_replaced():
     table, workers = OnePartitionTable(), make_workers(20)
-    values = WorkerShares(Epoch(1)).replace_workers(workers)[0].values()
+    values = WorkerShares(Epoch(1)).replace_workers(workers, {})[0].values()
     rows = [each for value in values for each in msgspec.msgpack.decode(value)]
     row = (WORKERS_KEY, msgspec.msgpack.encode(rows))
     former = PartitionTransaction(POOL_TABLE, POOL_PARTITION, puts=(row,))
