Test: room counts on workers that answer only; hosts that return after another has taken over

In the cases with most workers silent the lost host took over itself, since it was back before its lease was over.

--- a/tests/common/simulated_advice.py
+++ b/tests/common/simulated_advice.py
@@ -58,12 +58,10 @@
         await asyncio.sleep(CHECK_SECONDS)
         if cluster.split is not None:
             settled_at = read_time() + SETTLING_SECONDS
-        living = [
-            each for each in cluster.workers.values() if each.is_up and not each.is_back_soon()
-        ]
-        slots, used = SLOTS * len(living), sum(len(each.running) for each in living)
-        machines = {each.machine for each in cluster.workers.values()}
-        is_free = 2 * used < slots and 2 * len(living) > len(machines)
+        answering = [each for each in cluster.workers.values() if each.is_up and not each.is_cut()]
+        slots, used = SLOTS * len(answering), sum(len(each.running) for each in answering)
+        machines = {each.machine for each in cluster.workers.values() if not each.is_lost()}
+        is_free = 2 * used < slots and 2 * len(answering) > len(machines)
         waiting: set[StepKey] = set()
         for state in list_states():
             for step in state.open_steps.values():
--- a/tests/common/simulated_workers.py
+++ b/tests/common/simulated_workers.py
@@ -321,9 +321,9 @@
     def is_cut(self) -> bool:
         return read_time() < self.cut_until
 
-    def is_back_soon(self) -> bool:
-        """Return whether the worker is cut off, but not for good."""
-        return self.is_cut() and not math.isinf(self.cut_until)
+    def is_lost(self) -> bool:
+        """Return whether the worker is cut off for good."""
+        return math.isinf(self.cut_until)
 
     def _register(self, life: Life) -> None:
         life = max(life, self.entry.life)
--- a/tests/nocover/test_pool_silent_workers.py
+++ b/tests/nocover/test_pool_silent_workers.py
@@ -30,7 +30,6 @@
 
 WORKER_COUNT = 12
 JOB_COUNT = 60
-RESTART_SECONDS = 1.5
 CALM_SECONDS = 30.0
 FOR_EVER = float("inf")
 
@@ -44,6 +43,8 @@
     every_seconds: float
     silent_at: float = 7.8
     """When the workers fall silent; the first leader is lost at 8 s."""
+    return_seconds: float = 1.5
+    """How long after its loss a host's next process is up; before that, another host may lead."""
     hosts_return: bool = True
 
 
@@ -55,6 +56,9 @@
     "a worker that is silent for long, four leaders": Series(1, 4, 5.0, silent_at=1.0),
     "most workers, one leader": Series(7, 1, 5.0),
     "most workers are silent for long, two leaders": Series(7, 2, 5.0, silent_at=1.0),
+    "most workers, one leader whose host returns late": Series(7, 1, 5.0, return_seconds=3.0),
+    "most workers, three leaders whose hosts return late": Series(7, 3, 5.0, return_seconds=3.0),
+    "one worker, four leaders whose hosts return late": Series(1, 4, 5.0, return_seconds=3.0),
     "one worker, hosts that are lost for good": Series(1, 3, 5.0, hosts_return=False),
 }
 
@@ -79,7 +83,7 @@
         if series.hosts_return:
             returned = SimulatedHost(host.name, rows, cluster, host.starts + 1)
             hosts[hosts.index(host)] = returned
-            cluster.spawn(start_later(returned, running))
+            cluster.spawn(start_later(returned, series.return_seconds, running))
         lost_at = read_time()
         await asyncio.sleep(series.every_seconds)
     problems: list[str] = []
@@ -104,8 +108,10 @@
         rows.put_job(record)
 
 
-async def start_later(host: SimulatedHost, running: dict[str, asyncio.Task[None]]) -> None:
-    await asyncio.sleep(RESTART_SECONDS)
+async def start_later(
+    host: SimulatedHost, seconds: float, running: dict[str, asyncio.Task[None]]
+) -> None:
+    await asyncio.sleep(seconds)
     running[host.name] = asyncio.create_task(host.run())
 
 
