Leadership: a leader whose host follows its successor is known to have ended

Cause: a successor that reaches less than half of the workers takes its predecessor for cut off with the others until that one's limit of 120 s, whatever else shows that it has ended.

Change: heartbeats name the epoch of the last digest that their sender has got. One from the former leader's host that has heard this leader shows that the former one has ended: its process follows, or another one was started after it. Earlier leaders must be contained, as is_sole says.

If the host never returns, the two minutes remain.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
@@ -104,6 +104,19 @@
     return record_workers(state)
 
 
+def note_former_leader_ended(state: PoolState, ended_at: Instant) -> tuple[PoolEffect, ...]:
+    """Note that the former leader grants no leases since this time, whomever it may still reach."""
+    former = state.former_leader
+    leases_end_at = Instant(ended_at + UNCONFIRMED_LEASE_BOUND_MS)
+    state.former_leader = replace(
+        former,
+        has_ended=True,
+        is_outnumbered=True,
+        leases_end_at=min(former.leases_end_at, leases_end_at),
+    )
+    return record_workers(state)
+
+
 def _is_reached(state: PoolState, worker_id: WorkerId, life: Life) -> bool:
     """Return whether a life of a worker refuses the former leader, or is over."""
     worker = state.workers.get(worker_id)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -6,13 +6,14 @@
 from itertools import islice
 
 from lentilpath_core.ids import Instant, JobId
-from lentilpath_core.pool._authority import suspend_silent_workers
+from lentilpath_core.pool._authority import note_former_leader_ended, suspend_silent_workers
 from lentilpath_core.pool._customers import add_ended_job, apply_policies
 from lentilpath_core.pool._events import (
     AdviceAnswered,
     ConfigurationSet,
     DeleteJob,
     FinalsRecorded,
+    FormerLeaderEnded,
     JobAccepted,
     JobCancelled,
     JobEnded,
@@ -181,6 +182,11 @@
     return handle_report(state, event, now)
 
 
+@_handle.register
+def _(event: FormerLeaderEnded, state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
+    return note_former_leader_ended(state, min(event.ended_at, now))
+
+
 @_handle.register
 def _(event: LeaseSent, state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
     worker = state.workers.get(event.worker)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -49,6 +49,14 @@
     """Workers that it says get no commands; not in `lives`."""
 
 
+@dataclass(frozen=True, slots=True)
+class FormerLeaderEnded:
+    """The leader before this one sends no commands any more."""
+
+    ended_at: Instant
+    """When it had ended at the latest."""
+
+
 @dataclass(frozen=True, slots=True)
 class JobAccepted:
     """The leader has read a stored job."""
@@ -171,6 +179,7 @@
     ConfigurationSet
     | WorkersListed
     | WorkersRecorded
+    | FormerLeaderEnded
     | JobAccepted
     | JobCancelled
     | RunsRecovered
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -90,6 +90,8 @@
     clock_ms: int
     unreadable: tuple[str, ...] = ()
     """Keys of the rows that cannot be used."""
+    incarnation: Incarnation = Incarnation("")
+    """The process that took over last; empty if it is not known."""
 
 
 def decode_snapshot(read: PartitionRows) -> LeadershipSnapshot:
@@ -102,9 +104,12 @@
     lease_row = rows.get(LEASE_KEY)
     lease = _decode_lease(lease_row.value, read.clock_ms) if lease_row is not None else None
     epoch: Epoch | None = Epoch(0)
+    incarnation = Incarnation("")
     unreadable = (LEASE_KEY,) if lease_row is not None and lease is None else ()
     if epoch_row is not None:
-        epoch = _decode_epoch(epoch_row.value)
+        leader = _decode_epoch(epoch_row.value)
+        epoch = None if leader is None else leader.epoch
+        incarnation = incarnation if leader is None else leader.incarnation
     if epoch is None:
         unreadable = (EPOCH_KEY, *unreadable)
         if lease is None:
@@ -115,15 +120,17 @@
         epoch = lease.epoch
     version = epoch_row.version if epoch_row is not None else RowVersion(0)
     lease_version = lease_row.version if lease_row is not None else RowVersion(0)
-    return LeadershipSnapshot(epoch, version, lease, lease_version, read.clock_ms, unreadable)
+    return LeadershipSnapshot(
+        epoch, version, lease, lease_version, read.clock_ms, unreadable, incarnation
+    )
 
 
-def _decode_epoch(value: bytes) -> Epoch | None:
+def _decode_epoch(value: bytes) -> EpochRow | None:
     try:
-        epoch = decode_record(value, EpochRow).epoch
+        row = decode_record(value, EpochRow)
     except msgspec.DecodeError:
         return None
-    return epoch if 0 <= epoch <= MAX_EPOCH else None
+    return row if 0 <= row.epoch <= MAX_EPOCH else None
 
 
 def _decode_lease(value: bytes, clock_ms: int) -> LeaseRow | None:
@@ -177,6 +184,37 @@
     return lease.is_sole and (lease.until_ms == 0 or is_own)
 
 
+@dataclass(frozen=True, slots=True)
+class LeaderProcess:
+    """A process that led."""
+
+    host: HostId
+    incarnation: Incarnation
+
+
+def find_sole_leader(snapshot: LeadershipSnapshot) -> LeaderProcess | None:
+    """Return the process that led last, if no leader before it can act any more."""
+    lease = snapshot.lease
+    if lease is None or not lease.is_sole:
+        return None
+    return LeaderProcess(lease.host, snapshot.incarnation)
+
+
+def find_end_of_leader(
+    former: LeaderProcess, sender: LeaderProcess, up_ms: int, now: Instant
+) -> Instant | None:
+    """Return when the former leader had ended, by what a follower of the present one has sent.
+
+    `None` if the follower is another host. A process that follows leads no more, and another
+    process on the former leader's host was started, `up_ms` ago, after that one had ended.
+    """
+    if sender.host != former.host:
+        return None
+    if sender.incarnation == former.incarnation:
+        return now
+    return Instant(now - max(0, up_ms))
+
+
 class TableClock:
     """Bounds of the table service's clock, estimated from its responses."""
 
@@ -232,6 +270,8 @@
         """Whether no leader before this one can act any more; stored with each renewal."""
         self.succeeds_sole_leader = False
         """Whether no leader before the last takeover can act any more."""
+        self.former_leader: LeaderProcess | None = None
+        """The process that led before the last takeover, if none before it can act any more."""
         self._watched_since = Instant(0)
         """Since when the lease row was read without a failure and without a change."""
         self._is_watch_broken = False
@@ -299,6 +339,7 @@
     async def _take_over(self, snapshot: LeadershipSnapshot) -> Epoch | None:
         self.is_sole = False
         self.succeeds_sole_leader = has_sole_leader_ended(snapshot, self._host, self._address)
+        self.former_leader = find_sole_leader(snapshot)
         epoch = Epoch(snapshot.epoch + 1)
         renewal = self.make_renewal(epoch)
         row = EpochRow(epoch, self._host, self._incarnation)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_members.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_members.py
@@ -282,6 +282,8 @@
 
     async def _send_heartbeat(self, leader: HostId) -> None:
         heartbeat = self._members.make_heartbeat(read_instant())
+        if self._digest is not None:
+            heartbeat = msgspec.structs.replace(heartbeat, heard_epoch=self._digest.epoch)
         try:
             digest = await self._bus.ask(
                 leader, HEARTBEAT_TOPIC, heartbeat, Digest, HEARTBEAT_TIMEOUT_SECONDS
--- a/packages/lentilpathd/src/lentilpathd/_pool/_messages.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_messages.py
@@ -27,6 +27,8 @@
     """Uptime of the process in ms."""
     hosts_mark: int = 0
     """Fingerprint of the list of hosts that the sender has; 0 for none."""
+    heard_epoch: Epoch = Epoch(0)
+    """Epoch of the last digest that the sender has got; 0 for none."""
 
 
 class KnownHost(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -17,6 +17,7 @@
     ConfigurationSet,
     DeleteJob,
     ForgetCrash,
+    FormerLeaderEnded,
     GiveUpRun,
     JobAccepted,
     JobCancelled,
@@ -66,7 +67,7 @@
 from lentilpathd._pool._guard import run_guarded
 from lentilpathd._pool._hold_log import HoldLog
 from lentilpathd._pool._job_feed import JobFeed
-from lentilpathd._pool._leadership import PoolLeadership
+from lentilpathd._pool._leadership import LeaderProcess, PoolLeadership, find_end_of_leader
 from lentilpathd._pool._leases import bound_lease_ms, extend_lease
 from lentilpathd._pool._members import decode_heartbeat
 from lentilpathd._pool._messages import Digest, JobNotice
@@ -331,10 +332,21 @@
         """Record a host's heartbeat and answer with the digest."""
         heartbeat = decode_heartbeat(request)
         self._context.members.record_heartbeat(request.sender, heartbeat, read_instant())
+        if heartbeat.heard_epoch == self._epoch:
+            sender = LeaderProcess(request.sender, request.incarnation)
+            self.note_follower(sender, heartbeat.up_ms)
         digest = self.make_digest()
         is_known = heartbeat.hosts_mark == digest.hosts_mark
         return msgspec.structs.replace(digest, hosts=()) if is_known else digest
 
+    def note_follower(self, sender: LeaderProcess, up_ms: int) -> None:
+        """Note that a process, started `up_ms` ago, follows this leader and does not lead."""
+        former, now = self._leadership.former_leader, read_instant()
+        ended_at = None if former is None else find_end_of_leader(former, sender, up_ms, now)
+        if ended_at is not None:
+            self._leadership.former_leader = None
+            self.handle_event(FormerLeaderEnded(ended_at))
+
     @singledispatchmethod
     def _execute(self, effect: PoolEffect) -> None:
         raise TypeError(f"unknown pool effect: {effect!r}")
--- a/tests/common/simulated_pool.py
+++ b/tests/common/simulated_pool.py
@@ -24,7 +24,7 @@
 )
 from lentilpathd._events import EventLine
 from lentilpathd._pool._context import PoolContext
-from lentilpathd._pool._leadership import PoolLeadership
+from lentilpathd._pool._leadership import LeaderProcess, PoolLeadership
 from lentilpathd._pool._ports import Deposed, PartitionRow, PartitionRows
 from lentilpathd._pool._records import encode_record, format_task, get_job_partitions
 from lentilpathd._pool._settings import PoolHostSettings
@@ -126,6 +126,7 @@
         self.name = name
         self.starts = starts
         """How often the host's process was started before."""
+        self.started_at = 0.0
         self.path = SharedRows(rows, cluster)
         self.term: Term | None = None
         settings = PoolHostSettings(
@@ -148,6 +149,7 @@
             *(unused,) * 5,
         )
         incarnation = Incarnation(f"{name}.{starts}")
+        self.process = LeaderProcess(HostId(name), incarnation)
         self.leadership = PoolLeadership(self.path, HostId(name), incarnation, ADDRESS)
 
     async def run(self) -> None:
--- a/tests/cover/test_pool_authority.py
+++ b/tests/cover/test_pool_authority.py
@@ -6,10 +6,25 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+from typing import Any
+
+import msgspec
 import pytest
 
-from lentilpath_core.ids import Epoch, HostId, Instant, RowVersion, WallTime
+from lentilpath_core.ids import (
+    Epoch,
+    HostId,
+    Incarnation,
+    Instant,
+    RegionId,
+    RowVersion,
+    WallTime,
+    ZoneId,
+)
+from lentilpath_core.peers import PROTOCOL_VERSION, PeerRequest
 from lentilpath_core.pool import (
+    FormerLeaderEnded,
     JobAccepted,
     RecordWorkers,
     StepSpec,
@@ -17,6 +32,7 @@
     create_pool,
     get_unconfirmed_lease_ms,
     may_lead_on,
+    measure_loads,
     restore_former_workers,
 )
 from lentilpath_core.pool._authority import (
@@ -25,8 +41,16 @@
     UNCONFIRMED_LEASE_BOUND_MS,
     UNCONFIRMED_LEASE_MS,
 )
-from lentilpathd._pool._leadership import LeadershipSnapshot, has_sole_leader_ended
+from lentilpathd._pool._leadership import (
+    LeaderProcess,
+    LeadershipSnapshot,
+    find_end_of_leader,
+    find_sole_leader,
+    has_sole_leader_ended,
+)
+from lentilpathd._pool._messages import HEARTBEAT_TOPIC, Digest, Heartbeat
 from lentilpathd._pool._records import LeaseRow
+from lentilpathd._pool._term import Term
 from tests.common.pools import (
     SETTLE_MS,
     TASK_RESOURCES,
@@ -202,6 +226,64 @@
     assert started >= MAX_UNCONFIRMED_MS + LEASE_MS
 
 
+def test_a_successor_waits_for_the_leases_only_once_the_former_leader_is_known_to_have_ended():
+    """A leader that was killed, with most workers lost beside it, held up jobs for two minutes."""
+    harness = make_successor()
+    assert find_first_start(harness, NAMES[0], limit_ms=1_000) is None
+    ended_at = harness.now
+    harness.handle_event(FormerLeaderEnded(ended_at))
+    assert find_first_start(harness, NAMES[0], limit_ms=20_000) is not None
+    assert ended_at + UNCONFIRMED_LEASE_BOUND_MS <= harness.now <= ended_at + LEASE_MS + 500
+
+
+FORMER = LeaderProcess(HostId("h1"), Incarnation("h1.1"))
+UP_MS = 700
+
+
+@pytest.mark.parametrize(
+    ("host", "incarnation", "ended_ago_ms"),
+    [("h1", "h1.1", 0), ("h1", "h1.2", UP_MS), ("h2", "h2.1", None), ("h2", "h1.1", None)],
+)
+def test_a_follower_on_the_former_leaders_host_shows_since_when_that_one_has_ended(
+    host, incarnation, ended_ago_ms
+):
+    now = Instant(5_000)
+    sender = LeaderProcess(HostId(host), Incarnation(incarnation))
+    ended_at = find_end_of_leader(FORMER, sender, UP_MS, now)
+    assert ended_at == (None if ended_ago_ms is None else now - ended_ago_ms)
+
+
+@pytest.mark.parametrize(("is_sole", "known"), [(True, True), (False, False)])
+def test_the_end_of_a_leader_says_nothing_of_those_that_it_had_to_wait_for(is_sole, known):
+    lease = LeaseRow(Epoch(1), HostId("h1"), ADDRESS, 1_000, "", is_sole)
+    snapshot = LeadershipSnapshot(
+        Epoch(1), RowVersion(1), lease, RowVersion(1), 2_000, (), FORMER.incarnation
+    )
+    assert find_sole_leader(snapshot) == (FORMER if known else None)
+
+
+@pytest.mark.parametrize(("heard_epoch", "counts"), [(2, True), (1, False), (0, False)])
+def test_only_a_process_that_has_heard_the_new_leader_counts_as_its_follower(heard_epoch, counts):
+    """Another message may have been sent before the process led."""
+    harness = make_successor()
+    term: Any = SimpleNamespace(
+        _epoch=Epoch(2),
+        _context=SimpleNamespace(members=SimpleNamespace(record_heartbeat=lambda *_: None)),
+        make_digest=lambda: Digest(Epoch(2), measure_loads(harness.state, harness.now)),
+        note_follower=lambda sender, up_ms: noted.append((sender, up_ms)),
+    )
+    noted: list[tuple[LeaderProcess, int]] = []
+    heartbeat = Heartbeat(
+        ADDRESS, ZoneId("z"), RegionId("r"), up_ms=UP_MS, heard_epoch=Epoch(heard_epoch)
+    )
+    body = msgspec.to_builtins(heartbeat)
+    request = PeerRequest(
+        PROTOCOL_VERSION, FORMER.host, FORMER.incarnation, ZoneId("z"), HEARTBEAT_TOPIC, body
+    )
+    Term.handle_heartbeat(term, request)
+    assert noted == ([(FORMER, UP_MS)] if counts else [])
+
+
 def test_a_successor_that_reaches_all_workers_starts_at_once():
     assert find_first_start(make_successor(), *NAMES, limit_ms=1_000) is not None
 
--- a/tests/nocover/test_pool_silent_workers.py
+++ b/tests/nocover/test_pool_silent_workers.py
@@ -13,7 +13,9 @@
 
 from lentilpath_core.ids import ConfigVersion
 from lentilpath_core.pool import JobState, PoolConfiguration
+from lentilpathd._clock import MS_PER_SECOND
 from lentilpathd._pool._leases import RENEWAL_TIMEOUT_SECONDS
+from lentilpathd._pool._members import HEARTBEAT_INTERVAL_MS
 from tests.common.pools import QUEUE, make_queue
 from tests.common.requests import wait_until
 from tests.common.simulated_advice import watch_startable
@@ -71,6 +73,7 @@
     hosts = [SimulatedHost(f"h{number}", rows, cluster) for number in range(series.kills + 2)]
     running = {host.name: asyncio.create_task(host.run()) for host in hosts}
     cluster.spawn(submit_jobs(cluster, rows))
+    cluster.spawn(exchange_heartbeats(hosts, running))
     await asyncio.sleep(series.silent_at)
     for worker in list(cluster.workers.values())[: series.silent]:
         worker.cut_until = FOR_EVER
@@ -108,10 +111,25 @@
         rows.put_job(record)
 
 
+async def exchange_heartbeats(
+    hosts: list[SimulatedHost], running: dict[str, asyncio.Task[None]]
+) -> None:
+    """Let the leader know which processes follow it."""
+    while True:
+        leader = next((each for each in hosts if list_states([each])), None)
+        for host in hosts:
+            is_up = not running[host.name].done()
+            if leader is not None and leader.term is not None and is_up and host.term is None:
+                up_ms = int((read_time() - host.started_at) * MS_PER_SECOND)
+                leader.term.note_follower(host.process, up_ms)
+        await asyncio.sleep(HEARTBEAT_INTERVAL_MS / MS_PER_SECOND)
+
+
 async def start_later(
     host: SimulatedHost, seconds: float, running: dict[str, asyncio.Task[None]]
 ) -> None:
     await asyncio.sleep(seconds)
+    host.started_at = read_time()
     running[host.name] = asyncio.create_task(host.run())
 
 
