--- a/tests/nocover/test_pool_silent_workers.py
+++ b/tests/nocover/test_pool_silent_workers.py
@@ -54,6 +54,7 @@
     "one worker, one leader": Series(1, 1, 5.0),
     "one worker, four leaders": Series(1, 4, 5.0),
     "one worker, six leaders in quick succession": Series(1, 6, 3.0),
+    "one worker, six leaders whose hosts return late": Series(1, 6, 3.0, return_seconds=4.0),
     "a quarter of the workers, three leaders": Series(3, 3, 6.0),
     "a worker that is silent for long, four leaders": Series(1, 4, 5.0, silent_at=1.0),
     "most workers, one leader": Series(7, 1, 5.0),
@@ -144,6 +145,26 @@
     assert not problems
 
 
+LEADERS_OF_THE_WAIT = 2
+"""The first of them stores when the runs on silent workers have ended; their next successor need not
+wait."""
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("hosts", ["in quick succession", "whose hosts return late"])
+def test_jobs_go_on_while_leaders_are_still_being_lost(hosts, seed, monkeypatch):
+    """They stood still for the whole series, since each leader began to wait anew."""
+    series = SERIES[f"one worker, six leaders {hosts}"]
+    cluster = SimulatedCluster(seed, Faults(latest_seconds=3.0), WORKER_COUNT)
+    cluster.configuration = PoolConfiguration(ConfigVersion(1), {QUEUE: make_queue(max_attempts=9)})
+    problems = run_logged(play(cluster, series), cluster, monkeypatch)
+    lost = [at for at, text in cluster.log if text.endswith(" is lost")]
+    jobs = {run.task.job for run in cluster.runs if run.started_at < lost[0]}
+    began = [run.started_at for run in cluster.runs if run.task.job in jobs]
+    assert any(lost[LEADERS_OF_THE_WAIT] < at < lost[-1] for at in began)
+    assert not problems
+
+
 async def measure_recovery(cluster: SimulatedCluster, silent: int) -> float:
     """Return the time from a leader's takeover until its successor's jobs may start, in seconds."""
     for worker in cluster.workers.values():
