Pools: how long a run may show no progress follows from how long a percent of it takes

The sound worker got no starts for 3 s after each stop.

Cause: workers report whole percents, so that a task of over 400 s shows no progress for over 4 s. The limit was 4 s for every task; it had been derived from the longest task of the data sheets.

Change: the limit is 4 s or 12 percents' time, whichever is longer. A percent's time is the longest of the estimate, the estimate corrected by the queue's earlier runs, and the run's own speed. For tasks whose estimate is missing or far too low, the limit doubles with each run that was stopped as frozen, from the second on; for lasting tasks until one serves. Tasks of seconds are stopped after 4 s as before, in the first and in the second run.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_evidence.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_evidence.py
@@ -19,9 +19,16 @@
 FAILURE_COOLDOWN_MS = 3_000
 """How long a failing or frozen worker gets no starts."""
 FROZEN_AFTER_MS = 4_000
-"""A run that makes no progress for this long is stopped. This is over twice the time in which the
-longest run of the deployments' data sheets progresses by one percent on a worker that is six times
-slower than normal."""
+"""A run that makes no progress for this long is stopped, unless its task is so long that a percent
+of it may take as long."""
+FROZEN_AFTER_PERCENTS = 12
+"""A run is not stopped as frozen before the time in which it should progress by this many percent:
+twice the time of one percent on a worker that is six times slower than normal."""
+FROZEN_RUNS_BELIEVED = 2
+"""Runs of a task that are stopped as frozen before the limit for the task is doubled. As many may
+have met frozen workers in turn; beyond that the task probably takes longer than it seems."""
+MIN_PERCENT_MEASURED = 5
+"""Progress from which a run's own speed counts. The first percents are reported too coarsely."""
 SILENT_AFTER_MS = 2_000
 """A worker whose last report is older than this is silent. A working one is asked at most 1.5 s
 after the last time: a long poll of 0.8 s, and 0.4 s until the ends in the answer are stored."""
@@ -42,6 +49,8 @@
     if percent != attempt.percent:
         attempt.percent = percent
         attempt.progressed_at = now
+    if attempt.step is not None and _is_serving(attempt.step, attempt):
+        attempt.step.frozen_runs.pop(attempt.task.number, None)
 
 
 def record_success(
@@ -69,7 +78,8 @@
     effects: list[PoolEffect] = []
     for worker in state.workers.values():
         for attempt in worker.attempts.values():
-            if _is_frozen(worker, attempt, now):
+            if _is_frozen(state, worker, attempt, now):
+                _count_frozen_run(attempt)
                 worker.cooldown_until = Instant(now + FAILURE_COOLDOWN_MS)
                 effects.extend(stop_attempt(attempt, StopReason.FROZEN, now))
     return tuple(effects)
@@ -87,7 +97,7 @@
         attempt.progressed_at = Instant(min(sent_at, attempt.progressed_at + silent_ms))
 
 
-def _is_frozen(worker: Worker, attempt: Attempt, now: Instant) -> bool:
+def _is_frozen(state: PoolState, worker: Worker, attempt: Attempt, now: Instant) -> bool:
     if worker.reported_at is None or now > worker.reported_at + SILENT_AFTER_MS:
         # The run may progress unseen. Its lease decides what becomes of it.
         return False
@@ -97,9 +107,47 @@
     step = attempt.step
     if attempt.phase is not Phase.RUNNING or step is None or step.spec.fills:
         return False
-    if step.spec.lasting and attempt.percent >= 100:
+    if _is_serving(step, attempt):
         return False
-    return now >= attempt.progressed_at + FROZEN_AFTER_MS
+    return now >= attempt.progressed_at + _get_frozen_after_ms(state, step, attempt)
+
+
+def _is_serving(step: Step, attempt: Attempt) -> bool:
+    """Return whether the run is of a lasting task and past its startup."""
+    return step.spec.lasting and attempt.percent >= 100
+
+
+def _count_frozen_run(attempt: Attempt) -> None:
+    if attempt.step is not None:
+        counts = attempt.step.frozen_runs
+        counts[attempt.task.number] = counts.get(attempt.task.number, 0) + 1
+
+
+def _get_frozen_after_ms(state: PoolState, step: Step, attempt: Attempt) -> float:
+    """Return the time without progress, in ms, after which a run is frozen.
+
+    Workers report whole percents, so a sound run of a long task shows no progress for as long as a
+    percent takes. How long that is follows from the task's estimate and the run's own speed. Where
+    neither is known, or the estimate is far too low, the limit rises with each run that was stopped
+    in vain, so that the task is done in the end.
+    """
+    doublings = step.frozen_runs.get(attempt.task.number, 0) + 1 - FROZEN_RUNS_BELIEVED
+    least_ms = FROZEN_AFTER_MS << max(0, doublings)
+    if step.spec.lasting:
+        # The estimate and the percents of a lasting task are not of the same time.
+        return least_ms
+    return max(least_ms, FROZEN_AFTER_PERCENTS * _estimate_percent_ms(state, step, attempt))
+
+
+def _estimate_percent_ms(state: PoolState, step: Step, attempt: Attempt) -> float:
+    """Return the longest time, in ms, that a percent of the run is expected to take."""
+    # The ratio is of all jobs of the queue, so it does not show that a long estimate is too long.
+    ratio = max(1.0, state.run_time_ratios.get(step.job.record.queue, 1.0))
+    estimated_ms = step.spec.estimate_ms * ratio / 100
+    seen_percent = attempt.percent - attempt.first_percent
+    if seen_percent < MIN_PERCENT_MEASURED:
+        return estimated_ms
+    return max(estimated_ms, (attempt.progressed_at - attempt.begun_at) / seen_percent)
 
 
 def mark_slow_workers(state: PoolState, now: Instant) -> None:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -58,6 +58,8 @@
     has_survived: bool = False
     """Whether a report has listed the run so long after its start that it has crashed nothing."""
     percent: int = 0
+    first_percent: int = 0
+    """Percent of the task that was done when this leader first saw the run."""
     progressed_at: Instant = Instant(0)
     """When a change of `percent` was last seen."""
     stop_sent_at: Instant = Instant(0)
@@ -179,6 +181,9 @@
     """Runs that had just begun when their worker crashed, by task index; stored."""
     suspected_runs: dict[int, set[RunNumber]] = field(default_factory=dict)
     """Runs that may be added to `crashed_runs`, by task index."""
+    frozen_runs: dict[int, int] = field(default_factory=dict)
+    """Number of runs that were stopped as frozen, by task index; of a lasting task, since a run of
+    it last served."""
     avoided_workers: dict[int, set[WorkerId]] = field(default_factory=dict)
     """Workers on which a task has failed, by task index."""
     tickets: dict[WorkerId, Ticket] | None = None
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -282,6 +282,7 @@
         has_started=True,
         is_confirmed=True,
         percent=running.percent,
+        first_percent=running.percent,
         progressed_at=now,
         customer=get_job_customer(state, running.task.job),
     )
