Jobs: an accepted job is stored with its queue's policy, so that any leader can run it

Cause: a leader took a recovered job's policy from the configuration in force, which lacks the queue. A job without a policy has no worker that it may start on. The leader of the time had kept the last policy in memory. A job that another host accepted just after the leader had removed its queue met the same under one leader.

Change: a job's row holds the service, priority, attempts, objective and advice of its queue at its acceptance. They count while the configuration in force lacks the queue. Rows without them are read as before, and earlier releases read the new rows. A stored policy with numbers that no configuration may have is refused like the rest of a row.

Weighed: a row of the removed queue, written by the leader. Fewer bytes, but writes of its own, a row to delete later, and no policy if the leader is lost before it has written, or is replaced by one that never saw the queue.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
@@ -84,6 +84,7 @@
 )
 from lentilpath_core.pool._model import (
     FINAL_STATES,
+    AcceptedPolicy,
     AdvicePolicy,
     CustomerPolicy,
     EndedRun,
@@ -110,6 +111,7 @@
     get_completion_objective_ms,
 )
 from lentilpath_core.pool._pauses import PauseWatch
+from lentilpath_core.pool._policies import keep_policy
 from lentilpath_core.pool._share_admission import (
     ShareLoads,
     decide_share_admission,
@@ -126,6 +128,7 @@
     "NO_CUSTOMER",
     "OTHER_CUSTOMERS",
     "QUOTA_OVERAGE",
+    "AcceptedPolicy",
     "AdviceAnswered",
     "AdvicePolicy",
     "AskAdvice",
@@ -211,6 +214,7 @@
     "is_configuration_current",
     "is_former_leader_contained",
     "is_placement_due",
+    "keep_policy",
     "list_usages",
     "may_lead_on",
     "measure_loads",
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -33,6 +33,7 @@
 from lentilpath_core.pool._leaving import evacuate_leaving_workers
 from lentilpath_core.pool._model import JobState, TaskKey, get_completion_objective_ms
 from lentilpath_core.pool._placement import handle_advice, place_waiting
+from lentilpath_core.pool._policies import find_policy
 from lentilpath_core.pool._runs import (
     handle_recorded_end,
     handle_start_answer,
@@ -125,7 +126,7 @@
     record = event.record
     if record.job in state.jobs or record.job in state.finals:
         return ()
-    policy = state.configuration.queues.get(record.queue)
+    policy = find_policy(state.configuration, record)
     critical_path_ms = max(estimate_critical_paths(record.steps), default=0.0)
     objective_ms = (
         get_completion_objective_ms(policy, critical_path_ms)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
@@ -96,6 +96,34 @@
         return Resources(0, self.room.memory_mib, self.room.accelerators)
 
 
+@dataclass(frozen=True, slots=True)
+class AdvicePolicy:
+    """Expected duration of calls to the advice service, and validity of its permissions."""
+
+    call_ms: float
+    worker_ms: float
+    """Added to `call_ms` for each worker that a call names."""
+    valid_ms: int
+
+    def estimate_call_ms(self, workers: int) -> float:
+        """Return the expected duration in ms of a call that names this many workers."""
+        return self.call_ms + self.worker_ms * workers
+
+
+class AcceptedPolicy(msgspec.Struct, frozen=True, array_like=True):
+    """What a job needs of its queue's policy, as it was when the job was accepted.
+
+    Stored with the job, so that a leader that never saw the queue can still run it.
+    """
+
+    service: ServiceId
+    priority: int
+    max_attempts: int
+    slack_factor: float
+    target_ms: int
+    advice: AdvicePolicy | None = None
+
+
 class JobRecord(msgspec.Struct, frozen=True, omit_defaults=True):
     """A job as it was accepted. Stored before its acceptance is acknowledged."""
 
@@ -111,6 +139,8 @@
     every_ms: int = 0
     customer: CustomerId = CustomerId("")
     """Customer whose key the submission carried; empty without one."""
+    policy: AcceptedPolicy | None = None
+    """Policy of the queue at that time; `None` for a job that an earlier release has stored."""
 
 
 class JobState(Enum):
@@ -126,20 +156,6 @@
 FINAL_STATES = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
 
 
-@dataclass(frozen=True, slots=True)
-class AdvicePolicy:
-    """Expected duration of calls to the advice service, and validity of its permissions."""
-
-    call_ms: float
-    worker_ms: float
-    """Added to `call_ms` for each worker that a call names."""
-    valid_ms: int
-
-    def estimate_call_ms(self, workers: int) -> float:
-        """Return the expected duration in ms of a call that names this many workers."""
-        return self.call_ms + self.worker_ms * workers
-
-
 @dataclass(frozen=True, slots=True)
 class QueuePolicy:
     """Settings of a queue in the current configuration."""
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_validity.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_validity.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from lentilpath_core.errors import InvalidInput, InvalidJob
-from lentilpath_core.pool._model import JobRecord, ListedWorker, StepSpec
+from lentilpath_core.pool._model import AcceptedPolicy, JobRecord, ListedWorker, StepSpec
 from lentilpath_core.resources import Resources
 
 MAX_INTEGER = 2**53 - 1
@@ -35,6 +35,8 @@
     )
     for number, step in enumerate(record.steps):
         _check_step(number, step)
+    if record.policy is not None:
+        _check_policy(record.policy)
     occurrences = max(1, record.repeats)
     steps = occurrences * len(record.steps)
     tasks = occurrences * sum(step.count for step in record.steps)
@@ -84,7 +86,24 @@
     )
 
 
-def _check_numbers(name: str, **numbers: int) -> None:
+def _check_policy(policy: AcceptedPolicy) -> None:
+    _check_numbers(
+        "the queue's policy",
+        priority=abs(policy.priority),
+        max_attempts=policy.max_attempts,
+        slack_factor=policy.slack_factor,
+        target_ms=policy.target_ms,
+    )
+    if policy.advice is not None:
+        _check_numbers(
+            "the queue's advice",
+            call_ms=policy.advice.call_ms,
+            worker_ms=policy.advice.worker_ms,
+            valid_ms=policy.advice.valid_ms,
+        )
+
+
+def _check_numbers(name: str, **numbers: float) -> None:
     for field, number in numbers.items():
         if not 0 <= number <= MAX_INTEGER:
             shown = str(number)[:MAX_SHOWN_DIGITS]
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -19,6 +19,7 @@
     JobState,
     QueuePolicy,
     check_owner,
+    keep_policy,
 )
 from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
@@ -107,7 +108,7 @@
             refused = await self._refuse(record, refusal)
             if refused is not None:
                 return refused
-        row = (record.job, encode_record(record))
+        row = (record.job, encode_record(keep_policy(record, policy)))
         transactions = tuple(
             PartitionTransaction(JOBS_TABLE, part, checks=((record.job, ABSENT),), puts=(row,))
             for part in get_job_partitions(record.job)
--- a/tests/cover/test_pool_malformed_rows.py
+++ b/tests/cover/test_pool_malformed_rows.py
@@ -16,10 +16,13 @@
 
 from lentilpath_core.ids import Epoch, Instant, JobId, RowVersion, WallTime, WorkerId
 from lentilpath_core.pool import (
+    AcceptedPolicy,
+    AdvicePolicy,
     FinalRecord,
     JobAccepted,
     JobState,
     ListedWorker,
+    QueueId,
     RecordWorkers,
     RunEnd,
     RunNumber,
@@ -39,7 +42,7 @@
 )
 from lentilpathd._pool._recovery import RecoveredPool, read_pool
 from lentilpathd._pool._worker_rows import WorkerShares
-from tests.common.pools import make_job_id, make_record, make_task, make_worker
+from tests.common.pools import SERVICE, make_job_id, make_record, make_task, make_worker
 from tests.common.simulated_pool import SharedRows
 
 GOOD, ENDED, BAD = make_job_id(1), make_job_id(2), make_job_id(3)
@@ -59,7 +62,19 @@
     ),
     *[st.integers(-HUGE, HUGE)] * 4,
 )
-ROW_VALUES = st.binary(max_size=80) | VALUES | RECORDS | st.just(DEEP)
+POLICIES = st.builds(
+    lambda priority, attempts, slack, advice: encode_record(
+        msgspec.structs.replace(
+            make_record(3, queue=QueueId("removed")),
+            policy=AcceptedPolicy(SERVICE, priority, attempts, slack, attempts, advice),
+        )
+    ),
+    st.integers(-HUGE, HUGE),
+    st.integers(-HUGE, HUGE),
+    st.floats(),
+    st.none() | st.builds(AdvicePolicy, st.floats(), st.floats(), st.integers(-HUGE, HUGE)),
+)
+ROW_VALUES = st.binary(max_size=80) | VALUES | RECORDS | POLICIES | st.just(DEEP)
 POOL_KEYS = st.sampled_from(
     [
         make_final_key(BAD),
