Recovery: each partition is read until its own read succeeds

What callers would see: after a change of leader nothing starts for as long as the table fails some of its reads.

Cause: a new leader reads 32 partitions of jobs and the records at once, and made all 33 reads again when one had failed, so that its recovery took until all of them had succeeded in a row.

Change: RepeatedReads repeats each read by itself. Changes are followed from the oldest read, as before. The time that goes with the table's clock is noted when the records have been read, since the jobs may take much longer now. A line of the log (LP506) stands for all reads that fail within 0.2 s.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Container, Mapping
 from dataclasses import dataclass
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 import msgspec
 
@@ -66,6 +66,50 @@
 RETRY_SECONDS = 0.2
 """Five attempts a second; a recovery makes 34 calls, of the 2,000 a second that all hosts may
 make."""
+REPORT_INTERVAL_MS = 200
+"""All reads may fail at once; one line of the log stands for those that fail in this time."""
+
+
+class PartitionReader(Protocol):
+    """The reading of partitions; see `PartitionedTable`."""
+
+    async def read_partition(
+        self, table: str, partition: str, first: str, end: str, timeout: float
+    ) -> PartitionRows:
+        """Return the rows with keys from `first` up to `end`, exclusive; empty for no bound."""
+        ...
+
+
+class RepeatedReads:
+    """Reads partitions until it succeeds, each by itself.
+
+    A recovery reads so many partitions that with few failures some read of nearly every attempt
+    fails. Partitions that were read are not read again because another was not.
+    """
+
+    def __init__(self, table: PartitionedTable, epoch: Epoch) -> None:
+        self._table = table
+        self._epoch = epoch
+        self._next_report_at = Instant(0)
+
+    async def read_partition(
+        self, table: str, partition: str, first: str, end: str, timeout: float
+    ) -> PartitionRows:
+        """Return the rows of a partition, whenever the table answers; see `PartitionedTable`.
+
+        `timeout` is that of each attempt.
+        """
+        while True:
+            try:
+                return await self._table.read_partition(table, partition, first, end, timeout)
+            except (Unavailable, OutcomeUnknown) as error:
+                self._report(f"{table}/{partition}: {error}", read_instant())
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def _report(self, error: str, now: Instant) -> None:
+        if now >= self._next_report_at:
+            self._next_report_at = Instant(now + REPORT_INTERVAL_MS)
+            log_warning_event(Event.POOL_RECOVERY_FAILED, epoch=self._epoch, error=error)
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,15 +145,14 @@
         return job in self.finals or job in self.unreadable
 
 
-async def read_pool(table: PartitionedTable) -> RecoveredPool:
+async def read_pool(table: PartitionReader) -> RecoveredPool:
     """Read all rows of a pool; raises `Unavailable` or `OutcomeUnknown`.
 
     Rows that cannot be used are logged and skipped.
     """
     # The records may be read before the jobs: only this leader changes them since its takeover.
-    reads, pool_rows = await asyncio.gather(
-        read_all_jobs(table),
-        table.read_partition(POOL_TABLE, POOL_PARTITION, "", "", READ_TIMEOUT_SECONDS),
+    reads, (pool_rows, pool_read_at) = await asyncio.gather(
+        read_all_jobs(table), _read_records(table)
     )
     job_rows = [row for read in reads for row in read.rows]
     jobs_version = min(read.version for read in reads)
@@ -143,7 +186,7 @@
         tuple(events),
         stored.workers,
         tuple(stored.unusable),
-        _convert_ends(stored, pool_rows.clock_ms, read_instant()),
+        _convert_ends(stored, pool_rows.clock_ms, pool_read_at),
         tuple(worker_rows),
         tuple(ends),
         frozenset(ended),
@@ -151,6 +194,15 @@
     )
 
 
+async def _read_records(table: PartitionReader) -> tuple[PartitionRows, Instant]:
+    """Read the leader's rows; return them, and when they had been read.
+
+    The time goes with the clock in the answer: the jobs may take much longer to read.
+    """
+    rows = await table.read_partition(POOL_TABLE, POOL_PARTITION, "", "", READ_TIMEOUT_SECONDS)
+    return rows, read_instant()
+
+
 def _read_recently_ended(
     rows: list[PartitionRow], finals: dict[JobId, FinalRecord], wall_now: WallTime
 ) -> dict[JobId, JobRecord]:
@@ -225,7 +277,7 @@
     }
 
 
-async def read_all_jobs(table: PartitionedTable) -> tuple[PartitionRows, ...]:
+async def read_all_jobs(table: PartitionReader) -> tuple[PartitionRows, ...]:
     """Read all partitions of the jobs table, at most `MAX_CONCURRENT_READS` at a time."""
     slots = asyncio.Semaphore(MAX_CONCURRENT_READS)
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -74,6 +74,7 @@
 from lentilpathd._pool._records import format_task, make_crash_key
 from lentilpathd._pool._recovery import (
     EndedJobs,
+    RepeatedReads,
     read_commanded_workers,
     read_pool,
     read_repeatedly,
@@ -223,7 +224,7 @@
     async def _recover(self) -> None:
         table, registry = self._context.table, self._context.registry
         recovered, (listed, listed_at) = await asyncio.gather(
-            read_repeatedly(lambda: read_pool(table), self._epoch),
+            read_pool(RepeatedReads(table, self._epoch)),
             read_repeatedly(lambda: read_list(registry), self._epoch),
         )
         self._jobs_version = recovered.jobs_version
