--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -75,6 +75,7 @@
 from lentilpathd._pool._records import format_task, make_crash_key
 from lentilpathd._pool._recovery import (
     EndedJobs,
+    RepeatedReads,
     read_commanded_workers,
     read_pool,
     read_repeatedly,
@@ -229,7 +230,7 @@
         table, registry = self._context.table, self._context.registry
         since = self._leadership.suspends_since
         recovered, (listed, listed_at) = await asyncio.gather(
-            read_repeatedly(lambda: read_pool(table, since), self._epoch),
+            read_pool(RepeatedReads(table, self._epoch), since),
             read_repeatedly(lambda: read_list(registry), self._epoch),
         )
         self._jobs_version = recovered.jobs_version
