Observability: each pool host measures how late its event loop is

What callers saw: jobs stood still and every other host logged LP504, "the leader did not answer", when the leader was gone, when it was paused, and when a crowd of callers took the event loop that commands its workers. No log and no metric told the three apart.

Cause: nothing measured the event loop.

The histogram loop.delay has the cause as its label.

--- a/packages/lentilpathd/src/lentilpathd/_clock.py
+++ b/packages/lentilpathd/src/lentilpathd/_clock.py
@@ -13,6 +13,11 @@
     return Instant(time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS)
 
 
+def read_processor_ms() -> int:
+    """Return the processor time in ms that all threads of this process have used so far."""
+    return time.process_time_ns() // NS_PER_MS
+
+
 def read_wall_time() -> WallTime:
     """Return the wall clock time in ms since 1970, for records that people read."""
     return WallTime(time.time_ns() // NS_PER_MS)
--- a/packages/lentilpathd/src/lentilpathd/_metrics.py
+++ b/packages/lentilpathd/src/lentilpathd/_metrics.py
@@ -47,6 +47,7 @@
     IS_LEADER = "leadership.is_leader"
     BREAKER_OPEN = "table.breaker_open"
     CALLS_HELD = "table.calls_held"
+    LOOP_DELAY = "loop.delay"
 
 
 class Metrics:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -19,6 +19,7 @@
 from lentilpathd._cancellation import run_in_own_task, start_member
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._loop_delay import LoopDelay, monitor_loop
 from lentilpathd._metrics import Metric
 from lentilpathd._peers import PeerBus
 from lentilpathd._pool._advice import AdviceAgent
@@ -202,9 +203,13 @@
                 Part("leadership", self._run_leadership),
                 Part("leader watch", self._watch_leader),
                 Part("settings", self.settings_watcher.run),
+                Part("loop delay", partial(monitor_loop, self._report_loop_delay)),
             )
         )
 
+    def _report_loop_delay(self, delay: LoopDelay) -> None:
+        self.metrics.record_time(Metric.LOOP_DELAY, delay.delay_ms, delay.cause.value)
+
     def _apply_settings(self, settings: PoolHostSettings) -> None:
         self.settings = settings
         self.context.settings = settings
--- a/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
@@ -35,6 +35,7 @@
     Metric.START_WAIT: ("queue",),
     Metric.RECORD_WAIT: (),
     Metric.ADVICE_TIME: (),
+    Metric.LOOP_DELAY: ("cause",),
 }
 _GAUGES: dict[Metric, tuple[str, ...]] = {
     Metric.JOBS_PENDING: ("queue",),
