--- a/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
@@ -116,7 +116,7 @@
     measure_shares,
 )
 from lentilpath_core.pool._state import PoolState, create_pool
-from lentilpath_core.pool._validity import MAX_INTEGER, check_job, check_worker
+from lentilpath_core.pool._validity import MAX_INTEGER, check_job, check_step_count, check_worker
 from lentilpath_core.pool._workers import restore_former_workers
 
 __all__ = [
@@ -195,6 +195,7 @@
     "check_job",
     "check_job_fits_quota",
     "check_owner",
+    "check_step_count",
     "check_worker",
     "create_pool",
     "decide_admission",
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_validity.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_validity.py
@@ -33,15 +33,23 @@
         every_ms=record.every_ms,
         accepted_at=record.accepted_at,
     )
+    check_step_count(len(record.steps), record.repeats)
     for number, step in enumerate(record.steps):
         _check_step(number, step)
-    occurrences = max(1, record.repeats)
-    steps = occurrences * len(record.steps)
-    tasks = occurrences * sum(step.count for step in record.steps)
-    if steps > MAX_JOB_STEPS or tasks > MAX_JOB_TASKS:
+    tasks = max(1, record.repeats) * sum(step.count for step in record.steps)
+    if tasks > MAX_JOB_TASKS:
         raise InvalidJob(
-            f"the job has {steps} steps and {tasks} tasks with its repetitions; split it into jobs"
-            f" of at most {MAX_JOB_STEPS} steps and {MAX_JOB_TASKS} tasks"
+            f"the job has over {MAX_JOB_TASKS} tasks with its repetitions; split it into jobs of "
+            "fewer tasks"
+        )
+
+
+def check_step_count(count: int, repeats: int) -> None:
+    """Raise `InvalidJob` if a job of `count` steps is too large for a leader's memory."""
+    if max(1, repeats) * count > MAX_JOB_STEPS:
+        raise InvalidJob(
+            f"the job has over {MAX_JOB_STEPS} steps with its repetitions; split it into jobs of "
+            "fewer steps"
         )
 
 
--- a/tests/cover/test_pool_malformed_calls.py
+++ b/tests/cover/test_pool_malformed_calls.py
@@ -8,6 +8,7 @@
 
 import json
 import logging
+import tracemalloc
 from typing import Any
 
 import pytest
@@ -15,10 +16,13 @@
 from hypothesis import strategies as st
 
 from lentilpath_core.pool import MAX_INTEGER, StepSpec
+from lentilpath_http import HttpLimits
 from lentilpathd._pool._records import decode_job
 from tests.cover.test_pool_answers import JOB, ScriptedTable, call, make_jobs
 
 HUGE = 10**30
+MAX_PARSED_BYTES = 33_554_432
+"""A sixth of the smallest entry host's memory, 200 MB."""
 STEP_FIELDS = ("count", "cpu", "memMb", "gpu", "estRuntimeMs", "antiAffinity", "targetMs")
 JOB_FIELDS = ("repeatCount", "startAtMs", "intervalMs")
 JSON = st.recursive(
@@ -71,6 +75,18 @@
     assert submit(json.dumps({"steps": many}).encode())[0] == 400
 
 
+def test_many_steps_in_a_body_of_legal_size_take_little_memory():
+    body = b'{"steps":[' + b"{}," * 340_000 + b"{}]}"
+    assert len(body) < HttpLimits().max_body_bytes
+    tracemalloc.start()
+    try:
+        assert submit(body)[0] == 400
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < MAX_PARSED_BYTES
+
+
 @pytest.mark.parametrize("field", [*STEP_FIELDS, *JOB_FIELDS])
 @pytest.mark.parametrize("value", [-2, HUGE])
 def test_a_number_that_no_record_can_hold_is_refused_by_name(field: str, value: int):
