Peers: a request of another host takes at most 1 MiB, also decompressed

What callers saw: nothing yet; found by reading. Whoever reaches the peers' port of a host can end its process.

Cause: a request might have 16 MiB after decompression, and its builtin objects take up to 70 times as much memory. A message of 15,628 bytes takes 1,008 MB of memory and 2.3 s of processor time.

Change: a pool host bounds the requests that it receives by the longest one that hosts send, a relayed transaction; the table takes at most 1 MB of it as text. Answers of hosts that it has asked itself keep their bound.

Evidence: the new test sends a request of 3,973 bytes: 295 MB of traced memory before (it fails: over 100 MiB, and the answer is not malformed), and it passes now. One request of 1 MiB takes 63 MB (resident) while it is decoded.

--- a/packages/lentilpathd/src/lentilpathd/_peers.py
+++ b/packages/lentilpathd/src/lentilpathd/_peers.py
@@ -61,13 +61,16 @@
     return zlib.compress(data, COMPRESSION_LEVEL)
 
 
-def decode_message(data: bytes, kind: type[T]) -> T:
-    """Decode a message; raises `msgspec.DecodeError`, `RecursionError` or `zlib.error`."""
+def decode_message(data: bytes, kind: type[T], max_bytes: int = MAX_MESSAGE_BYTES) -> T:
+    """Decode a message of at most `max_bytes`, decompressed.
+
+    Raises `msgspec.DecodeError`, `RecursionError` or `zlib.error`.
+    """
     if data.startswith(COMPRESSED_MARK):
         decompressor = zlib.decompressobj()
-        data = decompressor.decompress(data, MAX_MESSAGE_BYTES)
+        data = decompressor.decompress(data, max_bytes)
         if not decompressor.eof:
-            raise zlib.error(f"cut off, or more than {MAX_MESSAGE_BYTES} bytes")
+            raise zlib.error(f"cut off, or more than {max_bytes} bytes")
     return msgspec.msgpack.decode(data, type=kind)
 
 
@@ -80,8 +83,16 @@
     connection would lose the answers to all other requests.
     """
 
-    def __init__(self, host: HostId, incarnation: Incarnation, zone: ZoneId) -> None:
+    def __init__(
+        self,
+        host: HostId,
+        incarnation: Incarnation,
+        zone: ZoneId,
+        max_request_bytes: int = MAX_MESSAGE_BYTES,
+    ) -> None:
+        """`max_request_bytes` bounds the requests of peers, also decompressed."""
         self.host = host
+        self._max_request_bytes = max_request_bytes
         self.incarnation = incarnation
         self.zone = zone
         self._handlers: dict[str, PeerHandler] = {}
@@ -167,7 +178,7 @@
 
     async def serve(self, address: Address) -> None:
         """Answer peers' requests on `address` until cancelled."""
-        with pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES) as socket:
+        with pynng.Rep0(recv_max_size=self._max_request_bytes) as socket:
             socket.listen(f"tcp://{address.host}:{address.port}")
             self.listening = True
             async with asyncio.TaskGroup() as group:
@@ -213,7 +224,7 @@
 
     async def _handle(self, data: bytes) -> PeerReply:
         try:
-            request = decode_message(data, PeerRequest)
+            request = decode_message(data, PeerRequest, self._max_request_bytes)
         except (msgspec.DecodeError, RecursionError, zlib.error) as error:
             log_warning_event(
                 Event.PEER_REQUEST_REFUSED, peer="unknown", topic="", error=repr(error)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -72,6 +72,9 @@
 HANDOVER_COOLDOWN_MS = 10_000
 """Five leases. A host that leads again because the faster host did not take over waits for this
 long before the next handover."""
+MAX_REQUEST_BYTES = 1_048_576
+"""Longest request of another host. A relayed transaction is the longest one, and the table takes at
+most 1 MB as text. A request takes up to 70 times its length while it is decoded."""
 DIGEST_INTERVAL_SECONDS = 0.5
 """A quarter of the maximum age of the pending job count, 2 s."""
 
@@ -103,7 +106,7 @@
         self.metrics = PoolMetrics()
         self.unclear_jobs = UnclearJobs()
         incarnation = Incarnation(f"{settings.host}.{uuid.uuid4().hex[:INCARNATION_DIGITS]}")
-        self.bus = PeerBus(settings.host, incarnation, settings.zone)
+        self.bus = PeerBus(settings.host, incarnation, settings.zone, MAX_REQUEST_BYTES)
         self.members = Members(settings, self.bus, self._can_lead)
         self.heartbeat_sender = HeartbeatSender(settings, self.bus, self.members)
         self.table = TablePath(
--- a/tests/cover/test_pool_malformed_peers.py
+++ b/tests/cover/test_pool_malformed_peers.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import tracemalloc
 import zlib
 from functools import partial
 from types import SimpleNamespace
@@ -25,9 +26,14 @@
 from lentilpath_core.settings import Address, PeerSettings
 from lentilpath_standins._free_ports import allocate_port
 from lentilpathd import _peers
-from lentilpathd._peers import COMPRESSED_MARK, MAX_MESSAGE_BYTES, PeerBus
+from lentilpathd._peers import (
+    COMPRESSED_MARK,
+    MAX_MESSAGE_BYTES,
+    MIN_COMPRESSED_BYTES,
+    PeerBus,
+)
 from lentilpathd._pool._advice import ADVICE_TOPIC, AdviceAgent
-from lentilpathd._pool._host import PoolHost
+from lentilpathd._pool._host import MAX_REQUEST_BYTES, PoolHost
 from lentilpathd._pool._messages import HEARTBEAT_TOPIC, NOTICE_TOPIC, STATE_TOPIC, UNCLEAR_TOPIC
 from lentilpathd._pool._metrics import PoolMetrics
 from lentilpathd._pool._table_path import RELAY_TOPIC, TablePath
@@ -36,6 +42,8 @@
 SECONDS = 20.0
 PEER = HostId("b")
 HUGE = 2**63
+MAX_UNPACKED_BYTES = 104_857_600
+"""Half of the smallest entry host's memory, 200 MB."""
 TOPICS = (HEARTBEAT_TOPIC, NOTICE_TOPIC, STATE_TOPIC, UNCLEAR_TOPIC, RELAY_TOPIC, ADVICE_TOPIC)
 FIELDS = st.sampled_from(
     [
@@ -118,6 +126,21 @@
     assert msgspec.msgpack.decode(reply, type=PeerReply).code in ("malformed", "version")
 
 
+def test_a_short_request_does_not_unpack_to_more_memory_than_a_host_has():
+    bus = PeerBus(HostId("b"), Incarnation("b.1"), ZoneId("z"), MAX_REQUEST_BYTES)
+    request = make_request(HEARTBEAT_TOPIC, [{}] * 4_000_000)
+    data = zlib.compress(request)
+    assert len(data) < MIN_COMPRESSED_BYTES
+    tracemalloc.start()
+    try:
+        reply = asyncio.run(bus._answer(data))
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert msgspec.msgpack.decode(reply, type=PeerReply).code == "malformed"
+    assert peak_bytes < MAX_UNPACKED_BYTES
+
+
 class ListeningHost:
     """A bus that listens, and a raw socket that sends it bytes."""
 
