Callers: the calls in progress on a host, and their bytes, are bounded

What callers saw: nothing yet on machines with enough descriptors; found by reading. While the table is slow or away, a crowd of callers takes the descriptors of a host, and with them its connections to workers and the table.

Cause: each call had a bound, but not all together: a query reads up to three partitions at once and a write is repeated up to three times, each on a connection of its own. A host has 4,100 descriptors.

Change: 600 calls, and 4 MiB of jobs, are in progress on a host at one time. Further ones are answered at once: queries and cancellations with 503, submissions with 503 if the leader does not know the job, else as what the leader says of it, and with 504 if it does not answer. Queries of the leader for that have the same bound.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -23,6 +23,7 @@
 from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._metrics import Metric
+from lentilpathd._pool._call_limits import MAX_CALL_BYTES, MAX_CALLS, CallLimit, TooManyCalls
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._held_calls import HeldCall, make_call
 from lentilpathd._pool._holding import CallHolder
@@ -51,6 +52,7 @@
 )
 from lentilpathd._pool._refusals import (
     Refusal,
+    RefusalReason,
     SubmissionAnswer,
     SubmissionResult,
     find_refusal,
@@ -84,13 +86,21 @@
         self._partition_health = PartitionHealth()
         self._holder = CallHolder(context.table.can_write, context.metrics)
         self._pending_notices: set[asyncio.Future[None]] = set()
+        self._calls = CallLimit(MAX_CALLS, MAX_CALL_BYTES)
+        self._excess_queries = CallLimit(MAX_CALLS)
+        """Queries of the leader about submissions beyond the limit."""
 
     async def submit(
         self, record: JobRecord, policy: QueuePolicy, deadline_ms: int
     ) -> SubmissionAnswer:
         """Accept a job by storing it. Repeating a submission does not store the job twice."""
         started_at = read_instant()
-        answer = await self._submit(record, policy, deadline_ms)
+        row = (record.job, encode_record(record))
+        try:
+            with self._calls.admit(len(row[1])):
+                answer = await self._submit(record, row, policy, deadline_ms)
+        except TooManyCalls:
+            answer = await self._refuse_excess(record)
         labels = (record.queue, answer.result.value)
         self._context.metrics.count(Metric.JOB_ANSWERED, *labels)
         self._context.metrics.record_time(
@@ -99,7 +109,7 @@
         return answer
 
     async def _submit(
-        self, record: JobRecord, policy: QueuePolicy, deadline_ms: int
+        self, record: JobRecord, row: tuple[str, bytes], policy: QueuePolicy, deadline_ms: int
     ) -> SubmissionAnswer:
         now = read_instant()
         refusal = find_refusal(self._context, record, policy, now)
@@ -107,7 +117,6 @@
             refused = await self._refuse(record, refusal)
             if refused is not None:
                 return refused
-        row = (record.job, encode_record(record))
         transactions = tuple(
             PartitionTransaction(JOBS_TABLE, part, checks=((record.job, ABSENT),), puts=(row,))
             for part in get_job_partitions(record.job)
@@ -121,11 +130,22 @@
         finally:
             query.cancel()
 
+    async def _refuse_excess(self, record: JobRecord) -> SubmissionAnswer:
+        """Answer a submission beyond the limit; it is refused if the leader does not know it."""
+        answer = SubmissionAnswer(SubmissionResult.REFUSED, spread_retry_ms(record.job))
+        try:
+            with self._excess_queries.admit():
+                refused = await self._refuse(record, Refusal(RefusalReason.BUSY, answer, None))
+        except TooManyCalls as error:
+            log_event(Event.JOB_UNCLEAR, job=record.job, error=str(error))
+            refused = None
+        return refused or SubmissionAnswer(SubmissionResult.UNCLEAR)
+
     async def _refuse(self, record: JobRecord, refusal: Refusal) -> SubmissionAnswer | None:
         """Refuse a job that is not to be stored, or return `None` if it is to be stored after all.
 
         An earlier submission whose answer was lost may have stored it, in which case a refusal
-        would be wrong. The leader knows; without its answer a job is refused only for its quota.
+        would be wrong. The leader knows; without its answer no job is refused.
         """
         reply = await self._query_state(record.job)
         is_marked = self._context.unclear_jobs.has(record.job, read_instant())
@@ -287,6 +307,10 @@
         Raises `NotPermitted` if the job belongs to another customer, and `Unavailable` or
         `OutcomeUnknown` if the state cannot be determined now.
         """
+        with self._calls.admit():
+            return await self._find_state(job, caller)
+
+    async def _find_state(self, job: JobId, caller: CustomerId) -> JobState | None:
         reply = await self._query_state(job)
         if reply is None or not reply.state:
             reply = await self._read_stored_state(job)
@@ -355,6 +379,10 @@
         Raises `NotPermitted` if the job belongs to another customer, `Unavailable` if the
         cancellation is certainly not stored, and `OutcomeUnknown` if it may be.
         """
+        with self._calls.admit():
+            return await self._cancel(job, deadline_ms, caller, urgency)
+
+    async def _cancel(self, job: JobId, deadline_ms: int, caller: CustomerId, urgency: int) -> bool:
         now = read_instant()
         if not await self._is_known(job, caller):
             return False
@@ -373,7 +401,7 @@
 
     async def _is_known(self, job: JobId, caller: CustomerId) -> bool:
         try:
-            return await self.get_state(job, caller) is not None
+            return await self._find_state(job, caller) is not None
         except OutcomeUnknown as error:
             raise TableUnavailable(f"the state of {job} could not be read: {error}") from error
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_refusals.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_refusals.py
@@ -48,6 +48,7 @@
     FULL = "full"
     OVER_SHARE = "over-share"
     QUOTA = "quota"
+    BUSY = "busy"
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,8 +61,8 @@
 
     @property
     def is_final(self) -> bool:
-        """Whether the job could never run, however long it waits."""
-        return self.reason is RefusalReason.QUOTA
+        """Whether the job cannot be stored, even if the leader does not answer."""
+        return self.reason in (RefusalReason.QUOTA, RefusalReason.BUSY)
 
 
 def find_refusal(
