Logs: warnings of libraries take the bounded way of all other lines

What callers saw: nothing yet; found by reading. Errors of connections (lentilpath-http, asyncio, pynng) can be caused by any caller, as often as it likes.

Cause: only the events' logger had the handler that limits lines and never blocks. All other loggers fell back on Python's own handler, which writes to standard error from the event loop, without a limit; a reader that stalls stops the process.

Change: the root logger has the same handler; these lines share one limit a second, and bear the host.

Evidence: the new test fails before (none of the lines reaches the handler) and passes now.

--- a/packages/lentilpathd/src/lentilpathd/_logs.py
+++ b/packages/lentilpathd/src/lentilpathd/_logs.py
@@ -146,7 +146,10 @@
 def set_up_structured_log(
     host: str = "", stream: IO[str] | None = None, level: str = "info"
 ) -> BoundedHandler:
-    """Log all events as JSON lines of `host` to `stream`, by default to standard output."""
+    """Log all events as JSON lines of `host` to `stream`, by default to standard output.
+
+    Warnings of libraries take the same way, since Python's own handler blocks and has no limit.
+    """
     handler = BoundedHandler(stream or sys.stdout)
     formatter = EventFormatter()
     formatter.host = host
@@ -154,5 +157,6 @@
     logger = logging.get_absl_logger()
     logger.propagate = False
     logger.handlers = [handler]
+    python_logging.getLogger().addHandler(handler)
     logging.set_verbosity(level)
     return handler
--- a/tests/cover/test_pool_logs.py
+++ b/tests/cover/test_pool_logs.py
@@ -7,6 +7,7 @@
 import os
 import time
 
+from absl import logging as absl_logging
 from typer.testing import CliRunner
 
 from lentilpath.main import app
@@ -18,6 +19,7 @@
     WARNING_LINES_PER_SECOND,
     BoundedHandler,
     EventFormatter,
+    set_up_structured_log,
 )
 
 JOB = "00000000000000a1"
@@ -58,6 +60,34 @@
     }
 
 
+def test_warnings_of_libraries_are_bounded_lines_of_the_same_log():
+    """Guards against a crowd of callers whose errors block the process at its standard error."""
+    read_end, write_end = os.pipe()
+    absl_logger = absl_logging.get_absl_logger()
+    handlers, propagate = absl_logger.handlers, absl_logger.propagate
+    verbosity = absl_logging.get_verbosity()
+    stream = os.fdopen(write_end, "w")
+    handler = set_up_structured_log("h1", stream)
+    record = logging.LogRecord("asyncio", logging.WARNING, "", 0, "accept failed", None, None)
+    record.created = 5.0
+    try:
+        for _ in range(3 * WARNING_LINES_PER_SECOND):
+            logging.getLogger("asyncio").handle(record)
+    finally:
+        logging.getLogger().removeHandler(handler)
+        absl_logger.handlers, absl_logger.propagate = handlers, propagate
+        absl_logging.set_verbosity(verbosity)
+    assert handler._limiter._suppressed[0] == 2 * WARNING_LINES_PER_SECOND
+    data = b""
+    while data.count(b"\n") < WARNING_LINES_PER_SECOND:
+        data += os.read(read_end, 65_536)
+    lines = [json.loads(line) for line in data.splitlines()]
+    assert all((line["host"], line["text"]) == ("h1", "accept failed") for line in lines)
+    assert len(lines) == WARNING_LINES_PER_SECOND
+    stream.close()
+    os.close(read_end)
+
+
 def test_a_stalled_log_reader_blocks_nothing_and_lines_left_out_are_counted():
     read_end, write_end = os.pipe()
     handler = make_handler(write_end)
