Admission: jobs are refused before they fill the leader's memory

What callers saw: a client that stays within the limit of each request can end the leader, and each later leader when it recovers the same jobs: short submissions of many tasks or steps, each accepted and stored.

Cause: a job is bounded (100,000 tasks, 10,000 steps), all jobs together are not. A task that waits takes 40 bytes of the leader, so a submission of 90 bytes takes 4 MB. Refusals for a full fleet go by the estimated work, which may be 0.

Change: the leader's digest says how much memory its jobs take by estimate. A host refuses a job (503 if the leader does not know it, else as what it says of it) that takes more than an eighth of what is left of 64 MiB, or if the host itself has added 8 MiB in the last 2 s, which a digest may not count yet. Large jobs so leave some to ordinary ones.

The new test fails without the bound: all of its jobs are accepted.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
@@ -82,6 +82,7 @@
     StepExplanation,
     explain_job,
 )
+from lentilpath_core.pool._job_sizes import MAX_HELD_BYTES, estimate_job_bytes
 from lentilpath_core.pool._model import (
     FINAL_STATES,
     AdvicePolicy,
@@ -121,6 +122,7 @@
 
 __all__ = [
     "FINAL_STATES",
+    "MAX_HELD_BYTES",
     "MAX_INTEGER",
     "MAX_LISTED_CUSTOMERS",
     "NO_CUSTOMER",
@@ -201,6 +203,7 @@
     "decide_admission",
     "decide_pool",
     "decide_share_admission",
+    "estimate_job_bytes",
     "explain_job",
     "find_wait_ms",
     "get_completion_objective_ms",
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_admission.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_admission.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from lentilpath_core.ids import Instant, JobId
+from lentilpath_core.pool._job_sizes import JOB_BYTES
 from lentilpath_core.pool._model import (
     JobRecord,
     QueuePolicy,
@@ -49,6 +50,8 @@
     pending: dict[str, int] = {}
     """Number of accepted jobs of which no task has started, by queue; only queues with any."""
     waits_ms: PriorityWaits = ()
+    held_bytes: int = 0
+    """Memory that the leader needs for its jobs, by estimate."""
 
     def get(self, policy: QueuePolicy) -> QueueLoad:
         """Return the load of a queue."""
@@ -59,11 +62,13 @@
 def measure_loads(state: PoolState, now: Instant) -> PoolLoads:
     """Return the load of all queues."""
     pending: dict[str, int] = {}
+    held_bytes = 0
     for job in state.jobs.values():
+        held_bytes += JOB_BYTES + len(job.record.text) + job.occurrences * job.occurrence_bytes
         if not job.has_started and job.final is None and not job.record.repeats:
             pending[job.record.queue] = pending.get(job.record.queue, 0) + 1
     work = sum_waiting_work(state, now, is_over_share=False)
-    return PoolLoads(pending, measure_waits(work, sum_fleet_millicores(state)))
+    return PoolLoads(pending, measure_waits(work, sum_fleet_millicores(state)), held_bytes)
 
 
 def measure_waits(work: dict[int, float], fleet_millicores: int) -> PriorityWaits:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -30,6 +30,7 @@
     WorkersRecorded,
 )
 from lentilpath_core.pool._evidence import mark_slow_workers, stop_frozen_runs
+from lentilpath_core.pool._job_sizes import estimate_occurrence_bytes
 from lentilpath_core.pool._leaving import evacuate_leaving_workers
 from lentilpath_core.pool._model import JobState, TaskKey, get_completion_objective_ms
 from lentilpath_core.pool._placement import handle_advice, place_waiting
@@ -134,6 +135,7 @@
     )
     age_ms = max(0, state.wall_now - record.accepted_at) if event.recovered else 0
     job = Job(record, policy, Instant(now - age_ms), objective_ms, event.recovered)
+    job.occurrence_bytes = estimate_occurrence_bytes(record)
     state.jobs[record.job] = job
     if event.recovered and record.customer:
         state.recovered_jobs[record.job] = job
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -225,6 +225,8 @@
     """The final state that was decided; callers see it only once its record is durable."""
     is_over_share: bool = False
     """Whether the job is beyond the number of jobs per second that its customer is entitled to."""
+    occurrence_bytes: int = 0
+    """Memory for each occurrence that has begun, by estimate."""
 
 
 @dataclass(slots=True)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -12,18 +12,25 @@
     OutcomeUnknown,
     TableUnavailable,
 )
-from lentilpath_core.ids import CustomerId, JobId, RowVersion
+from lentilpath_core.ids import CustomerId, Instant, JobId, RowVersion
 from lentilpath_core.pool import (
     NO_CUSTOMER,
     JobRecord,
     JobState,
     QueuePolicy,
     check_owner,
+    estimate_job_bytes,
 )
 from lentilpathd._clock import read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._metrics import Metric
-from lentilpathd._pool._call_limits import MAX_CALL_BYTES, MAX_CALLS, CallLimit, TooManyCalls
+from lentilpathd._pool._call_limits import (
+    MAX_CALL_BYTES,
+    MAX_CALLS,
+    CallLimit,
+    RecentJobs,
+    TooManyCalls,
+)
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._held_calls import HeldCall, make_call
 from lentilpathd._pool._holding import CallHolder
@@ -89,6 +96,7 @@
         self._calls = CallLimit(MAX_CALLS, MAX_CALL_BYTES)
         self._excess_queries = CallLimit(MAX_CALLS)
         """Queries of the leader about submissions beyond the limit."""
+        self._recent_jobs = RecentJobs()
 
     async def submit(
         self, record: JobRecord, policy: QueuePolicy, deadline_ms: int
@@ -112,7 +120,9 @@
         self, record: JobRecord, row: tuple[str, bytes], policy: QueuePolicy, deadline_ms: int
     ) -> SubmissionAnswer:
         now = read_instant()
-        refusal = find_refusal(self._context, record, policy, now)
+        refusal = self._check_memory(record, now) or find_refusal(
+            self._context, record, policy, now
+        )
         if refusal is not None:
             refused = await self._refuse(record, refusal)
             if refused is not None:
@@ -130,6 +140,15 @@
         finally:
             query.cancel()
 
+    def _check_memory(self, record: JobRecord, now: Instant) -> Refusal | None:
+        """Return why the job is to be refused if the leader has no memory for it, or `None`."""
+        loads = self._context.heartbeat_sender.get_loads(now)
+        held_bytes = loads.held_bytes if loads is not None else 0
+        if self._recent_jobs.admit(estimate_job_bytes(record), held_bytes, now):
+            return None
+        answer = SubmissionAnswer(SubmissionResult.REFUSED, spread_retry_ms(record.job))
+        return Refusal(RefusalReason.MEMORY, answer, None)
+
     async def _refuse_excess(self, record: JobRecord) -> SubmissionAnswer:
         """Answer a submission beyond the limit; it is refused if the leader does not know it."""
         answer = SubmissionAnswer(SubmissionResult.REFUSED, spread_retry_ms(record.job))
--- a/packages/lentilpathd/src/lentilpathd/_pool/_refusals.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_refusals.py
@@ -49,6 +49,7 @@
     OVER_SHARE = "over-share"
     QUOTA = "quota"
     BUSY = "busy"
+    MEMORY = "memory"
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +63,7 @@
     @property
     def is_final(self) -> bool:
         """Whether the job cannot be stored, even if the leader does not answer."""
-        return self.reason in (RefusalReason.QUOTA, RefusalReason.BUSY)
+        return self.reason not in (RefusalReason.FULL, RefusalReason.OVER_SHARE)
 
 
 def find_refusal(
--- a/tests/cover/test_pool_call_limits.py
+++ b/tests/cover/test_pool_call_limits.py
@@ -3,16 +3,27 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any, cast
 
 import msgspec
 import pytest
 
 from lentilpath_core.errors import Unavailable
-from lentilpath_core.pool import JobState
+from lentilpath_core.ids import Instant
+from lentilpath_core.pool import (
+    MAX_HELD_BYTES,
+    JobState,
+    StepSpec,
+    estimate_job_bytes,
+    measure_loads,
+)
+from lentilpath_core.pool._job_sizes import TASK_BYTES
+from lentilpath_core.pool._validity import MAX_JOB_TASKS
 from lentilpathd._pool import _jobs
+from lentilpathd._pool._call_limits import MAX_RECENT_BYTES, RECENT_MS, RecentJobs
 from lentilpathd._pool._jobs import Jobs
 from lentilpathd._pool._refusals import SubmissionResult
-from tests.common.pools import make_job_id, make_record
+from tests.common.pools import TASK_RESOURCES, PoolHarness, make_job_id, make_queue, make_record
 from tests.common.requests import wait_until
 from tests.common.tables import OnePartitionTable
 from tests.cover.test_pool_answers import QUEUE, make_jobs
@@ -130,3 +141,47 @@
         assert await asyncio.gather(first, *waiting) == [None] * LIMIT
 
     asyncio.run(scenario())
+
+
+def test_short_submissions_of_many_tasks_are_refused_before_they_fill_the_leaders_memory():
+    """Guards against jobs of 100 bytes that take 4 MB each of this and of each later leader."""
+    step = StepSpec(MAX_JOB_TASKS, TASK_RESOURCES)
+    harness = PoolHarness(make_queue())
+    table = OnePartitionTable()
+    hosts = [make_jobs(table, state=None) for _ in range(8)]
+    for jobs in hosts:
+        context = cast(Any, jobs)._context
+        context.heartbeat_sender.get_loads = lambda now: measure_loads(harness.state, harness.now)
+
+    async def submit(number: int, step: StepSpec) -> SubmissionResult:
+        record = make_record(number, step)
+        answer = await hosts[number % 8].submit(record, QUEUE, DEADLINE_MS)
+        if answer.result is SubmissionResult.ACCEPTED:
+            harness.submit(number, step)
+        return answer.result
+
+    async def scenario() -> list[SubmissionResult]:
+        results = [await submit(number, step) for number in range(40)]
+        ordinary = StepSpec(10, TASK_RESOURCES)
+        assert await submit(40, ordinary) is SubmissionResult.ACCEPTED
+        return results
+
+    results = asyncio.run(scenario())
+    assert set(results) == {SubmissionResult.ACCEPTED, SubmissionResult.REFUSED}
+    assert results.count(SubmissionResult.ACCEPTED) * MAX_JOB_TASKS * TASK_BYTES <= MAX_HELD_BYTES
+
+
+def test_the_leaders_memory_is_shared_by_the_hosts_until_its_digest_counts_a_job():
+    recent = RecentJobs()
+    now = Instant(0)
+    assert recent.admit(MAX_RECENT_BYTES, 0, now)
+    assert not recent.admit(1, 0, Instant(RECENT_MS - 1))
+    assert recent.admit(1, 0, Instant(RECENT_MS))
+    assert not recent.admit(1, MAX_HELD_BYTES, Instant(RECENT_MS))
+
+
+def test_hundreds_of_ordinary_jobs_in_a_second_are_admitted_by_one_host():
+    ordinary = msgspec.structs.replace(make_record(1, *[StepSpec(10, TASK_RESOURCES)] * 2), text="")
+    recent = RecentJobs()
+    size_bytes = estimate_job_bytes(ordinary)
+    assert all(recent.admit(size_bytes, 0, Instant(0)) for _ in range(900))
