Test: the test of libraries' warnings restores the level of the events' logger

What was seen: in a whole run of tests/cover, test_deep_nesting_invalid_text_and_long_bodies_are_refused_with_a_bounded_line and test_a_large_configuration_that_cannot_be_used_is_read_once fail, since no INFO line reaches them.

Cause: to set the verbosity back also gives the logger a level of its own, which it had not before's test.

Evidence: the three files fail in this order before, and pass now.

--- a/tests/cover/test_pool_logs.py
+++ b/tests/cover/test_pool_logs.py
@@ -66,7 +66,7 @@
     """Guards against a crowd of callers whose errors block the process at its standard error."""
     read_end, write_end = os.pipe()
     absl_logger = absl_logging.get_absl_logger()
-    handlers, propagate = absl_logger.handlers, absl_logger.propagate
+    before = (absl_logger.handlers, absl_logger.propagate, absl_logger.level)
     verbosity = absl_logging.get_verbosity()
     stream = os.fdopen(write_end, "w")
     handler = set_up_structured_log("h1", stream)
@@ -77,8 +77,9 @@
             logging.getLogger("asyncio").handle(record)
     finally:
         logging.getLogger().removeHandler(handler)
-        absl_logger.handlers, absl_logger.propagate = handlers, propagate
         absl_logging.set_verbosity(verbosity)
+        absl_logger.handlers, absl_logger.propagate, level = before
+        absl_logger.setLevel(level)
     assert handler._limiter._suppressed[0] == 2 * WARNING_LINES_PER_SECOND
     data = b""
     while data.count(b"\n") < WARNING_LINES_PER_SECOND:
