--- a/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
@@ -83,6 +83,7 @@
     StepExplanation,
     explain_job,
 )
+from lentilpath_core.pool._job_sizes import MAX_HELD_BYTES, estimate_job_bytes
 from lentilpath_core.pool._model import (
     FINAL_STATES,
     AcceptedPolicy,
@@ -119,11 +120,12 @@
     measure_shares,
 )
 from lentilpath_core.pool._state import PoolState, create_pool
-from lentilpath_core.pool._validity import MAX_INTEGER, check_job, check_worker
+from lentilpath_core.pool._validity import MAX_INTEGER, check_job, check_step_count, check_worker
 from lentilpath_core.pool._workers import restore_former_workers
 
 __all__ = [
     "FINAL_STATES",
+    "MAX_HELD_BYTES",
     "MAX_INTEGER",
     "MAX_LISTED_CUSTOMERS",
     "NO_CUSTOMER",
@@ -200,11 +202,13 @@
     "check_job",
     "check_job_fits_quota",
     "check_owner",
+    "check_step_count",
     "check_worker",
     "create_pool",
     "decide_admission",
     "decide_pool",
     "decide_share_admission",
+    "estimate_job_bytes",
     "explain_job",
     "find_wait_ms",
     "get_completion_objective_ms",
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -19,6 +19,7 @@
 from lentilpathd._cancellation import run_in_own_task, start_member
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._loop_delay import LoopDelay, monitor_loop
 from lentilpathd._metrics import Metric
 from lentilpathd._peers import PeerBus
 from lentilpathd._pool._advice import AdviceAgent
@@ -71,6 +72,9 @@
 HANDOVER_COOLDOWN_MS = 10_000
 """Five leases. A host that leads again because the faster host did not take over waits for this
 long before the next handover."""
+MAX_REQUEST_BYTES = 1_048_576
+"""Longest request of another host. A relayed transaction is the longest one, and the table takes at
+most 1 MB as text. A request takes up to 70 times its length while it is decoded."""
 DIGEST_INTERVAL_SECONDS = 0.5
 """A quarter of the maximum age of the pending job count, 2 s."""
 
@@ -102,7 +106,7 @@
         self.metrics = PoolMetrics()
         self.unclear_jobs = UnclearJobs()
         incarnation = Incarnation(f"{settings.host}.{uuid.uuid4().hex[:INCARNATION_DIGITS]}")
-        self.bus = PeerBus(settings.host, incarnation, settings.zone)
+        self.bus = PeerBus(settings.host, incarnation, settings.zone, MAX_REQUEST_BYTES)
         self.members = Members(settings, self.bus, self._can_lead)
         self.heartbeat_sender = HeartbeatSender(settings, self.bus, self.members)
         self.table = TablePath(
@@ -202,9 +206,13 @@
                 Part("leadership", self._run_leadership),
                 Part("leader watch", self._watch_leader),
                 Part("settings", self.settings_watcher.run),
+                Part("loop delay", partial(monitor_loop, self._report_loop_delay)),
             )
         )
 
+    def _report_loop_delay(self, delay: LoopDelay) -> None:
+        self.metrics.record_time(Metric.LOOP_DELAY, delay.delay_ms, delay.cause.value)
+
     def _apply_settings(self, settings: PoolHostSettings) -> None:
         self.settings = settings
         self.context.settings = settings
--- a/tests/cover/test_pool_recovery.py
+++ b/tests/cover/test_pool_recovery.py
@@ -64,7 +64,7 @@
 
 
 def recover(table: FailingRows, patch: pytest.MonkeyPatch) -> _recovery.RecoveredPool:
-    reading = read_pool(RepeatedReads(table, Epoch(2)))
+    reading = read_pool(RepeatedReads(table, Epoch(2)), 1)
     return run_in_virtual_time(reading, patch, _recovery)
 
 
@@ -134,7 +134,7 @@
         rows = WorkerShares(Epoch(1)).replace_workers(RecordWorkers((worker,)).workers, ends_ms)[0]
         for key, value in rows.items():
             table.rows[key] = PartitionRow(POOL_PARTITION, key, value, RowVersion(1))
-        moments.append(recover(table, monkeypatch).suspended_workers[worker.worker])
+        moments.append(recover(table, monkeypatch).suspended_workers[worker.worker][0])
     assert moments[0] == moments[1]
 
 
