HTTP: unfinished requests and unread answers of all connections share one budget of memory

What callers saw: a process ran out of memory while clients left many large bodies unfinished.

Cause: each connection may hold 1 MiB for 10 s, and 4,096 connections are taken: nothing bounded the sum. Bodies that were announced to be too long were read up to the limit first. The kernel's buffers grew to megabytes a connection, so that callers who pipelined and read no answers kept the process at work on answers.

Change: all servers of a process share a budget, by default an eighth of the memory that the settings give. Received bytes count from the moment they are read until their request is answered, answers until the kernel has them. When it is spent, the largest unfinished request is answered 503, not run, with Retry-After, so that small requests still get in; what is being handled stays. A length over the limit is refused at the head. A refused caller gets up to a second to read the answer while what it still sends is discarded. The kernel's buffers are bounded.

The host processes of the tests keep the caller's module path, so that a clone can be tested with shared tools.

--- a/packages/lentilpath-http/src/lentilpath_http/__init__.py
+++ b/packages/lentilpath-http/src/lentilpath_http/__init__.py
@@ -1,5 +1,6 @@
 """Small asyncio HTTP/1.1 client and server over h11."""
 
+from lentilpath_http._budget import ConnectionBudget, SharedLimits, create_budget
 from lentilpath_http._client import HttpClient, create_client
 from lentilpath_http._connection import ClientConnection, open_connection
 from lentilpath_http._messages import (
@@ -20,6 +21,7 @@
 __all__ = [
     "READ_TRANSFER",
     "ClientConnection",
+    "ConnectionBudget",
     "HttpClient",
     "HttpError",
     "HttpLimits",
@@ -30,7 +32,9 @@
     "MessageTooLarge",
     "RequestNotSent",
     "ResponseLost",
+    "SharedLimits",
     "TransferBounds",
+    "create_budget",
     "create_client",
     "json_response",
     "open_connection",
--- /dev/null
+++ b/packages/lentilpath-http/src/lentilpath_http/_budget.py
@@ -0,0 +1,87 @@
+"""Bounds of what all connections of a process hold together, whichever server accepted them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class SharedLimits:
+    """Limits of all connections together; see `create_budget`."""
+
+    max_connections: int = 4_096
+    """Maximum number of open connections; further ones are closed."""
+    max_held_bytes: int = 33_554_432
+    """Maximum size of unfinished and unanswered requests and of unread answers; beyond it the
+    largest ones that wait for their caller are refused."""
+
+
+class Holder:
+    """An open connection, as its budget sees it."""
+
+    def __init__(self, evict: Callable[[], None]) -> None:
+        self.evict = evict
+        """Refuses or closes the connection."""
+        self.held_bytes = 0
+
+
+class ConnectionBudget:
+    """The connections of one or more servers and the bytes that each of them holds."""
+
+    def __init__(self, limits: SharedLimits) -> None:
+        self._limits = limits
+        self._holders: set[Holder] = set()
+        self._waiting: dict[Holder, None] = {}
+        """Connections that wait for their caller, in the order in which they began to."""
+        self._held_bytes = 0
+
+    @property
+    def limits(self) -> SharedLimits:
+        """The limits of all connections together."""
+        return self._limits
+
+    def admit(self, holder: Holder) -> bool:
+        """Add a new connection; return whether there is room."""
+        if len(self._holders) >= self._limits.max_connections:
+            return False
+        self._holders.add(holder)
+        self._waiting[holder] = None
+        return True
+
+    def remove(self, holder: Holder) -> None:
+        """Remove a connection and all that it holds."""
+        if holder in self._holders:
+            self._held_bytes -= holder.held_bytes
+            holder.held_bytes = 0
+        self._holders.discard(holder)
+        self._waiting.pop(holder, None)
+
+    def start_wait(self, holder: Holder) -> None:
+        """Note that the connection waits for its caller from now on, and may be evicted."""
+        self._waiting.pop(holder, None)
+        if holder in self._holders:
+            self._waiting[holder] = None
+
+    def end_wait(self, holder: Holder) -> None:
+        """Note that the caller waits for the server."""
+        self._waiting.pop(holder, None)
+
+    def hold(self, holder: Holder, size: int) -> None:
+        """Set the bytes that the connection holds; the largest ones may be evicted for it."""
+        if holder not in self._holders:
+            return
+        self._held_bytes += size - holder.held_bytes
+        holder.held_bytes = size
+        while self._held_bytes > self._limits.max_held_bytes:
+            largest = max(self._waiting, key=lambda each: each.held_bytes, default=None)
+            if largest is None or not largest.held_bytes:
+                break
+            self._held_bytes -= largest.held_bytes
+            largest.held_bytes = 0
+            largest.evict()
+
+
+def create_budget(limits: SharedLimits | None = None) -> ConnectionBudget:
+    """Return a budget that servers share; see `serve_http`."""
+    return ConnectionBudget(limits or SharedLimits())
--- a/packages/lentilpath-http/src/lentilpath_http/_server.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_server.py
@@ -12,6 +12,12 @@
 
 import h11
 
+from lentilpath_http._budget import (
+    ConnectionBudget,
+    Holder,
+    SharedLimits,
+    create_budget,
+)
 from lentilpath_http._connection import STATUSES_WITHOUT_BODY, set_keepalive
 from lentilpath_http._messages import (
     HttpLimits,
@@ -23,9 +29,18 @@
 )
 
 READ_CHUNK_BYTES = 65_536
+READER_LIMIT_BYTES = 32_768
+"""Half of the unread bytes at which a connection stops to read."""
+SOCKET_BUFFER_BYTES = 65_536
+"""Size of the kernel's buffers of a connection, in each direction; it would let them grow to
+several megabytes. A body of 1 MiB arrives within 2 s at a round trip of 100 ms."""
 LISTEN_BACKLOG = 1_024
-"""Maximum number of connections that the kernel queues until the event loop accepts them; a quarter
-of the default limit on open connections."""
+"""Maximum number of connections that the kernel queues until the event loop accepts them."""
+REFUSAL_LINGER_SECONDS = 1.0
+"""Time that a refused caller has to read the answer; what it still sends is discarded."""
+RETRY_AFTER_SECONDS = 1
+"""Room for unfinished requests is free again soon after the largest ones were refused."""
+STATUS_OVERLOADED = 503
 STATUS_HEADERS_TOO_LARGE = 431
 DISCONNECT_WATCH_DELAY_SECONDS = 0.01
 MAX_LOGGED_CHARACTERS = 500
@@ -34,12 +49,104 @@
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 
+class _Connection(asyncio.StreamReaderProtocol):
+    """An accepted connection, which counts the bytes that it holds against the budget."""
+
+    def __init__(
+        self,
+        serve: Callable[[_Connection, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
+        budget: ConnectionBudget,
+        max_discarded_bytes: int,
+    ) -> None:
+        async def serve_connection(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await serve(self, reader, writer)
+
+        self._reader = asyncio.StreamReader(limit=READER_LIMIT_BYTES)
+        super().__init__(self._reader, serve_connection)
+        self.budget = budget
+        self.holder = Holder(self._evict)
+        self.task: asyncio.Task[None] | None = None
+        self.is_refused = False
+        """Whether its request is refused; further bytes are discarded."""
+        self.is_request_started = False
+        """Whether a request has begun to arrive that is not handled yet."""
+        self.is_handling = False
+        """Whether a request is handled or its answer is being sent."""
+        self._channel: asyncio.Transport | None = None
+        self._unread_bytes = 0
+        self._discardable_bytes = max_discarded_bytes
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._channel = transport
+        if self.budget.admit(self.holder):
+            # Drained only once the kernel has all of it, so that unread answers are counted.
+            transport.set_write_buffer_limits(high=0)
+            super().connection_made(transport)
+        else:
+            transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.budget.remove(self.holder)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        if not self.is_refused:
+            self.is_request_started = True
+            self.budget.hold(self.holder, self.holder.held_bytes + len(data))
+        # The budget may just have refused this connection itself.
+        if not self.is_refused:
+            self._unread_bytes += len(data)
+            super().data_received(data)
+            return
+        self._discardable_bytes -= len(data)
+        if self._discardable_bytes < 0:
+            self.abort()
+
+    async def read(self) -> bytes:
+        """Return the next received bytes; none at the end of the stream."""
+        data = await self._reader.read(READ_CHUNK_BYTES)
+        self._unread_bytes -= len(data)
+        return data
+
+    def hold_only(self, size: int) -> None:
+        """Note that of all received bytes, only `size` and those not yet read are still held."""
+        self.budget.hold(self.holder, size + self._unread_bytes)
+
+    def refuse(self) -> None:
+        """Stop to hold the request that is arriving."""
+        self.is_refused = True
+        self.budget.hold(self.holder, 0)
+        self.budget.start_wait(self.holder)
+
+    async def discard_input(self) -> None:
+        """Discard what arrives until the caller closes its side."""
+        while await self.read():
+            pass
+
+    def abort(self) -> None:
+        """Close the connection without sending what is still queued."""
+        if self._channel is not None:
+            self._channel.abort()
+
+    def _evict(self) -> None:
+        if self.is_refused or self.is_handling or not self.is_request_started:
+            self.abort()
+            return
+        self.is_refused = True
+        if self.task is not None:
+            self.task.cancel()
+
+
 class HttpServer:
     """A listening server; closing it waits for requests in progress."""
 
-    def __init__(self, handler: Handler, limits: HttpLimits) -> None:
+    def __init__(self, handler: Handler, limits: HttpLimits, budget: ConnectionBudget) -> None:
         self._handler = handler
         self._limits = limits
+        self._budget = budget
         self._server: asyncio.Server | None = None
         self._listener: socket.socket | None = None
         self._tls: ssl.SSLContext | None = None
@@ -52,9 +159,12 @@
     async def start(self, address: str, port: int, tls: ssl.SSLContext | None) -> None:
         """Listen on `address` and `port`."""
         self._tls = tls
-        self._server = await asyncio.start_server(
-            self._serve_connection, address, port, ssl=tls, backlog=LISTEN_BACKLOG
+        self._server = await asyncio.get_running_loop().create_server(
+            self._create_protocol, address, port, ssl=tls, backlog=LISTEN_BACKLOG
         )
+        for each in self._server.sockets:
+            each.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+            each.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
         # Keeps the kernel's accept queue open after the server has closed its own socket.
         self._listener = self._server.sockets[0].dup()
 
@@ -101,8 +211,8 @@
                 # The caller has disconnected, or its TLS handshake failed.
                 logging.info("connection accepted during shutdown failed: %r", error)
 
-    def _create_protocol(self) -> asyncio.StreamReaderProtocol:
-        return asyncio.StreamReaderProtocol(asyncio.StreamReader(), self._serve_connection)
+    def _create_protocol(self) -> _Connection:
+        return _Connection(self._serve_connection, self._budget, self._limits.max_body_bytes)
 
     async def _wait_until_closed(self, deadline: float, limit_seconds: float = math.inf) -> None:
         if self._connections:
@@ -110,18 +220,17 @@
             await asyncio.wait(tuple(self._connections), timeout=min(left_seconds, limit_seconds))
 
     async def _serve_connection(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, connection: _Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         task = asyncio.current_task()
         assert task is not None
-        if len(self._connections) >= self._limits.max_connections:
-            writer.transport.abort()
-            return
+        connection.task = task
         self._connections.add(task)
         self._connections_without_request.add(task)
         set_keepalive(writer.get_extra_info("socket"))
         try:
-            await self._serve_requests(reader, writer, task)
+            if not connection.is_refused:
+                await self._serve_requests(connection, writer, task)
         except TimeoutError:
             writer.transport.abort()
         except (OSError, asyncio.CancelledError):
@@ -129,37 +238,61 @@
         except Exception as error:
             # Such as a response that is no valid HTTP; other connections are not affected.
             logging.warning("connection failed: %s", repr(error)[:MAX_LOGGED_CHARACTERS])
+        try:
+            if connection.is_refused and connection.is_request_started:
+                await self._refuse_for_others(connection, writer)
+        except (OSError, asyncio.CancelledError):
+            pass
         finally:
             self._connections.discard(task)
             self._idle.discard(task)
             self._connections_without_request.discard(task)
             writer.close()
 
+    async def _refuse_for_others(
+        self, connection: _Connection, writer: asyncio.StreamWriter
+    ) -> None:
+        response = json_response(
+            STATUS_OVERLOADED,
+            {
+                "error": "overloaded",
+                "message": "too many large requests are unfinished; send it again later",
+                "outcome": "not-run",
+            },
+            (("retry-after", str(RETRY_AFTER_SECONDS)),),
+        )
+        await self._send_refusal(connection, writer, h11.Connection(h11.SERVER), response)
+
     async def _serve_requests(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        task: asyncio.Task[None],
+        self, connection: _Connection, writer: asyncio.StreamWriter, task: asyncio.Task[None]
     ) -> None:
         state = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_head_bytes)
         while True:
             try:
-                request = await self._receive_request(reader, writer, state, task)
+                request = await self._receive_request(connection, writer, state, task)
             except (h11.RemoteProtocolError, MessageTooLarge, MalformedMessage) as error:
-                await self._send_error(writer, state, error)
-                return
+                refusal = error
+                break
             if request is None:
                 return
-            response = await self._run_handler(request, reader, state, task)
-            await self._send_response(writer, state, request, response)
+            connection.is_request_started = False
+            connection.is_handling = True
+            self._budget.end_wait(connection.holder)
+            response = await self._run_handler(request, connection, state, task)
+            await self._send_response(connection, writer, state, request, response)
             if self._closing or state.our_state is not h11.DONE:
                 return
             state.start_next_cycle()
+            connection.is_handling = False
+            connection.hold_only(len(state.trailing_data[0]))
+            self._budget.start_wait(connection.holder)
+        connection.is_request_started = False
+        await self._send_error(connection, writer, state, refusal)
 
     async def _run_handler(
         self,
         request: HttpRequest,
-        reader: asyncio.StreamReader,
+        connection: _Connection,
         state: h11.Connection,
         task: asyncio.Task[None],
     ) -> HttpResponse:
@@ -170,7 +303,7 @@
         watches: list[asyncio.Task[None]] = []
 
         def start_disconnect_watch() -> None:
-            watch = asyncio.ensure_future(self._wait_for_disconnect(reader, state))
+            watch = asyncio.ensure_future(self._wait_for_disconnect(connection, state))
             watch.add_done_callback(lambda done: None if done.cancelled() else task.cancel())
             watches.append(watch)
 
@@ -196,16 +329,14 @@
                 watch.cancel()
                 await asyncio.gather(watch, return_exceptions=True)
 
-    async def _wait_for_disconnect(
-        self, reader: asyncio.StreamReader, state: h11.Connection
-    ) -> None:
+    async def _wait_for_disconnect(self, connection: _Connection, state: h11.Connection) -> None:
         # Bytes of a pipelined next request are buffered for it. Beyond the limit on a request head,
         # reading stops and further bytes stay in the kernel's buffer.
         pending_bytes = len(state.trailing_data[0])
         while True:
             if pending_bytes > self._limits.max_head_bytes:
                 await asyncio.Event().wait()
-            data = await reader.read(READ_CHUNK_BYTES)
+            data = await connection.read()
             if not data:
                 return
             pending_bytes += len(data)
@@ -213,7 +344,7 @@
 
     async def _receive_request(
         self,
-        reader: asyncio.StreamReader,
+        connection: _Connection,
         writer: asyncio.StreamWriter,
         state: h11.Connection,
         task: asyncio.Task[None],
@@ -222,6 +353,7 @@
         body = bytearray()
         wait_seconds = self._limits.idle_timeout_seconds
         started = state.trailing_data[0] != b""
+        connection.is_request_started |= started
         loop = asyncio.get_running_loop()
         deadline = loop.time() + (self._limits.receive_timeout_seconds if started else wait_seconds)
         while True:
@@ -234,11 +366,12 @@
                     self._idle.add(task)
                 try:
                     async with asyncio.timeout_at(deadline):
-                        data = await reader.read(READ_CHUNK_BYTES)
+                        data = await connection.read()
                 finally:
                     self._idle.discard(task)
                 if not started and data:
                     started = True
+                    self._budget.start_wait(connection.holder)
                     self._connections_without_request.discard(task)
                     deadline = loop.time() + self._limits.receive_timeout_seconds
                 state.receive_data(data)
@@ -272,6 +405,10 @@
         if len(head.headers) > self._limits.max_headers:
             raise MessageTooLarge(f"more than {self._limits.max_headers} headers")
         names = [name for name, _ in head.headers]
+        # Refused before any of the body is read.
+        length = next((int(value) for name, value in head.headers if name == b"content-length"), 0)
+        if length > self._limits.max_body_bytes:
+            raise MessageTooLarge(f"body over {self._limits.max_body_bytes} bytes")
         # Conflicting body lengths allow request smuggling.
         if b"transfer-encoding" in names and b"content-length" in names:
             raise MalformedMessage("both transfer-encoding and content-length are given")
@@ -280,6 +417,7 @@
 
     async def _send_response(
         self,
+        connection: _Connection,
         writer: asyncio.StreamWriter,
         state: h11.Connection,
         request: HttpRequest,
@@ -298,11 +436,19 @@
             data += state.send(h11.Data(data=response.body)) or b""
         data += state.send(h11.EndOfMessage()) or b""
         writer.write(data)
-        async with asyncio.timeout(self._limits.send_timeout_seconds):
-            await writer.drain()
+        unsent_bytes = writer.transport.get_write_buffer_size()
+        if unsent_bytes:
+            self._budget.start_wait(connection.holder)
+            connection.hold_only(unsent_bytes)
+            async with asyncio.timeout(self._limits.send_timeout_seconds):
+                await writer.drain()
 
     async def _send_error(
-        self, writer: asyncio.StreamWriter, state: h11.Connection, error: Exception
+        self,
+        connection: _Connection,
+        writer: asyncio.StreamWriter,
+        state: h11.Connection,
+        error: Exception,
     ) -> None:
         status = 400
         code = "malformed-request"
@@ -314,14 +460,33 @@
         response = json_response(
             status, {"error": code, "message": str(error), "outcome": "not-run"}
         )
-        with contextlib.suppress(h11.LocalProtocolError):
-            headers = [*response.headers, ("content-length", str(len(response.body)))]
-            headers.append(("connection", "close"))
-            data = state.send(h11.Response(status_code=status, headers=headers)) or b""
+        await self._send_refusal(connection, writer, state, response)
+
+    async def _send_refusal(
+        self,
+        connection: _Connection,
+        writer: asyncio.StreamWriter,
+        state: h11.Connection,
+        response: HttpResponse,
+    ) -> None:
+        """Send `response` to a request that is not read to its end."""
+        connection.refuse()
+        headers = [*response.headers, ("content-length", str(len(response.body)))]
+        headers.append(("connection", "close"))
+        try:
+            data = state.send(h11.Response(status_code=response.status, headers=headers)) or b""
             data += state.send(h11.Data(data=response.body)) or b""
             data += state.send(h11.EndOfMessage()) or b""
-            writer.write(data)
-            await writer.drain()
+        except h11.LocalProtocolError:
+            return
+        writer.write(data)
+        # Closing while the caller still sends would reset the connection and discard the answer.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(REFUSAL_LINGER_SECONDS):
+                await writer.drain()
+                if writer.can_write_eof():
+                    writer.write_eof()
+                await connection.discard_input()
 
 
 def _cancel_all(tasks: set[asyncio.Task[None]]) -> None:
@@ -336,8 +501,16 @@
     *,
     limits: HttpLimits | None = None,
     tls: ssl.SSLContext | None = None,
+    budget: ConnectionBudget | None = None,
 ) -> HttpServer:
-    """Start and return a server on `address` and `port`; port 0 selects a free port."""
-    server = HttpServer(handler, limits or HttpLimits())
+    """Start and return a server on `address` and `port`; port 0 selects a free port.
+
+    Servers that are given the same `budget` share it; otherwise the server has one of its own.
+    """
+    limits = limits or HttpLimits()
+    if budget is None:
+        held_bytes = max(SharedLimits().max_held_bytes, 2 * limits.max_body_bytes)
+        budget = create_budget(SharedLimits(limits.max_connections, held_bytes))
+    server = HttpServer(handler, limits, budget)
     await server.start(address, port, tls)
     return server
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -15,7 +15,7 @@
 from lentilpath_core.ids import CustomerId, Epoch, Incarnation, Instant, JobId
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.pool import NO_CUSTOMER, JobState, PoolConfiguration, QueueId
-from lentilpath_http import HttpLimits, HttpRequest, HttpResponse, HttpServer, serve_http
+from lentilpath_http import HttpRequest, HttpResponse, HttpServer, create_budget, serve_http
 from lentilpathd._cancellation import run_in_own_task, start_member
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
@@ -53,6 +53,7 @@
 from lentilpathd._pool._records import parse_job_id
 from lentilpathd._pool._settings import PoolHostSettings
 from lentilpathd._pool._settings_watch import LoadSettings, SettingsWatcher
+from lentilpathd._pool._shared_limits import derive_shared_limits
 from lentilpathd._pool._table_path import TablePath
 from lentilpathd._pool._term import Term
 from lentilpathd._supervisor import Part, supervise_parts
@@ -362,16 +363,19 @@
     host = PoolHost(settings, ports)
     loop.add_signal_handler(signal.SIGHUP, host.settings_watcher.request)
     log_event(Event.PROCESS_STARTED, host=settings.host, zone=settings.zone)
+    budget = create_budget(derive_shared_limits(settings))
     callers = await serve_http(
-        make_handler(host), settings.callers.host, settings.callers.port, limits=HttpLimits()
+        make_handler(host), settings.callers.host, settings.callers.port, budget=budget
     )
 
     async def answer_readiness(_: HttpRequest) -> HttpResponse:
         return HttpResponse(200 if host.is_ready() else 503, (), b"")
 
-    readiness = await serve_http(answer_readiness, settings.readiness.host, settings.readiness.port)
+    readiness = await serve_http(
+        answer_readiness, settings.readiness.host, settings.readiness.port, budget=budget
+    )
     metrics = await serve_metrics(
-        host.metrics, settings, {EXPLAIN_PATH: host.explainer.handle_http}
+        host.metrics, settings, {EXPLAIN_PATH: host.explainer.handle_http}, budget
     )
     running = asyncio.create_task(host.run())
     stopping = asyncio.create_task(stop.wait())
--- a/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
@@ -8,7 +8,7 @@
 
 from lentilpath_core.ids import CustomerId
 from lentilpath_core.pool import MAX_LISTED_CUSTOMERS, OTHER_CUSTOMERS, ListedUsage
-from lentilpath_http import HttpRequest, HttpResponse, HttpServer, serve_http
+from lentilpath_http import ConnectionBudget, HttpRequest, HttpResponse, HttpServer, serve_http
 from lentilpathd._metrics import Metric, Metrics
 from lentilpathd._pool._settings import PoolHostSettings
 
@@ -127,8 +127,12 @@
     metrics: PoolMetrics,
     settings: PoolHostSettings,
     pages: Mapping[str, Callable[[HttpRequest], Awaitable[HttpResponse]]],
+    budget: ConnectionBudget | None = None,
 ) -> HttpServer:
-    """Serve the metrics, and other `pages` by their paths, on the address of the settings."""
+    """Serve the metrics, and other `pages` by their paths, on the address of the settings.
+
+    The connections count against `budget`, by default one of their own.
+    """
 
     async def answer(request: HttpRequest) -> HttpResponse:
         if request.target in pages:
@@ -137,4 +141,5 @@
             return HttpResponse(HTTP_NOT_FOUND, (), b"")
         return HttpResponse(HTTP_OK, (("content-type", CONTENT_TYPE),), metrics.write_text())
 
-    return await serve_http(answer, settings.metrics.host, settings.metrics.port)
+    address = settings.metrics
+    return await serve_http(answer, address.host, address.port, budget=budget)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
@@ -33,6 +33,8 @@
     """Grace period from SIGTERM to SIGKILL."""
     cores: float = 1.0
     """Speed of the host's processor, in cores."""
+    memory_bytes: int = 209_715_200
+    """Memory that the process may use."""
     job_memory_ms: int = 120_000
     """How long the state of a finished job remains available."""
     expects_contention: bool = False
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -49,7 +49,9 @@
         environment = {
             **os.environ,
             "LENTILPATH_NODE_FILE": str(path),
-            "PYTHONPATH": f"{ROOT / 'platform'}:{ROOT}",
+            "PYTHONPATH": os.pathsep.join(
+                (str(ROOT / "platform"), str(ROOT), os.environ.get("PYTHONPATH", ""))
+            ),
             "PEER_PROXIES": json.dumps(self.peer_proxies),
         }
         module = "tests.soak.proxied_host" if self.peer_proxies else "lentilpath_platform.main"
