--- a/packages/lentilpath-http/src/lentilpath_http/_budget.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_budget.py
@@ -11,7 +11,8 @@
     """Limits of all connections together; see `create_budget`."""
 
     max_connections: int = 4_096
-    """Maximum number of open connections; further ones are closed."""
+    """Maximum number of open connections; beyond it the one that has waited longest for its caller
+    is closed."""
     max_held_bytes: int = 33_554_432
     """Maximum size of unfinished and unanswered requests and of unread answers; beyond it the
     largest ones that wait for their caller are refused."""
@@ -20,9 +21,9 @@
 class Holder:
     """An open connection, as its budget sees it."""
 
-    def __init__(self, evict: Callable[[], None]) -> None:
+    def __init__(self, evict: Callable[[bool], None]) -> None:
         self.evict = evict
-        """Refuses or closes the connection."""
+        """Refuses or closes the connection; takes whether it must be closed at once."""
         self.held_bytes = 0
 
 
@@ -42,9 +43,13 @@
         return self._limits
 
     def admit(self, holder: Holder) -> bool:
-        """Add a new connection; return whether there is room."""
-        if len(self._holders) >= self._limits.max_connections:
-            return False
+        """Add a new connection; return whether there is room, for which an older one may go."""
+        while len(self._holders) >= self._limits.max_connections:
+            oldest = next(iter(self._waiting), None)
+            if oldest is None:
+                return False
+            self.remove(oldest)
+            oldest.evict(True)
         self._holders.add(holder)
         self._waiting[holder] = None
         return True
@@ -79,7 +84,7 @@
                 break
             self._held_bytes -= largest.held_bytes
             largest.held_bytes = 0
-            largest.evict()
+            largest.evict(False)
 
 
 def create_budget(limits: SharedLimits | None = None) -> ConnectionBudget:
--- a/packages/lentilpath-http/src/lentilpath_http/_server.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_server.py
@@ -34,8 +34,11 @@
 SOCKET_BUFFER_BYTES = 65_536
 """Size of the kernel's buffers of a connection, in each direction; it would let them grow to
 several megabytes. A body of 1 MiB arrives within 2 s at a round trip of 100 ms."""
-LISTEN_BACKLOG = 1_024
+MAX_LISTEN_BACKLOG = 1_024
 """Maximum number of connections that the kernel queues until the event loop accepts them."""
+BACKLOG_SHARE = 4
+"""The event loop accepts the whole queue at once, so its length is this part of the limit on
+connections at most."""
 REFUSAL_LINGER_SECONDS = 1.0
 """Time that a refused caller has to read the answer; what it still sends is discarded."""
 RETRY_AFTER_SECONDS = 1
@@ -131,11 +134,13 @@
         if self._channel is not None:
             self._channel.abort()
 
-    def _evict(self) -> None:
+    def _evict(self, at_once: bool) -> None:
         if self.is_refused or self.is_handling or not self.is_request_started:
             self.abort()
             return
         self.is_refused = True
+        if at_once:
+            self._discardable_bytes = 0
         if self.task is not None:
             self.task.cancel()
 
@@ -159,8 +164,9 @@
     async def start(self, address: str, port: int, tls: ssl.SSLContext | None) -> None:
         """Listen on `address` and `port`."""
         self._tls = tls
+        backlog = max(1, self._budget.limits.max_connections // BACKLOG_SHARE)
         self._server = await asyncio.get_running_loop().create_server(
-            self._create_protocol, address, port, ssl=tls, backlog=LISTEN_BACKLOG
+            self._create_protocol, address, port, ssl=tls, backlog=min(MAX_LISTEN_BACKLOG, backlog)
         )
         for each in self._server.sockets:
             each.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
@@ -35,6 +35,8 @@
     """Speed of the host's processor, in cores."""
     memory_bytes: int = 209_715_200
     """Memory that the process may use."""
+    max_descriptors: int = 4_096
+    """Number of descriptors that the process may have open."""
     job_memory_ms: int = 120_000
     """How long the state of a finished job remains available."""
     expects_contention: bool = False
--- a/tests/cover/test_http_limits.py
+++ b/tests/cover/test_http_limits.py
@@ -6,6 +6,8 @@
 import json
 from collections.abc import Awaitable, Callable
 
+import pytest
+
 from lentilpath_http import (
     HttpLimits,
     HttpRequest,
@@ -16,6 +18,7 @@
     serve_http,
 )
 
+GET = b"GET /plan HTTP/1.1\r\nhost: h\r\n\r\n"
 TIMEOUT_SECONDS = 20.0
 Stream = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -131,6 +134,39 @@
     run_servers(SharedLimits(max_held_bytes=100_000), scenario)
 
 
+@pytest.mark.parametrize("begun", [b"", GET, b"POST / HTTP/1.1\r\n"])
+def test_the_connection_that_has_waited_longest_is_closed_for_a_new_one(begun):
+    async def scenario(servers: LimitedServers) -> None:
+        first = await servers.send(begun)
+        if begun == GET:
+            assert await read_status(first) == 200
+            await first.readuntil(b"\r\n\r\n0")
+        second = await servers.send(GET, server=1)
+        assert await read_status(second) == 200
+        third = await servers.send(GET)
+        assert await read_status(third) == 200
+        answer = await first.read(-1)
+        assert (b"not-run" in answer) is begun.startswith(b"POST")
+        servers.streams[1][1].write(GET)
+        await second.readuntil(b"\r\n\r\n0")
+        assert await read_status(second) == 200
+
+    run_servers(SharedLimits(max_connections=2), scenario)
+
+
+def test_a_new_connection_is_closed_while_all_others_are_being_served():
+    async def scenario(servers: LimitedServers) -> None:
+        servers.release.clear()
+        served = await servers.send(GET)
+        await servers.called.wait()
+        refused = await servers.send(b"")
+        assert await refused.read(-1) == b""
+        servers.release.set()
+        assert await read_status(served) == 200
+
+    run_servers(SharedLimits(max_connections=1), scenario)
+
+
 def test_a_body_announced_over_the_limit_is_refused_before_any_of_it_arrives():
     async def scenario(servers: LimitedServers) -> None:
         reader = await servers.send(announce(100_001))
--- a/tests/nocover/test_crowds.py
+++ b/tests/nocover/test_crowds.py
@@ -32,6 +32,7 @@
 MAX_BODY_BYTES = 1_048_576
 BODY_CLIENTS = 150
 """Clients whose legal bodies exceed the host's memory together."""
+IDLE_CLIENTS = 400
 METRICS_PORT = 9464
 TIMEOUT_SECONDS = 60.0
 KB_PER_MB = 1_024
@@ -211,6 +212,15 @@
     run_crowd(tmp_path, MEMORY_LIMIT, crowd)
 
 
+def test_many_idle_connections_leave_descriptors_for_others(tmp_path):
+    async def crowd(host: CrowdedHost) -> None:
+        await asyncio.gather(*(host.connect() for _ in range(IDLE_CLIENTS)))
+        # The host accepts connections in the order in which they were made.
+        await host.submit()
+
+    run_crowd(tmp_path, {**MEMORY_LIMIT, "maxFds": MAX_DESCRIPTORS}, crowd)
+
+
 def test_many_clients_that_read_no_answers_stay_within_the_memory(tmp_path):
     requests = b"GET /metrics HTTP/1.1\r\nhost: 127.0.0.1\r\n\r\n" * 400
 
