HTTP: many small chunks wait for their turn, so that they don't take the event loop

What callers saw: beside clients that sent chunks of one byte no job was accepted, and a leader that served them lost the leadership: it answers callers on the event loop that commands workers.

Cause: parsing a chunk took 10.6 µs (54,000 chunks of one byte, one run), and a connection's chunks were parsed without a pause for as long as there were any.

Change: reads and chunks of a request that are smaller than 1 KiB on average are counted after the first 64, and all requests of a process share 10,000 of them a second for each core, a tenth of the processor, in turns of 128.

Evidence: beside 150 connections with 170,000 chunks of one byte no ordinary job was accepted within 60 s before, and the test failed.

--- a/packages/lentilpath-http/src/lentilpath_http/_budget.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -16,6 +17,18 @@
     max_held_bytes: int = 33_554_432
     """Maximum size of unfinished and unanswered requests and of unread answers; beyond it the
     largest ones that wait for their caller are refused."""
+    max_small_pieces_per_second: int = 10_000
+    """Rate at which pieces are processed that are small for their number; see
+    `FREE_PIECES`. Parsing one takes about 10 µs of a core."""
+
+
+FREE_PIECES = 64
+"""Number of reads and chunks of a request that are processed without a wait, whatever their size.
+An ordinary request arrives in a few."""
+BYTES_PER_FREE_PIECE = 1_024
+"""Pieces of this size on average are processed without a wait; TCP segments are larger."""
+PIECES_PER_TURN = 128
+"""Number of small pieces that are processed at a time, which takes one or two milliseconds."""
 
 
 class Holder:
@@ -36,6 +49,7 @@
         self._waiting: dict[Holder, None] = {}
         """Connections that wait for their caller, in the order in which they began to."""
         self._held_bytes = 0
+        self._next_turn_at = 0.0
 
     @property
     def limits(self) -> SharedLimits:
@@ -86,6 +100,34 @@
             largest.held_bytes = 0
             largest.evict(False)
 
+    async def wait_for_turn(self) -> None:
+        """Wait until the next `PIECES_PER_TURN` small pieces may be processed."""
+        now = asyncio.get_running_loop().time()
+        turn_at = max(now, self._next_turn_at)
+        self._next_turn_at = turn_at + PIECES_PER_TURN / self._limits.max_small_pieces_per_second
+        await asyncio.sleep(turn_at - now)
+
+
+class PieceCount:
+    """The reads and chunks of one request, beside its size."""
+
+    def __init__(self) -> None:
+        self._left = FREE_PIECES
+
+    def add_bytes(self, size: int) -> None:
+        """Allow for the pieces of `size` received bytes."""
+        self._left += size // BYTES_PER_FREE_PIECE
+
+    def count(self) -> bool:
+        """Count one piece; return whether there are too many for their size, so that a turn of
+        `ConnectionBudget.wait_for_turn` is due.
+        """
+        self._left -= 1
+        if self._left >= 0:
+            return False
+        self._left += PIECES_PER_TURN
+        return True
+
 
 def create_budget(limits: SharedLimits | None = None) -> ConnectionBudget:
     """Return a budget that servers share; see `serve_http`."""
--- a/packages/lentilpath-http/src/lentilpath_http/_server.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_server.py
@@ -15,6 +15,7 @@
 from lentilpath_http._budget import (
     ConnectionBudget,
     Holder,
+    PieceCount,
     SharedLimits,
     create_budget,
 )
@@ -357,6 +358,7 @@
     ) -> HttpRequest | None:
         head: h11.Request | None = None
         body = bytearray()
+        pieces = PieceCount()
         wait_seconds = self._limits.idle_timeout_seconds
         started = state.trailing_data[0] != b""
         connection.is_request_started |= started
@@ -373,6 +375,8 @@
                 try:
                     async with asyncio.timeout_at(deadline):
                         data = await connection.read()
+                        if pieces.count():
+                            await self._budget.wait_for_turn()
                 finally:
                     self._idle.discard(task)
                 if not started and data:
@@ -380,11 +384,15 @@
                     self._budget.start_wait(connection.holder)
                     self._connections_without_request.discard(task)
                     deadline = loop.time() + self._limits.receive_timeout_seconds
+                pieces.add_bytes(len(data))
                 state.receive_data(data)
             elif isinstance(event, h11.Request):
                 head = event
                 self._check_head(event)
             elif isinstance(event, h11.Data):
+                if pieces.count():
+                    async with asyncio.timeout_at(deadline):
+                        await self._budget.wait_for_turn()
                 body += event.data
                 if len(body) > self._limits.max_body_bytes:
                     raise MessageTooLarge(f"body over {self._limits.max_body_bytes} bytes")
--- a/packages/lentilpathd/src/lentilpathd/_pool/_shared_limits.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_shared_limits.py
@@ -13,6 +13,8 @@
 fragmentation take as much again."""
 MEMORY_PER_CONNECTION_BYTES = 131_072
 """Memory of a connection with its kernel buffers, if its caller neither sends nor reads on."""
+SMALL_PIECES_PER_CORE_SECOND = 10_000
+"""Takes about a tenth of a core."""
 
 
 def derive_shared_limits(settings: PoolHostSettings) -> SharedLimits:
@@ -24,4 +26,5 @@
         max_connections=max(1, min(most_by_descriptors, most_by_memory)),
         # One of the largest legal size is served beside an equal one that is refused later.
         max_held_bytes=max(settings.memory_bytes // HELD_MEMORY_SHARE, 2 * one_request_bytes),
+        max_small_pieces_per_second=max(1, int(SMALL_PIECES_PER_CORE_SECOND * settings.cores)),
     )
--- a/tests/cover/test_http_limits.py
+++ b/tests/cover/test_http_limits.py
@@ -184,3 +184,14 @@
         await expect_refusal(await servers.send(head + chunk * 3), 413)
 
     run_servers(SharedLimits(), scenario)
+
+
+def test_a_body_of_many_small_chunks_is_served_while_others_are_answered_between_them():
+    async def scenario(servers: LimitedServers) -> None:
+        head = b"POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+        slow = await servers.send(head + b"1\r\nx\r\n" * 600 + b"0\r\n\r\n")
+        assert await read_status(await servers.send(GET)) == 200
+        assert await read_status(slow) == 200
+        assert (await slow.readuntil(b"\r\n\r\n600")).endswith(b"600")
+
+    run_servers(SharedLimits(max_small_pieces_per_second=1_000), scenario)
--- a/tests/cover/test_pool_shared_limits.py
+++ b/tests/cover/test_pool_shared_limits.py
@@ -35,3 +35,7 @@
     limits = HttpLimits()
     one_request_bytes = limits.max_head_bytes + limits.max_body_bytes
     assert derive(memoryMb=1, maxFds=8).max_held_bytes >= one_request_bytes
+
+
+def test_a_slow_processor_parses_fewer_small_pieces():
+    assert derive(cpuShare=0.25, cores=2).max_small_pieces_per_second == 5_000
--- a/tests/nocover/test_crowds.py
+++ b/tests/nocover/test_crowds.py
@@ -185,7 +185,7 @@
     run_crowd(tmp_path, MEMORY_LIMIT, crowd)
 
 
-@pytest.mark.parametrize(("chunk_bytes", "body_bytes"), [(65_536, len(LARGE_BODY))])
+@pytest.mark.parametrize(("chunk_bytes", "body_bytes"), [(65_536, len(LARGE_BODY)), (1, 170_000)])
 def test_many_unfinished_chunked_bodies_stay_within_the_memory(tmp_path, chunk_bytes, body_bytes):
     data = CHUNKED % next(numbers) + encode_chunks(LARGE_BODY[:body_bytes], chunk_bytes)
 
@@ -242,8 +242,9 @@
     [
         announce(len(LARGE_BODY)) + LARGE_BODY,
         CHUNKED % 1 + encode_chunks(LARGE_BODY, 65_536) + b"0\r\n\r\n",
+        CHUNKED % 1 + encode_chunks(LARGE_BODY, 64) + b"0\r\n\r\n",
     ],
-    ids=["announced", "large chunks"],
+    ids=["announced", "large chunks", "small chunks"],
 )
 @pytest.mark.parametrize("piece_bytes", [2 * MAX_BODY_BYTES, 10_000], ids=["whole", "in pieces"])
 def test_a_single_large_body_of_legal_size_is_read_to_its_end(tmp_path, data, piece_bytes):
