HTTP: a single body of very small chunks gets more of the loop, and its waits count as the server's

What callers saw: since small chunks wait for their turn, a lone request of legal size in chunks of one byte was cut off after 10 s: 150 kB of them take 15 s at the shared rate.

Cause: the shared rate held for one request too, and the time in which a request has to arrive went on while the server made it wait.

Change: a request that waits alone gets five times the rate, about half of a core, in turns of a millisecond or two. The waits count as the server's: the deadline is later by them, up to four times as long in all.

--- a/packages/lentilpath-http/src/lentilpath_http/_budget.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_budget.py
@@ -30,6 +30,9 @@
 PIECES_PER_TURN = 128
 """Number of small pieces that are processed at a time, which takes one or two milliseconds."""
 
+LONE_REQUEST_FACTOR = 5
+"""A request that waits alone gets so many times the rate, about half of a core."""
+
 
 class Holder:
     """An open connection, as its budget sees it."""
@@ -50,6 +53,8 @@
         """Connections that wait for their caller, in the order in which they began to."""
         self._held_bytes = 0
         self._next_turn_at = 0.0
+        self._waiting_for_turns = 0
+        """Number of requests that wait for their next turn."""
 
     @property
     def limits(self) -> SharedLimits:
@@ -100,12 +105,24 @@
             largest.held_bytes = 0
             largest.evict(False)
 
-    async def wait_for_turn(self) -> None:
-        """Wait until the next `PIECES_PER_TURN` small pieces may be processed."""
-        now = asyncio.get_running_loop().time()
-        turn_at = max(now, self._next_turn_at)
-        self._next_turn_at = turn_at + PIECES_PER_TURN / self._limits.max_small_pieces_per_second
-        await asyncio.sleep(turn_at - now)
+    async def wait_for_turn(self) -> float:
+        """Wait until the next `PIECES_PER_TURN` small pieces may be processed.
+
+        Returns the waited time in seconds.
+        """
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
+        turn_at = max(asked_at, self._next_turn_at)
+        turn_seconds = PIECES_PER_TURN / self._limits.max_small_pieces_per_second
+        if not self._waiting_for_turns:
+            turn_seconds /= LONE_REQUEST_FACTOR
+        self._next_turn_at = turn_at + turn_seconds
+        self._waiting_for_turns += 1
+        try:
+            await asyncio.sleep(turn_at - asked_at)
+        finally:
+            self._waiting_for_turns -= 1
+        return loop.time() - asked_at
 
 
 class PieceCount:
@@ -119,9 +136,7 @@
         self._left += size // BYTES_PER_FREE_PIECE
 
     def count(self) -> bool:
-        """Count one piece; return whether there are too many for their size, so that a turn of
-        `ConnectionBudget.wait_for_turn` is due.
-        """
+        """Count one piece; return whether the request has to wait for its next turn."""
         self._left -= 1
         if self._left >= 0:
             return False
--- a/packages/lentilpath-http/src/lentilpath_http/_server.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_server.py
@@ -44,6 +44,8 @@
 """Time that a refused caller has to read the answer; what it still sends is discarded."""
 RETRY_AFTER_SECONDS = 1
 """Room for unfinished requests is free again soon after the largest ones were refused."""
+MAX_DEADLINE_FACTOR = 4
+"""A request of small pieces has up to so many times the time to arrive, as the server delays it."""
 STATUS_OVERLOADED = 503
 STATUS_HEADERS_TOO_LARGE = 431
 DISCONNECT_WATCH_DELAY_SECONDS = 0.01
@@ -363,7 +365,8 @@
         started = state.trailing_data[0] != b""
         connection.is_request_started |= started
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + (self._limits.receive_timeout_seconds if started else wait_seconds)
+        started_at = loop.time()
+        deadline = started_at + (self._limits.receive_timeout_seconds if started else wait_seconds)
         while True:
             event = state.next_event()
             if event is h11.NEED_DATA:
@@ -375,24 +378,24 @@
                 try:
                     async with asyncio.timeout_at(deadline):
                         data = await connection.read()
-                        if pieces.count():
-                            await self._budget.wait_for_turn()
                 finally:
                     self._idle.discard(task)
                 if not started and data:
                     started = True
                     self._budget.start_wait(connection.holder)
                     self._connections_without_request.discard(task)
-                    deadline = loop.time() + self._limits.receive_timeout_seconds
+                    started_at = loop.time()
+                    deadline = started_at + self._limits.receive_timeout_seconds
                 pieces.add_bytes(len(data))
+                if pieces.count():
+                    deadline = await self._wait_for_turn(deadline, started_at)
                 state.receive_data(data)
             elif isinstance(event, h11.Request):
                 head = event
                 self._check_head(event)
             elif isinstance(event, h11.Data):
                 if pieces.count():
-                    async with asyncio.timeout_at(deadline):
-                        await self._budget.wait_for_turn()
+                    deadline = await self._wait_for_turn(deadline, started_at)
                 body += event.data
                 if len(body) > self._limits.max_body_bytes:
                     raise MessageTooLarge(f"body over {self._limits.max_body_bytes} bytes")
@@ -409,6 +412,12 @@
             else:
                 return None
 
+    async def _wait_for_turn(self, deadline: float, started_at: float) -> float:
+        """Wait until more small pieces may be processed; return the deadline, later by that."""
+        last = started_at + MAX_DEADLINE_FACTOR * self._limits.receive_timeout_seconds
+        async with asyncio.timeout_at(last):
+            return min(last, deadline + await self._budget.wait_for_turn())
+
     def _check_head(self, head: h11.Request) -> None:
         # h11 limits only incomplete heads, so a head that arrives in one read is checked here.
         size = len(head.target) + sum(len(key) + len(value) for key, value in head.headers)
