Platform: a job with too many steps is refused before records of its steps are made

What callers saw: nothing yet; found while looking for what else a body of legal size can take. A body of 1 MiB with 349,000 empty steps took 2.2 s of the event loop and 111 MB until it was refused for its number of steps (one run).

Cause: the number was checked on the finished record.

Change: it is checked on the decoded submission too.

Evidence: the new test fails before, as records of steps were made.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
@@ -116,7 +116,12 @@
     measure_shares,
 )
 from lentilpath_core.pool._state import PoolState, create_pool
-from lentilpath_core.pool._validity import MAX_INTEGER, check_job, check_worker
+from lentilpath_core.pool._validity import (
+    MAX_INTEGER,
+    check_job,
+    check_job_size,
+    check_worker,
+)
 from lentilpath_core.pool._workers import restore_former_workers
 
 __all__ = [
@@ -194,6 +199,7 @@
     "carry_customers",
     "check_job",
     "check_job_fits_quota",
+    "check_job_size",
     "check_owner",
     "check_worker",
     "create_pool",
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_validity.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_validity.py
@@ -38,6 +38,11 @@
     occurrences = max(1, record.repeats)
     steps = occurrences * len(record.steps)
     tasks = occurrences * sum(step.count for step in record.steps)
+    check_job_size(steps, tasks)
+
+
+def check_job_size(steps: int, tasks: int) -> None:
+    """Raise `InvalidJob` if a job has more steps or tasks, over all occurrences, than allowed."""
     if steps > MAX_JOB_STEPS or tasks > MAX_JOB_TASKS:
         raise InvalidJob(
             f"the job has {steps} steps and {tasks} tasks with its repetitions; split it into jobs"
--- a/tests/cover/test_pool_malformed_calls.py
+++ b/tests/cover/test_pool_malformed_calls.py
@@ -15,6 +15,8 @@
 from hypothesis import strategies as st
 
 from lentilpath_core.pool import MAX_INTEGER, StepSpec
+from lentilpath_core.pool._validity import MAX_JOB_STEPS
+from lentilpath_platform import callers
 from lentilpathd._pool._records import decode_job
 from tests.cover.test_pool_answers import JOB, ScriptedTable, call, make_jobs
 
@@ -79,6 +81,14 @@
     assert submit(json.dumps(rest | {"steps": [step]}).encode())[0] == 400
 
 
+def test_no_records_are_made_of_the_steps_of_a_job_that_has_too_many(monkeypatch):
+    made: list[object] = []
+    monkeypatch.setattr(callers, "_make_step", made.append)
+    status, table = submit(b'{"steps": [' + b"{}," * MAX_JOB_STEPS + b"{}]}")
+    assert status == 400
+    assert (made, table.rows) == ([], {})
+
+
 def test_deep_nesting_invalid_text_and_long_bodies_are_refused_with_a_bounded_line(caplog):
     deep = b"[" * 100_000
     for body in (deep, b'{"steps":[{}],"x":' + deep, b'{"spec":"\xff"}', b'{"steps":[{"count":'):
