Model: leases without word from the table count from the last majority

pool.pml follows get_unconfirmed_lease_ms: a lease that is granted without word from the table ends a fixed time after the older of the two last answers. So NOTICE_WAIT is that bound alone. The mutant UNCONFIRMED_LEASE, where such a lease lasts in full from its grant, has its own entry, as it takes a lease that is longer than what is left of it. MAJORITY leaves out this bound as well, which counts from the same majority.

--- a/spec/check.py
+++ b/spec/check.py
@@ -84,6 +84,14 @@
         ("MAJORITY", "NOTICE_WAIT"),
         (),
     ),
+    # The same with leases that are longer than what is left of them without word from the table.
+    Model(
+        "pool",
+        ("TICKS=9", "CUT", "EPOCHS=2", "IN_TOUCH=3", "LEASE=2", "UNCONFIRMED_LEASE=3"),
+        ("TICKS=9", "CUT", "EPOCHS=2", "IN_TOUCH=3", "LEASE=2", "UNCONFIRMED_LEASE=3"),
+        ("UNCONFIRMED_LEASE",),
+        (),
+    ),
     # The table is away for all.
     Model("pool", ("TICKS=6", "OUTAGE", "EPOCHS=2"), (), ()),
 )
