Model: suspended workers, for three leaderships

A leader may store a list later than it has queued it, and learn of it later still. Four mutants: EARLY_RESUME, STALE_LIST, SUSPENSION_BOUND (the stored time leaves out what a leader without word from the table may extend) and SUSPENSION_RESTART.

--- a/spec/check.py
+++ b/spec/check.py
@@ -92,6 +92,14 @@
         ("UNCONFIRMED_LEASE",),
         (),
     ),
+    # Silent workers are suspended, while a leader is cut off from the table with one or both.
+    Model(
+        "pool",
+        ("TICKS=7", "SUSPEND", "CUT"),
+        ("TICKS=6", "SUSPEND", "CUT", "IN_TOUCH=2"),
+        ("EARLY_RESUME", "STALE_LIST", "SUSPENSION_BOUND", "SUSPENSION_RESTART"),
+        (),
+    ),
     # The table is away for all.
     Model("pool", ("TICKS=6", "OUTAGE", "EPOCHS=2"), (), ()),
 )
--- a/spec/pool.pml
+++ b/spec/pool.pml
@@ -12,6 +12,11 @@
  * that reaches no worker waits for ever here; and silent workers of a leader that has a majority,
  * which takes three workers.
  *
+ * SUSPEND adds the record of workers that are silent, and leaves out ends and new jobs. The stored
+ * list says for each worker that it is used, or when the runs there have ended; a worker that is in
+ * no list is one whose runs have ended. A cut then begins with both workers beside leader 0. Starts
+ * arrive at once, leader 0 leads first and leader 1 from then on.
+ *
  * Each macro MUTANT_x leaves out one rule; spec/check.py searches for a counterexample to each:
  *   CONFIRMED     a leader reads accepted jobs although another may have taken over
  *   FENCE         workers accept commands with an outdated fencing token
@@ -22,6 +27,11 @@
  *   MAJORITY      a leader without word from the table acts with any number of workers
  *   NOTICE_WAIT   a successor does not wait until the former leader has noticed
  *   UNCONFIRMED_LEASE  a lease without word from the table lasts in full from its grant
+ *   EARLY_RESUME  a suspended worker that answers gets commands before it is stored as used
+ *   STALE_LIST    so does one that answers before an earlier list is durable, which uses it
+ *   SUSPENSION_BOUND  the stored time does not count what a leader without word from the table
+ *                 may still extend
+ *   SUSPENSION_RESTART  a leader waits for a suspended worker as long as for any other's leases
  */
 
 #ifndef LEASE
@@ -34,8 +44,9 @@
 #define IN_TOUCH 1          /* age in ticks of an answer that shows a worker to be in touch */
 #endif
 #ifndef UNCONFIRMED_LEASE
-#define UNCONFIRMED_LEASE (IN_TOUCH + 1)  /* ticks from the older of the two last answers until a
-                                           * lease ends that is granted without word from the table */
+/* Ticks from the older of the two last answers until a lease ends that is granted without word from
+ * the table. */
+#define UNCONFIRMED_LEASE (IN_TOUCH + 1)
 #endif
 #ifndef EPOCHS
 #define EPOCHS 3            /* leaderships of a search; the first one is leader 0's */
@@ -56,14 +67,25 @@
 #define END_PENDING 3       /* the end was reported and is not stored yet */
 
 #define UNLIMITED 15        /* of `former_left`: no worker has been reached */
+#define USED 14             /* of `stored_end`: the worker is not suspended */
 
 /* Values of `cut` and `outage`; each comes once at most. */
 #define NEVER 0
 #define NOW 1
 #define OVER 2
 
-#define REACHES(l, w) (!partitioned[w] && (cut != NOW || l == w))
-#define REACHES_TABLE(l) (outage != NOW && (cut != NOW || l == 1))
+#ifdef SUSPEND
+#define CUT_OVER 3
+#define IS_CUT (cut == 1 || cut == 2)
+/* While `cut` is 1, worker 1 is on the side of leader 0 too. */
+#define IS_BESIDE(l, w) (l == ((w == 1 && cut == 2) -> 1 : 0))
+#else
+#define CUT_OVER OVER
+#define IS_CUT (cut == NOW)
+#define IS_BESIDE(l, w) (l == w)
+#endif
+#define REACHES(l, w) (!partitioned[w] && (!IS_CUT || IS_BESIDE(l, w)))
+#define REACHES_TABLE(l) (outage != NOW && (!IS_CUT || l == 1))
 
 #ifdef MUTANT_CONFIRMED
 #define MAY_READ_JOBS(l) (true)
@@ -96,12 +118,53 @@
 #define NOTICE_WAIT (UNCONFIRMED_LEASE + 1)
 #endif
 /* Whether each worker that the leader needs has answered in the last so many ticks. */
+#ifdef SUSPEND
+#define HAS_MAJORITY(l, age) \
+	((!counts0[l] || silent_ticks0[l] <= (age)) && (!counts1[l] || silent_ticks1[l] <= (age)))
+#else
 #define HAS_MAJORITY(l, age) (silent_ticks0[l] <= (age) && silent_ticks1[l] <= (age))
+#endif
+#define MAX(a, b) ((a) > (b) -> (a) : (b))
 #if defined(MUTANT_MAJORITY) || defined(MUTANT_UNCONFIRMED_LEASE)
 #define MAY_GRANT(l, ticks) (true)
 #else
 #define MAY_GRANT(l, ticks) (confirmed[l] > 0 || HAS_MAJORITY(l, UNCONFIRMED_LEASE - (ticks)))
 #endif
+#ifdef SUSPEND
+#ifdef MUTANT_STALE_LIST
+#define IS_LATEST(queued_end) (true)
+#else
+#define IS_LATEST(queued_end) (queued_end == 0)
+#endif
+#ifdef MUTANT_EARLY_RESUME
+#define MAY_COMMAND(l, w) \
+	((w == 0 && (!awaits0[l] || !suspended0[l])) || (w == 1 && (!awaits1[l] || !suspended1[l])))
+#else
+#define MAY_COMMAND(l, w) ((w == 0 && !awaits0[l]) || (w == 1 && !awaits1[l]))
+#endif
+#ifdef MUTANT_SUSPENSION_BOUND
+#define END_OF_RUNS(l, is_settled, is_bounded, leases_end_in) (is_settled -> 0 : leases_end_in)
+#else
+#define END_OF_RUNS(l, is_settled, is_bounded, leases_end_in) \
+	(is_settled -> 0 : (is_bounded -> leases_end_in : MAX(leases_end_in, former_left[l])))
+#endif
+/* What the list that leader l stores says of each worker. */
+#define LISTED0(l) \
+	(suspended0[l] -> END_OF_RUNS(l, settled0[l], bounded0[l], leases_end_in0[l]) : USED)
+#define LISTED1(l) \
+	(suspended1[l] -> END_OF_RUNS(l, settled1[l], bounded1[l], leases_end_in1[l]) : USED)
+#ifdef MUTANT_SUSPENSION_RESTART
+#define REMAINING(w) ((stored_end[w] == 0) -> 0 : LEASE_WAIT)
+#else
+#define REMAINING(w) (stored_end[w])
+#endif
+#define IS_BOUNDED0(l) bounded0[l]
+#define IS_BOUNDED1(l) bounded1[l]
+#else
+#define MAY_COMMAND(l, w) (true)
+#define IS_BOUNDED0(l) false
+#define IS_BOUNDED1(l) false
+#endif
 #ifdef MUTANT_UNSTORED_END
 #define MARK_END_PENDING(l) assigned[l] = NONE
 #else
@@ -152,18 +215,52 @@
 bool settled0[2];
 bool settled1[2];
 
+#ifdef SUSPEND
+byte stored_end[2];          /* table row: USED, or ticks until earlier leaders' runs have ended */
+bool suspended0[2];          /* whether worker 0 does not answer and is to be stored so */
+bool suspended1[2];
+bool awaits0[2];             /* whether worker 0 is not used before another list is durable */
+bool awaits1[2];
+bool bounded0[2];            /* whether worker 0 was suspended in the list that this leader read */
+bool bounded1[2];
+bool counts0[2];             /* whether a list that may be stored uses worker 0 */
+bool counts1[2];
+byte queued_end0[2];         /* 1 more than the ticks by a queued list that suspends worker 0 */
+byte queued_end1[2];
+byte unanswered_list[2];     /* 0, or 4 and a bit for each worker that the list uses: a stored list
+                              * of which the leader does not know yet */
+#endif
+
+#ifdef SUSPEND
+#define END_RUN(w) running[w] = 0
+#else
+#define END_RUN(w) last_ended_run[w] = running[w]; running[w] = 0
+#endif
 #define HAS_ALL_REPORTS(l) \
 	(!leads[l] || ((!REACHES(l, 0) || silent_ticks0[l] == 0) && \
 	(!REACHES(l, 1) || silent_ticks1[l] == 0)))
 #define NO_WORKER_REFUSES(l) \
 	(!leads[l] || ((!REACHES(l, 0) || token[0] <= own_epoch[l]) && \
 	(!REACHES(l, 1) || token[1] <= own_epoch[l])))
+#ifdef SUSPEND
+#define RUNS 1
+#else
+#define RUNS 3
+#endif
+#ifdef SUSPEND
+#define MAY_LEAD(l) ((epoch == 0) == (l == 0))
+#else
+#define MAY_LEAD(l) (epoch > 0 || l == 0)
+#endif
 /* Run numbers increase across epochs: each epoch has three of its own. */
 #define TASK_FREE(l) \
 	(leads[l] && knows_job[l] && !done && assigned[l] == NONE && \
-	next_run[l] < 3 * own_epoch[l] + 3)
+	next_run[l] < 3 * own_epoch[l] + RUNS)
 #define SETTLED(l, w) ((w == 0 && settled0[l]) || (w == 1 && settled1[l]))
 
+/* Whether the leader before l could command worker w. */
+#define IS_FORMER(l, w) ((w == 0 && !IS_BOUNDED0(l)) || (w == 1 && !IS_BOUNDED1(l)))
+
 inline reset_lease_wait(l, w) {
 	if :: w == 0 -> leases_end_in0[l] = LEASE_WAIT :: else -> leases_end_in1[l] = LEASE_WAIT fi
 }
@@ -184,7 +281,13 @@
 	:: w == 0 -> settled0[l] = true; silent_ticks0[l] = 0
 	:: else -> settled1[l] = true; silent_ticks1[l] = 0
 	fi;
-	if :: former_left[l] == UNLIMITED -> former_left[l] = NOTICE_WAIT :: else fi
+#ifdef SUSPEND
+	if :: w == 0 -> suspended0[l] = false :: else -> suspended1[l] = false fi;
+#endif
+	if
+	:: former_left[l] == UNLIMITED && IS_FORMER(l, w) -> former_left[l] = NOTICE_WAIT
+	:: else
+	fi
 }
 
 inline step_down(l) {
@@ -192,13 +295,18 @@
 	confirmed[l] = 0; run_reported[l] = false; next_run[l] = 0; own_epoch[l] = 0;
 	leases_end_in0[l] = 0; leases_end_in1[l] = 0; settled0[l] = false; settled1[l] = false;
 	silent_ticks0[l] = 0; silent_ticks1[l] = 0; former_left[l] = 0
+#ifdef SUSPEND
+	; suspended0[l] = false; suspended1[l] = false; awaits0[l] = false; awaits1[l] = false;
+	bounded0[l] = false; bounded1[l] = false; counts0[l] = false; counts1[l] = false;
+	unanswered_list[l] = 0; queued_end0[l] = 0; queued_end1[l] = 0
+#endif
 }
 
 inline advance_worker(w) {
 	if :: lease[w] > 0 -> lease[w]-- :: else fi;
 	if :: lease[w] == 0 && ended[w] -> expired_since_end[w] = true :: else fi;
 	if
-	:: lease[w] == 0 && running[w] > 0 -> last_ended_run[w] = running[w]; running[w] = 0
+	:: lease[w] == 0 && running[w] > 0 -> END_RUN(w)
 	:: else
 	fi;
 	if
@@ -209,35 +317,47 @@
 }
 
 inline advance_leader(l) {
-	if :: leases_end_in0[l] > 0 -> leases_end_in0[l]-- :: else fi;
-	if :: leases_end_in1[l] > 0 -> leases_end_in1[l]-- :: else fi;
+	if :: leases_end_in0[l] > 0 && leases_end_in0[l] != UNLIMITED -> leases_end_in0[l]-- :: else fi;
+	if :: leases_end_in1[l] > 0 && leases_end_in1[l] != UNLIMITED -> leases_end_in1[l]-- :: else fi;
 	if :: leads[l] && silent_ticks0[l] <= IN_TOUCH -> silent_ticks0[l]++ :: else fi;
 	if :: leads[l] && silent_ticks1[l] <= IN_TOUCH -> silent_ticks1[l]++ :: else fi;
 	if :: former_left[l] > 0 && former_left[l] != UNLIMITED -> former_left[l]-- :: else fi;
 	if
 	:: leads[l] && leases_end_in0[l] == 0 && confirmed[l] > 0 ->
-		if :: former_left[l] == 0 -> settled0[l] = true :: else fi;
+		if :: former_left[l] == 0 || IS_BOUNDED0(l) -> settled0[l] = true :: else fi;
 		if :: settled0[l] && assigned[l] == 0 -> assigned[l] = NONE; run_reported[l] = false :: else fi
 	:: else
 	fi;
 	if
 	:: leads[l] && leases_end_in1[l] == 0 && confirmed[l] > 0 ->
-		if :: former_left[l] == 0 -> settled1[l] = true :: else fi;
+		if :: former_left[l] == 0 || IS_BOUNDED1(l) -> settled1[l] = true :: else fi;
 		if :: settled1[l] && assigned[l] == 1 -> assigned[l] = NONE; run_reported[l] = false :: else fi
 	:: else
 	fi;
 	if :: confirmed[l] > 0 -> confirmed[l]-- :: else fi
 }
 
+#ifdef SUSPEND
+inline advance_queued_ends(l) {
+	if :: queued_end0[l] > 1 && queued_end0[l] <= UNLIMITED -> queued_end0[l]-- :: else fi;
+	if :: queued_end1[l] > 1 && queued_end1[l] <= UNLIMITED -> queued_end1[l]-- :: else fi
+}
+#endif
+
 inline tick() {
 	ticks < TICKS && HAS_ALL_REPORTS(0) && HAS_ALL_REPORTS(1) &&
 	NO_WORKER_REFUSES(0) && NO_WORKER_REFUSES(1) -> ticks++;
 	if :: leadership_left > 0 -> leadership_left-- :: else fi;
+#ifdef SUSPEND
+	if :: stored_end[0] > 0 && stored_end[0] < USED -> stored_end[0]-- :: else fi;
+	if :: stored_end[1] > 0 && stored_end[1] < USED -> stored_end[1]-- :: else fi;
+	advance_queued_ends(0); advance_queued_ends(1);
+#endif
 	advance_worker(0); advance_worker(1); advance_leader(0); advance_leader(1)
 }
 
 inline take_over(l) {
-	!leads[l] && leadership_left == 0 && epoch < EPOCHS && REACHES_TABLE(l) && (epoch > 0 || l == 0) ->
+	!leads[l] && leadership_left == 0 && epoch < EPOCHS && REACHES_TABLE(l) && MAY_LEAD(l) ->
 	epoch++; leadership_left = LEADERSHIP_LEASE + 1; leads[l] = true; own_epoch[l] = epoch;
 	confirmed[l] = LEADERSHIP_LEASE; knows_job[l] = stored; recovered[l] = stored;
 	assigned[l] = NONE;
@@ -246,8 +366,83 @@
 	settled0[l] = false; settled1[l] = false;
 	silent_ticks0[l] = IN_TOUCH + 1; silent_ticks1[l] = IN_TOUCH + 1;
 	former_left[l] = (epoch == 1 -> 0 : UNLIMITED)
+#ifdef SUSPEND
+	; bounded0[l] = (stored_end[0] != USED); bounded1[l] = (stored_end[1] != USED);
+	suspended0[l] = bounded0[l]; suspended1[l] = bounded1[l];
+	awaits0[l] = bounded0[l]; awaits1[l] = bounded1[l];
+	counts0[l] = !bounded0[l]; counts1[l] = !bounded1[l];
+	if
+	:: bounded0[l] -> leases_end_in0[l] = REMAINING(0); settled0[l] = (stored_end[0] == 0)
+	:: else
+	fi;
+	if
+	:: bounded1[l] -> leases_end_in1[l] = REMAINING(1); settled1[l] = (stored_end[1] == 0)
+	:: else
+	fi;
+	if :: bounded0[l] && bounded1[l] -> former_left[l] = 0 :: else fi
+#endif
+}
+
+#ifdef SUSPEND
+/* A worker that has not answered is suspended, or one that is silent, without runs and past its
+ * lease. */
+inline suspend(l, w) {
+	leads[l] && confirmed[l] > 0 &&
+	((w == 0 && !awaits0[l] &&
+	(!settled0[l] || (silent_ticks0[l] > IN_TOUCH && leases_end_in0[l] == 0))) ||
+	(w == 1 && !awaits1[l] &&
+	(!settled1[l] || (silent_ticks1[l] > IN_TOUCH && leases_end_in1[l] == 0)))) &&
+	assigned[l] != w ->
+	if
+	:: w == 0 -> suspended0[l] = true; awaits0[l] = true; queued_end0[l] = 1 + LISTED0(l)
+	:: else -> suspended1[l] = true; awaits1[l] = true; queued_end1[l] = 1 + LISTED1(l)
+	fi
+}
+
+#define MAY_STORE_LIST(l) \
+	(leads[l] && own_epoch[l] == epoch && REACHES_TABLE(l) && unanswered_list[l] == 0 && \
+	(former_left[l] != UNLIMITED || \
+	((settled0[l] || suspended0[l]) && (settled1[l] || suspended1[l]))))
+
+/* The leader's list is stored. The leader learns of it later. */
+inline store_list(l) {
+	MAY_STORE_LIST(l) &&
+	(stored_end[0] != LISTED0(l) || stored_end[1] != LISTED1(l) ||
+	queued_end0[l] > 0 || queued_end1[l] > 0) ->
+	stored_end[0] = LISTED0(l); stored_end[1] = LISTED1(l);
+	if :: !suspended0[l] -> counts0[l] = true :: else fi;
+	if :: !suspended1[l] -> counts1[l] = true :: else fi;
+	unanswered_list[l] = 4 + (suspended0[l] -> 0 : 1) + (suspended1[l] -> 0 : 2);
+	queued_end0[l] = 0; queued_end1[l] = 0
+}
+
+/* A list is stored that suspends workers which have answered since. */
+inline store_queued_list(l) {
+	MAY_STORE_LIST(l) &&
+	((queued_end0[l] > 0 && !suspended0[l]) || (queued_end1[l] > 0 && !suspended1[l])) ->
+	unanswered_list[l] = 4;
+	if
+	:: queued_end0[l] > 0 -> stored_end[0] = queued_end0[l] - 1
+	:: else -> stored_end[0] = LISTED0(l);
+		if :: !suspended0[l] -> unanswered_list[l] = unanswered_list[l] + 1; counts0[l] = true :: else fi
+	fi;
+	if
+	:: queued_end1[l] > 0 -> stored_end[1] = queued_end1[l] - 1
+	:: else -> stored_end[1] = LISTED1(l);
+		if :: !suspended1[l] -> unanswered_list[l] = unanswered_list[l] + 2; counts1[l] = true :: else fi
+	fi;
+	queued_end0[l] = 0; queued_end1[l] = 0
 }
 
+inline learn_of_stored_list(l) {
+	unanswered_list[l] != 0 && REACHES_TABLE(l) && own_epoch[l] == epoch ->
+	counts0[l] = (unanswered_list[l] & 1); counts1[l] = ((unanswered_list[l] & 2) != 0);
+	if :: counts0[l] && !suspended0[l] && IS_LATEST(queued_end0[l]) -> awaits0[l] = false :: else fi;
+	if :: counts1[l] && !suspended1[l] && IS_LATEST(queued_end1[l]) -> awaits1[l] = false :: else fi;
+	unanswered_list[l] = 0
+}
+#endif
+
 inline renew_leadership(l) {
 	leads[l] && REACHES_TABLE(l) ->
 	if
@@ -282,7 +477,7 @@
 	:: FENCED(w, own_epoch[l]) -> step_down(l)
 	:: else -> token[w] = own_epoch[l];
 		if
-		:: MAY_ACT(l) ->
+		:: MAY_ACT(l) && MAY_COMMAND(l, w) ->
 			if :: running[w] > 0 || ended[w] -> grant_lease(l, lease[w]) :: else fi;
 			if :: EXTENDS_LEASE(answer_arrives) -> reset_lease_wait(l, w) :: else fi
 		:: else
@@ -304,7 +499,7 @@
 		:: assigned[l] == NONE && !done ->
 			assigned[l] = w; run_reported[l] = true; reset_lease_wait(l, w)
 		:: assigned[l] == w -> run_reported[l] = true
-		:: else -> last_ended_run[w] = running[w]; running[w] = 0
+		:: else -> END_RUN(w)
 		fi
 	:: running[w] == 0 && !ended[w] ->
 		if
@@ -315,8 +510,21 @@
 	fi
 }
 
+#ifdef SUSPEND
+/* The command arrives at once. Whether its answer arrives makes no difference to the leader. */
 inline send_start(l, w) {
 	TASK_FREE(l) && SETTLED(l, w) && MAY_START(l) && MAY_ACT(l) && MAY_GRANT(l, 1) &&
+	MAY_COMMAND(l, w) && REACHES(l, w) && !FENCED(w, own_epoch[l]) && running[w] == 0 ->
+	assigned[l] = w; run_reported[l] = false; token[w] = own_epoch[l];
+	running[w] = next_run[l];
+	grant_lease(l, lease[w]);
+	next_run[l]++;
+	reset_lease_wait(l, w)
+}
+#else
+inline send_start(l, w) {
+	TASK_FREE(l) && SETTLED(l, w) && MAY_START(l) && MAY_ACT(l) && MAY_GRANT(l, 1) &&
+	MAY_COMMAND(l, w) &&
 	start_run[w] == 0 && !ended[w] ->
 	assigned[l] = w; run_reported[l] = false;
 	start_run[w] = next_run[l]; start_epoch[w] = own_epoch[l]; start_by[w] = l;
@@ -324,9 +532,10 @@
 	next_run[l]++;
 	reset_lease_wait(l, w)
 }
+#endif
 
 inline deliver_start(w) {
-	start_run[w] > 0 && !partitioned[w] && (cut != NOW || start_by[w] == w) ->
+	start_run[w] > 0 && !partitioned[w] && (!IS_CUT || IS_BESIDE(start_by[w], w)) ->
 	if
 	:: !FENCED(w, start_epoch[w]) && start_run[w] > last_ended_run[w] && running[w] == 0 ->
 		token[w] = start_epoch[w];
@@ -343,11 +552,14 @@
 
 inline end_run(w) {
 	running[w] > 0 && !ended[w] ->
-	ended[w] = true; expired_since_end[w] = false; started_since_end[w] = false; last_ended_run[w] = running[w]; running[w] = 0
+	ended[w] = true; expired_since_end[w] = false; started_since_end[w] = false; END_RUN(w)
 }
 
 active proctype system() {
 	assigned[0] = NONE; assigned[1] = NONE;
+#ifdef SUSPEND
+	stored_end[0] = USED; stored_end[1] = USED; stored = true;
+#endif
 	do
 	:: atomic { assert(!(running[0] > 0 && running[1] > 0)) ->
 		if
@@ -358,13 +570,20 @@
 		:: read_job(0) :: read_job(1)
 		:: renew_lease(0, 0, true) :: renew_lease(0, 1, true)
 		:: renew_lease(1, 0, true) :: renew_lease(1, 1, true)
+		:: send_start(0, 0) :: send_start(0, 1) :: send_start(1, 0) :: send_start(1, 1)
+#ifdef SUSPEND
+		:: suspend(0, 0) :: suspend(0, 1) :: suspend(1, 0) :: suspend(1, 1)
+		:: store_list(0) :: store_list(1)
+		:: store_queued_list(0) :: store_queued_list(1)
+		:: learn_of_stored_list(0) :: learn_of_stored_list(1)
+#else
 		:: renew_lease(0, 0, false) :: renew_lease(0, 1, false)
 		:: renew_lease(1, 0, false) :: renew_lease(1, 1, false)
-		:: send_start(0, 0) :: send_start(0, 1) :: send_start(1, 0) :: send_start(1, 1)
 		:: deliver_start(0) :: deliver_start(1)
 		:: end_run(0) :: end_run(1)
+#endif
 #ifdef CUT
-		:: cut != OVER -> cut++
+		:: cut != CUT_OVER -> cut++
 #endif
 #if !defined(CUT) || defined(PARTITION)
 		:: !partitioned[0] -> partitioned[0] = true
@@ -373,7 +592,9 @@
 #ifdef OUTAGE
 		:: outage != OVER -> outage++
 #endif
+#ifndef SUSPEND
 		:: leads[0] -> step_down(0)
+#endif
 		:: leads[1] -> step_down(1)
 		:: ticks >= TICKS -> break
 		fi }
