--- a/spec/check.py
+++ b/spec/check.py
@@ -73,7 +73,7 @@
     Model(
         "pool",
         ("TICKS=6",),
-        ("TICKS=7",),
+        ("TICKS=7", "LEASE=2"),
         ("CONFIRMED", "FENCE", "SENT_LEASE", "UNSETTLED", "LAPSE_MARGIN", "UNSTORED_END"),
     ),
     # A leader is cut off from the table, and from the other leader with its worker.
@@ -84,6 +84,22 @@
         ("MAJORITY", "NOTICE_WAIT"),
         (),
     ),
+    # The same with leases that are longer than what is left of them without word from the table.
+    Model(
+        "pool",
+        ("TICKS=9", "CUT", "EPOCHS=2", "IN_TOUCH=3", "LEASE=2", "UNCONFIRMED_LEASE=3"),
+        ("TICKS=9", "CUT", "EPOCHS=2", "IN_TOUCH=3", "LEASE=2", "UNCONFIRMED_LEASE=3"),
+        ("UNCONFIRMED_LEASE",),
+        (),
+    ),
+    # Silent workers are suspended, while a leader is cut off from the table with one or both.
+    Model(
+        "pool",
+        ("TICKS=7", "SUSPEND", "CUT"),
+        ("TICKS=6", "SUSPEND", "CUT", "IN_TOUCH=2"),
+        ("EARLY_RESUME", "STALE_LIST", "SUSPENSION_BOUND", "SUSPENSION_RESTART"),
+        (),
+    ),
     # The table is away for all.
     Model("pool", ("TICKS=6", "OUTAGE", "EPOCHS=2"), (), ()),
 )
