Platform: a job whose text no row can hold is refused before it is sent to the table

Cause: the record, its encoded form and the call to the table are copies of the text, and only the table refused it, as its rows hold 65,536 bytes.

Change: a longer text is answered 400 at once.

The new unit test passes; it was not run on the former code.

--- a/tests/cover/test_pool_malformed_calls.py
+++ b/tests/cover/test_pool_malformed_calls.py
@@ -81,6 +81,11 @@
     assert submit(json.dumps(rest | {"steps": [step]}).encode())[0] == 400
 
 
+def test_a_spec_longer_than_any_row_is_refused_without_a_call_to_the_table():
+    status, table = submit(b'{"steps": [{}], "spec": "%s"}' % (b"x" * 65_537))
+    assert (status, table.writes) == (400, 0)
+
+
 def test_no_records_are_made_of_the_steps_of_a_job_that_has_too_many(monkeypatch):
     made: list[object] = []
     monkeypatch.setattr(callers, "_make_step", made.append)
