--- a/tests/nocover/test_crowds.py
+++ b/tests/nocover/test_crowds.py
@@ -115,27 +115,35 @@
 
 
 @asynccontextmanager
-async def run_host(
-    folder: Path, limits: dict[str, object], number: int = 0
-) -> AsyncIterator[CrowdedHost]:
+async def run_hosts(
+    folder: Path, limits: dict[str, object], count: int = 1
+) -> AsyncIterator[list[CrowdedHost]]:
+    """Yield hosts of one deployment, once each of them accepts jobs."""
     store = StandInStore()
-    address = choose_addresses(1, number)[0]
-    configuration = {**CONFIG, "routes": [{**QUEUE, "host": address}]}
-    store.put("op", "", "config", json.dumps(configuration).encode())
+    addresses = choose_addresses(count, 0)
+    routes = [{**QUEUE, "name": f"r-{each}", "host": each} for each in addresses]
+    store.put("op", "", "config", json.dumps({**CONFIG, "routes": routes}).encode())
     advice = await serve_advice()
     worker = StandInWorker("w0", store, [], 0.1)
     await worker.start()
-    port = await store.listen(StoreFaults())
-    settings = make_settings("h0", address, port, advice.get_port())
-    host = CrowdedHost(HostProcess("h0", address, folder, {**settings, "limits": limits}), [])
+    hosts: list[CrowdedHost] = []
+    for number, address in enumerate(addresses):
+        port = await store.listen(StoreFaults())
+        name = f"h{number}"
+        settings = make_settings(name, address, port, advice.get_port())
+        process = HostProcess(name, address, folder, {**settings, "limits": limits})
+        hosts.append(CrowdedHost(process, []))
     try:
-        await host.process.start()
-        await host.submit()
-        yield host
+        for host in hosts:
+            await host.process.start()
+        for host in hosts:
+            await host.submit()
+        yield hosts
     finally:
-        host.leave()
-        await host.process.kill()
-        host.process.client.close()
+        for host in hosts:
+            host.leave()
+            await host.process.kill()
+            host.process.client.close()
         await worker.close()
         await advice.close(0.0)
         await store.close()
@@ -145,11 +153,13 @@
     folder: Path,
     limits: dict[str, object],
     crowd: Callable[[CrowdedHost], Awaitable[object]],
+    hosts: int = 1,
 ) -> None:
     async def scenario() -> None:
-        async with run_host(folder, limits) as host:
-            await crowd(host)
-            await host.check()
+        async with run_hosts(folder, limits, hosts) as crowded:
+            await asyncio.gather(*(crowd(host) for host in crowded))
+            for host in crowded:
+                await host.check()
 
     asyncio.run(scenario())
 
@@ -237,6 +247,26 @@
     run_crowd(tmp_path, MEMORY_LIMIT, crowd)
 
 
+def test_crowds_of_all_kinds_at_all_hosts_leave_each_within_its_limits(tmp_path):
+    chunked = CHUNKED % next(numbers)
+    kinds = (
+        announce(len(LARGE_BODY)) + LARGE_BODY[:-10],
+        announce(len(LARGE_BODY)) + LARGE_BODY,
+        chunked + encode_chunks(LARGE_BODY, 65_536),
+        chunked + encode_chunks(LARGE_BODY[:170_000], 1),
+        chunked + encode_chunks(b"x" * (4 * MAX_BODY_BYTES), 65_536),
+        announce(1_000 * MAX_BODY_BYTES) + b"x" * MAX_BODY_BYTES,
+        b"",
+    )
+
+    async def crowd(host: CrowdedHost) -> None:
+        await asyncio.gather(
+            *(host.send(kinds[each % len(kinds)], 100_000) for each in range(BODY_CLIENTS))
+        )
+
+    run_crowd(tmp_path, {**MEMORY_LIMIT, "maxFds": MAX_DESCRIPTORS}, crowd, hosts=3)
+
+
 @pytest.mark.parametrize(
     "data",
     [
@@ -250,7 +280,7 @@
 @pytest.mark.parametrize("piece_bytes", [2 * MAX_BODY_BYTES, 10_000], ids=["whole", "in pieces"])
 def test_a_single_large_body_of_legal_size_is_read_to_its_end(tmp_path, data, piece_bytes):
     async def scenario() -> bytes:
-        async with run_host(tmp_path, MEMORY_LIMIT) as host:
+        async with run_hosts(tmp_path, MEMORY_LIMIT) as [host]:
             await host.send(data, piece_bytes)
             async with asyncio.timeout(TIMEOUT_SECONDS):
                 return await asyncio.get_running_loop().sock_recv(host.connections[-1], 65_536)
