--- a/tests/cover/test_pool_malformed_calls.py
+++ b/tests/cover/test_pool_malformed_calls.py
@@ -16,7 +16,9 @@
 from hypothesis import strategies as st
 
 from lentilpath_core.pool import MAX_INTEGER, StepSpec
+from lentilpath_core.pool._validity import MAX_JOB_STEPS
 from lentilpath_http import HttpLimits
+from lentilpath_platform import callers
 from lentilpathd._pool._records import decode_job
 from tests.cover.test_pool_answers import JOB, ScriptedTable, call, make_jobs
 
@@ -95,8 +97,6 @@
     assert submit(json.dumps(rest | {"steps": [step]}).encode())[0] == 400
 
 
-<<<<<<< HEAD
-=======
 def test_a_spec_longer_than_any_row_is_refused_without_a_call_to_the_table():
     status, table = submit(b'{"steps": [{}], "spec": "%s"}' % (b"x" * 65_537))
     assert (status, table.writes) == (400, 0)
@@ -110,7 +110,6 @@
     assert (made, table.rows) == ([], {})
 
 
->>>>>>> ae083905463716d42c301ce0ae590e0eb13abe96
 def test_deep_nesting_invalid_text_and_long_bodies_are_refused_with_a_bounded_line(caplog):
     deep = b"[" * 100_000
     for body in (deep, b'{"steps":[{}],"x":' + deep, b'{"spec":"\xff"}', b'{"steps":[{"count":'):
