HTTP: the limit on connections counts the kernel's buffers of both directions

A connection whose caller neither sends nor reads on may hold 128 KiB of the kernel's memory each way. One for each 256 KiB leaves half of the memory to the process.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
@@ -26,8 +26,8 @@
 UNCONFIRMED_LEASE_BOUND_MS = 3_750
 """The same on the clock of another host: a worker's clock may run slow by 2%, and 150 ms."""
 NOTICE_MS = 3_000
-"""Time after which a leader of an earlier release has noticed that half of the workers refuse it; it
-grants full leases until then."""
+"""Time after which a leader of an earlier release has noticed that half of the workers refuse it.
+It grants full leases until then."""
 FIRST_ANSWER_MS = 1_000
 """A worker that has not answered a new leader for this long is silent: a request times out after
 700 ms."""
@@ -201,7 +201,7 @@
 
 
 def resume_worker(state: PoolState, worker: Worker) -> None:
-    """Use a worker that answers again: at once if no record has said otherwise, else once one does."""
+    """Use a worker that answers again, at once or once no durable record suspends it."""
     worker.is_suspended = False
     if worker.suspended_after == state.last_record.number:
         worker.awaits_record = False
--- a/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_recovery.py
@@ -56,8 +56,8 @@
 batch."""
 
 MAX_RUNS_MS = 15_000
-"""No run goes on for longer without a command: the longest lease, 10.4 s, and the difference between
-the hosts' clocks."""
+"""No run goes on for longer without a command: the longest lease, 10.4 s, and the difference
+between the hosts' clocks."""
 STOPPED_RUNS_MS = 15_000
 """Runs that an earlier leader stopped may go on this long, if the stop was lost: the longest lease,
 10.4 s, and the difference between the hosts' clocks."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_shared_limits.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_shared_limits.py
@@ -11,8 +11,9 @@
 HELD_MEMORY_SHARE = 8
 """Part of the memory that unfinished requests may hold; their parsed copies and the allocator's
 fragmentation take as much again."""
-MEMORY_PER_CONNECTION_BYTES = 131_072
-"""Memory of a connection with its kernel buffers, if its caller neither sends nor reads on."""
+MEMORY_PER_CONNECTION_BYTES = 262_144
+"""Memory of a connection with its kernel buffers of both directions, which the kernel doubles, if
+its caller neither sends nor reads on."""
 SMALL_PIECES_PER_CORE_SECOND = 10_000
 """Takes about a tenth of a core."""
 
--- a/tests/nocover/test_pool_late_suspension.py
+++ b/tests/nocover/test_pool_late_suspension.py
@@ -15,6 +15,7 @@
 from lentilpathd._pool import _writer
 from lentilpathd._pool._worker_rows import decode_workers
 from tests.common.pools import QUEUE, make_job_id, make_queue
+from tests.common.requests import wait_until
 from tests.common.simulated_pool import SharedRows, SimulatedHost, check_runs, run_logged
 from tests.common.simulated_workers import ROOM, Faults, SimulatedCluster, SimulatedWorker
 
@@ -44,25 +45,21 @@
         cluster.jobs[record.job] = record
         rows.put_job(record)
     second = asyncio.create_task(hosts[1].run())
-    while (term := hosts[1].term) is None or not term._ready:
-        await asyncio.sleep(0.001)
+    await wait_until(lambda: hosts[1].term is not None and hosts[1].term._ready)
+    term = hosts[1].term
+    assert term is not None
     cluster.note("the table is away")
     hosts[1].path.is_unavailable = True
-    while not term._state.workers[SILENT].is_suspended:
-        await asyncio.sleep(0.001)
+    await wait_until(lambda: term._state.workers[SILENT].is_suspended)
     cluster.note(f"{SILENT} answers again")
     silent.cut_until = 0.0
-    while term._state.workers[SILENT].is_suspended:
-        await asyncio.sleep(0.001)
+    await wait_until(lambda: not term._state.workers[SILENT].is_suspended)
     cluster.note("the table is back")
     hosts[1].path.is_unavailable = False
     cluster.faults = Faults(table_seconds=0.03)
-    while term._writer.durable_count == 0:
-        await asyncio.sleep(0.001)
+    await wait_until(lambda: term._writer.durable_count > 0)
     cluster.note("the first list is stored")
-    async with asyncio.timeout(10.0):
-        while SILENT not in read_suspensions(rows):
-            await asyncio.sleep(0.001)
+    await wait_until(lambda: SILENT in read_suspensions(rows))
     cluster.note(f"a list that suspends {SILENT} is stored; h1 is lost")
     silent.cut_until = FOR_EVER
     second.cancel()
--- a/tests/nocover/test_pool_releases.py
+++ b/tests/nocover/test_pool_releases.py
@@ -12,6 +12,7 @@
 from lentilpathd._pool import _term
 from lentilpathd._pool._leadership import PoolLeadership
 from tests.common.pools import QUEUE, make_job_id, make_queue
+from tests.common.requests import wait_until
 from tests.common.simulated_pool import SharedRows, SimulatedHost, check_runs, run_logged
 from tests.common.simulated_workers import ROOM, Faults, SimulatedCluster
 
@@ -39,8 +40,7 @@
     assert former is not None
     cluster.note("h0 is cut off from the table")
     hosts[0].path.is_unavailable = True
-    while hosts[1].term is None:
-        await asyncio.sleep(0.001)
+    await wait_until(lambda: hosts[1].term is not None)
     near = frozenset(draw.sample(sorted(cluster.workers), 2))
     cluster.note(f"h0 reaches {sorted(near)} only, h1 the others")
     cluster.split = former._epoch, near
@@ -54,7 +54,7 @@
 @pytest.mark.parametrize("seed", range(5))
 @pytest.mark.parametrize("release", ["former", "this"])
 def test_no_task_runs_twice_after_a_leader_of_the_former_release(release, seed, monkeypatch):
-    """The former release grants full leases for as long as it has a majority, and does not say so."""
+    """The former release grants full leases while it has a majority, and does not say so."""
     if release != "this":
 
         def get_lease_ms(term: _term.Term) -> int:
--- a/tests/nocover/test_pool_silent_workers.py
+++ b/tests/nocover/test_pool_silent_workers.py
@@ -146,7 +146,7 @@
 
 
 LEADERS_OF_THE_WAIT = 2
-"""The first of them stores when the runs on silent workers have ended; their next successor need not
+"""The first of them stores when the runs on silent workers have ended, and the next leader need not
 wait."""
 
 
