--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -18,7 +17,6 @@
 from lentilpath_core.settings import Address
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
-from lentilpathd._pool._leases import CLOCK_DRIFT, LEASE_MARGIN_MS
 from lentilpathd._pool._ports import (
     Deposed,
     PartitionCommitResult,
@@ -38,6 +36,7 @@
     encode_record,
 )
 from lentilpathd._pool._settling import commit_repeatedly
+from lentilpathd._pool._table_clock import TableClock
 
 LEASE_MS = 1_500
 """A leader that does not renew its lease for this long may be replaced. Three renewals fit in it,
@@ -215,32 +214,6 @@
     return Instant(now - max(0, up_ms))
 
 
-class TableClock:
-    """Bounds of the table service's clock, estimated from its responses."""
-
-    def __init__(self) -> None:
-        self._least_offset_ms: int | None = None
-        self._most_offset_ms = 0
-
-    def observe(self, clock_ms: int, sent_at: Instant, now: Instant) -> None:
-        """Update the bounds with the response, at `now`, to a request of `sent_at`."""
-        least = clock_ms - now
-        if self._least_offset_ms is None or least > self._least_offset_ms:
-            self._least_offset_ms = least
-        # Only the latest one: over a long time the clocks drift apart.
-        self._most_offset_ms = clock_ms - sent_at
-
-    def estimate(self, now: Instant) -> int:
-        """Return a time that the table service's clock has reached, in ms."""
-        return now + (self._least_offset_ms or 0)
-
-    def convert(self, at: Instant, now: Instant) -> int:
-        """Return a time in ms that the table service's clock does not reach before `at`."""
-        ahead_ms = max(0, at - now)
-        drift_ms = math.ceil(ahead_ms * CLOCK_DRIFT) + LEASE_MARGIN_MS
-        return now + ahead_ms + drift_ms + self._most_offset_ms
-
-
 class PoolLeadership:
     """Polls the leadership rows, takes over a free leadership and renews its lease."""
 
--- a/tests/cover/test_pool_suspension.py
+++ b/tests/cover/test_pool_suspension.py
@@ -25,9 +25,9 @@
     UNCONFIRMED_LEASE_BOUND_MS,
 )
 from lentilpathd._clock import read_instant
-from lentilpathd._pool._leadership import TableClock
 from lentilpathd._pool._records import LeaseRow, decode_record
 from lentilpathd._pool._recovery import MAX_RUNS_MS, read_commanded_workers, read_pool
+from lentilpathd._pool._table_clock import TableClock
 from lentilpathd._pool._writer import RecordWriter
 from tests.common.pools import (
     TASK_RESOURCES,
