--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -219,12 +219,17 @@
     async def _extend_lease(self, worker: ListedWorker) -> None:
         client = self._context.create_worker(worker, make_token(self._epoch, 0))
 
+        def get_lease_ms() -> int:
+            # Who has a majority is not known before the list of workers is read.
+            is_confirmed = self._leadership.is_confirmed(read_instant())
+            return self._context.settings.lease_ms if is_confirmed else 0
+
         def note_lease(ends_at: Instant) -> None:
             sent = LeaseSent(worker.worker, worker.life, ends_at)
             self._extensions.append(sent)
             self.handle_event(sent)
 
-        await extend_lease(client, self._get_lease_ms, note_lease, self._may_command)
+        await extend_lease(client, get_lease_ms, note_lease, self._may_command)
 
     async def _recover(self) -> None:
         table, registry = self._context.table, self._context.registry
--- a/tests/cover/test_pool_pauses.py
+++ b/tests/cover/test_pool_pauses.py
@@ -9,6 +9,7 @@
 import asyncio
 import time
 from dataclasses import replace
+from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
@@ -34,7 +35,7 @@
     create_client,
     serve_http,
 )
-from lentilpathd._pool import _configuration, _link
+from lentilpathd._pool import _configuration, _link, _term
 from lentilpathd._pool._configuration import ConfigurationFollower
 from lentilpathd._pool._leadership import (
     LEASE_MS,
@@ -284,6 +285,26 @@
     assert client.leases == [None]
 
 
+@pytest.mark.parametrize("is_confirmed", [True, False])
+def test_a_new_leader_extends_former_leases_only_while_its_own_is_confirmed(is_confirmed):
+    """It does not know yet whom it would need for a majority."""
+    client = RecordingWorker()
+    noted: list[object] = []
+    term: Any = SimpleNamespace(
+        _epoch=Epoch(2),
+        _context=SimpleNamespace(
+            create_worker=lambda *_: client, settings=SimpleNamespace(lease_ms=5_000)
+        ),
+        _leadership=SimpleNamespace(is_confirmed=lambda now: is_confirmed),
+        _extensions=noted,
+        _may_command=lambda: True,
+        handle_event=lambda event: None,
+    )
+    asyncio.run(_term.Term._extend_lease(term, make_worker("w1")))
+    assert len(noted) == is_confirmed
+    assert (client.leases[-1] is not None) is is_confirmed
+
+
 def test_a_request_is_not_sent_if_the_process_was_paused_while_it_connected(monkeypatch):
     requests: list[HttpRequest] = []
 
