--- a/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
@@ -83,6 +83,7 @@
     StepExplanation,
     explain_job,
 )
+from lentilpath_core.pool._former_workers import restore_former_workers
 from lentilpath_core.pool._job_sizes import MAX_HELD_BYTES, estimate_job_bytes
 from lentilpath_core.pool._model import (
     FINAL_STATES,
@@ -121,7 +122,6 @@
 )
 from lentilpath_core.pool._state import PoolState, create_pool
 from lentilpath_core.pool._validity import MAX_INTEGER, check_job, check_step_count, check_worker
-from lentilpath_core.pool._workers import restore_former_workers
 
 __all__ = [
     "FINAL_STATES",
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -2,14 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
-from lentilpath_core.ids import Instant, WorkerId
+from lentilpath_core.ids import Instant
 from lentilpath_core.pool._authority import (
-    expect_former_leader,
-    find_end_of_runs,
-    has_former_leader_ended,
     note_recorded_workers,
     record_workers,
     resume_worker,
@@ -27,7 +23,6 @@
 from lentilpath_core.pool._events import (
     LossReason,
     PoolEffect,
-    RecordWorkers,
     ReleaseWorker,
     StopReason,
     StopRun,
@@ -36,6 +31,7 @@
     WorkersRecorded,
 )
 from lentilpath_core.pool._evidence import discount_silence, record_progress
+from lentilpath_core.pool._former_workers import expire_former_leases
 from lentilpath_core.pool._leaving import update_leave_time
 from lentilpath_core.pool._model import (
     ListedWorker,
@@ -342,7 +338,7 @@
     """
     if not is_confirmed:
         return ()
-    effects: list[PoolEffect] = list(_expire_former_leases(state, now))
+    effects: list[PoolEffect] = list(expire_former_leases(state, now))
     for worker in list(state.workers.values()):
         if worker.worker in state.unconfirmed_workers:
             continue
@@ -368,47 +364,3 @@
     if unanswered_at is None or now >= unanswered_at + UNANSWERED_START_MEMORY_MS:
         return False
     return worker.is_listed and worker.capacity_seen_at < worker.lease_ends_at
-
-
-def _expire_former_leases(state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
-    """Stop waiting for workers on which runs of an earlier leader have ended by now."""
-    has_ended = has_former_leader_ended(state, now)
-    if has_ended:
-        state.former_leader = replace(state.former_leader, is_outnumbered=True)
-    for worker_id in list(state.unconfirmed_workers):
-        worker = state.workers.get(worker_id)
-        if has_ended if worker is None else now >= find_end_of_runs(state, worker):
-            state.unconfirmed_workers.discard(worker_id)
-            state.needs_placement = True
-    return record_workers(state)
-
-
-def restore_former_workers(
-    state: PoolState,
-    workers: tuple[ListedWorker, ...],
-    unknown: Iterable[str] = (),
-    suspended: Mapping[WorkerId, Instant] | None = None,
-) -> None:
-    """Add the workers that an earlier leader used.
-
-    Each is unconfirmed until it reports, or until the leases of the earlier leader have expired.
-    `unknown` stands for workers whose record cannot be read: they are unconfirmed until then too.
-    `suspended` holds those to which it sent no commands, and when the runs on them have ended.
-    """
-    ends = suspended or {}
-    state.unconfirmed_workers.update(WorkerId(each) for each in unknown)
-    for entry in workers:
-        if entry.worker not in state.workers:
-            state.workers[entry.worker] = Worker(entry, entry.capacity, is_listed=False)
-        worker = state.workers[entry.worker]
-        worker.is_suspended = worker.are_runs_bounded = entry.worker in ends
-        worker.awaits_record = worker.is_suspended
-        worker.is_recorded = not worker.is_suspended
-        worker.lease_ends_at = ends.get(entry.worker, state.former_leases_end_at)
-        state.unconfirmed_workers.add(entry.worker)
-    state.last_record = RecordWorkers(workers, tuple(ends.items()))
-    state.stored_suspensions = frozenset(
-        (each.worker, each.life) for each in workers if each.worker in ends
-    )
-    used = (each for each in state.workers.values() if not each.is_suspended)
-    expect_former_leader(state, frozenset((each.worker, each.life) for each in used))
--- a/packages/lentilpath-http/src/lentilpath_http/_server.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_server.py
@@ -14,12 +14,13 @@
 
 from lentilpath_http._budget import (
     ConnectionBudget,
-    Holder,
     PieceCount,
     SharedLimits,
     create_budget,
 )
 from lentilpath_http._connection import STATUSES_WITHOUT_BODY, set_keepalive
+from lentilpath_http._counted_connection import CountedConnection
+from lentilpath_http._heads import check_head
 from lentilpath_http._messages import (
     HttpLimits,
     HttpRequest,
@@ -28,10 +29,8 @@
     MessageTooLarge,
     json_response,
 )
+from lentilpath_http._refusals import make_overload_refusal, make_refusal, send_refusal
 
-READ_CHUNK_BYTES = 65_536
-READER_LIMIT_BYTES = 32_768
-"""Half of the unread bytes at which a connection stops to read."""
 SOCKET_BUFFER_BYTES = 65_536
 """Size of the kernel's buffers of a connection, in each direction; it would let them grow to
 several megabytes. A body of 1 MiB arrives within 2 s at a round trip of 100 ms."""
@@ -40,14 +39,8 @@
 BACKLOG_SHARE = 4
 """The event loop accepts the whole queue at once, so its length is this part of the limit on
 connections at most."""
-REFUSAL_LINGER_SECONDS = 1.0
-"""Time that a refused caller has to read the answer; what it still sends is discarded."""
-RETRY_AFTER_SECONDS = 1
-"""Room for unfinished requests is free again soon after the largest ones were refused."""
 MAX_DEADLINE_FACTOR = 4
 """A request of small pieces has up to so many times the time to arrive, as the server delays it."""
-STATUS_OVERLOADED = 503
-STATUS_HEADERS_TOO_LARGE = 431
 DISCONNECT_WATCH_DELAY_SECONDS = 0.01
 MAX_LOGGED_CHARACTERS = 500
 """Length of an error in the log; it may repeat what a caller has sent."""
@@ -55,99 +48,6 @@
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 
-class _Connection(asyncio.StreamReaderProtocol):
-    """An accepted connection, which counts the bytes that it holds against the budget."""
-
-    def __init__(
-        self,
-        serve: Callable[[_Connection, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
-        budget: ConnectionBudget,
-        max_discarded_bytes: int,
-    ) -> None:
-        async def serve_connection(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await serve(self, reader, writer)
-
-        self._reader = asyncio.StreamReader(limit=READER_LIMIT_BYTES)
-        super().__init__(self._reader, serve_connection)
-        self.budget = budget
-        self.holder = Holder(self._evict)
-        self.task: asyncio.Task[None] | None = None
-        self.is_refused = False
-        """Whether its request is refused; further bytes are discarded."""
-        self.is_request_started = False
-        """Whether a request has begun to arrive that is not handled yet."""
-        self.is_handling = False
-        """Whether a request is handled or its answer is being sent."""
-        self._channel: asyncio.Transport | None = None
-        self._unread_bytes = 0
-        self._discardable_bytes = max_discarded_bytes
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._channel = transport
-        if self.budget.admit(self.holder):
-            # Drained only once the kernel has all of it, so that unread answers are counted.
-            transport.set_write_buffer_limits(high=0)
-            super().connection_made(transport)
-        else:
-            transport.abort()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.budget.remove(self.holder)
-        super().connection_lost(exc)
-
-    def data_received(self, data: bytes) -> None:
-        if not self.is_refused:
-            self.is_request_started = True
-            self.budget.hold(self.holder, self.holder.held_bytes + len(data))
-        # The budget may just have refused this connection itself.
-        if not self.is_refused:
-            self._unread_bytes += len(data)
-            super().data_received(data)
-            return
-        self._discardable_bytes -= len(data)
-        if self._discardable_bytes < 0:
-            self.abort()
-
-    async def read(self) -> bytes:
-        """Return the next received bytes; none at the end of the stream."""
-        data = await self._reader.read(READ_CHUNK_BYTES)
-        self._unread_bytes -= len(data)
-        return data
-
-    def hold_only(self, size: int) -> None:
-        """Note that of all received bytes, only `size` and those not yet read are still held."""
-        self.budget.hold(self.holder, size + self._unread_bytes)
-
-    def refuse(self) -> None:
-        """Stop to hold the request that is arriving."""
-        self.is_refused = True
-        self.budget.hold(self.holder, 0)
-        self.budget.start_wait(self.holder)
-
-    async def discard_input(self) -> None:
-        """Discard what arrives until the caller closes its side."""
-        while await self.read():
-            pass
-
-    def abort(self) -> None:
-        """Close the connection without sending what is still queued."""
-        if self._channel is not None:
-            self._channel.abort()
-
-    def _evict(self, at_once: bool) -> None:
-        if self.is_refused or self.is_handling or not self.is_request_started:
-            self.abort()
-            return
-        self.is_refused = True
-        if at_once:
-            self._discardable_bytes = 0
-        if self.task is not None:
-            self.task.cancel()
-
-
 class HttpServer:
     """A listening server; closing it waits for requests in progress."""
 
@@ -220,8 +120,8 @@
                 # The caller has disconnected, or its TLS handshake failed.
                 logging.info("connection accepted during shutdown failed: %r", error)
 
-    def _create_protocol(self) -> _Connection:
-        return _Connection(self._serve_connection, self._budget, self._limits.max_body_bytes)
+    def _create_protocol(self) -> CountedConnection:
+        return CountedConnection(self._serve_connection, self._budget, self._limits.max_body_bytes)
 
     async def _wait_until_closed(self, deadline: float, limit_seconds: float = math.inf) -> None:
         if self._connections:
@@ -229,7 +129,10 @@
             await asyncio.wait(tuple(self._connections), timeout=min(left_seconds, limit_seconds))
 
     async def _serve_connection(
-        self, connection: _Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        connection: CountedConnection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
         task = asyncio.current_task()
         assert task is not None
@@ -249,7 +152,9 @@
             logging.warning("connection failed: %s", repr(error)[:MAX_LOGGED_CHARACTERS])
         try:
             if connection.is_refused and connection.is_request_started:
-                await self._refuse_for_others(connection, writer)
+                await send_refusal(
+                    connection, writer, h11.Connection(h11.SERVER), make_overload_refusal()
+                )
         except (OSError, asyncio.CancelledError):
             pass
         finally:
@@ -258,22 +163,8 @@
             self._connections_without_request.discard(task)
             writer.close()
 
-    async def _refuse_for_others(
-        self, connection: _Connection, writer: asyncio.StreamWriter
-    ) -> None:
-        response = json_response(
-            STATUS_OVERLOADED,
-            {
-                "error": "overloaded",
-                "message": "too many large requests are unfinished; send it again later",
-                "outcome": "not-run",
-            },
-            (("retry-after", str(RETRY_AFTER_SECONDS)),),
-        )
-        await self._send_refusal(connection, writer, h11.Connection(h11.SERVER), response)
-
     async def _serve_requests(
-        self, connection: _Connection, writer: asyncio.StreamWriter, task: asyncio.Task[None]
+        self, connection: CountedConnection, writer: asyncio.StreamWriter, task: asyncio.Task[None]
     ) -> None:
         state = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_head_bytes)
         while True:
@@ -296,12 +187,12 @@
             connection.hold_only(len(state.trailing_data[0]))
             self._budget.start_wait(connection.holder)
         connection.is_request_started = False
-        await self._send_error(connection, writer, state, refusal)
+        await send_refusal(connection, writer, state, make_refusal(refusal))
 
     async def _run_handler(
         self,
         request: HttpRequest,
-        connection: _Connection,
+        connection: CountedConnection,
         state: h11.Connection,
         task: asyncio.Task[None],
     ) -> HttpResponse:
@@ -338,7 +229,9 @@
                 watch.cancel()
                 await asyncio.gather(watch, return_exceptions=True)
 
-    async def _wait_for_disconnect(self, connection: _Connection, state: h11.Connection) -> None:
+    async def _wait_for_disconnect(
+        self, connection: CountedConnection, state: h11.Connection
+    ) -> None:
         # Bytes of a pipelined next request are buffered for it. Beyond the limit on a request head,
         # reading stops and further bytes stay in the kernel's buffer.
         pending_bytes = len(state.trailing_data[0])
@@ -353,7 +246,7 @@
 
     async def _receive_request(
         self,
-        connection: _Connection,
+        connection: CountedConnection,
         writer: asyncio.StreamWriter,
         state: h11.Connection,
         task: asyncio.Task[None],
@@ -392,7 +285,7 @@
                 state.receive_data(data)
             elif isinstance(event, h11.Request):
                 head = event
-                self._check_head(event)
+                check_head(event, self._limits)
             elif isinstance(event, h11.Data):
                 if pieces.count():
                     deadline = await self._wait_for_turn(deadline, started_at)
@@ -418,29 +311,9 @@
         async with asyncio.timeout_at(last):
             return min(last, deadline + await self._budget.wait_for_turn())
 
-    def _check_head(self, head: h11.Request) -> None:
-        # h11 limits only incomplete heads, so a head that arrives in one read is checked here.
-        size = len(head.target) + sum(len(key) + len(value) for key, value in head.headers)
-        if size > self._limits.max_head_bytes:
-            raise h11.RemoteProtocolError(
-                "head too large", error_status_hint=STATUS_HEADERS_TOO_LARGE
-            )
-        if len(head.headers) > self._limits.max_headers:
-            raise MessageTooLarge(f"more than {self._limits.max_headers} headers")
-        names = [name for name, _ in head.headers]
-        # Refused before any of the body is read.
-        length = next((int(value) for name, value in head.headers if name == b"content-length"), 0)
-        if length > self._limits.max_body_bytes:
-            raise MessageTooLarge(f"body over {self._limits.max_body_bytes} bytes")
-        # Conflicting body lengths allow request smuggling.
-        if b"transfer-encoding" in names and b"content-length" in names:
-            raise MalformedMessage("both transfer-encoding and content-length are given")
-        if names.count(b"host") > 1 or head.method == b"CONNECT":
-            raise MalformedMessage("more than one host, or a method that is not served")
-
     async def _send_response(
         self,
-        connection: _Connection,
+        connection: CountedConnection,
         writer: asyncio.StreamWriter,
         state: h11.Connection,
         request: HttpRequest,
@@ -466,51 +339,6 @@
             async with asyncio.timeout(self._limits.send_timeout_seconds):
                 await writer.drain()
 
-    async def _send_error(
-        self,
-        connection: _Connection,
-        writer: asyncio.StreamWriter,
-        state: h11.Connection,
-        error: Exception,
-    ) -> None:
-        status = 400
-        code = "malformed-request"
-        if isinstance(error, MessageTooLarge):
-            status = 413
-            code = "request-too-large"
-        elif isinstance(error, h11.RemoteProtocolError):
-            status = error.error_status_hint
-        response = json_response(
-            status, {"error": code, "message": str(error), "outcome": "not-run"}
-        )
-        await self._send_refusal(connection, writer, state, response)
-
-    async def _send_refusal(
-        self,
-        connection: _Connection,
-        writer: asyncio.StreamWriter,
-        state: h11.Connection,
-        response: HttpResponse,
-    ) -> None:
-        """Send `response` to a request that is not read to its end."""
-        connection.refuse()
-        headers = [*response.headers, ("content-length", str(len(response.body)))]
-        headers.append(("connection", "close"))
-        try:
-            data = state.send(h11.Response(status_code=response.status, headers=headers)) or b""
-            data += state.send(h11.Data(data=response.body)) or b""
-            data += state.send(h11.EndOfMessage()) or b""
-        except h11.LocalProtocolError:
-            return
-        writer.write(data)
-        # Closing while the caller still sends would reset the connection and discard the answer.
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(REFUSAL_LINGER_SECONDS):
-                await writer.drain()
-                if writer.can_write_eof():
-                    writer.write_eof()
-                await connection.discard_input()
-
 
 def _cancel_all(tasks: set[asyncio.Task[None]]) -> None:
     for task in tuple(tasks):
--- a/packages/lentilpathd/src/lentilpathd/_pool/_host.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_host.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -15,17 +14,16 @@
 from lentilpath_core.ids import CustomerId, Epoch, Incarnation, Instant, JobId
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.pool import NO_CUSTOMER, JobState, PoolConfiguration, QueueId
-from lentilpath_http import HttpRequest, HttpResponse, HttpServer, create_budget, serve_http
 from lentilpathd._cancellation import run_in_own_task, start_member
-from lentilpathd._clock import MS_PER_SECOND, read_instant
-from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._clock import read_instant
+from lentilpathd._events import Event, log_event
 from lentilpathd._loop_delay import LoopDelay, monitor_loop
 from lentilpathd._metrics import Metric
 from lentilpathd._peers import PeerBus
 from lentilpathd._pool._advice import AdviceAgent
 from lentilpathd._pool._configuration import ConfigurationFollower
 from lentilpathd._pool._context import PoolContext
-from lentilpathd._pool._explain import EXPLAIN_PATH, Explainer
+from lentilpathd._pool._explain import Explainer
 from lentilpathd._pool._handover import find_last_handover, wait_for_handover
 from lentilpathd._pool._jobs import Jobs
 from lentilpathd._pool._leadership import PoolLeadership
@@ -42,7 +40,7 @@
     StateRequest,
     UnclearNotice,
 )
-from lentilpathd._pool._metrics import PoolMetrics, serve_metrics
+from lentilpathd._pool._metrics import PoolMetrics
 from lentilpathd._pool._ports import (
     AdviceService,
     AnswerProgress,
@@ -54,20 +52,12 @@
 from lentilpathd._pool._records import parse_job_id
 from lentilpathd._pool._settings import PoolHostSettings
 from lentilpathd._pool._settings_watch import LoadSettings, SettingsWatcher
-from lentilpathd._pool._shared_limits import derive_shared_limits
 from lentilpathd._pool._table_path import TablePath
 from lentilpathd._pool._term import Term
 from lentilpathd._supervisor import Part, supervise_parts
 
-Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
-
 INCARNATION_DIGITS = 8
 """32 bits: a collision between two processes of one host is practically impossible."""
-UNREADY_BEFORE_CLOSE_SECONDS = 2.4
-"""How long a stopping host, already unready, still accepts connections: the load balancer removes
-it after two readiness probes, which are one second apart."""
-STOP_MARGIN_SECONDS = 0.8
-"""Part of the stop grace period kept for releasing the leadership: one write to a slow table."""
 HANDOVER_CHECK_SECONDS = 1.0
 """Two heartbeat intervals, so that all hosts have reported their speed."""
 HANDOVER_COOLDOWN_MS = 10_000
@@ -353,63 +343,3 @@
                 self._handover_requested = True
                 self._next_handover_at = Instant(now + HANDOVER_COOLDOWN_MS)
                 raise NotLeading(f"{faster} has a faster processor")
-
-
-async def run_pool_host(
-    settings: PoolHostSettings,
-    ports: PlatformPorts,
-    make_handler: Callable[[PoolHost], Handler],
-) -> bool:
-    """Run an entry host until SIGTERM or SIGINT; return whether it stopped on such a signal.
-
-    `make_handler` takes the host and returns the HTTP handler of callers' requests.
-    """
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop.set)
-    host = PoolHost(settings, ports)
-    loop.add_signal_handler(signal.SIGHUP, host.settings_watcher.request)
-    log_event(Event.PROCESS_STARTED, host=settings.host, zone=settings.zone)
-    budget = create_budget(derive_shared_limits(settings))
-    callers = await serve_http(
-        make_handler(host), settings.callers.host, settings.callers.port, budget=budget
-    )
-
-    async def answer_readiness(_: HttpRequest) -> HttpResponse:
-        return HttpResponse(200 if host.is_ready() else 503, (), b"")
-
-    readiness = await serve_http(
-        answer_readiness, settings.readiness.host, settings.readiness.port, budget=budget
-    )
-    metrics = await serve_metrics(
-        host.metrics, settings, {EXPLAIN_PATH: host.explainer.handle_http}, budget
-    )
-    running = asyncio.create_task(host.run())
-    stopping = asyncio.create_task(stop.wait())
-    await asyncio.wait((running, stopping), return_when=asyncio.FIRST_COMPLETED)
-    planned = stop.is_set()
-    if planned:
-        await _drain(host, callers)
-    else:
-        error = None if running.cancelled() else running.exception()
-        log_warning_event(Event.PART_GIVEN_UP, error=repr(error))
-    running.cancel()
-    stopping.cancel()
-    await asyncio.wait((running,), timeout=STOP_MARGIN_SECONDS)
-    await readiness.close(0.0)
-    await metrics.close(0.0)
-    log_event(Event.PROCESS_STOPPED, host=settings.host, planned=planned)
-    return planned
-
-
-async def _drain(host: PoolHost, callers: HttpServer) -> None:
-    log_event(Event.PROCESS_DRAINING, host=host.settings.host)
-    started_at = read_instant()
-    host.request_stop(started_at)
-    await asyncio.sleep(UNREADY_BEFORE_CLOSE_SECONDS)
-    left_ms = host.settings.stop_grace_ms - (read_instant() - started_at)
-    await asyncio.gather(
-        callers.close(max(0.0, left_ms / MS_PER_SECOND - STOP_MARGIN_SECONDS)),
-        host.wait_handed_over(),
-    )
--- a/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_jobs.py
@@ -12,7 +12,7 @@
     OutcomeUnknown,
     TableUnavailable,
 )
-from lentilpath_core.ids import CustomerId, Instant, JobId, RowVersion
+from lentilpath_core.ids import CustomerId, Instant, JobId
 from lentilpath_core.pool import (
     NO_CUSTOMER,
     JobRecord,
@@ -35,16 +35,12 @@
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._held_calls import HeldCall, make_call
 from lentilpathd._pool._holding import CallHolder
+from lentilpathd._pool._leader_notices import LeaderNotices
 from lentilpathd._pool._leader_query import LeaderQuery
 from lentilpathd._pool._messages import (
-    NOTICE_TOPIC,
     STATE_TOPIC,
-    UNCLEAR_TOPIC,
-    Empty,
-    JobNotice,
     StateReply,
     StateRequest,
-    UnclearNotice,
 )
 from lentilpathd._pool._ports import PartitionRow, PartitionTransaction
 from lentilpathd._pool._records import (
@@ -65,6 +61,7 @@
     SubmissionResult,
     find_refusal,
     report_refusal,
+    spread_retry_ms,
 )
 from lentilpathd._pool._settling import PartitionHealth, Stored, settle_write
 from lentilpathd._ports import ABSENT
@@ -74,16 +71,6 @@
 retry."""
 STATE_TIMEOUT_SECONDS = 0.4
 """Half the timeout of the table read that follows if the leader does not answer."""
-TABLE_UNAVAILABLE_RETRY_MS = 1_000
-"""Shortest retry-after of a refused request while the table does not answer."""
-RETRY_SPREAD_STEPS = 3
-"""Callers return in one of three seconds, by the job's id, so that the first does not get all."""
-NOTICE_TIMEOUT_SECONDS = 0.4
-"""Longer than the job feed's pause; beyond it the feed delivers the job sooner."""
-
-UNCLEAR_NOTICE_ATTEMPTS = 20
-"""With the timeout and pauses at least 8 s, several times the answer time of the submission, so
-that a later submission of the job is not refused by a leader that was silent for a moment."""
 
 
 class Jobs:
@@ -93,7 +80,7 @@
         self._context = context
         self._partition_health = PartitionHealth()
         self._holder = CallHolder(context.table.can_write, context.metrics)
-        self._pending_notices: set[asyncio.Future[None]] = set()
+        self._notices = LeaderNotices(context)
         self._calls = CallLimit(MAX_CALLS, MAX_CALL_BYTES)
         self._excess_queries = CallLimit(MAX_CALLS)
         """Queries of the leader about submissions beyond the limit."""
@@ -204,7 +191,7 @@
         if commit.applied:
             if record.customer and transaction is not transactions[0]:
                 await self._check_known_owner(record)
-            self._notify_leader(transaction, commit.version)
+            self._notices.notify_stored(transaction, commit.version)
         log_event(
             Event.JOB_STORED,
             job=record.job,
@@ -284,42 +271,11 @@
 
     def mark_unclear(self, job: JobId) -> None:
         """Record that the job may be stored and notify the leader, so that no host refuses it."""
-        self._context.unclear_jobs.add(job, read_instant())
-        self._send_in_background(UNCLEAR_TOPIC, UnclearNotice(job))
+        self._notices.mark_unclear(job)
 
     def notify_new_leader(self) -> None:
-        """Tell a leader that has just taken over which jobs may be stored, as the former one knew.
-
-        It reads the stored jobs before it answers queries, so that these notices come first.
-        """
-        for job in self._context.unclear_jobs.list_jobs(read_instant()):
-            self._send_in_background(UNCLEAR_TOPIC, UnclearNotice(job))
-
-    def _send_in_background(self, topic: str, message: JobNotice | UnclearNotice) -> None:
-        task = asyncio.ensure_future(self._send_to_leader(topic, message))
-        self._pending_notices.add(task)
-        task.add_done_callback(self._pending_notices.discard)
-
-    def _notify_leader(self, transaction: PartitionTransaction, version: RowVersion) -> None:
-        key, value = transaction.puts[0]
-        notice = JobNotice(transaction.part, key, value, version)
-        if not self._context.handle_local_notice(notice):
-            self._send_in_background(NOTICE_TOPIC, notice)
-
-    async def _send_to_leader(self, topic: str, message: JobNotice | UnclearNotice) -> None:
-        leader = self._context.heartbeat_sender.get_leader()
-        attempts = UNCLEAR_NOTICE_ATTEMPTS if topic == UNCLEAR_TOPIC else 1
-        for _ in range(attempts):
-            if leader is None or leader == self._context.settings.host:
-                return
-            try:
-                await self._context.bus.ask(leader, topic, message, Empty, NOTICE_TIMEOUT_SECONDS)
-                return
-            except LentilpathError as error:
-                # The leader's job feed delivers stored jobs even if this notice is lost.
-                log_event(Event.LEADER_SILENT, leader=leader, error=str(error))
-            await asyncio.sleep(NOTICE_TIMEOUT_SECONDS)
-            leader = self._context.heartbeat_sender.get_leader()
+        """Tell a leader that has just taken over which jobs may be stored; see `LeaderNotices`."""
+        self._notices.notify_new_leader()
 
     async def get_state(self, job: JobId, caller: CustomerId = NO_CUSTOMER) -> JobState | None:
         """Return the state of a job of `caller`, or `None` if there is no such job.
@@ -415,7 +371,7 @@
             transactions,
             lambda error: log_event(Event.CANCEL_UNCLEAR, job=job, error=str(error)),
         )
-        self._notify_leader(transaction, commit.version)
+        self._notices.notify_stored(transaction, commit.version)
         log_event(Event.JOB_CANCELLED, job=job)
         return True
 
@@ -431,11 +387,6 @@
         return loads.pending.get(queue, 0) if loads is not None else None
 
 
-def spread_retry_ms(job: JobId) -> int:
-    """Return when to retry a call about a job that was refused while the table did not answer."""
-    return TABLE_UNAVAILABLE_RETRY_MS * (1 + int(job, 16) % RETRY_SPREAD_STEPS)
-
-
 def _read_owner(row: PartitionRow) -> CustomerId:
     """Return the customer of a stored job; a job whose row cannot be decoded is open to all."""
     try:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -1,7 +1,4 @@
-"""Leader election by a lease row in the platform's table, taken over once the lease has expired.
-
-`may_take_over` decides whether the leadership is free; the rest reads and writes rows.
-"""
+"""Leader election by a lease row in the platform's table, taken over once the lease has expired."""
 
 from __future__ import annotations
 
@@ -20,7 +17,6 @@
 from lentilpathd._pool._ports import (
     Deposed,
     PartitionCommitResult,
-    PartitionRows,
     PartitionTransaction,
     SharedTable,
 )
@@ -36,6 +32,14 @@
     encode_record,
 )
 from lentilpathd._pool._settling import commit_repeatedly
+from lentilpathd._pool._succession import (
+    LeaderProcess,
+    LeadershipSnapshot,
+    decode_snapshot,
+    find_sole_leader,
+    has_sole_leader_ended,
+    may_take_over,
+)
 from lentilpathd._pool._table_clock import TableClock
 
 LEASE_MS = 1_500
@@ -52,18 +56,9 @@
 """A table is slow if it takes this long for a renewal, 20 times as long as usual."""
 POLL_INTERVAL_MS = 350
 """Shorter than the interval between renewals, so that a host observes each of them."""
-LEADER_TIMEOUT_MS = 950
-"""Two renewals must be missed."""
 SLOW_HOST_WAIT_MS = 800
 """Extra delay before a slow host takes over if it knows of much faster hosts: two of their polling
 intervals and a transaction."""
-TAKEOVER_MARGIN_MS = 200
-"""Added to the lease, for the latency from the leader to the table."""
-MAX_LEASE_AHEAD_MS = 60_000
-"""A lease that ends later than this after the time of the table service was not written by a
-leader, whose leases last 2 s."""
-MAX_EPOCH = 2**32
-"""The workers' fencing tokens are 10^9 times as large and have 63 bits."""
 ROW_TIMEOUT_SECONDS = 1.5
 """Enough for a transaction while the table is 100 times slower than usual."""
 
@@ -78,142 +73,6 @@
     lease_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class LeadershipSnapshot:
-    """The leadership rows as they were read."""
-
-    epoch: Epoch
-    epoch_version: RowVersion
-    lease: LeaseRow | None
-    lease_version: RowVersion
-    clock_ms: int
-    unreadable: tuple[str, ...] = ()
-    """Keys of the rows that cannot be used."""
-    incarnation: Incarnation = Incarnation("")
-    """The process that took over last; empty if it is not known."""
-
-
-def decode_snapshot(read: PartitionRows) -> LeadershipSnapshot:
-    """Decode the leadership rows; raises `OutcomeUnknown` if the epoch is not to be found in them.
-
-    Both rows hold the epoch, since a takeover writes both.
-    """
-    rows = {row.key: row for row in read.rows}
-    epoch_row = rows.get(EPOCH_KEY)
-    lease_row = rows.get(LEASE_KEY)
-    lease = _decode_lease(lease_row.value, read.clock_ms) if lease_row is not None else None
-    epoch: Epoch | None = Epoch(0)
-    incarnation = Incarnation("")
-    unreadable = (LEASE_KEY,) if lease_row is not None and lease is None else ()
-    if epoch_row is not None:
-        leader = _decode_epoch(epoch_row.value)
-        epoch = None if leader is None else leader.epoch
-        incarnation = incarnation if leader is None else leader.incarnation
-    if epoch is None:
-        unreadable = (EPOCH_KEY, *unreadable)
-        if lease is None:
-            raise OutcomeUnknown(
-                f"the rows {EPOCH_KEY} and {LEASE_KEY} cannot be read, so the leader's epoch is"
-                " not known; correct one of them"
-            )
-        epoch = lease.epoch
-    version = epoch_row.version if epoch_row is not None else RowVersion(0)
-    lease_version = lease_row.version if lease_row is not None else RowVersion(0)
-    return LeadershipSnapshot(
-        epoch, version, lease, lease_version, read.clock_ms, unreadable, incarnation
-    )
-
-
-def _decode_epoch(value: bytes) -> EpochRow | None:
-    try:
-        row = decode_record(value, EpochRow)
-    except msgspec.DecodeError:
-        return None
-    return row if 0 <= row.epoch <= MAX_EPOCH else None
-
-
-def _decode_lease(value: bytes, clock_ms: int) -> LeaseRow | None:
-    try:
-        lease = decode_record(value, LeaseRow)
-    except msgspec.DecodeError:
-        return None
-    is_usable = 0 <= lease.epoch <= MAX_EPOCH and lease.until_ms <= clock_ms + MAX_LEASE_AHEAD_MS
-    return lease if is_usable else None
-
-
-def may_take_over(
-    snapshot: LeadershipSnapshot,
-    host: HostId,
-    address: Address,
-    unchanged_ms: int,
-    wait_ms: int = 0,
-) -> bool:
-    """Return whether the leadership is free for a process on `host`.
-
-    It is free if the lease has expired by the table service's own clock and its row was not seen to
-    change while two renewals were due: a read may be seconds old, so that the lease looks expired
-    while the row is still being renewed. It is also free if an earlier process of the same host
-    holds it: that process has ended, since this one is bound to the host's addresses. After a
-    planned stop a named successor has precedence. `wait_ms` is an extra delay for this host.
-    """
-    lease = snapshot.lease
-    if lease is None:
-        # A living leader replaces a lease that cannot be read with its next renewal.
-        return LEASE_KEY not in snapshot.unreadable or unchanged_ms >= LEADER_TIMEOUT_MS + wait_ms
-    if lease.until_ms == 0:
-        if not lease.successor:
-            return unchanged_ms >= wait_ms
-        return lease.successor == host or unchanged_ms >= LEADER_TIMEOUT_MS + wait_ms
-    if (lease.host, lease.address) == (host, address):
-        return True
-    is_expired = snapshot.clock_ms > lease.until_ms + TAKEOVER_MARGIN_MS + wait_ms
-    return is_expired and unchanged_ms >= LEADER_TIMEOUT_MS
-
-
-def has_sole_leader_ended(snapshot: LeadershipSnapshot, host: HostId, address: Address) -> bool:
-    """Return whether the last leader has ended for certain, and none before it can act any more.
-
-    Also if there was none. It has ended if it has released its lease, or if it was an earlier
-    process of this host. Any other silent leader may be cut off and still act.
-    """
-    lease = snapshot.lease
-    if lease is None:
-        return LEASE_KEY not in snapshot.unreadable
-    is_own = (lease.host, lease.address) == (host, address)
-    return lease.is_sole and (lease.until_ms == 0 or is_own)
-
-
-@dataclass(frozen=True, slots=True)
-class LeaderProcess:
-    """A process that led."""
-
-    host: HostId
-    incarnation: Incarnation
-
-
-def find_sole_leader(snapshot: LeadershipSnapshot) -> LeaderProcess | None:
-    """Return the process that led last, if no leader before it can act any more."""
-    lease = snapshot.lease
-    if lease is None or not lease.is_sole:
-        return None
-    return LeaderProcess(lease.host, snapshot.incarnation)
-
-
-def find_end_of_leader(
-    former: LeaderProcess, sender: LeaderProcess, up_ms: int, now: Instant
-) -> Instant | None:
-    """Return when the former leader had ended, by what a follower of the present one has sent.
-
-    `None` if the follower is another host. A process that follows leads no more, and another
-    process on the former leader's host was started, `up_ms` ago, after that one had ended.
-    """
-    if sender.host != former.host:
-        return None
-    if sender.incarnation == former.incarnation:
-        return now
-    return Instant(now - max(0, up_ms))
-
-
 class PoolLeadership:
     """Polls the leadership rows, takes over a free leadership and renews its lease."""
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_refusals.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_refusals.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 from lentilpath_core.errors import QuotaTooSmall
-from lentilpath_core.ids import Instant
+from lentilpath_core.ids import Instant, JobId
 from lentilpath_core.pool import (
     JobRecord,
     QueueLoad,
@@ -19,6 +19,11 @@
 from lentilpathd._metrics import Metric
 from lentilpathd._pool._context import PoolContext
 
+TABLE_UNAVAILABLE_RETRY_MS = 1_000
+"""Shortest retry-after of a refused request while the table does not answer."""
+RETRY_SPREAD_STEPS = 3
+"""Callers return in one of three seconds, by the job's id, so that the first does not get all."""
+
 
 class SubmissionResult(Enum):
     """Outcome of a submission."""
@@ -101,3 +106,8 @@
         reason=refusal.reason.value,
         load=refusal.load,
     )
+
+
+def spread_retry_ms(job: JobId) -> int:
+    """Return when to retry a call about a job that was refused while the table did not answer."""
+    return TABLE_UNAVAILABLE_RETRY_MS * (1 + int(job, 16) % RETRY_SPREAD_STEPS)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -4,43 +4,27 @@
 
 import asyncio
 from collections.abc import Container
-from functools import singledispatchmethod
 
 import msgspec
 
 from lentilpath_core.errors import UnknownName
-from lentilpath_core.ids import CustomerId, Epoch, Instant, JobId, RowVersion, WorkerId
+from lentilpath_core.ids import CustomerId, Epoch, Instant, JobId, RowVersion
 from lentilpath_core.peers import PeerRequest
 from lentilpath_core.pool import (
-    AskAdvice,
-    ClearRun,
     ConfigurationSet,
-    DeleteJob,
-    ForgetCrash,
     FormerLeaderEnded,
-    GiveUpRun,
     JobAccepted,
     JobCancelled,
     JobExplanation,
     JobRecord,
     JobState,
-    LeaseSent,
-    Life,
     ListedUsage,
-    ListedWorker,
-    PaceRun,
-    PauseWatch,
     PoolConfiguration,
     PoolEffect,
     PoolEvent,
-    RecordFinal,
-    RecordRun,
-    RecordWorkers,
-    ReleaseWorker,
     StartAnswer,
     StartAnswered,
     StartRun,
-    StopRun,
     TimePassed,
     WorkersListed,
     create_pool,
@@ -48,11 +32,9 @@
     explain_job,
     get_job_customer,
     get_job_state,
-    get_unconfirmed_lease_ms,
     is_former_leader_contained,
     is_placement_due,
     list_usages,
-    may_lead_on,
     place_pool,
     restore_former_workers,
 )
@@ -64,33 +46,30 @@
 from lentilpathd._pool._advice import AdviceDispatcher
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._digests import Digests
+from lentilpathd._pool._effects import EffectExecutor
 from lentilpathd._pool._guard import run_guarded
 from lentilpathd._pool._hold_log import HoldLog
 from lentilpathd._pool._job_feed import JobFeed
-from lentilpathd._pool._leadership import LeaderProcess, PoolLeadership, find_end_of_leader
-from lentilpathd._pool._leases import bound_lease_ms, extend_lease
+from lentilpathd._pool._leadership import PoolLeadership
+from lentilpathd._pool._lease_extension import LeaseExtension
+from lentilpathd._pool._leases import bound_lease_ms
 from lentilpathd._pool._members import decode_heartbeat
 from lentilpathd._pool._messages import Digest, JobNotice
 from lentilpathd._pool._ports import PartitionRow
-from lentilpathd._pool._records import format_task, make_crash_key
 from lentilpathd._pool._recovery import (
     EndedJobs,
     RepeatedReads,
-    read_commanded_workers,
     read_pool,
     read_repeatedly,
 )
 from lentilpathd._pool._removal import JobRemover
 from lentilpathd._pool._settings import MAX_LEASE_MS
-from lentilpathd._pool._tokens import make_token
+from lentilpathd._pool._succession import LeaderProcess, find_end_of_leader
+from lentilpathd._pool._term_authority import TermAuthority
 from lentilpathd._pool._worker_links import WorkerLinks
 from lentilpathd._pool._worker_watch import WorkerWatch, read_list
 from lentilpathd._pool._writer import RecordWriter
 
-RunEffect = StartRun | StopRun | PaceRun | GiveUpRun | ClearRun
-
-JUDGEMENT_AGE_MS = 50
-"""How long it is remembered whether a leader without word from the table may act."""
 TICK_SECONDS = 0.25
 """Timers fire at most 250 ms late."""
 PLACEMENT_DELAY_SECONDS = 0.01
@@ -114,7 +93,7 @@
             leadership.succeeds_sole_leader,
             leadership.suspends_since > 0,
         )
-        self._pauses = PauseWatch(now)
+        self._authority = TermAuthority(context, epoch, leadership, self._state, now)
         self._hold_log = HoldLog(epoch, now)
         self._writer = RecordWriter(
             context.table,
@@ -133,16 +112,17 @@
             self._state,
             self._writer,
             self.handle_event,
-            self._may_command,
-            self._get_lease_ms_of,
+            self._authority.may_command,
+            self._authority.get_lease_ms,
+        )
+        self._effects = EffectExecutor(
+            context, epoch, self._state, self._links, self._writer, self._remover, self._advice
         )
         self._placement_due = asyncio.Event()
         self._ready = False
-        self._extensions: list[LeaseSent] = []
-        """The extensions of leases that were sent while the state was being read."""
-        self._is_withheld = False
-        """Whether commands are withheld, since another host may lead."""
-        self._judged_at = Instant(0)
+        self._extension = LeaseExtension(
+            context, epoch, leadership, self._authority.may_command, self.handle_event
+        )
         self._digests = Digests(epoch, context.members, self._state)
         self._jobs_version = RowVersion(0)
         self._watch = WorkerWatch(context.registry, self._state, self._handle_list)
@@ -151,44 +131,12 @@
 
     def is_ready(self) -> bool:
         """Return whether the stored state is recovered, and no pause makes it doubtful."""
-        return self._ready and self._may_command()
-
-    def _may_command(self) -> bool:
-        now = read_instant()
-        is_confirmed = self._leadership.is_confirmed(now)
-        may_command = self._pauses.may_command(now, is_confirmed)
-        return may_command and not self._withhold(is_confirmed, now)
-
-    def _withhold(self, is_confirmed: bool, now: Instant) -> bool:
-        """Return whether commands are withheld, judged a short time ago at most."""
-        if not is_confirmed and now < self._judged_at + JUDGEMENT_AGE_MS:
-            return self._is_withheld
-        self._judged_at = now
-        unconfirmed_ms = self._leadership.get_unconfirmed_ms(now)
-        is_withheld = not is_confirmed and not may_lead_on(self._state, unconfirmed_ms, now)
-        if is_withheld is not self._is_withheld:
-            self._is_withheld = is_withheld
-            event = Event.COMMANDS_WITHHELD if is_withheld else Event.COMMANDS_RESUMED
-            log_event(event, epoch=self._epoch, unconfirmed_ms=unconfirmed_ms)
-        return is_withheld
-
-    def _get_lease_ms(self) -> int:
-        lease_ms, now = self._context.settings.lease_ms, read_instant()
-        if self._leadership.is_confirmed(now):
-            return lease_ms
-        return min(lease_ms, get_unconfirmed_lease_ms(self._state, now))
-
-    def _get_lease_ms_of(self, worker_id: WorkerId, life: Life) -> int:
-        """Return how long a lease to a worker may last; 0 while the stored list suspends it."""
-        worker = self._state.workers.get(worker_id)
-        if worker is not None and worker.life == life and worker.awaits_record:
-            return 0
-        return self._get_lease_ms()
+        return self._ready and self._authority.may_command()
 
     async def run(self) -> None:
         """Recover and lead until cancelled; raises `Deposed` in an exception group."""
         async with asyncio.TaskGroup() as recovery:
-            extension = start_member(recovery, self._extend_leases, "lease extension")
+            extension = start_member(recovery, self._extension.run, "lease extension")
             await self._recover()
             # The links go on with workers that have not answered yet.
             extension.cancel()
@@ -207,30 +155,6 @@
             ):
                 group.create_task(run_guarded(part, run))
 
-    async def _extend_leases(self) -> None:
-        """Extend the leases of runs that may be in progress, while their jobs are being read."""
-        table = self._context.table
-        since = self._leadership.suspends_since
-        former_workers = await read_repeatedly(
-            lambda: read_commanded_workers(table, since), self._epoch
-        )
-        await asyncio.gather(*(self._extend_lease(each) for each in former_workers))
-
-    async def _extend_lease(self, worker: ListedWorker) -> None:
-        client = self._context.create_worker(worker, make_token(self._epoch, 0))
-
-        def get_lease_ms() -> int:
-            # Who has a majority is not known before the list of workers is read.
-            is_confirmed = self._leadership.is_confirmed(read_instant())
-            return self._context.settings.lease_ms if is_confirmed else 0
-
-        def note_lease(ends_at: Instant) -> None:
-            sent = LeaseSent(worker.worker, worker.life, ends_at)
-            self._extensions.append(sent)
-            self.handle_event(sent)
-
-        await extend_lease(client, get_lease_ms, note_lease, self._may_command)
-
     async def _recover(self) -> None:
         table, registry = self._context.table, self._context.registry
         since = self._leadership.suspends_since
@@ -253,7 +177,7 @@
             {worker: ends_at for worker, (ends_at, _) in recovered.suspended_workers.items()},
         )
         self.handle_event(WorkersListed(listed, listed_at))
-        for event in (*self._extensions, *recovered.events):
+        for event in (*self._extension.sent, *recovered.events):
             self.handle_event(event)
         unreadable = recovered.ended_jobs - self._state.finals.keys()
         self._ended = EndedJobs(self._state.finals, unreadable)
@@ -291,7 +215,7 @@
     def _execute_all(self, effects: tuple[PoolEffect, ...]) -> None:
         for effect in effects:
             try:
-                self._execute(effect)
+                self._effects.execute(effect)
             except Exception as error:
                 log_internal_error(type(effect).__name__, error)
                 if isinstance(effect, StartRun):
@@ -358,103 +282,9 @@
             self._leadership.former_leader = None
             self.handle_event(FormerLeaderEnded(ended_at))
 
-    @singledispatchmethod
-    def _execute(self, effect: PoolEffect) -> None:
-        raise TypeError(f"unknown pool effect: {effect!r}")
-
-    @_execute.register
-    def _(self, effect: StartRun) -> None:
-        queue = self._state.jobs[effect.task.job].record.queue
-        self._context.metrics.count(Metric.RUN_STARTED, queue, str(effect.tier))
-        self._context.metrics.record_time(Metric.START_WAIT, effect.waited_ms, queue)
-        self._log_run(
-            Event.RUN_STARTED,
-            effect,
-            life=effect.life,
-            waited_ms=effect.waited_ms,
-            tier=effect.tier,
-            resumed=bool(effect.checkpoint),
-            config=self._state.configuration.version,
-        )
-        link = self._links.get(effect.worker, effect.life)
-        if link is not None:
-            link.send_start(effect)
-
-    @_execute.register
-    def _(self, effect: StopRun) -> None:
-        self._context.metrics.count(Metric.RUN_STOPPED, effect.reason.value)
-        self._log_run(Event.RUN_STOPPED, effect, life=effect.life, reason=effect.reason.value)
-        # The run may be on a life of the worker that was listed only just now and has no link yet.
-        self._links.open_missing()
-        link = self._links.get(effect.worker, effect.life)
-        if link is not None:
-            link.send_stop(effect)
-
-    @_execute.register
-    def _(self, effect: GiveUpRun) -> None:
-        link = self._links.get(effect.worker, effect.life)
-        if link is not None:
-            link.cancel_start(effect.task, effect.run)
-        self._context.metrics.count(Metric.RUN_GIVEN_UP, effect.reason.value)
-        self._log_run(
-            Event.RUN_GIVEN_UP,
-            effect,
-            life=effect.life,
-            reason=effect.reason.value,
-            confirmed=effect.is_confirmed,
-            report_age_ms=effect.report_age_ms,
-            suspected=effect.is_suspected,
-        )
-
-    @_execute.register
-    def _(self, effect: ClearRun) -> None:
-        self._log_run(Event.RUN_CLEARED, effect, life=effect.life)
-
-    @_execute.register
-    def _(self, effect: PaceRun) -> None:
-        self._log_run(Event.RUN_PACED, effect, percent=effect.percent)
-        link = self._links.get(effect.worker, effect.life)
-        if link is not None:
-            link.send_pace(effect)
-
-    @_execute.register
-    def _(self, effect: ForgetCrash) -> None:
-        self._writer.forget_end(make_crash_key(effect.task, effect.run))
-
-    @_execute.register
-    def _(self, effect: DeleteJob) -> None:
-        self._remover.queue(effect.job)
-
-    @_execute.register
-    def _(self, effect: AskAdvice) -> None:
-        self._advice.queue(effect)
-
-    @_execute.register
-    def _(self, effect: RecordRun | RecordFinal | RecordWorkers) -> None:
-        self._writer.queue(effect)
-        if isinstance(effect, RecordRun):
-            self._context.metrics.count(Metric.RUN_ENDED, effect.record.end.value)
-        elif isinstance(effect, RecordFinal):
-            self._context.metrics.count(Metric.JOB_ENDED, effect.final.state.value)
-
-    @_execute.register
-    def _(self, effect: ReleaseWorker) -> None:
-        log_event(Event.WORKER_RELEASED, worker=effect.worker, life=effect.life)
-        self._links.close(effect.worker, effect.life)
-
-    def _log_run(self, event: Event, effect: RunEffect, **more: object) -> None:
-        log_event(
-            event,
-            task=format_task(effect.task),
-            run=effect.run,
-            worker=effect.worker,
-            epoch=self._epoch,
-            **more,
-        )
-
     async def _tick(self) -> None:
         while True:
-            self._may_command()
+            self._authority.may_command()
             now = read_instant()
             is_confirmed = self._leadership.is_confirmed(now)
             self._leadership.is_sole = is_former_leader_contained(self._state, now)
--- a/packages/lentilpathd/src/lentilpathd/pool.py
+++ b/packages/lentilpathd/src/lentilpathd/pool.py
@@ -9,8 +9,8 @@
     log_unreadable_entry,
     log_unreadable_row,
 )
-from lentilpathd._pool._host import Handler, PlatformPorts, PoolHost, run_pool_host
-from lentilpathd._pool._jobs import Jobs, spread_retry_ms
+from lentilpathd._pool._host import PlatformPorts, PoolHost
+from lentilpathd._pool._jobs import Jobs
 from lentilpathd._pool._ports import (
     Advice,
     AdviceService,
@@ -28,7 +28,8 @@
     UnusableConfiguration,
     WorkerFactory,
 )
-from lentilpathd._pool._refusals import SubmissionAnswer, SubmissionResult
+from lentilpathd._pool._process import Handler, run_pool_host
+from lentilpathd._pool._refusals import SubmissionAnswer, SubmissionResult, spread_retry_ms
 from lentilpathd._pool._settings import PoolHostSettings
 
 __all__ = [
--- a/tests/common/simulated_pool.py
+++ b/tests/common/simulated_pool.py
@@ -24,10 +24,15 @@
 )
 from lentilpathd._events import EventLine
 from lentilpathd._pool._context import PoolContext
-from lentilpathd._pool._leadership import LeaderProcess, PoolLeadership
+from lentilpathd._pool._leadership import (
+    PoolLeadership,
+)
 from lentilpathd._pool._ports import Deposed, PartitionRow, PartitionRows
 from lentilpathd._pool._records import encode_record, format_task, get_job_partitions
 from lentilpathd._pool._settings import PoolHostSettings
+from lentilpathd._pool._succession import (
+    LeaderProcess,
+)
 from lentilpathd._pool._term import Term
 from tests.common.pools import QUEUE, make_job_id, make_queue
 from tests.common.simulated_advice import POLICY, SimulatedAdvice, watch_startable
--- a/tests/common/tables.py
+++ b/tests/common/tables.py
@@ -7,7 +7,9 @@
 from lentilpath_core.errors import LentilpathError, TableBusy, TableUnavailable, WriteRejected
 from lentilpath_core.ids import HostId, Incarnation, Instant, RowVersion
 from lentilpath_core.settings import Address
-from lentilpathd._pool._leadership import PoolLeadership
+from lentilpathd._pool._leadership import (
+    PoolLeadership,
+)
 from lentilpathd._pool._ports import PartitionCommitResult, PartitionRow, PartitionRows
 
 ADDRESS = Address("127.0.0.1", 1)
--- a/tests/cover/test_pool_authority.py
+++ b/tests/cover/test_pool_authority.py
@@ -41,15 +41,15 @@
     UNCONFIRMED_LEASE_BOUND_MS,
     UNCONFIRMED_LEASE_MS,
 )
-from lentilpathd._pool._leadership import (
+from lentilpathd._pool._messages import HEARTBEAT_TOPIC, Digest, Heartbeat
+from lentilpathd._pool._records import LeaseRow
+from lentilpathd._pool._succession import (
     LeaderProcess,
     LeadershipSnapshot,
     find_end_of_leader,
     find_sole_leader,
     has_sole_leader_ended,
 )
-from lentilpathd._pool._messages import HEARTBEAT_TOPIC, Digest, Heartbeat
-from lentilpathd._pool._records import LeaseRow
 from lentilpathd._pool._term import Term
 from tests.common.pools import (
     SETTLE_MS,
--- a/tests/cover/test_pool_held_calls.py
+++ b/tests/cover/test_pool_held_calls.py
@@ -138,7 +138,7 @@
     await asyncio.sleep(seconds)
     table.is_silent = False
     results = list(await asyncio.gather(*submissions))
-    await stop(*tasks, *(notice for each in jobs for notice in each._pending_notices))
+    await stop(*tasks, *(notice for each in jobs for notice in each._notices.pending))
     return results
 
 
@@ -306,7 +306,7 @@
         await asyncio.sleep(answer.retry_after_ms / 1_000)
     await stop(*tasks)
     await asyncio.sleep(15.0)
-    await stop(*(notice for each in jobs for notice in each._pending_notices))
+    await stop(*(notice for each in jobs for notice in each._notices.pending))
     return results, make_record(1).job in table.rows
 
 
--- a/tests/cover/test_pool_leadership.py
+++ b/tests/cover/test_pool_leadership.py
@@ -12,16 +12,18 @@
 from lentilpathd._pool import _leadership
 from lentilpathd._pool._job_feed import JobFeed
 from lentilpathd._pool._leadership import (
-    LEADER_TIMEOUT_MS,
     LEASE_MS,
     SLOW_HOST_WAIT_MS,
     SLOW_LEASE_MS,
     SLOW_RENEWAL_MS,
-    TAKEOVER_MARGIN_MS,
-    may_take_over,
 )
 from lentilpathd._pool._ports import PartitionCommitResult, PartitionRow
 from lentilpathd._pool._records import LeaseRow, decode_record, encode_record
+from lentilpathd._pool._succession import (
+    LEADER_TIMEOUT_MS,
+    TAKEOVER_MARGIN_MS,
+    may_take_over,
+)
 from tests.common.pools import make_record
 from tests.common.tables import ADDRESS, OnePartitionTable, make_leadership
 
--- a/tests/cover/test_pool_malformed_answers.py
+++ b/tests/cover/test_pool_malformed_answers.py
@@ -32,7 +32,6 @@
 from lentilpath_platform.store import PlatformTable
 from lentilpath_platform.workers import PlatformWorker
 from lentilpathd._pool import _leadership
-from lentilpathd._pool._leadership import LEADER_TIMEOUT_MS, decode_snapshot, may_take_over
 from lentilpathd._pool._ports import (
     AnswerProgress,
     OtherLife,
@@ -41,6 +40,11 @@
     RefusedByFence,
 )
 from lentilpathd._pool._records import EPOCH_KEY, LEASE_KEY, EpochRow, LeaseRow, encode_record
+from lentilpathd._pool._succession import (
+    LEADER_TIMEOUT_MS,
+    decode_snapshot,
+    may_take_over,
+)
 from lentilpathd._pool._worker_rows import WorkerShares
 from tests.common.fleet.deployment import CONFIG
 from tests.common.pools import PoolHarness, make_job_id, make_worker
--- a/tests/cover/test_pool_pauses.py
+++ b/tests/cover/test_pool_pauses.py
@@ -35,7 +35,7 @@
     create_client,
     serve_http,
 )
-from lentilpathd._pool import _configuration, _link, _term
+from lentilpathd._pool import _configuration, _link
 from lentilpathd._pool._configuration import ConfigurationFollower
 from lentilpathd._pool._leadership import (
     LEASE_MS,
@@ -43,6 +43,7 @@
     SLOW_LEASE_MS,
     SLOW_RENEW_INTERVAL_MS,
 )
+from lentilpathd._pool._lease_extension import LeaseExtension
 from lentilpathd._pool._leases import extend_lease
 from lentilpathd._pool._link import WorkerLink
 from lentilpathd._pool._writer import RecordWriter
@@ -289,19 +290,12 @@
 def test_a_new_leader_extends_former_leases_only_while_its_own_is_confirmed(is_confirmed):
     """It does not know yet whom it would need for a majority."""
     client = RecordingWorker()
-    noted: list[object] = []
-    term: Any = SimpleNamespace(
-        _epoch=Epoch(2),
-        _context=SimpleNamespace(
-            create_worker=lambda *_: client, settings=SimpleNamespace(lease_ms=5_000)
-        ),
-        _leadership=SimpleNamespace(is_confirmed=lambda now: is_confirmed),
-        _extensions=noted,
-        _may_command=lambda: True,
-        handle_event=lambda event: None,
-    )
-    asyncio.run(_term.Term._extend_lease(term, make_worker("w1")))
-    assert len(noted) == is_confirmed
+    settings = SimpleNamespace(lease_ms=5_000)
+    context: Any = SimpleNamespace(create_worker=lambda *_: client, settings=settings)
+    leadership: Any = SimpleNamespace(is_confirmed=lambda now: is_confirmed)
+    extension = LeaseExtension(context, Epoch(2), leadership, lambda: True, lambda event: None)
+    asyncio.run(extension._extend(make_worker("w1")))
+    assert len(extension.sent) == is_confirmed
     assert (client.leases[-1] is not None) is is_confirmed
 
 
--- a/tests/cover/test_pool_unexpected.py
+++ b/tests/cover/test_pool_unexpected.py
@@ -16,7 +16,7 @@
 
 from lentilpath_core.pool import AdviceAnswered, LeaseSent, TimePassed
 from lentilpath_http import HttpRequest, HttpResponse, create_client, serve_http
-from lentilpathd._pool import _guard, _term
+from lentilpathd._pool import _effects, _guard, _term
 from lentilpathd._pool._guard import run_guarded
 from lentilpathd._pool._ports import Deposed
 from tests.common import simulated_pool
@@ -62,7 +62,7 @@
             lambda state, event, now: isinstance(event, DROPPABLE),
             id="events",
         ),
-        pytest.param(_term.Term, "_log_run", 9, lambda *_: True, id="effects"),
+        pytest.param(_effects.EffectExecutor, "_log_run", 9, lambda *_: True, id="effects"),
     ],
 )
 def test_a_term_outlives_unexpected_errors_and_all_jobs_complete(
--- a/tests/nocover/test_pool_hosts.py
+++ b/tests/nocover/test_pool_hosts.py
@@ -8,7 +8,9 @@
 from lentilpath_core.ids import JobId
 from lentilpath_core.pool import QueueId
 from lentilpathd._clock import MS_PER_SECOND, read_instant
-from lentilpathd._pool._leadership import LEASE_MS
+from lentilpathd._pool._leadership import (
+    LEASE_MS,
+)
 from tests.common.fleet.deployment import Fleet, make_step, run_fleet
 from tests.common.fleet.store import StoreFaults
 from tests.common.requests import wait_until
--- a/tests/nocover/test_pool_releases.py
+++ b/tests/nocover/test_pool_releases.py
@@ -7,10 +7,12 @@
 
 import pytest
 
-from lentilpath_core.ids import ConfigVersion, Epoch
+from lentilpath_core.ids import ConfigVersion, Epoch, Instant
 from lentilpath_core.pool import JobRecord, PoolConfiguration, StepSpec
-from lentilpathd._pool import _term
-from lentilpathd._pool._leadership import PoolLeadership
+from lentilpathd._pool._leadership import (
+    PoolLeadership,
+)
+from lentilpathd._pool._term_authority import TermAuthority
 from tests.common.pools import QUEUE, make_job_id, make_queue
 from tests.common.requests import wait_until
 from tests.common.simulated_pool import SharedRows, SimulatedHost, check_runs, run_logged
@@ -57,13 +59,13 @@
     """The former release grants full leases while it has a majority, and does not say so."""
     if release != "this":
 
-        def get_lease_ms(term: _term.Term) -> int:
-            if term._epoch == 1:
-                return term._context.settings.lease_ms
-            return get_lease_ms_now(term)
+        def get_lease_ms(authority: TermAuthority, now: Instant) -> int:
+            if authority._epoch == 1:
+                return authority._context.settings.lease_ms
+            return get_lease_ms_now(authority, now)
 
-        get_lease_ms_now = _term.Term._get_lease_ms
-        monkeypatch.setattr(_term.Term, "_get_lease_ms", get_lease_ms)
+        get_lease_ms_now = TermAuthority._get_longest_lease_ms
+        monkeypatch.setattr(TermAuthority, "_get_longest_lease_ms", get_lease_ms)
 
         def find_since(leadership: PoolLeadership, epoch: Epoch) -> int:
             return 0 if epoch == 1 else find_since_now(leadership, epoch)
