--- a/packages/lentilpathd/src/lentilpathd/_peers.py
+++ b/packages/lentilpathd/src/lentilpathd/_peers.py
@@ -22,6 +22,7 @@
     start_member,
 )
 from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._peer_connections import PeerConnections
 
 T = TypeVar("T")
 
@@ -98,6 +99,7 @@
         self._handlers: dict[str, PeerHandler] = {}
         self._addresses: dict[HostId, Address] = {}
         self._sockets: dict[HostId, pynng.Req0] = {}
+        self._connections = PeerConnections()
         self._silent_since: dict[HostId, float] = {}
         """Loop time of the first request to each peer since its last answer."""
         self.bytes_sent = 0
@@ -179,6 +181,7 @@
     async def serve(self, address: Address) -> None:
         """Answer peers' requests on `address` until cancelled."""
         with pynng.Rep0(recv_max_size=self._max_request_bytes) as socket:
+            self._connections.watch(socket)
             socket.listen(f"tcp://{address.host}:{address.port}")
             self.listening = True
             async with asyncio.TaskGroup() as group:
@@ -195,8 +198,11 @@
         try:
             while True:
                 cancellations = count_cancellations()
-                data = await context.arecv()
+                message = await context.arecv_msg()
                 raise_swallowed_cancellation(cancellations)
+                if message.pipe is not None:
+                    self._connections.note_request(message.pipe)
+                data = message.bytes
                 self.bytes_received += len(data)
                 reply = await self._answer(data)
                 self.bytes_sent += len(reply)
--- a/tests/cover/test_peer_cancellation.py
+++ b/tests/cover/test_peer_cancellation.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from types import SimpleNamespace
 
 import msgspec
 import pynng
@@ -40,6 +41,9 @@
             PeerReply(PROTOCOL_VERSION, PEER.host, Incarnation("b.1"), "ok", None)
         )
 
+    async def arecv_msg(self):
+        return SimpleNamespace(bytes=await self.arecv(), pipe=None)
+
     async def asend(self, data):
         pass
 
