Metrics: callers.evicted counts the connections that make room for others

Operators could not see that a crowd is at the limits of a host: refusals of unfinished requests and closed connections had neither a line nor a metric. A counter, since a line for each would be a load of its own.

--- a/packages/lentilpath-http/src/lentilpath_http/__init__.py
+++ b/packages/lentilpath-http/src/lentilpath_http/__init__.py
@@ -1,6 +1,6 @@
 """Small asyncio HTTP/1.1 client and server over h11."""
 
-from lentilpath_http._budget import ConnectionBudget, SharedLimits, create_budget
+from lentilpath_http._budget import ConnectionBudget, Eviction, SharedLimits, create_budget
 from lentilpath_http._client import HttpClient, create_client
 from lentilpath_http._connection import ClientConnection, open_connection
 from lentilpath_http._messages import (
@@ -22,6 +22,7 @@
     "READ_TRANSFER",
     "ClientConnection",
     "ConnectionBudget",
+    "Eviction",
     "HttpClient",
     "HttpError",
     "HttpLimits",
--- a/packages/lentilpath-http/src/lentilpath_http/_budget.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_budget.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +35,13 @@
 """A request that waits alone gets so many times the rate, about half of a core."""
 
 
+class Eviction(Enum):
+    """What a connection was evicted for."""
+
+    CONNECTIONS = "connections"
+    MEMORY = "memory"
+
+
 class Holder:
     """An open connection, as its budget sees it."""
 
@@ -46,8 +54,9 @@
 class ConnectionBudget:
     """The connections of one or more servers and the bytes that each of them holds."""
 
-    def __init__(self, limits: SharedLimits) -> None:
+    def __init__(self, limits: SharedLimits, report: Callable[[Eviction], None]) -> None:
         self._limits = limits
+        self._report = report
         self._holders: set[Holder] = set()
         self._waiting: dict[Holder, None] = {}
         """Connections that wait for their caller, in the order in which they began to."""
@@ -65,6 +74,7 @@
         """Add a new connection; return whether there is room, for which an older one may go."""
         while len(self._holders) >= self._limits.max_connections:
             oldest = next(iter(self._waiting), None)
+            self._report(Eviction.CONNECTIONS)
             if oldest is None:
                 return False
             self.remove(oldest)
@@ -103,6 +113,7 @@
                 break
             self._held_bytes -= largest.held_bytes
             largest.held_bytes = 0
+            self._report(Eviction.MEMORY)
             largest.evict(False)
 
     async def wait_for_turn(self) -> float:
@@ -144,6 +155,11 @@
         return True
 
 
-def create_budget(limits: SharedLimits | None = None) -> ConnectionBudget:
-    """Return a budget that servers share; see `serve_http`."""
-    return ConnectionBudget(limits or SharedLimits())
+def create_budget(
+    limits: SharedLimits | None = None, report: Callable[[Eviction], None] = lambda reason: None
+) -> ConnectionBudget:
+    """Return a budget that servers share; see `serve_http`.
+
+    `report` is called for each connection that is evicted, or turned away with all others in use.
+    """
+    return ConnectionBudget(limits or SharedLimits(), report)
--- a/packages/lentilpathd/src/lentilpathd/_metrics.py
+++ b/packages/lentilpathd/src/lentilpathd/_metrics.py
@@ -48,6 +48,7 @@
     BREAKER_OPEN = "table.breaker_open"
     CALLS_HELD = "table.calls_held"
     LOOP_DELAY = "loop.delay"
+    CALLER_EVICTED = "callers.evicted"
 
 
 class Metrics:
--- a/packages/lentilpathd/src/lentilpathd/_peer_connections.py
+++ b/packages/lentilpathd/src/lentilpathd/_peer_connections.py
@@ -7,8 +7,8 @@
 import pynng
 
 MAX_CONNECTIONS = 128
-"""More than the hosts of the largest deployment, each of which has one. Each takes a descriptor, and
-up to a request's length of memory while one arrives."""
+"""More than the hosts of the largest deployment, each of which has one. A connection takes a
+descriptor, and up to a request's length of memory while one arrives."""
 
 
 class PeerConnections:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
@@ -29,6 +29,7 @@
     Metric.RUN_GIVEN_UP: ("reason",),
     Metric.JOB_ENDED: ("state",),
     Metric.DEPENDENCY_FAILED: ("dependency",),
+    Metric.CALLER_EVICTED: ("reason",),
 }
 """Label values are enum values or queues of the configuration, so their number is bounded."""
 _TIMES: dict[Metric, tuple[str, ...]] = {
--- a/packages/lentilpathd/src/lentilpathd/_pool/_process.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_process.py
@@ -9,6 +9,7 @@
 from lentilpath_http import HttpRequest, HttpResponse, HttpServer, create_budget, serve_http
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
+from lentilpathd._metrics import Metric
 from lentilpathd._pool._explain import EXPLAIN_PATH
 from lentilpathd._pool._host import PlatformPorts, PoolHost
 from lentilpathd._pool._metrics import serve_metrics
@@ -40,7 +41,10 @@
     host = PoolHost(settings, ports)
     loop.add_signal_handler(signal.SIGHUP, host.settings_watcher.request)
     log_event(Event.PROCESS_STARTED, host=settings.host, zone=settings.zone)
-    budget = create_budget(derive_shared_limits(settings))
+    budget = create_budget(
+        derive_shared_limits(settings),
+        lambda reason: host.metrics.count(Metric.CALLER_EVICTED, reason.value),
+    )
     callers = await serve_http(
         make_handler(host), settings.callers.host, settings.callers.port, budget=budget
     )
--- a/tests/cover/test_http_limits.py
+++ b/tests/cover/test_http_limits.py
@@ -9,6 +9,7 @@
 import pytest
 
 from lentilpath_http import (
+    Eviction,
     HttpLimits,
     HttpRequest,
     HttpResponse,
@@ -17,6 +18,7 @@
     create_budget,
     serve_http,
 )
+from lentilpath_http._budget import Holder
 
 GET = b"GET /plan HTTP/1.1\r\nhost: h\r\n\r\n"
 TIMEOUT_SECONDS = 20.0
@@ -195,3 +197,17 @@
         assert (await slow.readuntil(b"\r\n\r\n600")).endswith(b"600")
 
     run_servers(SharedLimits(max_small_pieces_per_second=1_000), scenario)
+
+
+def test_what_is_refused_or_closed_for_others_is_reported():
+    reported: list[Eviction] = []
+    budget = create_budget(SharedLimits(max_connections=2, max_held_bytes=10), reported.append)
+    small, large, newcomer = (Holder(lambda at_once: None) for _ in range(3))
+    assert budget.admit(small)
+    assert budget.admit(large)
+    budget.hold(small, 4)
+    assert reported == []
+    budget.hold(large, 8)
+    assert reported == [Eviction.MEMORY]
+    assert budget.admit(newcomer)
+    assert reported == [Eviction.MEMORY, Eviction.CONNECTIONS]
