--- a/review/standins2/runner.py
+++ b/review/standins2/runner.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from standins2.http import Answer, Call, Server
+from standins2.http import Answer, Call, Drop, Server
 from standins2.store import Store
 
 HEARTBEAT_SECONDS = 1.5
@@ -35,6 +35,8 @@
     """Seconds of work that are done."""
     pace: int = 100
     stopping: bool = False
+    has_lapsed: bool = False
+    """Whether the runner's lease lapsed after the end and before it was noted."""
 
 
 @dataclass
@@ -74,6 +76,8 @@
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
     orders: list[tuple[float, str, dict[str, Any]]] = field(default_factory=list)
     keep_orders: bool = False
+    way_seconds: float = 0.0
+    """Time that each message takes on the network, one way."""
 
     async def start(self) -> None:
         """Start a process: nothing of before is known."""
@@ -138,18 +142,22 @@
         while True:
             await asyncio.sleep(0.01)
             now = time.monotonic()
+            if now > self.lease_until:
+                for run in self.ended_runs.values():
+                    run.has_lapsed = True
             for key, run in list(self.running.items()):
                 if run.stopping:
                     continue
                 if now > self.lease_until:
-                    self._end(key, "lapsed")
+                    self.end(key, "lapsed")
                     continue
                 run.worked += (now - last) * run.pace / 100
                 if run.work_seconds and run.worked >= run.work_seconds:
-                    self._end(key, self.work(run.task, run.spec)[1])
+                    self.end(key, self.work(run.task, run.spec)[1])
             last = now
 
-    def _end(self, key: tuple[str, int], how: str) -> None:
+    def end(self, key: tuple[str, int], how: str) -> None:
+        """End a run, and list its end."""
         run = self.running.pop(key, None)
         if run is None:
             return
@@ -165,6 +173,18 @@
         """Answer a call of the system."""
         if call.path == "/healthz":
             return 200, {}
+        born = self.born
+        if self.way_seconds:
+            await asyncio.sleep(self.way_seconds)
+        if not self.up or self.born != born:
+            # What was on its way to a process that has ended is lost.
+            raise Drop
+        status, value = await self._answer_arrived(call)
+        if self.way_seconds:
+            await asyncio.sleep(self.way_seconds)
+        return status, value
+
+    async def _answer_arrived(self, call: Call) -> Answer:
         message = call.json()
         if self.keep_orders and call.path != "/hold":
             self.orders.append((time.monotonic(), call.path, message))
@@ -215,7 +235,7 @@
         run = self.running.get(key)
         if run is not None:
             run.stopping = True
-            asyncio.get_running_loop().call_later(self.stop_seconds, self._end, key, "stopped")
+            asyncio.get_running_loop().call_later(self.stop_seconds, self.end, key, "stopped")
         return 200, {"clockMs": self.clock()}
 
     async def _hold(self, message: dict[str, Any]) -> Answer:
--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -142,7 +142,7 @@
         table, after = query["table"], int(query["after"])
         ends_at = time.monotonic() + int(query.get("waitMs", "0")) / 1_000
         while True:
-            found = self._list_changes(table, after)
+            found, newest = self._list_changes(table, after), self.version
             left = ends_at - time.monotonic()
             if found or left <= 0:
                 break
@@ -160,7 +160,7 @@
             }
             for each in found[:MAX_ROWS]
         ]
-        version = found[MAX_ROWS - 1].version if len(found) > MAX_ROWS else self.version
+        version = found[MAX_ROWS - 1].version if len(found) > MAX_ROWS else newest
         return 200, {"rows": rows, "rowVersion": version, "nowMs": self.now_ms()}
 
     def _list_changes(self, table: str, after: int) -> list[Change]:
--- a/review/standins2/system.py
+++ b/review/standins2/system.py
@@ -361,6 +361,6 @@
             for first in each[:position]:
                 if first.ended is None or first.ended > second.began:
                     broken.append(f"{task}: runs {first.number} and {second.number} overlap")
-                elif first.how == "done" and first.noted is not None:
+                elif first.how == "done" and first.noted is not None and not first.has_lapsed:
                     broken.append(f"{task}: run {second.number} starts after a noted end `done`")
     return broken
