Logs: say why a job has failed, and how a worker was taken to have crashed

The log could not tell the hypotheses of docs/incidents/silent-workers-counted-as-crashed.md apart: LP527 says that a crash is stored, not what showed it, and LP524 says `failed` without a reason.

LP582 names the worker, its process and the evidence for each crash that counts; LP524 names the task and the cause of a failed job.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -11,12 +11,20 @@
 from __future__ import annotations
 
 from lentilpath_core.ids import Instant
-from lentilpath_core.pool._events import ClearRun, ForgetCrash, PoolEffect, RecordRun
-from lentilpath_core.pool._model import JobState, RunEnd, RunNumber, RunRecord, TaskKey
+from lentilpath_core.pool._events import (
+    BlameRuns,
+    ClearRun,
+    CrashEvidence,
+    FailureCause,
+    ForgetCrash,
+    PoolEffect,
+    RecordRun,
+)
+from lentilpath_core.pool._model import RunEnd, RunNumber, RunRecord, TaskKey
 from lentilpath_core.pool._state import Attempt, PoolState, Step, Worker
 from lentilpath_core.pool._steps import (
+    fail_job,
     find_step,
-    finish_job,
     mark_run_number_used,
     release_worker,
 )
@@ -116,14 +124,22 @@
     return tuple(ForgetCrash(attempt.task, run) for run in sorted(crashed))
 
 
-def record_crashes(state: PoolState, worker: Worker) -> tuple[PoolEffect, ...]:
+def record_crashes(
+    state: PoolState, worker: Worker, evidence: CrashEvidence
+) -> tuple[PoolEffect, ...]:
     """Store that a worker, whose process is over, has crashed under the runs suspected of it."""
     suspects, worker.suspects = worker.suspects, []
-    return tuple(
-        RecordRun(task, RunRecord(run, RunEnd.CRASHED))
+    blamed = tuple(
+        (task, run)
         for task, run in suspects
         if (step := find_step(state, task)) is not None and step.job.final is None
     )
+    if not blamed:
+        return ()
+    return (
+        BlameRuns(worker.worker, worker.life, evidence, blamed),
+        *(RecordRun(task, RunRecord(run, RunEnd.CRASHED)) for task, run in blamed),
+    )
 
 
 def clear_suspects(state: PoolState, worker: Worker) -> tuple[PoolEffect, ...]:
@@ -183,4 +199,4 @@
     state.needs_placement = True
     if len(crashed) < MAX_CRASHES or index in step.done or index in step.recording:
         return ()
-    return finish_job(state, step.job, JobState.FAILED, state.wall_now, now)
+    return fail_job(state, step.job, task, FailureCause.CRASHES, now)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -219,6 +219,24 @@
     """Its start was not answered, and the worker's capacity has shrunk since."""
 
 
+class CrashEvidence(Enum):
+    """How it was concluded that a worker's process is over."""
+
+    ENTRY_MISSING = "entry-missing"
+    """The registry no longer lists the worker, and its leases have expired."""
+    LATER_PROCESS = "later-process"
+    """The registry lists a later process of the worker."""
+
+
+class FailureCause(Enum):
+    """Why a job has failed."""
+
+    ATTEMPTS = "attempts"
+    """Runs of one of its tasks have failed as often as its queue allows."""
+    CRASHES = "crashes"
+    """Workers have crashed right after they started one of its tasks."""
+
+
 class LossReason(Enum):
     """How it is known that a run is over although its worker did not list its end."""
 
@@ -291,6 +309,16 @@
     run: RunNumber
 
 
+@dataclass(frozen=True, slots=True)
+class BlameRuns:
+    """Tell that a worker's process is taken to have crashed under runs that had just begun."""
+
+    worker: WorkerId
+    life: Life
+    evidence: CrashEvidence
+    runs: tuple[tuple[TaskKey, RunNumber], ...]
+
+
 @dataclass(frozen=True, slots=True)
 class PaceRun:
     """Throttle a filling run to `percent` of its full speed."""
@@ -343,6 +371,10 @@
 
     job: JobId
     final: FinalRecord
+    cause: FailureCause | None = None
+    """Why the job has failed; `None` for another state."""
+    failed_task: TaskKey | None = None
+    """The task for which it has failed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -372,6 +404,7 @@
     | StopRun
     | GiveUpRun
     | ClearRun
+    | BlameRuns
     | ForgetCrash
     | AskAdvice
     | RecordRun
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
@@ -2,9 +2,17 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from lentilpath_core.ids import Instant, WallTime
 from lentilpath_core.pool._customers import release_room
-from lentilpath_core.pool._events import PoolEffect, RecordFinal, StopReason, StopRun
+from lentilpath_core.pool._events import (
+    FailureCause,
+    PoolEffect,
+    RecordFinal,
+    StopReason,
+    StopRun,
+)
 from lentilpath_core.pool._model import (
     FinalRecord,
     JobState,
@@ -177,9 +185,19 @@
     return (*_set_final_state(state, job, final, wall_now), *stop_remaining_runs(job, now))
 
 
+def fail_job(
+    state: PoolState, job: Job, task: TaskKey, cause: FailureCause, now: Instant
+) -> tuple[PoolEffect, ...]:
+    """Fail a job for one of its tasks, like `finish_job`."""
+    if job.final is not None:
+        return ()
+    (record,) = _set_final_state(state, job, JobState.FAILED, state.wall_now)
+    return (replace(record, cause=cause, failed_task=task), *stop_remaining_runs(job, now))
+
+
 def _set_final_state(
     state: PoolState, job: Job, final: JobState, wall_now: WallTime
-) -> tuple[PoolEffect, ...]:
+) -> tuple[RecordFinal]:
     job.final = FinalRecord(final, wall_now, job.record.customer)
     for step in job.steps.values():
         state.open_steps.pop(step.key, None)
@@ -283,6 +301,6 @@
     if job.policy is not None and len(runs) >= job.policy.max_attempts:
         if shared in step.done or shared in step.recording:
             return ()
-        return finish_job(state, job, JobState.FAILED, state.wall_now, now)
+        return fail_job(state, job, task, FailureCause.ATTEMPTS, now)
     requeue_task(state, step, task.number)
     return ()
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -21,6 +21,7 @@
 )
 from lentilpath_core.pool._customers import get_job_customer, hold_room
 from lentilpath_core.pool._events import (
+    CrashEvidence,
     LossReason,
     PoolEffect,
     ReleaseWorker,
@@ -135,7 +136,7 @@
         for attempt in moved:
             suspect_run(state, attempt, now)
             del former.attempts[(attempt.task, attempt.run)]
-        effects.extend(_remove_worker(state, former, now))
+        effects.extend(_remove_worker(state, former, CrashEvidence.LATER_PROCESS, now))
     worker = state.workers[entry.worker] = Worker(entry, entry.capacity)
     if former is not None or unanswered:
         _assume_longest_lease(state, worker, now)
@@ -317,12 +318,14 @@
     return mark_attempt_lost(state, attempt, LossReason.NOT_LISTED, now)
 
 
-def _remove_worker(state: PoolState, worker: Worker, now: Instant) -> tuple[PoolEffect, ...]:
+def _remove_worker(
+    state: PoolState, worker: Worker, evidence: CrashEvidence, now: Instant
+) -> tuple[PoolEffect, ...]:
     """Remove a worker's incarnation that is gone, and give up the runs on it."""
     effects: list[PoolEffect] = []
     for attempt in list(worker.attempts.values()):
         effects.extend(mark_attempt_lost(state, attempt, LossReason.NEW_LIFE, now))
-    effects.extend(record_crashes(state, worker))
+    effects.extend(record_crashes(state, worker, evidence))
     effects.append(ReleaseWorker(worker.worker, worker.life))
     state.workers.pop(worker.worker, None)
     state.unconfirmed_workers.discard(worker.worker)
@@ -348,7 +351,7 @@
             if not _may_begin_in_next_life(state, attempt, now):
                 effects.extend(mark_attempt_lost(state, attempt, LossReason.LEASE_LAPSED, now))
         if not worker.is_listed:
-            effects.extend(_remove_worker(state, worker, now))
+            effects.extend(_remove_worker(state, worker, CrashEvidence.ENTRY_MISSING, now))
             effects.extend(record_workers(state))
     return tuple(effects)
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_effects.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_effects.py
@@ -7,6 +7,7 @@
 from lentilpath_core.ids import Epoch
 from lentilpath_core.pool import (
     AskAdvice,
+    BlameRuns,
     ClearRun,
     DeleteJob,
     ForgetCrash,
@@ -107,6 +108,17 @@
     def _(self, effect: ClearRun) -> None:
         self._log_run(Event.RUN_CLEARED, effect, life=effect.life)
 
+    @execute.register
+    def _(self, effect: BlameRuns) -> None:
+        log_event(
+            Event.RUNS_BLAMED,
+            worker=effect.worker,
+            life=effect.life,
+            evidence=effect.evidence.value,
+            runs=[f"{format_task(task)} run {run}" for task, run in effect.runs],
+            epoch=self._epoch,
+        )
+
     @execute.register
     def _(self, effect: PaceRun) -> None:
         self._log_run(Event.RUN_PACED, effect, percent=effect.percent)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -273,6 +273,8 @@
                 Event.JOB_ENDED,
                 job=record.job,
                 state=record.final.state.value,
+                cause=record.cause.value if record.cause is not None else None,
+                task=format_task(record.failed_task) if record.failed_task is not None else None,
                 stored_ms=stored_ms,
                 epoch=self._epoch,
             )
