--- a/tests/common/simulated_workers.py
+++ b/tests/common/simulated_workers.py
@@ -65,6 +65,8 @@
     refused: float = 0.0
     crash_seconds: float = 0.0
     cut_seconds: float = 0.0
+    isolation_seconds: float = 0.0
+    """Mean time between isolations of a worker, which reaches neither leaders nor the registry."""
     takeovers: int = 0
     latest_seconds: float = 12.0
     """Longest delay of a late command."""
@@ -130,6 +132,9 @@
         without customers."""
         self.crashing: set[TaskKey] = set()
         """Tasks that crash each worker that starts them."""
+        self.isolating: dict[TaskKey, list[float]] = {}
+        """For how many seconds the workers that start a task are isolated, one start after the
+        other."""
         self.is_registry_away = False
         self.split: tuple[int, frozenset[str]] | None = None
         """During a split, the epoch of the leader that is cut off, and the workers on its side."""
@@ -174,6 +179,10 @@
         for mean, act in (
             (self.faults.crash_seconds, lambda worker: worker.crash()),
             (self.faults.cut_seconds, lambda worker: worker.cut()),
+            (
+                self.faults.isolation_seconds,
+                lambda worker: worker.isolate(self.random.uniform(4.0, 14.0)),
+            ),
             (self.faults.shrink_seconds, lambda worker: worker.shrink()),
         ):
             at = read_time()
@@ -208,7 +217,9 @@
     is_gone: bool = False
     """Whether the machine has a worker of another id since."""
     cut_until: float = 0.0
+    isolated_until: float = 0.0
     seen_at: float = 0.0
+    """When the registry last heard of the worker, if it is down or isolated."""
     entry: ListedWorker = field(init=False)
     capacities: list[tuple[float, Resources]] = field(default_factory=lambda: [(0.0, CAPACITY)])
     """The capacities that it had, each with the time from which it did."""
@@ -285,6 +296,19 @@
         self.cut_until = read_time() + self.cluster.random.uniform(0.5, 7.0)
         self.cluster.note(f"{self.name} is cut off until {self.cut_until:.3f}")
 
+    def isolate(self, seconds: float) -> None:
+        """Cut the worker off from all leaders and from the registry, where its entry expires."""
+        if not self.is_up:
+            return
+        if not self.is_isolated():
+            self.seen_at = read_time()
+        self.isolated_until = max(self.isolated_until, read_time() + seconds)
+        self.cut_until = max(self.cut_until, self.isolated_until)
+        self.cluster.note(f"{self.name} is isolated until {self.isolated_until:.3f}")
+
+    def is_isolated(self) -> bool:
+        return read_time() < self.isolated_until
+
     def shrink(self) -> None:
         """Take some of the capacity away for some seconds."""
         chance = self.cluster.random
@@ -303,7 +327,8 @@
             capacity, sequence = self.get_capacity(), self.entry.sequence + 1
             latency = self.cluster.faults.table_seconds
             await asyncio.sleep(latency)
-            if not self.cluster.is_registry_away and self.is_up and self.life == life:
+            reaches_registry = not self.cluster.is_registry_away and not self.is_isolated()
+            if reaches_registry and self.is_up and self.life == life:
                 self.entry = replace(self.entry, capacity=capacity, sequence=sequence)
             await asyncio.sleep(HEARTBEAT_SECONDS - latency)
 
@@ -316,7 +341,8 @@
         return [each for (at, each), (end, _) in changes if at <= until and end >= since]
 
     def is_registered(self) -> bool:
-        return self.is_up or read_time() < self.seen_at + SILENCE_SECONDS
+        is_heard = self.is_up and not self.is_isolated()
+        return is_heard or read_time() < self.seen_at + SILENCE_SECONDS
 
     def is_cut(self) -> bool:
         return read_time() < self.cut_until
@@ -379,6 +405,8 @@
         self.running[(task, run)] = started
         self.cluster.runs.append(started)
         loop = asyncio.get_running_loop()
+        if self.cluster.isolating.get(task):
+            self.isolate(self.cluster.isolating[task].pop(0))
         if task in self.cluster.crashing:
             loop.call_later(CRASH_DELAY_SECONDS, self._crash_under, started)
         gang = self._find_gang(started)
@@ -480,6 +508,8 @@
     def _measure_progress(self, run: SimulatedRun) -> int:
         if run.begun_at is None:
             return 0
+        if self.cluster.get_step(run.task).lasting:
+            return 100
         work_seconds = int(self.cluster.jobs[run.task.job].text) / 1_000
         return min(99, int((read_time() - run.begun_at) / work_seconds * 100))
 
@@ -578,7 +608,7 @@
 
     def _draw_fate(self) -> str:
         faults, chance = self._cluster.faults, self._cluster.random
-        if self._is_behind_split():
+        if self._is_behind_split() or self._worker.is_isolated():
             return "lost"
         if self._worker.is_cut():
             return chance.choice(("refused", "lost", "late", "unanswered"))
--- a/tests/cover/test_pool_crashes.py
+++ b/tests/cover/test_pool_crashes.py
@@ -80,6 +80,16 @@
     harness.confirm_records()
 
 
+def lose_entry(harness: PoolHarness, start: StartRun) -> None:
+    """Let the worker fall silent right after the start until its entry is gone."""
+    harness.effects.clear()
+    pass_time(harness, SETTLE_MS + 500, silent=start.worker)
+    harness.list_workers(*(each for name, each in harness.listed.items() if name != start.worker))
+    pass_time(harness, 500)
+    harness.confirm_records()
+    harness.confirm_records()
+
+
 def start_one(harness: PoolHarness) -> StartRun:
     (start,) = list_starts(harness.place())
     harness.answer_start(start, StartAnswer.STARTED)
@@ -138,6 +148,31 @@
     assert get_job_state(harness.state, make_job_id(1)) is JobState.RUNNING
 
 
+def test_a_worker_whose_entry_was_gone_and_that_returns_was_cut_off_and_clears_its_runs():
+    """A job was shown as failed although its workers had only been cut off."""
+    harness = make_harness()
+    harness.submit(1)
+    for _ in range(2 * MAX_CRASHES):
+        start = start_one(harness)
+        lose_entry(harness, start)
+        harness.list_workers(*harness.listed.values(), make_worker(start.worker, sequence=9))
+        ended = ((1, start.task, start.run, RunEnd.LAPSED),)
+        harness.report(start.worker, ended=ended)
+    harness.confirm_records()
+    assert get_job_state(harness.state, make_job_id(1)) is JobState.RUNNING
+    assert len(list_starts(harness.place())) == 1
+
+
+def test_missing_entries_alone_do_not_show_that_a_task_crashes_its_workers():
+    harness = make_harness()
+    harness.submit(1)
+    for _ in NAMES[:-1]:
+        lose_entry(harness, start_one(harness))
+        pass_time(harness, SETTLE_MS)
+    assert get_job_state(harness.state, make_job_id(1)) is JobState.RUNNING
+    assert len(list_starts(harness.place())) == 1
+
+
 def test_a_registry_that_is_away_does_not_show_that_a_worker_lives():
     harness = make_harness()
     harness.submit(1)
