Registry: workers name their machine

A worker is one process on a machine, so a later process on the same machine shows that the former one is over, under whatever id it comes back. The entries of the users' platform name the machine; it was not read. Nothing decides by it yet. In the simulation processes on one machine are numbered in one series, as their start times are.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
@@ -24,8 +24,11 @@
 
 QueueId = NewType("QueueId", str)
 """Id of a queue that callers submit jobs to; the configuration assigns it to a service."""
+MachineId = NewType("MachineId", str)
+"""Id of the machine on which a worker's process runs, one at a time; empty if it is not known."""
 Life = NewType("Life", int)
-"""Incarnation of a worker's process; rises each time the process restarts."""
+"""Incarnation of a worker's process; rises each time the process restarts, also if its machine has
+a worker of another id since."""
 RunNumber = NewType("RunNumber", int)
 """Number of a run of a task; rises with each start, from 1. The members of a gang share it."""
 
@@ -237,6 +240,7 @@
     """Shortest time that a leaving worker still runs; `None` if it announced none."""
     sequence: int = 0
     """Rises with each report of the same incarnation."""
+    machine: MachineId = MachineId("")
 
 
 class RunEnd(Enum):
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_validity.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_validity.py
@@ -60,6 +60,8 @@
     name = f"worker {listed.worker[:MAX_NAME_CHARACTERS]!r}"
     if not listed.worker.isascii() or len(listed.worker) > MAX_NAME_CHARACTERS:
         raise InvalidInput(f"{name}: use at most {MAX_NAME_CHARACTERS} ASCII characters")
+    if len(listed.machine) > MAX_NAME_CHARACTERS:
+        raise InvalidInput(f"{name}: its machine needs at most {MAX_NAME_CHARACTERS} characters")
     if not listed.address.host or not 1 <= listed.address.port <= MAX_PORT:
         raise InvalidInput(f"{name}: its address needs a host and a port from 1 to {MAX_PORT}")
     if not is_non_negative(listed.capacity):
--- a/tests/common/pools.py
+++ b/tests/common/pools.py
@@ -29,6 +29,7 @@
     LeaseSent,
     Life,
     ListedWorker,
+    MachineId,
     Permission,
     PoolConfiguration,
     PoolEffect,
@@ -96,7 +97,12 @@
 
 
 def make_worker(
-    name: str, room: Resources = WORKER_CAPACITY, life: Life = LIFE, rack: str = "r1", **rest: int
+    name: str,
+    room: Resources = WORKER_CAPACITY,
+    life: Life = LIFE,
+    rack: str = "r1",
+    machine: str = "",
+    **rest: int,
 ) -> ListedWorker:
     return ListedWorker(
         WorkerId(name),
@@ -110,6 +116,7 @@
         WorkerCondition.READY,
         rest.get("leaves_in_ms"),
         rest.get("sequence", 0),
+        MachineId(machine),
     )
 
 
--- a/tests/common/simulated_workers.py
+++ b/tests/common/simulated_workers.py
@@ -226,7 +226,8 @@
 
     def __post_init__(self) -> None:
         self.machine = self.machine or self.name
-        self.entry = make_worker(self.name, CAPACITY, life=Life(1))
+        life = Life(self.life + 1)
+        self.entry = make_worker(self.name, CAPACITY, life=life, machine=self.machine)
 
     def boot(self, registry_delay: float = 0.0) -> None:
         """Start the next incarnation."""
@@ -280,7 +281,9 @@
         self.is_gone = True
         name = f"w{len(self.cluster.workers)}"
         self.cluster.note(f"{self.name} is back as {name}")
-        worker = SimulatedWorker(self.cluster, name, self.machine, cut_until=self.cut_until)
+        worker = SimulatedWorker(
+            self.cluster, name, self.machine, self.life, cut_until=self.cut_until
+        )
         self.cluster.workers[name] = worker
         worker.boot()
 
--- a/tests/cover/test_pool_registry.py
+++ b/tests/cover/test_pool_registry.py
@@ -12,7 +12,7 @@
 
 from lentilpath_core.errors import InvalidSettings
 from lentilpath_core.ids import RackId
-from lentilpath_core.pool import PoolConfiguration
+from lentilpath_core.pool import MachineId, PoolConfiguration
 from lentilpath_core.settings import Address
 from lentilpath_platform.registry import PlatformRegistry
 from lentilpath_platform.store import MAX_PAGE_ROWS, open_table
@@ -35,6 +35,7 @@
     "labels": ["a", "r1"],
     "born": 1,
     "sequence": 1,
+    "machine": "m1",
 }
 
 
@@ -68,6 +69,7 @@
         workers = await registry.read_workers(TIMEOUT_SECONDS)
         assert len(workers) == WORKERS
         assert {worker.rack for worker in workers} == {RackId(""), RackId("r1")}
+        assert {worker.machine for worker in workers} == {MachineId("m1")}
 
     run_scenario(scenario)
 
