Pool: a missing registry entry does not show that a worker has crashed

The runs of the most tried task had lapsed, so their workers lived.

Cause: a worker whose entry is missing and whose leases have expired is removed, and its young runs were stored as crashed. An entry is missing after three heartbeats of silence, so a worker that is cut off from the registry too was taken for one that had crashed. Nothing took that back when the same process returned.

Evidence: in test_pool_isolated_workers[three of 9 s-one leader] LP582 gives `entry-missing` three times for the same task, LP524 then says `failed` with the cause `crashes`, and the seven other tasks are stopped as `job-over` in the same step.

Change: only a later process of the worker, or on its machine, shows a crash. The suspected runs of a worker whose entry is missing are kept until it is listed again: the same process clears them, a later one confirms them. A task with three crashes or suspicions waits 3 s for the last one to be resolved and is then started again, on a worker without other starts in progress, so that neither a worker that never returns nor the doubt about it keeps a task down. Stored crashes name the process that has ended; those that earlier releases stored do not, and are suspicions only.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -6,10 +6,15 @@
 that has answered right before and is asked again right after, so that the next crash points at one
 task. It is cleared when a report that was made after its start lists its run, or when a worker that
 was only cut off is heard again.
+
+Only a later process of the worker, or on its machine, shows that it has crashed. A worker whose
+entry is missing may be cut off from the registry too, so its runs stay suspected until it returns.
 """
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 from lentilpath_core.ids import Instant
 from lentilpath_core.pool._events import (
     BlameRuns,
@@ -20,8 +25,17 @@
     PoolEffect,
     RecordRun,
 )
-from lentilpath_core.pool._model import RunEnd, RunNumber, RunRecord, TaskKey
-from lentilpath_core.pool._state import Attempt, PoolState, Step, Worker
+from lentilpath_core.pool._model import (
+    Life,
+    ListedWorker,
+    MachineId,
+    RunEnd,
+    RunNumber,
+    RunRecord,
+    TaskKey,
+    WorkerProcess,
+)
+from lentilpath_core.pool._state import Attempt, MissingWorker, PoolState, Step, Worker
 from lentilpath_core.pool._steps import (
     fail_job,
     find_step,
@@ -32,6 +46,10 @@
 MAX_CRASHES = 3
 """A task is given up after this many crashes in a row. Users allow it after two; the first of the
 three may have been another task's, since several may have been starting."""
+RESOLUTION_MS = 3_000
+"""How long a task waits that may have crashed too many workers, for the last of them to be listed
+again. A worker that a task has crashed is back within seconds, and its leases have expired since. A
+lasting task may not be down for much longer, whatever its workers are."""
 SURVIVAL_MS = 50
 """A worker has survived a start if it lists the run in a report that was made this long after the
 start was answered. Tasks crash their workers 10 ms after the start, and a report that was made in
@@ -51,20 +69,28 @@
     return len(step.crashed_runs.get(index, ())) + len(step.suspected_runs.get(index, ()))
 
 
-def list_startable(step: Step) -> list[int]:
+def list_startable(step: Step, now: Instant) -> list[int]:
     """Return the waiting tasks that may start, the suspected ones first.
 
-    The others are about to be given up or to be cleared. A gang starts with all its tasks or not.
+    The others may be about to be given up or to be cleared. A gang starts with all its tasks or
+    not.
     """
     waiting = sorted(step.waiting)
     if not step.suspected_runs and not step.crashed_runs:
         return waiting
-    startable = [index for index in waiting if count_suspicions(step, index) < MAX_CRASHES]
+    startable = [index for index in waiting if not _awaits_resolution(step, index, now)]
     if step.spec.gang and len(startable) < len(waiting):
         return []
     return sorted(startable, key=lambda index: count_suspicions(step, index) == 0)
 
 
+def _awaits_resolution(step: Step, index: int, now: Instant) -> bool:
+    """Return whether a task waits until it is known which of its workers it has crashed."""
+    if count_suspicions(step, index) < MAX_CRASHES:
+        return False
+    return now < step.suspected_at.get(index, Instant(0)) + RESOLUTION_MS
+
+
 def starts_apart(step: Step, index: int) -> bool:
     """Return whether a task starts on a worker of its own.
 
@@ -102,6 +128,7 @@
         worker.suspected_sequence = worker.listed.sequence
     worker.suspects.append(key)
     step.suspected_runs.setdefault(attempt.task.number, set()).add(attempt.run)
+    step.suspected_at[attempt.task.number] = now
     return True
 
 
@@ -129,30 +156,96 @@
 ) -> tuple[PoolEffect, ...]:
     """Store that a worker, whose process is over, has crashed under the runs suspected of it."""
     suspects, worker.suspects = worker.suspects, []
-    blamed = tuple(
-        (task, run)
-        for task, run in suspects
-        if (step := find_step(state, task)) is not None and step.job.final is None
-    )
+    return _blame_runs(state, _get_process(worker), suspects, evidence)
+
+
+def _get_process(worker: Worker) -> WorkerProcess:
+    return WorkerProcess(worker.worker, worker.life, worker.listed.machine)
+
+
+def _blame_runs(
+    state: PoolState,
+    process: WorkerProcess,
+    suspects: Sequence[tuple[TaskKey, RunNumber]],
+    evidence: CrashEvidence,
+) -> tuple[PoolEffect, ...]:
+    blamed = tuple(each for each in suspects if _is_suspected(state, *each))
     if not blamed:
         return ()
     return (
-        BlameRuns(worker.worker, worker.life, evidence, blamed),
-        *(RecordRun(task, RunRecord(run, RunEnd.CRASHED)) for task, run in blamed),
+        BlameRuns(process.worker, process.life, evidence, blamed),
+        *(RecordRun(task, RunRecord(run, RunEnd.CRASHED, process)) for task, run in blamed),
     )
 
 
+def _is_suspected(state: PoolState, task: TaskKey, run: RunNumber) -> bool:
+    step = find_step(state, task)
+    if step is None or step.job.final is not None:
+        return False
+    return run in step.suspected_runs.get(task.number, ())
+
+
+def keep_suspects(state: PoolState, worker: Worker) -> None:
+    """Remember the suspected runs of a worker that is removed because its entry is missing."""
+    suspects, worker.suspects = worker.suspects, []
+    if suspects:
+        process = _get_process(worker)
+        state.missing_workers[worker.worker] = MissingWorker(process, tuple(suspects))
+
+
+def resolve_missing_worker(state: PoolState, entry: ListedWorker) -> tuple[PoolEffect, ...]:
+    """Decide about the suspected runs of a worker that is listed again."""
+    missing = state.missing_workers.get(entry.worker)
+    if missing is None or entry.life < missing.process.life:
+        return ()
+    del state.missing_workers[entry.worker]
+    if entry.life == missing.process.life:
+        return _clear_runs(state, missing.process, missing.suspects)
+    evidence = CrashEvidence.LATER_PROCESS
+    return _blame_runs(state, missing.process, missing.suspects, evidence)
+
+
+def resolve_taken_machines(state: PoolState) -> tuple[PoolEffect, ...]:
+    """Decide about the suspected runs of missing workers on whose machine another one runs now.
+
+    Forgets those whose runs are not suspected any more.
+    """
+    if not state.missing_workers:
+        return ()
+    latest: dict[MachineId, Life] = {}
+    for worker in state.workers.values():
+        machine = worker.listed.machine
+        if machine and worker.is_listed:
+            latest[machine] = max(worker.life, latest.get(machine, worker.life))
+    effects: list[PoolEffect] = []
+    for name, missing in list(state.missing_workers.items()):
+        process = missing.process
+        if latest.get(process.machine, process.life) > process.life:
+            evidence = CrashEvidence.MACHINE_TAKEN
+            effects.extend(_blame_runs(state, process, missing.suspects, evidence))
+            del state.missing_workers[name]
+        elif not any(_is_suspected(state, *each) for each in missing.suspects):
+            del state.missing_workers[name]
+    return tuple(effects)
+
+
 def clear_suspects(state: PoolState, worker: Worker) -> tuple[PoolEffect, ...]:
     """Drop the suspicion of runs on a worker that lives: it was only cut off."""
     if not worker.suspects:
         return ()
     suspects, worker.suspects = worker.suspects, []
+    return _clear_runs(state, _get_process(worker), suspects)
+
+
+def _clear_runs(
+    state: PoolState, process: WorkerProcess, suspects: Sequence[tuple[TaskKey, RunNumber]]
+) -> tuple[PoolEffect, ...]:
     state.needs_placement = True
     for task, run in suspects:
         step = find_step(state, task)
         if step is not None:
             _discard_suspicion(step, task.number, run)
-    return tuple(ClearRun(worker.worker, worker.life, task, run) for task, run in suspects)
+    return tuple(ClearRun(process.worker, process.life, task, run) for task, run in suspects)
 
 
 def clear_suspects_of_living_workers(state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
@@ -180,17 +273,21 @@
 
 
 def handle_recorded_crash(
-    state: PoolState, task: TaskKey, run: RunNumber, is_recovered: bool, now: Instant
+    state: PoolState, task: TaskKey, record: RunRecord, is_recovered: bool, now: Instant
 ) -> tuple[PoolEffect, ...]:
     """Handle the durable record of a crash: the job fails if the task has caused too many.
 
-    A record of this leader does not count if the task was cleared before it became durable.
+    A record of this leader does not count if the task was cleared before it became durable, and one
+    without the process that has ended is only a suspicion.
     """
     step = find_step(state, task)
     if step is None:
         return ()
-    index = task.number
+    index, run = task.number, record.run
     mark_run_number_used(step, index, run)
+    if record.process is None:
+        step.suspected_runs.setdefault(index, set()).add(run)
+        return ()
     if not is_recovered and run not in step.suspected_runs.get(index, ()):
         return (ForgetCrash(task, run),)
     _discard_suspicion(step, index, run)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -222,10 +222,10 @@
 class CrashEvidence(Enum):
     """How it was concluded that a worker's process is over."""
 
-    ENTRY_MISSING = "entry-missing"
-    """The registry no longer lists the worker, and its leases have expired."""
     LATER_PROCESS = "later-process"
     """The registry lists a later process of the worker."""
+    MACHINE_TAKEN = "machine-taken"
+    """The registry lists a later process on the worker's machine, which runs one at a time."""
 
 
 class FailureCause(Enum):
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
@@ -314,11 +314,23 @@
     ticket: str
 
 
+class WorkerProcess(msgspec.Struct, frozen=True, array_like=True):
+    """A process (incarnation) of a worker."""
+
+    worker: WorkerId
+    life: Life
+    machine: MachineId = MachineId("")
+
+
 class RunRecord(msgspec.Struct, frozen=True, array_like=True):
     """Stored record of a run's end. Never changed once written."""
 
     run: RunNumber
     end: RunEnd
+    process: WorkerProcess | None = None
+    """For a crash, the process that is known to be over. `None` in a record of an earlier release,
+    which also took a process for crashed that was cut off. The last field, so that earlier
+    releases can read the record."""
 
 
 class FinalRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -129,7 +129,7 @@
         drop_plan(state, step)
     if not count_allowed(state, step):
         return False
-    return bool(list_startable(step)) and not (step.spec.gang and step.attempts)
+    return bool(list_startable(step, now)) and not (step.spec.gang and step.attempts)
 
 
 def _place_step(
@@ -257,7 +257,7 @@
         return {}
     places: Places = {}
     most = count_allowed(state, step)
-    for index in list_startable(step):
+    for index in list_startable(step, now):
         if len(places) >= most:
             break
         is_suspected = starts_apart(step, index)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -298,5 +298,5 @@
     if record.end is RunEnd.DONE:
         return handle_recorded_success(state, task, now)
     if record.end is RunEnd.CRASHED:
-        return handle_recorded_crash(state, task, record.run, is_recovered, now)
+        return handle_recorded_crash(state, task, record, is_recovered, now)
     return handle_recorded_failure(state, task, record.run, now)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -20,6 +20,7 @@
     StepKey,
     StepSpec,
     TaskKey,
+    WorkerProcess,
 )
 from lentilpath_core.resources import NO_RESOURCES, Resources
 
@@ -185,6 +186,8 @@
     """Runs that had just begun when their worker crashed, by task index; stored."""
     suspected_runs: dict[int, set[RunNumber]] = field(default_factory=dict)
     """Runs that may be added to `crashed_runs`, by task index."""
+    suspected_at: dict[int, Instant] = field(default_factory=dict)
+    """When the last of these became suspected, by task index."""
     frozen_runs: dict[int, int] = field(default_factory=dict)
     """Number of runs that were stopped as frozen, by task index; of a lasting task, since a run of
     it last served."""
@@ -257,6 +260,14 @@
     share_inputs: tuple[Resources, Resources, CustomerPolicy | None] | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class MissingWorker:
+    """A process of a worker that has left the registry with runs that may have crashed it."""
+
+    process: WorkerProcess
+    suspects: tuple[tuple[TaskKey, RunNumber], ...]
+
+
 WorkerLives = frozenset[tuple[WorkerId, Life]]
 """Incarnations of workers."""
 
@@ -318,6 +329,9 @@
     )
     """Start commands that got no answer and may still be carried out, and when this was noticed. By
     id, because any incarnation of the worker carries them out."""
+    missing_workers: dict[WorkerId, MissingWorker] = field(default_factory=dict)
+    """Workers that have left the registry, while it is not known whether their runs crashed them:
+    they may only be cut off."""
     listed_at: Instant = Instant(0)
     """When the list of workers was last read."""
     list_sent_at: Instant | None = None
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -16,7 +16,10 @@
 from lentilpath_core.pool._crashes import (
     clear_suspects,
     clear_suspects_of_living_workers,
+    keep_suspects,
     record_crashes,
+    resolve_missing_worker,
+    resolve_taken_machines,
     suspect_run,
 )
 from lentilpath_core.pool._customers import get_job_customer, hold_room
@@ -88,12 +91,14 @@
             known.listed = entry
             update_leave_time(known, entry, now)
         else:
+            effects.extend(resolve_missing_worker(state, entry))
             effects.extend(_start_new_life(state, known, entry, now))
             state.workers[entry.worker].capacity_seen_at = reported_at
     note_reports(state, event)
     effects.extend(update_former_leader(state, now))
     effects.extend(record_workers(state))
     effects.extend(clear_suspects_of_living_workers(state, now))
+    effects.extend(resolve_taken_machines(state))
     if state.customers:
         state.fleet = sum((each.capacity for each in event.workers), NO_RESOURCES)
     state.needs_placement = True
@@ -136,7 +141,8 @@
         for attempt in moved:
             suspect_run(state, attempt, now)
             del former.attempts[(attempt.task, attempt.run)]
-        effects.extend(_remove_worker(state, former, CrashEvidence.LATER_PROCESS, now))
+        effects.extend(_remove_worker(state, former, now))
+        effects.extend(record_crashes(state, former, CrashEvidence.LATER_PROCESS))
     worker = state.workers[entry.worker] = Worker(entry, entry.capacity)
     if former is not None or unanswered:
         _assume_longest_lease(state, worker, now)
@@ -318,14 +324,11 @@
     return mark_attempt_lost(state, attempt, LossReason.NOT_LISTED, now)
 
 
-def _remove_worker(
-    state: PoolState, worker: Worker, evidence: CrashEvidence, now: Instant
-) -> tuple[PoolEffect, ...]:
-    """Remove a worker's incarnation that is gone, and give up the runs on it."""
+def _remove_worker(state: PoolState, worker: Worker, now: Instant) -> tuple[PoolEffect, ...]:
+    """Remove a worker's incarnation, and give up the runs on it, which have ended."""
     effects: list[PoolEffect] = []
     for attempt in list(worker.attempts.values()):
         effects.extend(mark_attempt_lost(state, attempt, LossReason.NEW_LIFE, now))
-    effects.extend(record_crashes(state, worker, evidence))
     effects.append(ReleaseWorker(worker.worker, worker.life))
     state.workers.pop(worker.worker, None)
     state.unconfirmed_workers.discard(worker.worker)
@@ -351,7 +354,9 @@
             if not _may_begin_in_next_life(state, attempt, now):
                 effects.extend(mark_attempt_lost(state, attempt, LossReason.LEASE_LAPSED, now))
         if not worker.is_listed:
-            effects.extend(_remove_worker(state, worker, CrashEvidence.ENTRY_MISSING, now))
+            effects.extend(_remove_worker(state, worker, now))
+            keep_suspects(state, worker)
+            effects.extend(resolve_taken_machines(state))
             effects.extend(record_workers(state))
     return tuple(effects)
 
