Pool: the wait for doubtful workers fits into the time that a job may stand still

A task with three crashes or suspicions waited 3 s for the last of its workers to be listed again. With up to 7.5 s until an unanswered start is known to be over (trace of test_pool_isolated_workers), a job of one task would have stood still in calm for longer than the 3 s of LOST. By reading; no run showed it. The wait is 1 s now, longer than the interval between two lists of workers.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -46,10 +46,10 @@
 MAX_CRASHES = 3
 """A task is given up after this many crashes in a row. Users allow it after two; the first of the
 three may have been another task's, since several may have been starting."""
-RESOLUTION_MS = 3_000
+RESOLUTION_MS = 1_000
 """How long a task waits that may have crashed too many workers, for the last of them to be listed
-again. A worker that a task has crashed is back within seconds, and its leases have expired since. A
-lasting task may not be down for much longer, whatever its workers are."""
+again: longer than the interval between two lists. Most crashed workers are back before their leases
+have expired, and the task has been down for that long already."""
 SURVIVAL_MS = 50
 """A worker has survived a start if it lists the run in a report that was made this long after the
 start was answered. Tasks crash their workers 10 ms after the start, and a report that was made in
