Pool: a worker that returns is kept again when its entry is missing

One that had been removed before and was listed again was taken out at the first list without it.

Cause: the watch forgot when a worker had gone missing only while the pool knew it. After its removal the time stayed for good, so the worker counted as missing since then although it had been listed in between; and one time stayed for each id that was ever removed.

Change: the times are those of the known workers that are missing now.

Test: failed before (removed at the first list without it), passes now; tests/cover/test_pool_capacity.py and test_pool_slow_links.py pass.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_worker_watch.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_worker_watch.py
@@ -89,10 +89,12 @@
         now = read_instant()
         present = {each.worker for each in listed}
         kept: list[ListedWorker] = []
+        former, self._missing_since = self._missing_since, {}
         for worker in self._state.workers.values():
             if worker.worker in present or not worker.is_listed:
-                self._missing_since.pop(worker.worker, None)
-            elif now < self._missing_since.setdefault(worker.worker, now) + REMOVAL_DELAY_MS:
+                continue
+            since = self._missing_since[worker.worker] = former.get(worker.worker, now)
+            if now < since + REMOVAL_DELAY_MS:
                 kept.append(worker.listed)
         missing = frozenset(each.worker for each in kept)
         self._handle_list(WorkersListed((*listed, *kept), sent_at, missing))
--- a/tests/cover/test_pool_capacity.py
+++ b/tests/cover/test_pool_capacity.py
@@ -13,7 +13,7 @@
 from lentilpath_core.pool import WorkersListed
 from lentilpath_core.pool._capacity import MAX_ENTRY_AGE_MS, REPORT_SPAN_MS
 from lentilpathd._pool import _worker_watch
-from lentilpathd._pool._worker_watch import WorkerWatch
+from lentilpathd._pool._worker_watch import REMOVAL_DELAY_MS, WorkerWatch
 from tests.common.pools import PoolHarness, list_starts, make_worker
 from tests.common.virtual_time import run_in_virtual_time
 
@@ -96,3 +96,38 @@
 
     run_in_virtual_time(watch(), monkeypatch, _worker_watch)
     assert len(lists) >= (10.0 - seconds) // 0.71
+
+
+def test_a_worker_that_was_removed_and_is_back_is_kept_again_when_its_entry_is_missing(monkeypatch):
+    """It was removed at the first list without it, as the time of its first absence was kept."""
+    harness = PoolHarness()
+    entries = [make_worker("w1")]
+    kept: list[bool] = []
+
+    class ChangingRegistry:
+        async def read_workers(self, timeout):
+            return tuple(entries)
+
+    def handle_list(event: WorkersListed) -> None:
+        harness.list_workers(*event.workers)
+        kept.append("w1" in event.missing)
+
+    async def watch() -> None:
+        registry = typing.cast(typing.Any, ChangingRegistry())
+        watch = WorkerWatch(registry, harness.state, handle_list)
+        watching = asyncio.create_task(watch.run())
+        await asyncio.sleep(1.0)
+        entries.clear()
+        await asyncio.sleep(REMOVAL_DELAY_MS / 1_000 + 0.1)
+        # Its leases have expired.
+        harness.state.workers.clear()
+        entries.append(make_worker("w1"))
+        await asyncio.sleep(0.8)
+        entries.clear()
+        kept.clear()
+        await asyncio.sleep(0.8)
+        watching.cancel()
+        await asyncio.gather(watching, return_exceptions=True)
+
+    run_in_virtual_time(watch(), monkeypatch, _worker_watch)
+    assert kept[0]
