Pool: a crash stored by an earlier release is suspected by one leader only

A crash that an earlier release stored names no process, so it proves nothing and is taken as a suspicion. Its row was never deleted, also if the task was cleared since, so each later leader suspected the task again: with three such rows it waits 3 s more after each loss of a worker.

Cause: clearing a task deletes the rows of its counted crashes; these are not counted.

Change: the row is deleted as it is read. The leader that reads it still starts the task with care.

Test: failed before, passes now; tests/cover/test_pool_crashes.py passes.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -277,8 +277,8 @@
 ) -> tuple[PoolEffect, ...]:
     """Handle the durable record of a crash: the job fails if the task has caused too many.
 
-    A record of this leader does not count if the task was cleared before it became durable, and one
-    without the process that has ended is only a suspicion.
+    A record of this leader does not count if the task was cleared before it became durable. One
+    without the process that has ended is only a suspicion, and is deleted.
     """
     step = find_step(state, task)
     if step is None:
@@ -287,7 +287,7 @@
     mark_run_number_used(step, index, run)
     if record.process is None:
         step.suspected_runs.setdefault(index, set()).add(run)
-        return ()
+        return (ForgetCrash(task, run),)
     if not is_recovered and run not in step.suspected_runs.get(index, ()):
         return (ForgetCrash(task, run),)
     _discard_suspicion(step, index, run)
--- a/tests/cover/test_pool_crashes.py
+++ b/tests/cover/test_pool_crashes.py
@@ -442,3 +442,14 @@
         harness.handle_event(RunsRecovered(((make_task(1), record),)))
     (final,) = [each for each in harness.effects if isinstance(each, RecordFinal)]
     assert final.final.state is JobState.FAILED
+
+
+def test_a_crash_that_an_earlier_release_stored_is_suspected_by_one_leader_only():
+    """Its record stayed when the task was cleared, so each later leader suspected it again."""
+    harness = make_harness()
+    harness.submit(1)
+    record = RunRecord(RunNumber(1), RunEnd.CRASHED)
+    harness.handle_event(RunsRecovered(((make_task(1), record),)))
+    assert ForgetCrash(make_task(1), RunNumber(1)) in harness.effects
+    (start,) = list_starts(harness.place())
+    assert start.is_suspected
