Test: workers that are isolated and then restart are counted as crashed (known red)

Three times the worker that starts its first task is cut off for 9 s; its run lapses after 4 s on a living worker, which restarts 1 s later.

Cause: a later process of the worker is taken as the proof that the former one has crashed under its young runs. It shows that the process is over, not that it ended while the run was in progress.

The later process's start time against the end of the run's lease would tell them apart if that process comes within the lease.

--- a/tests/nocover/test_pool_isolated_workers.py
+++ b/tests/nocover/test_pool_isolated_workers.py
@@ -19,7 +19,7 @@
     run_logged,
     show_state,
 )
-from tests.common.simulated_workers import ROOM, Faults, SimulatedCluster
+from tests.common.simulated_workers import ROOM, Faults, SimulatedCluster, SimulatedWorker
 
 WORKER_COUNT = 12
 TASK_COUNT = 8
@@ -77,3 +77,22 @@
     problems.extend(check_runs(cluster.runs))
     print("\n".join(f"{at:.3f} {text}" for at, text in cluster.log))
     assert not problems
+
+
+def test_a_lasting_job_whose_workers_are_isolated_and_restart_before_they_return_goes_on(
+    monkeypatch,
+):
+    """Its runs had lapsed before, so it was shown as failed although no worker crashed under it."""
+    cluster = SimulatedCluster(1, Faults(), WORKER_COUNT)
+    cluster.configuration = PoolConfiguration(ConfigVersion(1), {QUEUE: make_queue()})
+    isolate = SimulatedWorker.isolate
+
+    def isolate_and_restart(worker: SimulatedWorker, seconds: float) -> None:
+        isolate(worker, seconds)
+        asyncio.get_running_loop().call_later(seconds - 4.0, worker.crash)
+
+    monkeypatch.setattr(SimulatedWorker, "isolate", isolate_and_restart)
+    problems = run_logged(play(cluster, CUTS["three of 9 s"], False), cluster, monkeypatch)
+    print("\n".join(f"{at:.3f} {text}" for at, text in cluster.log))
+    assert not [run for run in cluster.runs if run.end == "crashed"]
+    assert not problems
