Test: a successor waits for workers whose machines run later processes (known red)

What callers would see: LOST, accepted jobs stand still for two minutes after a change of leader, if more than half of the workers that the former leader has recorded crashed and are back under other ids.

A recorded worker that is not listed counts as one that the former leader may still reach, unless the same id is listed with a later process. A later process on its machine shows the same, but the record does not name machines, and `_is_reached` does not look for them.

Not fixed: half of the workers decide which leader may act, which needs a check of its own. On hosts the wait ends earlier once the former leader's host is back.

--- a/tests/cover/test_pool_authority.py
+++ b/tests/cover/test_pool_authority.py
@@ -26,6 +26,7 @@
 from lentilpath_core.pool import (
     FormerLeaderEnded,
     JobAccepted,
+    Life,
     RecordWorkers,
     StepSpec,
     TimePassed,
@@ -236,6 +237,23 @@
     assert ended_at + UNCONFIRMED_LEASE_BOUND_MS <= harness.now <= ended_at + LEASE_MS + 500
 
 
+def test_workers_whose_machines_run_later_processes_do_not_make_a_successor_wait():
+    """Workers that had crashed and were back under other ids held up jobs for two minutes."""
+    harness = PoolHarness(epoch=2)
+    harness.state = create_pool(Epoch(2), Instant(harness.now + LEASE_MS), LEASE_MS)
+    harness.set_customers(1)
+    recorded = [make_worker(name, machine=f"machine-{name}") for name in NAMES]
+    restore_former_workers(harness.state, tuple(recorded))
+    later = [
+        make_worker(f"new-{each.worker}", life=Life(each.life + 1), machine=each.machine)
+        for each in recorded[1:]
+    ]
+    harness.list_workers(recorded[0], *later)
+    harness.handle_event(JobAccepted(make_record(1), recovered=True))
+    names = (NAMES[0], *(each.worker for each in later))
+    assert find_first_start(harness, *names, limit_ms=20_000) is not None
+
+
 FORMER = LeaderProcess(HostId("h1"), Incarnation("h1.1"))
 UP_MS = 700
 
