--- /dev/null
+++ b/tests/nocover/test_pool_late_starts.py
@@ -0,0 +1,104 @@
+"""A late start is carried out by the next life of a silent worker while another leader follows."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from lentilpath_core.errors import OutcomeUnknown
+from lentilpath_core.ids import ConfigVersion
+from lentilpath_core.pool import JobRecord, PoolConfiguration, StepSpec
+from tests.common.pools import QUEUE, make_job_id, make_queue
+from tests.common.simulated_pool import SharedRows, SimulatedHost, check_runs, run_logged
+from tests.common.simulated_workers import (
+    ROOM,
+    Faults,
+    SimulatedClient,
+    SimulatedCluster,
+    SimulatedWorker,
+)
+
+WORK_MS = 9_000
+"""The late run still works when the lease of the worker's former life is over."""
+LATE_SECONDS = 1.0
+FOR_EVER = float("inf")
+
+
+@dataclass
+class LateStart:
+    """Delays the first copy of the first start; its worker is silent afterwards."""
+
+    cluster: SimulatedCluster
+    worker: SimulatedWorker | None = None
+    is_sent: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def install(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        send = SimulatedClient._send
+
+        async def send_late(client: SimulatedClient, name: str, act: Any, timeout: float) -> Any:
+            if not name.startswith("start") or self.worker is not None:
+                return await send(client, name, act, timeout)
+            self.worker = client._worker
+            self.is_sent.set()
+            self.cluster.spawn(client._deliver(name, act, LATE_SECONDS, "late"))
+            await asyncio.sleep(timeout)
+            raise OutcomeUnknown(name)
+
+        draw_fate = SimulatedClient._draw_fate
+
+        def lose_if_cut(client: SimulatedClient) -> str:
+            return "lost" if client._worker.is_cut() else draw_fate(client)
+
+        monkeypatch.setattr(SimulatedClient, "_send", send_late)
+        monkeypatch.setattr(SimulatedClient, "_draw_fate", lose_if_cut)
+
+
+async def play(cluster: SimulatedCluster, late: LateStart, lost_after: float) -> list[str]:
+    """Lose the leader this many seconds after the start was sent."""
+    for worker in cluster.workers.values():
+        worker.boot()
+    rows = SharedRows()
+    hosts = [SimulatedHost(f"h{number}", rows, cluster) for number in range(3)]
+    running = {host.name: asyncio.create_task(host.run()) for host in hosts}
+    await asyncio.sleep(8.0)
+    job = JobRecord(make_job_id(1), QUEUE, str(WORK_MS), (StepSpec(1, ROOM, WORK_MS),))
+    cluster.jobs[job.job] = job
+    rows.put_job(job)
+    await late.is_sent.wait()
+    assert late.worker is not None
+    late.worker.cut_until = FOR_EVER
+    leader = next(host for host in hosts if host.term is not None)
+    asyncio.get_running_loop().call_later(lost_after, running[leader.name].cancel)
+    await asyncio.sleep(0.35)
+    late.worker._end_life()
+    await asyncio.sleep(0.4)
+    late.worker.boot()
+    await asyncio.sleep(30.0)
+    for task in (others := asyncio.all_tasks() - {asyncio.current_task()}):
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
+    return []
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize(
+    "lost_after",
+    [pytest.param(0.05, id="before the restart"), pytest.param(1.5, id="after the restart")],
+)
+def test_no_task_runs_twice_if_a_leader_is_lost_near_the_restart_of_a_silent_worker(
+    lost_after, seed, monkeypatch
+):
+    cluster = SimulatedCluster(seed, Faults(failing=0.0), 12)
+    cluster.configuration = PoolConfiguration(ConfigVersion(1), {QUEUE: make_queue()})
+    late = LateStart(cluster)
+    late.install(monkeypatch)
+    problems = run_logged(play(cluster, late, lost_after), cluster, monkeypatch)
+    problems.extend(check_runs(cluster.runs))
+    print("\n".join(f"{at:.3f} {text}" for at, text in cluster.log))
+    lives = {run.place for run in cluster.runs}
+    assert late.worker is not None
+    assert f"{late.worker.name}.2" in lives
+    assert not problems
