Leadership: a worker whose machine runs a later process does not hold up a successor

What callers would see: recorded jobs stand still for two minutes after a change of leader if more than half of the workers that the former leader has recorded have crashed and are back under other ids.

Cause: a successor counts a recorded worker as reached if it has answered or a later process of the same id is listed. The record did not name machines.

Change: the rows of workers name the machine, as their last field, so that earlier releases can read them. A worker whose machine runs a later process that has answered this leader is over, and so cannot obey the former leader. An entry of the registry alone is not enough, since other writers may have made it.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
@@ -9,11 +9,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import replace
 
 from lentilpath_core.ids import Instant, WorkerId
 from lentilpath_core.pool._events import PoolEffect, RecordWorkers, WorkersRecorded
-from lentilpath_core.pool._model import Life
+from lentilpath_core.pool._model import Life, MachineId
 from lentilpath_core.pool._state import PoolState, Worker, WorkerLives
 
 IN_TOUCH_MS = 2_900
@@ -100,7 +101,8 @@
     former = state.former_leader
     if former.is_outnumbered:
         return ()
-    reached = sum(_is_reached(state, worker, life) for worker, life in former.workers)
+    latest = _find_latest_processes(state)
+    reached = sum(_is_reached(state, *each, latest) for each in former.workers)
     if 2 * reached < len(former.workers):
         return ()
     last_ms = UNCONFIRMED_LEASE_BOUND_MS
@@ -125,10 +127,27 @@
     return record_workers(state)
 
 
-def _is_reached(state: PoolState, worker_id: WorkerId, life: Life) -> bool:
+def _find_latest_processes(state: PoolState) -> dict[MachineId, Life]:
+    """Return the latest process on each machine that has answered this leader.
+
+    Entries of the registry alone are not enough here: other writers may have made them.
+    """
+    latest: dict[MachineId, Life] = {}
+    for worker in state.workers.values():
+        machine = worker.listed.machine
+        if machine and worker.reported_at is not None:
+            latest[machine] = max(worker.life, latest.get(machine, worker.life))
+    return latest
+
+
+def _is_reached(
+    state: PoolState, worker_id: WorkerId, life: Life, latest: Mapping[MachineId, Life]
+) -> bool:
     """Return whether a life of a worker refuses the former leader, or is over."""
     worker = state.workers.get(worker_id)
-    return worker is None or worker.life != life or worker.reported_at is not None
+    if worker is None or worker.life != life or worker.reported_at is not None:
+        return True
+    return latest.get(worker.listed.machine, life) > life
 
 
 def has_former_leader_ended(state: PoolState, now: Instant) -> bool:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_worker_rows.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_worker_rows.py
@@ -16,7 +16,7 @@
 
 from lentilpath_core.errors import InvalidInput
 from lentilpath_core.ids import Epoch, RackId, ServiceId, WorkerId, ZoneId
-from lentilpath_core.pool import Life, ListedWorker, WorkerCondition, check_worker
+from lentilpath_core.pool import Life, ListedWorker, MachineId, WorkerCondition, check_worker
 from lentilpath_core.resources import Resources
 from lentilpath_core.settings import Address
 from lentilpathd._pool._records import WORKERS_KEY, decode_record
@@ -41,7 +41,9 @@
     capacity: Resources
     runs_end_ms: int = 0
     """For a worker to which no commands are sent: when the runs on it have ended, on the table
-    service's clock. 0 for all others. The last field, so that earlier releases can read the row."""
+    service's clock. 0 for all others. Not in rows of early releases, as the next field."""
+    machine: MachineId = MachineId("")
+    """New fields come last, so that earlier releases can read the row."""
 
 
 class WorkerShares:
@@ -154,6 +156,7 @@
         tuple(sorted(listed.labels)),
         listed.capacity,
         runs_end_ms,
+        listed.machine,
     )
 
 
@@ -169,6 +172,7 @@
             frozenset(row.labels),
             row.capacity,
             WorkerCondition.READY,
+            machine=row.machine,
         )
         for row in rows
     )
--- a/tests/cover/test_pool_worker_rows.py
+++ b/tests/cover/test_pool_worker_rows.py
@@ -32,7 +32,8 @@
 
 def make_workers(count: int) -> tuple[ListedWorker, ...]:
     return tuple(
-        make_worker(f"worker-{number:05}", rack=f"r{number // 9}") for number in range(count)
+        make_worker(f"worker-{number:05}", rack=f"r{number // 9}", machine=f"m-{number:05}")
+        for number in range(count)
     )
 
 
@@ -97,6 +98,8 @@
     assert isinstance(event, WorkersRecorded)
     assert len(event.lives) == MANY_WORKERS
     assert read(table) == get_lives(workers)
+    recovered = asyncio.run(read_pool(table)).former_workers
+    assert {each.machine for each in recovered} == {each.machine for each in workers}
 
 
 def test_a_worker_that_left_is_not_recovered_even_if_it_was_the_only_one():
