Pool: the end of a run does not search all tasks of its step

Cause: the waiting tasks of a step were looked for and removed in an unsorted list, and each end built the union of the done and the recording tasks; both take time in proportion to the step's tasks, for each of them. Change: the list is kept in ascending order and searched by bisection, so a pass need not sort it either. No task is both done and recording, so their numbers are added. The test failed before.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -69,17 +69,16 @@
     return len(step.crashed_runs.get(index, ())) + len(step.suspected_runs.get(index, ()))
 
 
-def list_startable(step: Step, now: Instant) -> list[int]:
+def list_startable(step: Step, now: Instant) -> Sequence[int]:
     """Return the waiting tasks that may start, the suspected ones first.
 
     The others may be about to be given up or to be cleared. A gang starts with all its tasks or
     not.
     """
-    waiting = sorted(step.waiting)
     if not step.suspected_runs and not step.crashed_runs:
-        return waiting
-    startable = [index for index in waiting if not _awaits_resolution(step, index, now)]
-    if step.spec.gang and len(startable) < len(waiting):
+        return step.waiting
+    startable = [index for index in step.waiting if not _awaits_resolution(step, index, now)]
+    if step.spec.gang and len(startable) < len(step.waiting):
         return []
     return sorted(startable, key=lambda index: count_suspicions(step, index) == 0)
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -235,7 +235,7 @@
             break
         free = left.get(worker.worker, worker.free)
         if (
-            index in step.waiting
+            step.is_waiting(index)
             and _is_schedulable(worker, now)
             and may_start(step, index, worker)
             and room.fits_in(free)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -60,7 +60,7 @@
     step = attempt.step
     assert step is not None
     step.attempts[attempt.task.number] = attempt
-    step.waiting.remove(attempt.task.number)
+    step.remove_waiting(attempt.task.number)
 
 
 def confirm_attempt(attempt: Attempt, sent_at: Instant, now: Instant) -> tuple[PoolEffect, ...]:
@@ -130,8 +130,7 @@
     if step.spec.gang and (step.done or step.recording):
         return ()
     step.recording.add(index)
-    if index in step.waiting:
-        step.waiting.remove(index)
+    step.remove_waiting(index)
     if step.spec.gang:
         step.waiting = []
     update_open_steps(state, step)
@@ -152,8 +151,7 @@
         requeue_task(state, step, index)
     elif index not in step.done and index not in step.recording:
         step.failing.add(index)
-        if index in step.waiting:
-            step.waiting.remove(index)
+        step.remove_waiting(index)
         if step.spec.gang:
             step.waiting = []
         update_open_steps(state, step)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, insort
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -170,9 +171,10 @@
     critical_path_ms: float
     """Estimated time from the start of this step to the end of the job."""
     waiting: list[int] = field(default_factory=list)
+    """Tasks that wait for a start, in ascending order."""
     done: set[int] = field(default_factory=set)
     recording: set[int] = field(default_factory=set)
-    """Tasks that are done but whose record is not durable yet."""
+    """Tasks that are done but whose record is not durable yet; none of them is in `done`."""
     attempts: dict[int, Attempt] = field(default_factory=dict)
     next_run: dict[int, int] = field(default_factory=dict)
     checkpoints: dict[int, str] = field(default_factory=dict)
@@ -218,6 +220,21 @@
         """Return whether all tasks are done and their records durable."""
         return len(self.done) >= self.spec.count
 
+    def is_waiting(self, index: int) -> bool:
+        """Return whether a task waits for a start."""
+        position = bisect_left(self.waiting, index)
+        return position < len(self.waiting) and self.waiting[position] == index
+
+    def add_waiting(self, index: int) -> None:
+        """Add a task to the waiting ones, unless it is one of them."""
+        if not self.is_waiting(index):
+            insort(self.waiting, index)
+
+    def remove_waiting(self, index: int) -> None:
+        """Remove a task from the waiting ones, if it is one of them."""
+        if self.is_waiting(index):
+            del self.waiting[bisect_left(self.waiting, index)]
+
 
 @dataclass(slots=True)
 class Job:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
@@ -143,8 +143,8 @@
     if step.spec.gang:
         _requeue_gang(state, step)
         return
-    if index not in step.attempts and index not in step.failing and index not in step.waiting:
-        step.waiting.append(index)
+    if index not in step.attempts and index not in step.failing:
+        step.add_waiting(index)
         update_open_steps(state, step)
 
 
@@ -234,7 +234,7 @@
 def _is_done_or_recording(step: Step) -> bool:
     if step.spec.gang:
         return bool(step.done or step.recording)
-    return len(step.done | step.recording) >= step.spec.count
+    return len(step.done) + len(step.recording) >= step.spec.count
 
 
 def handle_recorded_success(
@@ -251,8 +251,7 @@
         step.done.add(index)
         step.recording.discard(index)
         step.failing.discard(index)
-        if index in step.waiting:
-            step.waiting.remove(index)
+        step.remove_waiting(index)
         attempt = step.attempts.get(index)
         # The other members of a gang end by themselves, but another copy of a task does not.
         if attempt is not None and not step.spec.gang and attempt.phase is not Phase.STOPPING:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -305,8 +305,8 @@
         step.attempts[index] = attempt
         if step.spec.gang:
             step.waiting = []
-        elif index in step.waiting:
-            step.waiting.remove(index)
+        else:
+            step.remove_waiting(index)
         update_open_steps(state, step)
     return attempt
 
--- a/tests/cover/test_pool_runs.py
+++ b/tests/cover/test_pool_runs.py
@@ -92,6 +92,47 @@
         assert [type(each) for each in list_records(effects)] == [RecordRun]
 
 
+class UnsearchableList(list[int]):
+    """A list in which no item is looked for from end to end."""
+
+    def __contains__(self, item):
+        raise AssertionError(f"{item} is searched for in the list")
+
+    def remove(self, item):
+        raise AssertionError(f"{item} is searched for in the list")
+
+
+class UnsearchableSet(set[int]):
+    """A set that is not walked through."""
+
+    def __or__(self, other):
+        raise AssertionError("the set is copied")
+
+    def __iter__(self):
+        raise AssertionError("the set is walked through")
+
+
+def test_an_event_of_one_task_does_not_search_all_tasks_of_a_large_step():
+    # Each end took time in proportion to the step's tasks, so the leader stood still for seconds.
+    harness = PoolHarness()
+    harness.add_workers(make_worker("w1"))
+    harness.submit(1, StepSpec(20, TASK_RESOURCES))
+    (step,) = harness.state.open_steps.values()
+    step.waiting = UnsearchableList(step.waiting)
+    step.done, step.recording = UnsearchableSet(), UnsearchableSet()
+    first, second, third, *others = list_starts(harness.place())
+    running = tuple((each.task, each.run, 50) for each in others)
+    ends = (
+        (1, first.task, first.run, RunEnd.DONE),
+        (2, second.task, second.run, RunEnd.FAILED),
+        (3, third.task, third.run, RunEnd.STOPPED),
+    )
+    harness.report("w1", running, ends)
+    harness.confirm_records()
+    assert step.done == {first.task.number}
+    assert list(step.waiting) == [second.task.number, third.task.number, *range(8, 20)]
+
+
 def test_a_gang_is_completed_with_the_end_of_one_member():
     harness = PoolHarness()
     harness.add_workers(make_worker("w1"))
