Pool: a placement pass starts a bounded number of tasks

Cause: one placement pass started all tasks, and the leader carried out all effects of a pass in one turn of its event loop, for longer than its lease. Change: a pass starts 256 tasks at most, but gangs whole, and placement stays due, so that the next pass goes on in the same order after the event loop had a turn. Up to 64 tasks of later steps start beside the step at which a pass stopped, if that one finds room for all its other tasks. Three of the new tests failed before (bound, next pass, small jobs beside); those of whole gangs and of the order with too little room passed.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -68,6 +68,13 @@
 MAX_UNPLACED_TURNS = 20
 """After that, a pass examines the remaining steps until this many more have fit on no worker, those
 first that were not examined for longest. So each step has its turn, whatever waits before it."""
+MAX_STARTS = 256
+"""A pass starts this many tasks, or a last gang beyond them; the next pass goes on. All starts of a
+pass are sent in one turn of the leader's event loop, which must stay far shorter than a lease."""
+MAX_TURN_STARTS = 64
+"""After that, a pass starts this many more, of those steps that were not examined for longest, if
+the step that the bound has interrupted finds room for its other tasks. So a large step does not
+hold up small ones that fit beside it."""
 
 Places = dict[int, Worker]
 Candidates = dict[tuple[ServiceId, str], list[Worker]]
@@ -83,33 +90,59 @@
     known_candidates: Candidates = {}
     effects: list[PoolEffect] = []
     remaining: list[tuple[Rank, Step, list[Worker]]] = []
-    unplaced = 0
-    is_contended = False
+    unplaced = started = 0
+    is_contended = has_room_left = False
     for rank, step in list_by_rank(state, now):
         if not _needs_places(state, step, now) or not may_start_or_ask(state, step, rank, now):
             continue
         candidates = _list_candidates(step, schedulable, known_candidates)
         if step.tickets is None and needs_advice(step):
             effects.extend(ask_about_new_workers(state, step, candidates, rank, now))
-        elif unplaced >= MAX_UNPLACED_STEPS:
+        elif unplaced >= MAX_UNPLACED_STEPS or started >= MAX_STARTS:
             remaining.append((rank, step, candidates))
         else:
-            is_placed, caused = _place_step(state, step, candidates, rank, now)
+            most = MAX_STARTS - started
+            is_placed, caused = _place_step(state, step, candidates, most, rank, now)
             effects.extend(caused)
             unplaced += not is_placed
+            started += _count_starts(caused)
             is_contended |= not is_placed and not is_awaiting_advice(step, now)
+            if started >= MAX_STARTS:
+                has_room_left = bool(step.waiting) and _fits_whole(state, step, candidates, now)
+    is_interrupted = started >= MAX_STARTS
+    # The steps that an interrupted pass has not examined say nothing about the room.
+    is_contended |= is_interrupted and state.is_contended
     state.is_contended = is_contended and state.expects_contention
+    if is_interrupted:
+        state.needs_placement = True
+        if not has_room_left:
+            return tuple(effects)
     remaining.sort(key=lambda each: each[1].examined_at)
+    left = MAX_TURN_STARTS if is_interrupted else MAX_STARTS - started
     unplaced = 0
     for rank, step, candidates in remaining:
         if unplaced >= MAX_UNPLACED_TURNS:
             break
-        is_placed, caused = _place_step(state, step, candidates, rank, now)
+        if left <= 0:
+            state.needs_placement = True
+            break
+        is_placed, caused = _place_step(state, step, candidates, left, rank, now)
         effects.extend(caused)
         unplaced += not is_placed
+        left -= _count_starts(caused)
     return tuple(effects)
 
 
+def _count_starts(effects: Iterable[PoolEffect]) -> int:
+    return sum(isinstance(each, StartRun) for each in effects)
+
+
+def _fits_whole(state: PoolState, step: Step, candidates: list[Worker], now: Instant) -> bool:
+    """Return whether there is room now for all waiting tasks of a step."""
+    options = Options(state, step, _list_allowed(step, candidates), now)
+    return options.count_slots() >= len(step.waiting)
+
+
 def _get_max_reserving_gangs(state: PoolState) -> int:
     if state.expects_contention:
         return MAX_RESERVING_GANGS_UNDER_CONTENTION
@@ -132,15 +165,28 @@
     return bool(list_startable(step, now)) and not (step.spec.gang and step.attempts)
 
 
+def _list_allowed(step: Step, candidates: list[Worker]) -> list[Worker]:
+    """Return the candidates for which the step has had a ticket, if it has asked for any."""
+    if step.tickets is None:
+        return candidates
+    return [each for each in candidates if each.worker in step.tickets]
+
+
 def _place_step(
-    state: PoolState, step: Step, candidates: list[Worker], rank: Rank, now: Instant
+    state: PoolState,
+    step: Step,
+    candidates: list[Worker],
+    most_starts: int,
+    rank: Rank,
+    now: Instant,
 ) -> tuple[bool, tuple[PoolEffect, ...]]:
-    """Start the step's tasks that fit, or prepare their start; return whether any task fits."""
+    """Start the step's tasks that fit, or prepare their start; return whether any task fits.
+
+    At most `most_starts`, but for a gang, which is started whole.
+    """
     step.examined_at = now
-    allowed = candidates
-    if step.tickets is not None:
-        allowed = [each for each in candidates if each.worker in step.tickets]
-    places = _choose_places(state, step, allowed, now)
+    allowed = _list_allowed(step, candidates)
+    places = _choose_places(state, step, allowed, most_starts, now)
     if places:
         return True, _start_or_renew_tickets(state, step, places, rank, now)
     calls: tuple[PoolEffect, ...] = ()
@@ -246,17 +292,21 @@
     return places
 
 
-def _choose_places(state: PoolState, step: Step, candidates: list[Worker], now: Instant) -> Places:
+def _choose_places(
+    state: PoolState, step: Step, candidates: list[Worker], most_starts: int, now: Instant
+) -> Places:
     """Return the cheapest worker for each waiting task that fits, by task index.
 
-    Their number is limited by the quota of the step's customer. A gang gets places for all its
-    tasks or for none.
+    Their number is limited by `most_starts` and by the quota of the step's customer. A gang gets
+    places for all its tasks or for none.
     """
     options = Options(state, step, candidates, now)
     if step.spec.gang and options.count_slots() < step.spec.count:
         return {}
     places: Places = {}
     most = count_allowed(state, step)
+    if not step.spec.gang:
+        most = min(most, most_starts)
     for index in list_startable(step, now):
         if len(places) >= most:
             break
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -300,6 +300,8 @@
             self._state.advice_hosts = len(self._context.members.list_hosts(read_instant()))
             self._state.advice_backlog_ms = self._advice.measure_backlog()
             self._execute_all(place_pool(self._state, read_instant()))
+            if is_placement_due(self._state):
+                self._placement_due.set()
 
     def _handle_list(self, event: WorkersListed) -> None:
         self.handle_event(event)
--- a/tests/cover/test_pool_placement.py
+++ b/tests/cover/test_pool_placement.py
@@ -10,8 +10,14 @@
     StartAnswer,
     StepSpec,
     _placement,
+    is_placement_due,
+)
+from lentilpath_core.pool._placement import (
+    MAX_STARTS,
+    MAX_TURN_STARTS,
+    MAX_UNPLACED_STEPS,
+    MAX_UNPLACED_TURNS,
 )
-from lentilpath_core.pool._placement import MAX_UNPLACED_STEPS, MAX_UNPLACED_TURNS
 from lentilpath_core.resources import Resources
 from tests.common.pools import (
     TASK_RESOURCES,
@@ -20,6 +26,7 @@
     list_starts,
     list_stops,
     make_queue,
+    make_task,
     make_worker,
 )
 
@@ -222,3 +229,60 @@
         harness.place()
         assert len(examined) - before <= MAX_UNPLACED_STEPS + MAX_UNPLACED_TURNS
     assert len(set(examined)) == 200
+
+
+def make_wide_harness():
+    """Return a pool in which 1,000 tasks find room, ten on each worker."""
+    harness = PoolHarness(URGENT, PATIENT)
+    harness.add_workers(
+        *(make_worker(f"w{number}", Resources(10_000, 8_192, 0)) for number in range(100))
+    )
+    return harness
+
+
+def test_a_pass_starts_a_bounded_number_of_tasks_and_the_next_ones_go_on():
+    # All tasks of a job started in one pass, which blocked each leader for longer than its lease.
+    harness = make_wide_harness()
+    harness.submit(1, StepSpec(1_000, TASK_RESOURCES), queue=URGENT.queue)
+    started: list[int] = []
+    while is_placement_due(harness.state):
+        starts = list_starts(harness.place())
+        assert 0 < len(starts) <= MAX_STARTS
+        started.extend(each.task.number for each in starts)
+    assert started == list(range(1_000))
+
+
+def test_a_pass_that_ends_at_a_steps_last_task_is_followed_by_another():
+    harness = make_wide_harness()
+    harness.submit(1, StepSpec(MAX_STARTS, TASK_RESOURCES), queue=URGENT.queue)
+    harness.submit(2, StepSpec(1, TASK_RESOURCES), queue=PATIENT.queue)
+    assert {each.task.job for each in list_starts(harness.place())} == {make_task(1).job}
+    assert is_placement_due(harness.state)
+    assert {each.task.job for each in list_starts(harness.place())} == {make_task(2).job}
+
+
+def test_small_jobs_start_beside_a_large_one_that_takes_several_passes():
+    harness = make_wide_harness()
+    harness.submit(1, StepSpec(600, TASK_RESOURCES), queue=URGENT.queue)
+    for job in range(2, 102):
+        harness.submit(job, StepSpec(2, TASK_RESOURCES), queue=PATIENT.queue)
+    jobs = [each.task.job for each in list_starts(harness.place())]
+    assert jobs == [make_task(1).job] * MAX_STARTS + [
+        make_task(job).job for job in range(2, 2 + MAX_TURN_STARTS // 2) for _ in range(2)
+    ]
+
+
+def test_no_later_task_starts_while_a_large_job_needs_all_the_room():
+    harness = make_wide_harness()
+    harness.submit(1, StepSpec(1_100, TASK_RESOURCES), queue=URGENT.queue)
+    harness.submit(2, StepSpec(1, TASK_RESOURCES), queue=PATIENT.queue)
+    started = [start.task.job for _ in range(10) for start in list_starts(harness.place())]
+    assert started == [make_task(1).job] * 1_000
+
+
+def test_a_gang_with_more_members_than_a_pass_starts_is_started_whole():
+    harness = make_wide_harness()
+    harness.submit(1, StepSpec(10, TASK_RESOURCES), queue=URGENT.queue)
+    harness.submit(2, StepSpec(MAX_STARTS + 50, TASK_RESOURCES, gang=True), queue=PATIENT.queue)
+    starts = list_starts(harness.place())
+    assert [each.task.job for each in starts].count(make_task(2).job) == MAX_STARTS + 50
