Pool: a large job's starts do not hold up those of other jobs in the links

Cause: a pass handed all starts that fit to the workers' links, which send three at a time; those of other jobs waited behind thousands. Change: a step that finds room for all its tasks gets no more on a worker while 32 of its starts there have no answer. Gangs start whole as before, and a step that lacks room is placed as before, so that the order by rank holds.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_options.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_options.py
@@ -53,6 +53,14 @@
         """Costs and positions of the workers that have room for one more task."""
         self._exclusive: set[int] = set()
         """Positions of workers that were taken for a suspected task, and get no other."""
+        self._starts_left: dict[WorkerId, int] | None = None
+        """How many more tasks may be placed on each worker; `None` for no bound."""
+
+    def bound_starts(self, most: int, unanswered: dict[WorkerId, int]) -> None:
+        """Place no more tasks on a worker than it has starts left until `most` are unanswered."""
+        self._starts_left = {
+            worker.worker: most - unanswered.get(worker.worker, 0) for worker in self._workers
+        }
 
     def count_slots(self) -> int:
         """Return how many tasks of the step fit, counting no more than it has."""
@@ -114,12 +122,17 @@
         worker_id = self._workers[position].worker
         self._free[position] = self._free[position] - self._room
         self._running[worker_id] = self._running.get(worker_id, 0) + 1
+        if self._starts_left is not None:
+            self._starts_left[worker_id] -= 1
 
     def _has_room(self, position: int) -> bool:
         if position in self._exclusive:
             return False
+        worker_id = self._workers[position].worker
+        if self._starts_left is not None and self._starts_left[worker_id] <= 0:
+            return False
         most = self._step.spec.most_per_worker
-        if most and self._running.get(self._workers[position].worker, 0) >= most:
+        if most and self._running.get(worker_id, 0) >= most:
             return False
         return self._room.fits_in(self._free[position])
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -39,7 +39,7 @@
     make_reservation,
     reduce_spare,
 )
-from lentilpath_core.pool._runs import add_attempt
+from lentilpath_core.pool._runs import add_attempt, count_unanswered_starts
 from lentilpath_core.pool._shares import list_by_rank
 from lentilpath_core.pool._state import Attempt, Phase, Plan, PoolState, Step, Worker
 from lentilpath_core.pool._steps import (
@@ -75,6 +75,10 @@
 """After that, a pass starts this many more, of those steps that were not examined for longest, if
 the step that the bound has interrupted finds room for its other tasks. So a large step does not
 hold up small ones that fit beside it."""
+MAX_UNANSWERED_STARTS = 32
+"""A step gets no more tasks on a worker while so many of its starts there have no answer, if it
+finds room for all its tasks. A worker is sent a few starts at a time, and those of other jobs would
+wait behind them."""
 
 Places = dict[int, Worker]
 Candidates = dict[tuple[ServiceId, str], list[Worker]]
@@ -185,10 +189,14 @@
     At most `most_starts`, but for a gang, which is started whole.
     """
     step.examined_at = now
+    step.awaits_answers = False
     allowed = _list_allowed(step, candidates)
     places = _choose_places(state, step, allowed, most_starts, now)
     if places:
         return True, _start_or_renew_tickets(state, step, places, rank, now)
+    if step.starting and not step.spec.gang and _fits_whole(state, step, candidates, now):
+        step.awaits_answers = True
+        return True, ()
     calls: tuple[PoolEffect, ...] = ()
     if needs_advice(step):
         calls = ask_about_new_workers(state, step, candidates, rank, now)
@@ -307,6 +315,8 @@
     most = count_allowed(state, step)
     if not step.spec.gang:
         most = min(most, most_starts)
+        if options.count_slots() >= len(step.waiting):
+            options.bound_starts(MAX_UNANSWERED_STARTS, count_unanswered_starts(step))
     for index in list_startable(step, now):
         if len(places) >= most:
             break
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 
 from lentilpath_core.ids import Instant, WorkerId
@@ -59,10 +60,22 @@
     hold_room(state, attempt.customer, attempt.room)
     step = attempt.step
     assert step is not None
-    step.attempts[attempt.task.number] = attempt
+    step.attempts[attempt.task.number] = step.starting[attempt.task.number] = attempt
     step.remove_waiting(attempt.task.number)
 
 
+def count_unanswered_starts(step: Step) -> dict[WorkerId, int]:
+    """Return how many of the step's starts wait for their worker's answer, by worker."""
+    step.starting = {
+        index: attempt
+        for index, attempt in step.starting.items()
+        if step.attempts.get(index) is attempt
+        and attempt.phase is Phase.STARTING
+        and attempt.answered_at is None
+    }
+    return dict(Counter(attempt.worker.worker for attempt in step.starting.values()))
+
+
 def confirm_attempt(attempt: Attempt, sent_at: Instant, now: Instant) -> tuple[PoolEffect, ...]:
     """Mark a run as started by this incarnation of its worker, whose report lists it."""
     attempt.has_started = attempt.is_confirmed = True
@@ -230,6 +243,7 @@
         attempt.answered_at = now
         attempt.has_started = True
         _mark_job_started(attempt)
+        state.needs_placement |= attempt.step is not None and attempt.step.awaits_answers
         if attempt.phase is Phase.STARTING:
             attempt.phase = Phase.RUNNING
             attempt.progressed_at = now
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -212,6 +212,11 @@
     """Resources that the gang's last plan holds; `None` if the plan found too few."""
     planned_at: Instant | None = None
     """When the gang's start was last planned."""
+    starting: dict[int, Attempt] = field(default_factory=dict)
+    """Runs whose start had no answer yet when places were last sought, and later ones, by task
+    index."""
+    awaits_answers: bool = False
+    """Whether tasks that fit wait only for the answers to earlier starts of the step."""
     examined_at: Instant = Instant(0)
     """When places for the step's waiting tasks were last sought."""
     is_open: bool = False
--- a/tests/cover/test_pool_placement.py
+++ b/tests/cover/test_pool_placement.py
@@ -15,6 +15,7 @@
 from lentilpath_core.pool._placement import (
     MAX_STARTS,
     MAX_TURN_STARTS,
+    MAX_UNANSWERED_STARTS,
     MAX_UNPLACED_STEPS,
     MAX_UNPLACED_TURNS,
 )
@@ -286,3 +287,23 @@
     harness.submit(2, StepSpec(MAX_STARTS + 50, TASK_RESOURCES, gang=True), queue=PATIENT.queue)
     starts = list_starts(harness.place())
     assert [each.task.job for each in starts].count(make_task(2).job) == MAX_STARTS + 50
+
+
+def test_a_large_job_leaves_the_links_of_workers_to_other_jobs_until_its_starts_are_answered():
+    # All its starts waited in the workers' links, and those of other jobs for many seconds behind.
+    small = Resources(10, 1, 0)
+    harness = PoolHarness(URGENT, PATIENT)
+    harness.add_workers(make_worker("w1"), make_worker("w2"))
+    harness.submit(1, StepSpec(200, small), queue=URGENT.queue)
+    harness.submit(2, StepSpec(1, small), queue=PATIENT.queue)
+    starts = list_starts(harness.place())
+    assert [each.task.job for each in starts].count(make_task(2).job) == 1
+    large = [each for each in starts if each.task.job == make_task(1).job]
+    assert [str(each.worker) for each in large].count("w1") == MAX_UNANSWERED_STARTS
+    assert [str(each.worker) for each in large].count("w2") == MAX_UNANSWERED_STARTS
+    assert list_starts(harness.place()) == []
+    assert not is_placement_due(harness.state)
+    harness.answer_start(large[0], StartAnswer.STARTED)
+    assert is_placement_due(harness.state)
+    (further,) = list_starts(harness.place())
+    assert (further.worker, further.task.number) == (large[0].worker, 2 * MAX_UNANSWERED_STARTS)
