--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 
 from lentilpath_core.ids import Instant, WorkerId
@@ -59,8 +60,20 @@
     hold_room(state, attempt.customer, attempt.room)
     step = attempt.step
     assert step is not None
-    step.attempts[attempt.task.number] = attempt
-    step.waiting.remove(attempt.task.number)
+    step.attempts[attempt.task.number] = step.starting[attempt.task.number] = attempt
+    step.remove_waiting(attempt.task.number)
+
+
+def count_unanswered_starts(step: Step) -> dict[WorkerId, int]:
+    """Return how many of the step's starts wait for their worker's answer, by worker."""
+    step.starting = {
+        index: attempt
+        for index, attempt in step.starting.items()
+        if step.attempts.get(index) is attempt
+        and attempt.phase is Phase.STARTING
+        and attempt.answered_at is None
+    }
+    return dict(Counter(attempt.worker.worker for attempt in step.starting.values()))
 
 
 def confirm_attempt(attempt: Attempt, sent_at: Instant, now: Instant) -> tuple[PoolEffect, ...]:
@@ -130,8 +143,7 @@
     if step.spec.gang and (step.done or step.recording):
         return ()
     step.recording.add(index)
-    if index in step.waiting:
-        step.waiting.remove(index)
+    step.remove_waiting(index)
     if step.spec.gang:
         step.waiting = []
     update_open_steps(state, step)
@@ -152,8 +164,7 @@
         requeue_task(state, step, index)
     elif index not in step.done and index not in step.recording:
         step.failing.add(index)
-        if index in step.waiting:
-            step.waiting.remove(index)
+        step.remove_waiting(index)
         if step.spec.gang:
             step.waiting = []
         update_open_steps(state, step)
@@ -232,6 +243,7 @@
         attempt.answered_at = now
         attempt.has_started = True
         _mark_job_started(attempt)
+        state.needs_placement |= attempt.step is not None and attempt.step.awaits_answers
         if attempt.phase is Phase.STARTING:
             attempt.phase = Phase.RUNNING
             attempt.progressed_at = now
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, insort
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -170,9 +171,10 @@
     critical_path_ms: float
     """Estimated time from the start of this step to the end of the job."""
     waiting: list[int] = field(default_factory=list)
+    """Tasks that wait for a start, in ascending order."""
     done: set[int] = field(default_factory=set)
     recording: set[int] = field(default_factory=set)
-    """Tasks that are done but whose record is not durable yet."""
+    """Tasks that are done but whose record is not durable yet; none of them is in `done`."""
     attempts: dict[int, Attempt] = field(default_factory=dict)
     next_run: dict[int, int] = field(default_factory=dict)
     checkpoints: dict[int, str] = field(default_factory=dict)
@@ -210,6 +212,11 @@
     """Resources that the gang's last plan holds; `None` if the plan found too few."""
     planned_at: Instant | None = None
     """When the gang's start was last planned."""
+    starting: dict[int, Attempt] = field(default_factory=dict)
+    """Runs whose start had no answer yet when places were last sought, and later ones, by task
+    index."""
+    awaits_answers: bool = False
+    """Whether tasks that fit wait only for the answers to earlier starts of the step."""
     examined_at: Instant = Instant(0)
     """When places for the step's waiting tasks were last sought."""
     is_open: bool = False
@@ -218,6 +225,21 @@
         """Return whether all tasks are done and their records durable."""
         return len(self.done) >= self.spec.count
 
+    def is_waiting(self, index: int) -> bool:
+        """Return whether a task waits for a start."""
+        position = bisect_left(self.waiting, index)
+        return position < len(self.waiting) and self.waiting[position] == index
+
+    def add_waiting(self, index: int) -> None:
+        """Add a task to the waiting ones, unless it is one of them."""
+        if not self.is_waiting(index):
+            insort(self.waiting, index)
+
+    def remove_waiting(self, index: int) -> None:
+        """Remove a task from the waiting ones, if it is one of them."""
+        if self.is_waiting(index):
+            del self.waiting[bisect_left(self.waiting, index)]
+
 
 @dataclass(slots=True)
 class Job:
