Pool: starts that wait for their turn are withdrawn when their worker begins to leave

Cause: a worker's link sends three commands at a time, and a start waits there however long. Placement passes over leaving workers, but nothing looked at the list again between the decision and the sending, nor before an unanswered start was repeated.

Change: after each list the links of leaving workers withdraw the starts that were not sent yet, and each start looks at the list again when its turn comes. An unanswered start is not repeated at a leaving worker: a report tells whether it has begun, and otherwise it is stopped, as one whose ticket has expired.

Tests: tests/cover/test_pool_commands.py. With the look at the list and the withdrawal off, six of its seven tests fail; the seventh asks the core for the new answer, which did not exist.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -247,6 +247,8 @@
     """The worker has answered a renewal without listing the run."""
     REFUSED = "refused"
     """The worker refused the start."""
+    NOT_SENT = "not-sent"
+    """The start was withdrawn before it was sent."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
@@ -294,7 +294,7 @@
 
 
 class StartAnswer(Enum):
-    """A worker's answer to a start command. All but the first two mean that nothing was started."""
+    """The answer to a start command. All but the first two mean that nothing was started."""
 
     STARTED = "started"
     OUTDATED = "outdated"
@@ -305,6 +305,8 @@
     MALFORMED = "malformed"
     UNHEALTHY = "unhealthy"
     OTHER_LIFE = "other-life"
+    NOT_SENT = "not-sent"
+    """The leader's own answer: the command was withdrawn before it was sent."""
 
 
 class Permission(NamedTuple):
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -249,7 +249,10 @@
                 tickets[worker.worker] = replace(ticket, valid_until=Instant(0))
     if event.answer is StartAnswer.UNHEALTHY:
         worker.cooldown_until = Instant(now + UNHEALTHY_COOLDOWN_MS)
-    return mark_attempt_lost(state, attempt, LossReason.REFUSED, now)
+    is_sent = event.answer is not StartAnswer.NOT_SENT
+    return mark_attempt_lost(
+        state, attempt, LossReason.REFUSED if is_sent else LossReason.NOT_SENT, now
+    )
 
 
 def record_unanswered_start(state: PoolState, event: StartUnanswered, now: Instant) -> None:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -70,8 +70,10 @@
         writer: RecordWriter,
         handle_event: Callable[[PoolEvent], None],
         may_command: Callable[[], bool] = lambda: True,
+        is_leaving: Callable[[], bool] = lambda: False,
     ) -> None:
         self._may_command = may_command
+        self._is_leaving = is_leaving
         self._listed = listed
         self._create_client = create_client
         self._client = create_client()
@@ -84,6 +86,7 @@
         """Number up to which the next renewal acknowledges ends; 0 for none."""
         self._slots = asyncio.Semaphore(MAX_CONCURRENT_COMMANDS)
         self._commands: dict[tuple[TaskKey, RunNumber], asyncio.Task[None]] = {}
+        self._unsent_starts: dict[tuple[TaskKey, RunNumber], StartRun] = {}
         self._group: asyncio.TaskGroup | None = None
         self._early: list[Callable[[], None]] = []
         """Commands for a link that has been created but does not run yet."""
@@ -177,8 +180,22 @@
 
     def send_start(self, effect: StartRun) -> None:
         """Start a run; retried until the worker's answer is known."""
+        self._unsent_starts[(effect.task, effect.run)] = effect
         self._run_or_postpone(lambda: self._spawn((effect.task, effect.run), self._start(effect)))
 
+    def withdraw_starts(self) -> None:
+        """Answer the starts that were not sent yet with `NOT_SENT`, and never send them."""
+        for effect in list(self._unsent_starts.values()):
+            self._withdraw_start(effect)
+
+    def _withdraw_start(self, effect: StartRun) -> None:
+        self.cancel_start(effect.task, effect.run)
+        # The answer is an event of its own, since an event may be in progress here.
+        self._run_or_postpone(lambda: self._spawn((effect.task, effect.run), self._refuse(effect)))
+
+    async def _refuse(self, effect: StartRun) -> None:
+        self._answer_start(effect, StartAnswer.NOT_SENT)
+
     def send_stop(self, effect: StopRun) -> None:
         """Stop a run; a start of it in flight is cancelled first."""
         self.cancel_start(effect.task, effect.run)
@@ -205,6 +222,7 @@
 
     def cancel_start(self, task: TaskKey, run: RunNumber) -> None:
         """Cancel the command in flight for a run that is treated as ended; no start is resent."""
+        self._unsent_starts.pop((task, run), None)
         command = self._commands.get((task, run))
         if command is not None:
             command.cancel()
@@ -226,6 +244,8 @@
             del self._commands[key]
 
     async def _start(self, effect: StartRun) -> None:
+        if (effect.task, effect.run) not in self._unsent_starts:
+            return
         if effect.is_suspected and await self._ask_for_report(effect) is None:
             # The start was not sent, so it is not to blame for what has become of the worker.
             self._answer_start(effect, StartAnswer.UNHEALTHY)
@@ -253,6 +273,7 @@
             await self._check_start(effect)
 
     def _answer_start(self, effect: StartRun, answer: StartAnswer) -> None:
+        self._unsent_starts.pop((effect.task, effect.run), None)
         self._handle_event(
             StartAnswered(effect.worker, effect.life, effect.task, effect.run, answer)
         )
@@ -286,6 +307,10 @@
         """Return the worker's answer, or `None` if the command may have been executed."""
         if effect.ticket_until is not None and read_instant() >= effect.ticket_until:
             return await self._answer_expired(effect, is_repeated)
+        if self._is_leaving():
+            return await self._find_answer(effect) if is_repeated else StartAnswer.NOT_SENT
+        # From here on a stop is sent too, even one that is decided while the lease is granted.
+        self._unsent_starts.pop((effect.task, effect.run), None)
         lease = None if self._is_superseded else self._grant_lease(read_instant())
         if lease is None:
             return StartAnswer.UNHEALTHY
@@ -327,8 +352,13 @@
             run=effect.run,
             repeated=is_repeated,
         )
-        if not is_repeated:
-            return StartAnswer.NO_PERMISSION
+        return await self._find_answer(effect) if is_repeated else StartAnswer.NO_PERMISSION
+
+    async def _find_answer(self, effect: StartRun) -> StartAnswer | None:
+        """Return whether an earlier command has started the run; `None` if that is not known.
+
+        `NOT_SENT` means that the run has not begun yet, although a late command may still begin it.
+        """
         report = await self._ask_for_report(effect)
         if report is None:
             return None
@@ -337,7 +367,7 @@
         is_started = (effect.task, effect.run) in listed
         if not is_started and not report.is_complete:
             return None
-        return StartAnswer.STARTED if is_started else StartAnswer.NO_PERMISSION
+        return StartAnswer.STARTED if is_started else StartAnswer.NOT_SENT
 
     def _raise_if_deposed(self, error: Exception, client: PoolWorker) -> None:
         """Raise `Deposed` if a command was refused although its token was the newest one here."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -304,3 +304,4 @@
     def _handle_list(self, event: WorkersListed) -> None:
         self.handle_event(event)
         self._links.open_missing()
+        self._links.withdraw_starts()
--- a/packages/lentilpathd/src/lentilpathd/_pool/_worker_links.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_worker_links.py
@@ -62,10 +62,21 @@
                 self._writer,
                 self._handle_event,
                 self._may_command,
+                partial(self._is_leaving, *key),
             )
             self._links[key] = (link, start_member(self._group, link.run, "worker link"))
             log_event(Event.WORKER_LISTED, worker=worker.worker, life=worker.life)
 
+    def withdraw_starts(self) -> None:
+        """Withdraw the starts that were not sent yet from workers that are listed as leaving."""
+        for (worker, life), (link, _) in self._links.items():
+            if self._is_leaving(worker, life):
+                link.withdraw_starts()
+
+    def _is_leaving(self, worker: WorkerId, life: Life) -> bool:
+        known = self._state.workers.get(worker)
+        return known is not None and known.life == life and known.listed.leaves_in_ms is not None
+
     def get(self, worker: WorkerId, life: Life) -> WorkerLink | None:
         """Return the link to this life of a worker, or `None` if it has none."""
         link = self._links.get((worker, life))
--- /dev/null
+++ b/tests/cover/test_pool_commands.py
@@ -0,0 +1,249 @@
+"""Commands that wait in the leader's link to a worker for those before them to be answered."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from lentilpath_core.errors import OutcomeUnknown
+from lentilpath_core.ids import Epoch
+from lentilpath_core.pool import (
+    PoolEvent,
+    RunningRun,
+    RunNumber,
+    StartAnswer,
+    StartAnswered,
+    StartRun,
+    StartUnanswered,
+    StepSpec,
+    WorkerReport,
+)
+from lentilpathd._pool import _link
+from lentilpathd._pool._link import WorkerLink
+from lentilpathd._pool._worker_links import WorkerLinks
+from lentilpathd._pool._writer import RecordWriter
+from tests.common.pools import LIFE, PoolHarness, list_starts, make_task, make_worker
+from tests.common.tables import OnePartitionTable, make_leadership
+from tests.cover.test_pool_link import LEASE_MS, UNUSED_TABLE, SilencedWorker, make_start
+
+NOTICE_MS = 2_500
+
+
+class BusyWorker(SilencedWorker):
+    """Answers renewals at once, and commands once `proceed` is set."""
+
+    def __init__(self, *running: RunningRun) -> None:
+        super().__init__(answers=10**9)
+        self.running = running
+        self.proceed = asyncio.Event()
+        self.is_silenced = False
+        """Whether commands are lost."""
+        self.commands: list[tuple[str, int]] = []
+        """What was received, and for which number of a task."""
+
+    async def renew(self, last_end_number, lease_until, wait_ms, timeout):
+        report = await super().renew(last_end_number, lease_until, wait_ms, timeout)
+        await asyncio.sleep(0.001)
+        return WorkerReport(report.clock, self.running, ())
+
+    async def start(self, task, run, text, checkpoint, ticket, lease_until, timeout):
+        await self._receive("start", task)
+        return StartAnswer.STARTED
+
+    async def stop(self, task, run, timeout):
+        await self._receive("stop", task)
+
+    async def _receive(self, name, task):
+        self.commands.append((name, task.number))
+        await self.proceed.wait()
+        if self.is_silenced:
+            raise OutcomeUnknown("no answer")
+
+
+class Play:
+    """A link to a worker, and what the decision core is told."""
+
+    def __init__(self, client: BusyWorker) -> None:
+        self.client = client
+        self.events: list[PoolEvent] = []
+        self.is_leaving = False
+        self.link = WorkerLink(
+            make_worker("w1"),
+            lambda: client,
+            Epoch(1),
+            lambda: LEASE_MS,
+            make_writer(),
+            self.events.append,
+            is_leaving=lambda: self.is_leaving,
+        )
+
+    def start(self, *numbers: int) -> None:
+        for number in numbers:
+            self.link.send_start(make_numbered_start(number))
+
+    def list_answers(self) -> dict[int, StartAnswer]:
+        return {
+            each.task.number: each.answer for each in self.events if isinstance(each, StartAnswered)
+        }
+
+
+def make_writer() -> RecordWriter:
+    return RecordWriter(
+        UNUSED_TABLE, Epoch(1), make_leadership(OnePartitionTable()), lambda event: None
+    )
+
+
+def make_numbered_start(number: int) -> StartRun:
+    return replace(make_start(), task=make_task(1, number))
+
+
+async def wait_for(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(20.0):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.001)
+
+
+def run_play(play_link, monkeypatch: pytest.MonkeyPatch, *running: RunningRun) -> Play:
+    """Play with a link to a worker that is in touch."""
+    monkeypatch.setattr(_link, "RETRY_SECONDS", 0.001)
+
+    async def scenario() -> Play:
+        play = Play(BusyWorker(*running))
+        task = asyncio.create_task(play.link.run())
+        await wait_for(lambda: len(play.client.numbers) > 1)
+        await play_link(play)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return play
+
+    return asyncio.run(scenario())
+
+
+def test_starts_that_wait_are_not_sent_once_their_worker_is_listed_as_leaving(monkeypatch):
+    async def play_link(play: Play) -> None:
+        play.start(*range(600))
+        await wait_for(lambda: len(play.client.commands) == 3)
+        play.is_leaving = True
+        play.link.withdraw_starts()
+        await wait_for(lambda: len(play.list_answers()) == 597)
+        play.client.proceed.set()
+        await wait_for(lambda: len(play.list_answers()) == 600)
+
+    play = run_play(play_link, monkeypatch)
+    assert play.client.commands == [("start", 0), ("start", 1), ("start", 2)]
+    answers = play.list_answers()
+    assert [answers[each] for each in range(3)] == [StartAnswer.STARTED] * 3
+    assert {answers[each] for each in range(3, 600)} == {StartAnswer.NOT_SENT}
+
+
+def test_a_start_is_sent_by_what_is_listed_when_it_is_sent(monkeypatch):
+    async def play_link(play: Play) -> None:
+        play.start(*range(4))
+        await wait_for(lambda: len(play.client.commands) == 3)
+        play.is_leaving = True
+        play.client.proceed.set()
+        await wait_for(lambda: len(play.list_answers()) == 4)
+
+    play = run_play(play_link, monkeypatch)
+    assert len(play.client.commands) == 3
+    assert play.list_answers()[3] is StartAnswer.NOT_SENT
+
+
+@pytest.mark.parametrize("is_running", [True, False])
+def test_a_start_without_an_answer_is_not_repeated_at_a_leaving_worker(is_running, monkeypatch):
+    async def play_link(play: Play) -> None:
+        play.start(0)
+        await wait_for(lambda: len(play.client.commands) == 1)
+        play.client.is_silenced = play.is_leaving = True
+        play.link.withdraw_starts()
+        play.client.proceed.set()
+        if is_running:
+            await wait_for(lambda: len(play.list_answers()) == 1)
+        else:
+            await wait_for(lambda: len(play.client.commands) == 2)
+
+    listed = [RunningRun(make_task(1), RunNumber(1), "", 0)] if is_running else []
+    play = run_play(play_link, monkeypatch, *listed)
+    assert play.client.commands[:2] == [("start", 0)] + ([] if is_running else [("stop", 0)])
+    assert play.list_answers() == ({0: StartAnswer.STARTED} if is_running else {})
+    assert len([each for each in play.events if isinstance(each, StartUnanswered)]) == 1
+
+
+def test_starts_that_were_withdrawn_before_the_link_runs_are_answered_once():
+    async def scenario() -> Play:
+        play = Play(BusyWorker())
+        play.start(0, 1)
+        play.link.withdraw_starts()
+        task = asyncio.create_task(play.link.run())
+        await wait_for(lambda: len(play.client.numbers) > 1)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return play
+
+    play = asyncio.run(scenario())
+    answers = [each.answer for each in play.events if isinstance(each, StartAnswered)]
+    assert answers == [StartAnswer.NOT_SENT] * 2
+
+
+def test_the_links_follow_the_list_of_workers():
+    harness = PoolHarness()
+    harness.add_workers(make_worker("w1"), make_worker("w2"))
+
+    async def scenario() -> list[tuple[str, StartAnswer]]:
+        events: list[Any] = []
+        clients = []
+
+        def create_worker(*_: Any) -> BusyWorker:
+            clients.append(BusyWorker())
+            return clients[-1]
+
+        context: Any = SimpleNamespace(create_worker=create_worker)
+        links = WorkerLinks(
+            context,
+            Epoch(1),
+            harness.state,
+            make_writer(),
+            events.append,
+            lambda: True,
+            lambda worker, life: LEASE_MS,
+        )
+
+        async def run_links() -> None:
+            async with asyncio.TaskGroup() as group:
+                links.start(group)
+
+        task = asyncio.create_task(run_links())
+        await wait_for(lambda: all(len(each.numbers) > 1 for each in clients) and bool(clients))
+        for start in (replace(make_start(), worker=each) for each in harness.state.workers):
+            link = links.get(start.worker, LIFE)
+            assert link is not None
+            for number in range(5):
+                link.send_start(replace(start, task=make_task(1, number)))
+        await wait_for(lambda: sum(len(each.commands) for each in clients) == 6)
+        harness.list_workers(
+            make_worker("w1", leaves_in_ms=NOTICE_MS, sequence=1), make_worker("w2", sequence=1)
+        )
+        links.withdraw_starts()
+        await wait_for(lambda: any(isinstance(each, StartAnswered) for each in events))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return [(each.worker, each.answer) for each in events if isinstance(each, StartAnswered)]
+
+    assert asyncio.run(scenario()) == [("w1", StartAnswer.NOT_SENT)] * 2
+
+
+def test_a_task_whose_start_was_not_sent_starts_elsewhere_at_once():
+    harness = PoolHarness()
+    harness.add_workers(make_worker("w1"))
+    harness.submit(1, StepSpec(1))
+    (start,) = list_starts(harness.place())
+    harness.add_workers(make_worker("w1", leaves_in_ms=NOTICE_MS, sequence=1), make_worker("w2"))
+    assert list_starts(harness.place()) == []
+    harness.answer_start(start, StartAnswer.NOT_SENT)
+    (again,) = list_starts(harness.place())
+    assert (again.task, again.worker) == (start.task, "w2")
