Pool: stops go before starts, and many stops of one worker share more connections

Cause: a worker's link sends three commands at a time in the order in which they came, each for a round trip, so stops wait behind starts and behind each other. A stop of a start that was not sent yet took a turn too.

Change: stops go first (`_command_slots.py`). While more than 20 of them wait for each slot, each answered stop adds a slot, up to 16; the end of the queue or a failed stop takes the additional ones back. So a step of 48 tasks, and a silent worker, open no further connections, and three hosts stay below the 64 of a worker. A stop of a start that was not sent withdraws it with the answer `not-sent`.

Not changed: how many starts placement puts on one worker. More than about 1,100 stops of one worker at once still take longer than 3.4 s at a round trip of 40 ms by calculation; this was not run.

Tests: tests/cover/test_pool_commands.py.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -27,6 +27,7 @@
 )
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event
+from lentilpathd._pool._command_slots import CommandSlots
 from lentilpathd._pool._guard import report_unexpected
 from lentilpathd._pool._leases import RENEWAL_TIMEOUT_SECONDS, WorkerClock
 from lentilpathd._pool._ports import Deposed, OtherLife, PoolWorker, RefusedByFence
@@ -49,8 +50,6 @@
 crashes its worker, and short enough that few workers crash meanwhile for another reason."""
 COMMAND_TIMEOUT_SECONDS = 0.8
 """Under a quarter of a lease, so that a lost command is noticed well before its lease expires."""
-MAX_CONCURRENT_COMMANDS = 3
-"""Commands in flight to one worker, each on a connection of its own."""
 
 
 class WorkerLink:
@@ -84,7 +83,7 @@
         self._clock = WorkerClock()
         self._unacknowledged_number = 0
         """Number up to which the next renewal acknowledges ends; 0 for none."""
-        self._slots = asyncio.Semaphore(MAX_CONCURRENT_COMMANDS)
+        self._slots = CommandSlots()
         self._commands: dict[tuple[TaskKey, RunNumber], asyncio.Task[None]] = {}
         self._unsent_starts: dict[tuple[TaskKey, RunNumber], StartRun] = {}
         self._group: asyncio.TaskGroup | None = None
@@ -197,7 +196,14 @@
         self._answer_start(effect, StartAnswer.NOT_SENT)
 
     def send_stop(self, effect: StopRun) -> None:
-        """Stop a run; a start of it in flight is cancelled first."""
+        """Stop a run. A start of it that was not sent yet is withdrawn, which needs no command.
+
+        A start in flight is cancelled first.
+        """
+        start = self._unsent_starts.get((effect.task, effect.run))
+        if start is not None:
+            self._withdraw_start(start)
+            return
         self.cancel_start(effect.task, effect.run)
         self._run_or_postpone(lambda: self._spawn((effect.task, effect.run), self._stop(effect)))
 
@@ -208,7 +214,7 @@
 
     async def _pace(self, effect: PaceRun) -> None:
         try:
-            async with self._slots:
+            async with self._slots.reserve():
                 client = self._client
                 await client.pace(effect.task, effect.run, effect.percent, COMMAND_TIMEOUT_SECONDS)
         except Exception as error:
@@ -256,7 +262,7 @@
                 # A start sent to a silent worker would extend a lease that is meant to expire.
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            async with self._slots:
+            async with self._slots.reserve():
                 answer = await self._try_start(effect, is_unclear)
             if answer is None:
                 is_unclear = True
@@ -384,7 +390,7 @@
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             try:
-                async with self._slots:
+                async with self._slots.reserve_for_stop():
                     client = self._client
                     await client.stop(effect.task, effect.run, COMMAND_TIMEOUT_SECONDS)
                 break
--- a/tests/cover/test_pool_commands.py
+++ b/tests/cover/test_pool_commands.py
@@ -11,8 +11,9 @@
 import pytest
 
 from lentilpath_core.errors import OutcomeUnknown
-from lentilpath_core.ids import Epoch
+from lentilpath_core.ids import Epoch, WorkerId
 from lentilpath_core.pool import (
+    JobCancelled,
     PoolEvent,
     RunningRun,
     RunNumber,
@@ -21,9 +22,17 @@
     StartRun,
     StartUnanswered,
     StepSpec,
+    StopAnswered,
+    StopReason,
+    StopRun,
     WorkerReport,
 )
 from lentilpathd._pool import _link
+from lentilpathd._pool._command_slots import (
+    MAX_CONCURRENT_COMMANDS,
+    MAX_CONCURRENT_STOPS,
+    CommandSlots,
+)
 from lentilpathd._pool._link import WorkerLink
 from lentilpathd._pool._worker_links import WorkerLinks
 from lentilpathd._pool._writer import RecordWriter
@@ -45,6 +54,8 @@
         """Whether commands are lost."""
         self.commands: list[tuple[str, int]] = []
         """What was received, and for which number of a task."""
+        self.in_flight = 0
+        self.most_in_flight = 0
 
     async def renew(self, last_end_number, lease_until, wait_ms, timeout):
         report = await super().renew(last_end_number, lease_until, wait_ms, timeout)
@@ -60,7 +71,11 @@
 
     async def _receive(self, name, task):
         self.commands.append((name, task.number))
+        self.in_flight += 1
+        self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        await asyncio.sleep(0)
         await self.proceed.wait()
+        self.in_flight -= 1
         if self.is_silenced:
             raise OutcomeUnknown("no answer")
 
@@ -86,6 +101,13 @@
         for number in numbers:
             self.link.send_start(make_numbered_start(number))
 
+    def stop(self, *numbers: int) -> None:
+        for number in numbers:
+            task = make_task(1, number)
+            self.link.send_stop(
+                StopRun(WorkerId("w1"), LIFE, task, RunNumber(1), StopReason.JOB_OVER)
+            )
+
     def list_answers(self) -> dict[int, StartAnswer]:
         return {
             each.task.number: each.answer for each in self.events if isinstance(each, StartAnswered)
@@ -247,3 +269,114 @@
     harness.answer_start(start, StartAnswer.NOT_SENT)
     (again,) = list_starts(harness.place())
     assert (again.task, again.worker) == (start.task, "w2")
+
+
+def test_a_start_that_is_stopped_before_it_was_sent_needs_no_command(monkeypatch):
+    async def play_link(play: Play) -> None:
+        play.start(*range(4))
+        await wait_for(lambda: len(play.client.commands) == 3)
+        play.stop(3)
+        play.client.proceed.set()
+        await wait_for(lambda: len(play.list_answers()) == 4)
+
+    play = run_play(play_link, monkeypatch)
+    assert play.client.commands == [("start", 0), ("start", 1), ("start", 2)]
+    assert play.list_answers()[3] is StartAnswer.NOT_SENT
+    assert not [each for each in play.events if isinstance(each, StopAnswered)]
+
+
+def test_a_cancelled_job_holds_no_run_whose_start_was_not_sent():
+    harness = PoolHarness()
+    harness.add_workers(make_worker("w1"))
+    harness.submit(1, StepSpec(1))
+    (start,) = list_starts(harness.place())
+    harness.handle_event(JobCancelled(start.task.job))
+    harness.answer_start(start, StartAnswer.NOT_SENT)
+    harness.confirm_records()
+    (worker,) = harness.state.workers.values()
+    assert not worker.attempts
+    assert list_starts(harness.place()) == []
+
+
+def test_a_stop_goes_before_starts_that_wait(monkeypatch):
+    async def play_link(play: Play) -> None:
+        play.start(*range(10))
+        await wait_for(lambda: len(play.client.commands) == 3)
+        play.stop(20)
+        await asyncio.sleep(0.01)
+        play.client.proceed.set()
+        await wait_for(lambda: len(play.client.commands) == 11)
+
+    play = run_play(play_link, monkeypatch)
+    assert play.client.commands[3] == ("stop", 20)
+
+
+def stop_many(count: int, monkeypatch: pytest.MonkeyPatch, is_silenced: bool = False) -> int:
+    """Stop many runs at once; return the largest number of stops in flight."""
+
+    async def play_link(play: Play) -> None:
+        play.client.is_silenced = is_silenced
+        play.client.proceed.set()
+        play.stop(*range(count))
+        await wait_for(lambda: len(play.client.commands) >= count)
+
+    return run_play(play_link, monkeypatch).client.most_in_flight
+
+
+def test_many_stops_share_more_connections_up_to_a_bound(monkeypatch):
+    assert stop_many(1_000, monkeypatch) == MAX_CONCURRENT_STOPS
+
+
+def test_the_stops_of_a_wide_step_open_no_further_connections(monkeypatch):
+    assert stop_many(48, monkeypatch) == MAX_CONCURRENT_COMMANDS
+
+
+def test_stops_that_a_worker_does_not_answer_open_no_further_connections(monkeypatch):
+    assert stop_many(1_000, monkeypatch, is_silenced=True) == MAX_CONCURRENT_COMMANDS
+
+
+def test_many_stops_keep_to_the_bound_of_starts_afterwards(monkeypatch):
+    async def play_link(play: Play) -> None:
+        play.client.proceed.set()
+        play.stop(*range(1_000))
+        await wait_for(lambda: len(play.client.commands) == 1_000)
+        await wait_for(lambda: play.client.in_flight == 0)
+        play.client.proceed.clear()
+        play.start(*range(1_000, 1_100))
+        await wait_for(lambda: play.client.in_flight == MAX_CONCURRENT_COMMANDS)
+        await asyncio.sleep(0.01)
+        assert play.client.in_flight == MAX_CONCURRENT_COMMANDS
+
+    run_play(play_link, monkeypatch)
+
+
+def test_commands_that_are_cancelled_in_any_state_free_their_slots():
+    async def scenario() -> None:
+        slots = CommandSlots()
+        proceed = asyncio.Event()
+        done: list[int] = []
+
+        async def command(number: int) -> None:
+            is_stop = bool(number % 2)
+            async with slots.reserve_for_stop() if is_stop else slots.reserve():
+                await proceed.wait()
+                done.append(number)
+
+        commands = [asyncio.create_task(command(number)) for number in range(12)]
+        await asyncio.sleep(0)
+        # In flight, waiting, and with a turn that has just come.
+        commands[0].cancel()
+        commands[9].cancel()
+        commands[11].cancel()
+        await asyncio.sleep(0)
+        commands[3].cancel()
+        proceed.set()
+        async with asyncio.timeout(20.0):
+            await asyncio.gather(*commands, return_exceptions=True)
+            async with slots.reserve(), slots.reserve(), slots.reserve():
+                pass
+        assert sorted(done) == [
+            number for number, each in enumerate(commands) if not each.cancelled()
+        ]
+
+    asyncio.run(scenario())
