--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -27,6 +27,7 @@
 )
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event
+from lentilpathd._pool._command_slots import CommandSlots
 from lentilpathd._pool._guard import report_unexpected
 from lentilpathd._pool._leases import RENEWAL_TIMEOUT_SECONDS, WorkerClock
 from lentilpathd._pool._ports import Deposed, OtherLife, PoolWorker, RefusedByFence
@@ -49,8 +50,6 @@
 crashes its worker, and short enough that few workers crash meanwhile for another reason."""
 COMMAND_TIMEOUT_SECONDS = 0.8
 """Under a quarter of a lease, so that a lost command is noticed well before its lease expires."""
-MAX_CONCURRENT_COMMANDS = 3
-"""Commands in flight to one worker, each on a connection of its own."""
 
 
 class WorkerLink:
@@ -70,8 +69,10 @@
         writer: RecordWriter,
         handle_event: Callable[[PoolEvent], None],
         may_command: Callable[[], bool] = lambda: True,
+        is_leaving: Callable[[], bool] = lambda: False,
     ) -> None:
         self._may_command = may_command
+        self._is_leaving = is_leaving
         self._listed = listed
         self._create_client = create_client
         self._client = create_client()
@@ -82,8 +83,9 @@
         self._clock = WorkerClock()
         self._unacknowledged_number = 0
         """Number up to which the next renewal acknowledges ends; 0 for none."""
-        self._slots = asyncio.Semaphore(MAX_CONCURRENT_COMMANDS)
+        self._slots = CommandSlots()
         self._commands: dict[tuple[TaskKey, RunNumber], asyncio.Task[None]] = {}
+        self._unsent_starts: dict[tuple[TaskKey, RunNumber], StartRun] = {}
         self._group: asyncio.TaskGroup | None = None
         self._early: list[Callable[[], None]] = []
         """Commands for a link that has been created but does not run yet."""
@@ -177,10 +179,31 @@
 
     def send_start(self, effect: StartRun) -> None:
         """Start a run; retried until the worker's answer is known."""
+        self._unsent_starts[(effect.task, effect.run)] = effect
         self._run_or_postpone(lambda: self._spawn((effect.task, effect.run), self._start(effect)))
 
+    def withdraw_starts(self) -> None:
+        """Answer the starts that were not sent yet with `NOT_SENT`, and never send them."""
+        for effect in list(self._unsent_starts.values()):
+            self._withdraw_start(effect)
+
+    def _withdraw_start(self, effect: StartRun) -> None:
+        self.cancel_start(effect.task, effect.run)
+        # The answer is an event of its own, since an event may be in progress here.
+        self._run_or_postpone(lambda: self._spawn((effect.task, effect.run), self._refuse(effect)))
+
+    async def _refuse(self, effect: StartRun) -> None:
+        self._answer_start(effect, StartAnswer.NOT_SENT)
+
     def send_stop(self, effect: StopRun) -> None:
-        """Stop a run; a start of it in flight is cancelled first."""
+        """Stop a run. A start of it that was not sent yet is withdrawn, which needs no command.
+
+        A start in flight is cancelled first.
+        """
+        start = self._unsent_starts.get((effect.task, effect.run))
+        if start is not None:
+            self._withdraw_start(start)
+            return
         self.cancel_start(effect.task, effect.run)
         self._run_or_postpone(lambda: self._spawn((effect.task, effect.run), self._stop(effect)))
 
@@ -191,7 +214,7 @@
 
     async def _pace(self, effect: PaceRun) -> None:
         try:
-            async with self._slots:
+            async with self._slots.reserve():
                 client = self._client
                 await client.pace(effect.task, effect.run, effect.percent, COMMAND_TIMEOUT_SECONDS)
         except Exception as error:
@@ -205,6 +228,7 @@
 
     def cancel_start(self, task: TaskKey, run: RunNumber) -> None:
         """Cancel the command in flight for a run that is treated as ended; no start is resent."""
+        self._unsent_starts.pop((task, run), None)
         command = self._commands.get((task, run))
         if command is not None:
             command.cancel()
@@ -226,6 +250,8 @@
             del self._commands[key]
 
     async def _start(self, effect: StartRun) -> None:
+        if (effect.task, effect.run) not in self._unsent_starts:
+            return
         if effect.is_suspected and await self._ask_for_report(effect) is None:
             # The start was not sent, so it is not to blame for what has become of the worker.
             self._answer_start(effect, StartAnswer.UNHEALTHY)
@@ -236,7 +262,7 @@
                 # A start sent to a silent worker would extend a lease that is meant to expire.
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            async with self._slots:
+            async with self._slots.reserve():
                 answer = await self._try_start(effect, is_unclear)
             if answer is None:
                 is_unclear = True
@@ -253,6 +279,7 @@
             await self._check_start(effect)
 
     def _answer_start(self, effect: StartRun, answer: StartAnswer) -> None:
+        self._unsent_starts.pop((effect.task, effect.run), None)
         self._handle_event(
             StartAnswered(effect.worker, effect.life, effect.task, effect.run, answer)
         )
@@ -286,6 +313,10 @@
         """Return the worker's answer, or `None` if the command may have been executed."""
         if effect.ticket_until is not None and read_instant() >= effect.ticket_until:
             return await self._answer_expired(effect, is_repeated)
+        if self._is_leaving():
+            return await self._find_answer(effect) if is_repeated else StartAnswer.NOT_SENT
+        # From here on a stop is sent too, even one that is decided while the lease is granted.
+        self._unsent_starts.pop((effect.task, effect.run), None)
         lease = None if self._is_superseded else self._grant_lease(read_instant())
         if lease is None:
             return StartAnswer.UNHEALTHY
@@ -327,8 +358,13 @@
             run=effect.run,
             repeated=is_repeated,
         )
-        if not is_repeated:
-            return StartAnswer.NO_PERMISSION
+        return await self._find_answer(effect) if is_repeated else StartAnswer.NO_PERMISSION
+
+    async def _find_answer(self, effect: StartRun) -> StartAnswer | None:
+        """Return whether an earlier command has started the run; `None` if that is not known.
+
+        `NOT_SENT` means that the run has not begun yet, although a late command may still begin it.
+        """
         report = await self._ask_for_report(effect)
         if report is None:
             return None
@@ -337,7 +373,7 @@
         is_started = (effect.task, effect.run) in listed
         if not is_started and not report.is_complete:
             return None
-        return StartAnswer.STARTED if is_started else StartAnswer.NO_PERMISSION
+        return StartAnswer.STARTED if is_started else StartAnswer.NOT_SENT
 
     def _raise_if_deposed(self, error: Exception, client: PoolWorker) -> None:
         """Raise `Deposed` if a command was refused although its token was the newest one here."""
@@ -354,7 +390,7 @@
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             try:
-                async with self._slots:
+                async with self._slots.reserve_for_stop():
                     client = self._client
                     await client.stop(effect.task, effect.run, COMMAND_TIMEOUT_SECONDS)
                 break
