Records: a row that is forgotten during a commit is deleted right away

Callers saw nothing of it by itself: a job's task that had been cleared of a crash could still have the crash counted by the next leader.

Cause: `RecordWriter.run` cleared its wake-up after each commit, so the one that `forget_end` had set during the commit was lost, and the row stayed until the next record happened to be queued. A leader that was lost meanwhile left the row to its successor.

Change: the wake-up is cleared before the commit, and set again after it if records or many obsolete keys wait. The new test fails without the change (the row is never deleted) and passes with it.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -147,9 +147,10 @@
             await asyncio.sleep(BATCH_DELAY_SECONDS)
             popped = self._pop_batch()
             batch = [record for record, _ in popped]
+            self._queued.clear()
             await self._store(batch)
-            if not self._queue and len(self._obsolete_keys) < MAX_PUTS:
-                self._queued.clear()
+            if self._queue or len(self._obsolete_keys) >= MAX_PUTS:
+                self._queued.set()
             stored_at = read_instant()
             for record, queued_at in popped:
                 self._report_wait(stored_at - queued_at)
--- a/tests/cover/test_pool_records.py
+++ b/tests/cover/test_pool_records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
 
@@ -50,6 +51,19 @@
         return await super().commit(transaction, timeout)
 
 
+class CallingTable(OnePartitionTable):
+    """A table that calls a function once each transaction is applied, before its answer."""
+
+    def __init__(self, call: Callable[[], None]) -> None:
+        super().__init__()
+        self.call = call
+
+    async def commit(self, transaction, timeout, prefer_relay=False):
+        outcome = await super().commit(transaction, timeout)
+        self.call()
+        return outcome
+
+
 def write(table: OnePartitionTable, *records) -> list[object]:
     events: list[object] = []
 
@@ -217,3 +231,22 @@
         await asyncio.gather(task, return_exceptions=True)
 
     asyncio.run(scenario())
+
+
+def test_a_row_that_is_forgotten_while_records_are_stored_does_not_wait_for_later_records():
+    """A later leader may count crashes of a task that was cleared."""
+    record = RecordRun(make_task(1), RunRecord(RunNumber(1), RunEnd.CRASHED))
+
+    async def scenario() -> None:
+        table = CallingTable(lambda: None)
+        writer = RecordWriter(table, Epoch(1), make_leadership(table), lambda _event: None)
+        task = asyncio.create_task(writer.run())
+        writer.queue(record)
+        assert await writer.wait_durable(1, 5.0)
+        table.call = lambda: writer.forget_end(make_end_key(record.task, record.record))
+        writer.queue(END)
+        await wait_until(lambda: list_end_keys(table) == [make_end_key(END.task, END.record)])
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(scenario())
