Pool: suspicions that a task has crashed its worker are stored for later leaders

Cause: only crashes that had been shown were stored.

Change: a run that is suspected is stored as `end/TASK/RUN-suspected` with the process of its worker. A later leader decides by what becomes of that process: it is listed or reports, and the suspicion is dropped; a later process of the worker, or on its machine, is listed, and it is a crash; it is missing, and the run stays suspected. The row is deleted once the suspicion is cleared or confirmed, once more if it becomes durable only after that, and by a later leader if the run's end or crash is stored as well. None is stored for a job that is over, since its row would stay behind the final state. Suspicions alone never fail a job.

The crash under the start in flight at a takeover is still lost.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -123,15 +123,27 @@
     is_spared = attempt.is_confirmed and count_suspicions(step, attempt.task.number) == 0
     if attempt.has_survived or is_spared or not was_sent:
         return False
-    if not worker.suspects:
-        worker.suspected_at = now
-        worker.suspected_sequence = worker.listed.sequence
-    worker.suspects.append(key)
+    _add_suspect(worker, *key, now)
     step.suspected_runs.setdefault(attempt.task.number, set()).add(attempt.run)
     step.suspected_at[attempt.task.number] = now
     return True
 
 
+def _add_suspect(worker: Worker, task: TaskKey, run: RunNumber, now: Instant) -> None:
+    if not worker.suspects:
+        worker.suspected_at = now
+        worker.suspected_sequence = worker.listed.sequence
+    worker.suspects.append((task, run))
+
+
+def record_suspicion(attempt: Attempt) -> tuple[PoolEffect, ...]:
+    """Store that a lost run may have crashed its worker; nothing for a job that is over."""
+    if attempt.step is None or attempt.step.job.final is not None:
+        return ()
+    process = _get_process(attempt.worker)
+    return (RecordRun(attempt.task, RunRecord(attempt.run, RunEnd.SUSPECTED, process)),)
+
+
 def note_listing(attempt: Attempt, sent_at: Instant, now: Instant) -> tuple[PoolEffect, ...]:
     """Forget the crashes under a task whose worker lists its run and has survived the start.
 
@@ -146,9 +158,12 @@
     release_worker(attempt.worker, attempt.task)
     if attempt.step is None:
         return ()
-    attempt.step.suspected_runs.pop(attempt.task.number, None)
+    suspected = attempt.step.suspected_runs.pop(attempt.task.number, set())
     crashed = attempt.step.crashed_runs.pop(attempt.task.number, set())
-    return tuple(ForgetCrash(attempt.task, run) for run in sorted(crashed))
+    return (
+        *(ForgetCrash(attempt.task, run, RunEnd.SUSPECTED) for run in sorted(suspected)),
+        *(ForgetCrash(attempt.task, run) for run in sorted(crashed)),
+    )
 
 
 def record_crashes(
@@ -241,11 +256,14 @@
     state: PoolState, process: WorkerProcess, suspects: Sequence[tuple[TaskKey, RunNumber]]
 ) -> tuple[PoolEffect, ...]:
     state.needs_placement = True
+    effects: list[PoolEffect] = []
     for task, run in suspects:
         step = find_step(state, task)
         if step is not None:
             _discard_suspicion(step, task.number, run)
-    return tuple(ClearRun(process.worker, process.life, task, run) for task, run in suspects)
+        effects.append(ClearRun(process.worker, process.life, task, run))
+        effects.append(ForgetCrash(task, run, RunEnd.SUSPECTED))
+    return tuple(effects)
 
 
 def clear_suspects_of_living_workers(state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
@@ -272,6 +290,51 @@
             del step.suspected_runs[index]
 
 
+def handle_recorded_suspicion(
+    state: PoolState, task: TaskKey, record: RunRecord, is_recovered: bool, now: Instant
+) -> tuple[PoolEffect, ...]:
+    """Handle the durable record that a run may have crashed its worker.
+
+    One of an earlier leader is decided by what is known of the worker since, or becomes known. One
+    of this leader may have been decided before it became durable.
+    """
+    step = find_step(state, task)
+    if step is None or record.process is None:
+        return ()
+    index, run = task.number, record.run
+    forget = ForgetCrash(task, run, RunEnd.SUSPECTED)
+    if not is_recovered:
+        return () if run in step.suspected_runs.get(index, ()) else (forget,)
+    # A worker that has reported the run's end has not crashed under it.
+    decided = step.crashed_runs.get(index, set()) | step.failed_runs.get(index, set())
+    if run in decided:
+        return (forget,)
+    step.suspected_runs.setdefault(index, set()).add(run)
+    step.suspected_at[index] = now
+    return _take_over_suspect(state, record.process, (task, run), now)
+
+
+def _take_over_suspect(
+    state: PoolState, process: WorkerProcess, suspect: tuple[TaskKey, RunNumber], now: Instant
+) -> tuple[PoolEffect, ...]:
+    """Add a run that an earlier leader suspected to those of its worker, or blame it."""
+    worker = state.workers.get(process.worker)
+    if worker is not None and worker.life == process.life:
+        _add_suspect(worker, *suspect, now)
+        return ()
+    if worker is not None and worker.life > process.life:
+        return _blame_runs(state, process, (suspect,), CrashEvidence.LATER_PROCESS)
+    known = state.missing_workers.get(process.worker, MissingWorker(process, ()))
+    if process.life < known.process.life:
+        return _blame_runs(state, process, (suspect,), CrashEvidence.LATER_PROCESS)
+    if process.life > known.process.life:
+        state.missing_workers[process.worker] = MissingWorker(process, (suspect,))
+        return _blame_runs(state, known.process, known.suspects, CrashEvidence.LATER_PROCESS)
+    suspects = (*known.suspects, suspect)
+    state.missing_workers[process.worker] = MissingWorker(process, suspects)
+    return ()
+
+
 def handle_recorded_crash(
     state: PoolState, task: TaskKey, record: RunRecord, is_recovered: bool, now: Instant
 ) -> tuple[PoolEffect, ...]:
@@ -288,12 +351,13 @@
     if record.process is None:
         step.suspected_runs.setdefault(index, set()).add(run)
         return ()
+    forget = ForgetCrash(task, run, RunEnd.SUSPECTED)
     if not is_recovered and run not in step.suspected_runs.get(index, ()):
-        return (ForgetCrash(task, run),)
+        return (ForgetCrash(task, run), forget)
     _discard_suspicion(step, index, run)
     crashed = step.crashed_runs.setdefault(index, set())
     crashed.add(run)
     state.needs_placement = True
     if len(crashed) < MAX_CRASHES or index in step.done or index in step.recording:
-        return ()
-    return fail_job(state, step.job, task, FailureCause.CRASHES, now)
+        return (forget,)
+    return (forget, *fail_job(state, step.job, task, FailureCause.CRASHES, now))
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -13,6 +13,7 @@
     ListedWorker,
     Permission,
     PoolConfiguration,
+    RunEnd,
     RunNumber,
     RunRecord,
     StartAnswer,
@@ -359,10 +360,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ForgetCrash:
-    """Delete the stored crash under a run: the task has not crashed its worker since."""
+    """Delete the stored crash under a run, or the stored suspicion of one, which counts no more."""
 
     task: TaskKey
     run: RunNumber
+    end: RunEnd = RunEnd.CRASHED
+    """Which of the two."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
@@ -254,6 +254,9 @@
     ALONE = "alone"
     CRASHED = "crashed"
     """The worker's process has ended with the run; never reported, since that worker is gone."""
+    SUSPECTED = "suspected"
+    """The run is over, and its worker may have crashed under it or may be cut off; never reported.
+    Stored so that a later leader decides by what becomes of the worker."""
 
 
 class RunningRun(NamedTuple):
@@ -328,9 +331,9 @@
     run: RunNumber
     end: RunEnd
     process: WorkerProcess | None = None
-    """For a crash, the process that is known to be over. `None` in a record of an earlier release,
-    which also took a process for crashed that was cut off. The last field, so that earlier
-    releases can read the record."""
+    """For a crash, the process that is known to be over; for a suspicion, the one that may be.
+    `None` in a crash that an earlier release has stored, which also took a process for crashed that
+    was cut off. The last field, so that earlier releases can read the record."""
 
 
 class FinalRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -5,7 +5,13 @@
 from dataclasses import replace
 
 from lentilpath_core.ids import Instant, WorkerId
-from lentilpath_core.pool._crashes import handle_recorded_crash, note_listing, suspect_run
+from lentilpath_core.pool._crashes import (
+    handle_recorded_crash,
+    handle_recorded_suspicion,
+    note_listing,
+    record_suspicion,
+    suspect_run,
+)
 from lentilpath_core.pool._customers import hold_room, release_room
 from lentilpath_core.pool._events import (
     GiveUpRun,
@@ -213,6 +219,7 @@
         return (given_up,)
     return (
         given_up,
+        *(record_suspicion(attempt) if is_suspected else ()),
         *_requeue_interrupted_task(state, attempt.step, attempt.task.number, attempt, now),
     )
 
@@ -294,9 +301,11 @@
     if step is not None:
         mark_run_number_used(step, task.number, record.run)
         # A worker that has crashed may never have begun the run.
-        step.job.has_started |= record.end is not RunEnd.CRASHED
+        step.job.has_started |= record.end not in (RunEnd.CRASHED, RunEnd.SUSPECTED)
     if record.end is RunEnd.DONE:
         return handle_recorded_success(state, task, now)
+    if record.end is RunEnd.SUSPECTED:
+        return handle_recorded_suspicion(state, task, record, is_recovered, now)
     if record.end is RunEnd.CRASHED:
         return handle_recorded_crash(state, task, record, is_recovered, now)
     return handle_recorded_failure(state, task, record.run, now)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_effects.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_effects.py
@@ -26,7 +26,7 @@
 from lentilpathd._metrics import Metric
 from lentilpathd._pool._advice import AdviceDispatcher
 from lentilpathd._pool._context import PoolContext
-from lentilpathd._pool._records import format_task, make_crash_key
+from lentilpathd._pool._records import format_task, make_run_key
 from lentilpathd._pool._removal import JobRemover
 from lentilpathd._pool._worker_links import WorkerLinks
 from lentilpathd._pool._writer import RecordWriter
@@ -128,7 +128,7 @@
 
     @execute.register
     def _(self, effect: ForgetCrash) -> None:
-        self._writer.forget_end(make_crash_key(effect.task, effect.run))
+        self._writer.forget_end(make_run_key(effect.task, effect.run, effect.end))
 
     @execute.register
     def _(self, effect: DeleteJob) -> None:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_records.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_records.py
@@ -6,7 +6,8 @@
 
 `lentilpath-pool`, a single partition: `0epoch` and `0lease` hold the current leader, `0workers/...`
 the lives of workers that may be running tasks, `end/TASK/RUN` how a run ended,
-`end/TASK/RUN-crashed` that its worker crashed under it, and `final/ID` a job's final state. Written
+`end/TASK/RUN-crashed` that its worker crashed under it, `end/TASK/RUN-suspected` that it may have,
+and `final/ID` a job's final state. Written
 only by the leader, on condition that `0epoch` is unchanged. Only the first two rows are ever
 changed, so a write may be repeated and may arrive late.
 """
@@ -52,6 +53,7 @@
 CANCEL_SUFFIX = "/cancel"
 END_PREFIX = "end/"
 CRASH_SUFFIX = "-crashed"
+SUSPICION_SUFFIX = "-suspected"
 FINAL_PREFIX = "final/"
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 
@@ -144,18 +146,17 @@
 
 def make_end_key(task: TaskKey, record: RunRecord) -> str:
     """Return the key of the row for a run's end."""
-    if record.end is RunEnd.CRASHED:
-        return make_crash_key(task, record.run)
-    return f"{END_PREFIX}{format_task(task)}/{record.run}"
+    return make_run_key(task, record.run, record.end)
 
 
-def make_crash_key(task: TaskKey, run: RunNumber) -> str:
-    """Return the key of the row for a crash under a run.
+def make_run_key(task: TaskKey, run: RunNumber, end: RunEnd) -> str:
+    """Return the key of the row for a run's end, a crash under it or the suspicion of one.
 
-    It is a row of its own, so that a write that is applied late never replaces an end that the
-    worker has reported after all.
+    These are rows of their own, so that a write that is applied late never replaces an end that
+    the worker has reported after all, nor a suspicion the crash that was shown since.
     """
-    return f"{END_PREFIX}{format_task(task)}/{run}{CRASH_SUFFIX}"
+    suffix = {RunEnd.CRASHED: CRASH_SUFFIX, RunEnd.SUSPECTED: SUSPICION_SUFFIX}.get(end, "")
+    return f"{END_PREFIX}{format_task(task)}/{run}{suffix}"
 
 
 def parse_end_key(key: str) -> TaskKey:
--- a/tests/cover/test_pool_crashes.py
+++ b/tests/cover/test_pool_crashes.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import pytest
+
 from lentilpath_core.ids import WorkerId, WorkerTime
 from lentilpath_core.pool import (
     AdvicePolicy,
     ClearRun,
     ForgetCrash,
     JobAccepted,
+    JobCancelled,
     JobState,
     Life,
+    MachineId,
     RecordFinal,
     RecordRun,
     RunEnd,
@@ -33,6 +37,7 @@
     SILENT_ENTRY_MS,
     SURVIVAL_MS,
 )
+from lentilpath_core.pool._state import Step
 from tests.common.pools import (
     LIFE,
     SETTLE_MS,
@@ -50,9 +55,12 @@
 NAMES = ("w1", "w2", "w3", "w4", "w5", "w6")
 
 
-def make_harness(epoch: int = 1, advice: AdvicePolicy | None = None) -> PoolHarness:
+def make_harness(
+    epoch: int = 1, advice: AdvicePolicy | None = None, missing: tuple[str, ...] = ()
+) -> PoolHarness:
     harness = PoolHarness(make_queue(advice=advice), epoch=epoch)
-    harness.add_workers(*(make_worker(name, machine=f"machine-{name}") for name in NAMES))
+    names = [each for each in NAMES if each not in missing]
+    harness.add_workers(*(make_worker(name, machine=f"machine-{name}") for name in names))
     return harness
 
 
@@ -161,6 +169,158 @@
     assert get_job_state(successor.state, make_job_id(1)) is JobState.FAILED
 
 
+def list_suspicions(harness: PoolHarness) -> list[RecordRun]:
+    records = [each for each in harness.effects if isinstance(each, RecordRun)]
+    return [each for each in records if each.record.end is RunEnd.SUSPECTED]
+
+
+def list_forgotten(harness: PoolHarness) -> list[tuple[RunNumber, RunEnd]]:
+    return [(each.run, each.end) for each in harness.effects if isinstance(each, ForgetCrash)]
+
+
+def make_successor(*recovered: RecordRun, missing: tuple[str, ...] = ()) -> PoolHarness:
+    """Return the next leader, which has read these records and finds some workers missing."""
+    harness = make_harness(epoch=2, missing=missing)
+    harness.handle_event(JobAccepted(make_record(1), recovered=True))
+    harness.handle_event(RunsRecovered(tuple((each.task, each.record) for each in recovered)))
+    return harness
+
+
+def make_suspicion(run: int, name: str, life: int = LIFE) -> RecordRun:
+    process = WorkerProcess(WorkerId(name), Life(life), MachineId(f"machine-{name}"))
+    return RecordRun(make_task(1), RunRecord(RunNumber(run), RunEnd.SUSPECTED, process))
+
+
+def get_step(harness: PoolHarness) -> Step:
+    (step,) = harness.state.jobs[make_job_id(1)].steps.values()
+    return step
+
+
+def test_a_suspicion_is_stored_with_the_process_and_deleted_once_it_is_cleared():
+    harness = make_harness()
+    harness.submit(1)
+    start = start_one(harness)
+    pass_time(harness, SETTLE_MS + 500, silent=start.worker)
+    (suspicion,) = list_suspicions(harness)
+    assert suspicion == make_suspicion(start.run, start.worker)
+    harness.confirm_records()
+    assert list_forgotten(harness) == []
+    harness.report(start.worker)
+    assert (start.run, RunEnd.SUSPECTED) in list_forgotten(harness)
+
+
+def test_a_suspicion_is_deleted_once_the_crash_is_stored():
+    harness = make_harness()
+    harness.submit(1)
+    start = start_one(harness)
+    crash_worker(harness, start)
+    assert (start.run, RunEnd.SUSPECTED) in list_forgotten(harness)
+    assert (start.run, RunEnd.CRASHED) not in list_forgotten(harness)
+    assert get_step(harness).crashed_runs == {0: {start.run}}
+
+
+def test_a_suspicion_that_is_stored_after_it_was_cleared_is_deleted_again():
+    harness = make_harness()
+    harness.submit(1)
+    start = start_one(harness)
+    pass_time(harness, SETTLE_MS + 500, silent=start.worker)
+    harness.report(start.worker)
+    harness.effects = list(list_suspicions(harness))
+    harness.confirm_records()
+    assert list_forgotten(harness) == [(start.run, RunEnd.SUSPECTED)]
+
+
+def test_no_suspicion_is_stored_for_a_job_that_is_over():
+    """Its row would stay behind the final state, which deletes those before it."""
+    harness = make_harness()
+    harness.submit(1)
+    start = start_one(harness)
+    harness.handle_event(JobCancelled(make_job_id(1)))
+    harness.confirm_records()
+    pass_time(harness, SETTLE_MS + 500, silent=start.worker)
+    assert list_suspicions(harness) == []
+
+
+@pytest.mark.parametrize("missing", [(), ("w1",)])
+def test_a_suspicion_of_the_former_leader_is_dropped_once_the_same_process_is_heard(missing):
+    successor = make_successor(make_suspicion(1, "w1"), missing=missing)
+    assert get_step(successor).suspected_runs == {0: {1}}
+    returned = make_worker("w1", sequence=9, machine="machine-w1")
+    others = [each for name, each in successor.listed.items() if name != "w1"]
+    successor.list_workers(returned, *others)
+    assert get_step(successor).suspected_runs == {}
+    assert list_forgotten(successor) == [(1, RunEnd.SUSPECTED)]
+    successor.confirm_records()
+    assert get_step(successor).crashed_runs == {}
+
+
+@pytest.mark.parametrize("missing", [(), ("w1",)])
+@pytest.mark.parametrize("name", ["w1", "another"])
+def test_a_suspicion_of_the_former_leader_is_a_crash_once_a_later_process_is_listed(missing, name):
+    """A job went on after its task had crashed many workers: each new leader began anew."""
+    successor = make_successor(make_suspicion(1, "w1"), missing=missing)
+    others = [each for known, each in successor.listed.items() if known != "w1"]
+    successor.list_workers(*others)
+    pass_time(successor, SETTLE_MS + 500)
+    later = make_worker(name, life=Life(LIFE + 1), machine="machine-w1")
+    successor.list_workers(later, *others)
+    pass_time(successor, 250)
+    successor.confirm_records()
+    assert get_step(successor).crashed_runs == {0: {1}}
+    for _ in range(MAX_CRASHES - 1):
+        crash_worker(successor, start_one(successor))
+    assert get_job_state(successor.state, make_job_id(1)) is JobState.FAILED
+
+
+def test_a_suspicion_whose_process_was_over_before_the_takeover_is_a_crash():
+    successor = make_successor(make_suspicion(1, "w1", life=LIFE - 1))
+    successor.confirm_records()
+    assert get_step(successor).crashed_runs == {0: {1}}
+
+
+@pytest.mark.parametrize("lives", [(LIFE, LIFE + 1), (LIFE + 1, LIFE)])
+def test_of_two_suspected_processes_of_a_missing_worker_the_former_is_over(lives):
+    suspicions = [make_suspicion(run, "w1", life) for run, life in enumerate(lives, start=1)]
+    successor = make_successor(*suspicions, missing=("w1",))
+    successor.confirm_records()
+    assert get_step(successor).crashed_runs == {0: {1 + lives.index(LIFE)}}
+    assert get_step(successor).suspected_runs == {0: {1 + lives.index(LIFE + 1)}}
+
+
+def test_suspicions_of_the_former_leader_alone_do_not_fail_a_job():
+    suspicions = [make_suspicion(run, f"w{run}") for run in range(1, MAX_CRASHES + 1)]
+    successor = make_successor(*suspicions, missing=("w1", "w2", "w3"))
+    assert list_starts(successor.place()) == []
+    pass_time(successor, RESOLUTION_MS + SILENT_ENTRY_MS)
+    successor.confirm_records()
+    assert len(list_starts(successor.place())) == 1
+    assert successor.state.jobs[make_job_id(1)].final is None
+
+
+@pytest.mark.parametrize("end", [RunEnd.FAILED, RunEnd.CRASHED])
+def test_an_obsolete_suspicion_of_the_former_leader_is_dropped(end):
+    """The leader was lost after it had stored how the run ended, and before it deleted it."""
+    process = WorkerProcess(WorkerId("w1"), Life(LIFE))
+    ended = RecordRun(make_task(1), RunRecord(RunNumber(1), end, process))
+    successor = make_successor(ended, make_suspicion(1, "w1"), missing=("w1",))
+    assert get_step(successor).suspected_runs == {}
+    assert (1, RunEnd.SUSPECTED) in list_forgotten(successor)
+    successor.list_workers(make_worker("w1", life=Life(LIFE + 1)), *successor.listed.values())
+    successor.confirm_records()
+    assert get_step(successor).crashed_runs == ({0: {1}} if end is RunEnd.CRASHED else {})
+
+
+def test_a_start_that_is_survived_clears_the_suspicions_of_the_former_leader():
+    successor = make_successor(make_suspicion(1, "w1"), missing=("w1",))
+    start = start_one(successor)
+    successor.pass_time(SURVIVAL_MS)
+    report_runs(successor, start.worker)
+    assert list_forgotten(successor) == [(1, RunEnd.SUSPECTED)]
+    successor.list_workers(make_worker("w1", life=Life(LIFE + 1)), *successor.listed.values())
+    successor.confirm_records()
+    assert get_step(successor).crashed_runs == {}
+
+
 def test_a_task_that_may_have_crashed_too_many_workers_waits_until_that_is_known():
     harness = make_harness()
     harness.submit(1)
--- a/tests/cover/test_pool_records.py
+++ b/tests/cover/test_pool_records.py
@@ -23,8 +23,8 @@
 from lentilpathd._pool._records import (
     PARTITIONS_PER_JOB,
     get_job_partitions,
-    make_crash_key,
     make_end_key,
+    make_run_key,
 )
 from lentilpathd._pool._removal import JobRemover
 from lentilpathd._pool._writer import RecordWriter
@@ -224,7 +224,7 @@
             writer.queue(record)
         assert await writer.wait_durable(2, 5.0)
         assert len([key for key in table.rows if key.startswith("end/")]) == 2
-        writer.forget_end(make_crash_key(make_task(1), RunNumber(1)))
+        writer.forget_end(make_run_key(make_task(1), RunNumber(1), RunEnd.CRASHED))
         await wait_until(lambda: len([key for key in table.rows if key.startswith("end/")]) == 1)
         assert make_end_key(END.task, END.record) in table.rows
         task.cancel()
@@ -250,3 +250,27 @@
         await asyncio.gather(task, return_exceptions=True)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("is_stored", [False, True])
+def test_a_suspicion_that_is_cleared_before_it_is_durable_leaves_no_row(is_stored: bool):
+    table = OnePartitionTable()
+    key = make_run_key(make_task(1), RunNumber(1), RunEnd.SUSPECTED)
+    suspicion = RecordRun(make_task(1), RunRecord(RunNumber(1), RunEnd.SUSPECTED))
+
+    async def scenario() -> None:
+        # The core repeats the deletion for a record that turns out to be obsolete.
+        writer = RecordWriter(
+            table, Epoch(1), make_leadership(table), lambda _event: writer.forget_end(key)
+        )
+        task = asyncio.create_task(writer.run())
+        writer.queue(suspicion)
+        if is_stored:
+            await wait_until(lambda: key in table.rows)
+        writer.forget_end(key)
+        assert await writer.wait_durable(1, 5.0)
+        await wait_until(lambda: list_end_keys(table) == [])
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(scenario())
