--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -47,6 +47,9 @@
 START_CHECK_SECONDS = 0.1
 """A suspected run is looked for this long after its start: ten times as long as a task takes that
 crashes its worker, and short enough that few workers crash meanwhile for another reason."""
+STORED_START_WAIT_SECONDS = 0.5
+"""A suspected start waits this long until it is stored, and is then sent all the same: while the
+table is away, its task would stand still. Ten of the longest network round trips."""
 COMMAND_TIMEOUT_SECONDS = 0.8
 """Under a quarter of a lease, so that a lost command is noticed well before its lease expires."""
 MAX_CONCURRENT_COMMANDS = 3
@@ -176,8 +179,15 @@
         return lease[0]
 
     def send_start(self, effect: StartRun) -> None:
-        """Start a run; retried until the worker's answer is known."""
-        self._run_or_postpone(lambda: self._spawn((effect.task, effect.run), self._start(effect)))
+        """Start a run; retried until the worker's answer is known.
+
+        A suspected start waits for the records that were queued before it, so that a later leader
+        knows of it, but not for a table that is away.
+        """
+        queued = self._writer.queued_count
+        self._run_or_postpone(
+            lambda: self._spawn((effect.task, effect.run), self._start(effect, queued))
+        )
 
     def send_stop(self, effect: StopRun) -> None:
         """Stop a run; a start of it in flight is cancelled first."""
@@ -225,7 +235,9 @@
         if self._commands.get(key) is done:
             del self._commands[key]
 
-    async def _start(self, effect: StartRun) -> None:
+    async def _start(self, effect: StartRun, queued: int) -> None:
+        if effect.is_suspected:
+            await self._writer.wait_durable(queued, STORED_START_WAIT_SECONDS)
         if effect.is_suspected and await self._ask_for_report(effect) is None:
             # The start was not sent, so it is not to blame for what has become of the worker.
             self._answer_start(effect, StartAnswer.UNHEALTHY)
