--- a/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/__init__.py
@@ -47,9 +47,7 @@
     BlameRuns,
     ClearRun,
     ConfigurationSet,
-    CrashEvidence,
     DeleteJob,
-    FailureCause,
     FinalsRecorded,
     ForgetCrash,
     FormerLeaderEnded,
@@ -58,7 +56,6 @@
     JobCancelled,
     JobEnded,
     LeaseSent,
-    LossReason,
     PaceRun,
     PoolEffect,
     PoolEvent,
@@ -72,7 +69,6 @@
     StartRun,
     StartUnanswered,
     StopAnswered,
-    StopReason,
     StopRun,
     TimePassed,
     WorkerReported,
@@ -120,6 +116,12 @@
 )
 from lentilpath_core.pool._pauses import PauseWatch
 from lentilpath_core.pool._policies import keep_policy
+from lentilpath_core.pool._reasons import (
+    CrashEvidence,
+    FailureCause,
+    LossReason,
+    StopReason,
+)
 from lentilpath_core.pool._share_admission import (
     ShareLoads,
     decide_share_admission,
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
@@ -14,8 +14,14 @@
 
 from lentilpath_core.ids import Instant, WorkerId
 from lentilpath_core.pool._events import PoolEffect, RecordWorkers, WorkersRecorded
+from lentilpath_core.pool._former_leader import (
+    WorkerLives,
+)
 from lentilpath_core.pool._model import Life, MachineId
-from lentilpath_core.pool._state import PoolState, Worker, WorkerLives
+from lentilpath_core.pool._state import (
+    PoolState,
+    Worker,
+)
 
 IN_TOUCH_MS = 2_900
 """A worker is in touch if it has answered a request sent this recently. A reachable one answers
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -19,8 +19,6 @@
 from lentilpath_core.pool._events import (
     BlameRuns,
     ClearRun,
-    CrashEvidence,
-    FailureCause,
     ForgetCrash,
     PoolEffect,
     RecordRun,
@@ -35,6 +33,10 @@
     TaskKey,
     WorkerProcess,
 )
+from lentilpath_core.pool._reasons import (
+    CrashEvidence,
+    FailureCause,
+)
 from lentilpath_core.pool._state import Attempt, MissingWorker, PoolState, Step, Worker
 from lentilpath_core.pool._steps import (
     fail_job,
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_evidence.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_evidence.py
@@ -9,7 +9,12 @@
 import math
 
 from lentilpath_core.ids import Instant, JobId, WorkerId
-from lentilpath_core.pool._events import PoolEffect, StopReason
+from lentilpath_core.pool._events import (
+    PoolEffect,
+)
+from lentilpath_core.pool._reasons import (
+    StopReason,
+)
 from lentilpath_core.pool._state import Attempt, Phase, PoolState, Step, Worker
 from lentilpath_core.pool._steps import stop_attempt
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_explanations.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_explanations.py
@@ -21,6 +21,7 @@
     measure_loads,
 )
 from lentilpath_core.pool._advice import needs_advice
+from lentilpath_core.pool._candidates import MAX_REPORT_AGE_MS
 from lentilpath_core.pool._customers import (
     check_job_fits_quota,
     compute_weighted_share,
@@ -34,7 +35,6 @@
 )
 from lentilpath_core.pool._options import Options
 from lentilpath_core.pool._order import rank_step
-from lentilpath_core.pool._placement import MAX_REPORT_AGE_MS
 from lentilpath_core.pool._reservations import compute_usable_room, make_reservation
 from lentilpath_core.pool._share_admission import (
     ShareLoads,
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_leaving.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_leaving.py
@@ -9,8 +9,13 @@
 from __future__ import annotations
 
 from lentilpath_core.ids import Instant
-from lentilpath_core.pool._events import PoolEffect, StopReason
+from lentilpath_core.pool._events import (
+    PoolEffect,
+)
 from lentilpath_core.pool._model import ListedWorker
+from lentilpath_core.pool._reasons import (
+    StopReason,
+)
 from lentilpath_core.pool._state import Phase, PoolState, Worker
 from lentilpath_core.pool._steps import stop_attempt
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Iterable
 
-from lentilpath_core.ids import Instant, ServiceId, WorkerId
+from lentilpath_core.ids import Instant, WorkerId
 from lentilpath_core.pool._advice import (
     ask_about_new_workers,
     has_fresh_ticket,
@@ -20,7 +20,12 @@
     record_answer,
     request_advice,
 )
-from lentilpath_core.pool._capacity import is_capacity_known
+from lentilpath_core.pool._candidates import (
+    Candidates,
+    is_schedulable,
+    list_allowed,
+    list_candidates,
+)
 from lentilpath_core.pool._crashes import (
     count_suspicions,
     list_startable,
@@ -50,9 +55,6 @@
 )
 from lentilpath_core.resources import Resources
 
-MAX_REPORT_AGE_MS = 2_000
-"""A worker gets no starts if its last answered renewal was sent longer ago than this. It is twice
-the interval between renewals."""
 PLAN_MARGIN_MS = 1_000
 """How much longer than the expected duration of an advice call a plan holds resources."""
 MAX_RESERVING_GANGS = 3
@@ -81,8 +83,6 @@
 wait behind them."""
 
 Places = dict[int, Worker]
-Candidates = dict[tuple[ServiceId, str], list[Worker]]
-"""Workers that may be used in a pass, by service and label."""
 
 
 def place_waiting(state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
@@ -90,7 +90,7 @@
     state.needs_placement = False
     count_unseen_runs(state)
     state.reservations.clear()
-    schedulable = [each for each in state.workers.values() if _is_schedulable(each, now)]
+    schedulable = [each for each in state.workers.values() if is_schedulable(each, now)]
     known_candidates: Candidates = {}
     effects: list[PoolEffect] = []
     remaining: list[tuple[Rank, Step, list[Worker]]] = []
@@ -99,7 +99,7 @@
     for rank, step in list_by_rank(state, now):
         if not _needs_places(state, step, now) or not may_start_or_ask(state, step, rank, now):
             continue
-        candidates = _list_candidates(step, schedulable, known_candidates)
+        candidates = list_candidates(step, schedulable, known_candidates)
         if step.tickets is None and needs_advice(step):
             effects.extend(ask_about_new_workers(state, step, candidates, rank, now))
         elif unplaced >= MAX_UNPLACED_STEPS or started >= MAX_STARTS:
@@ -143,7 +143,7 @@
 
 def _fits_whole(state: PoolState, step: Step, candidates: list[Worker], now: Instant) -> bool:
     """Return whether there is room now for all waiting tasks of a step."""
-    options = Options(state, step, _list_allowed(step, candidates), now)
+    options = Options(state, step, list_allowed(step, candidates), now)
     return options.count_slots() >= len(step.waiting)
 
 
@@ -169,13 +169,6 @@
     return bool(list_startable(step, now)) and not (step.spec.gang and step.attempts)
 
 
-def _list_allowed(step: Step, candidates: list[Worker]) -> list[Worker]:
-    """Return the candidates for which the step has had a ticket, if it has asked for any."""
-    if step.tickets is None:
-        return candidates
-    return [each for each in candidates if each.worker in step.tickets]
-
-
 def _place_step(
     state: PoolState,
     step: Step,
@@ -190,7 +183,7 @@
     """
     step.examined_at = now
     step.awaits_answers = False
-    allowed = _list_allowed(step, candidates)
+    allowed = list_allowed(step, candidates)
     places = _choose_places(state, step, allowed, most_starts, now)
     if places:
         return True, _start_or_renew_tickets(state, step, places, rank, now)
@@ -218,37 +211,6 @@
         hold_reservation(state, step.reservation)
 
 
-def _is_schedulable(worker: Worker, now: Instant) -> bool:
-    return (
-        worker.is_listed
-        and worker.is_recorded
-        and worker.reported_at is not None
-        and now <= worker.reported_at + MAX_REPORT_AGE_MS
-        and now >= worker.cooldown_until
-        and worker.listed.leaves_in_ms is None
-        and is_capacity_known(worker, now)
-    )
-
-
-def _list_candidates(step: Step, schedulable: Iterable[Worker], known: Candidates) -> list[Worker]:
-    """Return the workers with the step's service and label, whether or not they have room.
-
-    They are listed once in a pass, as `known`, since many steps wait for the same workers.
-    """
-    policy = step.job.policy
-    if policy is None:
-        return []
-    label = step.spec.label
-    key = (policy.service, label)
-    if key not in known:
-        known[key] = [
-            each
-            for each in schedulable
-            if each.listed.service == policy.service and (not label or label in each.listed.labels)
-        ]
-    return known[key]
-
-
 def handle_advice(
     state: PoolState,
     step: Step,
@@ -290,7 +252,7 @@
         free = left.get(worker.worker, worker.free)
         if (
             step.is_waiting(index)
-            and _is_schedulable(worker, now)
+            and is_schedulable(worker, now)
             and may_start(step, index, worker)
             and room.fits_in(free)
             and has_fresh_ticket(step, worker, now)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -16,7 +16,6 @@
 from lentilpath_core.pool._customers import hold_room, release_room
 from lentilpath_core.pool._events import (
     GiveUpRun,
-    LossReason,
     PoolEffect,
     RecordRun,
     StartAnswered,
@@ -32,6 +31,9 @@
     StartAnswer,
     TaskKey,
 )
+from lentilpath_core.pool._reasons import (
+    LossReason,
+)
 from lentilpath_core.pool._state import Attempt, Phase, PoolState, Step, Worker
 from lentilpath_core.pool._steps import (
     break_gang,
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -8,7 +8,10 @@
 
 from lentilpath_core.ids import CustomerId, Epoch, Instant, JobId, WallTime, WorkerId
 from lentilpath_core.pool._buckets import TokenBucket
-from lentilpath_core.pool._events import RecordWorkers, StopReason
+from lentilpath_core.pool._events import (
+    RecordWorkers,
+)
+from lentilpath_core.pool._former_leader import FormerLeader, WorkerLives
 from lentilpath_core.pool._model import (
     CustomerPolicy,
     FinalRecord,
@@ -23,6 +26,9 @@
     TaskKey,
     WorkerProcess,
 )
+from lentilpath_core.pool._reasons import (
+    StopReason,
+)
 from lentilpath_core.resources import NO_RESOURCES, Resources
 
 RUNS_PER_EPOCH = 1_000_000
@@ -290,29 +296,6 @@
     suspects: tuple[tuple[TaskKey, RunNumber], ...]
 
 
-WorkerLives = frozenset[tuple[WorkerId, Life]]
-"""Incarnations of workers."""
-
-
-@dataclass(frozen=True, slots=True)
-class FormerLeader:
-    """What is known of an earlier leader that may not have noticed that it was replaced."""
-
-    lease_ms: int
-    """Longest time, on this leader's clock, that a lease of it may last."""
-    leases_end_at: Instant
-    """When the last leases that it may grant have expired."""
-    has_ended: bool = False
-    """Whether it has released its lease, so that it grants no more leases."""
-    bounds_leases: bool = True
-    """Whether its leases without word from the table count from its last majority; not in releases
-    before that rule."""
-    workers: WorkerLives = frozenset()
-    """The workers that it recorded."""
-    is_outnumbered: bool = True
-    """Whether half of these workers refuse it or are over, so that it has no majority of them."""
-
-
 @dataclass(slots=True)
 class PoolState:
     """The complete state of a pool's leader."""
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
@@ -7,10 +7,8 @@
 from lentilpath_core.ids import Instant, WallTime
 from lentilpath_core.pool._customers import release_room
 from lentilpath_core.pool._events import (
-    FailureCause,
     PoolEffect,
     RecordFinal,
-    StopReason,
     StopRun,
 )
 from lentilpath_core.pool._model import (
@@ -21,6 +19,10 @@
     StepSpec,
     TaskKey,
 )
+from lentilpath_core.pool._reasons import (
+    FailureCause,
+    StopReason,
+)
 from lentilpath_core.pool._state import (
     RUNS_PER_EPOCH,
     Attempt,
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -24,11 +24,8 @@
 )
 from lentilpath_core.pool._customers import get_job_customer, hold_room
 from lentilpath_core.pool._events import (
-    CrashEvidence,
-    LossReason,
     PoolEffect,
     ReleaseWorker,
-    StopReason,
     StopRun,
     WorkerReported,
     WorkersListed,
@@ -43,6 +40,11 @@
     RunNumber,
     TaskKey,
 )
+from lentilpath_core.pool._reasons import (
+    CrashEvidence,
+    LossReason,
+    StopReason,
+)
 from lentilpath_core.pool._runs import (
     UNANSWERED_START_MEMORY_MS,
     allocate_room,
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -219,12 +219,7 @@
                 await client.pace(effect.task, effect.run, effect.percent, COMMAND_TIMEOUT_SECONDS)
         except Exception as error:
             self._raise_if_deposed(error, client)
-            log_event(
-                Event.PACE_UNANSWERED,
-                worker=effect.worker,
-                task=format_task(effect.task),
-                error=str(error),
-            )
+            _log_failure(Event.PACE_UNANSWERED, effect, error)
 
     def cancel_start(self, task: TaskKey, run: RunNumber) -> None:
         """Cancel the command in flight for a run that is treated as ended; no start is resent."""
@@ -300,13 +295,7 @@
             return await client.renew(0, None, 0, RENEWAL_TIMEOUT_SECONDS)
         except Exception as error:
             self._raise_if_deposed(error, client)
-            log_event(
-                Event.START_NOT_CHECKED,
-                worker=effect.worker,
-                task=format_task(effect.task),
-                run=effect.run,
-                error=str(error),
-            )
+            _log_failure(Event.START_NOT_CHECKED, effect, error)
             return None
 
     async def _try_start(self, effect: StartRun, is_repeated: bool) -> StartAnswer | None:
@@ -339,13 +328,7 @@
         except Exception as error:
             self._raise_if_deposed(error, client)
             self._report_unanswered(effect)
-            log_event(
-                Event.START_UNANSWERED,
-                worker=effect.worker,
-                task=format_task(effect.task),
-                run=effect.run,
-                error=str(error),
-            )
+            _log_failure(Event.START_UNANSWERED, effect, error)
             return None
         return answer
 
@@ -398,12 +381,16 @@
                 break
             except Exception as error:
                 self._raise_if_deposed(error, client)
-                log_event(
-                    Event.STOP_UNANSWERED,
-                    worker=effect.worker,
-                    task=format_task(effect.task),
-                    run=effect.run,
-                    error=str(error),
-                )
+                _log_failure(Event.STOP_UNANSWERED, effect, error)
                 await asyncio.sleep(RETRY_SECONDS)
         self._handle_event(StopAnswered(effect.worker, effect.life, effect.task, effect.run))
+
+
+def _log_failure(event: Event, effect: StartRun | StopRun | PaceRun, error: Exception) -> None:
+    log_event(
+        event,
+        worker=effect.worker,
+        task=format_task(effect.task),
+        run=effect.run,
+        error=str(error),
+    )
