Workers: a command is sent only on a connection whose process is known

Cause: a command names a worker's id, which its processes share, and the end of a lease is a time on the clock of one process. A start that got no answer was retried on a new connection, which the next process accepted. It refused the start (its ticket was for the former process) but took the lease: on its clock, some hundred ms old, the end lay far ahead, so it held everything that was started there later for the longest lease that workers accept, 10 s. The leader that saw the restart reckoned with that; its successor knew of leases of 4 s.

Change: the client of a worker identifies the process on each connection before it sends anything on it that starts, stops, prolongs or acknowledges. A connection ends with its process, so no other one can carry the command out, however late it arrives. A renewal without effect identifies its connection itself. The stand-in worker kept its connections over a restart, which no process can do; it breaks them now.

--- a/packages/lentilpath-http/src/lentilpath_http/__init__.py
+++ b/packages/lentilpath-http/src/lentilpath_http/__init__.py
@@ -1,7 +1,7 @@
 """Small asyncio HTTP/1.1 client and server over h11."""
 
 from lentilpath_http._budget import ConnectionBudget, Eviction, SharedLimits, create_budget
-from lentilpath_http._client import HttpClient, create_client
+from lentilpath_http._client import HttpClient, Identification, create_client
 from lentilpath_http._connection import ClientConnection, open_connection
 from lentilpath_http._messages import (
     READ_TRANSFER,
@@ -29,6 +29,7 @@
     "HttpRequest",
     "HttpResponse",
     "HttpServer",
+    "Identification",
     "MalformedMessage",
     "MessageTooLarge",
     "RequestNotSent",
--- a/packages/lentilpath-http/src/lentilpath_http/_server.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_server.py
@@ -100,6 +100,10 @@
         await self._wait_until_closed(deadline)
         _cancel_all(self._connections)
 
+    def break_connections(self) -> None:
+        """Close all connections at once, as the end of a process does; keeps listening."""
+        _cancel_all(self._connections)
+
     async def _stop_listening(self, server: asyncio.Server, listener: socket.socket) -> None:
         """Stop listening, and serve the connections that callers have already established."""
         loop = asyncio.get_running_loop()
--- a/tests/common/fleet/workers.py
+++ b/tests/common/fleet/workers.py
@@ -147,6 +147,7 @@
         """Crash, losing all runs and state, and register as a new incarnation."""
         if self.server is None:
             return
+        self.server.break_connections()
         self._lose_runs()
         self.unacknowledged_ends.clear()
         self.ended_runs.clear()
--- a/tests/cover/test_pool_malformed_answers.py
+++ b/tests/cover/test_pool_malformed_answers.py
@@ -91,6 +91,7 @@
         timeout: float,
         transfer: TransferBounds | None = None,
         report_progress: Callable[[], None] = lambda: None,
+        is_identifying: bool = False,
     ) -> HttpResponse:
         return self._response
 
