Pool: a worker that restarts and stays silent holds up no task

So a new life that is not in the stored list has no run, and nobody waits for it: runs of the former life end with it, whether their starts were answered or not. A leader that may follow one of an earlier release waits as before; the lease row says since which epoch all leaders that may act identify processes (`identifies_since`, like `suspends_since`).

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_former_leader.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_former_leader.py
@@ -24,6 +24,9 @@
     bounds_leases: bool = True
     """Whether its leases without word from the table count from its last majority; not in releases
     before that rule."""
+    identifies_processes: bool = True
+    """Whether its commands reach no process of a worker but the one that they were made for; not
+    in releases before that rule."""
     workers: WorkerLives = frozenset()
     """The workers that it recorded."""
     is_outnumbered: bool = True
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -376,14 +376,21 @@
     former_lease_ms: int = 0,
     former_has_ended: bool = False,
     former_bounds_leases: bool = True,
+    former_identifies_processes: bool = True,
 ) -> PoolState:
     """Return the initial state of a leader of this epoch.
 
     Leases of earlier leaders last `former_lease_ms` at most. `former_has_ended` says that no
     earlier leader can act any more, `former_bounds_leases` that those which may act are of a
-    release whose leases without word from the table count from the last majority.
+    release whose leases without word from the table count from the last majority, and
+    `former_identifies_processes` that their commands reach no other process of a worker than the
+    one that they were made for.
     """
     former_leader = FormerLeader(
-        former_lease_ms, former_leases_end_at, former_has_ended, former_bounds_leases
+        former_lease_ms,
+        former_leases_end_at,
+        former_has_ended,
+        former_bounds_leases,
+        former_identifies_processes,
     )
     return PoolState(epoch, former_leases_end_at, former_leader)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from lentilpath_core.ids import Instant
 from lentilpath_core.pool._authority import (
     note_recorded_workers,
@@ -20,13 +18,11 @@
     record_crashes,
     resolve_missing_worker,
     resolve_taken_machines,
-    suspect_run,
 )
 from lentilpath_core.pool._customers import get_job_customer, hold_room
 from lentilpath_core.pool._events import (
     PoolEffect,
     ReleaseWorker,
-    StopRun,
     WorkerReported,
     WorkersListed,
     WorkersRecorded,
@@ -46,7 +42,6 @@
     StopReason,
 )
 from lentilpath_core.pool._runs import (
-    UNANSWERED_START_MEMORY_MS,
     allocate_room,
     confirm_attempt,
     forget_old_unanswered_starts,
@@ -125,62 +120,31 @@
 ) -> tuple[PoolEffect, ...]:
     """Add a new incarnation of a worker, and give up the runs of the former one.
 
-    Start commands that were not answered may take effect at the new incarnation, even if another
-    copy of them was answered or a stop was answered since. So they are stopped there, and runs that
-    the former incarnation still held are moved to the new one until it reports. What was sent for
-    the former one may also have granted a lease, which the clock of the new one does not bound.
+    Commands that were sent for the former one are never carried out by the new one, and no leader
+    has sent any to the new one before it was recorded. So the new one has no run, unless a leader
+    of an earlier release has sent commands that it may carry out.
     """
-    unanswered = state.unanswered_starts.get(entry.worker, {})
-    moved: list[Attempt] = []
     was_unconfirmed = entry.worker in state.unconfirmed_workers
     effects: list[PoolEffect] = []
     if former is not None:
-        moved = [
-            each
-            for key, each in former.attempts.items()
-            if key in unanswered or _is_recent_and_unconfirmed(each, now)
-        ]
-        for attempt in moved:
-            suspect_run(state, attempt, now)
-            del former.attempts[(attempt.task, attempt.run)]
         effects.extend(_remove_worker(state, former, now))
         effects.extend(record_crashes(state, former, CrashEvidence.LATER_PROCESS))
     worker = state.workers[entry.worker] = Worker(entry, entry.capacity)
-    if former is not None or unanswered:
-        _assume_longest_lease(state, worker, now)
     update_leave_time(worker, entry, now)
-    if was_unconfirmed:
+    if was_unconfirmed and not state.former_leader.identifies_processes:
+        _assume_longest_lease(state, worker, now)
         state.unconfirmed_workers.add(entry.worker)
     if former is not None and former.is_suspended:
         # Until it reports, the record says of the new one what it said of the former.
         suspend_worker(state, worker)
-    for attempt in moved:
-        effects.extend(_move_to_life(attempt, worker, now))
-    for task, run in unanswered:
-        if (task, run) not in worker.attempts:
-            effects.append(StopRun(worker.worker, worker.life, task, run, StopReason.UNCLEAR))
     return tuple(effects)
 
 
-def _is_recent_and_unconfirmed(attempt: Attempt, now: Instant) -> bool:
-    return not attempt.is_confirmed and now < attempt.begun_at + UNANSWERED_START_MEMORY_MS
-
-
 def _assume_longest_lease(state: PoolState, worker: Worker, now: Instant) -> None:
     lease_ends_at = Instant(now + state.longest_lease_ms)
     worker.lease_ends_at = max(worker.lease_ends_at, lease_ends_at)
 
 
-def _move_to_life(attempt: Attempt, worker: Worker, now: Instant) -> tuple[PoolEffect, ...]:
-    """Move a run to the new incarnation, which may have started it too, and stop it there."""
-    moved = replace(attempt, worker=worker, answered_at=None, has_started=False, is_confirmed=False)
-    allocate_room(worker, moved)
-    step = attempt.step
-    if step is not None and step.attempts.get(attempt.task.number) is attempt:
-        step.attempts[attempt.task.number] = moved
-    return stop_attempt(moved, StopReason.UNCLEAR, now)
-
-
 def handle_recorded_workers(state: PoolState, event: WorkersRecorded) -> None:
     """Allow starts on these incarnations of workers, whose record is durable."""
     note_recorded_workers(state, event)
@@ -353,24 +317,10 @@
         if now < worker.lease_ends_at and (worker.is_listed or worker.attempts):
             continue
         for attempt in list(worker.attempts.values()):
-            if not _may_begin_in_next_life(state, attempt, now):
-                effects.extend(mark_attempt_lost(state, attempt, LossReason.LEASE_LAPSED, now))
+            effects.extend(mark_attempt_lost(state, attempt, LossReason.LEASE_LAPSED, now))
         if not worker.is_listed:
             effects.extend(_remove_worker(state, worker, now))
             keep_suspects(state, worker)
             effects.extend(resolve_taken_machines(state))
             effects.extend(record_workers(state))
     return tuple(effects)
-
-
-def _may_begin_in_next_life(state: PoolState, attempt: Attempt, now: Instant) -> bool:
-    """Return whether a run whose lease has expired may begin again after a restart of its worker.
-
-    A start without an answer may still be carried out. The process that it was sent to refuses it
-    by now, but the worker may have restarted before the registry shows it.
-    """
-    worker = attempt.worker
-    unanswered_at = state.unanswered_starts.get(worker.worker, {}).get((attempt.task, attempt.run))
-    if unanswered_at is None or now >= unanswered_at + UNANSWERED_START_MEMORY_MS:
-        return False
-    return worker.is_listed and worker.capacity_seen_at < worker.lease_ends_at
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -104,6 +104,8 @@
         """Whether no leader before the last takeover can act any more."""
         self.suspends_since = 0
         """What the lease of the leader before the last takeover says of this."""
+        self.identifies_since = 0
+        """The same."""
         self.former_leader: LeaderProcess | None = None
         """The process that led before the last takeover, if none before it can act any more."""
         self._watched_since = Instant(0)
@@ -174,7 +176,9 @@
         self.is_sole = False
         self.succeeds_sole_leader = has_sole_leader_ended(snapshot, self._host, self._address)
         self.former_leader = find_sole_leader(snapshot)
-        self.suspends_since = snapshot.lease.suspends_since if snapshot.lease is not None else 0
+        lease = snapshot.lease
+        self.suspends_since = lease.suspends_since if lease is not None else 0
+        self.identifies_since = lease.identifies_since if lease is not None else 0
         epoch = Epoch(snapshot.epoch + 1)
         renewal = self.make_renewal(epoch)
         row = EpochRow(epoch, self._host, self._incarnation)
@@ -230,18 +234,31 @@
         )
         return None
 
-    def _find_since(self, epoch: Epoch) -> int:
-        """Return since when all leaders that may act are of releases that suspend workers."""
-        return self.suspends_since or (epoch if self.is_sole else 0)
+    def _find_since(self, epoch: Epoch, inherited: int) -> int:
+        """Return since when all leaders that may act are of releases that keep to a rule.
+
+        `inherited` is what the leader before this one knew of it.
+        """
+        return inherited or (epoch if self.is_sole else 0)
+
+    def _make_lease(self, epoch: Epoch, until_ms: int, successor: str = "") -> LeaseRow:
+        return LeaseRow(
+            epoch,
+            self._host,
+            self._address,
+            until_ms,
+            successor,
+            self.is_sole,
+            self._find_since(epoch, self.suspends_since),
+            self._find_since(epoch, self.identifies_since),
+        )
 
     def make_renewal(self, epoch: Epoch) -> Renewal:
         """Return a renewed lease, for a transaction that is sent at once."""
         now = self._renewed_at = read_instant()
         lease_ms = SLOW_LEASE_MS if self.is_table_slow() else LEASE_MS
         until_ms = self._clock.estimate(now) + lease_ms
-        lease = LeaseRow(
-            epoch, self._host, self._address, until_ms, "", self.is_sole, self._find_since(epoch)
-        )
+        lease = self._make_lease(epoch, until_ms)
         return Renewal((LEASE_KEY, encode_record(lease)), now, lease_ms)
 
     @contextmanager
@@ -288,8 +305,7 @@
 
     async def release(self, epoch: Epoch, successor: HostId | None = None) -> None:
         """Release the lease for an immediate takeover, by `successor` first if it is given."""
-        since = self._find_since(epoch)
-        lease = LeaseRow(epoch, self._host, self._address, 0, successor or "", self.is_sole, since)
+        lease = self._make_lease(epoch, 0, successor or "")
         put = (LEASE_KEY, encode_record(lease))
         await self._write_lease(epoch, Renewal(put, read_instant(), lease_ms=0))
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_records.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_records.py
@@ -82,6 +82,9 @@
     """Epoch since which all leaders that may act heed and keep the suspensions of workers, and
     bound their leases without word from the table. 0 if earlier releases may have led since, which
     leave this field out."""
+    identifies_since: int = 0
+    """Epoch since which all leaders that may act identify the process of a worker before they
+    command it; 0 as above."""
 
 
 def encode_record(record: msgspec.Struct) -> bytes:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -92,6 +92,7 @@
             former_lease_ms,
             leadership.succeeds_sole_leader,
             leadership.suspends_since > 0,
+            leadership.identifies_since > 0,
         )
         self._authority = TermAuthority(context, epoch, leadership, self._state, now)
         self._hold_log = HoldLog(epoch, now)
