Pool: a leader that may have been replaced gives up no run of a restarted worker

A leader is cut off from the table with some of the workers; its successor hears that a run has ended as done, stores that and acknowledges it; the worker restarts; the former leader reads the registry, finds the later process, takes the run for lost with its worker and starts the task on a worker of its own side, 0.8 s after the success was stored.

Cause: expire_leases concludes from silence only while the lease is confirmed, but the end of a process was taken for the end of its runs without an outcome at any time.

Change: a list that arrives while the leader's lease is not confirmed starts no new life.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -39,6 +39,8 @@
     """When the list was requested; `None` for just now."""
     missing: frozenset[WorkerId] = frozenset()
     """Workers in it that the registry does not show at present, but may show again."""
+    is_confirmed: bool = True
+    """Whether the leader's lease is confirmed, so that nobody else has taken over."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -87,6 +87,9 @@
                 effects.extend(_withdraw_starts(known, now))
             known.listed = entry
             update_leave_time(known, entry, now)
+        elif known is not None and not event.is_confirmed:
+            # A successor may have heard how the runs of the former life have ended.
+            known.is_listed = True
         else:
             effects.extend(resolve_missing_worker(state, entry))
             effects.extend(_start_new_life(state, known, entry, now))
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Container
+from dataclasses import replace
 
 import msgspec
 
@@ -177,7 +178,8 @@
             recovered.unreadable_workers,
             {worker: ends_at for worker, (ends_at, _) in recovered.suspended_workers.items()},
         )
-        self.handle_event(WorkersListed(listed, listed_at))
+        is_confirmed = self._leadership.is_confirmed(read_instant())
+        self.handle_event(WorkersListed(listed, listed_at, is_confirmed=is_confirmed))
         for event in (*self._extension.sent, *recovered.events):
             self.handle_event(event)
         unreadable = recovered.ended_jobs - self._state.finals.keys()
@@ -305,6 +307,7 @@
                 self._placement_due.set()
 
     def _handle_list(self, event: WorkersListed) -> None:
-        self.handle_event(event)
+        is_confirmed = self._leadership.is_confirmed(read_instant())
+        self.handle_event(replace(event, is_confirmed=is_confirmed))
         self._links.open_missing()
         self._links.withdraw_starts()
--- a/tests/cover/test_pool_restarts.py
+++ b/tests/cover/test_pool_restarts.py
@@ -36,6 +36,7 @@
     StopRun,
     TaskKey,
     WorkerReport,
+    WorkersListed,
     WorkersRecorded,
     restore_former_workers,
 )
@@ -118,6 +119,20 @@
     assert again.run > start.run
 
 
+def test_a_leader_that_may_have_been_replaced_gives_up_no_run_of_a_restarted_worker():
+    """Its successor had stored the end before the restart, and the task ran again (TWICE)."""
+    harness, start = make_harness_with_start()
+    harness.answer_start(start, StartAnswer.STARTED)
+    harness.report(start.worker, ((start.task, start.run, 10),))
+    restarted = make_worker(start.worker, life=Life(2))
+    others = [each for each in harness.listed.values() if each.worker != start.worker]
+    harness.handle_event(WorkersListed((restarted, *others), is_confirmed=False))
+    assert list_starts(harness.place()) == []
+    harness.handle_event(WorkersListed((restarted, *others), is_confirmed=True))
+    (again,) = list_starts(harness.place())
+    assert again.run > start.run
+
+
 def test_a_task_that_is_done_does_not_start_again_when_its_worker_restarts():
     harness, start = make_harness_with_start()
     lose_answer(harness, start)
