--- a/tests/nocover/test_pool_isolated_workers.py
+++ b/tests/nocover/test_pool_isolated_workers.py
@@ -79,17 +79,18 @@
     assert not problems
 
 
+@pytest.mark.parametrize(("seed", "down_seconds"), [(1, 4.0), (3, 4.5)])
 def test_a_lasting_job_whose_workers_are_isolated_and_restart_before_they_return_goes_on(
-    monkeypatch,
+    seed, down_seconds, monkeypatch
 ):
     """Its runs had lapsed before, so it was shown as failed although no worker crashed under it."""
-    cluster = SimulatedCluster(1, Faults(), WORKER_COUNT)
+    cluster = SimulatedCluster(seed, Faults(), WORKER_COUNT)
     cluster.configuration = PoolConfiguration(ConfigVersion(1), {QUEUE: make_queue()})
     isolate = SimulatedWorker.isolate
 
     def isolate_and_restart(worker: SimulatedWorker, seconds: float) -> None:
         isolate(worker, seconds)
-        asyncio.get_running_loop().call_later(seconds - 4.0, worker.crash)
+        asyncio.get_running_loop().call_later(seconds - down_seconds, worker.crash)
 
     monkeypatch.setattr(SimulatedWorker, "isolate", isolate_and_restart)
     problems = run_logged(play(cluster, CUTS["three of 9 s"], False), cluster, monkeypatch)
