Pool: starts of suspected tasks are stored before they are sent

Cause: a new leader did not know of the crash under the start in flight at the takeover.

A start of a task with a crash or suspicion is stored as a suspicion before it is sent, for which it waits 0.5 s at most; the row is deleted when the start is survived, refused or its run ended.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -4,8 +4,9 @@
 their workers to it. A worker that crashes tells nothing, so each run is suspected that it had not
 listed in a report yet. A suspected task starts where no other start is in progress, on a worker
 that has answered right before and is asked again right after, so that the next crash points at one
-task. It is cleared when a report that was made after its start lists its run, or when a worker that
-was only cut off is heard again.
+task. Its starts are stored before they are sent, so that a later leader knows of a crash under one
+in flight. It is cleared when a report that was made after its start lists its run, or when a worker
+that was only cut off is heard again.
 
 Only a later process of the worker, or on its machine, shows that it has crashed. A worker whose
 entry is missing may be cut off from the registry too, so its runs stay suspected until it returns.
@@ -138,13 +139,22 @@
 
 
 def record_suspicion(attempt: Attempt) -> tuple[PoolEffect, ...]:
-    """Store that a lost run may have crashed its worker; nothing for a job that is over."""
-    if attempt.step is None or attempt.step.job.final is not None:
+    """Store that a run may have crashed its worker, or may yet; nothing for a job that is over."""
+    if attempt.step is None or attempt.step.job.final is not None or attempt.is_suspicion_stored:
         return ()
+    attempt.is_suspicion_stored = True
     process = _get_process(attempt.worker)
     return (RecordRun(attempt.task, RunRecord(attempt.run, RunEnd.SUSPECTED, process)),)
 
 
+def forget_suspicion(attempt: Attempt) -> tuple[PoolEffect, ...]:
+    """Delete what is stored of a run that has not crashed its worker."""
+    if not attempt.is_suspicion_stored:
+        return ()
+    attempt.is_suspicion_stored = False
+    return (ForgetCrash(attempt.task, attempt.run, RunEnd.SUSPECTED),)
+
+
 def note_listing(attempt: Attempt, sent_at: Instant, now: Instant) -> tuple[PoolEffect, ...]:
     """Forget the crashes under a task whose worker lists its run and has survived the start.
 
@@ -158,10 +168,11 @@
     attempt.has_survived = True
     release_worker(attempt.worker, attempt.task)
     if attempt.step is None:
-        return ()
+        return forget_suspicion(attempt)
     suspected = attempt.step.suspected_runs.pop(attempt.task.number, set())
     crashed = attempt.step.crashed_runs.pop(attempt.task.number, set())
     return (
+        *forget_suspicion(attempt),
         *(ForgetCrash(attempt.task, run, RunEnd.SUSPECTED) for run in sorted(suspected)),
         *(ForgetCrash(attempt.task, run) for run in sorted(crashed)),
     )
@@ -305,7 +316,7 @@
     index, run = task.number, record.run
     forget = ForgetCrash(task, run, RunEnd.SUSPECTED)
     if not is_recovered:
-        return () if run in step.suspected_runs.get(index, ()) else (forget,)
+        return () if _is_open(step, index, run) else (forget,)
     # A worker that has reported the run's end has not crashed under it.
     decided = step.crashed_runs.get(index, set()) | step.failed_runs.get(index, set())
     if run in decided:
@@ -315,6 +326,13 @@
     return _take_over_suspect(state, record.process, (task, run), now)
 
 
+def _is_open(step: Step, index: int, run: RunNumber) -> bool:
+    """Return whether a run may have crashed its worker, or may yet."""
+    attempt = step.attempts.get(index)
+    is_starting = attempt is not None and attempt.run == run and attempt.is_suspicion_stored
+    return is_starting or run in step.suspected_runs.get(index, ())
+
+
 def _take_over_suspect(
     state: PoolState, process: WorkerProcess, suspect: tuple[TaskKey, RunNumber], now: Instant
 ) -> tuple[PoolEffect, ...]:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -30,6 +30,7 @@
     count_suspicions,
     list_startable,
     may_start,
+    record_suspicion,
     starts_apart,
 )
 from lentilpath_core.pool._customers import count_allowed, count_unseen_runs, hold_room
@@ -345,6 +346,8 @@
         reduce_spare(state, step, worker)
         ticket = (step.tickets or {}).get(worker.worker)
         checkpoint = step.checkpoints.get(get_shared_index(step.spec, index), "")
+        if is_suspected:
+            effects.extend(record_suspicion(attempt))
         effects.append(
             StartRun(
                 worker.worker,
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -7,6 +7,7 @@
 
 from lentilpath_core.ids import Instant, WorkerId
 from lentilpath_core.pool._crashes import (
+    forget_suspicion,
     handle_recorded_crash,
     handle_recorded_suspicion,
     note_listing,
@@ -121,9 +122,17 @@
 ) -> tuple[PoolEffect, ...]:
     """Handle the end of a run as its worker reports it."""
     attempt = worker.attempts.get((ended.task, ended.run))
-    step = find_step(state, ended.task)
+    forgotten: tuple[PoolEffect, ...] = ()
     if attempt is not None:
+        forgotten = forget_suspicion(attempt)
         _remove_attempt(state, attempt)
+    return (*forgotten, *_handle_reported_end(state, worker, ended, attempt, now))
+
+
+def _handle_reported_end(
+    state: PoolState, worker: Worker, ended: EndedRun, attempt: Attempt | None, now: Instant
+) -> tuple[PoolEffect, ...]:
+    step = find_step(state, ended.task)
     if step is None or ended.task.number >= step.spec.count:
         return ()
     mark_run_number_used(step, ended.task.number, ended.run)
@@ -232,7 +241,7 @@
         return (given_up,)
     return (
         given_up,
-        *(record_suspicion(attempt) if is_suspected else ()),
+        *(record_suspicion(attempt) if is_suspected else forget_suspicion(attempt)),
         *_requeue_interrupted_task(state, attempt.step, attempt.task.number, attempt, now),
     )
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -65,6 +65,8 @@
     """Whether the worker has said, in an answer or a report, that it started the run."""
     has_survived: bool = False
     """Whether a report has listed the run so long after its start that it has crashed nothing."""
+    is_suspicion_stored: bool = False
+    """Whether the record is kept that the run may have crashed its worker, or may yet."""
     percent: int = 0
     first_percent: int = 0
     """Percent of the task that was done when this leader first saw the run."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -48,6 +48,9 @@
 START_CHECK_SECONDS = 0.1
 """A suspected run is looked for this long after its start: ten times as long as a task takes that
 crashes its worker, and short enough that few workers crash meanwhile for another reason."""
+STORED_START_WAIT_SECONDS = 0.5
+"""A suspected start waits this long until it is stored, and is then sent all the same: while the
+table is away, its task would stand still. Ten of the longest network round trips."""
 COMMAND_TIMEOUT_SECONDS = 0.8
 """Under a quarter of a lease, so that a lost command is noticed well before its lease expires."""
 
@@ -178,9 +181,16 @@
         return lease[0]
 
     def send_start(self, effect: StartRun) -> None:
-        """Start a run; retried until the worker's answer is known."""
+        """Start a run; retried until the worker's answer is known.
+
+        A suspected start waits for the records that were queued before it, so that a later leader
+        knows of it, but not for a table that is away.
+        """
         self._unsent_starts[(effect.task, effect.run)] = effect
-        self._run_or_postpone(lambda: self._spawn((effect.task, effect.run), self._start(effect)))
+        queued = self._writer.queued_count
+        self._run_or_postpone(
+            lambda: self._spawn((effect.task, effect.run), self._start(effect, queued))
+        )
 
     def withdraw_starts(self) -> None:
         """Answer the starts that were not sent yet with `NOT_SENT`, and never send them."""
@@ -244,9 +254,11 @@
         if self._commands.get(key) is done:
             del self._commands[key]
 
-    async def _start(self, effect: StartRun) -> None:
+    async def _start(self, effect: StartRun, queued: int) -> None:
         if (effect.task, effect.run) not in self._unsent_starts:
             return
+        if effect.is_suspected:
+            await self._writer.wait_durable(queued, STORED_START_WAIT_SECONDS)
         if effect.is_suspected and await self._ask_for_report(effect) is None:
             # The start was not sent, so it is not to blame for what has become of the worker.
             self._answer_start(effect, StartAnswer.UNHEALTHY)
--- a/tests/cover/test_pool_link.py
+++ b/tests/cover/test_pool_link.py
@@ -28,6 +28,7 @@
 from tests.common.tables import OnePartitionTable, make_leadership
 
 LEASE_MS = 5_000
+POLLS_BEFORE_STORED = 10
 UNUSED_TABLE = typing.cast(SharedTable, None)
 
 
@@ -216,3 +217,38 @@
     answers = [each.answer for each in events if isinstance(each, StartAnswered)]
     assert answers == [StartAnswer.UNHEALTHY]
     assert client.starts == 0
+
+
+def send_suspected_start(is_stored: bool, monkeypatch, wait_seconds: float) -> int:
+    """Send a suspected start beside a record; return how many polls later it was started."""
+    client = SlowReports(answers=1_000_000)
+    monkeypatch.setattr(_link, "STORED_START_WAIT_SECONDS", wait_seconds)
+    monkeypatch.setattr(_link, "START_CHECK_SECONDS", 0.001)
+    polls: list[int] = []
+
+    def on_poll(link):
+        if not client.numbers[1:]:
+            return
+        if not polls:
+            link._writer.queued_count += 1
+            link.send_start(replace(make_start(), is_suspected=True))
+        polls.append(client.starts)
+        if len(polls) == POLLS_BEFORE_STORED and is_stored:
+            asyncio.get_running_loop().create_task(confirm_first_record(link._writer))
+
+    run_link(client, 1, monkeypatch, on_poll)
+    return polls.count(0)
+
+
+async def confirm_first_record(writer: RecordWriter) -> None:
+    async with writer._durable:
+        writer.durable_count += 1
+        writer._durable.notify_all()
+
+
+def test_a_suspected_start_is_sent_once_it_is_stored(monkeypatch):
+    assert send_suspected_start(True, monkeypatch, 60.0) >= POLLS_BEFORE_STORED
+
+
+def test_a_suspected_start_does_not_wait_for_a_table_that_is_away(monkeypatch):
+    assert send_suspected_start(False, monkeypatch, 0.01) > 0
