--- a/packages/lentilpath-core/src/lentilpath_core/pool/_reasons.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_reasons.py
@@ -20,8 +20,6 @@
     """The run's job is not known."""
     EVACUATED = "evacuated"
     """The run's task is lasting and its worker is leaving; the task restarts on another worker."""
-    UNCLEAR = "unclear"
-    """Its start was not answered, and the worker's process has restarted since."""
     NO_ROOM = "no-room"
     """Its start was not answered, and the worker's capacity has shrunk since."""
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -286,7 +286,7 @@
 
 
 def record_unanswered_start(state: PoolState, event: StartUnanswered, now: Instant) -> None:
-    """Remember a start command that may be carried out later, by any incarnation of the worker."""
+    """Remember a start command that may have been carried out, or may be later."""
     starts = state.unanswered_starts.setdefault(event.worker, {})
     starts[(event.task, event.run)] = now
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -334,8 +334,8 @@
     unanswered_starts: dict[WorkerId, dict[tuple[TaskKey, RunNumber], Instant]] = field(
         default_factory=dict
     )
-    """Start commands that got no answer and may still be carried out, and when this was noticed. By
-    id, because any incarnation of the worker carries them out."""
+    """Start commands that got no answer, and when this was noticed: their runs may have begun, and
+    have crashed their worker."""
     missing_workers: dict[WorkerId, MissingWorker] = field(default_factory=dict)
     """Workers that have left the registry, while it is not known whether their runs crashed them:
     they may only be cut off."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -27,6 +27,7 @@
 )
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event
+from lentilpathd._pool._command_log import log_unanswered
 from lentilpathd._pool._command_slots import CommandSlots
 from lentilpathd._pool._guard import report_unexpected
 from lentilpathd._pool._leases import RENEWAL_TIMEOUT_SECONDS, WorkerClock
@@ -229,7 +230,7 @@
                 await client.pace(effect.task, effect.run, effect.percent, COMMAND_TIMEOUT_SECONDS)
         except Exception as error:
             self._raise_if_deposed(error, client)
-            _log_failure(Event.PACE_UNANSWERED, effect, error)
+            log_unanswered(Event.PACE_UNANSWERED, effect, error)
 
     def cancel_start(self, task: TaskKey, run: RunNumber) -> None:
         """Cancel the command in flight for a run that is treated as ended; no start is resent."""
@@ -307,7 +308,7 @@
             return await client.renew(0, None, 0, RENEWAL_TIMEOUT_SECONDS)
         except Exception as error:
             self._raise_if_deposed(error, client)
-            _log_failure(Event.START_NOT_CHECKED, effect, error)
+            log_unanswered(Event.START_NOT_CHECKED, effect, error)
             return None
 
     async def _try_start(self, effect: StartRun, is_repeated: bool) -> StartAnswer | None:
@@ -340,7 +341,7 @@
         except Exception as error:
             self._raise_if_deposed(error, client)
             self._report_unanswered(effect)
-            _log_failure(Event.START_UNANSWERED, effect, error)
+            log_unanswered(Event.START_UNANSWERED, effect, error)
             return None
         return answer
 
@@ -393,16 +394,6 @@
                 break
             except Exception as error:
                 self._raise_if_deposed(error, client)
-                _log_failure(Event.STOP_UNANSWERED, effect, error)
+                log_unanswered(Event.STOP_UNANSWERED, effect, error)
                 await asyncio.sleep(RETRY_SECONDS)
         self._handle_event(StopAnswered(effect.worker, effect.life, effect.task, effect.run))
-
-
-def _log_failure(event: Event, effect: StartRun | StopRun | PaceRun, error: Exception) -> None:
-    log_event(
-        event,
-        worker=effect.worker,
-        task=format_task(effect.task),
-        run=effect.run,
-        error=str(error),
-    )
