Test: after a leader of an earlier release a next life that runs its late start is waited for

The simulation has leaders again whose commands whatever process answers carries out, and the case [before the restart] asks for the late run on the next life as it did.

--- a/tests/common/simulated_workers.py
+++ b/tests/common/simulated_workers.py
@@ -136,6 +136,8 @@
         self.isolating: dict[TaskKey, list[float]] = {}
         """For how many seconds the workers that start a task are isolated, one start after the
         other."""
+        self.unidentified_epochs: frozenset[int] = frozenset()
+        """Leaders of an earlier release: whatever process answers carries out their commands."""
         self.is_registry_away = False
         self.split: tuple[int, frozenset[str]] | None = None
         """During a split, the epoch of the leader that is cut off, and the workers on its side."""
@@ -634,7 +636,8 @@
         except RefusedByFence as error:
             return error
         life = worker.life
-        if life != self._life:
+        is_identified = self._token // TOKENS_PER_EPOCH not in self._cluster.unidentified_epochs
+        if life != self._life and is_identified:
             return OtherLife(f"life {life} answered a request to life {self._life}")
         reply = await act(fate)
         if not name.startswith("renew"):
--- a/tests/nocover/test_pool_late_starts.py
+++ b/tests/nocover/test_pool_late_starts.py
@@ -12,8 +12,9 @@
 import pytest
 
 from lentilpath_core.errors import OutcomeUnknown
-from lentilpath_core.ids import ConfigVersion
+from lentilpath_core.ids import ConfigVersion, Epoch
 from lentilpath_core.pool import JobRecord, PoolConfiguration, StepSpec
+from lentilpathd._pool._leadership import PoolLeadership
 from tests.common.pools import QUEUE, make_job_id, make_queue
 from tests.common.simulated_pool import SharedRows, SimulatedHost, check_runs, run_logged
 from tests.common.simulated_workers import (
@@ -90,6 +91,34 @@
     return []
 
 
+def simulate(cluster: SimulatedCluster, late: LateStart, lost_after: float, monkeypatch) -> None:
+    cluster.configuration = PoolConfiguration(ConfigVersion(1), {QUEUE: make_queue()})
+    late.install(monkeypatch)
+    problems = run_logged(play(cluster, late, lost_after), cluster, monkeypatch)
+    problems.extend(check_runs(cluster.runs))
+    print("\n".join(f"{at:.3f} {text}" for at, text in cluster.log))
+    assert late.worker is not None
+    assert late.worker.life == 2
+    assert not problems
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_no_task_runs_twice_if_the_lost_leader_was_of_an_earlier_release(seed, monkeypatch):
+    """The next life carries out its late start, so the successor waits for that life."""
+    cluster = SimulatedCluster(seed, Faults(failing=0.0), 12)
+    cluster.unidentified_epochs = frozenset({1})
+
+    def find_since(leadership: PoolLeadership, epoch: Epoch, inherited: int) -> int:
+        return 0 if epoch == 1 else find_since_now(leadership, epoch, inherited)
+
+    find_since_now = PoolLeadership._find_since
+    monkeypatch.setattr(PoolLeadership, "_find_since", find_since)
+    late = LateStart(cluster)
+    simulate(cluster, late, 0.05, monkeypatch)
+    assert late.worker is not None
+    assert f"{late.worker.name}.2" in {run.place for run in cluster.runs}
+
+
 @pytest.mark.parametrize("seed", range(2))
 @pytest.mark.parametrize(
     "lost_after",
@@ -99,15 +128,9 @@
     lost_after, seed, monkeypatch
 ):
     cluster = SimulatedCluster(seed, Faults(failing=0.0), 12)
-    cluster.configuration = PoolConfiguration(ConfigVersion(1), {QUEUE: make_queue()})
     late = LateStart(cluster)
-    late.install(monkeypatch)
-    problems = run_logged(play(cluster, late, lost_after), cluster, monkeypatch)
-    problems.extend(check_runs(cluster.runs))
-    print("\n".join(f"{at:.3f} {text}" for at, text in cluster.log))
+    simulate(cluster, late, lost_after, monkeypatch)
     assert late.worker is not None
-    assert late.worker.life == 2
-    assert not problems
     (run,) = cluster.runs
     assert run.end == "done"
     assert not run.place.startswith(f"{late.worker.name}.")
