Pool: after a leader of an earlier release the longest lease is waited for

Such a leader may have started tasks on a worker that holds its runs for longer than any lease that the leader granted, and stores nothing of it. The lease row says since which epoch all leaders store it (holds_since, like identifies_since); without that a silent worker is waited for as long as the longest lease that workers accept.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -106,6 +106,8 @@
         """What the lease of the leader before the last takeover says of this."""
         self.identifies_since = 0
         """The same."""
+        self.holds_since = 0
+        """The same."""
         self.former_leader: LeaderProcess | None = None
         """The process that led before the last takeover, if none before it can act any more."""
         self._watched_since = Instant(0)
@@ -179,6 +181,7 @@
         lease = snapshot.lease
         self.suspends_since = lease.suspends_since if lease is not None else 0
         self.identifies_since = lease.identifies_since if lease is not None else 0
+        self.holds_since = lease.holds_since if lease is not None else 0
         epoch = Epoch(snapshot.epoch + 1)
         renewal = self.make_renewal(epoch)
         row = EpochRow(epoch, self._host, self._incarnation)
@@ -251,6 +254,7 @@
             self.is_sole,
             self._find_since(epoch, self.suspends_since),
             self._find_since(epoch, self.identifies_since),
+            self._find_since(epoch, self.holds_since),
         )
 
     def make_renewal(self, epoch: Epoch) -> Renewal:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_records.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_records.py
@@ -85,6 +85,9 @@
     identifies_since: int = 0
     """Epoch since which all leaders that may act identify the process of a worker before they
     command it; 0 as above."""
+    holds_since: int = 0
+    """Epoch since which all leaders that may act store until when a restarted worker may hold its
+    runs; 0 as above."""
 
 
 def encode_record(record: msgspec.Struct) -> bytes:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -87,6 +87,10 @@
         now = read_instant()
         # Earlier leaders may have granted longer leases than this one, from other settings.
         former_lease_ms = bound_lease_ms(MAX_LEASE_MS)
+        if not leadership.holds_since:
+            # A leader of an earlier release does not say which workers may hold their runs longer.
+            longest_lease_ms = bound_lease_ms(context.settings.longest_lease_ms)
+            former_lease_ms = max(former_lease_ms, longest_lease_ms)
         self._state = create_pool(
             epoch,
             Instant(now + former_lease_ms),
--- a/tests/cover/test_pool_suspension.py
+++ b/tests/cover/test_pool_suspension.py
@@ -267,6 +267,7 @@
     lease = decode_record(leadership.make_renewal(Epoch(7)).put[1], LeaseRow)
     assert lease.suspends_since == since
     assert lease.identifies_since == (7 if is_sole else 0)
+    assert lease.holds_since == (7 if is_sole else 0)
 
 
 @pytest.mark.parametrize("latency_ms", [0, 40, 900])
