Test: an isolated worker that restarts is not in the registry before it is back

The simulated worker's entry came back for 4.2 s when an isolated worker crashed, and its next life registered through the isolation. A worker that can't reach the table can't do either (class docstring: 'from all leaders and from the registry, where its entry expires').

--- a/tests/common/simulated_workers.py
+++ b/tests/common/simulated_workers.py
@@ -267,7 +267,8 @@
         self.cluster.note(f"{self.name}.{self.life} crashes")
         self.expire()
         self.is_up = False
-        self.seen_at = read_time()
+        if not self.is_isolated():
+            self.seen_at = read_time()
         for run in list(self.running.values()):
             self._close(run, "crashed", read_time())
 
@@ -362,6 +363,10 @@
         return math.isinf(self.cut_until)
 
     def _register(self, life: Life) -> None:
+        if self.is_isolated():
+            loop = asyncio.get_running_loop()
+            loop.call_at(self.isolated_until, self._register, life)
+            return
         life = max(life, self.entry.life)
         self.entry = replace(self.entry, life=life, capacity=self.get_capacity())
 
