Pool: a start without an answer is stored as a suspicion at once

Cause: the first crash under a task was stored only once the lease of its worker was over, 4.2 s later. A leader that was lost before took it with it. Starts of a task that is suspected already are stored before they are sent; the first one is not.

Change: a start that gets no answer may have crashed its worker, so it is stored as a suspicion as soon as that is noticed, and deleted like any other once the run has survived, ended or was refused, and once the next life of its worker shows that it was listed before. Starts with an answer cost nothing.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -209,8 +209,7 @@
 
 @_handle.register
 def _(event: StartUnanswered, state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
-    record_unanswered_start(state, event, now)
-    return ()
+    return record_unanswered_start(state, event, now)
 
 
 @_handle.register
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_restarts.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_restarts.py
@@ -23,7 +23,7 @@
     resume_worker,
     suspend_worker,
 )
-from lentilpath_core.pool._crashes import record_suspicion, suspect_run
+from lentilpath_core.pool._crashes import forget_suspicion, record_suspicion, suspect_run
 from lentilpath_core.pool._events import PoolEffect, StopRun
 from lentilpath_core.pool._model import ListedWorker
 from lentilpath_core.pool._reasons import StopReason
@@ -89,9 +89,12 @@
 def suspect_unclear_runs(
     state: PoolState, unclear: list[Attempt], now: Instant
 ) -> tuple[PoolEffect, ...]:
-    """Note that these runs may have crashed their worker."""
-    suspected = [attempt for attempt in unclear if suspect_run(state, attempt, now)]
-    return tuple(effect for attempt in suspected for effect in record_suspicion(attempt))
+    """Note which of these runs may have crashed their worker."""
+    effects: list[PoolEffect] = []
+    for attempt in unclear:
+        is_suspected = suspect_run(state, attempt, now)
+        effects.extend(record_suspicion(attempt) if is_suspected else forget_suspicion(attempt))
+    return tuple(effects)
 
 
 def stop_unclear_runs(
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -285,10 +285,20 @@
     )
 
 
-def record_unanswered_start(state: PoolState, event: StartUnanswered, now: Instant) -> None:
-    """Remember a start command that may have been carried out, or may be later."""
-    starts = state.unanswered_starts.setdefault(event.worker, {})
-    starts[(event.task, event.run)] = now
+def record_unanswered_start(
+    state: PoolState, event: StartUnanswered, now: Instant
+) -> tuple[PoolEffect, ...]:
+    """Remember a start command that may have been carried out, or may be later.
+
+    It may have crashed its worker, so that is stored for later leaders.
+    """
+    key = (event.task, event.run)
+    state.unanswered_starts.setdefault(event.worker, {})[key] = now
+    worker = state.workers.get(event.worker)
+    if worker is None or worker.life != event.life or key not in worker.attempts:
+        return ()
+    attempt = worker.attempts[key]
+    return () if attempt.has_survived else record_suspicion(attempt)
 
 
 def forget_old_unanswered_starts(state: PoolState, now: Instant) -> None:
--- a/tests/cover/test_pool_crashes.py
+++ b/tests/cover/test_pool_crashes.py
@@ -210,6 +210,33 @@
     assert (start.run, RunEnd.SUSPECTED) in list_forgotten(harness)
 
 
+def test_a_start_without_an_answer_is_stored_as_a_suspicion_until_its_run_has_survived():
+    """A later leader would not know of the first crash under a task."""
+    harness = make_harness()
+    harness.submit(1)
+    (start,) = list_starts(harness.place())
+    lose_answer(harness, start)
+    assert list_suspicions(harness) == [make_suspicion(start.run, start.worker)]
+    harness.confirm_records()
+    assert list_forgotten(harness) == []
+    harness.answer_start(start, StartAnswer.STARTED)
+    pass_time(harness, SURVIVAL_MS + MAX_REPORT_DELAY_MS + 250)
+    assert list_forgotten(harness) == [(start.run, RunEnd.SUSPECTED)]
+
+
+def test_a_start_without_an_answer_of_a_run_that_was_listed_blames_it_for_no_crash():
+    harness = make_harness()
+    harness.submit(1)
+    (start,) = list_starts(harness.place())
+    lose_answer(harness, start)
+    harness.report(start.worker, ((start.task, start.run, 10),))
+    others = [each for name, each in harness.listed.items() if name != start.worker]
+    later = make_worker(start.worker, life=Life(2), machine=f"machine-{start.worker}")
+    harness.list_workers(later, *others)
+    assert (start.run, RunEnd.SUSPECTED) in list_forgotten(harness)
+    assert get_step(harness).suspected_runs == {}
+
+
 def test_a_suspicion_is_deleted_once_the_crash_is_stored():
     harness = make_harness()
     harness.submit(1)
--- a/tests/nocover/test_pool_crashing_tasks.py
+++ b/tests/nocover/test_pool_crashing_tasks.py
@@ -40,6 +40,15 @@
     assert not problems
 
 
+@pytest.mark.parametrize("seed", [5, 44, 46])
+def test_a_later_leader_knows_of_the_first_crash_of_a_task(seed, monkeypatch):
+    """It was stored only once the lease of the worker was over (BUDGET)."""
+    faults = CRASHING_CASES["with takeovers"]
+    problems, timeline = run_seed(seed, faults, monkeypatch, enforces_capacity=False)
+    print(timeline)
+    assert not problems
+
+
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize("case", CAPACITY_CASES)
 def test_no_start_brings_a_worker_over_its_capacity(case, seed, monkeypatch):
