--- a/tests/cover/test_pool_resting_workers.py
+++ b/tests/cover/test_pool_resting_workers.py
@@ -18,6 +18,9 @@
     restore_former_workers,
 )
 from lentilpath_core.pool._restarts import MAX_WAIT_MS
+from lentilpathd._events import Event
+from lentilpathd._pool import _hold_log
+from lentilpathd._pool._hold_log import HoldLog
 from lentilpathd._pool._worker_rows import WorkerRow, WorkerShares, decode_workers
 from tests.common.pools import (
     SETTLE_MS,
@@ -169,6 +172,21 @@
     assert harness.state.workers[W1].held_until == former.state.workers[W1].held_until
 
 
+def test_a_worker_that_may_hold_its_runs_is_logged_once(monkeypatch):
+    harness = make_harness()
+    logged: list[tuple[Event, dict[str, object]]] = []
+    monkeypatch.setattr(
+        _hold_log, "log_event", lambda event, **fields: logged.append((event, fields))
+    )
+    log = HoldLog(harness.state.epoch, harness.now)
+    for _ in range(2):
+        log.observe(harness.state, harness.now)
+    ((event, fields),) = logged
+    assert (event, fields["worker"], fields["life"]) == (Event.RUNS_HELD, "w1", 2)
+    assert fields["held_ms"] == harness.state.longest_lease_ms
+    assert fields["rests_ms"] == harness.state.longest_lease_ms - MAX_WAIT_MS
+
+
 @pytest.mark.parametrize("held_until_ms", [0, 5_000, None])
 def test_the_stored_list_of_workers_says_which_may_hold_their_runs(held_until_ms):
     shares = WorkerShares(epoch=1)  # type: ignore[arg-type]
