Test: the link's events are collected in virtual time (test_pool_pauses)

It took the events of 50 ms of real time, in which a busy machine may not get to the last of them: suspected, not shown. The claims are the same; the 50 ms are virtual now.

--- a/tests/cover/test_pool_pauses.py
+++ b/tests/cover/test_pool_pauses.py
@@ -194,7 +194,7 @@
 def run_link(
     client: RecordingWorker, monkeypatch: pytest.MonkeyPatch, start: StartRun, may_command=None
 ) -> list[Any]:
-    """Send a start over a link; return the events of the first 50 ms."""
+    """Send a start over a link; return the events of the first 50 ms, in virtual time."""
     events: list[Any] = []
     monkeypatch.setattr(_link, "RETRY_SECONDS", 0.001)
     writer = RecordWriter(
@@ -218,7 +218,7 @@
         running.cancel()
         await asyncio.gather(running, return_exceptions=True)
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario(), monkeypatch)
     return events
 
 
