Pool: a restarted worker that was not listed for a moment is still held

Callers would see a task run twice (TWICE): a worker restarts, takes a lease that was meant for its former life, is missing from the registry for one list, and is used at once when it is back. If it is cut off then, its runs go on for up to 10.4 s, and are taken to be over after 4.2 s.

Cause: a worker without an entry is removed as soon as no lease of this leader runs on it, for one that rests or has not answered yet at the next tick. What was remembered of it held for later lives only; the same life was listed as one without a past.

Evidence: the two tests fail before (held_until 0; starts on w1 beside free room).

Change: the removed worker is remembered as it was, so the same life has the lease that it had, or may still take former commands.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_restarts.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_restarts.py
@@ -25,7 +25,6 @@
 )
 from lentilpath_core.pool._crashes import record_suspicion, suspect_run
 from lentilpath_core.pool._events import PoolEffect, StopRun
-from lentilpath_core.pool._model import ListedWorker
 from lentilpath_core.pool._reasons import StopReason
 from lentilpath_core.pool._runs import UNANSWERED_START_MEMORY_MS, allocate_room
 from lentilpath_core.pool._state import Attempt, PoolState, Worker
@@ -37,17 +36,26 @@
 network was calm for 4 s. The difference covers the conversion between clocks and a tick."""
 
 
-def may_take_former_commands(
-    state: PoolState, former: Worker | None, entry: ListedWorker, now: Instant
-) -> bool:
-    """Return whether commands for former lives of a worker may take effect at a new one.
+def note_former_commands(
+    state: PoolState, worker: Worker, former: Worker | None, now: Instant
+) -> None:
+    """Note whether commands for former lives of a worker may take effect at one that was added.
 
-    Not if no leader has sent any that starts or prolongs a run.
+    Not if no leader has sent any that starts or prolongs a run. A life that is listed again has the
+    lease that it had.
     """
     if former is not None:
-        return _was_commanded(state, former)
-    life, removed_at = state.removed_workers.get(entry.worker, (entry.life, now))
-    return life < entry.life and now < removed_at + UNANSWERED_START_MEMORY_MS
+        worker.may_take_former_commands = _was_commanded(state, former)
+        return
+    removed, removed_at = state.removed_workers.get(worker.worker, (worker, now))
+    if now >= removed_at + UNANSWERED_START_MEMORY_MS:
+        return
+    if removed.life < worker.life:
+        worker.may_take_former_commands = True
+    elif removed.life == worker.life:
+        worker.may_take_former_commands = removed.may_take_former_commands
+        worker.held_until = removed.held_until
+        worker.rests_until = removed.rests_until
 
 
 def _was_commanded(state: PoolState, worker: Worker) -> bool:
@@ -65,7 +73,7 @@
     removed = state.removed_workers
     state.removed_workers = {name: each for name, each in removed.items() if each[1] > oldest}
     if _was_commanded(state, worker):
-        state.removed_workers[worker.worker] = worker.life, now
+        state.removed_workers[worker.worker] = worker, now
 
 
 def take_unclear_runs(state: PoolState, former: Worker, now: Instant) -> list[Attempt]:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -342,8 +342,8 @@
     )
     """Start commands that got no answer, and when this was noticed: their runs may have begun, and
     have crashed their worker."""
-    removed_workers: dict[WorkerId, tuple[Life, Instant]] = field(default_factory=dict)
-    """Workers that were removed after they had been sent commands: the incarnation, and when."""
+    removed_workers: dict[WorkerId, tuple[Worker, Instant]] = field(default_factory=dict)
+    """Workers that were removed after they had been sent commands, and when."""
     missing_workers: dict[WorkerId, MissingWorker] = field(default_factory=dict)
     """Workers that have left the registry, while it is not known whether their runs crashed them:
     they may only be cut off."""
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -42,8 +42,8 @@
 )
 from lentilpath_core.pool._restarts import (
     may_begin_in_next_life,
-    may_take_former_commands,
     note_answer,
+    note_former_commands,
     note_removed_worker,
     rest_worker,
     stop_unclear_runs,
@@ -138,7 +138,7 @@
     """
     was_unconfirmed = entry.worker in state.unconfirmed_workers
     worker = Worker(entry, entry.capacity)
-    worker.may_take_former_commands = may_take_former_commands(state, former, entry, now)
+    note_former_commands(state, worker, former, now)
     unclear: list[Attempt] = []
     effects: list[PoolEffect] = []
     if former is not None:
--- a/tests/cover/test_pool_resting_workers.py
+++ b/tests/cover/test_pool_resting_workers.py
@@ -89,6 +89,33 @@
     assert set(fill(harness)) == {"w2"}
 
 
+def test_a_worker_whose_entry_was_missing_for_a_moment_still_rests():
+    """Its lease for a former life goes on, whatever the registry shows."""
+    harness = make_harness()
+    held_until = harness.state.workers[W1].held_until
+    harness.list_workers(OTHER)
+    harness.pass_time(250)
+    harness.list_workers(RESTARTED, OTHER)
+    harness.report("w2")
+    harness.report("w1", with_lease=False)
+    harness.confirm_workers()
+    assert harness.state.workers[W1].held_until >= held_until
+    assert set(fill(harness)) == {"w2"}
+
+
+def test_a_life_that_has_not_answered_before_its_entry_was_missing_rests():
+    harness = PoolHarness()
+    harness.add_workers(make_worker("w1"), OTHER)
+    harness.list_workers(RESTARTED, OTHER)
+    harness.list_workers(OTHER)
+    harness.pass_time(250)
+    harness.list_workers(RESTARTED, OTHER)
+    harness.report("w2")
+    harness.report("w1", with_lease=False)
+    harness.confirm_workers()
+    assert set(fill(harness)) == {"w2"}
+
+
 def test_a_restarted_worker_is_used_before_it_has_rested_if_the_others_lack_room():
     harness = make_harness()
     assert set(fill(harness)) == {"w2"}
