Pool: a silent worker that is back as another life with runs is waited for

Callers would see a task run twice (TWICE): a worker that was suspended as silent restarts, carries out a late start for its former life, answers once and is cut off.

Cause: the new life stays suspended while it rests, and what a former command may hold counted only for workers that are not suspended. Neither was the time stored at once.

Change: a worker that lists runs does not rest, so it is recorded, and waited for, like one that was not suspended; its leases go on too, once that is stored.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_restarts.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_restarts.py
@@ -155,10 +155,10 @@
     return Instant(held_until - MAX_WAIT_MS)
 
 
-def note_answer(state: PoolState, worker: Worker, now: Instant) -> None:
+def note_answer(state: PoolState, worker: Worker, has_runs: bool, now: Instant) -> None:
     """Note that a life has answered: it refuses what was sent for former lives from now on.
 
-    Called for each report, before its runs are handled.
+    Called for each report, before its runs are handled. A worker that has runs does not rest.
     """
     if worker.may_take_former_commands:
         worker.may_take_former_commands = False
@@ -169,7 +169,7 @@
     if state.lacks_room:
         # A task that has no room waits for certain, and one on a worker that is held may.
         worker.rests_until = min(worker.rests_until, now)
-    if worker.is_suspended and now >= worker.rests_until:
+    if worker.is_suspended and (has_runs or now >= worker.rests_until):
         resume_worker(state, worker)
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -183,7 +183,7 @@
     if worker is None or worker.life != event.life:
         return ()
     is_first = worker.reported_at is None or worker.is_suspended
-    note_answer(state, worker, now)
+    note_answer(state, worker, bool(event.report.running), now)
     is_first &= not worker.is_suspended
     was_unconfirmed = worker.worker in state.unconfirmed_workers
     discount_silence(worker, event.sent_at)
--- a/tests/cover/test_pool_resting_workers.py
+++ b/tests/cover/test_pool_resting_workers.py
@@ -8,13 +8,14 @@
 import msgspec
 import pytest
 
-from lentilpath_core.ids import Instant, WorkerId
+from lentilpath_core.ids import Epoch, Instant, WorkerId
 from lentilpath_core.pool import (
     JobAccepted,
     Life,
     RecordWorkers,
     StartAnswer,
     StepSpec,
+    create_pool,
     restore_former_workers,
 )
 from lentilpath_core.pool._restarts import MAX_WAIT_MS
@@ -27,9 +28,11 @@
     let_rest,
     list_starts,
     make_record,
+    make_task,
     make_worker,
 )
 
+LEASE_MS = 4_000
 W1 = WorkerId("w1")
 RESTARTED = make_worker("w1", life=Life(2))
 OTHER = make_worker("w2")
@@ -196,6 +199,26 @@
     assert harness.state.workers[W1].held_until == former.state.workers[W1].held_until
 
 
+def test_a_silent_worker_that_returns_as_another_life_with_a_run_is_waited_for():
+    """A late start for the former life has begun the run, and nothing else runs its task."""
+    harness = PoolHarness()
+    harness.state = create_pool(Epoch(1), harness.now, LEASE_MS)
+    harness.set_customers(1)
+    harness.add_workers(make_worker("w1"), OTHER)
+    for _ in range(2 * SETTLE_MS // 250):
+        harness.pass_time(250)
+        harness.report("w2")
+    harness.confirm_workers()
+    assert harness.state.workers[W1].is_suspended
+    harness.list_workers_unrecorded(RESTARTED, OTHER)
+    harness.submit(1)
+    harness.report("w1", ((make_task(1), 1, 10),), with_lease=False)
+    worker = harness.state.workers[W1]
+    assert worker.attempts
+    assert worker.lease_ends_at >= harness.now + harness.state.longest_lease_ms
+    assert dict(get_last_record(harness).held)[W1] == worker.held_until
+
+
 @pytest.mark.parametrize("held_until_ms", [0, 5_000, None])
 def test_the_stored_list_of_workers_says_which_may_hold_their_runs(held_until_ms):
     shares = WorkerShares(epoch=1)  # type: ignore[arg-type]
