Pool: a restarted worker is not used before it is stored how long it may hold its runs

Callers would see a task run twice (TWICE): a new leader that has not reached half of the former one's workers yet uses a worker that is stored as a life without an answer. If the leader is lost then, its successor waits 4.2 s for that worker, not 10.4 s.

Cause: the worker was taken as silent, and so as suspended, before its first answer. While the former leader's list stays, no record says so; and a worker that answers again is used without a new record if none was made since. That it awaited a record of what it may hold was undone by that.

Evidence: the test fails before (is_recorded with no record made).

Change: waiting for such a record no longer ends with the suspension.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
@@ -230,6 +230,7 @@
     worker.is_recorded = False
     worker.awaits_record = True
     worker.used_from = None
+    worker.suspended_after = None
 
 
 def resume_worker(state: PoolState, worker: Worker) -> None:
--- a/tests/cover/test_pool_resting_workers.py
+++ b/tests/cover/test_pool_resting_workers.py
@@ -18,6 +18,7 @@
     create_pool,
     restore_former_workers,
 )
+from lentilpath_core.pool._authority import FIRST_ANSWER_MS
 from lentilpath_core.pool._restarts import MAX_WAIT_MS
 from lentilpathd._pool._worker_rows import WorkerRow, WorkerShares, decode_workers
 from tests.common.pools import (
@@ -219,6 +220,22 @@
     assert dict(get_last_record(harness).held)[W1] == worker.held_until
 
 
+def test_a_restarted_worker_is_not_used_before_it_is_stored_how_long_it_may_hold_its_runs():
+    """The stored list, which cannot be replaced yet, has it as one that has not answered."""
+    harness = PoolHarness(epoch=2)
+    others = tuple(make_worker(f"w{number}") for number in range(2, 6))
+    restore_former_workers(harness.state, (RESTARTED, *others), held={W1: None})
+    harness.list_workers_unrecorded(RESTARTED, *others)
+    for _ in range(FIRST_ANSWER_MS // 250 + 1):
+        harness.pass_time(250)
+    for _ in range((harness.state.longest_lease_ms - MAX_WAIT_MS) // 250 + 2):
+        harness.pass_time(250)
+        harness.report("w1", with_lease=False)
+    assert not any(isinstance(each, RecordWorkers) for each in harness.effects)
+    assert not harness.state.workers[W1].is_suspended
+    assert not harness.state.workers[W1].is_recorded
+
+
 @pytest.mark.parametrize("held_until_ms", [0, 5_000, None])
 def test_the_stored_list_of_workers_says_which_may_hold_their_runs(held_until_ms):
     shares = WorkerShares(epoch=1)  # type: ignore[arg-type]
