Pool: a worker is sent no lease before it is stored

Callers would see a task run twice (TWICE): a worker joins, is sent leases, and restarts while the leader that has sent them is lost before it could store the worker (the table is slow or away, or the former leader's list has to stay). The next life takes a late one for its own clock's and holds its runs for 10 s. The successor finds no row of the worker, so it uses it at once and waits 4.2 s if it is cut off.

Cause: a renewal carried a lease as soon as the worker's clock was known; only starts waited for the record.

Change: a worker that is neither stored nor has runs is polled without a lease. Runs that a report lists are still prolonged, whatever is stored of their worker.

--- a/packages/lentilpathd/src/lentilpathd/_pool/_term_authority.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term_authority.py
@@ -62,11 +62,15 @@
     def get_lease_ms(self, worker_id: WorkerId, life: Life) -> int:
         """Return how long a lease to a worker may last, in ms.
 
-        0 while the stored list suspends the worker, or without any majority of the workers.
+        0 while the stored list suspends the worker, or without any majority of the workers. Also
+        for a worker that is not stored and has no runs: if it restarts, its next life may take the
+        lease, and no later leader would know of that.
         """
         worker = self._state.workers.get(worker_id)
-        if worker is not None and worker.life == life and worker.awaits_record:
-            return 0
+        if worker is not None and worker.life == life:
+            is_stored = worker.is_recorded or bool(worker.attempts)
+            if worker.awaits_record or not is_stored:
+                return 0
         return self._get_longest_lease_ms(read_instant())
 
     def _get_longest_lease_ms(self, now: Instant) -> int:
--- a/tests/cover/test_pool_resting_workers.py
+++ b/tests/cover/test_pool_resting_workers.py
@@ -5,6 +5,9 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+from typing import Any
+
 import msgspec
 import pytest
 
@@ -20,6 +23,7 @@
 )
 from lentilpath_core.pool._authority import FIRST_ANSWER_MS
 from lentilpath_core.pool._restarts import MAX_WAIT_MS
+from lentilpathd._pool._term_authority import TermAuthority
 from lentilpathd._pool._worker_rows import WorkerRow, WorkerShares, decode_workers
 from tests.common.pools import (
     SETTLE_MS,
@@ -236,6 +240,27 @@
     assert not harness.state.workers[W1].is_recorded
 
 
+class ConfirmedLeadership:
+    """Leads by a lease that the table confirms."""
+
+    def is_confirmed(self, now: Instant) -> bool:
+        return True
+
+
+def test_a_worker_is_sent_no_lease_before_it_is_stored():
+    """No successor would know that its next life may take it for its own clock's."""
+    harness = PoolHarness()
+    harness.list_workers_unrecorded(make_worker("w1"), OTHER)
+    harness.report("w1", with_lease=False)
+    settings = SimpleNamespace(lease_ms=LEASE_MS)
+    context: Any = SimpleNamespace(settings=settings)
+    leadership: Any = ConfirmedLeadership()
+    authority = TermAuthority(context, Epoch(1), leadership, harness.state, harness.now)
+    assert authority.get_lease_ms(W1, Life(1)) == 0
+    harness.confirm_workers()
+    assert authority.get_lease_ms(W1, Life(1)) == LEASE_MS
+
+
 @pytest.mark.parametrize("held_until_ms", [0, 5_000, None])
 def test_the_stored_list_of_workers_says_which_may_hold_their_runs(held_until_ms):
     shares = WorkerShares(epoch=1)  # type: ignore[arg-type]
