Pool: a resting worker is used if a step that needs advice has no other to ask about

Callers would see a job stand still after all workers of its service, or with its label, have restarted: 4.2 s of rest, and the call for advice after that. Jobs of other queues start there at once.

Cause: a step that needs advice and has asked about no worker yet does not count as one that lacks room.

Evidence: the test fails before (no call for advice after the second report).

Change: it does if there is no worker that it could ask about.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -103,6 +103,7 @@
         candidates = list_candidates(step, schedulable, known_candidates)
         if step.tickets is None and needs_advice(step):
             effects.extend(ask_about_new_workers(state, step, candidates, rank, now))
+            is_contended |= not candidates
         elif unplaced >= MAX_UNPLACED_STEPS or started >= MAX_STARTS:
             remaining.append((rank, step, candidates))
         else:
--- a/tests/cover/test_pool_resting_workers.py
+++ b/tests/cover/test_pool_resting_workers.py
@@ -13,6 +13,7 @@
 
 from lentilpath_core.ids import Epoch, Instant, WorkerId
 from lentilpath_core.pool import (
+    AdvicePolicy,
     JobAccepted,
     Life,
     RecordWorkers,
@@ -31,7 +32,9 @@
     WORKER_CAPACITY,
     PoolHarness,
     let_rest,
+    list_advice_requests,
     list_starts,
+    make_queue,
     make_record,
     make_task,
     make_worker,
@@ -132,6 +135,21 @@
     assert {each.worker for each in list_starts(harness.place())} == {"w1"}
 
 
+def test_a_restarted_worker_is_used_before_it_has_rested_if_there_is_no_other_to_ask_about():
+    """A step that needs advice has asked about no worker yet, since none may be used."""
+    harness = PoolHarness(make_queue(advice=AdvicePolicy(20.0, 1.0, 2_000)))
+    harness.add_workers(make_worker("w1"))
+    harness.list_workers(RESTARTED)
+    harness.report("w1", with_lease=False)
+    harness.submit(1)
+    assert list_advice_requests(harness.place()) == []
+    harness.report("w1", with_lease=False)
+    harness.confirm_workers()
+    harness.report("w1")
+    (ask,) = list_advice_requests(harness.place())
+    assert ask.workers == (W1,)
+
+
 def test_runs_on_a_restarted_worker_are_waited_for_as_long_as_it_may_hold_them():
     harness = make_harness()
     held_until = harness.now + harness.state.longest_lease_ms
