Pool: a successor knows of workers that were removed a moment ago

Callers would see a task run twice (TWICE): a worker is gone from the registry for some seconds and removed, its leader is lost, and the worker is back as another life. A late call for the former life sets its lease; the successor finds no row of the worker, uses it at once, and waits 4.2 s for it if it is cut off, not 10.4 s.

Cause: that such a worker was sent commands was remembered by the leader alone.

Evidence: the test fails before (held_until 0 under the successor).

Change: for as long as late commands count, 30 s, the lists of workers that are stored have a removed worker as one that is suspended and whose runs have ended: nobody waits for it, and it does not count in a majority.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_authority.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
 from lentilpath_core.ids import Instant, WorkerId
@@ -256,7 +256,11 @@
         for each in state.workers.values()
         if not each.is_suspended and (each.reported_at is not None or each.worker in known)
     )
-    suspended = tuple(each for each in state.workers.values() if each.is_suspended)
+    suspended = [each for each in state.workers.values() if each.is_suspended]
+    recorded = {each.worker for each in (*used, *suspended)}
+    # What a worker was sent may reach its next life, of which a later leader has to know.
+    removed = (worker for worker, _ in state.removed_workers.values())
+    suspended.extend(each for each in removed if each.worker not in recorded)
     lives = frozenset(_get_life(each) for each in used)
     held = tuple(
         (each.worker, None if each.may_take_former_commands else each.held_until)
@@ -281,7 +285,7 @@
     return (record,)
 
 
-def _has_new_suspension(state: PoolState, suspended: tuple[Worker, ...]) -> bool:
+def _has_new_suspension(state: PoolState, suspended: Iterable[Worker]) -> bool:
     """Return whether the last record lacks a suspension, or its runs end at quite another time."""
     ends = dict(state.last_record.suspended)
     known = {each.worker: each.life for each in state.last_record.workers}
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_restarts.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_restarts.py
@@ -47,9 +47,7 @@
     if former is not None:
         worker.may_take_former_commands = _was_commanded(state, former)
         return
-    removed, removed_at = state.removed_workers.get(worker.worker, (worker, now))
-    if now >= removed_at + UNANSWERED_START_MEMORY_MS:
-        return
+    removed, _ = state.removed_workers.get(worker.worker, (worker, now))
     if removed.life < worker.life:
         worker.may_take_former_commands = True
     elif removed.life == worker.life:
@@ -68,12 +66,16 @@
 
 
 def note_removed_worker(state: PoolState, worker: Worker, now: Instant) -> None:
-    """Remember that a worker without an entry was sent commands; forget those of long ago."""
+    """Remember that a worker without an entry was sent commands."""
+    if _was_commanded(state, worker):
+        state.removed_workers[worker.worker] = worker, now
+
+
+def forget_removed_workers(state: PoolState, now: Instant) -> None:
+    """Forget the workers that were removed so long ago that no command is carried out any more."""
     oldest = now - UNANSWERED_START_MEMORY_MS
     removed = state.removed_workers
     state.removed_workers = {name: each for name, each in removed.items() if each[1] > oldest}
-    if _was_commanded(state, worker):
-        state.removed_workers[worker.worker] = worker, now
 
 
 def take_unclear_runs(state: PoolState, former: Worker, now: Instant) -> list[Attempt]:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -41,6 +41,7 @@
     StopReason,
 )
 from lentilpath_core.pool._restarts import (
+    forget_removed_workers,
     may_begin_in_next_life,
     note_answer,
     note_former_commands,
@@ -78,6 +79,7 @@
     """Update the known workers from the complete list of registered workers."""
     effects: list[PoolEffect] = []
     forget_old_unanswered_starts(state, now)
+    forget_removed_workers(state, now)
     reported_at = note_list(state, event, now)
     listed = {each.worker: each for each in event.workers}
     for worker in list(state.workers.values()):
--- a/tests/cover/test_pool_resting_workers.py
+++ b/tests/cover/test_pool_resting_workers.py
@@ -222,6 +222,24 @@
     assert harness.state.workers[W1].held_until == former.state.workers[W1].held_until
 
 
+def test_a_successor_knows_of_a_worker_that_was_removed_a_moment_ago():
+    """Commands for the life that is gone may still take effect at its next one."""
+    former = PoolHarness()
+    former.add_workers(make_worker("w1"), OTHER)
+    former.list_workers(OTHER)
+    former.pass_time(SETTLE_MS + 1_000)
+    assert W1 not in former.state.workers
+    harness = make_successor(get_last_record(former), former.now)
+    harness.pass_time(250)
+    harness.report("w2")
+    harness.report("w1", with_lease=False)
+    held_until = harness.state.workers[W1].held_until
+    assert held_until >= harness.now + harness.state.longest_lease_ms
+    harness.confirm_workers()
+    harness.submit(2, StepSpec(8, TASK_RESOURCES))
+    assert {each.worker for each in list_starts(harness.place())} == {"w2"}
+
+
 def test_a_silent_worker_that_returns_as_another_life_with_a_run_is_waited_for():
     """A late start for the former life has begun the run, and nothing else runs its task."""
     harness = PoolHarness()
