Pool: a ticket for one incarnation of a worker is not used on the next one

Callers would see a task start late, or a gang broken and started again: the first start on a restarted worker is refused (409, ticket) where the step has a ticket for the worker's former life. Nothing runs twice by it.

Cause: tickets were kept by the worker's id, which all its lives share, but they are valid during one life (PROTOCOL.md).

Evidence: the test fails before (a start on life 2 with the ticket for life 1).

Change: a ticket counts for the life that was known when it came; another one is asked about again.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_advice.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_advice.py
@@ -51,7 +51,9 @@
     if not needs_advice(step):
         return True
     ticket = (step.tickets or {}).get(worker.worker)
-    return ticket is not None and now + TICKET_MARGIN_MS <= ticket.valid_until
+    if ticket is None or ticket.life != worker.life:
+        return False
+    return now + TICKET_MARGIN_MS <= ticket.valid_until
 
 
 def is_awaiting_advice(step: Step, now: Instant) -> bool:
@@ -171,7 +173,9 @@
     if allowed:
         step.tickets_valid_until = max(step.tickets_valid_until, valid_until)
     for permission in allowed:
-        tickets[permission.worker] = Ticket(permission.ticket, valid_until)
+        worker = state.workers.get(permission.worker)
+        life = worker.life if worker is not None else None
+        tickets[permission.worker] = Ticket(permission.ticket, valid_until, life)
     if asked:
         queue = step.job.record.queue
         known = state.allowed_shares.get(queue, INITIAL_ALLOWED_SHARE)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -150,10 +150,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Ticket:
-    """A permission to start a step's tasks on one worker."""
+    """A permission to start a step's tasks on one incarnation of a worker."""
 
     value: str
     valid_until: Instant
+    life: Life | None
+    """`None` if the worker was not known when the permission came."""
 
 
 @dataclass(slots=True)
--- a/tests/cover/test_pool_restarts.py
+++ b/tests/cover/test_pool_restarts.py
@@ -490,3 +490,23 @@
             report_others(harness, start.worker, *remaining, *((beating,) if is_alive else ()))
         (again,) = list_starts(harness.place())
         assert again.run > start.run
+
+
+def test_a_ticket_for_one_incarnation_is_not_used_for_a_start_on_the_next_one():
+    """It is valid during one life of the worker, so the start would be refused."""
+    harness = PoolHarness(make_queue(advice=AdvicePolicy(100.0, 1.0, 60_000)))
+    harness.add_workers(make_worker("w1"))
+    harness.submit(1)
+    (ask,) = list_advice_requests(harness.place())
+    harness.grant_permissions(ask, "w1", valid_ms=60_000)
+    (start,) = list_starts(harness.place())
+    harness.answer_start(start, StartAnswer.STARTED)
+    harness.report("w1", ((start.task, start.run, 10),))
+    harness.list_workers(make_worker("w1", life=Life(2)))
+    harness.report("w1", with_lease=False)
+    let_rest(harness, "w1")
+    effects = harness.place()
+    assert list_starts(effects) == []
+    (renewal,) = list_advice_requests(effects)
+    (again,) = list_starts(harness.grant_permissions(renewal, "w1", valid_ms=60_000))
+    assert again.life == 2
