Pool: filling work that an earlier leader has throttled gets a pace by the next one

Callers would see filling work go on at a fraction of its speed, or stand still until it is stopped as frozen, after a change of leader while it was throttled.

Cause: the pace of a run was known to the leader alone that had set it. A successor took it as 100 percent, at which nothing is sent.

Evidence: the test fails before (no pace is sent).

Change: the pace of a run that an earlier leader has started is not known, so it is set by the first report that lists the run.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_sharing.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_sharing.py
@@ -61,9 +61,10 @@
 
 def _choose_pace(attempt: Attempt, latency_ratio: float, now: Instant) -> int:
     since_ms = now - attempt.pace_changed_at
+    known = FULL_PACE if attempt.pace is None else attempt.pace
     if latency_ratio > 1.0 and since_ms >= SLOW_DOWN_AFTER_MS:
-        slower = attempt.pace // SLOW_DOWN_FACTOR
+        slower = known // SLOW_DOWN_FACTOR
         return slower if slower >= MIN_PACE else 0
     if latency_ratio <= SPEED_UP_MAX_RATIO and since_ms >= SPEED_UP_AFTER_MS:
-        return min(FULL_PACE, attempt.pace + SPEED_UP_STEP)
-    return attempt.pace
+        return min(FULL_PACE, known + SPEED_UP_STEP)
+    return known
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -76,8 +76,9 @@
     stop_reason: StopReason | None = None
     """Why the run is being stopped; `None` while it is not."""
     load: int = 0
-    pace: int = 100
-    """Percent of full speed at which a filling run may work."""
+    pace: int | None = 100
+    """Percent of full speed at which a filling run may work; `None` if only an earlier leader knows
+    it."""
     pace_changed_at: Instant = Instant(0)
     customer: CustomerId = CustomerId("")
     """Customer against whose quota the resources count; empty for none."""
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -279,6 +279,7 @@
         percent=running.percent,
         first_percent=running.percent,
         progressed_at=now,
+        pace=None,
         customer=get_job_customer(state, running.task.job),
     )
     allocate_room(worker, attempt)
--- a/tests/cover/test_pool_sharing.py
+++ b/tests/cover/test_pool_sharing.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from lentilpath_core.pool import PaceRun, StartAnswer, StepSpec
-from tests.common.pools import TASK_RESOURCES, PoolHarness, list_starts, make_worker
+from tests.common.pools import TASK_RESOURCES, PoolHarness, list_starts, make_task, make_worker
 
 SERVING = StepSpec(1, TASK_RESOURCES, lasting=True, image="a", tail_target_ms=100)
 FILLING = StepSpec(1, TASK_RESOURCES, 5_000, image="b", fills=True)
@@ -65,3 +65,13 @@
     assert len(list_starts(harness.place())) == 8
     harness.submit(2, FILLING)
     assert len(list_starts(harness.place())) == 1
+
+
+def test_filling_work_that_an_earlier_leader_has_throttled_gets_a_pace_by_the_next_one():
+    harness = PoolHarness()
+    harness.list_workers(make_worker("w1"))
+    harness.submit(1, FILLING)
+    running = ((make_task(1), 1, 10),)
+    assert list_paces(harness.report("w1", running)) == [100]
+    harness.pass_time(3_000)
+    assert list_paces(harness.report("w1", running)) == []
