--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -76,8 +76,9 @@
     stop_reason: StopReason | None = None
     """Why the run is being stopped; `None` while it is not."""
     load: int = 0
-    pace: int = 100
-    """Percent of full speed at which a filling run may work."""
+    pace: int | None = 100
+    """Percent of full speed at which a filling run may work; `None` if only an earlier leader knows
+    it."""
     pace_changed_at: Instant = Instant(0)
     customer: CustomerId = CustomerId("")
     """Customer against whose quota the resources count; empty for none."""
@@ -150,10 +151,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Ticket:
-    """A permission to start a step's tasks on one worker."""
+    """A permission to start a step's tasks on one incarnation of a worker."""
 
     value: str
     valid_until: Instant
+    life: Life | None
+    """`None` if the worker was not known when the permission came."""
 
 
 @dataclass(slots=True)
@@ -342,8 +345,8 @@
     )
     """Start commands that got no answer, and when this was noticed: their runs may have begun, and
     have crashed their worker."""
-    removed_workers: dict[WorkerId, tuple[Life, Instant]] = field(default_factory=dict)
-    """Workers that were removed after they had been sent commands: the incarnation, and when."""
+    removed_workers: dict[WorkerId, tuple[Worker, Instant]] = field(default_factory=dict)
+    """Workers that were removed after they had been sent commands, and when."""
     missing_workers: dict[WorkerId, MissingWorker] = field(default_factory=dict)
     """Workers that have left the registry, while it is not known whether their runs crashed them:
     they may only be cut off."""
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -41,9 +41,10 @@
     StopReason,
 )
 from lentilpath_core.pool._restarts import (
+    forget_removed_workers,
     may_begin_in_next_life,
-    may_take_former_commands,
     note_answer,
+    note_former_commands,
     note_removed_worker,
     rest_worker,
     stop_unclear_runs,
@@ -78,6 +79,7 @@
     """Update the known workers from the complete list of registered workers."""
     effects: list[PoolEffect] = []
     forget_old_unanswered_starts(state, now)
+    forget_removed_workers(state, now)
     reported_at = note_list(state, event, now)
     listed = {each.worker: each for each in event.workers}
     for worker in list(state.workers.values()):
@@ -138,7 +140,7 @@
     """
     was_unconfirmed = entry.worker in state.unconfirmed_workers
     worker = Worker(entry, entry.capacity)
-    worker.may_take_former_commands = may_take_former_commands(state, former, entry, now)
+    note_former_commands(state, worker, former, now)
     unclear: list[Attempt] = []
     effects: list[PoolEffect] = []
     if former is not None:
@@ -183,7 +185,7 @@
     if worker is None or worker.life != event.life:
         return ()
     is_first = worker.reported_at is None or worker.is_suspended
-    note_answer(state, worker, now)
+    note_answer(state, worker, bool(event.report.running), now)
     is_first &= not worker.is_suspended
     was_unconfirmed = worker.worker in state.unconfirmed_workers
     discount_silence(worker, event.sent_at)
@@ -277,6 +279,7 @@
         percent=running.percent,
         first_percent=running.percent,
         progressed_at=now,
+        pace=None,
         customer=get_job_customer(state, running.task.job),
     )
     allocate_room(worker, attempt)
--- a/tests/cover/test_pool_resting_workers.py
+++ b/tests/cover/test_pool_resting_workers.py
@@ -5,22 +5,29 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+from typing import Any
+
 import msgspec
 import pytest
 
-from lentilpath_core.ids import Instant, WorkerId
+from lentilpath_core.ids import Epoch, Instant, WorkerId
 from lentilpath_core.pool import (
+    AdvicePolicy,
     JobAccepted,
     Life,
     RecordWorkers,
     StartAnswer,
     StepSpec,
+    create_pool,
     restore_former_workers,
 )
+from lentilpath_core.pool._authority import FIRST_ANSWER_MS
 from lentilpath_core.pool._restarts import MAX_WAIT_MS
 from lentilpathd._events import Event
 from lentilpathd._pool import _hold_log
 from lentilpathd._pool._hold_log import HoldLog
+from lentilpathd._pool._term_authority import TermAuthority
 from lentilpathd._pool._worker_rows import WorkerRow, WorkerShares, decode_workers
 from tests.common.pools import (
     SETTLE_MS,
@@ -28,11 +35,15 @@
     WORKER_CAPACITY,
     PoolHarness,
     let_rest,
+    list_advice_requests,
     list_starts,
+    make_queue,
     make_record,
+    make_task,
     make_worker,
 )
 
+LEASE_MS = 4_000
 W1 = WorkerId("w1")
 RESTARTED = make_worker("w1", life=Life(2))
 OTHER = make_worker("w2")
@@ -92,6 +103,33 @@
     assert set(fill(harness)) == {"w2"}
 
 
+def test_a_worker_whose_entry_was_missing_for_a_moment_still_rests():
+    """Its lease for a former life goes on, whatever the registry shows."""
+    harness = make_harness()
+    held_until = harness.state.workers[W1].held_until
+    harness.list_workers(OTHER)
+    harness.pass_time(250)
+    harness.list_workers(RESTARTED, OTHER)
+    harness.report("w2")
+    harness.report("w1", with_lease=False)
+    harness.confirm_workers()
+    assert harness.state.workers[W1].held_until >= held_until
+    assert set(fill(harness)) == {"w2"}
+
+
+def test_a_life_that_has_not_answered_before_its_entry_was_missing_rests():
+    harness = PoolHarness()
+    harness.add_workers(make_worker("w1"), OTHER)
+    harness.list_workers(RESTARTED, OTHER)
+    harness.list_workers(OTHER)
+    harness.pass_time(250)
+    harness.list_workers(RESTARTED, OTHER)
+    harness.report("w2")
+    harness.report("w1", with_lease=False)
+    harness.confirm_workers()
+    assert set(fill(harness)) == {"w2"}
+
+
 def test_a_restarted_worker_is_used_before_it_has_rested_if_the_others_lack_room():
     harness = make_harness()
     assert set(fill(harness)) == {"w2"}
@@ -100,6 +138,21 @@
     assert {each.worker for each in list_starts(harness.place())} == {"w1"}
 
 
+def test_a_restarted_worker_is_used_before_it_has_rested_if_there_is_no_other_to_ask_about():
+    """A step that needs advice has asked about no worker yet, since none may be used."""
+    harness = PoolHarness(make_queue(advice=AdvicePolicy(20.0, 1.0, 2_000)))
+    harness.add_workers(make_worker("w1"))
+    harness.list_workers(RESTARTED)
+    harness.report("w1", with_lease=False)
+    harness.submit(1)
+    assert list_advice_requests(harness.place()) == []
+    harness.report("w1", with_lease=False)
+    harness.confirm_workers()
+    harness.report("w1")
+    (ask,) = list_advice_requests(harness.place())
+    assert ask.workers == (W1,)
+
+
 def test_runs_on_a_restarted_worker_are_waited_for_as_long_as_it_may_hold_them():
     harness = make_harness()
     held_until = harness.now + harness.state.longest_lease_ms
@@ -187,6 +240,81 @@
     assert fields["rests_ms"] == harness.state.longest_lease_ms - MAX_WAIT_MS
 
 
+def test_a_successor_knows_of_a_worker_that_was_removed_a_moment_ago():
+    """Commands for the life that is gone may still take effect at its next one."""
+    former = PoolHarness()
+    former.add_workers(make_worker("w1"), OTHER)
+    former.list_workers(OTHER)
+    former.pass_time(SETTLE_MS + 1_000)
+    assert W1 not in former.state.workers
+    harness = make_successor(get_last_record(former), former.now)
+    harness.pass_time(250)
+    harness.report("w2")
+    harness.report("w1", with_lease=False)
+    held_until = harness.state.workers[W1].held_until
+    assert held_until >= harness.now + harness.state.longest_lease_ms
+    harness.confirm_workers()
+    harness.submit(2, StepSpec(8, TASK_RESOURCES))
+    assert {each.worker for each in list_starts(harness.place())} == {"w2"}
+
+
+def test_a_silent_worker_that_returns_as_another_life_with_a_run_is_waited_for():
+    """A late start for the former life has begun the run, and nothing else runs its task."""
+    harness = PoolHarness()
+    harness.state = create_pool(Epoch(1), harness.now, LEASE_MS)
+    harness.set_customers(1)
+    harness.add_workers(make_worker("w1"), OTHER)
+    for _ in range(2 * SETTLE_MS // 250):
+        harness.pass_time(250)
+        harness.report("w2")
+    harness.confirm_workers()
+    assert harness.state.workers[W1].is_suspended
+    harness.list_workers_unrecorded(RESTARTED, OTHER)
+    harness.submit(1)
+    harness.report("w1", ((make_task(1), 1, 10),), with_lease=False)
+    worker = harness.state.workers[W1]
+    assert worker.attempts
+    assert worker.lease_ends_at >= harness.now + harness.state.longest_lease_ms
+    assert dict(get_last_record(harness).held)[W1] == worker.held_until
+
+
+def test_a_restarted_worker_is_not_used_before_it_is_stored_how_long_it_may_hold_its_runs():
+    """The stored list, which cannot be replaced yet, has it as one that has not answered."""
+    harness = PoolHarness(epoch=2)
+    others = tuple(make_worker(f"w{number}") for number in range(2, 6))
+    restore_former_workers(harness.state, (RESTARTED, *others), held={W1: None})
+    harness.list_workers_unrecorded(RESTARTED, *others)
+    for _ in range(FIRST_ANSWER_MS // 250 + 1):
+        harness.pass_time(250)
+    for _ in range((harness.state.longest_lease_ms - MAX_WAIT_MS) // 250 + 2):
+        harness.pass_time(250)
+        harness.report("w1", with_lease=False)
+    assert not any(isinstance(each, RecordWorkers) for each in harness.effects)
+    assert not harness.state.workers[W1].is_suspended
+    assert not harness.state.workers[W1].is_recorded
+
+
+class ConfirmedLeadership:
+    """Leads by a lease that the table confirms."""
+
+    def is_confirmed(self, now: Instant) -> bool:
+        return True
+
+
+def test_a_worker_is_sent_no_lease_before_it_is_stored():
+    """No successor would know that its next life may take it for its own clock's."""
+    harness = PoolHarness()
+    harness.list_workers_unrecorded(make_worker("w1"), OTHER)
+    harness.report("w1", with_lease=False)
+    settings = SimpleNamespace(lease_ms=LEASE_MS)
+    context: Any = SimpleNamespace(settings=settings)
+    leadership: Any = ConfirmedLeadership()
+    authority = TermAuthority(context, Epoch(1), leadership, harness.state, harness.now)
+    assert authority.get_lease_ms(W1, Life(1)) == 0
+    harness.confirm_workers()
+    assert authority.get_lease_ms(W1, Life(1)) == LEASE_MS
+
+
 @pytest.mark.parametrize("held_until_ms", [0, 5_000, None])
 def test_the_stored_list_of_workers_says_which_may_hold_their_runs(held_until_ms):
     shares = WorkerShares(epoch=1)  # type: ignore[arg-type]
