Pool: the entry of another process is no sign of life of the known one

Callers see a task that crashes its workers start more often than it may: while the leadership can't be confirmed, a later process of a worker is not taken up, but its entry counted as one of the former process. After 10 s the suspicions of that one were dropped, and the crash never counted. By the same entry a task whose start had got no answer began again elsewhere, although the later process may still carry that start out (TWICE).

Cause: is_listed says that the id is listed, of whichever life, and was taken for a sign of the known life (clear_suspects_of_living_workers), as was each listed id for a recent report of it (note_reports, hence may_begin_in_next_life).

Change: a list notes whether a worker's entry is one of another life (is_other_life_listed). The 10 s begin anew with each such entry, and only an entry of the same life counts as its report. is_listed stays as it is, so that the worker is not removed and the wait for its unclear starts goes on until the later process is taken up.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_capacity.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_capacity.py
@@ -50,7 +50,9 @@
     reported_at = Instant(state.list_sent_at - REPORT_SPAN_MS)
     for entry in event.workers:
         worker = state.workers.get(entry.worker)
-        if worker is not None and entry.worker not in event.missing:
+        if worker is None or worker.life != entry.life:
+            continue
+        if entry.worker not in event.missing:
             worker.capacity_seen_at = max(worker.capacity_seen_at, reported_at)
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_crashes.py
@@ -286,7 +286,7 @@
     for worker in state.workers.values():
         if not worker.suspects or not worker.is_listed:
             continue
-        if has_gap:
+        if has_gap or worker.is_other_life_listed:
             worker.suspected_at = now
         has_beaten = worker.listed.sequence > worker.suspected_sequence
         if has_beaten or now >= worker.suspected_at + SILENT_ENTRY_MS:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -91,6 +91,9 @@
     free: Resources
     attempts: dict[tuple[TaskKey, RunNumber], Attempt] = field(default_factory=dict)
     is_listed: bool = True
+    """Whether the last list has an entry of the worker, of whichever life."""
+    is_other_life_listed: bool = False
+    """Whether that entry is one of another life, so that it says nothing of this one."""
     is_recorded: bool = False
     """Whether the record that the pool uses this incarnation is durable."""
     is_suspended: bool = False
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -81,12 +81,14 @@
     reported_at = note_list(state, event, now)
     listed = {each.worker: each for each in event.workers}
     for worker in list(state.workers.values()):
-        worker.is_listed = worker.worker in listed
+        entry = listed.get(worker.worker)
+        worker.is_listed = entry is not None
+        worker.is_other_life_listed = entry is not None and entry.life != worker.life
     for entry in event.workers:
         known = state.workers.get(entry.worker)
         if known is not None and entry.life < known.life:
-            known.is_listed = True
-        elif known is not None and known.life == entry.life:
+            continue
+        if known is not None and known.life == entry.life:
             if entry.sequence < known.listed.sequence:
                 continue
             if entry.sequence > known.listed.sequence or not known.capacity_seen_at:
@@ -98,7 +100,7 @@
             update_leave_time(known, entry, now)
         elif known is not None and not event.is_confirmed:
             # A successor may have heard how the runs of the former life have ended.
-            known.is_listed = True
+            continue
         else:
             effects.extend(resolve_missing_worker(state, entry))
             effects.extend(_start_new_life(state, known, entry, now))
--- a/tests/cover/test_pool_crashes.py
+++ b/tests/cover/test_pool_crashes.py
@@ -28,6 +28,7 @@
     WorkerProcess,
     WorkerReport,
     WorkerReported,
+    WorkersListed,
     get_job_state,
 )
 from lentilpath_core.pool._crashes import (
@@ -451,6 +452,22 @@
     assert harness.state.workers[start.worker].suspects
 
 
+def test_a_later_process_that_may_not_be_taken_up_yet_does_not_show_that_the_former_one_lives():
+    harness = make_harness()
+    harness.submit(1)
+    start = start_one(harness)
+    others = [each for name, each in harness.listed.items() if name != start.worker]
+    pass_time(harness, SETTLE_MS + 500, silent=start.worker)
+    later = make_worker(start.worker, life=Life(LIFE + 1), machine=f"machine-{start.worker}")
+    for _ in range(SILENT_ENTRY_MS // 250 + 1):
+        harness.pass_time(250, is_confirmed=False)
+        harness.handle_event(WorkersListed((later, *others), is_confirmed=False))
+    assert get_step(harness).suspected_runs == {0: {start.run}}
+    harness.list_workers(later, *others)
+    harness.confirm_records()
+    assert get_step(harness).crashed_runs == {0: {start.run}}
+
+
 def test_a_worker_whose_own_reports_go_on_was_cut_off_and_clears_its_runs():
     harness = make_harness()
     harness.submit(1)
--- a/tests/cover/test_pool_restarts.py
+++ b/tests/cover/test_pool_restarts.py
@@ -280,6 +280,20 @@
     assert [each.worker for each in starts] == [other]
 
 
+def test_a_later_process_that_may_not_be_taken_up_yet_does_not_show_that_a_start_came_to_nothing():
+    """The start may still be carried out by the later process, while its task runs elsewhere."""
+    harness, start = make_harness_with_start()
+    lose_answer(harness, start)
+    others = [each for each in harness.listed.values() if each.worker != start.worker]
+    later = make_worker(start.worker, life=Life(2))
+    while harness.now < harness.state.workers[start.worker].lease_ends_at + SETTLE_MS:
+        harness.pass_time(250, is_confirmed=False)
+        harness.handle_event(WorkersListed((later, *others), is_confirmed=False))
+        harness.report(others[0].worker)
+    harness.pass_time(250)
+    assert list_starts(harness.place()) == []
+
+
 class RestartedWorker(OpenedWorker):
     """Another incarnation answers the second renewal and the following ones."""
 
