Pool: a worker that restarts with its clock set back is used once it has answered

Callers see capacity missing for as long as the clock was set back: the worker is up and registered, and no task starts there.

Cause: a life is numbered by the time of its start. The entry of a process with a lower number was always taken for a late one of a former process, while each connection said that another life answers.

Change: OtherLife carries the life that has answered, and the link tells the pool. An entry with a number up to the highest so far is taken for a new life only if that life has answered a request sent after the known one was listed. An id has one process at a time, so the known one is over then, and its runs with it; what follows is as with any restart. An entry alone is still not enough: lists may overtake each other, since a read that was requested later may show an earlier moment, and a former process's last write may be carried out late. So entries from before the clock was set back are not taken up again either (last_former_life). An answer without the field tells no life.

Mutations of each condition are caught by test_pool_restarts and test_pool_worker_processes.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -22,6 +22,7 @@
     JobCancelled,
     JobEnded,
     LeaseSent,
+    OtherLifeAnswered,
     PoolEffect,
     PoolEvent,
     RunsRecorded,
@@ -40,6 +41,7 @@
 from lentilpath_core.pool._model import JobState, TaskKey, get_completion_objective_ms
 from lentilpath_core.pool._placement import handle_advice, place_waiting
 from lentilpath_core.pool._policies import find_policy
+from lentilpath_core.pool._restarts import note_other_life
 from lentilpath_core.pool._runs import (
     handle_recorded_end,
     handle_start_answer,
@@ -189,6 +191,12 @@
     return handle_report(state, event, now)
 
 
+@_handle.register
+def _(event: OtherLifeAnswered, state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
+    note_other_life(state, event)
+    return ()
+
+
 @_handle.register
 def _(event: FormerLeaderEnded, state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
     return note_former_leader_ended(state, min(event.ended_at, now))
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_events.py
@@ -107,6 +107,16 @@
     sent_at: Instant
 
 
+@dataclass(frozen=True, slots=True)
+class OtherLifeAnswered:
+    """Another life of a worker has answered a request that was sent once this one was listed."""
+
+    worker: WorkerId
+    life: Life
+    answered: Life
+    """The one that has answered."""
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseSent:
     """A command was sent that extends the lease of this worker's runs to `ends_at` at most."""
@@ -190,6 +200,7 @@
     | RunsRecovered
     | JobEnded
     | WorkerReported
+    | OtherLifeAnswered
     | LeaseSent
     | StartAnswered
     | StartUnanswered
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_model.py
@@ -28,7 +28,7 @@
 """Id of the machine on which a worker's process runs, one at a time; empty if it is not known."""
 Life = NewType("Life", int)
 """Incarnation of a worker's process; rises each time the process restarts, also if its machine has
-a worker of another id since."""
+a worker of another id since. Falls if the machine's clock was set back meanwhile."""
 RunNumber = NewType("RunNumber", int)
 """Number of a run of a task; rises with each start, from 1. The members of a gang share it."""
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_restarts.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_restarts.py
@@ -24,8 +24,8 @@
     suspend_worker,
 )
 from lentilpath_core.pool._crashes import record_suspicion, suspect_run
-from lentilpath_core.pool._events import PoolEffect, StopRun
-from lentilpath_core.pool._model import ListedWorker
+from lentilpath_core.pool._events import OtherLifeAnswered, PoolEffect, StopRun
+from lentilpath_core.pool._model import Life, ListedWorker
 from lentilpath_core.pool._reasons import StopReason
 from lentilpath_core.pool._runs import UNANSWERED_START_MEMORY_MS, allocate_room
 from lentilpath_core.pool._state import Attempt, PoolState, Worker
@@ -59,6 +59,23 @@
     )
 
 
+def note_other_life(state: PoolState, event: OtherLifeAnswered) -> None:
+    """Note which life answers in place of the known one."""
+    worker = state.workers.get(event.worker)
+    if worker is not None and worker.life == event.life:
+        worker.answered_life = event.answered
+
+
+def may_be_over(worker: Worker, life: Life) -> bool:
+    """Return whether another life than the known one, which is listed, may be over.
+
+    An entry may be written or read late. A higher number than all before is that of a later life. A
+    lower one may be too, since clocks are set back: it is if that life has answered since.
+    """
+    highest = max(worker.life, worker.last_former_life)
+    return life <= highest and life != worker.answered_life
+
+
 def note_removed_worker(state: PoolState, worker: Worker, now: Instant) -> None:
     """Remember that a worker without an entry was sent commands; forget those of long ago."""
     oldest = now - UNANSWERED_START_MEMORY_MS
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -94,6 +94,10 @@
     """Whether the last list has an entry of the worker, of whichever life."""
     is_other_life_listed: bool = False
     """Whether that entry is one of another life, so that it says nothing of this one."""
+    answered_life: Life | None = None
+    """Another life that has answered since this one was listed: this one is over."""
+    last_former_life: Life = Life(0)
+    """The highest number of a former life that is over."""
     is_recorded: bool = False
     """Whether the record that the pool uses this incarnation is durable."""
     is_suspended: bool = False
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -41,6 +41,7 @@
     StopReason,
 )
 from lentilpath_core.pool._restarts import (
+    may_be_over,
     may_begin_in_next_life,
     may_take_former_commands,
     note_answer,
@@ -86,8 +87,6 @@
         worker.is_other_life_listed = entry is not None and entry.life != worker.life
     for entry in event.workers:
         known = state.workers.get(entry.worker)
-        if known is not None and entry.life < known.life:
-            continue
         if known is not None and known.life == entry.life:
             if entry.sequence < known.listed.sequence:
                 continue
@@ -98,6 +97,8 @@
                 effects.extend(_withdraw_starts(known, now))
             known.listed = entry
             update_leave_time(known, entry, now)
+        elif known is not None and may_be_over(known, entry.life):
+            continue
         elif known is not None and not event.is_confirmed:
             # A successor may have heard how the runs of the former life have ended.
             continue
@@ -144,6 +145,7 @@
     unclear: list[Attempt] = []
     effects: list[PoolEffect] = []
     if former is not None:
+        worker.last_former_life = max(former.life, former.last_former_life)
         unclear = take_unclear_runs(state, former, now)
         effects.extend(suspect_unclear_runs(state, unclear, now))
         effects.extend(_remove_worker(state, former, now))
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -11,7 +11,9 @@
 from lentilpath_core.ids import Epoch, Instant, WorkerTime
 from lentilpath_core.pool import (
     LeaseSent,
+    Life,
     ListedWorker,
+    OtherLifeAnswered,
     PaceRun,
     PoolEvent,
     RunNumber,
@@ -99,6 +101,8 @@
         self._is_closed = False
         self._is_silent = False
         self._is_superseded = False
+        self._answered_life: Life | None = None
+        """Another life of the worker that has answered last."""
 
     async def run(self) -> None:
         """Renew leases and handle reports until cancelled; raises `Deposed`."""
@@ -136,7 +140,8 @@
             # were never reported. So a number is sent once, to a worker that has just answered.
             number, self._unacknowledged_number = self._unacknowledged_number, 0
             report = await self._client.renew(number, lease, wait_ms, timeout)
-        except OtherLife:
+        except OtherLife as error:
+            self._note_other_life(error.life)
             if not self._is_superseded:
                 self._is_superseded = True
                 log_event(
@@ -170,6 +175,11 @@
             self._unacknowledged_number = highest
         return True
 
+    def _note_other_life(self, life: Life | None) -> None:
+        if life is not None and life != self._answered_life:
+            self._answered_life = life
+            self._handle_event(OtherLifeAnswered(self._listed.worker, self._listed.life, life))
+
     def _replace_client(self) -> None:
         self._client.close()
         self._client = self._create_client()
--- a/packages/lentilpathd/src/lentilpathd/_pool/_ports.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_ports.py
@@ -46,6 +46,11 @@
 
     code = "other-life"
 
+    def __init__(self, message: str, life: Life | None = None) -> None:
+        super().__init__(message)
+        self.life = life
+        """The one that answered, if it has told."""
+
 
 class RefusedByFence(LentilpathError):
     """The worker refused the fencing token: it has seen the token of a later leader."""
--- a/tests/common/simulated_workers.py
+++ b/tests/common/simulated_workers.py
@@ -582,7 +582,9 @@
         name = f"renew {last_end_number} until {lease_until}"
         report: WorkerReport = await self._send(name, act, timeout)
         if report.life != self._life:
-            raise OtherLife(f"life {report.life} answered a request to life {self._life}")
+            raise OtherLife(
+                f"life {report.life} answered a request to life {self._life}", report.life
+            )
         return report
 
     def close(self) -> None:
@@ -650,7 +652,7 @@
             or self._token // TOKENS_PER_EPOCH in self._cluster.unidentified_epochs
         )
         if life != self._life and is_identified:
-            return OtherLife(f"life {life} answered a request to life {self._life}")
+            return OtherLife(f"life {life} answered a request to life {self._life}", life)
         reply = await act(fate)
         if not name.startswith("renew"):
             self._cluster.note(f"{worker.name}.{life} carries out {name}: {reply}")
--- a/tests/cover/test_pool_restarts.py
+++ b/tests/cover/test_pool_restarts.py
@@ -7,6 +7,8 @@
 from dataclasses import replace
 from typing import Any
 
+import pytest
+
 from lentilpath_core.errors import OutcomeUnknown
 from lentilpath_core.ids import Epoch, Instant, WallTime, WorkerId, WorkerTime
 from lentilpath_core.pool import (
@@ -15,6 +17,7 @@
     JobRecord,
     Life,
     ListedWorker,
+    OtherLifeAnswered,
     RecordWorkers,
     RunEnd,
     RunNumber,
@@ -294,6 +297,78 @@
     assert list_starts(harness.place()) == []
 
 
+FORMER, SET_BACK = Life(5), Life(3)
+
+
+def make_harness_with_run() -> tuple[PoolHarness, StartRun]:
+    """Return a leader with two workers, one of which lists a run."""
+    harness = PoolHarness()
+    harness.add_workers(make_worker("w1", life=FORMER), make_worker("w2", life=FORMER))
+    harness.submit(1)
+    (start,) = list_starts(harness.place())
+    harness.answer_start(start, StartAnswer.STARTED)
+    harness.report(start.worker, ((start.task, start.run, 10),))
+    return harness, start
+
+
+def get_life(harness: PoolHarness, worker: WorkerId) -> Life:
+    return harness.state.workers[worker].life
+
+
+def test_a_process_that_started_with_its_clock_set_back_is_used_once_it_has_answered():
+    """Its entry was taken for one of a former process until the clock had caught up."""
+    harness, start = make_harness_with_run()
+    restart_worker(harness, start.worker, SET_BACK)
+    harness.handle_event(OtherLifeAnswered(start.worker, FORMER, SET_BACK))
+    restart_worker(harness, start.worker, SET_BACK)
+    assert get_life(harness, start.worker) == SET_BACK
+    harness.report(start.worker)
+    let_rest(harness, start.worker)
+    harness.submit(2, StepSpec(9, TASK_RESOURCES, 500))
+    assert (start.worker, SET_BACK) in {
+        (each.worker, each.life) for each in list_starts(harness.place())
+    }
+
+
+@pytest.mark.parametrize("answered", [None, Life(2), Life(4)])
+def test_an_entry_of_a_former_process_that_comes_late_does_not_end_a_run(answered):
+    harness, start = make_harness_with_run()
+    if answered is not None:
+        harness.handle_event(OtherLifeAnswered(start.worker, FORMER, answered))
+    restart_worker(harness, start.worker, SET_BACK)
+    assert get_life(harness, start.worker) == FORMER
+    harness.report("w2" if start.worker == "w1" else "w1")
+    assert list_starts(harness.place()) == []
+
+
+@pytest.mark.parametrize("late", [FORMER, Life(4)])
+def test_an_entry_from_before_the_clock_was_set_back_that_comes_late_does_not_end_a_run(late):
+    """A list that was requested earlier may be as of a later moment."""
+    harness, start = make_harness_with_run()
+    harness.handle_event(OtherLifeAnswered(start.worker, FORMER, SET_BACK))
+    restart_worker(harness, start.worker, SET_BACK)
+    restart_worker(harness, start.worker, late)
+    assert get_life(harness, start.worker) == SET_BACK
+    restart_worker(harness, start.worker, FORMER + 1)
+    assert get_life(harness, start.worker) == FORMER + 1
+
+
+def test_a_leader_that_may_have_been_replaced_does_not_take_up_a_process_that_has_answered():
+    harness, start = make_harness_with_run()
+    harness.handle_event(OtherLifeAnswered(start.worker, FORMER, SET_BACK))
+    entry = make_worker(start.worker, life=SET_BACK)
+    others = [each for each in harness.listed.values() if each.worker != start.worker]
+    harness.handle_event(WorkersListed((entry, *others), is_confirmed=False))
+    assert get_life(harness, start.worker) == FORMER
+
+
+def test_an_answer_that_was_meant_for_a_former_link_does_not_count():
+    harness, start = make_harness_with_run()
+    harness.handle_event(OtherLifeAnswered(start.worker, Life(4), SET_BACK))
+    restart_worker(harness, start.worker, SET_BACK)
+    assert get_life(harness, start.worker) == FORMER
+
+
 class RestartedWorker(OpenedWorker):
     """Another incarnation answers the second renewal and the following ones."""
 
@@ -305,7 +380,7 @@
     async def renew(self, last_end_number, lease_until, wait_ms, timeout):
         self.leases.append(lease_until)
         if len(self.leases) > 1:
-            raise OtherLife("life 2 answered a request to life 1")
+            raise OtherLife("life 2 answered a request to life 1", Life(2))
         return await super().renew(last_end_number, lease_until, wait_ms, timeout)
 
     async def start(self, task, run, text, checkpoint, ticket, lease_until, timeout):
@@ -319,6 +394,8 @@
     assert client.leases[2:] == [None] * len(client.leases[2:])
     (answered,) = [each for each in events if isinstance(each, StartAnswered)]
     assert (client.starts, answered.answer) == (0, StartAnswer.UNHEALTHY)
+    others = [each for each in events if isinstance(each, OtherLifeAnswered)]
+    assert others == [OtherLifeAnswered(WorkerId("w1"), LIFE, Life(2))]
 
 
 class FencingWorker(OpenedWorker):
--- a/tests/cover/test_pool_worker_processes.py
+++ b/tests/cover/test_pool_worker_processes.py
@@ -121,8 +121,9 @@
             await asyncio.sleep(0.05)
             worker.restart()
             proxy.to_server_open.set()
-            with pytest.raises(OtherLife):
+            with pytest.raises(OtherLife) as caught:
                 await starting
+            assert caught.value.life == worker.born
             assert worker.lease_until == 0
             assert worker.log == []
 
