Pool: a worker whose entry was gone may take former commands with its clock set back too

Callers may see a task run twice: a worker that was removed and is back takes the end of a lease that was meant for its former process, keeps its runs for the longest lease that workers accept, and neither rests nor is recorded as held.

Cause: as before this, a lower number was taken for that of a former process (may_take_former_commands), although a removed worker's next entry is used at once, whatever its number.

Change: each life but the removed one itself may take such commands.

--- a/packages/lentilpath-core/src/lentilpath_core/pool/_restarts.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_restarts.py
@@ -47,7 +47,7 @@
     if former is not None:
         return _was_commanded(state, former)
     life, removed_at = state.removed_workers.get(entry.worker, (entry.life, now))
-    return life < entry.life and now < removed_at + UNANSWERED_START_MEMORY_MS
+    return life != entry.life and now < removed_at + UNANSWERED_START_MEMORY_MS
 
 
 def _was_commanded(state: PoolState, worker: Worker) -> bool:
--- a/tests/cover/test_pool_restarts.py
+++ b/tests/cover/test_pool_restarts.py
@@ -330,6 +330,18 @@
     }
 
 
+@pytest.mark.parametrize("life", [SET_BACK, Life(FORMER + 1)])
+def test_a_restarted_worker_whose_entry_was_gone_meanwhile_may_hold_its_runs_for_longer(life):
+    harness, start = make_harness_with_run()
+    others = [each for each in harness.listed.values() if each.worker != start.worker]
+    harness.list_workers(*others)
+    while start.worker in harness.state.workers:
+        harness.pass_time(250)
+    restart_worker(harness, start.worker, life)
+    harness.report(start.worker)
+    assert harness.state.workers[start.worker].held_until > harness.now
+
+
 @pytest.mark.parametrize("answered", [None, Life(2), Life(4)])
 def test_an_entry_of_a_former_process_that_comes_late_does_not_end_a_run(answered):
     harness, start = make_harness_with_run()
