--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -42,6 +42,7 @@
 )
 from lentilpath_core.pool._restarts import (
     forget_removed_workers,
+    may_be_over,
     may_begin_in_next_life,
     note_answer,
     note_former_commands,
@@ -83,12 +84,12 @@
     reported_at = note_list(state, event, now)
     listed = {each.worker: each for each in event.workers}
     for worker in list(state.workers.values()):
-        worker.is_listed = worker.worker in listed
+        entry = listed.get(worker.worker)
+        worker.is_listed = entry is not None
+        worker.is_other_life_listed = entry is not None and entry.life != worker.life
     for entry in event.workers:
         known = state.workers.get(entry.worker)
-        if known is not None and entry.life < known.life:
-            known.is_listed = True
-        elif known is not None and known.life == entry.life:
+        if known is not None and known.life == entry.life:
             if entry.sequence < known.listed.sequence:
                 continue
             if entry.sequence > known.listed.sequence or not known.capacity_seen_at:
@@ -98,9 +99,11 @@
                 effects.extend(_withdraw_starts(known, now))
             known.listed = entry
             update_leave_time(known, entry, now)
+        elif known is not None and may_be_over(known, entry.life):
+            continue
         elif known is not None and not event.is_confirmed:
             # A successor may have heard how the runs of the former life have ended.
-            known.is_listed = True
+            continue
         else:
             effects.extend(resolve_missing_worker(state, entry))
             effects.extend(_start_new_life(state, known, entry, now))
@@ -144,6 +147,7 @@
     unclear: list[Attempt] = []
     effects: list[PoolEffect] = []
     if former is not None:
+        worker.last_former_life = max(former.life, former.last_former_life)
         unclear = take_unclear_runs(state, former, now)
         effects.extend(suspect_unclear_runs(state, unclear, now))
         effects.extend(_remove_worker(state, former, now))
