Platform: signals during the start of an entry host end it as planned or not at all

What callers saw: a host that got SIGTERM or SIGHUP up to 0.4 s after its start ended by the signal (code -15 or -1). A planned stop counted as a crash, and a change of the settings ended the process.

Cause: the handlers are installed by run_pool_host, after all imports and the reading of the settings.

--- a/tests/cover/test_deploy.py
+++ b/tests/cover/test_deploy.py
@@ -24,6 +24,7 @@
 
 sys.meta_path.insert(0, UnpinnedModuleFinder())
 import lentilpath_platform.main
+import lentilpath_platform._process
 """
 
 
--- a/tests/soak/proxied_host.py
+++ b/tests/soak/proxied_host.py
@@ -9,13 +9,15 @@
 import os
 from typing import Any
 
-import pynng
+from lentilpathd.early_signals import handle_early_signals
 
 PROXIES: dict[str, str] = json.loads(os.environ.get("PEER_PROXIES", "{}"))
 
 
 def redirect_dials() -> None:
     """Let pynng dial the proxies in place of the peers."""
+    import pynng
+
     dial = pynng.Socket.dial
 
     def dial_proxy(socket: pynng.Socket, url: str, *arguments: Any, **named: Any) -> Any:
@@ -28,6 +30,7 @@
 
 
 if __name__ == "__main__":
+    handle_early_signals()
     from lentilpath_platform.main import run
 
     redirect_dials()
