--- a/packages/lentilpath-core/src/lentilpath_core/pool/_restarts.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_restarts.py
@@ -73,11 +73,12 @@
         worker.answered_life = event.answered
 
 
-def may_be_over(worker: Worker, life: Life) -> bool:
-    """Return whether another life than the known one, which is listed, may be over.
+def may_be_outdated(worker: Worker, life: Life) -> bool:
+    """Return whether an entry of another life of a worker may be one of a life that is over.
 
-    An entry may be written or read late. A higher number than all before is that of a later life. A
-    lower one may be too, since clocks are set back: it is if that life has answered since.
+    Entries may be written or read late. One with a higher number than all before is of a later
+    life. One with a lower number may be too, since clocks are set back: it is once that life has
+    answered.
     """
     highest = max(worker.life, worker.last_former_life)
     return life <= highest and life != worker.answered_life
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -42,7 +42,7 @@
 )
 from lentilpath_core.pool._restarts import (
     forget_removed_workers,
-    may_be_over,
+    may_be_outdated,
     may_begin_in_next_life,
     note_answer,
     note_former_commands,
@@ -99,7 +99,7 @@
                 effects.extend(_withdraw_starts(known, now))
             known.listed = entry
             update_leave_time(known, entry, now)
-        elif known is not None and may_be_over(known, entry.life):
+        elif known is not None and may_be_outdated(known, entry.life):
             continue
         elif known is not None and not event.is_confirmed:
             # A successor may have heard how the runs of the former life have ended.
