--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -161,6 +161,7 @@
     LOOP_ON_TIME = (581, "the event loop is on time again")
     RUNS_BLAMED = (582, "a worker is taken to have crashed under runs that had just begun")
     RUNS_HELD = (583, "a restarted worker may hold its runs by a lease for its former life")
+    STOPS_LATE = (584, "stops were answered long after they were decided")
     PEER_ANSWER_UNREADABLE = (572, "a peer's answer cannot be read; it counts as no answer")
     CONFIG_READ = (574, "versions of the configuration were read")
 
--- a/packages/lentilpathd/src/lentilpathd/_metrics.py
+++ b/packages/lentilpathd/src/lentilpathd/_metrics.py
@@ -42,6 +42,8 @@
     RUN_GIVEN_UP = "runs.given_up"
     START_WAIT = "runs.start_wait"
     RECORD_WAIT = "runs.record_wait"
+    COMMAND_WAIT = "commands.wait"
+    COMMAND_TIME = "commands.time"
     ADVICE_TIME = "advice.time"
     DEPENDENCY_FAILED = "dependencies.failed"
     IS_LEADER = "leadership.is_leader"
--- a/packages/lentilpathd/src/lentilpathd/_pool/_command_slots.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_command_slots.py
@@ -26,6 +26,16 @@
         self._stops: deque[asyncio.Future[None]] = deque()
         self._others: deque[asyncio.Future[None]] = deque()
 
+    @property
+    def waiting_stops(self) -> int:
+        """Number of stops that wait for a slot."""
+        return len(self._stops)
+
+    @property
+    def stop_limit(self) -> int:
+        """Number of slots that stops may have now."""
+        return self._stop_limit
+
     @asynccontextmanager
     async def reserve(self) -> AsyncIterator[None]:
         """Hold a slot for a start or a pace; waits until no stop waits."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -31,6 +31,13 @@
 from lentilpathd._events import Event, log_event
 from lentilpathd._pool._command_log import log_unanswered
 from lentilpathd._pool._command_slots import CommandSlots
+from lentilpathd._pool._command_times import (
+    CommandKind,
+    CommandTimes,
+    LateStops,
+    ReportTimes,
+    ignore_times,
+)
 from lentilpathd._pool._guard import report_unexpected
 from lentilpathd._pool._leases import RENEWAL_TIMEOUT_SECONDS, WorkerClock
 from lentilpathd._pool._ports import Deposed, OtherLife, PoolWorker, RefusedByFence
@@ -76,9 +83,11 @@
         handle_event: Callable[[PoolEvent], None],
         may_command: Callable[[], bool] = lambda: True,
         is_leaving: Callable[[], bool] = lambda: False,
+        report_times: ReportTimes = ignore_times,
     ) -> None:
         self._may_command = may_command
         self._is_leaving = is_leaving
+        self._report_times = report_times
         self._listed = listed
         self._create_client = create_client
         self._client = create_client()
@@ -90,6 +99,7 @@
         self._unacknowledged_number = 0
         """Number up to which the next renewal acknowledges ends; 0 for none."""
         self._slots = CommandSlots()
+        self._late_stops = LateStops(listed.worker)
         self._commands: dict[tuple[TaskKey, RunNumber], asyncio.Task[None]] = {}
         self._unsent_starts: dict[tuple[TaskKey, RunNumber], StartRun] = {}
         self._group: asyncio.TaskGroup | None = None
@@ -198,9 +208,9 @@
         knows of it, but not for a table that is away.
         """
         self._unsent_starts[(effect.task, effect.run)] = effect
-        queued = self._writer.queued_count
+        queued, now = self._writer.queued_count, read_instant()
         self._run_or_postpone(
-            lambda: self._spawn((effect.task, effect.run), self._start(effect, queued))
+            lambda: self._spawn((effect.task, effect.run), self._start(effect, queued, now))
         )
 
     def withdraw_starts(self) -> None:
@@ -226,18 +236,23 @@
             self._withdraw_start(start)
             return
         self.cancel_start(effect.task, effect.run)
-        self._run_or_postpone(lambda: self._spawn((effect.task, effect.run), self._stop(effect)))
+        now = read_instant()
+        self._run_or_postpone(
+            lambda: self._spawn((effect.task, effect.run), self._stop(effect, now))
+        )
 
     def send_pace(self, effect: PaceRun) -> None:
         """Set a run's pace in percent; the next report shows whether another change is needed."""
         if self._group is not None:
-            self._group.create_task(self._pace(effect))
+            self._group.create_task(self._pace(effect, read_instant()))
 
-    async def _pace(self, effect: PaceRun) -> None:
+    async def _pace(self, effect: PaceRun, decided_at: Instant) -> None:
         try:
             async with self._slots.reserve():
                 client = self._client
+                sent_at = read_instant()
                 await client.pace(effect.task, effect.run, effect.percent, COMMAND_TIMEOUT_SECONDS)
+            self._note_times(CommandKind.PACE, decided_at, sent_at)
         except Exception as error:
             self._raise_if_deposed(error, client)
             log_unanswered(Event.PACE_UNANSWERED, effect, error)
@@ -265,7 +280,7 @@
         if self._commands.get(key) is done:
             del self._commands[key]
 
-    async def _start(self, effect: StartRun, queued: int) -> None:
+    async def _start(self, effect: StartRun, queued: int, decided_at: Instant) -> None:
         if (effect.task, effect.run) not in self._unsent_starts:
             return
         if effect.is_suspected:
@@ -281,6 +296,7 @@
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             async with self._slots.reserve():
+                sent_at = read_instant()
                 answer = await self._try_start(effect, is_unclear)
             if answer is None:
                 is_unclear = True
@@ -290,8 +306,10 @@
         if is_unclear and answer is not StartAnswer.STARTED:
             # An earlier command may have been executed, or may still be. A stop covers both cases,
             # and the next report tells how the run ended.
-            await self._stop(effect)
+            await self._stop(effect, read_instant())
             return
+        if answer is not StartAnswer.NOT_SENT:
+            self._note_times(CommandKind.START, decided_at, sent_at)
         self._answer_start(effect, answer)
         if effect.is_suspected and answer is StartAnswer.STARTED:
             await self._check_start(effect)
@@ -390,7 +408,12 @@
     def _report_unanswered(self, effect: StartRun) -> None:
         self._handle_event(StartUnanswered(effect.worker, effect.life, effect.task, effect.run))
 
-    async def _stop(self, effect: StopRun | StartRun) -> None:
+    def _note_times(self, kind: CommandKind, decided_at: Instant, sent_at: Instant) -> None:
+        times = CommandTimes(kind, decided_at, sent_at, read_instant())
+        self._report_times(times)
+        self._late_stops.note(times, self._slots.waiting_stops, self._slots.stop_limit)
+
+    async def _stop(self, effect: StopRun | StartRun, decided_at: Instant) -> None:
         while True:
             if not self._may_command():
                 await asyncio.sleep(RETRY_SECONDS)
@@ -398,7 +421,9 @@
             try:
                 async with self._slots.reserve_for_stop():
                     client = self._client
+                    sent_at = read_instant()
                     await client.stop(effect.task, effect.run, COMMAND_TIMEOUT_SECONDS)
+                self._note_times(CommandKind.STOP, decided_at, sent_at)
                 break
             except OtherLife:
                 break
--- a/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_metrics.py
@@ -36,6 +36,8 @@
     Metric.JOB_ANSWER_TIME: ("queue", "outcome"),
     Metric.START_WAIT: ("queue",),
     Metric.RECORD_WAIT: (),
+    Metric.COMMAND_WAIT: ("command",),
+    Metric.COMMAND_TIME: ("command",),
     Metric.ADVICE_TIME: (),
     Metric.LOOP_DELAY: ("cause",),
 }
--- a/packages/lentilpathd/src/lentilpathd/_pool/_worker_links.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_worker_links.py
@@ -10,6 +10,8 @@
 from lentilpath_core.pool import Life, ListedWorker, PoolEvent, PoolState
 from lentilpathd._cancellation import start_member
 from lentilpathd._events import Event, log_event
+from lentilpathd._metrics import Metric
+from lentilpathd._pool._command_times import CommandTimes
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._link import WorkerLink
 from lentilpathd._pool._ports import LifeKey, PoolWorker
@@ -63,10 +65,16 @@
                 self._handle_event,
                 self._may_command,
                 partial(self._is_leaving, *key),
+                self._report_times,
             )
             self._links[key] = (link, start_member(self._group, link.run, "worker link"))
             log_event(Event.WORKER_LISTED, worker=worker.worker, life=worker.life)
 
+    def _report_times(self, times: CommandTimes) -> None:
+        metrics, command = self._context.metrics, times.kind.value
+        metrics.record_time(Metric.COMMAND_WAIT, times.queued_ms, command)
+        metrics.record_time(Metric.COMMAND_TIME, times.answer_ms, command)
+
     def withdraw_starts(self) -> None:
         """Withdraw the starts that were not sent yet from workers that are listed as leaving."""
         for (worker, life), (link, _) in self._links.items():
--- a/tests/cover/test_pool_commands.py
+++ b/tests/cover/test_pool_commands.py
@@ -11,9 +11,10 @@
 import pytest
 
 from lentilpath_core.errors import OutcomeUnknown
-from lentilpath_core.ids import Epoch, WorkerId
+from lentilpath_core.ids import Epoch, Instant, WorkerId
 from lentilpath_core.pool import (
     JobCancelled,
+    PaceRun,
     PoolEvent,
     RunningRun,
     RunNumber,
@@ -27,12 +28,14 @@
     StopRun,
     WorkerReport,
 )
-from lentilpathd._pool import _link
+from lentilpathd._events import Event
+from lentilpathd._pool import _command_times, _link
 from lentilpathd._pool._command_slots import (
     MAX_CONCURRENT_COMMANDS,
     MAX_CONCURRENT_STOPS,
     CommandSlots,
 )
+from lentilpathd._pool._command_times import CommandKind, CommandTimes, LateStops
 from lentilpathd._pool._link import WorkerLink
 from lentilpathd._pool._worker_links import WorkerLinks
 from lentilpathd._pool._writer import RecordWriter
@@ -69,6 +72,9 @@
     async def stop(self, task, run, timeout):
         await self._receive("stop", task)
 
+    async def pace(self, task, run, percent, timeout):
+        await self._receive("pace", task)
+
     async def _receive(self, name, task):
         self.commands.append((name, task.number))
         self.in_flight += 1
@@ -87,6 +93,7 @@
         self.client = client
         self.events: list[PoolEvent] = []
         self.is_leaving = False
+        self.times: list[CommandTimes] = []
         self.link = WorkerLink(
             make_worker("w1"),
             lambda: client,
@@ -95,6 +102,7 @@
             make_writer(),
             self.events.append,
             is_leaving=lambda: self.is_leaving,
+            report_times=self.times.append,
         )
 
     def start(self, *numbers: int) -> None:
@@ -380,3 +388,37 @@
         ]
 
     asyncio.run(scenario())
+
+
+def test_the_wait_of_a_command_is_told_apart_from_its_time_in_flight(monkeypatch):
+    """Without both, many stops for one worker look like a slow worker."""
+    lines: list[tuple[Event, dict[str, object]]] = []
+    monkeypatch.setattr(
+        _command_times, "log_event", lambda event, **fields: lines.append((event, fields))
+    )
+    late = LateStops(WorkerId("w1"))
+    sent = CommandTimes(CommandKind.STOP, Instant(1_000), Instant(2_900), Instant(2_950))
+    late.note(sent, waiting=40, slots=3)
+    late.note(replace(sent, answered_at=Instant(3_400)), waiting=39, slots=3)
+    late.note(replace(sent, kind=CommandKind.START), waiting=39, slots=3)
+    late.note(replace(sent, answered_at=Instant(3_500)), waiting=0, slots=3)
+    times = {"decided_ms": 1_950, "queued_ms": 1_900, "answer_ms": 50}
+    later = {"decided_ms": 2_500, "queued_ms": 1_900, "answer_ms": 600}
+    assert lines == [
+        (Event.STOPS_LATE, {"worker": "w1", "count": 1, **times, "waiting": 40, "slots": 3}),
+        (Event.STOPS_LATE, {"worker": "w1", "count": 2, **later, "waiting": 0, "slots": 3}),
+    ]
+
+
+def test_each_command_reports_its_times(monkeypatch):
+    async def play_link(play: Play) -> None:
+        play.client.proceed.set()
+        play.start(0)
+        await wait_for(lambda: len(play.list_answers()) == 1)
+        play.stop(0)
+        play.link.send_pace(PaceRun(WorkerId("w1"), LIFE, make_task(1, 1), RunNumber(1), 50))
+        await wait_for(lambda: len(play.times) == 3)
+
+    play = run_play(play_link, monkeypatch)
+    assert {each.kind for each in play.times} == set(CommandKind)
+    assert all(each.decided_at <= each.sent_at <= each.answered_at for each in play.times)
