--- a/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_decisions.py
@@ -45,7 +45,7 @@
 from lentilpath_core.pool._runs import (
     handle_recorded_end,
     handle_start_answer,
-    mark_answered,
+    note_stop_answer,
     record_unanswered_start,
 )
 from lentilpath_core.pool._shares import number_job, update_buckets
@@ -222,7 +222,7 @@
 
 @_handle.register
 def _(event: StopAnswered, state: PoolState, now: Instant) -> tuple[PoolEffect, ...]:
-    mark_answered(state, event.worker, event.life, event.task, event.run, now)
+    note_stop_answer(state, event.worker, event.life, event.task, event.run, now)
     return ()
 
 
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_runs.py
@@ -327,6 +327,19 @@
         attempt.answered_at = now
 
 
+def note_stop_answer(
+    state: PoolState, worker_id: WorkerId, life: Life, task: TaskKey, run: RunNumber, now: Instant
+) -> None:
+    """Note that a worker has answered a stop, which may have waited in its link for long."""
+    mark_answered(state, worker_id, life, task, run, now)
+    worker = state.workers.get(worker_id)
+    if worker is None or worker.life != life:
+        return
+    attempt = worker.attempts.get((task, run))
+    if attempt is not None and attempt.phase is Phase.STOPPING:
+        attempt.stop_sent_at = now
+
+
 def handle_recorded_end(
     state: PoolState, task: TaskKey, record: RunRecord, now: Instant, is_recovered: bool = False
 ) -> tuple[PoolEffect, ...]:
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -73,6 +73,7 @@
     progressed_at: Instant = Instant(0)
     """When a change of `percent` was last seen."""
     stop_sent_at: Instant = Instant(0)
+    """When a stop was last decided, or the worker has answered one."""
     stop_reason: StopReason | None = None
     """Why the run is being stopped; `None` while it is not."""
     load: int = 0
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_workers.py
@@ -241,7 +241,10 @@
 
 
 def _stop_listed_run(attempt: Attempt, reason: StopReason, now: Instant) -> tuple[PoolEffect, ...]:
-    """Stop a run that its worker still lists, unless a stop was sent a short time ago."""
+    """Stop a run that its worker still lists, unless a stop was sent a short time ago.
+
+    One that still waits in the worker's link keeps its turn.
+    """
     if now < attempt.stop_sent_at + STOP_RETRY_MS and attempt.phase is Phase.STOPPING:
         return ()
     return stop_attempt(attempt, reason, now)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_effects.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_effects.py
@@ -80,13 +80,13 @@
 
     @execute.register
     def _(self, effect: StopRun) -> None:
-        self._context.metrics.count(Metric.RUN_STOPPED, effect.reason.value)
-        self._log_run(Event.RUN_STOPPED, effect, life=effect.life, reason=effect.reason.value)
         # The run may be on a life of the worker that was listed only just now and has no link yet.
         self._links.open_missing()
         link = self._links.get(effect.worker, effect.life)
-        if link is not None:
-            link.send_stop(effect)
+        if link is not None and not link.send_stop(effect):
+            return
+        self._context.metrics.count(Metric.RUN_STOPPED, effect.reason.value)
+        self._log_run(Event.RUN_STOPPED, effect, life=effect.life, reason=effect.reason.value)
 
     @execute.register
     def _(self, effect: GiveUpRun) -> None:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -102,6 +102,8 @@
         self._late_stops = LateStops(listed.worker)
         self._commands: dict[tuple[TaskKey, RunNumber], asyncio.Task[None]] = {}
         self._unsent_starts: dict[tuple[TaskKey, RunNumber], StartRun] = {}
+        self._stopping: set[tuple[TaskKey, RunNumber]] = set()
+        """Runs with a stop that is in progress: waiting, in flight or about to be repeated."""
         self._group: asyncio.TaskGroup | None = None
         self._early: list[Callable[[], None]] = []
         """Commands for a link that has been created but does not run yet."""
@@ -226,20 +228,24 @@
     async def _refuse(self, effect: StartRun) -> None:
         self._answer_start(effect, StartAnswer.NOT_SENT)
 
-    def send_stop(self, effect: StopRun) -> None:
-        """Stop a run. A start of it that was not sent yet is withdrawn, which needs no command.
+    def send_stop(self, effect: StopRun) -> bool:
+        """Stop a run; retried until the worker answers. Return whether this needs a new command.
 
-        A start in flight is cancelled first.
+        A stop in progress keeps its turn. A start that was not sent yet is withdrawn, which needs
+        no command, and one in flight is cancelled first.
         """
-        start = self._unsent_starts.get((effect.task, effect.run))
+        key = (effect.task, effect.run)
+        if key in self._stopping:
+            return False
+        start = self._unsent_starts.get(key)
         if start is not None:
             self._withdraw_start(start)
-            return
-        self.cancel_start(effect.task, effect.run)
+            return True
+        self.cancel_start(*key)
+        self._stopping.add(key)
         now = read_instant()
-        self._run_or_postpone(
-            lambda: self._spawn((effect.task, effect.run), self._stop(effect, now))
-        )
+        self._run_or_postpone(lambda: self._spawn(key, self._stop(effect, now)))
+        return True
 
     def send_pace(self, effect: PaceRun) -> None:
         """Set a run's pace in percent; the next report shows whether another change is needed."""
@@ -260,6 +266,7 @@
     def cancel_start(self, task: TaskKey, run: RunNumber) -> None:
         """Cancel the command in flight for a run that is treated as ended; no start is resent."""
         self._unsent_starts.pop((task, run), None)
+        self._stopping.discard((task, run))
         command = self._commands.get((task, run))
         if command is not None:
             command.cancel()
@@ -279,6 +286,7 @@
     def _discard_command(self, key: tuple[TaskKey, RunNumber], done: asyncio.Task[None]) -> None:
         if self._commands.get(key) is done:
             del self._commands[key]
+            self._stopping.discard(key)
 
     async def _start(self, effect: StartRun, queued: int, decided_at: Instant) -> None:
         if (effect.task, effect.run) not in self._unsent_starts:
@@ -306,6 +314,7 @@
         if is_unclear and answer is not StartAnswer.STARTED:
             # An earlier command may have been executed, or may still be. A stop covers both cases,
             # and the next report tells how the run ended.
+            self._stopping.add((effect.task, effect.run))
             await self._stop(effect, read_instant())
             return
         if answer is not StartAnswer.NOT_SENT:
--- a/tests/cover/test_pool_commands.py
+++ b/tests/cover/test_pool_commands.py
@@ -28,6 +28,7 @@
     StopRun,
     WorkerReport,
 )
+from lentilpath_core.pool._workers import STOP_RETRY_MS
 from lentilpathd._events import Event
 from lentilpathd._pool import _command_times, _link
 from lentilpathd._pool._command_slots import (
@@ -39,7 +40,14 @@
 from lentilpathd._pool._link import WorkerLink
 from lentilpathd._pool._worker_links import WorkerLinks
 from lentilpathd._pool._writer import RecordWriter
-from tests.common.pools import LIFE, PoolHarness, list_starts, make_task, make_worker
+from tests.common.pools import (
+    LIFE,
+    PoolHarness,
+    list_starts,
+    list_stops,
+    make_task,
+    make_worker,
+)
 from tests.common.tables import OnePartitionTable, make_leadership
 from tests.cover.test_pool_link import LEASE_MS, UNUSED_TABLE, SilencedWorker, make_start
 
@@ -116,6 +124,9 @@
                 StopRun(WorkerId("w1"), LIFE, task, RunNumber(1), StopReason.JOB_OVER)
             )
 
+    def list_stopped(self) -> list[int]:
+        return [each.task.number for each in self.events if isinstance(each, StopAnswered)]
+
     def list_answers(self) -> dict[int, StartAnswer]:
         return {
             each.task.number: each.answer for each in self.events if isinstance(each, StartAnswered)
@@ -319,6 +330,50 @@
     assert play.client.commands[3] == ("stop", 20)
 
 
+def test_a_stop_that_is_decided_again_while_it_waits_keeps_its_turn(monkeypatch):
+    """Otherwise each repetition puts it behind the others, and no stop that waits is ever sent."""
+
+    async def play_link(play: Play) -> None:
+        play.stop(*range(10))
+        await wait_for(lambda: len(play.client.commands) == 3)
+        play.stop(0, 3, 4)
+        await asyncio.sleep(0.01)
+        play.client.proceed.set()
+        await wait_for(lambda: len(play.list_stopped()) == 10)
+
+    play = run_play(play_link, monkeypatch)
+    assert play.client.commands == [("stop", number) for number in range(10)]
+    assert sorted(play.list_stopped()) == list(range(10))
+
+
+def test_a_stop_that_was_answered_can_be_sent_again(monkeypatch):
+    async def play_link(play: Play) -> None:
+        play.client.proceed.set()
+        play.stop(0)
+        await wait_for(lambda: len(play.list_stopped()) == 1)
+        play.stop(0)
+        await wait_for(lambda: len(play.list_stopped()) == 2)
+
+    assert run_play(play_link, monkeypatch).client.commands == [("stop", 0), ("stop", 0)]
+
+
+def test_a_run_is_stopped_again_only_some_time_after_the_answer_to_its_stop():
+    """Its stop may have waited in the link for longer than a sound worker takes to stop it."""
+    harness = PoolHarness()
+    harness.add_workers(make_worker("w1"))
+    harness.submit(1, StepSpec(1))
+    (start,) = list_starts(harness.place())
+    harness.answer_start(start, StartAnswer.STARTED)
+    listed = ((start.task, start.run, 0),)
+    harness.handle_event(JobCancelled(start.task.job))
+    harness.pass_time(STOP_RETRY_MS)
+    harness.handle_event(StopAnswered(start.worker, LIFE, start.task, start.run))
+    # Each report comes 1 ms later.
+    harness.pass_time(STOP_RETRY_MS - 2)
+    assert list_stops(harness.report("w1", running=listed)) == []
+    assert len(list_stops(harness.report("w1", running=listed))) == 1
+
+
 def stop_many(count: int, monkeypatch: pytest.MonkeyPatch, is_silenced: bool = False) -> int:
     """Stop many runs at once; return the largest number of stops in flight."""
 
