--- a/packages/lentilpath-http/src/lentilpath_http/_connection.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_connection.py
@@ -105,6 +105,9 @@
             async with asyncio.timeout(timeout) as self._timeout:
                 response = await future
         except TimeoutError as error:
+            if future.done() and not future.cancelled() and future.exception() is None:
+                # The loop was late: the response is complete, and its timer was due as well.
+                return future.result()
             arrived = self.bytes_received - received
             raise ResponseLost(
                 f"{self.name} did not answer in time; {arrived} bytes of the answer arrived"
--- a/tests/cover/test_http_closed.py
+++ b/tests/cover/test_http_closed.py
@@ -1,8 +1,14 @@
-"""A connection that ends before its answer is told apart from a cut or malformed answer."""
+"""How a client's connections end.
+
+A connection that ends before its answer is told apart from a cut or malformed answer.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import socket
+import threading
+import time
 
 import pytest
 
@@ -11,6 +17,7 @@
     MalformedMessage,
     ResponseLost,
     create_client,
+    open_connection,
 )
 
 TIMEOUT_SECONDS = 5.0
@@ -44,3 +51,35 @@
 @pytest.mark.parametrize("cut", [b"HTTP/1.1 20", b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nab"])
 def test_a_connection_closed_within_an_answer_is_a_malformed_one(cut):
     assert type(asyncio.run(ask_server_that_sends(cut))) is MalformedMessage
+
+
+def test_an_answer_that_is_complete_when_a_late_loop_looks_is_not_lost():
+    """Otherwise a busy host repeats calls that were answered, which makes it busier."""
+    answer_is_there = threading.Event()
+
+    def answer(listener: socket.socket) -> None:
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(4_096)
+            connection.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+            answer_is_there.set()
+            connection.recv(1)
+
+    def hold_loop() -> None:
+        # Until the answer has come and the time is over.
+        answer_is_there.wait(TIMEOUT_SECONDS)
+        time.sleep(0.1)
+
+    async def scenario(port: int) -> int:
+        connection = await open_connection("127.0.0.1", port)
+        exchange = asyncio.create_task(connection.exchange(HttpRequest("GET", "/"), 0.05))
+        await asyncio.sleep(0)
+        assert connection.bytes_sent
+        hold_loop()
+        status = (await exchange).status
+        connection.close()
+        return status
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        threading.Thread(target=answer, args=(listener,), daemon=True).start()
+        assert asyncio.run(scenario(listener.getsockname()[1])) == 200
