--- a/packages/lentilpath-http/src/lentilpath_http/_client.py
+++ b/packages/lentilpath-http/src/lentilpath_http/_client.py
@@ -17,6 +17,11 @@
 )
 
 MAX_IDLE_CONNECTIONS = 8
+MAX_RECENT_CONNECTIONS = 64
+"""Idle connections that are kept while many requests follow one another."""
+RECENT_SECONDS = 2.0
+"""Connections beyond `MAX_IDLE_CONNECTIONS` are kept this long after their last request. Several
+requests may end at the same moment, before the next ones are sent."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +63,9 @@
         self._connect_timeout_seconds = connect_timeout_seconds
         self._tls = tls
         self._identification = identification
-        self._idle: list[ClientConnection] = []
+        self._idle: list[tuple[ClientConnection, float]] = []
+        """Idle connections, each with the time of its last response; the last one used at the end.
+        """
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -125,21 +132,24 @@
 
     def _keep(self, connection: ClientConnection, peer: tuple[str, int], is_right: bool) -> None:
         """Keep a connection for further requests, or close it."""
-        has_room = peer == (self.address, self.port) and len(self._idle) < MAX_IDLE_CONNECTIONS
+        now = read_seconds()
+        has_room = peer == (self.address, self.port) and len(self._idle) < MAX_RECENT_CONNECTIONS
         if is_right and has_room and connection.is_usable():
-            self._idle.append(connection)
+            self._idle.append((connection, now))
         else:
             connection.close()
+        while len(self._idle) > MAX_IDLE_CONNECTIONS and now >= self._idle[0][1] + RECENT_SECONDS:
+            self._idle.pop(0)[0].close()
 
     def close(self) -> None:
         """Close all idle connections."""
-        for connection in self._idle:
+        for connection, _ in self._idle:
             connection.close()
         self._idle.clear()
 
     async def _acquire_connection(self, deadline: float, is_identifying: bool) -> ClientConnection:
         while self._idle:
-            connection = self._idle.pop()
+            connection, _ = self._idle.pop()
             if connection.is_usable():
                 return connection
             connection.close()
