--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -30,7 +30,7 @@
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event
 from lentilpathd._pool._command_log import log_unanswered
-from lentilpathd._pool._command_slots import CommandSlots
+from lentilpathd._pool._command_slots import CommandSlots, ExtraSlots
 from lentilpathd._pool._command_times import (
     CommandKind,
     CommandTimes,
@@ -84,6 +84,7 @@
         may_command: Callable[[], bool] = lambda: True,
         is_leaving: Callable[[], bool] = lambda: False,
         report_times: ReportTimes = ignore_times,
+        extra_slots: ExtraSlots | None = None,
     ) -> None:
         self._may_command = may_command
         self._is_leaving = is_leaving
@@ -98,7 +99,7 @@
         self._clock = WorkerClock()
         self._unacknowledged_number = 0
         """Number up to which the next renewal acknowledges ends; 0 for none."""
-        self._slots = CommandSlots()
+        self._slots = CommandSlots(extra_slots)
         self._late_stops = LateStops(listed.worker)
         self._commands: dict[tuple[TaskKey, RunNumber], asyncio.Task[None]] = {}
         self._unsent_starts: dict[tuple[TaskKey, RunNumber], StartRun] = {}
@@ -420,7 +421,8 @@
     def _note_times(self, kind: CommandKind, decided_at: Instant, sent_at: Instant) -> None:
         times = CommandTimes(kind, decided_at, sent_at, read_instant())
         self._report_times(times)
-        self._late_stops.note(times, self._slots.waiting_stops, self._slots.stop_limit)
+        slots = self._slots.count_for_stops(times.answered_at)
+        self._late_stops.note(times, self._slots.waiting_stops, slots)
 
     async def _stop(self, effect: StopRun | StartRun, decided_at: Instant) -> None:
         while True:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_worker_links.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_worker_links.py
@@ -11,6 +11,7 @@
 from lentilpathd._cancellation import start_member
 from lentilpathd._events import Event, log_event
 from lentilpathd._metrics import Metric
+from lentilpathd._pool._command_slots import ExtraSlots
 from lentilpathd._pool._command_times import CommandTimes
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._link import WorkerLink
@@ -41,6 +42,7 @@
         self._may_command = may_command
         self._links: dict[LifeKey, tuple[WorkerLink, asyncio.Task[None]]] = {}
         self._opened_clients = 0
+        self._extra_slots = ExtraSlots()
         self._group: asyncio.TaskGroup | None = None
 
     def start(self, group: asyncio.TaskGroup) -> None:
@@ -66,6 +68,7 @@
                 self._may_command,
                 partial(self._is_leaving, *key),
                 self._report_times,
+                self._extra_slots,
             )
             self._links[key] = (link, start_member(self._group, link.run, "worker link"))
             log_event(Event.WORKER_LISTED, worker=worker.worker, life=worker.life)
--- a/tests/cover/test_pool_commands.py
+++ b/tests/cover/test_pool_commands.py
@@ -30,11 +30,13 @@
 )
 from lentilpath_core.pool._workers import STOP_RETRY_MS
 from lentilpathd._events import Event
-from lentilpathd._pool import _command_times, _link
+from lentilpathd._pool import _command_slots, _command_times, _link
 from lentilpathd._pool._command_slots import (
     MAX_CONCURRENT_COMMANDS,
     MAX_CONCURRENT_STOPS,
     CommandSlots,
+    ExtraSlots,
+    count_stop_slots,
 )
 from lentilpathd._pool._command_times import CommandKind, CommandTimes, LateStops
 from lentilpathd._pool._link import WorkerLink
@@ -49,6 +51,7 @@
     make_worker,
 )
 from tests.common.tables import OnePartitionTable, make_leadership
+from tests.common.virtual_time import run_in_virtual_time
 from tests.cover.test_pool_link import LEASE_MS, UNUSED_TABLE, SilencedWorker, make_start
 
 NOTICE_MS = 2_500
@@ -398,6 +401,68 @@
     assert stop_many(1_000, monkeypatch, is_silenced=True) == MAX_CONCURRENT_COMMANDS
 
 
+def test_stops_of_a_slow_worker_are_in_time_for_as_many_runs_as_it_may_have(monkeypatch):
+    """A stop may be answered only once its run has ended, so slots are taken for that long."""
+    answer_seconds, runs, cancel_seconds = 0.45, 240, 2.5
+    sent_at: list[float] = []
+
+    class SlowWorker(BusyWorker):
+        async def stop(self, task, run, timeout):
+            sent_at.append(asyncio.get_running_loop().time())
+            await asyncio.sleep(answer_seconds)
+
+    async def scenario() -> float:
+        play = Play(SlowWorker())
+        task = asyncio.create_task(play.link.run())
+        await wait_for(lambda: len(play.client.numbers) > 1)
+        decided_at = asyncio.get_running_loop().time()
+        play.stop(*range(runs))
+        await wait_for(lambda: len(play.list_stopped()) == runs)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return max(sent_at) - decided_at
+
+    assert run_in_virtual_time(scenario(), monkeypatch, _link, _command_slots) <= cancel_seconds
+
+
+@pytest.mark.parametrize(
+    ("unanswered", "waited_ms", "answer_ms", "slots"),
+    [
+        (48, 0, 50, 3),
+        (200, 0, 50, 10),
+        (200, 500, 50, 20),
+        (20, 0, 450, 9),
+        (20, 2_000, 450, 20),
+        (1_000, 0, 450, MAX_CONCURRENT_STOPS),
+    ],
+)
+def test_stops_have_as_many_slots_as_they_need(unanswered, waited_ms, answer_ms, slots):
+    assert count_stop_slots(unanswered, waited_ms, answer_ms) == slots
+
+
+def test_the_links_to_all_workers_share_the_additional_slots():
+    async def scenario() -> int:
+        extra = ExtraSlots(5)
+        workers = [CommandSlots(extra) for _ in range(4)]
+        in_flight = most = 0
+
+        async def stop(slots: CommandSlots) -> None:
+            nonlocal in_flight, most
+            async with slots.reserve_for_stop():
+                in_flight += 1
+                most = max(most, in_flight)
+                await asyncio.sleep(0.001)
+                in_flight -= 1
+
+        async with asyncio.timeout(20.0):
+            await asyncio.gather(*(stop(slots) for slots in workers for _ in range(200)))
+            # All of them were given back.
+            assert [extra.take() for _ in range(6)] == [True] * 5 + [False]
+        return most
+
+    assert asyncio.run(scenario()) == 4 * MAX_CONCURRENT_COMMANDS + 5
+
+
 def test_many_stops_keep_to_the_bound_of_starts_afterwards(monkeypatch):
     async def play_link(play: Play) -> None:
         play.client.proceed.set()
