--- a/packages/lentilpath-core/src/lentilpath_core/pool/_explanations.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_explanations.py
@@ -22,6 +22,7 @@
 )
 from lentilpath_core.pool._advice import needs_advice
 from lentilpath_core.pool._candidates import MAX_REPORT_AGE_MS
+from lentilpath_core.pool._crowding import is_crowded_for
 from lentilpath_core.pool._customers import (
     check_job_fits_quota,
     compute_weighted_share,
@@ -65,6 +66,8 @@
     TOO_SMALL = "capacity-too-small"
     RESERVED = "reserved-for-a-gang"
     NO_ROOM = "no-free-room"
+    CROWDED = "too-many-runs"
+    """One task of a job that has nothing running, a gang and lasting tasks start all the same."""
 
 
 class ObstacleCount(msgspec.Struct, frozen=True):
@@ -232,7 +235,9 @@
         obstacle = _find_obstacle(state, step, worker, now)
         if obstacle is None:
             fitting.append(worker)
-        else:
+            if is_crowded_for(state, step, worker):
+                obstacle = Obstacle.CROWDED
+        if obstacle is not None:
             excluded.setdefault(obstacle, []).append(worker.worker)
     allowed = count_allowed(state, step)
     places = _choose_workers(state, step, fitting, allowed, now)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_options.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_options.py
@@ -7,6 +7,11 @@
 from lentilpath_core.ids import Instant, WorkerId
 from lentilpath_core.pool._advice import has_fresh_ticket
 from lentilpath_core.pool._crashes import is_quiet
+from lentilpath_core.pool._crowding import (
+    compute_crowding_cost,
+    count_exempt_tasks,
+    count_runs,
+)
 from lentilpath_core.pool._fit import (
     RESERVED_COST,
     compute_cost,
@@ -46,6 +51,10 @@
             for attempt in step.attempts.values():
                 worker_id = attempt.worker.worker
                 self._running[worker_id] = self._running.get(worker_id, 0) + 1
+        self._runs = {worker.worker: count_runs(worker) for worker in self._workers}
+        self._exempt_tasks = count_exempt_tasks(step)
+        """How many of the next tasks may be placed on workers with as many runs as they may have.
+        """
         self._rack_costs: dict[str, float] = {}
         if step.spec.gang and step.spec.one_rack:
             self._rack_costs = compute_rack_costs(step, self._workers)
@@ -64,12 +73,15 @@
 
     def count_slots(self) -> int:
         """Return how many tasks of the step fit, counting no more than it has."""
-        total = 0
+        total = exempt = 0
         for worker, free in zip(self._workers, self._free, strict=True):
-            total += count_slots(self._step, free, self._running.get(worker.worker, 0))
+            slots = count_slots(self._step, free, self._running.get(worker.worker, 0))
+            places_left = self._state.most_runs_per_worker - self._runs[worker.worker]
+            total += min(slots, max(0, places_left))
+            exempt = min(exempt + slots, self._exempt_tasks)
             if total >= self._step.spec.count:
                 break
-        return total
+        return max(total, exempt)
 
     def take_cheapest(self, index: int) -> Worker | None:
         """Return the cheapest worker for a task, and allocate the room on it; `None` if none."""
@@ -80,6 +92,9 @@
                 if self._has_room(position)
             ]
             heapq.heapify(self._heap)
+        while self._heap and not self._has_room(self._heap[0][1]):
+            # The tasks that may exceed the number of runs of a worker have been placed.
+            heapq.heappop(self._heap)
         if not self._heap:
             return None
         avoided = self._step.avoided_workers.get(index, ())
@@ -122,6 +137,8 @@
         worker_id = self._workers[position].worker
         self._free[position] = self._free[position] - self._room
         self._running[worker_id] = self._running.get(worker_id, 0) + 1
+        self._exempt_tasks = max(0, self._exempt_tasks - 1)
+        self._runs[worker_id] += 1
         if self._starts_left is not None:
             self._starts_left[worker_id] -= 1
 
@@ -131,6 +148,8 @@
         worker_id = self._workers[position].worker
         if self._starts_left is not None and self._starts_left[worker_id] <= 0:
             return False
+        if self._runs[worker_id] >= self._state.most_runs_per_worker and not self._exempt_tasks:
+            return False
         most = self._step.spec.most_per_worker
         if most and self._running.get(worker_id, 0) >= most:
             return False
@@ -139,6 +158,7 @@
     def _compute_cost(self, position: int) -> float:
         worker = self._workers[position]
         cost = compute_cost(self._step, worker, self._free[position])
+        cost += compute_crowding_cost(self._state, self._runs[worker.worker])
         reservation = self._state.reservations.get(worker.worker)
         if reservation is not None and reservation.step != self._step.key:
             cost += RESERVED_COST
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_placement.py
@@ -320,6 +320,7 @@
     step.plan = Plan(dict(places), Instant(int(now + hold_ms)))
     for index, worker in places.items():
         worker.free = worker.free - step.spec.counted_room
+        worker.planned_runs += 1
         hold_room(state, step.job.record.customer, step.spec.counted_room)
         if starts_apart(step, index):
             worker.kept_for = TaskKey(*step.key, index)
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_state.py
@@ -92,6 +92,8 @@
     listed: ListedWorker
     free: Resources
     attempts: dict[tuple[TaskKey, RunNumber], Attempt] = field(default_factory=dict)
+    planned_runs: int = 0
+    """Number of tasks that are planned here while their tickets are renewed."""
     is_listed: bool = True
     """Whether the last list has an entry of the worker, of whichever life."""
     is_other_life_listed: bool = False
@@ -378,6 +380,8 @@
     wall_now: WallTime = WallTime(0)
     job_memory_ms: int = 120_000
     """Retention time of the state of a finished job."""
+    most_runs_per_worker: int = 240
+    """Number of runs on a worker that can all be stopped in time."""
     longest_lease_ms: int = 10_400
     """Longest time for which a worker may keep its runs without any further command."""
     needs_placement: bool = False
--- a/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
+++ b/packages/lentilpath-core/src/lentilpath_core/pool/_steps.py
@@ -109,6 +109,7 @@
         return
     for index, worker in step.plan.places.items():
         worker.free = worker.free + step.spec.counted_room
+        worker.planned_runs -= 1
         release_room(state, step.job.record.customer, step.spec.counted_room)
         release_worker(worker, TaskKey(*step.key, index))
     step.plan = None
--- a/packages/lentilpathd/src/lentilpathd/_pool/_command_slots.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_command_slots.py
@@ -25,6 +25,10 @@
 rest."""
 LEAST_ANSWER_MS = 50
 """The longest network round trip."""
+ANSWER_MARGIN_MS = 50
+"""How late the leader's loop may read an answer."""
+DECISION_MS = 500
+"""Time from the acknowledgement of a cancelling until the leader has decided its stops."""
 ANSWER_WEIGHT = 0.125
 """Weight of an answer in the moving average of the answer times, unless it took longer."""
 CHECK_SECONDS = 0.1
@@ -42,6 +46,17 @@
     return min(max(needed, MAX_CONCURRENT_COMMANDS), MAX_CONCURRENT_STOPS)
 
 
+def count_stoppable_runs(cancel_ms: int, longest_stop_ms: int) -> int:
+    """Return how many runs of one worker can all be stopped `cancel_ms` after a cancelling.
+
+    The worker may answer a stop only once the run has ended, `longest_stop_ms` later. The first
+    answer shows how long it takes, and each further one makes room for another stop in every slot.
+    """
+    answer_ms = longest_stop_ms + LEAST_ANSWER_MS + ANSWER_MARGIN_MS
+    rounds = (cancel_ms - DECISION_MS) // answer_ms
+    return MAX_CONCURRENT_STOPS * max(1, rounds)
+
+
 class ExtraSlots:
     """The slots that the links to all workers may have beyond `MAX_CONCURRENT_COMMANDS` each."""
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_settings.py
@@ -41,6 +41,10 @@
     """How long the state of a finished job remains available."""
     expects_contention: bool = False
     """Whether the deployment's callers compete for too little capacity at times."""
+    cancel_ms: int = 3_000
+    """Time after the acknowledgement of a cancelling in which the job's runs have to be stopped."""
+    longest_stop_ms: int = 400
+    """Longest time that a worker takes to stop a run."""
     max_configuration_age_ms: int | None = None
     """Keys are not accepted while the configuration was last confirmed longer ago than this, since
     they may have been withdrawn; `None` for no limit."""
@@ -68,6 +72,8 @@
         "longest_lease_ms",
         "stop_grace_ms",
         "job_memory_ms",
+        "cancel_ms",
+        "longest_stop_ms",
         "max_configuration_age_ms",
         "expects_contention",
     }
