--- a/packages/lentilpathd/src/lentilpathd/_pool/_effects.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_effects.py
@@ -80,9 +80,11 @@
 
     @execute.register
     def _(self, effect: StopRun) -> None:
-        # The run may be on a life of the worker that was listed only just now and has no link yet.
-        self._links.open_missing()
         link = self._links.get(effect.worker, effect.life)
+        if link is None:
+            # The run may be on a life of the worker that was listed only just now.
+            self._links.open_missing()
+            link = self._links.get(effect.worker, effect.life)
         if link is not None and not link.send_stop(effect):
             return
         self._context.metrics.count(Metric.RUN_STOPPED, effect.reason.value)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -48,6 +48,9 @@
 """Long poll: how long a worker may delay its response while no run ends."""
 BATCH_DELAY_SECONDS = 0.02
 """Pause after a report with ended runs, so that several ends share one report."""
+BATCH_DELAY_PER_RUN_SECONDS = 0.0005
+"""The same for each run that the report lists, if that is longer: a report takes time in proportion
+to them. Five times as long as it takes, so that the ends of many runs leave time for commands."""
 DURABLE_WAIT_SECONDS = 0.4
 """After this the next renewal is sent even if ends are not durable yet, to keep the leases."""
 RETRY_SECONDS = 0.1
@@ -65,6 +68,11 @@
 """Under a quarter of a lease, so that a lost command is noticed well before its lease expires."""
 
 
+def compute_batch_delay(listed_runs: int) -> float:
+    """Return the pause, in seconds, after a report with ended runs and this many others."""
+    return max(BATCH_DELAY_SECONDS, listed_runs * BATCH_DELAY_PER_RUN_SECONDS)
+
+
 class WorkerLink:
     """Renews the leases and sends the commands for one life of a worker until cancelled.
 
@@ -182,7 +190,7 @@
             # An end is acknowledged only once all records that it causes are durable.
             highest = max(each.number for each in report.ended)
             queued = self._writer.queued_count
-            await asyncio.sleep(BATCH_DELAY_SECONDS)
+            await asyncio.sleep(compute_batch_delay(len(report.running)))
             if not await self._writer.wait_durable(queued, DURABLE_WAIT_SECONDS):
                 return True
             self._unacknowledged_number = highest
--- a/tests/cover/test_pool_commands.py
+++ b/tests/cover/test_pool_commands.py
@@ -39,7 +39,7 @@
     count_stop_slots,
 )
 from lentilpathd._pool._command_times import CommandKind, CommandTimes, LateStops
-from lentilpathd._pool._link import WorkerLink
+from lentilpathd._pool._link import WorkerLink, compute_batch_delay
 from lentilpathd._pool._worker_links import WorkerLinks
 from lentilpathd._pool._writer import RecordWriter
 from tests.common.pools import (
@@ -542,3 +542,9 @@
     play = run_play(play_link, monkeypatch)
     assert {each.kind for each in play.times} == set(CommandKind)
     assert all(each.decided_at <= each.sent_at <= each.answered_at for each in play.times)
+
+
+def test_reports_of_many_runs_leave_time_for_commands():
+    """Each report with an end lists all runs of its worker, and the next would follow at once."""
+    assert compute_batch_delay(32) == compute_batch_delay(0) == _link.BATCH_DELAY_SECONDS
+    assert compute_batch_delay(240) == pytest.approx(0.12)
