--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -91,11 +91,13 @@
         handle_event: Callable[[PoolEvent], None],
         may_command: Callable[[], bool] = lambda: True,
         is_leaving: Callable[[], bool] = lambda: False,
+        may_start: Callable[[], bool] = lambda: True,
         report_times: ReportTimes = ignore_times,
         extra_slots: ExtraSlots | None = None,
     ) -> None:
         self._may_command = may_command
         self._is_leaving = is_leaving
+        self._may_start = may_start
         self._report_times = report_times
         self._listed = listed
         self._create_client = create_client
@@ -314,7 +316,11 @@
                 continue
             async with self._slots.reserve():
                 sent_at = read_instant()
-                answer = await self._try_start(effect, is_unclear)
+                may_start = self._may_start()
+                answer = await self._try_start(effect, is_unclear) if may_start else None
+            if not may_start:
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
             if answer is None:
                 is_unclear = True
                 await asyncio.sleep(RETRY_SECONDS)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -40,7 +40,7 @@
     restore_former_workers,
 )
 from lentilpathd._cancellation import start_member
-from lentilpathd._clock import read_instant, read_wall_time
+from lentilpathd._clock import MS_PER_SECOND, read_instant, read_wall_time
 from lentilpathd._events import Event, log_event
 from lentilpathd._metrics import Metric
 from lentilpathd._pool._adapter_log import log_internal_error
@@ -121,6 +121,7 @@
             self.handle_event,
             self._authority.may_command,
             self._authority.get_lease_ms,
+            lambda: self._watch.may_start(read_instant()),
         )
         self._effects = EffectExecutor(
             context, epoch, self._state, self._links, self._writer, self._remover, self._advice
@@ -308,6 +309,8 @@
             self.handle_event(TimePassed(read_wall_time(), is_confirmed))
             self._hold_log.observe(self._state, now)
             await asyncio.sleep(TICK_SECONDS)
+            delay_ms = read_instant() - now - int(TICK_SECONDS * MS_PER_SECOND)
+            self._watch.note_loop_delay(delay_ms, read_instant())
 
     async def _run_placement(self) -> None:
         while True:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_worker_links.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_worker_links.py
@@ -32,7 +32,9 @@
         handle_event: Callable[[PoolEvent], None],
         may_command: Callable[[], bool],
         get_lease_ms: Callable[[WorkerId, Life], int],
+        may_start: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._may_start = may_start
         self._get_lease_ms = get_lease_ms
         self._context = context
         self._epoch = epoch
@@ -67,6 +69,7 @@
                 self._handle_event,
                 self._may_command,
                 partial(self._is_leaving, *key),
+                self._may_start,
                 self._report_times,
                 self._extra_slots,
             )
--- a/packages/lentilpathd/src/lentilpathd/_pool/_worker_watch.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_worker_watch.py
@@ -23,6 +23,13 @@
 so a slow table delays each list but does not thin them out."""
 MAX_READS = 4
 """Reads in flight. More of them would slow down a list that takes long to arrive."""
+MAX_LIST_AGE_MS = 1_700
+"""A start that is sent by an older list may reach its worker over 2.5 s after the worker has begun
+to leave: a command takes up to 0.8 s."""
+LATE_LOOP_MS = 200
+"""The event loop is late by this much only if the host is short of processor time."""
+LATE_LOOP_MEMORY_MS = 2_000
+"""How long a late loop may have delayed a list, which takes several turns of it."""
 CATCH_UP_INTERVAL_SECONDS = 0.2
 """After an outage, starts on a worker wait for a list that shows a report made since. The first
 list should come soon, since reports that it shows may have been made before the outage."""
@@ -51,6 +58,24 @@
         self._missing_since: dict[WorkerId, Instant] = {}
         self._handled_sent_at = Instant(0)
         self._failed_at: Instant | None = None
+        self._loop_late_at: Instant | None = None
+
+    def note_loop_delay(self, delay_ms: int, now: Instant) -> None:
+        """Note by how much the event loop was late."""
+        if delay_ms >= LATE_LOOP_MS:
+            self._loop_late_at = now
+
+    def may_start(self, now: Instant) -> bool:
+        """Return whether starts may be sent by the last list.
+
+        Not if it is old because this host is slow: workers may have begun to leave since. While the
+        table is slow or away, they cannot report that either.
+        """
+        is_recent = now <= self._handled_sent_at + MAX_LIST_AGE_MS
+        late_at, failed_at = self._loop_late_at, self._failed_at
+        if is_recent or late_at is None or now > late_at + LATE_LOOP_MEMORY_MS:
+            return True
+        return failed_at is not None and failed_at >= self._handled_sent_at
 
     async def run(self) -> None:
         """Read the list at each interval until cancelled."""
--- a/tests/cover/test_pool_commands.py
+++ b/tests/cover/test_pool_commands.py
@@ -6,14 +6,15 @@
 from collections.abc import Callable
 from dataclasses import replace
 from types import SimpleNamespace
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
-from lentilpath_core.errors import OutcomeUnknown
+from lentilpath_core.errors import OutcomeUnknown, TableUnavailable
 from lentilpath_core.ids import Epoch, Instant, WorkerId
 from lentilpath_core.pool import (
     JobCancelled,
+    ListedWorker,
     PaceRun,
     PoolEvent,
     RunningRun,
@@ -30,7 +31,7 @@
 )
 from lentilpath_core.pool._workers import STOP_RETRY_MS
 from lentilpathd._events import Event
-from lentilpathd._pool import _command_slots, _command_times, _link
+from lentilpathd._pool import _command_slots, _command_times, _link, _worker_watch
 from lentilpathd._pool._command_slots import (
     MAX_CONCURRENT_COMMANDS,
     MAX_CONCURRENT_STOPS,
@@ -40,7 +41,9 @@
 )
 from lentilpathd._pool._command_times import CommandKind, CommandTimes, LateStops
 from lentilpathd._pool._link import WorkerLink, compute_batch_delay
+from lentilpathd._pool._ports import Registry
 from lentilpathd._pool._worker_links import WorkerLinks
+from lentilpathd._pool._worker_watch import WorkerWatch
 from lentilpathd._pool._writer import RecordWriter
 from tests.common.pools import (
     LIFE,
@@ -104,6 +107,7 @@
         self.client = client
         self.events: list[PoolEvent] = []
         self.is_leaving = False
+        self.may_start = True
         self.times: list[CommandTimes] = []
         self.link = WorkerLink(
             make_worker("w1"),
@@ -113,6 +117,7 @@
             make_writer(),
             self.events.append,
             is_leaving=lambda: self.is_leaving,
+            may_start=lambda: self.may_start,
             report_times=self.times.append,
         )
 
@@ -198,6 +203,72 @@
     assert play.list_answers()[3] is StartAnswer.NOT_SENT
 
 
+def test_starts_wait_while_the_list_of_workers_is_out_of_date(monkeypatch):
+    """A worker may have begun to leave meanwhile, however slow the host is that leads."""
+
+    async def play_link(play: Play) -> None:
+        play.may_start = False
+        play.client.proceed.set()
+        play.start(*range(5))
+        await asyncio.sleep(0.02)
+        assert not play.client.commands
+        play.is_leaving = True
+        play.link.withdraw_starts()
+        await wait_for(lambda: len(play.list_answers()) == 5)
+        play.is_leaving, play.may_start = False, True
+        play.start(7)
+        await wait_for(lambda: len(play.list_answers()) == 6)
+
+    play = run_play(play_link, monkeypatch)
+    assert play.client.commands == [("start", 7)]
+    answers = play.list_answers()
+    assert [answers[number] for number in range(5)] == [StartAnswer.NOT_SENT] * 5
+
+
+@pytest.mark.parametrize(
+    ("listed_ms_ago", "loop_late_ms_ago", "failed_ms_ago", "may_start"),
+    [
+        (1_700, 100, None, True),
+        (1_701, 100, None, False),
+        (1_701, 2_001, None, True),
+        (60_000, 100, 50, True),
+        (1_701, 100, 5_000, False),
+    ],
+    ids=["recent", "host is slow", "table is slow", "table is away", "table is back"],
+)
+def test_starts_need_a_recent_list_unless_the_table_gives_none(
+    listed_ms_ago, loop_late_ms_ago, failed_ms_ago, may_start, monkeypatch
+):
+    now = Instant(100_000)
+    registry = ListedAt()
+    watch = WorkerWatch(cast(Registry, registry), PoolHarness().state, lambda event: None)
+
+    def read(ms_ago: int, is_away: bool) -> None:
+        monkeypatch.setattr(_worker_watch, "read_instant", lambda: Instant(now - ms_ago))
+        registry.is_away = is_away
+        asyncio.run(watch._read())
+
+    if failed_ms_ago is not None and failed_ms_ago > listed_ms_ago:
+        read(failed_ms_ago, is_away=True)
+    read(listed_ms_ago, is_away=False)
+    if failed_ms_ago is not None and failed_ms_ago < listed_ms_ago:
+        read(failed_ms_ago, is_away=True)
+    watch.note_loop_delay(_worker_watch.LATE_LOOP_MS, Instant(now - loop_late_ms_ago))
+    watch.note_loop_delay(_worker_watch.LATE_LOOP_MS - 1, now)
+    assert watch.may_start(now) is may_start
+
+
+class ListedAt:
+    """A registry without workers that answers at once, or not at all."""
+
+    is_away = False
+
+    async def read_workers(self, timeout: float) -> tuple[ListedWorker, ...]:
+        if self.is_away:
+            raise TableUnavailable("away")
+        return ()
+
+
 @pytest.mark.parametrize("is_running", [True, False])
 def test_a_start_without_an_answer_is_not_repeated_at_a_leaving_worker(is_running, monkeypatch):
     async def play_link(play: Play) -> None:
