--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -138,7 +138,7 @@
     RUN_PACED = (537, "the throttling of a filling run was changed")
     PACE_UNANSWERED = (
         538,
-        "a throttle command got no answer; the next report decides again",
+        "a throttle command got no answer, or was refused; it is repeated for 10 s",
     )
     JOBS_NOT_REMOVED = (539, "rows of old jobs could not be deleted; retrying")
     INTERNAL_ERROR = (570, "an unexpected error was caught; the process continues without it")
--- a/packages/lentilpathd/src/lentilpathd/_pool/_link.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_link.py
@@ -64,6 +64,9 @@
 STORED_START_WAIT_SECONDS = 0.5
 """A suspected start waits this long until it is stored, and is then sent all the same: while the
 table is away, its task would stand still. Ten of the longest network round trips."""
+PACE_RETRY_MS = 10_000
+"""For this long a pace is repeated; a run that is over may be refused any. Longer than a worker
+refuses commands as unhealthy before other work is sent elsewhere."""
 COMMAND_TIMEOUT_SECONDS = 0.8
 """Under a quarter of a lease, so that a lost command is noticed well before its lease expires."""
 
@@ -115,6 +118,8 @@
         self._unsent_starts: dict[tuple[TaskKey, RunNumber], StartRun] = {}
         self._stopping: set[tuple[TaskKey, RunNumber]] = set()
         """Runs with a stop that is in progress: waiting, in flight or about to be repeated."""
+        self._paces: dict[tuple[TaskKey, RunNumber], tuple[PaceRun, Instant]] = {}
+        """The paces that are not answered yet, and when they were decided."""
         self._group: asyncio.TaskGroup | None = None
         self._early: list[Callable[[], None]] = []
         """Commands for a link that has been created but does not run yet."""
@@ -259,20 +264,50 @@
         return True
 
     def send_pace(self, effect: PaceRun) -> None:
-        """Set a run's pace in percent; the next report shows whether another change is needed."""
-        if self._group is not None:
-            self._group.create_task(self._pace(effect, read_instant()))
+        """Set a run's pace in percent; retried for `PACE_RETRY_MS`, or until another one is set.
+
+        The last pace counts: it replaces one that waits, and follows one that is in flight.
+        """
+        if self._group is None:
+            return
+        key = (effect.task, effect.run)
+        is_in_progress = key in self._paces
+        self._paces[key] = (effect, read_instant())
+        if not is_in_progress:
+            self._group.create_task(self._send_paces(key))
+
+    async def _send_paces(self, key: tuple[TaskKey, RunNumber]) -> None:
+        done = None
+        while (wanted := self._paces[key]) is not done:
+            effect, decided_at = wanted
+            if await self._try_pace(effect, decided_at) or read_instant() >= (
+                decided_at + PACE_RETRY_MS
+            ):
+                done = wanted
+            else:
+                await asyncio.sleep(RETRY_SECONDS)
+        del self._paces[key]
 
-    async def _pace(self, effect: PaceRun, decided_at: Instant) -> None:
+    async def _try_pace(self, effect: PaceRun, decided_at: Instant) -> bool:
+        """Send a pace; return whether the worker has answered."""
+        if self._is_silent or not self._may_command():
+            return False
+        client = self._client
         try:
             async with self._slots.reserve():
+                if self._paces[(effect.task, effect.run)][0] is not effect:
+                    return False
                 client = self._client
                 sent_at = read_instant()
                 await client.pace(effect.task, effect.run, effect.percent, COMMAND_TIMEOUT_SECONDS)
             self._note_times(CommandKind.PACE, decided_at, sent_at)
+        except OtherLife:
+            return True
         except Exception as error:
             self._raise_if_deposed(error, client)
             log_unanswered(Event.PACE_UNANSWERED, effect, error)
+            return False
+        return True
 
     def cancel_start(self, task: TaskKey, run: RunNumber) -> None:
         """Cancel the command in flight for a run that is treated as ended; no start is resent."""
--- a/tests/cover/test_pool_commands.py
+++ b/tests/cover/test_pool_commands.py
@@ -71,6 +71,7 @@
         """Whether commands are lost."""
         self.commands: list[tuple[str, int]] = []
         """What was received, and for which number of a task."""
+        self.paces: list[int] = []
         self.in_flight = 0
         self.most_in_flight = 0
 
@@ -87,6 +88,7 @@
         await self._receive("stop", task)
 
     async def pace(self, task, run, percent, timeout):
+        self.paces.append(percent)
         await self._receive("pace", task)
 
     async def _receive(self, name, task):
@@ -607,7 +609,7 @@
         play.start(0)
         await wait_for(lambda: len(play.list_answers()) == 1)
         play.stop(0)
-        play.link.send_pace(PaceRun(WorkerId("w1"), LIFE, make_task(1, 1), RunNumber(1), 50))
+        play.link.send_pace(make_pace(50))
         await wait_for(lambda: len(play.times) == 3)
 
     play = run_play(play_link, monkeypatch)
@@ -619,3 +621,50 @@
     """Each report with an end lists all runs of its worker, and the next would follow at once."""
     assert compute_batch_delay(32) == compute_batch_delay(0) == _link.BATCH_DELAY_SECONDS
     assert compute_batch_delay(240) == pytest.approx(0.12)
+
+
+def make_pace(percent: int, number: int = 1) -> PaceRun:
+    return PaceRun(WorkerId("w1"), LIFE, make_task(1, number), RunNumber(1), percent)
+
+
+def test_a_pace_that_is_refused_is_repeated(monkeypatch):
+    """The core takes the pace that it ordered last for the one in force."""
+
+    async def play_link(play: Play) -> None:
+        play.client.is_silenced = True
+        play.client.proceed.set()
+        play.link.send_pace(make_pace(0))
+        await wait_for(lambda: len(play.client.paces) == 2)
+        play.client.is_silenced = False
+        await wait_for(lambda: len(play.times) == 1)
+        await asyncio.sleep(0.01)
+
+    assert set(run_play(play_link, monkeypatch).client.paces) == {0}
+
+
+def test_the_last_pace_of_a_run_is_sent_last_and_replaces_those_that_wait(monkeypatch):
+    async def play_link(play: Play) -> None:
+        play.link.send_pace(make_pace(25))
+        await wait_for(lambda: len(play.client.paces) == 1)
+        play.link.send_pace(make_pace(6))
+        play.link.send_pace(make_pace(0))
+        await asyncio.sleep(0.01)
+        assert play.client.paces == [25]
+        play.client.proceed.set()
+        await wait_for(lambda: len(play.times) == 2)
+        play.link.send_pace(make_pace(50))
+        await wait_for(lambda: len(play.times) == 3)
+
+    assert run_play(play_link, monkeypatch).client.paces == [25, 0, 50]
+
+
+def test_a_pace_that_is_never_taken_is_given_up(monkeypatch):
+    monkeypatch.setattr(_link, "PACE_RETRY_MS", 0)
+
+    async def play_link(play: Play) -> None:
+        play.client.is_silenced = True
+        play.client.proceed.set()
+        play.link.send_pace(make_pace(0))
+        await wait_for(lambda: not play.link._paces)
+
+    assert run_play(play_link, monkeypatch).client.paces == [0]
