--- a/packages/lentilpathd/src/lentilpathd/_pool/_command_times.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_command_times.py
@@ -12,6 +12,7 @@
 LATE_STOP_MS = 1_000
 """A third of the shortest time in which the runs of a cancelled job have to be gone."""
 LOG_INTERVAL_MS = 1_000
+"""A worker with many late stops is named once a second; the last of them are named at once."""
 
 
 class CommandKind(Enum):
--- a/tests/cover/test_pool_settings.py
+++ b/tests/cover/test_pool_settings.py
@@ -84,11 +84,18 @@
 
 
 def test_changed_bounds_take_effect_and_addresses_wait_for_a_restart():
-    bounds = {"graceS": 9, "holdMaxMs": 3000, "status_s": 60}
+    bounds = {
+        "graceS": 9,
+        "holdMaxMs": 3000,
+        "status_s": 60,
+        "cancel_ms": 5000,
+        "stopTimeoutMs": 200,
+    }
     changed = parse(bounds=bounds, listenAddrs={"frontend": "10.0.0.1:90", "ready": "10.0.0.1:81"})
     scripted = ScriptedSettings(changed)
     scripted.watcher.check()
     (applied,) = scripted.applied
+    assert (applied.cancel_ms, applied.longest_stop_ms) == (5_000, 200)
     assert (applied.stop_grace_ms, applied.lease_ms, applied.job_memory_ms) == (
         9_000,
         3_000,
