--- a/packages/lentilpathd/src/lentilpathd/_pool/_command_slots.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_command_slots.py
@@ -46,15 +46,22 @@
     return min(max(needed, MAX_CONCURRENT_COMMANDS), MAX_CONCURRENT_STOPS)
 
 
-def count_stoppable_runs(cancel_ms: int, longest_stop_ms: int) -> int:
+def smooth_answer_ms(known_ms: float, answer_ms: float) -> float:
+    """Return the answer time that is to be expected after one more answer.
+
+    A longer one counts at once; shorter ones lower it gradually, down to a network round trip.
+    """
+    smoothed_ms = known_ms + ANSWER_WEIGHT * (answer_ms - known_ms)
+    return max(answer_ms, smoothed_ms, LEAST_ANSWER_MS)
+
+
+def count_stoppable_runs(cancel_ms: float, answer_ms: float) -> int:
     """Return how many runs of one worker can all be stopped `cancel_ms` after a cancelling.
 
-    The worker may answer a stop only once the run has ended, `longest_stop_ms` later. The first
-    answer shows how long it takes, and each further one makes room for another stop in every slot.
+    After each `answer_ms` every slot is free for another stop.
     """
-    answer_ms = longest_stop_ms + LEAST_ANSWER_MS + ANSWER_MARGIN_MS
-    rounds = (cancel_ms - DECISION_MS) // answer_ms
-    return MAX_CONCURRENT_STOPS * max(1, rounds)
+    rounds = (cancel_ms - DECISION_MS) // (answer_ms + ANSWER_MARGIN_MS)
+    return MAX_CONCURRENT_STOPS * max(1, int(rounds))
 
 
 class ExtraSlots:
@@ -140,8 +147,7 @@
 
     def _note_answer(self, answer_ms: int) -> None:
         self._is_answering = True
-        smoothed = self._answer_ms + ANSWER_WEIGHT * (answer_ms - self._answer_ms)
-        self._answer_ms = max(answer_ms, smoothed, LEAST_ANSWER_MS)
+        self._answer_ms = smooth_answer_ms(self._answer_ms, answer_ms)
 
     async def _wait_for(self, turn: asyncio.Future[None]) -> None:
         self._grant_turns()
--- a/packages/lentilpathd/src/lentilpathd/_pool/_term.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_term.py
@@ -45,7 +45,6 @@
 from lentilpathd._metrics import Metric
 from lentilpathd._pool._adapter_log import log_internal_error
 from lentilpathd._pool._advice import AdviceDispatcher
-from lentilpathd._pool._command_slots import count_stoppable_runs
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._digests import Digests
 from lentilpathd._pool._effects import EffectExecutor
@@ -215,9 +214,7 @@
         self._state.job_memory_ms = settings.job_memory_ms
         self._state.expects_contention = settings.expects_contention
         self._state.longest_lease_ms = bound_lease_ms(settings.longest_lease_ms)
-        self._state.most_runs_per_worker = count_stoppable_runs(
-            settings.cancel_ms, settings.longest_stop_ms
-        )
+        self._links.bound_runs()
 
     def handle_event(self, event: PoolEvent) -> None:
         """Handle an event; an unexpected error loses the event, or an effect, and not the term."""
--- a/packages/lentilpathd/src/lentilpathd/_pool/_worker_links.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_worker_links.py
@@ -11,8 +11,13 @@
 from lentilpathd._cancellation import start_member
 from lentilpathd._events import Event, log_event
 from lentilpathd._metrics import Metric
-from lentilpathd._pool._command_slots import ExtraSlots
-from lentilpathd._pool._command_times import CommandTimes
+from lentilpathd._pool._command_slots import (
+    LEAST_ANSWER_MS,
+    ExtraSlots,
+    count_stoppable_runs,
+    smooth_answer_ms,
+)
+from lentilpathd._pool._command_times import CommandKind, CommandTimes
 from lentilpathd._pool._context import PoolContext
 from lentilpathd._pool._link import WorkerLink
 from lentilpathd._pool._ports import LifeKey, PoolWorker
@@ -45,6 +50,8 @@
         self._links: dict[LifeKey, tuple[WorkerLink, asyncio.Task[None]]] = {}
         self._opened_clients = 0
         self._extra_slots = ExtraSlots()
+        self._stop_answer_ms: float = LEAST_ANSWER_MS
+        """How long workers take to answer a stop, by what they have shown."""
         self._group: asyncio.TaskGroup | None = None
 
     def start(self, group: asyncio.TaskGroup) -> None:
@@ -80,6 +87,19 @@
         metrics, command = self._context.metrics, times.kind.value
         metrics.record_time(Metric.COMMAND_WAIT, times.queued_ms, command)
         metrics.record_time(Metric.COMMAND_TIME, times.answer_ms, command)
+        if times.kind is CommandKind.STOP:
+            self._stop_answer_ms = smooth_answer_ms(self._stop_answer_ms, times.answer_ms)
+            self.bound_runs()
+
+    def bound_runs(self) -> None:
+        """Bound the runs of a worker by the stops that workers have shown to answer in time.
+
+        Never below what can be stopped if each stop takes as long as the settings allow.
+        """
+        settings = self._context.settings
+        longest_ms = settings.longest_stop_ms + LEAST_ANSWER_MS
+        answer_ms = min(self._stop_answer_ms, longest_ms)
+        self._state.most_runs_per_worker = count_stoppable_runs(settings.cancel_ms, answer_ms)
 
     def withdraw_starts(self) -> None:
         """Withdraw the starts that were not sent yet from workers that are listed as leaving."""
