--- a/packages/lentilpathd/src/lentilpathd/_pool/_command_slots.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_command_slots.py
@@ -16,7 +16,7 @@
 MAX_CONCURRENT_STOPS = 48
 """While many stops wait. With a renewal and the connections of a former leader, which has three
 commands and a renewal in flight and keeps eight idle connections, a worker's 64 suffice."""
-MAX_EXTRA_SLOTS = 256
+MAX_EXTRA_SLOTS = 384
 """Slots beyond `MAX_CONCURRENT_COMMANDS` for all workers together. Each takes a descriptor, of
 which the smallest hosts have 4,100."""
 STOP_TARGET_MS = 1_000
