--- a/packages/lentilpathd/src/lentilpathd/_events.py
+++ b/packages/lentilpathd/src/lentilpathd/_events.py
@@ -162,6 +162,9 @@
     RUNS_BLAMED = (582, "a worker is taken to have crashed under runs that had just begun")
     RUNS_HELD = (583, "a restarted worker may hold its runs by a lease for its former life")
     STOPS_LATE = (584, "stops were answered long after they were decided")
+    LEASE_CONFIRMED = (585, "the leader's lease is confirmed")
+    LEASE_WENT_BACK = (586, "the leader's lease ends earlier than it did when it was last read")
+    TAKEOVER_TRIED = (587, "this process tries to take over the leadership")
     PEER_ANSWER_UNREADABLE = (572, "a peer's answer cannot be read; it counts as no answer")
     CONFIG_READ = (574, "versions of the configuration were read")
 
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -71,6 +71,8 @@
     """Key and value of the row."""
     sent_at: Instant
     lease_ms: int
+    until_ms: int
+    """End of the lease by the table service's clock; 0 to release it."""
 
 
 class PoolLeadership:
@@ -113,6 +115,8 @@
         self._watched_since = Instant(0)
         """Since when the lease row was read without a failure and without a change."""
         self._is_watch_broken = False
+        self._next_log_at = Instant(0)
+        """When the next confirmation of the lease is logged."""
 
     def is_confirmed(self, now: Instant) -> bool:
         """Return whether the lease is certainly still held, so that nobody else has taken over."""
@@ -122,8 +126,16 @@
         """Return for how long, in ms, the lease has not been confirmed; 0 if it is."""
         return max(0, now - self._confirmed_until)
 
-    def _confirm(self, renewal: Renewal) -> None:
+    def _confirm(self, renewal: Renewal, version: RowVersion, now: Instant) -> None:
         self._confirmed_until = Instant(renewal.sent_at + renewal.lease_ms)
+        if now >= self._next_log_at:
+            self._next_log_at = Instant(now + RENEW_INTERVAL_MS)
+            log_event(
+                Event.LEASE_CONFIRMED,
+                version=version,
+                until_ms=renewal.until_ms,
+                confirmed_ms=self._confirmed_until - now,
+            )
 
     def convert_to_table_clock(self, at: Instant, now: Instant) -> int:
         """Return a time in ms that the table service's clock does not reach before `at`."""
@@ -167,6 +179,8 @@
         if snapshot.unreadable and (former is None or former.unreadable != snapshot.unreadable):
             for key in snapshot.unreadable:
                 log_warning_event(Event.ROW_UNREADABLE, key=key, error="it is not a leader's row")
+        if former is not None:
+            _log_earlier_end(former, snapshot)
         self.snapshot = snapshot
         return snapshot
 
@@ -183,6 +197,15 @@
         self.identifies_since = lease.identifies_since if lease is not None else 0
         self.holds_since = lease.holds_since if lease is not None else 0
         epoch = Epoch(snapshot.epoch + 1)
+        log_event(
+            Event.TAKEOVER_TRIED,
+            epoch=epoch,
+            leader=lease.host if lease is not None else None,
+            version=snapshot.lease_version,
+            until_ms=lease.until_ms if lease is not None else None,
+            clock_ms=snapshot.clock_ms,
+            unchanged_ms=self._get_unchanged_ms(read_instant()),
+        )
         renewal = self.make_renewal(epoch)
         row = EpochRow(epoch, self._host, self._incarnation)
         transaction = PartitionTransaction(
@@ -263,7 +286,7 @@
         lease_ms = SLOW_LEASE_MS if self.is_table_slow() else LEASE_MS
         until_ms = self._clock.estimate(now) + lease_ms
         lease = self._make_lease(epoch, until_ms)
-        return Renewal((LEASE_KEY, encode_record(lease)), now, lease_ms)
+        return Renewal((LEASE_KEY, encode_record(lease)), now, lease_ms, until_ms)
 
     @contextmanager
     def carry_renewal(self, epoch: Epoch) -> Iterator[Renewal]:
@@ -283,7 +306,7 @@
         now = read_instant()
         self._renewal_ms = now - renewal.sent_at
         self._clock.observe(commit.clock_ms, renewal.sent_at, now)
-        self._confirm(renewal)
+        self._confirm(renewal, commit.version, now)
 
     async def renew_forever(self, epoch: Epoch) -> None:
         """Renew the lease until another leader is found; raises `Deposed`.
@@ -311,7 +334,7 @@
         """Release the lease for an immediate takeover, by `successor` first if it is given."""
         lease = self._make_lease(epoch, 0, successor or "")
         put = (LEASE_KEY, encode_record(lease))
-        await self._write_lease(epoch, Renewal(put, read_instant(), lease_ms=0))
+        await self._write_lease(epoch, Renewal(put, read_instant(), lease_ms=0, until_ms=0))
 
     async def _write_lease(self, epoch: Epoch, renewal: Renewal) -> None:
         transaction = PartitionTransaction(
@@ -329,3 +352,19 @@
         if not commit.applied:
             raise Deposed(f"epoch {epoch} was superseded by another leader")
         self.record_renewal(renewal, commit)
+
+
+def _log_earlier_end(former: LeadershipSnapshot, snapshot: LeadershipSnapshot) -> None:
+    """Log that a leader's lease, which it has not released, ends earlier than before."""
+    before, after = former.lease, snapshot.lease
+    if before is None or after is None or before.epoch != after.epoch:
+        return
+    if 0 < after.until_ms < before.until_ms:
+        log_event(
+            Event.LEASE_WENT_BACK,
+            leader=after.host,
+            version=snapshot.lease_version,
+            until_ms=after.until_ms,
+            former_version=former.lease_version,
+            former_until_ms=before.until_ms,
+        )
