--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
 
 import msgspec
 
@@ -16,7 +15,6 @@
 from lentilpathd._events import Event, log_event, log_warning_event
 from lentilpathd._pool._ports import (
     Deposed,
-    PartitionCommitResult,
     PartitionTransaction,
     SharedTable,
 )
@@ -31,12 +29,14 @@
     decode_record,
     encode_record,
 )
-from lentilpathd._pool._settling import commit_repeatedly
+from lentilpathd._pool._renewals import OpenRenewals, Renewal
+from lentilpathd._pool._settling import RepeatedCommit, commit_repeatedly
 from lentilpathd._pool._succession import (
     LeaderProcess,
     LeadershipSnapshot,
     decode_snapshot,
     find_sole_leader,
+    find_takeover_wait,
     has_sole_leader_ended,
     may_take_over,
 )
@@ -63,18 +63,6 @@
 """Enough for a transaction while the table is 100 times slower than usual."""
 
 
-@dataclass(frozen=True, slots=True)
-class Renewal:
-    """A renewed lease, for a transaction that is sent at once."""
-
-    put: tuple[str, bytes]
-    """Key and value of the row."""
-    sent_at: Instant
-    lease_ms: int
-    until_ms: int
-    """End of the lease by the table service's clock; 0 to release it."""
-
-
 class PoolLeadership:
     """Polls the leadership rows, takes over a free leadership and renews its lease."""
 
@@ -112,8 +100,12 @@
         """The same."""
         self.former_leader: LeaderProcess | None = None
         """The process that led before the last takeover, if none before it can act any more."""
+        self._renewals = OpenRenewals()
         self._watched_since = Instant(0)
         """Since when the lease row was read without a failure and without a change."""
+        self._unchanged_since_ms = 0
+        """When the lease row was first read in its present version, by the table service's clock.
+        It has not changed since, also if reads in between failed."""
         self._is_watch_broken = False
         self._next_log_at = Instant(0)
         """When the next confirmation of the lease is logged."""
@@ -127,7 +119,8 @@
         return max(0, now - self._confirmed_until)
 
     def _confirm(self, renewal: Renewal, version: RowVersion, now: Instant) -> None:
-        self._confirmed_until = Instant(renewal.sent_at + renewal.lease_ms)
+        until = Instant(renewal.sent_at + renewal.counted_ms)
+        self._confirmed_until = max(self._confirmed_until, until)
         if now >= self._next_log_at:
             self._next_log_at = Instant(now + RENEW_INTERVAL_MS)
             log_event(
@@ -149,13 +142,26 @@
                 epoch = await self._take_over(snapshot)
                 if epoch is not None:
                     return epoch
-            await asyncio.sleep(POLL_INTERVAL_MS / MS_PER_SECOND)
+            await asyncio.sleep(self._find_poll_delay() / MS_PER_SECOND)
+
+    def _find_poll_delay(self) -> int:
+        """Return the time in ms until the next read: by then a silent leader may be replaced."""
+        if self.snapshot is None:
+            return POLL_INTERVAL_MS
+        left_ms = find_takeover_wait(self.snapshot.lease) - self._get_unchanged_ms(self.snapshot)
+        return min(POLL_INTERVAL_MS, left_ms) if left_ms > 0 else POLL_INTERVAL_MS
 
     def _may_take_over_now(self, snapshot: LeadershipSnapshot, now: Instant) -> bool:
         leader = snapshot.lease.host if snapshot.lease is not None else None
         wait_ms = SLOW_HOST_WAIT_MS if self._knows_faster_host(leader) else 0
-        unchanged_ms = self._get_unchanged_ms(now)
-        return may_take_over(snapshot, self._host, self._address, unchanged_ms, wait_ms)
+        return may_take_over(
+            snapshot,
+            self._host,
+            self._address,
+            self._get_unchanged_ms(snapshot),
+            self._get_watched_ms(now),
+            wait_ms,
+        )
 
     async def _read_snapshot(self) -> LeadershipSnapshot | None:
         sent_at = read_instant()
@@ -172,8 +178,10 @@
             return None
         self._clock.observe(read.clock_ms, sent_at, read_instant())
         former = self.snapshot
-        is_first = former is None or self._is_watch_broken
-        if is_first or (former is not None and snapshot.lease_version != former.lease_version):
+        is_changed = former is None or snapshot.lease_version != former.lease_version
+        if is_changed or snapshot.clock_ms < self._unchanged_since_ms:
+            self._unchanged_since_ms = snapshot.clock_ms
+        if is_changed or self._is_watch_broken:
             self._watched_since = read_instant()
         self._is_watch_broken = False
         if snapshot.unreadable and (former is None or former.unreadable != snapshot.unreadable):
@@ -184,8 +192,12 @@
         self.snapshot = snapshot
         return snapshot
 
-    def _get_unchanged_ms(self, now: Instant) -> int:
-        """Return for how long, in ms, the lease row was read and did not change."""
+    def _get_unchanged_ms(self, snapshot: LeadershipSnapshot) -> int:
+        """Return for how long, in ms, the lease row had certainly not changed as it was read."""
+        return snapshot.clock_ms - self._unchanged_since_ms
+
+    def _get_watched_ms(self, now: Instant) -> int:
+        """Return for how long, in ms, the lease row was read without a failure or a change."""
         return now - self._watched_since
 
     async def _take_over(self, snapshot: LeadershipSnapshot) -> Epoch | None:
@@ -204,8 +216,10 @@
             version=snapshot.lease_version,
             until_ms=lease.until_ms if lease is not None else None,
             clock_ms=snapshot.clock_ms,
-            unchanged_ms=self._get_unchanged_ms(read_instant()),
+            unchanged_ms=self._get_unchanged_ms(snapshot),
         )
+        # Whatever an earlier term of this process has sent depends on an earlier epoch.
+        self._renewals = OpenRenewals()
         renewal = self.make_renewal(epoch)
         row = EpochRow(epoch, self._host, self._incarnation)
         transaction = PartitionTransaction(
@@ -224,11 +238,13 @@
             log_event(Event.LEADER_NOT_READ, error=str(error))
             return None
         except OutcomeUnknown:
+            # Once it is done it cannot be done again, since it has changed the epoch.
+            self._renewals.close(renewal, may_be_done_later=False)
             return await self._verify_takeover(epoch)
         if not commit.applied:
             return None
         self.epoch_version = commit.version
-        self.record_renewal(renewal, commit)
+        self.record_renewal(renewal, RepeatedCommit(commit, may_be_done_later=False))
         return epoch
 
     async def _verify_takeover(self, epoch: Epoch) -> Epoch | None:
@@ -267,7 +283,9 @@
         """
         return inherited or (epoch if self.is_sole else 0)
 
-    def _make_lease(self, epoch: Epoch, until_ms: int, successor: str = "") -> LeaseRow:
+    def _make_lease(
+        self, epoch: Epoch, until_ms: int, successor: str = "", lease_ms: int = 0
+    ) -> LeaseRow:
         return LeaseRow(
             epoch,
             self._host,
@@ -278,6 +296,7 @@
             self._find_since(epoch, self.suspends_since),
             self._find_since(epoch, self.identifies_since),
             self._find_since(epoch, self.holds_since),
+            lease_ms,
         )
 
     def make_renewal(self, epoch: Epoch) -> Renewal:
@@ -285,28 +304,46 @@
         now = self._renewed_at = read_instant()
         lease_ms = SLOW_LEASE_MS if self.is_table_slow() else LEASE_MS
         until_ms = self._clock.estimate(now) + lease_ms
-        lease = self._make_lease(epoch, until_ms)
-        return Renewal((LEASE_KEY, encode_record(lease)), now, lease_ms, until_ms)
+        lease = self._make_lease(epoch, until_ms, lease_ms=lease_ms)
+        renewal = Renewal((LEASE_KEY, encode_record(lease)), now, lease_ms, until_ms)
+        self._renewals.open(renewal)
+        self._confirmed_until = min(self._confirmed_until, Instant(now + lease_ms))
+        return renewal
 
     @contextmanager
     def carry_renewal(self, epoch: Epoch) -> Iterator[Renewal]:
         """Return a renewed lease for a transaction that ends within the context.
 
-        No renewal is sent beside it meanwhile, which would wait in the same partition.
+        Its answer is recorded there too. No renewal is sent beside it meanwhile, which would wait
+        in the same partition.
         """
-        renewal = self.make_renewal(epoch)
         self._is_renewal_carried = True
         try:
-            yield renewal
+            with self._open_renewal(epoch) as renewal:
+                yield renewal
         finally:
             self._is_renewal_carried = False
 
-    def record_renewal(self, renewal: Renewal, commit: PartitionCommitResult) -> None:
-        """Record that a transaction with a renewal was applied."""
+    @contextmanager
+    def _open_renewal(self, epoch: Epoch) -> Iterator[Renewal]:
+        renewal = self.make_renewal(epoch)
+        try:
+            yield renewal
+        except Unavailable:
+            self._renewals.close(renewal, may_be_done_later=False)
+            raise
+        except BaseException:
+            self._renewals.close(renewal, may_be_done_later=True)
+            raise
+
+    def record_renewal(self, renewal: Renewal, commit: RepeatedCommit) -> None:
+        """Record the answer to a transaction with a renewal."""
         now = read_instant()
+        self._renewals.close(renewal, commit.may_be_done_later)
         self._renewal_ms = now - renewal.sent_at
-        self._clock.observe(commit.clock_ms, renewal.sent_at, now)
-        self._confirm(renewal, commit.version, now)
+        self._clock.observe(commit.result.clock_ms, renewal.sent_at, now)
+        if commit.result.applied:
+            self._confirm(renewal, commit.result.version, now)
 
     async def renew_forever(self, epoch: Epoch) -> None:
         """Renew the lease until another leader is found; raises `Deposed`.
@@ -319,7 +356,7 @@
             if due_ms > 0:
                 await asyncio.sleep(min(due_ms, RENEW_INTERVAL_MS) / MS_PER_SECOND)
                 continue
-            await self._write_lease(epoch, self.make_renewal(epoch))
+            await self._write_lease(epoch)
 
     def _find_renewal_due(self) -> Instant:
         is_slow = self._is_renewal_carried or self.is_table_slow()
@@ -332,26 +369,37 @@
 
     async def release(self, epoch: Epoch, successor: HostId | None = None) -> None:
         """Release the lease for an immediate takeover, by `successor` first if it is given."""
+        self._confirmed_until = min(self._confirmed_until, read_instant())
+        row = EpochRow(epoch, self._host, self._incarnation)
         lease = self._make_lease(epoch, 0, successor or "")
-        put = (LEASE_KEY, encode_record(lease))
-        await self._write_lease(epoch, Renewal(put, read_instant(), lease_ms=0, until_ms=0))
+        # The new version of the epoch's row keeps late renewals from taking the release back.
+        puts = ((EPOCH_KEY, encode_record(row)), (LEASE_KEY, encode_record(lease)))
+        try:
+            commit = await self._commit(puts)
+        except (Unavailable, OutcomeUnknown) as error:
+            log_warning_event(Event.LEASE_NOT_RENEWED, epoch=epoch, error=str(error))
+            return
+        # A copy of the release that got no answer makes a later copy fail.
+        if not commit.result.applied and not commit.may_be_done_later:
+            raise Deposed(f"epoch {epoch} was superseded by another leader")
 
-    async def _write_lease(self, epoch: Epoch, renewal: Renewal) -> None:
-        transaction = PartitionTransaction(
-            POOL_TABLE,
-            POOL_PARTITION,
-            checks=((EPOCH_KEY, self.epoch_version),),
-            puts=(renewal.put,),
-        )
+    async def _write_lease(self, epoch: Epoch) -> None:
         try:
-            # While the direct path is silent, a relay may still renew the lease before it expires.
-            commit = await commit_repeatedly(self._table, transaction, ROW_TIMEOUT_SECONDS)
+            with self._open_renewal(epoch) as renewal:
+                commit = await self._commit((renewal.put,))
+                self.record_renewal(renewal, commit)
         except (Unavailable, OutcomeUnknown) as error:
             log_warning_event(Event.LEASE_NOT_RENEWED, epoch=epoch, error=str(error))
             return
-        if not commit.applied:
+        if not commit.result.applied:
             raise Deposed(f"epoch {epoch} was superseded by another leader")
-        self.record_renewal(renewal, commit)
+
+    async def _commit(self, puts: tuple[tuple[str, bytes], ...]) -> RepeatedCommit:
+        transaction = PartitionTransaction(
+            POOL_TABLE, POOL_PARTITION, checks=((EPOCH_KEY, self.epoch_version),), puts=puts
+        )
+        # While the direct path is silent, a relay may still renew the lease before it expires.
+        return await commit_repeatedly(self._table, transaction, ROW_TIMEOUT_SECONDS)
 
 
 def _log_earlier_end(former: LeadershipSnapshot, snapshot: LeadershipSnapshot) -> None:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_records.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_records.py
@@ -8,8 +8,10 @@
 the lives of workers that may be running tasks, `end/TASK/RUN` how a run ended,
 `end/TASK/RUN-crashed` that its worker crashed under it, `end/TASK/RUN-suspected` that it may have,
 and `final/ID` a job's final state. Written
-only by the leader, on condition that `0epoch` is unchanged. Only the first two rows are ever
-changed, so a write may be repeated and may arrive late.
+only by the leader, on condition that `0epoch` is unchanged, and repeated while there is no answer.
+A copy may be done after newer writes of the same leader, for as long as it leads. The first two
+rows and the workers' change; docs/design/late-writes.md says for each why an older value does no
+harm.
 """
 
 from __future__ import annotations
@@ -88,6 +90,9 @@
     holds_since: int = 0
     """Epoch since which all leaders that may act store until when a restarted worker may hold its
     runs; 0 as above."""
+    lease_ms: int = 0
+    """Length of the lease in ms. Nobody else takes over before the row has been unchanged for this
+    long. 0 in rows of earlier releases and of released leases."""
 
 
 def encode_record(record: msgspec.Struct) -> bytes:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_settling.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_settling.py
@@ -11,6 +11,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from lentilpath_core.errors import OutcomeUnknown, TableBusy, TableUnavailable
 from lentilpath_core.ids import Instant
@@ -39,6 +40,17 @@
 """A partition that was late is tried last for this long, so that a burst meets it seldom."""
 
 Attempt = asyncio.Task[PartitionCommitResult]
+
+
+@dataclass(frozen=True, slots=True)
+class RepeatedCommit:
+    """Outcome of a write that was made as often as it took to get an answer."""
+
+    result: PartitionCommitResult
+    may_be_done_later: bool
+    """Whether a copy of the write got no answer, so that it may still be done."""
+
+
 Stored = tuple[PartitionTransaction, PartitionCommitResult]
 """The transaction that was applied, and its result."""
 
@@ -94,7 +106,7 @@
 
 async def commit_repeatedly(
     table: SharedTable, transaction: PartitionTransaction, timeout: float
-) -> PartitionCommitResult:
+) -> RepeatedCommit:
     """Make an idempotent write of the leader, which other work waits for.
 
     It is sent through a relay too as soon as the direct path is silent. There is one partition to
@@ -114,7 +126,7 @@
         _, commit = await write.run()
     finally:
         await write.close()
-    return commit
+    return RepeatedCommit(commit, write.leaves_copies())
 
 
 class _RepeatedWrite:
@@ -215,6 +227,10 @@
             if is_over or not isinstance(error, TableBusy):
                 raise error
 
+    def leaves_copies(self) -> bool:
+        """Return whether an attempt got no answer or is still in flight."""
+        return self._is_unclear or bool(self._in_flight)
+
     def _mark_unclear(self, error: OutcomeUnknown) -> None:
         self._is_unclear = True
         self._report_unclear(error)
--- a/packages/lentilpathd/src/lentilpathd/_pool/_succession.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_succession.py
@@ -15,10 +15,12 @@
 LEADER_TIMEOUT_MS = 950
 """Two renewals must be missed."""
 TAKEOVER_MARGIN_MS = 200
-"""Added to the lease, for the latency from the leader to the table."""
+"""Added to the lease, for the drift of clocks and for a renewal that is late."""
+LONGEST_LEASE_MS = 2_000
+"""The longest lease of any release whose rows do not say how long it is."""
 MAX_LEASE_AHEAD_MS = 60_000
-"""A lease that ends later than this after the time of the table service was not written by a
-leader, whose leases last 2 s."""
+"""A lease that ends later than this after the time of the table service, or is longer, was not
+written by a leader, whose leases last 2 s."""
 MAX_EPOCH = 2**32
 """The workers' fencing tokens are 10^9 times as large and have 63 bits."""
 
@@ -82,37 +84,52 @@
         lease = decode_record(value, LeaseRow)
     except msgspec.DecodeError:
         return None
-    is_usable = 0 <= lease.epoch <= MAX_EPOCH and lease.until_ms <= clock_ms + MAX_LEASE_AHEAD_MS
+    is_usable = (
+        0 <= lease.epoch <= MAX_EPOCH
+        and lease.until_ms <= clock_ms + MAX_LEASE_AHEAD_MS
+        and 0 <= lease.lease_ms <= MAX_LEASE_AHEAD_MS
+    )
     return lease if is_usable else None
 
 
+def find_takeover_wait(lease: LeaseRow | None) -> int:
+    """Return how long, in ms, the row of a lease must be unchanged before it counts as expired."""
+    lease_ms = (lease.lease_ms if lease is not None else 0) or LONGEST_LEASE_MS
+    return lease_ms + TAKEOVER_MARGIN_MS
+
+
 def may_take_over(
     snapshot: LeadershipSnapshot,
     host: HostId,
     address: Address,
     unchanged_ms: int,
+    watched_ms: int,
     wait_ms: int = 0,
 ) -> bool:
     """Return whether the leadership is free for a process on `host`.
 
-    It is free if the lease has expired by the table service's own clock and its row was not seen to
-    change while two renewals were due: a read may be seconds old, so that the lease looks expired
-    while the row is still being renewed. It is also free if an earlier process of the same host
-    holds it: that process has ended, since this one is bound to the host's addresses. After a
-    planned stop a named successor has precedence. `wait_ms` is an extra delay for this host.
+    It is free if the row of the lease was not written for the length of the lease. `unchanged_ms`
+    tells that by the table service's own clock, between two reads of the same version. The end that
+    the row shows does not count: a renewal that is done late, after newer ones, shows an older end.
+
+    `watched_ms` is for how long this host has read the row without a failure and without a change.
+    It must be enough for two renewals, since a leader cannot renew while the table is away.
+
+    The leadership is also free if an earlier process of the same host holds it: that process has
+    ended, since this one is bound to the host's addresses. After a planned stop a named successor
+    has precedence. `wait_ms` is an extra delay for this host.
     """
     lease = snapshot.lease
-    if lease is None:
-        # A living leader replaces a lease that cannot be read with its next renewal.
-        return LEASE_KEY not in snapshot.unreadable or unchanged_ms >= LEADER_TIMEOUT_MS + wait_ms
-    if lease.until_ms == 0:
+    if lease is None and LEASE_KEY not in snapshot.unreadable:
+        return True
+    if lease is not None and lease.until_ms == 0:
         if not lease.successor:
-            return unchanged_ms >= wait_ms
-        return lease.successor == host or unchanged_ms >= LEADER_TIMEOUT_MS + wait_ms
-    if (lease.host, lease.address) == (host, address):
+            return watched_ms >= wait_ms
+        return lease.successor == host or watched_ms >= LEADER_TIMEOUT_MS + wait_ms
+    if lease is not None and (lease.host, lease.address) == (host, address):
         return True
-    is_expired = snapshot.clock_ms > lease.until_ms + TAKEOVER_MARGIN_MS + wait_ms
-    return is_expired and unchanged_ms >= LEADER_TIMEOUT_MS
+    is_expired = unchanged_ms >= find_takeover_wait(lease) + wait_ms
+    return is_expired and watched_ms >= LEADER_TIMEOUT_MS
 
 
 def has_sole_leader_ended(snapshot: LeadershipSnapshot, host: HostId, address: Address) -> bool:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_writer.py
@@ -220,9 +220,9 @@
                 deletes=deletes,
             )
             commit = await commit_repeatedly(self._table, transaction, COMMIT_TIMEOUT_SECONDS)
-        if not commit.applied:
+            self._leadership.record_renewal(renewal, commit)
+        if not commit.result.applied:
             raise Deposed(f"epoch {self._epoch} was superseded by another leader")
-        self._leadership.record_renewal(renewal, commit)
 
     async def _wait_for_table(self, failed_at: Instant, delay_seconds: float) -> None:
         """Wait before the next attempt, at most until the table has returned since `failed_at`."""
--- a/spec/check.py
+++ b/spec/check.py
@@ -100,6 +100,13 @@
         ("EARLY_RESUME", "STALE_LIST", "SUSPENSION_BOUND", "SUSPENSION_RESTART"),
         (),
     ),
+    # A renewal of the leadership is done late, after newer ones, or never.
+    Model(
+        "pool",
+        ("TICKS=6", "LATE", "EPOCHS=2", "LEADERSHIP_LEASE=2"),
+        ("TICKS=6", "LATE", "EPOCHS=2", "LEADERSHIP_LEASE=2"),
+        ("ROW_END",),
+    ),
     # The table is away for all.
     Model("pool", ("TICKS=6", "OUTAGE", "EPOCHS=2"), (), ()),
 )
--- a/spec/pool.pml
+++ b/spec/pool.pml
@@ -7,7 +7,10 @@
  * A partitioned worker reaches neither leader. A cut leaves leader 0 with worker 0 alone, and the
  * table with leader 1 and worker 1. During an outage no leader reaches the table. In each tick a
  * leader contacts every worker that it can reach, and a leader whose token a worker refuses steps
- * down. CUT and OUTAGE choose which of these disturbances a search has. Not covered: the limit on a
+ * down. LATE: a renewal of the leadership may get no answer; then it is applied at any later time,
+ * after newer ones too, or never, as long as no other leader has taken over. The same holds for a
+ * second copy of one that was answered. CUT, OUTAGE and LATE choose which of these disturbances a
+ * search has. Not covered: the limit on a
  * term without word from the table, which lies far beyond the length of a search, so that a successor
  * that reaches no worker waits for ever here; and silent workers of a leader that has a majority,
  * which takes three workers.
@@ -19,6 +22,8 @@
  *
  * Each macro MUTANT_x leaves out one rule; spec/check.py searches for a counterexample to each:
  *   CONFIRMED     a leader reads accepted jobs although another may have taken over
+ *   ROW_END       a successor goes by the end of the lease that the row shows, once the row has not
+ *                 changed for less than a lease
  *   FENCE         workers accept commands with an outdated fencing token
  *   SENT_LEASE    a renewal without an answer does not extend the leader's wait for the lease
  *   UNSETTLED     a leader starts a recovered task before all workers are settled
@@ -62,6 +67,9 @@
 #define LEASE_WAIT (LEASE + 1)
 #endif
 
+/* For how long a renewal that was just answered confirms the lease, which began as it was sent. */
+#define LATE_CONFIRMED (late_left > 0 -> late_left - 1 : 0)
+
 /* Values of `assigned` besides the workers 0 and 1. */
 #define NONE 2
 #define END_PENDING 3       /* the end was reported and is not stored yet */
@@ -92,6 +100,14 @@
 #else
 #define MAY_READ_JOBS(l) (confirmed[l] > 0)
 #endif
+#ifdef MUTANT_ROW_END
+#define IS_LEADERSHIP_FREE (leadership_left == 0 && unchanged > 0)
+#define SHOW_END(left) leadership_left = left
+#else
+/* A late write can only change the row again, so a successor counts from its last change. */
+#define IS_LEADERSHIP_FREE (unchanged > LEADERSHIP_LEASE)
+#define SHOW_END(left) skip
+#endif
 #ifdef MUTANT_FENCE
 #define FENCED(w, e) (false)
 #else
@@ -173,7 +189,14 @@
 
 byte ticks;
 byte epoch;                  /* table row: epoch of the latest leader */
-byte leadership_left;        /* table row: ticks until another leader may take over */
+#ifdef MUTANT_ROW_END
+byte leadership_left;        /* table row: ticks until the end of the lease that it shows */
+#endif
+byte unchanged = LEADERSHIP_LEASE + 1;  /* ticks since the row of the lease has changed */
+#ifdef LATE
+bool is_renewal_late;        /* whether a renewal of the latest leader may still be applied */
+byte late_left;              /* ticks until the end of the lease that it would show */
+#endif
 bool stored;                 /* whether the job is accepted */
 bool done;                   /* whether the task's end is stored */
 bool done_within_lease;      /* whether that end was reported before the lease expired */
@@ -347,7 +370,13 @@
 inline tick() {
 	ticks < TICKS && HAS_ALL_REPORTS(0) && HAS_ALL_REPORTS(1) &&
 	NO_WORKER_REFUSES(0) && NO_WORKER_REFUSES(1) -> ticks++;
+	if :: unchanged <= LEADERSHIP_LEASE -> unchanged++ :: else fi;
+#ifdef LATE
+	if :: late_left > 0 -> late_left-- :: else fi;
+#endif
+#ifdef MUTANT_ROW_END
 	if :: leadership_left > 0 -> leadership_left-- :: else fi;
+#endif
 #ifdef SUSPEND
 	if :: stored_end[0] > 0 && stored_end[0] < USED -> stored_end[0]-- :: else fi;
 	if :: stored_end[1] > 0 && stored_end[1] < USED -> stored_end[1]-- :: else fi;
@@ -357,8 +386,11 @@
 }
 
 inline take_over(l) {
-	!leads[l] && leadership_left == 0 && epoch < EPOCHS && REACHES_TABLE(l) && MAY_LEAD(l) ->
-	epoch++; leadership_left = LEADERSHIP_LEASE + 1; leads[l] = true; own_epoch[l] = epoch;
+	!leads[l] && IS_LEADERSHIP_FREE && epoch < EPOCHS && REACHES_TABLE(l) && MAY_LEAD(l) ->
+	epoch++; unchanged = 0; SHOW_END(LEADERSHIP_LEASE + 1); leads[l] = true; own_epoch[l] = epoch;
+#ifdef LATE
+	is_renewal_late = false; late_left = 0;
+#endif
 	confirmed[l] = LEADERSHIP_LEASE; knows_job[l] = stored; recovered[l] = stored;
 	assigned[l] = NONE;
 	next_run[l] = 3 * epoch; run_reported[l] = false;
@@ -447,11 +479,33 @@
 	leads[l] && REACHES_TABLE(l) ->
 	if
 	:: own_epoch[l] == epoch ->
-		leadership_left = LEADERSHIP_LEASE + 1; confirmed[l] = LEADERSHIP_LEASE
+		unchanged = 0; SHOW_END(LEADERSHIP_LEASE + 1); confirmed[l] = LEADERSHIP_LEASE
 	:: else -> step_down(l)
 	fi
 }
 
+#ifdef LATE
+/* A renewal gets no answer now, or leaves a copy behind. */
+inline send_late_renewal(l) {
+	leads[l] && REACHES_TABLE(l) && own_epoch[l] == epoch && !is_renewal_late ->
+	is_renewal_late = true; late_left = LEADERSHIP_LEASE + 1
+}
+
+/* The late renewal is applied. Its answer may still arrive at its sender. */
+inline apply_late_renewal(answer_arrives) {
+	is_renewal_late && outage != NOW ->
+	unchanged = 0; SHOW_END(late_left);
+	if
+	:: answer_arrives && leads[0] && own_epoch[0] == epoch && REACHES_TABLE(0) ->
+		confirmed[0] = MAX(confirmed[0], LATE_CONFIRMED)
+	:: answer_arrives && leads[1] && own_epoch[1] == epoch && REACHES_TABLE(1) ->
+		confirmed[1] = MAX(confirmed[1], LATE_CONFIRMED)
+	:: else
+	fi;
+	is_renewal_late = false; late_left = 0
+}
+#endif
+
 inline read_job(l) {
 	leads[l] && stored && !knows_job[l] && MAY_READ_JOBS(l) && REACHES_TABLE(l) ->
 	knows_job[l] = true; recovered[l] = false
@@ -566,6 +620,10 @@
 		:: tick()
 		:: take_over(0) :: take_over(1)
 		:: renew_leadership(0) :: renew_leadership(1)
+#ifdef LATE
+		:: send_late_renewal(0) :: send_late_renewal(1)
+		:: apply_late_renewal(true) :: apply_late_renewal(false)
+#endif
 		:: !stored && outage != NOW -> stored = true
 		:: read_job(0) :: read_job(1)
 		:: renew_lease(0, 0, true) :: renew_lease(0, 1, true)
--- a/tests/common/former_rules.py
+++ b/tests/common/former_rules.py
@@ -18,8 +18,8 @@
 from lentilpathd._clock import read_instant
 from lentilpathd._pool import _held_calls, _jobs, _leadership, _records, _settling, _writer
 from lentilpathd._pool._breaker import PathBreaker
-from lentilpathd._pool._ports import PartitionCommitResult, PartitionTransaction
-from lentilpathd._pool._settling import PartitionHealth, Stored
+from lentilpathd._pool._ports import PartitionTransaction
+from lentilpathd._pool._settling import PartitionHealth, RepeatedCommit, Stored
 
 
 def ask_in_one_call_after_the_other(patch: pytest.MonkeyPatch) -> None:
@@ -112,7 +112,7 @@
 
     async def commit(
         table: Any, transaction: PartitionTransaction, timeout: float
-    ) -> PartitionCommitResult:
+    ) -> RepeatedCommit:
         _, result = await _settling.settle_write(
             table,
             PartitionHealth(),
@@ -121,7 +121,7 @@
             lambda error: None,
             table.get_silence_seconds,
         )
-        return result
+        return RepeatedCommit(result, may_be_done_later=True)
 
     patch.setattr(_writer, "commit_repeatedly", commit)
     patch.setattr(_leadership, "commit_repeatedly", commit)
--- /dev/null
+++ b/tests/common/late_writes.py
@@ -0,0 +1,77 @@
+"""A table that leaves writes without an answer and does them later, in any order, or never."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+from lentilpath_core.errors import OutcomeUnknown
+from lentilpathd._pool._ports import PartitionCommitResult
+
+LONGEST_DELAY_SECONDS = 6.0
+RESET_SECONDS = 0.02
+"""How soon a connection is reset on which an answer was lost."""
+
+Apply = Callable[[], PartitionCommitResult]
+"""Does the write now, if its conditions still hold."""
+
+
+class LateWrites:
+    """Decides what becomes of each write, by a random generator.
+
+    Spells in which writes are answered alternate with spells in which a share of them is not. A
+    write without an answer is done at once, at a later time, right after a newer write was answered
+    or never. An answered one may leave a copy behind, which is done later too.
+    """
+
+    def __init__(self, chance: Random, lost_share: float) -> None:
+        self._chance = chance
+        self._lost_share = lost_share
+        self._is_losing = False
+        self._spell_ends_at = 0.0
+        self._overtaken: list[Apply] = []
+        """Writes that are done right after a newer one was answered."""
+        self.is_over = False
+        """Whether all writes are answered from now on."""
+
+    async def commit(self, apply: Apply, timeout: float) -> PartitionCommitResult:
+        """Return the answer to a write, or raise `OutcomeUnknown`."""
+        loop = asyncio.get_running_loop()
+        if not self.is_over and self._is_lost(loop.time()):
+            self._delay(apply)
+            is_reset = self._chance.random() < 0.5
+            await asyncio.sleep(min(RESET_SECONDS, timeout) if is_reset else timeout)
+            raise OutcomeUnknown("the table has not answered")
+        result = apply()
+        if self._overtaken and self._chance.random() < 0.5:
+            self._do_overtaken_writes(loop.time())
+        elif not self.is_over and self._chance.random() < 0.1:
+            self._delay(apply)
+        return result
+
+    def _is_lost(self, now: float) -> bool:
+        if now >= self._spell_ends_at:
+            self._is_losing = not self._is_losing
+            self._spell_ends_at = now + self._chance.uniform(0.3, 2.4)
+        return self._is_losing and self._chance.random() < self._lost_share
+
+    def _delay(self, apply: Apply) -> None:
+        fate = self._chance.random()
+        if fate < 0.1:
+            return
+        if fate < 0.5:
+            self._overtaken.append(apply)
+        elif fate < 0.6:
+            apply()
+        else:
+            delay_seconds = self._chance.uniform(0.0, LONGEST_DELAY_SECONDS)
+            asyncio.get_running_loop().call_later(delay_seconds, apply)
+
+    def _do_overtaken_writes(self, now: float) -> None:
+        """Do the writes that were overtaken; often the next ones are not answered."""
+        for apply in self._chance.sample(self._overtaken, len(self._overtaken)):
+            apply()
+        self._overtaken.clear()
+        if not self.is_over and self._chance.random() < 0.7:
+            self._is_losing, self._spell_ends_at = True, now + self._chance.uniform(1.0, 2.4)
--- a/tests/common/tables.py
+++ b/tests/common/tables.py
@@ -29,6 +29,8 @@
         self.rows: dict[str, PartitionRow] = {}
         self.version = 0
         self.clock_ms = 50_000
+        self.read_ms = 0
+        """By how much the clock advances with each read."""
         self.changes: tuple[PartitionRow, ...] = ()
         self.follows = 0
         self.follow_gate: asyncio.Event | None = None
@@ -72,6 +74,7 @@
     async def read_partition(self, table, partition, first, end, timeout):
         if self.is_unavailable:
             raise self.unavailable_error
+        self.clock_ms += self.read_ms
         found = tuple(
             row for key, row in self.rows.items() if first <= key and (not end or key < end)
         )
--- a/tests/cover/test_pool_leadership.py
+++ b/tests/cover/test_pool_leadership.py
@@ -17,11 +17,21 @@
     SLOW_LEASE_MS,
     SLOW_RENEWAL_MS,
 )
-from lentilpathd._pool._ports import PartitionCommitResult, PartitionRow
-from lentilpathd._pool._records import LeaseRow, decode_record, encode_record
+from lentilpathd._pool._ports import PartitionCommitResult, PartitionRow, PartitionTransaction
+from lentilpathd._pool._records import (
+    EPOCH_KEY,
+    LEASE_KEY,
+    POOL_PARTITION,
+    POOL_TABLE,
+    LeaseRow,
+    decode_record,
+    encode_record,
+)
+from lentilpathd._pool._settling import RepeatedCommit
 from lentilpathd._pool._succession import (
     LEADER_TIMEOUT_MS,
     TAKEOVER_MARGIN_MS,
+    find_takeover_wait,
     may_take_over,
 )
 from tests.common.pools import make_record
@@ -43,21 +53,117 @@
     assert not leadership.is_confirmed(Instant(now[0] + LEASE_MS - 1_000))
 
 
-def test_the_leadership_is_free_only_when_the_tables_clock_has_passed_the_lease():
+def test_the_leadership_is_free_only_after_a_lease_without_a_write_by_the_tables_clock(
+    monkeypatch,
+):
+    now = [Instant(1_000_000)]
+    monkeypatch.setattr(_leadership, "read_instant", lambda: now[0])
     table = OnePartitionTable()
     first, second = make_leadership(table), make_leadership(table, "h2")
     asyncio.run(first.acquire())
-    snapshot = asyncio.run(second._read_snapshot())
-    assert snapshot is not None
-    assert not may_take_over(snapshot, HostId("h2"), ADDRESS, LEADER_TIMEOUT_MS)
-    table.clock_ms += LEASE_MS
-    snapshot = asyncio.run(second._read_snapshot())
-    assert snapshot is not None
-    assert not may_take_over(snapshot, HostId("h2"), ADDRESS, LEADER_TIMEOUT_MS)
-    table.clock_ms += 1_000
+    # Whatever this host has not watched does not count.
+    table.clock_ms += 10 * LEASE_MS
+
+    def may_second_take_over() -> bool:
+        snapshot = asyncio.run(second._read_snapshot())
+        assert snapshot is not None
+        return second._may_take_over_now(snapshot, now[0])
+
+    assert not may_second_take_over()
+    now[0] = Instant(now[0] + 10 * LEASE_MS)
+    table.clock_ms += LEASE_MS + TAKEOVER_MARGIN_MS - 1
+    assert not may_second_take_over()
+    table.clock_ms += 1
+    assert may_second_take_over()
     assert asyncio.run(second.acquire()) == 2
 
 
+def test_a_late_copy_of_an_older_renewal_does_not_shorten_a_lease(monkeypatch):
+    """A late renewal showed an older end, and the leader was replaced (review/11)."""
+    now = [Instant(1_000_000)]
+    monkeypatch.setattr(_leadership, "read_instant", lambda: now[0])
+    table = OnePartitionTable()
+    first, second = make_leadership(table), make_leadership(table, "h2")
+    epoch = asyncio.run(first.acquire())
+    old = table.rows[LEASE_KEY].value
+
+    def pass_time(ms: int) -> bool:
+        """Return whether the second host may take over after some more time."""
+        now[0] = Instant(now[0] + ms)
+        table.clock_ms += ms
+        snapshot = asyncio.run(second._read_snapshot())
+        assert snapshot is not None
+        return second._may_take_over_now(snapshot, now[0])
+
+    assert not pass_time(2_500)
+    asyncio.run(first._write_lease(epoch))
+    sent_at = now[0]
+    table.version += 1
+    table.rows[LEASE_KEY] = PartitionRow("cell", LEASE_KEY, old, RowVersion(table.version))
+    while first.is_confirmed(now[0]):
+        assert not pass_time(50)
+    assert now[0] == sent_at + LEASE_MS
+    assert not pass_time(TAKEOVER_MARGIN_MS - 50)
+    assert pass_time(100)
+
+
+def test_a_late_copy_of_a_shorter_lease_limits_what_a_leader_counts_on(monkeypatch):
+    """The successor of a leader waits for the lease that the row shows at last."""
+    now = [Instant(1_000_000)]
+    monkeypatch.setattr(_leadership, "read_instant", lambda: now[0])
+    leader = make_leadership(OnePartitionTable())
+    epoch = asyncio.run(leader.acquire())
+
+    def renew(answer_ms: int, may_be_done_later: bool) -> int:
+        """Renew the lease; return for how long the leader counts on it from its sending on."""
+        renewal = leader.make_renewal(epoch)
+        now[0] = Instant(now[0] + answer_ms)
+        answer = PartitionCommitResult(True, RowVersion(1), 50_000)
+        leader.record_renewal(renewal, RepeatedCommit(answer, may_be_done_later))
+        return leader._confirmed_until - renewal.sent_at
+
+    assert renew(SLOW_RENEWAL_MS, may_be_done_later=False) == LEASE_MS
+    assert renew(SLOW_RENEWAL_MS, may_be_done_later=False) == SLOW_LEASE_MS
+    short = leader.make_renewal(epoch)
+    short.lease_ms = short.counted_ms = LEASE_MS
+    leader._renewals.close(short, may_be_done_later=True)
+    now[0] = Instant(now[0] + 1_000)
+    assert renew(SLOW_RENEWAL_MS, may_be_done_later=False) == LEASE_MS
+
+
+def test_a_shorter_lease_that_is_sent_beside_a_longer_one_limits_both(monkeypatch):
+    now = [Instant(1_000_000)]
+    monkeypatch.setattr(_leadership, "read_instant", lambda: now[0])
+    leader = make_leadership(OnePartitionTable())
+    epoch = asyncio.run(leader.acquire())
+    done = RepeatedCommit(PartitionCommitResult(True, RowVersion(1), 50_000), False)
+    first = leader.make_renewal(epoch)
+    now[0] = Instant(now[0] + SLOW_RENEWAL_MS)
+    leader.record_renewal(first, done)
+    longer = leader.make_renewal(epoch)
+    leader._renewal_ms = 0
+    shorter = leader.make_renewal(epoch)
+    assert (longer.lease_ms, shorter.lease_ms) == (SLOW_LEASE_MS, LEASE_MS)
+    leader.record_renewal(shorter, done)
+    leader.record_renewal(longer, done)
+    assert leader._confirmed_until == now[0] + LEASE_MS
+
+
+def test_a_late_renewal_does_not_take_a_release_back():
+    """Without a release, a successor waits for the whole lease of a host that has stopped."""
+    table = OnePartitionTable()
+    leader = make_leadership(table)
+    epoch = asyncio.run(leader.acquire())
+    renewal = leader.make_renewal(epoch)
+    version = leader.epoch_version
+    asyncio.run(leader.release(epoch, HostId("h2")))
+    late = PartitionTransaction(
+        POOL_TABLE, POOL_PARTITION, checks=((EPOCH_KEY, version),), puts=(renewal.put,)
+    )
+    assert not asyncio.run(table.commit(late, 1.0)).applied
+    assert asyncio.run(make_leadership(table, "h2").acquire()) == epoch + 1
+
+
 def follow_jobs(table: OnePartitionTable, confirmed: bool) -> list[JobId]:
     accepted: list[JobId] = []
 
@@ -97,8 +203,9 @@
     table.clock_ms += LEASE_MS + 1_000
     snapshot = asyncio.run(second._read_snapshot())
     assert snapshot is not None
-    assert not may_take_over(snapshot, HostId("h2"), ADDRESS, LEADER_TIMEOUT_MS - 1)
-    assert may_take_over(snapshot, HostId("h2"), ADDRESS, LEADER_TIMEOUT_MS)
+    free_after = find_takeover_wait(snapshot.lease)
+    assert not may_take_over(snapshot, HostId("h2"), ADDRESS, free_after, LEADER_TIMEOUT_MS - 1)
+    assert may_take_over(snapshot, HostId("h2"), ADDRESS, free_after, LEADER_TIMEOUT_MS)
 
 
 def test_a_renewal_that_was_on_its_way_keeps_a_leader_whose_lease_looked_expired():
@@ -107,9 +214,9 @@
     epoch = asyncio.run(first.acquire())
     snapshot = asyncio.run(second._read_snapshot())
     assert snapshot is not None
-    asyncio.run(first._write_lease(epoch, first.make_renewal(epoch)))
+    asyncio.run(first._write_lease(epoch))
     assert asyncio.run(second._take_over(snapshot)) is None
-    asyncio.run(first._write_lease(epoch, first.make_renewal(epoch)))
+    asyncio.run(first._write_lease(epoch))
 
 
 def test_a_leader_counts_on_no_longer_lease_than_the_table_shows(monkeypatch):
@@ -122,9 +229,10 @@
         renewal = leader.make_renewal(epoch)
         row = decode_record(renewal.put[1], LeaseRow)
         assert row.until_ms == leader._clock.estimate(now[0]) + lease_ms
+        assert row.lease_ms == lease_ms
         now[0] = Instant(now[0] + answer_ms)
         answer = PartitionCommitResult(True, RowVersion(1), table.clock_ms)
-        leader.record_renewal(renewal, answer)
+        leader.record_renewal(renewal, RepeatedCommit(answer, may_be_done_later=False))
         assert leader.is_confirmed(Instant(renewal.sent_at + lease_ms - 1))
         assert not leader.is_confirmed(Instant(renewal.sent_at + lease_ms))
 
@@ -137,12 +245,18 @@
     epoch = asyncio.run(first.acquire())
     for _ in range(3):
         now[0] = Instant(now[0] + 800)
-        asyncio.run(first._write_lease(epoch, first.make_renewal(epoch)))
-        asyncio.run(second._read_snapshot())
-        assert second._get_unchanged_ms(now[0]) == 0
+        table.clock_ms += 700
+        asyncio.run(first._write_lease(epoch))
+        snapshot = asyncio.run(second._read_snapshot())
+        assert second._get_watched_ms(now[0]) == 0
+        assert snapshot is not None
+        assert second._get_unchanged_ms(snapshot) == 0
     now[0] = Instant(now[0] + 800)
-    asyncio.run(second._read_snapshot())
-    assert second._get_unchanged_ms(now[0]) == 800
+    table.clock_ms += 700
+    snapshot = asyncio.run(second._read_snapshot())
+    assert second._get_watched_ms(now[0]) == 800
+    assert snapshot is not None
+    assert second._get_unchanged_ms(snapshot) == 700
 
 
 def test_the_named_successor_of_a_planned_stop_goes_first():
@@ -152,9 +266,9 @@
     asyncio.run(first.release(epoch, HostId("h2")))
     snapshot = asyncio.run(second._read_snapshot())
     assert snapshot is not None
-    assert may_take_over(snapshot, HostId("h2"), ADDRESS, 0)
-    assert not may_take_over(snapshot, HostId("h3"), ADDRESS, 0)
-    assert may_take_over(snapshot, HostId("h3"), ADDRESS, LEADER_TIMEOUT_MS)
+    assert may_take_over(snapshot, HostId("h2"), ADDRESS, 0, 0)
+    assert not may_take_over(snapshot, HostId("h3"), ADDRESS, 0, 0)
+    assert may_take_over(snapshot, HostId("h3"), ADDRESS, 0, LEADER_TIMEOUT_MS)
 
 
 def test_a_slow_host_leaves_a_silent_leader_to_faster_hosts_for_a_while(monkeypatch):
@@ -163,15 +277,15 @@
     table = OnePartitionTable()
     first, second = make_leadership(table), make_leadership(table, "h2")
     asyncio.run(first.acquire())
-    table.clock_ms += LEASE_MS + TAKEOVER_MARGIN_MS + 1
-    snapshot = asyncio.run(second._read_snapshot())
-    assert snapshot is not None
-    assert may_take_over(snapshot, HostId("h2"), ADDRESS, LEADER_TIMEOUT_MS)
-    assert not may_take_over(snapshot, HostId("h2"), ADDRESS, LEADER_TIMEOUT_MS, SLOW_HOST_WAIT_MS)
-    table.clock_ms += SLOW_HOST_WAIT_MS
     snapshot = asyncio.run(second._read_snapshot())
     assert snapshot is not None
-    assert may_take_over(snapshot, HostId("h2"), ADDRESS, LEADER_TIMEOUT_MS, SLOW_HOST_WAIT_MS)
+    host, wait_ms = HostId("h2"), LEASE_MS + TAKEOVER_MARGIN_MS
+    assert may_take_over(snapshot, host, ADDRESS, wait_ms, LEADER_TIMEOUT_MS)
+    slow_ms = SLOW_HOST_WAIT_MS
+    assert not may_take_over(snapshot, host, ADDRESS, wait_ms, LEADER_TIMEOUT_MS, slow_ms)
+    wait_ms += slow_ms
+    assert not may_take_over(snapshot, host, ADDRESS, wait_ms - 1, LEADER_TIMEOUT_MS, slow_ms)
+    assert may_take_over(snapshot, host, ADDRESS, wait_ms, LEADER_TIMEOUT_MS, slow_ms)
 
 
 def test_a_slow_host_leaves_a_planned_stop_without_a_successor_to_faster_hosts_for_a_while():
@@ -181,9 +295,9 @@
     asyncio.run(first.release(epoch))
     snapshot = asyncio.run(second._read_snapshot())
     assert snapshot is not None
-    assert may_take_over(snapshot, HostId("h2"), ADDRESS, 0)
-    assert not may_take_over(snapshot, HostId("h2"), ADDRESS, 0, SLOW_HOST_WAIT_MS)
-    assert may_take_over(snapshot, HostId("h2"), ADDRESS, SLOW_HOST_WAIT_MS, SLOW_HOST_WAIT_MS)
+    assert may_take_over(snapshot, HostId("h2"), ADDRESS, 0, 0)
+    assert not may_take_over(snapshot, HostId("h2"), ADDRESS, 0, 0, SLOW_HOST_WAIT_MS)
+    assert may_take_over(snapshot, HostId("h2"), ADDRESS, 0, SLOW_HOST_WAIT_MS, SLOW_HOST_WAIT_MS)
 
 
 def test_after_an_outage_of_the_table_a_living_leader_has_time_to_renew_first(monkeypatch):
--- a/tests/cover/test_pool_malformed_answers.py
+++ b/tests/cover/test_pool_malformed_answers.py
@@ -43,6 +43,7 @@
 from lentilpathd._pool._succession import (
     LEADER_TIMEOUT_MS,
     decode_snapshot,
+    find_takeover_wait,
     may_take_over,
 )
 from lentilpathd._pool._worker_rows import WorkerShares
@@ -293,8 +294,13 @@
     for lease in (bad, LATE_LEASE):
         snapshot = decode_snapshot(read_rows(GOOD_EPOCH, lease))
         assert snapshot.epoch == 7
-        free = [may_take_over(snapshot, HostId("h2"), ADDRESS, ms) for ms in (0, LEADER_TIMEOUT_MS)]
-        assert free == [False, True]
+        wait_ms = find_takeover_wait(snapshot.lease)
+        free = [
+            may_take_over(snapshot, HostId("h2"), ADDRESS, unchanged_ms, watched_ms)
+            for unchanged_ms in (0, wait_ms)
+            for watched_ms in (0, LEADER_TIMEOUT_MS)
+        ]
+        assert free == [False, False, False, True]
     with pytest.raises(OutcomeUnknown):
         decode_snapshot(read_rows(bad, bad))
 
@@ -305,5 +311,5 @@
     table = OnePartitionTable()
     asyncio.run(make_leadership(table).acquire())
     put(table, EPOCH_KEY, bad)
-    table.clock_ms += 10_000
+    table.read_ms = 100
     assert asyncio.run(make_leadership(table, "h2").acquire()) == 2
