--- a/benches/leases.py
+++ b/benches/leases.py
@@ -1,6 +1,6 @@
 """Measures what leaderships cost on a table that is slow, loses answers or refuses calls.
 
-`python -m benches.leases` plays the real leadership of three hosts in virtual time, with 20 seeds of
+`python -m benches.leases` plays the real leadership of three hosts in virtual time, 20 seeds of
 four minutes for each table. It prints how often living leaders were replaced, the share of the time
 in which the leader was confirmed, and the time from a leader's loss to the next takeover.
 """
