--- a/spec/check.py
+++ b/spec/check.py
@@ -107,6 +107,9 @@
         ("TICKS=6", "LATE", "EPOCHS=2", "LEADERSHIP_LEASE=2"),
         ("ROW_END",),
     ),
+    # The same while a leader is cut off, and with silent workers that are suspended.
+    Model("pool", ("TICKS=6", "CUT", "EPOCHS=2", "LATE"), (), ()),
+    Model("pool", ("TICKS=6", "SUSPEND", "CUT", "LATE"), (), ()),
     # The table is away for all.
     Model("pool", ("TICKS=6", "OUTAGE", "EPOCHS=2"), (), ()),
 )
