--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,6 +6,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import typer
@@ -14,6 +15,8 @@
 from tests.soak.plans import make_customer_plan, make_plan, make_worker_plan
 from tests.soak.runs import run_leader_cut, run_lost_renewals, run_seed
 
+RunSeed = Callable[[int, Path], Awaitable[list[str]]]
+"""Runs a seed and returns the violations; keeps logs in the directory."""
 JOBS = 4
 """Number of concurrent runs; each has its own three entry hosts."""
 
@@ -35,9 +38,10 @@
     first_seed = first or int(time.time())
     chosen = range(first_seed, first_seed + seeds)
     if cuts_leader:
-        failed = asyncio.run(_run_leader_cuts(chosen, jobs))
+        failed = asyncio.run(_run_alone(run_leader_cut, make_leader_cut, chosen, jobs))
     elif loses_renewals:
-        failed = asyncio.run(_run_lost_renewals(chosen, jobs))
+        lost = "writes of the leader get no answer"
+        failed = asyncio.run(_run_alone(run_lost_renewals, lambda seed: lost, chosen, jobs))
     else:
         failed = asyncio.run(_run_seeds(chosen, jobs, disrupts_workers))
     print(f"{seeds} seeds from {first_seed}: {len(failed)} failed {failed or ''}")
@@ -67,35 +71,20 @@
     return sorted(failed)
 
 
-async def _run_leader_cuts(seeds: range, jobs: int) -> list[int]:
+async def _run_alone(
+    run: RunSeed, describe: Callable[[int], object], seeds: range, jobs: int
+) -> list[int]:
+    """Run seeds that have one kind of fault; return those that failed."""
     slots = asyncio.Semaphore(jobs)
     failed: list[int] = []
 
     async def run_one(seed: int) -> None:
         async with slots:
-            directory = Path(tempfile.mkdtemp(prefix=f"lentilpath-cut-{seed}-"))
-            problems = await run_leader_cut(seed, directory)
-        if problems:
-            failed.append(seed)
-            print(f"seed {seed}: {make_leader_cut(seed)}, logs in {directory}")
-            for problem in problems:
-                print(f"  {problem}")
-
-    await asyncio.gather(*(run_one(seed) for seed in seeds))
-    return sorted(failed)
-
-
-async def _run_lost_renewals(seeds: range, jobs: int) -> list[int]:
-    slots = asyncio.Semaphore(jobs)
-    failed: list[int] = []
-
-    async def run_one(seed: int) -> None:
-        async with slots:
-            directory = Path(tempfile.mkdtemp(prefix=f"lentilpath-late-{seed}-"))
-            problems = await run_lost_renewals(seed, directory)
+            directory = Path(tempfile.mkdtemp(prefix=f"lentilpath-soak-{seed}-"))
+            problems = await run(seed, directory)
         if problems:
             failed.append(seed)
-            print(f"seed {seed}: logs in {directory}")
+            print(f"seed {seed}: {describe(seed)}, logs in {directory}")
             for problem in problems:
                 print(f"  {problem}")
 
