--- a/benches/leases.py
+++ b/benches/leases.py
@@ -18,20 +18,18 @@
 
 from lentilpath_core.errors import TableUnavailable
 from lentilpath_core.ids import HostId, Incarnation, Instant
+from lentilpathd._clock import MS_PER_SECOND
 from lentilpathd._pool import _leadership, _settling
 from lentilpathd._pool._leadership import PoolLeadership
 from lentilpathd._pool._ports import Deposed
-from lentilpathd._pool._records import EPOCH_KEY
-from tests.common.late_writes import LateWrites
-from tests.common.tables import ADDRESS, OnePartitionTable
+from tests.common.late_writes import ANSWER_SECONDS, LateTable, LateWrites
+from tests.common.tables import ADDRESS
 from tests.common.virtual_time import run_in_virtual_time
 
 SEEDS = 20
 SECONDS = 240.0
 HOSTS = 3
-ANSWER_SECONDS = 0.006
 SAMPLE_SECONDS = 0.02
-MS_PER_SECOND = 1_000
 
 
 @dataclass(frozen=True)
@@ -56,36 +54,17 @@
 )
 
 
-class Rows(OnePartitionTable):
-    """Rows shared by all hosts."""
+class Rows(LateTable):
+    """Rows shared by all hosts, of a table that behaves as told."""
 
     def __init__(self, table: Table, chance: Random) -> None:
-        super().__init__()
+        super().__init__(LateWrites(chance, table.lost_share))
         self.table = table
-        self._chance = chance
-        self._late = LateWrites(chance, table.lost_share)
-        self.takeovers: list[float] = []
-
-    async def commit(self, transaction, timeout, prefer_relay=False):
-        """Do a write after the table's usual time; see `SharedTable`."""
-
-        def apply_now():
-            self.clock_ms = int(read_time() * MS_PER_SECOND)
-            result = self.apply(transaction)
-            if result.applied and EPOCH_KEY in dict(transaction.puts):
-                self.takeovers.append(read_time())
-            return result
-
-        await asyncio.sleep(self.table.answer_seconds)
-        if not self.table.lost_share:
-            return apply_now()
-        return await self._late.commit(apply_now, timeout)
-
-    async def read_partition(self, table, partition, first, end, timeout):
-        """Return the rows after the table's usual time; see `SharedTable`."""
-        await asyncio.sleep(self.table.answer_seconds)
-        self.clock_ms = int(read_time() * MS_PER_SECOND)
-        return await super().read_partition(table, partition, first, end, timeout)
+        self._late.is_over = not table.lost_share
+
+    def find_answer_seconds(self, now: float) -> float:
+        """Return how long a call takes."""
+        return self.table.answer_seconds
 
 
 class Path:
--- a/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
+++ b/packages/lentilpathd/src/lentilpathd/_pool/_leadership.py
@@ -13,11 +13,8 @@
 from lentilpath_core.settings import Address
 from lentilpathd._clock import MS_PER_SECOND, read_instant
 from lentilpathd._events import Event, log_event, log_warning_event
-from lentilpathd._pool._ports import (
-    Deposed,
-    PartitionTransaction,
-    SharedTable,
-)
+from lentilpathd._pool._lease_watch import POLL_INTERVAL_MS, LeaseWatch
+from lentilpathd._pool._ports import Deposed, PartitionTransaction, SharedTable
 from lentilpathd._pool._records import (
     EPOCH_KEY,
     LEADER_KEYS_END,
@@ -36,7 +33,6 @@
     LeadershipSnapshot,
     decode_snapshot,
     find_sole_leader,
-    find_takeover_wait,
     has_sole_leader_ended,
     may_take_over,
 )
@@ -54,8 +50,6 @@
 beside its records. Each renewal delays the records that wait in the same partition."""
 SLOW_RENEWAL_MS = 200
 """A table is slow if it takes this long for a renewal, 20 times as long as usual."""
-POLL_INTERVAL_MS = 350
-"""Shorter than the interval between renewals, so that a host observes each of them."""
 SLOW_HOST_WAIT_MS = 800
 """Extra delay before a slow host takes over if it knows of much faster hosts: two of their polling
 intervals and a transaction."""
@@ -81,7 +75,6 @@
         self._address = address
         self._clock = TableClock()
         self.epoch_version = RowVersion(0)
-        self.snapshot: LeadershipSnapshot | None = None
         self._confirmed_until = Instant(0)
         self._renewed_at = Instant(0)
         self._renewal_ms = 0
@@ -101,17 +94,15 @@
         self.former_leader: LeaderProcess | None = None
         """The process that led before the last takeover, if none before it can act any more."""
         self._renewals = OpenRenewals()
-        self._watched_since = Instant(0)
-        """Since when the lease row was read without a failure and without a change."""
-        self._unchanged_since = Instant(0)
-        """When the lease row was first read in its present version. It has not changed since, also
-        if reads in between failed."""
-        self._is_watch_broken = False
-        self._read_ms = 0
-        """Duration of the last read."""
+        self._watch = LeaseWatch()
         self._next_log_at = Instant(0)
         """When the next confirmation of the lease is logged."""
 
+    @property
+    def snapshot(self) -> LeadershipSnapshot | None:
+        """The leadership rows as they were last read."""
+        return self._watch.snapshot
+
     def is_confirmed(self, now: Instant) -> bool:
         """Return whether the lease is certainly still held, so that nobody else has taken over."""
         return now < self._confirmed_until
@@ -145,7 +136,7 @@
         while True:
             snapshot = await self._read_snapshot()
             if snapshot is None or not self._may_take_over_now(snapshot, read_instant()):
-                await asyncio.sleep(self._find_poll_delay(read_instant()) / MS_PER_SECOND)
+                await asyncio.sleep(self._watch.find_delay(read_instant()) / MS_PER_SECOND)
             # A takeover depends on the version that was read, so it needs no further read.
             if snapshot is not None and self._may_take_over_now(snapshot, read_instant()):
                 epoch = await self._take_over(snapshot)
@@ -153,15 +144,6 @@
                     return epoch
                 await asyncio.sleep(POLL_INTERVAL_MS / MS_PER_SECOND)
 
-    def _find_poll_delay(self, now: Instant) -> int:
-        """Return the time in ms until the next read, or until a silent leader may be replaced."""
-        if self.snapshot is None:
-            return POLL_INTERVAL_MS
-        left_ms = find_takeover_wait(self.snapshot.lease) - self._get_unchanged_ms(now)
-        # A read that begins before would end after it.
-        is_close = 0 < left_ms < POLL_INTERVAL_MS + self._read_ms
-        return left_ms if is_close else POLL_INTERVAL_MS
-
     def _may_take_over_now(self, snapshot: LeadershipSnapshot, now: Instant) -> bool:
         leader = snapshot.lease.host if snapshot.lease is not None else None
         wait_ms = SLOW_HOST_WAIT_MS if self._knows_faster_host(leader) else 0
@@ -169,8 +151,8 @@
             snapshot,
             self._host,
             self._address,
-            self._get_unchanged_ms(now),
-            self._get_watched_ms(now),
+            self._watch.get_unchanged_ms(now),
+            self._watch.get_watched_ms(now),
             wait_ms,
         )
 
@@ -185,34 +167,13 @@
             log_event(Event.LEADER_NOT_READ, error=str(error))
             # While the table is away the leader cannot renew either. Once it is back, the leader
             # needs time to do so.
-            self._is_watch_broken = True
+            self._watch.note_failure()
             return None
         now = read_instant()
-        self._read_ms = now - sent_at
         self._clock.observe(read.clock_ms, sent_at, now)
-        former = self.snapshot
-        is_changed = former is None or snapshot.lease_version != former.lease_version
-        if is_changed:
-            self._unchanged_since = now
-        if is_changed or self._is_watch_broken:
-            self._watched_since = now
-        self._is_watch_broken = False
-        if snapshot.unreadable and (former is None or former.unreadable != snapshot.unreadable):
-            for key in snapshot.unreadable:
-                log_warning_event(Event.ROW_UNREADABLE, key=key, error="it is not a leader's row")
-        if former is not None:
-            _log_earlier_end(former, snapshot)
-        self.snapshot = snapshot
+        self._watch.observe(snapshot, sent_at, now)
         return snapshot
 
-    def _get_unchanged_ms(self, now: Instant) -> int:
-        """Return for how long, in ms, the lease row has not changed if its version is the same."""
-        return now - self._unchanged_since
-
-    def _get_watched_ms(self, now: Instant) -> int:
-        """Return for how long, in ms, the lease row was read without a failure or a change."""
-        return now - self._watched_since
-
     async def _take_over(self, snapshot: LeadershipSnapshot) -> Epoch | None:
         self.is_sole = False
         self.succeeds_sole_leader = has_sole_leader_ended(snapshot, self._host, self._address)
@@ -229,7 +190,7 @@
             version=snapshot.lease_version,
             until_ms=lease.until_ms if lease is not None else None,
             clock_ms=snapshot.clock_ms,
-            unchanged_ms=self._get_unchanged_ms(read_instant()),
+            unchanged_ms=self._watch.get_unchanged_ms(read_instant()),
         )
         # Whatever an earlier term of this process has sent depends on an earlier epoch.
         self._renewals = OpenRenewals()
@@ -413,19 +374,3 @@
         )
         # While the direct path is silent, a relay may still renew the lease before it expires.
         return await commit_repeatedly(self._table, transaction, ROW_TIMEOUT_SECONDS)
-
-
-def _log_earlier_end(former: LeadershipSnapshot, snapshot: LeadershipSnapshot) -> None:
-    """Log that a leader's lease, which it has not released, ends earlier than before."""
-    before, after = former.lease, snapshot.lease
-    if before is None or after is None or before.epoch != after.epoch:
-        return
-    if 0 < after.until_ms < before.until_ms:
-        log_event(
-            Event.LEASE_WENT_BACK,
-            leader=after.host,
-            version=snapshot.lease_version,
-            until_ms=after.until_ms,
-            former_version=former.lease_version,
-            former_until_ms=before.until_ms,
-        )
--- a/tests/common/late_writes.py
+++ b/tests/common/late_writes.py
@@ -8,9 +8,14 @@
 from typing import Any
 
 from lentilpath_core.errors import OutcomeUnknown
+from lentilpathd._clock import MS_PER_SECOND
 from lentilpathd._pool._ports import PartitionCommitResult
+from lentilpathd._pool._records import EPOCH_KEY
+from tests.common.tables import OnePartitionTable
 
 LONGEST_DELAY_SECONDS = 6.0
+ANSWER_SECONDS = 0.006
+"""Usual duration of a call."""
 RESET_SECONDS = 0.02
 """How soon a connection is reset on which an answer was lost."""
 
@@ -85,3 +90,45 @@
         self._overtaken.clear()
         if not self.is_over and self._chance.random() < 0.7:
             self._is_losing, self._spell_ends_at = True, now + self._chance.uniform(1.0, 2.4)
+
+
+class LateTable(OnePartitionTable):
+    """The rows that all hosts share, in the loop's time, whose writes may be done late."""
+
+    def __init__(self, late: LateWrites) -> None:
+        super().__init__()
+        self._late = late
+        self.takeovers: list[float] = []
+        """When the row of the epoch was written, by the loop's time in seconds."""
+
+    def find_answer_seconds(self, now: float) -> float:
+        """Return how long a call of this time takes."""
+        return ANSWER_SECONDS
+
+    def note_takeover(self, now: float) -> None:
+        """Note that the row of the epoch was written."""
+        self.takeovers.append(now)
+
+    async def commit(self, transaction, timeout, prefer_relay=False):
+        def apply_now():
+            now = self._set_clock()
+            result = self.apply(transaction)
+            if result.applied and EPOCH_KEY in dict(transaction.puts):
+                self.note_takeover(now)
+            return result
+
+        await self._answer()
+        return await self._late.commit(apply_now, timeout)
+
+    async def read_partition(self, table, partition, first, end, timeout):
+        await self._answer()
+        self._set_clock()
+        return await super().read_partition(table, partition, first, end, timeout)
+
+    async def _answer(self) -> None:
+        await asyncio.sleep(self.find_answer_seconds(asyncio.get_running_loop().time()))
+
+    def _set_clock(self) -> float:
+        now = asyncio.get_running_loop().time()
+        self.clock_ms = int(now * MS_PER_SECOND)
+        return now
--- a/tests/cover/test_pool_leadership.py
+++ b/tests/cover/test_pool_leadership.py
@@ -13,7 +13,7 @@
 from lentilpath_core.errors import OutcomeUnknown
 from lentilpath_core.ids import Epoch, HostId, Instant, JobId, RowVersion
 from lentilpath_core.pool import JobAccepted, JobCancelled
-from lentilpathd._pool import _leadership
+from lentilpathd._pool import _leadership, _lease_watch
 from lentilpathd._pool._job_feed import JobFeed
 from lentilpathd._pool._leadership import (
     LEASE_MS,
@@ -249,12 +249,12 @@
         now[0] = Instant(now[0] + 800)
         asyncio.run(first._write_lease(epoch))
         asyncio.run(second._read_snapshot())
-        assert second._get_watched_ms(now[0]) == 0
-        assert second._get_unchanged_ms(now[0]) == 0
+        assert second._watch.get_watched_ms(now[0]) == 0
+        assert second._watch.get_unchanged_ms(now[0]) == 0
     now[0] = Instant(now[0] + 800)
     asyncio.run(second._read_snapshot())
-    assert second._get_watched_ms(now[0]) == 800
-    assert second._get_unchanged_ms(now[0]) == 800
+    assert second._watch.get_watched_ms(now[0]) == 800
+    assert second._watch.get_unchanged_ms(now[0]) == 800
 
 
 def test_the_named_successor_of_a_planned_stop_goes_first():
@@ -324,6 +324,7 @@
 def test_a_host_whose_takeover_is_done_late_leads_at_its_next_read(monkeypatch):
     """The takeover got no answer and was not in the table yet when the host looked for it."""
     monkeypatch.setattr(_leadership, "POLL_INTERVAL_MS", 1)
+    monkeypatch.setattr(_lease_watch, "POLL_INTERVAL_MS", 1)
     table = OnePartitionTable()
     leadership = make_leadership(table)
     commit = table.commit
--- a/tests/cover/test_pool_malformed_answers.py
+++ b/tests/cover/test_pool_malformed_answers.py
@@ -32,7 +32,7 @@
 from lentilpath_platform.registry import PlatformRegistry
 from lentilpath_platform.store import PlatformTable
 from lentilpath_platform.workers import PlatformWorker
-from lentilpathd._pool import _leadership
+from lentilpathd._pool import _leadership, _lease_watch
 from lentilpathd._pool._ports import (
     AnswerProgress,
     OtherLife,
@@ -308,7 +308,7 @@
 
 @pytest.mark.parametrize("bad", BAD_VALUES)
 def test_a_host_takes_over_although_the_row_of_the_epoch_cannot_be_read(bad: bytes, monkeypatch):
-    monkeypatch.setattr(_leadership, "POLL_INTERVAL_MS", 1)
+    monkeypatch.setattr(_lease_watch, "POLL_INTERVAL_MS", 1)
     table = OnePartitionTable()
     asyncio.run(make_leadership(table).acquire())
     put(table, EPOCH_KEY, bad)
--- a/tests/nocover/test_pool_late_renewals.py
+++ b/tests/nocover/test_pool_late_renewals.py
@@ -12,69 +12,44 @@
 
 from lentilpath_core.errors import OutcomeUnknown, Unavailable
 from lentilpath_core.ids import HostId, Incarnation, Instant
+from lentilpathd._clock import MS_PER_SECOND
 from lentilpathd._pool import _leadership, _settling
 from lentilpathd._pool._leadership import PoolLeadership
 from lentilpathd._pool._ports import Deposed, PartitionTransaction
 from lentilpathd._pool._records import EPOCH_KEY, LEASE_KEY, POOL_PARTITION, POOL_TABLE
 from lentilpathd._pool._settling import commit_repeatedly
-from tests.common.late_writes import LateWrites
-from tests.common.tables import ADDRESS, OnePartitionTable
+from tests.common.late_writes import ANSWER_SECONDS, LateTable, LateWrites
+from tests.common.tables import ADDRESS
 from tests.common.virtual_time import run_in_virtual_time
 
 HOSTS = 3
 SECONDS = 240.0
-ANSWER_SECONDS = 0.006
 SLOW_ANSWER_SECONDS = 0.4
 """Answers of a table that is becoming 100 times slower, less what its queue adds."""
 
 
-class Rows(OnePartitionTable):
-    """The rows that all hosts share; notes takeovers from leaders that count on their leases."""
+class Rows(LateTable):
+    """Notes takeovers from leaders that count on their leases; at times the table is slow."""
 
     def __init__(self, late: LateWrites, slow_share: float, chance: Random) -> None:
-        super().__init__()
-        self._late = late
+        super().__init__(late)
         self._slow_share = slow_share
         self._chance = chance
-        self._slow_until = 0.0
+        self._is_slow = False
         self._next_change_at = 0.0
         self.leaders: dict[HostId, PoolLeadership] = {}
-        self.takeovers: list[float] = []
         self.violations: list[str] = []
 
-    async def commit(self, transaction, timeout, prefer_relay=False):
-        def apply_now():
-            self._set_clock()
-            result = self.apply(transaction)
-            if result.applied and EPOCH_KEY in dict(transaction.puts):
-                self._note_takeover()
-            return result
-
-        await self._delay()
-        return await self._late.commit(apply_now, timeout)
-
-    async def read_partition(self, table, partition, first, end, timeout):
-        await self._delay()
-        self._set_clock()
-        return await super().read_partition(table, partition, first, end, timeout)
-
-    async def _delay(self) -> None:
-        now = asyncio.get_running_loop().time()
+    def find_answer_seconds(self, now: float) -> float:
         if now >= self._next_change_at:
             self._next_change_at = now + self._chance.uniform(2.0, 8.0)
-            is_slow = self._chance.random() < self._slow_share
-            self._slow_until = self._next_change_at if is_slow else 0.0
-        is_slow = now < self._slow_until
-        await asyncio.sleep(SLOW_ANSWER_SECONDS if is_slow else ANSWER_SECONDS)
-
-    def _set_clock(self) -> None:
-        self.clock_ms = int(asyncio.get_running_loop().time() * 1_000)
+            self._is_slow = self._chance.random() < self._slow_share
+        return SLOW_ANSWER_SECONDS if self._is_slow else ANSWER_SECONDS
 
-    def _note_takeover(self) -> None:
-        now = asyncio.get_running_loop().time()
-        self.takeovers.append(now)
+    def note_takeover(self, now: float) -> None:
+        super().note_takeover(now)
         for host, leadership in self.leaders.items():
-            if leadership.is_confirmed(Instant(int(now * 1_000))):
+            if leadership.is_confirmed(Instant(int(now * MS_PER_SECOND))):
                 self.violations.append(f"{now:.3f} {host} counts on its lease")
 
 
