--- a/tests/cover/test_pool_records.py
+++ b/tests/cover/test_pool_records.py
@@ -17,15 +17,17 @@
     RunEnd,
     RunNumber,
     RunRecord,
+    RunsRecovered,
     StartAnswer,
 )
-from lentilpathd._pool._ports import PartitionRow, PartitionRows
+from lentilpathd._pool._ports import PartitionRow, PartitionRows, PartitionTransaction
 from lentilpathd._pool._records import (
     PARTITIONS_PER_JOB,
     get_job_partitions,
     make_end_key,
     make_run_key,
 )
+from lentilpathd._pool._recovery import read_pool
 from lentilpathd._pool._removal import JobRemover
 from lentilpathd._pool._writer import RecordWriter
 from tests.common.pools import PoolHarness, list_starts, make_job_id, make_task, make_worker
@@ -274,3 +276,61 @@
         await asyncio.gather(task, return_exceptions=True)
 
     asyncio.run(scenario())
+
+
+class LateTable(OnePartitionTable):
+    """Keeps what was written, to be done once more after newer writes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.transactions: list[PartitionTransaction] = []
+
+    async def commit(self, transaction, timeout, prefer_relay=False):
+        self.transactions.append(transaction)
+        return await super().commit(transaction, timeout, prefer_relay)
+
+    def repeat_write(self, of_key: str) -> None:
+        """Do the first write of a row once more."""
+        keys = [dict(each.puts) for each in self.transactions]
+        first = next(number for number, puts in enumerate(keys) if of_key in puts)
+        assert self.apply(self.transactions[first]).applied
+
+
+def test_ends_that_a_late_write_puts_back_are_removed_by_the_next_leader():
+    """A batch that got no answer is done after the one that has removed its rows."""
+    table = LateTable()
+    write(table, END, FINAL)
+    assert list_end_keys(table) == []
+    table.repeat_write(make_end_key(END.task, END.record))
+    (key,) = list_end_keys(table)
+    recovered = asyncio.run(read_pool(table))
+    assert recovered.end_keys == (key,)
+    assert recovered.ended_jobs == {make_job_id(1)}
+    # The job's end stands, and the run's does not count beside it.
+    assert recovered.events[-1] == RunsRecovered(())
+
+    async def scenario() -> None:
+        writer = RecordWriter(table, Epoch(1), make_leadership(table), lambda event: None)
+        writer.add_stored_ends(recovered.end_keys, recovered.ended_jobs)
+        task = asyncio.create_task(writer.run())
+        await wait_until(lambda: not list_end_keys(table))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(scenario())
+
+
+def test_a_final_state_that_a_late_write_puts_back_is_removed_again_by_the_next_leader(
+    monkeypatch,
+):
+    monkeypatch.setattr("lentilpathd._pool._removal.BATCH_DELAY_SECONDS", 0.001)
+    table = LateTable()
+    write(table, FINAL)
+    asyncio.run(JobRemover(table, Epoch(1), RowVersion(0))._remove([make_job_id(1)]))
+    key = f"final/{make_job_id(1)}"
+    assert key not in table.rows
+    table.repeat_write(key)
+    harness = PoolHarness()
+    for event in asyncio.run(read_pool(table)).events:
+        harness.handle_event(event)
+    assert DeleteJob(make_job_id(1)) in harness.pass_time(harness.state.job_memory_ms + 100)
